Skeleton: build, lint, base library, the tables' types and the wire forms

Cause: an empty repository. Change: CMake with a precompiled header and ccache, one library a folder; errors with remedies, results that throw when misread, name tables, a clock that pauses, seeded random numbers, hashes, JSON-line logs; types of routes and pools; key-value types; the wire forms in docs/DESIGN.md. Conclusion: the base to build the libraries on.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Two commands for a newcomer: `make demo` and `make test`. `make help` lists the rest.
+SHELL := /bin/bash
+BUILD ?= build
+JOBS ?= $(shell nproc)
+PACKAGES := libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev libthrift-dev thrift-compiler \
+	prometheus-cpp-dev libabsl-dev libgoogle-glog-dev libcriterion-dev libbenchmark-dev \
+	libtomlplusplus-dev libssl-dev liblua5.4-dev librapidcheck-dev libxxhash-dev \
+	g++ make cmake ninja-build ccache clang-14 libclang-rt-14-dev clang-format-14 clang-tidy-14 cppcheck \
+	spin gnuplot-nox openssl curl
+SOURCES = $(shell git ls-files '*.cc' '*.h' ':!*/gen/*')
+CLANG_TIDY_SOURCES = $(shell git ls-files '*.cc' ':!*/gen/*')
+
+.PHONY: help packages build test demo lint format bench scenarios fuzz soak sanitize clean
+
+help: ## list the targets
+	@grep -hE '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 14
+
+packages: ## install the Debian packages that the build declares
+	@if dpkg -s $(PACKAGES) >/dev/null 2>&1; then :; else \
+	  SUDO=$$([ "$$(id -u)" = 0 ] || echo sudo); \
+	  $$SUDO apt-get update -qq && DEBIAN_FRONTEND=noninteractive $$SUDO apt-get install -y -qq --no-install-recommends $(PACKAGES) >/dev/null; fi
+
+$(BUILD)/build.ninja: | packages
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+
+build: $(BUILD)/build.ninja ## compile everything into $(BUILD)
+	@ninja -C $(BUILD) -j $(JOBS) --quiet
+
+test: build ## build and run every test
+	@cd $(BUILD) && ctest --output-on-failure -j 6
+
+lint: packages ## clang-format, clang-tidy and cppcheck, clean
+	@clang-format-14 --dry-run -Werror $(SOURCES)
+	@cmake -S . -B build-lint -G Ninja -DJAYNOTCH_PCH=OFF >/dev/null
+	@printf '%s\n' $(CLANG_TIDY_SOURCES) | xargs -P $(JOBS) -n 1 .ci/tidy build-lint
+	@cppcheck --quiet --std=c++20 --language=c++ --error-exitcode=1 --enable=warning,performance,portability \
+	  --suppressions-list=.ci/cppcheck-suppressions --inline-suppr -I . -j $(JOBS) $(CLANG_TIDY_SOURCES)
+
+format: ## rewrite the sources in the house format
+	@clang-format-14 -i $(SOURCES)
+
+clean: ## remove the build folders
+	@rm -rf build build-*
--- /dev/null
+++ b/base/base_test.cc
@@ -0,0 +1,73 @@
+#include "base/base.h"
+
+#include <criterion/criterion.h>
+
+using namespace jaynotch;
+
+Test(names, round_trip)
+{
+    for (const auto& entry : enum_names<error_kind>::entries) {
+        cr_assert(from_name<error_kind>(to_name(entry.value)) == entry.value);
+    }
+    cr_assert(!from_name<error_kind>("no such kind"));
+}
+
+Test(result, an_error_throws_when_asked_for_its_value)
+{
+    const result<int> failed = error{error_kind::conflict, "row taken", "fetch and edit again"};
+    cr_assert(!failed);
+    bool thrown = false;
+    try {
+        (void)failed.value();
+    }
+    catch (const exception& raised) {
+        thrown = raised.failure().kind == error_kind::conflict;
+    }
+    cr_assert(thrown);
+}
+
+Test(clock, pauses_and_advances)
+{
+    runtime_clock::pause();
+    const time_point before = runtime_clock::now();
+    cr_assert(runtime_clock::now() == before);
+    runtime_clock::advance(std::chrono::hours{1});
+    cr_assert(runtime_clock::now() - before == std::chrono::hours{1});
+    runtime_clock::resume();
+    cr_assert(runtime_clock::now() >= before + std::chrono::hours{1});
+}
+
+Test(clock, a_timer_fires_on_advance_without_waiting)
+{
+    runtime_clock::pause();
+    boost::asio::io_context io;
+    timer wait{io, std::chrono::hours{1}};
+    bool fired = false;
+    wait.async_wait([&](const boost::system::error_code& ec) { fired = !ec; });
+    io.run_for(std::chrono::milliseconds{20});
+    cr_assert(!fired);
+    runtime_clock::advance(std::chrono::hours{1});
+    io.run_for(std::chrono::milliseconds{200});
+    cr_assert(fired);
+}
+
+Test(hash, rendezvous_moves_only_what_left)
+{
+    const std::vector<std::string> all{"a", "b", "c", "d", "e"};
+    for (int key = 0; key < 100; ++key) {
+        const auto chosen = rendezvous(std::to_string(key), all, 2);
+        std::vector<std::string> fewer;
+        for (std::size_t i = 0; i < all.size(); ++i) {
+            if (i != chosen[1])
+                fewer.push_back(all[i]);
+        }
+        const auto again = rendezvous(std::to_string(key), fewer, 1);
+        cr_assert(fewer[again[0]] == all[chosen[0]]);
+    }
+}
+
+Test(hash, content_digest_is_sha256)
+{
+    cr_assert(content_digest("") ==
+              "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855");
+}
