--- /dev/null
+++ b/routing/request_commands.h
@@ -0,0 +1,124 @@
+// What the request core tells the shell to do.
+#pragma once
+
+#include "routing/request_events.h"
+
+namespace jaynotch {
+
+/// Connect to `address` and send the request there.
+struct send_attempt {
+    request_id request;
+    attempt_id attempt; ///< goes out as `jaynotch-attempt`; unlike any other node's
+    target_id target;
+    std::string address; ///< "ip:port"
+    pool_kind kind = pool_kind::plain;
+    group_id group;         ///< model pools
+    fencing_number fencing; ///< model pools
+    std::string model;      ///< model pools: the name that the engine knows
+    std::string version;    ///< model pools
+    std::string adapter;    ///< model pools; empty for none
+    priority_class priority = priority_class::standard;
+    /// Continue after the text already given to the caller, whose head has been sent.
+    bool resume = false;
+};
+
+/// Hand the head just reported, and the body that follows, to the caller. Bytes of any other
+/// attempt of this request are dropped. After a resume only the body is handed on.
+struct deliver {
+    request_id request;
+    attempt_id attempt;
+};
+
+/// Stop the attempt: close its connection, and cancel it at the engine if it was sent.
+struct cancel_attempt {
+    request_id request;
+    attempt_id attempt;
+    target_id target;
+    std::string address;
+};
+
+/// Final: the answer is whole; send its terminal mark.
+struct complete {
+    request_id request;
+};
+
+/// Final, nothing handed on yet: answer with this error.
+struct refuse {
+    request_id request;
+    error failure;
+    ran_state ran = ran_state::no;
+    std::optional<std::chrono::seconds> retry_after;
+};
+
+/// Final: answer with the stored outcome of an earlier call of the same key.
+struct replay {
+    request_id request;
+    stored_answer answer;
+};
+
+/// Final, part of the answer was handed on: end it so that no client takes it for whole (an error
+/// event without the terminal mark in a stream, a reset elsewhere).
+struct end_truncated {
+    request_id request;
+    error failure;
+};
+
+/// Final, the caller is gone: free what the request holds.
+struct forget {
+    request_id request;
+};
+
+/// What is known of a keyed call.
+enum class key_state {
+    no_record,   ///< never claimed, given up before it was sent, or past its keeping
+    in_progress, ///< claimed; its outcome is not in yet
+    ran,         ///< ran; the answer is stored unless it was too large
+    unknown,     ///< sent, and its outcome is lost
+};
+
+template <>
+struct enum_names<key_state> {
+    static constexpr std::array entries{
+        named{key_state::no_record, "no_record"},
+        named{key_state::in_progress, "in_progress"},
+        named{key_state::ran, "ran"},
+        named{key_state::unknown, "unknown"},
+    };
+};
+
+/// Final answer to key_status_asked.
+struct report_key {
+    request_id request;
+    key_state state = key_state::no_record;
+    std::optional<stored_answer> answer;
+};
+
+/// Carry out a transaction; the result comes back as kv_result with the token. A call that takes
+/// longer than `core_settings::kv_timeout` is reported as an error.
+struct kv_call {
+    kv_token token;
+    kv_transaction transaction;
+};
+
+/// Ask the key-value service for a lease that nobody renews; answered by lease_result.
+struct grant_lease {
+    kv_token token;
+    std::chrono::seconds ttl{0};
+};
+
+/// A leaving target has nothing of this node in flight any more.
+struct released {
+    target_id target;
+};
+
+/// Tell the other entry VMs what this one wants.
+struct share_demand {
+    std::vector<demand_row> rows;
+};
+
+using command =
+    std::variant<send_attempt, deliver, cancel_attempt, complete, refuse, replay, end_truncated,
+                 forget, report_key, kv_call, grant_lease, released, share_demand>;
+using command_list = std::vector<command>;
+
+} // namespace jaynotch
