--- /dev/null
+++ b/groups/groups.h
@@ -0,0 +1,12 @@
+// Public header of the groups library: forming, guarding and repairing replicas of several VMs.
+//
+// - domain_manager (groups/manager.h) assigns the VMs of one fabric domain to groups;
+// - ticket_board (groups/ticket_board.h) tells which groups are complete and may be given requests.
+//
+// Both are decision cores: events in, commands out. The shell hands each report to both.
+#pragma once
+
+#include "groups/manager.h"
+#include "groups/record.h"
+#include "groups/ticket_board.h"
+#include "groups/types.h"
