--- /dev/null
+++ b/config/config.h
@@ -0,0 +1,16 @@
+// Public header of the config library: changes of the two tables are accepted once, by a
+// compare-and-swap in the key-value service, and come into force on every node for good.
+//
+//   auto config = config_service::create(io, settings, kv, peers).value();
+//   config->on_installed([&](std::shared_ptr<const configuration> tables) { ... });
+//   co_spawn(io, config->run(), detached);
+//   result<accepted_change> done = co_await config->apply({.base = config_revision{7}, ...});
+//
+// Parts: head.h (the head record), accept.h (what a change does to it), spread.h (who watches, who
+// asks whom), collect.h (old pages), config_service.h (the shell).
+#pragma once
+
+#include "base/base.h"
+#include "config/config_service.h"
+#include "platform/platform.h"
+#include "tables/tables.h"
--- /dev/null
+++ b/peers/frame.cc
@@ -0,0 +1,81 @@
+// Frames through Thrift's compact protocol over a memory buffer. The bytes come from the network:
+// every length is bounded before anything is allocated for it (Thrift's own limits on strings and
+// containers, and the buffer's size), and what Thrift lets through is checked against our bounds.
+#include "peers/frame.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <algorithm>
+
+namespace jaynotch {
+
+namespace {
+
+using apache::thrift::TConfiguration;
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+using compact_protocol = TCompactProtocolT<TMemoryBuffer>;
+
+error broken_frame(std::string what)
+{
+    return {error_kind::protocol, "peer frame refused: " + std::move(what),
+            "see that every node runs a version that can talk to the others"};
+}
+
+bool name_fits(const std::string& name)
+{
+    return name.size() <= max_frame_name;
+}
+
+bool names_fit(const wire::frame& frame)
+{
+    const auto member_fits = [](const wire::member_update& update) {
+        return name_fits(update.node) && name_fits(update.failure_domain) &&
+               name_fits(update.address);
+    };
+    const auto server_fits = [](const wire::leaving& item) { return name_fits(item.server); };
+    return name_fits(frame.sender) && name_fits(frame.target) && name_fits(frame.subject) &&
+           std::all_of(frame.members.begin(), frame.members.end(), member_fits) &&
+           std::all_of(frame.leavings.begin(), frame.leavings.end(), server_fits) &&
+           std::all_of(frame.request.digests.begin(), frame.request.digests.end(), name_fits);
+}
+
+} // namespace
+
+std::string encode_frame(const wire::frame& frame)
+{
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    compact_protocol protocol{buffer};
+    frame.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+result<wire::frame> decode_frame(std::string_view bytes)
+{
+    if (bytes.empty())
+        return broken_frame("empty");
+    if (bytes.size() > max_frame_bytes)
+        return broken_frame("longer than " + std::to_string(max_frame_bytes) + " bytes");
+    try {
+        const auto limits = std::make_shared<TConfiguration>(static_cast<int>(max_frame_bytes));
+        // Thrift reads from a buffer that it takes to be writable, though OBSERVE never writes.
+        auto* data = reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data()));
+        const auto buffer = std::make_shared<TMemoryBuffer>(
+            data, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE, limits);
+        compact_protocol protocol{buffer, static_cast<std::int32_t>(max_frame_bytes),
+                                  static_cast<std::int32_t>(max_frame_items)};
+        wire::frame frame;
+        frame.read(&protocol);
+        if (buffer->available_read() != 0)
+            return broken_frame("bytes after its end");
+        if (frame.sender.empty() || !names_fit(frame))
+            return broken_frame("a name is empty or too long");
+        return frame;
+    }
+    catch (const apache::thrift::TException& failure) {
+        return broken_frame(failure.what());
+    }
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/peers/frame.h
@@ -0,0 +1,64 @@
+// Frames as bytes: encode, and decode with every bound checked.
+//
+//   std::string bytes = encode_frame(frame);
+//   result<wire::frame> frame = decode_frame(bytes);   // protocol error if truncated or oversized
+#pragma once
+
+#include "base/base.h"
+#include "peers/gen/peers_types.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace jaynotch {
+
+/// Version of the frame that this build writes.
+inline constexpr std::int8_t frame_version = 1;
+/// Largest frame, bytes; a configuration reply is cut to fit.
+inline constexpr std::size_t max_frame_bytes = 1U << 20U;
+/// Largest list in a frame; more is refused.
+inline constexpr std::size_t max_frame_items = 4096;
+/// Largest name in a frame, bytes.
+inline constexpr std::size_t max_frame_name = 256;
+
+std::string encode_frame(const wire::frame& frame);
+
+/// Errors: protocol (truncated, oversized, not Thrift, names or lists over their bounds).
+result<wire::frame> decode_frame(std::string_view bytes);
+
+/// Asks a peer for its head, if newer than `base`, or for pages by digest.
+struct config_request {
+    config_revision base;
+    std::vector<std::string> digests;
+};
+
+struct config_page {
+    std::string digest;
+    std::string bytes;
+};
+
+/// Head record of `revision` as it stands in the key-value service, and pages.
+struct config_reply {
+    config_revision revision;
+    std::string head; ///< empty if only pages were asked for
+    std::vector<config_page> pages;
+};
+
+/// A peer's installed revision, from any frame of its.
+struct config_digest {
+    config_revision revision;
+    bool platform_lost = false;
+};
+
+using config_body = std::variant<config_digest, config_request, config_reply>;
+
+/// What the configuration's spread hears from a peer.
+struct config_message {
+    node_id from;
+    config_body body;
+};
+
+} // namespace jaynotch
