--- /dev/null
+++ b/daemon/flags.cc
@@ -0,0 +1,167 @@
+#include "daemon/daemon.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/reflection.h>
+#include <absl/flags/usage.h>
+
+#include <cctype>
+#include <cstdlib>
+
+// Each flag may also come as JAYNOTCH_<FLAG> in the environment. The environment is written into
+// the flags before the command line is parsed, so that a flag on the command line wins.
+
+ABSL_FLAG(std::string, node, "", "Name of this VM, unique in the deployment");
+ABSL_FLAG(std::string, failure_domain, "", "Failure domain that this VM stands in");
+ABSL_FLAG(std::string, deployment, "", "Deployment that both tables name");
+ABSL_FLAG(std::string, listen, "127.0.0.1:8080", "IP:port for callers");
+ABSL_FLAG(std::string, peer_listen, "127.0.0.1:8081", "IP:port for other daemons");
+ABSL_FLAG(std::string, admin_listen, "127.0.0.1:8082", "IP:port for `jaynotch` and /metrics");
+ABSL_FLAG(std::string, peer_advertise, "", "IP:port that peers are told; --peer_listen if empty");
+ABSL_FLAG(std::vector<std::string>, key_value, {}, "IP:port of the key-value service, by commas");
+ABSL_FLAG(std::string, vm_list, "", "IP:port of the VM list");
+ABSL_FLAG(std::string, weight_store, "", "IP:port of the weight store");
+ABSL_FLAG(std::vector<std::string>, seed_peers, {}, "Peer IP:ports of some daemons, by commas");
+ABSL_FLAG(std::string, caller_certificate, "", "PEM certificate shown to callers; empty: no TLS");
+ABSL_FLAG(std::string, caller_key, "", "PEM key of --caller_certificate");
+ABSL_FLAG(std::string, caller_authority, "", "PEM authority that callers' certificates need");
+ABSL_FLAG(std::string, peer_certificate, "", "PEM certificate shown to daemons; empty: no TLS");
+ABSL_FLAG(std::string, peer_key, "", "PEM key of --peer_certificate");
+ABSL_FLAG(std::string, peer_authority, "", "PEM authority that daemons' certificates need");
+ABSL_FLAG(std::string, admin_certificate, "", "PEM certificate of the admin port; empty: no TLS");
+ABSL_FLAG(std::string, admin_key, "", "PEM key of --admin_certificate");
+ABSL_FLAG(std::string, admin_authority, "", "PEM authority that operators' certificates need");
+ABSL_FLAG(std::string, trace_file, "", "File for OTLP/JSON spans, - for standard error");
+ABSL_FLAG(std::uint64_t, seed, 0, "Seed of the decisions' random numbers; 0 draws one");
+ABSL_FLAG(std::int64_t, header_timeout_ms, 10'000, "For a caller's header, from its first byte");
+ABSL_FLAG(std::int64_t, body_stall_ms, 15'000, "Between two reads of a caller's body");
+ABSL_FLAG(std::int64_t, idle_timeout_ms, 75'000, "For a caller's idle connection");
+ABSL_FLAG(std::int64_t, write_stall_ms, 30'000, "For a caller that takes no bytes");
+ABSL_FLAG(std::int64_t, connect_timeout_ms, 1'000, "For a connection to a backend server");
+ABSL_FLAG(std::int64_t, stream_stall_ms, 10'000, "Between two events of an engine's stream");
+ABSL_FLAG(std::int64_t, upstream_idle_ms, 30'000, "For a pooled connection to a backend server");
+ABSL_FLAG(std::int64_t, balancer_wait_ms, 2'000, "Not ready but still listening, when stopping");
+ABSL_FLAG(std::int64_t, longest_stop_ms, 660'000, "Bound of a graceful stop");
+ABSL_FLAG(std::uint64_t, max_header_bytes, 16 * 1024, "Of a caller's header");
+ABSL_FLAG(std::uint64_t, max_body_bytes, 4 * 1024 * 1024, "Of a chat or completion body");
+ABSL_FLAG(std::uint64_t, max_answer_bytes, 8 * 1024 * 1024, "Of an answer that is not streamed");
+ABSL_FLAG(std::uint64_t, max_keyed_bytes, 512 * 1024, "Of a keyed call's body or answer");
+ABSL_FLAG(std::uint64_t, max_plain_bytes, 1024ULL * 1024 * 1024, "Of a body for a plain service");
+ABSL_FLAG(std::uint64_t, max_connections, 10'000, "Of callers");
+ABSL_FLAG(std::uint64_t, max_requests, 4'096, "In flight and queued");
+ABSL_FLAG(std::uint64_t, max_idle_upstream, 64, "Pooled connections for each target");
+ABSL_FLAG(bool, check_settings, false, "Check the settings, say what is wrong, and exit");
+
+namespace jaynotch {
+
+namespace {
+
+constexpr std::string_view environment_prefix = "JAYNOTCH_";
+
+std::string environment_name(std::string_view flag)
+{
+    std::string name{environment_prefix};
+    for (const char letter : flag)
+        name += static_cast<char>(std::toupper(static_cast<unsigned char>(letter)));
+    return name;
+}
+
+bool is_ours(const absl::CommandLineFlag& flag)
+{
+    return std::string_view{flag.Filename()}.ends_with("daemon/flags.cc");
+}
+
+result<void> read_environment()
+{
+    for (const auto& [key, flag] : absl::GetAllFlags()) {
+        const std::string name{key.data(), key.size()};
+        const std::string variable = environment_name(name);
+        const char* value = std::getenv(variable.c_str());
+        if (value == nullptr || !is_ours(*flag))
+            continue;
+        std::string why;
+        if (!flag->ParseFrom(value, &why))
+            return error{error_kind::invalid_argument,
+                         variable + " is \"" + value + "\", which --" + name + " does not take" +
+                             (why.empty() ? "" : " (" + why + ")"),
+                         "set it as `jaynotchd --help` says for --" + name};
+    }
+    return success();
+}
+
+std::chrono::milliseconds ms(const absl::Flag<std::int64_t>& flag)
+{
+    return std::chrono::milliseconds{absl::GetFlag(flag)};
+}
+
+daemon_timeouts timeouts_from_flags()
+{
+    daemon_timeouts timeouts;
+    timeouts.header = ms(FLAGS_header_timeout_ms);
+    timeouts.body_stall = ms(FLAGS_body_stall_ms);
+    timeouts.idle = ms(FLAGS_idle_timeout_ms);
+    timeouts.write_stall = ms(FLAGS_write_stall_ms);
+    timeouts.connect = ms(FLAGS_connect_timeout_ms);
+    timeouts.stream_stall = ms(FLAGS_stream_stall_ms);
+    timeouts.upstream_idle = ms(FLAGS_upstream_idle_ms);
+    timeouts.balancer = ms(FLAGS_balancer_wait_ms);
+    timeouts.longest_stop = ms(FLAGS_longest_stop_ms);
+    return timeouts;
+}
+
+daemon_limits limits_from_flags()
+{
+    daemon_limits limits;
+    limits.header_bytes = absl::GetFlag(FLAGS_max_header_bytes);
+    limits.model_body_bytes = absl::GetFlag(FLAGS_max_body_bytes);
+    limits.answer_bytes = absl::GetFlag(FLAGS_max_answer_bytes);
+    limits.keyed_body_bytes = absl::GetFlag(FLAGS_max_keyed_bytes);
+    limits.plain_body_bytes = absl::GetFlag(FLAGS_max_plain_bytes);
+    limits.connections = absl::GetFlag(FLAGS_max_connections);
+    limits.requests = absl::GetFlag(FLAGS_max_requests);
+    limits.idle_upstream = absl::GetFlag(FLAGS_max_idle_upstream);
+    return limits;
+}
+
+} // namespace
+
+result<started_with> settings_from_flags(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage(
+        "jaynotchd: the daemon of one entry VM. Every flag may also be set as the environment "
+        "variable JAYNOTCH_<FLAG>; the flag wins.\n"
+        "Exit codes: 0 stopped gracefully, 1 a defect, 2 a setting is wrong, 3 a port can't be "
+        "opened.");
+    BOOST_OUTCOME_TRY(read_environment());
+    const std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
+    if (rest.size() > 1)
+        return error{error_kind::invalid_argument, std::string{"unknown word "} + rest[1],
+                     "write settings as --flag=value; `jaynotchd --help` lists them"};
+    started_with started;
+    started.check_only = absl::GetFlag(FLAGS_check_settings);
+    daemon_settings& chosen = started.settings;
+    chosen.node = node_id{absl::GetFlag(FLAGS_node)};
+    chosen.failure_domain = failure_domain_id{absl::GetFlag(FLAGS_failure_domain)};
+    chosen.deployment = absl::GetFlag(FLAGS_deployment);
+    chosen.listen = absl::GetFlag(FLAGS_listen);
+    chosen.peer_listen = absl::GetFlag(FLAGS_peer_listen);
+    chosen.admin_listen = absl::GetFlag(FLAGS_admin_listen);
+    chosen.peer_advertise = absl::GetFlag(FLAGS_peer_advertise);
+    chosen.key_value = absl::GetFlag(FLAGS_key_value);
+    chosen.vm_list = absl::GetFlag(FLAGS_vm_list);
+    chosen.weight_store = absl::GetFlag(FLAGS_weight_store);
+    chosen.seed_peers = absl::GetFlag(FLAGS_seed_peers);
+    chosen.caller_tls = {absl::GetFlag(FLAGS_caller_certificate), absl::GetFlag(FLAGS_caller_key),
+                         absl::GetFlag(FLAGS_caller_authority)};
+    chosen.peer_tls = {absl::GetFlag(FLAGS_peer_certificate), absl::GetFlag(FLAGS_peer_key),
+                       absl::GetFlag(FLAGS_peer_authority)};
+    chosen.admin_tls = {absl::GetFlag(FLAGS_admin_certificate), absl::GetFlag(FLAGS_admin_key),
+                        absl::GetFlag(FLAGS_admin_authority)};
+    chosen.trace_file = absl::GetFlag(FLAGS_trace_file);
+    chosen.seed = absl::GetFlag(FLAGS_seed);
+    chosen.timeouts = timeouts_from_flags();
+    chosen.limits = limits_from_flags();
+    return started;
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/daemon/settings.cc
@@ -0,0 +1,142 @@
+#include "daemon/settings.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <charconv>
+#include <filesystem>
+
+// Each rule is one line that names the flag, so that what an operator reads is what he wrote.
+
+namespace jaynotch {
+
+namespace {
+
+error bad(std::string_view flag, std::string_view what, std::string_view remedy)
+{
+    return error{error_kind::invalid_argument, "--" + std::string{flag} + " " + std::string{what},
+                 std::string{remedy}};
+}
+
+result<void> check_address(std::string_view flag, const std::string& text)
+{
+    const result<host_port> parsed = parse_host_port(text);
+    if (!parsed)
+        return bad(flag, "is \"" + text + "\", " + parsed.error().message, parsed.error().remedy);
+    return success();
+}
+
+result<void> check_file(std::string_view flag, const std::string& path)
+{
+    std::error_code ignored;
+    if (!path.empty() && !std::filesystem::is_regular_file(path, ignored))
+        return bad(flag, "names \"" + path + "\", which can't be read",
+                   "give the path of a PEM file");
+    return success();
+}
+
+result<void> check_tls(const std::string& prefix, const tls_files& files)
+{
+    if (files.certificate.empty() != files.key.empty())
+        return bad(prefix + "_certificate", "and its key go together",
+                   "set both --" + prefix + "_certificate and --" + prefix + "_key, or neither");
+    if (!files.authority.empty() && !files.enabled())
+        return bad(prefix + "_authority", "is set without a certificate",
+                   "set --" + prefix + "_certificate too");
+    BOOST_OUTCOME_TRY(check_file(prefix + "_certificate", files.certificate));
+    BOOST_OUTCOME_TRY(check_file(prefix + "_key", files.key));
+    return check_file(prefix + "_authority", files.authority);
+}
+
+result<void> check_positive(std::string_view flag, std::chrono::milliseconds value)
+{
+    if (value.count() <= 0)
+        return bad(flag, "is not positive", "give milliseconds, 1 or more");
+    return success();
+}
+
+result<void> check_timeouts(const daemon_timeouts& timeouts)
+{
+    BOOST_OUTCOME_TRY(check_positive("header_timeout_ms", timeouts.header));
+    BOOST_OUTCOME_TRY(check_positive("body_stall_ms", timeouts.body_stall));
+    BOOST_OUTCOME_TRY(check_positive("idle_timeout_ms", timeouts.idle));
+    BOOST_OUTCOME_TRY(check_positive("write_stall_ms", timeouts.write_stall));
+    BOOST_OUTCOME_TRY(check_positive("connect_timeout_ms", timeouts.connect));
+    BOOST_OUTCOME_TRY(check_positive("stream_stall_ms", timeouts.stream_stall));
+    BOOST_OUTCOME_TRY(check_positive("upstream_idle_ms", timeouts.upstream_idle));
+    if (timeouts.balancer.count() < 0)
+        return bad("balancer_wait_ms", "is negative", "give milliseconds, 0 or more");
+    return check_positive("longest_stop_ms", timeouts.longest_stop);
+}
+
+result<void> check_limits(const daemon_limits& limits)
+{
+    if (limits.header_bytes < 1024)
+        return bad("max_header_bytes", "is under 1024", "give 1024 or more");
+    if (limits.model_body_bytes == 0 || limits.answer_bytes == 0 || limits.keyed_body_bytes == 0)
+        return bad("max_body_bytes", "or another body bound is 0", "give 1 or more");
+    if (limits.keyed_body_bytes > 900 * 1024)
+        return bad("max_keyed_bytes", "is over what the key-value service holds",
+                   "give 921600 or less");
+    if (limits.connections == 0 || limits.requests == 0)
+        return bad("max_connections", "or --max_requests is 0", "give 1 or more");
+    return success();
+}
+
+} // namespace
+
+result<host_port> parse_host_port(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    const error malformed{error_kind::invalid_argument, "which is not an address",
+                          "write IP:port, for example 10.0.0.5:8080"};
+    if (colon == std::string_view::npos)
+        return malformed;
+    std::string_view host = text.substr(0, colon);
+    if (host.starts_with('[') && host.ends_with(']'))
+        host = host.substr(1, host.size() - 2);
+    const std::string_view digits = text.substr(colon + 1);
+    host_port parsed{std::string{host}, 0};
+    const auto [end, failed] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), parsed.port);
+    boost::system::error_code not_address;
+    boost::asio::ip::make_address(parsed.host, not_address);
+    if (digits.empty() || failed != std::errc{} || end != digits.data() + digits.size() ||
+        not_address)
+        return malformed;
+    return parsed;
+}
+
+result<void> check(const daemon_settings& settings)
+{
+    if (settings.node.value().empty())
+        return bad("node", "is empty", "give the name of this VM, unique in the deployment");
+    if (settings.failure_domain.value().empty())
+        return bad("failure_domain", "is empty", "give the failure domain this VM stands in");
+    if (settings.deployment.empty())
+        return bad("deployment", "is empty", "give the deployment that both tables name");
+    BOOST_OUTCOME_TRY(check_address("listen", settings.listen));
+    BOOST_OUTCOME_TRY(check_address("peer_listen", settings.peer_listen));
+    BOOST_OUTCOME_TRY(check_address("admin_listen", settings.admin_listen));
+    if (!settings.peer_advertise.empty()) {
+        BOOST_OUTCOME_TRY(check_address("peer_advertise", settings.peer_advertise));
+    }
+    if (settings.key_value.empty())
+        return bad("key_value", "is empty", "give IP:port of the platform's key-value service");
+    for (const std::string& address : settings.key_value) {
+        BOOST_OUTCOME_TRY(check_address("key_value", address));
+    }
+    BOOST_OUTCOME_TRY(check_address("vm_list", settings.vm_list));
+    if (!settings.weight_store.empty()) {
+        BOOST_OUTCOME_TRY(check_address("weight_store", settings.weight_store));
+    }
+    for (const std::string& address : settings.seed_peers) {
+        BOOST_OUTCOME_TRY(check_address("seed_peers", address));
+    }
+    BOOST_OUTCOME_TRY(check_tls("caller", settings.caller_tls));
+    BOOST_OUTCOME_TRY(check_tls("peer", settings.peer_tls));
+    BOOST_OUTCOME_TRY(check_tls("admin", settings.admin_tls));
+    BOOST_OUTCOME_TRY(check_timeouts(settings.timeouts));
+    return check_limits(settings.limits);
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/daemon/settings.h
@@ -0,0 +1,93 @@
+// What a daemon is told at its start; it never changes while the daemon runs.
+//
+//   daemon_settings chosen;
+//   chosen.node = node_id{"entry-1"};
+//   chosen.key_value = {"10.0.0.5:2379"};
+//   result<void> fine = check(chosen);      // says which setting is wrong and what to write
+//
+// `jaynotchd` fills it from flags and environment variables (daemon/flags.cc).
+#pragma once
+
+#include "base/base.h"
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace jaynotch {
+
+/// PEM files of one side of a TLS connection; all empty for plain TCP.
+struct tls_files {
+    std::string certificate;
+    std::string key;
+    std::string authority; ///< checks the other side's certificate; empty: it needs none
+
+    [[nodiscard]] bool enabled() const { return !certificate.empty(); }
+};
+
+/// How long the daemon waits for others.
+struct daemon_timeouts {
+    std::chrono::milliseconds header{10'000};        ///< a caller's header, from its first byte
+    std::chrono::milliseconds body_stall{15'000};    ///< between two reads of a caller's body
+    std::chrono::milliseconds idle{75'000};          ///< a caller's connection between two requests
+    std::chrono::milliseconds write_stall{30'000};   ///< a caller that takes no bytes
+    std::chrono::milliseconds connect{1'000};        ///< a connection to a backend server
+    std::chrono::milliseconds stream_stall{10'000};  ///< between two events of an engine's stream
+    std::chrono::milliseconds upstream_idle{30'000}; ///< a pooled connection nobody uses
+    std::chrono::milliseconds balancer{2'000};       ///< not ready, still listening, when stopping
+    std::chrono::milliseconds longest_stop{660'000}; ///< bounds a graceful stop
+};
+
+/// What the daemon spends at most, whatever callers send.
+struct daemon_limits {
+    std::size_t header_bytes = 16 * 1024;
+    std::size_t model_body_bytes = 4 * 1024 * 1024; ///< chat and completion bodies are held whole
+    std::size_t answer_bytes = 8 * 1024 * 1024;     ///< a non-streamed engine answer is held whole
+    std::size_t keyed_body_bytes = 512 * 1024;      ///< of a keyed call and of its stored answer
+    std::size_t plain_body_bytes = 1024ULL * 1024 * 1024; ///< streamed, never held
+    std::size_t connections = 10'000;                     ///< of callers
+    std::size_t requests = 4'096;                         ///< in flight and queued
+    std::size_t idle_upstream = 64;                       ///< pooled connections for each target
+};
+
+/// Every setting. Addresses are "IP:port"; port 0 takes a free one.
+struct daemon_settings {
+    node_id node;
+    failure_domain_id failure_domain;
+    std::string deployment;
+
+    std::string listen = "127.0.0.1:8080";
+    std::string peer_listen = "127.0.0.1:8081";
+    std::string admin_listen = "127.0.0.1:8082";
+    std::string peer_advertise; ///< what peers are told; empty: peer_listen
+
+    std::vector<std::string> key_value;  ///< of the platform's key-value service
+    std::string vm_list;                 ///< of the platform's VM list
+    std::string weight_store;            ///< of the platform's weight store
+    std::vector<std::string> seed_peers; ///< some daemons, to find the others by
+
+    tls_files caller_tls;
+    tls_files peer_tls;
+    tls_files admin_tls;
+
+    std::string trace_file; ///< "-" for standard error, empty for none
+    std::uint64_t seed = 0; ///< of the decision cores' random numbers; 0 draws one
+
+    daemon_timeouts timeouts;
+    daemon_limits limits;
+};
+
+/// An "IP:port" taken apart.
+struct host_port {
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+/// Reads "IP:port" or "[IPv6]:port".
+result<host_port> parse_host_port(std::string_view text);
+
+/// Refuses settings that can't work; the error names the flag and what to write.
+result<void> check(const daemon_settings& settings);
+
+} // namespace jaynotch
--- /dev/null
+++ b/daemon/settings_test.cc
@@ -0,0 +1,55 @@
+#include "daemon/settings.h"
+
+#include <criterion/criterion.h>
+
+using namespace jaynotch;
+
+namespace {
+
+daemon_settings whole()
+{
+    daemon_settings chosen;
+    chosen.node = node_id{"entry-1"};
+    chosen.failure_domain = failure_domain_id{"bergen-a"};
+    chosen.deployment = "fjordgrode";
+    chosen.key_value = {"127.0.0.1:2379"};
+    chosen.vm_list = "127.0.0.1:2380";
+    return chosen;
+}
+
+bool refused_naming(const daemon_settings& chosen, std::string_view flag)
+{
+    const result<void> checked = check(chosen);
+    return !checked && checked.error().message.find(flag) != std::string::npos &&
+           !checked.error().remedy.empty();
+}
+
+} // namespace
+
+// An operator mistypes one setting. The daemon must not come up half configured: it names the
+// flag and what to write, one by one.
+Test(settings, each_bad_value_is_refused_by_its_flag)
+{
+    cr_assert(check(whole()).has_value());
+    daemon_settings bad = whole();
+    bad.node = node_id{};
+    cr_assert(refused_naming(bad, "--node"));
+    bad = whole();
+    bad.listen = "entry-1:80";
+    cr_assert(refused_naming(bad, "--listen"));
+    bad = whole();
+    bad.vm_list = "127.0.0.1:99999";
+    cr_assert(refused_naming(bad, "--vm_list"));
+    bad = whole();
+    bad.key_value = {"127.0.0.1:1", "127.0.0.1:"};
+    cr_assert(refused_naming(bad, "--key_value"));
+    bad = whole();
+    bad.peer_tls.key = "/nowhere.pem";
+    cr_assert(refused_naming(bad, "--peer_certificate"));
+    bad = whole();
+    bad.timeouts.header = std::chrono::milliseconds{0};
+    cr_assert(refused_naming(bad, "--header_timeout_ms"));
+    bad = whole();
+    bad.limits.keyed_body_bytes = 2 * 1024 * 1024;
+    cr_assert(refused_naming(bad, "--max_keyed_bytes"));
+}
