Routing: call_kv and prefix_event instead of kv_call and cache_event

Cause: platform/kv.h and platform/engine.h name other things kv_call and cache_event in the same namespace, so no file could include both libraries. Change: the routing core's two names give way. Conclusion: the daemon can include platform, groups and routing together.

--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -95,7 +95,7 @@
 
 /// Carry out a transaction; the result comes back as kv_result with the token. A call that takes
 /// longer than `core_settings::kv_timeout` is reported as an error.
-struct kv_call {
+struct call_kv {
     kv_token token;
     kv_transaction transaction;
 };
@@ -118,7 +118,7 @@
 
 using command =
     std::variant<send_attempt, deliver, cancel_attempt, complete, refuse, replay, end_truncated,
-                 forget, report_key, kv_call, grant_lease, released, share_demand>;
+                 forget, report_key, call_kv, grant_lease, released, share_demand>;
 using command_list = std::vector<command>;
 
 } // namespace jaynotch
--- a/routing/request_events.h
+++ b/routing/request_events.h
@@ -158,7 +158,7 @@
     std::string idempotency_key;
 };
 
-/// Answer to a `kv_call`. An error means: not known whether it took effect.
+/// Answer to a `call_kv`. An error means: not known whether it took effect.
 struct kv_result {
     kv_token token;
     result<kv_outcome> outcome;
@@ -197,14 +197,14 @@
 };
 
 /// One change of an engine's prefix cache. Late, with gaps, a hint.
-struct cache_event {
+struct prefix_event {
     std::uint64_t prefix = 0; ///< chained block hash as in request_info::prefix_blocks
     bool evicted = false;     ///< else stored
 };
 
 struct cache_events_seen {
     target_id target;
-    std::vector<cache_event> events;
+    std::vector<prefix_event> events;
     bool gap = false; ///< events between the last batch and this one are lost
 };
 
