Base: environment variables of flags, for both programs

Cause: the daemon's reading of JAYNOTCH_<FLAG> would have been written again for the command line. Change: moved from daemon/flags.cc to base/environment.h, by source file of the flags. Conclusion: one piece of code serves both.

--- a/base/base.h
+++ b/base/base.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/environment.h"
 #include "base/error.h"
 #include "base/hash.h"
 #include "base/ids.h"
--- a/daemon/flags.cc
+++ b/daemon/flags.cc
@@ -2,12 +2,8 @@
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <absl/flags/reflection.h>
 #include <absl/flags/usage.h>
 
-#include <cctype>
-#include <cstdlib>
-
 // Each flag may also come as JAYNOTCH_<FLAG> in the environment. The environment is written into
 // the flags before the command line is parsed, so that a flag on the command line wins.
 
@@ -56,39 +52,6 @@
 
 namespace {
 
-constexpr std::string_view environment_prefix = "JAYNOTCH_";
-
-std::string environment_name(std::string_view flag)
-{
-    std::string name{environment_prefix};
-    for (const char letter : flag)
-        name += static_cast<char>(std::toupper(static_cast<unsigned char>(letter)));
-    return name;
-}
-
-bool is_ours(const absl::CommandLineFlag& flag)
-{
-    return std::string_view{flag.Filename()}.ends_with("daemon/flags.cc");
-}
-
-result<void> read_environment()
-{
-    for (const auto& [key, flag] : absl::GetAllFlags()) {
-        const std::string name{key.data(), key.size()};
-        const std::string variable = environment_name(name);
-        const char* value = std::getenv(variable.c_str());
-        if (value == nullptr || !is_ours(*flag))
-            continue;
-        std::string why;
-        if (!flag->ParseFrom(value, &why))
-            return error{error_kind::invalid_argument,
-                         variable + " is \"" + value + "\", which --" + name + " does not take" +
-                             (why.empty() ? "" : " (" + why + ")"),
-                         "set it as `jaynotchd --help` says for --" + name};
-    }
-    return success();
-}
-
 std::chrono::milliseconds ms(const absl::Flag<std::int64_t>& flag)
 {
     return std::chrono::milliseconds{absl::GetFlag(flag)};
@@ -132,7 +95,7 @@
         "variable JAYNOTCH_<FLAG>; the flag wins.\n"
         "Exit codes: 0 stopped gracefully, 1 a defect, 2 a setting is wrong, 3 a port can't be "
         "opened.");
-    BOOST_OUTCOME_TRY(read_environment());
+    BOOST_OUTCOME_TRY(read_environment("daemon/flags.cc"));
     const std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
     if (rest.size() > 1)
         return error{error_kind::invalid_argument, std::string{"unknown word "} + rest[1],
