--- /dev/null
+++ b/groups/fake_fleet.h
@@ -0,0 +1,68 @@
+// Small fakes at the interfaces of the groups library, for its tests, soak and benchmarks: a
+// key-value store with leases and engines that load, obey, ignore or lie. No network and no model
+// of other daemons.
+//
+//   fake_store store;  store.apply(transaction, now);
+//   fake_engine engine{row};  engine.assign(order, now);  engine.advance(1s, 1.0);
+#pragma once
+
+#include "groups/groups.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace jaynotch::groups {
+
+/// Compare-and-swap, leases and revisions, as the platform's service has them.
+class fake_store {
+public:
+    kv_outcome apply(const kv_transaction& transaction, time_point now);
+    lease_id grant(std::chrono::seconds ttl, time_point now);
+    result<lease_id> renew(const lease_id& lease, time_point now);
+    /// All keys of records, as a watch would show them.
+    [[nodiscard]] std::vector<kv_entry> records(const std::string& deployment) const;
+    [[nodiscard]] std::uint64_t calls() const { return m_calls; }
+    [[nodiscard]] std::int64_t revision() const { return m_revision; }
+
+private:
+    struct lease_row {
+        std::chrono::seconds ttl{0};
+        time_point ends;
+    };
+
+    void expire(time_point now);
+    [[nodiscard]] bool holds(const kv_compare& compare) const;
+
+    std::map<std::string, kv_entry> m_entries;
+    std::map<lease_id, lease_row> m_leases;
+    std::int64_t m_revision = 1;
+    std::int64_t m_last_lease = 0;
+    std::uint64_t m_calls = 0;
+};
+
+/// How an engine misbehaves.
+enum class engine_fault { none, ignores_orders, names_another_vm, never_finishes };
+
+/// One VM's engine.
+struct fake_engine {
+    vm_row row;
+    member_report says;
+    std::int64_t highest_fencing = 0;
+    bool checks_fencing = true;
+    bool alive = true;
+    time_point paused_until;
+    double load_seconds = 30.0; ///< of one VM's weights at the full rate
+    double load_left = 0.0;
+    engine_fault fault = engine_fault::none;
+
+    explicit fake_engine(vm_row from);
+    [[nodiscard]] bool answers(time_point now) const { return alive && now >= paused_until; }
+    order_answer assign(const order_assign& order);
+    order_answer release(const order_release& order);
+    /// Loads for `step` at `rate` of the full rate.
+    void advance(duration step, double rate);
+    void restart();
+};
+
+} // namespace jaynotch::groups
--- /dev/null
+++ b/groups/fake_world.cc
@@ -0,0 +1,509 @@
+// What is checked after every step, from the world's own all-knowing view:
+//
+// - the records name no VM twice, across all domains;
+// - the tickets in force, on all nodes together, name no VM twice for different groups;
+// - a ticket in force names a group whose engines all believed in it, loaded, at most one ticket
+//   horizon ago.
+#include "groups/fake_world.h"
+
+#include <algorithm>
+
+namespace jaynotch::groups {
+
+namespace {
+
+constexpr auto deployment = "fake";
+constexpr double full_rate_loads = 4.0; ///< engines that load at the full rate together
+
+std::string composition_name(const group_id& group, const std::vector<vm_id>& members)
+{
+    std::string name = group.value();
+    for (const vm_id& vm : members)
+        name += " " + vm.value();
+    return name;
+}
+
+} // namespace
+
+struct fake_world::node {
+    node_id name;
+    std::vector<domain_manager> managers;
+    std::unique_ptr<ticket_board> board;
+    time_point paused_until;
+    std::vector<std::function<void()>> held; ///< what arrived, or was about to be sent, in a pause
+};
+
+fake_world::fake_world(const world_options& options, std::uint64_t seed)
+    : m_options{options}, m_random{seed}
+{
+    for (std::size_t d = 0; d < options.domains; ++d) {
+        m_domains.emplace_back("fabric-" + std::to_string(d));
+        for (std::size_t v = 0; v < options.vms_per_domain; ++v) {
+            const std::string name = "vm-" + std::to_string(d) + "-" + std::to_string(v);
+            vm_row row{vm_id{name}, name + ":1", m_domains[d], failure_domain_id{"here"},
+                       1,           false,       0ms};
+            auto made = std::make_shared<fake_engine>(row);
+            made->checks_fencing = options.engines_check_fencing;
+            m_engines[row.vm] = std::move(made);
+        }
+    }
+    for (std::size_t n = 0; n < options.nodes; ++n) {
+        auto made = std::make_unique<node>();
+        made->name = node_id{"node-" + std::to_string(n)};
+        for (const fabric_domain_id& domain : m_domains) {
+            manager_settings settings;
+            settings.deployment = deployment;
+            settings.self = made->name;
+            settings.domain = domain;
+            made->managers.emplace_back(settings);
+        }
+        board_settings settings;
+        settings.deployment = deployment;
+        settings.self = made->name;
+        made->board = std::make_unique<ticket_board>(settings);
+        m_nodes.push_back(std::move(made));
+    }
+    m_next_feed = m_now;
+}
+
+fake_world::~fake_world() = default;
+
+void fake_world::later(duration delay, std::function<void()> what)
+{
+    m_queue.emplace(m_now + delay, std::move(what));
+}
+
+duration fake_world::delay()
+{
+    return std::chrono::milliseconds{m_random.chance(0.02) ? m_random.between(200, 1500)
+                                                           : m_random.between(1, 20)};
+}
+
+void fake_world::install(std::shared_ptr<const configuration> tables)
+{
+    m_tables = std::move(tables);
+    for (std::size_t n = 0; n < m_nodes.size(); ++n) {
+        for (std::size_t d = 0; d < m_domains.size(); ++d)
+            tell(n, tables_installed{m_tables}, d);
+    }
+}
+
+void fake_world::tell(std::size_t at, const manager_event& event, std::size_t domain)
+{
+    node& to = *m_nodes[at];
+    if (m_now < to.paused_until) {
+        to.held.emplace_back([this, at, event, domain] { tell(at, event, domain); });
+        return;
+    }
+    for (const manager_command& command : to.managers[domain].handle(event, m_now))
+        carry_out(at, domain, command);
+}
+
+void fake_world::tell_board(std::size_t at, const board_event& event)
+{
+    node& to = *m_nodes[at];
+    if (m_now < to.paused_until) {
+        to.held.emplace_back([this, at, event] { tell_board(at, event); });
+        return;
+    }
+    for (const board_command& command : to.board->handle(event, m_now))
+        carry_out(at, command);
+}
+
+void fake_world::carry_out(std::size_t at, std::size_t domain, const manager_command& command)
+{
+    const bool lost = m_platform_down || m_random.chance(m_lost_replies);
+    if (const auto* call = std::get_if<kv_call>(&command)) {
+        later(delay(), [this, at, domain, call = *call, lost] {
+            kv_result answer{call.token, error{error_kind::unknown_outcome, "no reply", ""}};
+            if (!m_platform_down) {
+                const kv_outcome outcome = m_store.apply(call.transaction, m_now);
+                if (!lost)
+                    answer.outcome = outcome;
+            }
+            later(lost ? duration{1s} : delay(),
+                  [this, at, domain, answer] { tell(at, answer, domain); });
+        });
+    }
+    else if (const auto* grant = std::get_if<lease_grant>(&command)) {
+        later(delay(), [this, at, domain, grant = *grant, lost] {
+            lease_result answer{grant.token, error{error_kind::unavailable, "no reply", ""}};
+            if (!m_platform_down) {
+                const lease_id lease = m_store.grant(grant.ttl, m_now);
+                if (!lost)
+                    answer.lease = lease;
+            }
+            later(delay(), [this, at, domain, answer] { tell(at, answer, domain); });
+        });
+    }
+    else if (const auto* renew = std::get_if<lease_renew>(&command)) {
+        later(delay(), [this, at, domain, renew = *renew, lost] {
+            lease_result answer{renew.token, error{error_kind::unavailable, "no reply", ""}};
+            if (!m_platform_down) {
+                auto lease = m_store.renew(renew.lease, m_now);
+                if (!lost)
+                    answer.lease = lease;
+            }
+            later(delay(), [this, at, domain, answer] { tell(at, answer, domain); });
+        });
+    }
+    else if (const auto* asked = std::get_if<probe>(&command)) {
+        probe_vm(at, asked->vm);
+    }
+    else if (!std::holds_alternative<notice>(command)) {
+        // A pause between the decision and the sending: the shell sees `not_after` when it wakes,
+        // unless the pause hit behind that check too.
+        later(duration{1ms}, [this, at, domain, command] { order(at, domain, command); });
+    }
+}
+
+void fake_world::order(std::size_t at, std::size_t domain, const manager_command& command)
+{
+    if (m_now < m_nodes[at]->paused_until) {
+        m_nodes[at]->held.emplace_back([this, at, domain, command] { order(at, domain, command); });
+        return;
+    }
+    std::visit(
+        [&](const auto& given) {
+            if constexpr (requires { given.not_after; }) {
+                if (m_now > given.not_after && !m_late_orders)
+                    return;
+                ++m_orders;
+                later(delay(), [this, at, domain, given] {
+                    const auto to = m_engines.find(given.vm);
+                    if (to == m_engines.end() || !to->second->answers(m_now))
+                        return;
+                    order_result answer{given.token, given.vm, order_answer::failed};
+                    if constexpr (requires { given.members; })
+                        answer.answer = to->second->assign(given);
+                    else
+                        answer.answer = to->second->release(given);
+                    later(delay(), [this, at, domain, answer] { tell(at, answer, domain); });
+                });
+            }
+        },
+        command);
+}
+
+void fake_world::carry_out(std::size_t at, const board_command& command)
+{
+    if (const auto* asked = std::get_if<probe>(&command))
+        probe_vm(at, asked->vm);
+    if (const auto* change = std::get_if<ticket_changed>(&command); change != nullptr)
+        push(at, *change);
+}
+
+void fake_world::push(std::size_t at, const ticket_changed& change)
+{
+    if (!m_nodes[at]->board->watches(change.group.group))
+        return;
+    for (std::size_t n = 0; n < m_nodes.size(); ++n) {
+        if (n == at)
+            continue;
+        // The receiver's last message left up to a second before.
+        const time_point sent_at = m_now - std::chrono::milliseconds{m_random.between(0, 1000)};
+        const ticket_seen seen{m_nodes[at]->name, change.group, change.complete,
+                               change.group.valid_until - m_now, sent_at};
+        later(delay(), [this, n, seen] { tell_board(n, seen); });
+    }
+}
+
+void fake_world::probe_vm(std::size_t at, const vm_id& vm)
+{
+    const time_point sent_at = m_now;
+    later(delay(), [this, at, vm, sent_at] {
+        const auto to = m_engines.find(vm);
+        if (to == m_engines.end() || !to->second->answers(m_now))
+            return;
+        report_seen seen{vm, to->second->says, sent_at};
+        if (to->second->fault == engine_fault::names_another_vm)
+            seen.report.vm = vm_id{"another"};
+        later(delay(), [this, at, seen] {
+            for (std::size_t d = 0; d < m_domains.size(); ++d)
+                tell(at, seen, d);
+            tell_board(at, seen);
+        });
+    });
+}
+
+void fake_world::feed()
+{
+    if (m_now >= m_next_feed) {
+        m_next_feed = m_now + 5s;
+        vms_seen list;
+        for (const auto& [vm, engine] : m_engines) {
+            if (engine->alive && !m_hidden.contains(vm))
+                list.rows.push_back(engine->row);
+        }
+        list.rows.insert(list.rows.end(), m_extra_rows.begin(), m_extra_rows.end());
+        peers_seen peers;
+        for (const auto& one : m_nodes) {
+            if (m_now >= one->paused_until)
+                peers.peers.push_back({one->name, failure_domain_id{"here"}});
+        }
+        for (std::size_t n = 0; n < m_nodes.size(); ++n) {
+            for (std::size_t d = 0; d < m_domains.size(); ++d) {
+                if (!m_platform_down)
+                    tell(n, list, d);
+                tell(n, peers, d);
+            }
+            tell_board(n, peers);
+        }
+    }
+    if (!m_platform_down && m_store.revision() != m_fed_revision) {
+        m_fed_revision = m_store.revision();
+        for (const kv_entry& entry : m_store.records(deployment)) {
+            for (std::size_t n = 0; n < m_nodes.size(); ++n) {
+                later(delay(), [this, n, entry] {
+                    for (std::size_t d = 0; d < m_domains.size(); ++d)
+                        tell(n, record_seen{entry}, d);
+                    tell_board(n, record_seen{entry});
+                });
+            }
+        }
+    }
+}
+
+void fake_world::load_weights()
+{
+    const auto loading = std::count_if(m_engines.begin(), m_engines.end(), [&](const auto& entry) {
+        return entry.second->answers(m_now) && entry.second->says.state == member_state::loading;
+    });
+    const double rate = std::min(1.0, full_rate_loads / std::max(1.0, double(loading)));
+    for (auto& [vm, engine] : m_engines) {
+        if (engine->answers(m_now))
+            engine->advance(m_options.step, rate);
+    }
+}
+
+void fake_world::pause_node(std::size_t at, duration span)
+{
+    m_nodes[at]->paused_until = std::max(m_nodes[at]->paused_until, m_now + span);
+}
+
+void fake_world::maybe_fault()
+{
+    if (!m_random.chance(m_options.faults_per_step))
+        return;
+    auto any = m_engines.begin();
+    std::advance(any, m_random.index(m_engines.size()));
+    fake_engine& engine = *any->second;
+    switch (m_random.index(10)) {
+    case 0: {
+        // Lost for good; a new VM comes under a new name.
+        vm_row row = engine.row;
+        row.vm = vm_id{"new-" + std::to_string(++m_replaced)};
+        row.address = row.vm.value() + ":1";
+        row.leaving = false;
+        auto made = std::make_shared<fake_engine>(row);
+        made->checks_fencing = m_options.engines_check_fencing;
+        m_engines.erase(any);
+        later(std::chrono::seconds{m_random.between(5, 60)},
+              [this, made] { m_engines[made->row.vm] = made; });
+        break;
+    }
+    case 1:
+        engine.paused_until = m_now + std::chrono::seconds{m_random.between(1, 60)};
+        break;
+    case 2:
+        engine.restart();
+        break;
+    case 3:
+        pause_node(m_random.index(m_nodes.size()), std::chrono::seconds{m_random.between(1, 40)});
+        break;
+    case 4:
+        m_platform_down = true;
+        later(std::chrono::seconds{m_random.between(1, 60)}, [this] { m_platform_down = false; });
+        break;
+    case 5:
+        m_lost_replies = m_random.unit() * 0.5;
+        later(20s, [this] { m_lost_replies = 0.0; });
+        break;
+    case 6:
+        engine.fault = static_cast<engine_fault>(m_random.index(4));
+        break;
+    case 7:
+        engine.row.leaving = true;
+        engine.row.leaves_in = 60s;
+        break;
+    case 8:
+        // Listed in a second domain as well.
+        m_extra_rows = {engine.row};
+        m_extra_rows.front().fabric_domain = m_domains[m_random.index(m_domains.size())];
+        break;
+    default:
+        if (!m_hidden.erase(any->first))
+            m_hidden.insert(any->first);
+        break;
+    }
+}
+
+void fake_world::heal()
+{
+    m_options.faults_per_step = 0.0;
+    m_platform_down = false;
+    m_lost_replies = 0.0;
+    m_hidden.clear();
+    m_extra_rows.clear();
+    for (auto& [vm, engine] : m_engines) {
+        engine->fault = engine_fault::none;
+        engine->paused_until = m_now;
+        engine->row.leaving = false;
+        engine->alive = true;
+    }
+}
+
+void fake_world::step()
+{
+    m_now += m_options.step;
+    maybe_fault();
+    for (auto& one : m_nodes) {
+        if (m_now < one->paused_until || one->held.empty())
+            continue;
+        const auto held = std::exchange(one->held, {});
+        for (const auto& what : held)
+            what();
+    }
+    while (!m_queue.empty() && m_queue.begin()->first <= m_now) {
+        const auto what = std::move(m_queue.begin()->second);
+        m_queue.erase(m_queue.begin());
+        what();
+    }
+    feed();
+    load_weights();
+    for (std::size_t n = 0; n < m_nodes.size(); ++n) {
+        if (m_now < m_nodes[n]->paused_until)
+            continue; // ticks aren't queued
+        for (std::size_t d = 0; d < m_domains.size(); ++d)
+            tell(n, tick{}, d);
+        tell_board(n, tick{});
+    }
+    check();
+}
+
+void fake_world::run(duration span)
+{
+    for (const time_point end = m_now + span; m_now < end;)
+        step();
+}
+
+void fake_world::violate(std::string what)
+{
+    constexpr std::size_t most = 20;
+    if (m_violations.size() < most)
+        m_violations.push_back(std::to_string((m_now.time_since_epoch() / 1ms)) + " " +
+                               std::move(what));
+}
+
+void fake_world::check()
+{
+    std::map<vm_id, group_id> assigned;
+    for (const kv_entry& entry : m_store.records(deployment)) {
+        const auto record = parse_record(entry);
+        if (!record) {
+            violate(to_string(record.error()));
+            continue;
+        }
+        for (const group_assignment& group : record.value().groups) {
+            for (const auto* list : {&group.members, &group.standbys}) {
+                for (const member& one : *list) {
+                    const auto [at, added] = assigned.emplace(one.vm, group.group);
+                    if (!added)
+                        violate(one.vm.value() + " is in two records: " + at->second.value() +
+                                " and " + group.group.value());
+                }
+            }
+        }
+    }
+    // Which compositions all their engines believe in, at this moment.
+    std::map<std::string, vm_id> by_address;
+    for (const auto& [vm, engine] : m_engines)
+        by_address[engine->row.address] = vm;
+    for (const auto& [vm, engine] : m_engines) {
+        const member_report& says = engine->says;
+        if (says.state != member_state::ready || says.rank != 0)
+            continue;
+        std::vector<vm_id> members;
+        bool whole = true;
+        for (std::size_t rank = 0; rank < says.members.size() && whole; ++rank) {
+            const auto at = by_address.find(says.members[rank]);
+            if (at == by_address.end()) {
+                whole = false;
+                break;
+            }
+            const fake_engine& other = *m_engines.at(at->second);
+            whole = other.answers(m_now) && other.says.group == says.group &&
+                    other.says.rank == rank && other.says.members == says.members &&
+                    other.says.state == member_state::ready && other.says.version == says.version;
+            members.push_back(at->second);
+        }
+        if (whole)
+            m_last_whole[composition_name(says.group, members)] = m_now;
+    }
+    std::map<vm_id, group_id> serving;
+    for (const auto& one : m_nodes) {
+        for (const complete_group& group : one->board->complete(m_now)) {
+            const auto last = m_last_whole.find(composition_name(group.group, group.members));
+            const duration horizon = board_settings{}.ticket_horizon + m_options.step;
+            if (last == m_last_whole.end())
+                violate("ticket for a group that was never whole: " + group.group.value());
+            else if (m_now - last->second > horizon)
+                violate("ticket outlived its horizon: " + group.group.value());
+            for (const vm_id& vm : group.members) {
+                const auto [at, added] = serving.emplace(vm, group.group);
+                if (!added && at->second != group.group)
+                    violate(vm.value() + " serves in two groups: " + at->second.value() + " and " +
+                            group.group.value());
+            }
+        }
+    }
+}
+
+std::vector<complete_group> fake_world::complete_on(std::size_t at) const
+{
+    return m_nodes[at]->board->complete(m_now);
+}
+
+std::vector<complete_group> fake_world::complete_everywhere() const
+{
+    std::map<group_id, std::size_t> seen;
+    std::size_t running = 0;
+    for (const auto& one : m_nodes) {
+        if (m_now < one->paused_until)
+            continue;
+        ++running;
+        for (const complete_group& group : one->board->complete(m_now))
+            ++seen[group.group];
+    }
+    std::vector<complete_group> everywhere;
+    for (const auto& one : m_nodes) {
+        if (m_now < one->paused_until)
+            continue;
+        for (const complete_group& group : one->board->complete(m_now)) {
+            if (seen[group.group] == running)
+                everywhere.push_back(group);
+        }
+        break;
+    }
+    return everywhere;
+}
+
+domain_record fake_world::record(std::size_t domain) const
+{
+    for (const kv_entry& entry : m_store.records(deployment)) {
+        if (entry.key == record_key(deployment, m_domains[domain]))
+            return parse_record(entry).value();
+    }
+    return {};
+}
+
+int fake_world::leader(std::size_t domain) const
+{
+    for (std::size_t n = 0; n < m_nodes.size(); ++n) {
+        if (m_nodes[n]->managers[domain].status(m_now).leading)
+            return static_cast<int>(n);
+    }
+    return -1;
+}
+
+} // namespace jaynotch::groups
--- /dev/null
+++ b/groups/fake_world.h
@@ -0,0 +1,104 @@
+// Some daemons' cores over the fakes, with delays, losses, pauses and outages drawn from a seed.
+// Messages are kept in a queue by time; nothing else of a network is modelled.
+//
+//   fake_world world{options, seed};
+//   world.step();                       // 250 ms
+//   world.violations();                 // empty as long as every invariant holds
+#pragma once
+
+#include "groups/fake_fleet.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jaynotch::groups {
+
+struct world_options {
+    std::size_t nodes = 3;
+    std::size_t domains = 2;
+    std::size_t vms_per_domain = 7;
+    bool engines_check_fencing = true;
+    double faults_per_step = 0.0; ///< probability of one more fault at each step
+    duration step = 250ms;
+};
+
+class fake_world {
+public:
+    fake_world(const world_options& options, std::uint64_t seed);
+    ~fake_world();
+    fake_world(const fake_world&) = delete;
+    fake_world& operator=(const fake_world&) = delete;
+
+    void step();
+    void run(duration span);
+    /// Ends every pause, outage and loss, and replaces what is dead.
+    void heal();
+    void install(std::shared_ptr<const configuration> tables);
+
+    [[nodiscard]] time_point now() const { return m_now; }
+    [[nodiscard]] const std::vector<std::string>& violations() const { return m_violations; }
+    /// Groups with a ticket on every node that runs.
+    [[nodiscard]] std::vector<complete_group> complete_everywhere() const;
+    [[nodiscard]] std::vector<complete_group> complete_on(std::size_t node) const;
+    [[nodiscard]] domain_record record(std::size_t domain) const;
+
+    // Levers, for tests that tell one story.
+    fake_engine& engine(const vm_id& vm) { return *m_engines.at(vm); }
+    std::map<vm_id, std::shared_ptr<fake_engine>>& engines() { return m_engines; }
+    void kill(const vm_id& vm) { engine(vm).alive = false; }
+    void pause_node(std::size_t node, duration span);
+    void platform_down(bool down) { m_platform_down = down; }
+    void lose_replies(double probability) { m_lost_replies = probability; }
+    void set_list(std::vector<vm_row> extra) { m_extra_rows = std::move(extra); }
+    /// The manager that leads `domain`, or -1.
+    [[nodiscard]] int leader(std::size_t domain) const;
+    /// Orders of the paused manager, sent whatever their `not_after` says when it wakes.
+    void send_late_orders(bool late) { m_late_orders = late; }
+    fake_store& store() { return m_store; }
+    [[nodiscard]] std::uint64_t unlisted_loads() const { return m_orders; }
+
+private:
+    struct node;
+
+    void later(duration delay, std::function<void()> what);
+    duration delay();
+    void tell(std::size_t node, const manager_event& event, std::size_t domain);
+    void tell_board(std::size_t node, const board_event& event);
+    void carry_out(std::size_t node, std::size_t domain, const manager_command& command);
+    void carry_out(std::size_t node, const board_command& command);
+    void probe_vm(std::size_t node, const vm_id& vm);
+    void push(std::size_t node, const ticket_changed& change);
+    void order(std::size_t node, std::size_t domain, const manager_command& command);
+    void maybe_fault();
+    void feed();
+    void load_weights();
+    void check();
+    void violate(std::string what);
+
+    world_options m_options;
+    random_source m_random;
+    time_point m_now{std::chrono::hours{1}};
+    fake_store m_store;
+    std::shared_ptr<const configuration> m_tables;
+    std::map<vm_id, std::shared_ptr<fake_engine>> m_engines;
+    std::vector<std::unique_ptr<node>> m_nodes;
+    std::vector<fabric_domain_id> m_domains;
+    std::multimap<time_point, std::function<void()>> m_queue;
+    std::vector<vm_row> m_extra_rows;
+    std::set<vm_id> m_hidden; ///< vanished from the list
+    bool m_platform_down = false;
+    bool m_late_orders = false;
+    double m_lost_replies = 0.0;
+    time_point m_next_feed;
+    std::int64_t m_fed_revision = -1;
+    std::uint64_t m_replaced = 0;
+    std::uint64_t m_orders = 0;
+    std::map<std::string, time_point> m_last_whole; ///< by group and members
+    std::vector<std::string> m_violations;
+};
+
+} // namespace jaynotch::groups
--- /dev/null
+++ b/groups/leadership.cc
@@ -0,0 +1,146 @@
+// The lease is counted from the sending of the grant or renewal, on this node's own clock, so the
+// holder always believes it to end before the platform does (Gray and Cheriton 1989). The margin
+// covers the drift between the two clocks.
+//
+// What that leaves open is a pause between the check and the act. A write is safe from it: it
+// compares the key's mod_revision and the record's, so a manager that wakes up late writes nothing.
+// An order is guarded by the fencing number, and where engines ignore that by the order horizon.
+#include "groups/leadership.h"
+
+#include "groups/record.h"
+
+namespace jaynotch::groups {
+
+leadership::leadership(const manager_settings& settings) : m_settings{settings} {}
+
+bool leadership::leading(time_point now) const
+{
+    return m_holding && now < m_until;
+}
+
+call_token leadership::next_token()
+{
+    return call_token{++m_last_token};
+}
+
+std::string leadership::key_value() const
+{
+    return boost::json::serialize(
+        boost::json::object{{"node", m_settings.self.value()}, {"lease", m_lease.value()}});
+}
+
+void leadership::lose()
+{
+    m_holding = false;
+    m_lease = lease_id{0};
+}
+
+void leadership::tick(bool candidate, time_point now, std::vector<manager_command>& out)
+{
+    const bool waiting = m_pending.kind != call_kind::none;
+    if (waiting && now - m_pending.sent_at < m_settings.call_timeout)
+        return;
+    m_pending = {};
+    if (m_holding && now >= m_until)
+        m_holding = false; // the self-stop; the lease may live on, and a look tells
+    if (m_holding) {
+        if (now - m_lease_sent >= m_settings.lease / 3)
+            renew(now, out);
+        return;
+    }
+    if (candidate && now >= m_next_look)
+        look(now, out);
+}
+
+void leadership::look(time_point now, std::vector<manager_command>& out)
+{
+    const std::string manager = manager_key(m_settings.deployment, m_settings.domain);
+    const std::string record = record_key(m_settings.deployment, m_settings.domain);
+    m_next_look = now + m_settings.campaign_period;
+    m_pending = {call_kind::look, next_token(), now};
+    out.emplace_back(kv_call{m_pending.token, kv_transaction{{kv_compare{manager, 0}},
+                                                             {kv_get{record}},
+                                                             {kv_get{manager}, kv_get{record}}}});
+}
+
+void leadership::claim(time_point now, std::vector<manager_command>& out)
+{
+    const std::string manager = manager_key(m_settings.deployment, m_settings.domain);
+    const std::string record = record_key(m_settings.deployment, m_settings.domain);
+    m_pending = {call_kind::claim, next_token(), now};
+    out.emplace_back(kv_call{m_pending.token,
+                             kv_transaction{{kv_compare{manager, 0}},
+                                            {kv_put{manager, key_value(), m_lease}, kv_get{record}},
+                                            {kv_get{manager}, kv_get{record}}}});
+}
+
+void leadership::renew(time_point now, std::vector<manager_command>& out)
+{
+    m_pending = {call_kind::renew, next_token(), now};
+    out.emplace_back(lease_renew{m_pending.token, m_lease});
+}
+
+bool leadership::take(const kv_result& answer, time_point now, std::vector<manager_command>& out,
+                      std::vector<kv_entry>& records)
+{
+    if (answer.token != m_pending.token ||
+        (m_pending.kind != call_kind::look && m_pending.kind != call_kind::claim))
+        return false;
+    const pending_call call = std::exchange(m_pending, {});
+    if (!answer.outcome)
+        return true; // a claim that was lost on its way back shows at the next look
+    m_platform_heard = now;
+    const kv_outcome& outcome = answer.outcome.value();
+    const std::string manager = manager_key(m_settings.deployment, m_settings.domain);
+    const kv_entry* key = nullptr;
+    for (const kv_entry& entry : outcome.entries) {
+        if (entry.key == manager && entry.mod_revision != 0)
+            key = &entry;
+        else
+            records.push_back(entry);
+    }
+    if (outcome.succeeded && call.kind == call_kind::claim) {
+        m_holding = true;
+        m_key_revision = outcome.revision;
+        m_until = m_lease_sent + m_settings.lease - m_settings.lease_margin;
+        return true;
+    }
+    if (outcome.succeeded) {
+        m_pending = {call_kind::grant, next_token(), now};
+        out.emplace_back(lease_grant{m_pending.token, m_settings.lease});
+        return true;
+    }
+    // The key is there. If it carries this node's own lease, a claim or renewal had lost its reply.
+    if (key != nullptr && m_lease.value() != 0 && key->value == key_value()) {
+        m_key_revision = key->mod_revision;
+        renew(now, out);
+    }
+    return true;
+}
+
+bool leadership::take(const lease_result& answer, time_point now, std::vector<manager_command>& out)
+{
+    if (answer.token != m_pending.token)
+        return false;
+    const pending_call call = std::exchange(m_pending, {});
+    if (!answer.lease) {
+        // Unknown to the platform: lapsed. Anything else may still be true, so it is kept.
+        if (call.kind == call_kind::renew && answer.lease.error().kind == error_kind::not_found)
+            lose();
+        return true;
+    }
+    m_platform_heard = now;
+    m_lease_sent = call.sent_at;
+    if (call.kind == call_kind::grant) {
+        m_lease = answer.lease.value();
+        claim(now, out);
+        return true;
+    }
+    if (answer.lease.value() != m_lease)
+        return true;
+    m_holding = m_key_revision != 0;
+    m_until = m_lease_sent + m_settings.lease - m_settings.lease_margin;
+    return true;
+}
+
+} // namespace jaynotch::groups
--- a/groups/manager.h
+++ b/groups/manager.h
@@ -18,8 +18,9 @@
 
 namespace jaynotch::groups {
 
-using manager_event = std::variant<vms_seen, report_seen, report_failed, kv_result, lease_result,
-                                   record_seen, tables_installed, order_result, peers_seen, tick>;
+using manager_event =
+    std::variant<vms_seen, report_seen, report_failed, kv_result, lease_result, record_seen,
+                 tables_installed, order_result, peers_seen, straggler_found, tick>;
 using manager_command =
     std::variant<kv_call, lease_grant, lease_renew, probe, order_assign, order_release, notice>;
 
@@ -31,7 +32,7 @@
     std::chrono::seconds lease{10};   ///< of the manager's key
     duration lease_margin = 2s;       ///< the manager stops itself this much before the lease
     duration campaign_period = 2s;    ///< between two looks at who manages the domain
-    duration call_timeout = 5s;       ///< a call unanswered for this long counts as lost
+    duration call_timeout = 2s;       ///< a call unanswered for this long counts as lost
     duration probe_period = 1s;       ///< between two probes of one VM
     duration report_horizon = 3s;     ///< an older report says nothing
     duration order_horizon = 8s;      ///< no order takes effect later than this after its sending
@@ -41,8 +42,11 @@
     duration set_aside = 300s;        ///< how long a VM that failed at its task isn't used
     duration load_stall = 60s;        ///< loading without progress for this long has failed
     duration leave_notice = 120s;     ///< a member leaving within this is replaced now
-    duration drain_limit = 600s;      ///< a retiring group is released after this at the latest
-    duration dark_after = 12s; ///< platform silent this long: bound standbys swap in without it
+    duration hold_down = 15s; ///< a silent member is waited for this long before others pay for it
+    duration drain_limit = 600s; ///< a retiring group is released after this at the latest
+    duration dark_after = 12s;   ///< platform silent this long: bound standbys swap in without it
+    duration settle = 30s;       ///< a shift of groups between domains has to last this long
+    duration write_gap = 500ms;  ///< between two writes of the record
     std::uint32_t loads_at_once = 8; ///< VMs loading at a time; one whole group always may
     duration expected_load = 90s;    ///< one member's load, for weighing repairs
     duration expected_vm = 600s;     ///< until the platform replaces a lost VM, likewise
--- /dev/null
+++ b/groups/plan_pass.h
@@ -0,0 +1,63 @@
+// One run of the planner: the record being changed, and what the passes over it share. Internal to
+// the library (plan.cc, rollout.cc, repair.cc).
+#pragma once
+
+#include "groups/plan.h"
+
+#include <algorithm>
+
+namespace jaynotch::groups {
+
+/// The passes of one run, in the order in which `planner::next` calls them.
+struct planner::pass {
+    pass(planner& owner, const plan_input& input, std::vector<notice>& out);
+
+    // plan.cc: what has to go and what has come to its end.
+    void drop_useless_standbys();
+    void retire_unwanted();
+    void dissolve_hopeless();
+    void finish_drains();
+    void switch_to_substitutes();
+    // rollout.cc: new versions, adapters and sizes.
+    void roll_out();
+    // repair.cc: VMs to where they are worth most.
+    void cover_lost_places();
+    void complete_one_from_another();
+    void form_groups();
+    void bind_spares();
+
+    group_assignment* find(const group_id& group);
+    [[nodiscard]] const pool* pool_of(const group_assignment& group) const;
+    [[nodiscard]] const group_sight& sight(const group_assignment& group) const;
+    [[nodiscard]] bool outdated(const group_assignment& group) const;
+    /// All members ready, in the record's composition or after a switch.
+    [[nodiscard]] bool whole(const group_assignment& group) const;
+    duration lasting(const char* why, const group_id& group, bool holds);
+    void erase(const group_id& group, const char* why);
+    void start_drain(group_assignment& group, bool retire, const char* why);
+    [[nodiscard]] bool drained(const group_assignment& group);
+    void tell(const char* kind, const group_id& group, std::string detail);
+
+    /// VMs that may join a group now and that no group of `next` names.
+    std::vector<member>& spares() { return m_spares; }
+    /// Bound standbys that no place needs at present.
+    [[nodiscard]] std::size_t unneeded_standbys() const;
+    std::optional<member> take_spare();
+    /// A spare or, if there is none, the unneeded standby of the group that has most of them.
+    std::optional<member> take_vm(const group_id& for_group);
+    void add_group(const pool& row, const group_id& replaces);
+
+    planner& self;
+    const plan_input& in;
+    std::vector<notice>& notices;
+    domain_record next;
+    allotment shares;
+
+private:
+    [[nodiscard]] bool unneeded(const group_assignment& group, const member& standby) const;
+
+    std::vector<member> m_spares;
+    std::size_t m_added = 0;
+};
+
+} // namespace jaynotch::groups
--- a/groups/record.cc
+++ b/groups/record.cc
@@ -34,13 +34,14 @@
 {
     return json::object{{"group", group.group.value()},
                         {"pool", group.pool.value()},
-                        {"after", group.after.value()},
                         {"model", group.model},
                         {"version", group.version},
                         {"adapters", format_strings(group.adapters)},
                         {"members", format_members(group.members)},
                         {"standbys", format_members(group.standbys)},
-                        {"retiring", group.retiring}};
+                        {"draining", group.draining},
+                        {"retiring", group.retiring},
+                        {"replaces", group.replaces.value()}};
 }
 
 std::string read_string(const json::object& from, std::string_view name)
@@ -63,14 +64,15 @@
     group_assignment group;
     group.group = group_id{read_string(from, "group")};
     group.pool = pool_id{read_string(from, "pool")};
-    group.after = fencing_number{from.at("after").as_int64()};
     group.model = read_string(from, "model");
     group.version = read_string(from, "version");
     for (const json::value& adapter : from.at("adapters").as_array())
         group.adapters.emplace_back(adapter.as_string());
     group.members = read_members(from.at("members"));
     group.standbys = read_members(from.at("standbys"));
+    group.draining = from.at("draining").as_bool();
     group.retiring = from.at("retiring").as_bool();
+    group.replaces = group_id{read_string(from, "replaces")};
     return group;
 }
 
--- a/groups/record.h
+++ b/groups/record.h
@@ -18,15 +18,14 @@
 struct group_assignment {
     group_id group;
     pool_id pool;
-    /// The record's revision before the write that last changed `members`, `version` or
-    /// `adapters`: an order that belongs to it carries a higher fencing number.
-    fencing_number after;
     std::string model;
     std::string version;
     std::vector<std::string> adapters;
     std::vector<member> members;  ///< by rank
     std::vector<member> standbys; ///< bound: may take the place of any member without a new record
-    bool retiring = false;        ///< takes no new requests; released when it has none in flight
+    bool draining = false;        ///< takes no new requests; changed when it has none in flight
+    bool retiring = false;        ///< drained to be dissolved
+    group_id replaces;            ///< the group that this one is built beside, or empty
 
     friend bool operator==(const group_assignment&, const group_assignment&) = default;
 };
--- /dev/null
+++ b/groups/sight.cc
@@ -0,0 +1,164 @@
+// A lost member's place is given to a bound standby at once, but only as a load on the side: the
+// group's other members aren't touched until the standby is ready. If the lost member comes back
+// first (a pause), the group is whole again at that moment and the standby is let go; if not, the
+// switch costs the others no load. So there is nothing to gain from waiting before the load starts.
+#include "groups/sight.h"
+
+#include <algorithm>
+
+namespace jaynotch::groups {
+
+namespace {
+
+place_sight look_at_place(const group_assignment& group, std::size_t rank, const vm_table& vms,
+                          time_point now)
+{
+    place_sight place;
+    const vm_view* view = vms.find(group.members[rank].vm);
+    if (view == nullptr) {
+        place.lost = true;
+        return place;
+    }
+    place.ready =
+        vms.fresh(*view, now) && ready_in_place(*view->report, group, rank, group.members);
+    place.lost = vms.condition(*view, now) != vm_condition::sound;
+    place.lost_since = view->silent_since;
+    return place;
+}
+
+/// A standby that already loads for this place, as another manager may have ordered.
+const member* already_loading(const group_assignment& group, std::size_t rank, const vm_table& vms,
+                              time_point now)
+{
+    const auto at =
+        std::find_if(group.standbys.begin(), group.standbys.end(), [&](const member& standby) {
+            const vm_view* view = vms.find(standby.vm);
+            return view != nullptr && vms.condition(*view, now) == vm_condition::sound &&
+                   has_weights(*view->report, group, rank);
+        });
+    return at == group.standbys.end() ? nullptr : &*at;
+}
+
+bool in_this_group(const vm_view& view, const group_assignment& group)
+{
+    return view.report && view.report->group == group.group;
+}
+
+/// Whether a member of the record already counts the VM at `address` in, as after a switch made
+/// while the platform was dark: the way back would be a second break.
+bool others_follow(const group_assignment& group, const std::string& address, const vm_table& vms,
+                   time_point now)
+{
+    return std::any_of(group.members.begin(), group.members.end(), [&](const member& one) {
+        const vm_view* view = vms.find(one.vm);
+        return view != nullptr && vms.fresh(*view, now) && in_this_group(*view, group) &&
+               std::find(view->report->members.begin(), view->report->members.end(), address) !=
+                   view->report->members.end();
+    });
+}
+
+const member* find_standby(const group_assignment& group, const vm_id& vm)
+{
+    const auto at = std::find_if(group.standbys.begin(), group.standbys.end(),
+                                 [&](const member& standby) { return standby.vm == vm; });
+    return at == group.standbys.end() ? nullptr : &*at;
+}
+
+} // namespace
+
+group_sight substitutes::look(const group_assignment& group, const vm_table& vms, time_point now)
+{
+    group_sight sight;
+    for (std::size_t rank = 0; rank < group.members.size(); ++rank)
+        sight.places.push_back(look_at_place(group, rank, vms, now));
+    sight.whole = std::all_of(sight.places.begin(), sight.places.end(),
+                              [](const place_sight& place) { return place.ready; });
+    choose(group, vms, sight, now);
+
+    sight.target = group.members;
+    for (std::size_t rank = 0; rank < sight.places.size(); ++rank) {
+        const place_sight& place = sight.places[rank];
+        sight.lost += place.lost ? 1 : 0;
+        sight.uncovered += place.lost && !place.substitute ? 1 : 0;
+        if (place.substitute)
+            sight.target[rank] = *place.substitute;
+    }
+    bool all_ready = sight.target != group.members;
+    bool all_agree = all_ready;
+    for (std::size_t rank = 0; rank < sight.places.size(); ++rank) {
+        place_sight& place = sight.places[rank];
+        const vm_view* view = vms.find(sight.target[rank].vm);
+        const bool agrees = view != nullptr && vms.fresh(*view, now) &&
+                            ready_in_place(*view->report, group, rank, sight.target);
+        all_agree = all_agree && agrees;
+        place.substitute_ready = place.substitute && agrees;
+        if (place.substitute || place.lost)
+            all_ready = all_ready && place.substitute_ready;
+    }
+    sight.can_switch = all_ready;
+    sight.switched = all_agree;
+
+    const vm_view* leader = group.members.empty() ? nullptr : vms.find(sight.target.front().vm);
+    sight.idle = leader != nullptr && vms.fresh(*leader, now) && leader->report->running == 0 &&
+                 leader->report->waiting == 0;
+    return sight;
+}
+
+void substitutes::choose(const group_assignment& group, const vm_table& vms, group_sight& sight,
+                         time_point now)
+{
+    by_rank& chosen = m_chosen[group.group];
+    // First keep what is under way, so that no standby is chosen for two places.
+    for (std::size_t rank = 0; rank < sight.places.size(); ++rank) {
+        const place_sight& place = sight.places[rank];
+        if (const member* loading = already_loading(group, rank, vms, now);
+            loading != nullptr && !chosen.contains(rank))
+            chosen[rank] = loading->vm;
+        const auto at = chosen.find(rank);
+        if (at == chosen.end())
+            continue;
+        const member* standby = find_standby(group, at->second);
+        const vm_view* view = standby == nullptr ? nullptr : vms.find(standby->vm);
+        const bool usable = view != nullptr && vms.condition(*view, now) == vm_condition::sound;
+        const bool under_way = usable && in_this_group(*view, group);
+        const bool returned = !place.lost && (place.ready || !under_way);
+        if (!usable || (returned && !others_follow(group, standby->address, vms, now)))
+            chosen.erase(at);
+    }
+    for (std::size_t rank = 0; rank < sight.places.size(); ++rank) {
+        if (!sight.places[rank].lost || chosen.contains(rank))
+            continue;
+        for (const member& standby : group.standbys) {
+            const vm_view* view = vms.find(standby.vm);
+            const bool taken = std::any_of(chosen.begin(), chosen.end(), [&](const auto& entry) {
+                return entry.second == standby.vm;
+            });
+            if (taken || view == nullptr || !vms.quiet(*view, now))
+                continue;
+            chosen[rank] = standby.vm;
+            break;
+        }
+    }
+    for (const auto& [rank, vm] : chosen) {
+        if (rank < sight.places.size())
+            sight.places[rank].substitute = *find_standby(group, vm);
+    }
+}
+
+void substitutes::keep_only(const domain_record& record)
+{
+    std::erase_if(m_chosen, [&](const auto& entry) {
+        return std::none_of(record.groups.begin(), record.groups.end(),
+                            [&](const auto& group) { return group.group == entry.first; });
+    });
+}
+
+bool substitutes::chosen(const group_id& group, const vm_id& vm) const
+{
+    const auto at = m_chosen.find(group);
+    return at != m_chosen.end() &&
+           std::any_of(at->second.begin(), at->second.end(),
+                       [&](const auto& entry) { return entry.second == vm; });
+}
+
+} // namespace jaynotch::groups
--- /dev/null
+++ b/groups/ticket_board.cc
@@ -0,0 +1,401 @@
+// A ticket rests on three things that agree: the domain's record (which VMs may form the group),
+// every member's own report (group, rank, the same list of members, version, loaded), and the age
+// of the oldest of these reports, from which the ticket's end is counted.
+//
+// A composition may take bound standbys in the place of members: the record binds them to this
+// group alone, so a switch made while the platform is dark needs no new record.
+//
+// Why two tickets never share a VM, on any two nodes, even where engines ignore fencing numbers: a
+// ticket ends at most `ticket_horizon` after the reports it rests on, and a VM counts towards its
+// new group only after it has been seen there for `settled`, which is longer. A manager that wakes
+// from a pause can thus pull a VM out of a whole group, which costs availability, but the group it
+// pulls the VM into gets no ticket before the other's is gone.
+#include "groups/ticket_board.h"
+
+#include "groups/vm_table.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace jaynotch::groups {
+
+namespace {
+
+/// What is known of a VM from this node's own probes.
+struct watched_vm {
+    std::string address;
+    std::optional<member_report> report;
+    time_point sent_at;
+    time_point same_group_since;
+    time_point last_probe;
+    group_id named_by; ///< the group whose record names it
+};
+
+/// What is known of a group.
+struct watched_group {
+    group_assignment assigned;
+    fabric_domain_id domain;
+    bool watching = false;
+    std::optional<complete_group> ticket; ///< the one in force here
+};
+
+std::vector<member> candidates_of(const group_assignment& group)
+{
+    std::vector<member> all = group.members;
+    all.insert(all.end(), group.standbys.begin(), group.standbys.end());
+    return all;
+}
+
+} // namespace
+
+struct ticket_board::state {
+    explicit state(board_settings from) : settings{std::move(from)} {}
+
+    board_settings settings;
+    std::map<fabric_domain_id, fencing_number> revisions;
+    std::map<group_id, watched_group> groups;
+    std::map<vm_id, watched_vm> vms;
+    std::vector<std::string> peers;
+    std::vector<board_command> out;
+
+    void take(const report_seen& seen, time_point now);
+    void take(const report_failed&, time_point) {}
+    void take(const record_seen& seen, time_point now);
+    void take(const tables_installed&, time_point) {}
+    void take(const peers_seen& seen, time_point now);
+    void take(const ticket_seen& seen, time_point now);
+    void take(const tick&, time_point now);
+
+    void choose_watchers();
+    void forget_unnamed();
+    void judge(watched_group& group, time_point now);
+    void withdraw(watched_group& group);
+    void send_probes(const watched_group& group, time_point now);
+    [[nodiscard]] bool contradicted(const complete_group& ticket) const;
+    [[nodiscard]] std::optional<std::vector<member>> composition(const group_assignment& group,
+                                                                 time_point now) const;
+    [[nodiscard]] bool composition_holds(const group_assignment& group,
+                                         const std::vector<member>& members, time_point now) const;
+    [[nodiscard]] complete_group ticket_for(const watched_group& group,
+                                            const std::vector<member>& members) const;
+};
+
+void ticket_board::state::take(const report_seen& seen, time_point now)
+{
+    const auto at = vms.find(seen.vm);
+    if (at == vms.end() || seen.report.vm != seen.vm)
+        return;
+    watched_vm& known = at->second;
+    if (known.report && seen.sent_at < known.sent_at)
+        return;
+    const bool moved = !known.report || known.report->group != seen.report.group ||
+                       known.report->boot != seen.report.boot ||
+                       seen.sent_at - known.sent_at > settings.settled;
+    if (moved)
+        known.same_group_since = seen.sent_at;
+    known.report = seen.report;
+    known.sent_at = seen.sent_at;
+    // A report that contradicts a ticket ends it now, not at the next tick.
+    if (const auto group = groups.find(known.named_by); group != groups.end())
+        judge(group->second, now);
+}
+
+void ticket_board::state::take(const record_seen& seen, time_point now)
+{
+    if (!is_record_key(settings.deployment, seen.entry.key))
+        return;
+    const auto parsed = parse_record(seen.entry);
+    if (!parsed) {
+        out.emplace_back(
+            notice{log_level::error, "record_refused", seen.entry.key, to_string(parsed.error())});
+        return;
+    }
+    const domain_record& record = parsed.value();
+    if (seen.entry.key != record_key(settings.deployment, record.domain))
+        return;
+    fencing_number& revision = revisions[record.domain];
+    if (record.revision <= revision)
+        return;
+    revision = record.revision;
+    std::map<group_id, watched_group> kept;
+    for (const auto& [id, group] : groups) {
+        if (group.domain == record.domain)
+            kept.emplace(id, group);
+    }
+    std::erase_if(groups, [&](const auto& entry) { return entry.second.domain == record.domain; });
+    for (const group_assignment& assigned : record.groups) {
+        if (groups.size() >= settings.most_groups)
+            break;
+        watched_group& group = groups[assigned.group];
+        if (const auto old = kept.find(assigned.group); old != kept.end()) {
+            group = old->second;
+            kept.erase(old);
+        }
+        group.assigned = assigned;
+        group.domain = record.domain;
+        if (group.ticket)
+            group.ticket->draining = assigned.draining;
+        for (const member& one : candidates_of(assigned)) {
+            vms[one.vm].address = one.address;
+            vms[one.vm].named_by = assigned.group;
+        }
+    }
+    for (auto& [id, group] : kept)
+        withdraw(group); // not in the record any more
+    forget_unnamed();
+    choose_watchers();
+    for (auto& [id, group] : groups) {
+        if (group.domain == record.domain)
+            judge(group, now);
+    }
+}
+
+void ticket_board::state::forget_unnamed()
+{
+    std::set<vm_id> named;
+    for (const auto& [id, group] : groups) {
+        for (const member& one : candidates_of(group.assigned))
+            named.insert(one.vm);
+    }
+    std::erase_if(vms, [&](const auto& entry) { return !named.contains(entry.first); });
+}
+
+void ticket_board::state::take(const peers_seen& seen, time_point)
+{
+    peers.clear();
+    for (const peer_row& row : seen.peers)
+        peers.push_back(row.node.value());
+    choose_watchers();
+}
+
+void ticket_board::state::choose_watchers()
+{
+    for (auto& [id, group] : groups) {
+        if (peers.empty()) {
+            group.watching = true; // nobody else is known
+            continue;
+        }
+        const auto first = rendezvous(id.value(), peers, settings.watchers);
+        group.watching = std::any_of(first.begin(), first.end(), [&](std::size_t at) {
+            return peers[at] == settings.self.value();
+        });
+    }
+}
+
+void ticket_board::state::take(const ticket_seen& seen, time_point now)
+{
+    const auto at = groups.find(seen.group.group);
+    if (at == groups.end())
+        return; // its record is not known here yet, or no more
+    watched_group& group = at->second;
+    if (!seen.complete) {
+        // A watcher's own eyes go before hearsay; the others believe the withdrawal at once.
+        if (!group.watching)
+            withdraw(group);
+        return;
+    }
+    const std::vector<member> allowed = candidates_of(group.assigned);
+    const bool drawn_from_record =
+        seen.group.members.size() == group.assigned.members.size() &&
+        std::all_of(seen.group.members.begin(), seen.group.members.end(), [&](const vm_id& vm) {
+            return std::any_of(allowed.begin(), allowed.end(),
+                               [&](const member& one) { return one.vm == vm; });
+        });
+    const duration most = std::min(seen.remaining, settings.ticket_horizon);
+    const time_point until = std::min(seen.sent_at, now) + most;
+    if (!drawn_from_record || seen.group.version != group.assigned.version || until <= now)
+        return;
+    if (group.ticket && group.ticket->valid_until >= until)
+        return;
+    group.ticket = seen.group;
+    group.ticket->valid_until = until;
+    group.ticket->draining = group.assigned.draining;
+}
+
+void ticket_board::state::take(const tick&, time_point now)
+{
+    for (auto& [id, group] : groups) {
+        if (group.watching)
+            send_probes(group, now);
+        judge(group, now);
+    }
+}
+
+void ticket_board::state::send_probes(const watched_group& group, time_point now)
+{
+    const bool whole = group.ticket.has_value();
+    const std::vector<member> asked =
+        whole ? group.assigned.members : candidates_of(group.assigned);
+    for (const member& one : asked) {
+        watched_vm& known = vms[one.vm];
+        const time_point last = std::max(known.last_probe, known.sent_at);
+        if (now - last < settings.probe_period)
+            continue;
+        known.last_probe = now;
+        out.emplace_back(probe{one.vm, one.address});
+    }
+}
+
+void ticket_board::state::withdraw(watched_group& group)
+{
+    if (!group.ticket)
+        return;
+    out.emplace_back(ticket_changed{*group.ticket, false});
+    group.ticket.reset();
+}
+
+void ticket_board::state::judge(watched_group& group, time_point now)
+{
+    if (group.ticket && group.ticket->valid_until <= now) {
+        // Not pushed: another watcher may still see the group whole.
+        out.emplace_back(notice{log_level::warning, "ticket_expired", group.assigned.group.value(),
+                                "no fresh word of every member"});
+        group.ticket.reset();
+    }
+    // A node that has no reports of its own goes by what the watchers push.
+    const bool own_eyes = std::any_of(
+        group.assigned.members.begin(), group.assigned.members.end(), [&](const member& one) {
+            const auto at = vms.find(one.vm);
+            return at != vms.end() && at->second.report &&
+                   now - at->second.sent_at <= settings.ticket_horizon;
+        });
+    if (!group.watching && !own_eyes)
+        return;
+    const auto members = composition(group.assigned, now);
+    if (!members) {
+        // Silence of one member may be this node's own line: the ticket runs out by itself. A
+        // report that contradicts it ends it at once.
+        if (group.ticket && contradicted(*group.ticket))
+            withdraw(group);
+        return;
+    }
+    complete_group ticket = ticket_for(group, *members);
+    if (ticket.valid_until <= now)
+        return;
+    const bool changed = !group.ticket || *group.ticket != ticket;
+    group.ticket = ticket;
+    if (changed)
+        out.emplace_back(ticket_changed{std::move(ticket), true});
+}
+
+bool ticket_board::state::contradicted(const complete_group& ticket) const
+{
+    const time_point rests_on = ticket.valid_until - settings.ticket_horizon;
+    return std::any_of(ticket.members.begin(), ticket.members.end(), [&](const vm_id& vm) {
+        const auto at = vms.find(vm);
+        if (at == vms.end() || !at->second.report || at->second.sent_at < rests_on)
+            return false;
+        const member_report& report = *at->second.report;
+        return report.group != ticket.group || report.state != member_state::ready ||
+               report.version != ticket.version || report.adapters != ticket.adapters ||
+               report.members.empty() || report.members.front() != ticket.leader;
+    });
+}
+
+std::optional<std::vector<member>> ticket_board::state::composition(const group_assignment& group,
+                                                                    time_point now) const
+{
+    if (composition_holds(group, group.members, now))
+        return group.members;
+    // The leader of a switched composition names it; the others must name the same.
+    const std::vector<member> allowed = candidates_of(group);
+    for (const member& leader : allowed) {
+        const auto at = vms.find(leader.vm);
+        if (at == vms.end() || !at->second.report || at->second.report->rank != 0)
+            continue;
+        const std::vector<std::string>& addresses = at->second.report->members;
+        if (addresses.size() != group.members.size())
+            continue;
+        std::vector<member> named;
+        for (const std::string& address : addresses) {
+            const auto who = std::find_if(allowed.begin(), allowed.end(), [&](const member& one) {
+                return one.address == address;
+            });
+            if (who == allowed.end())
+                break;
+            named.push_back(*who);
+        }
+        if (named.size() == group.members.size() && composition_holds(group, named, now))
+            return named;
+    }
+    return std::nullopt;
+}
+
+bool ticket_board::state::composition_holds(const group_assignment& group,
+                                            const std::vector<member>& members,
+                                            time_point now) const
+{
+    for (std::size_t rank = 0; rank < members.size(); ++rank) {
+        const auto at = vms.find(members[rank].vm);
+        if (at == vms.end() || !at->second.report)
+            return false;
+        const watched_vm& known = at->second;
+        const bool fresh = now - known.sent_at < settings.ticket_horizon;
+        const bool settled = known.sent_at - known.same_group_since >= settings.settled;
+        if (!fresh || !settled || !ready_in_place(*known.report, group, rank, members))
+            return false;
+    }
+    return !members.empty();
+}
+
+complete_group ticket_board::state::ticket_for(const watched_group& group,
+                                               const std::vector<member>& members) const
+{
+    complete_group ticket;
+    ticket.group = group.assigned.group;
+    ticket.pool = group.assigned.pool;
+    ticket.fabric_domain = group.domain;
+    ticket.leader = members.front().address;
+    ticket.model = group.assigned.model;
+    ticket.version = group.assigned.version;
+    ticket.adapters = group.assigned.adapters;
+    ticket.draining = group.assigned.draining;
+    ticket.valid_until = time_point::max();
+    for (const member& one : members) {
+        const watched_vm& known = vms.at(one.vm);
+        const member_report& report = *known.report;
+        ticket.members.push_back(one.vm);
+        ticket.valid_until = std::min(ticket.valid_until, known.sent_at + settings.ticket_horizon);
+        ticket.load.kv_used = std::max(ticket.load.kv_used, report.kv_used);
+        ticket.load.step_ms = std::max(ticket.load.step_ms, report.step_ms);
+    }
+    const member_report& leader = *vms.at(members.front().vm).report;
+    ticket.fencing = leader.fencing;
+    ticket.load.running = leader.running;
+    ticket.load.waiting = leader.waiting;
+    return ticket;
+}
+
+ticket_board::ticket_board(board_settings settings)
+    : m_state{std::make_unique<state>(std::move(settings))}
+{}
+ticket_board::~ticket_board() = default;
+ticket_board::ticket_board(ticket_board&&) noexcept = default;
+ticket_board& ticket_board::operator=(ticket_board&&) noexcept = default;
+
+std::vector<board_command> ticket_board::handle(const board_event& happened, time_point now)
+{
+    m_state->out.clear();
+    std::visit([&](const auto& event) { m_state->take(event, now); }, happened);
+    return std::move(m_state->out);
+}
+
+std::vector<complete_group> ticket_board::complete(time_point now) const
+{
+    std::vector<complete_group> whole;
+    for (const auto& [id, group] : m_state->groups) {
+        if (group.ticket && now < group.ticket->valid_until)
+            whole.push_back(*group.ticket);
+    }
+    return whole;
+}
+
+bool ticket_board::watches(const group_id& group) const
+{
+    const auto at = m_state->groups.find(group);
+    return at != m_state->groups.end() && at->second.watching;
+}
+
+} // namespace jaynotch::groups
--- a/groups/types.h
+++ b/groups/types.h
@@ -123,6 +123,10 @@
 struct peers_seen {
     std::vector<peer_row> peers;
 };
+/// A member slows its group down (groups/straggler.h): it is replaced without a break.
+struct straggler_found {
+    vm_id vm;
+};
 /// Time has passed; send one every 100 ms to 1 s.
 struct tick {};
 
@@ -209,7 +213,9 @@
     friend bool operator==(const complete_group&, const complete_group&) = default;
 };
 
-/// A ticket was issued, changed, or withdrawn (`complete` false: at once, whatever its time says).
+/// A ticket was issued, changed or renewed; or withdrawn (`complete` false) because a member's word
+/// or the record contradicts it: that goes to the peers at once and ends it whatever its time says.
+/// A ticket that merely runs out is not announced.
 struct ticket_changed {
     complete_group group;
     bool complete = false;
