daemon: HTTP server on Beast's parser and serializer

Cause: callers and operators are met over HTTP/1.1, with and without TLS. Change: one coroutine a connection; bounds on header, body and connections; deadlines from the first byte; 100-continue, HEAD, keep-alive, pipelining; an answer that is not whole is never framed as if.

--- /dev/null
+++ b/daemon/http_exchange.cc
@@ -0,0 +1,355 @@
+#include "daemon/http_exchange.h"
+
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
+
+// Beast parses and frames; the bytes go through `connection`, which keeps a read outstanding. An
+// answer is whole for the caller only by its length or its last chunk, so leaving either out is
+// how a cut answer is told.
+
+namespace jaynotch {
+
+namespace {
+
+constexpr std::size_t body_piece = 16 * 1024;
+
+// Hop-by-hop headers (RFC 9110, 7.6.1) concern one connection only and are never passed on.
+constexpr std::array hop_by_hop{
+    http::field::connection, http::field::keep_alive,     http::field::proxy_connection,
+    http::field::te,         http::field::trailer,        http::field::transfer_encoding,
+    http::field::upgrade,    http::field::content_length, http::field::proxy_authenticate};
+
+bool passes(http::field name)
+{
+    return std::find(hop_by_hop.begin(), hop_by_hop.end(), name) == hop_by_hop.end();
+}
+
+std::string render(const http::response<http::empty_body>& message)
+{
+    http::response_serializer<http::empty_body> serializer{message};
+    std::string text;
+    boost::system::error_code failed;
+    while (!serializer.is_header_done()) {
+        serializer.next(failed, [&](boost::system::error_code& /*failed*/, const auto& buffers) {
+            text += boost::beast::buffers_to_string(buffers);
+            serializer.consume(boost::beast::buffer_bytes(buffers));
+        });
+        if (failed)
+            break;
+    }
+    return text;
+}
+
+} // namespace
+
+http::status status_of(error_kind kind)
+{
+    switch (kind) {
+    case error_kind::invalid_argument:
+    case error_kind::invalid_table:
+        return http::status::bad_request;
+    case error_kind::conflict:
+        return http::status::conflict;
+    case error_kind::not_found:
+        return http::status::not_found;
+    case error_kind::unauthorized:
+        return http::status::unauthorized;
+    case error_kind::too_large:
+        return http::status::payload_too_large;
+    case error_kind::rate_limited:
+        return http::status::too_many_requests;
+    case error_kind::overloaded:
+    case error_kind::unavailable:
+        return http::status::service_unavailable;
+    case error_kind::deadline_exceeded:
+        return http::status::gateway_timeout;
+    case error_kind::protocol:
+    case error_kind::unknown_outcome:
+        return http::status::bad_gateway;
+    case error_kind::cancelled:
+    case error_kind::internal:
+        break;
+    }
+    return http::status::internal_server_error;
+}
+
+std::string refusal_body(const refusal& refused)
+{
+    return boost::json::serialize(boost::json::object{{"error",
+                                                       {{"kind", to_name(refused.failure.kind)},
+                                                        {"message", refused.failure.message},
+                                                        {"remedy", refused.failure.remedy},
+                                                        {"ran", to_name(refused.ran)}}}});
+}
+
+http_exchange::http_exchange(std::shared_ptr<connection> caller, request_parser& parser,
+                             const daemon_timeouts& timeouts, bool keep_alive)
+    : m_caller{std::move(caller)}, m_parser{parser}, m_timeouts{timeouts}, m_keep_alive{
+                                                                               keep_alive &&
+                                                                               parser.keep_alive()}
+{
+    m_continue_due =
+        boost::beast::iequals(parser.get()[http::field::expect], "100-continue") && has_body();
+}
+
+const http::request_header<>& http_exchange::request() const
+{
+    return m_parser.get();
+}
+
+std::string_view http_exchange::header(std::string_view name) const
+{
+    const boost::beast::string_view wanted{name.data(), name.size()};
+    const auto found = m_parser.get().find(wanted);
+    if (found == m_parser.get().end())
+        return {};
+    return {found->value().data(), found->value().size()};
+}
+
+std::string_view http_exchange::path() const
+{
+    const auto target = m_parser.get().target();
+    const std::string_view whole{target.data(), target.size()};
+    return whole.substr(0, whole.find('?'));
+}
+
+std::string http_exchange::query(std::string_view name) const
+{
+    const auto parsed = boost::urls::parse_origin_form(m_parser.get().target());
+    if (!parsed)
+        return {};
+    const auto parameters = parsed->params();
+    const auto found = parameters.find(boost::urls::string_view{name.data(), name.size()});
+    return found == parameters.end() ? std::string{} : std::string{(*found).value};
+}
+
+std::optional<std::uint64_t> http_exchange::content_length() const
+{
+    const auto length = m_parser.content_length();
+    return length ? std::optional<std::uint64_t>{*length} : std::nullopt;
+}
+
+bool http_exchange::has_body() const
+{
+    return m_parser.chunked() || content_length().value_or(0) > 0;
+}
+
+net::awaitable<bool> http_exchange::say_continue()
+{
+    m_continue_due = false;
+    static constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
+    co_return co_await m_caller->write(m_timeouts.write_stall, net::buffer(text));
+}
+
+net::awaitable<result<void>> http_exchange::fill()
+{
+    switch (co_await m_caller->more_input(m_timeouts.body_stall)) {
+    case input_state::arrived:
+        co_return success();
+    case input_state::timed_out:
+        m_keep_alive = false;
+        co_return error{error_kind::deadline_exceeded, "the request's body did not come",
+                        "send the body without pauses"};
+    case input_state::ended:
+    case input_state::failed:
+        break;
+    }
+    m_keep_alive = false;
+    co_return error{error_kind::cancelled, "the connection ended before the request's body did",
+                    "send as many bytes as the request's length says"};
+}
+
+net::awaitable<result<std::string>> http_exchange::read_some()
+{
+    if (m_parser.is_done())
+        co_return std::string{};
+    if (m_continue_due && !co_await say_continue())
+        co_return error{error_kind::cancelled, "the caller is gone", ""};
+    std::string piece(body_piece, '\0');
+    auto& body = m_parser.get().body();
+    body.data = piece.data();
+    body.size = piece.size();
+    body.more = true;
+    for (;;) {
+        boost::system::error_code failed;
+        auto& input = m_caller->input();
+        if (input.size() > 0)
+            input.consume(m_parser.put(input.data(), failed));
+        else
+            failed = http::error::need_more;
+        const std::size_t got = piece.size() - body.size;
+        if (failed == http::error::need_buffer || m_parser.is_done() || got > 0) {
+            piece.resize(got);
+            if (!piece.empty() || m_parser.is_done())
+                co_return piece;
+            co_return error{error_kind::internal, "the body's parser stands still", ""};
+        }
+        if (failed && failed != http::error::need_more) {
+            m_keep_alive = false;
+            if (failed == http::error::body_limit)
+                co_return error{error_kind::too_large, "the request's body is too large",
+                                "send a smaller body"};
+            co_return error{error_kind::invalid_argument,
+                            "the request's body is malformed: " + failed.message(),
+                            "send a body as its Content-Length or chunked framing says"};
+        }
+        if (failed == http::error::need_more) {
+            BOOST_OUTCOME_CO_TRY(co_await fill());
+        }
+    }
+}
+
+net::awaitable<result<std::string>> http_exchange::read_body(std::size_t limit)
+{
+    std::string whole;
+    if (content_length().value_or(0) > limit) {
+        m_keep_alive = false;
+        co_return error{error_kind::too_large,
+                        "the request's body is over " + std::to_string(limit) + " bytes",
+                        "send a smaller body"};
+    }
+    while (!m_parser.is_done()) {
+        BOOST_OUTCOME_CO_TRY(std::string piece, co_await read_some());
+        if (whole.size() + piece.size() > limit) {
+            m_keep_alive = false;
+            co_return error{error_kind::too_large,
+                            "the request's body is over " + std::to_string(limit) + " bytes",
+                            "send a smaller body"};
+        }
+        whole += piece;
+    }
+    co_return whole;
+}
+
+void http_exchange::set(std::string_view name, std::string_view value)
+{
+    m_extra.emplace_back(name);
+    m_extra.emplace_back(value);
+}
+
+std::string http_exchange::head(http::status status, const http::fields& headers,
+                                std::optional<std::uint64_t> length)
+{
+    http::response<http::empty_body> message;
+    message.version(m_parser.get().version());
+    message.result(status);
+    for (const auto& field : headers) {
+        if (passes(field.name()))
+            message.insert(field.name(), field.name_string(), field.value());
+    }
+    for (std::size_t at = 0; at + 1 < m_extra.size(); at += 2)
+        message.set(m_extra[at], m_extra[at + 1]);
+    const bool bodiless = status == http::status::no_content ||
+                          status == http::status::not_modified ||
+                          to_status_class(status) == http::status_class::informational;
+    const bool head_only = m_parser.get().method() == http::verb::head;
+    m_framing = framing::none;
+    if (length && !(bodiless && *length == 0)) {
+        message.content_length(*length);
+        m_promised = *length;
+        m_framing = framing::length;
+    }
+    else if (!length && !bodiless) {
+        m_framing =
+            message.version() >= 11 && !m_close_delimited ? framing::chunked : framing::until_close;
+        message.chunked(m_framing == framing::chunked);
+    }
+    if (bodiless || head_only)
+        m_framing = framing::none;
+    // A body that was not read whole would be taken for the next request.
+    if (!m_parser.is_done() || m_framing == framing::until_close)
+        m_keep_alive = false;
+    message.keep_alive(m_keep_alive);
+    return render(message);
+}
+
+net::awaitable<bool> http_exchange::answer(http::status status, std::string_view content_type,
+                                           std::string_view body)
+{
+    http::fields headers;
+    if (!content_type.empty())
+        headers.set(http::field::content_type, content_type);
+    const std::string top = head(status, headers, body.size());
+    m_begun = true;
+    m_answered = true;
+    m_sent = m_framing == framing::none ? 0 : body.size();
+    const net::const_buffer shown =
+        m_framing == framing::none ? net::const_buffer{} : net::buffer(body);
+    co_return co_await m_caller->write(m_timeouts.write_stall, net::buffer(top), shown);
+}
+
+net::awaitable<bool> http_exchange::refuse(const refusal& refused)
+{
+    set("jaynotch-ran", to_name(refused.ran));
+    if (refused.retry_after)
+        set("Retry-After", std::to_string(refused.retry_after->count()));
+    co_return co_await answer(refused.status.value_or(status_of(refused.failure.kind)),
+                              "application/json", refusal_body(refused));
+}
+
+net::awaitable<bool> http_exchange::begin(http::status status, const http::fields& headers,
+                                          std::optional<std::uint64_t> length)
+{
+    const std::string top = head(status, headers, length);
+    m_begun = true;
+    co_return co_await m_caller->write(m_timeouts.write_stall, net::buffer(top));
+}
+
+net::awaitable<bool> http_exchange::write(std::string_view piece)
+{
+    if (piece.empty() || m_framing == framing::none)
+        co_return true;
+    if (m_framing == framing::length && m_sent + piece.size() > m_promised)
+        co_return false;
+    m_sent += piece.size();
+    if (m_framing != framing::chunked)
+        co_return co_await m_caller->write(m_timeouts.write_stall, net::buffer(piece));
+    std::array<char, 20> size_line{};
+    const int digits = std::snprintf(size_line.data(), size_line.size(), "%zx\r\n", piece.size());
+    co_return co_await m_caller->write(m_timeouts.write_stall,
+                                       net::buffer(size_line.data(), std::size_t(digits)),
+                                       net::buffer(piece), net::buffer("\r\n", 2));
+}
+
+net::awaitable<bool> http_exchange::finish()
+{
+    m_answered = true;
+    if (m_framing == framing::length && m_sent != m_promised) {
+        cut();
+        co_return false;
+    }
+    if (m_framing != framing::chunked)
+        co_return true;
+    static constexpr std::string_view last_chunk = "0\r\n\r\n";
+    co_return co_await m_caller->write(m_timeouts.write_stall, net::buffer(last_chunk));
+}
+
+void http_exchange::cut()
+{
+    m_answered = true;
+    m_keep_alive = false;
+    // A missing length or last chunk tells that bytes are missing. Where neither frames the answer
+    // an orderly end would look like a whole one, so the connection is reset.
+    if (!m_begun || m_framing == framing::until_close || m_framing == framing::none)
+        m_caller->abort();
+}
+
+void http_exchange::abort()
+{
+    m_answered = true;
+    m_keep_alive = false;
+    m_caller->abort();
+}
+
+void http_exchange::watch_caller(std::function<void()> gone, bool half_close)
+{
+    m_caller->watch_end(std::move(gone), half_close);
+}
+
+void http_exchange::unwatch_caller()
+{
+    m_caller->watch_end(nullptr);
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/daemon/http_server.cc
@@ -0,0 +1,298 @@
+#include "daemon/http_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <set>
+
+// One coroutine a connection. It waits for the first byte of a request without holding a parser or
+// a buffer, so that an idle connection costs little; then it reads the header against a deadline
+// that starts with that byte, so that a caller who sends a byte now and then (slow loris) holds a
+// connection no longer than that.
+
+namespace jaynotch {
+
+namespace {
+
+constexpr duration refuse_linger = std::chrono::seconds{2};
+constexpr std::size_t accept_backlog = 1024;
+
+/// A connection as the server keeps book of it.
+struct session {
+    std::shared_ptr<connection> caller;
+    bool idle = true;
+};
+
+refusal header_refusal(boost::system::error_code failed)
+{
+    if (failed == http::error::header_limit)
+        return {.failure = {error_kind::too_large, "the request's header is too large",
+                            "send fewer or shorter header lines"},
+                .status = http::status::request_header_fields_too_large};
+    if (failed == http::error::bad_version)
+        return {
+            .failure = {error_kind::invalid_argument, "not HTTP/1.0 or HTTP/1.1", "speak HTTP/1.1"},
+            .status = http::status::http_version_not_supported};
+    return {.failure = {error_kind::invalid_argument,
+                        "the request is malformed: " + failed.message(),
+                        "send a request as RFC 9112 says"}};
+}
+
+refusal header_timeout()
+{
+    return {.failure = {error_kind::deadline_exceeded, "the request's header did not come",
+                        "send the header without pauses"},
+            .status = http::status::request_timeout};
+}
+
+/// The whole answer to a connection over the limit, sent before anything is read.
+std::string full_house_answer()
+{
+    const std::string body = refusal_body(
+        {.failure = {error_kind::overloaded, "this node holds as many connections as it may",
+                     "come back later, or raise --max_connections"}});
+    return "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
+           "jaynotch-ran: no\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+class http_server::impl : public std::enable_shared_from_this<impl> {
+public:
+    impl(net::io_context& io, http_server_settings settings, http_handler handler)
+        : m_acceptor{io}, m_settings{std::move(settings)}, m_handler{std::move(handler)}
+    {}
+
+    result<void> bind(const std::string& address)
+    {
+        BOOST_OUTCOME_TRY(const host_port where, parse_host_port(address));
+        if (m_settings.tls.enabled()) {
+            BOOST_OUTCOME_TRY(load_tls());
+        }
+        boost::system::error_code failed;
+        const tcp::endpoint endpoint{net::ip::make_address(where.host), where.port};
+        m_acceptor.open(endpoint.protocol(), failed);
+        if (!failed)
+            m_acceptor.set_option(net::socket_base::reuse_address{true}, failed);
+        if (!failed)
+            m_acceptor.bind(endpoint, failed);
+        if (!failed)
+            m_acceptor.listen(accept_backlog, failed);
+        if (failed)
+            return error{error_kind::unavailable,
+                         "can't listen on " + address + ": " + failed.message(),
+                         "give a free port of this VM"};
+        return success();
+    }
+
+    net::awaitable<void> accept_all()
+    {
+        const auto self = shared_from_this();
+        while (m_acceptor.is_open()) {
+            boost::system::error_code failed;
+            tcp::socket accepted =
+                co_await m_acceptor.async_accept(net::redirect_error(net::use_awaitable, failed));
+            if (!m_acceptor.is_open())
+                break;
+            if (failed) {
+                // Out of descriptors: without a pause this would spin.
+                timer pause{m_acceptor.get_executor(), std::chrono::milliseconds{50}};
+                co_await pause.async_wait(net::redirect_error(net::use_awaitable, failed));
+                continue;
+            }
+            net::co_spawn(m_acceptor.get_executor(), serve(std::move(accepted)), net::detached);
+        }
+    }
+
+    net::awaitable<void> serve(tcp::socket accepted)
+    {
+        const auto self = shared_from_this();
+        const auto one = std::make_shared<session>();
+        one->caller = std::make_shared<connection>(std::move(accepted),
+                                                   m_settings.tls.enabled() ? &*m_tls : nullptr);
+        const bool room = m_sessions.size() < m_settings.limits.connections;
+        m_sessions.insert(one);
+        try {
+            if (co_await one->caller->handshake(m_settings.timeouts.header)) {
+                if (room)
+                    co_await serve_requests(*one);
+                else
+                    co_await refuse_connection(*one->caller);
+            }
+            co_await one->caller->close(refuse_linger);
+        }
+        catch (const std::exception& thrown) {
+            log_event(log_level::error, "connection_failed", {{"message", thrown.what()}});
+            one->caller->abort();
+        }
+        m_sessions.erase(one);
+    }
+
+    void stop_accepting()
+    {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        m_winding_down = true;
+        for (const auto& one : m_sessions) {
+            if (one->idle && one->caller->input().size() == 0)
+                one->caller->abort();
+        }
+    }
+
+    void abort()
+    {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        for (const auto& one : m_sessions)
+            one->caller->abort();
+    }
+
+    tcp::acceptor m_acceptor;
+    http_server_settings m_settings;
+    http_handler m_handler;
+    std::optional<net::ssl::context> m_tls;
+    std::set<std::shared_ptr<session>> m_sessions;
+    bool m_winding_down = false;
+
+private:
+    result<void> load_tls()
+    {
+        m_tls.emplace(net::ssl::context::tls_server);
+        boost::system::error_code failed;
+        m_tls->set_options(net::ssl::context::default_workarounds | net::ssl::context::no_tlsv1 |
+                               net::ssl::context::no_tlsv1_1,
+                           failed);
+        if (!failed)
+            m_tls->use_certificate_chain_file(m_settings.tls.certificate, failed);
+        if (!failed)
+            m_tls->use_private_key_file(m_settings.tls.key, net::ssl::context::pem, failed);
+        if (!failed && !m_settings.tls.authority.empty()) {
+            m_tls->load_verify_file(m_settings.tls.authority, failed);
+            m_tls->set_verify_mode(net::ssl::verify_peer | net::ssl::verify_fail_if_no_peer_cert);
+        }
+        if (failed)
+            return error{error_kind::invalid_argument, "TLS files: " + failed.message(),
+                         "give a PEM certificate chain, its key and the authority"};
+        return success();
+    }
+
+    net::awaitable<void> refuse_connection(connection& caller)
+    {
+        const std::string text = full_house_answer();
+        co_await caller.write(m_settings.timeouts.write_stall, net::buffer(text));
+    }
+
+    /// Waits for the first byte of the next request; false if there is none.
+    net::awaitable<bool> next_request(session& one)
+    {
+        if (one.caller->input().size() > 0)
+            co_return true;
+        one.idle = true;
+        one.caller->trim();
+        const input_state got = co_await one.caller->more_input(m_settings.timeouts.idle);
+        one.idle = false;
+        co_return got == input_state::arrived;
+    }
+
+    net::awaitable<void> serve_requests(session& one)
+    {
+        while (co_await next_request(one)) {
+            one.idle = false;
+            if (!co_await serve_one(one))
+                break;
+        }
+    }
+
+    /// Reads one header and has the request answered; false if the connection is to end.
+    net::awaitable<bool> serve_one(session& one)
+    {
+        request_parser parser;
+        parser.header_limit(static_cast<std::uint32_t>(m_settings.limits.header_bytes));
+        parser.body_limit(m_settings.limits.plain_body_bytes);
+        parser.eager(false);
+        http_exchange early{one.caller, parser, m_settings.timeouts, false};
+        const time_point deadline = runtime_clock::now() + m_settings.timeouts.header;
+        while (!parser.is_header_done()) {
+            boost::system::error_code failed;
+            auto& input = one.caller->input();
+            if (input.size() > 0)
+                input.consume(parser.put(input.data(), failed));
+            if (parser.is_header_done())
+                break;
+            if (failed && failed != http::error::need_more) {
+                early.end_connection();
+                const refusal malformed = header_refusal(failed);
+                co_await early.refuse(malformed);
+                co_return false;
+            }
+            const input_state got =
+                co_await one.caller->more_input(deadline - runtime_clock::now());
+            if (got == input_state::timed_out) {
+                const refusal late = header_timeout();
+                co_await early.refuse(late);
+            }
+            if (got != input_state::arrived)
+                co_return false;
+        }
+        parser.eager(true);
+        http_exchange exchange{one.caller, parser, m_settings.timeouts, !m_winding_down};
+        co_await m_handler(exchange);
+        exchange.unwatch_caller();
+        if (!exchange.answered())
+            exchange.cut();
+        co_return exchange.keeps_alive() && !m_winding_down;
+    }
+};
+
+http_server::http_server(std::shared_ptr<impl> made) : m_impl{std::move(made)} {}
+
+http_server::~http_server()
+{
+    m_impl->abort();
+}
+
+result<std::unique_ptr<http_server>> http_server::open(net::io_context& io,
+                                                       const std::string& address,
+                                                       http_server_settings settings,
+                                                       http_handler handler)
+{
+    auto made = std::make_shared<impl>(io, std::move(settings), std::move(handler));
+    BOOST_OUTCOME_TRY(made->bind(address));
+    return std::unique_ptr<http_server>{new http_server{std::move(made)}};
+}
+
+void http_server::start()
+{
+    net::co_spawn(m_impl->m_acceptor.get_executor(), m_impl->accept_all(), net::detached);
+}
+
+void http_server::wind_down()
+{
+    m_impl->m_winding_down = true;
+}
+
+void http_server::stop_accepting()
+{
+    m_impl->stop_accepting();
+}
+
+void http_server::abort()
+{
+    m_impl->abort();
+}
+
+std::uint16_t http_server::port() const
+{
+    boost::system::error_code ignored;
+    return m_impl->m_acceptor.local_endpoint(ignored).port();
+}
+
+std::size_t http_server::connections() const
+{
+    return m_impl->m_sessions.size();
+}
+
+} // namespace jaynotch
