--- /dev/null
+++ b/daemon/metrics.cc
@@ -0,0 +1,146 @@
+#include "daemon/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <vector>
+
+namespace jaynotch {
+
+namespace {
+
+using prometheus::Counter;
+using prometheus::Gauge;
+using prometheus::Histogram;
+using prometheus::Registry;
+
+const Histogram::BucketBoundaries latency_buckets{0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1,
+                                                  0.25,  0.51,  1.0,   2.5,  5.0,   10.0, 30.0};
+
+double seconds(duration time)
+{
+    return std::chrono::duration<double>{time}.count();
+}
+
+Counter& counter(Registry& registry, const std::string& name, const std::string& help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
+}
+
+Gauge& gauge(Registry& registry, const std::string& name, const std::string& help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+template <class Enum>
+std::vector<Counter*> by_name(Registry& registry, const std::string& name, const std::string& help,
+                              const std::string& label)
+{
+    auto& family = prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+    std::vector<Counter*> rows;
+    for (const auto& entry : enum_names<Enum>::entries)
+        rows.push_back(&family.Add({{label, std::string{entry.name}}}));
+    return rows;
+}
+
+} // namespace
+
+struct metrics::families {
+    Registry registry;
+    std::vector<Counter*> outcomes = by_name<outcome>(
+        registry, "jaynotch_requests_total", "Requests of callers by how they ended", "outcome");
+    std::vector<Counter*> refusals =
+        by_name<error_kind>(registry, "jaynotch_refusals_total", "Refusals by kind", "kind");
+    Histogram& took = prometheus::BuildHistogram()
+                          .Name("jaynotch_request_seconds")
+                          .Help("From a request's header to its end")
+                          .Register(registry)
+                          .Add({}, latency_buckets);
+    Histogram& first = prometheus::BuildHistogram()
+                           .Name("jaynotch_first_byte_seconds")
+                           .Help("From a request's header to its answer's first byte")
+                           .Register(registry)
+                           .Add({}, latency_buckets);
+    Counter& tokens = counter(registry, "jaynotch_stream_events_total",
+                              "Events of streams handed to callers, about one a token");
+    Counter& attempts =
+        counter(registry, "jaynotch_attempts_total", "Requests sent to backend servers");
+    Counter& resumes =
+        counter(registry, "jaynotch_resumes_total", "Streams continued on another group");
+    Counter& foreign = counter(registry, "jaynotch_foreign_answers_total",
+                               "Answers that named another attempt; dropped");
+    Gauge& ready = gauge(registry, "jaynotch_ready", "1 if callers may be sent here");
+    Gauge& revision =
+        gauge(registry, "jaynotch_config_revision", "Revision of the tables in force");
+    Gauge& dark = gauge(registry, "jaynotch_platform_lost",
+                        "1 if the key-value service does not answer this node");
+    Gauge& connections = gauge(registry, "jaynotch_connections", "Connections of callers");
+    Gauge& in_flight = gauge(registry, "jaynotch_in_flight", "Requests without an end yet");
+    Gauge& groups = gauge(registry, "jaynotch_complete_groups", "Groups that may get requests");
+    Gauge& managed = gauge(registry, "jaynotch_managed_domains", "Fabric domains managed here");
+    Gauge& members = gauge(registry, "jaynotch_live_members", "Daemons alive, this one included");
+    Gauge& peer_bytes = gauge(registry, "jaynotch_peer_sent_bytes", "Bytes sent to daemons");
+    Gauge& kv_calls = gauge(registry, "jaynotch_kv_calls", "Calls on the key-value service");
+    Gauge& dropped = gauge(registry, "jaynotch_spans_dropped", "Spans dropped, the buffer full");
+};
+
+metrics::metrics() : m_families{std::make_unique<families>()} {}
+metrics::~metrics() = default;
+
+void metrics::ended(outcome how, duration took)
+{
+    m_families->outcomes[static_cast<std::size_t>(how)]->Increment();
+    m_families->took.Observe(seconds(took));
+}
+
+void metrics::refused(error_kind why)
+{
+    m_families->refusals[static_cast<std::size_t>(why)]->Increment();
+}
+
+void metrics::first_byte(duration after)
+{
+    m_families->first.Observe(seconds(after));
+}
+
+void metrics::tokens(std::uint64_t count)
+{
+    m_families->tokens.Increment(static_cast<double>(count));
+}
+
+void metrics::attempt()
+{
+    m_families->attempts.Increment();
+}
+
+void metrics::resumed()
+{
+    m_families->resumes.Increment();
+}
+
+void metrics::foreign_answer()
+{
+    m_families->foreign.Increment();
+}
+
+std::string metrics::render(const gauges& now)
+{
+    families& all = *m_families;
+    all.ready.Set(now.ready ? 1 : 0);
+    all.revision.Set(static_cast<double>(now.revision));
+    all.dark.Set(now.platform_lost ? 1 : 0);
+    all.connections.Set(static_cast<double>(now.connections));
+    all.in_flight.Set(static_cast<double>(now.in_flight));
+    all.groups.Set(static_cast<double>(now.complete_groups));
+    all.managed.Set(static_cast<double>(now.managed_domains));
+    all.members.Set(static_cast<double>(now.members));
+    all.peer_bytes.Set(static_cast<double>(now.peer_bytes_sent));
+    all.kv_calls.Set(static_cast<double>(now.kv_calls));
+    all.dropped.Set(static_cast<double>(now.spans_dropped));
+    return prometheus::TextSerializer{}.Serialize(all.registry.Collect());
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/daemon/metrics.h
@@ -0,0 +1,64 @@
+// What operators read at /metrics, by prometheus-cpp.
+//
+//   metrics counted{node};
+//   counted.refused(error_kind::overloaded);
+//   std::string page = counted.render();
+#pragma once
+
+#include "base/base.h"
+
+#include <memory>
+#include <string>
+
+namespace jaynotch {
+
+/// How a caller's request ended.
+enum class outcome { answered, replayed, refused, cut, abandoned };
+
+template <>
+struct enum_names<outcome> {
+    static constexpr std::array entries{
+        named{outcome::answered, "answered"},   named{outcome::replayed, "replayed"},
+        named{outcome::refused, "refused"},     named{outcome::cut, "cut"},
+        named{outcome::abandoned, "abandoned"},
+    };
+};
+
+/// Values that stand as they are when the page is asked for.
+struct gauges {
+    bool ready = false;
+    std::int64_t revision = 0;
+    bool platform_lost = false;
+    std::uint64_t connections = 0;
+    std::uint64_t in_flight = 0;
+    std::uint64_t complete_groups = 0;
+    std::uint64_t managed_domains = 0;
+    std::uint64_t members = 0;
+    std::uint64_t peer_bytes_sent = 0;
+    std::uint64_t kv_calls = 0;
+    std::uint64_t spans_dropped = 0;
+};
+
+class metrics {
+public:
+    metrics();
+    ~metrics();
+    metrics(const metrics&) = delete;
+    metrics& operator=(const metrics&) = delete;
+
+    void ended(outcome how, duration took);
+    void refused(error_kind why);
+    void first_byte(duration after);
+    void tokens(std::uint64_t count);
+    void attempt();
+    void resumed();
+    void foreign_answer();
+    /// Prometheus text.
+    std::string render(const gauges& now);
+
+private:
+    struct families;
+    std::unique_ptr<families> m_families;
+};
+
+} // namespace jaynotch
