daemon: relay between callers and backend servers

Change: request_driver carries the request core's commands out; the relay runs attempts, hands streams on event by event, holds what must be known whole, resumes and cuts truthfully.

--- /dev/null
+++ b/daemon/relay_way.h
@@ -0,0 +1,86 @@
+// The state of one request on its way; private to relay.cc and relay_attempt.cc.
+#pragma once
+
+#include "daemon/daemon.h"
+#include "daemon/relay.h"
+
+namespace jaynotch {
+
+/// One sending of the request.
+struct attempt_state {
+    send_attempt order;
+    span hop;
+    boost::asio::cancellation_signal stop;
+    http_stream* stream = nullptr; ///< while its answer is read
+    bool sent = false;
+    bool cancelled = false;
+    bool delivering = false;
+};
+
+/// An answer held whole until the core says that it is the one.
+struct held_answer {
+    http::status status = http::status::unknown;
+    http::fields headers;
+    std::string body;
+};
+
+class relay_request::way : public std::enable_shared_from_this<way> {
+public:
+    way(relay_services& services, http_exchange& exchange, asked_request asked);
+
+    net::awaitable<void> run();
+    /// Tells the core that the request stands still for its caller's sake, not the engine's.
+    void tell_slow_caller();
+
+private:
+    using attempt_ptr = std::shared_ptr<attempt_state>;
+
+    // relay.cc
+    void note(const command& wanted);
+    net::awaitable<bool> carry_out(const command& wanted);
+    void start_attempt(const attempt_ptr& attempt);
+    void cancel(attempt_state& attempt);
+    net::awaitable<void> complete_answer();
+    net::awaitable<void> refuse_caller(const refuse& wanted);
+    net::awaitable<void> replay_answer(const replay& wanted);
+    net::awaitable<void> end_cut(const end_truncated& wanted);
+    net::awaitable<void> forget_caller();
+    net::awaitable<void> stop_attempts();
+    void ended(outcome how);
+    void first_byte();
+
+    // relay_attempt.cc
+    net::awaitable<void> run_attempt(attempt_ptr attempt);
+    net::awaitable<void> send(attempt_state& attempt);
+    http_request build_request(const attempt_state& attempt) const;
+    http_request build_model_request(const attempt_state& attempt) const;
+    http_request build_plain_request(const attempt_state& attempt) const;
+    bool report_head(attempt_state& attempt, const http_stream& answer);
+    void report_failure(attempt_state& attempt, attempt_failure reason);
+    void report_read_failure(attempt_state& attempt, const error& failure);
+    net::awaitable<void> relay_events(attempt_state& attempt, http_stream& answer);
+    net::awaitable<bool> hand_on_events(attempt_state& attempt, std::string_view events,
+                                        std::uint32_t count);
+    net::awaitable<void> relay_whole(attempt_state& attempt, http_stream& answer,
+                                     std::size_t limit);
+    net::awaitable<void> relay_body(attempt_state& attempt, http_stream& answer);
+    net::awaitable<bool> hand_on(attempt_state& attempt, std::string_view piece);
+    net::awaitable<bool> begin(attempt_state& attempt, http::status status, http::fields headers,
+                               std::optional<std::uint64_t> length);
+    [[nodiscard]] bool keyed() const { return !m_asked.info.idempotency_key.empty(); }
+
+    relay_services& m_services;
+    http_exchange& m_exchange;
+    asked_request m_asked;
+    std::shared_ptr<command_inbox> m_inbox;
+    std::map<attempt_id, attempt_ptr> m_attempts;
+    std::string m_given; ///< text of the stream that the caller has been given
+    std::optional<held_answer> m_held;
+    timer m_attempt_ended;
+    std::size_t m_running = 0;
+    bool m_streaming_events = false;
+    bool m_writing = false;
+    bool m_sent = false; ///< some attempt may have reached a backend server
+};
+
+} // namespace jaynotch
--- /dev/null
+++ b/daemon/request_driver.cc
@@ -0,0 +1,199 @@
+#include "daemon/request_driver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <type_traits>
+
+// The core wants the commands of one event carried out before it sees the next. A command may give
+// rise to an event at once (a cancelled attempt), so events queue while one is being handled.
+
+namespace jaynotch {
+
+namespace {
+
+constexpr duration tick_interval = std::chrono::milliseconds{10};
+
+template <class Command>
+concept concerns_request = requires(const Command& wanted)
+{
+    wanted.request;
+};
+
+} // namespace
+
+command_inbox::command_inbox(const net::any_io_executor& executor, request_id id)
+    : m_id{id}, m_wake{executor, time_point::max()}
+{}
+
+void command_inbox::push(const command& wanted)
+{
+    if (at_once)
+        at_once(wanted);
+    m_waiting.push_back(wanted);
+    m_wake.cancel();
+}
+
+net::awaitable<command> command_inbox::next()
+{
+    while (m_waiting.empty()) {
+        boost::system::error_code woken;
+        m_wake.expires_at(time_point::max());
+        co_await m_wake.async_wait(net::redirect_error(net::use_awaitable, woken));
+    }
+    command first = std::move(m_waiting.front());
+    m_waiting.pop_front();
+    co_return first;
+}
+
+class request_driver::impl : public std::enable_shared_from_this<impl> {
+public:
+    impl(net::io_context& io, request_core core, kv_service& kv, driver_hooks hooks)
+        : m_io{io}, m_core{std::move(core)}, m_kv{kv}, m_hooks{std::move(hooks)}, m_tick{io}
+    {}
+
+    net::awaitable<void> run()
+    {
+        const auto self = shared_from_this();
+        while (!m_stopped) {
+            boost::system::error_code failed;
+            m_tick.expires_after(tick_interval);
+            co_await m_tick.async_wait(net::redirect_error(net::use_awaitable, failed));
+            if (!m_stopped)
+                handle(tick{});
+        }
+    }
+
+    void handle(event happened)
+    {
+        m_events.push_back(std::move(happened));
+        if (m_handling)
+            return;
+        m_handling = true;
+        while (!m_events.empty()) {
+            const event next = std::move(m_events.front());
+            m_events.pop_front();
+            m_commands.clear();
+            m_core.handle(next, runtime_clock::now(), m_commands);
+            for (const command& wanted : m_commands)
+                carry_out(wanted);
+        }
+        m_handling = false;
+    }
+
+    void carry_out(const command& wanted)
+    {
+        std::visit(
+            [&](const auto& one) {
+                using type = std::decay_t<decltype(one)>;
+                if constexpr (concerns_request<type>) {
+                    const auto found = m_inboxes.find(one.request);
+                    if (found != m_inboxes.end())
+                        found->second->push(wanted);
+                }
+                else {
+                    carry_out_own(one);
+                }
+            },
+            wanted);
+    }
+
+    void carry_out_own(const call_kv& wanted)
+    {
+        net::co_spawn(m_io, transact(wanted), net::detached);
+    }
+    void carry_out_own(const grant_lease& wanted)
+    {
+        net::co_spawn(m_io, grant(wanted), net::detached);
+    }
+    void carry_out_own(const released& wanted)
+    {
+        if (m_hooks.on_released)
+            m_hooks.on_released(wanted);
+    }
+    void carry_out_own(const share_demand& wanted)
+    {
+        if (m_hooks.on_share_demand)
+            m_hooks.on_share_demand(wanted);
+    }
+
+    net::awaitable<void> transact(call_kv wanted)
+    {
+        const auto self = shared_from_this();
+        result<kv_outcome> outcome = co_await m_kv.transact(std::move(wanted.transaction));
+        if (!m_stopped)
+            handle(kv_result{wanted.token, std::move(outcome)});
+    }
+
+    net::awaitable<void> grant(grant_lease wanted)
+    {
+        const auto self = shared_from_this();
+        const result<kv_lease> granted = co_await m_kv.grant(wanted.ttl);
+        if (m_stopped)
+            co_return;
+        if (granted)
+            handle(lease_result{wanted.token, granted.value().id});
+        else
+            handle(lease_result{wanted.token, granted.error()});
+    }
+
+    net::io_context& m_io;
+    request_core m_core;
+    kv_service& m_kv;
+    driver_hooks m_hooks;
+    timer m_tick;
+    std::unordered_map<request_id, std::shared_ptr<command_inbox>> m_inboxes;
+    std::deque<event> m_events;
+    command_list m_commands;
+    std::uint64_t m_last_id = 0;
+    bool m_handling = false;
+    bool m_stopped = false;
+};
+
+request_driver::request_driver(net::io_context& io, request_core core, kv_service& kv,
+                               driver_hooks hooks)
+    : m_impl{std::make_shared<impl>(io, std::move(core), kv, std::move(hooks))}
+{}
+
+request_driver::~request_driver()
+{
+    m_impl->m_stopped = true;
+    m_impl->m_tick.cancel();
+}
+
+void request_driver::start()
+{
+    net::co_spawn(m_impl->m_io, m_impl->run(), net::detached);
+}
+
+std::shared_ptr<command_inbox> request_driver::open()
+{
+    const request_id id{++m_impl->m_last_id};
+    auto inbox = std::make_shared<command_inbox>(m_impl->m_io.get_executor(), id);
+    m_impl->m_inboxes.emplace(id, inbox);
+    return inbox;
+}
+
+void request_driver::close(request_id id)
+{
+    m_impl->m_inboxes.erase(id);
+}
+
+void request_driver::handle(event happened)
+{
+    m_impl->handle(std::move(happened));
+}
+
+const request_core& request_driver::core() const
+{
+    return m_impl->m_core;
+}
+
+std::size_t request_driver::open_inboxes() const
+{
+    return m_impl->m_inboxes.size();
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/daemon/upstreams.cc
@@ -0,0 +1,41 @@
+#include "daemon/upstreams.h"
+
+namespace jaynotch {
+
+namespace {
+
+constexpr duration sweep_interval = std::chrono::seconds{60};
+constexpr duration keeping = std::chrono::minutes{10};
+
+} // namespace
+
+upstreams::upstreams(boost::asio::io_context& io, const daemon_settings& settings)
+    : m_io{io}, m_settings{settings}
+{}
+
+std::shared_ptr<http_client> upstreams::at(const std::string& address)
+{
+    const time_point now = runtime_clock::now();
+    if (now - m_swept > sweep_interval)
+        forget_unused(now);
+    row& found = m_rows[address];
+    found.used = now;
+    if (!found.client) {
+        http_limits limits;
+        limits.body_bytes = m_settings.limits.answer_bytes;
+        limits.connect_timeout = m_settings.timeouts.connect;
+        limits.idle_connections = m_settings.limits.idle_upstream;
+        limits.idle_keeping = m_settings.timeouts.upstream_idle;
+        found.client = std::make_shared<http_client>(m_io.get_executor(), address, limits);
+    }
+    return found.client;
+}
+
+// VMs come and go under new addresses; without this the table would grow for ever.
+void upstreams::forget_unused(time_point now)
+{
+    m_swept = now;
+    std::erase_if(m_rows, [now](const auto& entry) { return now - entry.second.used > keeping; });
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/daemon/upstreams.h
@@ -0,0 +1,39 @@
+// HTTP clients of backend servers, one for each address, made when first needed.
+//
+//   upstreams servers{io, limits, timeouts};
+//   http_client& client = servers.at("10.1.0.7:9000");
+#pragma once
+
+#include "base/base.h"
+#include "daemon/settings.h"
+#include "platform/platform.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace jaynotch {
+
+class upstreams {
+public:
+    upstreams(boost::asio::io_context& io, const daemon_settings& settings);
+
+    /// Holds the client while a call on it runs.
+    std::shared_ptr<http_client> at(const std::string& address);
+
+private:
+    struct row {
+        std::shared_ptr<http_client> client;
+        time_point used;
+    };
+    void forget_unused(time_point now);
+
+    boost::asio::io_context& m_io;
+    const daemon_settings& m_settings;
+    std::map<std::string, row> m_rows;
+    time_point m_swept{};
+};
+
+} // namespace jaynotch
