--- a/base/log.h
+++ b/base/log.h
@@ -30,6 +30,12 @@
 
 /// One named value of a log line.
 struct log_field {
+    /// Takes whatever Boost.JSON can convert: numbers, strings of either kind, names, lists.
+    template <class T>
+    log_field(std::string_view called, const T& given)
+        : name{called}, value(boost::json::value_from(given))
+    {}
+
     std::string_view name;
     boost::json::value value;
 };
--- /dev/null
+++ b/peers/peer_service.cc
@@ -0,0 +1,234 @@
+// Hands the core its events and carries out its commands. Handlers run after the core has returned,
+// so that one may publish from within.
+#include "peers/peers.h"
+
+#include <boost/asio/co_spawn.hpp>
+
+namespace jaynotch {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr duration tick_interval = std::chrono::milliseconds{100};
+constexpr duration farewell = std::chrono::milliseconds{200}; ///< for the goodbye to get out
+
+random_source random_for(const peer_settings& settings)
+{
+    const std::uint64_t own = hash64(settings.node.value(), settings.boot);
+    return random_source{settings.random_seed != 0 ? settings.random_seed : own};
+}
+
+membership_settings core_settings(const peer_settings& settings, const std::string& address)
+{
+    membership_settings out;
+    out.deployment = settings.deployment;
+    out.self = {settings.node,
+                settings.failure_domain,
+                settings.advertise.empty() ? address : settings.advertise,
+                settings.boot,
+                0,
+                member_state::alive};
+    return out;
+}
+
+} // namespace
+
+class peer_service::state {
+public:
+    state(asio::io_context& io, const peer_settings& settings,
+          std::unique_ptr<peer_transport> transport)
+        : m_transport{std::move(transport)}, m_pause{io}, m_farewell{io},
+          m_core{core_settings(settings, m_transport->address()), random_for(settings)}
+    {
+        m_core.add_seeds(settings.seeds);
+        m_transport->on_frame([this](const node_id& proved, const std::string& bytes) {
+            run(m_core.frame_received(runtime_clock::now(), proved, bytes));
+        });
+    }
+
+    asio::awaitable<void> tick_loop()
+    {
+        while (!m_stopped) {
+            run(m_core.tick(runtime_clock::now()));
+            m_pause.expires_after(tick_interval);
+            co_await m_pause.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+    }
+
+    asio::awaitable<void> leave()
+    {
+        run(m_core.leave(runtime_clock::now()));
+        m_farewell.expires_after(farewell);
+        co_await m_farewell.async_wait(asio::as_tuple(asio::use_awaitable));
+        stop();
+    }
+
+    void stop()
+    {
+        m_stopped = true;
+        m_pause.cancel();
+        m_transport->stop();
+    }
+
+    void run(const membership_commands& commands)
+    {
+        for (const membership_command& command : commands)
+            std::visit([this](const auto& order) { carry_out(order); }, command);
+    }
+
+    std::unique_ptr<peer_transport> m_transport;
+    timer m_pause;
+    timer m_farewell;
+    membership_core m_core;
+    std::function<void(const rumor&)> m_rumor_handler;
+    std::function<void(const member&)> m_member_handler;
+    std::function<void()> m_superseded_handler;
+    std::function<void(const config_message&)> m_config_handler;
+
+private:
+    void carry_out(const send_frame& order)
+    {
+        m_transport->send(order.to, order.address, order.bytes);
+    }
+    void carry_out(const member_changed& order)
+    {
+        log_event(log_level::info, "member_changed",
+                  {{"node", order.now.node.value()},
+                   {"state", to_name(order.now.state)},
+                   {"boot", order.now.boot},
+                   {"incarnation", order.now.incarnation}});
+        if (m_member_handler)
+            m_member_handler(order.now);
+    }
+    void carry_out(const rumor_heard& order)
+    {
+        if (m_rumor_handler)
+            m_rumor_handler(order.item);
+    }
+    void carry_out(const config_message& order)
+    {
+        if (m_config_handler)
+            m_config_handler(order);
+    }
+    void carry_out(const superseded& order)
+    {
+        if (m_superseded)
+            return;
+        m_superseded = true;
+        log_event(log_level::error, "node_superseded",
+                  {{"boot", order.boot},
+                   {"remedy", "another process has this node's name; give each its own"}});
+        if (m_superseded_handler)
+            m_superseded_handler();
+    }
+
+    bool m_stopped = false;
+    bool m_superseded = false;
+};
+
+result<std::unique_ptr<peer_service>> peer_service::create(asio::io_context& io,
+                                                           peer_settings settings)
+{
+    if (settings.node.value().empty() || settings.failure_domain.value().empty() ||
+        settings.deployment.empty())
+    {
+        return error{error_kind::invalid_argument,
+                     "node, failure domain and deployment must be named",
+                     "set --node, --failure-domain and --deployment"};
+    }
+    if (settings.boot == 0)
+        settings.boot = static_cast<std::uint64_t>(wall_time_ms());
+    BOOST_OUTCOME_TRY(auto transport, peer_transport::create(io, {settings.listen, settings.tls}));
+    auto hidden = std::make_unique<state>(io, settings, std::move(transport));
+    return std::unique_ptr<peer_service>{new peer_service{std::move(hidden)}};
+}
+
+peer_service::peer_service(std::unique_ptr<state> hidden) : m_state{std::move(hidden)} {}
+peer_service::~peer_service() = default;
+
+asio::awaitable<void> peer_service::run()
+{
+    return m_state->tick_loop();
+}
+
+asio::awaitable<void> peer_service::leave()
+{
+    return m_state->leave();
+}
+
+void peer_service::stop()
+{
+    m_state->stop();
+}
+
+void peer_service::publish(const rumor& item)
+{
+    m_state->run(m_state->m_core.publish(runtime_clock::now(), item));
+}
+
+void peer_service::add_seeds(const std::vector<std::string>& addresses)
+{
+    m_state->m_core.add_seeds(addresses);
+}
+
+void peer_service::on_rumor(std::function<void(const rumor&)> handler)
+{
+    m_state->m_rumor_handler = std::move(handler);
+}
+
+void peer_service::on_member(std::function<void(const member&)> handler)
+{
+    m_state->m_member_handler = std::move(handler);
+}
+
+void peer_service::on_superseded(std::function<void()> handler)
+{
+    m_state->m_superseded_handler = std::move(handler);
+}
+
+std::vector<member> peer_service::members() const
+{
+    std::vector<member> out = m_state->m_core.members().all();
+    out.push_back(m_state->m_core.self());
+    return out;
+}
+
+const member& peer_service::self() const
+{
+    return m_state->m_core.self();
+}
+
+const std::string& peer_service::address() const
+{
+    return m_state->m_transport->address();
+}
+
+peer_counters peer_service::counters() const
+{
+    peer_counters out = m_state->m_transport->counters();
+    out.frames_refused += m_state->m_core.refused();
+    return out;
+}
+
+void peer_service::set_config(config_revision installed, bool platform_lost)
+{
+    m_state->run(m_state->m_core.config_installed(runtime_clock::now(), installed, platform_lost));
+}
+
+void peer_service::on_config(std::function<void(const config_message&)> handler)
+{
+    m_state->m_config_handler = std::move(handler);
+}
+
+void peer_service::send_config(const node_id& to, const config_body& body)
+{
+    m_state->run(m_state->m_core.send_config(runtime_clock::now(), to, body));
+}
+
+void peer_service::ask(const std::vector<node_id>& nodes)
+{
+    m_state->run(m_state->m_core.ask(runtime_clock::now(), nodes));
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/peers/peer_tls.cc
@@ -0,0 +1,110 @@
+// Mutual TLS: both sides must show a certificate that the authority signed, so a process without a
+// key is turned away in the handshake, before a byte of ours is sent or one of its is read.
+//
+// Rotation: whoever replaces the files need not restart the daemon. The order that never cuts nodes
+// off from one another: first an authority file with the old and the new authority on every node,
+// then new certificates, then the authority file without the old one.
+#include "peers/peer_tls.h"
+
+#include <openssl/x509v3.h>
+
+namespace jaynotch {
+
+namespace ssl = boost::asio::ssl;
+
+namespace {
+
+error unusable(const std::string& path, const std::string& why)
+{
+    return {error_kind::invalid_argument, "peer key file " + path + ": " + why,
+            "give a certificate, its key and the authority's certificate, all PEM"};
+}
+
+} // namespace
+
+result<peer_keys> peer_keys::load(peer_tls_files files)
+{
+    peer_keys keys;
+    keys.m_stamps = stamps_of(files);
+    BOOST_OUTCOME_TRY(keys.m_context, make_context(files));
+    keys.m_files = std::move(files);
+    return keys;
+}
+
+bool peer_keys::refresh()
+{
+    const stamps now = stamps_of(m_files);
+    if (now == m_stamps)
+        return false;
+    auto fresh = make_context(m_files);
+    if (!fresh) {
+        log_event(log_level::warning, "peer_keys_unusable", {{"error", to_string(fresh.error())}});
+        return false;
+    }
+    m_stamps = now;
+    m_context = std::move(fresh).value();
+    log_event(log_level::info, "peer_keys_reloaded", {{"certificate", m_files.certificate}});
+    return true;
+}
+
+peer_keys::stamp peer_keys::stamp_of(const std::string& path)
+{
+    std::error_code missing;
+    const auto written = std::filesystem::last_write_time(path, missing);
+    const auto size = std::filesystem::file_size(path, missing);
+    return missing ? stamp{} : stamp{written, size};
+}
+
+peer_keys::stamps peer_keys::stamps_of(const peer_tls_files& files)
+{
+    return {stamp_of(files.certificate), stamp_of(files.key), stamp_of(files.authority)};
+}
+
+result<std::shared_ptr<ssl::context>> peer_keys::make_context(const peer_tls_files& files)
+{
+    auto context = std::make_shared<ssl::context>(ssl::context::tls);
+    context->set_options(ssl::context::default_workarounds | ssl::context::no_sslv2 |
+                         ssl::context::no_sslv3 | ssl::context::no_tlsv1 |
+                         ssl::context::no_tlsv1_1);
+    // Most connections are idle most of the time; their buffers go back meanwhile.
+    SSL_CTX_set_mode(context->native_handle(), SSL_MODE_RELEASE_BUFFERS);
+    SSL_CTX_set_session_cache_mode(context->native_handle(), SSL_SESS_CACHE_OFF);
+    SSL_CTX_set_num_tickets(context->native_handle(), 0);
+    boost::system::error_code failed;
+    context->use_certificate_chain_file(files.certificate, failed);
+    if (failed)
+        return unusable(files.certificate, failed.message());
+    context->use_private_key_file(files.key, ssl::context::pem, failed);
+    if (failed)
+        return unusable(files.key, failed.message());
+    context->load_verify_file(files.authority, failed);
+    if (failed)
+        return unusable(files.authority, failed.message());
+    context->set_verify_mode(ssl::verify_peer | ssl::verify_fail_if_no_peer_cert, failed);
+    if (failed)
+        return unusable(files.authority, failed.message());
+    return context;
+}
+
+node_id proved_name(SSL* connection)
+{
+    X509* certificate = SSL_get0_peer_certificate(connection);
+    if (certificate == nullptr)
+        return {};
+    auto* names = static_cast<GENERAL_NAMES*>(
+        X509_get_ext_d2i(certificate, NID_subject_alt_name, nullptr, nullptr));
+    node_id proved;
+    for (int i = 0; names != nullptr && i < sk_GENERAL_NAME_num(names); ++i) {
+        const GENERAL_NAME* name = sk_GENERAL_NAME_value(names, i);
+        if (name->type != GEN_DNS)
+            continue;
+        const auto* text = reinterpret_cast<const char*>(ASN1_STRING_get0_data(name->d.dNSName));
+        const int length = ASN1_STRING_length(name->d.dNSName);
+        proved = node_id{std::string(text, static_cast<std::size_t>(length))};
+        break;
+    }
+    GENERAL_NAMES_free(names);
+    return proved;
+}
+
+} // namespace jaynotch
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -67,8 +67,7 @@
 
     /// Every member known, this node included.
     [[nodiscard]] std::vector<member> members() const;
-    [[nodiscard]] const node_id& self() const;
-    [[nodiscard]] const failure_domain_id& failure_domain() const;
+    [[nodiscard]] const member& self() const;
     [[nodiscard]] const std::string& address() const; ///< "IP:port" bound
     [[nodiscard]] peer_counters counters() const;
 
@@ -76,6 +75,8 @@
     void set_config(config_revision installed, bool platform_lost);
     void on_config(std::function<void(const config_message&)> handler);
     void send_config(const node_id& to, const config_body& body);
+    /// Asks nodes for a sign of life, and so for the revision that they have installed.
+    void ask(const std::vector<node_id>& nodes);
 
 private:
     class state;
--- /dev/null
+++ b/peers/transport.cc
@@ -0,0 +1,449 @@
+// Each node sends on connections that it opened and reads from those that it accepted: no
+// connection has two owners, and a peer that stops reading holds up only its own queue.
+//
+// What a stuck or hostile peer can't do: make a queue grow (bounded in frames and bytes), hold a
+// handshake open (timed), keep idle connections for ever (closed after `idle_limit`), have more
+// than `most_inbound` of them, announce a frame larger than max_frame_bytes (closed before anything
+// is allocated), or speak in another's name (its certificate's name goes with each frame).
+#include "peers/transport.h"
+
+#include "peers/frame.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace jaynotch {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using asio::ip::tcp;
+using boost::system::error_code;
+using namespace asio::experimental::awaitable_operators;
+
+namespace {
+
+constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+constexpr duration handshake_limit = std::chrono::seconds{2};
+constexpr duration idle_limit = std::chrono::minutes{4};
+constexpr duration refresh_interval = std::chrono::seconds{1};
+constexpr duration retire_grace = std::chrono::seconds{5};
+constexpr std::size_t most_queued_frames = 64;
+constexpr std::size_t most_queued_bytes = 4U << 20U;
+constexpr std::size_t length_bytes = 4;
+
+result<tcp::endpoint> parse_endpoint(const std::string& address)
+{
+    const error malformed{error_kind::invalid_argument,
+                          "peer address \"" + address + "\" is not one",
+                          "write it as IP:port, [IPv6]:port for IPv6"};
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos || colon == 0)
+        return malformed;
+    std::string host = address.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+        host = host.substr(1, host.size() - 2);
+    error_code failed;
+    const auto ip = asio::ip::make_address(host, failed);
+    const std::string port = address.substr(colon + 1);
+    const bool digits = !port.empty() && port.size() <= 5 &&
+                        port.find_first_not_of("0123456789") == std::string::npos;
+    if (failed || !digits || std::stoul(port) > 65'535)
+        return malformed;
+    return tcp::endpoint{ip, static_cast<std::uint16_t>(std::stoul(port))};
+}
+
+std::string to_text(const tcp::endpoint& endpoint)
+{
+    const std::string ip = endpoint.address().to_string();
+    const std::string port = std::to_string(endpoint.port());
+    return endpoint.address().is_v6() ? "[" + ip + "]:" + port : ip + ":" + port;
+}
+
+/// A TCP connection, with TLS on it if there are keys.
+class channel {
+public:
+    channel(tcp::socket socket, std::shared_ptr<asio::ssl::context> keys) : m_keys{std::move(keys)}
+    {
+        if (m_keys == nullptr)
+            m_plain.emplace(std::move(socket));
+        else
+            m_secure.emplace(std::move(socket), *m_keys);
+        error_code ignored;
+        this->socket().set_option(tcp::no_delay{true}, ignored);
+    }
+
+    tcp::socket& socket() { return m_secure ? m_secure->next_layer() : *m_plain; }
+
+    /// True if the other side has proved itself, or need not.
+    awaitable<bool> handshake(asio::ssl::stream_base::handshake_type side)
+    {
+        if (!m_secure)
+            co_return true;
+        const auto [failed] = co_await m_secure->async_handshake(side, use_result);
+        if (failed)
+            co_return false;
+        m_proved = proved_name(m_secure->native_handle());
+        co_return !m_proved.value().empty();
+    }
+
+    awaitable<bool> read(asio::mutable_buffer into)
+    {
+        if (m_secure) {
+            const auto [failed, count] = co_await asio::async_read(*m_secure, into, use_result);
+            co_return !failed && count == into.size();
+        }
+        const auto [failed, count] = co_await asio::async_read(*m_plain, into, use_result);
+        co_return !failed && count == into.size();
+    }
+
+    awaitable<bool> write(asio::const_buffer from)
+    {
+        if (m_secure) {
+            const auto [failed, count] = co_await asio::async_write(*m_secure, from, use_result);
+            co_return !failed && count == from.size();
+        }
+        const auto [failed, count] = co_await asio::async_write(*m_plain, from, use_result);
+        co_return !failed && count == from.size();
+    }
+
+    void close()
+    {
+        error_code ignored;
+        socket().close(ignored);
+    }
+
+    [[nodiscard]] const node_id& proved() const { return m_proved; }
+
+private:
+    std::shared_ptr<asio::ssl::context> m_keys;
+    std::optional<tcp::socket> m_plain;
+    std::optional<asio::ssl::stream<tcp::socket>> m_secure;
+    node_id m_proved;
+};
+
+/// Where frames to one peer wait.
+struct outbound {
+    explicit outbound(asio::io_context& io) : wake{io} {}
+    std::deque<std::string> queue;
+    std::size_t queued_bytes = 0;
+    timer wake; ///< cancelled when something was queued
+    bool retired = false;
+};
+
+struct peer_key {
+    node_id node;
+    std::string address;
+    friend auto operator<=>(const peer_key&, const peer_key&) = default;
+};
+
+} // namespace
+
+class peer_transport::state : public std::enable_shared_from_this<state> {
+public:
+    state(asio::io_context& io, tcp::acceptor acceptor, std::optional<peer_keys> keys,
+          std::size_t most_inbound)
+        : m_io{io}, m_acceptor{std::move(acceptor)}, m_keys{std::move(keys)}, m_refresh{io},
+          m_address{to_text(m_acceptor.local_endpoint())}, m_most_inbound{most_inbound}
+    {}
+
+    void start()
+    {
+        asio::co_spawn(m_io, accept_loop(shared_from_this()), asio::detached);
+        if (m_keys)
+            asio::co_spawn(m_io, refresh_loop(shared_from_this()), asio::detached);
+    }
+
+    void send(const node_id& node, const std::string& address, std::string bytes)
+    {
+        if (m_stopped)
+            return;
+        const peer_key key{node, address};
+        auto& peer = m_outbound[key];
+        if (peer == nullptr) {
+            peer = std::make_shared<outbound>(m_io);
+            asio::co_spawn(m_io, send_loop(shared_from_this(), key, peer), asio::detached);
+        }
+        const bool full = peer->queue.size() >= most_queued_frames ||
+                          peer->queued_bytes + bytes.size() > most_queued_bytes;
+        if (full) {
+            ++m_counters.frames_dropped;
+            return;
+        }
+        peer->queued_bytes += bytes.size();
+        peer->queue.push_back(std::move(bytes));
+        peer->wake.cancel();
+    }
+
+    void stop()
+    {
+        m_stopped = true;
+        error_code ignored;
+        m_acceptor.close(ignored);
+        m_refresh.cancel();
+        for (const auto& [key, peer] : m_outbound) {
+            peer->retired = true;
+            peer->wake.cancel();
+        }
+        for (const auto& open : m_inbound)
+            open->close();
+        m_handler = nullptr;
+    }
+
+    std::function<void(const node_id&, std::string)> m_handler;
+    [[nodiscard]] const std::string& address() const { return m_address; }
+    [[nodiscard]] const peer_counters& counters() const { return m_counters; }
+
+private:
+    std::shared_ptr<asio::ssl::context> context() { return m_keys ? m_keys->context() : nullptr; }
+
+    awaitable<void> accept_loop(std::shared_ptr<state> keep)
+    {
+        while (!m_stopped) {
+            auto [failed, socket] = co_await m_acceptor.async_accept(use_result);
+            if (failed && m_stopped)
+                break;
+            if (failed) {
+                // Out of file descriptors, most likely: wait rather than spin.
+                timer pause{m_io, std::chrono::milliseconds{100}};
+                co_await pause.async_wait(use_result);
+                continue;
+            }
+            if (m_inbound.size() >= m_most_inbound) {
+                ++m_counters.peers_refused;
+                continue;
+            }
+            asio::co_spawn(m_io, receive_loop(keep, std::move(socket)), asio::detached);
+        }
+    }
+
+    awaitable<bool> within(awaitable<bool> step, duration limit)
+    {
+        timer late{m_io, limit};
+        const auto done = co_await (std::move(step) || late.async_wait(use_result));
+        co_return done.index() == 0 && std::get<0>(done);
+    }
+
+    awaitable<void> receive_loop([[maybe_unused]] std::shared_ptr<state> keep, tcp::socket socket)
+    {
+        const auto open = std::make_shared<channel>(std::move(socket), context());
+        m_inbound.insert(open);
+        ++m_counters.connections;
+        if (co_await within(open->handshake(asio::ssl::stream_base::server), handshake_limit)) {
+            while (!m_stopped && co_await receive_one(*open)) {
+            }
+        }
+        else {
+            ++m_counters.peers_refused;
+        }
+        open->close();
+        m_inbound.erase(open);
+        --m_counters.connections;
+    }
+
+    awaitable<bool> receive_one(channel& from)
+    {
+        std::array<unsigned char, length_bytes> head{};
+        if (!co_await within(from.read(asio::buffer(head)), idle_limit))
+            co_return false;
+        std::size_t length = 0;
+        for (const unsigned char byte : head)
+            length = (length << 8U) | byte;
+        if (length == 0 || length > max_frame_bytes) {
+            ++m_counters.frames_refused;
+            co_return false;
+        }
+        std::string bytes(length, '\0');
+        if (!co_await within(from.read(asio::buffer(bytes)), idle_limit))
+            co_return false;
+        ++m_counters.frames_received;
+        m_counters.bytes_received += length + length_bytes;
+        if (m_handler)
+            m_handler(from.proved(), std::move(bytes));
+        co_return true;
+    }
+
+    awaitable<bool> connect(tcp::socket& socket, tcp::endpoint endpoint)
+    {
+        const auto [failed] = co_await socket.async_connect(endpoint, use_result);
+        co_return !failed;
+    }
+
+    awaitable<std::shared_ptr<channel>> open(const peer_key& key)
+    {
+        const auto endpoint = parse_endpoint(key.address);
+        if (!endpoint)
+            co_return nullptr;
+        tcp::socket socket{m_io};
+        if (!co_await within(connect(socket, endpoint.value()), handshake_limit))
+            co_return nullptr;
+        auto opened = std::make_shared<channel>(std::move(socket), context());
+        if (!co_await within(opened->handshake(asio::ssl::stream_base::client), handshake_limit)) {
+            ++m_counters.peers_refused;
+            co_return nullptr;
+        }
+        // Another node answers at this address: it is not told what was meant for the first.
+        if (m_keys && !key.node.value().empty() && opened->proved() != key.node) {
+            ++m_counters.peers_refused;
+            co_return nullptr;
+        }
+        co_return opened;
+    }
+
+    awaitable<void> send_loop([[maybe_unused]] std::shared_ptr<state> keep, peer_key key,
+                              std::shared_ptr<outbound> peer)
+    {
+        const std::shared_ptr<channel> opened = co_await open(key);
+        if (opened != nullptr) {
+            ++m_counters.connections;
+            co_await (drain(*opened, *peer) || watch_close(*opened));
+            opened->close();
+            --m_counters.connections;
+        }
+        m_counters.frames_dropped += peer->queue.size();
+        const auto found = m_outbound.find(key);
+        if (found != m_outbound.end() && found->second == peer)
+            m_outbound.erase(found);
+    }
+
+    /// The peer sends nothing on a connection that we opened: bytes or an end both close it.
+    awaitable<void> watch_close(channel& opened)
+    {
+        std::array<char, 1> nothing{};
+        co_await opened.read(asio::buffer(nothing));
+    }
+
+    awaitable<void> drain(channel& opened, outbound& peer)
+    {
+        while (!m_stopped) {
+            if (peer.queue.empty()) {
+                if (peer.retired)
+                    co_return;
+                peer.wake.expires_after(idle_limit / 2);
+                const auto [woken] = co_await peer.wake.async_wait(use_result);
+                if (!woken && peer.queue.empty())
+                    co_return; // idle
+                continue;
+            }
+            std::string bytes = std::move(peer.queue.front());
+            peer.queue.pop_front();
+            peer.queued_bytes -= bytes.size();
+            std::string framed(length_bytes, '\0');
+            for (std::size_t i = 0; i < length_bytes; ++i)
+                framed[i] = static_cast<char>(bytes.size() >> (8U * (length_bytes - 1 - i)));
+            framed += bytes;
+            if (!co_await within(opened.write(asio::buffer(framed)), idle_limit))
+                co_return;
+            ++m_counters.frames_sent;
+            m_counters.bytes_sent += framed.size();
+        }
+    }
+
+    /// New keys: connections made with the old ones are given a moment to finish, then closed, so
+    /// that no peer stays on credentials that were taken away.
+    awaitable<void> refresh_loop([[maybe_unused]] std::shared_ptr<state> keep)
+    {
+        while (!m_stopped) {
+            m_refresh.expires_after(refresh_interval);
+            co_await m_refresh.async_wait(use_result);
+            if (m_stopped || !m_keys->refresh())
+                continue;
+            for (const auto& [key, peer] : m_outbound) {
+                peer->retired = true;
+                peer->wake.cancel();
+            }
+            m_outbound.clear();
+            const auto old = m_inbound;
+            m_refresh.expires_after(retire_grace);
+            co_await m_refresh.async_wait(use_result);
+            for (const auto& connection : old)
+                connection->close();
+        }
+    }
+
+    asio::io_context& m_io;
+    tcp::acceptor m_acceptor;
+    std::optional<peer_keys> m_keys;
+    timer m_refresh;
+    std::string m_address;
+    std::size_t m_most_inbound;
+    std::map<peer_key, std::shared_ptr<outbound>> m_outbound;
+    std::set<std::shared_ptr<channel>> m_inbound;
+    peer_counters m_counters;
+    bool m_stopped = false;
+};
+
+result<std::unique_ptr<peer_transport>> peer_transport::create(asio::io_context& io,
+                                                               transport_settings settings)
+{
+    BOOST_OUTCOME_TRY(const auto endpoint, parse_endpoint(settings.listen));
+    std::optional<peer_keys> keys;
+    if (settings.tls.empty()) {
+        log_event(log_level::warning, "peer_plain_tcp",
+                  {{"remedy", "set the peer key files; without them anyone who reaches the port "
+                              "is taken for a peer"}});
+    }
+    else {
+        BOOST_OUTCOME_TRY(keys, peer_keys::load(settings.tls));
+    }
+    tcp::acceptor acceptor{io};
+    error_code failed;
+    acceptor.open(endpoint.protocol(), failed);
+    if (!failed)
+        acceptor.set_option(tcp::acceptor::reuse_address{true}, failed);
+    if (!failed)
+        acceptor.bind(endpoint, failed);
+    if (!failed)
+        acceptor.listen(asio::socket_base::max_listen_connections, failed);
+    if (failed) {
+        return error{error_kind::unavailable,
+                     "can't listen for peers on " + settings.listen + ": " + failed.message(),
+                     "choose a free port with --peer-listen"};
+    }
+    auto hidden =
+        std::make_shared<state>(io, std::move(acceptor), std::move(keys), settings.most_inbound);
+    hidden->start();
+    return std::unique_ptr<peer_transport>{new peer_transport{std::move(hidden)}};
+}
+
+peer_transport::peer_transport(std::shared_ptr<state> hidden) : m_state{std::move(hidden)} {}
+
+peer_transport::~peer_transport()
+{
+    m_state->stop();
+}
+
+void peer_transport::on_frame(std::function<void(const node_id&, std::string)> handler)
+{
+    m_state->m_handler = std::move(handler);
+}
+
+void peer_transport::send(const node_id& node, const std::string& address, std::string bytes)
+{
+    m_state->send(node, address, std::move(bytes));
+}
+
+void peer_transport::stop()
+{
+    m_state->stop();
+}
+
+const std::string& peer_transport::address() const
+{
+    return m_state->address();
+}
+
+const peer_counters& peer_transport::counters() const
+{
+    return m_state->counters();
+}
+
+} // namespace jaynotch
--- a/peers/transport.h
+++ b/peers/transport.h
@@ -2,11 +2,12 @@
 // sent at once waits in a short queue, and one that finds the queue full is dropped and counted.
 //
 //   auto transport = peer_transport::create(io, {.listen = "10.0.0.1:7100", .tls = files}).value();
-//   transport->on_frame([&](const node_id& from, std::string bytes) { ... });
+//   transport->on_frame([&](const node_id& proved, std::string bytes) { ... });
 //   transport->send(node_id{"entry-2"}, "10.0.0.2:7100", bytes);
 #pragma once
 
 #include "base/base.h"
+#include "peers/peer_tls.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -17,19 +18,10 @@
 
 namespace jaynotch {
 
-/// PEM files of mutual TLS; read again when they change. All empty for plain TCP.
-struct peer_tls_files {
-    std::string certificate; ///< this node's, its name as DNS name in subjectAltName
-    std::string key;
-    std::string authority; ///< who signs the peers' certificates; several while one is rotated
-
-    [[nodiscard]] bool empty() const { return certificate.empty() && key.empty(); }
-};
-
 struct transport_settings {
-    std::string listen = "127.0.0.1:0";
+    std::string listen = "127.0.0.1:0"; ///< "IP:port"; port 0 takes a free one
     peer_tls_files tls;
-    std::string deployment; ///< for the log
+    std::size_t most_inbound = 2048; ///< connections accepted at once
 };
 
 /// What the transport and the core have done so far.
@@ -47,6 +39,7 @@
 /// Connections to peers, opened when first needed and reused.
 class peer_transport {
 public:
+    /// Binds the port. Errors: invalid_argument (address, key files), unavailable (port in use).
     static result<std::unique_ptr<peer_transport>> create(boost::asio::io_context& io,
                                                           transport_settings settings);
     peer_transport(const peer_transport&) = delete;
