--- a/config/config.h
+++ b/config/config.h
@@ -13,4 +13,6 @@
 #include "base/base.h"
 #include "config/config_service.h"
 #include "platform/platform.h"
-#include "tables/tables.h"
+#include "tables/merge.h"
+#include "tables/pages.h"
+#include "tables/parse.h"
--- a/config/config_service.h
+++ b/config/config_service.h
@@ -3,10 +3,13 @@
 #pragma once
 
 #include "base/base.h"
+#include "config/accept.h"
 #include "config/head.h"
 #include "peers/peers.h"
 #include "platform/platform.h"
-#include "tables/tables.h"
+#include "tables/merge.h"
+#include "tables/pages.h"
+#include "tables/parse.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -24,24 +27,6 @@
     std::uint64_t random_seed = 0;
 };
 
-/// An edit of both tables, made from what stood at `base`.
-struct change_request {
-    config_revision base; ///< the revision that the editor began with; 0 for the first tables
-    std::string routes_toml;
-    std::string pools_toml;
-    std::string author;
-    std::string message;
-    std::string change_id; ///< the client's own, the same when it asks again; settles lost replies
-};
-
-struct accepted_change {
-    config_revision revision;
-    std::string change_id;
-    std::int64_t time_ms = 0;
-    bool merged = false;   ///< others had changed other rows since `base`
-    bool repeated = false; ///< this change id had been accepted before; nothing was done now
-};
-
 /// How far one node is.
 struct node_confirmation {
     node_id node;
--- /dev/null
+++ b/config/head.cc
@@ -0,0 +1,101 @@
+#include "config/head.h"
+
+#include <boost/json.hpp>
+
+namespace jaynotch {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr int revision_digits = 12;
+
+json::array to_json(const std::vector<std::string>& texts)
+{
+    json::array out;
+    for (const std::string& text : texts)
+        out.emplace_back(text);
+    return out;
+}
+
+std::vector<std::string> to_strings(const json::value& texts)
+{
+    std::vector<std::string> out;
+    for (const json::value& text : texts.as_array())
+        out.emplace_back(text.as_string());
+    return out;
+}
+
+std::string text_of(const json::object& object, std::string_view field)
+{
+    return std::string{object.at(field).as_string()};
+}
+
+json::object to_json(const history_entry& entry)
+{
+    return {{"revision", entry.revision.value()},
+            {"change_id", entry.change_id},
+            {"author", entry.author},
+            {"time_ms", entry.time_ms},
+            {"message", entry.message},
+            {"rows", to_json(entry.rows)}};
+}
+
+history_entry entry_from(const json::value& value)
+{
+    const json::object& object = value.as_object();
+    return {config_revision{object.at("revision").to_number<std::int64_t>()},
+            text_of(object, "change_id"),
+            text_of(object, "author"),
+            object.at("time_ms").to_number<std::int64_t>(),
+            text_of(object, "message"),
+            to_strings(object.at("rows"))};
+}
+
+} // namespace
+
+std::string render_head(const head_record& head)
+{
+    json::array history;
+    for (const history_entry& entry : head.history)
+        history.push_back(to_json(entry));
+    const json::object object{{"deployment", head.manifest.deployment},
+                              {"routes", to_json(head.manifest.routes)},
+                              {"pools", to_json(head.manifest.pools)},
+                              {"history", std::move(history)}};
+    return json::serialize(object);
+}
+
+result<head_record> parse_head(std::string_view text)
+{
+    const error malformed{error_kind::protocol, "the configuration's head record does not parse",
+                          "see who else writes under this deployment's keys"};
+    boost::system::error_code failed;
+    const json::value value = json::parse(text, failed);
+    if (failed)
+        return malformed;
+    try {
+        const json::object& object = value.as_object();
+        head_record head;
+        head.manifest = {text_of(object, "deployment"), to_strings(object.at("routes")),
+                         to_strings(object.at("pools"))};
+        for (const json::value& entry : object.at("history").as_array())
+            head.history.push_back(entry_from(entry));
+        if (head.history.empty() || head.revision() <= config_revision{0})
+            return malformed;
+        return head;
+    }
+    catch (const std::exception&) { // a field is missing or of another type
+        return malformed;
+    }
+}
+
+std::string config_keys::revision(config_revision revision) const
+{
+    std::string digits = std::to_string(revision.value());
+    if (digits.size() < revision_digits)
+        digits.insert(0, revision_digits - digits.size(), '0');
+    return revisions() + digits;
+}
+
+} // namespace jaynotch
--- a/peers/peer_service.cc
+++ b/peers/peer_service.cc
@@ -85,6 +85,7 @@
     std::function<void(const member&)> m_member_handler;
     std::function<void()> m_superseded_handler;
     std::function<void(const config_message&)> m_config_handler;
+    std::function<void(const confirmation&)> m_confirmation_handler;
 
 private:
     void carry_out(const send_frame& order)
@@ -103,6 +104,9 @@
     }
     void carry_out(const rumor_heard& order)
     {
+        const auto* confirmed = std::get_if<confirmation>(&order.item);
+        if (confirmed != nullptr && m_confirmation_handler)
+            m_confirmation_handler(*confirmed);
         if (m_rumor_handler)
             m_rumor_handler(order.item);
     }
@@ -221,6 +225,11 @@
     m_state->m_config_handler = std::move(handler);
 }
 
+void peer_service::on_confirmation(std::function<void(const confirmation&)> handler)
+{
+    m_state->m_confirmation_handler = std::move(handler);
+}
+
 void peer_service::send_config(const node_id& to, const config_body& body)
 {
     m_state->run(m_state->m_core.send_config(runtime_clock::now(), to, body));
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -61,6 +61,7 @@
     void add_seeds(const std::vector<std::string>& addresses);
 
     void on_rumor(std::function<void(const rumor&)> handler);
+    /// Called when a member joins, changes its state or starts anew.
     void on_member(std::function<void(const member&)> handler);
     /// Another process with this node's name and a newer boot has taken its place.
     void on_superseded(std::function<void()> handler);
@@ -74,6 +75,7 @@
     // For config_service.
     void set_config(config_revision installed, bool platform_lost);
     void on_config(std::function<void(const config_message&)> handler);
+    void on_confirmation(std::function<void(const confirmation&)> handler);
     void send_config(const node_id& to, const config_body& body);
     /// Asks nodes for a sign of life, and so for the revision that they have installed.
     void ask(const std::vector<node_id>& nodes);
