--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 	g++ make cmake ninja-build ccache clang-14 libclang-rt-14-dev clang-format-14 clang-tidy-14 cppcheck \
 	spin gnuplot-nox openssl curl
 SOURCES = $(shell git ls-files '*.cc' '*.h' ':!*/gen/*')
+FUZZERS = $(basename $(notdir $(shell git ls-files '*_fuzz.cc')))
 CLANG_TIDY_SOURCES = $(shell git ls-files '*.cc' ':!*/gen/*')
 
 .PHONY: help packages build test demo lint format bench scenarios fuzz soak sanitize clean
@@ -36,6 +37,20 @@
 	@cppcheck --quiet --std=c++20 --language=c++ --error-exitcode=1 --enable=warning,performance,portability \
 	  --suppressions-list=.ci/cppcheck-suppressions --inline-suppr -I . -j $(JOBS) $(CLANG_TIDY_SOURCES)
 
+sanitize: packages ## every test under the address and undefined-behaviour sanitizers
+	@cmake -S . -B build-asan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS=-O1 -DJAYNOTCH_SANITIZE=address,undefined >/dev/null
+	@ninja -C build-asan -j $(JOBS) --quiet
+	@cd build-asan && ASAN_OPTIONS=detect_leaks=1 ctest --output-on-failure -j 6
+
+FUZZ_RUNS ?= 20000
+fuzz: packages ## each libFuzzer target for FUZZ_RUNS runs, from the corpus in fuzz/corpus
+	@cmake -S . -B build-fuzz -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_COMPILER=clang++-14 -DCMAKE_CXX_FLAGS="-O1 -fsanitize=fuzzer-no-link" \
+	  -DJAYNOTCH_PCH=OFF -DJAYNOTCH_FUZZ=ON -DJAYNOTCH_SANITIZE=address,undefined >/dev/null
+	@ninja -C build-fuzz -j $(JOBS) --quiet $(FUZZERS)
+	@for f in $(FUZZERS); do mkdir -p fuzz/corpus/$$f build-fuzz/found/$$f; echo "fuzz $$f"; \
+	  build-fuzz/$$f -runs=$(FUZZ_RUNS) -max_len=65536 -verbosity=0 -print_final_stats=0 -artifact_prefix=build-fuzz/ \
+	  build-fuzz/found/$$f fuzz/corpus/$$f || exit 1; done
+
 format: ## rewrite the sources in the house format
 	@clang-format-14 -i $(SOURCES)
 
--- /dev/null
+++ b/cli/admin_client.cc
@@ -0,0 +1,191 @@
+// Each call is one connection on an io_context of its own, driven until done. Whether a failed call
+// may be sent to the next daemon hangs on `sent`: once the first byte of a change may have left,
+// only the same change id makes asking again safe, and that is the operator's to decide.
+#include "cli/admin_client.h"
+
+#include "platform/http_client.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ssl.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/ssl.hpp>
+
+namespace jaynotch {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::size_t largest_answer = 64U << 20U;
+
+struct admin_request {
+    std::string address;
+    std::string method;
+    std::string target;
+    std::string body;
+};
+
+/// The answer of one daemon, or why there is none.
+struct admin_answer {
+    bool sent = false;                         ///< some of the request may have reached it
+    error_kind failure = error_kind::internal; ///< if there is no status
+    std::string detail;
+    unsigned status = 0;
+    std::string body;
+};
+
+template <class Stream>
+asio::awaitable<void> exchange(Stream& stream, const admin_request& ask, admin_answer& answer)
+{
+    http::request<http::string_body> request{http::string_to_verb(ask.method), ask.target, 11};
+    request.set(http::field::host, ask.address);
+    request.set(http::field::connection, "close");
+    if (!ask.body.empty())
+        request.set(http::field::content_type, "application/json");
+    request.body() = ask.body;
+    request.prepare_payload();
+    answer.sent = true;
+    co_await http::async_write(stream, request, asio::use_awaitable);
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(largest_answer);
+    co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
+    answer.status = parser.get().result_int();
+    answer.body = std::move(parser.get().body());
+}
+
+asio::awaitable<void> plain_call(const admin_request& ask, asio::ip::tcp::endpoint to,
+                                 std::chrono::milliseconds timeout, admin_answer& answer)
+{
+    beast::tcp_stream stream{co_await asio::this_coro::executor};
+    stream.expires_after(timeout);
+    co_await stream.async_connect(to, asio::use_awaitable);
+    co_await exchange(stream, ask, answer);
+}
+
+asio::awaitable<void> tls_call(const admin_request& ask, asio::ip::tcp::endpoint to,
+                               const cli_options& options, admin_answer& answer)
+{
+    asio::ssl::context tls{asio::ssl::context::tls_client};
+    tls.use_certificate_chain_file(options.certificate);
+    tls.use_private_key_file(options.key, asio::ssl::context::pem);
+    tls.set_verify_mode(asio::ssl::verify_peer);
+    if (options.authority.empty())
+        tls.set_default_verify_paths();
+    else
+        tls.load_verify_file(options.authority);
+    beast::ssl_stream<beast::tcp_stream> stream{co_await asio::this_coro::executor, tls};
+    beast::get_lowest_layer(stream).expires_after(options.timeout);
+    co_await beast::get_lowest_layer(stream).async_connect(to, asio::use_awaitable);
+    answer.failure = error_kind::unauthorized; // what a failed handshake means
+    co_await stream.async_handshake(asio::ssl::stream_base::client, asio::use_awaitable);
+    co_await exchange(stream, ask, answer);
+}
+
+/// With TLS 1.3 a daemon that refuses our certificate says so only after the handshake, as an alert
+/// that the first read meets: such a request was not looked at.
+bool refused_by_alert(const boost::system::error_code& code)
+{
+    return code.category() == asio::error::get_ssl_category();
+}
+
+asio::awaitable<void> call_once(const admin_request& ask, asio::ip::tcp::endpoint to,
+                                const cli_options& options, admin_answer& answer)
+{
+    try {
+        if (options.certificate.empty())
+            co_await plain_call(ask, to, options.timeout, answer);
+        else
+            co_await tls_call(ask, to, options, answer);
+    }
+    catch (const boost::system::system_error& failure) {
+        answer.detail = failure.code().message();
+        if (answer.sent && !refused_by_alert(failure.code()))
+            answer.failure = error_kind::unavailable;
+    }
+}
+
+admin_answer call_and_wait(const admin_request& ask, asio::ip::tcp::endpoint to,
+                           const cli_options& options)
+{
+    admin_answer answer;
+    answer.failure = error_kind::unavailable;
+    asio::io_context io;
+    asio::co_spawn(io, call_once(ask, to, options, answer), asio::detached);
+    io.run();
+    return answer;
+}
+
+/// The error object that a daemon refuses with.
+error error_of(const admin_answer& answer)
+{
+    boost::system::error_code bad;
+    const boost::json::value parsed = boost::json::parse(answer.body, bad);
+    const boost::json::object* body = bad ? nullptr : parsed.if_object();
+    const boost::json::value* inner = body == nullptr ? nullptr : body->if_contains("error");
+    const boost::json::object* fields = inner == nullptr ? nullptr : inner->if_object();
+    if (fields == nullptr)
+        return {error_kind::protocol, "status " + std::to_string(answer.status) + " without reason",
+                "check that --admin is the admin port of a daemon"};
+    const auto text = [&](std::string_view name) {
+        const boost::json::value* field = fields->if_contains(name);
+        return field != nullptr && field->is_string()
+                   ? std::string{std::string_view{field->as_string()}}
+                   : std::string{};
+    };
+    return {from_name<error_kind>(text("kind")).value_or(error_kind::internal), text("message"),
+            text("remedy")};
+}
+
+result<boost::json::value> value_of(const admin_answer& answer)
+{
+    if (answer.status < 200 || answer.status > 299)
+        return error_of(answer);
+    boost::system::error_code bad;
+    boost::json::value parsed = boost::json::parse(answer.body, bad);
+    if (bad)
+        return error{error_kind::protocol, "the daemon's answer is no JSON",
+                     "check that --admin is the admin port of a daemon"};
+    return parsed;
+}
+
+} // namespace
+
+result<boost::json::value> admin_client::get(const std::string& target)
+{
+    return call("GET", target, "");
+}
+
+result<boost::json::value> admin_client::post(const std::string& target,
+                                              const boost::json::value& body)
+{
+    return call("POST", target, boost::json::serialize(body));
+}
+
+result<boost::json::value> admin_client::call(const std::string& method, const std::string& target,
+                                              const std::string& body)
+{
+    error last{error_kind::unavailable, "no daemon to ask", "give --admin"};
+    for (const std::string& address : m_options.admin) {
+        BOOST_OUTCOME_TRY(const auto endpoint, parse_endpoint(address));
+        const admin_request ask{address, method, target, body};
+        const admin_answer answer = call_and_wait(ask, endpoint, m_options);
+        if (answer.status != 0)
+            return value_of(answer);
+        if (answer.failure == error_kind::unauthorized)
+            return error{error_kind::unauthorized, address + ": " + answer.detail,
+                         "give a certificate that the daemon's --admin_authority signed"};
+        if (answer.sent && method != "GET")
+            return error{error_kind::unknown_outcome,
+                         address + " did not answer (" + answer.detail + ")",
+                         "ask again with the same --change_id"};
+        last = error{error_kind::unavailable, address + ": " + answer.detail,
+                     "start the daemon, or name another with --admin"};
+    }
+    return last;
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/cli/cli_test.cc
@@ -0,0 +1,218 @@
+// The command line against a fake daemon: what it prints, its exit codes, and above all that a
+// change is never made twice or lost in silence.
+#include "cli/admin_client.h"
+#include "cli/cli.h"
+#include "cli/commands.h"
+#include "cli/working_copy.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <criterion/criterion.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+using namespace jaynotch;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+/// One scripted answer; an empty body closes the connection without answering.
+struct scripted_answer {
+    http::status status = http::status::ok;
+    std::string body;
+};
+
+/// Answers one connection after another from a script, on a thread of its own.
+class fake_daemon {
+public:
+    explicit fake_daemon(std::vector<scripted_answer> script)
+        : m_acceptor{m_io, {asio::ip::make_address("127.0.0.1"), 0}},
+          m_thread{[this, answers = std::move(script)] { serve(answers); }}
+    {}
+    ~fake_daemon() { m_thread.join(); }
+    fake_daemon(const fake_daemon&) = delete;
+    fake_daemon& operator=(const fake_daemon&) = delete;
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+    const std::vector<std::string>& bodies() const { return m_bodies; }
+
+private:
+    void serve(const std::vector<scripted_answer>& script)
+    {
+        for (const scripted_answer& answer : script) {
+            asio::ip::tcp::socket socket = m_acceptor.accept();
+            boost::beast::flat_buffer buffer;
+            http::request<http::string_body> request;
+            http::read(socket, buffer, request);
+            m_bodies.push_back(request.body());
+            if (answer.body.empty())
+                continue;
+            http::response<http::string_body> response{answer.status, 11, answer.body};
+            response.prepare_payload();
+            http::write(socket, response);
+        }
+    }
+
+    asio::io_context m_io;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::vector<std::string> m_bodies;
+    std::thread m_thread;
+};
+
+/// A folder that is gone after the test.
+class scratch_folder {
+public:
+    scratch_folder()
+        : m_path{std::filesystem::temp_directory_path() /
+                 ("jaynotch-cli-" + std::to_string(::getpid()))}
+    {
+        std::filesystem::create_directories(m_path);
+    }
+    ~scratch_folder() { std::filesystem::remove_all(m_path); }
+    std::string path() const { return m_path.string(); }
+
+private:
+    std::filesystem::path m_path;
+};
+
+working_copy small_tables()
+{
+    return {"deployment = \"d\"\n[[route]]\nname = \"r\"\nmodel = \"m\"\nworkspaces = [\"*\"]\n"
+            "pool = \"p\"\n",
+            "deployment = \"d\"\n[[pool]]\nname = \"p\"\nmodel = \"m\"\nversion = \"1\"\n", 3};
+}
+
+std::string unused_address()
+{
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor{io, {asio::ip::make_address("127.0.0.1"), 0}};
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+std::int64_t lock_of(const scratch_folder& folder)
+{
+    return read_working_copy(folder.path()).value().base_revision;
+}
+
+} // namespace
+
+Test(apply, writes_the_lock_and_waits_for_every_node)
+{
+    const scratch_folder folder;
+    write_working_copy(folder.path(), small_tables()).value();
+    fake_daemon daemon{{
+        {http::status::ok, R"({"revision":4,"merged":false})"},
+        {http::status::ok, R"({"nodes":[{"node":"a","state":"alive","revision":4},
+                               {"node":"b","state":"alive","revision":3}]})"},
+        {http::status::ok, R"({"nodes":[{"node":"a","state":"alive","revision":5},
+                               {"node":"b","state":"alive","revision":4}]})"},
+    }};
+    cli_options options;
+    options.directory = folder.path();
+    options.admin = {daemon.address()};
+    options.wait = true;
+    std::ostringstream out;
+    std::ostringstream progress;
+    const auto code = run_apply({options, out, progress});
+    cr_assert(code.value() == exit_code::fine);
+    cr_assert_eq(lock_of(folder), 4);
+    cr_assert(progress.str().find("waiting for b (alive, revision 3)") != std::string::npos);
+}
+
+// Others' rows were merged in. If the lock moved on, the next apply from the same files would read
+// the others' rows as removed by this operator, and undo their change.
+Test(apply, a_merge_leaves_the_base_where_it_was)
+{
+    const scratch_folder folder;
+    write_working_copy(folder.path(), small_tables()).value();
+    fake_daemon daemon{{{http::status::ok, R"({"revision":7,"merged":true})"}}};
+    cli_options options;
+    options.directory = folder.path();
+    options.admin = {daemon.address()};
+    std::ostringstream out;
+    std::ostringstream progress;
+    cr_assert(run_apply({options, out, progress}).value() == exit_code::fine);
+    cr_assert_eq(lock_of(folder), 3);
+    cr_assert(out.str().find("jaynotch fetch") != std::string::npos);
+}
+
+// The daemon dies after it got the change: nobody knows whether it was accepted. Sending it to the
+// next daemon with a fresh id could make it twice; calling it failed could be a lie.
+Test(apply, an_unanswered_change_is_unknown_and_not_sent_elsewhere)
+{
+    const scratch_folder folder;
+    write_working_copy(folder.path(), small_tables()).value();
+    fake_daemon daemon{{{http::status::ok, ""}}};
+    cli_options options;
+    options.directory = folder.path();
+    options.change_id = "once";
+    options.admin = {daemon.address(), unused_address()};
+    std::ostringstream out;
+    std::ostringstream progress;
+    const auto code = run_apply({options, out, progress});
+    cr_assert(!code && code.error().kind == error_kind::unknown_outcome);
+    cr_assert(code.error().remedy.find("--change_id=once") != std::string::npos);
+    cr_assert_eq(lock_of(folder), 3);
+    cr_assert(to_exit_code(code.error().kind) == exit_code::unknown);
+}
+
+Test(apply, bad_tables_are_not_sent)
+{
+    const scratch_folder folder;
+    working_copy copy = small_tables();
+    copy.routes += "prioritty = \"batch\"\n";
+    write_working_copy(folder.path(), copy).value();
+    cli_options options;
+    options.directory = folder.path();
+    options.admin = {unused_address()};
+    std::ostringstream out;
+    std::ostringstream progress;
+    const auto code = run_apply({options, out, progress});
+    cr_assert(!code && code.error().kind == error_kind::invalid_table);
+}
+
+Test(admin_client, passes_over_a_daemon_that_is_down)
+{
+    fake_daemon daemon{{{http::status::ok, R"({"ready":true})"}}};
+    cli_options options;
+    options.admin = {unused_address(), daemon.address()};
+    cr_assert(admin_client{options}.get("/admin/v1/status").has_value());
+}
+
+Test(admin_client, a_refusal_keeps_kind_message_and_remedy)
+{
+    fake_daemon daemon{
+        {{http::status::conflict, R"({"error":{"kind":"conflict","message":"m","remedy":"r"}})"},
+         {http::status::bad_gateway, "<html>"},
+         {http::status::ok, "{\"cut\":"}}};
+    cli_options options;
+    options.admin = {daemon.address()};
+    admin_client client{options};
+    const error expected{error_kind::conflict, "m", "r"};
+    cr_assert(client.get("/").error() == expected);
+    cr_assert(client.get("/").error().kind == error_kind::protocol);
+    cr_assert(client.get("/").error().kind == error_kind::protocol);
+}
+
+Test(working_copy, a_spoilt_lock_is_told)
+{
+    const scratch_folder folder;
+    write_working_copy(folder.path(), small_tables()).value();
+    std::ofstream{folder.path() + "/revision.lock"} << "three\n";
+    const auto copy = read_working_copy(folder.path());
+    cr_assert(!copy && copy.error().kind == error_kind::invalid_argument);
+}
+
+Test(exit_codes, every_kind_has_one_that_is_not_fine)
+{
+    for (const auto& entry : enum_names<error_kind>::entries)
+        cr_assert(to_exit_code(entry.value) != exit_code::fine);
+}
--- /dev/null
+++ b/cli/commands.h
@@ -0,0 +1,32 @@
+// The commands. Each returns an exit code for what it saw, or an error.
+#pragma once
+
+#include "cli/cli.h"
+#include "cli/options.h"
+
+#include <ostream>
+
+namespace jaynotch {
+
+/// What was asked, and where output goes.
+struct command_context {
+    const cli_options& options;
+    std::ostream& out;
+    std::ostream& progress; ///< for long waits; not part of the output
+};
+
+result<exit_code> run_validate(const command_context& context);
+result<exit_code> run_diff(const command_context& context);
+result<exit_code> run_fetch(const command_context& context);
+result<exit_code> run_apply(const command_context& context);
+result<exit_code> run_rollback(const command_context& context);
+result<exit_code> run_show(const command_context& context);
+result<exit_code> run_history(const command_context& context);
+result<exit_code> run_status(const command_context& context);
+result<exit_code> run_nodes(const command_context& context);
+result<exit_code> run_groups(const command_context& context);
+result<exit_code> run_drain_status(const command_context& context);
+result<exit_code> run_load(const command_context& context);
+result<exit_code> run_version(const command_context& context);
+
+} // namespace jaynotch
