--- /dev/null
+++ b/routing/claim_book.cc
@@ -0,0 +1,378 @@
+// Why a key runs at most once. A claim is created only if the key is absent, in one transaction
+// of the key-value service, and carries a claimant id that no other claim has. A request is granted
+// only after this node has seen its own claimant id in the record, in the reply to the creation or,
+// if that reply was lost, in what the same transaction finds when it is repeated. Nobody takes a
+// claim over: not when its creator is silent, not when it has died. So the key has one sender, and
+// that sender sends again only after a backend server said that it did not run.
+//
+// A claim is deleted only by its creator, only if its request was certainly not sent, and only at
+// the revision that the creator wrote, so an old deletion that arrives late meets nothing. It
+// expires with a lease that nobody renews, longer than the key's keeping; until then the request's
+// own deadline has long passed.
+//
+//   waiting -> claiming -> held -> storing -> (gone)
+//                 |          `--> deleting -> (gone)          given up, not sent
+//                 |--> polling -> waiting                     another's claim, then given up
+//                 `--> cleaning -> deleting or (gone)         given up, reply lost
+#include "routing/claim_book.h"
+
+#include <algorithm>
+
+namespace jaynotch {
+
+namespace {
+
+constexpr std::chrono::milliseconds first_poll{50};
+constexpr std::uint32_t most_poll_doublings = 5; ///< 1.6 s
+constexpr std::size_t most_stored_bytes = 16UL * 1024 * 1024;
+constexpr std::size_t most_items = 65'536;
+
+} // namespace
+
+claim_book::claim_book(const core_settings& settings)
+    : m_settings{settings}, m_claimant_prefix{settings.node.value() + "/" + settings.incarnation +
+                                              "/"},
+      m_node_prefix{settings.node.value() + "/"}
+{}
+
+bool claim_book::made_here(const std::string& claimant) const
+{
+    return claimant.starts_with(m_node_prefix);
+}
+
+claim_book::item_number claim_book::make_item(const std::string& key,
+                                              const std::string& body_digest,
+                                              std::chrono::seconds keeping)
+{
+    const item_number number = m_next++;
+    item& made = m_items[number];
+    made.key = key;
+    made.claimant = m_claimant_prefix + std::to_string(number);
+    made.body_digest = body_digest;
+    made.keeping = keeping;
+    m_by_key[key] = number;
+    m_to_claim.push_back(number);
+    return number;
+}
+
+bool claim_book::begin(request_id request, const std::string& key, const std::string& body_digest,
+                       std::chrono::seconds keeping, time_point wait_until, time_point now)
+{
+    const auto known = m_by_key.find(key);
+    if (known != m_by_key.end()) {
+        if (m_request_wakes.size() >= m_settings.most_claims_waiting)
+            return false;
+        join(known->second, {request, wait_until}, body_digest);
+        return true;
+    }
+    if (dark(now)) {
+        m_settled.emplace_back(claim_dark{request});
+        return true;
+    }
+    if (m_request_wakes.size() >= m_settings.most_claims_waiting || m_items.size() >= most_items)
+        return false;
+    add_requester(make_item(key, body_digest, keeping), {request, wait_until});
+    return true;
+}
+
+void claim_book::add_requester(item_number number, requester added)
+{
+    m_items[number].requesters.push_back(added);
+    m_by_request[added.request] = number;
+    m_request_wakes.insert({added.wait_until, added.request.value()});
+}
+
+void claim_book::join(item_number number, requester added, const std::string& body_digest)
+{
+    item& joined = m_items[number];
+    if (joined.state == item_state::storing) {
+        settle_one(added.request, body_digest, joined.outcome);
+        return;
+    }
+    if (joined.body_digest != body_digest) {
+        m_settled.emplace_back(claim_conflict{added.request});
+        return;
+    }
+    add_requester(number, added);
+}
+
+void claim_book::drop_requester(item& dropped, request_id request)
+{
+    m_by_request.erase(request);
+    const auto found = std::find_if(dropped.requesters.begin(), dropped.requesters.end(),
+                                    [&](const requester& each) { return each.request == request; });
+    if (found == dropped.requesters.end())
+        return;
+    m_request_wakes.erase({found->wait_until, request.value()});
+    dropped.requesters.erase(found);
+}
+
+void claim_book::grant(item_number number, std::int64_t revision, time_point now)
+{
+    item& granted = m_items[number];
+    granted.revision = revision;
+    granted.doubtful = false;
+    granted.tries = 0;
+    if (granted.requesters.empty()) {
+        granted.state = item_state::deleting;
+        queue_for_state(number);
+        return;
+    }
+    granted.state = item_state::held;
+    const requester owner = granted.requesters.front();
+    // From here on the owner's time is its request's matter.
+    m_request_wakes.erase({owner.wait_until, owner.request.value()});
+    if (now < owner.wait_until) {
+        m_settled.emplace_back(claim_granted{owner.request});
+        return;
+    }
+    // The reply came after the request's time: it must not be sent any more.
+    m_settled.emplace_back(claim_dark{owner.request});
+    give_up(owner.request, now);
+}
+
+void claim_book::settle_one(request_id request, const std::string& body_digest,
+                            const claim_record& record)
+{
+    if (record.body_digest != body_digest)
+        m_settled.emplace_back(claim_conflict{request});
+    else if (record.progress == claim_progress::unknown)
+        m_settled.emplace_back(claim_unknown{request});
+    else if (record.progress == claim_progress::claimed)
+        m_settled.emplace_back(claim_in_progress{request});
+    else if (record.answer)
+        m_settled.emplace_back(claim_replayed{request, *record.answer});
+    else
+        m_settled.emplace_back(claim_ran_unkept{request});
+}
+
+void claim_book::settle_all(item& settled, const claim_record& record)
+{
+    while (!settled.requesters.empty()) {
+        const request_id request = settled.requesters.front().request;
+        drop_requester(settled, request);
+        settle_one(request, settled.body_digest, record);
+    }
+}
+
+void claim_book::judge_foreign(item_number number, const claim_record& record, time_point now)
+{
+    item& judged = m_items[number];
+    judged.doubtful = false;
+    claim_record known = record;
+    // A claim of this node that this process doesn't hold was made before a restart, or given up
+    // without being deleted: nobody will write its outcome.
+    if (record.progress == claim_progress::claimed && made_here(record.claimant))
+        known.progress = claim_progress::unknown;
+    const bool may_change = !judged.requesters.empty() &&
+                            known.progress == claim_progress::claimed &&
+                            known.body_digest == judged.body_digest;
+    if (!may_change) {
+        settle_all(judged, known);
+        free_item(number);
+        return;
+    }
+    judged.state = item_state::polling;
+    sleep(number, first_poll * (1U << std::min(judged.tries, most_poll_doublings)), now);
+    ++judged.tries;
+}
+
+void claim_book::free_item(item_number number)
+{
+    item& freed = m_items[number];
+    m_by_key.erase(freed.key);
+    m_item_wakes.erase({freed.wake, number});
+    const std::vector<requester> left = std::move(freed.requesters);
+    const std::string key = freed.key;
+    const std::string body_digest = freed.body_digest;
+    const std::chrono::seconds keeping = freed.keeping;
+    m_items.erase(number);
+    if (left.empty())
+        return;
+    // Those who came while the old claim was being deleted start over with one of their own.
+    const item_number next = make_item(key, body_digest, keeping);
+    for (const requester& each : left)
+        add_requester(next, each);
+}
+
+void claim_book::record_ran(request_id request, std::optional<stored_answer> answer, time_point now)
+{
+    const auto found = m_by_request.find(request);
+    if (found == m_by_request.end())
+        return;
+    const item_number number = found->second;
+    item& recorded = m_items[number];
+    if (answer && (answer->body.size() > m_settings.largest_stored_answer ||
+                   m_stored_bytes + answer->body.size() > most_stored_bytes))
+        answer.reset();
+    recorded.outcome = {recorded.claimant, recorded.body_digest, claim_progress::ran,
+                        std::move(answer)};
+    finish_recording(number, now);
+}
+
+void claim_book::record_unknown(request_id request, time_point now)
+{
+    const auto found = m_by_request.find(request);
+    if (found == m_by_request.end())
+        return;
+    const item_number number = found->second;
+    item& recorded = m_items[number];
+    recorded.outcome = {recorded.claimant, recorded.body_digest, claim_progress::unknown, {}};
+    finish_recording(number, now);
+}
+
+void claim_book::finish_recording(item_number number, time_point /*now*/)
+{
+    item& recorded = m_items[number];
+    if (recorded.state != item_state::held)
+        return;
+    drop_requester(recorded, recorded.requesters.front().request);
+    recorded.state = item_state::storing;
+    m_stored_bytes += recorded.outcome.answer ? recorded.outcome.answer->body.size() : 0;
+    settle_all(recorded, recorded.outcome);
+    queue_for_state(number);
+}
+
+void claim_book::give_up(request_id request, time_point now)
+{
+    const auto found = m_by_request.find(request);
+    if (found == m_by_request.end())
+        return;
+    const item_number number = found->second;
+    item& left = m_items[number];
+    const bool was_owner = left.state == item_state::held && !left.requesters.empty() &&
+                           left.requesters.front().request == request;
+    drop_requester(left, request);
+    if (was_owner && !left.requesters.empty()) {
+        grant(number, left.revision,
+              now); // the next in line inherits the claim, which was not used
+        return;
+    }
+    if (!left.requesters.empty())
+        return;
+    switch (left.state) {
+    case item_state::held:
+        left.state = item_state::deleting;
+        break;
+    case item_state::waiting:
+        if (left.doubtful) {
+            left.state = item_state::cleaning;
+            sleep(number, 2 * m_settings.kv_timeout, now);
+            return;
+        }
+        free_item(number);
+        return;
+    case item_state::polling:
+        free_item(number);
+        return;
+    default:
+        return; // claiming: see grant; the others go their way
+    }
+    queue_for_state(number);
+}
+
+bool claim_book::ask(request_id request, const std::string& key, time_point /*now*/)
+{
+    if (m_questions.size() >= m_settings.most_claims_waiting)
+        return false;
+    const auto known = m_by_key.find(key);
+    if (known != m_by_key.end()) {
+        const item& asked = m_items[known->second];
+        if (asked.state == item_state::storing) {
+            const bool ran = asked.outcome.progress == claim_progress::ran;
+            m_settled.emplace_back(claim_reported{
+                request, ran ? key_state::ran : key_state::unknown, asked.outcome.answer});
+            return true;
+        }
+        if (asked.state == item_state::held) {
+            m_settled.emplace_back(claim_reported{request, key_state::in_progress, {}});
+            return true;
+        }
+    }
+    m_questions.push_back({request, key});
+    return true;
+}
+
+void claim_book::fail_waiting(time_point now)
+{
+    std::vector<item_number> failed;
+    for (const auto& [number, each] : m_items) {
+        if (each.state == item_state::waiting)
+            failed.push_back(number);
+    }
+    std::sort(failed.begin(), failed.end()); // the map's order is not ours to depend on
+    for (const item_number number : failed) {
+        while (m_items.contains(number) && !m_items[number].requesters.empty()) {
+            const request_id request = m_items[number].requesters.front().request;
+            m_settled.emplace_back(claim_dark{request});
+            give_up(request, now);
+        }
+    }
+}
+
+void claim_book::expire_requesters(time_point now)
+{
+    while (!m_request_wakes.empty() && m_request_wakes.begin()->at <= now) {
+        const request_id request{m_request_wakes.begin()->number};
+        const auto found = m_by_request.find(request);
+        if (found == m_by_request.end()) {
+            m_request_wakes.erase(m_request_wakes.begin());
+            continue;
+        }
+        const item_state state = m_items[found->second].state;
+        if (state == item_state::polling || state == item_state::held)
+            m_settled.emplace_back(claim_in_progress{request});
+        else
+            m_settled.emplace_back(claim_dark{request});
+        give_up(request, now);
+    }
+}
+
+void claim_book::wake_items(time_point now)
+{
+    while (!m_item_wakes.empty() && m_item_wakes.begin()->at <= now) {
+        const item_number number = m_item_wakes.begin()->number;
+        m_item_wakes.erase(m_item_wakes.begin());
+        queue_for_state(number);
+    }
+}
+
+void claim_book::sleep(item_number number, duration span, time_point now)
+{
+    item& sleeping = m_items[number];
+    m_item_wakes.erase({sleeping.wake, number});
+    sleeping.wake = now + span;
+    m_item_wakes.insert({sleeping.wake, number});
+}
+
+void claim_book::queue_for_state(item_number number)
+{
+    const auto found = m_items.find(number);
+    if (found == m_items.end())
+        return;
+    switch (found->second.state) {
+    case item_state::waiting:
+        m_to_claim.push_back(number);
+        break;
+    case item_state::polling:
+    case item_state::cleaning:
+        m_to_read.push_back(number);
+        break;
+    case item_state::storing:
+        m_to_store.push_back(number);
+        break;
+    case item_state::deleting:
+        m_to_erase.push_back(number);
+        break;
+    case item_state::claiming:
+    case item_state::held:
+        break;
+    }
+}
+
+std::vector<claim_settled> claim_book::take_settled()
+{
+    return std::exchange(m_settled, {});
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/routing/claim_book_kv.cc
@@ -0,0 +1,382 @@
+// The claim book's calls on the key-value service: four kinds, at most one call of each in flight,
+// each carrying many items. The service's writes then follow the number of nodes and not of
+// requests; `claim_interval` bounds them on top.
+//
+// A claim transaction creates all of its keys or none. If one exists already, the reply's gets name
+// those that exist; they are judged one by one, and the absent ones go into the next transaction.
+// Each round settles at least one item, so a batch of n takes at most n rounds.
+//
+// If the reply is lost, the same items are sent again under the same claimant ids: those that the
+// lost transaction did create are found with our own id in them. After two failures in a row the
+// service counts as dark: who waits is told at once that nothing was sent, and for a while new
+// calls are too; the first call after that tries again.
+#include "routing/claim_book.h"
+
+#include <algorithm>
+
+namespace jaynotch {
+
+namespace {
+
+/// etcd takes 128 operations in a transaction by default; a claim needs a compare, a put and a get.
+constexpr std::size_t most_batched = 32;
+constexpr std::uint32_t failures_to_dark = 2;
+constexpr std::chrono::seconds dark_for{1};
+constexpr std::chrono::milliseconds first_backoff{200};
+constexpr std::uint32_t most_backoff_doublings = 5;
+constexpr std::uint32_t most_store_tries = 200;
+/// A lease takes claims for this part of the keeping, then the next one is granted.
+constexpr int lease_parts = 8;
+constexpr std::chrono::seconds least_lease_use{60};
+constexpr std::chrono::seconds most_lease_use{3'600};
+constexpr std::chrono::seconds lease_slack{60};
+constexpr std::size_t most_leases = 64; ///< different keepings at once
+
+std::chrono::seconds lease_use(std::chrono::seconds keeping)
+{
+    return std::clamp(keeping / lease_parts, least_lease_use, most_lease_use);
+}
+
+duration backoff(std::uint32_t tries)
+{
+    return first_backoff * (1U << std::min(tries, most_backoff_doublings));
+}
+
+const kv_entry* entry_of(const kv_outcome& outcome, const std::string& key)
+{
+    const auto found = std::find_if(outcome.entries.begin(), outcome.entries.end(),
+                                    [&](const kv_entry& entry) { return entry.key == key; });
+    return found == outcome.entries.end() ? nullptr : &*found;
+}
+
+/// A record that can't be read was not written by us: nothing is known of its call.
+claim_record record_in(const kv_entry& entry, const std::string& body_digest)
+{
+    const result<claim_record> parsed = parse_claim_record(entry.value);
+    if (parsed)
+        return parsed.value();
+    return {"", body_digest, claim_progress::unknown, {}};
+}
+
+} // namespace
+
+void claim_book::pump(time_point now, command_list& out)
+{
+    expire_requesters(now);
+    wake_items(now);
+    pump_claims(now, out);
+    pump_reads(now, out);
+    pump_stores(now, out);
+    pump_erasures(now, out);
+}
+
+void claim_book::send(batch sent, kv_transaction transaction, command_list& out)
+{
+    const kv_token token{m_next++};
+    m_busy[static_cast<std::size_t>(sent.kind)] = true;
+    m_calls[token] = std::move(sent);
+    ++m_transactions;
+    out.emplace_back(kv_call{token, std::move(transaction)});
+}
+
+claim_book::lease_row* claim_book::lease_for(std::chrono::seconds keeping, time_point now,
+                                             command_list& out)
+{
+    auto row = std::find_if(m_leases.begin(), m_leases.end(),
+                            [&](const lease_row& each) { return each.keeping == keeping; });
+    if (row == m_leases.end()) {
+        if (m_leases.size() >= most_leases)
+            m_leases.erase(m_leases.begin());
+        row = m_leases.insert(m_leases.end(), lease_row{keeping, {}, {}, {}, {}});
+    }
+    if (row->lease.value() != 0 && now - row->granted < lease_use(keeping))
+        return &*row;
+    if (row->pending.value() == 0) {
+        row->pending = kv_token{m_next++};
+        row->asked = now;
+        out.emplace_back(grant_lease{row->pending, keeping + lease_use(keeping) + lease_slack});
+    }
+    return nullptr;
+}
+
+void claim_book::on_lease(kv_token token, const result<lease_id>& lease, time_point now)
+{
+    const auto row = std::find_if(m_leases.begin(), m_leases.end(), [&](const lease_row& each) {
+        return each.pending == token && token.value() != 0;
+    });
+    if (row == m_leases.end())
+        return;
+    row->pending = kv_token{};
+    if (!lease) {
+        note_dark(now);
+        return;
+    }
+    // Its time runs from when it was asked for at the earliest.
+    row->granted = row->asked;
+    row->lease = lease.value();
+}
+
+void claim_book::pump_claims(time_point now, command_list& out)
+{
+    if (m_busy[static_cast<std::size_t>(batch_kind::claim)] || now < m_next_claim)
+        return;
+    batch sent{batch_kind::claim, {}, {}};
+    kv_transaction transaction;
+    std::deque<item_number> without_lease;
+    while (!m_to_claim.empty() && sent.items.size() < most_batched) {
+        const item_number number = m_to_claim.front();
+        m_to_claim.pop_front();
+        const auto found = m_items.find(number);
+        if (found == m_items.end() || found->second.state != item_state::waiting)
+            continue;
+        item& claimed = found->second;
+        const lease_row* lease = lease_for(claimed.keeping, now, out);
+        if (lease == nullptr) {
+            without_lease.push_back(number);
+            continue;
+        }
+        claimed.state = item_state::claiming;
+        claimed.lease = lease->lease;
+        const claim_record record{
+            claimed.claimant, claimed.body_digest, claim_progress::claimed, {}};
+        transaction.compares.push_back({claimed.key, 0});
+        transaction.then.emplace_back(kv_put{claimed.key, to_json(record), claimed.lease});
+        transaction.otherwise.emplace_back(kv_get{claimed.key});
+        sent.items.push_back(number);
+    }
+    m_to_claim.insert(m_to_claim.begin(), without_lease.begin(), without_lease.end());
+    if (sent.items.empty())
+        return;
+    m_next_claim = now + m_settings.claim_interval;
+    send(std::move(sent), std::move(transaction), out);
+}
+
+void claim_book::pump_reads(time_point /*now*/, command_list& out)
+{
+    if (m_busy[static_cast<std::size_t>(batch_kind::read)])
+        return;
+    batch sent{batch_kind::read, {}, {}};
+    kv_transaction transaction;
+    while (!m_to_read.empty() && sent.items.size() < most_batched) {
+        const item_number number = m_to_read.front();
+        m_to_read.pop_front();
+        const auto found = m_items.find(number);
+        if (found == m_items.end() || (found->second.state != item_state::polling &&
+                                       found->second.state != item_state::cleaning))
+            continue;
+        transaction.then.emplace_back(kv_get{found->second.key});
+        sent.items.push_back(number);
+    }
+    const std::size_t asked = std::min(m_questions.size(), most_batched);
+    for (std::size_t at = 0; at < asked; ++at)
+        transaction.then.emplace_back(kv_get{m_questions[at].key});
+    if (transaction.then.empty())
+        return;
+    const auto last = m_questions.begin() + static_cast<std::ptrdiff_t>(asked);
+    m_questions_sent.assign(m_questions.begin(), last);
+    m_questions.erase(m_questions.begin(), last);
+    send(std::move(sent), std::move(transaction), out);
+}
+
+void claim_book::pump_stores(time_point /*now*/, command_list& out)
+{
+    if (m_busy[static_cast<std::size_t>(batch_kind::store)])
+        return;
+    batch sent{batch_kind::store, {}, {}};
+    kv_transaction transaction;
+    while (!m_to_store.empty() && sent.items.size() < most_batched) {
+        const item_number number = m_to_store.front();
+        m_to_store.pop_front();
+        const auto found = m_items.find(number);
+        if (found == m_items.end() || found->second.state != item_state::storing)
+            continue;
+        const item& stored = found->second;
+        transaction.then.emplace_back(kv_put{stored.key, to_json(stored.outcome), stored.lease});
+        sent.items.push_back(number);
+    }
+    if (!sent.items.empty())
+        send(std::move(sent), std::move(transaction), out);
+}
+
+void claim_book::pump_erasures(time_point /*now*/, command_list& out)
+{
+    if (m_busy[static_cast<std::size_t>(batch_kind::erase)])
+        return;
+    // One at a time: a batch would fail as a whole where one record was changed by other hands.
+    while (!m_to_erase.empty()) {
+        const item_number number = m_to_erase.front();
+        m_to_erase.pop_front();
+        const auto found = m_items.find(number);
+        if (found == m_items.end() || found->second.state != item_state::deleting)
+            continue;
+        kv_transaction transaction;
+        transaction.compares.push_back({found->second.key, found->second.revision});
+        transaction.then.emplace_back(kv_delete{found->second.key});
+        send({batch_kind::erase, {number}, {}}, std::move(transaction), out);
+        return;
+    }
+}
+
+void claim_book::on_kv(kv_token token, const result<kv_outcome>& outcome, time_point now)
+{
+    const auto found = m_calls.find(token);
+    if (found == m_calls.end())
+        return;
+    const batch done = std::move(found->second);
+    m_calls.erase(found);
+    m_busy[static_cast<std::size_t>(done.kind)] = false;
+    switch (done.kind) {
+    case batch_kind::claim:
+        on_claimed(done, outcome, now);
+        break;
+    case batch_kind::read:
+        on_read(done, outcome, now);
+        break;
+    case batch_kind::store:
+        on_stored(done, outcome, now);
+        break;
+    case batch_kind::erase:
+        on_erased(done, outcome, now);
+        break;
+    }
+}
+
+void claim_book::on_claimed(const batch& done, const result<kv_outcome>& outcome, time_point now)
+{
+    for (const item_number number : done.items) {
+        item& claimed = m_items[number];
+        claimed.state = item_state::waiting;
+        if (!outcome) {
+            // The transaction may have taken effect; only our own id in the record will tell.
+            claimed.doubtful = true;
+            continue;
+        }
+        if (outcome.value().succeeded) {
+            grant(number, outcome.value().revision, now);
+            continue;
+        }
+        const kv_entry* entry = entry_of(outcome.value(), claimed.key);
+        if (entry == nullptr) {
+            claimed.doubtful = false;
+            if (claimed.requesters.empty())
+                free_item(number);
+            continue;
+        }
+        const claim_record record = record_in(*entry, claimed.body_digest);
+        if (record.claimant == claimed.claimant)
+            grant(number, entry->mod_revision, now);
+        else
+            judge_foreign(number, record, now);
+    }
+    if (outcome)
+        m_failures = 0;
+    for (auto number = done.items.rbegin(); number != done.items.rend(); ++number) {
+        const auto again = m_items.find(*number);
+        if (again == m_items.end() || again->second.state != item_state::waiting)
+            continue;
+        if (again->second.requesters.empty()) {
+            again->second.state = item_state::cleaning;
+            sleep(*number, 2 * m_settings.kv_timeout, now);
+            continue;
+        }
+        m_to_claim.push_front(*number);
+    }
+    if (!outcome)
+        note_dark(now);
+}
+
+void claim_book::note_dark(time_point now)
+{
+    ++m_failures;
+    if (m_failures < failures_to_dark)
+        return;
+    m_dark_until = now + dark_for;
+    fail_waiting(now);
+}
+
+void claim_book::on_read(const batch& done, const result<kv_outcome>& outcome, time_point now)
+{
+    for (const question& asked : std::exchange(m_questions_sent, {})) {
+        if (outcome)
+            answer_question(asked, entry_of(outcome.value(), asked.key));
+        else
+            m_settled.emplace_back(claim_dark{asked.request});
+    }
+    for (const item_number number : done.items) {
+        const auto found = m_items.find(number);
+        if (found == m_items.end())
+            continue;
+        item& read = found->second;
+        if (!outcome) {
+            sleep(number, backoff(read.tries), now);
+            ++read.tries;
+            continue;
+        }
+        const kv_entry* entry = entry_of(outcome.value(), read.key);
+        const claim_record record =
+            entry == nullptr ? claim_record{} : record_in(*entry, read.body_digest);
+        if (read.state == item_state::polling) {
+            if (entry != nullptr) {
+                judge_foreign(number, record, now);
+                continue;
+            }
+            read.state = item_state::waiting;
+            queue_for_state(number);
+            continue;
+        }
+        if (read.state != item_state::cleaning)
+            continue;
+        if (entry != nullptr && record.claimant == read.claimant) {
+            read.revision = entry->mod_revision;
+            read.state = item_state::deleting;
+            queue_for_state(number);
+            continue;
+        }
+        free_item(number);
+    }
+}
+
+void claim_book::answer_question(const question& asked, const kv_entry* entry)
+{
+    if (entry == nullptr) {
+        m_settled.emplace_back(claim_reported{asked.request, key_state::no_record, {}});
+        return;
+    }
+    const claim_record record = record_in(*entry, "");
+    key_state state = key_state::in_progress;
+    if (record.progress == claim_progress::ran)
+        state = key_state::ran;
+    else if (record.progress == claim_progress::unknown)
+        state = key_state::unknown;
+    else if (made_here(record.claimant) && !m_by_key.contains(asked.key))
+        state = key_state::unknown; // its creator was this node before a restart
+    m_settled.emplace_back(claim_reported{asked.request, state, record.answer});
+}
+
+void claim_book::on_stored(const batch& done, const result<kv_outcome>& outcome, time_point now)
+{
+    for (const item_number number : done.items) {
+        item& stored = m_items[number];
+        ++stored.tries;
+        if (!outcome && stored.tries < most_store_tries) {
+            sleep(number, backoff(stored.tries), now);
+            continue;
+        }
+        m_stored_bytes -= stored.outcome.answer ? stored.outcome.answer->body.size() : 0;
+        free_item(number);
+    }
+}
+
+void claim_book::on_erased(const batch& done, const result<kv_outcome>& outcome, time_point now)
+{
+    const item_number number = done.items.front();
+    item& erased = m_items[number];
+    ++erased.tries;
+    if (!outcome && erased.tries < most_store_tries) {
+        sleep(number, backoff(erased.tries), now);
+        return;
+    }
+    free_item(number);
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/routing/fair_queue.cc
@@ -0,0 +1,127 @@
+// Start-time fair queueing (Goyal, Vin, Cheng 1996). Virtual time is the start tag of the request
+// served last; the flow whose head has the lowest start tag goes next, and its next start tag is
+// later by cost / weight. A flow that comes back from idleness starts at the present virtual time,
+// so it can't save up a burst; a flow with any weight at all is served in the end, since the tags
+// of all others grow past its own. The tag belongs to the head only, so a request that leaves the
+// queue unserved costs its flow nothing.
+#include "routing/fair_queue.h"
+
+#include <algorithm>
+
+namespace jaynotch {
+
+fair_queue::flow_row* fair_queue::row_of(const flow_key& flow)
+{
+    const auto found = std::find_if(m_flows.begin(), m_flows.end(),
+                                    [&](const flow_row& row) { return row.key == flow; });
+    return found == m_flows.end() ? nullptr : &*found;
+}
+
+fair_queue::flow_row* fair_queue::find_or_make(const flow_key& flow, double weight)
+{
+    if (flow_row* known = row_of(flow); known != nullptr) {
+        known->weight = weight;
+        return known;
+    }
+    if (m_flows.size() >= most_flows)
+        drop_idle_flows();
+    if (m_flows.size() >= most_flows)
+        return nullptr;
+    m_flows.push_back({flow, weight, m_virtual_time, m_virtual_time, {}});
+    return &m_flows.back();
+}
+
+void fair_queue::drop_idle_flows()
+{
+    std::erase_if(m_flows, [&](const flow_row& row) {
+        return row.waiting.empty() && row.finish <= m_virtual_time;
+    });
+}
+
+bool fair_queue::push(const flow_key& flow, double weight, queued_request added)
+{
+    flow_row* row = find_or_make(flow, weight);
+    if (row == nullptr || row->waiting.size() >= m_most_per_flow)
+        return false;
+    if (row->waiting.empty())
+        row->start = std::max(m_virtual_time, row->finish);
+    row->waiting.push_back(added);
+    ++m_size;
+    return true;
+}
+
+void fair_queue::push_front(const flow_key& flow, double weight, queued_request added)
+{
+    flow_row* row = find_or_make(flow, weight);
+    if (row == nullptr)
+        row = &m_flows.emplace_back(flow_row{flow, weight, m_virtual_time, m_virtual_time, {}});
+    row->start = std::min(row->waiting.empty() ? m_virtual_time : row->start, m_virtual_time);
+    row->waiting.push_front(added);
+    ++m_size;
+}
+
+std::optional<queued_request>
+fair_queue::pop(const std::function<bool(const workspace_id&)>& eligible)
+{
+    if (m_size == 0)
+        return std::nullopt;
+    flow_row* next = nullptr;
+    for (flow_row& row : m_flows) {
+        if (row.waiting.empty() || (next != nullptr && row.start >= next->start))
+            continue;
+        if (eligible(row.key.workspace))
+            next = &row;
+    }
+    if (next == nullptr)
+        return std::nullopt;
+    const queued_request taken = next->waiting.front();
+    next->waiting.pop_front();
+    --m_size;
+    m_virtual_time = std::max(m_virtual_time, next->start);
+    next->finish = next->start + taken.cost / next->weight;
+    next->start = next->finish;
+    return taken;
+}
+
+bool fair_queue::remove(const flow_key& flow, request_id request)
+{
+    flow_row* row = row_of(flow);
+    if (row == nullptr)
+        return false;
+    const auto found =
+        std::find_if(row->waiting.begin(), row->waiting.end(),
+                     [&](const queued_request& queued) { return queued.request == request; });
+    if (found == row->waiting.end())
+        return false;
+    row->waiting.erase(found);
+    --m_size;
+    return true;
+}
+
+double fair_queue::ahead_of(const flow_key& flow, double weight) const
+{
+    const auto own = std::find_if(m_flows.begin(), m_flows.end(),
+                                  [&](const flow_row& row) { return row.key == flow; });
+    const double queued = own == m_flows.end() ? 0.0 : static_cast<double>(own->waiting.size());
+    // While the flow serves what it has and one more, another flow serves its weight's multiple.
+    double ahead = queued;
+    for (const flow_row& row : m_flows) {
+        if (row.key == flow)
+            continue;
+        ahead +=
+            std::min(static_cast<double>(row.waiting.size()), (queued + 1.0) * row.weight / weight);
+    }
+    return ahead;
+}
+
+std::size_t fair_queue::size_of(const workspace_id& workspace) const
+{
+    std::size_t count = 0;
+    for (const flow_row& row : m_flows) {
+        if (row.key.workspace == workspace)
+            count += row.waiting.size();
+    }
+    return count;
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/routing/fair_queue.h
@@ -0,0 +1,72 @@
+// The queue of one pool: weighted fair shares among flows, a flow being one workspace at one
+// priority. First come, first served within a flow.
+//
+//   fair_queue queue{1'024};
+//   queue.push({workspace, priority}, weight, {request, cost});
+//   auto next = queue.pop([&](const workspace_id& w) { return below_limit(w); });
+#pragma once
+
+#include "routing/request_events.h"
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace jaynotch {
+
+/// Who shares: a workspace at a priority.
+struct flow_key {
+    workspace_id workspace;
+    priority_class priority = priority_class::standard;
+
+    friend bool operator==(const flow_key&, const flow_key&) = default;
+};
+
+/// A queued request; `cost` is what it takes of the flow's share, in any unit.
+struct queued_request {
+    request_id request;
+    double cost = 1.0;
+};
+
+/// Start-time fair queueing over at most `most_flows` flows with work.
+class fair_queue {
+public:
+    static constexpr std::size_t most_flows = 4'096;
+
+    explicit fair_queue(std::size_t most_per_flow) : m_most_per_flow{most_per_flow} {}
+
+    /// False if the flow, or the table of flows, is full.
+    bool push(const flow_key& flow, double weight, queued_request added);
+    /// Puts a request that was popped before back at the head of its flow, whatever its size.
+    void push_front(const flow_key& flow, double weight, queued_request added);
+    /// Takes the next request whose workspace is eligible.
+    std::optional<queued_request> pop(const std::function<bool(const workspace_id&)>& eligible);
+    /// Takes a request out wherever it stands; false if it isn't there.
+    bool remove(const flow_key& flow, request_id request);
+    /// About how many requests would be served before one pushed to `flow` now.
+    [[nodiscard]] double ahead_of(const flow_key& flow, double weight) const;
+    [[nodiscard]] std::size_t size() const { return m_size; }
+    [[nodiscard]] std::size_t size_of(const workspace_id& workspace) const;
+
+private:
+    struct flow_row {
+        flow_key key;
+        double weight = 1.0;
+        double start = 0.0;  ///< virtual time at which the head may start
+        double finish = 0.0; ///< virtual time at which the last served one ends
+        std::deque<queued_request> waiting;
+    };
+
+    flow_row* row_of(const flow_key& flow);
+    flow_row* find_or_make(const flow_key& flow, double weight);
+    void drop_idle_flows();
+
+    std::size_t m_most_per_flow;
+    std::size_t m_size = 0;
+    double m_virtual_time = 0.0;
+    std::vector<flow_row> m_flows;
+};
+
+} // namespace jaynotch
--- /dev/null
+++ b/routing/outliers.cc
@@ -0,0 +1,118 @@
+// Failures in a row, not a rate: with 3 requests in flight per group and node a rate has too few
+// samples to tell a bad target from bad luck. The time out doubles with each ejection in a row.
+// A target on trial carries one request at a time; its success ends the trial (a half-open circuit
+// breaker for each target).
+//
+// Slowness is a moving average of the time to the first token, against the pool's median, with a
+// dead band, since the averages of few samples differ by chance. It only weighs the load in picks,
+// so a straggler gets as much less as it is slower and is never starved of the samples that would
+// show its recovery.
+#include "routing/outliers.h"
+
+#include <algorithm>
+
+namespace jaynotch {
+
+namespace {
+
+constexpr std::uint32_t failures_to_eject = 3;
+constexpr std::size_t one_in = 3; ///< at most this part of a pool is out
+constexpr std::chrono::seconds first_ejection{2};
+constexpr std::uint32_t most_doublings = 4;
+constexpr double smoothing = 0.15;
+constexpr std::uint32_t samples_to_judge = 8;
+constexpr double dead_band = 1.5;
+constexpr double most_slowness = 8.0;
+
+void let_back(target_health& health, time_point now)
+{
+    if (!health.ejected || now < health.ejected_until)
+        return;
+    health.ejected = false;
+    health.on_trial = true;
+    // One more failure ejects it again.
+    health.failures_in_row = failures_to_eject - 1;
+}
+
+void eject(target_health& health, time_point now)
+{
+    health.ejected = true;
+    health.on_trial = false;
+    health.ejected_until =
+        now + first_ejection * (1U << std::min(health.ejections, most_doublings));
+    ++health.ejections;
+}
+
+} // namespace
+
+void note_success(target_health& health)
+{
+    health.failures_in_row = 0;
+    health.ejections = 0;
+    health.on_trial = false;
+}
+
+void note_failure(target_health& health)
+{
+    ++health.failures_in_row;
+}
+
+void note_first_token(target_health& health, double seconds)
+{
+    ++health.first_token_samples;
+    if (health.first_token_samples == 1)
+        health.first_token_s = seconds;
+    else
+        health.first_token_s += smoothing * (seconds - health.first_token_s);
+}
+
+std::size_t eject_outliers(target_table& targets, std::span<const target_row_index> pool,
+                           time_point now)
+{
+    std::size_t out = 0;
+    std::size_t usable = 0;
+    for (const target_row_index row : pool) {
+        target_row& judged = targets.at(row);
+        let_back(judged.health, now);
+        if (judged.leaving())
+            continue;
+        ++usable;
+        out += judged.health.ejected ? 1 : 0;
+    }
+    std::size_t ejected = 0;
+    for (const target_row_index row : pool) {
+        target_row& judged = targets.at(row);
+        if (judged.leaving() || judged.health.ejected)
+            continue;
+        if (judged.health.failures_in_row < failures_to_eject)
+            continue;
+        if (out + 1 > usable / one_in && !(usable == 2 && out == 0))
+            break;
+        eject(judged.health, now);
+        ++out;
+        ++ejected;
+    }
+    return ejected;
+}
+
+void judge_slowness(target_table& targets, std::span<const target_row_index> pool)
+{
+    std::vector<double> times;
+    for (const target_row_index row : pool) {
+        const target_health& health = targets.at(row).health;
+        if (health.first_token_samples >= samples_to_judge)
+            times.push_back(health.first_token_s);
+    }
+    if (times.size() < 3)
+        return;
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>((times.size() - 1) / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    for (const target_row_index row : pool) {
+        target_health& health = targets.at(row).health;
+        const bool judged = health.first_token_samples >= samples_to_judge && *middle > 0.0;
+        const double ratio = judged ? health.first_token_s / *middle : 1.0;
+        health.slowness = ratio < dead_band ? 1.0 : std::min(ratio, most_slowness);
+    }
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/routing/picker.cc
@@ -0,0 +1,279 @@
+// Power of two choices (Mitzenmacher 2001) on the estimated load: two random targets, the less
+// loaded one. Random pairs keep nodes that all see the same late report from herding onto the one
+// target that looked idle, which taking the least of all would do; this matters most for few
+// targets.
+//
+// Before that, prefix affinity with bounded load (after Mirrokni, Thorup, Zadimoghaddam 2018): the
+// target that holds the longest prefix, or else the prompt's home, is taken while its load is at
+// most `load_bound` times the mean plus a slack; otherwise affinity gives way.
+//
+// Home is found without messages between entry nodes: the shallowest block of the prompt whose
+// share of the traffic one target can carry is hashed over the targets (rendezvous). A system
+// prompt that everyone shares is thereby skipped, and the turns of one conversation meet at one
+// target whichever node they enter by. A block that is too popular for one target but not for a few
+// gets that few.
+#include "routing/picker.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jaynotch {
+
+namespace {
+
+constexpr double load_bound = 1.25;
+constexpr double load_slack = 2.0;
+constexpr std::size_t holders_looked_at = 4;
+constexpr std::size_t most_homes = 4;
+
+bool fits(const target_row& row, const pick_request& wanted)
+{
+    if (!row.may_be_picked())
+        return false;
+    if (row.kind == pool_kind::plain)
+        return true;
+    if (!wanted.version.empty() && row.info.version != wanted.version)
+        return false;
+    return wanted.adapter.empty() || std::find(row.info.adapters.begin(), row.info.adapters.end(),
+                                               wanted.adapter) != row.info.adapters.end();
+}
+
+bool was_tried(const pick_request& wanted, target_row_index row)
+{
+    return std::find(wanted.tried.begin(), wanted.tried.end(), row) != wanted.tried.end();
+}
+
+/// Mixes a block with a target's name into a rank (splitmix64's finaliser).
+std::uint64_t rank_of(std::uint64_t block, std::uint64_t name)
+{
+    std::uint64_t mixed = block ^ name;
+    mixed = (mixed ^ mixed >> 30U) * 0xBF58476D1CE4E5B9ULL;
+    mixed = (mixed ^ mixed >> 27U) * 0x94D049BB133111EBULL;
+    return mixed ^ mixed >> 31U;
+}
+
+/// One choice among the targets of a pool.
+class chooser {
+public:
+    chooser(const target_table& targets, pool_view& pool, const pick_request& wanted,
+            random_source& random, time_point now)
+        : m_targets{targets}, m_pool{pool}, m_wanted{wanted}, m_random{random}, m_now{now}
+    {}
+
+    target_row_index two_choices()
+    {
+        if (m_pool.targets.empty())
+            return no_target;
+        const target_row_index first = random_fitting(no_target);
+        if (first == no_target)
+            return no_target;
+        const target_row_index second = random_fitting(first);
+        return second == no_target || score(first) <= score(second) ? first : second;
+    }
+
+    target_row_index round_robin()
+    {
+        for (std::size_t step = 0; step < m_pool.targets.size(); ++step) {
+            const std::size_t at = m_pool.round_robin_next++ % m_pool.targets.size();
+            if (usable(m_pool.targets[at]))
+                return m_pool.targets[at];
+        }
+        return no_target;
+    }
+
+    target_row_index least_own()
+    {
+        target_row_index least = no_target;
+        for (const target_row_index row : m_pool.targets) {
+            if (!usable(row))
+                continue;
+            if (least == no_target || m_targets.at(row).own < m_targets.at(least).own)
+                least = row;
+        }
+        return least;
+    }
+
+    picked by_prefix(prefix_index& prefixes)
+    {
+        std::array<prefix_match, holders_looked_at> holders{};
+        const std::size_t found = prefixes.longest(m_wanted.blocks, holders);
+        const std::span known{holders.data(), found};
+        // Among equally long matches the less loaded one.
+        std::sort(known.begin(), known.end(), [&](const auto& a, const auto& b) {
+            if (a.blocks != b.blocks)
+                return a.blocks > b.blocks;
+            return score(a.slot.row) < score(b.slot.row);
+        });
+        const home found_home = home_of(prefixes);
+        for (const prefix_match& holder : known) {
+            // A match that is no longer than what everybody holds says nothing about where to go.
+            if (holder.blocks <= found_home.shared_blocks)
+                break;
+            if (is_of_now(holder.slot) && takes(holder.slot.row))
+                return {holder.slot.row, holder.blocks};
+        }
+        if (found_home.row != no_target && takes(found_home.row))
+            return {found_home.row, held_at(found_home.row, known)};
+        const target_row_index row = two_choices();
+        return {row, held_at(row, known)};
+    }
+
+private:
+    struct home {
+        target_row_index row = no_target;
+        std::uint32_t shared_blocks = 0; ///< leading blocks that every target is likely to hold
+    };
+
+    bool usable(target_row_index row) const
+    {
+        return fits(m_targets.at(row), m_wanted) && !was_tried(m_wanted, row);
+    }
+
+    bool is_of_now(target_slot slot) const
+    {
+        return slot.row < m_targets.size() &&
+               m_targets.at(slot.row).generation == slot.generation &&
+               m_targets.at(slot.row).present;
+    }
+
+    double score(target_row_index row) const
+    {
+        const target_row& judged = m_targets.at(row);
+        return (estimated_load(judged, m_pool, m_now) + 1.0) * judged.health.slowness;
+    }
+
+    /// Whether affinity may put one more on this target.
+    bool takes(target_row_index row) const
+    {
+        if (!usable(row))
+            return false;
+        const auto count = static_cast<double>(m_pool.targets.size());
+        const double mean = m_pool.own / count + m_pool.mean_others;
+        const double bound = std::min(load_bound * mean + load_slack, m_pool.cap + 0.0);
+        return score(row) <= bound + 1.0;
+    }
+
+    target_row_index random_fitting(target_row_index other_than)
+    {
+        const std::size_t count = m_pool.targets.size();
+        const std::size_t from = m_random.index(count);
+        for (std::size_t step = 0; step < count; ++step) {
+            const target_row_index row = m_pool.targets[(from + step) % count];
+            if (row != other_than && usable(row))
+                return row;
+        }
+        return no_target;
+    }
+
+    home home_of(prefix_index& prefixes)
+    {
+        home found;
+        prefixes.count_request();
+        const auto count = static_cast<double>(m_pool.targets.size());
+        const double most_for_homes = std::max(1.0, std::min(count / 2.0, most_homes + 0.0));
+        const std::size_t depth = std::min(m_wanted.blocks.size(), most_prefix_blocks);
+        for (std::size_t at = 0; at < depth; ++at) {
+            const std::uint64_t block = m_wanted.blocks[at];
+            const double targets_needed = prefixes.note_request(block) * count;
+            if (targets_needed > most_for_homes) {
+                found.shared_blocks = static_cast<std::uint32_t>(at + 1);
+                continue;
+            }
+            const auto homes = static_cast<std::size_t>(std::ceil(targets_needed));
+            found.row = least_loaded_home(block, std::clamp<std::size_t>(homes, 1, most_homes));
+            return found;
+        }
+        return found;
+    }
+
+    /// Of the `homes` targets that rank highest for `block` the least loaded that can be used.
+    target_row_index least_loaded_home(std::uint64_t block, std::size_t homes)
+    {
+        struct ranked {
+            std::uint64_t rank = 0;
+            target_row_index row = no_target;
+        };
+        std::array<ranked, most_homes> best{};
+        for (std::size_t at = 0; at < m_pool.targets.size(); ++at) {
+            const target_row_index row = m_pool.targets[at];
+            if (!usable(row))
+                continue;
+            ranked added{rank_of(block, m_pool.names[at]), row};
+            for (std::size_t place = 0; place < homes; ++place) {
+                if (best[place].row == no_target || added.rank > best[place].rank)
+                    std::swap(added, best[place]);
+            }
+        }
+        target_row_index chosen = best.front().row;
+        for (std::size_t place = 1; place < homes; ++place) {
+            if (best[place].row != no_target && score(best[place].row) + 1.0 < score(chosen))
+                chosen = best[place].row;
+        }
+        return chosen;
+    }
+
+    std::uint32_t held_at(target_row_index row, std::span<const prefix_match> holders) const
+    {
+        for (const prefix_match& holder : holders) {
+            if (holder.slot.row == row && is_of_now(holder.slot))
+                return holder.blocks;
+        }
+        return 0;
+    }
+
+    const target_table& m_targets;
+    pool_view& m_pool;
+    const pick_request& m_wanted;
+    random_source& m_random;
+    time_point m_now;
+};
+
+} // namespace
+
+double estimated_load(const target_row& row, const pool_view& pool, time_point now)
+{
+    return row.own + row.load.others(pool.mean_others, now);
+}
+
+void refresh(pool_view& pool, const target_table& targets, time_point now)
+{
+    double sum = 0.0;
+    double worth = 0.0;
+    pool.own = 0;
+    for (const target_row_index row : pool.targets) {
+        const target_row& counted = targets.at(row);
+        const double weight = counted.load.worth(now);
+        sum += weight * counted.load.reported_others();
+        worth += weight;
+        pool.own += counted.own;
+    }
+    pool.mean_others = worth > 0.0 ? sum / worth : 0.0;
+}
+
+picked pick(const target_table& targets, pool_view& pool, prefix_index& prefixes,
+            pick_policy policy, const pick_request& wanted, random_source& random, time_point now)
+{
+    const auto choose = [&](const pick_request& request) -> picked {
+        chooser choice{targets, pool, request, random, now};
+        switch (policy) {
+        case pick_policy::round_robin:
+            return {choice.round_robin(), 0};
+        case pick_policy::least_own:
+            return {choice.least_own(), 0};
+        case pick_policy::two_choices:
+            break;
+        }
+        if (request.blocks.empty())
+            return {choice.two_choices(), 0};
+        return choice.by_prefix(prefixes);
+    };
+    picked chosen = choose(wanted);
+    if (chosen.row == no_target && !wanted.tried.empty()) {
+        pick_request again = wanted;
+        again.tried = {};
+        chosen = choose(again);
+    }
+    return chosen;
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/routing/request_arrival.cc
@@ -0,0 +1,273 @@
+// From arrival to the queue: route, refuse early what can't be served in time, claim what is keyed.
+//
+// Early refusal comes before the claim, so overload costs the key-value service nothing; the claim
+// comes before the queue, so that a repeat is answered from its record without a place in the pool.
+#include "routing/request_state.h"
+
+namespace jaynotch {
+
+namespace {
+
+constexpr std::size_t longest_key = 256;
+constexpr std::chrono::seconds no_target_retry{2};
+constexpr std::chrono::seconds dark_retry{2};
+constexpr std::chrono::seconds in_progress_retry{1};
+constexpr std::chrono::seconds full_retry{5};
+
+/// Cost against a workspace's share: work in an engine is mostly the tokens it generates; a prompt
+/// token costs about an eighth of one, since prompts are processed in parallel.
+double cost_of(const request_info& info)
+{
+    constexpr double prompt_part = 0.125;
+    constexpr double unit_tokens = 256.0;
+    constexpr double least = 0.1;
+    constexpr double most = 64.0;
+    if (info.kind == request_kind::plain)
+        return 1.0;
+    const double tokens = prompt_part * info.prompt_tokens + info.answer_tokens;
+    return std::clamp(tokens / unit_tokens, least, most);
+}
+
+double seconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+std::string described(const request_info& info)
+{
+    if (info.kind == request_kind::plain)
+        return info.method + " " + info.path;
+    return std::string{to_name(info.kind)} + " with model \"" + info.model + "\"";
+}
+
+} // namespace
+
+bool request_core::state::refuse_unroutable(const request_info& info, const route* taken,
+                                            time_point now, command_list& out)
+{
+    const auto refuse_with = [&](error_kind kind, std::string message, std::string remedy,
+                                 std::optional<std::chrono::seconds> after = std::nullopt) {
+        refuse_unseen(info.id, {kind, std::move(message), std::move(remedy)}, after, out);
+        return true;
+    };
+    if (requests.contains(info.id))
+        return true; // the shell's defect; the first one with this id keeps its single answer
+    if (requests.size() >= settings.most_requests)
+        return refuse_with(error_kind::overloaded, "this entry VM holds as many requests as it may",
+                           "come back after the time in Retry-After", full_retry);
+    if (taken == nullptr)
+        return refuse_with(error_kind::not_found, "no route takes " + described(info),
+                           "check the name or path, or add a row to routes.toml");
+    const pool_index index = pools.find(taken->pool);
+    if (index == pools.size() || !pools.at(index).present)
+        return refuse_with(error_kind::not_found,
+                           "route " + taken->name.value() + " names a pool that does not exist",
+                           "add pool " + taken->pool.value() + " to pools.toml");
+    if (info.deadline && *info.deadline <= now)
+        return refuse_with(error_kind::deadline_exceeded, "the deadline had passed on arrival",
+                           "send it with a later deadline");
+    if (pools.at(index).usable_targets == 0)
+        return refuse_with(error_kind::unavailable,
+                           "pool " + taken->pool.value() + " has nothing complete to serve it",
+                           "come back after the time in Retry-After", no_target_retry);
+    if (info.idempotency_key.size() > longest_key)
+        return refuse_with(error_kind::invalid_argument, "the idempotency key is too long",
+                           "use a key of at most 256 bytes");
+    if (taken->repeat == repeat_policy::keyed && !info.idempotency_key.empty() &&
+        info.body_digest.empty())
+        return refuse_with(error_kind::too_large, "the body of a keyed call is too large to check",
+                           "send a smaller body");
+    return false;
+}
+
+void request_core::state::arrive(const request_info& info, time_point now, command_list& out)
+{
+    ++counters.arrived;
+    const route* taken = routes.find(info);
+    if (refuse_unroutable(info, taken, now, out))
+        return;
+    request_row& row = requests[info.id];
+    row.info = info;
+    row.phase = request_phase::claiming;
+    row.terms = {pools.find(taken->pool), taken->adapter,        taken->priority,   taken->repeat,
+                 taken->retries,          taken->longest_stream, taken->key_keeping};
+    row.deadline = now + taken->timeout;
+    if (info.deadline)
+        row.deadline = std::min(row.deadline, *info.deadline);
+    row.ends = row.deadline + taken->longest_stream;
+    row.wake = row.deadline;
+    row.keyed = taken->repeat == repeat_policy::keyed && !info.idempotency_key.empty();
+
+    if (refuse_early(row, now, out))
+        return;
+    if (row.keyed)
+        begin_claim(row, now, out);
+    else
+        enqueue(row, now, out);
+}
+
+bool request_core::state::refuse_early(request_row& row, time_point now, command_list& out)
+{
+    if (!settings.admission)
+        return false;
+    const pool_row& pool = pools.at(row.terms.pool);
+    const flow_key flow{row.info.workspace, row.terms.priority};
+    const double weight = pool.weight_of(row.info.workspace, row.terms.priority);
+    const double wait_s = pool.estimated_wait_s(flow, weight);
+    if (wait_s == 0.0 || wait_s + pool.limit.first_token_s() <= seconds(row.deadline - now))
+        return false;
+    ++counters.refused_early;
+    row.keyed = false; // nothing is claimed yet
+    finish_refuse(row,
+                  {error_kind::overloaded, "it would wait past its deadline",
+                   "come back after the time in Retry-After"},
+                  ran_state::no, retry_after(wait_s), now, out);
+    return true;
+}
+
+void request_core::state::begin_claim(request_row& row, time_point now, command_list& out)
+{
+    const time_point wait_until = std::min(row.deadline, now + settings.repeat_wait);
+    const std::string key = claim_key(deployment, row.info.workspace, row.info.idempotency_key);
+    if (claims.begin(row.info.id, key, row.info.body_digest, row.terms.key_keeping, wait_until,
+                     now))
+        return;
+    row.keyed = false;
+    finish_refuse(row,
+                  {error_kind::overloaded, "too many keyed calls wait for their claims",
+                   "come back after the time in Retry-After"},
+                  ran_state::no, full_retry, now, out);
+}
+
+void request_core::state::enqueue(request_row& row, time_point now, command_list& out)
+{
+    pool_row& pool = pools.at(row.terms.pool);
+    if (!settings.admission) {
+        row.phase = request_phase::sending;
+        if (try_send(row, now, out))
+            return;
+        finish_refuse(row, {error_kind::unavailable, "no target can be picked", "come back later"},
+                      ran_state::no, no_target_retry, now, out);
+        return;
+    }
+    const double weight = pool.weight_of(row.info.workspace, row.terms.priority);
+    if (!pool.queue.push({row.info.workspace, row.terms.priority}, weight,
+                         {row.info.id, cost_of(row.info)}))
+    {
+        finish_refuse(row,
+                      {error_kind::overloaded, "the queue of this workspace is full",
+                       "come back after the time in Retry-After"},
+                      ran_state::no, full_retry, now, out);
+        return;
+    }
+    row.phase = request_phase::queued;
+    ++pool.use_of(row.info.workspace, peers).queued;
+    const pool_index index = row.terms.pool;
+    const request_id request = row.info.id;
+    dispatch(index, now, out);
+    const auto still = requests.find(request);
+    if (still != requests.end() && still->second.phase == request_phase::queued)
+        set_wake(still->second, next_check(still->second));
+}
+
+void request_core::state::ask_key(const key_status_asked& asked, time_point now, command_list& out)
+{
+    const std::string key = claim_key(deployment, asked.workspace, asked.idempotency_key);
+    ++counters.arrived;
+    if (requests.contains(asked.request))
+        return;
+    if (requests.size() >= settings.most_requests || !claims.ask(asked.request, key, now)) {
+        refuse_unseen(asked.request,
+                      {error_kind::overloaded, "too many questions wait", "ask again later"},
+                      full_retry, out);
+        return;
+    }
+    request_row& row = requests[asked.request];
+    row.info.id = asked.request;
+    row.phase = request_phase::asking;
+}
+
+void request_core::state::run_claims(time_point now, command_list& out)
+{
+    claims.pump(now, out);
+    // Settling one may settle others, for example by handing a claim on; each round settles some.
+    for (std::vector<claim_settled> settled = claims.take_settled(); !settled.empty();
+         settled = claims.take_settled())
+    {
+        for (const claim_settled& each : settled)
+            settle(each, now, out);
+        claims.pump(now, out);
+    }
+    counters.claim_transactions = claims.transactions();
+}
+
+void request_core::state::settle(const claim_settled& settled, time_point now, command_list& out)
+{
+    const request_id request = std::visit([](const auto& each) { return each.request; }, settled);
+    const auto found = requests.find(request);
+    if (found == requests.end())
+        return;
+    request_row& row = found->second;
+    ++counters.claims_settled;
+    struct visitor {
+        state& core;
+        request_row& row;
+        time_point now;
+        command_list& out;
+
+        void refuse_with(error_kind kind, std::string message, std::string remedy, ran_state ran,
+                         std::optional<std::chrono::seconds> after) const
+        {
+            row.keyed = false; // the claim is not ours
+            core.finish_refuse(row, {kind, std::move(message), std::move(remedy)}, ran, after, now,
+                               out);
+        }
+        void operator()(const claim_granted& /*settled*/) const { core.enqueue(row, now, out); }
+        void operator()(const claim_replayed& replayed) const
+        {
+            core.finish_replay(row, replayed.answer, out);
+        }
+        void operator()(const claim_ran_unkept& /*settled*/) const
+        {
+            refuse_with(error_kind::too_large, "the call ran; its answer was too large to be kept",
+                        "read its effect back from the service", ran_state::yes, std::nullopt);
+        }
+        void operator()(const claim_conflict& /*settled*/) const
+        {
+            refuse_with(error_kind::conflict, "the key was used with another body",
+                        "use a new key for a new call", ran_state::no, std::nullopt);
+        }
+        void operator()(const claim_unknown& /*settled*/) const
+        {
+            refuse_with(error_kind::unknown_outcome,
+                        "a call with this key was accepted and its outcome is not known",
+                        "read its effect back from the service; a new key would repeat it",
+                        ran_state::unknown, std::nullopt);
+        }
+        void operator()(const claim_in_progress& /*settled*/) const
+        {
+            refuse_with(error_kind::unknown_outcome, "a call with this key is still on its way",
+                        "ask again with the same key", ran_state::unknown, in_progress_retry);
+        }
+        void operator()(const claim_dark& /*settled*/) const
+        {
+            if (row.phase == request_phase::asking) {
+                core.finish_refuse(row,
+                                   {error_kind::unavailable, "the record can't be read now",
+                                    "ask again with the same key"},
+                                   ran_state::unknown, dark_retry, now, out);
+                return;
+            }
+            refuse_with(error_kind::unavailable,
+                        "the key-value service gave no answer, so the call was not sent",
+                        "come back with the same key", ran_state::no, dark_retry);
+        }
+        void operator()(const claim_reported& reported) const
+        {
+            core.finish_report(row, reported, out);
+        }
+    };
+    std::visit(visitor{*this, row, now, out}, settled);
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/routing/request_core.cc
@@ -0,0 +1,272 @@
+// The request core takes one event, runs the systems that it concerns, and settles what follows
+// from it (claims, places that became free) before it returns, so that the shell never holds a
+// decision that is half made.
+//
+// Memory is bounded by core_settings for any input: requests, queues, claims, peers, prefix index;
+// targets and pools by the tables and groups that the platform holds.
+#include "routing/request_core.h"
+
+#include "routing/request_state.h"
+
+namespace jaynotch {
+
+namespace {
+
+constexpr unsigned attempt_space_bits = 24; ///< attempts of one process before ids could meet
+
+} // namespace
+
+request_core::state::state(core_settings given, random_source source, time_point now)
+    : settings{std::move(given)}, random{std::move(source)},
+      peers{settings.most_peers, settings.demand_keeping}, claims{settings}, next_share{now}
+{
+    // Attempts of different nodes and processes must not share an id: an engine cancels by it.
+    next_attempt = random.bits() << attempt_space_bits;
+}
+
+result<request_core> request_core::create(core_settings settings, random_source random,
+                                          time_point now)
+{
+    if (settings.node.value().empty() || settings.incarnation.empty())
+        return error{error_kind::invalid_argument, "the request core has no node or incarnation",
+                     "set both; claims are told apart by them"};
+    if (settings.node.value().find('/') != std::string::npos)
+        return error{error_kind::invalid_argument, "the node's name holds a '/'",
+                     "choose a name without it"};
+    if (settings.most_requests == 0 || settings.most_queued_per_workspace == 0 ||
+        settings.most_claims_waiting == 0 || settings.prefix_index_entries == 0)
+        return error{error_kind::invalid_argument, "a bound of the request core is 0",
+                     "set it to 1 or more"};
+    return request_core{std::make_unique<state>(std::move(settings), std::move(random), now)};
+}
+
+request_core::request_core(std::unique_ptr<state> made) : m_state{std::move(made)} {}
+request_core::request_core(request_core&&) noexcept = default;
+request_core& request_core::operator=(request_core&&) noexcept = default;
+request_core::~request_core() = default;
+
+void request_core::handle(const event& happened, time_point now, command_list& out)
+{
+    m_state->take(happened, now, out);
+}
+
+const routing_counters& request_core::counters() const
+{
+    return m_state->counters;
+}
+
+std::size_t request_core::open_requests() const
+{
+    return m_state->requests.size();
+}
+
+std::vector<target_status> request_core::targets() const
+{
+    std::vector<target_status> all;
+    for (pool_index index = 0; index < m_state->pools.size(); ++index) {
+        const pool_row& pool = m_state->pools.at(index);
+        for (const target_row_index at : pool.view.targets) {
+            const target_row& row = m_state->targets.at(at);
+            const double load = row.own + row.load.reported_others();
+            all.push_back(
+                {row.info.id, row.info.pool, row.own, load, row.leaving(), row.health.ejected});
+        }
+    }
+    return all;
+}
+
+std::vector<pool_status> request_core::pools() const
+{
+    std::vector<pool_status> all;
+    for (pool_index index = 0; index < m_state->pools.size(); ++index) {
+        const pool_row& row = m_state->pools.at(index);
+        if (row.present)
+            all.push_back({row.info.name, row.in_flight,
+                           static_cast<std::uint32_t>(row.queue.size()), row.allowed()});
+    }
+    return all;
+}
+
+void request_core::state::take(const event& happened, time_point now, command_list& out)
+{
+    struct visitor {
+        state& core;
+        time_point now;
+        command_list& out;
+
+        void operator()(const request_arrived& e) const { core.arrive(e.request, now, out); }
+        void operator()(const attempt_sent& e) const { core.on_sent(e); }
+        void operator()(const attempt_head& e) const { core.on_head(e, now, out); }
+        void operator()(const attempt_progress& e) const { core.on_progress(e, now); }
+        void operator()(const attempt_finished& e) const { core.on_finished(e, now, out); }
+        void operator()(const attempt_failed& e) const { core.on_failed(e, now, out); }
+        void operator()(const caller_gone& e) const { core.on_caller_gone(e.request, now, out); }
+        void operator()(const key_status_asked& e) const { core.ask_key(e, now, out); }
+        void operator()(const kv_result& e) const { core.claims.on_kv(e.token, e.outcome, now); }
+        void operator()(const lease_result& e) const
+        {
+            core.claims.on_lease(e.token, e.lease, now);
+        }
+        void operator()(const groups_changed& e) const
+        {
+            core.targets.replace_groups(e.groups, now);
+            core.refresh_pools(now);
+            core.dispatch_all(now, out);
+        }
+        void operator()(const group_broken& e) const { core.lose_group(e.group, now, out); }
+        void operator()(const target_leaving& e) const
+        {
+            core.targets.set_leaving(e.target, e.leaving, now);
+            core.refresh_pools(now);
+        }
+        void operator()(const load_seen& e) const
+        {
+            const target_row_index row = core.targets.find(e.target);
+            if (row != no_target)
+                core.targets.at(row).load.report(e.load, e.age, now);
+        }
+        void operator()(const cache_events_seen& e) const { core.take_cache_events(e); }
+        void operator()(const tables_installed& e) const
+        {
+            core.install_tables(e.tables, now, out);
+        }
+        void operator()(const peer_demand_seen& e) const
+        {
+            core.peers.install(e.node, e.rows, now);
+        }
+        void operator()(const peer_left& e) const { core.peers.forget(e.node); }
+        void operator()(const tick& /*e*/) const { core.run_tick(now, out); }
+    };
+    std::visit(visitor{*this, now, out}, happened);
+
+    const bool frees_a_place = std::holds_alternative<attempt_finished>(happened) ||
+                               std::holds_alternative<attempt_failed>(happened) ||
+                               std::holds_alternative<caller_gone>(happened) ||
+                               std::holds_alternative<attempt_head>(happened);
+    if (frees_a_place) {
+        dispatch_all(now, out);
+        say_released(out);
+    }
+    if (std::holds_alternative<target_leaving>(happened) ||
+        std::holds_alternative<groups_changed>(happened))
+        say_released(out);
+    // Claims wait for nobody's tick.
+    run_claims(now, out);
+}
+
+void request_core::state::install_tables(const configuration& tables, time_point now,
+                                         command_list& out)
+{
+    deployment = tables.deployment;
+    routes = route_index{tables.routes};
+    pools.replace(tables, settings);
+    targets.replace_servers(tables, now);
+    refresh_pools(now);
+    std::vector<request_id> orphans;
+    for (const auto& [request, row] : requests) {
+        const bool waits = row.phase == request_phase::queued;
+        if (waits && !pools.at(row.terms.pool).present)
+            orphans.push_back(request);
+    }
+    std::sort(orphans.begin(), orphans.end());
+    for (const request_id request : orphans) {
+        finish_failed(
+            requests.at(request),
+            {error_kind::not_found, "its pool was taken out of the tables", "send it again"}, now,
+            out);
+    }
+    dispatch_all(now, out);
+    say_released(out);
+}
+
+void request_core::state::refresh_pools(time_point now)
+{
+    for (pool_index index = 0; index < pools.size(); ++index)
+        pools.at(index).refresh_all(targets, peers, now);
+}
+
+void request_core::state::run_tick(time_point now, command_list& out)
+{
+    peers.expire(now);
+    for (std::size_t row = 0; row < targets.size(); ++row) {
+        target_row& sampled = targets.at(static_cast<target_row_index>(row));
+        sampled.load.sample_own(sampled.own, now);
+    }
+    for (pool_index index = 0; index < pools.size(); ++index) {
+        pool_row& pool = pools.at(index);
+        counters.ejections += eject_outliers(targets, pool.view.targets, now);
+        judge_slowness(targets, pool.view.targets);
+        pool.limit.tick(pool.held_back, now);
+        pool.held_back = false;
+        pool.luck = random.unit();
+        pool.refresh_all(targets, peers, now);
+    }
+    wake_requests(now, out);
+    dispatch_all(now, out);
+    say_released(out);
+    share_demand_if_due(now, out);
+}
+
+void request_core::state::share_demand_if_due(time_point now, command_list& out)
+{
+    if (now < next_share)
+        return;
+    next_share = now + settings.share_interval;
+    share_demand shared;
+    for (pool_index index = 0; index < pools.size(); ++index) {
+        const pool_row& pool = pools.at(index);
+        for (const auto& [workspace, use] : pool.uses)
+            shared.rows.push_back({pool.info.name, workspace, use.in_flight, use.queued});
+    }
+    out.emplace_back(std::move(shared));
+}
+
+void request_core::state::say_released(command_list& out)
+{
+    for (target_id& id : targets.take_released())
+        out.emplace_back(released{std::move(id)});
+}
+
+void request_core::state::take_cache_events(const cache_events_seen& seen)
+{
+    const target_row_index at = targets.find(seen.target);
+    if (at == no_target)
+        return;
+    const target_row& row = targets.at(at);
+    const pool_index index = pools.find(row.info.pool);
+    if (index == pools.size())
+        return;
+    prefix_index& prefixes = pools.at(index).prefixes;
+    for (const cache_event& change : seen.events) {
+        if (change.evicted)
+            prefixes.note_evicted(change.prefix, row.slot(at));
+        else
+            prefixes.note_stored(change.prefix, row.slot(at));
+    }
+}
+
+void request_core::state::lose_group(const target_id& group, time_point now, command_list& out)
+{
+    const target_row_index at = targets.find(group);
+    if (at == no_target)
+        return;
+    targets.at(at).present = false;
+    targets.at(at).release_due = true;
+    refresh_pools(now);
+    std::vector<request_id> hit;
+    for (const auto& [request, row] : requests) {
+        // What must not be repeated is left to its connection: the group may still answer it.
+        if (row.has_attempt && row.attempt.target == at &&
+            row.terms.repeat == repeat_policy::idempotent)
+            hit.push_back(request);
+    }
+    std::sort(hit.begin(), hit.end()); // the map's order is not ours to depend on
+    for (const request_id request : hit) {
+        request_row& row = requests.at(request);
+        cancel(row, out);
+        end_attempt(row, attempt_failure::cut, attempt_end::group_lost, now, out);
+    }
+    say_released(out);
+}
+
+} // namespace jaynotch
--- a/routing/request_core.h
+++ b/routing/request_core.h
@@ -37,7 +37,7 @@
     std::size_t largest_stored_answer = 64 * 1'024; ///< bytes of a keyed answer's body
 
     std::chrono::milliseconds stall_timeout{5'000};  ///< between two parts of an answer
-    std::chrono::milliseconds kv_timeout{2'000};     ///< of a call on the key-value service
+    std::chrono::milliseconds kv_timeout{1'000};     ///< of a call on the key-value service
     std::chrono::milliseconds claim_interval{5};     ///< between two claim transactions
     std::chrono::milliseconds share_interval{500};   ///< between two share_demand
     std::chrono::milliseconds demand_keeping{5'000}; ///< of a silent peer's demand
--- /dev/null
+++ b/routing/request_core_test.cc
@@ -0,0 +1,319 @@
+#include "routing/core_fixture.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <set>
+
+using namespace jaynotch;
+using namespace jaynotch::testing;
+
+namespace {
+
+/// Sends the first byte and the head of what `commands` sends, and returns it.
+send_attempt answer_head(fixture& world, const command_list& commands, std::uint32_t status = 200)
+{
+    const send_attempt* sent = first<send_attempt>(commands);
+    cr_assert_not_null(sent, "nothing was sent");
+    const send_attempt copy = *sent;
+    world.send(attempt_sent{copy.request, copy.attempt});
+    world.send(attempt_head{copy.request, copy.attempt, status, copy.attempt, false, copy.version});
+    return copy;
+}
+
+} // namespace
+
+Test(request_core, serves_a_stream_whole)
+{
+    fixture world;
+    const send_attempt sent = answer_head(world, world.chat(1));
+    cr_assert(sent.version == "v1");
+    cr_assert_eq(count<deliver>(world.commands), 1);
+    world.send(attempt_progress{sent.request, sent.attempt, 5});
+    const command_list end = world.send(attempt_finished{sent.request, sent.attempt, true, {}});
+    cr_assert_eq(count<complete>(end), 1);
+    cr_assert_eq(world.core.open_requests(), 0);
+}
+
+// A caller asks for a model nobody routes, or one whose groups are all gone. Both are told at once,
+// truthfully, that nothing ran; only the second is told to come back.
+Test(request_core, refuses_at_once_what_it_cannot_serve)
+{
+    fixture world{0};
+    const command_list refused = world.chat(1);
+    const refuse* answer = first<refuse>(refused);
+    cr_assert_not_null(answer);
+    cr_assert(answer->ran == ran_state::no);
+    cr_assert(answer->retry_after.has_value());
+
+    request_info info;
+    info.id = request_id{2};
+    info.kind = request_kind::chat;
+    info.model = "no such model";
+    const command_list unknown = world.send(request_arrived{info});
+    cr_assert(first<refuse>(unknown)->failure.kind == error_kind::not_found);
+    cr_assert(!first<refuse>(unknown)->retry_after);
+}
+
+// A dealer's answer must never reach a clerk. The backend server answers with another attempt's
+// name; nothing of it is handed on, its connection is closed, and the request goes elsewhere.
+Test(request_core, drops_an_answer_that_names_another_attempt)
+{
+    fixture world;
+    const command_list sent_first = world.chat(1);
+    const send_attempt sent = *first<send_attempt>(sent_first);
+    world.send(attempt_sent{sent.request, sent.attempt});
+    const command_list crossed = world.send(attempt_head{
+        sent.request, sent.attempt, 200, attempt_id{sent.attempt.value() + 9}, false, ""});
+    cr_assert_eq(count<deliver>(crossed), 0);
+    cr_assert_eq(count<cancel_attempt>(crossed), 1);
+    const send_attempt* again = first<send_attempt>(crossed);
+    cr_assert_not_null(again);
+    cr_assert(again->target != sent.target);
+    // The first one's answer after all: late, and nobody's any more.
+    const command_list late =
+        world.send(attempt_head{sent.request, sent.attempt, 200, sent.attempt, false, ""});
+    cr_assert(late.empty());
+    cr_assert_eq(world.core.counters().answers_dropped, 2);
+}
+
+// A group dies in the middle of a stream. The stream goes on from another group of the same
+// version; if the only other group runs another version, the stream is ended so that nobody takes
+// it for whole, since its two halves would come from two models.
+Test(request_core, resumes_a_stream_only_on_the_same_version)
+{
+    for (const bool same : {true, false}) {
+        fixture world{0};
+        std::vector<target> groups = make_groups(2);
+        groups[1].version = same ? "v1" : "v2";
+        groups[1].leaving = true;
+        world.send(groups_changed{groups});
+        const send_attempt sent = answer_head(world, world.chat(1));
+        cr_assert(sent.target == groups[0].id);
+        groups[1].leaving = false;
+        world.send(groups_changed{groups});
+        const command_list lost = world.send(group_broken{sent.target});
+        cr_assert_eq(count<cancel_attempt>(lost), 1);
+        const send_attempt* resumed = first<send_attempt>(lost);
+        if (same) {
+            cr_assert_not_null(resumed);
+            cr_assert(resumed->resume);
+            cr_assert(resumed->target == groups[1].id);
+            continue;
+        }
+        cr_assert_null(resumed);
+        const command_list later = world.pass(std::chrono::seconds{6});
+        cr_assert_eq(count<end_truncated>(later), 1);
+        cr_assert_eq(count<complete>(world.commands), 0);
+    }
+}
+
+// The only group of the version a stream began on comes back as a replacement two seconds after the
+// loss: the stream waits for it and resumes; a new engine that names another version in its answer
+// is not joined on.
+Test(request_core, a_resumed_stream_refuses_another_version_in_the_answer)
+{
+    fixture world{2};
+    const send_attempt sent = answer_head(world, world.chat(1));
+    const command_list cut =
+        world.send(attempt_failed{sent.request, sent.attempt, attempt_failure::cut});
+    const send_attempt resumed = *first<send_attempt>(cut);
+    world.send(attempt_sent{resumed.request, resumed.attempt});
+    const command_list joined = world.send(
+        attempt_head{resumed.request, resumed.attempt, 200, resumed.attempt, false, "v2"});
+    cr_assert_eq(count<deliver>(joined), 0);
+}
+
+// An operator takes a server out while it answers: no new request goes there from then on, the one
+// in flight is not cut, and when it ends the server is released, once.
+Test(request_core, drains_without_a_cut)
+{
+    fixture world;
+    const send_attempt sent = answer_head(world, world.chat(1));
+    const command_list told = world.send(target_leaving{sent.target, true});
+    cr_assert_eq(count<cancel_attempt>(told), 0);
+    cr_assert_eq(count<released>(told), 0);
+    for (std::uint64_t id = 2; id < 10; ++id)
+        cr_assert(first<send_attempt>(world.chat(id))->target != sent.target);
+    const command_list end = world.send(attempt_finished{sent.request, sent.attempt, true, {}});
+    cr_assert_eq(count<complete>(end), 1);
+    cr_assert_eq(count<released>(end), 1);
+    cr_assert_eq(count<released>(world.pass(std::chrono::seconds{1})), 0);
+}
+
+// The word that a server is leaving overtakes the list that names the server. It still holds.
+Test(request_core, a_leaving_word_that_comes_first_is_kept)
+{
+    fixture world{0};
+    world.send(target_leaving{target_id{"group-1"}, true});
+    world.send(groups_changed{make_groups(2)});
+    for (std::uint64_t id = 1; id < 9; ++id)
+        cr_assert(first<send_attempt>(world.chat(id))->target == target_id{"group-2"});
+}
+
+// Under twice what the pool holds, a farmer should hear "come back in n seconds" at once and not
+// after the deadline. Requests that can't be served in time are refused on arrival, and nothing
+// that was refused was ever sent.
+Test(request_core, refuses_early_under_overload_with_a_time_to_come_back)
+{
+    fixture world{1};
+    std::vector<send_attempt> running;
+    for (std::uint64_t id = 1; id <= 8; ++id)
+        running.push_back(answer_head(world, world.chat(id)));
+    world.pass(std::chrono::seconds{3});
+    // One ends, so that the core knows that an answer takes three seconds; its place is taken.
+    world.send(attempt_finished{running[0].request, running[0].attempt, true, {}});
+    answer_head(world, world.chat(9));
+    std::size_t early = 0;
+    for (std::uint64_t id = 10; id <= 40; ++id) {
+        const command_list out = world.chat(id);
+        const refuse* answer = first<refuse>(out);
+        if (answer == nullptr)
+            continue;
+        ++early;
+        cr_assert(answer->ran == ran_state::no);
+        cr_assert(answer->retry_after && answer->retry_after->count() >= 1);
+    }
+    cr_assert_gt(early, 20);
+    cr_assert_eq(world.core.counters().refused_early, early);
+}
+
+// Dealers' chat floods the pool while the morning summary wants a few places. The summary's
+// workspace gets its share, and batch work of the flood's own workspace still moves.
+Test(request_core, a_flood_of_one_workspace_leaves_the_others_their_share)
+{
+    fixture world{1};
+    std::map<request_id, std::string> owner;
+    std::map<std::string, int> served;
+    std::vector<send_attempt> running;
+    std::uint64_t id = 0;
+    const auto note = [&](const command_list& out) {
+        for (const command& each : out) {
+            if (const auto* sent = std::get_if<send_attempt>(&each)) {
+                ++served[owner[sent->request]];
+                running.push_back(*sent);
+            }
+        }
+    };
+    for (int round = 0; round < 200; ++round) {
+        for (int many = 0; many < 10; ++many) {
+            owner[request_id{++id}] = "dealers";
+            note(world.chat(id, "dealers"));
+        }
+        owner[request_id{++id}] = "summary";
+        note(world.chat(id, "summary"));
+        for (int ends = 0; ends < 2; ++ends) {
+            const send_attempt sent = running.front();
+            running.erase(running.begin());
+            world.send(attempt_sent{sent.request, sent.attempt});
+            world.send(attempt_head{sent.request, sent.attempt, 200, sent.attempt, false, "v1"});
+            note(world.send(attempt_finished{sent.request, sent.attempt, true, {}}));
+        }
+        note(world.pass(std::chrono::milliseconds{10}));
+    }
+    // One of the two places that become free each round is the summary's.
+    cr_assert_gt(served["summary"], 170, "summary got %d, dealers %d", served["summary"],
+                 served["dealers"]);
+    cr_assert_gt(served["dealers"], 150);
+}
+
+// A caller hangs up. The engine is told to stop, and nothing is sent again for nobody.
+Test(request_core, a_caller_that_leaves_stops_the_engine)
+{
+    fixture world;
+    const send_attempt sent = answer_head(world, world.chat(1));
+    const command_list gone = world.send(caller_gone{sent.request});
+    cr_assert_eq(count<cancel_attempt>(gone), 1);
+    cr_assert_eq(count<forget>(gone), 1);
+    cr_assert(world.send(attempt_failed{sent.request, sent.attempt, attempt_failure::cut}).empty());
+}
+
+// One server of three refuses every connection. Callers of calls that may be repeated notice
+// nothing, and after a few failures the server is left alone for a while; when two of three fail,
+// the second stays in, since a bad server is better than a single one for everybody.
+Test(request_core, ejects_a_bad_server_but_never_most_of_a_pool)
+{
+    for (const std::size_t bad : {1UL, 2UL}) {
+        fixture world;
+        std::uint64_t id = 0;
+        for (int round = 0; round < 60; ++round) {
+            command_list out = world.plain(++id, "/read/1");
+            while (const send_attempt* sent = first<send_attempt>(out)) {
+                const send_attempt copy = *sent;
+                const bool fails =
+                    copy.target <= target_id{bad == 1 ? "10.0.0.1:80" : "10.0.0.2:80"};
+                if (fails) {
+                    out = world.send(
+                        attempt_failed{copy.request, copy.attempt, attempt_failure::not_connected});
+                    continue;
+                }
+                world.send(attempt_sent{copy.request, copy.attempt});
+                world.send(attempt_head{copy.request, copy.attempt, 200, copy.attempt, false, ""});
+                out = world.send(attempt_finished{copy.request, copy.attempt, true, {}});
+            }
+            world.pass(std::chrono::milliseconds{10});
+            std::size_t ejected = 0;
+            for (const target_status& row : world.core.targets())
+                ejected += row.ejected ? 1 : 0;
+            cr_assert_leq(ejected, 1);
+        }
+        cr_assert_geq(world.core.counters().ejections, 1);
+        for (const command& each : world.commands) {
+            if (const auto* refused = std::get_if<refuse>(&each))
+                cr_assert(refused->ran == ran_state::no);
+        }
+        if (bad == 1)
+            cr_assert_eq(count<complete>(world.commands), 60);
+    }
+}
+
+// All servers of a service fail while callers keep coming. Retries must not multiply the load: they
+// stay a tenth of the traffic, over the handful saved up.
+Test(request_core, retries_stay_a_share_of_the_traffic)
+{
+    fixture world;
+    std::uint64_t id = 0;
+    constexpr std::uint64_t requests = 500;
+    while (id < requests) {
+        command_list out = world.plain(++id, "/read/1");
+        while (const send_attempt* sent = first<send_attempt>(out)) {
+            const send_attempt copy = *sent;
+            world.send(attempt_sent{copy.request, copy.attempt});
+            out = world.send(attempt_failed{copy.request, copy.attempt, attempt_failure::cut});
+        }
+    }
+    cr_assert_leq(world.core.counters().retries, requests / 10 + 10);
+    cr_assert_gt(world.core.counters().retries, 10);
+}
+
+// A workspace's limit of four counts over all entry VMs. While two of them have plenty of it to
+// send, together they stay at four; when one goes quiet, the other gets what it left.
+Test(request_core, a_workspace_limit_holds_over_two_entry_nodes)
+{
+    configuration tables = make_tables();
+    tables.pools[0].shares = {{workspace_id{"dealers"}, 1.0, 4}};
+    fixture one{fixture::default_settings("entry-1"), 2, 1, tables};
+    fixture two{fixture::default_settings("entry-2"), 2, 2, tables};
+    const auto gossip = [&] {
+        const command_list from_one = one.pass(std::chrono::milliseconds{510});
+        const command_list from_two = two.pass(std::chrono::milliseconds{510});
+        two.send(peer_demand_seen{node_id{"entry-1"}, first<share_demand>(from_one)->rows});
+        one.send(peer_demand_seen{node_id{"entry-2"}, first<share_demand>(from_two)->rows});
+    };
+    // Each has told the other that it wants six before either sends.
+    const std::vector<demand_row> six{{pool_id{"chat"}, workspace_id{"dealers"}, 0, 6}};
+    one.send(peer_demand_seen{node_id{"entry-2"}, six});
+    two.send(peer_demand_seen{node_id{"entry-1"}, six});
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        one.chat(id);
+        two.chat(id);
+    }
+    cr_assert_eq(count<send_attempt>(one.commands) + count<send_attempt>(two.commands), 4);
+    gossip();
+    cr_assert_eq(count<send_attempt>(one.commands) + count<send_attempt>(two.commands), 4);
+    for (std::uint64_t id = 1; id <= 6; ++id)
+        two.send(caller_gone{request_id{id}});
+    gossip();
+    one.pass(std::chrono::milliseconds{20});
+    cr_assert_eq(count<send_attempt>(one.commands), 4);
+}
--- /dev/null
+++ b/routing/request_dispatch.cc
@@ -0,0 +1,253 @@
+// From the queue to a target, and the clock of each request.
+//
+// Each request has one wake-up time, the earliest at which something may be due. Parts of an answer
+// only move `last_part`; the wake-up then finds that nothing is due yet and moves itself on, so a
+// token costs no work on the ordered set.
+#include "routing/request_state.h"
+
+#include <cmath>
+
+namespace jaynotch {
+
+namespace {
+
+constexpr std::size_t most_tried = 4;
+
+duration from_seconds(double span)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(span));
+}
+
+} // namespace
+
+void request_core::state::dispatch(pool_index index, time_point now, command_list& out)
+{
+    const auto eligible = [&](const workspace_id& workspace) {
+        return pools.at(index).below_limit(workspace, settings.node);
+    };
+    while (pools.at(index).queue.size() > 0) {
+        pool_row& pool = pools.at(index);
+        if (settings.admission && pool.in_flight - pool.departing >= pool.allowed()) {
+            pool.held_back = true;
+            return;
+        }
+        const std::optional<queued_request> next = pool.queue.pop(eligible);
+        if (!next)
+            return;
+        request_row& row = requests.at(next->request);
+        const flow_key flow{row.info.workspace, row.terms.priority};
+        row.phase = request_phase::sending;
+        --pool.use_of(row.info.workspace, peers).queued;
+        if (try_send(row, now, out))
+            continue;
+        row.phase = request_phase::queued;
+        ++pool.use_of(row.info.workspace, peers).queued;
+        pool.queue.push_front(flow, pool.weight_of(flow.workspace, flow.priority), *next);
+        return;
+    }
+}
+
+void request_core::state::dispatch_all(time_point now, command_list& out)
+{
+    for (pool_index index = 0; index < pools.size(); ++index)
+        dispatch(index, now, out);
+}
+
+bool request_core::state::try_send(request_row& row, time_point now, command_list& out)
+{
+    pool_row& pool = pools.at(row.terms.pool);
+    const std::span<const std::uint64_t> blocks{
+        row.info.prefix_blocks.data(), std::min(row.info.prefix_blocks.size(), most_prefix_blocks)};
+    const pick_request wanted{
+        blocks, row.terms.adapter,
+        row.head_given ? std::string_view{row.given_version} : std::string_view{}, row.tried};
+    const picked chosen =
+        pick(targets, pool.view, pool.prefixes, settings.pick, wanted, random, now);
+    if (chosen.row == no_target) {
+        pool.drop_if_unused(row.info.workspace);
+        return false;
+    }
+    target_row& target = targets.at(chosen.row);
+    ++target.own;
+    ++pool.view.own;
+    ++pool.in_flight;
+    ++pool.use_of(row.info.workspace, peers).in_flight;
+    for (const std::uint64_t block : blocks)
+        pool.prefixes.note_stored(block, target.slot(chosen.row));
+
+    ++counters.attempts;
+    counters.prefix_blocks += blocks.size();
+    counters.prefix_blocks_held += chosen.blocks_held;
+    if (row.sendings == 0)
+        pool.budget.note_first_sending();
+    else if (row.head_given)
+        ++counters.resumes;
+    else
+        ++counters.retries;
+    ++row.sendings;
+    row.has_attempt = true;
+    row.attempt = attempt_row{};
+    row.attempt.id = attempt_id{next_attempt++};
+    row.attempt.target = chosen.row;
+    row.attempt.started = now;
+    row.attempt.last_part = now;
+    row.attempt.version = target.info.version;
+
+    send_attempt sent;
+    sent.request = row.info.id;
+    sent.attempt = row.attempt.id;
+    sent.target = target.info.id;
+    sent.address = target.info.address;
+    sent.kind = target.kind;
+    sent.group = target.info.group;
+    sent.fencing = target.info.fencing;
+    sent.model = pool.info.model;
+    sent.version = target.info.version;
+    sent.adapter = row.terms.adapter;
+    sent.priority = row.terms.priority;
+    sent.resume = row.head_given;
+    out.emplace_back(std::move(sent));
+    set_wake(row, next_check(row));
+    return true;
+}
+
+void request_core::state::requeue(request_row& row, time_point now)
+{
+    if (row.tried.size() < most_tried)
+        row.tried.push_back(row.attempt.target);
+    row.has_attempt = false;
+    row.phase = request_phase::queued;
+    if (row.head_given)
+        row.deadline = now + settings.stall_timeout;
+    pool_row& pool = pools.at(row.terms.pool);
+    const flow_key flow{row.info.workspace, row.terms.priority};
+    // At the head and free of cost: its flow has paid for it once.
+    pool.queue.push_front(flow, pool.weight_of(flow.workspace, flow.priority), {row.info.id, 0.0});
+    ++pool.use_of(row.info.workspace, peers).queued;
+    set_wake(row, next_check(row));
+}
+
+void request_core::state::set_wake(request_row& row, time_point at)
+{
+    wakes.erase({row.wake, row.info.id});
+    row.wake = at;
+    wakes.insert({at, row.info.id});
+}
+
+duration request_core::state::head_patience(const request_row& row) const
+{
+    // A target that is far beyond the pool's usual time hangs; a second try elsewhere may still be
+    // in time. Only where a second sending is allowed.
+    constexpr double times_typical = 8.0;
+    constexpr std::chrono::seconds shortest{1};
+    const double typical_s = pools.at(row.terms.pool).limit.first_token_s();
+    if (typical_s == 0.0)
+        return settings.stall_timeout;
+    const duration patience = from_seconds(times_typical * typical_s);
+    return std::clamp<duration>(patience, shortest, settings.stall_timeout);
+}
+
+time_point request_core::state::next_check(const request_row& row) const
+{
+    switch (row.phase) {
+    case request_phase::queued: {
+        if (row.head_given)
+            return row.deadline;
+        const double reserve_s = pools.at(row.terms.pool).limit.first_token_s();
+        return row.deadline - from_seconds(reserve_s);
+    }
+    case request_phase::sending:
+        if (may_send_again(row, attempt_failure::stalled))
+            return std::min(row.deadline, row.attempt.started + head_patience(row));
+        return row.deadline;
+    case request_phase::answering:
+        return std::min(row.ends, row.attempt.last_part + settings.stall_timeout);
+    case request_phase::claiming:
+    case request_phase::asking:
+        break;
+    }
+    return row.deadline;
+}
+
+void request_core::state::wake_requests(time_point now, command_list& out)
+{
+    while (!wakes.empty() && wakes.begin()->at <= now) {
+        const request_id request = wakes.begin()->request;
+        wakes.erase(wakes.begin());
+        const auto found = requests.find(request);
+        if (found != requests.end())
+            check_time(found->second, now, out);
+    }
+}
+
+void request_core::state::check_time(request_row& row, time_point now, command_list& out)
+{
+    constexpr std::chrono::milliseconds check_again{100};
+    const time_point due = next_check(row);
+    if (due > now) {
+        set_wake(row, due);
+        return;
+    }
+    switch (row.phase) {
+    case request_phase::queued: {
+        if (row.head_given || row.may_have_run) {
+            finish_failed(row,
+                          {error_kind::unavailable,
+                           "its backend server was lost and no other was "
+                           "free in time",
+                           "send it again"},
+                          now, out);
+            return;
+        }
+        ++counters.refused_late;
+        const double wait_s = pools.at(row.terms.pool).service_s;
+        finish_refuse(row,
+                      {error_kind::overloaded, "no place became free before its deadline",
+                       "come back after the time in Retry-After"},
+                      ran_state::no, retry_after(wait_s), now, out);
+        return;
+    }
+    case request_phase::sending:
+        if (now >= row.deadline) {
+            pools.at(row.terms.pool).limit.note_overload(now);
+            row.may_have_run = row.may_have_run || row.attempt.sent;
+            if (now - row.attempt.started > head_patience(row))
+                note_failure(targets.at(row.attempt.target).health);
+            cancel(row, out);
+            finish_failed(row,
+                          {error_kind::deadline_exceeded, "no answer before its deadline",
+                           "send it again with more time"},
+                          now, out);
+            return;
+        }
+        // Without a retry to spare the present sending is the best hope that there is.
+        if (settings.retry_budget && !row.head_given && !pools.at(row.terms.pool).budget.has_one())
+        {
+            set_wake(row, std::min(row.deadline, now + head_patience(row)));
+            return;
+        }
+        cancel(row, out);
+        end_attempt(row, attempt_failure::stalled, attempt_end::failed, now, out);
+        return;
+    case request_phase::answering:
+        cancel(row, out);
+        if (now >= row.ends) {
+            row.may_have_run = true;
+            finish_failed(row,
+                          {error_kind::deadline_exceeded,
+                           "the answer took longer than the route's "
+                           "longest_stream",
+                           "ask for less, or raise longest_stream in routes.toml"},
+                          now, out);
+            return;
+        }
+        end_attempt(row, attempt_failure::stalled, attempt_end::failed, now, out);
+        return;
+    case request_phase::claiming:
+    case request_phase::asking:
+        set_wake(row, now + check_again);
+        return;
+    }
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/routing/request_finish.cc
@@ -0,0 +1,125 @@
+// The ends of a request. Each writes one final command and erases the row, so a second one can't
+// follow; every event for a request without a row is dropped.
+//
+// Whether a request ran is told from `may_have_run` alone, which the attempts' ends set and nothing
+// unsets (request_attempt.cc).
+#include "routing/request_state.h"
+
+#include <cmath>
+
+namespace jaynotch {
+
+void request_core::state::erase(request_row& row)
+{
+    const request_id request = row.info.id;
+    wakes.erase({row.wake, request});
+    if (row.phase == request_phase::queued) {
+        pool_row& pool = pools.at(row.terms.pool);
+        if (pool.queue.remove({row.info.workspace, row.terms.priority}, request))
+            --pool.use_of(row.info.workspace, peers).queued;
+        pool.drop_if_unused(row.info.workspace);
+    }
+    requests.erase(request);
+}
+
+void request_core::state::finish_complete(request_row& row, command_list& out)
+{
+    if (row.caller_left) {
+        ++counters.forgotten;
+        out.emplace_back(forget{row.info.id});
+    }
+    else {
+        ++counters.completed;
+        out.emplace_back(complete{row.info.id});
+    }
+    erase(row);
+}
+
+void request_core::state::settle_claim_on_failure(request_row& row, time_point now)
+{
+    if (!row.keyed)
+        return;
+    if (row.may_have_run)
+        claims.record_unknown(row.info.id, now);
+    else
+        claims.give_up(row.info.id, now);
+}
+
+void request_core::state::finish_refuse(request_row& row, error failure, ran_state ran,
+                                        std::optional<std::chrono::seconds> after, time_point now,
+                                        command_list& out)
+{
+    settle_claim_on_failure(row, now);
+    if (row.caller_left) {
+        ++counters.forgotten;
+        out.emplace_back(forget{row.info.id});
+    }
+    else {
+        ++counters.refused;
+        out.emplace_back(refuse{row.info.id, std::move(failure), ran, after});
+    }
+    erase(row);
+}
+
+void request_core::state::finish_failed(request_row& row, error failure, time_point now,
+                                        command_list& out)
+{
+    if (!row.head_given || row.caller_left) {
+        const ran_state ran = row.may_have_run ? ran_state::unknown : ran_state::no;
+        if (ran == ran_state::unknown && row.terms.repeat != repeat_policy::idempotent) {
+            failure.kind = error_kind::unknown_outcome;
+            failure.remedy = row.keyed ? "ask for the status of its key; do not use another key"
+                                       : "find out whether it took effect before sending it again";
+        }
+        finish_refuse(row, std::move(failure), ran, std::nullopt, now, out);
+        return;
+    }
+    settle_claim_on_failure(row, now);
+    ++counters.truncated;
+    out.emplace_back(end_truncated{row.info.id, std::move(failure)});
+    erase(row);
+}
+
+void request_core::state::finish_replay(request_row& row, const stored_answer& answer,
+                                        command_list& out)
+{
+    ++counters.replayed;
+    out.emplace_back(replay{row.info.id, answer});
+    erase(row);
+}
+
+void request_core::state::finish_forget(request_row& row, time_point now, command_list& out)
+{
+    settle_claim_on_failure(row, now);
+    ++counters.forgotten;
+    out.emplace_back(forget{row.info.id});
+    erase(row);
+}
+
+void request_core::state::finish_report(request_row& row, const claim_reported& report,
+                                        command_list& out)
+{
+    ++counters.completed;
+    out.emplace_back(report_key{row.info.id, report.state, report.answer});
+    erase(row);
+}
+
+void request_core::state::refuse_unseen(request_id request, error failure,
+                                        std::optional<std::chrono::seconds> after,
+                                        command_list& out)
+{
+    ++counters.refused;
+    out.emplace_back(refuse{request, std::move(failure), ran_state::no, after});
+}
+
+std::chrono::seconds request_core::state::retry_after(double wait_s)
+{
+    // Spread over twice the wait, so that those refused together don't come back together.
+    constexpr double shortest_s = 1.0;
+    constexpr double longest_s = 60.0;
+    const double spread = wait_s * (1.0 + random.unit());
+    return std::chrono::seconds{
+        static_cast<std::int64_t>(std::ceil(std::clamp(spread, shortest_s, longest_s)))};
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/routing/target_table.cc
@@ -0,0 +1,199 @@
+// A row stays where it is while requests or the prefix index refer to it; one that is not present
+// any more and has nothing in flight is reused, under a new generation.
+//
+// A target that leaves the tables or the list of complete groups is not cut: it is out of the picks
+// at once, what it has goes on, and `released` is said when that is done.
+#include "routing/target_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jaynotch {
+
+namespace {
+
+/// A report is worth half after this long: about two reports of an engine that tells each second.
+constexpr std::chrono::milliseconds half_worth{2'000};
+
+double seconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+void load_estimate::report(const target_load& load, std::chrono::milliseconds age, time_point now)
+{
+    const time_point made = now - age;
+    if (m_known && made < m_made)
+        return;
+    m_known = true;
+    m_made = made;
+    m_waiting = load.waiting;
+    const double all = load.running + load.waiting;
+    m_others = std::max(0.0, all - own_at(made));
+}
+
+void load_estimate::sample_own(std::uint32_t own, time_point now)
+{
+    if (now - m_sampled < sample_interval)
+        return;
+    m_sampled = now;
+    m_own[m_next_sample] = static_cast<std::uint16_t>(std::min<std::uint32_t>(own, UINT16_MAX));
+    m_next_sample = (m_next_sample + 1) % samples;
+}
+
+std::uint32_t load_estimate::own_at(time_point then) const
+{
+    // A report of a second ago counts what we had a second ago; taking off what we have now would
+    // credit our newest requests to it and make the target look free of others.
+    const auto back = std::max<duration>(m_sampled - then, duration::zero()) / sample_interval;
+    const auto steps = std::min<std::size_t>(static_cast<std::size_t>(back), samples - 1);
+    return m_own[(m_next_sample + samples - 1 - steps) % samples];
+}
+
+double load_estimate::worth(time_point now) const
+{
+    if (!m_known)
+        return 0.0;
+    return std::exp2(-seconds(now - m_made) / seconds(half_worth));
+}
+
+double load_estimate::others(double mean, time_point now) const
+{
+    const double worth_now = worth(now);
+    return worth_now * m_others + (1.0 - worth_now) * mean;
+}
+
+target_row_index target_table::find(const target_id& id) const
+{
+    const auto found = m_by_id.find(id);
+    return found == m_by_id.end() ? no_target : found->second;
+}
+
+void target_table::replace_groups(const std::vector<target>& groups, time_point now)
+{
+    replace(groups, pool_kind::model, now);
+}
+
+void target_table::replace_servers(const configuration& tables, time_point now)
+{
+    std::vector<target> servers;
+    for (const pool& row : tables.pools) {
+        if (row.kind != pool_kind::plain)
+            continue;
+        for (const std::string& server : row.servers) {
+            target made;
+            made.id = target_id{server};
+            made.pool = row.name;
+            made.address = server;
+            servers.push_back(std::move(made));
+        }
+    }
+    replace(servers, pool_kind::plain, now);
+}
+
+void target_table::replace(const std::vector<target>& wanted, pool_kind kind, time_point now)
+{
+    std::vector<bool> still(m_rows.size(), false);
+    for (const target& added : wanted) {
+        target_row_index row = find(added.id);
+        if (row == no_target)
+            row = make_row(added, kind);
+        if (row == no_target)
+            continue;
+        still.resize(m_rows.size(), false);
+        still[row] = true;
+        target_row& kept = m_rows[row];
+        // Another epoch of a group is another process state: its cache is not what we knew.
+        if (kept.info.fencing != added.fencing || kept.info.version != added.version)
+            ++kept.generation;
+        kept.info = added;
+        kept.present = true;
+        if (kind == pool_kind::model)
+            kept.load.report(added.load, added.load_age, now);
+        kept.release_due = kept.release_due || added.leaving;
+    }
+    for (std::size_t row = 0; row < m_rows.size(); ++row) {
+        if (m_rows[row].kind != kind || !m_rows[row].present || still[row])
+            continue;
+        m_rows[row].present = false;
+        m_rows[row].release_due = true;
+    }
+}
+
+target_row_index target_table::make_row(const target& added, pool_kind kind)
+{
+    free_unused();
+    if (m_free.empty()) {
+        if (m_rows.size() >= most_targets)
+            return no_target;
+        m_free.push_back(static_cast<target_row_index>(m_rows.size()));
+        m_rows.emplace_back();
+    }
+    const target_row_index row = m_free.back();
+    m_free.pop_back();
+    const auto generation = static_cast<std::uint16_t>(m_rows[row].generation + 1);
+    m_rows[row] = target_row{};
+    m_rows[row].generation = generation == 0 ? std::uint16_t{1} : generation;
+    m_rows[row].kind = kind;
+    m_rows[row].info = added;
+    m_by_id[added.id] = row;
+    const auto early = std::find(m_early_leaving.begin(), m_early_leaving.end(), added.id);
+    if (early != m_early_leaving.end()) {
+        m_rows[row].told_leaving = true;
+        m_rows[row].release_due = true;
+        m_early_leaving.erase(early);
+    }
+    return row;
+}
+
+void target_table::free_unused()
+{
+    for (std::size_t row = 0; row < m_rows.size(); ++row) {
+        const target_row& unused = m_rows[row];
+        if (unused.present || unused.own > 0 || unused.release_due)
+            continue;
+        if (m_by_id.erase(unused.info.id) > 0)
+            m_free.push_back(static_cast<target_row_index>(row));
+    }
+}
+
+void target_table::set_leaving(const target_id& id, bool leaving, time_point /*now*/)
+{
+    const target_row_index row = find(id);
+    if (row != no_target) {
+        const bool news = m_rows[row].told_leaving != leaving;
+        m_rows[row].told_leaving = leaving;
+        m_rows[row].release_due = leaving && (news || m_rows[row].release_due);
+        return;
+    }
+    // The word may overtake the list that names the target; it must not be lost.
+    std::erase(m_early_leaving, id);
+    if (leaving && m_early_leaving.size() < most_early_words)
+        m_early_leaving.push_back(id);
+}
+
+std::vector<target_row_index> target_table::of_pool(const pool_id& pool) const
+{
+    std::vector<target_row_index> rows;
+    for (std::size_t row = 0; row < m_rows.size(); ++row) {
+        if (m_rows[row].present && m_rows[row].info.pool == pool)
+            rows.push_back(static_cast<target_row_index>(row));
+    }
+    return rows;
+}
+
+std::vector<target_id> target_table::take_released()
+{
+    std::vector<target_id> released;
+    for (target_row& row : m_rows) {
+        if (!row.release_due || row.own > 0 || !row.leaving())
+            continue;
+        row.release_due = false;
+        released.push_back(row.info.id);
+    }
+    return released;
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/routing/target_table.h
@@ -0,0 +1,116 @@
+// The targets of all pools as entities: who can be sent a request, how loaded it seems, how it has
+// behaved. Systems over it: estimate_loads, eject_outliers, find_released.
+//
+//   target_table targets;
+//   targets.replace_groups(groups, now);       // rows keep their place while anything refers to
+//   them targets.at(row).own += 1;
+#pragma once
+
+#include "routing/prefix_index.h"
+#include "routing/request_events.h"
+
+#include <array>
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace jaynotch {
+
+using target_row_index = std::uint16_t;
+constexpr target_row_index no_target = std::numeric_limits<target_row_index>::max();
+constexpr std::size_t most_targets = no_target;
+
+/// What this node thinks others have in flight at a target.
+class load_estimate {
+public:
+    /// Takes in a report that is `age` old.
+    void report(const target_load& load, std::chrono::milliseconds age, time_point now);
+    /// Samples this node's own requests; call at each tick.
+    void sample_own(std::uint32_t own, time_point now);
+    /// Requests of the other nodes: the report less our own part of it, drawn towards `mean` as the
+    /// report grows old.
+    [[nodiscard]] double others(double mean, time_point now) const;
+    /// The same without drawing, and how much it is worth, 0..1.
+    [[nodiscard]] double reported_others() const { return m_others; }
+    [[nodiscard]] double worth(time_point now) const;
+    [[nodiscard]] std::uint32_t waiting() const { return m_waiting; }
+
+private:
+    static constexpr std::chrono::milliseconds sample_interval{250};
+    static constexpr std::size_t samples = 8;
+    [[nodiscard]] std::uint32_t own_at(time_point then) const;
+
+    bool m_known = false;
+    double m_others = 0.0;
+    std::uint32_t m_waiting = 0;
+    time_point m_made;
+    time_point m_sampled;
+    std::size_t m_next_sample = 0;
+    std::array<std::uint16_t, samples> m_own{};
+};
+
+/// How a target has behaved towards this node.
+struct target_health {
+    std::uint32_t failures_in_row = 0;
+    std::uint32_t ejections = 0; ///< in a row; each is longer
+    bool ejected = false;        ///< gets nothing
+    bool on_trial = false;       ///< back from an ejection: one request at a time
+    time_point ejected_until;
+    double first_token_s = 0.0; ///< moving average
+    std::uint32_t first_token_samples = 0;
+    double slowness = 1.0; ///< first token time against the pool's median; 1 is normal
+};
+
+struct target_row {
+    target info;
+    pool_kind kind = pool_kind::model;
+    std::uint16_t generation = 0; ///< grows when the row or the group's epoch changes; 0 is unused
+    bool present = false;         ///< in the groups or tables of now
+    bool told_leaving = false;    ///< by target_leaving
+    bool release_due = false;     ///< `released` is still to be said
+    std::uint32_t own = 0;        ///< attempts of this node in flight
+    load_estimate load;
+    target_health health;
+
+    [[nodiscard]] bool leaving() const { return !present || told_leaving || info.leaving; }
+    [[nodiscard]] bool may_be_picked() const
+    {
+        return !leaving() && !health.ejected && !(health.on_trial && own > 0);
+    }
+    [[nodiscard]] target_slot slot(target_row_index index) const { return {index, generation}; }
+};
+
+class target_table {
+public:
+    /// The complete groups are these and no others.
+    void replace_groups(const std::vector<target>& groups, time_point now);
+    /// The plain servers are those of `tables` and no others.
+    void replace_servers(const configuration& tables, time_point now);
+    void set_leaving(const target_id& id, bool leaving, time_point now);
+
+    [[nodiscard]] target_row_index find(const target_id& id) const; ///< or no_target
+    [[nodiscard]] target_row& at(target_row_index row) { return m_rows[row]; }
+    [[nodiscard]] const target_row& at(target_row_index row) const { return m_rows[row]; }
+    [[nodiscard]] std::size_t size() const { return m_rows.size(); }
+    /// Rows of a pool that are present, in a steady order.
+    [[nodiscard]] std::vector<target_row_index> of_pool(const pool_id& pool) const;
+    /// Leaving targets that have nothing of ours in flight any more; each is told once.
+    [[nodiscard]] std::vector<target_id> take_released();
+
+private:
+    /// How long a word that an unknown target is leaving is kept for it.
+    static constexpr std::size_t most_early_words = 1'024;
+
+    void replace(const std::vector<target>& wanted, pool_kind kind, time_point now);
+    target_row_index make_row(const target& added, pool_kind kind);
+    void free_unused();
+
+    std::vector<target_row> m_rows;
+    std::unordered_map<target_id, target_row_index> m_by_id;
+    std::vector<target_row_index> m_free;
+    std::vector<target_id> m_early_leaving; ///< told to be leaving before they were known
+};
+
+} // namespace jaynotch
