--- a/routing/claim_book.h
+++ b/routing/claim_book.h
@@ -2,7 +2,7 @@
 //
 //   claim_book book{settings};
 //   book.begin(request, key, body_digest, keeping, wait_until, now);
-//   book.pump(now, commands);                       // kv_call, grant_lease
+//   book.pump(now, commands);                       // call_kv, grant_lease
 //   book.on_kv(token, outcome, now);
 //   for (const claim_settled& s : book.take_settled()) ...   // claim_granted: now it may be sent
 //   book.record_ran(request, answer);               // or record_unknown, or give_up
--- a/routing/claim_book_kv.cc
+++ b/routing/claim_book_kv.cc
@@ -76,7 +76,7 @@
     m_busy[static_cast<std::size_t>(sent.kind)] = true;
     m_calls[token] = std::move(sent);
     ++m_transactions;
-    out.emplace_back(kv_call{token, std::move(transaction)});
+    out.emplace_back(call_kv{token, std::move(transaction)});
 }
 
 claim_book::lease_row* claim_book::lease_for(std::chrono::seconds keeping, time_point now,
--- a/routing/claim_record.cc
+++ b/routing/claim_record.cc
@@ -30,9 +30,7 @@
         return std::nullopt;
     // The decoder counts padding as bytes.
     const std::size_t padding = text.ends_with("==") ? 2 : (text.ends_with('=') ? 1 : 0);
-    if (padding > bytes.size())
-        return std::nullopt;
-    bytes.resize(bytes.size() - padding);
+    bytes.erase(bytes.end() - static_cast<std::ptrdiff_t>(padding), bytes.end());
     return bytes;
 }
 
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -237,7 +237,7 @@
     if (index == pools.size())
         return;
     prefix_index& prefixes = pools.at(index).prefixes;
-    for (const cache_event& change : seen.events) {
+    for (const prefix_event& change : seen.events) {
         if (change.evicted)
             prefixes.note_evicted(change.prefix, row.slot(at));
         else
