--- /dev/null
+++ b/standins/engine_batch.cc
@@ -0,0 +1,104 @@
+#include "standins/engine_batch.h"
+
+#include <algorithm>
+
+namespace jaynotch {
+
+void engine_batch::add(std::shared_ptr<batch_sequence> sequence)
+{
+    const auto behind = std::upper_bound(
+        m_waiting.begin(), m_waiting.end(), sequence->priority,
+        [](int priority, const auto& other) { return priority > other->priority; });
+    m_waiting.insert(behind, std::move(sequence));
+}
+
+void engine_batch::abort(batch_sequence& sequence)
+{
+    sequence.aborted = true;
+    sequence.wake.cancel();
+    drop_ended();
+}
+
+void engine_batch::abort_all()
+{
+    for (auto* queue : {&m_running, &m_waiting}) {
+        for (const auto& sequence : *queue) {
+            sequence->aborted = true;
+            sequence->wake.cancel();
+        }
+        queue->clear();
+    }
+}
+
+void engine_batch::abort_attempt(const std::string& attempt)
+{
+    for (auto* queue : {&m_running, &m_waiting}) {
+        for (const auto& sequence : *queue) {
+            if (sequence->attempt != attempt)
+                continue;
+            sequence->aborted = true;
+            sequence->wake.cancel();
+        }
+    }
+    drop_ended();
+}
+
+void engine_batch::mark_partial()
+{
+    for (const auto& sequence : m_running)
+        sequence->partial = true;
+}
+
+std::uint64_t engine_batch::tokens_held() const
+{
+    std::uint64_t held = 0;
+    for (const auto& sequence : m_running)
+        held += sequence->prompt_tokens + sequence->produced;
+    return held;
+}
+
+double engine_batch::kv_used() const
+{
+    const double used = static_cast<double>(tokens_held()) / m_settings.kv_tokens;
+    return std::min(1.0, used);
+}
+
+duration engine_batch::begin_step()
+{
+    drop_ended();
+    std::uint64_t held = tokens_held();
+    std::uint64_t prefill = 0;
+    while (!m_waiting.empty() && m_running.size() < m_settings.max_batch) {
+        const auto& next = m_waiting.front();
+        const std::uint64_t needs = next->prompt_tokens + next->total;
+        if (!m_running.empty() && held + needs > m_settings.kv_tokens)
+            break;
+        held += needs;
+        prefill += next->prompt_tokens - std::min(next->cached_tokens, next->prompt_tokens);
+        m_running.push_back(next);
+        m_waiting.erase(m_waiting.begin());
+    }
+    return m_settings.step_base +
+           m_settings.step_per_sequence * static_cast<std::int64_t>(m_running.size()) +
+           m_settings.prefill_per_token * static_cast<std::int64_t>(prefill);
+}
+
+void engine_batch::end_step()
+{
+    for (const auto& sequence : m_running) {
+        if (sequence->ended())
+            continue;
+        ++sequence->produced;
+        sequence->wake.cancel();
+    }
+    drop_ended();
+}
+
+void engine_batch::drop_ended()
+{
+    const auto ended = [](const auto& sequence) { return sequence->ended(); };
+    std::erase_if(m_running, ended);
+    std::erase_if(m_waiting, ended);
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/standins/engine_serving.cc
@@ -0,0 +1,408 @@
+#include "load/answer_text.h"
+#include "platform/json_fields.h"
+#include "standins/engine_standin.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+// Serving on the member of rank 0. One coroutine runs the batch's steps while anything is in it;
+// each request's coroutine waits for its sequence to grow and writes what is new. A step is only
+// taken while every member takes part in it, as a tensor-parallel model needs.
+
+namespace jaynotch {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+/// A request for an answer, as read from its body.
+struct engine_standin::completion_call {
+    bool chat = true;
+    bool stream = false;
+    std::string model;
+    std::string prompt;
+    std::uint32_t max_tokens = 0; ///< 0 for no limit
+    bool ignore_end = false;      ///< go on to max_tokens, as engines' "ignore_eos" does
+    std::string given;            ///< text to resume after
+    std::string attempt;
+    std::size_t execution = 0; ///< its row in the account
+    std::shared_ptr<batch_sequence> sequence;
+    std::optional<answer_text> text;
+    std::uint32_t resumed = 0; ///< tokens of `given`
+};
+
+namespace {
+
+constexpr std::uint32_t most_answer_tokens = 100'000;
+constexpr std::size_t bytes_per_token = 4;
+constexpr duration client_poll = std::chrono::milliseconds{20};
+constexpr duration member_poll = std::chrono::milliseconds{5};
+constexpr duration member_timeout = std::chrono::milliseconds{200};
+constexpr duration members_seen_for = std::chrono::milliseconds{50};
+
+int priority_of(std::string_view name)
+{
+    constexpr std::array<std::string_view, 4> names{"batch", "standard", "interactive", "critical"};
+    const auto found = std::find(names.begin(), names.end(), name);
+    return found == names.end() ? 1 : static_cast<int>(found - names.begin());
+}
+
+std::string prompt_text(const json::object& body, bool chat)
+{
+    const json::value* prompt = body.if_contains(chat ? "messages" : "prompt");
+    if (prompt == nullptr)
+        return {};
+    return prompt->is_string() ? std::string{prompt->get_string()} : json::serialize(*prompt);
+}
+
+std::string refusal_body(const std::string& why)
+{
+    const json::object inner{{"message", why}, {"type", "not_run"}};
+    return json::serialize(json::object{{"error", inner}});
+}
+
+json::object choice(bool chat, bool stream, const std::string& text, bool first,
+                    std::string_view reason)
+{
+    json::object row{{"index", 0}};
+    if (chat) {
+        json::object part;
+        if (first || !stream)
+            part["role"] = "assistant";
+        if (!text.empty() || !stream)
+            part["content"] = text;
+        row[stream ? "delta" : "message"] = std::move(part);
+    }
+    else {
+        row["text"] = text;
+    }
+    if (reason.empty())
+        row["finish_reason"] = nullptr;
+    else
+        row["finish_reason"] = reason;
+    return row;
+}
+
+std::string body_of(const std::string& attempt, const std::string& model,
+                    const std::string& version, bool chat, bool stream, json::object chosen)
+{
+    std::string_view object = chat ? "chat.completion" : "text_completion";
+    if (chat && stream)
+        object = "chat.completion.chunk";
+    json::object body{{"id", "cmpl-" + attempt},
+                      {"object", object},
+                      {"created", wall_time_ms() / 1000},
+                      {"model", model},
+                      {"system_fingerprint", version}};
+    body["choices"] = json::array{std::move(chosen)};
+    return json::serialize(body);
+}
+
+} // namespace
+
+group_health engine_standin::judge(const engine_report& member) const
+{
+    const bool in_group = member.group == m_group && member.fencing == m_fencing &&
+                          member.state == engine_state::ready && member.model == m_model &&
+                          member.version == m_version;
+    return in_group ? group_health::whole : group_health::broken;
+}
+
+group_health engine_standin::judge_near(const engine_standin& member) const
+{
+    engine_report truth = member.report();
+    truth.state = member.m_state;
+    if (member.m_faults.kill || judge(truth) == group_health::broken)
+        return group_health::broken;
+    const bool held = member.m_faults.pause || member.m_faults.stall;
+    return held ? group_health::stalled : group_health::whole;
+}
+
+awaitable<group_health> engine_standin::look_at_members()
+{
+    const std::vector<std::string> members = m_members;
+    const bool ask = runtime_clock::now() - m_members_seen_at > members_seen_for;
+    group_health worst = group_health::whole;
+    bool asked = false;
+    for (std::size_t rank = 1; rank < members.size(); ++rank) {
+        group_health seen = group_health::whole;
+        if (const auto engine = m_directory ? m_directory->find(members[rank]) : nullptr) {
+            seen = judge_near(*engine);
+        }
+        else if (ask) {
+            asked = true;
+            engine_client member{m_executor, members[rank], member_timeout};
+            const result<engine_report> answer = co_await member.report();
+            if (answer)
+                seen = judge(answer.value());
+            else
+                seen = answer.error().kind == error_kind::deadline_exceeded ? group_health::stalled
+                                                                            : group_health::broken;
+        }
+        else {
+            seen = m_members_seen;
+        }
+        worst = std::max(worst, seen);
+    }
+    if (asked) {
+        m_members_seen = worst;
+        m_members_seen_at = runtime_clock::now();
+    }
+    co_return worst;
+}
+
+double engine_standin::slowest_member() const
+{
+    double factor = m_faults.straggle;
+    for (const auto& address : m_members) {
+        if (const auto engine = m_directory ? m_directory->find(address) : nullptr)
+            factor = std::max(factor, engine->m_faults.straggle);
+    }
+    return factor;
+}
+
+awaitable<void> engine_standin::run_steps(std::shared_ptr<engine_standin> self)
+{
+    while (self->m_batch.busy()) {
+        const bool held = self->m_faults.pause || self->m_faults.stall;
+        group_health health = held ? group_health::stalled : co_await self->look_at_members();
+        const bool careless = self->m_faults.serve_partial && !held;
+        if (careless && health != group_health::whole) {
+            self->m_batch.mark_partial();
+            health = group_health::whole;
+        }
+        if (health == group_health::broken) {
+            self->m_batch.abort_all();
+            break;
+        }
+        if (health == group_health::stalled) {
+            co_await standin_sleep(self->m_executor, member_poll);
+            continue;
+        }
+        const double factor = self->slowest_member();
+        const auto step =
+            std::chrono::duration_cast<duration>(std::chrono::duration<double, std::nano>{
+                static_cast<double>(self->m_batch.begin_step().count()) * factor});
+        co_await standin_sleep(self->m_executor, step);
+        // A pause that began within the step holds its tokens back as well.
+        while (self->m_faults.pause || self->m_faults.stall)
+            co_await standin_sleep(self->m_executor, member_poll);
+        self->m_batch.end_step();
+        const double step_ms = std::chrono::duration<double, std::milli>{step}.count();
+        constexpr double smoothing = 0.2;
+        self->m_step_ms += smoothing * (step_ms - self->m_step_ms);
+    }
+    self->m_stepping = false;
+}
+
+std::string engine_standin::why_not_serving(standin_exchange& exchange) const
+{
+    if (m_state != engine_state::ready)
+        return "the engine is " + std::string{to_name(m_state)};
+    if (m_rank != 0)
+        return "the engine has rank " + std::to_string(m_rank) + ", requests go to rank 0";
+    const std::string_view group = exchange.header("jaynotch-group");
+    if (!group.empty() && group != m_group.value())
+        return "the engine is in group " + m_group.value();
+    const std::string_view fencing = exchange.header("jaynotch-fencing");
+    if (!fencing.empty() && fencing != std::to_string(m_fencing.value()))
+        return "the engine knows fencing number " + std::to_string(m_fencing.value());
+    return {};
+}
+
+awaitable<void> engine_standin::refuse(standin_exchange& exchange, http::status status,
+                                       std::string why)
+{
+    exchange.set("jaynotch-ran", "no");
+    co_await exchange.answer(status, refusal_body(why));
+}
+
+result<engine_standin::completion_call> engine_standin::read_call(standin_exchange& exchange,
+                                                                  bool chat)
+{
+    BOOST_OUTCOME_TRY(const json::object body, parse_json_object(exchange.body(), "request"));
+    json_fields fields{body, "request"};
+    completion_call call;
+    call.chat = chat;
+    call.stream = fields.flag("stream");
+    call.model = fields.text("model");
+    call.prompt = prompt_text(body, chat);
+    call.max_tokens = static_cast<std::uint32_t>(fields.count("max_tokens", most_answer_tokens));
+    call.ignore_end = fields.flag("ignore_eos");
+    call.attempt = std::string{exchange.header("jaynotch-attempt")};
+    if (const json::object* resume = fields.object("jaynotch_resume")) {
+        json_fields inner{*resume, "request"};
+        call.given = inner.text("text");
+    }
+    if (fields.failure())
+        return *fields.failure();
+    return call;
+}
+
+result<void> engine_standin::begin(standin_exchange& exchange, completion_call& call)
+{
+    call.text.emplace(call.model, m_version, call.prompt);
+    const std::optional<std::size_t> given = call.text->tokens_in(call.given);
+    if (!given)
+        return error{error_kind::invalid_argument, "the text to resume is not this model's answer",
+                     ""};
+    call.resumed = static_cast<std::uint32_t>(*given);
+    call.sequence = std::make_shared<batch_sequence>(m_executor, call.attempt);
+    batch_sequence& sequence = *call.sequence;
+    const std::size_t hits = m_cache.use(prompt_blocks(call.prompt), runtime_clock::now());
+    sequence.cached_tokens =
+        static_cast<std::uint32_t>(hits * prompt_block_bytes / bytes_per_token);
+    sequence.prompt_tokens =
+        static_cast<std::uint32_t>(call.prompt.size() / bytes_per_token + 1) + call.resumed;
+    sequence.priority = priority_of(exchange.header("jaynotch-priority"));
+    sequence.produced = call.resumed;
+    const auto natural = static_cast<std::uint32_t>(call.text->natural_length());
+    sequence.total = call.max_tokens == 0 ? natural
+                     : call.ignore_end    ? call.max_tokens
+                                          : std::min(natural, call.max_tokens);
+    call.execution = m_executions.size();
+    m_executions.push_back({.attempt = call.attempt,
+                            .digest = content_digest(exchange.body()),
+                            .group = m_group,
+                            .fencing = m_fencing,
+                            .began = runtime_clock::now()});
+    if (!sequence.ended())
+        m_batch.add(call.sequence);
+    if (!m_stepping) {
+        m_stepping = true;
+        asio::co_spawn(m_executor, run_steps(shared_from_this()), asio::detached);
+    }
+    return success();
+}
+
+bool engine_standin::has_model(const std::string& name) const
+{
+    return name == m_model ||
+           std::find(m_adapters.begin(), m_adapters.end(), name) != m_adapters.end();
+}
+
+awaitable<void> engine_standin::serve(standin_exchange& exchange, bool chat)
+{
+    result<completion_call> call = read_call(exchange, chat);
+    if (!call) {
+        co_await refuse(exchange, http::status::bad_request, call.error().message);
+        co_return;
+    }
+    if (!call.value().attempt.empty())
+        exchange.set("jaynotch-attempt", call.value().attempt);
+    std::string why = why_not_serving(exchange);
+    if (why.empty() && !m_faults.serve_partial) {
+        const group_health health = co_await look_at_members();
+        // Looking at members over sockets takes time: the assignment may have changed meanwhile.
+        why = health == group_health::broken ? "a member of the group is missing"
+                                             : why_not_serving(exchange);
+    }
+    if (!why.empty()) {
+        co_await refuse(exchange, http::status::conflict, why);
+        co_return;
+    }
+    if (!has_model(call.value().model)) {
+        co_await refuse(exchange, http::status::not_found, "the model is not here");
+        co_return;
+    }
+    const result<void> begun = begin(exchange, call.value());
+    if (!begun) {
+        co_await refuse(exchange, http::status::unprocessable_entity, begun.error().message);
+        co_return;
+    }
+    exchange.set("jaynotch-group", m_group.value());
+    batch_sequence& sequence = *call.value().sequence;
+    if (call.value().stream)
+        co_await answer_stream(exchange, call.value());
+    else
+        co_await answer_whole(exchange, call.value());
+    m_executions[call.value().execution].partial = sequence.partial;
+    if (!sequence.ended())
+        m_batch.abort(sequence);
+}
+
+awaitable<bool> engine_standin::wait_for_tokens(standin_exchange& exchange,
+                                                batch_sequence& sequence, std::uint32_t above)
+{
+    while (sequence.produced <= above && !sequence.ended()) {
+        sequence.wake.expires_after(client_poll);
+        boost::system::error_code ignored;
+        co_await sequence.wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (!m_faults.pause && exchange.client_gone())
+            co_return false;
+    }
+    while (m_faults.pause)
+        co_await standin_sleep(m_executor, member_poll);
+    co_return !sequence.aborted;
+}
+
+awaitable<void> engine_standin::answer_stream(standin_exchange& exchange,
+                                              const completion_call& call)
+{
+    batch_sequence& sequence = *call.sequence;
+    const std::string version = m_version;
+    if (m_faults.take_lost_reply()) {
+        exchange.cut();
+        co_return;
+    }
+    if (!co_await exchange.begin_chunks(http::status::ok, "text/event-stream"))
+        co_return;
+    std::uint32_t sent = call.resumed;
+    bool first = true;
+    while (sent < sequence.total) {
+        if (!co_await wait_for_tokens(exchange, sequence, sent)) {
+            exchange.cut();
+            co_return;
+        }
+        std::string events;
+        while (sent < sequence.produced) {
+            const json::object chosen = choice(call.chat, true, call.text->token(sent), first, "");
+            events +=
+                "data: " + body_of(call.attempt, call.model, version, call.chat, true, chosen) +
+                "\n\n";
+            first = false;
+            ++sent;
+            if (m_faults.cut_after > 0 && sent - call.resumed >= m_faults.cut_after) {
+                co_await exchange.write_chunk(events);
+                exchange.cut();
+                co_return;
+            }
+        }
+        if (!co_await exchange.write_chunk(std::move(events)))
+            co_return;
+        m_executions[call.execution].tokens = sent - call.resumed;
+    }
+    const bool natural_end = sequence.total >= call.text->natural_length() && !call.ignore_end;
+    const json::object last = choice(call.chat, true, "", false, natural_end ? "stop" : "length");
+    std::string ending =
+        "data: " + body_of(call.attempt, call.model, version, call.chat, true, last) +
+        "\n\ndata: [DONE]\n\n";
+    if (!co_await exchange.write_chunk(std::move(ending)) || !co_await exchange.finish_chunks())
+        co_return;
+    engine_execution& run = m_executions[call.execution];
+    run.finished = true;
+}
+
+awaitable<void> engine_standin::answer_whole(standin_exchange& exchange,
+                                             const completion_call& call)
+{
+    batch_sequence& sequence = *call.sequence;
+    const std::string version = m_version;
+    if (!co_await wait_for_tokens(exchange, sequence, sequence.total - 1)) {
+        exchange.cut();
+        co_return;
+    }
+    const bool natural_end = sequence.total >= call.text->natural_length() && !call.ignore_end;
+    const json::object chosen =
+        choice(call.chat, false, call.text->joined(call.resumed, sequence.total), true,
+               natural_end ? "stop" : "length");
+    std::string body = body_of(call.attempt, call.model, version, call.chat, false, chosen);
+    co_await answer_with_faults(m_faults, exchange, http::status::ok, std::move(body));
+    engine_execution& run = m_executions[call.execution];
+    run.tokens = sequence.total - call.resumed;
+    run.finished = !exchange.is_cut();
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/standins/engine_standin.cc
@@ -0,0 +1,406 @@
+#include "standins/engine_standin.h"
+
+#include "platform/json_fields.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <charconv>
+
+// Each change of assignment starts a new epoch; a loading or draining coroutine of an older one
+// sees that and ends, so it can't touch what a later order set up.
+
+namespace jaynotch {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+namespace {
+
+constexpr duration weight_timeout = std::chrono::seconds{30};
+constexpr duration load_retry = std::chrono::milliseconds{100};
+constexpr duration drain_poll = std::chrono::milliseconds{5};
+constexpr std::size_t most_executions = 200'000;
+
+std::string gauge(std::string_view name, double value)
+{
+    return "# TYPE " + std::string{name} + " gauge\n" + std::string{name} + " " +
+           std::to_string(value) + "\n";
+}
+
+std::uint64_t number_of(const std::string& digits)
+{
+    std::uint64_t value = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), value);
+    return value;
+}
+
+/// A text member of a JSON body; empty if there is none.
+std::string member_text(const std::string& body, std::string_view name)
+{
+    const result<json::object> object = parse_json_object(body, "order");
+    if (!object)
+        return {};
+    json_fields fields{object.value(), "order"};
+    return fields.text(name);
+}
+
+std::uint64_t block_of(const std::string& name)
+{
+    std::uint64_t block = 0;
+    std::from_chars(name.data(), name.data() + name.size(), block, 16);
+    return block;
+}
+
+} // namespace
+
+void engine_directory::add(const std::shared_ptr<engine_standin>& engine)
+{
+    m_engines[engine->address()] = engine;
+}
+
+std::shared_ptr<engine_standin> engine_directory::find(const std::string& address) const
+{
+    const auto found = m_engines.find(address);
+    return found == m_engines.end() ? nullptr : found->second.lock();
+}
+
+engine_standin::engine_standin(const asio::any_io_executor& executor,
+                               const engine_standin_settings& settings,
+                               std::shared_ptr<engine_directory> directory)
+    : m_executor{executor}, m_settings{settings}, m_directory{std::move(directory)},
+      m_batch{settings.batch}, m_cache{settings.cache, hash64(settings.vm.value())}
+{
+    boot();
+}
+
+result<std::shared_ptr<engine_standin>>
+engine_standin::start(const asio::any_io_executor& executor,
+                      const engine_standin_settings& settings,
+                      std::shared_ptr<engine_directory> directory)
+{
+    std::shared_ptr<engine_standin> standin{
+        new engine_standin{executor, settings, std::move(directory)}};
+    auto handler = [weak = std::weak_ptr{standin}](standin_exchange& exchange) -> awaitable<void> {
+        if (const auto self = weak.lock())
+            co_await self->handle(exchange);
+    };
+    BOOST_OUTCOME_TRY(standin->m_server,
+                      standin_server::listen(executor, settings.listen, handler));
+    if (standin->m_directory)
+        standin->m_directory->add(standin);
+    return standin;
+}
+
+void engine_standin::boot()
+{
+    ++m_boots;
+    m_boot = m_settings.vm.value() + "-" + std::to_string(m_boots) + "-" +
+             std::to_string(wall_time_ms());
+    leave();
+    m_fencing = fencing_number{};
+    m_cache.clear();
+}
+
+void engine_standin::die()
+{
+    ++m_epoch;
+    m_batch.abort_all();
+    m_server->stop();
+}
+
+void engine_standin::apply(const fault_change& change)
+{
+    const bool was_dead = m_faults.kill;
+    m_faults.apply(change);
+    if (m_faults.kill && !was_dead)
+        die();
+    if (!m_faults.kill && was_dead) {
+        boot();
+        (void)m_server->restart();
+    }
+}
+
+engine_report engine_standin::report() const
+{
+    engine_report seen;
+    seen.vm = m_settings.vm;
+    seen.boot = m_boot;
+    seen.group = m_group;
+    seen.fencing = m_fencing;
+    seen.rank = m_rank;
+    seen.members = m_members;
+    seen.model = m_model;
+    seen.version = m_version;
+    seen.adapters = m_adapters;
+    seen.state = m_faults.claim_ready ? engine_state::ready : m_state;
+    seen.progress = m_faults.claim_ready ? 1.0 : m_progress;
+    seen.running = static_cast<std::uint32_t>(m_batch.running());
+    seen.waiting = static_cast<std::uint32_t>(m_batch.waiting());
+    seen.kv_used = m_batch.kv_used();
+    const double base_ms =
+        std::chrono::duration<double, std::milli>{m_settings.batch.step_base}.count();
+    seen.step_ms = m_step_ms > 0.0 ? m_step_ms : base_ms * m_faults.straggle;
+    seen.leaving = m_faults.leaving;
+    return seen;
+}
+
+bool engine_standin::stale(fencing_number order) const
+{
+    return order < m_fencing;
+}
+
+void engine_standin::join(const engine_order_assign& order)
+{
+    const bool same_work = m_state == engine_state::ready && m_group == order.group &&
+                           m_model == order.model && m_version == order.version &&
+                           m_adapters == order.adapters;
+    if (!same_work || m_members != order.members)
+        m_batch.abort_all();
+    m_group = order.group;
+    m_fencing = std::max(m_fencing, order.fencing);
+    m_rank = order.rank;
+    m_members = order.members;
+    m_members_seen_at = time_point{};
+    if (same_work)
+        return;
+    m_model = order.model;
+    m_version = order.version;
+    m_adapters = order.adapters;
+    m_state = engine_state::loading;
+    m_progress = 0.0;
+    ++m_epoch;
+    asio::co_spawn(m_executor, load(shared_from_this(), m_epoch), asio::detached);
+}
+
+void engine_standin::leave()
+{
+    ++m_epoch;
+    m_batch.abort_all();
+    m_group = group_id{};
+    m_rank = 0;
+    m_members.clear();
+    m_model.clear();
+    m_version.clear();
+    m_adapters.clear();
+    m_state = engine_state::idle;
+    m_progress = 0.0;
+    m_step_ms = 0.0;
+}
+
+awaitable<void> engine_standin::load(std::shared_ptr<engine_standin> self, std::uint64_t epoch)
+{
+    const std::string target = "/v1/weights/" + self->m_model + "/" + self->m_version +
+                               "?parts=" + std::to_string(self->m_members.size());
+    if (self->m_settings.weight_store.empty())
+        co_await standin_sleep(self->m_executor, self->m_settings.load_time);
+    http_client store{self->m_executor, self->m_settings.weight_store, http_limits{}};
+    bool loaded = self->m_settings.weight_store.empty();
+    while (!loaded && self->m_epoch == epoch) {
+        http_request request;
+        request.target = target;
+        request.repeatable = true;
+        result<http_stream> opened = co_await store.open(std::move(request), weight_timeout);
+        if (!opened || opened.value().status() != http::status::ok) {
+            co_await standin_sleep(self->m_executor, load_retry);
+            continue;
+        }
+        const double all = static_cast<double>(
+            number_of(std::string{opened.value().header("jaynotch-weight-bytes")}));
+        double read = 0.0;
+        while (self->m_epoch == epoch) {
+            result<std::string> piece = co_await opened.value().read(weight_timeout);
+            if (!piece)
+                break;
+            while (self->m_faults.pause || self->m_faults.stall)
+                co_await standin_sleep(self->m_executor, load_retry);
+            read += static_cast<double>(piece.value().size());
+            if (self->m_epoch == epoch && all > 0.0)
+                self->m_progress = std::min(1.0, read / all);
+            loaded = piece.value().empty();
+            if (loaded)
+                break;
+        }
+    }
+    if (self->m_epoch != epoch)
+        co_return;
+    self->m_progress = 1.0;
+    self->m_state = engine_state::ready;
+}
+
+awaitable<void> engine_standin::drain(std::shared_ptr<engine_standin> self, std::uint64_t epoch)
+{
+    while (self->m_epoch == epoch && self->m_batch.busy())
+        co_await standin_sleep(self->m_executor, drain_poll);
+    if (self->m_epoch == epoch)
+        self->leave();
+}
+
+awaitable<void> engine_standin::take_assign(standin_exchange& exchange)
+{
+    const result<engine_order_assign> order = parse_engine_assign(exchange.body());
+    if (!order) {
+        co_await exchange.answer(http::status::bad_request, error_body(order.error().message, 3));
+        co_return;
+    }
+    if (stale(order.value().fencing) && m_settings.check_fencing) {
+        co_await exchange.answer(http::status::conflict,
+                                 error_body("a newer fencing number is known", 9));
+        co_return;
+    }
+    if (stale(order.value().fencing))
+        ++m_stale_taken;
+    join(order.value());
+    co_await answer_with_faults(m_faults, exchange, http::status::accepted, "{}");
+}
+
+awaitable<void> engine_standin::take_release(standin_exchange& exchange)
+{
+    const result<engine_order_release> order = parse_engine_release(exchange.body());
+    if (!order) {
+        co_await exchange.answer(http::status::bad_request, error_body(order.error().message, 3));
+        co_return;
+    }
+    if (stale(order.value().fencing) && m_settings.check_fencing) {
+        co_await exchange.answer(http::status::conflict,
+                                 error_body("a newer fencing number is known", 9));
+        co_return;
+    }
+    if (stale(order.value().fencing))
+        ++m_stale_taken;
+    m_fencing = std::max(m_fencing, order.value().fencing);
+    if (m_group == order.value().group && m_state != engine_state::idle &&
+        m_state != engine_state::releasing)
+    {
+        m_state = engine_state::releasing;
+        ++m_epoch;
+        asio::co_spawn(m_executor, drain(shared_from_this(), m_epoch), asio::detached);
+    }
+    co_await answer_with_faults(m_faults, exchange, http::status::accepted, "{}");
+}
+
+awaitable<void> engine_standin::import_kv(standin_exchange& exchange)
+{
+    const std::string prefix = member_text(exchange.body(), "prefix");
+    http_client source{m_executor, member_text(exchange.body(), "from"), http_limits{}};
+    http_request request;
+    request.method = http::verb::post;
+    request.target = "/control/kv/export";
+    request.body = json::serialize(json::object{{"prefix", prefix}});
+    request.repeatable = true;
+    const result<http_response> exported =
+        co_await source.call(std::move(request), std::chrono::seconds{2});
+    if (!exported || exported.value().status != http::status::ok) {
+        co_await exchange.answer(http::status::not_found, error_body("no such prefix there", 5));
+        co_return;
+    }
+    m_cache.store(block_of(prefix), runtime_clock::now());
+    co_await answer_with_faults(m_faults, exchange, http::status::accepted, "{}");
+}
+
+awaitable<bool> engine_standin::handle_control(standin_exchange& exchange)
+{
+    const std::string_view path = exchange.path();
+    if (path == "/control/report") {
+        co_await answer_with_faults(m_faults, exchange, http::status::ok,
+                                    render_engine_report(report()));
+        co_return true;
+    }
+    if (path == "/control/assign") {
+        co_await take_assign(exchange);
+        co_return true;
+    }
+    if (path == "/control/release") {
+        co_await take_release(exchange);
+        co_return true;
+    }
+    if (path == "/control/cancel") {
+        m_batch.abort_attempt(member_text(exchange.body(), "attempt"));
+        co_await answer_with_faults(m_faults, exchange, http::status::accepted, "{}");
+        co_return true;
+    }
+    if (path == "/control/cache_events") {
+        const auto events =
+            m_cache.events(number_of(exchange.query("after")), runtime_clock::now());
+        co_await answer_with_faults(m_faults, exchange, http::status::ok,
+                                    render_cache_events(events));
+        co_return true;
+    }
+    if (path == "/control/kv/import") {
+        co_await import_kv(exchange);
+        co_return true;
+    }
+    if (path == "/control/kv/export") {
+        const bool held = m_cache.holds(block_of(member_text(exchange.body(), "prefix")));
+        const auto status = held ? http::status::ok : http::status::not_found;
+        co_await answer_with_faults(m_faults, exchange, status, "{}");
+        co_return true;
+    }
+    if (path == "/metrics") {
+        co_await exchange.answer(http::status::ok, render_metrics(), "text/plain; version=0.0.4");
+        co_return true;
+    }
+    co_return false;
+}
+
+awaitable<void> engine_standin::handle(standin_exchange& exchange)
+{
+    const auto keep = shared_from_this();
+    const std::string_view path = exchange.path();
+    if (path == "/fault") {
+        const result<fault_change> change = parse_fault(exchange.body());
+        co_await exchange.answer(change ? http::status::ok : http::status::bad_request, "{}");
+        if (change)
+            apply(change.value());
+        co_return;
+    }
+    if (path == "/control/executions") {
+        co_await exchange.answer(http::status::ok, render_executions());
+        co_return;
+    }
+    if (co_await meet_faults(m_executor, m_faults, exchange))
+        co_return;
+    if (co_await handle_control(exchange))
+        co_return;
+    if (path == "/v1/chat/completions" || path == "/v1/completions") {
+        if (m_executions.size() >= most_executions)
+            m_executions.clear();
+        co_await serve(exchange, path == "/v1/chat/completions");
+        co_return;
+    }
+    co_await exchange.answer(http::status::not_found, error_body("no such path", 5));
+}
+
+std::string engine_standin::render_executions() const
+{
+    json::array rows;
+    for (const auto& run : m_executions)
+        rows.push_back(json::object{{"attempt", run.attempt},
+                                    {"digest", run.digest},
+                                    {"group", run.group.value()},
+                                    {"fencing", run.fencing.value()},
+                                    {"tokens", run.tokens},
+                                    {"finished", run.finished},
+                                    {"partial", run.partial}});
+    return json::serialize(json::object{{"vm", m_settings.vm.value()},
+                                        {"executions", std::move(rows)},
+                                        {"stale_orders_taken", m_stale_taken}});
+}
+
+std::string engine_standin::render_metrics()
+{
+    const time_point now = runtime_clock::now();
+    if (now - m_load_shown_at >= m_settings.load_lag) {
+        const engine_report seen = report();
+        m_shown_load = {static_cast<double>(seen.running), static_cast<double>(seen.waiting),
+                        seen.kv_used, seen.step_ms};
+        m_load_shown_at = now;
+    }
+    return gauge("engine_requests_running", m_shown_load.running) +
+           gauge("engine_requests_waiting", m_shown_load.waiting) +
+           gauge("engine_kv_cache_used", m_shown_load.kv_used) +
+           gauge("engine_step_ms", m_shown_load.step_ms);
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/standins/engine_standin_test.cc
@@ -0,0 +1,310 @@
+#include "load/answer_text.h"
+#include "standins/standin_testing.h"
+#include "standins/standins.h"
+
+#include <criterion/criterion.h>
+
+using namespace jaynotch;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+namespace {
+
+constexpr const char* model = "router";
+constexpr const char* version = "v1";
+
+/// Everything a caller got of one stream.
+struct streamed {
+    http::status status = http::status::unknown;
+    std::string ran; ///< the header jaynotch-ran
+    std::string text;
+    bool done = false; ///< the terminal mark came
+    bool cut = false;
+};
+
+struct group_of_engines {
+    test_runtime runtime;
+    std::shared_ptr<standin_fleet> fleet;
+    std::vector<std::string> members;
+
+    explicit group_of_engines(std::size_t size, standin_fleet_settings settings = {})
+    {
+        settings.engines = size;
+        settings.fabric_domains = 1;
+        settings.weights.bytes_per_second = 200'000'000;
+        fleet = standin_fleet::start(runtime.executor(), settings).value();
+        for (std::size_t rank = 0; rank < size; ++rank)
+            members.push_back(fleet->engine(rank).address());
+    }
+
+    result<void> assign(std::size_t rank, std::int64_t fencing, const std::string& group = "g1")
+    {
+        engine_client client{runtime.executor(), members[rank], std::chrono::seconds{1}};
+        const engine_order_assign order{.order = "o",
+                                        .fencing = fencing_number{fencing},
+                                        .group = group_id{group},
+                                        .rank = static_cast<std::uint32_t>(rank),
+                                        .members = members,
+                                        .model = model,
+                                        .version = version,
+                                        .adapters = {}};
+        return runtime.run(client.assign(order));
+    }
+
+    void assign_all(std::int64_t fencing)
+    {
+        for (std::size_t rank = 0; rank < members.size(); ++rank)
+            cr_assert(assign(rank, fencing));
+        cr_assert(runtime.run_until([&] {
+            for (std::size_t rank = 0; rank < members.size(); ++rank) {
+                if (fleet->engine(rank).report().state != engine_state::ready)
+                    return false;
+            }
+            return true;
+        }));
+    }
+
+    http_request request(const std::string& prompt, std::uint32_t tokens,
+                         const std::string& given = "")
+    {
+        json::object body{{"model", model},
+                          {"prompt", prompt},
+                          {"stream", true},
+                          {"max_tokens", tokens},
+                          {"ignore_eos", true}};
+        if (!given.empty())
+            body["jaynotch_resume"] = json::object{{"text", given}};
+        http_request made;
+        made.method = http::verb::post;
+        made.target = "/v1/completions";
+        made.headers.push_back({"jaynotch-attempt", "77"});
+        made.headers.push_back({"jaynotch-group", "g1"});
+        made.body = json::serialize(body);
+        return made;
+    }
+
+    streamed stream(http_request wanted) { return runtime.run(read_stream(std::move(wanted))); }
+
+    awaitable<streamed> read_stream(http_request wanted)
+    {
+        streamed got;
+        http_client client{runtime.executor(), members[0], http_limits{}};
+        result<http_stream> opened =
+            co_await client.open(std::move(wanted), std::chrono::seconds{5});
+        if (!opened) {
+            got.cut = true;
+            co_return got;
+        }
+        got.status = opened.value().status();
+        got.ran = std::string{opened.value().header("jaynotch-ran")};
+        std::string body;
+        for (;;) {
+            result<std::string> piece = co_await opened.value().read(std::chrono::seconds{5});
+            if (!piece) {
+                got.cut = true;
+                break;
+            }
+            if (piece.value().empty())
+                break;
+            body += piece.value();
+        }
+        take_events(body, got);
+        co_return got;
+    }
+
+    static void take_events(std::string_view body, streamed& got)
+    {
+        while (!body.empty()) {
+            const std::size_t end = body.find("\n\n");
+            if (end == std::string_view::npos)
+                return;
+            std::string_view event = body.substr(0, end);
+            body.remove_prefix(end + 2);
+            if (!event.starts_with("data: "))
+                continue;
+            event.remove_prefix(6);
+            if (event == "[DONE]") {
+                got.done = true;
+                continue;
+            }
+            const json::value parsed = json::parse(event);
+            got.text += parsed.at("choices").at(0).at("text").as_string();
+        }
+    }
+};
+
+awaitable<void> wait_and_do(boost::asio::any_io_executor executor, duration wait,
+                            std::function<void()> act)
+{
+    co_await standin_sleep(executor, wait);
+    act();
+}
+
+/// Does something while the test waits for something else.
+void later(group_of_engines& group, duration wait, std::function<void()> act)
+{
+    const auto executor = group.runtime.executor();
+    boost::asio::co_spawn(executor, wait_and_do(executor, wait, std::move(act)),
+                          boost::asio::detached);
+}
+
+awaitable<bool> open_and_leave(group_of_engines& group)
+{
+    http_client client{group.runtime.executor(), group.members[0], http_limits{}};
+    const result<http_stream> opened =
+        co_await client.open(group.request("a", 5000), std::chrono::seconds{5});
+    co_return bool(opened);
+}
+
+awaitable<void> release_first(group_of_engines& group)
+{
+    engine_client client{group.runtime.executor(), group.members[0], std::chrono::seconds{1}};
+    const engine_order_release order{"r", fencing_number{6}, group_id{"g1"}};
+    const result<void> taken = co_await client.release(order);
+    cr_assert(taken);
+    const result<engine_report> seen = co_await client.report();
+    cr_assert(seen.value().state == engine_state::releasing);
+}
+
+} // namespace
+
+Test(engine, a_whole_group_answers_with_the_text_that_the_caller_can_check)
+{
+    group_of_engines group{4};
+    group.assign_all(5);
+    const streamed got = group.stream(group.request("trench 7", 24));
+    cr_assert(got.done);
+    cr_assert_eq(got.text, (answer_text{model, version, "trench 7"}.joined(0, 24)));
+    cr_assert(group.fleet->engine(0).executions().at(0).finished);
+    cr_assert(!group.fleet->engine(0).executions().at(0).partial);
+}
+
+// One of four members dies. The group must not answer on the other three: new requests are refused
+// as not run, and the stream in flight is cut without its terminal mark.
+Test(engine, a_group_that_lost_a_member_cuts_and_refuses)
+{
+    group_of_engines group{4};
+    group.assign_all(5);
+    later(group, std::chrono::milliseconds{30},
+          [&] { group.fleet->engine(2).apply({.kill = true}); });
+    const streamed cut = group.stream(group.request("a", 400));
+    cr_assert(cut.cut && !cut.done);
+    cr_assert((answer_text{model, version, "a"}.tokens_in(cut.text)));
+    const streamed refused = group.stream(group.request("b", 10));
+    cr_assert(refused.status == http::status::conflict);
+    cr_assert_eq(refused.ran, "no");
+}
+
+// A member is paused: nothing comes, nobody may take the silence for an end. It goes on when the
+// member returns, and the answer is whole.
+Test(engine, a_paused_member_stalls_its_group_until_it_returns)
+{
+    group_of_engines group{2};
+    group.assign_all(5);
+    group.fleet->engine(1).apply({.pause = true});
+    later(group, std::chrono::milliseconds{200}, [&] {
+        cr_assert_eq(group.fleet->engine(0).executions().at(0).tokens, 0U);
+        group.fleet->engine(1).apply({.pause = false});
+    });
+    const streamed got = group.stream(group.request("p", 20));
+    cr_assert(got.done);
+    cr_assert_eq(got.text, (answer_text{model, version, "p"}.joined(0, 20)));
+}
+
+Test(engine, a_stream_resumes_behind_the_text_already_given)
+{
+    group_of_engines group{2};
+    group.assign_all(5);
+    group.fleet->engine(0).apply({.cut_after = 9});
+    const streamed cut = group.stream(group.request("r", 30));
+    cr_assert(cut.cut && !cut.done);
+    group.fleet->engine(0).apply({.cut_after = 0});
+    const streamed rest = group.stream(group.request("r", 30, cut.text));
+    cr_assert(rest.done);
+    cr_assert_eq(cut.text + rest.text, (answer_text{model, version, "r"}.joined(0, 30)));
+    const streamed foreign = group.stream(group.request("other", 30, cut.text));
+    cr_assert(foreign.status == http::status::unprocessable_entity);
+}
+
+Test(engine, an_old_fencing_number_is_refused_only_where_it_is_checked)
+{
+    group_of_engines careful{2};
+    careful.assign_all(5);
+    cr_assert(careful.assign(1, 4, "g2").error().kind == error_kind::conflict);
+    standin_fleet_settings settings;
+    settings.engine.check_fencing = false;
+    group_of_engines careless{2, settings};
+    careless.assign_all(5);
+    cr_assert(careless.assign(1, 4, "g2"));
+    cr_assert_eq(careless.fleet->engine(1).stale_orders_taken(), 1U);
+    const streamed refused = careless.stream(careless.request("b", 10));
+    cr_assert(refused.status == http::status::conflict);
+}
+
+// An engine that does not ask its members answers on a part of the group. The account must show
+// it, or no scenario could tell that a daemon let it happen.
+Test(engine, the_account_shows_an_answer_of_a_partial_group)
+{
+    group_of_engines group{3};
+    group.assign_all(5);
+    group.fleet->engine(0).apply({.serve_partial = true});
+    group.fleet->engine(1).apply({.kill = true});
+    const streamed got = group.stream(group.request("a", 10));
+    cr_assert(got.done);
+    cr_assert(group.fleet->engine(0).executions().at(0).partial);
+}
+
+// A straggler slows its whole group, not only itself.
+Test(engine, a_straggler_slows_its_group)
+{
+    group_of_engines group{2};
+    group.assign_all(5);
+    const time_point began = runtime_clock::now();
+    cr_assert(group.stream(group.request("a", 30)).done);
+    const duration healthy = runtime_clock::now() - began;
+    group.fleet->engine(1).apply({.straggle = 6.0});
+    const time_point again = runtime_clock::now();
+    cr_assert(group.stream(group.request("b", 30)).done);
+    cr_assert(runtime_clock::now() - again > 2 * healthy);
+}
+
+Test(engine, a_cancelled_or_abandoned_answer_leaves_the_batch)
+{
+    group_of_engines group{1};
+    group.assign_all(5);
+    cr_assert(group.runtime.run(open_and_leave(group)));
+    cr_assert(
+        group.runtime.run_until([&] { return group.fleet->engine(0).report().running == 0; }));
+    cr_assert(!group.fleet->engine(0).executions().at(0).finished);
+}
+
+Test(engine, a_release_waits_for_the_answers_in_flight)
+{
+    group_of_engines group{1};
+    group.assign_all(5);
+    later(group, std::chrono::milliseconds{30}, [&] {
+        boost::asio::co_spawn(group.runtime.executor(), release_first(group),
+                              boost::asio::detached);
+    });
+    cr_assert(group.stream(group.request("a", 60)).done);
+    cr_assert(group.runtime.run_until(
+        [&] { return group.fleet->engine(0).report().state == engine_state::idle; }));
+}
+
+// Prompts that share a beginning are quicker the second time, and the engine says late, and not
+// always, what it holds.
+Test(engine, a_cached_prefix_is_published_late_and_with_gaps)
+{
+    standin_fleet_settings settings;
+    settings.engine.cache = {.blocks = 64, .event_lag = std::chrono::seconds{1}, .event_loss = 0.3};
+    group_of_engines group{1, settings};
+    group.assign_all(5);
+    engine_client client{group.runtime.executor(), group.members[0], std::chrono::seconds{1}};
+    cr_assert(group.stream(group.request(std::string(40 * prompt_block_bytes, 'x'), 1)).done);
+    cr_assert(group.runtime.run(client.cache_events(0)).value().empty());
+    group.runtime.run_for(std::chrono::milliseconds{1'200});
+    const auto events = group.runtime.run(client.cache_events(0)).value();
+    cr_assert(!events.empty() && events.size() < 40);
+    const auto after = group.runtime.run(client.cache_events(events.back().sequence)).value();
+    cr_assert(after.empty());
+}
--- /dev/null
+++ b/standins/standin_main.cc
@@ -0,0 +1,216 @@
+// jaynotch-standin: runs stand-ins until it is told to stop.
+//
+//   jaynotch-standin fleet --engines=8 --fabric_domains=2 --out=fleet.json
+//   jaynotch-standin kv --listen=127.0.0.1:2379
+//
+// Each flag can be given as JAYNOTCH_STANDIN_<FLAG> in the environment; the flag wins.
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/flags/reflection.h"
+#include "absl/flags/usage.h"
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_split.h"
+#include "standins/standins.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address of a single stand-in; port 0 for any");
+ABSL_FLAG(std::string, out, "",
+          "file to write the addresses to, as JSON; empty for standard output");
+ABSL_FLAG(int, engines, 8, "fleet: engines, one a VM");
+ABSL_FLAG(int, fabric_domains, 2, "fleet: fabric domains, dealt over the failure domains in turn");
+ABSL_FLAG(std::string, failure_domains, "a", "fleet: failure domains, parted by commas");
+ABSL_FLAG(std::string, plain, "", "fleet: names of plain services, parted by commas");
+ABSL_FLAG(std::string, name, "plain-1", "plain: its name");
+ABSL_FLAG(std::string, vm, "vm-0", "engine: its VM");
+ABSL_FLAG(std::string, weight_store, "", "engine: address of the weight store");
+ABSL_FLAG(bool, check_fencing, true, "engines refuse orders with an old fencing number");
+ABSL_FLAG(int, step_us, 4000, "engines: time of a step, without its sequences, in microseconds");
+ABSL_FLAG(int, step_per_sequence_us, 100, "engines: time added by each sequence, in microseconds");
+ABSL_FLAG(int, prefill_per_token_us, 20, "engines: time for each prompt token, in microseconds");
+ABSL_FLAG(int, max_batch, 32, "engines: sequences that run at once");
+ABSL_FLAG(int, vm_list_lag_ms, 0, "VM list: how far it lags behind, in milliseconds");
+ABSL_FLAG(int, weight_rate, 50000000, "weight store: bytes a second over all readers");
+ABSL_FLAG(int, weight_bytes, 4000000, "weight store: bytes of a model");
+ABSL_FLAG(int, kv_reads, 0, "key-value service: reads a second; 0 for no limit");
+ABSL_FLAG(int, kv_writes, 0, "key-value service: writes a second; 0 for no limit");
+ABSL_FLAG(int, plain_work_ms, 0, "plain services: time for each request, in milliseconds");
+
+namespace jaynotch {
+namespace {
+
+constexpr const char* usage =
+    "runs stand-ins until SIGTERM or SIGINT.\n\n"
+    "usage: jaynotch-standin {kv|vms|weights|engine|plain|fleet} [flags]\n\n"
+    "Every stand-in takes POST /fault; a fleet takes POST /fault/<name> at its control address.";
+
+/// Sets flags from the environment; called before the command line is parsed, which then wins.
+void read_environment()
+{
+    for (const auto& [name, flag] : absl::GetAllFlags()) {
+        const std::string variable = "JAYNOTCH_STANDIN_" + absl::AsciiStrToUpper(name);
+        const char* written = std::getenv(variable.c_str());
+        std::string why;
+        if (written != nullptr && !flag->ParseFrom(written, &why))
+            throw exception{{error_kind::invalid_argument, variable + ": " + why,
+                             "unset it or write a fitting value"}};
+    }
+}
+
+std::vector<std::string> list_of(const std::string& joined)
+{
+    return absl::StrSplit(joined, ',', absl::SkipEmpty());
+}
+
+std::uint32_t positive(int value)
+{
+    return static_cast<std::uint32_t>(std::max(0, value));
+}
+
+engine_standin_settings engine_from_flags()
+{
+    engine_standin_settings settings;
+    settings.listen = absl::GetFlag(FLAGS_listen);
+    settings.vm = vm_id{absl::GetFlag(FLAGS_vm)};
+    settings.weight_store = absl::GetFlag(FLAGS_weight_store);
+    settings.check_fencing = absl::GetFlag(FLAGS_check_fencing);
+    settings.batch.step_base = std::chrono::microseconds{absl::GetFlag(FLAGS_step_us)};
+    settings.batch.step_per_sequence =
+        std::chrono::microseconds{absl::GetFlag(FLAGS_step_per_sequence_us)};
+    settings.batch.prefill_per_token =
+        std::chrono::microseconds{absl::GetFlag(FLAGS_prefill_per_token_us)};
+    settings.batch.max_batch = std::max(1U, positive(absl::GetFlag(FLAGS_max_batch)));
+    return settings;
+}
+
+kv_standin_settings kv_from_flags()
+{
+    return {.listen = absl::GetFlag(FLAGS_listen),
+            .reads_per_second = positive(absl::GetFlag(FLAGS_kv_reads)),
+            .writes_per_second = positive(absl::GetFlag(FLAGS_kv_writes))};
+}
+
+weight_standin_settings weights_from_flags()
+{
+    return {.listen = absl::GetFlag(FLAGS_listen),
+            .bytes_per_second = std::max(1U, positive(absl::GetFlag(FLAGS_weight_rate))),
+            .model_bytes = positive(absl::GetFlag(FLAGS_weight_bytes))};
+}
+
+vm_list_standin_settings vms_from_flags()
+{
+    return {.listen = absl::GetFlag(FLAGS_listen),
+            .lag = std::chrono::milliseconds{absl::GetFlag(FLAGS_vm_list_lag_ms)}};
+}
+
+plain_standin_settings plain_from_flags()
+{
+    return {.name = absl::GetFlag(FLAGS_name),
+            .listen = absl::GetFlag(FLAGS_listen),
+            .work = std::chrono::milliseconds{absl::GetFlag(FLAGS_plain_work_ms)}};
+}
+
+standin_fleet_settings fleet_from_flags()
+{
+    standin_fleet_settings settings;
+    settings.engines = positive(absl::GetFlag(FLAGS_engines));
+    settings.fabric_domains = positive(absl::GetFlag(FLAGS_fabric_domains));
+    settings.failure_domains = list_of(absl::GetFlag(FLAGS_failure_domains));
+    settings.plain = list_of(absl::GetFlag(FLAGS_plain));
+    settings.plain_work = std::chrono::milliseconds{absl::GetFlag(FLAGS_plain_work_ms)};
+    settings.engine = engine_from_flags();
+    settings.kv = kv_from_flags();
+    settings.weights = weights_from_flags();
+    settings.vms = vms_from_flags();
+    settings.control_listen = absl::GetFlag(FLAGS_listen);
+    const std::string any_port = "127.0.0.1:0";
+    settings.engine.listen = any_port;
+    settings.kv.listen = any_port;
+    settings.weights.listen = any_port;
+    settings.vms.listen = any_port;
+    return settings;
+}
+
+/// What keeps a stand-in alive, and where it listens, as JSON.
+struct started {
+    std::shared_ptr<void> owner;
+    std::string addresses;
+};
+
+template <class Standin>
+result<started> single(result<std::shared_ptr<Standin>> made)
+{
+    BOOST_OUTCOME_TRY(auto standin, std::move(made));
+    const boost::json::object where{{"address", standin->address()}};
+    return started{standin, boost::json::serialize(where)};
+}
+
+result<started> start(const boost::asio::any_io_executor& executor, const std::string& what)
+{
+    if (what == "kv")
+        return single(kv_standin::start(executor, kv_from_flags()));
+    if (what == "vms")
+        return single(vm_list_standin::start(executor, vms_from_flags()));
+    if (what == "weights")
+        return single(weight_standin::start(executor, weights_from_flags()));
+    if (what == "engine")
+        return single(engine_standin::start(executor, engine_from_flags(), nullptr));
+    if (what == "plain")
+        return single(plain_standin::start(executor, plain_from_flags()));
+    if (what == "fleet") {
+        BOOST_OUTCOME_TRY(auto fleet, standin_fleet::start(executor, fleet_from_flags()));
+        return started{fleet, fleet->describe()};
+    }
+    return error{error_kind::invalid_argument, "unknown stand-in \"" + what + "\"",
+                 "write kv, vms, weights, engine, plain or fleet"};
+}
+
+void tell(const std::string& addresses)
+{
+    const std::string out = absl::GetFlag(FLAGS_out);
+    if (out.empty()) {
+        std::cout << addresses << std::endl;
+        return;
+    }
+    // Renamed into place, so that a reader waiting for the file never sees half of it.
+    const std::string unfinished = out + ".part";
+    std::ofstream file{unfinished};
+    file << addresses << "\n";
+    file.close();
+    if (!file || std::rename(unfinished.c_str(), out.c_str()) != 0)
+        throw exception{{error_kind::invalid_argument, "can't write " + out, "check --out"}};
+}
+
+int run(const std::vector<char*>& words)
+{
+    if (words.size() != 2)
+        throw exception{{error_kind::invalid_argument, "no stand-in named",
+                         "write kv, vms, weights, engine, plain or fleet"}};
+    boost::asio::io_context io{1};
+    const started standin = start(io.get_executor(), words[1]).value();
+    tell(standin.addresses);
+    boost::asio::signal_set signals{io, SIGINT, SIGTERM};
+    signals.async_wait([&](const auto&, int) { io.stop(); });
+    io.run();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+} // namespace jaynotch
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage(jaynotch::usage);
+    try {
+        jaynotch::read_environment();
+        return jaynotch::run(absl::ParseCommandLine(argc, argv));
+    }
+    catch (const std::exception& failed) {
+        std::cerr << "jaynotch-standin: " << failed.what() << "\n";
+        return 2;
+    }
+}
--- /dev/null
+++ b/standins/standin_server.h
@@ -0,0 +1,107 @@
+// A small HTTP/1.1 server for stand-ins: a coroutine for each connection, one handler for all
+// requests, and the ways to fail that real servers have.
+//
+//   auto server = standin_server::listen(executor, "127.0.0.1:0", [](standin_exchange& exchange) {
+//       return exchange.answer(http::status::ok, "hello");
+//   });
+#pragma once
+
+#include "base/base.h"
+#include "platform/platform.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jaynotch {
+
+/// Waits on the runtime's clock.
+awaitable<void> standin_sleep(boost::asio::any_io_executor executor, duration step);
+
+/// One request and the answering of it.
+class standin_exchange {
+public:
+    using socket_type = boost::asio::ip::tcp::socket;
+    using request_type = boost::beast::http::request<boost::beast::http::string_body>;
+
+    standin_exchange(socket_type& socket, request_type request);
+
+    [[nodiscard]] const request_type& request() const { return m_request; }
+    [[nodiscard]] boost::beast::http::verb method() const { return m_request.method(); }
+    /// The target without its query.
+    [[nodiscard]] std::string_view path() const;
+    /// A value of the query, empty if missing.
+    [[nodiscard]] std::string query(std::string_view name) const;
+    [[nodiscard]] std::string_view header(std::string_view name) const;
+    [[nodiscard]] const std::string& body() const { return m_request.body(); }
+
+    /// Adds a header to the answer.
+    void set(std::string name, std::string value);
+    awaitable<void> answer(boost::beast::http::status status, std::string body,
+                           std::string content_type = "application/json");
+    /// Writes bytes as they are.
+    awaitable<bool> write_raw(std::string bytes);
+    /// Starts an answer in chunks; each of these returns false once the client is gone.
+    awaitable<bool> begin_chunks(boost::beast::http::status status, std::string content_type);
+    awaitable<bool> write_chunk(std::string bytes);
+    awaitable<bool> finish_chunks();
+    /// Closes the connection without ending the answer.
+    void cut();
+    /// Whether the client has closed its side.
+    bool client_gone();
+    [[nodiscard]] bool is_cut() const { return m_cut; }
+
+private:
+    socket_type& m_socket;
+    request_type m_request;
+    std::vector<http_header> m_headers;
+    bool m_cut = false;
+};
+
+using standin_handler = std::function<awaitable<void>(standin_exchange&)>;
+
+class standin_server : public std::enable_shared_from_this<standin_server> {
+public:
+    /// Port 0 takes any free port.
+    static result<std::shared_ptr<standin_server>>
+    listen(const boost::asio::any_io_executor& executor, const std::string& address,
+           standin_handler handler);
+
+    [[nodiscard]] const std::string& address() const { return m_address; }
+    /// Refuses connections and cuts all that are open, as the death of its process would.
+    void stop();
+    /// Listens again, on the same port.
+    result<void> restart();
+    [[nodiscard]] bool running() const { return m_acceptor.is_open(); }
+
+private:
+    struct connection {
+        explicit connection(boost::asio::ip::tcp::socket taken) : socket{std::move(taken)} {}
+        boost::asio::ip::tcp::socket socket;
+        boost::beast::flat_buffer buffer;
+    };
+
+    standin_server(const boost::asio::any_io_executor& executor, standin_handler handler);
+    result<void> bind(const boost::asio::ip::tcp::endpoint& local);
+    static awaitable<void> accept_loop(std::shared_ptr<standin_server> self);
+    static awaitable<void> serve(std::shared_ptr<standin_server> self,
+                                 std::shared_ptr<connection> client);
+
+    boost::asio::any_io_executor m_executor;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::endpoint m_local;
+    std::string m_address;
+    standin_handler m_handler;
+    std::set<std::shared_ptr<connection>> m_connections;
+};
+
+} // namespace jaynotch
--- /dev/null
+++ b/standins/standin_testing.h
@@ -0,0 +1,72 @@
+// For tests: runs coroutines on an io_context until they are done.
+//
+//   test_runtime runtime;
+//   result<kv_read> read = runtime.run(kv.get("a"));
+#pragma once
+
+#include "base/base.h"
+#include "platform/platform.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <exception>
+#include <functional>
+#include <optional>
+
+namespace jaynotch {
+
+class test_runtime {
+public:
+    boost::asio::any_io_executor executor() { return m_io.get_executor(); }
+
+    /// Runs until `work` is done and returns its result.
+    template <class T>
+    T run(awaitable<T> work)
+    {
+        std::optional<T> answer;
+        boost::asio::co_spawn(m_io, keep(std::move(work), answer), [](std::exception_ptr failed) {
+            if (failed)
+                std::rethrow_exception(failed);
+        });
+        while (!answer)
+            run_once();
+        return std::move(*answer);
+    }
+
+    /// Runs until `holds` does; false if it has not after `longest`.
+    bool run_until(const std::function<bool()>& holds,
+                   std::chrono::milliseconds longest = std::chrono::seconds{10})
+    {
+        const auto ends = std::chrono::steady_clock::now() + longest;
+        while (!holds()) {
+            if (std::chrono::steady_clock::now() >= ends)
+                return false;
+            run_once();
+        }
+        return true;
+    }
+
+    void run_for(std::chrono::milliseconds step)
+    {
+        m_io.restart();
+        m_io.run_for(step);
+    }
+
+private:
+    template <class T>
+    static awaitable<void> keep(awaitable<T> work, std::optional<T>& answer)
+    {
+        answer.emplace(co_await std::move(work));
+    }
+
+    void run_once()
+    {
+        m_io.restart();
+        m_io.run_one_for(std::chrono::milliseconds{10});
+    }
+
+    boost::asio::io_context m_io{1};
+};
+
+} // namespace jaynotch
--- /dev/null
+++ b/standins/weight_standin.cc
@@ -0,0 +1,107 @@
+#include "standins/weight_standin.h"
+
+#include <charconv>
+
+// All readers book their next piece on one line of time, so the sum of their rates is the store's
+// rate however many they are, and each gets its turn.
+
+namespace jaynotch {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::uint64_t piece_bytes = 64 * 1024;
+constexpr std::uint64_t most_parts = 4096;
+
+std::uint64_t parts_of(const std::string& digits)
+{
+    std::uint64_t parts = 1;
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), parts);
+    if (ec != std::errc{} || end != digits.data() + digits.size())
+        return 1;
+    return std::clamp<std::uint64_t>(parts, 1, most_parts);
+}
+
+} // namespace
+
+weight_standin::weight_standin(const boost::asio::any_io_executor& executor,
+                               const weight_standin_settings& settings)
+    : m_executor{executor}, m_settings{settings}
+{}
+
+result<std::shared_ptr<weight_standin>>
+weight_standin::start(const boost::asio::any_io_executor& executor,
+                      const weight_standin_settings& settings)
+{
+    std::shared_ptr<weight_standin> standin{new weight_standin{executor, settings}};
+    auto handler = [weak = std::weak_ptr{standin}](standin_exchange& exchange) -> awaitable<void> {
+        if (const auto self = weak.lock())
+            co_await self->handle(exchange);
+    };
+    BOOST_OUTCOME_TRY(standin->m_server,
+                      standin_server::listen(executor, settings.listen, handler));
+    return standin;
+}
+
+void weight_standin::apply(const fault_change& change)
+{
+    m_faults.apply(change);
+    if (change.rate && *change.rate > 0)
+        m_settings.bytes_per_second = *change.rate;
+    if (m_faults.kill)
+        m_server->stop();
+    else if (change.kill)
+        (void)m_server->restart();
+}
+
+time_point weight_standin::book(std::uint64_t bytes)
+{
+    const double seconds =
+        static_cast<double>(bytes) / static_cast<double>(m_settings.bytes_per_second);
+    m_booked_until = std::max(m_booked_until, runtime_clock::now()) +
+                     std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds});
+    return m_booked_until;
+}
+
+awaitable<void> weight_standin::send(standin_exchange& exchange, std::uint64_t bytes)
+{
+    exchange.set("jaynotch-weight-bytes", std::to_string(bytes));
+    bool open = co_await exchange.begin_chunks(http::status::ok, "application/octet-stream");
+    std::uint64_t left = bytes;
+    while (open && left > 0 && !m_faults.kill) {
+        if (m_faults.pause || m_faults.stall) {
+            co_await standin_sleep(m_executor, std::chrono::milliseconds{10});
+            continue;
+        }
+        const std::uint64_t piece = std::min(left, piece_bytes);
+        co_await standin_sleep(m_executor, book(piece) - runtime_clock::now());
+        open = co_await exchange.write_chunk(std::string(piece, 'w'));
+        left -= piece;
+        m_served += piece;
+    }
+    if (open && left == 0)
+        co_await exchange.finish_chunks();
+}
+
+awaitable<void> weight_standin::handle(standin_exchange& exchange)
+{
+    const auto keep = shared_from_this();
+    if (exchange.path() == "/fault") {
+        const result<fault_change> change = parse_fault(exchange.body());
+        if (change)
+            apply(change.value());
+        co_await exchange.answer(change ? http::status::ok : http::status::bad_request, "{}");
+        co_return;
+    }
+    if (co_await meet_faults(m_executor, m_faults, exchange))
+        co_return;
+    if (!exchange.path().starts_with("/v1/weights/")) {
+        co_await exchange.answer(http::status::not_found, "{}");
+        co_return;
+    }
+    const std::uint64_t parts = parts_of(exchange.query("parts"));
+    co_await send(exchange, std::max<std::uint64_t>(1, m_settings.model_bytes / parts));
+}
+
+} // namespace jaynotch
