--- a/standins/standin_main.cc
+++ b/standins/standin_main.cc
@@ -3,18 +3,16 @@
 //   jaynotch-standin fleet --engines=8 --fabric_domains=2 --out=fleet.json
 //   jaynotch-standin kv --listen=127.0.0.1:2379
 //
-// Each flag can be given as JAYNOTCH_STANDIN_<FLAG> in the environment; the flag wins.
+// Each flag can be given as JAYNOTCH_<FLAG> in the environment; the flag wins.
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
-#include "absl/flags/reflection.h"
 #include "absl/flags/usage.h"
-#include "absl/strings/ascii.h"
 #include "absl/strings/str_split.h"
+#include "base/environment.h"
 #include "standins/standins.h"
 
 #include <boost/asio/signal_set.hpp>
 
-#include <cstdlib>
 #include <fstream>
 #include <iostream>
 
@@ -48,19 +46,6 @@
     "usage: jaynotch-standin {kv|vms|weights|engine|plain|fleet} [flags]\n\n"
     "Every stand-in takes POST /fault; a fleet takes POST /fault/<name> at its control address.";
 
-/// Sets flags from the environment; called before the command line is parsed, which then wins.
-void read_environment()
-{
-    for (const auto& [name, flag] : absl::GetAllFlags()) {
-        const std::string variable = "JAYNOTCH_STANDIN_" + absl::AsciiStrToUpper(name);
-        const char* written = std::getenv(variable.c_str());
-        std::string why;
-        if (written != nullptr && !flag->ParseFrom(written, &why))
-            throw exception{{error_kind::invalid_argument, variable + ": " + why,
-                             "unset it or write a fitting value"}};
-    }
-}
-
 std::vector<std::string> list_of(const std::string& joined)
 {
     return absl::StrSplit(joined, ',', absl::SkipEmpty());
@@ -206,7 +191,7 @@
 {
     absl::SetProgramUsageMessage(jaynotch::usage);
     try {
-        jaynotch::read_environment();
+        jaynotch::read_environment("standins/standin_main.cc").value();
         return jaynotch::run(absl::ParseCommandLine(argc, argv));
     }
     catch (const std::exception& failed) {
