Load: open-loop load that checks each answer and accounts for every call

Calls start on a schedule drawn beforehand (Poisson or given). A model's answer counts as whole only with finish reason, terminal mark and the very text that the stand-in must give to this prompt; a plain one only if it names the digest of its own body.

--- /dev/null
+++ b/load/calls.cc
@@ -0,0 +1,311 @@
+#include "load/load.h"
+#include "platform/json_fields.h"
+
+// An answer counts as whole only if it shows its own end (a finish reason and, for streams, the
+// terminal mark) and every byte is what the stand-in must say to this very prompt or body.
+
+namespace jaynotch {
+
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view event_mark = "data: ";
+constexpr std::size_t most_answer_bytes = 64 * 1024 * 1024;
+
+/// What has been read of a model's answer.
+struct model_answer {
+    std::string text;
+    std::string model;
+    std::string version;
+    std::string reason; ///< finish reason
+    std::string error;  ///< of an error event
+    bool done = false;  ///< the terminal mark came
+    bool broken = false;
+};
+
+std::string prompt_of(const model_call& call)
+{
+    const json::array messages{json::object{{"role", "user"}, {"content", call.prompt}}};
+    return json::serialize(messages);
+}
+
+http_request model_request_of(const model_call& call)
+{
+    json::object body{{"model", call.model}, {"stream", call.stream}};
+    body["messages"] = json::array{json::object{{"role", "user"}, {"content", call.prompt}}};
+    if (call.tokens > 0) {
+        body["max_tokens"] = call.tokens;
+        body["ignore_eos"] = true;
+    }
+    http_request request;
+    request.method = http::verb::post;
+    request.target = "/v1/chat/completions";
+    request.headers.push_back({"Content-Type", "application/json"});
+    if (!call.workspace.empty())
+        request.headers.push_back({"jaynotch-workspace", call.workspace});
+    request.body = json::serialize(body);
+    return request;
+}
+
+void take_object(const json::object& object, bool stream, model_answer& answer)
+{
+    json_fields fields{object, "answer"};
+    if (const json::value* failed = object.if_contains("error")) {
+        answer.error = json::serialize(*failed);
+        return;
+    }
+    answer.model = fields.text("model");
+    answer.version = fields.text("system_fingerprint");
+    const json::array* choices = fields.list("choices");
+    const bool fits = choices != nullptr && !choices->empty() && choices->front().is_object();
+    if (!fits) {
+        answer.broken = true;
+        return;
+    }
+    const json::object& choice = choices->front().get_object();
+    json_fields inner{choice, "answer"};
+    if (const json::object* part = inner.object(stream ? "delta" : "message")) {
+        json_fields piece{*part, "answer"};
+        answer.text += piece.text("content");
+    }
+    const std::string reason = inner.text("finish_reason");
+    if (!reason.empty())
+        answer.reason = reason;
+    answer.broken = answer.broken || inner.failure().has_value();
+}
+
+/// Takes whole events off the front of `pending`; returns how many carried text.
+std::size_t take_events(std::string& pending, model_answer& answer)
+{
+    std::size_t texts = 0;
+    std::size_t start = 0;
+    for (;;) {
+        const std::size_t end = pending.find("\n\n", start);
+        if (end == std::string::npos)
+            break;
+        std::string_view event = std::string_view{pending}.substr(start, end - start);
+        start = end + 2;
+        const std::size_t data = event.find(event_mark);
+        if (data == std::string_view::npos)
+            continue;
+        event.remove_prefix(data + event_mark.size());
+        if (event == "[DONE]") {
+            answer.done = true;
+            continue;
+        }
+        const result<json::object> object = parse_json_object(event, "event");
+        if (!object) {
+            answer.broken = true;
+            continue;
+        }
+        const std::size_t before = answer.text.size();
+        take_object(object.value(), true, answer);
+        texts += answer.text.size() > before ? 1 : 0;
+    }
+    pending.erase(0, start);
+    return texts;
+}
+
+/// Empty if `answer` is the whole and right one.
+std::string what_is_wrong(const model_call& call, const model_answer& answer)
+{
+    if (answer.broken)
+        return "an event is malformed";
+    if (answer.reason != "stop" && answer.reason != "length")
+        return "no finish reason";
+    const answer_text text{answer.model, answer.version, prompt_of(call)};
+    const std::size_t length = call.tokens > 0 ? call.tokens : text.natural_length();
+    if (answer.text != text.joined(0, length))
+        return "the text is not the answer of " + answer.model + " " + answer.version +
+               " to this prompt";
+    return {};
+}
+
+call_outcome outcome_of(const error& failure)
+{
+    switch (failure.kind) {
+    case error_kind::unavailable:
+        return call_outcome::unreachable;
+    case error_kind::unknown_outcome:
+    case error_kind::deadline_exceeded:
+        return call_outcome::unanswered;
+    default:
+        return call_outcome::cut;
+    }
+}
+
+std::string refusal_kind(const std::string& body)
+{
+    const result<json::object> object = parse_json_object(body, "refusal");
+    if (!object)
+        return "no JSON";
+    json_fields fields{object.value(), "refusal"};
+    const json::object* inner = fields.object("error");
+    if (inner == nullptr)
+        return "no error object";
+    json_fields kind{*inner, "refusal"};
+    return kind.text("kind");
+}
+
+void take_refusal(std::string_view ran, std::string_view retry_after, const std::string& body,
+                  call_result& result)
+{
+    result.outcome = ran == "no" ? call_outcome::refused_not_run : call_outcome::refused_unknown;
+    result.detail = refusal_kind(body);
+    for (const char digit : retry_after) {
+        if (digit < '0' || digit > '9')
+            break;
+        result.retry_after_s = result.retry_after_s * 10 + static_cast<std::uint64_t>(digit - '0');
+    }
+}
+
+awaitable<result<std::string>> read_rest(http_stream& stream, duration timeout)
+{
+    std::string body;
+    for (;;) {
+        result<std::string> piece = co_await stream.read(timeout);
+        if (!piece)
+            co_return piece.error();
+        if (piece.value().empty())
+            co_return body;
+        body += piece.value();
+        if (body.size() > most_answer_bytes)
+            co_return error{error_kind::too_large, "the answer has no end", ""};
+    }
+}
+
+void judge(const model_call& call, const model_answer& answer, bool ended, call_result& result)
+{
+    result.version = answer.version;
+    if (!answer.error.empty()) {
+        result.outcome = call_outcome::cut;
+        result.detail = answer.error;
+        return;
+    }
+    if (!ended || (call.stream && !answer.done)) {
+        result.outcome = call_outcome::cut;
+        result.detail = "ended without its terminal mark";
+        return;
+    }
+    result.detail = what_is_wrong(call, answer);
+    result.outcome = result.detail.empty() ? call_outcome::whole : call_outcome::wrong;
+}
+
+awaitable<void> read_events(http_stream& stream, const model_call& call, duration timeout,
+                            time_point began, call_result& result)
+{
+    model_answer answer;
+    std::string pending;
+    time_point last = began;
+    bool ended = false;
+    for (;;) {
+        const auto piece = co_await stream.read(timeout);
+        if (!piece || piece.value().empty()) {
+            ended = bool(piece);
+            break;
+        }
+        pending += piece.value();
+        const std::size_t texts = take_events(pending, answer);
+        const time_point now = runtime_clock::now();
+        for (std::size_t i = 0; i < texts; ++i) {
+            if (result.tokens++ == 0)
+                result.first_token = now - began;
+            else
+                result.between_tokens.push_back(now - last);
+            last = now;
+        }
+        if (pending.size() > most_answer_bytes)
+            break;
+    }
+    judge(call, answer, ended && pending.empty(), result);
+}
+
+} // namespace
+
+awaitable<call_result> send_model_call(http_client& client, model_call call, duration timeout)
+{
+    call_result result;
+    const time_point began = runtime_clock::now();
+    auto opened = co_await client.open(model_request_of(call), timeout);
+    if (!opened) {
+        result.outcome = outcome_of(opened.error());
+        result.detail = to_string(opened.error());
+        result.total = runtime_clock::now() - began;
+        co_return result;
+    }
+    http_stream& stream = opened.value();
+    result.status = static_cast<unsigned>(stream.status());
+    result.trace = std::string{stream.header("traceparent")};
+    if (stream.status() == http::status::ok && call.stream) {
+        co_await read_events(stream, call, timeout, began, result);
+        result.total = runtime_clock::now() - began;
+        co_return result;
+    }
+    const std::string ran{stream.header("jaynotch-ran")};
+    const std::string retry_after{stream.header("Retry-After")};
+    const auto body = co_await read_rest(stream, timeout);
+    result.total = runtime_clock::now() - began;
+    if (!body) {
+        result.outcome = call_outcome::cut;
+        result.detail = to_string(body.error());
+    }
+    else if (result.status != static_cast<unsigned>(http::status::ok)) {
+        take_refusal(ran, retry_after, body.value(), result);
+    }
+    else {
+        model_answer answer;
+        const auto object = parse_json_object(body.value(), "answer");
+        if (object)
+            take_object(object.value(), false, answer);
+        else
+            answer.broken = true;
+        judge(call, answer, true, result);
+    }
+    co_return result;
+}
+
+awaitable<call_result> send_plain_call(http_client& client, plain_call call, duration timeout)
+{
+    call_result result;
+    http_request request;
+    request.method = http::string_to_verb(call.method);
+    request.target = call.path;
+    request.body = call.body;
+    if (!call.workspace.empty())
+        request.headers.push_back({"jaynotch-workspace", call.workspace});
+    if (!call.key.empty())
+        request.headers.push_back({"Idempotency-Key", call.key});
+    const time_point began = runtime_clock::now();
+    const auto answer = co_await client.call(std::move(request), timeout);
+    result.total = runtime_clock::now() - began;
+    if (!answer) {
+        result.outcome = outcome_of(answer.error());
+        result.detail = to_string(answer.error());
+        co_return result;
+    }
+    result.status = static_cast<unsigned>(answer.value().status);
+    result.record = answer.value().body;
+    result.trace = std::string{answer.value().header("traceparent")};
+    if (answer.value().status != http::status::ok) {
+        take_refusal(answer.value().header("jaynotch-ran"), answer.value().header("Retry-After"),
+                     answer.value().body, result);
+        co_return result;
+    }
+    const auto object = parse_json_object(answer.value().body, "answer");
+    if (object) {
+        json_fields fields{object.value(), "answer"};
+        const bool own =
+            fields.text("digest") == content_digest(call.body) && fields.text("key") == call.key;
+        result.outcome = own ? call_outcome::whole : call_outcome::wrong;
+        result.detail = own ? "" : "the answer is to another request";
+    }
+    else {
+        result.outcome = call_outcome::wrong;
+        result.detail = "the answer is not the service's";
+    }
+    co_return result;
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/load/load.cc
@@ -0,0 +1,225 @@
+#include "load/load.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+// The schedule is drawn before the first call, so it does not depend on how the calls fare. One
+// timer starts each call; a second one, cancelled by the last call's end, wakes the report.
+
+namespace jaynotch {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t most_faults_kept = 20;
+constexpr std::size_t connections_kept = 256;
+
+enum class call_kind { model, plain };
+
+struct planned_call {
+    duration at{0};
+    call_kind kind = call_kind::model;
+    model_call model;
+    plain_call plain;
+};
+
+/// Everything that the coroutines of one load share.
+struct load_run {
+    load_run(const asio::any_io_executor& on, load_settings wanted)
+        : executor{on}, settings{std::move(wanted)}, random{settings.seed}, all_done{on}
+    {}
+
+    asio::any_io_executor executor;
+    load_settings settings;
+    random_source random;
+    std::vector<http_client> clients;
+    load_report report;
+    latency_histogram first_token;
+    latency_histogram between_tokens;
+    latency_histogram total;
+    std::size_t outstanding = 0;
+    timer all_done;
+};
+
+std::string random_text(random_source& random, std::size_t bytes)
+{
+    std::string text;
+    while (text.size() < bytes)
+        text += std::to_string(random.bits()) + " ";
+    text.resize(bytes);
+    return text;
+}
+
+planned_call plan_call(load_run& run, std::size_t index, duration at)
+{
+    const load_settings& wanted = run.settings;
+    planned_call call;
+    call.at = at;
+    const std::string& target = wanted.targets[index % wanted.targets.size()];
+    const std::string& workspace = wanted.workspaces[run.random.index(wanted.workspaces.size())];
+    const std::string unique = std::to_string(wanted.seed) + "-" + std::to_string(index);
+    if (run.random.chance(wanted.plain_share)) {
+        call.kind = call_kind::plain;
+        call.plain = {.target = target,
+                      .method = wanted.plain_method,
+                      .path = wanted.plain_path,
+                      .workspace = workspace,
+                      .key = wanted.keyed ? "load-" + unique : "",
+                      .body = "{\"order\":\"" + unique + "\"}"};
+        return call;
+    }
+    std::string prompt;
+    if (wanted.shared_prefixes > 0) {
+        random_source prefix{wanted.seed + run.random.index(wanted.shared_prefixes)};
+        prompt = random_text(prefix, wanted.prefix_bytes);
+    }
+    prompt += "call " + unique + " " + random_text(run.random, wanted.prompt_bytes);
+    call.model = {.target = target,
+                  .model = wanted.model,
+                  .workspace = workspace,
+                  .prompt = std::move(prompt),
+                  .tokens = wanted.tokens,
+                  .stream = run.random.chance(wanted.stream_share)};
+    return call;
+}
+
+std::vector<duration> starts(load_run& run)
+{
+    if (!run.settings.schedule.empty())
+        return run.settings.schedule;
+    std::vector<duration> at;
+    duration next{0};
+    while (run.settings.rate > 0.0) {
+        const double gap = run.random.exponential(1.0 / run.settings.rate);
+        next += std::chrono::duration_cast<duration>(std::chrono::duration<double>{gap});
+        if (next >= run.settings.length)
+            break;
+        at.push_back(next);
+    }
+    return at;
+}
+
+void account(load_run& run, const call_result& result, std::string_view what)
+{
+    ++run.report.outcomes.at(static_cast<std::size_t>(result.outcome));
+    run.report.tokens += result.tokens;
+    if (result.outcome == call_outcome::whole)
+        run.total.add(result.total);
+    if (result.tokens > 0)
+        run.first_token.add(result.first_token);
+    for (const duration gap : result.between_tokens)
+        run.between_tokens.add(gap);
+    const bool notable =
+        result.outcome == call_outcome::wrong || result.outcome == call_outcome::cut;
+    if (notable && run.report.faults.size() < most_faults_kept)
+        run.report.faults.push_back(std::string{what} + ": " + result.detail);
+}
+
+awaitable<void> carry_out(std::shared_ptr<load_run> run, planned_call call, std::size_t client)
+{
+    if (call.kind == call_kind::plain) {
+        call_result result =
+            co_await send_plain_call(run->clients[client], call.plain, run->settings.timeout);
+        account(*run, result, "plain call " + call.plain.key);
+        run->report.plain.push_back({std::move(call.plain), std::move(result)});
+    }
+    else {
+        const call_result result =
+            co_await send_model_call(run->clients[client], call.model, run->settings.timeout);
+        account(*run, result, "model call to " + call.model.target);
+    }
+    if (--run->outstanding == 0)
+        run->all_done.cancel();
+}
+
+load_percentiles percentiles(const latency_histogram& seen)
+{
+    const auto ms = [](duration value) {
+        return std::chrono::duration<double, std::milli>{value}.count();
+    };
+    return {.count = seen.count(),
+            .p50 = ms(seen.percentile(0.50)),
+            .p90 = ms(seen.percentile(0.90)),
+            .p95 = ms(seen.percentile(0.95)),
+            .p99 = ms(seen.percentile(0.99)),
+            .p999 = ms(seen.percentile(0.999)),
+            .most = ms(seen.most())};
+}
+
+json::object render_percentiles(const load_percentiles& seen)
+{
+    return json::object{{"count", seen.count}, {"p50_ms", seen.p50}, {"p90_ms", seen.p90},
+                        {"p95_ms", seen.p95},  {"p99_ms", seen.p99}, {"p99.9_ms", seen.p999},
+                        {"max_ms", seen.most}};
+}
+
+awaitable<void> wait_until(timer& wait, time_point when)
+{
+    wait.expires_at(when);
+    boost::system::error_code ignored;
+    co_await wait.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+} // namespace
+
+awaitable<load_report> run_load(asio::any_io_executor executor, load_settings settings)
+{
+    if (settings.targets.empty() || settings.workspaces.empty())
+        throw exception{{error_kind::invalid_argument, "a load needs targets and workspaces",
+                         "name at least one of each"}};
+    const auto run = std::make_shared<load_run>(executor, std::move(settings));
+    http_limits limits;
+    limits.idle_connections = connections_kept;
+    for (const auto& target : run->settings.targets)
+        run->clients.emplace_back(executor, target, limits);
+    std::vector<planned_call> plan;
+    for (const duration at : starts(*run))
+        plan.push_back(plan_call(*run, plan.size(), at));
+    const time_point began = runtime_clock::now();
+    timer next{executor};
+    for (std::size_t index = 0; index < plan.size(); ++index) {
+        co_await wait_until(next, began + plan[index].at);
+        if (run->outstanding >= run->settings.most_outstanding) {
+            ++run->report.not_started;
+            continue;
+        }
+        ++run->report.started;
+        ++run->outstanding;
+        asio::co_spawn(executor,
+                       carry_out(run, std::move(plan[index]), index % run->clients.size()),
+                       asio::detached);
+    }
+    while (run->outstanding > 0)
+        co_await wait_until(run->all_done, runtime_clock::now() + std::chrono::hours{1});
+    run->report.seconds = std::chrono::duration<double>{runtime_clock::now() - began}.count();
+    run->report.first_token = percentiles(run->first_token);
+    run->report.between_tokens = percentiles(run->between_tokens);
+    run->report.total = percentiles(run->total);
+    co_return std::move(run->report);
+}
+
+std::string render_load_report(const load_report& report)
+{
+    json::object outcomes;
+    for (const auto& entry : enum_names<call_outcome>::entries)
+        outcomes[entry.name] = report.of(entry.value);
+    json::array faults;
+    for (const auto& fault : report.faults)
+        faults.emplace_back(fault);
+    json::object body{{"started", report.started},
+                      {"not_started", report.not_started},
+                      {"seconds", report.seconds},
+                      {"tokens", report.tokens}};
+    body["outcomes"] = std::move(outcomes);
+    body["first_token"] = render_percentiles(report.first_token);
+    body["between_tokens"] = render_percentiles(report.between_tokens);
+    body["total"] = render_percentiles(report.total);
+    body["faults"] = std::move(faults);
+    return json::serialize(body);
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/standins/load_test.cc
@@ -0,0 +1,121 @@
+#include "load/load.h"
+#include "standins/standin_testing.h"
+#include "standins/standins.h"
+
+#include <criterion/criterion.h>
+
+using namespace jaynotch;
+
+// The load generator is what tells a whole answer from a broken one in every scenario, so its own
+// judgement is checked here against stand-ins that break answers in known ways.
+
+namespace {
+
+struct served {
+    test_runtime runtime;
+    std::shared_ptr<standin_fleet> fleet;
+
+    served()
+    {
+        standin_fleet_settings settings;
+        settings.engines = 1;
+        settings.fabric_domains = 1;
+        settings.plain = {"orders"};
+        fleet = standin_fleet::start(runtime.executor(), settings).value();
+        engine_client client{runtime.executor(), engine().address(), std::chrono::seconds{1}};
+        const engine_order_assign order{.order = "o",
+                                        .fencing = fencing_number{1},
+                                        .group = group_id{"g"},
+                                        .rank = 0,
+                                        .members = {engine().address()},
+                                        .model = "router",
+                                        .version = "v1",
+                                        .adapters = {}};
+        cr_assert(runtime.run(client.assign(order)));
+        cr_assert(
+            runtime.run_until([&] { return engine().report().state == engine_state::ready; }));
+    }
+    engine_standin& engine() { return fleet->engine(0); }
+    plain_standin& orders() { return fleet->plain(0); }
+
+    call_result ask(bool stream)
+    {
+        http_client client{runtime.executor(), engine().address(), http_limits{}};
+        return runtime.run(send_model_call(
+            client,
+            model_call{.model = "router", .prompt = "trench", .tokens = 12, .stream = stream},
+            std::chrono::seconds{5}));
+    }
+    call_result order(const std::string& key)
+    {
+        http_client client{runtime.executor(), orders().address(), http_limits{}};
+        return runtime.run(send_plain_call(
+            client, plain_call{.path = "/orders", .key = key, .body = "urea " + key},
+            std::chrono::seconds{1}));
+    }
+};
+
+} // namespace
+
+Test(load, whole_answers_are_whole)
+{
+    served all;
+    cr_assert(all.ask(true).outcome == call_outcome::whole);
+    cr_assert(all.ask(false).outcome == call_outcome::whole);
+    cr_assert(all.order("k1").outcome == call_outcome::whole);
+}
+
+Test(load, a_cut_stream_is_never_whole)
+{
+    served all;
+    for (const std::uint32_t after : {1U, 5U, 11U, 12U}) {
+        all.engine().apply({.cut_after = after});
+        cr_assert(all.ask(true).outcome == call_outcome::cut);
+    }
+    all.engine().apply({.cut_after = 0, .wrong_length = true});
+    cr_assert(all.ask(false).outcome == call_outcome::cut);
+}
+
+Test(load, a_refusal_is_believed_only_as_far_as_it_goes)
+{
+    served all;
+    all.engine().apply({.outage = true});
+    cr_assert(all.ask(true).outcome == call_outcome::refused_not_run);
+    all.orders().apply({.lose_replies = 1});
+    cr_assert(all.order("k2").outcome == call_outcome::unanswered);
+    cr_assert_eq(all.orders().executions().size(), 1U);
+    all.orders().apply({.kill = true});
+    cr_assert(all.order("k3").outcome == call_outcome::unreachable);
+}
+
+Test(load, a_load_accounts_for_every_call)
+{
+    served all;
+    load_settings wanted;
+    wanted.targets = {all.engine().address()};
+    wanted.model = "router";
+    wanted.rate = 300.0;
+    wanted.length = std::chrono::milliseconds{700};
+    wanted.tokens = 5;
+    wanted.stream_share = 0.5;
+    const load_report report = all.runtime.run(run_load(all.runtime.executor(), wanted));
+    std::uint64_t sum = 0;
+    for (const std::uint64_t count : report.outcomes)
+        sum += count;
+    cr_assert(report.started > 100);
+    cr_assert_eq(sum, report.started);
+    cr_assert_eq(report.of(call_outcome::whole), report.started);
+    cr_assert(report.first_token.count > 0 && report.total.p50 <= report.total.p99);
+}
+
+Test(load, percentiles_are_within_their_stated_error)
+{
+    latency_histogram seen;
+    for (int ms = 1; ms <= 1000; ++ms)
+        seen.add(std::chrono::milliseconds{ms});
+    for (const double rank : {0.1, 0.5, 0.9, 0.99, 1.0}) {
+        const double found =
+            std::chrono::duration<double, std::milli>{seen.percentile(rank)}.count();
+        cr_assert(found >= rank * 1000 * 0.98 && found <= rank * 1000 * 1.03);
+    }
+}
