--- a/cli/admin_client.cc
+++ b/cli/admin_client.cc
@@ -6,6 +6,7 @@
 #include "platform/http_client.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ssl.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
