groups: random histories with invariants, and the faults that they found

A seeded history drives the cores through every fault at once and then asks that all heals. It found: - a ticket from two fresh reports of different moments, for a group that was never whole: all members must now be known ready at one common instant; - a manager that released the VMs of another domain after the list had named them in both, and engines that then refused the rightful manager's lower fencing number for good: a VM held elsewhere is left alone, and a record that is behind an engine's number is written again to pass it; - a group left draining after the member that was to be replaced had come back.

--- a/groups/fake_world.cc
+++ b/groups/fake_world.cc
@@ -1,9 +1,4 @@
-// What is checked after every step, from the world's own all-knowing view:
-//
-// - the records name no VM twice, across all domains;
-// - the tickets in force, on all nodes together, name no VM twice for different groups;
-// - a ticket in force names a group whose engines all believed in it, loaded, at most one ticket
-//   horizon ago.
+// The queue of messages, the faults, and how commands are carried out over the fakes.
 #include "groups/fake_world.h"
 
 #include <algorithm>
@@ -12,27 +7,10 @@
 
 namespace {
 
-constexpr auto deployment = "fake";
 constexpr double full_rate_loads = 4.0; ///< engines that load at the full rate together
 
-std::string composition_name(const group_id& group, const std::vector<vm_id>& members)
-{
-    std::string name = group.value();
-    for (const vm_id& vm : members)
-        name += " " + vm.value();
-    return name;
-}
-
 } // namespace
 
-struct fake_world::node {
-    node_id name;
-    std::vector<domain_manager> managers;
-    std::unique_ptr<ticket_board> board;
-    time_point paused_until;
-    std::vector<std::function<void()>> held; ///< what arrived, or was about to be sent, in a pause
-};
-
 fake_world::fake_world(const world_options& options, std::uint64_t seed)
     : m_options{options}, m_random{seed}
 {
@@ -52,13 +30,13 @@
         made->name = node_id{"node-" + std::to_string(n)};
         for (const fabric_domain_id& domain : m_domains) {
             manager_settings settings;
-            settings.deployment = deployment;
+            settings.deployment = fake_deployment;
             settings.self = made->name;
             settings.domain = domain;
             made->managers.emplace_back(settings);
         }
         board_settings settings;
-        settings.deployment = deployment;
+        settings.deployment = fake_deployment;
         settings.self = made->name;
         made->board = std::make_unique<ticket_board>(settings);
         m_nodes.push_back(std::move(made));
@@ -66,8 +44,6 @@
     m_next_feed = m_now;
 }
 
-fake_world::~fake_world() = default;
-
 void fake_world::later(duration delay, std::function<void()> what)
 {
     m_queue.emplace(m_now + delay, std::move(what));
@@ -252,7 +228,7 @@
     }
     if (!m_platform_down && m_store.revision() != m_fed_revision) {
         m_fed_revision = m_store.revision();
-        for (const kv_entry& entry : m_store.records(deployment)) {
+        for (const kv_entry& entry : m_store.records(fake_deployment)) {
             for (std::size_t n = 0; n < m_nodes.size(); ++n) {
                 later(delay(), [this, n, entry] {
                     for (std::size_t d = 0; d < m_domains.size(); ++d)
@@ -283,7 +259,7 @@
 
 void fake_world::maybe_fault()
 {
-    if (!m_random.chance(m_options.faults_per_step))
+    if (m_engines.empty() || !m_random.chance(m_options.faults_per_step))
         return;
     auto any = m_engines.begin();
     std::advance(any, m_random.index(m_engines.size()));
@@ -395,115 +371,4 @@
                                std::move(what));
 }
 
-void fake_world::check()
-{
-    std::map<vm_id, group_id> assigned;
-    for (const kv_entry& entry : m_store.records(deployment)) {
-        const auto record = parse_record(entry);
-        if (!record) {
-            violate(to_string(record.error()));
-            continue;
-        }
-        for (const group_assignment& group : record.value().groups) {
-            for (const auto* list : {&group.members, &group.standbys}) {
-                for (const member& one : *list) {
-                    const auto [at, added] = assigned.emplace(one.vm, group.group);
-                    if (!added)
-                        violate(one.vm.value() + " is in two records: " + at->second.value() +
-                                " and " + group.group.value());
-                }
-            }
-        }
-    }
-    // Which compositions all their engines believe in, at this moment.
-    std::map<std::string, vm_id> by_address;
-    for (const auto& [vm, engine] : m_engines)
-        by_address[engine->row.address] = vm;
-    for (const auto& [vm, engine] : m_engines) {
-        const member_report& says = engine->says;
-        if (says.state != member_state::ready || says.rank != 0)
-            continue;
-        std::vector<vm_id> members;
-        bool whole = true;
-        for (std::size_t rank = 0; rank < says.members.size() && whole; ++rank) {
-            const auto at = by_address.find(says.members[rank]);
-            if (at == by_address.end()) {
-                whole = false;
-                break;
-            }
-            const fake_engine& other = *m_engines.at(at->second);
-            whole = other.answers(m_now) && other.says.group == says.group &&
-                    other.says.rank == rank && other.says.members == says.members &&
-                    other.says.state == member_state::ready && other.says.version == says.version;
-            members.push_back(at->second);
-        }
-        if (whole)
-            m_last_whole[composition_name(says.group, members)] = m_now;
-    }
-    std::map<vm_id, group_id> serving;
-    for (const auto& one : m_nodes) {
-        for (const complete_group& group : one->board->complete(m_now)) {
-            const auto last = m_last_whole.find(composition_name(group.group, group.members));
-            const duration horizon = board_settings{}.ticket_horizon + m_options.step;
-            if (last == m_last_whole.end())
-                violate("ticket for a group that was never whole: " + group.group.value());
-            else if (m_now - last->second > horizon)
-                violate("ticket outlived its horizon: " + group.group.value());
-            for (const vm_id& vm : group.members) {
-                const auto [at, added] = serving.emplace(vm, group.group);
-                if (!added && at->second != group.group)
-                    violate(vm.value() + " serves in two groups: " + at->second.value() + " and " +
-                            group.group.value());
-            }
-        }
-    }
-}
-
-std::vector<complete_group> fake_world::complete_on(std::size_t at) const
-{
-    return m_nodes[at]->board->complete(m_now);
-}
-
-std::vector<complete_group> fake_world::complete_everywhere() const
-{
-    std::map<group_id, std::size_t> seen;
-    std::size_t running = 0;
-    for (const auto& one : m_nodes) {
-        if (m_now < one->paused_until)
-            continue;
-        ++running;
-        for (const complete_group& group : one->board->complete(m_now))
-            ++seen[group.group];
-    }
-    std::vector<complete_group> everywhere;
-    for (const auto& one : m_nodes) {
-        if (m_now < one->paused_until)
-            continue;
-        for (const complete_group& group : one->board->complete(m_now)) {
-            if (seen[group.group] == running)
-                everywhere.push_back(group);
-        }
-        break;
-    }
-    return everywhere;
-}
-
-domain_record fake_world::record(std::size_t domain) const
-{
-    for (const kv_entry& entry : m_store.records(deployment)) {
-        if (entry.key == record_key(deployment, m_domains[domain]))
-            return parse_record(entry).value();
-    }
-    return {};
-}
-
-int fake_world::leader(std::size_t domain) const
-{
-    for (std::size_t n = 0; n < m_nodes.size(); ++n) {
-        if (m_nodes[n]->managers[domain].status(m_now).leading)
-            return static_cast<int>(n);
-    }
-    return -1;
-}
-
 } // namespace jaynotch::groups
--- a/groups/fake_world.h
+++ b/groups/fake_world.h
@@ -17,6 +17,8 @@
 
 namespace jaynotch::groups {
 
+inline constexpr auto fake_deployment = "fake";
+
 struct world_options {
     std::size_t nodes = 3;
     std::size_t domains = 2;
@@ -29,9 +31,6 @@
 class fake_world {
 public:
     fake_world(const world_options& options, std::uint64_t seed);
-    ~fake_world();
-    fake_world(const fake_world&) = delete;
-    fake_world& operator=(const fake_world&) = delete;
 
     void step();
     void run(duration span);
@@ -41,6 +40,8 @@
 
     [[nodiscard]] time_point now() const { return m_now; }
     [[nodiscard]] const std::vector<std::string>& violations() const { return m_violations; }
+    /// Records and engines as text, to find out why a history went wrong.
+    [[nodiscard]] std::string describe() const;
     /// Groups with a ticket on every node that runs.
     [[nodiscard]] std::vector<complete_group> complete_everywhere() const;
     [[nodiscard]] std::vector<complete_group> complete_on(std::size_t node) const;
@@ -59,10 +60,16 @@
     /// Orders of the paused manager, sent whatever their `not_after` says when it wakes.
     void send_late_orders(bool late) { m_late_orders = late; }
     fake_store& store() { return m_store; }
-    [[nodiscard]] std::uint64_t unlisted_loads() const { return m_orders; }
 
 private:
-    struct node;
+    struct node {
+        node_id name;
+        std::vector<domain_manager> managers;
+        std::unique_ptr<ticket_board> board;
+        time_point paused_until;
+        /// What arrived, or was about to be sent, in a pause.
+        std::vector<std::function<void()>> held;
+    };
 
     void later(duration delay, std::function<void()> what);
     duration delay();
--- a/groups/manager.cc
+++ b/groups/manager.cc
@@ -19,6 +19,7 @@
 
 constexpr std::size_t dark_deputies = 1; ///< nodes that act for a domain while the platform is dark
 constexpr std::size_t candidates = 2;    ///< nodes that campaign for the manager's key
+constexpr duration read_gap = 2s;        ///< between two reads of the record for cause
 constexpr std::size_t most_records = 4096;
 
 bool same_assignment(const domain_record& left, const domain_record& right)
@@ -26,6 +27,15 @@
     return left.groups == right.groups;
 }
 
+bool names(const domain_record& record, const vm_id& vm)
+{
+    const auto is = [&](const member& one) { return one.vm == vm; };
+    return std::any_of(record.groups.begin(), record.groups.end(), [&](const auto& group) {
+        return std::any_of(group.members.begin(), group.members.end(), is) ||
+               std::any_of(group.standbys.begin(), group.standbys.end(), is);
+    });
+}
+
 } // namespace
 
 struct domain_manager::state {
@@ -47,6 +57,8 @@
     bool record_read = false;
     bool list_read = false;
     bool read_again = false; ///< the record may have changed under us
+    time_point last_read;
+    fencing_number ahead; ///< highest fencing number that an engine of the record has reported
     domain_record writing;
     pending_call write;
     time_point last_write;
@@ -90,9 +102,12 @@
     if (!vms.take_report(seen, now))
         out.emplace_back(notice{log_level::warning, "report_refused", seen.vm.value(),
                                 "the engine reports as another VM; it is set aside"});
-    // A fencing number from the future: the record has moved on without us.
-    if (seen.report.fencing > record.revision)
+    // A fencing number from the future: the record has moved on without us, or another domain's
+    // manager ordered this VM while the list named it in both.
+    if (seen.report.fencing > record.revision && names(record, seen.vm)) {
         read_again = true;
+        ahead = std::max(ahead, seen.report.fencing);
+    }
 }
 
 void domain_manager::state::take(const straggler_found& found, time_point now)
@@ -202,6 +217,7 @@
     const std::string record_at = record_key(settings.deployment, settings.domain);
     const std::string manager = manager_key(settings.deployment, settings.domain);
     read_again = false;
+    last_read = now;
     write = {call_kind::read, lead.next_token(), now};
     out.emplace_back(
         kv_call{write.token, kv_transaction{{}, {kv_get{record_at}, kv_get{manager}}, {}}});
@@ -260,9 +276,9 @@
 void domain_manager::state::follow(time_point now, bool in_dark)
 {
     const time_point latest = now + settings.order_timeout;
-    const order_input in{
-        settings, record, plan.sights(), now, in_dark ? latest : std::min(latest, lead.until()),
-        in_dark};
+    const order_input in{settings,      record, others,
+                         plan.sights(), now,    in_dark ? latest : std::min(latest, lead.until()),
+                         in_dark};
     orders.send(
         in, vms, [this] { return lead.next_token(); }, out);
 }
@@ -290,12 +306,15 @@
         follow(now, true);
         return;
     }
-    if (write.kind == call_kind::none && read_again)
+    if (write.kind == call_kind::none && read_again && now - last_read >= read_gap)
         read_record(now);
     std::vector<notice> notices;
     domain_record next = plan.next(planning(now), notices);
     const bool may_write = write.kind == call_kind::none && now - last_write >= settings.write_gap;
-    if (may_write && !same_assignment(next, record)) {
+    // Engines that check would refuse every order until the record's revision has passed the number
+    // they took elsewhere: writing it again raises it, since all keys share one revision.
+    const bool raise = ahead > record.revision && now - last_read >= read_gap;
+    if (may_write && (raise || !same_assignment(next, record))) {
         for (notice& told : notices)
             out.emplace_back(std::move(told));
         write_record(std::move(next), now);
--- a/groups/orders.cc
+++ b/groups/orders.cc
@@ -36,6 +36,22 @@
         }));
 }
 
+/// Whether another domain's record names `vm`: the list is wrong about where the VM is, and the
+/// domain that holds it goes on holding it.
+bool held_elsewhere(const vm_id& vm, const order_input& in)
+{
+    const auto names = [&](const member& one) { return one.vm == vm; };
+    return std::any_of(in.records.begin(), in.records.end(), [&](const auto& entry) {
+        return entry.first != in.record.domain &&
+               std::any_of(
+                   entry.second.groups.begin(), entry.second.groups.end(),
+                   [&](const group_assignment& group) {
+                       return std::any_of(group.members.begin(), group.members.end(), names) ||
+                              std::any_of(group.standbys.begin(), group.standbys.end(), names);
+                   });
+    });
+}
+
 /// Which places of `group` differ from what they should be.
 group_work work_of(const group_assignment& group, const group_sight& sight, vm_table& vms,
                    const order_input& in)
@@ -91,6 +107,8 @@
         if (in.dark || !vms.fresh(view, in.now) || view.report->group.value().empty())
             continue;
         const auto at = named.find(vm);
+        if (at == named.end() && (view.ambiguous || held_elsewhere(vm, in)))
+            continue;
         if (at == named.end() || at->second != view.report->group)
             release(in, view, out);
     }
--- a/groups/orders.h
+++ b/groups/orders.h
@@ -14,6 +14,7 @@
 struct order_input {
     const manager_settings& settings;
     const domain_record& record;
+    const record_map& records; ///< of all domains
     const std::map<group_id, group_sight>& sights;
     time_point now;
     time_point not_after; ///< no order may be sent later
--- a/groups/plan.cc
+++ b/groups/plan.cc
@@ -160,8 +160,13 @@
 {
     for (group_assignment& group : next.groups) {
         const group_sight& seen = sight(group);
-        if (group.retiring || !(seen.can_switch || seen.switched))
+        if (group.retiring)
             continue;
+        if (!seen.can_switch && !seen.switched) {
+            // The reason to drain may be gone: the member that was to be replaced is back.
+            group.draining = group.draining && outdated(group);
+            continue;
+        }
         bool at_last_moment = false;
         for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
             const vm_view* view = in.vms.find(group.members[rank].vm);
--- a/groups/ticket_board.cc
+++ b/groups/ticket_board.cc
@@ -29,6 +29,7 @@
     std::optional<member_report> report;
     time_point sent_at;
     time_point same_group_since;
+    time_point same_place_since; ///< receipt of the first report of its present place, ready
     time_point last_probe;
     group_id named_by; ///< the group whose record names it
 };
@@ -48,6 +49,14 @@
     return all;
 }
 
+/// Whether two reports show the same loaded place.
+bool same_place(const member_report& left, const member_report& right)
+{
+    return left.group == right.group && left.rank == right.rank && left.members == right.members &&
+           left.state == right.state && left.version == right.version &&
+           left.adapters == right.adapters && left.model == right.model;
+}
+
 } // namespace
 
 struct ticket_board::state {
@@ -95,6 +104,8 @@
                        seen.sent_at - known.sent_at > settings.settled;
     if (moved)
         known.same_group_since = seen.sent_at;
+    if (moved || !same_place(*known.report, seen.report))
+        known.same_place_since = now;
     known.report = seen.report;
     known.sent_at = seen.sent_at;
     // A report that contradicts a ticket ends it now, not at the next tick.
@@ -327,17 +338,24 @@
                                             const std::vector<member>& members,
                                             time_point now) const
 {
+    // Two fresh reports may still be of different moments: one member ready and then gone, the
+    // other ready only after that. So there has to be an instant at which all are known to be
+    // ready.
+    time_point all_since = time_point::min();
+    time_point all_until = time_point::max();
     for (std::size_t rank = 0; rank < members.size(); ++rank) {
         const auto at = vms.find(members[rank].vm);
         if (at == vms.end() || !at->second.report)
             return false;
         const watched_vm& known = at->second;
+        all_since = std::max(all_since, known.same_place_since);
+        all_until = std::min(all_until, known.sent_at);
         const bool fresh = now - known.sent_at < settings.ticket_horizon;
         const bool settled = known.sent_at - known.same_group_since >= settings.settled;
         if (!fresh || !settled || !ready_in_place(*known.report, group, rank, members))
             return false;
     }
-    return !members.empty();
+    return !members.empty() && all_since <= all_until;
 }
 
 complete_group ticket_board::state::ticket_for(const watched_group& group,
--- a/groups/vm_table.cc
+++ b/groups/vm_table.cc
@@ -58,9 +58,10 @@
             view.leaves_at = now + row->leaves_in;
         view.leaving = row->leaving;
     }
-    // A VM that vanished from the list is kept as long as its engine answers: the list lags.
+    // A VM that vanished from the list is kept as long as its engine answers: the list lags. One
+    // that the list now names in another domain only is that domain's.
     std::erase_if(m_vms, [&](const auto& entry) {
-        return !entry.second.listed && !fresh(entry.second, now);
+        return !entry.second.listed && (!fresh(entry.second, now) || first.contains(entry.first));
     });
 }
 
