--- a/groups/fake_world.cc
+++ b/groups/fake_world.cc
@@ -18,8 +18,13 @@
         m_domains.emplace_back("fabric-" + std::to_string(d));
         for (std::size_t v = 0; v < options.vms_per_domain; ++v) {
             const std::string name = "vm-" + std::to_string(d) + "-" + std::to_string(v);
-            vm_row row{vm_id{name}, name + ":1", m_domains[d], failure_domain_id{"here"},
-                       1,           false,       0ms};
+            vm_row row{vm_id{name},
+                       name + ":1",
+                       m_domains[d],
+                       failure_domain_id{"here"},
+                       1,
+                       false,
+                       std::chrono::milliseconds{0}};
             auto made = std::make_shared<fake_engine>(row);
             made->checks_fencing = options.engines_check_fencing;
             m_engines[row.vm] = std::move(made);
@@ -97,7 +102,7 @@
                 if (!lost)
                     answer.outcome = outcome;
             }
-            later(lost ? duration{1s} : delay(),
+            later(lost ? std::chrono::seconds{1} : delay(),
                   [this, at, domain, answer] { tell(at, answer, domain); });
         });
     }
@@ -129,7 +134,8 @@
     else if (!std::holds_alternative<notice>(command)) {
         // A pause between the decision and the sending: the shell sees `not_after` when it wakes,
         // unless the pause hit behind that check too.
-        later(duration{1ms}, [this, at, domain, command] { order(at, domain, command); });
+        later(std::chrono::milliseconds{1},
+              [this, at, domain, command] { order(at, domain, command); });
     }
 }
 
@@ -205,7 +211,7 @@
 void fake_world::feed()
 {
     if (m_now >= m_next_feed) {
-        m_next_feed = m_now + 5s;
+        m_next_feed = m_now + std::chrono::seconds{5};
         vms_seen list;
         for (const auto& [vm, engine] : m_engines) {
             if (engine->alive && !m_hidden.contains(vm))
@@ -293,14 +299,14 @@
         break;
     case 5:
         m_lost_replies = m_random.unit() * 0.5;
-        later(20s, [this] { m_lost_replies = 0.0; });
+        later(std::chrono::seconds{20}, [this] { m_lost_replies = 0.0; });
         break;
     case 6:
         engine.fault = static_cast<engine_fault>(m_random.index(4));
         break;
     case 7:
         engine.row.leaving = true;
-        engine.row.leaves_in = 60s;
+        engine.row.leaves_in = std::chrono::seconds{60};
         break;
     case 8:
         // Listed in a second domain as well.
