Scenarios: a runner that plays Lua stories on real daemons

Stand-ins run in the runner, daemons as processes of their own, with a loopback network between that can be cut by name: a forwarder learns from the kernel's tables whose connection it carries and holds bytes back like a partition. After each scenario invariants are checked from the accounts of the stand-ins and the callers. Tests show that each invariant can fail.

--- a/Makefile
+++ b/Makefile
@@ -56,3 +56,8 @@
 
 clean: ## remove the build folders
 	@rm -rf build build-*
+
+ONLY ?=
+scenarios: build ## play the scenarios on real daemons (ONLY=name for one)
+	@$(BUILD)/jaynotch-scenario --programs=$(BUILD) --logs=$(BUILD)/scenarios \
+	  $(if $(ONLY),scenarios/$(ONLY).lua,$(sort $(filter-out scenarios/prelude.lua,$(wildcard scenarios/*.lua))))
--- /dev/null
+++ b/scenarios/forwarder.cc
@@ -0,0 +1,192 @@
+#include "scenarios/forwarder.h"
+
+#include "standins/standins.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+// Whose connection it is shows in the kernel's tables: /proc/net/tcp gives the inode of the socket
+// with the client's port, and the process that holds the inode stands in /proc/<pid>/fd.
+
+namespace jaynotch {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr duration cut_poll = std::chrono::milliseconds{5};
+constexpr std::size_t copy_bytes = 16 * 1024;
+
+/// "0100007F:1F90", as /proc/net/tcp writes a port of 127.0.0.1.
+std::string proc_address(std::uint16_t port)
+{
+    std::array<char, 16> text{};
+    std::snprintf(text.data(), text.size(), "0100007F:%04X", port);
+    return text.data();
+}
+
+std::string inode_of(std::uint16_t local, std::uint16_t remote)
+{
+    std::ifstream table{"/proc/net/tcp"};
+    std::string line;
+    std::getline(table, line);
+    const std::string wanted_local = proc_address(local);
+    const std::string wanted_remote = proc_address(remote);
+    while (std::getline(table, line)) {
+        std::istringstream words{line};
+        std::string slot;
+        std::string at;
+        std::string to;
+        words >> slot >> at >> to;
+        if (at != wanted_local || to != wanted_remote)
+            continue;
+        std::string skipped;
+        constexpr int words_before_inode = 6;
+        for (int i = 0; i < words_before_inode; ++i)
+            words >> skipped;
+        std::string inode;
+        words >> inode;
+        return inode;
+    }
+    return {};
+}
+
+bool holds_inode(int pid, const std::string& inode)
+{
+    const std::string wanted = "socket:[" + inode + "]";
+    std::error_code ec;
+    const std::filesystem::path folder{"/proc/" + std::to_string(pid) + "/fd"};
+    for (const auto& entry : std::filesystem::directory_iterator{folder, ec}) {
+        if (std::filesystem::read_symlink(entry.path(), ec).string() == wanted)
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+result<std::string> loopback_network::forward(const std::string& name, const std::string& target)
+{
+    BOOST_OUTCOME_TRY(const tcp::endpoint remote, parse_endpoint(target));
+    auto at = std::make_shared<forwarder>(forwarder{name, remote, tcp::acceptor{m_executor}});
+    error_code ec;
+    const tcp::endpoint any{asio::ip::address_v4::loopback(), 0};
+    at->acceptor.open(any.protocol(), ec);
+    at->acceptor.bind(any, ec);
+    at->acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (ec)
+        return error{error_kind::unavailable, "can't listen: " + ec.message(), ""};
+    m_forwarders.push_back(at);
+    asio::co_spawn(m_executor, accept_loop(shared_from_this(), at), asio::detached);
+    return "127.0.0.1:" + std::to_string(at->acceptor.local_endpoint().port());
+}
+
+void loopback_network::cut(const std::string& one, const std::string& other)
+{
+    m_cuts.insert({one, other});
+    m_cuts.insert({other, one});
+}
+
+void loopback_network::close()
+{
+    for (const auto& at : m_forwarders) {
+        error_code ignored;
+        at->acceptor.close(ignored);
+    }
+}
+
+bool loopback_network::is_cut(const tunnel& through) const
+{
+    return m_cuts.contains({through.from, through.to});
+}
+
+std::string loopback_network::source_of(const tcp::socket& client) const
+{
+    error_code ec;
+    const auto far = client.remote_endpoint(ec);
+    const auto near = client.local_endpoint(ec);
+    if (ec)
+        return {};
+    const std::string inode = inode_of(far.port(), near.port());
+    if (inode.empty())
+        return {};
+    for (const auto& [name, pid] : m_processes) {
+        if (holds_inode(pid, inode))
+            return name;
+    }
+    return {};
+}
+
+awaitable<void> loopback_network::accept_loop(std::shared_ptr<loopback_network> self,
+                                              std::shared_ptr<forwarder> at)
+{
+    for (;;) {
+        error_code ec;
+        tcp::socket client =
+            co_await at->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
+        if (!at->acceptor.is_open())
+            co_return;
+        if (ec)
+            continue;
+        std::string from = self->source_of(client);
+        auto through = std::make_shared<tunnel>(
+            tunnel{std::move(client), tcp::socket{self->m_executor}, std::move(from), at->name});
+        asio::co_spawn(self->m_executor, connect(self, through, at->target), asio::detached);
+    }
+}
+
+awaitable<void> loopback_network::connect(std::shared_ptr<loopback_network> self,
+                                          std::shared_ptr<tunnel> through, tcp::endpoint target)
+{
+    while (self->is_cut(*through))
+        co_await standin_sleep(self->m_executor, cut_poll);
+    error_code ec;
+    co_await through->server.async_connect(target, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) {
+        error_code ignored;
+        through->client.close(ignored);
+        co_return;
+    }
+    error_code ignored;
+    through->client.set_option(tcp::no_delay{true}, ignored);
+    through->server.set_option(tcp::no_delay{true}, ignored);
+    asio::co_spawn(self->m_executor, copy(self, through, through->client, through->server),
+                   asio::detached);
+    asio::co_spawn(self->m_executor, copy(self, through, through->server, through->client),
+                   asio::detached);
+}
+
+awaitable<void> loopback_network::copy(std::shared_ptr<loopback_network> self,
+                                       std::shared_ptr<tunnel> through, tcp::socket& from,
+                                       tcp::socket& to)
+{
+    std::vector<char> bytes(copy_bytes);
+    for (;;) {
+        error_code ec;
+        const std::size_t got = co_await from.async_read_some(
+            asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
+        while (self->is_cut(*through))
+            co_await standin_sleep(self->m_executor, cut_poll);
+        if (ec)
+            break;
+        co_await asio::async_write(to, asio::buffer(bytes.data(), got),
+                                   asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+            break;
+    }
+    error_code ignored;
+    from.close(ignored);
+    to.close(ignored);
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/scenarios/lua_host.h
@@ -0,0 +1,40 @@
+// Runs a Lua script whose calls into C++ all take one table and give one value back, carried as
+// JSON values between the two:
+//
+//   lua_host host{[](std::string_view name, const json::object& arguments) { ... }};
+//   result<void> ran = host.run(script_text, "drain.lua");
+//
+// In Lua: op("load", {rate = 20}). An exception that a call throws becomes a Lua error.
+#pragma once
+
+#include "base/base.h"
+
+#include <boost/json.hpp>
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+struct lua_State;
+
+namespace jaynotch {
+
+class lua_host {
+public:
+    using operation = std::function<boost::json::value(std::string_view name,
+                                                       const boost::json::object& arguments)>;
+    explicit lua_host(operation call);
+    ~lua_host();
+    lua_host(const lua_host&) = delete;
+    lua_host& operator=(const lua_host&) = delete;
+
+    result<void> run(const std::string& script, const std::string& name);
+
+private:
+    static int call_operation(lua_State* lua);
+
+    operation m_call;
+    lua_State* m_lua;
+};
+
+} // namespace jaynotch
--- /dev/null
+++ b/scenarios/prelude.lua
@@ -0,0 +1,193 @@
+-- The words that scenarios are told in. Each is a thin cover of one operation of the runner
+-- (scenarios/world.h), which carries tables to C++ and back.
+
+-- check(holds, what): counts a check; "what" says what is wrong if it does not hold.
+function check(holds, what)
+  op("check", {holds = holds and true or false, what = what})
+end
+
+function note(text) op("note", {text = text}) end
+function wait(seconds) op("wait", {seconds = seconds}) end
+function now() return op("now", {}) end
+
+-- wait_until(condition, seconds, what): polls; fails the scenario if it never holds. Returns how
+-- long it took, in seconds.
+function wait_until(condition, seconds, what)
+  local began = now()
+  while not condition() do
+    if now() - began > seconds then
+      error("after " .. seconds .. " s still not: " .. what, 2)
+    end
+    wait(0.02)
+  end
+  return now() - began
+end
+
+-- The platform and backend VMs, as stand-ins: engines, fabric_domains, failure_domains, plain
+-- (names), plain_work_ms, weight_rate, weight_bytes, step_us, max_batch, check_fencing, vm_lag_ms,
+-- kv_writes, kv_reads. Returns {plain = {name = address}}.
+function fleet(settings) return op("fleet", settings) end
+
+-- An entry VM's daemon: a process of its own. flags: further flags of jaynotchd.
+function daemon(name, failure_domain, flags)
+  return op("daemon", {name = name, failure_domain = failure_domain, flags = flags or {}})
+end
+
+function restart(name) op("restart", {name = name}) end
+function kill(name) op("signal", {name = name, signal = "kill"}) end
+function pause(name) op("signal", {name = name, signal = "stop"}) end
+function resume(name) op("signal", {name = name, signal = "cont"}) end
+-- Asks for a graceful stop; await_exit tells its exit code.
+function stop(name) op("signal", {name = name, signal = "term"}) end
+function await_exit(name, seconds) return op("await_exit", {name = name, seconds = seconds}) end
+
+-- {status, body, json, ran, retry_after}; status 0 if no answer came.
+function get(name, path) return op("http", {to = name, path = path}) end
+function admin(name, page) return op("http", {to = name, port = "admin", path = "/admin/v1/" .. page}) end
+function http(arguments) return op("http", arguments) end
+
+function status(name) return admin(name, "status").json or {} end
+function groups(name)
+  local page = admin(name, "groups").json
+  return page and page.groups or {}
+end
+function ready(name) return get(name, "/readyz").status == 200 end
+
+-- Groups of a pool that a daemon calls complete.
+function complete_groups(name, pool)
+  local count = 0
+  for _, group in ipairs(groups(name)) do
+    if group.complete and (pool == nil or group.pool == pool) then count = count + 1 end
+  end
+  return count
+end
+
+local changes = 0
+-- Puts two tables in force through one daemon: {status, json, ...}.
+function apply(name, tables)
+  changes = changes + 1
+  local body = op("json", {
+    routes = tables.routes, pools = tables.pools, base_revision = tables.base_revision,
+    author = tables.author or "scenario", message = tables.message or "",
+    change_id = tables.change_id or ("scenario-" .. changes)})
+  return op("http", {to = name, port = "admin", method = "POST", path = "/admin/v1/apply",
+                     headers = {["Content-Type"] = "application/json"}, body = body})
+end
+
+-- Applies and waits until each of `names` has it in force.
+function apply_everywhere(names, tables)
+  local answer = apply(names[1], tables)
+  if answer.status ~= 200 then
+    error("apply was refused: " .. answer.status .. " " .. tostring(answer.body), 2)
+  end
+  for _, name in ipairs(names) do
+    wait_until(function() return ready(name) end, 20, name .. " ready")
+  end
+  return answer
+end
+
+-- One model and, if addresses are given, one plain service.
+function tables_for(options)
+  local routes = 'deployment = "test"\n'
+  local pools = 'deployment = "test"\n'
+  if options.model then
+    routes = routes .. string.format([[
+[[route]]
+name = "chat"
+kind = "chat"
+model = "%s"
+workspaces = ["*"]
+pool = "model"
+timeout_ms = %d
+longest_stream_ms = 60000
+retries = %d
+]], options.model, options.timeout_ms or 10000, options.retries or 2)
+    pools = pools .. string.format([[
+[[pool]]
+name = "model"
+kind = "model"
+model = "%s"
+version = "%s"
+replica_vms = %d
+replicas = %d
+standbys = %d
+engine_checks_fencing = %s
+max_in_flight_per_replica = 64
+]], options.model, options.version or "v1", options.replica_vms or 2, options.replicas or 1,
+      options.standbys or 0, options.check_fencing == false and "false" or "true")
+  end
+  if options.servers then
+    routes = routes .. string.format([[
+[[route]]
+name = "orders"
+kind = "plain"
+path_prefix = "/orders"
+methods = ["POST"]
+workspaces = ["*"]
+pool = "plain"
+repeat = "%s"
+timeout_ms = %d
+longest_stream_ms = 20000
+
+[[route]]
+name = "archive"
+kind = "plain"
+path_prefix = "/"
+methods = ["GET"]
+workspaces = ["*"]
+pool = "plain"
+timeout_ms = %d
+longest_stream_ms = 20000
+retries = 2
+]], options["repeat"] or "keyed", options.timeout_ms or 3000, options.timeout_ms or 3000)
+    local quoted = {}
+    for _, address in ipairs(options.servers) do quoted[#quoted + 1] = '"' .. address .. '"' end
+    pools = pools .. string.format([[
+[[pool]]
+name = "plain"
+kind = "plain"
+servers = [%s]
+]], table.concat(quoted, ", "))
+  end
+  return {routes = routes, pools = pools}
+end
+
+-- fault("vm-3", {pause = true}): targets are kv, vms, weights, a VM or a plain service.
+function fault(target, change) op("fault", {target = target, change = change}) end
+function fault_fabric(domain, change) op("fault_fabric", {domain = domain, change = change}) end
+function leaving(vm, in_seconds) op("change_vm", {vm = vm, state = "leaving", in_seconds = in_seconds}) end
+function gone(vm) op("change_vm", {vm = vm, state = "gone"}) end
+-- Cuts two sets of names off each other: daemons, VMs, services, failure domains, "platform".
+function partition(one, other) op("cut", {one = one, other = other}) end
+function heal() op("heal", {}) end
+-- Ends the leases of all keys under a prefix; returns how many.
+function lapse(prefix) return op("lapse", {prefix = prefix}) end
+function kv_entries(prefix) return op("kv_entries", {prefix = prefix}) end
+
+-- One call: {outcome, status, detail, record, version, first_token_ms, total_ms}.
+function ask(name, options)
+  return op("ask", {to = name, model = options.model, prompt = options.prompt or "a question",
+                    tokens = options.tokens, stream = options.stream,
+                    workspace = options.workspace})
+end
+function order(name, options)
+  return op("order", {to = name, key = options.key, body = options.body or options.key,
+                      path = options.path, method = options.method})
+end
+
+-- A load beside the scenario; finish returns its report.
+function start_load(names, options)
+  options.to = names
+  return op("start_load", options)
+end
+function finish(load) return op("finish_load", {id = load}) end
+
+-- What the stand-ins saw: {finished, partial, stale_orders, running, plain = {{service, key}}}.
+function account() return op("account", {}) end
+function runs_of(key)
+  local count = 0
+  for _, run in ipairs(account().plain) do
+    if run.key == key then count = count + 1 end
+  end
+  return count
+end
--- /dev/null
+++ b/scenarios/scenario_main.cc
@@ -0,0 +1,61 @@
+// jaynotch-scenario: plays scenarios and says what each showed.
+//
+//   jaynotch-scenario --programs=build scenarios/lost_reply.lua ...
+//
+// Exit codes: 0 all went well, 1 a scenario failed, 2 usage.
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/flags/usage.h"
+#include "base/environment.h"
+#include "scenarios/scenarios.h"
+
+#include <cstdio>
+
+ABSL_FLAG(std::string, programs, "build", "folder of jaynotchd");
+ABSL_FLAG(std::string, logs, "build/scenarios", "folder for the daemons' logs");
+ABSL_FLAG(bool, notes, false, "print the notes that scenarios make on their way");
+
+namespace jaynotch {
+namespace {
+
+bool play(const std::string& path, const scenario_options& options)
+{
+    const scenario_outcome seen = run_scenario(path, options);
+    std::printf("%s %-32s %5.1f s %3llu checks\n", seen.problems.empty() ? "ok  " : "FAIL",
+                seen.name.c_str(), seen.seconds, static_cast<unsigned long long>(seen.checks));
+    if (!seen.problems.empty())
+        std::printf("%s", seen.story.c_str());
+    for (const auto& problem : seen.problems)
+        std::printf("     %s\n", problem.c_str());
+    std::fflush(stdout);
+    return seen.problems.empty();
+}
+
+int play_all(const std::vector<char*>& words)
+{
+    if (words.size() < 2) {
+        std::fprintf(stderr, "jaynotch-scenario: name the scenarios' files\n");
+        return 2;
+    }
+    const scenario_options options{absl::GetFlag(FLAGS_programs), absl::GetFlag(FLAGS_logs),
+                                   absl::GetFlag(FLAGS_notes)};
+    std::size_t failed = 0;
+    for (std::size_t index = 1; index < words.size(); ++index)
+        failed += play(words[index], options) ? 0 : 1;
+    std::printf("%zu scenarios, %zu failed\n", words.size() - 1, failed);
+    return failed == 0 ? 0 : 1;
+}
+
+} // namespace
+} // namespace jaynotch
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage("plays scenarios: jaynotch-scenario [flags] FILE.lua ...");
+    const auto set = jaynotch::read_environment("scenarios/scenario_main.cc");
+    if (!set) {
+        std::fprintf(stderr, "jaynotch-scenario: %s\n", to_string(set.error()).c_str());
+        return 2;
+    }
+    return jaynotch::play_all(absl::ParseCommandLine(argc, argv));
+}
--- /dev/null
+++ b/scenarios/scenarios.cc
@@ -0,0 +1,86 @@
+#include "scenarios/scenarios.h"
+
+#include "scenarios/invariants.h"
+#include "scenarios/lua_host.h"
+#include "scenarios/world.h"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace jaynotch {
+
+namespace {
+
+std::string read_file(const std::filesystem::path& path)
+{
+    std::ifstream file{path};
+    if (!file)
+        throw exception{
+            {error_kind::not_found, "can't read " + path.string(), "give the path of a scenario"}};
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/// The comment at the top of a scenario.
+std::string story_of(const std::string& script)
+{
+    std::istringstream lines{script};
+    std::string story;
+    std::string line;
+    while (std::getline(lines, line) && line.starts_with("--"))
+        story += line.substr(std::min<std::size_t>(line.size(), 3)) + "\n";
+    return story;
+}
+
+void judge(scenario_world& world)
+{
+    for (const auto& name : world.unexpected_ends())
+        world.add_problem(name + " ended by itself");
+    auto* fleet = const_cast<standin_fleet*>(world.fleet());
+    if (fleet == nullptr)
+        return;
+    for (const auto& problem :
+         violated(accounts_of(*fleet, world.plain_calls(), world.wrong_answers())))
+        world.add_problem(problem);
+    if (world.wrong_answers() > 0) {
+        for (const auto& detail : world.wrong_details())
+            world.add_problem("  " + detail);
+    }
+}
+
+} // namespace
+
+scenario_outcome run_scenario(const std::string& path, const scenario_options& options)
+{
+    const std::filesystem::path file{path};
+    scenario_outcome outcome;
+    outcome.name = file.stem().string();
+    const auto began = std::chrono::steady_clock::now();
+    try {
+        std::filesystem::create_directories(options.logs);
+        const std::string script = read_file(file);
+        outcome.story = story_of(script);
+        scenario_world world{outcome.name, options};
+        lua_host lua{[&](std::string_view name, const boost::json::object& arguments) {
+            return world.call(name, arguments);
+        }};
+        result<void> ran = lua.run(read_file(file.parent_path() / "prelude.lua"), "prelude.lua");
+        if (ran)
+            ran = lua.run(script, file.filename().string());
+        if (!ran)
+            world.add_problem(ran.error().message);
+        judge(world);
+        outcome.checks = world.checks();
+        outcome.problems = world.problems();
+    }
+    catch (const std::exception& failed) {
+        outcome.problems.emplace_back(failed.what());
+    }
+    outcome.seconds =
+        std::chrono::duration<double>{std::chrono::steady_clock::now() - began}.count();
+    return outcome;
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/scenarios/scenarios_test.cc
@@ -0,0 +1,111 @@
+#include "scenarios/forwarder.h"
+#include "scenarios/invariants.h"
+#include "scenarios/lua_host.h"
+#include "standins/standin_testing.h"
+
+#include <criterion/criterion.h>
+
+using namespace jaynotch;
+namespace json = boost::json;
+
+// The invariants are what every scenario stands on: each must be seen to fail.
+
+namespace {
+
+plain_record made(const std::string& key, call_outcome outcome)
+{
+    plain_record record;
+    record.call.key = key;
+    record.call.body = "body " + key;
+    record.result.outcome = outcome;
+    return record;
+}
+
+} // namespace
+
+Test(invariants, a_clean_account_has_no_violation)
+{
+    scenario_accounts accounts;
+    accounts.calls = {made("a", call_outcome::whole), made("b", call_outcome::refused_not_run),
+                      made("c", call_outcome::refused_unknown), made("d", call_outcome::cut)};
+    accounts.runs = {{"a", "x"}, {"c", "x"}};
+    cr_assert(violated(accounts).empty());
+}
+
+Test(invariants, each_violation_is_seen)
+{
+    scenario_accounts twice;
+    twice.calls = {made("a", call_outcome::whole)};
+    twice.runs = {{"a", "x"}, {"a", "x"}};
+    cr_assert_eq(violated(twice).size(), 1U);
+    scenario_accounts lied;
+    lied.calls = {made("a", call_outcome::refused_not_run)};
+    lied.runs = {{"a", "x"}};
+    cr_assert_eq(violated(lied).size(), 1U);
+    scenario_accounts invented;
+    invented.calls = {made("a", call_outcome::whole)};
+    cr_assert_eq(violated(invented).size(), 1U);
+    scenario_accounts partial;
+    partial.partial_answers = 1;
+    cr_assert_eq(violated(partial).size(), 1U);
+    scenario_accounts wrong;
+    wrong.wrong_answers = 1;
+    cr_assert_eq(violated(wrong).size(), 1U);
+}
+
+Test(invariants, a_key_used_twice_is_judged_as_one)
+{
+    scenario_accounts accounts;
+    accounts.calls = {made("a", call_outcome::whole), made("a", call_outcome::refused_not_run)};
+    accounts.runs = {{"a", "x"}};
+    cr_assert(violated(accounts).empty());
+}
+
+Test(lua, values_go_both_ways_and_failures_name_their_line)
+{
+    json::value seen;
+    lua_host host{[&](std::string_view name, const json::object& arguments) -> json::value {
+        if (name == "fail")
+            throw exception{{error_kind::conflict, "no", "yes"}};
+        seen = arguments;
+        return json::object{{"list", json::array{1, 2.5, "x", true}}};
+    }};
+    const auto ran = host.run(R"(
+        local back = op("echo", {a = 1, b = {c = "d"}, l = {1, 2}, f = 0.5, t = true})
+        if back.list[2] ~= 2.5 or back.list[3] ~= "x" then error("wrong") end)",
+                              "echo.lua");
+    cr_assert(ran);
+    cr_assert(seen == json::value(json::object{{"a", 1},
+                                               {"b", json::object{{"c", "d"}}},
+                                               {"l", json::array{1, 2}},
+                                               {"f", 0.5},
+                                               {"t", true}}));
+    const auto failed = host.run("\n\nop('fail', {})", "fail.lua");
+    cr_assert(!failed && failed.error().message.find("conflict") != std::string::npos);
+    const auto broken = host.run("\nerror('here')", "broken.lua");
+    cr_assert(broken.error().message.starts_with("broken.lua:2:"));
+}
+
+// A cut between two names must hold bytes back without closing anything, and let them through once
+// healed; others are not touched.
+Test(network, a_cut_holds_back_and_healing_lets_through)
+{
+    test_runtime runtime;
+    auto plain = plain_standin::start(runtime.executor(), {}).value();
+    auto network = std::make_shared<loopback_network>(runtime.executor());
+    const std::string address = network->forward("plain", plain->address()).value();
+    network->add_process("me", getpid());
+    http_client client{runtime.executor(), address, http_limits{}};
+    const auto ask = [&](duration timeout) {
+        http_request request;
+        request.repeatable = true;
+        return bool(runtime.run(client.call(request, timeout)));
+    };
+    cr_assert(ask(std::chrono::seconds{2}));
+    network->cut("me", "plain");
+    cr_assert(!ask(std::chrono::milliseconds{150}));
+    network->heal();
+    cr_assert(ask(std::chrono::seconds{2}));
+    network->cut("someone", "plain");
+    cr_assert(ask(std::chrono::seconds{2}));
+}
--- a/standins/engine_standin.cc
+++ b/standins/engine_standin.cc
@@ -60,6 +60,12 @@
     m_engines[engine->address()] = engine;
 }
 
+void engine_directory::add_alias(const std::string& address,
+                                 const std::shared_ptr<engine_standin>& engine)
+{
+    m_engines[address] = engine;
+}
+
 std::shared_ptr<engine_standin> engine_directory::find(const std::string& address) const
 {
     const auto found = m_engines.find(address);
--- a/standins/engine_standin.h
+++ b/standins/engine_standin.h
@@ -54,6 +54,8 @@
 class engine_directory {
 public:
     void add(const std::shared_ptr<engine_standin>& engine);
+    /// Another address that leads to an engine.
+    void add_alias(const std::string& address, const std::shared_ptr<engine_standin>& engine);
     [[nodiscard]] std::shared_ptr<engine_standin> find(const std::string& address) const;
 
 private:
--- a/standins/fleet.cc
+++ b/standins/fleet.cc
@@ -63,6 +63,16 @@
     return success();
 }
 
+void standin_fleet::show_engine_at(std::size_t index, const std::string& address)
+{
+    m_directory->add_alias(address, m_engines.at(index));
+    vm_entry row = m_vms->vms().at(index);
+    row.address = address;
+    std::vector<vm_entry> rows = m_vms->vms();
+    rows.at(index) = std::move(row);
+    m_vms->put_all(std::move(rows));
+}
+
 fabric_domain_id standin_fleet::fabric_of(std::size_t index) const
 {
     const std::size_t domain = index * m_settings.fabric_domains / m_settings.engines;
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -50,6 +50,8 @@
     [[nodiscard]] std::size_t plain_count() const { return m_plain.size(); }
     [[nodiscard]] plain_standin& plain(std::size_t index) { return *m_plain.at(index); }
     [[nodiscard]] const std::string& control_address() const { return m_control->address(); }
+    /// Makes the VM list show an engine at another address, one that leads to it.
+    void show_engine_at(std::size_t index, const std::string& address);
     /// Fabric domain of an engine.
     [[nodiscard]] fabric_domain_id fabric_of(std::size_t index) const;
     [[nodiscard]] failure_domain_id failure_domain_of(std::size_t index) const;
