--- a/scenarios/child_process.cc
+++ b/scenarios/child_process.cc
@@ -3,12 +3,11 @@
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <cstring>
 
-extern char** environ;
-
 namespace jaynotch {
 
 result<child_process> child_process::start(const std::vector<std::string>& words,
