--- a/scenarios/world_daemons.cc
+++ b/scenarios/world_daemons.cc
@@ -151,18 +151,21 @@
     std::string seeds;
     for (const auto& [name, other] : m_daemons)
         seeds += (seeds.empty() ? "" : ",") + other.peer_advertise;
-    daemon.words = {m_options.programs + "/jaynotchd",
-                    "--node=" + daemon.name,
-                    "--failure_domain=" + daemon.failure_domain,
-                    std::string{"--deployment="} + deployment,
-                    "--listen=" + daemon.listen,
-                    "--peer_listen=" + daemon.peer_listen,
-                    "--peer_advertise=" + daemon.peer_advertise,
-                    "--admin_listen=" + daemon.admin_listen,
-                    "--key_value=" + m_kv_address,
-                    "--vm_list=" + m_vms_address,
-                    "--weight_store=" + m_fleet->weights().address(),
-                    "--seed_peers=" + seeds};
+    daemon.words.push_back(m_options.programs + "/jaynotchd");
+    const auto set = [&](const std::string& flag, const std::string& value) {
+        daemon.words.push_back("--" + flag + "=" + value);
+    };
+    set("node", daemon.name);
+    set("failure_domain", daemon.failure_domain);
+    set("deployment", deployment);
+    set("listen", daemon.listen);
+    set("peer_listen", daemon.peer_listen);
+    set("peer_advertise", daemon.peer_advertise);
+    set("admin_listen", daemon.admin_listen);
+    set("key_value", m_kv_address);
+    set("vm_list", m_vms_address);
+    set("weight_store", m_fleet->weights().address());
+    set("seed_peers", seeds);
     for (const auto& flag : fields.texts("flags"))
         daemon.words.push_back(flag);
     if (fields.failure())
