--- a/daemon/connection.cc
+++ b/daemon/connection.cc
@@ -181,11 +181,13 @@
     boost::beast::buffers_suffix<out_buffers> rest{buffers};
     rest.consume(sent);
     boost::system::error_code failed;
-    if (auto* plain = std::get_if<tcp::socket>(&m_stream))
+    if (auto* plain = std::get_if<tcp::socket>(&m_stream)) {
         co_await net::async_write(*plain, rest, net::redirect_error(net::use_awaitable, failed));
-    else
+    }
+    else {
         co_await net::async_write(*std::get<std::unique_ptr<tls_stream>>(m_stream), rest,
                                   net::redirect_error(net::use_awaitable, failed));
+    }
     if (failed)
         m_state = input_state::failed;
     co_return !failed;
@@ -214,8 +216,9 @@
             if (const auto alive = self.lock(); alive && !stopped)
                 alive->abort();
         });
-        if (!m_reading)
+        if (!m_reading) {
             co_await (*encrypted)->async_shutdown(net::redirect_error(net::use_awaitable, ignored));
+        }
     }
     socket().shutdown(tcp::socket::shutdown_send, ignored);
     // Closing with unread input makes the kernel reset the connection, and a refusal that was just
@@ -225,7 +228,8 @@
     while (!m_closed && drained < most_drained && runtime_clock::now() < until) {
         drained += m_input.size();
         m_input.consume(m_input.size());
-        if (co_await more_input(until - runtime_clock::now()) != input_state::arrived)
+        const input_state got = co_await more_input(until - runtime_clock::now());
+        if (got != input_state::arrived)
             break;
     }
     m_closed = true;
--- a/daemon/http_exchange.cc
+++ b/daemon/http_exchange.cc
@@ -144,7 +144,8 @@
 
 net::awaitable<result<void>> http_exchange::fill()
 {
-    switch (co_await m_caller->more_input(m_timeouts.body_stall)) {
+    const input_state got = co_await m_caller->more_input(m_timeouts.body_stall);
+    switch (got) {
     case input_state::arrived:
         co_return success();
     case input_state::timed_out:
@@ -164,8 +165,11 @@
 {
     if (m_parser.is_done())
         co_return std::string{};
-    if (m_continue_due && !co_await say_continue())
-        co_return error{error_kind::cancelled, "the caller is gone", ""};
+    if (m_continue_due) {
+        const bool heard = co_await say_continue();
+        if (!heard)
+            co_return error{error_kind::cancelled, "the caller is gone", ""};
+    }
     std::string piece(body_piece, '\0');
     auto& body = m_parser.get().body();
     body.data = piece.data();
@@ -195,7 +199,9 @@
                             "send a body as its Content-Length or chunked framing says"};
         }
         if (failed == http::error::need_more) {
-            BOOST_OUTCOME_CO_TRY(co_await fill());
+            const result<void> more = co_await fill();
+            if (!more)
+                co_return more.error();
         }
     }
 }
@@ -210,14 +216,16 @@
                         "send a smaller body"};
     }
     while (!m_parser.is_done()) {
-        BOOST_OUTCOME_CO_TRY(std::string piece, co_await read_some());
-        if (whole.size() + piece.size() > limit) {
+        const result<std::string> piece = co_await read_some();
+        if (!piece)
+            co_return piece.error();
+        if (whole.size() + piece.value().size() > limit) {
             m_keep_alive = false;
             co_return error{error_kind::too_large,
                             "the request's body is over " + std::to_string(limit) + " bytes",
                             "send a smaller body"};
         }
-        whole += piece;
+        whole += piece.value();
     }
     co_return whole;
 }
@@ -303,8 +311,9 @@
     if (m_framing == framing::length && m_sent + piece.size() > m_promised)
         co_return false;
     m_sent += piece.size();
-    if (m_framing != framing::chunked)
+    if (m_framing != framing::chunked) {
         co_return co_await m_caller->write(m_timeouts.write_stall, net::buffer(piece));
+    }
     std::array<char, 20> size_line{};
     const int digits = std::snprintf(size_line.data(), size_line.size(), "%zx\r\n", piece.size());
     co_return co_await m_caller->write(m_timeouts.write_stall,
--- a/daemon/http_server.cc
+++ b/daemon/http_server.cc
@@ -103,26 +103,20 @@
                 co_await pause.async_wait(net::redirect_error(net::use_awaitable, failed));
                 continue;
             }
-            net::co_spawn(m_acceptor.get_executor(), serve(std::move(accepted)), net::detached);
+            const auto one = std::make_shared<session>();
+            one->caller = std::make_shared<connection>(
+                std::move(accepted), m_settings.tls.enabled() ? &*m_tls : nullptr);
+            const bool room = m_sessions.size() < m_settings.limits.connections;
+            net::co_spawn(m_acceptor.get_executor(), serve(one, room), net::detached);
         }
     }
 
-    net::awaitable<void> serve(tcp::socket accepted)
+    net::awaitable<void> serve(std::shared_ptr<session> one, bool room)
     {
         const auto self = shared_from_this();
-        const auto one = std::make_shared<session>();
-        one->caller = std::make_shared<connection>(std::move(accepted),
-                                                   m_settings.tls.enabled() ? &*m_tls : nullptr);
-        const bool room = m_sessions.size() < m_settings.limits.connections;
         m_sessions.insert(one);
         try {
-            if (co_await one->caller->handshake(m_settings.timeouts.header)) {
-                if (room)
-                    co_await serve_requests(*one);
-                else
-                    co_await refuse_connection(*one->caller);
-            }
-            co_await one->caller->close(refuse_linger);
+            co_await serve_connection(one, room);
         }
         catch (const std::exception& thrown) {
             log_event(log_level::error, "connection_failed", {{"message", thrown.what()}});
@@ -131,6 +125,18 @@
         m_sessions.erase(one);
     }
 
+    net::awaitable<void> serve_connection(std::shared_ptr<session> one, bool room)
+    {
+        const bool secure = co_await one->caller->handshake(m_settings.timeouts.header);
+        if (secure && room) {
+            co_await serve_requests(one);
+        }
+        else if (secure) {
+            co_await refuse_connection(*one->caller);
+        }
+        co_await one->caller->close(refuse_linger);
+    }
+
     void stop_accepting()
     {
         boost::system::error_code ignored;
@@ -186,38 +192,40 @@
     }
 
     /// Waits for the first byte of the next request; false if there is none.
-    net::awaitable<bool> next_request(session& one)
+    net::awaitable<bool> next_request(std::shared_ptr<session> one)
     {
-        if (one.caller->input().size() > 0)
+        if (one->caller->input().size() > 0)
             co_return true;
-        one.idle = true;
-        one.caller->trim();
-        const input_state got = co_await one.caller->more_input(m_settings.timeouts.idle);
-        one.idle = false;
+        one->idle = true;
+        one->caller->trim();
+        const input_state got = co_await one->caller->more_input(m_settings.timeouts.idle);
+        one->idle = false;
         co_return got == input_state::arrived;
     }
 
-    net::awaitable<void> serve_requests(session& one)
+    net::awaitable<void> serve_requests(std::shared_ptr<session> one)
     {
-        while (co_await next_request(one)) {
-            one.idle = false;
-            if (!co_await serve_one(one))
-                break;
+        bool more = true;
+        while (more) {
+            more = co_await next_request(one);
+            if (more) {
+                more = co_await serve_one(one);
+            }
         }
     }
 
     /// Reads one header and has the request answered; false if the connection is to end.
-    net::awaitable<bool> serve_one(session& one)
+    net::awaitable<bool> serve_one(std::shared_ptr<session> one)
     {
         request_parser parser;
         parser.header_limit(static_cast<std::uint32_t>(m_settings.limits.header_bytes));
         parser.body_limit(m_settings.limits.plain_body_bytes);
         parser.eager(false);
-        http_exchange early{one.caller, parser, m_settings.timeouts, false};
+        http_exchange early{one->caller, parser, m_settings.timeouts, false};
         const time_point deadline = runtime_clock::now() + m_settings.timeouts.header;
         while (!parser.is_header_done()) {
             boost::system::error_code failed;
-            auto& input = one.caller->input();
+            auto& input = one->caller->input();
             if (input.size() > 0)
                 input.consume(parser.put(input.data(), failed));
             if (parser.is_header_done())
@@ -229,7 +237,7 @@
                 co_return false;
             }
             const input_state got =
-                co_await one.caller->more_input(deadline - runtime_clock::now());
+                co_await one->caller->more_input(deadline - runtime_clock::now());
             if (got == input_state::timed_out) {
                 const refusal late = header_timeout();
                 co_await early.refuse(late);
@@ -238,7 +246,7 @@
                 co_return false;
         }
         parser.eager(true);
-        http_exchange exchange{one.caller, parser, m_settings.timeouts, !m_winding_down};
+        http_exchange exchange{one->caller, parser, m_settings.timeouts, !m_winding_down};
         co_await m_handler(exchange);
         exchange.unwatch_caller();
         if (!exchange.answered())
--- /dev/null
+++ b/daemon/http_server_test.cc
@@ -0,0 +1,238 @@
+#include "daemon/http_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <criterion/criterion.h>
+
+#include <thread>
+
+using namespace jaynotch;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A server on its own thread; the test talks to it over blocking sockets.
+class served {
+public:
+    explicit served(http_server_settings settings = quick())
+    {
+        auto made = http_server::open(m_io, "127.0.0.1:0", std::move(settings),
+                                      [this](http_exchange& exchange) { return answer(exchange); });
+        m_server = std::move(made).value();
+        m_server->start();
+        m_port = m_server->port();
+        m_thread = std::thread{[this] { m_io.run(); }};
+    }
+    ~served()
+    {
+        m_io.stop();
+        m_thread.join();
+    }
+
+    static http_server_settings quick()
+    {
+        http_server_settings settings;
+        settings.timeouts.header = 300ms;
+        settings.timeouts.body_stall = 300ms;
+        settings.timeouts.idle = 2s;
+        settings.limits.header_bytes = 4096;
+        settings.limits.plain_body_bytes = 64 * 1024 * 1024;
+        return settings;
+    }
+
+    tcp::socket dial()
+    {
+        tcp::socket socket{m_client_io};
+        socket.connect({net::ip::make_address("127.0.0.1"), m_port});
+        return socket;
+    }
+
+    /// Sends and reads until the server closes.
+    std::string talk(std::string_view bytes, bool half_close = false)
+    {
+        tcp::socket socket = dial();
+        boost::system::error_code ignored;
+        net::write(socket, net::buffer(bytes), ignored);
+        if (half_close)
+            socket.shutdown(tcp::socket::shutdown_send, ignored);
+        return read_all(socket);
+    }
+
+    static std::string read_all(tcp::socket& socket)
+    {
+        std::string text;
+        boost::system::error_code failed;
+        net::read(socket, net::dynamic_buffer(text), failed);
+        return text;
+    }
+
+    bool still_serves()
+    {
+        return talk("GET /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").find("200 OK") !=
+               std::string::npos;
+    }
+
+private:
+    net::awaitable<void> answer(http_exchange& exchange)
+    {
+        if (exchange.path() == "/cut") {
+            const http::fields none;
+            co_await exchange.begin(http::status::ok, none, std::nullopt);
+            co_await exchange.write("half an ");
+            exchange.cut();
+            co_return;
+        }
+        if (exchange.path() == "/never") {
+            timer pause{m_io, 10s};
+            co_await pause.async_wait(net::use_awaitable);
+        }
+        const result<std::string> body = co_await exchange.read_body(1024 * 1024);
+        if (!body) {
+            const refusal shown{.failure = body.error()};
+            co_await exchange.refuse(shown);
+            co_return;
+        }
+        const std::string text = std::string{exchange.path()} + "|" + body.value();
+        co_await exchange.answer(http::status::ok, "text/plain", text);
+    }
+
+    net::io_context m_io;
+    net::io_context m_client_io;
+    std::unique_ptr<http_server> m_server;
+    std::uint16_t m_port = 0;
+    std::thread m_thread;
+};
+
+bool refuses(const std::string& answer, std::string_view status)
+{
+    return answer.find(status) != std::string::npos &&
+           answer.find("\"remedy\":") != std::string::npos &&
+           answer.find("jaynotch-ran: no") != std::string::npos;
+}
+
+} // namespace
+
+// A broken or hostile client sends bytes that are no request. It is told what is wrong and that
+// nothing ran, its connection ends, and the next client is served.
+Test(http_server, malformed_input_is_refused_with_the_reason)
+{
+    served server;
+    const std::string big(8192, 'x');
+    cr_assert(refuses(server.talk("\x16\x03\x01 hello\r\n\r\n"), "400"));
+    cr_assert(refuses(server.talk("GET / HTTP/3.7\r\n\r\n"), "505"));
+    cr_assert(refuses(server.talk("GET / HTTP/1.1\r\nHost: a\r\nX: " + big + "\r\n\r\n"), "431"));
+    cr_assert(
+        refuses(server.talk("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n"), "400"));
+    cr_assert(refuses(server.talk("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000000\r\n\r\n"),
+                      "413"));
+    cr_assert(refuses(
+        server.talk("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"),
+        "400"));
+    cr_assert(server.still_serves());
+}
+
+// A slow-loris client sends a header byte by byte, or a body that stops. It holds its connection
+// for the timeout and no longer.
+Test(http_server, slow_senders_time_out)
+{
+    served server;
+    cr_assert(refuses(server.talk("GET / HTTP/1.1\r\nHost: a\r\nX-Slow: "), "408"));
+    cr_assert(
+        refuses(server.talk("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc"), "504"));
+    cr_assert(server.still_serves());
+}
+
+// A client closes its sending half right after its request, as `nc -N` does. It still gets the
+// whole answer.
+Test(http_server, a_half_closed_caller_gets_its_answer)
+{
+    served server;
+    const std::string answer = server.talk("GET /echo HTTP/1.1\r\nHost: a\r\n\r\n", true);
+    cr_assert(answer.find("/echo|") != std::string::npos);
+    cr_assert(server.talk("GET /ec", true).empty());
+}
+
+// A client sends three requests without waiting. The answers come in order, each to its own.
+Test(http_server, pipelined_requests_are_answered_in_order)
+{
+    served server;
+    const std::string answers = server.talk(
+        "POST /one HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+        "POST /two HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ndef\r\n0\r\n\r\n"
+        "GET /three HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    const std::size_t one = answers.find("/one|abc");
+    const std::size_t two = answers.find("/two|def");
+    const std::size_t three = answers.find("/three|");
+    cr_assert(one < two && two < three && three != std::string::npos);
+}
+
+// A client asks before it sends its body (100-continue), or asks for the head alone.
+Test(http_server, continue_and_head)
+{
+    served server;
+    tcp::socket socket = server.dial();
+    const std::string head = "POST /c HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+                             "Connection: close\r\nContent-Length: 2\r\n\r\n";
+    net::write(socket, net::buffer(head));
+    std::string interim(25, '\0');
+    net::read(socket, net::buffer(interim));
+    cr_assert(interim.starts_with("HTTP/1.1 100 Continue"));
+    net::write(socket, net::buffer("ok", 2));
+    cr_assert(served::read_all(socket).ends_with("/c|ok"));
+    const std::string answer =
+        server.talk("HEAD /h HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    cr_assert(answer.find("Content-Length: 3") != std::string::npos);
+    cr_assert(answer.ends_with("\r\n\r\n"));
+}
+
+// The answer is lost half way at the backend server. The client must be able to tell: no last
+// chunk for HTTP/1.1, a reset for HTTP/1.0, which has no chunks.
+Test(http_server, a_cut_answer_is_not_framed_as_whole)
+{
+    served server;
+    const std::string answer = server.talk("GET /cut HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(answer.find("half an ") != std::string::npos);
+    cr_assert(!answer.ends_with("0\r\n\r\n"));
+    tcp::socket old = server.dial();
+    net::write(old, net::buffer(std::string{"GET /cut HTTP/1.0\r\n\r\n"}));
+    std::string text;
+    boost::system::error_code failed;
+    net::read(old, net::dynamic_buffer(text), failed);
+    cr_assert(failed == net::error::connection_reset);
+}
+
+// More clients connect than the node holds. The one too many is told so at once.
+Test(http_server, connections_are_bounded)
+{
+    http_server_settings settings = served::quick();
+    settings.limits.connections = 2;
+    served server{settings};
+    tcp::socket first = server.dial();
+    tcp::socket second = server.dial();
+    std::this_thread::sleep_for(100ms);
+    tcp::socket third = server.dial();
+    cr_assert(refuses(served::read_all(third), "503"));
+}
+
+// A client uploads without end while the handler reads nothing. The server must not take the bytes
+// in: the client's socket fills up and stays full.
+Test(http_server, unread_bodies_push_back)
+{
+    served server;
+    tcp::socket socket = server.dial();
+    const std::string head = "POST /never HTTP/1.1\r\nHost: a\r\nContent-Length: 60000000\r\n\r\n";
+    net::write(socket, net::buffer(head));
+    socket.non_blocking(true);
+    const std::string block(256 * 1024, 'b');
+    std::size_t taken = 0;
+    for (int quiet = 0; quiet < 20 && taken < 50'000'000;) {
+        boost::system::error_code failed;
+        const std::size_t sent = socket.write_some(net::buffer(block), failed);
+        taken += sent;
+        quiet = sent == 0 ? quiet + 1 : 0;
+        if (sent == 0)
+            std::this_thread::sleep_for(10ms);
+    }
+    cr_assert_lt(taken, 20'000'000U); // what kernel buffers of both sides hold
+}
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -116,16 +116,21 @@
         start_attempt(m_attempts.at(order->attempt));
         co_return false;
     }
-    if (std::holds_alternative<complete>(wanted))
+    if (std::holds_alternative<complete>(wanted)) {
         co_await complete_answer();
-    else if (const auto* refused = std::get_if<refuse>(&wanted))
+    }
+    else if (const auto* refused = std::get_if<refuse>(&wanted)) {
         co_await refuse_caller(*refused);
-    else if (const auto* stored = std::get_if<replay>(&wanted))
+    }
+    else if (const auto* stored = std::get_if<replay>(&wanted)) {
         co_await replay_answer(*stored);
-    else if (const auto* truncated = std::get_if<end_truncated>(&wanted))
+    }
+    else if (const auto* truncated = std::get_if<end_truncated>(&wanted)) {
         co_await end_cut(*truncated);
-    else if (std::holds_alternative<forget>(wanted))
+    }
+    else if (std::holds_alternative<forget>(wanted)) {
         co_await forget_caller();
+    }
     else
         co_return false;
     co_return true;
@@ -151,14 +156,16 @@
     if (m_held) {
         first_byte();
         fine = co_await m_exchange.begin(m_held->status, m_held->headers, m_held->body.size());
-        if (fine)
+        if (fine) {
             fine = co_await m_exchange.write(m_held->body);
+        }
     }
     else if (m_streaming_events) {
         fine = co_await m_exchange.write(done_event);
     }
-    if (fine)
+    if (fine) {
         fine = co_await m_exchange.finish();
+    }
     ended(fine ? outcome::answered : outcome::abandoned);
 }
 
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -37,6 +37,8 @@
     daemon_counts& counts;
     /// A backend server said of itself that it is leaving.
     std::function<void(const target_id&)> on_leaving;
+    /// Whether a group's completeness ticket holds at this moment.
+    std::function<bool(const group_id&)> may_get;
     /// Called each second for every request; one whose caller takes no bytes says so to the core.
     std::unordered_map<const void*, std::function<void()>> slow;
 };
--- a/daemon/relay_attempt.cc
+++ b/daemon/relay_attempt.cc
@@ -137,17 +137,21 @@
 
 net::awaitable<void> relay_request::way::send(attempt_state& attempt)
 {
+    if (attempt.order.kind == pool_kind::model && !m_services.may_get(attempt.order.group)) {
+        report_failure(attempt, attempt_failure::not_connected);
+        co_return;
+    }
     http_request request = build_request(attempt);
     const std::shared_ptr<http_client> client = m_services.servers.at(attempt.order.address);
-    attempt.sent = true;
-    m_sent = true;
-    m_services.driver.handle(attempt_sent{m_inbox->id(), attempt.order.attempt});
+    request.before_send = [this, &attempt] {
+        attempt.sent = true;
+        m_sent = true;
+        m_services.driver.handle(attempt_sent{m_inbox->id(), attempt.order.attempt});
+    };
     result<http_stream> opened = co_await client->open(std::move(request), longest_wait);
     if (attempt.cancelled)
         co_return;
     if (!opened) {
-        if (opened.error().kind == error_kind::unavailable)
-            attempt.sent = false;
         report_read_failure(attempt, opened.error());
         co_return;
     }
@@ -158,14 +162,18 @@
     const bool model = attempt.order.kind == pool_kind::model;
     const bool events = model && m_asked.info.stream && answer.status() == http::status::ok &&
                         answer.header("Content-Type").starts_with(event_stream);
-    if (events)
+    if (events) {
         co_await relay_events(attempt, answer);
-    else if (model)
+    }
+    else if (model) {
         co_await relay_whole(attempt, answer, m_services.settings.limits.answer_bytes);
-    else if (keyed())
+    }
+    else if (keyed()) {
         co_await relay_whole(attempt, answer, m_services.settings.limits.keyed_body_bytes);
-    else
+    }
+    else {
         co_await relay_body(attempt, answer);
+    }
     attempt.stream = nullptr;
 }
 
@@ -243,7 +251,7 @@
 
 void relay_request::way::report_read_failure(attempt_state& attempt, const error& failure)
 {
-    if (failure.kind == error_kind::unavailable && !attempt.delivering && !attempt.sent)
+    if (failure.kind == error_kind::unavailable && !attempt.sent)
         report_failure(attempt, attempt_failure::not_connected);
     else if (failure.kind == error_kind::protocol)
         report_failure(attempt, attempt_failure::protocol);
@@ -286,7 +294,8 @@
 {
     if (events.empty())
         co_return true;
-    if (!co_await hand_on(attempt, events))
+    const bool fine = co_await hand_on(attempt, events);
+    if (!fine)
         co_return false;
     m_services.counts.tokens_relayed += count;
     m_services.counted.tokens(count);
@@ -303,7 +312,9 @@
         http::fields headers;
         headers.set(http::field::content_type, event_stream);
         headers.set(http::field::cache_control, "no-cache");
-        if (!co_await begin(attempt, http::status::ok, std::move(headers), std::nullopt))
+        const bool fine =
+            co_await begin(attempt, http::status::ok, std::move(headers), std::nullopt);
+        if (!fine)
             co_return;
     }
     sse_splitter events{longest_event};
@@ -342,7 +353,9 @@
             length += next->size();
             ++count;
         }
-        if (!co_await hand_on_events(attempt, {first, length}, count))
+        const std::string_view whole_events{first, length};
+        const bool fine = co_await hand_on_events(attempt, whole_events, count);
+        if (!fine)
             co_return;
         if (failed) {
             report_failure(attempt, attempt_failure::protocol);
@@ -400,7 +413,8 @@
     if (!report_head(attempt, answer))
         co_return;
     const std::optional<std::uint64_t> length = stated_length(answer);
-    if (!co_await begin(attempt, answer.status(), forwarded_headers(answer), length))
+    const bool begun = co_await begin(attempt, answer.status(), forwarded_headers(answer), length);
+    if (!begun)
         co_return;
     for (;;) {
         const result<std::string> piece = co_await answer.read(longest_wait);
@@ -412,7 +426,8 @@
         }
         if (piece.value().empty())
             break;
-        if (!co_await hand_on(attempt, piece.value()))
+        const bool fine = co_await hand_on(attempt, piece.value());
+        if (!fine)
             co_return;
         m_services.driver.handle(attempt_progress{m_inbox->id(), attempt.order.attempt, 1});
     }
--- /dev/null
+++ b/daemon/relay_parts_test.cc
@@ -0,0 +1,122 @@
+#include "daemon/model_request.h"
+#include "daemon/sse.h"
+#include "daemon/trace.h"
+
+#include <criterion/criterion.h>
+
+using namespace jaynotch;
+
+namespace {
+
+std::vector<std::string> split(std::string_view text, std::size_t piece)
+{
+    sse_splitter splitter{1024};
+    std::vector<std::string> events;
+    while (!text.empty()) {
+        const std::size_t length = std::min(piece, text.size());
+        if (!splitter.feed(text.substr(0, length)))
+            break;
+        text.remove_prefix(length);
+        while (const auto event = splitter.next())
+            events.emplace_back(sse_data(*event));
+    }
+    return events;
+}
+
+} // namespace
+
+// An engine's stream reaches us in pieces of any size. However it is cut, the same events come out:
+// one lost or doubled would change the caller's text.
+Test(sse, any_cut_gives_the_same_events)
+{
+    const std::string text = "data: a\n\n: comment\n\ndata:b\r\n\r\ndata: c\rdata: d\r\rid: 7\n"
+                             "data: e\n\ndata: [DONE]\n\n";
+    const std::vector<std::string> whole{"a", "", "b", "c\nd", "e", "[DONE]"};
+    for (std::size_t piece = 1; piece <= text.size(); ++piece)
+        cr_assert(split(text, piece) == whole, "pieces of %zu bytes", piece);
+}
+
+// An engine sends an event that never ends. The relay gives up on it instead of holding it.
+Test(sse, an_endless_event_is_refused)
+{
+    sse_splitter splitter{1000};
+    bool refused = false;
+    std::size_t fed = 0;
+    for (; fed < 100 && !refused; ++fed)
+        refused = !splitter.feed(std::string(100, 'x'));
+    cr_assert(refused);
+    cr_assert_leq(fed, 12U);
+}
+
+// An engine reports an error inside its stream, or garbage. Neither may pass as text.
+Test(sse, errors_and_garbage_are_seen)
+{
+    cr_assert(read_chunk(R"({"error":{"message":"out of memory"}})").failed);
+    cr_assert(read_chunk("{\"choices\":[").failed);
+    cr_assert(read_chunk(R"({"choices":[3]})").failed);
+    const stream_chunk good =
+        read_chunk(R"({"choices":[{"delta":{"content":"hei"},"finish_reason":"stop"}]})");
+    cr_assert(!good.failed && good.finished && good.text == "hei");
+}
+
+// A caller's body is wrong in one field. The refusal names that field.
+Test(model_request, wrong_bodies_are_refused_by_field)
+{
+    const auto message = [](std::string_view body) {
+        const result<model_request> read = read_model_request(body, request_kind::chat);
+        return read ? std::string{} : read.error().message;
+    };
+    cr_assert(message("[1]").find("JSON object") != std::string::npos);
+    cr_assert(message("{\"model\":").find("JSON object") != std::string::npos);
+    cr_assert(message(R"({"messages":[{}]})").find("model") != std::string::npos);
+    cr_assert(message(R"({"model":"m"})").find("messages") != std::string::npos);
+    cr_assert(message(R"({"model":"m","messages":[]})").find("messages") != std::string::npos);
+    cr_assert(message(R"({"model":"m","messages":[{}],"stream":"yes"})").find("stream") !=
+              std::string::npos);
+    cr_assert(message(R"({"model":"m","messages":[{}],"jaynotch_resume":{}})").find("resume") !=
+              std::string::npos);
+    cr_assert(message(R"({"model":"m","messages":[{}],"stream":null})").empty());
+}
+
+// Two prompts share their beginning. Their block hashes agree up to there and nowhere after, or the
+// second would be sent to an engine that does not hold its prefix.
+Test(model_request, prefix_blocks_agree_exactly_as_far_as_the_prompts)
+{
+    const auto blocks = [](const std::string& prompt) {
+        const std::string body = R"({"model":"m","prompt":")" + prompt + "\"}";
+        return read_model_request(body, request_kind::completion).value().prefix_blocks;
+    };
+    const std::string common(2 * prefix_block_bytes, 'c');
+    const auto left = blocks(common + std::string(prefix_block_bytes, 'l'));
+    const auto right = blocks(common + std::string(prefix_block_bytes, 'r'));
+    cr_assert_eq(left.size(), 3U);
+    cr_assert(left[0] == right[0] && left[1] == right[1] && left[2] != right[2]);
+    cr_assert_eq(blocks(std::string(100'000, 'x')).size(), most_prefix_blocks);
+}
+
+// An engine answers 200 with an empty body, an error, or half a JSON text.
+Test(model_request, only_a_completion_is_whole)
+{
+    cr_assert(!is_whole_completion(""));
+    cr_assert(!is_whole_completion("{}"));
+    cr_assert(!is_whole_completion(R"({"choices":[]})"));
+    cr_assert(!is_whole_completion(R"({"choices":[{"text":"a"})"));
+    cr_assert(is_whole_completion(R"({"choices":[{"text":"a"}]})"));
+}
+
+// A client sends a traceparent that is malformed. A trace of its own begins instead of a broken
+// one.
+Test(trace, malformed_parents_are_not_taken)
+{
+    const std::string good = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    cr_assert(trace_context::from_header(good).has_value());
+    cr_assert_eq(trace_context::from_header(good)->header(), good);
+    for (std::size_t at = 0; at < good.size(); ++at) {
+        std::string bad = good;
+        bad[at] = 'G';
+        cr_assert(!trace_context::from_header(bad).has_value() || at < 2, "position %zu", at);
+        cr_assert(!trace_context::from_header(good.substr(0, at)).has_value());
+    }
+    cr_assert(!trace_context::from_header(good + "-00").has_value());
+    cr_assert(!trace_context::from_header("00-" + std::string(32, '0') + good.substr(35)));
+}
