--- /dev/null
+++ b/daemon/daemon.cc
@@ -0,0 +1,269 @@
+#include "daemon/daemon.h"
+
+#include "daemon/daemon_impl.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <random>
+
+// A graceful stop goes in this order: say "not ready" and go on serving until the balancer has seen
+// it; take no new connections; finish every request in flight, however long its stream is allowed
+// to be; leave the membership; end. Nothing that a caller or a peer still needs is taken away
+// before.
+
+namespace jaynotch {
+
+namespace {
+
+constexpr duration second = std::chrono::seconds{1};
+constexpr duration stop_poll = std::chrono::milliseconds{20};
+
+std::uint64_t drawn_seed(const daemon_settings& settings)
+{
+    if (settings.seed != 0)
+        return settings.seed;
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+etcd_settings key_value_settings(const daemon_settings& settings)
+{
+    etcd_settings made;
+    made.address = settings.key_value.front();
+    return made;
+}
+
+peer_settings peer_settings_of(const daemon_settings& settings, std::uint64_t seed)
+{
+    peer_settings made;
+    made.deployment = settings.deployment;
+    made.node = settings.node;
+    made.failure_domain = settings.failure_domain;
+    made.listen = settings.peer_listen;
+    made.advertise = settings.peer_advertise;
+    made.seeds = settings.seed_peers;
+    made.tls = {settings.peer_tls.certificate, settings.peer_tls.key, settings.peer_tls.authority};
+    made.random_seed = seed;
+    return made;
+}
+
+core_settings core_settings_of(const daemon_settings& settings, std::uint64_t incarnation)
+{
+    core_settings made;
+    made.node = settings.node;
+    made.incarnation = std::to_string(incarnation);
+    made.most_requests = settings.limits.requests;
+    made.stall_timeout = settings.timeouts.stream_stall;
+    return made;
+}
+
+} // namespace
+
+daemon::impl::impl(net::io_context& context, const daemon_settings& chosen)
+    : io{context}, settings{chosen}, kv{kv_service::over_etcd(context.get_executor(),
+                                                              key_value_settings(chosen))},
+      servers{context, settings}, m_started{runtime_clock::now()}, m_timer{context}
+{}
+
+daemon::impl::~impl() = default;
+
+result<void> daemon::impl::open()
+{
+    const std::uint64_t seed = drawn_seed(settings);
+    BOOST_OUTCOME_TRY(spans, tracer::open(settings.trace_file, settings.node, seed ^ 1U));
+    BOOST_OUTCOME_TRY(peers, peer_service::create(io, peer_settings_of(settings, seed ^ 2U)));
+    BOOST_OUTCOME_TRY(open_cores(seed));
+    tie_together();
+    return open_ports();
+}
+
+result<void> daemon::impl::open_cores(std::uint64_t seed)
+{
+    config_settings for_config;
+    for_config.deployment = settings.deployment;
+    for_config.random_seed = seed ^ 3U;
+    BOOST_OUTCOME_TRY(config, config_service::create(io, for_config, kv, *peers));
+    random_source random{seed ^ 4U};
+    const std::uint64_t incarnation = random.bits();
+    BOOST_OUTCOME_TRY(request_core core,
+                      request_core::create(core_settings_of(settings, incarnation),
+                                           std::move(random), runtime_clock::now()));
+    driver_hooks hooks;
+    hooks.on_released = [](const released& gone) {
+        log_event(log_level::info, "target_released", {{"target", gone.target.value()}});
+    };
+    hooks.on_share_demand = [this](const share_demand& own) { tell_demand(own); };
+    requests = std::make_unique<request_driver>(io, std::move(core), kv, std::move(hooks));
+    return success();
+}
+
+result<void> daemon::impl::open_ports()
+{
+    http_server_settings for_callers{settings.timeouts, settings.limits, settings.caller_tls};
+    BOOST_OUTCOME_TRY(caller_server, http_server::open(io, settings.listen, for_callers,
+                                                       [this](http_exchange& exchange) {
+                                                           return calls->serve(exchange);
+                                                       }));
+    http_server_settings for_operators{settings.timeouts, settings.limits, settings.admin_tls};
+    BOOST_OUTCOME_TRY(admin_server, http_server::open(io, settings.admin_listen, for_operators,
+                                                      [this](http_exchange& exchange) {
+                                                          return admin->serve(exchange);
+                                                      }));
+    return success();
+}
+
+void daemon::impl::start()
+{
+    net::co_spawn(io, peers->run(), net::detached);
+    net::co_spawn(io, config->run(), net::detached);
+    requests->start();
+    groups->start();
+    plain->start();
+    caller_server->start();
+    admin_server->start();
+    net::co_spawn(io, housekeeping(), net::detached);
+    log_event(log_level::info, "daemon_started",
+              {{"listen_port", caller_server->port()}, {"admin_port", admin_server->port()}});
+}
+
+net::awaitable<void> daemon::impl::sleep(duration time)
+{
+    timer pause{io, time};
+    boost::system::error_code ignored;
+    co_await pause.async_wait(net::redirect_error(net::use_awaitable, ignored));
+}
+
+net::awaitable<void> daemon::impl::housekeeping()
+{
+    const auto self = shared_from_this();
+    while (!m_stopped) {
+        boost::system::error_code ignored;
+        m_timer.expires_after(second);
+        co_await m_timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+        std::vector<std::function<void()>> asked;
+        for (const auto& [way, ask] : services->slow)
+            asked.push_back(ask);
+        for (const auto& ask : asked)
+            ask();
+        spans->flush();
+    }
+}
+
+bool daemon::impl::ready() const
+{
+    return !m_stopping && config->current() != nullptr;
+}
+
+net::awaitable<void> daemon::impl::stop()
+{
+    const auto self = shared_from_this();
+    if (m_stopping)
+        co_return;
+    m_stopping = true;
+    const time_point until = runtime_clock::now() + settings.timeouts.longest_stop;
+    log_event(log_level::info, "daemon_stopping", {{"in_flight", counts.in_flight}});
+    caller_server->wind_down();
+    co_await sleep(settings.timeouts.balancer);
+    caller_server->stop_accepting();
+    while ((counts.in_flight > 0 || caller_server->connections() > 0) &&
+           runtime_clock::now() < until)
+        co_await sleep(stop_poll);
+    const std::uint64_t cut_off = counts.in_flight;
+    config->stop();
+    co_await peers->leave();
+    m_stopped = true;
+    m_timer.cancel();
+    admin_server->stop_accepting();
+    log_event(cut_off == 0 ? log_level::info : log_level::error, "daemon_stopped",
+              {{"in_flight", cut_off}});
+    abort();
+}
+
+/// Ends every part; what still runs on the io_context holds its own state and ends by itself.
+void daemon::impl::abort()
+{
+    m_stopping = true;
+    m_stopped = true;
+    m_timer.cancel();
+    if (caller_server)
+        caller_server->abort();
+    if (admin_server)
+        admin_server->abort();
+    if (config)
+        config->stop();
+    if (peers)
+        peers->stop();
+    if (spans)
+        spans->flush();
+}
+
+daemon::daemon(std::shared_ptr<impl> made) : m_impl{std::move(made)} {}
+
+daemon::~daemon()
+{
+    m_impl->abort();
+}
+
+result<std::unique_ptr<daemon>> daemon::create(net::io_context& io, const daemon_settings& settings)
+{
+    BOOST_OUTCOME_TRY(check(settings));
+    auto made = std::make_shared<impl>(io, settings);
+    BOOST_OUTCOME_TRY(made->open());
+    return std::unique_ptr<daemon>{new daemon{std::move(made)}};
+}
+
+void daemon::start()
+{
+    m_impl->start();
+}
+
+net::awaitable<void> daemon::stop()
+{
+    return m_impl->stop();
+}
+
+void daemon::on_superseded(std::function<void()> handler)
+{
+    m_impl->superseded = std::move(handler);
+}
+
+bool daemon::ready() const
+{
+    return m_impl->ready();
+}
+
+config_revision daemon::revision() const
+{
+    const auto tables = m_impl->config->current();
+    return tables ? tables->revision : config_revision{};
+}
+
+std::uint16_t daemon::listen_port() const
+{
+    return m_impl->caller_server->port();
+}
+
+std::uint16_t daemon::peer_port() const
+{
+    return parse_host_port(m_impl->peers->address()).value().port;
+}
+
+std::uint16_t daemon::admin_port() const
+{
+    return m_impl->admin_server->port();
+}
+
+daemon_counts daemon::counts() const
+{
+    return m_impl->counts;
+}
+
+std::size_t daemon::complete_groups() const
+{
+    return m_impl->groups->complete().size();
+}
+
+} // namespace jaynotch
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -17,6 +17,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 namespace jaynotch {
@@ -49,6 +50,10 @@
     /// the membership. Completes when nothing is left running.
     boost::asio::awaitable<void> stop();
 
+    /// Another process with this node's name and a newer start has taken its place; this one is to
+    /// stop.
+    void on_superseded(std::function<void()> handler);
+
     /// Whether callers may be sent here: a configuration is in force and no stop has begun.
     [[nodiscard]] bool ready() const;
     [[nodiscard]] config_revision revision() const;
@@ -56,6 +61,8 @@
     [[nodiscard]] std::uint16_t peer_port() const;
     [[nodiscard]] std::uint16_t admin_port() const;
     [[nodiscard]] daemon_counts counts() const;
+    /// Groups that may be given requests now.
+    [[nodiscard]] std::size_t complete_groups() const;
 
 private:
     class impl;
--- /dev/null
+++ b/daemon/daemon_impl.h
@@ -0,0 +1,91 @@
+// The parts of a daemon and how they are tied together; private to daemon.cc and daemon_events.cc.
+#pragma once
+
+#include "config/config.h"
+#include "daemon/admin.h"
+#include "daemon/daemon.h"
+#include "daemon/front.h"
+#include "daemon/group_driver.h"
+#include "daemon/http_server.h"
+#include "daemon/metrics.h"
+#include "daemon/plain_watch.h"
+#include "daemon/relay.h"
+#include "daemon/request_driver.h"
+#include "daemon/trace.h"
+#include "daemon/upstreams.h"
+#include "peers/peers.h"
+#include "platform/platform.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace jaynotch {
+
+class daemon::impl : public std::enable_shared_from_this<impl> {
+public:
+    impl(net::io_context& context, const daemon_settings& chosen);
+    ~impl();
+
+    // daemon.cc
+    result<void> open();
+    void start();
+    net::awaitable<void> stop();
+    void abort();
+    [[nodiscard]] bool ready() const;
+
+    net::io_context& io;
+    daemon_settings settings;
+    daemon_counts counts;
+    metrics counted;
+    kv_service kv;
+    upstreams servers;
+    std::unique_ptr<tracer> spans;
+    std::unique_ptr<peer_service> peers;
+    std::unique_ptr<config_service> config;
+    std::unique_ptr<request_driver> requests;
+    std::unique_ptr<group_driver> groups;
+    std::unique_ptr<plain_watch> plain;
+    std::unique_ptr<relay_services> services;
+    std::unique_ptr<front> calls;
+    std::unique_ptr<admin_pages> admin;
+    std::unique_ptr<http_server> caller_server;
+    std::unique_ptr<http_server> admin_server;
+    std::function<void()> superseded;
+
+private:
+    // daemon.cc
+    result<void> open_cores(std::uint64_t seed);
+    result<void> open_ports();
+    net::awaitable<void> housekeeping();
+    net::awaitable<void> sleep(duration time);
+
+    // daemon_events.cc
+    void tie_together();
+    void install(std::shared_ptr<const configuration> tables);
+    void push_groups();
+    void take_rumor(const rumor& heard);
+    void take_demand(const demand& heard);
+    void tell_demand(const share_demand& own);
+    void take_member(const member& changed);
+    [[nodiscard]] bool may_get(const group_id& group) const;
+    [[nodiscard]] std::string metrics_page();
+
+    struct peer_rows {
+        std::map<std::pair<pool_id, workspace_id>, std::pair<demand_row, time_point>> rows;
+    };
+
+    std::vector<groups::complete_group> m_pushed;
+    std::unordered_map<group_id, time_point> m_valid_until;
+    std::unordered_map<node_id, peer_rows> m_demand;
+    std::unordered_map<std::uint32_t, pool_id> m_pools_by_key;
+    std::unordered_map<std::uint32_t, workspace_id> m_workspaces_by_key;
+    time_point m_started;
+    timer m_timer;
+    bool m_stopping = false;
+    bool m_stopped = false;
+};
+
+} // namespace jaynotch
--- a/daemon/flags.cc
+++ b/daemon/flags.cc
@@ -36,6 +36,7 @@
 ABSL_FLAG(std::int64_t, connect_timeout_ms, 1'000, "For a connection to a backend server");
 ABSL_FLAG(std::int64_t, stream_stall_ms, 10'000, "Between two events of an engine's stream");
 ABSL_FLAG(std::int64_t, upstream_idle_ms, 30'000, "For a pooled connection to a backend server");
+ABSL_FLAG(std::int64_t, order_horizon_ms, 8'000, "An order takes effect within this or never");
 ABSL_FLAG(std::int64_t, balancer_wait_ms, 2'000, "Not ready but still listening, when stopping");
 ABSL_FLAG(std::int64_t, longest_stop_ms, 660'000, "Bound of a graceful stop");
 ABSL_FLAG(std::uint64_t, max_header_bytes, 16 * 1024, "Of a caller's header");
@@ -67,6 +68,7 @@
     timeouts.connect = ms(FLAGS_connect_timeout_ms);
     timeouts.stream_stall = ms(FLAGS_stream_stall_ms);
     timeouts.upstream_idle = ms(FLAGS_upstream_idle_ms);
+    timeouts.order_horizon = ms(FLAGS_order_horizon_ms);
     timeouts.balancer = ms(FLAGS_balancer_wait_ms);
     timeouts.longest_stop = ms(FLAGS_longest_stop_ms);
     return timeouts;
--- /dev/null
+++ b/daemon/group_driver.h
@@ -0,0 +1,66 @@
+// Drives the cores of `groups`: a manager for each fabric domain of this failure domain and the
+// node's ticket board. Carries out their calls on the key-value service, probes and orders to
+// engines, and exchanges tickets with the peers.
+//
+//   group_driver driver{io, settings, kv, peers, hooks};
+//   driver.install(tables);
+//   driver.start();
+//   for (const groups::complete_group& group : driver.complete()) ...
+#pragma once
+
+#include "base/base.h"
+#include "daemon/settings.h"
+#include "groups/groups.h"
+#include "peers/peers.h"
+#include "platform/platform.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jaynotch {
+
+struct group_hooks {
+    /// The complete groups may have changed.
+    std::function<void()> on_changed;
+    /// A group lost a member: nothing in flight there will come.
+    std::function<void(const group_id&)> on_broken;
+    /// An engine's VM is leaving: by the VM list or by its own word.
+    std::function<void(const std::string& address)> on_leaving;
+};
+
+/// A group as the record of its fabric domain names it, for status pages.
+struct known_group {
+    groups::group_assignment assigned;
+    fabric_domain_id domain;
+    fencing_number fencing;
+    bool complete = false;
+};
+
+class group_driver {
+public:
+    group_driver(boost::asio::io_context& io, const daemon_settings& settings, kv_service& kv,
+                 peer_service& peers, group_hooks hooks);
+    ~group_driver();
+    group_driver(const group_driver&) = delete;
+    group_driver& operator=(const group_driver&) = delete;
+
+    void start();
+    void install(std::shared_ptr<const configuration> tables);
+    void take_ticket(const ticket_digest& heard);
+
+    [[nodiscard]] std::vector<groups::complete_group> complete() const;
+    [[nodiscard]] std::vector<known_group> known() const;
+    /// State of a VM as its last report here says; empty if it has not been probed from here.
+    [[nodiscard]] std::string state_of(const vm_id& vm) const;
+    [[nodiscard]] std::vector<fabric_domain_id> managed() const;
+
+private:
+    class impl;
+    std::shared_ptr<impl> m_impl;
+};
+
+} // namespace jaynotch
--- /dev/null
+++ b/daemon/group_driver_impl.h
@@ -0,0 +1,78 @@
+// The state of group_driver; private to group_driver.cc and group_calls.cc.
+#pragma once
+
+#include "daemon/group_driver.h"
+
+#include <map>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace jaynotch {
+
+namespace net = boost::asio;
+
+class group_driver::impl : public std::enable_shared_from_this<impl> {
+public:
+    impl(net::io_context& io, const daemon_settings& settings, kv_service& kv, peer_service& peers,
+         group_hooks hooks);
+
+    // group_driver.cc
+    net::awaitable<void> run_ticks();
+    net::awaitable<void> run_vm_list();
+    net::awaitable<void> run_records();
+    void install(std::shared_ptr<const configuration> next);
+    void take_ticket(const ticket_digest& heard);
+    void stop();
+    [[nodiscard]] std::vector<known_group> known() const;
+
+    // group_calls.cc
+    void tell_managers(const groups::manager_event& happened);
+    void tell_manager(const fabric_domain_id& domain, const groups::manager_event& happened);
+    void tell_board(const groups::board_event& happened);
+
+    net::io_context& io;
+    const daemon_settings& settings;
+    kv_service& kv;
+    peer_service& peers;
+    group_hooks hooks;
+    std::shared_ptr<const configuration> tables;
+    std::map<fabric_domain_id, groups::domain_manager> managers;
+    groups::ticket_board board;
+    /// What the records name, by the hash that tickets carry on the wire.
+    std::unordered_map<std::uint32_t, known_group> by_wire_key;
+    std::map<fabric_domain_id, std::vector<std::uint32_t>> wire_keys_of;
+    std::unordered_map<vm_id, groups::member_report> reports;
+    std::unordered_set<vm_id> probing;
+    std::map<vm_id, fabric_domain_id> domain_of;
+    timer tick_timer;
+    timer list_timer;
+    timer record_timer;
+    bool stopped = false;
+
+private:
+    // group_driver.cc
+    void take_vm_list(const vm_list& seen);
+    void take_record(const kv_entry& entry);
+    void tell_peers();
+    net::awaitable<result<std::int64_t>> read_records();
+    net::awaitable<void> watch_records(std::int64_t from);
+
+    // group_calls.cc
+    void carry_out(const fabric_domain_id& domain, const groups::kv_call& wanted);
+    void carry_out(const fabric_domain_id& domain, const groups::lease_grant& wanted);
+    void carry_out(const fabric_domain_id& domain, const groups::lease_renew& wanted);
+    void carry_out(const fabric_domain_id& domain, const groups::probe& wanted);
+    void carry_out(const fabric_domain_id& domain, const groups::order_assign& wanted);
+    void carry_out(const fabric_domain_id& domain, const groups::order_release& wanted);
+    void carry_out(const fabric_domain_id& domain, const groups::notice& wanted);
+    void carry_out(const groups::ticket_changed& wanted);
+    net::awaitable<void> transact(fabric_domain_id domain, groups::kv_call wanted);
+    net::awaitable<void> grant(fabric_domain_id domain, groups::lease_grant wanted);
+    net::awaitable<void> renew(fabric_domain_id domain, groups::lease_renew wanted);
+    net::awaitable<void> ask_report(groups::probe wanted);
+    net::awaitable<void> assign(fabric_domain_id domain, groups::order_assign wanted);
+    net::awaitable<void> release(fabric_domain_id domain, groups::order_release wanted);
+    void take_report(const groups::probe& asked, const engine_report& told, time_point sent_at);
+};
+
+} // namespace jaynotch
--- /dev/null
+++ b/daemon/plain_watch.cc
@@ -0,0 +1,184 @@
+#include "daemon/plain_watch.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+// That a server leaves is believed at once, from anyone; that it has come back only from a probe
+// of one's own or from silence: while a server leaves its watchers repeat it, so silence for
+// several of their periods means that it has ceased to.
+
+namespace jaynotch {
+
+namespace {
+
+constexpr duration period = std::chrono::seconds{1};
+constexpr duration probe_timeout = std::chrono::milliseconds{800};
+constexpr duration repeat_after = std::chrono::seconds{4};
+constexpr duration believed_for = std::chrono::seconds{20};
+constexpr std::size_t watchers = 2;
+
+} // namespace
+
+class plain_watch::impl : public std::enable_shared_from_this<impl> {
+public:
+    struct row {
+        bool leaving = false;
+        time_point last_word{};
+        time_point last_told{};
+        bool probing = false;
+    };
+
+    impl(boost::asio::io_context& io, upstreams& servers, node_id self, plain_watch_hooks hooks)
+        : m_io{io}, m_servers{servers}, m_self{std::move(self)}, m_hooks{std::move(hooks)}, m_timer{
+                                                                                                io}
+    {}
+
+    boost::asio::awaitable<void> run()
+    {
+        const auto self = shared_from_this();
+        while (!m_stopped) {
+            look();
+            boost::system::error_code ignored;
+            m_timer.expires_after(period);
+            co_await m_timer.async_wait(
+                boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        }
+    }
+
+    void look()
+    {
+        const std::vector<std::string> nodes = m_hooks.live_nodes();
+        const time_point now = runtime_clock::now();
+        for (auto& [server, known] : m_rows) {
+            if (known.leaving && now - known.last_word > believed_for)
+                set(server, known, false);
+            bool mine = false;
+            for (const std::size_t index : rendezvous(server, nodes, watchers))
+                mine = mine || nodes[index] == m_self.value();
+            if (!mine || known.probing)
+                continue;
+            known.probing = true;
+            boost::asio::co_spawn(m_io, probe(server), boost::asio::detached);
+        }
+    }
+
+    boost::asio::awaitable<void> probe(std::string server)
+    {
+        const auto self = shared_from_this();
+        const std::shared_ptr<http_client> client = m_servers.at(server);
+        http_request request;
+        request.target = "/healthz";
+        request.repeatable = true;
+        const result<http_response> answer =
+            co_await client->call(std::move(request), probe_timeout);
+        const auto found = m_rows.find(server);
+        if (m_stopped || found == m_rows.end())
+            co_return;
+        found->second.probing = false;
+        if (!answer)
+            co_return;
+        const bool says =
+            answer.value().status == boost::beast::http::status::service_unavailable ||
+            !answer.value().header("jaynotch-leaving").empty();
+        if (says)
+            said(server);
+        else
+            set(server, found->second, false);
+    }
+
+    void said(const std::string& server)
+    {
+        const auto found = m_rows.find(server);
+        if (found == m_rows.end())
+            return;
+        const time_point now = runtime_clock::now();
+        if (!found->second.leaving || now - found->second.last_told > repeat_after) {
+            found->second.last_told = now;
+            m_hooks.publish(server);
+        }
+        heard(server);
+    }
+
+    void heard(const std::string& server)
+    {
+        const auto found = m_rows.find(server);
+        if (found == m_rows.end())
+            return;
+        found->second.last_word = runtime_clock::now();
+        set(server, found->second, true);
+    }
+
+    void set(const std::string& server, row& known, bool leaving)
+    {
+        if (known.leaving == leaving)
+            return;
+        known.leaving = leaving;
+        log_event(log_level::info, leaving ? "server_leaving" : "server_back",
+                  {{"server", server}});
+        m_hooks.on_leaving(server, leaving);
+    }
+
+    boost::asio::io_context& m_io;
+    upstreams& m_servers;
+    node_id m_self;
+    plain_watch_hooks m_hooks;
+    timer m_timer;
+    std::map<std::string, row> m_rows;
+    bool m_stopped = false;
+};
+
+plain_watch::plain_watch(boost::asio::io_context& io, upstreams& servers, node_id self,
+                         plain_watch_hooks hooks)
+    : m_impl{std::make_shared<impl>(io, servers, std::move(self), std::move(hooks))}
+{}
+
+plain_watch::~plain_watch()
+{
+    m_impl->m_stopped = true;
+    m_impl->m_timer.cancel();
+}
+
+void plain_watch::start()
+{
+    boost::asio::co_spawn(m_impl->m_io, m_impl->run(), boost::asio::detached);
+}
+
+void plain_watch::install(const configuration& tables)
+{
+    std::map<std::string, impl::row> next;
+    for (const pool& one : tables.pools) {
+        for (const std::string& server : one.servers) {
+            const auto known = m_impl->m_rows.find(server);
+            next[server] = known == m_impl->m_rows.end() ? impl::row{} : known->second;
+        }
+    }
+    m_impl->m_rows = std::move(next);
+}
+
+void plain_watch::said(const std::string& server)
+{
+    m_impl->said(server);
+}
+
+void plain_watch::heard(const std::string& server)
+{
+    m_impl->heard(server);
+}
+
+bool plain_watch::leaving(const std::string& server) const
+{
+    const auto found = m_impl->m_rows.find(server);
+    return found != m_impl->m_rows.end() && found->second.leaving;
+}
+
+std::vector<std::string> plain_watch::servers() const
+{
+    std::vector<std::string> names;
+    for (const auto& [server, known] : m_impl->m_rows)
+        names.push_back(server);
+    return names;
+}
+
+} // namespace jaynotch
--- a/daemon/settings.cc
+++ b/daemon/settings.cc
@@ -63,6 +63,7 @@
     BOOST_OUTCOME_TRY(check_positive("connect_timeout_ms", timeouts.connect));
     BOOST_OUTCOME_TRY(check_positive("stream_stall_ms", timeouts.stream_stall));
     BOOST_OUTCOME_TRY(check_positive("upstream_idle_ms", timeouts.upstream_idle));
+    BOOST_OUTCOME_TRY(check_positive("order_horizon_ms", timeouts.order_horizon));
     if (timeouts.balancer.count() < 0)
         return bad("balancer_wait_ms", "is negative", "give milliseconds, 0 or more");
     return check_positive("longest_stop_ms", timeouts.longest_stop);
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -35,6 +35,8 @@
     std::chrono::milliseconds connect{1'000};        ///< a connection to a backend server
     std::chrono::milliseconds stream_stall{10'000};  ///< between two events of an engine's stream
     std::chrono::milliseconds upstream_idle{30'000}; ///< a pooled connection nobody uses
+    /// No engine takes an order later than this after its sending.
+    std::chrono::milliseconds order_horizon{8'000};
     std::chrono::milliseconds balancer{2'000};       ///< not ready, still listening, when stopping
     std::chrono::milliseconds longest_stop{660'000}; ///< bounds a graceful stop
 };
