--- a/daemon/admin.cc
+++ b/daemon/admin.cc
@@ -91,11 +91,12 @@
     const std::string_view path = exchange.path();
     const bool post = exchange.request().method() == http::verb::post;
     const error unknown{error_kind::not_found, "no such page", "see docs/operations-daemon.md"};
-    if (path == "/admin/v1/apply" && post) {
-        co_await apply(exchange);
-    }
-    else if (post) {
+    if (post != (path == "/admin/v1/apply")) {
         co_await answer_error(exchange, unknown);
+        co_return;
+    }
+    if (post) {
+        co_await apply(exchange);
     }
     else if (path == "/metrics") {
         co_await exchange.answer(http::status::ok, text_type, m_sources.metrics_page());
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -89,8 +89,8 @@
     random_source random{seed ^ 4U};
     const std::uint64_t incarnation = random.bits();
     BOOST_OUTCOME_TRY(request_core core,
-                      request_core::create(core_settings_of(settings, incarnation),
-                                           std::move(random), runtime_clock::now()));
+                      request_core::create(core_settings_of(settings, incarnation), random,
+                                           runtime_clock::now()));
     driver_hooks hooks;
     hooks.on_released = [](const released& gone) {
         log_event(log_level::info, "target_released", {{"target", gone.target.value()}});
--- a/daemon/http_server_test.cc
+++ b/daemon/http_server_test.cc
@@ -2,6 +2,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
 #include <thread>
