--- a/config/accept.cc
+++ b/config/accept.cc
@@ -136,8 +136,10 @@
     std::vector<kv_operation> puts;
     for (const table_page& page : paged.pages) {
         if (!std::binary_search(standing_pages.begin(), standing_pages.end(), page.digest))
-            puts.emplace_back(kv_put{keys.page(page.digest), page.bytes, {}});
+            plan.new_pages.push_back(page);
     }
+    for (const table_page& page : plan.new_pages)
+        puts.emplace_back(kv_put{keys.page(page.digest), page.bytes, {}});
     std::vector<std::vector<kv_operation>> parts = batches(puts);
     // One batch goes along with the head; more of them go before it.
     const bool fits =
--- a/config/accept.h
+++ b/config/accept.h
@@ -56,6 +56,7 @@
     std::vector<kv_transaction> prepare; ///< pages that don't fit into the swap itself
     kv_transaction swap;
     head_record next;
+    std::vector<table_page> new_pages; ///< that the standing head does not name
     bool merged = false;
     bool unchanged = false; ///< nothing to do
 };
--- a/config/config.h
+++ b/config/config.h
@@ -4,7 +4,10 @@
 //   auto config = config_service::create(io, settings, kv, peers).value();
 //   config->on_installed([&](std::shared_ptr<const configuration> tables) { ... });
 //   co_spawn(io, config->run(), detached);
-//   result<accepted_change> done = co_await config->apply({.base = config_revision{7}, ...});
+//   change_request request{.base = config_revision{7}, ...};   // named: see below
+//   result<accepted_change> done = co_await config->apply(request);
+//
+// g++ 12 miscompiles braced temporaries inside a co_await expression; name the request first.
 //
 // Parts: head.h (the head record), accept.h (what a change does to it), spread.h (who watches, who
 // asks whom), collect.h (old pages), config_service.h (the shell).
--- a/config/config_service.h
+++ b/config/config_service.h
@@ -62,7 +62,7 @@
 
     /// Checks, merges and accepts an edit. Errors: invalid_table, conflict (who, when, which
     /// revision, what to do), unavailable, unknown_outcome (ask again with the same change_id).
-    boost::asio::awaitable<result<accepted_change>> apply(change_request request);
+    boost::asio::awaitable<result<accepted_change>> apply(const change_request& request);
     /// Makes the tables of an earlier revision a new one.
     boost::asio::awaitable<result<accepted_change>> go_back(config_revision to, std::string author,
                                                             std::string change_id);
--- /dev/null
+++ b/config/config_service_test.cc
@@ -0,0 +1,269 @@
+#include "config/config.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <criterion/criterion.h>
+
+using namespace jaynotch;
+
+namespace {
+
+constexpr const char* routes = R"(
+deployment = "test"
+[[route]]
+name = "chat"
+kind = "chat"
+model = "m"
+workspaces = ["*"]
+pool = "p"
+[[route]]
+name = "tags"
+kind = "chat"
+model = "n"
+workspaces = ["*"]
+pool = "p"
+)";
+
+std::string pools(std::uint32_t replicas)
+{
+    return R"(
+deployment = "test"
+[[pool]]
+name = "p"
+kind = "model"
+model = "m"
+version = "1"
+replica_vms = 2
+replicas = )" +
+           std::to_string(replicas) + "\n";
+}
+
+std::string with_timeout(int ms)
+{
+    std::string text = routes;
+    const std::string anchor = "model = \"n\"\n";
+    return text.insert(text.find(anchor), "timeout_ms = " + std::to_string(ms) + "\n");
+}
+
+peer_settings peer_settings_of(const std::string& name, const std::string& domain,
+                               const std::string& deployment)
+{
+    peer_settings out;
+    out.deployment = deployment;
+    out.node = node_id{name};
+    out.failure_domain = failure_domain_id{domain};
+    return out;
+}
+
+/// One daemon's peers and configuration.
+struct test_node {
+    test_node(boost::asio::io_context& io, const std::shared_ptr<memory_kv_server>& server,
+              const std::string& name, const std::string& domain = "a",
+              const std::string& deployment = "test")
+        : kv{kv_service::in_memory(io.get_executor(), server, std::chrono::milliseconds{300})},
+          peers{peer_service::create(io, peer_settings_of(name, domain, deployment)).value()},
+          config{config_service::create(io, {.deployment = deployment, .key_prefix = "/t/"}, kv,
+                                        *peers)
+                     .value()}
+    {
+        config->on_installed([this](const std::shared_ptr<const configuration>& tables) {
+            cr_assert_gt(tables->revision.value(), highest, "a revision went down");
+            highest = tables->revision.value();
+        });
+        co_spawn(io, peers->run(), boost::asio::detached);
+        co_spawn(io, config->run(), boost::asio::detached);
+    }
+
+    kv_service kv;
+    std::unique_ptr<peer_service> peers;
+    std::unique_ptr<config_service> config;
+    std::int64_t highest = 0;
+};
+
+struct fixture {
+    boost::asio::io_context io;
+    std::shared_ptr<memory_kv_server> server = memory_kv_server::make(io.get_executor());
+
+    bool until(const std::function<bool()>& condition, int seconds = 10)
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{seconds};
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            io.run_one_for(std::chrono::milliseconds{5});
+        return condition();
+    }
+
+    template <class T>
+    static boost::asio::awaitable<void> keep_answer(boost::asio::awaitable<T> step,
+                                                    std::optional<T>& out)
+    {
+        out.emplace(co_await std::move(step));
+    }
+
+    template <class T>
+    T wait(boost::asio::awaitable<T> step)
+    {
+        std::optional<T> out;
+        co_spawn(io, keep_answer(std::move(step), out), boost::asio::detached);
+        cr_assert(until([&] { return out.has_value(); }, 20), "no answer");
+        return std::move(*out);
+    }
+
+    result<accepted_change> apply(test_node& node, std::int64_t base,
+                                  const std::string& routes_text, const std::string& pools_text,
+                                  const std::string& id, const std::string& author = "ana")
+    {
+        const change_request request{
+            config_revision{base}, routes_text, pools_text, author, "test", id};
+        return wait(node.config->apply(request));
+    }
+};
+
+} // namespace
+
+Test(config_service, one_node_installs_what_it_accepted)
+{
+    fixture test;
+    test_node node{test.io, test.server, "n1"};
+    const auto done = test.apply(node, 0, routes, pools(1), "c1");
+    cr_assert(done.has_value(), "%s", done ? "" : to_string(done.error()).c_str());
+    cr_assert_eq(done.value().revision.value(), 1);
+    cr_assert(node.config->current() != nullptr);
+    cr_assert_eq(node.config->current()->pools.size(), 1U);
+}
+
+Test(config_service, a_second_node_hears_from_its_peers)
+{
+    fixture test;
+    test_node first{test.io, test.server, "n1"};
+    test_node second{test.io, test.server, "n2", "b"};
+    cr_assert(test.apply(first, 0, routes, pools(1), "c1").has_value());
+    cr_assert(test.until([&] { return second.highest == 1; }));
+    cr_assert(test.apply(second, 1, routes, pools(2), "c2").has_value());
+    cr_assert(test.until([&] { return first.highest == 2; }));
+    cr_assert(test.until([&] {
+        const auto told = first.config->node_confirmations();
+        return told.size() == 2 && std::all_of(told.begin(), told.end(), [](const auto& node) {
+                   return node.revision == config_revision{2};
+               });
+    }));
+}
+
+// An operator's apply hangs and fails though the change was made: the store swapped the head and
+// the connection broke before the reply. Asked again with the same id, it must not be made twice.
+Test(config_service, a_lost_reply_is_settled_by_the_change_id)
+{
+    fixture test;
+    test_node node{test.io, test.server, "n1"};
+    cr_assert(test.apply(node, 0, routes, pools(1), "c1").has_value());
+    test.server->faults.lost_replies = 1;
+    const auto done = test.apply(node, 1, routes, pools(2), "c2");
+    cr_assert(done.has_value());
+    cr_assert_eq(done.value().revision.value(), 2);
+    const auto again = test.apply(node, 1, routes, pools(2), "c2");
+    cr_assert(again.has_value() && again.value().repeated);
+    cr_assert_eq(again.value().revision.value(), 2);
+    cr_assert_eq(test.wait(node.config->history()).value().size(), 2U);
+    cr_assert(test.until([&] { return node.highest == 2; }));
+}
+
+// The store takes the swap, answers nothing for a while, and does it after the caller gave up. The
+// retry must neither accept the change a second time nor report a conflict with itself.
+Test(config_service, a_swap_that_takes_effect_late_counts_once)
+{
+    fixture test;
+    test_node node{test.io, test.server, "n1"};
+    cr_assert(test.apply(node, 0, routes, pools(1), "c1").has_value());
+    test.server->faults.late_effects = 1;
+    const auto done = test.apply(node, 1, routes, pools(2), "c2");
+    cr_assert(done.has_value(), "%s", done ? "" : to_string(done.error()).c_str());
+    cr_assert_eq(test.wait(node.config->history()).value().size(), 2U);
+}
+
+// Two operators edit at once. Different rows: both edits stand. The same row: the second is told
+// who was first, in which revision, and what to do, and the running tables don't change.
+Test(config_service, racing_operators_merge_or_are_told)
+{
+    fixture test;
+    test_node node{test.io, test.server, "n1"};
+    cr_assert(test.apply(node, 0, routes, pools(1), "c1").has_value());
+    cr_assert(test.apply(node, 1, routes, pools(3), "c2", "berit").has_value());
+    const auto merged = test.apply(node, 1, with_timeout(5000), pools(1), "c3");
+    cr_assert(merged.has_value() && merged.value().merged);
+    cr_assert_eq(node.config->current()->pools.front().replicas, 3U);
+
+    const auto refused = test.apply(node, 1, routes, pools(4), "c4");
+    cr_assert(!refused && refused.error().kind == error_kind::conflict);
+    cr_assert(refused.error().message.find("berit") != std::string::npos);
+    cr_assert(refused.error().message.find("revision 2") != std::string::npos);
+    cr_assert(refused.error().message.find("pools/p") != std::string::npos);
+    cr_assert_eq(node.config->current()->revision.value(), 3);
+}
+
+// A file of another deployment is applied by mistake, or one that does not join: refused, and
+// what runs is untouched.
+Test(config_service, bad_input_leaves_the_running_tables_alone)
+{
+    fixture test;
+    test_node node{test.io, test.server, "n1"};
+    cr_assert(test.apply(node, 0, routes, pools(1), "c1").has_value());
+    std::string foreign_routes = routes;
+    foreign_routes.replace(foreign_routes.find("test"), 4, "prod");
+    std::string foreign_pools = pools(1);
+    foreign_pools.replace(foreign_pools.find("test"), 4, "prod");
+    cr_assert(test.apply(node, 1, foreign_routes, foreign_pools, "c2").has_error());
+    cr_assert(test.apply(node, 1, routes, "deployment = \"test\"\n", "c3").has_error());
+    cr_assert(test.apply(node, 9, routes, pools(2), "c4").has_error());
+    cr_assert_eq(node.config->current()->revision.value(), 1);
+    cr_assert_eq(node.config->current()->pools.front().replicas, 1U);
+}
+
+// The platform goes down. The nodes serve on what they have and say that it is lost; an apply
+// fails truthfully; when the platform is back the next change reaches both.
+Test(config_service, an_outage_is_served_through)
+{
+    fixture test;
+    test_node first{test.io, test.server, "n1"};
+    test_node second{test.io, test.server, "n2"};
+    cr_assert(test.apply(first, 0, routes, pools(1), "c1").has_value());
+    cr_assert(test.until([&] { return second.highest == 1; }));
+    test.server->faults.outage = true;
+    test.server->cut_watches();
+    cr_assert(test.until([&] { return first.config->status().platform_lost; }));
+    const auto failed = test.apply(first, 1, routes, pools(2), "c2");
+    cr_assert(!failed && failed.error().kind == error_kind::unavailable);
+    cr_assert(first.config->current() != nullptr);
+    test.server->faults.outage = false;
+    cr_assert(test.until([&] { return !first.config->status().platform_lost; }));
+    cr_assert(test.apply(first, 1, routes, pools(2), "c2").has_value());
+    cr_assert(test.until([&] { return first.highest == 2 && second.highest == 2; }));
+}
+
+// A VM is replaced while the platform is down: the new node gets the tables from its peers, found
+// through a seed, and only then is ready.
+Test(config_service, a_fresh_node_learns_from_peers_during_an_outage)
+{
+    fixture test;
+    test_node first{test.io, test.server, "n1"};
+    cr_assert(test.apply(first, 0, routes, pools(1), "c1").has_value());
+    test.server->faults.outage = true;
+    test_node fresh{test.io, test.server, "n2"};
+    cr_assert(!fresh.config->status().ready);
+    fresh.peers->add_seeds({first.peers->address()});
+    cr_assert(test.until([&] { return fresh.config->status().ready; }));
+    cr_assert_eq(fresh.highest, 1);
+}
+
+// A mistake is undone: going back makes a new revision with the old rows, never a lower one.
+Test(config_service, going_back_is_a_new_revision)
+{
+    fixture test;
+    test_node node{test.io, test.server, "n1"};
+    cr_assert(test.apply(node, 0, routes, pools(1), "c1").has_value());
+    cr_assert(test.apply(node, 1, routes, pools(7), "c2").has_value());
+    const auto back = test.wait(node.config->go_back(config_revision{1}, "ana", "c3"));
+    cr_assert(back.has_value());
+    cr_assert_eq(node.config->current()->revision.value(), 3);
+    cr_assert_eq(node.config->current()->pools.front().replicas, 1U);
+    const auto old = test.wait(node.config->at(config_revision{2}));
+    cr_assert(old.has_value() && old.value().pools.front().replicas == 7U);
+}
--- a/peers/peer_service.cc
+++ b/peers/peer_service.cc
@@ -81,6 +81,7 @@
     timer m_pause;
     timer m_farewell;
     membership_core m_core;
+    std::uint64_t m_members_version = 1;
     std::function<void(const rumor&)> m_rumor_handler;
     std::function<void(const member&)> m_member_handler;
     std::function<void()> m_superseded_handler;
@@ -94,6 +95,7 @@
     }
     void carry_out(const member_changed& order)
     {
+        ++m_members_version;
         log_event(log_level::info, "member_changed",
                   {{"node", order.now.node.value()},
                    {"state", to_name(order.now.state)},
@@ -198,6 +200,11 @@
     return out;
 }
 
+std::uint64_t peer_service::members_version() const
+{
+    return m_state->m_members_version;
+}
+
 const member& peer_service::self() const
 {
     return m_state->m_core.self();
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -68,6 +68,8 @@
 
     /// Every member known, this node included.
     [[nodiscard]] std::vector<member> members() const;
+    /// Grows with each change of members().
+    [[nodiscard]] std::uint64_t members_version() const;
     [[nodiscard]] const member& self() const;
     [[nodiscard]] const std::string& address() const; ///< "IP:port" bound
     [[nodiscard]] peer_counters counters() const;
