--- a/peers/membership.cc
+++ b/peers/membership.cc
@@ -70,7 +70,7 @@
     return frame;
 }
 
-void membership_core::send(time_point now, const member& to, wire::frame frame,
+void membership_core::send(time_point now, const member& to, wire::frame& frame,
                            membership_commands& out)
 {
     if (!to.node.value().empty())
@@ -99,7 +99,8 @@
 void membership_core::send_plain(time_point now, const member& to, wire::frame_kind::type kind,
                                  membership_commands& out)
 {
-    send(now, to, make_frame(now, kind), out);
+    wire::frame frame = make_frame(now, kind);
+    send(now, to, frame, out);
 }
 
 bool membership_core::accept(const wire::frame& frame, const node_id& proved) const
@@ -298,7 +299,7 @@
     case wire::frame_kind::ping: {
         wire::frame ack = make_frame(now, wire::frame_kind::ack);
         ack.sequence = frame.sequence;
-        send(now, to, std::move(ack), out);
+        send(now, to, ack, out);
         break;
     }
     case wire::frame_kind::ack:
@@ -313,7 +314,7 @@
             reply.members.push_back(to_wire(known));
         reply.members.push_back(to_wire(m_self));
         reply.__isset.members = true;
-        send(now, to, std::move(reply), out);
+        send(now, to, reply, out);
         break;
     }
     default:
@@ -325,7 +326,7 @@
         wire::frame request = make_frame(now, wire::frame_kind::sync_request);
         request.members.push_back(to_wire(m_self));
         request.__isset.members = true;
-        send(now, to, std::move(request), out);
+        send(now, to, request, out);
     }
 }
 
@@ -374,7 +375,7 @@
         wanted.base = request->base.value();
         wanted.__set_digests(request->digests);
         frame.__set_request(wanted);
-        send(now, peer, std::move(frame), out);
+        send(now, peer, frame, out);
     }
     if (const auto* reply = std::get_if<config_reply>(&body)) {
         wire::frame frame = make_frame(now, wire::frame_kind::config_reply);
@@ -391,7 +392,7 @@
         }
         answer_out.__set_pages(pages);
         frame.__set_reply(answer_out);
-        send(now, peer, std::move(frame), out);
+        send(now, peer, frame, out);
     }
     return out;
 }
@@ -417,7 +418,7 @@
         wire::frame frame = make_frame(now, wire::frame_kind::rumor);
         frame.members.push_back(to_wire(m_self));
         frame.__isset.members = true;
-        send(now, member{*m_members.find(target)}, std::move(frame), out);
+        send(now, member{*m_members.find(target)}, frame, out);
     }
     return out;
 }
--- a/peers/membership.h
+++ b/peers/membership.h
@@ -128,7 +128,7 @@
     // membership.cc
     [[nodiscard]] std::int64_t table_digest() const;
     wire::frame make_frame(time_point now, wire::frame_kind::type kind);
-    void send(time_point now, const member& to, wire::frame frame, membership_commands& out);
+    void send(time_point now, const member& to, wire::frame& frame, membership_commands& out);
     void send_plain(time_point now, const member& to, wire::frame_kind::type kind,
                     membership_commands& out);
     bool accept(const wire::frame& frame, const node_id& proved) const;
--- a/peers/membership_probe.cc
+++ b/peers/membership_probe.cc
@@ -165,7 +165,7 @@
     wire::frame ping = make_frame(now, wire::frame_kind::ping);
     ping.__set_member_digest(table_digest());
     m_probes.push_back({target, now, ping.sequence, false, judged});
-    send(now, to, std::move(ping), out);
+    send(now, to, ping, out);
 }
 
 void membership_core::check_probes(time_point now, membership_commands& out)
@@ -202,7 +202,7 @@
         wire::frame request = make_frame(now, wire::frame_kind::ping_request);
         request.sequence = unanswered.sequence;
         request.__set_subject(unanswered.target.value());
-        send(now, member{*m_members.find(helper)}, std::move(request), out);
+        send(now, member{*m_members.find(helper)}, request, out);
     }
 }
 
@@ -232,7 +232,7 @@
         wire::frame ack = make_frame(now, wire::frame_kind::ack);
         ack.sequence = asked.asker_sequence;
         ack.__set_subject(answered.value());
-        send(now, member{*asker}, std::move(ack), out);
+        send(now, member{*asker}, ack, out);
     }
     std::erase_if(m_relays, [&](const relay& asked) {
         return (asked.sequence == frame.sequence && asked.subject == answered) ||
@@ -250,7 +250,7 @@
     if (m_relays.size() >= most_relays)
         m_relays.pop_front();
     m_relays.push_back({node_id{frame.sender}, to.node, ping.sequence, frame.sequence, now});
-    send(now, to, std::move(ping), out);
+    send(now, to, ping, out);
 }
 
 // A seed is asked for its table until some member is known, and again whenever nobody is live.
@@ -269,7 +269,7 @@
         request.__isset.members = true;
         member seed;
         seed.address = address;
-        send(now, seed, std::move(request), out);
+        send(now, seed, request, out);
     }
 }
 
--- a/peers/peer_service.cc
+++ b/peers/peer_service.cc
@@ -2,7 +2,9 @@
 // so that one may publish from within.
 #include "peers/peers.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace jaynotch {
 
--- a/peers/transport.cc
+++ b/peers/transport.cc
@@ -9,10 +9,15 @@
 
 #include "peers/frame.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
