--- a/routing/adaptive_limit.cc
+++ b/routing/adaptive_limit.cc
@@ -1,8 +1,12 @@
-// Once a window: if the window's mean time to the first token is more than `tolerance` times the
-// best windows', the limit falls by a tenth; if requests were held back by the limit and the time
-// is well below that, it rises by a twentieth of the whole. As in TCP Vegas the signal is the
-// queueing that adds to the uncontended time, so it acts before anything times out. The best time
-// drifts up, so that a pool whose work has grown heavier for good isn't throttled for ever.
+// The limit falls by a tenth in a window in which the targets queue: their reports show more than
+// `most_waiting` waiting for each one running, refusals and timeouts are more than a few, or first
+// tokens take more than `most_patience` of the route's timeout. It rises by a twentieth of the
+// whole while it holds requests back and none of these signs is there.
+//
+// Not used as a sign: that the first token takes some multiple of its best time (TCP Vegas, the
+// gradient limits). A batching engine yields more the fuller its batch, and its first tokens slow
+// down long before it queues; measured in the policy report, a limit by four times the best time
+// cost half of the goodput at four times capacity (docs/design-routing.md).
 #include "routing/adaptive_limit.h"
 
 #include <algorithm>
@@ -12,9 +16,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds window{500};
-constexpr double tolerance = 4.0;
-constexpr double shortest_floor_s = 0.02; ///< below this, noise of the network is all there is
-constexpr double drift = 1.01;            ///< of the best time, each window
+constexpr double most_waiting = 0.1;
+constexpr double most_patience = 0.3;
+constexpr double most_overloads = 0.05; ///< for each first token
 constexpr double decrease = 0.9;
 constexpr double increase = 0.05;
 constexpr double least_part = 0.1;
@@ -24,39 +28,41 @@
 
 } // namespace
 
-void adaptive_limit::note_first_token(double seconds, time_point /*now*/)
+void adaptive_limit::note_first_token(double took_s, double patience_s)
 {
-    m_sum_s += seconds;
+    m_sum_s += took_s;
+    m_sum_of_patience += patience_s > 0.0 ? took_s / patience_s : 0.0;
     ++m_samples;
 }
 
-void adaptive_limit::note_overload(time_point /*now*/)
+void adaptive_limit::note_overload()
 {
-    m_overloaded = true;
+    ++m_overloads;
 }
 
-void adaptive_limit::tick(bool busy, time_point now)
+void adaptive_limit::tick(bool held_back, double waiting_part, time_point now)
 {
     if (now - m_window_start < window)
         return;
     m_window_start = now;
-    const bool judged = m_samples >= samples_to_act;
-    const double mean = m_samples == 0 ? 0.0 : m_sum_s / m_samples;
-    if (m_samples > 0)
-        m_typical_s = m_typical_s == 0.0 ? mean : m_typical_s + smoothing * (mean - m_typical_s);
-    else
+    const double mean_s = m_samples == 0 ? 0.0 : m_sum_s / m_samples;
+    if (m_samples == 0)
         m_typical_s *= forgetting;
-    if (judged) {
-        const double best = std::max(mean, shortest_floor_s);
-        m_floor_s = m_floor_s == 0.0 ? best : std::min(m_floor_s * drift, best);
-    }
-    if (m_overloaded || (judged && mean > tolerance * m_floor_s))
+    else if (m_typical_s == 0.0)
+        m_typical_s = mean_s;
+    else
+        m_typical_s += smoothing * (mean_s - m_typical_s);
+
+    const bool slow = m_samples >= samples_to_act && m_sum_of_patience > most_patience * m_samples;
+    const bool refused = m_overloads > 1 && m_overloads > most_overloads * m_samples;
+    if (slow || refused || waiting_part > most_waiting)
         m_part = std::max(least_part, m_part * decrease);
-    else if (busy && (judged || m_samples == 0))
+    else if (held_back)
         m_part = std::min(1.0, m_part + increase);
-    m_overloaded = false;
     m_sum_s = 0.0;
+    m_sum_of_patience = 0.0;
     m_samples = 0;
+    m_overloads = 0;
 }
 
 } // namespace jaynotch
--- a/routing/fair_queue.cc
+++ b/routing/fair_queue.cc
@@ -10,6 +10,12 @@
 
 namespace jaynotch {
 
+namespace {
+
+constexpr double pace_smoothing = 0.2;
+
+} // namespace
+
 fair_queue::flow_row* fair_queue::row_of(const flow_key& flow)
 {
     const auto found = std::find_if(m_flows.begin(), m_flows.end(),
@@ -17,7 +23,7 @@
     return found == m_flows.end() ? nullptr : &*found;
 }
 
-fair_queue::flow_row* fair_queue::find_or_make(const flow_key& flow, double weight)
+fair_queue::flow_row* fair_queue::find_or_make(const flow_key& flow, double weight, bool always)
 {
     if (flow_row* known = row_of(flow); known != nullptr) {
         known->weight = weight;
@@ -25,10 +31,14 @@
     }
     if (m_flows.size() >= most_flows)
         drop_idle_flows();
-    if (m_flows.size() >= most_flows)
+    if (m_flows.size() >= most_flows && !always)
         return nullptr;
-    m_flows.push_back({flow, weight, m_virtual_time, m_virtual_time, {}});
-    return &m_flows.back();
+    flow_row& made = m_flows.emplace_back();
+    made.key = flow;
+    made.weight = weight;
+    made.start = m_virtual_time;
+    made.finish = m_virtual_time;
+    return &made;
 }
 
 void fair_queue::drop_idle_flows()
@@ -52,16 +62,14 @@
 
 void fair_queue::push_front(const flow_key& flow, double weight, queued_request added)
 {
-    flow_row* row = find_or_make(flow, weight);
-    if (row == nullptr)
-        row = &m_flows.emplace_back(flow_row{flow, weight, m_virtual_time, m_virtual_time, {}});
+    flow_row* row = find_or_make(flow, weight, true);
     row->start = std::min(row->waiting.empty() ? m_virtual_time : row->start, m_virtual_time);
     row->waiting.push_front(added);
     ++m_size;
 }
 
 std::optional<queued_request>
-fair_queue::pop(const std::function<bool(const workspace_id&)>& eligible)
+fair_queue::pop(const std::function<bool(const workspace_id&)>& eligible, time_point now)
 {
     if (m_size == 0)
         return std::nullopt;
@@ -80,6 +88,12 @@
     m_virtual_time = std::max(m_virtual_time, next->start);
     next->finish = next->start + taken.cost / next->weight;
     next->start = next->finish;
+    if (next->backlogged) {
+        const double since_s = std::chrono::duration<double>(now - next->served).count();
+        next->interval_s += pace_smoothing * (since_s - next->interval_s);
+    }
+    next->served = now;
+    next->backlogged = !next->waiting.empty();
     return taken;
 }
 
@@ -114,6 +128,15 @@
     return ahead;
 }
 
+double fair_queue::backlog_s(const flow_key& flow) const
+{
+    const auto own = std::find_if(m_flows.begin(), m_flows.end(),
+                                  [&](const flow_row& row) { return row.key == flow; });
+    if (own == m_flows.end())
+        return 0.0;
+    return static_cast<double>(own->waiting.size()) * own->interval_s;
+}
+
 std::size_t fair_queue::size_of(const workspace_id& workspace) const
 {
     std::size_t count = 0;
--- a/routing/fair_queue.h
+++ b/routing/fair_queue.h
@@ -3,7 +3,7 @@
 //
 //   fair_queue queue{1'024};
 //   queue.push({workspace, priority}, weight, {request, cost});
-//   auto next = queue.pop([&](const workspace_id& w) { return below_limit(w); });
+//   auto next = queue.pop([&](const workspace_id& w) { return below_limit(w); }, now);
 #pragma once
 
 #include "routing/request_events.h"
@@ -42,11 +42,15 @@
     /// Puts a request that was popped before back at the head of its flow, whatever its size.
     void push_front(const flow_key& flow, double weight, queued_request added);
     /// Takes the next request whose workspace is eligible.
-    std::optional<queued_request> pop(const std::function<bool(const workspace_id&)>& eligible);
+    std::optional<queued_request> pop(const std::function<bool(const workspace_id&)>& eligible,
+                                      time_point now);
     /// Takes a request out wherever it stands; false if it isn't there.
     bool remove(const flow_key& flow, request_id request);
     /// About how many requests would be served before one pushed to `flow` now.
     [[nodiscard]] double ahead_of(const flow_key& flow, double weight) const;
+    /// How long the flow's own backlog would take at the pace at which it was served of late,
+    /// seconds. Unlike ahead_of it sees that other flows go on arriving.
+    [[nodiscard]] double backlog_s(const flow_key& flow) const;
     [[nodiscard]] std::size_t size() const { return m_size; }
     [[nodiscard]] std::size_t size_of(const workspace_id& workspace) const;
 
@@ -54,13 +58,16 @@
     struct flow_row {
         flow_key key;
         double weight = 1.0;
-        double start = 0.0;  ///< virtual time at which the head may start
-        double finish = 0.0; ///< virtual time at which the last served one ends
+        double start = 0.0;      ///< virtual time at which the head may start
+        double finish = 0.0;     ///< virtual time at which the last served one ends
+        double interval_s = 0.0; ///< between two servings while backlogged, moving average
+        time_point served;       ///< valid if `backlogged`
+        bool backlogged = false; ///< some waited on after the last serving
         std::deque<queued_request> waiting;
     };
 
     flow_row* row_of(const flow_key& flow);
-    flow_row* find_or_make(const flow_key& flow, double weight);
+    flow_row* find_or_make(const flow_key& flow, double weight, bool always = false);
     void drop_idle_flows();
 
     std::size_t m_most_per_flow;
--- /dev/null
+++ b/routing/policy_run.cc
@@ -0,0 +1,643 @@
+// The driver: one queue of timed actions; every node and engine takes part through it, with one
+// millisecond each way between them. Reports, gossip and cache events come with a lag.
+//
+// The load: ten workspaces of unequal size, each with a system prompt of its own; three in four
+// requests go on with a conversation of late, whose prompt has grown by its last turn.
+#include "routing/policy_run.h"
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+
+namespace jaynotch::policy {
+
+namespace {
+
+constexpr double one_way_s = 0.001;
+constexpr int workspaces = 10;
+constexpr int system_blocks = 8;
+constexpr std::size_t longest_prompt = 40;
+constexpr double share_that_goes_on = 0.75;
+constexpr int conversations_per_group = 250;
+constexpr double mean_answer_tokens = 100.0;
+constexpr double most_gap_s = 0.1; ///< between tokens, for an answer to count
+constexpr double tick_s = 0.02;
+constexpr std::uint32_t tokens_per_progress = 16;
+constexpr double tail_s = 25.0; ///< whose requests may not have ended at the end of a run
+
+duration to_duration(double seconds)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+double percentile(std::vector<double>& values, double part)
+{
+    if (values.empty())
+        return 0.0;
+    std::sort(values.begin(), values.end());
+    const auto at = static_cast<std::size_t>(part * static_cast<double>(values.size() - 1));
+    return values[at];
+}
+
+struct conversation {
+    std::uint64_t id = 0;
+    int workspace = 0;
+    std::vector<std::uint64_t> blocks;
+};
+
+/// Makes prompts.
+class workload {
+public:
+    workload(std::uint64_t seed, int groups)
+        : m_random{seed}, m_conversations{static_cast<std::size_t>(groups) *
+                                          conversations_per_group}
+    {}
+
+    request_info next(std::uint64_t id)
+    {
+        request_info info;
+        info.id = request_id{id};
+        info.kind = request_kind::chat;
+        info.model = "m";
+        info.stream = true;
+        const std::size_t place = pick_conversation();
+        const conversation& talk = m_recent[place];
+        m_asked[id] = {place, talk.id};
+        info.prefix_blocks = talk.blocks;
+        const auto grows = static_cast<std::size_t>(m_random.between(2, 5));
+        for (std::size_t added = 0; added < grows; ++added)
+            info.prefix_blocks.push_back(m_random.bits() | 1U);
+        info.workspace = workspace_id{"ws-" + std::to_string(talk.workspace)};
+        info.prompt_tokens = static_cast<std::uint32_t>(info.prefix_blocks.size()) * block_tokens;
+        const double tokens = m_random.exponential(mean_answer_tokens);
+        info.answer_tokens = static_cast<std::uint32_t>(std::clamp(tokens, 8.0, 300.0));
+        return info;
+    }
+
+    /// The turn was answered: the conversation goes on from there.
+    void answered(std::uint64_t id, const std::vector<std::uint64_t>& blocks)
+    {
+        const auto asked = m_asked.find(id);
+        if (asked == m_asked.end())
+            return;
+        conversation& talk = m_recent[asked->second.place];
+        if (talk.id == asked->second.conversation && talk.blocks.size() < blocks.size())
+            talk.blocks = blocks;
+        m_asked.erase(asked);
+    }
+
+private:
+    struct turn {
+        std::size_t place = 0;
+        std::uint64_t conversation = 0;
+    };
+
+    std::size_t pick_conversation()
+    {
+        if (!m_recent.empty() && m_random.chance(share_that_goes_on)) {
+            const std::size_t place = m_random.index(m_recent.size());
+            if (m_recent[place].blocks.size() >= longest_prompt)
+                m_recent[place] = fresh();
+            return place;
+        }
+        if (m_recent.size() < m_conversations) {
+            m_recent.push_back(fresh());
+            return m_recent.size() - 1;
+        }
+        const std::size_t oldest = m_next++ % m_recent.size();
+        m_recent[oldest] = fresh();
+        return oldest;
+    }
+
+    conversation fresh()
+    {
+        // A few large workspaces: the share falls as 1, 1/2, 1/3 ...
+        double mass = 0.0;
+        for (int at = 1; at <= workspaces; ++at)
+            mass += 1.0 / at;
+        double drawn = m_random.unit() * mass;
+        int chosen = 1;
+        while (chosen < workspaces && drawn > 1.0 / chosen) {
+            drawn -= 1.0 / chosen;
+            ++chosen;
+        }
+        conversation made{++m_next_conversation, chosen, {}};
+        for (int block = 0; block < system_blocks; ++block)
+            made.blocks.push_back(
+                hash64(std::to_string(chosen), static_cast<std::uint64_t>(block)));
+        return made;
+    }
+
+    random_source m_random;
+    std::size_t m_conversations;
+    std::size_t m_next = 0;
+    std::uint64_t m_next_conversation = 0;
+    std::unordered_map<std::uint64_t, turn> m_asked;
+    std::vector<conversation> m_recent;
+};
+
+/// What is known of a request on the caller's side.
+struct caller {
+    double arrived_s = 0.0;
+    double first_s = -1.0;
+    int workspace = 0;
+    request_info info;
+    std::uint32_t given = 0;
+    int asked = 0; ///< again
+};
+
+class driver {
+public:
+    explicit driver(const run_options& options)
+        : m_options{options}, m_random{options.seed}, m_load{options.seed + 1, options.groups}
+    {
+        for (int at = 0; at < options.groups; ++at) {
+            engine_model model = options.engine;
+            if (at < options.stragglers)
+                model.slowness = 3.0;
+            m_engines.emplace_back(model);
+            m_stepping.push_back(false);
+            m_dead.push_back(false);
+        }
+        for (int at = 0; at < options.nodes; ++at)
+            m_cores.push_back(make_core(at));
+    }
+
+    run_report run()
+    {
+        schedule_arrivals();
+        every(tick_s, [this] {
+            for (int node = 0; node < m_options.nodes; ++node)
+                tell(node, tick{});
+        });
+        every(0.5, [this] { report_loads(); });
+        if (m_options.cache_events)
+            every(1.0, [this] { publish_cache_events(); });
+        if (m_options.lost_groups > 0)
+            at(m_options.fault_at, [this] { lose_groups(); });
+        while (!m_queue.empty() && m_queue.top().at_s <= m_options.seconds) {
+            const timed next = m_queue.top();
+            m_queue.pop();
+            m_now_s = next.at_s;
+            next.act();
+        }
+        return report();
+    }
+
+private:
+    struct timed {
+        double at_s = 0.0;
+        std::uint64_t order = 0;
+        std::function<void()> act;
+        bool operator<(const timed& other) const
+        {
+            return at_s != other.at_s ? at_s > other.at_s : order > other.order;
+        }
+    };
+
+    request_core make_core(int node)
+    {
+        core_settings settings;
+        settings.node = node_id{"node-" + std::to_string(node)};
+        settings.incarnation = "1";
+        settings.pick = m_options.pick;
+        settings.admission = m_options.admission;
+        settings.adaptive = m_options.adaptive;
+        settings.retry_budget = m_options.retry_budget;
+        request_core made =
+            request_core::create(settings, random_source{m_random.bits()}, now()).value();
+        configuration tables;
+        tables.deployment = "policy";
+        route chat;
+        chat.name = route_id{"chat"};
+        chat.model = "m";
+        chat.workspaces = {"*"};
+        chat.pool = pool_id{"pool"};
+        chat.timeout =
+            std::chrono::milliseconds{static_cast<std::int64_t>(m_options.deadline_s * 1'000)};
+        chat.retries = m_options.retries;
+        tables.routes = {chat};
+        pool engines;
+        engines.name = pool_id{"pool"};
+        engines.max_in_flight_per_replica = m_options.in_flight_per_group;
+        tables.pools = {engines};
+        command_list ignored;
+        made.handle(tables_installed{tables}, now(), ignored);
+        made.handle(groups_changed{alive()}, now(), ignored);
+        return made;
+    }
+
+    std::vector<target> alive() const
+    {
+        std::vector<target> groups;
+        for (int at = 0; at < m_options.groups; ++at) {
+            if (m_dead[static_cast<std::size_t>(at)])
+                continue;
+            target made;
+            made.id = target_id{"g" + std::to_string(at)};
+            made.pool = pool_id{"pool"};
+            made.version = "1";
+            groups.push_back(made);
+        }
+        return groups;
+    }
+
+    [[nodiscard]] time_point now() const { return time_point{to_duration(1'000.0 + m_now_s)}; }
+
+    void at(double when_s, std::function<void()> act)
+    {
+        m_queue.push({when_s, m_order++, std::move(act)});
+    }
+
+    void every(double interval_s, const std::function<void()>& act)
+    {
+        at(m_now_s + interval_s, [this, interval_s, act] {
+            act();
+            every(interval_s, act);
+        });
+    }
+
+    void schedule_arrivals()
+    {
+        at(m_now_s + m_random.exponential(1.0 / m_options.offered), [this] {
+            arrive();
+            schedule_arrivals();
+        });
+    }
+
+    void arrive()
+    {
+        const std::uint64_t id = ++m_next_request;
+        const int node =
+            static_cast<int>(m_random.index(static_cast<std::size_t>(m_options.nodes)));
+        caller& made = m_callers[id];
+        made.info = m_load.next(id);
+        made.arrived_s = m_now_s;
+        made.workspace = std::stoi(made.info.workspace.value().substr(3));
+        m_counted += counts(made) ? 1 : 0;
+        request_info seen = made.info;
+        if (!m_options.use_prefixes)
+            seen.prefix_blocks.clear();
+        tell(node, request_arrived{std::move(seen)});
+    }
+
+    [[nodiscard]] bool counts(const caller& each) const
+    {
+        // The last seconds' requests may not have ended yet.
+        return each.arrived_s >= m_options.warm_up && each.arrived_s < m_options.seconds - tail_s;
+    }
+
+    void tell(int node, const event& happened)
+    {
+        command_list out;
+        m_cores[static_cast<std::size_t>(node)].handle(happened, now(), out);
+        for (const command& each : out)
+            obey(node, each);
+    }
+
+    void obey(int node, const command& each)
+    {
+        if (const auto* sent = std::get_if<send_attempt>(&each))
+            send(node, *sent);
+        else if (const auto* stopped = std::get_if<cancel_attempt>(&each))
+            at(m_now_s + one_way_s, [this, stopped = *stopped] {
+                m_engines[place(stopped.attempt, stopped.target)].cancel(stopped.attempt);
+            });
+        else if (const auto* whole = std::get_if<complete>(&each))
+            end(whole->request, true);
+        else if (const auto* refused = std::get_if<refuse>(&each))
+            end_refused(refused->request, refused->ran);
+        else if (const auto* cut = std::get_if<end_truncated>(&each))
+            end(cut->request, false);
+        else if (const auto* shared = std::get_if<share_demand>(&each))
+            at(m_now_s + 0.1, [this, node, rows = shared->rows] {
+                for (int peer = 0; peer < m_options.nodes; ++peer) {
+                    if (peer != node)
+                        tell(peer, peer_demand_seen{node_id{"node-" + std::to_string(node)}, rows});
+                }
+            });
+    }
+
+    [[nodiscard]] std::size_t place(attempt_id attempt, const target_id& target) const
+    {
+        const auto moved = m_moved.find(attempt);
+        if (moved != m_moved.end())
+            return moved->second;
+        return static_cast<std::size_t>(std::stoi(target.value().substr(1)));
+    }
+
+    void send(int node, const send_attempt& sent)
+    {
+        if (m_options.all_knowing)
+            m_moved[sent.attempt] = best_engine(m_callers[sent.request.value()].info);
+        const std::size_t index = place(sent.attempt, sent.target);
+        tell(node, attempt_sent{sent.request, sent.attempt});
+        at(m_now_s + one_way_s, [this, node, sent, index] {
+            if (m_dead[index])
+                return;
+            const caller& asked = m_callers[sent.request.value()];
+            sequence added;
+            added.node = node;
+            added.request = sent.request;
+            added.attempt = sent.attempt;
+            added.priority = sent.priority;
+            added.blocks = asked.info.prefix_blocks;
+            added.answer_left = std::max(1U, asked.info.answer_tokens - asked.given);
+            m_engines[index].add(std::move(added));
+            step_if_idle(index);
+        });
+    }
+
+    /// The longest true match among the engines whose true load is bounded, else the least loaded.
+    std::size_t best_engine(const request_info& info) const
+    {
+        double mean = 0.0;
+        for (std::size_t each = 0; each < m_engines.size(); ++each)
+            mean += static_cast<double>(m_engines[each].load()) / m_options.groups;
+        std::size_t best = 0;
+        double best_score = -1e9;
+        for (std::size_t each = 0; each < m_engines.size(); ++each) {
+            if (m_dead[each])
+                continue;
+            const auto load = static_cast<double>(m_engines[each].load());
+            const bool bounded = load <= 1.25 * mean + 2.0;
+            const double score =
+                (bounded ? 1'000.0 * m_engines[each].cache().match(info.prefix_blocks) : -1e6) -
+                load;
+            if (score > best_score) {
+                best_score = score;
+                best = each;
+            }
+        }
+        return best;
+    }
+
+    void step_if_idle(std::size_t index)
+    {
+        if (m_stepping[index] || m_dead[index] || m_engines[index].idle())
+            return;
+        m_stepping[index] = true;
+        const auto result = std::make_shared<step_result>(m_engines[index].step());
+        at(m_now_s + result->took_s, [this, index, result] {
+            m_stepping[index] = false;
+            if (m_dead[index])
+                return;
+            give(index, *result);
+            step_if_idle(index);
+        });
+    }
+
+    void give(std::size_t index, const step_result& result)
+    {
+        for (const sequence& each : result.first_tokens)
+            answer(each, true, false);
+        for (const sequence& each : m_engines[index].running()) {
+            const auto found = m_callers.find(each.request.value());
+            if (found == m_callers.end())
+                continue;
+            found->second.given = std::max(found->second.given, each.given);
+            if (each.given > 0 && each.given % tokens_per_progress == 0)
+                answer(each, false, false);
+        }
+        for (const sequence& each : result.ended)
+            answer(each, false, true);
+    }
+
+    void answer(const sequence& from, bool first, bool last)
+    {
+        at(m_now_s + one_way_s,
+           [this, node = from.node, request = from.request, attempt = from.attempt, first, last] {
+               if (first) {
+                   const auto found = m_callers.find(request.value());
+                   if (found != m_callers.end() && found->second.first_s < 0.0)
+                       found->second.first_s = m_now_s;
+                   tell(node, attempt_head{request, attempt, 200, attempt, false, "1"});
+               }
+               tell(node, attempt_progress{request, attempt, 1});
+               if (last)
+                   tell(node, attempt_finished{request, attempt, true, {}});
+           });
+    }
+
+    void end_refused(request_id request, ran_state ran)
+    {
+        const auto found = m_callers.find(request.value());
+        if (found == m_callers.end())
+            return;
+        if (ask_again(found->second))
+            return;
+        if (counts(found->second)) {
+            (ran == ran_state::no ? m_refused : m_late) += 1;
+            m_refused_after_s += m_now_s - found->second.arrived_s;
+        }
+        m_callers.erase(found);
+    }
+
+    /// A caller without patience: the same request again at once, under a new id.
+    bool ask_again(const caller& failed)
+    {
+        if (failed.asked >= m_options.client_retries)
+            return false;
+        const std::uint64_t id = ++m_next_request;
+        caller again = failed;
+        ++again.asked;
+        again.info.id = request_id{id};
+        m_callers.erase(failed.info.id.value());
+        m_callers[id] = again;
+        at(m_now_s + one_way_s, [this, id] {
+            const int node =
+                static_cast<int>(m_random.index(static_cast<std::size_t>(m_options.nodes)));
+            tell(node, request_arrived{m_callers[id].info});
+        });
+        return true;
+    }
+
+    void end(request_id request, bool whole)
+    {
+        const auto found = m_callers.find(request.value());
+        if (found == m_callers.end())
+            return;
+        const caller& done = found->second;
+        const double first_s = done.first_s - done.arrived_s;
+        const double gap_s =
+            (m_now_s - done.first_s) / std::max<double>(1.0, done.info.answer_tokens);
+        const bool good = whole && first_s <= m_options.deadline_s && gap_s <= most_gap_s;
+        if (whole)
+            m_load.answered(request.value(), done.info.prefix_blocks);
+        if (good)
+            m_good_at.push_back(m_now_s);
+        if (counts(done)) {
+            m_good += good ? 1 : 0;
+            m_late += good ? 0 : 1;
+            m_first.push_back(first_s);
+            m_gaps.push_back(gap_s);
+            if (done.workspace > workspaces / 2)
+                m_first_of_small.push_back(first_s);
+        }
+        m_callers.erase(found);
+    }
+
+    void report_loads()
+    {
+        for (std::size_t each = 0; each < m_engines.size(); ++each) {
+            const target_load load = m_engines[each].report();
+            const target_id id{"g" + std::to_string(each)};
+            const auto lag = std::chrono::milliseconds{
+                static_cast<std::int64_t>(m_options.report_lag_s * 1'000)};
+            at(m_now_s + m_options.report_lag_s, [this, load, id, lag] {
+                for (int node = 0; node < m_options.nodes; ++node)
+                    tell(node, load_seen{id, load, lag});
+            });
+        }
+    }
+
+    void publish_cache_events()
+    {
+        for (std::size_t each = 0; each < m_engines.size(); ++each) {
+            const auto events = m_engines[each].take_cache_events();
+            if (m_random.chance(m_options.events_lost))
+                continue;
+            const target_id id{"g" + std::to_string(each)};
+            at(m_now_s + m_options.events_lag_s, [this, events, id] {
+                for (int node = 0; node < m_options.nodes; ++node)
+                    tell(node, cache_events_seen{id, events, false});
+            });
+        }
+    }
+
+    void lose_groups()
+    {
+        // Half a second until the entry nodes are told; until then the group is silent.
+        constexpr double noticed_s = 0.5;
+        for (int lost = 0; lost < m_options.lost_groups; ++lost) {
+            const auto index = static_cast<std::size_t>(m_options.groups - 1 - lost);
+            m_dead[index] = true;
+            m_engines[index].clear();
+            at(m_now_s + noticed_s, [this, index] {
+                for (int node = 0; node < m_options.nodes; ++node) {
+                    tell(node, group_broken{target_id{"g" + std::to_string(index)}});
+                    tell(node, groups_changed{alive()});
+                }
+            });
+        }
+    }
+
+    run_report report()
+    {
+        run_report made;
+        const double measured_s = m_options.seconds - m_options.warm_up - tail_s;
+        const double counted = std::max(1.0, static_cast<double>(m_counted));
+        made.offered = counted / measured_s;
+        made.goodput = static_cast<double>(m_good) / measured_s;
+        made.refused = static_cast<double>(m_refused) / counted;
+        made.late = static_cast<double>(m_late) / counted;
+        made.refused_after_s = m_refused_after_s / std::max(1.0, double(m_refused + m_late));
+        made.first_p50_s = percentile(m_first, 0.5);
+        made.first_p95_s = percentile(m_first, 0.95);
+        made.first_p99_s = percentile(m_first, 0.99);
+        made.gap_p95_s = percentile(m_gaps, 0.95);
+        made.worst_wait_of_small_s = percentile(m_first_of_small, 0.95);
+        std::uint64_t blocks = 0;
+        std::uint64_t held = 0;
+        for (const engine& each : m_engines) {
+            blocks += each.prompt_blocks;
+            held += each.prompt_blocks_held;
+        }
+        made.hit_share = static_cast<double>(held) / std::max<double>(1.0, double(blocks));
+        made.good_at_s = m_good_at;
+        for (const request_core& core : m_cores) {
+            made.retries += core.counters().retries;
+            made.resumes += core.counters().resumes;
+            made.ejections += core.counters().ejections;
+        }
+        return made;
+    }
+
+    run_options m_options;
+    random_source m_random;
+    workload m_load;
+    double m_now_s = 0.0;
+    std::uint64_t m_order = 0;
+    std::uint64_t m_next_request = 0;
+    std::priority_queue<timed> m_queue;
+    std::vector<engine> m_engines;
+    std::vector<bool> m_stepping;
+    std::vector<bool> m_dead;
+    std::vector<request_core> m_cores;
+    std::unordered_map<std::uint64_t, caller> m_callers;
+    std::map<attempt_id, std::size_t> m_moved; ///< attempts that the all-knowing one placed
+    std::uint64_t m_counted = 0;
+    std::uint64_t m_good = 0;
+    std::uint64_t m_refused = 0;
+    std::uint64_t m_late = 0;
+    double m_refused_after_s = 0.0;
+    std::vector<double> m_first;
+    std::vector<double> m_first_of_small;
+    std::vector<double> m_gaps;
+    std::vector<double> m_good_at;
+};
+
+} // namespace
+
+double closed_loop_rate(const engine_model& model, int in_flight)
+{
+    workload load{7, 1};
+    engine measured{model};
+    std::uint64_t id = 0;
+    const auto add = [&] {
+        const request_info info = load.next(++id);
+        load.answered(id, info.prefix_blocks);
+        sequence added;
+        added.attempt = attempt_id{id};
+        added.blocks = info.prefix_blocks;
+        added.answer_left = info.answer_tokens;
+        measured.add(std::move(added));
+    };
+    for (int at = 0; at < in_flight; ++at)
+        add();
+    constexpr double warm_up_s = 30.0;
+    constexpr double measured_s = 200.0;
+    double now_s = 0.0;
+    double ended = 0.0;
+    while (now_s < warm_up_s + measured_s) {
+        const step_result step = measured.step();
+        now_s += step.took_s;
+        for (std::size_t done = 0; done < step.ended.size(); ++done) {
+            add();
+            ended += now_s > warm_up_s ? 1.0 : 0.0;
+        }
+    }
+    return ended / measured_s;
+}
+
+run_report run(const run_options& options)
+{
+    return driver{options}.run();
+}
+
+double recovery_s(const run_options& options, int runs)
+{
+    std::vector<double> good_at_s;
+    for (int number = 0; number < runs; ++number) {
+        run_options each = options;
+        each.seed += static_cast<std::uint64_t>(number);
+        const run_report got = run(each);
+        good_at_s.insert(good_at_s.end(), got.good_at_s.begin(), got.good_at_s.end());
+    }
+    const auto rate = [&](double from_s, double to_s) {
+        const auto in = std::count_if(good_at_s.begin(), good_at_s.end(), [&](double good_s) {
+            return good_s >= from_s && good_s < to_s;
+        });
+        return static_cast<double>(in) / (to_s - from_s);
+    };
+    constexpr double window_s = 1.0;
+    constexpr double step_s = 0.25;
+    constexpr double settled_s = 20.0;
+    const double settled = rate(options.seconds - settled_s, options.seconds);
+    double from_s = options.fault_at;
+    while (from_s < options.seconds - settled_s && rate(from_s, from_s + window_s) < 0.95 * settled)
+        from_s += step_s;
+    return from_s - options.fault_at;
+}
+
+} // namespace jaynotch::policy
--- a/routing/pool_table.cc
+++ b/routing/pool_table.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr double smoothing = 0.1;
+/// Not every place of a pool is given out, so that affinity has some choice when the pool is full.
+constexpr double part_without_slack = 0.9;
 constexpr std::size_t plain_prefix_entries = 1; ///< plain requests have no prompt
 
 /// How much more a higher priority gets of a contended pool; a finite factor, so that no priority
@@ -41,7 +43,8 @@
 
 double pool_row::capacity() const
 {
-    return std::max(1.0, std::floor(usable_targets * view.cap * limit.part()));
+    const double slack = usable_targets > 1 ? part_without_slack : 1.0;
+    return std::max(1.0, std::floor(usable_targets * view.cap * limit.part() * slack));
 }
 
 std::uint32_t pool_row::allowed() const
@@ -112,7 +115,23 @@
     const double free = slots - (in_flight - departing) - static_cast<double>(queue.size());
     if (free >= 1.0)
         return 0.0;
-    return (queue.ahead_of(flow, weight) + 1.0) * service_s / slots;
+    const double by_all = (queue.ahead_of(flow, weight) + 1.0) * service_s / slots;
+    return std::max(by_all, queue.backlog_s(flow));
+}
+
+double pool_row::waiting_part(const target_table& targets, time_point now) const
+{
+    constexpr double least_worth = 0.25; ///< older reports say nothing about now
+    double waiting = 0.0;
+    double running = 1.0;
+    for (const target_row_index row : view.targets) {
+        const load_estimate& load = targets.at(row).load;
+        if (load.worth(now) < least_worth)
+            continue;
+        waiting += load.waiting();
+        running += load.running();
+    }
+    return waiting / running;
 }
 
 void pool_row::refresh_all(const target_table& targets, const demand_table& peers, time_point now)
--- a/routing/pool_table.h
+++ b/routing/pool_table.h
@@ -57,6 +57,8 @@
     void note_service(double seconds);
     /// How long a request pushed to the queue now would wait, seconds; 0 if nothing is known.
     [[nodiscard]] double estimated_wait_s(const flow_key& flow, double weight) const;
+    /// What the targets report as waiting in their own queues, against what they run.
+    [[nodiscard]] double waiting_part(const target_table& targets, time_point now) const;
     /// Refreshes what is cached of targets and peers; each tick and when either changed.
     void refresh_all(const target_table& targets, const demand_table& peers, time_point now);
 };
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -14,6 +14,10 @@
 constexpr std::chrono::seconds in_progress_retry{1};
 constexpr std::chrono::seconds full_retry{5};
 
+/// Part of the time left that may go into waiting. The estimate is a mean, and what is dispatched
+/// at the last moment misses its deadline in the engine, where its work is lost.
+constexpr double most_queued_part = 0.5;
+
 /// Cost against a workspace's share: work in an engine is mostly the tokens it generates; a prompt
 /// token costs about an eighth of one, since prompts are processed in parallel.
 double cost_of(const request_info& info)
@@ -89,8 +93,14 @@
     request_row& row = requests[info.id];
     row.info = info;
     row.phase = request_phase::claiming;
-    row.terms = {pools.find(taken->pool), taken->adapter,        taken->priority,   taken->repeat,
-                 taken->retries,          taken->longest_stream, taken->key_keeping};
+    row.terms.pool = pools.find(taken->pool);
+    row.terms.adapter = taken->adapter;
+    row.terms.priority = taken->priority;
+    row.terms.repeat = taken->repeat;
+    row.terms.retries = taken->retries;
+    row.terms.timeout = taken->timeout;
+    row.terms.longest_stream = taken->longest_stream;
+    row.terms.key_keeping = taken->key_keeping;
     row.deadline = now + taken->timeout;
     if (info.deadline)
         row.deadline = std::min(row.deadline, *info.deadline);
@@ -114,7 +124,8 @@
     const flow_key flow{row.info.workspace, row.terms.priority};
     const double weight = pool.weight_of(row.info.workspace, row.terms.priority);
     const double wait_s = pool.estimated_wait_s(flow, weight);
-    if (wait_s == 0.0 || wait_s + pool.limit.first_token_s() <= seconds(row.deadline - now))
+    const double left_s = seconds(row.deadline - now) - pool.limit.first_token_s();
+    if (wait_s <= most_queued_part * left_s)
         return false;
     ++counters.refused_early;
     row.keyed = false; // nothing is claimed yet
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -95,7 +95,7 @@
     if (!head.version.empty() && head.version != row->attempt.version)
         return drop(attempt_failure::version_changed);
     if (is_server_trouble(head.status)) {
-        pools.at(row->terms.pool).limit.note_overload(now);
+        pools.at(row->terms.pool).limit.note_overload();
         // What was handed on in part can't go on with an error's body; the rest is handed on as it
         // is if another sending is not allowed.
         if (row->head_given || may_send_again(*row, attempt_failure::cut))
@@ -118,7 +118,7 @@
         return;
     row.attempt.first_part_in = true;
     const double took_s = seconds(now - row.attempt.started);
-    pools.at(row.terms.pool).limit.note_first_token(took_s, now);
+    pools.at(row.terms.pool).limit.note_first_token(took_s, seconds(row.terms.timeout));
     note_first_token(targets.at(row.attempt.target).health, took_s);
 }
 
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -196,7 +196,8 @@
         pool_row& pool = pools.at(index);
         counters.ejections += eject_outliers(targets, pool.view.targets, now);
         judge_slowness(targets, pool.view.targets);
-        pool.limit.tick(pool.held_back, now);
+        if (settings.adaptive)
+            pool.limit.tick(pool.held_back, pool.waiting_part(targets, now), now);
         pool.held_back = false;
         pool.luck = random.unit();
         pool.refresh_all(targets, peers, now);
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr std::size_t most_tried = 4;
+/// What is left before the deadline must be this many typical times to the first token; with less
+/// it would be worked on in vain.
+constexpr double times_typical_reserved = 2.0;
 
 duration from_seconds(double span)
 {
@@ -31,7 +34,7 @@
             pool.held_back = true;
             return;
         }
-        const std::optional<queued_request> next = pool.queue.pop(eligible);
+        const std::optional<queued_request> next = pool.queue.pop(eligible, now);
         if (!next)
             return;
         request_row& row = requests.at(next->request);
@@ -153,7 +156,8 @@
     case request_phase::queued: {
         if (row.head_given)
             return row.deadline;
-        const double reserve_s = pools.at(row.terms.pool).limit.first_token_s();
+        const double reserve_s =
+            times_typical_reserved * pools.at(row.terms.pool).limit.first_token_s();
         return row.deadline - from_seconds(reserve_s);
     }
     case request_phase::sending:
@@ -209,10 +213,11 @@
     }
     case request_phase::sending:
         if (now >= row.deadline) {
-            pools.at(row.terms.pool).limit.note_overload(now);
             row.may_have_run = row.may_have_run || row.attempt.sent;
-            if (now - row.attempt.started > head_patience(row))
+            if (now - row.attempt.started > head_patience(row)) {
+                pools.at(row.terms.pool).limit.note_overload();
                 note_failure(targets.at(row.attempt.target).health);
+            }
             cancel(row, out);
             finish_failed(row,
                           {error_kind::deadline_exceeded, "no answer before its deadline",
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -41,6 +41,7 @@
     priority_class priority = priority_class::standard;
     repeat_policy repeat = repeat_policy::idempotent;
     std::uint32_t retries = 0;
+    std::chrono::milliseconds timeout{0};
     std::chrono::milliseconds longest_stream{0};
     std::chrono::seconds key_keeping{0};
 };
--- a/routing/target_table.cc
+++ b/routing/target_table.cc
@@ -30,6 +30,7 @@
     m_known = true;
     m_made = made;
     m_waiting = load.waiting;
+    m_running = load.running;
     const double all = load.running + load.waiting;
     m_others = std::max(0.0, all - own_at(made));
 }
--- a/routing/target_table.h
+++ b/routing/target_table.h
@@ -36,6 +36,7 @@
     [[nodiscard]] double reported_others() const { return m_others; }
     [[nodiscard]] double worth(time_point now) const;
     [[nodiscard]] std::uint32_t waiting() const { return m_waiting; }
+    [[nodiscard]] std::uint32_t running() const { return m_running; }
 
 private:
     static constexpr std::chrono::milliseconds sample_interval{250};
@@ -45,6 +46,7 @@
     bool m_known = false;
     double m_others = 0.0;
     std::uint32_t m_waiting = 0;
+    std::uint32_t m_running = 0;
     time_point m_made;
     time_point m_sampled;
     std::size_t m_next_sample = 0;
