--- a/routing/claim_book_kv.cc
+++ b/routing/claim_book_kv.cc
@@ -343,13 +343,14 @@
         return;
     }
     const claim_record record = record_in(*entry, "");
+    // A claim of this node that this process doesn't hold: its creator was the process before.
+    const bool creator_died = record.progress == claim_progress::claimed &&
+                              made_here(record.claimant) && !m_by_key.contains(asked.key);
     key_state state = key_state::in_progress;
     if (record.progress == claim_progress::ran)
         state = key_state::ran;
-    else if (record.progress == claim_progress::unknown)
+    else if (record.progress == claim_progress::unknown || creator_died)
         state = key_state::unknown;
-    else if (made_here(record.claimant) && !m_by_key.contains(asked.key))
-        state = key_state::unknown; // its creator was this node before a restart
     m_settled.emplace_back(claim_reported{asked.request, state, record.answer});
 }
 
--- a/routing/policy_main.cc
+++ b/routing/policy_main.cc
@@ -79,7 +79,7 @@
 
 run_report print_row(const std::string& label, const named_policy& policy)
 {
-    const run_report got = run(policy.options);
+    run_report got = run(policy.options);
     if (absl::GetFlag(FLAGS_json)) {
         const boost::json::object line{{"case", label},
                                        {"policy", policy.name},
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -17,7 +17,7 @@
 } // namespace
 
 request_core::state::state(core_settings given, random_source source, time_point now)
-    : settings{std::move(given)}, random{std::move(source)},
+    : settings{std::move(given)}, random{source},
       peers{settings.most_peers, settings.demand_keeping}, claims{settings}, next_share{now}
 {
     // Attempts of different nodes and processes must not share an id: an engine cancels by it.
@@ -37,7 +37,7 @@
         settings.most_claims_waiting == 0 || settings.prefix_index_entries == 0)
         return error{error_kind::invalid_argument, "a bound of the request core is 0",
                      "set it to 1 or more"};
-    return request_core{std::make_unique<state>(std::move(settings), std::move(random), now)};
+    return request_core{std::make_unique<state>(std::move(settings), random, now)};
 }
 
 request_core::request_core(std::unique_ptr<state> made) : m_state{std::move(made)} {}
--- a/routing/request_core_test.cc
+++ b/routing/request_core_test.cc
@@ -16,7 +16,7 @@
 {
     const send_attempt* sent = first<send_attempt>(commands);
     cr_assert_not_null(sent, "nothing was sent");
-    const send_attempt copy = *sent;
+    send_attempt copy = *sent;
     world.send(attempt_sent{copy.request, copy.attempt});
     world.send(attempt_head{copy.request, copy.attempt, status, copy.attempt, false, copy.version});
     return copy;
