--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -263,7 +263,7 @@
 
 std::size_t daemon::complete_groups() const
 {
-    return m_impl->groups->complete().size();
+    return m_impl->groups_in_use();
 }
 
 } // namespace jaynotch
--- a/daemon/group_driver.cc
+++ b/daemon/group_driver.cc
@@ -53,6 +53,8 @@
     made.self = settings.node;
     made.ticket_horizon = ticket_horizon;
     made.settled = settings.timeouts.order_horizon;
+    // A VM that is not seen for as long as `settled` counts as moved: it is looked at more often.
+    made.probe_period = std::min<duration>(made.probe_period, made.settled / 4);
     return made;
 }
 
@@ -64,6 +66,7 @@
     made.self = settings.node;
     made.domain = domain;
     made.order_horizon = settings.timeouts.order_horizon;
+    made.probe_period = std::min<duration>(made.probe_period, made.order_horizon / 4);
     made.order_timeout = std::min(made.order_timeout, made.order_horizon / 4);
     return made;
 }
