Command line: load, on the load library

Cause: operators and the measurements need one way to drive load. Conclusion: the command list is whole.

--- a/cli/cli.cc
+++ b/cli/cli.cc
@@ -26,6 +26,7 @@
     command{"nodes", run_nodes},
     command{"groups", run_groups},
     command{"drain-status", run_drain_status},
+    command{"load", run_load},
     command{"version", run_version},
 };
 
--- a/cli/options.cc
+++ b/cli/options.cc
@@ -27,7 +27,7 @@
 ABSL_FLAG(double, rate, 5.0, "With load: requests a second, open loop");
 ABSL_FLAG(double, seconds, 5.0, "With load: how long");
 ABSL_FLAG(std::uint64_t, load_seed, 1, "With load: seed of arrivals and prompts");
-ABSL_FLAG(std::uint32_t, prompt_words, 64, "With load: words of a prompt");
+ABSL_FLAG(std::uint32_t, prompt_bytes, 200, "With load: length of a prompt");
 ABSL_FLAG(std::uint32_t, max_tokens, 32, "With load: tokens of an answer");
 
 namespace jaynotch {
@@ -47,6 +47,7 @@
   jaynotch nodes                    every node and the revision it has in force
   jaynotch groups                   every group, its members and whether it is complete
   jaynotch drain-status             backend servers that are leaving, and what is left on them
+  jaynotch load --model M           drive open-loop load at --target and print percentiles
   jaynotch version
 
 Two edits of different rows merge; two edits of one row are a conflict, told with who and when.
@@ -96,7 +97,7 @@
     load.rate = absl::GetFlag(FLAGS_rate);
     load.seconds = absl::GetFlag(FLAGS_seconds);
     load.seed = absl::GetFlag(FLAGS_load_seed);
-    load.prompt_words = absl::GetFlag(FLAGS_prompt_words);
+    load.prompt_bytes = absl::GetFlag(FLAGS_prompt_bytes);
     load.max_tokens = absl::GetFlag(FLAGS_max_tokens);
     return load;
 }
--- a/cli/options.h
+++ b/cli/options.h
@@ -25,8 +25,8 @@
     double rate = 5.0; ///< requests a second, open loop
     double seconds = 5.0;
     std::uint64_t seed = 1;
-    std::uint32_t prompt_words = 64;
-    std::uint32_t max_tokens = 32;
+    std::uint32_t prompt_bytes = 200;
+    std::uint32_t max_tokens = 32; ///< 0 leaves it to the engine
 };
 
 struct cli_options {
