Traces: a span for admission; one config_installed line, not two

Cause: the demo's trace showed two hops, request and attempt; time spent queued was not told apart from time at the engine. Each installation was logged by the config service and again by the daemon. Change: an internal span from arrival to the core's first decision; the daemon's second line is gone. Conclusion: three spans a request, one line an installation.

--- a/daemon/daemon_events.cc
+++ b/daemon/daemon_events.cc
@@ -81,7 +81,6 @@
 
 void daemon::impl::install(std::shared_ptr<const configuration> tables)
 {
-    log_event(log_level::info, "config_installed", {{"revision", tables->revision.value()}});
     m_pools_by_key.clear();
     m_workspaces_by_key.clear();
     for (const pool& row : tables->pools) {
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -61,6 +61,7 @@
     const auto gone = [&driver = m_services.driver, id = m_inbox->id()] {
         driver.handle(caller_gone{id});
     };
+    m_admission = m_services.spans.begin("admission", span_kind::internal, m_asked.caller.context);
     m_services.driver.handle(request_arrived{m_asked.info});
     m_exchange.watch_caller(gone, m_asked.model.has_value());
     bool done = false;
@@ -77,6 +78,10 @@
 
 void relay_request::way::note(const command& wanted)
 {
+    if (m_admission) {
+        m_services.spans.end(std::move(*m_admission));
+        m_admission.reset();
+    }
     if (const auto* order = std::get_if<send_attempt>(&wanted)) {
         const auto attempt = std::make_shared<attempt_state>();
         attempt->order = *order;
--- a/daemon/relay_way.h
+++ b/daemon/relay_way.h
@@ -72,6 +72,7 @@
     relay_services& m_services;
     http_exchange& m_exchange;
     asked_request m_asked;
+    std::optional<span> m_admission; ///< until the core's first decision on the request
     std::shared_ptr<command_inbox> m_inbox;
     std::map<attempt_id, attempt_ptr> m_attempts;
     std::string m_given; ///< text of the stream that the caller has been given
