--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	prometheus-cpp-dev libabsl-dev libgoogle-glog-dev libcriterion-dev libbenchmark-dev \
 	libtomlplusplus-dev libssl-dev liblua5.4-dev librapidcheck-dev libxxhash-dev \
 	g++ make cmake ninja-build ccache clang-14 libclang-rt-14-dev clang-format-14 clang-tidy-14 cppcheck \
-	spin gnuplot-nox openssl curl
+	spin gnuplot-nox openssl curl python3
 SOURCES = $(shell git ls-files '*.cc' '*.h' ':!*/gen/*')
 FUZZERS = $(basename $(notdir $(shell git ls-files '*_fuzz.cc')))
 CLANG_TIDY_SOURCES = $(shell git ls-files '*.cc' ':!*/gen/*')
@@ -30,6 +30,10 @@
 test: build ## build and run every test
 	@cd $(BUILD) && ctest --output-on-failure -j 6
 
+DEPLOYMENT ?= fjordgrode
+demo: build ## the whole path on loopback; DEPLOYMENT=apred for the other fleet
+	@deployments/demo.sh $(DEPLOYMENT) $(BUILD)
+
 lint: packages ## clang-format, clang-tidy and cppcheck, clean
 	@clang-format-14 --dry-run -Werror $(SOURCES)
 	@cmake -S . -B build-lint -G Ninja -DJAYNOTCH_PCH=OFF >/dev/null
