--- a/peers/membership.cc
+++ b/peers/membership.cc
@@ -289,6 +289,25 @@
     }
 }
 
+// A node whose table lags differs from everyone's and may be asked by all of them at once; and a
+// fleet that starts together asks the few seeds. Whoever gets no reply asks another in a while.
+void membership_core::answer_sync(time_point now, const member& to, membership_commands& out)
+{
+    const double seconds = std::chrono::duration<double>(now - m_sync_refilled).count();
+    m_sync_tokens =
+        std::min(m_settings.sync_burst, m_sync_tokens + seconds * m_settings.sync_bytes_s);
+    m_sync_refilled = now;
+    if (m_sync_tokens < 0.0)
+        return;
+    wire::frame reply = make_frame(now, wire::frame_kind::sync_reply);
+    for (const member& known : m_members.worth_telling(now, newcomer_memory))
+        reply.members.push_back(to_wire(known));
+    reply.members.push_back(to_wire(m_self));
+    reply.__isset.members = true;
+    send(now, to, reply, out);
+    m_sync_tokens -= static_cast<double>(std::get<send_frame>(out.back()).bytes.size());
+}
+
 void membership_core::answer(time_point now, const wire::frame& frame, membership_commands& out)
 {
     const member* sender = m_members.find(node_id{frame.sender});
@@ -308,15 +327,9 @@
     case wire::frame_kind::ping_request:
         relay_ping(now, frame, out);
         break;
-    case wire::frame_kind::sync_request: {
-        wire::frame reply = make_frame(now, wire::frame_kind::sync_reply);
-        for (const member& known : m_members.worth_telling(now, newcomer_memory))
-            reply.members.push_back(to_wire(known));
-        reply.members.push_back(to_wire(m_self));
-        reply.__isset.members = true;
-        send(now, to, reply, out);
+    case wire::frame_kind::sync_request:
+        answer_sync(now, to, out);
         break;
-    }
     default:
         break; // answered elsewhere, or a kind of a later version
     }
@@ -413,7 +426,7 @@
     membership_commands out;
     m_leaving = true;
     m_self.state = member_state::left;
-    refresh_views();
+    refresh_views(now);
     for (const node_id& target : urgent_targets()) {
         wire::frame frame = make_frame(now, wire::frame_kind::rumor);
         frame.members.push_back(to_wire(m_self));
@@ -427,7 +440,7 @@
 {
     if (!m_urgent || m_leaving)
         return;
-    refresh_views();
+    refresh_views(now);
     m_urgent = false;
     for (const node_id& target : urgent_targets()) {
         if (!m_rumors.take_urgent(urgent_frame_bytes, now))
--- a/peers/membership.h
+++ b/peers/membership.h
@@ -49,6 +49,8 @@
     duration suspicion = std::chrono::seconds{4};            ///< before a suspect is called dead
     duration forget_after = std::chrono::hours{6};           ///< of members dead or left
     duration sync_interval = std::chrono::seconds{60};       ///< least time between table syncs
+    double sync_bytes_s = 400.0;  ///< bytes a second for nodes that ask for the table
+    double sync_burst = 64'000.0; ///< bytes, three tables of 410 nodes
     std::size_t indirect_probes = 3;
     std::size_t fan_out = 6;      ///< peers that an urgent rumor goes to at once
     std::size_t bridges = 2;      ///< nodes of a domain that talk to each other domain
@@ -140,6 +142,7 @@
                      membership_commands& out);
     void take_rumor(time_point now, duration stuck, rumor item, membership_commands& out);
     void take_config(const wire::frame& frame, membership_commands& out);
+    void answer_sync(time_point now, const member& to, membership_commands& out);
     void answer(time_point now, const wire::frame& frame, membership_commands& out);
     void update_self(time_point now);
     void push_urgent(time_point now, membership_commands& out);
@@ -158,7 +161,7 @@
     node_id next_probe_target();
     std::vector<failure_domain_id> bridged_domains();
     std::vector<node_id> pick(std::vector<node_id> from, std::size_t count);
-    void refresh_views();
+    void refresh_views(time_point now);
     [[nodiscard]] bool judges(const member& other) const;
 
     membership_settings m_settings;
@@ -177,6 +180,8 @@
     time_point m_next_sync{};
     time_point m_next_housekeeping{};
     time_point m_next_seed{};
+    double m_sync_tokens = 0.0; ///< bytes of sync replies that may be sent
+    time_point m_sync_refilled{};
     std::vector<std::string> m_seeds;
     std::vector<probe> m_probes;
     std::deque<relay> m_relays;
@@ -184,6 +189,7 @@
 
     // Views of m_members, made anew when it changes.
     bool m_views_stale = true;
+    time_point m_next_views{};
     std::vector<node_id> m_own_live; ///< live members of our domain but us
     std::vector<node_id> m_own_gone; ///< dead ones
     std::vector<node_id> m_round;    ///< probe order
--- a/peers/membership_probe.cc
+++ b/peers/membership_probe.cc
@@ -24,6 +24,8 @@
 namespace {
 
 constexpr duration housekeeping_interval = std::chrono::seconds{10};
+constexpr duration views_interval = std::chrono::seconds{1};
+constexpr std::size_t seeds_at_once = 3;
 constexpr duration seed_interval = std::chrono::seconds{2};
 constexpr duration relay_life = std::chrono::seconds{2};
 constexpr std::size_t most_relays = 256;
@@ -49,7 +51,7 @@
         gone.state = member_state::dead;
         take_member(now, gone, out);
     }
-    refresh_views();
+    refresh_views(now);
     contact_seeds(now, out);
     if (now >= m_next_probe) {
         // After a pause the missed probes are not made up for.
@@ -69,11 +71,14 @@
     return out;
 }
 
-void membership_core::refresh_views()
+void membership_core::refresh_views(time_point now)
 {
-    if (!m_views_stale)
+    // At most once a second: while a fleet starts, the table changes with each frame.
+    const bool wait = !m_own_live.empty() && now < m_next_views;
+    if (!m_views_stale || wait)
         return;
     m_views_stale = false;
+    m_next_views = now + views_interval;
     const auto own = [&](const member& other) {
         return other.failure_domain == m_self.failure_domain;
     };
@@ -195,7 +200,7 @@
 
 void membership_core::ask_others(time_point now, const probe& unanswered, membership_commands& out)
 {
-    refresh_views();
+    refresh_views(now);
     std::vector<node_id> helpers = m_own_live;
     std::erase(helpers, unanswered.target);
     for (const node_id& helper : pick(helpers, m_settings.indirect_probes)) {
@@ -263,12 +268,13 @@
         return;
     m_next_seed =
         now + m_random.between(seed_interval.count() / 2, seed_interval.count()) * duration{1};
-    for (const std::string& address : m_seeds) {
+    for (std::size_t i = 0; i < std::min(seeds_at_once, m_seeds.size()); ++i) {
+        std::swap(m_seeds[i], m_seeds[i + m_random.index(m_seeds.size() - i)]);
         wire::frame request = make_frame(now, wire::frame_kind::sync_request);
         request.members.push_back(to_wire(m_self));
         request.__isset.members = true;
         member seed;
-        seed.address = address;
+        seed.address = m_seeds[i];
         send(now, seed, request, out);
     }
 }
--- a/peers/rumor_table.cc
+++ b/peers/rumor_table.cc
@@ -1,5 +1,5 @@
 // Infection-style spreading (Demers et al. 1987; SWIM's piggy-backing). Each node tells each news a
-// bounded number of times. Membership, leaving servers and tickets that are gone are told 3 log2(n)
+// bounded number of times. Leaving servers, tickets that are gone and membership are told 3 log2(n)
 // times, which reaches everyone with high probability; loads and confirmations are told a few
 // times, since newer ones follow or they can be asked for.
 //
@@ -26,6 +26,7 @@
 constexpr std::size_t status_sends = 3;
 constexpr std::size_t confirmation_sends = 2;
 
+constexpr double urgent_room = 120.0;
 constexpr std::size_t first_class = 0;
 constexpr std::size_t second_class = 1;
 constexpr std::size_t third_class = 2;
@@ -45,16 +46,15 @@
 
 std::size_t rank_of(const spread_item& item)
 {
-    return std::visit(overloaded{
-                          [](const member&) { return first_class; },
-                          [](const leaving&) { return second_class; },
-                          [](const ticket_digest& ticket) {
-                              return ticket.complete ? third_class : second_class;
-                          },
-                          [](const demand&) { return third_class; },
-                          [](const confirmation&) { return third_class; },
-                      },
-                      item);
+    return std::visit(
+        overloaded{
+            [](const member&) { return second_class; },
+            [](const leaving&) { return first_class; },
+            [](const ticket_digest& ticket) { return ticket.complete ? third_class : first_class; },
+            [](const demand&) { return third_class; },
+            [](const confirmation&) { return third_class; },
+        },
+        item);
 }
 
 std::size_t sends_of(const spread_item& item, std::size_t fleet)
@@ -261,8 +261,11 @@
 void rumor_table::fill(wire::frame& frame, time_point now)
 {
     refill(now);
-    double room = std::min(m_tokens, static_cast<double>(m_budget.frame_bytes));
+    double used = 0.0;
+    const double spare = std::min(m_tokens, static_cast<double>(m_budget.frame_bytes));
     for (std::size_t rank = 0; rank < classes; ++rank) {
+        // Urgent news goes out even on an overdrawn budget, a little of it in each frame.
+        double room = rank == first_class ? std::max(spare, urgent_room) : spare - used;
         auto& queue = m_queues.at(rank);
         for (std::size_t left = queue.size(); left > 0 && room > 0.0; --left) {
             const item_key key = queue.front();
@@ -275,6 +278,7 @@
             append(frame, held.item, now - held.observed);
             const auto bytes = static_cast<double>(bytes_of(held.item));
             room -= bytes;
+            used += bytes;
             m_tokens -= bytes;
             held.queued = --held.sends_left > 0;
             if (held.queued)
