Routing: mend places that leaked, found by events in no order

A test hands the core random events in no order, with ids used twice, nonsense from the store and tables that change under the requests. It found that - a request that ended by its deadline kept its place at its target and in its pool for good, so a server that hangs would in the end have stopped its pool: ending a request now always frees it; - a target that left, came back on another row and left again freed its first row twice, so two targets shared a row: freed rows are marked; - a question for a key whose call got no answer stayed open: it is refused after a while; - rows of pools that left the tables were kept for ever: they are used again.

--- a/routing/pool_table.cc
+++ b/routing/pool_table.cc
@@ -171,7 +171,7 @@
     for (const pool& written : tables.pools) {
         const pool_index known = find(written.name);
         if (known == size()) {
-            m_rows.emplace_back(written, settings);
+            add(written, settings);
             continue;
         }
         m_rows[known].info = written;
@@ -179,6 +179,17 @@
     }
 }
 
+void pool_table::add(const pool& written, const core_settings& settings)
+{
+    const auto unused = std::find_if(m_rows.begin(), m_rows.end(), [](const pool_row& row) {
+        return !row.present && row.requests == 0;
+    });
+    if (unused == m_rows.end())
+        m_rows.emplace_back(written, settings);
+    else
+        *unused = pool_row{written, settings};
+}
+
 pool_index pool_table::find(const pool_id& name) const
 {
     const auto found = std::find_if(m_rows.begin(), m_rows.end(),
--- a/routing/pool_table.h
+++ b/routing/pool_table.h
@@ -35,6 +35,7 @@
     retry_budget budget;
     prefix_index prefixes;
     std::map<workspace_id, workspace_use> uses; ///< those in flight or queued
+    std::uint32_t requests = 0;                 ///< that refer to this row, in any phase
     std::uint32_t in_flight = 0;
     std::uint32_t departing = 0;   ///< of in_flight: at targets that take nothing new
     double service_s = 0.0;        ///< moving average from sending to the end
@@ -63,7 +64,8 @@
     void refresh_all(const target_table& targets, const demand_table& peers, time_point now);
 };
 
-/// The pools of the tables, and those that left them and still have requests.
+/// The pools of the tables, and those that left them and still have requests. A row that is of
+/// neither kind is taken by the next new pool, so that renaming pools for years needs no memory.
 class pool_table {
 public:
     void replace(const configuration& tables, const core_settings& settings);
@@ -73,6 +75,8 @@
     [[nodiscard]] pool_index size() const { return static_cast<pool_index>(m_rows.size()); }
 
 private:
+    void add(const pool& written, const core_settings& settings);
+
     std::vector<pool_row> m_rows;
 };
 
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -94,6 +94,7 @@
     row.info = info;
     row.phase = request_phase::claiming;
     row.terms.pool = pools.find(taken->pool);
+    ++pools.at(row.terms.pool).requests;
     row.terms.adapter = taken->adapter;
     row.terms.priority = taken->priority;
     row.terms.repeat = taken->repeat;
@@ -196,6 +197,8 @@
     request_row& row = requests[asked.request];
     row.info.id = asked.request;
     row.phase = request_phase::asking;
+    row.deadline = now + 3 * settings.kv_timeout; // it may wait for one call before its own
+    set_wake(row, row.deadline);
 }
 
 void request_core::state::run_claims(time_point now, command_list& out)
@@ -219,6 +222,16 @@
     if (found == requests.end())
         return;
     request_row& row = found->second;
+    // A shell that uses an id twice must not make a claim's answer end another request.
+    const bool asked = row.phase == request_phase::asking;
+    const bool fits = asked ? std::holds_alternative<claim_reported>(settled) ||
+                                  std::holds_alternative<claim_dark>(settled)
+                            : row.phase == request_phase::claiming &&
+                                  !std::holds_alternative<claim_reported>(settled);
+    if (!fits) {
+        claims.give_up(request, now);
+        return;
+    }
     ++counters.claims_settled;
     struct visitor {
         state& core;
@@ -271,7 +284,7 @@
             }
             refuse_with(error_kind::unavailable,
                         "the key-value service gave no answer, so the call was not sent",
-                        "come back with the same key", ran_state::no, dark_retry);
+                        "come back after the time in Retry-After", ran_state::no, dark_retry);
         }
         void operator()(const claim_reported& reported) const
         {
--- a/routing/request_core_test.cc
+++ b/routing/request_core_test.cc
@@ -218,6 +218,23 @@
     cr_assert_gt(served["dealers"], 150);
 }
 
+// A server takes requests and never answers. Their callers are told at their deadline, and their
+// places in the pool are free again: the next ones are served.
+Test(request_core, a_timeout_frees_its_place)
+{
+    fixture world{1};
+    for (std::uint64_t round = 0; round < 5; ++round) {
+        for (std::uint64_t id = 1; id <= 8; ++id) {
+            const command_list out = world.chat(round * 8 + id);
+            const send_attempt* sent = first<send_attempt>(out);
+            cr_assert_not_null(sent, "round %lu: no place", round);
+            world.send(attempt_sent{sent->request, sent->attempt});
+        }
+        world.pass(std::chrono::seconds{20});
+        cr_assert_eq(world.core.open_requests(), 0);
+    }
+}
+
 // A caller hangs up. The engine is told to stop, and nothing is sent again for nobody.
 Test(request_core, a_caller_that_leaves_stops_the_engine)
 {
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -186,7 +186,6 @@
 
 void request_core::state::check_time(request_row& row, time_point now, command_list& out)
 {
-    constexpr std::chrono::milliseconds check_again{100};
     const time_point due = next_check(row);
     if (due > now) {
         set_wake(row, due);
@@ -248,10 +247,14 @@
         }
         end_attempt(row, attempt_failure::stalled, attempt_end::failed, now, out);
         return;
-    case request_phase::claiming:
     case request_phase::asking:
-        set_wake(row, now + check_again);
+        finish_refuse(row,
+                      {error_kind::unavailable, "the record can't be read now",
+                       "ask again with the same key"},
+                      ran_state::unknown, std::chrono::seconds{2}, now, out);
         return;
+    case request_phase::claiming:
+        return; // the claim book keeps its time
     }
 }
 
--- a/routing/request_finish.cc
+++ b/routing/request_finish.cc
@@ -12,7 +12,10 @@
 void request_core::state::erase(request_row& row)
 {
     const request_id request = row.info.id;
+    leave_target(row); // whichever way it ended, its place must not stay taken
     wakes.erase({row.wake, request});
+    if (row.phase != request_phase::asking)
+        --pools.at(row.terms.pool).requests;
     if (row.phase == request_phase::queued) {
         pool_row& pool = pools.at(row.terms.pool);
         if (pool.queue.remove({row.info.workspace, row.terms.priority}, request))
@@ -56,6 +59,10 @@
     }
     else {
         ++counters.refused;
+        // This sending did not run; one before it with the same key may have. A new key would make
+        // it a second order.
+        if (row.terms.repeat == repeat_policy::keyed && ran == ran_state::no && after)
+            failure.remedy += ", with the same key";
         out.emplace_back(refuse{row.info.id, std::move(failure), ran, after});
     }
     erase(row);
--- a/routing/target_table.cc
+++ b/routing/target_table.cc
@@ -139,6 +139,7 @@
     m_rows[row].generation = generation == 0 ? std::uint16_t{1} : generation;
     m_rows[row].kind = kind;
     m_rows[row].info = added;
+    m_rows[row].free = false;
     m_by_id[added.id] = row;
     const auto early = std::find(m_early_leaving.begin(), m_early_leaving.end(), added.id);
     if (early != m_early_leaving.end()) {
@@ -152,11 +153,13 @@
 void target_table::free_unused()
 {
     for (std::size_t row = 0; row < m_rows.size(); ++row) {
-        const target_row& unused = m_rows[row];
-        if (unused.present || unused.own > 0 || unused.release_due)
+        target_row& unused = m_rows[row];
+        if (unused.present || unused.own > 0 || unused.release_due || unused.free)
             continue;
-        if (m_by_id.erase(unused.info.id) > 0)
-            m_free.push_back(static_cast<target_row_index>(row));
+        // Marked, since its id may come back on another row and must then not free this one again.
+        unused.free = true;
+        m_by_id.erase(unused.info.id);
+        m_free.push_back(static_cast<target_row_index>(row));
     }
 }
 
--- a/routing/target_table.h
+++ b/routing/target_table.h
@@ -69,6 +69,7 @@
     target info;
     pool_kind kind = pool_kind::model;
     std::uint16_t generation = 0; ///< grows when the row or the group's epoch changes; 0 is unused
+    bool free = true;             ///< not in use
     bool present = false;         ///< in the groups or tables of now
     bool told_leaving = false;    ///< by target_leaving
     bool release_due = false;     ///< `released` is still to be said
