daemon: long bodies streamed to plain services; failures of the relay tested end to end

Cause: a body over what a node holds was refused. Tests with stand-ins and raw servers: cut and stalled streams resumed byte for byte, misbehaving engines and plain servers, callers that leave, graceful stop, rolling restart under load, keyed calls repeated at both nodes and during an outage, draining.

--- a/daemon/daemon_test.cc
+++ b/daemon/daemon_test.cc
@@ -74,3 +74,288 @@
     cr_assert_eq(answer.text(), again.text());
     cr_assert_neq(answer.text(), fleet.ask(0, chat("another", 20)).text());
 }
+
+// An engine's connection breaks in the middle of a stream. The caller sees one answer without a
+// seam: the rest comes from the other group, byte for byte what the first would have said.
+Test(daemon, a_stream_cut_short_goes_on_from_the_other_group, .timeout = 60)
+{
+    served_fleet fleet;
+    const std::string whole = fleet.ask(0, chat("which ducts", 40)).text();
+    for (std::size_t index = 0; index < 4; ++index)
+        fleet.platform().engine(index).apply({.cut_after = 7});
+    auto pending = fleet.begin_at(0, chat("which ducts", 40));
+    fleet.run_until([&] { return fleet.node(0).counts().resumed > 0; }, 10s);
+    for (std::size_t index = 0; index < 4; ++index)
+        fleet.platform().engine(index).apply({.cut_after = 0});
+    cr_assert(fleet.run_until([&] { return *pending.ended; }, 20s));
+    cr_assert_eq(fleet.node(0).counts().resumed, 1U);
+    cr_assert(pending.answer->whole && pending.answer->done(), "%s", pending.answer->body.c_str());
+    cr_assert_eq(pending.answer->text(), whole);
+}
+
+// Every engine cuts every stream. The caller must be able to tell that its answer is not whole: an
+// error event, no terminal mark, no last chunk.
+Test(daemon, a_stream_that_can_t_go_on_is_not_taken_for_whole, .timeout = 60)
+{
+    served_fleet fleet;
+    for (std::size_t index = 0; index < 4; ++index)
+        fleet.platform().engine(index).apply({.cut_after = 3});
+    const caller_answer answer = fleet.ask(0, chat("which ducts", 60));
+    cr_assert_eq(answer.status, 200);
+    cr_assert(!answer.whole && !answer.done());
+    cr_assert(answer.body.find("\"error\"") != std::string::npos, "%s", answer.body.c_str());
+    cr_assert_eq(fleet.node(0).counts().cut, 1U);
+}
+
+// Engines answer twice, send wrong lengths, bytes that are no HTTP, nothing at all, or refuse. A
+// caller gets the whole right answer or a refusal, never anything between; and once the engines
+// are well the next request is served.
+Test(daemon, engines_that_misbehave_never_reach_the_caller, .timeout = 100)
+{
+    served_fleet fleet;
+    const std::string right = fleet.ask(0, chat("which ducts", 10)).text();
+    const std::vector<std::pair<fault_change, fault_change>> faults{
+        {{.answer_twice = true}, {.answer_twice = false}},
+        {{.wrong_length = true}, {.wrong_length = false}},
+        {{.garbage = true}, {.garbage = false}},
+        {{.outage = true}, {.outage = false}},
+    };
+    for (const auto& [on, off] : faults) {
+        for (std::size_t index = 0; index < 4; ++index)
+            fleet.platform().engine(index).apply(on);
+        for (const bool stream : {true, false}) {
+            const caller_answer answer = fleet.ask(0, chat("which ducts", 10, stream));
+            const bool fine = answer.whole && answer.status == 200;
+            const bool refused = answer.whole && answer.status >= 400 && !answer.ran.empty();
+            const bool told = !answer.whole && !answer.done();
+            cr_assert(fine || refused || told, "%d %s", answer.status, answer.body.c_str());
+            if (fine && stream)
+                cr_assert_eq(answer.text(), right);
+        }
+        for (std::size_t index = 0; index < 4; ++index)
+            fleet.platform().engine(index).apply(off);
+        cr_assert(fleet.run_until([&] { return fleet.all_complete(2); }, 20s));
+        fleet.run_for(500ms);
+        cr_assert_eq(fleet.ask(1, chat("which ducts", 10)).text(), right);
+    }
+}
+
+// An engine accepts a stream and then stalls. The request goes on elsewhere, or ends truthfully;
+// it does not hang.
+Test(daemon, a_stalled_engine_does_not_hold_its_caller, .timeout = 60)
+{
+    fixture_settings settings = two_groups();
+    settings.adjust = [](daemon_settings& one) { one.timeouts.stream_stall = 500ms; };
+    served_fleet fleet{settings};
+    const std::string right = fleet.ask(0, chat("which ducts", 300)).text();
+    auto pending = fleet.begin_at(0, chat("which ducts", 300));
+    fleet.run_for(300ms);
+    for (std::size_t index = 0; index < 4; ++index) {
+        if (!fleet.platform().engine(index).executions().empty() &&
+            !fleet.platform().engine(index).executions().back().finished)
+            fleet.platform().engine(index).apply({.stall = true});
+    }
+    cr_assert(fleet.run_until([&] { return *pending.ended; }, 15s));
+    cr_assert(!pending.answer->done() || pending.answer->text() == right);
+}
+
+// A caller goes away in the middle of its stream, as a foreman who loses the signal does. The
+// engine stops generating for nobody.
+Test(daemon, a_caller_that_leaves_frees_the_engine, .timeout = 60)
+{
+    served_fleet fleet;
+    caller_request request = chat("which ducts", 2000);
+    request.leave_after = 400;
+    const caller_answer answer = fleet.ask(0, request);
+    cr_assert(!answer.whole);
+    const auto busy = [&] {
+        std::uint32_t running = 0;
+        for (std::size_t index = 0; index < 4; ++index)
+            running += fleet.platform().engine(index).report().running;
+        return running;
+    };
+    cr_assert(fleet.run_until([&] { return busy() == 0; }, 5s), "%u still run", busy());
+    cr_assert(fleet.run_until([&] { return fleet.node(0).counts().in_flight == 0; }, 5s));
+}
+
+// An operator stops one entry VM while an answer streams through it. The caller gets all of it; the
+// balancer is told; then the daemon ends.
+Test(daemon, a_graceful_stop_cuts_nothing, .timeout = 60)
+{
+    served_fleet fleet;
+    auto pending = fleet.begin_at(0, chat("which ducts", 200));
+    fleet.run_until([&] { return fleet.node(0).counts().tokens_relayed > 5; }, 10s);
+    bool stopped = false;
+    boost::asio::co_spawn(fleet.io(), fleet.node(0).stop(),
+                          [&](const std::exception_ptr&) { stopped = true; });
+    fleet.run_for(10ms);
+    cr_assert(!fleet.node(0).ready());
+    cr_assert(fleet.run_until([&] { return stopped; }, 20s));
+    fleet.run_for(20ms);
+    cr_assert(*pending.ended && pending.answer->whole && pending.answer->done(), "%s",
+              pending.answer->body.c_str());
+    cr_assert_eq(fleet.ask(1, chat("which ducts", 200)).text(), pending.answer->text());
+}
+
+// Both entry VMs are restarted one after the other under load, as at an update. Callers use
+// whichever is ready, as a balancer does; none of them is cut or refused.
+Test(daemon, a_rolling_restart_under_load_cuts_nobody, .timeout = 100)
+{
+    fixture_settings settings = two_groups();
+    settings.adjust = [](daemon_settings& one) { one.timeouts.balancer = 300ms; };
+    served_fleet fleet{settings};
+    std::vector<fleet_fixture::pending_call> calls;
+    bool loading = true;
+    const auto send_some = [&] {
+        for (std::size_t index = 0; index < fleet.nodes() && loading; ++index) {
+            if (fleet.alive(index) && fleet.node(index).ready() &&
+                fleet.node(index).complete_groups() == 2)
+                calls.push_back(fleet.begin_at(index, chat("duct " + std::to_string(index), 30)));
+        }
+        fleet.run_for(20ms);
+    };
+    for (std::size_t index = 0; index < 2; ++index) {
+        for (int round = 0; round < 10; ++round)
+            send_some();
+        bool stopped = false;
+        boost::asio::co_spawn(fleet.io(), fleet.node(index).stop(),
+                              [&](const std::exception_ptr&) { stopped = true; });
+        for (int round = 0; round < 500 && !stopped; ++round)
+            send_some();
+        cr_assert(stopped);
+        fleet.kill_daemon(index);
+        const std::size_t fresh = fleet.start_daemon("entry-new-" + std::to_string(index));
+        for (int round = 0; round < 500 && fleet.node(fresh).complete_groups() < 2; ++round)
+            send_some();
+    }
+    loading = false;
+    cr_assert(fleet.run_until(
+        [&] {
+            return std::all_of(calls.begin(), calls.end(),
+                               [](const auto& one) { return *one.ended; });
+        },
+        30s));
+    std::size_t bad = 0;
+    for (const auto& one : calls)
+        bad += one.answer->whole && one.answer->done() ? 0 : 1;
+    cr_assert_gt(calls.size(), 50U);
+    cr_assert_eq(bad, 0U, "%zu of %zu", bad, calls.size());
+}
+
+// A farmer's app confirms an order and repeats the call after a lost signal, here and at another
+// entry VM, and once with another body. The order runs once; each repeat gets the same record.
+Test(daemon, a_keyed_call_runs_once_wherever_it_is_repeated, .timeout = 60)
+{
+    served_fleet fleet;
+    const caller_request order{
+        .target = "/orders/7", .body = "monday", .headers = {{"Idempotency-Key", "k-1"}}};
+    const caller_answer first = fleet.ask(0, order);
+    cr_assert_eq(first.status, 200, "%d %s", first.status, first.body.c_str());
+    cr_assert_eq(fleet.ask(0, order).body, first.body);
+    cr_assert_eq(fleet.ask(1, order).body, first.body);
+    cr_assert_eq(fleet.ran("/orders/7"), 1U);
+    caller_request other = order;
+    other.body = "tuesday";
+    const caller_answer refused = fleet.ask(1, other);
+    cr_assert(refused.status >= 400 && refused.ran == "no", "%d", refused.status);
+    const caller_answer told = fleet.ask(1, {.method = boost::beast::http::verb::get,
+                                             .target = "/v1/jaynotch/outcome",
+                                             .headers = {{"Idempotency-Key", "k-1"}}});
+    cr_assert(told.body.find("\"ran\"") != std::string::npos, "%s", told.body.c_str());
+    fleet.platform().kv().apply({.outage = true});
+    caller_request dark = order;
+    dark.headers = {{"Idempotency-Key", "k-2"}};
+    dark.target = "/orders/8";
+    const caller_answer held = fleet.ask(0, dark);
+    cr_assert(held.status >= 500 && held.ran == "no", "%d %s", held.status, held.ran.c_str());
+    cr_assert_eq(fleet.ran("/orders/8"), 0U);
+}
+
+// A plain server answers another's request, closes early, sends a wrong length, no HTTP, or two
+// answers at once. A call that may not be repeated is sent once and its caller told the truth; the
+// second of two answers reaches nobody.
+Test(daemon, a_plain_server_that_misbehaves_is_told_truthfully, .timeout = 100)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::vector<std::string> bad{
+        head + "jaynotch-attempt: 1\r\nContent-Length: 5\r\n\r\nalien",
+        head + "Content-Length: 50\r\n\r\nshort",
+        head + "Transfer-Encoding: chunked\r\n\r\n5\r\nalien\r\n",
+        head + "\r\nno length",
+        "",
+        "SSH-2.0-OpenSSH\r\n",
+    };
+    served_fleet fleet;
+    for (const std::string& bytes : bad) {
+        odd_server server{fleet.io(), bytes, false};
+        cr_assert(fleet.apply(fixture_routes(), fixture_pools(2, 2, {server.address()})));
+        fleet.run_for(300ms);
+        const caller_answer answer = fleet.ask(0, {.target = "/never/1", .body = "once"});
+        const bool told = answer.status >= 500 && answer.ran == "unknown";
+        const bool cut = answer.status == 200 && !answer.whole;
+        cr_assert(told || cut, "%s: %d %s", bytes.c_str(), answer.status, answer.body.c_str());
+        cr_assert(answer.body.find("alien") == std::string::npos || cut);
+        cr_assert_eq(server.requests(), 1U);
+    }
+    const std::string one = head + "Content-Length: 3\r\n\r\n";
+    odd_server twice{fleet.io(), one + "one" + one + "two", true};
+    cr_assert(fleet.apply(fixture_routes(), fixture_pools(2, 2, {twice.address()})));
+    fleet.run_for(300ms);
+    for (int round = 0; round < 4; ++round)
+        cr_assert_eq(fleet.ask(0, {.target = "/never/2", .body = "x"}).body, "one");
+}
+
+// Callers ask for what does not exist or make no sense. Each is refused as not run, with a remedy.
+Test(daemon, wrong_requests_are_refused_as_not_run, .timeout = 60)
+{
+    served_fleet fleet;
+    const auto refused = [&](const caller_request& request, int status) {
+        const caller_answer answer = fleet.ask(0, request);
+        return answer.status == status && answer.ran == "no" &&
+               answer.body.find("\"remedy\":\"") != std::string::npos;
+    };
+    const std::string path = "/v1/chat/completions";
+    cr_assert(refused({.target = path, .body = "{"}, 400));
+    cr_assert(refused(
+        {.target = path, .body = R"({"model":"none","messages":[{"role":"user","content":"a"}]})"},
+        404));
+    cr_assert(refused({.method = boost::beast::http::verb::get, .target = path}, 400));
+    cr_assert(refused({.target = path, .body = std::string(5'000'000, ' ')}, 413));
+    cr_assert(refused({.target = path,
+                       .body = chat_body("a", 1, true),
+                       .headers = {{"jaynotch-deadline-ms", "soon"}}},
+                      400));
+    const caller_answer fine = fleet.ask(0, chat("a", 3));
+    cr_assert(fine.whole && fine.done());
+}
+
+// An archive is uploaded through the node, larger than it would hold, and a head is asked for.
+Test(daemon, plain_http_goes_through_in_full, .timeout = 60)
+{
+    served_fleet fleet;
+    const std::string large(6'000'000, 'a');
+    const caller_answer uploaded = fleet.ask(
+        0, {.method = boost::beast::http::verb::put, .target = "/archive", .body = large});
+    cr_assert_eq(uploaded.status, 200, "%d %s", uploaded.status, uploaded.body.c_str());
+    cr_assert(uploaded.body.find(content_digest(large)) != std::string::npos);
+    const caller_answer head =
+        fleet.ask(0, {.method = boost::beast::http::verb::head, .target = "/archive"});
+    cr_assert(head.status == 200 && head.body.empty());
+}
+
+// A plain server says that it is leaving. Within two seconds no node sends it anything new.
+Test(daemon, a_leaving_server_gets_nothing_new, .timeout = 60)
+{
+    served_fleet fleet;
+    fleet.platform().plain(0).apply({.leaving = true});
+    fleet.run_for(2s);
+    const std::size_t before = fleet.platform().plain(0).executions().size();
+    for (int round = 0; round < 20; ++round)
+        cr_assert_eq(fleet.ask(round % 2, {.target = "/read", .body = "x"}).status, 200);
+    cr_assert_eq(fleet.platform().plain(0).executions().size(), before);
+    fleet.platform().plain(0).apply({.leaving = false});
+    fleet.run_for(3s);
+    for (int round = 0; round < 40; ++round)
+        fleet.ask(0, {.target = "/read", .body = "x"});
+    cr_assert_gt(fleet.platform().plain(0).executions().size(), before);
+}
--- a/daemon/fleet_fixture.h
+++ b/daemon/fleet_fixture.h
@@ -14,6 +14,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -134,6 +135,7 @@
         m_daemons.back()->start();
         return m_daemons.size() - 1;
     }
+    [[nodiscard]] bool alive(std::size_t index) const { return m_daemons.at(index) != nullptr; }
     void kill_daemon(std::size_t index) { m_daemons.at(index).reset(); }
 
     /// Puts tables in force through the admin port; true if accepted.
@@ -226,6 +228,72 @@
     std::int64_t m_changes = 0;
 };
 
+/// A server that answers every request with given bytes, whatever they are worth.
+class odd_server {
+public:
+    /// `hold`: the connection stays open after the bytes.
+    odd_server(boost::asio::io_context& io, std::string bytes, bool hold)
+        : m_acceptor{io, {boost::asio::ip::make_address("127.0.0.1"), 0}}
+    {
+        boost::asio::co_spawn(io, run(m_acceptor, std::move(bytes), hold, m_requests),
+                              boost::asio::detached);
+    }
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+    [[nodiscard]] std::size_t requests() const { return *m_requests; }
+
+private:
+    using socket_type = boost::asio::ip::tcp::socket;
+
+    static boost::asio::awaitable<void> run(boost::asio::ip::tcp::acceptor& acceptor,
+                                            std::string bytes, bool hold,
+                                            std::shared_ptr<std::size_t> requests)
+    {
+        for (;;) {
+            auto socket = std::make_shared<socket_type>(
+                co_await acceptor.async_accept(boost::asio::use_awaitable));
+            boost::asio::co_spawn(acceptor.get_executor(), answer(socket, bytes, hold, requests),
+                                  boost::asio::detached);
+        }
+    }
+    static boost::asio::awaitable<void> answer(std::shared_ptr<socket_type> socket,
+                                               std::string bytes, bool hold,
+                                               std::shared_ptr<std::size_t> requests)
+    {
+        std::string request;
+        boost::system::error_code failed;
+        std::array<char, 4096> room{};
+        for (;;) {
+            const std::size_t got = co_await socket->async_read_some(
+                boost::asio::buffer(room),
+                boost::asio::redirect_error(boost::asio::use_awaitable, failed));
+            if (failed)
+                co_return;
+            request.append(room.data(), got);
+            const std::size_t end = request.find("\r\n\r\n");
+            if (end == std::string::npos)
+                continue;
+            const bool probe = request.starts_with("GET /healthz");
+            request.clear();
+            std::string reply = bytes;
+            if (probe)
+                reply = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+            else
+                ++*requests;
+            co_await boost::asio::async_write(
+                *socket, boost::asio::buffer(reply),
+                boost::asio::redirect_error(boost::asio::use_awaitable, failed));
+            if (failed || (!hold && !probe))
+                co_return;
+        }
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::shared_ptr<std::size_t> m_requests = std::make_shared<std::size_t>(0);
+};
+
 /// Routes of the model "duct" to pool "m", and of "/orders" (keyed) and "/" to pool "app".
 inline std::string fixture_routes()
 {
--- a/daemon/front.cc
+++ b/daemon/front.cc
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr std::size_t longest_kept = 256 * 1024; // of a plain body, for sending it again
 constexpr std::size_t longest_key = 256;
 constexpr std::size_t longest_workspace = 128;
 constexpr std::string_view default_workspace = "default";
@@ -204,6 +205,14 @@
     info.method = std::string{exchange.request().method_string()};
     info.path = std::string{exchange.path()};
     const bool key = !info.idempotency_key.empty();
+    const bool long_body =
+        exchange.has_body() && exchange.content_length().value_or(longest_kept + 1) > longest_kept;
+    if (!model && !key && long_body) {
+        // Passed on as it comes, so it can't be sent a second time.
+        asked.stream_body = true;
+        info.body_kept = false;
+        co_return success();
+    }
     const daemon_limits& limits = m_services.settings.limits;
     const std::size_t held = key && !model ? limits.keyed_body_bytes : limits.model_body_bytes;
     result<std::string> body = co_await exchange.read_body(held);
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -47,7 +47,8 @@
 struct asked_request {
     request_info info;                  ///< its id is filled in by the relay
     std::optional<model_request> model; ///< chat and completion
-    std::string body;                   ///< as received; plain
+    std::string body;                   ///< as received; plain, if it was kept
+    bool stream_body = false;           ///< plain: the body is still to be read
     span caller;                        ///< the caller's hop
     time_point arrived;
 };
--- a/daemon/relay_attempt.cc
+++ b/daemon/relay_attempt.cc
@@ -219,6 +219,10 @@
         request.headers.push_back({std::string{field.name_string()}, std::string{field.value()}});
     }
     request.body = m_asked.body;
+    if (m_asked.stream_body) {
+        request.body_length = m_exchange.content_length();
+        request.body_source = [exchange = &m_exchange] { return exchange->read_some(); };
+    }
     return request;
 }
 
