--- /dev/null
+++ b/daemon/proxy_bench.cc
@@ -0,0 +1,379 @@
+// What the relay costs: the same requests to the same stand-in, direct and through one daemon, in
+// one run; tokens a second through one node; memory of idle connections and streams.
+//
+// The daemon, the servers and the callers each have a thread of their own, so that the daemon's
+// processor time can be told apart (thread clock).
+#include "daemon/daemon.h"
+#include "daemon/sse.h"
+#include "standins/standins.h"
+
+#include <benchmark/benchmark.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <malloc.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <ctime>
+#include <future>
+#include <thread>
+
+namespace {
+
+using namespace jaynotch;
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using namespace std::chrono_literals;
+
+double thread_seconds()
+{
+    timespec now{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+    return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) * 1e-9;
+}
+
+/// A thread that runs one io_context; its processor time can be asked for.
+class worker {
+public:
+    asio::io_context io{1};
+
+    worker() : m_thread{[this] { io.run(); }} {}
+    ~worker()
+    {
+        io.stop();
+        m_thread.join();
+    }
+    worker(const worker&) = delete;
+    worker& operator=(const worker&) = delete;
+
+    /// Runs `work` on the thread and waits for it.
+    template <class Work>
+    auto on(Work work)
+    {
+        std::promise<decltype(work())> done;
+        asio::post(io, [&] { done.set_value(work()); });
+        return done.get_future().get();
+    }
+    double seconds() { return on(thread_seconds); }
+
+private:
+    asio::executor_work_guard<asio::io_context::executor_type> m_guard{io.get_executor()};
+    std::thread m_thread;
+};
+
+/// Server of the smallest plain answer, and of model streams as fast as the socket takes them.
+class fast_server {
+public:
+    explicit fast_server(asio::io_context& io)
+        : m_acceptor{io, {asio::ip::make_address("127.0.0.1"), 0}}
+    {
+        asio::co_spawn(io, accept(), asio::detached);
+    }
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+private:
+    asio::awaitable<void> accept()
+    {
+        for (;;) {
+            tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+            socket.set_option(tcp::no_delay{true});
+            asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), asio::detached);
+        }
+    }
+    static asio::awaitable<void> serve(tcp::socket socket)
+    {
+        boost::beast::flat_buffer buffer;
+        boost::system::error_code failed;
+        while (!failed) {
+            http::request<http::string_body> request;
+            co_await http::async_read(socket, buffer, request,
+                                      asio::redirect_error(asio::use_awaitable, failed));
+            if (failed)
+                break;
+            http::response<http::string_body> response{http::status::ok, 11};
+            response.body() = "{\"ok\":true}";
+            response.prepare_payload();
+            co_await http::async_write(socket, response,
+                                       asio::redirect_error(asio::use_awaitable, failed));
+        }
+    }
+    tcp::acceptor m_acceptor;
+};
+
+/// Sends `count` requests one after the other over one connection; latencies in seconds.
+asio::awaitable<void> ask_in_turn(std::uint16_t port, std::size_t count,
+                                  std::shared_ptr<std::vector<double>> latencies,
+                                  std::shared_ptr<std::atomic<std::size_t>> ended)
+{
+    tcp::socket socket{co_await asio::this_coro::executor};
+    const tcp::endpoint remote{asio::ip::make_address("127.0.0.1"), port};
+    co_await socket.async_connect(remote, asio::use_awaitable);
+    socket.set_option(tcp::no_delay{true});
+    boost::beast::flat_buffer buffer;
+    for (std::size_t index = 0; index < count; ++index) {
+        http::request<http::empty_body> request{http::verb::get, "/read", 11};
+        request.set(http::field::host, "bench");
+        const auto began = std::chrono::steady_clock::now();
+        co_await http::async_write(socket, request, asio::use_awaitable);
+        http::response<http::string_body> response;
+        co_await http::async_read(socket, buffer, response, asio::use_awaitable);
+        const std::chrono::duration<double> took = std::chrono::steady_clock::now() - began;
+        latencies->push_back(took.count());
+        if (response.result() != http::status::ok)
+            break;
+    }
+    ++*ended;
+}
+
+struct latency {
+    double median = 0;
+    double p99 = 0;
+    double requests_s = 0;
+};
+
+latency measure(worker& callers, std::uint16_t port, std::size_t connections, std::size_t each)
+{
+    std::vector<std::shared_ptr<std::vector<double>>> all;
+    const auto ended = std::make_shared<std::atomic<std::size_t>>(0);
+    const auto began = std::chrono::steady_clock::now();
+    for (std::size_t index = 0; index < connections; ++index) {
+        all.push_back(std::make_shared<std::vector<double>>());
+        asio::co_spawn(callers.io, ask_in_turn(port, each, all.back(), ended), asio::detached);
+    }
+    while (ended->load() < connections)
+        std::this_thread::sleep_for(1ms);
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - began;
+    std::vector<double> joined;
+    for (const auto& one : all)
+        joined.insert(joined.end(), one->begin(), one->end());
+    std::sort(joined.begin(), joined.end());
+    return {joined[joined.size() / 2], joined[joined.size() * 99 / 100],
+            static_cast<double>(joined.size()) / took.count()};
+}
+
+/// Platform on one thread, daemon on another, callers on a third.
+class bench_fleet {
+public:
+    bench_fleet()
+    {
+        platform.on([this] {
+            standin_fleet_settings settings;
+            settings.engines = 2;
+            settings.fabric_domains = 1;
+            settings.engine.load_time = 10ms;
+            settings.engine.batch.step_base = 1ms;
+            settings.engine.batch.step_per_sequence = 0ms;
+            settings.engine.batch.prefill_per_token = 0ms;
+            settings.engine.batch.max_batch = 1024;
+            settings.engine.batch.kv_tokens = 100'000'000;
+            fleet = standin_fleet::start(platform.io.get_executor(), settings).value();
+            plain = std::make_unique<fast_server>(platform.io);
+            return true;
+        });
+        entry.on([this] {
+            daemon_settings made;
+            made.node = node_id{"bench"};
+            made.failure_domain = failure_domain_id{"a"};
+            made.deployment = "bench";
+            made.listen = made.peer_listen = made.admin_listen = "127.0.0.1:0";
+            made.key_value = {fleet->kv().address()};
+            made.vm_list = fleet->vms().address();
+            made.timeouts.order_horizon = 1200ms;
+            node = daemon::create(entry.io, made).value();
+            node->start();
+            port = node->listen_port();
+            admin = node->admin_port();
+            return true;
+        });
+        apply();
+        for (int round = 0; round < 2000; ++round) {
+            if (entry.on([this] { return node->complete_groups() == 2; }))
+                return;
+            std::this_thread::sleep_for(10ms);
+        }
+        throw std::runtime_error{"no complete groups"};
+    }
+    ~bench_fleet()
+    {
+        entry.on([this] {
+            node.reset();
+            return true;
+        });
+    }
+    bench_fleet(const bench_fleet&) = delete;
+    bench_fleet& operator=(const bench_fleet&) = delete;
+
+    [[nodiscard]] std::uint16_t direct_port() const
+    {
+        return parse_host_port(plain->address()).value().port;
+    }
+
+    worker platform;
+    worker entry;
+    worker callers;
+    std::shared_ptr<standin_fleet> fleet;
+    std::unique_ptr<fast_server> plain;
+    std::unique_ptr<class daemon> node;
+    std::uint16_t port = 0;
+    std::uint16_t admin = 0;
+
+private:
+    void apply()
+    {
+        const std::string routes = "deployment = \"bench\"\n[[route]]\nname = \"r\"\n"
+                                   "kind = \"plain\"\npath_prefix = \"/\"\nworkspaces = [\"*\"]\n"
+                                   "pool = \"p\"\n[[route]]\nname = \"c\"\nkind = \"chat\"\n"
+                                   "model = \"m\"\nworkspaces = [\"*\"]\npool = \"m\"\n";
+        const std::string pools =
+            "deployment = \"bench\"\n[[pool]]\nname = \"p\"\nkind = \"plain\"\nservers = [\"" +
+            plain->address() +
+            "\"]\nmax_in_flight_per_server = 4096\n[[pool]]\nname = \"m\"\nkind = \"model\"\n"
+            "model = \"m\"\nversion = \"v\"\nreplicas = 2\nreplica_vms = 1\n"
+            "max_in_flight_per_replica = 1024\n";
+        const boost::json::object change{{"routes", routes},   {"pools", pools},
+                                         {"base_revision", 0}, {"author", "bench"},
+                                         {"message", "bench"}, {"change_id", "bench-1"}};
+        asio::io_context io;
+        tcp::socket socket{io};
+        socket.connect({asio::ip::make_address("127.0.0.1"), admin});
+        http::request<http::string_body> request{http::verb::post, "/admin/v1/apply", 11,
+                                                 boost::json::serialize(change)};
+        request.prepare_payload();
+        http::write(socket, request);
+        boost::beast::flat_buffer buffer;
+        http::response<http::string_body> response;
+        http::read(socket, buffer, response);
+        if (response.result() != http::status::ok)
+            throw std::runtime_error{response.body()};
+    }
+};
+
+/// Added latency and requests a second of a core, as ratios to direct calls in the same run.
+void added_latency(benchmark::State& state)
+{
+    bench_fleet fleet;
+    const auto connections = static_cast<std::size_t>(state.range(0));
+    constexpr std::size_t each = 2'000;
+    measure(fleet.callers, fleet.port, connections, each / 10);
+    for (auto _ : state) {
+        const latency direct = measure(fleet.callers, fleet.direct_port(), connections, each);
+        const double before = fleet.entry.seconds();
+        const latency through = measure(fleet.callers, fleet.port, connections, each);
+        const double spent = fleet.entry.seconds() - before;
+        const auto count = static_cast<double>(connections * each);
+        state.counters["direct_median_us"] = direct.median * 1e6;
+        state.counters["added_median_us"] = (through.median - direct.median) * 1e6;
+        state.counters["added_p99_us"] = (through.p99 - direct.p99) * 1e6;
+        state.counters["median_ratio"] = through.median / direct.median;
+        state.counters["requests_s"] = through.requests_s;
+        state.counters["requests_s_per_core"] = count / spent;
+        state.counters["direct_requests_s"] = direct.requests_s;
+    }
+}
+BENCHMARK(added_latency)->Arg(1)->Arg(32)->Iterations(1)->Unit(benchmark::kMillisecond);
+
+/// Reads one stream to its end, counting events.
+asio::awaitable<void> read_stream(std::uint16_t port, std::uint32_t tokens,
+                                  std::shared_ptr<std::atomic<std::size_t>> whole,
+                                  std::shared_ptr<std::atomic<std::size_t>> ended)
+{
+    tcp::socket socket{co_await asio::this_coro::executor};
+    const tcp::endpoint remote{asio::ip::make_address("127.0.0.1"), port};
+    co_await socket.async_connect(remote, asio::use_awaitable);
+    const std::string body = R"({"model":"m","stream":true,"max_tokens":)" +
+                             std::to_string(tokens) +
+                             R"(,"messages":[{"role":"user","content":"bench"}]})";
+    http::request<http::string_body> request{http::verb::post, "/v1/chat/completions", 11, body};
+    request.set(http::field::host, "bench");
+    request.prepare_payload();
+    co_await http::async_write(socket, request, asio::use_awaitable);
+    std::array<char, 64 * 1024> room{};
+    std::string tail;
+    boost::system::error_code failed;
+    bool refused = false;
+    while (!failed && !refused && tail.find("data: [DONE]") == std::string::npos) {
+        const std::size_t got = co_await socket.async_read_some(
+            asio::buffer(room), asio::redirect_error(asio::use_awaitable, failed));
+        tail.append(room.data(), got);
+        refused = tail.find("jaynotch-ran") != std::string::npos;
+        if (tail.size() > 64)
+            tail.erase(0, tail.size() - 64);
+    }
+    if (!failed && !refused)
+        ++*whole;
+    ++*ended;
+}
+
+/// Streams at once through one node: tokens a second, and what a core would carry.
+void tokens_through_one_node(benchmark::State& state)
+{
+    bench_fleet fleet;
+    const auto streams = static_cast<std::size_t>(state.range(0));
+    constexpr std::uint32_t tokens = 500;
+    for (auto _ : state) {
+        const auto whole = std::make_shared<std::atomic<std::size_t>>(0);
+        const auto ended = std::make_shared<std::atomic<std::size_t>>(0);
+        const double before = fleet.entry.seconds();
+        const double standin_before = fleet.platform.seconds();
+        const auto began = std::chrono::steady_clock::now();
+        for (std::size_t index = 0; index < streams; ++index)
+            asio::co_spawn(fleet.callers.io, read_stream(fleet.port, tokens, whole, ended),
+                           asio::detached);
+        while (ended->load() < streams)
+            std::this_thread::sleep_for(1ms);
+        const std::chrono::duration<double> took = std::chrono::steady_clock::now() - began;
+        const double spent = fleet.entry.seconds() - before;
+        const auto count = static_cast<double>(
+            fleet.entry.on([&] { return fleet.node->counts().tokens_relayed; }));
+        state.counters["whole"] = static_cast<double>(whole->load());
+        state.counters["tokens_s"] = count / took.count();
+        state.counters["tokens_s_per_core"] = count / spent;
+        state.counters["daemon_busy"] = spent / took.count();
+        state.counters["standins_busy"] =
+            (fleet.platform.seconds() - standin_before) / took.count();
+    }
+}
+BENCHMARK(tokens_through_one_node)->Arg(64)->Arg(400)->Iterations(1)->Unit(benchmark::kMillisecond);
+
+std::size_t heap_in_use()
+{
+    const struct mallinfo2 now = mallinfo2();
+    return now.uordblks + now.hblkhd;
+}
+
+/// Bytes of this process's heap for one idle connection; the sockets of both ends are counted, the
+/// caller's being a bare socket.
+void idle_connection_bytes(benchmark::State& state)
+{
+    bench_fleet fleet;
+    constexpr std::size_t count = 2'000;
+    for (auto _ : state) {
+        asio::io_context io;
+        std::vector<tcp::socket> sockets;
+        sockets.reserve(count);
+        const std::size_t before = heap_in_use();
+        for (std::size_t index = 0; index < count; ++index) {
+            sockets.emplace_back(io);
+            sockets.back().connect({asio::ip::make_address("127.0.0.1"), fleet.port});
+        }
+        std::this_thread::sleep_for(300ms);
+        state.counters["bytes_each"] =
+            static_cast<double>(heap_in_use() - before) / static_cast<double>(count);
+    }
+}
+BENCHMARK(idle_connection_bytes)->Iterations(1)->Unit(benchmark::kMillisecond);
+
+} // namespace
+
+BENCHMARK_MAIN();
