daemon: benchmark with engines that give each stream a token a beat

Cause: the stand-in engine's answers are too short to measure a stream's cost. Change: a paced engine that speaks the control calls; streams and beats as arguments.

--- a/daemon/proxy_bench.cc
+++ b/daemon/proxy_bench.cc
@@ -33,6 +33,8 @@
 using asio::ip::tcp;
 using namespace std::chrono_literals;
 
+constexpr std::uint32_t bench_tokens = 200;
+
 double thread_seconds()
 {
     timespec now{};
@@ -111,6 +113,107 @@
     tcp::acceptor m_acceptor;
 };
 
+/// An engine as the daemon sees one, that is always loaded and gives each stream a token at each
+/// beat, one write a token, whatever the number of streams.
+class paced_engine {
+public:
+    paced_engine(asio::io_context& io, std::string name, duration beat)
+        : m_acceptor{io, {asio::ip::make_address("127.0.0.1"), 0}}, m_beat{beat}
+    {
+        m_report.vm = vm_id{std::move(name)};
+        m_report.boot = "1";
+        asio::co_spawn(io, accept(), asio::detached);
+    }
+    [[nodiscard]] vm_entry entry() const
+    {
+        vm_entry made;
+        made.vm = m_report.vm;
+        made.address = "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+        made.fabric_domain = fabric_domain_id{"f-" + m_report.vm.value()};
+        made.failure_domain = failure_domain_id{"a"};
+        made.accelerators = 1;
+        return made;
+    }
+
+private:
+    asio::awaitable<void> accept()
+    {
+        for (;;) {
+            auto socket = std::make_shared<tcp::socket>(
+                co_await m_acceptor.async_accept(asio::use_awaitable));
+            socket->set_option(tcp::no_delay{true});
+            asio::co_spawn(m_acceptor.get_executor(), serve(socket), asio::detached);
+        }
+    }
+    asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket)
+    {
+        boost::beast::flat_buffer buffer;
+        boost::system::error_code failed;
+        while (!failed) {
+            http::request<http::string_body> request;
+            co_await http::async_read(*socket, buffer, request,
+                                      asio::redirect_error(asio::use_awaitable, failed));
+            if (failed)
+                break;
+            if (request.target().starts_with("/v1/")) {
+                co_await stream(*socket, std::string{request["jaynotch-attempt"]});
+                continue;
+            }
+            http::response<http::string_body> response{http::status::ok, 11};
+            if (request.target() == "/control/assign")
+                take(request.body());
+            response.body() = render_engine_report(m_report);
+            response.prepare_payload();
+            co_await http::async_write(*socket, response,
+                                       asio::redirect_error(asio::use_awaitable, failed));
+        }
+    }
+    void take(const std::string& body)
+    {
+        const engine_order_assign order = parse_engine_assign(body).value();
+        m_report.group = order.group;
+        m_report.fencing = order.fencing;
+        m_report.rank = order.rank;
+        m_report.members = order.members;
+        m_report.model = order.model;
+        m_report.version = order.version;
+        m_report.state = engine_state::ready;
+        m_report.progress = 1.0;
+    }
+    asio::awaitable<void> stream(tcp::socket& socket, std::string attempt)
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                                 "Transfer-Encoding: chunked\r\njaynotch-attempt: " +
+                                 attempt + "\r\n\r\n";
+        boost::system::error_code failed;
+        co_await asio::async_write(socket, asio::buffer(head),
+                                   asio::redirect_error(asio::use_awaitable, failed));
+        const std::string event =
+            "data: {\"id\":\"a\",\"object\":\"chat.completion.chunk\",\"created\":1,"
+            "\"model\":\"m\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"token \"},"
+            "\"finish_reason\":null}]}\n\n";
+        char size_line[16];
+        std::snprintf(size_line, sizeof size_line, "%zx\r\n", event.size());
+        const std::string piece = size_line + event + "\r\n";
+        timer beat{m_acceptor.get_executor(), runtime_clock::now() + m_beat};
+        for (std::uint32_t token = 0; token < bench_tokens && !failed; ++token) {
+            co_await beat.async_wait(asio::redirect_error(asio::use_awaitable, failed));
+            beat.expires_at(beat.expiry() + m_beat);
+            co_await asio::async_write(socket, asio::buffer(piece),
+                                       asio::redirect_error(asio::use_awaitable, failed));
+        }
+        const std::string end = "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
+        if (!failed) {
+            co_await asio::async_write(socket, asio::buffer(end),
+                                       asio::redirect_error(asio::use_awaitable, failed));
+        }
+    }
+
+    tcp::acceptor m_acceptor;
+    engine_report m_report;
+    duration m_beat;
+};
+
 /// Sends `count` requests one after the other over one connection; latencies in seconds.
 asio::awaitable<void> ask_in_turn(std::uint16_t port, std::size_t count,
                                   std::shared_ptr<std::vector<double>> latencies,
@@ -165,20 +268,19 @@
 /// Platform on one thread, daemon on another, callers on a third.
 class bench_fleet {
 public:
-    bench_fleet()
+    explicit bench_fleet(duration beat = 10ms)
     {
-        platform.on([this] {
+        platform.on([this, beat] {
             standin_fleet_settings settings;
-            settings.engines = 2;
+            settings.engines = 0;
             settings.fabric_domains = 1;
-            settings.engine.load_time = 10ms;
-            settings.engine.batch.step_base = 1ms;
-            settings.engine.batch.step_per_sequence = 0ms;
-            settings.engine.batch.prefill_per_token = 0ms;
-            settings.engine.batch.max_batch = 1024;
-            settings.engine.batch.kv_tokens = 100'000'000;
             fleet = standin_fleet::start(platform.io.get_executor(), settings).value();
             plain = std::make_unique<fast_server>(platform.io);
+            for (int index = 0; index < 2; ++index) {
+                engines.push_back(std::make_unique<paced_engine>(
+                    platform.io, "vm-" + std::to_string(index), beat));
+                fleet->vms().put(engines.back()->entry());
+            }
             return true;
         });
         entry.on([this] {
@@ -224,6 +326,7 @@
     worker callers;
     std::shared_ptr<standin_fleet> fleet;
     std::unique_ptr<fast_server> plain;
+    std::vector<std::unique_ptr<paced_engine>> engines;
     std::unique_ptr<class daemon> node;
     std::uint16_t port = 0;
     std::uint16_t admin = 0;
@@ -240,7 +343,7 @@
             plain->address() +
             "\"]\nmax_in_flight_per_server = 4096\n[[pool]]\nname = \"m\"\nkind = \"model\"\n"
             "model = \"m\"\nversion = \"v\"\nreplicas = 2\nreplica_vms = 1\n"
-            "max_in_flight_per_replica = 1024\n";
+            "max_in_flight_per_replica = 16000\n";
         const boost::json::object change{{"routes", routes},   {"pools", pools},
                                          {"base_revision", 0}, {"author", "bench"},
                                          {"message", "bench"}, {"change_id", "bench-1"}};
@@ -315,20 +418,22 @@
     ++*ended;
 }
 
-/// Streams at once through one node: tokens a second, and what a core would carry.
+/// Streams at once through one node, each given a token every beat: tokens a second delivered, and
+/// how busy the daemon's thread was. Offered are streams / beat.
 void tokens_through_one_node(benchmark::State& state)
 {
-    bench_fleet fleet;
+    const std::chrono::milliseconds beat{state.range(1)};
+    bench_fleet fleet{beat};
     const auto streams = static_cast<std::size_t>(state.range(0));
-    constexpr std::uint32_t tokens = 500;
     for (auto _ : state) {
         const auto whole = std::make_shared<std::atomic<std::size_t>>(0);
         const auto ended = std::make_shared<std::atomic<std::size_t>>(0);
         const double before = fleet.entry.seconds();
         const double standin_before = fleet.platform.seconds();
+        const double callers_before = fleet.callers.seconds();
         const auto began = std::chrono::steady_clock::now();
         for (std::size_t index = 0; index < streams; ++index)
-            asio::co_spawn(fleet.callers.io, read_stream(fleet.port, tokens, whole, ended),
+            asio::co_spawn(fleet.callers.io, read_stream(fleet.port, bench_tokens, whole, ended),
                            asio::detached);
         while (ended->load() < streams)
             std::this_thread::sleep_for(1ms);
@@ -336,15 +441,22 @@
         const double spent = fleet.entry.seconds() - before;
         const auto count = static_cast<double>(
             fleet.entry.on([&] { return fleet.node->counts().tokens_relayed; }));
+        state.counters["offered_s"] =
+            static_cast<double>(streams) / std::chrono::duration<double>{beat}.count();
         state.counters["whole"] = static_cast<double>(whole->load());
         state.counters["tokens_s"] = count / took.count();
         state.counters["tokens_s_per_core"] = count / spent;
         state.counters["daemon_busy"] = spent / took.count();
-        state.counters["standins_busy"] =
-            (fleet.platform.seconds() - standin_before) / took.count();
+        state.counters["engines_busy"] = (fleet.platform.seconds() - standin_before) / took.count();
+        state.counters["callers_busy"] = (fleet.callers.seconds() - callers_before) / took.count();
     }
 }
-BENCHMARK(tokens_through_one_node)->Arg(64)->Arg(400)->Iterations(1)->Unit(benchmark::kMillisecond);
+BENCHMARK(tokens_through_one_node)
+    ->Args({500, 20})
+    ->Args({2000, 20})
+    ->Args({2000, 10})
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
 
 std::size_t heap_in_use()
 {
