--- a/groups/ticket_board.cc
+++ b/groups/ticket_board.cc
@@ -101,9 +101,12 @@
         return;
     const bool moved = !known.report || known.report->group != seen.report.group ||
                        known.report->boot != seen.report.boot ||
-                       seen.sent_at - known.sent_at > settings.settled;
+                       now - known.sent_at >= settings.settled;
+    // A gap as long as `settled` could hide a stay in another group that was long enough for a
+    // ticket. From the answer, not from the sending: the VM may have moved just before it answered
+    // (models/claim_fence.pml, -DSETTLED_FROM_SENDING).
     if (moved)
-        known.same_group_since = seen.sent_at;
+        known.same_group_since = now;
     if (moved || !same_place(*known.report, seen.report))
         known.same_place_since = now;
     known.report = seen.report;
--- a/groups/vm_table.cc
+++ b/groups/vm_table.cc
@@ -1,8 +1,9 @@
 // Two rules keep a VM out of two groups even where engines ignore fencing numbers:
 //
-// - `same_group_since` counts from the sending of the first request whose answer showed the group,
-//   so a VM is "quiet" only if it has truly been in no group for a whole order horizon, longer than
-//   any order or ticket of its former group can live;
+// - `same_group_since` counts from the first answer that showed the group (a VM may move just
+// before
+//   it answers), so a VM is "quiet" only if it has truly been in no group for a whole order
+//   horizon, longer than any order or ticket of its former group can live;
 // - a VM that the list names in two domains is never newly assigned, by neither of the managers.
 #include "groups/vm_table.h"
 
@@ -79,9 +80,9 @@
     // After a silence nobody knows what the VM did in between: it has to be seen anew.
     const bool moved = !view->report || view->report->group != seen.report.group ||
                        view->report->boot != seen.report.boot ||
-                       seen.sent_at - view->reported_at > m_settings->report_horizon;
+                       now - view->reported_at > m_settings->report_horizon;
     if (moved)
-        view->same_group_since = seen.sent_at;
+        view->same_group_since = now;
     if (moved || seen.report.progress != view->progress ||
         seen.report.state != member_state::loading) {
         view->progress = seen.report.progress;
