Routing: a slow caller and an answer that is not streamed are not stalls

Read against the shell, the core's clock was wrong in two ways. A caller that takes nothing for five seconds blocked the relay, and the silence was laid to the server: its answer was cut or begun again elsewhere. The shell now says when a part is being written (attempt_waits), and the clock of the server stands still until it is. An answer that is not streamed was begun again elsewhere after eight times the streams' typical first token, since its head comes with its end: it now has until its deadline, and doesn't count as a first token.

--- a/daemon/relay_attempt.cc
+++ b/daemon/relay_attempt.cc
@@ -285,6 +285,9 @@
         co_await pause.async_wait(net::use_awaitable);
     }
     m_writing = true;
+    // A caller that reads slowly must not pass for a server that stalls.
+    if (!attempt.cancelled)
+        m_services.driver.handle(attempt_waits{m_inbox->id(), attempt.order.attempt});
     const bool fine = co_await m_exchange.write(piece);
     m_writing = false;
     if (!fine && !attempt.cancelled)
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -114,7 +114,7 @@
 
 void request_core::state::note_first_part(request_row& row, time_point now)
 {
-    if (row.attempt.first_part_in)
+    if (row.attempt.first_part_in || !head_comes_early(row))
         return;
     row.attempt.first_part_in = true;
     const double took_s = seconds(now - row.attempt.started);
@@ -129,9 +129,21 @@
         return;
     row->attempt.sent = true;
     row->attempt.last_part = now;
+    if (row->attempt.waits_for_caller) {
+        row->attempt.waits_for_caller = false;
+        if (row->phase == request_phase::answering && row->wake > next_check(*row))
+            set_wake(*row, next_check(*row));
+    }
     note_first_part(*row, now);
 }
 
+void request_core::state::on_waits(const attempt_waits& waiting)
+{
+    request_row* row = find_attempt(waiting.request, waiting.attempt);
+    if (row != nullptr && row->phase == request_phase::answering)
+        row->attempt.waits_for_caller = true;
+}
+
 void request_core::state::on_finished(const attempt_finished& finished, time_point now,
                                       command_list& out)
 {
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -98,6 +98,7 @@
         void operator()(const attempt_sent& e) const { core.on_sent(e); }
         void operator()(const attempt_head& e) const { core.on_head(e, now, out); }
         void operator()(const attempt_progress& e) const { core.on_progress(e, now); }
+        void operator()(const attempt_waits& e) const { core.on_waits(e); }
         void operator()(const attempt_finished& e) const { core.on_finished(e, now, out); }
         void operator()(const attempt_failed& e) const { core.on_failed(e, now, out); }
         void operator()(const caller_gone& e) const { core.on_caller_gone(e.request, now, out); }
--- a/routing/request_core_test.cc
+++ b/routing/request_core_test.cc
@@ -235,6 +235,49 @@
     }
 }
 
+// A foreman reads a long answer over a bad line and takes none of it for half a minute. The engine
+// is not to blame: its stream is neither cut nor begun again elsewhere, and when it does go silent
+// after that, it is.
+Test(request_core, a_slow_caller_is_not_a_stalled_server)
+{
+    fixture world;
+    const send_attempt sent = answer_head(world, world.chat(1));
+    world.send(attempt_progress{sent.request, sent.attempt, 1});
+    world.send(attempt_waits{sent.request, sent.attempt});
+    cr_assert_eq(count<cancel_attempt>(world.pass(std::chrono::seconds{30})), 0);
+    world.send(attempt_progress{sent.request, sent.attempt, 1});
+    cr_assert_eq(count<cancel_attempt>(world.pass(std::chrono::seconds{4})), 0);
+    cr_assert_eq(count<cancel_attempt>(world.pass(std::chrono::seconds{2})), 1);
+}
+
+// A permit office asks for a whole answer at once, not streamed, which takes ten seconds, while
+// chats get their first token in a tenth of one. Its silence until then is no reason to ask another
+// group.
+Test(request_core, an_answer_that_is_not_streamed_has_until_its_deadline)
+{
+    configuration tables = make_tables();
+    tables.routes[0].timeout = std::chrono::seconds{30};
+    fixture world{fixture::default_settings(), 2, 1, tables};
+    for (std::uint64_t id = 1; id <= 8; ++id) {
+        const send_attempt sent = answer_head(world, world.chat(id));
+        world.pass(std::chrono::milliseconds{100});
+        world.send(attempt_progress{sent.request, sent.attempt, 1});
+        world.send(attempt_finished{sent.request, sent.attempt, true, {}});
+    }
+    world.pass(std::chrono::seconds{1});
+    request_info info;
+    info.id = request_id{9};
+    info.kind = request_kind::chat;
+    info.model = "summary";
+    const command_list out = world.send(request_arrived{info});
+    const send_attempt sent = *first<send_attempt>(out);
+    world.send(attempt_sent{sent.request, sent.attempt});
+    cr_assert_eq(count<cancel_attempt>(world.pass(std::chrono::seconds{10})), 0);
+    world.send(attempt_head{sent.request, sent.attempt, 200, sent.attempt, false, "v1"});
+    cr_assert_eq(
+        count<complete>(world.send(attempt_finished{sent.request, sent.attempt, true, {}})), 1);
+}
+
 // A caller hangs up. The engine is told to stop, and nothing is sent again for nobody.
 Test(request_core, a_caller_that_leaves_stops_the_engine)
 {
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -137,6 +137,12 @@
     wakes.insert({at, row.info.id});
 }
 
+bool request_core::state::head_comes_early(const request_row& row) const
+{
+    // A model's answer that is not streamed comes when all of it is generated.
+    return row.info.stream || row.info.kind == request_kind::plain;
+}
+
 duration request_core::state::head_patience(const request_row& row) const
 {
     // A target that is far beyond the pool's usual time hangs; a second try elsewhere may still be
@@ -161,10 +167,12 @@
         return row.deadline - from_seconds(reserve_s);
     }
     case request_phase::sending:
-        if (may_send_again(row, attempt_failure::stalled))
+        if (head_comes_early(row) && may_send_again(row, attempt_failure::stalled))
             return std::min(row.deadline, row.attempt.started + head_patience(row));
         return row.deadline;
     case request_phase::answering:
+        if (row.attempt.waits_for_caller)
+            return row.ends;
         return std::min(row.ends, row.attempt.last_part + settings.stall_timeout);
     case request_phase::claiming:
     case request_phase::asking:
--- a/routing/request_events.h
+++ b/routing/request_events.h
@@ -97,6 +97,13 @@
     std::uint32_t tokens = 0; ///< or chunks, for plain answers
 };
 
+/// A part of the answer was read from the target and is now being written to the caller. Until the
+/// attempt_progress that follows, a silence is the caller's and not the target's.
+struct attempt_waits {
+    request_id request;
+    attempt_id attempt;
+};
+
 /// What is kept of an answer, to be given again to a repeat of a keyed call.
 struct stored_answer {
     std::uint32_t status = 0;
@@ -238,9 +245,9 @@
 struct tick {};
 
 using event =
-    std::variant<request_arrived, attempt_sent, attempt_head, attempt_progress, attempt_finished,
-                 attempt_failed, caller_gone, key_status_asked, kv_result, lease_result,
-                 groups_changed, group_broken, target_leaving, load_seen, cache_events_seen,
-                 tables_installed, peer_demand_seen, peer_left, tick>;
+    std::variant<request_arrived, attempt_sent, attempt_head, attempt_progress, attempt_waits,
+                 attempt_finished, attempt_failed, caller_gone, key_status_asked, kv_result,
+                 lease_result, groups_changed, group_broken, target_leaving, load_seen,
+                 cache_events_seen, tables_installed, peer_demand_seen, peer_left, tick>;
 
 } // namespace jaynotch
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -29,6 +29,7 @@
     target_row_index target = no_target;
     bool sent = false; ///< a byte may have left
     bool first_part_in = false;
+    bool waits_for_caller = false; ///< a part is being written to a slow caller
     time_point started;
     time_point last_part; ///< of the answer; valid while answering
     std::string version;
@@ -96,6 +97,8 @@
     void dispatch(pool_index pool, time_point now, command_list& out);
     void dispatch_all(time_point now, command_list& out);
     bool try_send(request_row& row, time_point now, command_list& out);
+    /// Whether the answer's head comes before the work is done, so that its absence says something.
+    [[nodiscard]] bool head_comes_early(const request_row& row) const;
     void requeue(request_row& row, time_point now);
     void set_wake(request_row& row, time_point at);
     void wake_requests(time_point now, command_list& out);
@@ -108,6 +111,7 @@
     void on_sent(const attempt_sent& sent);
     void on_head(const attempt_head& head, time_point now, command_list& out);
     void on_progress(const attempt_progress& part, time_point now);
+    void on_waits(const attempt_waits& waiting);
     void on_finished(const attempt_finished& finished, time_point now, command_list& out);
     void on_failed(const attempt_failed& failed, time_point now, command_list& out);
     void on_caller_gone(request_id request, time_point now, command_list& out);
