--- a/load/calls.cc
+++ b/load/calls.cc
@@ -146,7 +146,7 @@
     if (inner == nullptr)
         return "no error object";
     json_fields kind{*inner, "refusal"};
-    return kind.text("kind");
+    return kind.text("kind") + ": " + kind.text("message");
 }
 
 void take_refusal(std::string_view ran, std::string_view retry_after, const std::string& body,
--- a/scenarios/prelude.lua
+++ b/scenarios/prelude.lua
@@ -30,7 +30,7 @@
 
 -- An entry VM's daemon: a process of its own. flags: further flags of jaynotchd.
 function daemon(name, failure_domain, flags)
-  return op("daemon", {name = name, failure_domain = failure_domain, flags = flags or {}})
+  return op("daemon", {name = name, failure_domain = failure_domain, flags = flags})
 end
 
 function restart(name) op("restart", {name = name}) end
@@ -62,6 +62,15 @@
   return count
 end
 
+-- Waits until each of `names` sees `count` complete groups and a request through it is answered.
+function groups_serve(names, count, model)
+  for _, name in ipairs(names) do
+    wait_until(function() return complete_groups(name) == count end, 40, name .. " sees " .. count .. " complete groups")
+    wait_until(function() return ask(name, {model = model or "router", tokens = 1}).outcome == "whole" end, 10,
+               name .. " serves")
+  end
+end
+
 local changes = 0
 -- Puts two tables in force through one daemon: {status, json, ...}.
 function apply(name, tables)
@@ -91,7 +100,7 @@
   local routes = 'deployment = "test"\n'
   local pools = 'deployment = "test"\n'
   if options.model then
-    routes = routes .. string.format([[
+    routes = routes .. string.format([=[
 [[route]]
 name = "chat"
 kind = "chat"
@@ -101,8 +110,8 @@
 timeout_ms = %d
 longest_stream_ms = 60000
 retries = %d
-]], options.model, options.timeout_ms or 10000, options.retries or 2)
-    pools = pools .. string.format([[
+]=], options.model, options.timeout_ms or 10000, options.retries or 2)
+    pools = pools .. string.format([=[
 [[pool]]
 name = "model"
 kind = "model"
@@ -113,11 +122,11 @@
 standbys = %d
 engine_checks_fencing = %s
 max_in_flight_per_replica = 64
-]], options.model, options.version or "v1", options.replica_vms or 2, options.replicas or 1,
+]=], options.model, options.version or "v1", options.replica_vms or 2, options.replicas or 1,
       options.standbys or 0, options.check_fencing == false and "false" or "true")
   end
   if options.servers then
-    routes = routes .. string.format([[
+    routes = routes .. string.format([=[
 [[route]]
 name = "orders"
 kind = "plain"
@@ -139,15 +148,15 @@
 timeout_ms = %d
 longest_stream_ms = 20000
 retries = 2
-]], options["repeat"] or "keyed", options.timeout_ms or 3000, options.timeout_ms or 3000)
+]=], options["repeat"] or "keyed", options.timeout_ms or 3000, options.timeout_ms or 3000)
     local quoted = {}
     for _, address in ipairs(options.servers) do quoted[#quoted + 1] = '"' .. address .. '"' end
-    pools = pools .. string.format([[
+    pools = pools .. string.format([=[
 [[pool]]
 name = "plain"
 kind = "plain"
 servers = [%s]
-]], table.concat(quoted, ", "))
+]=], table.concat(quoted, ", "))
   end
   return {routes = routes, pools = pools}
 end
@@ -180,7 +189,17 @@
   options.to = names
   return op("start_load", options)
 end
-function finish(load) return op("finish_load", {id = load}) end
+function finish(load)
+  local report = op("finish_load", {id = load})
+  local parts = {}
+  for outcome, count in pairs(report.outcomes) do
+    if count > 0 then parts[#parts + 1] = count .. " " .. outcome end
+  end
+  report.text = report.started .. " calls: " .. table.concat(parts, ", ")
+  note(report.text)
+  for _, fault in ipairs(report.faults) do note("  " .. fault) end
+  return report
+end
 
 -- What the stand-ins saw: {finished, partial, stale_orders, running, plain = {{service, key}}}.
 function account() return op("account", {}) end
