--- a/scenarios/forwarder.cc
+++ b/scenarios/forwarder.cc
@@ -27,6 +27,13 @@
 constexpr duration cut_poll = std::chrono::milliseconds{5};
 constexpr std::size_t copy_bytes = 16 * 1024;
 
+/// A forwarder that failed would look like a partition, so its failure ends the scenario.
+void rethrow(std::exception_ptr failed)
+{
+    if (failed)
+        std::rethrow_exception(failed);
+}
+
 /// "0100007F:1F90", as /proc/net/tcp writes a port of 127.0.0.1.
 std::string proc_address(std::uint16_t port)
 {
@@ -66,8 +73,10 @@
     const std::string wanted = "socket:[" + inode + "]";
     std::error_code ec;
     const std::filesystem::path folder{"/proc/" + std::to_string(pid) + "/fd"};
-    for (const auto& entry : std::filesystem::directory_iterator{folder, ec}) {
-        if (std::filesystem::read_symlink(entry.path(), ec).string() == wanted)
+    const std::filesystem::directory_iterator end;
+    for (std::filesystem::directory_iterator at{folder, ec}; !ec && at != end; at.increment(ec)) {
+        std::error_code gone;
+        if (std::filesystem::read_symlink(at->path(), gone).string() == wanted)
             return true;
     }
     return false;
@@ -87,7 +96,7 @@
     if (ec)
         return error{error_kind::unavailable, "can't listen: " + ec.message(), ""};
     m_forwarders.push_back(at);
-    asio::co_spawn(m_executor, accept_loop(shared_from_this(), at), asio::detached);
+    asio::co_spawn(m_executor, accept_loop(shared_from_this(), at), rethrow);
     return "127.0.0.1:" + std::to_string(at->acceptor.local_endpoint().port());
 }
 
--- a/scenarios/scenarios_test.cc
+++ b/scenarios/scenarios_test.cc
@@ -109,3 +109,29 @@
     network->cut("someone", "plain");
     cr_assert(ask(std::chrono::seconds{2}));
 }
+
+// A service behind the network dies and comes back. Connections must fail at once meanwhile, as
+// they do without the network, and work again afterwards.
+Test(network, a_dead_service_is_refused_and_its_return_is_seen)
+{
+    test_runtime runtime;
+    auto plain = plain_standin::start(runtime.executor(), {}).value();
+    auto network = std::make_shared<loopback_network>(runtime.executor());
+    const std::string address = network->forward("plain", plain->address()).value();
+    network->add_process("me", getpid());
+    http_client client{runtime.executor(), address, http_limits{}};
+    const auto ask = [&] {
+        http_request request;
+        request.repeatable = true;
+        return runtime.run(client.call(request, std::chrono::seconds{5}));
+    };
+    cr_assert(ask());
+    plain->apply({.kill = true});
+    for (int round = 0; round < 5; ++round) {
+        const auto refused = ask();
+        cr_assert(refused.error().kind == error_kind::unavailable, "%s",
+                  to_string(refused.error()).c_str());
+    }
+    plain->apply({.kill = false});
+    cr_assert(ask());
+}
--- a/standins/engine_standin.cc
+++ b/standins/engine_standin.cc
@@ -124,7 +124,7 @@
         die();
     if (!m_faults.kill && was_dead) {
         boot();
-        (void)m_server->restart();
+        m_server->restart().value();
     }
 }
 
--- a/standins/kv_standin.cc
+++ b/standins/kv_standin.cc
@@ -109,7 +109,7 @@
     if (m_faults.kill)
         m_server->stop();
     else if (change.kill)
-        (void)m_server->restart();
+        m_server->restart().value();
     wake_watches();
 }
 
--- a/standins/plain_standin.cc
+++ b/standins/plain_standin.cc
@@ -30,7 +30,7 @@
     if (m_faults.kill)
         m_server->stop();
     else if (change.kill)
-        (void)m_server->restart();
+        m_server->restart().value();
 }
 
 awaitable<void> plain_standin::handle(standin_exchange& exchange)
--- a/standins/vm_list_standin.cc
+++ b/standins/vm_list_standin.cc
@@ -32,7 +32,7 @@
     if (m_faults.kill)
         m_server->stop();
     else if (change.kill)
-        (void)m_server->restart();
+        m_server->restart().value();
 }
 
 void vm_list_standin::put(vm_entry entry)
--- a/standins/weight_standin.cc
+++ b/standins/weight_standin.cc
@@ -52,7 +52,7 @@
     if (m_faults.kill)
         m_server->stop();
     else if (change.kill)
-        (void)m_server->restart();
+        m_server->restart().value();
 }
 
 time_point weight_standin::book(std::uint64_t bytes)
