--- a/standins/engine_standin_test.cc
+++ b/standins/engine_standin_test.cc
@@ -2,6 +2,8 @@
 #include "standins/standin_testing.h"
 #include "standins/standins.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <criterion/criterion.h>
 
 using namespace jaynotch;
