--- a/routing/claim_book.cc
+++ b/routing/claim_book.cc
@@ -40,6 +40,23 @@
     return claimant.starts_with(m_node_prefix);
 }
 
+bool claim_book::creator_is_gone(const std::string& claimant) const
+{
+    const node_id creator{claimant.substr(0, claimant.find('/'))};
+    return made_here(claimant) || m_left.contains(creator);
+}
+
+void claim_book::note_left(const node_id& node)
+{
+    if (m_left.size() < m_settings.most_peers)
+        m_left.insert(node);
+}
+
+void claim_book::note_seen(const node_id& node)
+{
+    m_left.erase(node);
+}
+
 claim_book::item_number claim_book::make_item(const std::string& key,
                                               const std::string& body_digest,
                                               std::chrono::seconds keeping)
@@ -161,8 +178,9 @@
     judged.doubtful = false;
     claim_record known = record;
     // A claim of this node that this process doesn't hold was made before a restart, or given up
-    // without being deleted: nobody will write its outcome.
-    if (record.progress == claim_progress::claimed && made_here(record.claimant))
+    // without being deleted: nobody will write its outcome. Nor will a node that left; if it is
+    // only cut off, "unknown" is still true, and the repeat may ask again.
+    if (record.progress == claim_progress::claimed && creator_is_gone(record.claimant))
         known.progress = claim_progress::unknown;
     const bool may_change = !judged.requesters.empty() &&
                             known.progress == claim_progress::claimed &&
--- a/routing/claim_book.h
+++ b/routing/claim_book.h
@@ -82,6 +82,10 @@
     void on_lease(kv_token token, const result<lease_id>& lease, time_point now);
     /// Appends the calls that are due; after every event.
     void pump(time_point now, command_list& out);
+    /// A node left the membership: the outcomes of its open claims are unknown from now on.
+    void note_left(const node_id& node);
+    /// It is back, or was only cut off.
+    void note_seen(const node_id& node);
     /// What was decided since the last call.
     std::vector<claim_settled> take_settled();
 
@@ -166,6 +170,7 @@
     void sleep(item_number number, duration span, time_point now);
     void queue_for_state(item_number number);
     [[nodiscard]] bool made_here(const std::string& claimant) const;
+    [[nodiscard]] bool creator_is_gone(const std::string& claimant) const;
 
     // claim_book_kv.cc: transactions
     void pump_claims(time_point now, command_list& out);
@@ -184,6 +189,7 @@
     const core_settings m_settings;
     std::string m_claimant_prefix; ///< "node/incarnation/"
     std::string m_node_prefix;     ///< "node/"
+    std::set<node_id> m_left;      ///< nodes, at most core_settings::most_peers
     std::uint64_t m_next = 1;
     std::unordered_map<item_number, item> m_items;
     std::unordered_map<std::string, item_number> m_by_key;
--- a/routing/claim_book_kv.cc
+++ b/routing/claim_book_kv.cc
@@ -344,8 +344,9 @@
     }
     const claim_record record = record_in(*entry, "");
     // A claim of this node that this process doesn't hold: its creator was the process before.
+    // Or its creator left.
     const bool creator_died = record.progress == claim_progress::claimed &&
-                              made_here(record.claimant) && !m_by_key.contains(asked.key);
+                              creator_is_gone(record.claimant) && !m_by_key.contains(asked.key);
     key_state state = key_state::in_progress;
     if (record.progress == claim_progress::ran)
         state = key_state::ran;
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -134,8 +134,13 @@
         void operator()(const peer_demand_seen& e) const
         {
             core.peers.install(e.node, e.rows, now);
+            core.claims.note_seen(e.node);
+        }
+        void operator()(const peer_left& e) const
+        {
+            core.peers.forget(e.node);
+            core.claims.note_left(e.node);
         }
-        void operator()(const peer_left& e) const { core.peers.forget(e.node); }
         void operator()(const tick& /*e*/) const { core.run_tick(now, out); }
     };
     std::visit(visitor{*this, now, out}, happened);
--- a/routing/request_core_test.cc
+++ b/routing/request_core_test.cc
@@ -432,6 +432,32 @@
     cr_assert(first<report_key>(told)->state == key_state::unknown);
 }
 
+// The entry VM that took the confirmation dies with it. Once the others know that it left, a repeat
+// is told at once that the outcome is unknown; while it may still be at work, the repeat waits.
+Test(keyed, a_claim_of_a_node_that_left_is_unknown)
+{
+    for (const bool left : {true, false}) {
+        fixture world;
+        if (left)
+            world.send(peer_left{node_id{"entry-2"}});
+        const claim_record open{"entry-2/boot-0/4", "body", claim_progress::claimed, {}};
+        const std::string key = claim_key("test", workspace_id{"farm"}, "monday");
+        const kv_outcome found{false, 9, {{key, to_json(open), 8, 8, lease_id{}}}};
+        const command_list asked = world.plain(1, "/orders", "monday");
+        const command_list leased =
+            world.send(lease_result{first<grant_lease>(asked)->token, lease_id{5}});
+        const command_list judged = world.send(kv_result{first<call_kv>(leased)->token, found});
+        cr_assert_eq(count<refuse>(judged), left ? 1 : 0);
+        if (left)
+            cr_assert(first<refuse>(judged)->ran == ran_state::unknown);
+        const command_list question =
+            world.send(key_status_asked{request_id{2}, workspace_id{"farm"}, "monday"});
+        const command_list told = world.send(kv_result{first<call_kv>(question)->token, found});
+        cr_assert(first<report_key>(told)->state ==
+                  (left ? key_state::unknown : key_state::in_progress));
+    }
+}
+
 // The platform is dark for an hour. Who confirms an order is told within two calls that it was not
 // sent; those who come after are told at once; reads of the same service go on all the while.
 Test(keyed, a_dark_platform_refuses_keyed_calls_and_no_others)
