--- a/peers/transport_test.cc
+++ b/peers/transport_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <criterion/criterion.h>
 #include <openssl/pem.h>
 #include <openssl/x509v3.h>
@@ -63,7 +64,7 @@
 
     peer_tls_files write(const std::string& name, const identity& own, const identity& authority)
     {
-        const peer_tls_files files{file(name + ".crt"), file(name + ".key"), file(name + ".ca")};
+        peer_tls_files files{file(name + ".crt"), file(name + ".key"), file(name + ".ca")};
         write_certificate(files.certificate, own);
         write_certificate(files.authority, authority);
         std::FILE* out = std::fopen(files.key.c_str(), "w");
