--- a/config/head.cc
+++ b/config/head.cc
@@ -52,6 +52,37 @@
             to_strings(object.at("rows"))};
 }
 
+std::string check_of(const page_manifest& manifest)
+{
+    std::string all = manifest.deployment;
+    for (const std::string& digest : manifest.routes)
+        all += '/' + digest;
+    for (const std::string& digest : manifest.pools)
+        all += '|' + digest;
+    return page_digest(all);
+}
+
+/// Numbers and digests in turn.
+json::array changed_buckets(const std::vector<std::string>& from,
+                            const std::vector<std::string>& to)
+{
+    json::array out;
+    for (std::size_t i = 0; i < to.size(); ++i) {
+        if (from[i] == to[i])
+            continue;
+        out.emplace_back(i);
+        out.emplace_back(to[i]);
+    }
+    return out;
+}
+
+void change_buckets(std::vector<std::string>& buckets, const json::value& changes)
+{
+    const json::array& list = changes.as_array();
+    for (std::size_t i = 0; i + 1 < list.size(); i += 2)
+        buckets.at(list[i].to_number<std::size_t>()) = std::string{list[i + 1].as_string()};
+}
+
 } // namespace
 
 std::string render_head(const head_record& head)
@@ -90,6 +121,51 @@
     }
 }
 
+std::string render_delta(const head_record& from, const head_record& to)
+{
+    const bool same_buckets = from.manifest.routes.size() == to.manifest.routes.size() &&
+                              from.manifest.pools.size() == to.manifest.pools.size();
+    if (!same_buckets)
+        return {};
+    json::array history;
+    for (const history_entry& entry : to.history)
+        history.push_back(to_json(entry));
+    const json::object object{{"base", from.revision().value()},
+                              {"routes", changed_buckets(from.manifest.routes, to.manifest.routes)},
+                              {"pools", changed_buckets(from.manifest.pools, to.manifest.pools)},
+                              {"history", std::move(history)},
+                              {"check", check_of(to.manifest)}};
+    return json::serialize(object);
+}
+
+result<head_record> apply_delta(const head_record& from, std::string_view text)
+{
+    const error unfit{error_kind::protocol, "a peer's delta does not fit the head it is based on",
+                      "nothing; the whole head is asked for"};
+    boost::system::error_code failed;
+    const json::value value = json::parse(text, failed);
+    if (failed)
+        return unfit;
+    try {
+        const json::object& object = value.as_object();
+        if (object.at("base").to_number<std::int64_t>() != from.revision().value())
+            return unfit;
+        head_record head{from.manifest, {}};
+        change_buckets(head.manifest.routes, object.at("routes"));
+        change_buckets(head.manifest.pools, object.at("pools"));
+        for (const json::value& entry : object.at("history").as_array())
+            head.history.push_back(entry_from(entry));
+        const bool whole = !head.history.empty() && head.revision() > from.revision() &&
+                           check_of(head.manifest) == text_of(object, "check");
+        if (!whole)
+            return unfit;
+        return head;
+    }
+    catch (const std::exception&) { // a field is missing, of another type, or a bucket too high
+        return unfit;
+    }
+}
+
 std::string config_keys::revision(config_revision revision) const
 {
     std::string digits = std::to_string(revision.value());
--- a/config/head.h
+++ b/config/head.h
@@ -50,6 +50,13 @@
 /// Errors: protocol, if the text is not a head record.
 result<head_record> parse_head(std::string_view text);
 
+/// What turns the head `from` into `to`: the buckets that differ. Empty if the tables have another
+/// number of buckets, so that the whole head has to be sent.
+std::string render_delta(const head_record& from, const head_record& to);
+/// Errors: protocol, if the text is no delta, is based on another revision, or leads to a head
+/// that is not the one it was made from.
+result<head_record> apply_delta(const head_record& from, std::string_view text);
+
 /// Names of the keys that hold the configuration.
 class config_keys {
 public:
--- a/config/spread.cc
+++ b/config/spread.cc
@@ -13,7 +13,7 @@
 // healed domain catches up by doubling from node to node and no single node is asked by all.
 //
 // Why no node's revision ever goes down: `put_in_force` is the only place that sets it, it takes
-// `m_fetch`, and `consider` admits to `m_fetch` only heads above what is installed. An old head
+// `m_fetch`, and `admit` lets into `m_fetch` only heads above what is installed. An old head
 // from a lagging peer, a paused watch or a platform restored from a backup is thus ignored.
 //
 // Why a head is never put in force in part: the tables are put together from all pages at once,
@@ -28,7 +28,7 @@
 
 constexpr std::size_t most_reply_bytes = 700U << 10U; ///< leaves room in a frame for the head
 constexpr std::size_t most_remembered = 16;
-constexpr std::size_t history_for_peers = 4;
+constexpr std::size_t history_for_peers = 2;
 constexpr std::size_t most_peers = 2048;
 constexpr std::size_t peers_before_platform = 2;
 constexpr std::size_t most_doublings = 6;
@@ -44,11 +44,11 @@
 
 /// Sixty-four entries would double what each change costs on each node; the whole history is read
 /// from the platform by whoever asks for it.
-std::string text_for_peers(const head_record& head)
+head_record shortened(const head_record& head)
 {
-    head_record shortened = head;
-    shortened.history.resize(std::min(shortened.history.size(), history_for_peers));
-    return render_head(shortened);
+    head_record out = head;
+    out.history.resize(std::min(out.history.size(), history_for_peers));
+    return out;
 }
 
 } // namespace
@@ -241,21 +241,23 @@
 {
     if (!m_installed || (asked.digests.empty() && asked.base >= revision()))
         return;
-    config_reply reply{revision(), {}, {}};
+    config_reply reply{revision(), {}, {}, {}};
     std::vector<std::string> wanted = asked.digests;
     if (wanted.empty()) {
-        reply.head = m_installed->peer_text;
         const auto base = std::find_if(m_recent.begin(), m_recent.end(), [&](const auto& past) {
-            return past.revision == asked.base;
+            return past.head.revision() == asked.base;
         });
         // Of a base that we don't remember we can't tell what is missing; the peer can.
         const std::vector<std::string> now_needed = m_recent.back().digests;
         if (base != m_recent.end()) {
             std::set_difference(now_needed.begin(), now_needed.end(), base->digests.begin(),
                                 base->digests.end(), std::back_inserter(wanted));
+            reply.delta = render_delta(base->head, shortened(m_installed->head));
         }
+        if (reply.delta.empty())
+            reply.head = m_installed->peer_text;
     }
-    std::size_t bytes = reply.head.size();
+    std::size_t bytes = reply.head.size() + reply.delta.size();
     for (const std::string& digest : wanted) {
         const auto page = m_pages.find(digest);
         if (page == m_pages.end())
@@ -265,7 +267,7 @@
         bytes += page->second.size();
         reply.pages.push_back({digest, page->second});
     }
-    if ((reply.head.empty() && reply.pages.empty()) || !may_reply(now, bytes))
+    if (bytes == 0 || !may_reply(now, bytes))
         return;
     out.emplace_back(tell_peer{to, std::move(reply)});
 }
@@ -277,6 +279,12 @@
     const bool had_fetch = m_fetch.has_value();
     if (!reply.head.empty())
         consider(reply.head, out);
+    if (!reply.delta.empty() && m_installed) {
+        // One that does not fit, since we have moved on meanwhile, is as if it had not come.
+        const result<head_record> head = apply_delta(m_installed->head, reply.delta);
+        if (head)
+            admit(head.value(), out);
+    }
     const bool helped = take_pages(reply.pages) || (!had_fetch && m_fetch);
     m_asked_in_vain = helped ? 0 : m_asked_in_vain + 1;
     // A reply of no use is followed by another peer at the next tick.
@@ -351,7 +359,12 @@
         out.emplace_back(report{"config_head_refused", parsed.error()});
         return;
     }
-    const head_record& head = parsed.value();
+    admit(parsed.value(), out);
+}
+
+/// Takes a head for fetching if it is newer than what is installed and what is being fetched.
+void spread_core::admit(const head_record& head, spread_commands& out)
+{
     if (head.manifest.deployment != m_settings.deployment) {
         out.emplace_back(report{"config_foreign_deployment",
                                 foreign(head.manifest.deployment, m_settings.deployment)});
@@ -427,7 +440,8 @@
     m_fetch.reset();
     std::map<std::string, std::string> pages = std::move(done.got);
     std::vector<table_page> parts;
-    remembered past{done.head.revision(), pages_of(done.head.manifest)};
+    remembered past{done.head, pages_of(done.head.manifest)};
+    past.head.history.resize(1);
     for (const std::string& digest : past.digests) {
         const auto kept = m_pages.find(digest);
         if (kept != m_pages.end())
@@ -446,7 +460,7 @@
         m_recent.pop_front();
     auto shared = std::make_shared<const configuration>(std::move(tables).value());
     m_installed = {shared, std::move(done.head), {}};
-    m_installed->peer_text = text_for_peers(m_installed->head);
+    m_installed->peer_text = render_head(shortened(m_installed->head));
     m_asked = false;
     m_asked_in_vain = 0;
     out.emplace_back(install{shared});
--- a/config/spread.h
+++ b/config/spread.h
@@ -45,7 +45,7 @@
 struct installed_configuration {
     std::shared_ptr<const configuration> tables;
     head_record head;
-    std::string peer_text; ///< the head as peers get it, with a short history
+    std::string peer_text; ///< the whole head as peers get it, with a short history
 };
 
 // Commands.
@@ -114,7 +114,7 @@
 
     /// Pages of a revision that was installed here, to work out what another node lacks.
     struct remembered {
-        config_revision revision;
+        head_record head;                 ///< with no more history than its own entry
         std::vector<std::string> digests; ///< sorted
     };
 
@@ -125,6 +125,7 @@
     void take_reply(time_point now, const node_id& from, const config_reply& reply,
                     spread_commands& out);
     void consider(const std::string& text, spread_commands& out);
+    void admit(const head_record& head, spread_commands& out);
     bool take_pages(const std::vector<config_page>& pages);
     void proceed(time_point now, const std::optional<node_id>& from, spread_commands& out);
     void put_in_force(spread_commands& out);
--- a/config/spread_test.cc
+++ b/config/spread_test.cc
@@ -212,7 +212,7 @@
     spread_core core{settings, random_source{1}};
     const time_point now{seconds{5}};
     (void)core.tick(now);
-    config_reply reply{head.revision(), render_head(head), {}};
+    config_reply reply{head.revision(), render_head(head), {}, {}};
     for (const std::string& digest : pages_of(head.manifest))
         reply.pages.push_back({digest, "[]"});
     (void)core.peer_spoke(now, {node_id{"y"}, config_digest{head.revision(), false}});
@@ -220,6 +220,27 @@
     cr_assert_not(core.installed().has_value());
 }
 
+// A node has moved on since it asked, or a peer's delta was made from another head: applied all the
+// same it would put tables in force that nobody accepted. It is refused, and so is a damaged one.
+Test(spread, a_delta_fits_only_the_head_it_was_made_from)
+{
+    const auto head_of = [](std::int64_t revision, std::uint32_t mark) {
+        history_entry entry;
+        entry.revision = config_revision{revision};
+        const paged_tables paged = to_pages(test_fleet::tables(rows, mark, mark)).value();
+        return head_record{paged.manifest, {entry}};
+    };
+    const head_record base = head_of(4, 1);
+    const head_record next = head_of(6, 2);
+    const std::string delta = render_delta(base, next);
+    cr_assert(apply_delta(base, delta).value() == next);
+    cr_assert_lt(delta.size(), render_head(next).size());
+    cr_assert(apply_delta(head_of(5, 1), delta).has_error());
+    cr_assert(apply_delta(head_of(4, 3), delta).has_error(), "same revision, another head");
+    for (std::size_t cut = 0; cut < delta.size(); ++cut)
+        cr_assert(apply_delta(base, std::string_view{delta}.substr(0, cut)).has_error());
+}
+
 // Every order of one collector's two steps (look, delete) and one editor's two steps (look, swap)
 // that brings an old page back: afterwards each page that the head names must be there.
 Test(collect, never_deletes_a_page_that_is_named)
--- a/peers/frame.h
+++ b/peers/frame.h
@@ -43,8 +43,9 @@
 /// Head record of `revision` as it stands in the key-value service, and pages.
 struct config_reply {
     config_revision revision;
-    std::string head; ///< empty if only pages were asked for
+    std::string head; ///< empty if only pages were asked for, or if there is a delta
     std::vector<config_page> pages;
+    std::string delta; ///< what turns the asker's base into the head, if the base is known
 };
 
 /// A peer's installed revision, from any frame of its.
--- a/peers/gen/peers_types.cpp
+++ b/peers/gen/peers_types.cpp
@@ -1289,6 +1289,11 @@
   this->pages = val;
 __isset.pages = true;
 }
+
+void config_reply::__set_delta(const std::string& val) {
+  this->delta = val;
+__isset.delta = true;
+}
 std::ostream& operator<<(std::ostream& out, const config_reply& obj)
 {
   obj.printTo(out);
@@ -1353,6 +1358,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->delta);
+          this->__isset.delta = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1392,6 +1405,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.delta) {
+    xfer += oprot->writeFieldBegin("delta", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeBinary(this->delta);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1402,6 +1420,7 @@
   swap(a.revision, b.revision);
   swap(a.head, b.head);
   swap(a.pages, b.pages);
+  swap(a.delta, b.delta);
   swap(a.__isset, b.__isset);
 }
 
@@ -1409,12 +1428,14 @@
   revision = other29.revision;
   head = other29.head;
   pages = other29.pages;
+  delta = other29.delta;
   __isset = other29.__isset;
 }
 config_reply& config_reply::operator=(const config_reply& other30) {
   revision = other30.revision;
   head = other30.head;
   pages = other30.pages;
+  delta = other30.delta;
   __isset = other30.__isset;
   return *this;
 }
@@ -1424,6 +1445,7 @@
   out << "revision=" << to_string(revision);
   out << ", " << "head="; (__isset.head ? (out << to_string(head)) : (out << "<null>"));
   out << ", " << "pages="; (__isset.pages ? (out << to_string(pages)) : (out << "<null>"));
+  out << ", " << "delta="; (__isset.delta ? (out << to_string(delta)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/peers_types.h
+++ b/peers/gen/peers_types.h
@@ -576,10 +576,11 @@
 std::ostream& operator<<(std::ostream& out, const config_page& obj);
 
 typedef struct _config_reply__isset {
-  _config_reply__isset() : revision(false), head(false), pages(false) {}
+  _config_reply__isset() : revision(false), head(false), pages(false), delta(false) {}
   bool revision :1;
   bool head :1;
   bool pages :1;
+  bool delta :1;
 } _config_reply__isset;
 
 class config_reply : public virtual ::apache::thrift::TBase {
@@ -589,13 +590,15 @@
   config_reply& operator=(const config_reply&);
   config_reply() noexcept
                : revision(0),
-                 head() {
+                 head(),
+                 delta() {
   }
 
   virtual ~config_reply() noexcept;
   int64_t revision;
   std::string head;
   std::vector<config_page>  pages;
+  std::string delta;
 
   _config_reply__isset __isset;
 
@@ -605,6 +608,8 @@
 
   void __set_pages(const std::vector<config_page> & val);
 
+  void __set_delta(const std::string& val);
+
   bool operator == (const config_reply & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -617,6 +622,10 @@
       return false;
     else if (__isset.pages && !(pages == rhs.pages))
       return false;
+    if (__isset.delta != rhs.__isset.delta)
+      return false;
+    else if (__isset.delta && !(delta == rhs.delta))
+      return false;
     return true;
   }
   bool operator != (const config_reply &rhs) const {
--- a/peers/membership.cc
+++ b/peers/membership.cc
@@ -283,7 +283,8 @@
             sender, config_request{config_revision{frame.request.base}, frame.request.digests}});
     }
     if (frame.__isset.reply) {
-        config_reply reply{config_revision{frame.reply.revision}, frame.reply.head, {}};
+        config_reply reply{
+            config_revision{frame.reply.revision}, frame.reply.head, {}, frame.reply.delta};
         for (const wire::config_page& page : frame.reply.pages)
             reply.pages.push_back({page.digest, page.bytes});
         out.emplace_back(config_message{sender, std::move(reply)});
@@ -397,6 +398,8 @@
         answer_out.revision = reply->revision.value();
         if (!reply->head.empty())
             answer_out.__set_head(reply->head);
+        if (!reply->delta.empty())
+            answer_out.__set_delta(reply->delta);
         std::vector<wire::config_page> pages;
         for (const config_page& page : reply->pages) {
             wire::config_page wired;
--- a/peers/peers.thrift
+++ b/peers/peers.thrift
@@ -80,6 +80,7 @@
   1: i64 revision
   2: optional binary head
   3: optional list<config_page> pages
+  4: optional binary delta         // what changed in the head since the asker's base
 }
 
 struct frame {
