--- /dev/null
+++ b/routing/policy_workload.h
@@ -0,0 +1,118 @@
+// For the policy report: the load. Not in the public header.
+//
+// Ten workspaces of unequal size, each with a system prompt of its own; three in four requests go
+// on with a conversation of late, whose prompt has grown by its last turn if that was answered.
+#pragma once
+
+#include "routing/policy_engine.h"
+
+#include <algorithm>
+#include <string>
+
+namespace jaynotch::policy {
+
+constexpr int workspaces = 10;
+constexpr int system_blocks = 8;
+constexpr std::size_t longest_prompt = 40;
+constexpr double share_that_goes_on = 0.75;
+constexpr int conversations_per_group = 250;
+constexpr double mean_answer_tokens = 100.0;
+
+struct conversation {
+    std::uint64_t id = 0;
+    int workspace = 0;
+    std::vector<std::uint64_t> blocks;
+};
+
+/// Makes prompts.
+class workload {
+public:
+    workload(std::uint64_t seed, int groups)
+        : m_random{seed}, m_conversations{static_cast<std::size_t>(groups) *
+                                          conversations_per_group}
+    {}
+
+    request_info next(std::uint64_t id)
+    {
+        request_info info;
+        info.id = request_id{id};
+        info.kind = request_kind::chat;
+        info.model = "m";
+        info.stream = true;
+        const std::size_t place = pick_conversation();
+        const conversation& talk = m_recent[place];
+        m_asked[id] = {place, talk.id};
+        info.prefix_blocks = talk.blocks;
+        const auto grows = static_cast<std::size_t>(m_random.between(2, 5));
+        for (std::size_t added = 0; added < grows; ++added)
+            info.prefix_blocks.push_back(m_random.bits() | 1U);
+        info.workspace = workspace_id{"ws-" + std::to_string(talk.workspace)};
+        info.prompt_tokens = static_cast<std::uint32_t>(info.prefix_blocks.size()) * block_tokens;
+        const double tokens = m_random.exponential(mean_answer_tokens);
+        info.answer_tokens = static_cast<std::uint32_t>(std::clamp(tokens, 8.0, 300.0));
+        return info;
+    }
+
+    /// The turn was answered: the conversation goes on from there.
+    void answered(std::uint64_t id, const std::vector<std::uint64_t>& blocks)
+    {
+        const auto asked = m_asked.find(id);
+        if (asked == m_asked.end())
+            return;
+        conversation& talk = m_recent[asked->second.place];
+        if (talk.id == asked->second.conversation && talk.blocks.size() < blocks.size())
+            talk.blocks = blocks;
+        m_asked.erase(asked);
+    }
+
+private:
+    struct turn {
+        std::size_t place = 0;
+        std::uint64_t conversation = 0;
+    };
+
+    std::size_t pick_conversation()
+    {
+        if (!m_recent.empty() && m_random.chance(share_that_goes_on)) {
+            const std::size_t place = m_random.index(m_recent.size());
+            if (m_recent[place].blocks.size() >= longest_prompt)
+                m_recent[place] = fresh();
+            return place;
+        }
+        if (m_recent.size() < m_conversations) {
+            m_recent.push_back(fresh());
+            return m_recent.size() - 1;
+        }
+        const std::size_t oldest = m_next++ % m_recent.size();
+        m_recent[oldest] = fresh();
+        return oldest;
+    }
+
+    conversation fresh()
+    {
+        // A few large workspaces: the share falls as 1, 1/2, 1/3 ...
+        double mass = 0.0;
+        for (int at = 1; at <= workspaces; ++at)
+            mass += 1.0 / at;
+        double drawn = m_random.unit() * mass;
+        int chosen = 1;
+        while (chosen < workspaces && drawn > 1.0 / chosen) {
+            drawn -= 1.0 / chosen;
+            ++chosen;
+        }
+        conversation made{++m_next_conversation, chosen, {}};
+        for (int block = 0; block < system_blocks; ++block)
+            made.blocks.push_back(
+                hash64(std::to_string(chosen), static_cast<std::uint64_t>(block)));
+        return made;
+    }
+
+    random_source m_random;
+    std::size_t m_conversations;
+    std::size_t m_next = 0;
+    std::uint64_t m_next_conversation = 0;
+    std::unordered_map<std::uint64_t, turn> m_asked;
+    std::vector<conversation> m_recent;
+};
+
+} // namespace jaynotch::policy
