groups: benchmark of repair on seeded weeks of faults; a group built beside one that a member leaves

jaynotch-repair drives the managers over fake engines on a clock of its own, against first fit and a bound that knows the future; manager_bench times a tick. With enough free VMs a whole group is now built beside one that a member is about to leave, instead of a switch that ends its requests.

--- a/groups/plan.cc
+++ b/groups/plan.cc
@@ -66,6 +66,7 @@
     run.complete_one_from_another();
     run.form_groups();
     run.roll_out();
+    run.build_beside_leaving();
     run.bind_spares();
     return std::move(run.next);
 }
@@ -175,6 +176,8 @@
         }
         // A planned switch ends the requests in flight, so it waits until there are none.
         if (seen.whole && !seen.switched && !at_last_moment) {
+            if (being_replaced(group.group))
+                continue;
             if (!group.draining)
                 start_drain(group, false, "a member is replaced");
             if (!drained(group))
--- a/groups/plan_pass.h
+++ b/groups/plan_pass.h
@@ -20,6 +20,8 @@
     void switch_to_substitutes();
     // rollout.cc: new versions, adapters and sizes.
     void roll_out();
+    void build_beside_leaving();
+    [[nodiscard]] bool being_replaced(const group_id& group) const;
     // repair.cc: VMs to where they are worth most.
     void cover_lost_places();
     void complete_one_from_another();
--- /dev/null
+++ b/groups/repair_main.cc
@@ -0,0 +1,100 @@
+// jaynotch-repair: what repair costs on seeded weeks of faults, against first fit and a bound that
+// knows the future. Prints a Markdown table.
+//
+//   jaynotch-repair --days=14 --seed=1
+#include "groups/repair_world.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+#include <chrono>
+#include <cstdio>
+#include <string>
+
+ABSL_FLAG(int, days, 14, "length of the schedule at today's size");
+ABSL_FLAG(int, large_days, 2, "length of the schedule at 1,600 runners; 0 leaves it out");
+ABSL_FLAG(bool, domain_loss, false, "only the platform writes when a failure domain goes dark");
+ABSL_FLAG(std::uint64_t, seed, 1, "of the schedule");
+
+namespace {
+
+using namespace jaynotch::groups;
+
+void report(const char* name, const repair_options& options)
+{
+    const auto schedule = make_schedule(options);
+    const auto started = std::chrono::steady_clock::now();
+    const repair_cost ours = run_manager(options, schedule);
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - started;
+    const repair_cost fit = run_first_fit(options, schedule);
+    const repair_cost bound = run_bound(options, schedule);
+    const auto line = [&](const char* policy, const repair_cost& cost) {
+        std::printf("| %s | %s | %.0f | %.0f | %.0f | %.2f |\n", name, policy,
+                    cost.group_seconds_down, cost.accelerator_seconds_idle, cost.weighted(options),
+                    cost.weighted(options) / bound.weighted(options));
+    };
+    line("jaynotch", ours);
+    line("first fit", fit);
+    line("bound", bound);
+    std::fprintf(stderr,
+                 "%s: %zu changes, %llu writes, most a second %llu, ran %.1f s; first fit / ours: "
+                 "down %.2f, idle %.2f\n",
+                 name, schedule.size(), static_cast<unsigned long long>(ours.record_writes),
+                 static_cast<unsigned long long>(ours.most_writes_a_second), took.count(),
+                 fit.group_seconds_down / ours.group_seconds_down,
+                 fit.accelerator_seconds_idle / ours.accelerator_seconds_idle);
+}
+
+/// A failure domain of five fabric domains goes dark at once and comes back an hour later.
+void report_domain_loss()
+{
+    repair_options options;
+    options.domains = 25;
+    options.vms_per_domain = 64;
+    options.replica_vms = 8;
+    options.replicas = 185;
+    options.span = std::chrono::hours{2};
+    std::vector<scheduled_fault> schedule;
+    const jaynotch::time_point lost{std::chrono::hours{1} + std::chrono::minutes{30}};
+    for (const auto change : {vm_change::fail, vm_change::arrive}) {
+        for (std::size_t vm = 0; vm < 5 * options.vms_per_domain; ++vm)
+            schedule.push_back({lost + (change == vm_change::fail ? std::chrono::minutes{0}
+                                                                  : std::chrono::minutes{60}),
+                                change, vm});
+    }
+    const repair_cost cost = run_manager(options, schedule);
+    std::fprintf(stderr, "failure domain lost: %llu writes, most a second %llu\n",
+                 static_cast<unsigned long long>(cost.record_writes),
+                 static_cast<unsigned long long>(cost.most_writes_a_second));
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    if (absl::GetFlag(FLAGS_domain_loss)) {
+        report_domain_loss();
+        return 0;
+    }
+    std::printf(
+        "| fleet | policy | group-s down | accelerator-s idle | weighted cost | of bound |\n"
+        "| --- | --- | --- | --- | --- | --- |\n");
+    for (const bool apred : {false, true}) {
+        repair_options today;
+        today.seed = absl::GetFlag(FLAGS_seed);
+        today.span = std::chrono::hours{24 * absl::GetFlag(FLAGS_days)};
+        today.weight_down = apred ? 20.0 : 2.0;
+        today.weight_idle = apred ? 1.0 : 5.0;
+        report(apred ? "APRED, 50" : "Fjordgrøde, 50", today);
+        repair_options large = today;
+        large.domains = 25;
+        large.vms_per_domain = 64;
+        large.replica_vms = 8;
+        large.replicas = 185;
+        large.span = std::chrono::hours{24 * absl::GetFlag(FLAGS_large_days)};
+        if (absl::GetFlag(FLAGS_large_days) > 0)
+            report(apred ? "APRED, 1,600" : "Fjordgrøde, 1,600", large);
+    }
+    return 0;
+}
--- /dev/null
+++ b/groups/repair_world.cc
@@ -0,0 +1,396 @@
+// A domain is stepped only around its faults, from a little before one until its manager has
+// nothing more to do; in between nothing can change, so the costs go on at their last rate.
+#include "groups/repair_world.h"
+
+#include <algorithm>
+#include <array>
+
+namespace jaynotch::groups {
+
+namespace {
+
+constexpr auto deployment = "bench";
+constexpr std::chrono::seconds step_length{2};
+constexpr std::chrono::seconds before_fault{16}; ///< reports are fresh and VMs quiet by then
+constexpr std::chrono::seconds calm_after{90};   ///< without change, the domain rests
+constexpr std::chrono::seconds stream_length{20};
+constexpr std::chrono::seconds leave_notice{150}; ///< of a planned replacement
+constexpr double load_seconds = 60.0;
+constexpr double loads_at_full_rate = 8.0; ///< of one domain, from the weight store
+constexpr std::size_t rack_vms = 8;
+// Of one VM, from the target fleet of 1,600: 15 failures and 430 replacements a day.
+constexpr double failures_a_day = 15.0 / 1600.0;
+constexpr double replacements_a_day = 430.0 / 1600.0;
+constexpr double pauses_a_day = 15.0 / 1600.0;
+constexpr double rack_losses_a_day = 1.0 / 45.0;    ///< of the whole fleet
+constexpr double domain_losses_a_day = 1.5 / 365.0; ///< likewise
+constexpr double day_seconds = 86'400.0;
+const time_point begin{std::chrono::hours{1}};
+
+duration seconds_of(double count)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>{count});
+}
+
+/// Times and costs of one domain between two moments.
+struct running_cost {
+    time_point since = begin;
+    double down = 0.0; ///< groups wanted but not whole; over all domains
+    double idle = 0.0; ///< live accelerators outside of whole groups
+
+    void move(time_point now, repair_cost& total)
+    {
+        // The first forming isn't counted: the other policies start whole.
+        const time_point from = std::max(since, begin + std::chrono::seconds{900});
+        const double span = std::max(0.0, std::chrono::duration<double>(now - from).count());
+        total.group_seconds_down += down * span;
+        total.accelerator_seconds_idle += idle * span;
+        since = now;
+    }
+};
+
+} // namespace
+
+std::vector<scheduled_fault> make_schedule(const repair_options& options)
+{
+    random_source random{options.seed};
+    std::vector<scheduled_fault> schedule;
+    const std::size_t fleet = options.domains * options.vms_per_domain;
+    const double span = std::chrono::duration<double>(options.span).count();
+    std::vector<time_point> busy_until(fleet, begin);
+    const auto add = [&](std::size_t vm, time_point at, duration gone, vm_change first) {
+        if (busy_until[vm] > at)
+            return;
+        const time_point back = at + gone;
+        busy_until[vm] = back + std::chrono::seconds{600};
+        if (first == vm_change::notice_leaving) {
+            schedule.push_back({at - leave_notice, first, vm});
+            first = vm_change::leave;
+        }
+        schedule.push_back({at, first, vm});
+        schedule.push_back(
+            {back, first == vm_change::pause ? vm_change::resume : vm_change::arrive, vm});
+    };
+    struct moment {
+        double at;
+        std::size_t what;
+    };
+    std::vector<moment> moments;
+    const double vms = static_cast<double>(fleet);
+    const std::array<double, 5> rates{failures_a_day * vms, replacements_a_day * vms,
+                                      pauses_a_day * vms, rack_losses_a_day * vms / 1600.0,
+                                      domain_losses_a_day * vms / 1600.0};
+    for (std::size_t what = 0; what < rates.size(); ++what) {
+        for (double at = 900.0 + random.exponential(day_seconds / rates[what]); at < span - 900.0;
+             at += random.exponential(day_seconds / rates[what]))
+            moments.push_back({at, what});
+    }
+    std::sort(moments.begin(), moments.end(),
+              [](const moment& a, const moment& b) { return a.at < b.at; });
+    for (const moment& one : moments) {
+        const std::size_t vm = random.index(fleet);
+        const time_point at = begin + seconds_of(one.at);
+        const std::size_t domain = vm / options.vms_per_domain * options.vms_per_domain;
+        if (one.what == 0)
+            add(vm, at, seconds_of(120.0 + random.exponential(480.0)), vm_change::fail);
+        if (one.what == 1)
+            add(vm, at, seconds_of(30.0 + random.exponential(60.0)), vm_change::notice_leaving);
+        if (one.what == 2)
+            add(vm, at, seconds_of(2.0 + random.exponential(20.0)), vm_change::pause);
+        const std::size_t many = one.what == 3 ? rack_vms : options.vms_per_domain;
+        const std::size_t first = one.what == 3 ? vm : domain;
+        for (std::size_t i = 0; one.what >= 3 && i < many; ++i) {
+            const std::size_t hit = domain + (first - domain + i) % options.vms_per_domain;
+            add(hit, at, seconds_of(3600.0 + double(i)), vm_change::fail);
+        }
+    }
+    std::stable_sort(schedule.begin(), schedule.end(),
+                     [](const auto& a, const auto& b) { return a.at < b.at; });
+    return schedule;
+}
+
+namespace {
+
+/// One fabric domain under its manager.
+struct managed_domain {
+    managed_domain(manager_settings settings) : manager{std::move(settings)} {}
+
+    domain_manager manager;
+    std::map<std::size_t, fake_engine> engines; ///< by index in the fleet; absent while lost
+    std::map<vm_id, std::size_t> index;
+    time_point awake_until = begin + std::chrono::hours{1};
+    time_point next_wake = begin;
+    std::map<group_id, time_point> draining_since;
+    std::set<std::size_t> paused;
+    std::map<std::size_t, time_point> leaving;
+    bool list_changed = true;
+    std::set<std::string> records_due;
+    running_cost cost;
+    double whole = 0.0;
+};
+
+class managed_fleet {
+public:
+    managed_fleet(const repair_options& options, const std::vector<scheduled_fault>& schedule);
+    repair_cost run();
+
+private:
+    void apply(const scheduled_fault& fault);
+    void step(managed_domain& domain, time_point now);
+    void tell(managed_domain& domain, const manager_event& event);
+    void carry_out(managed_domain& domain, const manager_command& command);
+    void account(managed_domain& domain);
+    fake_engine fresh_engine(std::size_t vm);
+
+    repair_options m_options;
+    const std::vector<scheduled_fault>& m_schedule;
+    std::shared_ptr<configuration> m_tables = std::make_shared<configuration>();
+    fake_store m_store;
+    std::vector<std::unique_ptr<managed_domain>> m_domains;
+    std::map<std::string, kv_entry> m_records;
+    std::size_t m_generation = 0;
+    time_point m_now = begin;
+    time_point m_second = begin;
+    std::uint64_t m_writes_this_second = 0;
+    repair_cost m_cost;
+};
+
+managed_fleet::managed_fleet(const repair_options& options,
+                             const std::vector<scheduled_fault>& schedule)
+    : m_options{options}, m_schedule{schedule}
+{
+    m_tables->deployment = deployment;
+    pool row;
+    row.name = pool_id{"runners"};
+    row.model = "llm";
+    row.version = "v1";
+    row.replica_vms = options.replica_vms;
+    row.replicas = options.replicas;
+    row.weight_down = options.weight_down;
+    row.weight_idle = options.weight_idle;
+    m_tables->pools.push_back(row);
+    for (std::size_t d = 0; d < options.domains; ++d) {
+        manager_settings settings;
+        settings.deployment = deployment;
+        settings.self = node_id{"node-" + std::to_string(d)};
+        settings.domain = fabric_domain_id{"fabric-" + std::to_string(d)};
+        settings.lease = std::chrono::hours{24 * 365}; // the domain rests between its faults
+        m_domains.push_back(std::make_unique<managed_domain>(settings));
+        for (std::size_t v = 0; v < options.vms_per_domain; ++v) {
+            const std::size_t vm = d * options.vms_per_domain + v;
+            m_domains[d]->engines.emplace(vm, fresh_engine(vm));
+        }
+        tell(*m_domains[d], tables_installed{m_tables});
+    }
+}
+
+fake_engine managed_fleet::fresh_engine(std::size_t vm)
+{
+    const std::size_t d = vm / m_options.vms_per_domain;
+    const std::string name = "vm-" + std::to_string(vm) + "-" + std::to_string(++m_generation);
+    fake_engine engine{vm_row{vm_id{name},
+                              name + ":1",
+                              fabric_domain_id{"fabric-" + std::to_string(d)},
+                              failure_domain_id{"here"},
+                              m_options.accelerators,
+                              false,
+                              {}}};
+    engine.load_seconds = load_seconds;
+    m_domains[d]->index[engine.row.vm] = vm;
+    return engine;
+}
+
+void managed_fleet::apply(const scheduled_fault& fault)
+{
+    managed_domain& domain = *m_domains[fault.vm / m_options.vms_per_domain];
+    domain.awake_until = m_now + calm_after;
+    domain.list_changed = true;
+    const auto engine = domain.engines.find(fault.vm);
+    if (fault.change == vm_change::arrive)
+        domain.engines.emplace(fault.vm, fresh_engine(fault.vm));
+    else if (engine == domain.engines.end())
+        return;
+    else if (fault.change == vm_change::notice_leaving) {
+        engine->second.row.leaving = true;
+        domain.awake_until = fault.at + leave_notice + calm_after;
+        domain.leaving[fault.vm] = fault.at + leave_notice;
+    }
+    else if (fault.change == vm_change::pause)
+        domain.paused.insert(fault.vm);
+    else if (fault.change == vm_change::resume)
+        domain.paused.erase(fault.vm);
+    else {
+        domain.index.erase(engine->second.row.vm);
+        domain.engines.erase(engine);
+        domain.leaving.erase(fault.vm);
+    }
+}
+
+void managed_fleet::tell(managed_domain& domain, const manager_event& event)
+{
+    for (const manager_command& command : domain.manager.handle(event, m_now))
+        carry_out(domain, command);
+}
+
+void managed_fleet::carry_out(managed_domain& domain, const manager_command& command)
+{
+    const auto engine_of = [&](const vm_id& vm) -> fake_engine* {
+        const auto at = domain.index.find(vm);
+        return at == domain.index.end() || domain.paused.contains(at->second)
+                   ? nullptr
+                   : &domain.engines.at(at->second);
+    };
+    if (const auto* call = std::get_if<kv_call>(&command)) {
+        const std::int64_t before = m_store.revision();
+        const kv_outcome outcome = m_store.apply(call->transaction, m_now);
+        if (m_store.revision() != before) {
+            ++m_cost.record_writes;
+            m_writes_this_second += 1;
+            const auto key = record_key(deployment, domain.manager.record().domain);
+            for (const kv_entry& entry : m_store.records(deployment)) {
+                if (entry.key != key)
+                    continue;
+                m_records[key] = entry;
+                for (auto& other : m_domains)
+                    other->records_due.insert(key);
+            }
+        }
+        tell(domain, kv_result{call->token, outcome});
+    }
+    else if (const auto* grant = std::get_if<lease_grant>(&command))
+        tell(domain, lease_result{grant->token, m_store.grant(grant->ttl, m_now)});
+    else if (const auto* renew = std::get_if<lease_renew>(&command))
+        tell(domain, lease_result{renew->token, m_store.renew(renew->lease, m_now)});
+    else if (const auto* assign = std::get_if<order_assign>(&command)) {
+        domain.awake_until = m_now + calm_after;
+        if (fake_engine* engine = engine_of(assign->vm); engine != nullptr)
+            engine->assign(*assign);
+    }
+    else if (const auto* release = std::get_if<order_release>(&command)) {
+        domain.awake_until = m_now + calm_after;
+        if (fake_engine* engine = engine_of(release->vm); engine != nullptr)
+            engine->release(*release);
+    }
+}
+
+void managed_fleet::step(managed_domain& domain, time_point now)
+{
+    if (domain.list_changed) {
+        domain.list_changed = false;
+        vms_seen list;
+        for (const auto& other : m_domains) {
+            for (const auto& [vm, engine] : other->engines) {
+                vm_row row = engine.row;
+                if (const auto at = other->leaving.find(vm); at != other->leaving.end())
+                    row.leaves_in =
+                        std::chrono::duration_cast<std::chrono::milliseconds>(at->second - now);
+                list.rows.push_back(std::move(row));
+            }
+        }
+        tell(domain, list);
+    }
+    for (const std::string& key : std::exchange(domain.records_due, {}))
+        tell(domain, record_seen{m_records.at(key)});
+    for (const group_assignment& group : domain.manager.record().groups) {
+        if (!group.draining)
+            domain.draining_since.erase(group.group);
+        else
+            domain.draining_since.try_emplace(group.group, now);
+    }
+    double loading = 0;
+    for (const auto& [vm, engine] : domain.engines)
+        loading += engine.says.state == member_state::loading ? 1 : 0;
+    for (auto& [vm, engine] : domain.engines) {
+        if (domain.paused.contains(vm))
+            continue;
+        engine.advance(step_length, std::min(1.0, loads_at_full_rate / std::max(1.0, loading)));
+        const auto drains = domain.draining_since.find(engine.says.group);
+        const bool done =
+            drains != domain.draining_since.end() && now - drains->second >= stream_length;
+        engine.says.running = engine.says.state == member_state::ready && !done ? 1 : 0;
+        tell(domain, report_seen{engine.row.vm, engine.says, now});
+    }
+    tell(domain, tick{});
+    account(domain);
+}
+
+void managed_fleet::account(managed_domain& domain)
+{
+    domain.cost.move(m_now, m_cost);
+    domain.whole = 0.0;
+    double alive = 0.0;
+    std::map<std::string, const fake_engine*> by_address;
+    for (const auto& [vm, engine] : domain.engines) {
+        if (domain.paused.contains(vm))
+            continue;
+        alive += 1.0;
+        by_address[engine.row.address] = &engine;
+    }
+    for (const auto& [address, engine] : by_address) {
+        const member_report& says = engine->says;
+        if (says.rank != 0 || says.state != member_state::ready)
+            continue;
+        const bool whole =
+            !domain.draining_since.contains(says.group) &&
+            std::all_of(says.members.begin(), says.members.end(), [&](const std::string& one) {
+                const auto at = by_address.find(one);
+                return at != by_address.end() && at->second->says.group == says.group &&
+                       at->second->says.members == says.members &&
+                       at->second->says.state == member_state::ready;
+            });
+        domain.whole += whole ? 1.0 : 0.0;
+    }
+    domain.cost.idle = (alive - domain.whole * m_options.replica_vms) * m_options.accelerators;
+}
+
+repair_cost managed_fleet::run()
+{
+    const time_point end = begin + m_options.span;
+    std::size_t next = 0;
+    running_cost down;
+    while (m_now < end) {
+        while (next < m_schedule.size() && m_schedule[next].at <= m_now)
+            apply(m_schedule[next++]);
+        // Domains with a fault ahead wake before it, so that their reports are fresh by then.
+        for (std::size_t i = next; i < m_schedule.size(); ++i) {
+            if (m_schedule[i].at > m_now + before_fault)
+                break;
+            managed_domain& domain = *m_domains[m_schedule[i].vm / m_options.vms_per_domain];
+            domain.awake_until = std::max(domain.awake_until, m_now + before_fault);
+        }
+        bool any_awake = false;
+        double whole = 0.0;
+        for (auto& domain : m_domains) {
+            if (m_now <= domain->awake_until) {
+                any_awake = true;
+                step(*domain, m_now);
+            }
+            whole += domain->whole;
+        }
+        down.move(m_now, m_cost);
+        down.down = std::max(0.0, double(m_options.replicas) - whole);
+        m_cost.most_writes_a_second =
+            std::max(m_cost.most_writes_a_second,
+                     m_writes_this_second / static_cast<std::uint64_t>(step_length.count()));
+        m_writes_this_second = 0;
+        m_now += step_length;
+        if (!any_awake && next < m_schedule.size())
+            m_now = std::max(m_now, m_schedule[next].at - before_fault);
+        else if (!any_awake)
+            m_now = end;
+    }
+    m_now = end;
+    for (auto& domain : m_domains)
+        domain->cost.move(end, m_cost);
+    down.move(end, m_cost);
+    return m_cost;
+}
+
+} // namespace
+
+repair_cost run_manager(const repair_options& options, const std::vector<scheduled_fault>& schedule)
+{
+    return managed_fleet{options, schedule}.run();
+}
+
+} // namespace jaynotch::groups
--- a/groups/rollout.cc
+++ b/groups/rollout.cc
@@ -1,6 +1,10 @@
 // New versions, adapters and sizes. A group never mixes two of them: its record names one, and a
 // ticket needs every member to report that one.
 //
+// The same way serves a group that a member is about to leave: with enough free VMs a whole group
+// is built beside it, so that no request has to wait for a switch; a standby is loaded for the
+// place as well, in case the VM goes before the new group is whole.
+//
 // With enough free VMs a new group is built beside the old one, which serves until the new one is
 // whole. Without, one group at a time is drained and loads the new version on its own VMs, while
 // the pool's other groups serve the old one; domains take turns in the order of their names.
@@ -29,6 +33,29 @@
 
 } // namespace
 
+bool planner::pass::being_replaced(const group_id& group) const
+{
+    return std::any_of(next.groups.begin(), next.groups.end(),
+                       [&](const auto& one) { return one.replaces == group; });
+}
+
+void planner::pass::build_beside_leaving()
+{
+    std::vector<group_id> leaving;
+    for (const group_assignment& group : next.groups) {
+        const group_sight& seen = sight(group);
+        const bool planned = seen.whole && seen.lost > 0 && !seen.can_switch;
+        if (planned && !group.draining && !outdated(group) && group.replaces.value().empty() &&
+            !being_replaced(group.group))
+            leaving.push_back(group.group);
+    }
+    for (const group_id& id : leaving) {
+        const pool* row = pool_of(*find(id));
+        if (row != nullptr && spares().size() + unneeded_standbys() >= row->replica_vms)
+            add_group(*row, id);
+    }
+}
+
 void planner::pass::roll_out()
 {
     for (group_assignment& group : next.groups) {
@@ -36,7 +63,7 @@
         if (old == nullptr || !whole(group))
             continue;
         // Whole: it takes over, and the old one finishes what it has in flight.
-        start_drain(*find(group.replaces), true, "replaced by a group of the new version");
+        start_drain(*find(group.replaces), true, "replaced by a group built beside it");
         group.replaces = group_id{};
     }
     for (const pool* row : pools_by_rank(in.tables)) {
