Peers and config: a service may be destroyed while its coroutines wait

A timer's destruction resumes the coroutine that waits on it; the tick loop then read the freed state. The coroutines keep the state now, and a test destroys a node in the middle of everything, twenty times.

--- a/config/config_service.cc
+++ b/config/config_service.cc
@@ -66,9 +66,8 @@
         });
     }
 
-    awaitable<void> run()
+    awaitable<void> run(std::shared_ptr<state> keep)
     {
-        const auto keep = shared_from_this();
         asio::co_spawn(m_io, registry_loop(keep), asio::detached);
         while (!m_stopped) {
             note_members();
@@ -96,7 +95,7 @@
         auto done = co_await m_store.swap_in(base, wanted, known);
         if (!done)
             co_return done.error();
-        if (!done.value().head_text.empty()) {
+        if (!done.value().head_text.empty() && !m_stopped) {
             std::vector<config_page> pages;
             for (const table_page& page : done.value().pages)
                 pages.push_back({page.digest, page.bytes});
@@ -325,7 +324,6 @@
             m_registry_wait.expires_after(registry_retry);
             co_await m_registry_wait.async_wait(use_result);
         }
-        (void)co_await m_registry.withdraw();
     }
 
     awaitable<void> collect([[maybe_unused]] std::shared_ptr<state> keep)
@@ -370,7 +368,7 @@
 
 awaitable<void> config_service::run()
 {
-    return m_state->run();
+    return m_state->run(m_state);
 }
 
 void config_service::stop()
--- a/config/config_service_test.cc
+++ b/config/config_service_test.cc
@@ -60,9 +60,10 @@
     test_node(boost::asio::io_context& io, const std::shared_ptr<memory_kv_server>& server,
               const std::string& name, const std::string& domain = "a",
               const std::string& deployment = "test")
-        : kv{kv_service::in_memory(io.get_executor(), server, std::chrono::milliseconds{300})},
+        : kv{std::make_shared<kv_service>(
+              kv_service::in_memory(io.get_executor(), server, std::chrono::milliseconds{300}))},
           peers{peer_service::create(io, peer_settings_of(name, domain, deployment)).value()},
-          config{config_service::create(io, {.deployment = deployment, .key_prefix = "/t/"}, kv,
+          config{config_service::create(io, {.deployment = deployment, .key_prefix = "/t/"}, *kv,
                                         *peers)
                      .value()}
     {
@@ -74,7 +75,7 @@
         co_spawn(io, config->run(), boost::asio::detached);
     }
 
-    kv_service kv;
+    std::shared_ptr<kv_service> kv; ///< outlives its calls
     std::unique_ptr<peer_service> peers;
     std::unique_ptr<config_service> config;
     std::int64_t highest = 0;
@@ -253,6 +254,26 @@
     cr_assert_eq(fresh.highest, 1);
 }
 
+// A daemon is destroyed without a stop, as in a crash, while its timers, calls and frames are under
+// way. What is left on the io_context must not touch it.
+Test(config_service, destroyed_in_the_middle_of_everything)
+{
+    fixture test;
+    test_node survivor{test.io, test.server, "n1"};
+    cr_assert(test.apply(survivor, 0, routes, pools(1), "c1").has_value());
+    std::vector<std::shared_ptr<kv_service>> kept;
+    for (int round = 0; round < 20; ++round) {
+        auto doomed = std::make_unique<test_node>(test.io, test.server, "n2");
+        kept.push_back(doomed->kv);
+        doomed->peers->add_seeds({survivor.peers->address()});
+        for (int step = 0; step < round * 3; ++step)
+            test.io.run_one_for(std::chrono::milliseconds{5});
+        doomed.reset();
+        test.io.run_for(std::chrono::milliseconds{20});
+    }
+    cr_assert(test.apply(survivor, 1, routes, pools(2), "c2").has_value());
+}
+
 // A mistake is undone: going back makes a new revision with the old rows, never a lower one.
 Test(config_service, going_back_is_a_new_revision)
 {
--- a/config/node_registry.cc
+++ b/config/node_registry.cc
@@ -67,13 +67,4 @@
     co_return addresses;
 }
 
-boost::asio::awaitable<result<void>> node_registry::withdraw()
-{
-    if (!m_lease)
-        co_return success();
-    const auto done = co_await m_kv.revoke(*m_lease);
-    m_lease.reset();
-    co_return done;
-}
-
 } // namespace jaynotch
--- a/config/node_registry.h
+++ b/config/node_registry.h
@@ -23,8 +23,6 @@
     boost::asio::awaitable<result<void>> renew();
     /// Addresses of all nodes but this one.
     boost::asio::awaitable<result<std::vector<std::string>>> others();
-    /// Takes this node's key away.
-    boost::asio::awaitable<result<void>> withdraw();
 
     static constexpr duration renew_interval = std::chrono::minutes{20};
 
--- a/peers/peer_service.cc
+++ b/peers/peer_service.cc
@@ -49,7 +49,9 @@
         });
     }
 
-    asio::awaitable<void> tick_loop()
+    // The coroutines keep the state: a service may be destroyed while they wait for a timer, whose
+    // cancellation then resumes them.
+    asio::awaitable<void> tick_loop([[maybe_unused]] std::shared_ptr<state> keep)
     {
         while (!m_stopped) {
             run(m_core.tick(runtime_clock::now()));
@@ -58,7 +60,7 @@
         }
     }
 
-    asio::awaitable<void> leave()
+    asio::awaitable<void> leave([[maybe_unused]] std::shared_ptr<state> keep)
     {
         run(m_core.leave(runtime_clock::now()));
         m_farewell.expires_after(farewell);
@@ -71,6 +73,11 @@
         m_stopped = true;
         m_pause.cancel();
         m_transport->stop();
+        m_rumor_handler = nullptr;
+        m_member_handler = nullptr;
+        m_superseded_handler = nullptr;
+        m_config_handler = nullptr;
+        m_confirmation_handler = nullptr;
     }
 
     void run(const membership_commands& commands)
@@ -148,21 +155,24 @@
     if (settings.boot == 0)
         settings.boot = static_cast<std::uint64_t>(wall_time_ms());
     BOOST_OUTCOME_TRY(auto transport, peer_transport::create(io, {settings.listen, settings.tls}));
-    auto hidden = std::make_unique<state>(io, settings, std::move(transport));
+    auto hidden = std::make_shared<state>(io, settings, std::move(transport));
     return std::unique_ptr<peer_service>{new peer_service{std::move(hidden)}};
 }
 
-peer_service::peer_service(std::unique_ptr<state> hidden) : m_state{std::move(hidden)} {}
-peer_service::~peer_service() = default;
+peer_service::peer_service(std::shared_ptr<state> hidden) : m_state{std::move(hidden)} {}
+peer_service::~peer_service()
+{
+    m_state->stop();
+}
 
 asio::awaitable<void> peer_service::run()
 {
-    return m_state->tick_loop();
+    return m_state->tick_loop(m_state);
 }
 
 asio::awaitable<void> peer_service::leave()
 {
-    return m_state->leave();
+    return m_state->leave(m_state);
 }
 
 void peer_service::stop()
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -84,8 +84,8 @@
 
 private:
     class state;
-    explicit peer_service(std::unique_ptr<state> hidden);
-    std::unique_ptr<state> m_state;
+    explicit peer_service(std::shared_ptr<state> hidden);
+    std::shared_ptr<state> m_state;
 };
 
 } // namespace jaynotch
