--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr duration second = std::chrono::seconds{1};
+constexpr duration longest_call = std::chrono::seconds{5};
 constexpr duration stop_poll = std::chrono::milliseconds{20};
 
 std::uint64_t drawn_seed(const daemon_settings& settings)
@@ -56,6 +57,7 @@
     made.node = settings.node;
     made.incarnation = std::to_string(incarnation);
     made.most_requests = settings.limits.requests;
+    made.admission = settings.admission;
     made.stall_timeout = settings.timeouts.stream_stall;
     return made;
 }
@@ -196,15 +198,25 @@
         config->stop();
     if (peers)
         peers->stop();
+    if (groups)
+        groups->stop();
+    if (plain)
+        plain->stop();
+    if (requests)
+        requests->stop();
     if (spans)
         spans->flush();
 }
 
 daemon::daemon(std::shared_ptr<impl> made) : m_impl{std::move(made)} {}
 
+// Calls under way use the parts until they end: the parts are kept for longer than any of them
+// takes once every connection is closed, or until the io_context goes.
 daemon::~daemon()
 {
     m_impl->abort();
+    const auto pause = std::make_shared<timer>(m_impl->io, longest_call);
+    pause->async_wait([kept = m_impl, pause](boost::system::error_code) {});
 }
 
 result<std::unique_ptr<daemon>> daemon::create(net::io_context& io, const daemon_settings& settings)
--- a/daemon/group_driver.cc
+++ b/daemon/group_driver.cc
@@ -79,6 +79,11 @@
 {}
 
 group_driver::~group_driver()
+{
+    stop();
+}
+
+void group_driver::stop()
 {
     m_impl->stop();
 }
--- a/daemon/group_driver.h
+++ b/daemon/group_driver.h
@@ -49,6 +49,8 @@
     group_driver& operator=(const group_driver&) = delete;
 
     void start();
+    /// Ends the loops; calls under way end by themselves.
+    void stop();
     void install(std::shared_ptr<const configuration> tables);
     void take_ticket(const ticket_digest& heard);
 
--- a/daemon/plain_watch.cc
+++ b/daemon/plain_watch.cc
@@ -135,6 +135,11 @@
 {}
 
 plain_watch::~plain_watch()
+{
+    stop();
+}
+
+void plain_watch::stop()
 {
     m_impl->m_stopped = true;
     m_impl->m_timer.cancel();
--- a/daemon/plain_watch.h
+++ b/daemon/plain_watch.h
@@ -40,6 +40,8 @@
     plain_watch& operator=(const plain_watch&) = delete;
 
     void start();
+    /// Ends the loops; calls under way end by themselves.
+    void stop();
     void install(const configuration& tables);
     /// A server said of itself, here, that it is leaving.
     void said(const std::string& server);
--- a/daemon/proxy_bench.cc
+++ b/daemon/proxy_bench.cc
@@ -48,11 +48,7 @@
     asio::io_context io{1};
 
     worker() : m_thread{[this] { io.run(); }} {}
-    ~worker()
-    {
-        io.stop();
-        m_thread.join();
-    }
+    ~worker() { stop(); }
     worker(const worker&) = delete;
     worker& operator=(const worker&) = delete;
 
@@ -64,6 +60,13 @@
         asio::post(io, [&] { done.set_value(work()); });
         return done.get_future().get();
     }
+    /// Ends the thread; what its coroutines hold stays until the io_context goes.
+    void stop()
+    {
+        io.stop();
+        if (m_thread.joinable())
+            m_thread.join();
+    }
     double seconds() { return on(thread_seconds); }
 
 private:
@@ -292,6 +295,7 @@
             made.key_value = {fleet->kv().address()};
             made.vm_list = fleet->vms().address();
             made.timeouts.order_horizon = 1200ms;
+            made.admission = false;
             node = daemon::create(entry.io, made).value();
             node->start();
             port = node->listen_port();
@@ -312,6 +316,9 @@
             node.reset();
             return true;
         });
+        callers.stop();
+        entry.stop();
+        platform.stop();
     }
     bench_fleet(const bench_fleet&) = delete;
     bench_fleet& operator=(const bench_fleet&) = delete;
--- a/daemon/request_driver.cc
+++ b/daemon/request_driver.cc
@@ -158,6 +158,11 @@
 {}
 
 request_driver::~request_driver()
+{
+    stop();
+}
+
+void request_driver::stop()
 {
     m_impl->m_stopped = true;
     m_impl->m_tick.cancel();
--- a/daemon/request_driver.h
+++ b/daemon/request_driver.h
@@ -55,6 +55,8 @@
     request_driver& operator=(const request_driver&) = delete;
 
     void start();
+    /// Ends the loops; calls under way end by themselves.
+    void stop();
     std::shared_ptr<command_inbox> open();
     void close(request_id id);
     /// Events that arise while commands are carried out wait their turn.
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -74,6 +74,7 @@
     tls_files admin_tls;
 
     std::string trace_file; ///< "-" for standard error, empty for none
+    bool admission = true;  ///< false only to measure the relay without the core's limits
     std::uint64_t seed = 0; ///< of the decision cores' random numbers; 0 draws one
 
     daemon_timeouts timeouts;
