Routing: the histories' timed actions no longer own themselves

Found by the address sanitizer's leak check: two actions of the test world held a pointer to themselves. All tests of the folder pass under address and undefined-behaviour sanitizers.

--- a/routing/history_world.h
+++ b/routing/history_world.h
@@ -88,6 +88,8 @@
     void tell(int node, int boot, event happened);
     void obey(int node, const command_list& commands);
     void carry_out(int node, const send_attempt& sent);
+    void keep_ticking(int node, int boot_number);
+    void connect(int node, int boot_number, const send_attempt& sent, std::size_t caller);
     void answer(int node, const send_attempt& sent, std::size_t caller);
     void carry_out(int node, const call_kv& call);
     void finish(int node, request_id request, const std::function<void(caller_account&)>& note);
@@ -139,15 +141,16 @@
         request_core::create(settings, random_source{m_random.bits()}, m_now).value());
     command_list out;
     row.core->handle(tables_installed{make_tables()}, m_now, out);
-    const int boot_number = row.boot;
-    const auto ticking = std::make_shared<std::function<void()>>();
-    *ticking = [this, node, boot_number, ticking] {
-        if (m_nodes[static_cast<std::size_t>(node)].boot != boot_number)
-            return;
-        tell(node, boot_number, tick{});
-        later(std::chrono::milliseconds{20}, *ticking);
-    };
-    (*ticking)();
+    keep_ticking(node, row.boot);
+}
+
+inline void history_world::keep_ticking(int node, int boot_number)
+{
+    if (m_nodes[static_cast<std::size_t>(node)].boot != boot_number)
+        return;
+    tell(node, boot_number, tick{});
+    later(std::chrono::milliseconds{20},
+          [this, node, boot_number] { keep_ticking(node, boot_number); });
 }
 
 inline void history_world::tell(int node, int boot_number, event happened)
@@ -263,20 +266,25 @@
         });
         return;
     }
+    later(some(0, 3),
+          [this, node, boot_number, sent, caller] { connect(node, boot_number, sent, caller); });
+}
+
+inline void history_world::connect(int node, int boot_number, const send_attempt& sent,
+                                   std::size_t caller)
+{
     // The shell is part of the node: a paused or dead node connects to nobody.
-    const auto connect = std::make_shared<std::function<void()>>();
-    *connect = [this, node, boot_number, sent, caller, connect] {
-        node_row& now = m_nodes[static_cast<std::size_t>(node)];
-        if (now.boot != boot_number || now.cancelled.contains(sent.attempt))
-            return;
-        if (m_now < now.paused_until) {
-            later(now.paused_until - m_now, *connect);
-            return;
-        }
-        tell(node, boot_number, attempt_sent{sent.request, sent.attempt});
-        later(some(0, 20), [this, node, sent, caller] { answer(node, sent, caller); });
-    };
-    later(some(0, 3), *connect);
+    const node_row& row = m_nodes[static_cast<std::size_t>(node)];
+    if (row.boot != boot_number || row.cancelled.contains(sent.attempt))
+        return;
+    if (m_now < row.paused_until) {
+        later(row.paused_until - m_now, [this, node, boot_number, sent, caller] {
+            connect(node, boot_number, sent, caller);
+        });
+        return;
+    }
+    tell(node, boot_number, attempt_sent{sent.request, sent.attempt});
+    later(some(0, 20), [this, node, sent, caller] { answer(node, sent, caller); });
 }
 
 inline void history_world::answer(int node, const send_attempt& sent, std::size_t caller)
