--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -20,6 +20,8 @@
 
 constexpr duration second = std::chrono::seconds{1};
 constexpr duration longest_call = std::chrono::seconds{5};
+/// Within it the tickets of complete groups have come round from the peers.
+constexpr duration longest_warm_up = std::chrono::seconds{10};
 constexpr duration stop_poll = std::chrono::milliseconds{20};
 
 std::uint64_t drawn_seed(const daemon_settings& settings)
@@ -156,7 +158,19 @@
 
 bool daemon::impl::ready() const
 {
-    return !m_stopping && config->current() != nullptr;
+    return !m_stopping && config->current() != nullptr && !warming_up();
+}
+
+// Without this a node that has just started would take callers from the balancer and refuse them
+// while all the other nodes serve: it has the tables within a moment, the tickets a little later.
+// The wait is bounded, since there may be no complete group at all.
+bool daemon::impl::warming_up() const
+{
+    const auto tables = config->current();
+    const auto is_model = [](const pool& row) { return row.kind == pool_kind::model; };
+    const bool groups_wanted =
+        tables && std::any_of(tables->pools.begin(), tables->pools.end(), is_model);
+    return groups_wanted && m_pushed.empty() && runtime_clock::now() - m_started < longest_warm_up;
 }
 
 net::awaitable<void> daemon::impl::stop()
--- a/daemon/daemon_events.cc
+++ b/daemon/daemon_events.cc
@@ -61,7 +61,7 @@
                                       [this](const group_id& group) { return may_get(group); },
                                       {}});
     calls = std::make_unique<front>(*services, [this] {
-        return front_state{config->current(), m_stopping};
+        return front_state{config->current(), m_stopping, warming_up()};
     });
     admin.reset(new admin_pages{admin_sources{
         settings, *config, *peers, *groups, *requests, [this] { return ready(); },
@@ -119,6 +119,8 @@
 {
     if (const auto* ticket = std::get_if<ticket_digest>(&heard))
         groups->take_ticket(*ticket);
+    else if (const auto* newer = std::get_if<key_notice>(&heard))
+        groups->take_notice(*newer);
     else if (const auto* wanted = std::get_if<demand>(&heard))
         take_demand(*wanted);
     else if (const auto* gone = std::get_if<leaving>(&heard))
--- a/daemon/daemon_impl.h
+++ b/daemon/daemon_impl.h
@@ -35,6 +35,8 @@
     net::awaitable<void> stop();
     void abort();
     [[nodiscard]] bool ready() const;
+    /// Whether this node has only just started and has heard of no complete group yet.
+    [[nodiscard]] bool warming_up() const;
     /// Groups that the request core knows to be complete.
     [[nodiscard]] std::size_t groups_in_use() const { return m_pushed.size(); }
 
--- a/daemon/front.cc
+++ b/daemon/front.cc
@@ -97,14 +97,18 @@
 net::awaitable<void> front::serve_ready(http_exchange& exchange)
 {
     const front_state now = m_state();
-    if (now.tables && !now.stopping) {
+    if (now.tables && !now.stopping && !now.warming_up) {
         co_await exchange.answer(http::status::ok, json_type, R"({"ready":true})");
         co_return;
     }
-    const error why{error_kind::unavailable,
-                    now.stopping ? "this node is stopping" : "no configuration is known here yet",
-                    now.stopping ? "use another entry VM"
-                                 : "apply the tables, or wait until the platform answers"};
+    error why{error_kind::unavailable, "no configuration is known here yet",
+              "apply the tables, or wait until the platform answers"};
+    if (now.stopping)
+        why = {error_kind::unavailable, "this node is stopping", "use another entry VM"};
+    else if (now.tables)
+        why = {error_kind::unavailable,
+               "this node has just started and knows no complete group yet",
+               "use another entry VM, or wait some seconds"};
     co_await turn_away(exchange, why, std::chrono::seconds{1});
 }
 
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -16,6 +16,7 @@
 struct front_state {
     std::shared_ptr<const configuration> tables; ///< null until one is in force
     bool stopping = false;
+    bool warming_up = false; ///< just started, no complete group heard of yet
 };
 
 class front {
--- a/daemon/group_calls.cc
+++ b/daemon/group_calls.cc
@@ -133,10 +133,21 @@
               {{"domain", domain.value()}, {"subject", wanted.subject}, {"detail", wanted.detail}});
 }
 
+/// Watchers tell the others; so does the domain's manager, who probes every VM anyway. Otherwise a
+/// group whose watchers were just replaced would lapse everywhere until the new ones have seen its
+/// members for the settling time.
+bool group_driver::impl::publishes(const groups::complete_group& group) const
+{
+    const auto manager = managers.find(group.fabric_domain);
+    const bool leads =
+        manager != managers.end() && manager->second.status(runtime_clock::now()).leading;
+    return leads || board.watches(group.group);
+}
+
 void group_driver::impl::carry_out(const groups::ticket_changed& wanted)
 {
     const time_point now = runtime_clock::now();
-    if (board.watches(wanted.group.group)) {
+    if (publishes(wanted.group)) {
         ticket_digest told;
         told.group = wire_key(wanted.group.group.value());
         told.fencing = wanted.group.fencing;
@@ -150,8 +161,7 @@
             std::min(per_mille, per_mille * wanted.group.load.running / capacity));
         // The ticket is as old as the oldest report it rests on.
         const duration left = wanted.group.valid_until - now;
-        told.age =
-            wanted.complete ? std::max(duration{0}, std::chrono::seconds{3} - left) : duration{0};
+        told.age = wanted.complete ? std::max(duration{0}, ticket_horizon - left) : duration{0};
         peers.publish(told);
     }
     if (!wanted.complete) {
@@ -160,12 +170,32 @@
     }
 }
 
+/// What this node has written it need not wait to watch: its peers hear of it at once.
+void group_driver::impl::spread_writes(const std::vector<kv_operation>& writes,
+                                       std::int64_t revision)
+{
+    for (const kv_operation& write : writes) {
+        const auto* put = std::get_if<kv_put>(&write);
+        if (put == nullptr)
+            continue;
+        kv_entry written;
+        written.key = put->key;
+        written.value = put->value;
+        written.mod_revision = revision;
+        records->written(written);
+    }
+}
+
 net::awaitable<void> group_driver::impl::transact(fabric_domain_id domain, groups::kv_call wanted)
 {
     const auto self = shared_from_this();
+    const std::vector<kv_operation> writes = wanted.transaction.then;
     result<kv_outcome> outcome = co_await kv.transact(std::move(wanted.transaction));
-    if (!stopped)
-        tell_manager(domain, groups::kv_result{wanted.token, std::move(outcome)});
+    if (stopped)
+        co_return;
+    if (outcome && outcome.value().succeeded)
+        spread_writes(writes, outcome.value().revision);
+    tell_manager(domain, groups::kv_result{wanted.token, std::move(outcome)});
 }
 
 net::awaitable<void> group_driver::impl::grant(fabric_domain_id domain, groups::lease_grant wanted)
--- a/daemon/group_driver.cc
+++ b/daemon/group_driver.cc
@@ -7,10 +7,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-// Three loops: time, the VM list, and the records. The records are read once and then watched;
-// after any error they are read anew, so no change is missed whatever the platform does. Tickets of
-// groups that other nodes watch come from the peers as digests and are joined with the records by
-// hash.
+// Two loops, time and the VM list, and the feed of records. Tickets of groups that other nodes
+// watch come from the peers as digests and are joined with the records by hash.
 
 namespace jaynotch {
 
@@ -18,10 +16,7 @@
 
 constexpr duration tick_interval = std::chrono::milliseconds{200};
 constexpr duration list_interval = std::chrono::seconds{1};
-constexpr duration retry_pause = std::chrono::seconds{1};
 constexpr duration list_timeout = std::chrono::seconds{2};
-constexpr duration longest_watch_wait = std::chrono::seconds{30};
-constexpr duration ticket_horizon = std::chrono::seconds{3};
 constexpr double per_mille = 1000.0;
 
 net::awaitable<void> pause(timer& on, duration time)
@@ -76,7 +71,11 @@
 group_driver::group_driver(net::io_context& io, const daemon_settings& settings, kv_service& kv,
                            peer_service& peers, group_hooks hooks)
     : m_impl{std::make_shared<impl>(io, settings, kv, peers, std::move(hooks))}
-{}
+{
+    m_impl->records.emplace(io, settings, kv, peers, [driver = m_impl.get()](const kv_entry& read) {
+        driver->take_record(read);
+    });
+}
 
 group_driver::~group_driver()
 {
@@ -92,7 +91,7 @@
 {
     net::co_spawn(m_impl->io, m_impl->run_ticks(), net::detached);
     net::co_spawn(m_impl->io, m_impl->run_vm_list(), net::detached);
-    net::co_spawn(m_impl->io, m_impl->run_records(), net::detached);
+    m_impl->records->start();
 }
 
 void group_driver::install(std::shared_ptr<const configuration> tables)
@@ -100,6 +99,11 @@
     m_impl->install(std::move(tables));
 }
 
+void group_driver::take_notice(const key_notice& heard)
+{
+    m_impl->records->noticed(heard);
+}
+
 void group_driver::take_ticket(const ticket_digest& heard)
 {
     m_impl->take_ticket(heard);
@@ -137,7 +141,7 @@
 group_driver::impl::impl(net::io_context& context, const daemon_settings& chosen,
                          kv_service& service, peer_service& others, group_hooks callbacks)
     : io{context}, settings{chosen}, kv{service}, peers{others}, hooks{std::move(callbacks)},
-      board{board_settings(chosen)}, tick_timer{context}, list_timer{context}, record_timer{context}
+      board{board_settings(chosen)}, tick_timer{context}, list_timer{context}
 {}
 
 void group_driver::impl::stop()
@@ -145,7 +149,7 @@
     stopped = true;
     tick_timer.cancel();
     list_timer.cancel();
-    record_timer.cancel();
+    records->stop();
 }
 
 void group_driver::impl::install(std::shared_ptr<const configuration> next)
@@ -160,6 +164,7 @@
     const auto self = shared_from_this();
     while (!stopped) {
         tell_peers();
+        records->tick();
         tell_managers(groups::tick{});
         tell_board(groups::tick{});
         hooks.on_changed();
@@ -220,49 +225,8 @@
     tell_managers(event);
 }
 
-net::awaitable<void> group_driver::impl::run_records()
-{
-    const auto self = shared_from_this();
-    while (!stopped) {
-        const result<std::int64_t> read = co_await read_records();
-        if (read && !stopped) {
-            co_await watch_records(read.value() + 1);
-        }
-        if (!stopped) {
-            co_await pause(record_timer, retry_pause);
-        }
-    }
-}
-
-net::awaitable<result<std::int64_t>> group_driver::impl::read_records()
-{
-    const result<kv_range> read =
-        co_await kv.get_prefix(groups::record_prefix(settings.deployment));
-    if (!read)
-        co_return read.error();
-    for (const kv_entry& entry : read.value().entries)
-        take_record(entry);
-    co_return read.value().revision;
-}
-
-net::awaitable<void> group_driver::impl::watch_records(std::int64_t from)
-{
-    result<kv_watch> watch = co_await kv.watch(groups::record_prefix(settings.deployment), from);
-    while (watch && !stopped) {
-        const result<kv_watch_batch> batch = co_await watch.value().next(longest_watch_wait);
-        if (!batch)
-            break;
-        for (const kv_event& event : batch.value().events) {
-            if (!event.deleted)
-                take_record(event.entry);
-        }
-    }
-}
-
 void group_driver::impl::take_record(const kv_entry& entry)
 {
-    if (!groups::is_record_key(settings.deployment, entry.key))
-        return;
     tell_managers(groups::record_seen{entry});
     tell_board(groups::record_seen{entry});
     const result<groups::domain_record> parsed = groups::parse_record(entry);
--- a/daemon/group_driver.h
+++ b/daemon/group_driver.h
@@ -53,6 +53,7 @@
     void stop();
     void install(std::shared_ptr<const configuration> tables);
     void take_ticket(const ticket_digest& heard);
+    void take_notice(const key_notice& heard);
 
     [[nodiscard]] std::vector<groups::complete_group> complete() const;
     [[nodiscard]] std::vector<known_group> known() const;
--- a/daemon/group_driver_impl.h
+++ b/daemon/group_driver_impl.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "daemon/group_driver.h"
+#include "daemon/record_feed.h"
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -11,6 +13,12 @@
 
 namespace net = boost::asio;
 
+/// How long a ticket holds after the oldest report that it rests on. Shorter than the order
+/// horizon, so that a VM's old group has no ticket left when its new group gets one; longer than a
+/// probe and a few rounds of gossip take, so that tickets don't lapse on nodes that hear of them by
+/// peers.
+constexpr duration ticket_horizon = std::chrono::seconds{5};
+
 class group_driver::impl : public std::enable_shared_from_this<impl> {
 public:
     impl(net::io_context& io, const daemon_settings& settings, kv_service& kv, peer_service& peers,
@@ -19,7 +27,7 @@
     // group_driver.cc
     net::awaitable<void> run_ticks();
     net::awaitable<void> run_vm_list();
-    net::awaitable<void> run_records();
+    void take_record(const kv_entry& entry);
     void install(std::shared_ptr<const configuration> next);
     void take_ticket(const ticket_digest& heard);
     void stop();
@@ -38,6 +46,7 @@
     std::shared_ptr<const configuration> tables;
     std::map<fabric_domain_id, groups::domain_manager> managers;
     groups::ticket_board board;
+    std::optional<record_feed> records; ///< set once the driver has an owner
     /// What the records name, by the hash that tickets carry on the wire.
     std::unordered_map<std::uint32_t, known_group> by_wire_key;
     std::map<fabric_domain_id, std::vector<std::uint32_t>> wire_keys_of;
@@ -46,16 +55,12 @@
     std::map<vm_id, fabric_domain_id> domain_of;
     timer tick_timer;
     timer list_timer;
-    timer record_timer;
     bool stopped = false;
 
 private:
     // group_driver.cc
     void take_vm_list(const vm_list& seen);
-    void take_record(const kv_entry& entry);
     void tell_peers();
-    net::awaitable<result<std::int64_t>> read_records();
-    net::awaitable<void> watch_records(std::int64_t from);
 
     // group_calls.cc
     void carry_out(const fabric_domain_id& domain, const groups::kv_call& wanted);
@@ -66,6 +71,8 @@
     void carry_out(const fabric_domain_id& domain, const groups::order_release& wanted);
     void carry_out(const fabric_domain_id& domain, const groups::notice& wanted);
     void carry_out(const groups::ticket_changed& wanted);
+    [[nodiscard]] bool publishes(const groups::complete_group& group) const;
+    void spread_writes(const std::vector<kv_operation>& writes, std::int64_t revision);
     net::awaitable<void> transact(fabric_domain_id domain, groups::kv_call wanted);
     net::awaitable<void> grant(fabric_domain_id domain, groups::lease_grant wanted);
     net::awaitable<void> renew(fabric_domain_id domain, groups::lease_renew wanted);
--- /dev/null
+++ b/daemon/record_feed.cc
@@ -0,0 +1,192 @@
+#include "daemon/record_feed.h"
+
+#include "groups/groups.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+// A watcher reads the records once and then watches them; after any error it reads them anew, so no
+// change is missed whatever the platform does. Which nodes watch, and how the others keep up, is
+// decided in peers/key_relay.cc.
+
+namespace jaynotch {
+
+namespace {
+
+namespace net = boost::asio;
+
+constexpr duration retry_pause = std::chrono::seconds{1};
+/// Bounds how long a node that is no longer a watcher keeps its watch.
+constexpr duration longest_watch_wait = std::chrono::seconds{10};
+
+relayed_key to_relayed(const kv_entry& record)
+{
+    return {record.key, record.mod_revision, record.value};
+}
+
+kv_entry from_relayed(const relayed_key& entry)
+{
+    kv_entry record;
+    record.key = entry.key;
+    record.value = entry.value;
+    record.mod_revision = entry.revision;
+    return record;
+}
+
+} // namespace
+
+class record_feed::impl : public std::enable_shared_from_this<impl> {
+public:
+    impl(net::io_context& context, const daemon_settings& chosen, kv_service& service,
+         peer_service& others, std::function<void(const kv_entry&)> on_record)
+        : io{context}, settings{chosen}, kv{service}, peers{others}, hand_on{std::move(on_record)},
+          relay{key_relay_settings{.self = chosen.node},
+                random_source{hash64(chosen.node.value(), chosen.seed)}},
+          prefix{groups::record_prefix(chosen.deployment)}, m_pause{context}
+    {}
+
+    net::awaitable<void> run()
+    {
+        const auto self = shared_from_this();
+        while (!stopped) {
+            if (relay.watching()) {
+                co_await read_and_watch();
+            }
+            if (!stopped) {
+                boost::system::error_code woken;
+                m_pause.expires_after(retry_pause);
+                co_await m_pause.async_wait(net::redirect_error(net::use_awaitable, woken));
+            }
+        }
+    }
+
+    void stop()
+    {
+        stopped = true;
+        m_pause.cancel();
+    }
+
+    void tick()
+    {
+        if (m_members_version != peers.members_version())
+            members_changed();
+        carry_out(relay.tick(runtime_clock::now()));
+    }
+
+    void learn(const kv_entry& record)
+    {
+        if (groups::is_record_key(settings.deployment, record.key))
+            carry_out(relay.learned(runtime_clock::now(), to_relayed(record)));
+    }
+
+    void carry_out(const key_relay_commands& commands)
+    {
+        for (const key_relay_command& command : commands)
+            std::visit([this](const auto& order) { carry_out(order); }, command);
+    }
+
+    net::io_context& io;
+    const daemon_settings& settings;
+    kv_service& kv;
+    peer_service& peers;
+    std::function<void(const kv_entry&)> hand_on;
+    key_relay_core relay;
+    std::string prefix;
+    bool stopped = false;
+
+private:
+    void members_changed()
+    {
+        m_members_version = peers.members_version();
+        std::vector<node_id> own;
+        std::vector<node_id> all;
+        for (const member& one : peers.members()) {
+            if (!one.live())
+                continue;
+            all.push_back(one.node);
+            if (one.failure_domain == settings.failure_domain)
+                own.push_back(one.node);
+        }
+        carry_out(relay.members_changed(own, all));
+    }
+
+    net::awaitable<void> read_and_watch()
+    {
+        const result<kv_range> read = co_await kv.get_prefix(prefix);
+        if (!read || stopped)
+            co_return;
+        for (const kv_entry& record : read.value().entries)
+            learn(record);
+        result<kv_watch> watch = co_await kv.watch(prefix, read.value().revision + 1);
+        while (watch && !stopped && relay.watching()) {
+            const result<kv_watch_batch> batch = co_await watch.value().next(longest_watch_wait);
+            if (!batch || stopped)
+                break;
+            for (const kv_event& event : batch.value().events) {
+                if (!event.deleted)
+                    learn(event.entry);
+            }
+        }
+    }
+
+    void carry_out(const watch_keys& order)
+    {
+        if (order.on)
+            m_pause.cancel();
+    }
+    void carry_out(const tell_keys& order) { peers.send_keys(order.to, order.body); }
+    void carry_out(const announce_key& order) { peers.publish(order.notice); }
+    void carry_out(const take_key& order)
+    {
+        // A peer may hand on any key; only records are taken for records.
+        if (groups::is_record_key(settings.deployment, order.entry.key))
+            hand_on(from_relayed(order.entry));
+    }
+
+    timer m_pause;
+    std::uint64_t m_members_version = 0;
+};
+
+record_feed::record_feed(net::io_context& io, const daemon_settings& settings, kv_service& kv,
+                         peer_service& peers, std::function<void(const kv_entry&)> on_record)
+    : m_impl{std::make_shared<impl>(io, settings, kv, peers, std::move(on_record))}
+{
+    peers.on_keys([weak = std::weak_ptr{m_impl}](const key_message& message) {
+        if (const auto self = weak.lock(); self && !self->stopped)
+            self->carry_out(self->relay.heard(runtime_clock::now(), message));
+    });
+}
+
+record_feed::~record_feed()
+{
+    stop();
+}
+
+void record_feed::start()
+{
+    net::co_spawn(m_impl->io, m_impl->run(), net::detached);
+}
+
+void record_feed::stop()
+{
+    m_impl->stop();
+}
+
+void record_feed::tick()
+{
+    m_impl->tick();
+}
+
+void record_feed::noticed(const key_notice& notice)
+{
+    m_impl->carry_out(m_impl->relay.noticed(runtime_clock::now(), notice));
+}
+
+void record_feed::written(const kv_entry& record)
+{
+    m_impl->learn(record);
+}
+
+} // namespace jaynotch
--- a/peers/frame.h
+++ b/peers/frame.h
@@ -62,4 +62,36 @@
     config_body body;
 };
 
+/// A key of the platform and its value as of `revision`.
+struct relayed_key {
+    std::string key;
+    std::int64_t revision = 0;
+    std::string value;
+
+    friend bool operator==(const relayed_key&, const relayed_key&) = default;
+};
+
+struct known_key {
+    std::uint32_t key = 0; ///< wire_key of the key
+    std::int64_t revision = 0;
+};
+
+/// Asks a peer for what is newer than `known`: the wanted keys, or all if none are named.
+struct key_request {
+    std::vector<known_key> known;
+    std::vector<std::uint32_t> wanted;
+};
+
+struct key_reply {
+    std::vector<relayed_key> entries;
+};
+
+using key_body = std::variant<key_request, key_reply>;
+
+/// What the relay of keys hears from a peer.
+struct key_message {
+    node_id from;
+    key_body body;
+};
+
 } // namespace jaynotch
--- a/peers/gen/peers_types.cpp
+++ b/peers/gen/peers_types.cpp
@@ -21,7 +21,9 @@
   frame_kind::sync_request,
   frame_kind::sync_reply,
   frame_kind::config_request,
-  frame_kind::config_reply
+  frame_kind::config_reply,
+  frame_kind::key_request,
+  frame_kind::key_reply
 };
 const char* _kframe_kindNames[] = {
   "ping",
@@ -31,9 +33,11 @@
   "sync_request",
   "sync_reply",
   "config_request",
-  "config_reply"
+  "config_reply",
+  "key_request",
+  "key_reply"
 };
-const std::map<int, const char*> _frame_kind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(8, _kframe_kindValues, _kframe_kindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _frame_kind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(10, _kframe_kindValues, _kframe_kindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const frame_kind::type& val) {
   std::map<int, const char*>::const_iterator it = _frame_kind_VALUES_TO_NAMES.find(val);
@@ -1272,6 +1276,648 @@
 }
 
 
+key_notice::~key_notice() noexcept {
+}
+
+
+void key_notice::__set_key(const int32_t val) {
+  this->key = val;
+}
+
+void key_notice::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void key_notice::__set_age(const int16_t val) {
+  this->age = val;
+}
+std::ostream& operator<<(std::ostream& out, const key_notice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t key_notice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->age);
+          this->__isset.age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t key_notice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("key_notice");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age", ::apache::thrift::protocol::T_I16, 3);
+  xfer += oprot->writeI16(this->age);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(key_notice &a, key_notice &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.revision, b.revision);
+  swap(a.age, b.age);
+  swap(a.__isset, b.__isset);
+}
+
+key_notice::key_notice(const key_notice& other23) noexcept {
+  key = other23.key;
+  revision = other23.revision;
+  age = other23.age;
+  __isset = other23.__isset;
+}
+key_notice& key_notice::operator=(const key_notice& other24) noexcept {
+  key = other24.key;
+  revision = other24.revision;
+  age = other24.age;
+  __isset = other24.__isset;
+  return *this;
+}
+void key_notice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "key_notice(";
+  out << "key=" << to_string(key);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "age=" << to_string(age);
+  out << ")";
+}
+
+
+known_key::~known_key() noexcept {
+}
+
+
+void known_key::__set_key(const int32_t val) {
+  this->key = val;
+}
+
+void known_key::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const known_key& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t known_key::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t known_key::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("known_key");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(known_key &a, known_key &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+known_key::known_key(const known_key& other25) noexcept {
+  key = other25.key;
+  revision = other25.revision;
+  __isset = other25.__isset;
+}
+known_key& known_key::operator=(const known_key& other26) noexcept {
+  key = other26.key;
+  revision = other26.revision;
+  __isset = other26.__isset;
+  return *this;
+}
+void known_key::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "known_key(";
+  out << "key=" << to_string(key);
+  out << ", " << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
+key_request::~key_request() noexcept {
+}
+
+
+void key_request::__set_known(const std::vector<known_key> & val) {
+  this->known = val;
+}
+
+void key_request::__set_wanted(const std::vector<int32_t> & val) {
+  this->wanted = val;
+__isset.wanted = true;
+}
+std::ostream& operator<<(std::ostream& out, const key_request& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t key_request::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->known.clear();
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->known.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
+            {
+              xfer += this->known[_i31].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->wanted.clear();
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->wanted.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
+            {
+              xfer += iprot->readI32(this->wanted[_i36]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t key_request::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("key_request");
+
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known.size()));
+    std::vector<known_key> ::const_iterator _iter37;
+    for (_iter37 = this->known.begin(); _iter37 != this->known.end(); ++_iter37)
+    {
+      xfer += (*_iter37).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.wanted) {
+    xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_LIST, 2);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->wanted.size()));
+      std::vector<int32_t> ::const_iterator _iter38;
+      for (_iter38 = this->wanted.begin(); _iter38 != this->wanted.end(); ++_iter38)
+      {
+        xfer += oprot->writeI32((*_iter38));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(key_request &a, key_request &b) {
+  using ::std::swap;
+  swap(a.known, b.known);
+  swap(a.wanted, b.wanted);
+  swap(a.__isset, b.__isset);
+}
+
+key_request::key_request(const key_request& other39) {
+  known = other39.known;
+  wanted = other39.wanted;
+  __isset = other39.__isset;
+}
+key_request& key_request::operator=(const key_request& other40) {
+  known = other40.known;
+  wanted = other40.wanted;
+  __isset = other40.__isset;
+  return *this;
+}
+void key_request::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "key_request(";
+  out << "known=" << to_string(known);
+  out << ", " << "wanted="; (__isset.wanted ? (out << to_string(wanted)) : (out << "<null>"));
+  out << ")";
+}
+
+
+key_value::~key_value() noexcept {
+}
+
+
+void key_value::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void key_value::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void key_value::__set_value(const std::string& val) {
+  this->value = val;
+}
+std::ostream& operator<<(std::ostream& out, const key_value& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t key_value::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t key_value::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("key_value");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(key_value &a, key_value &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.revision, b.revision);
+  swap(a.value, b.value);
+  swap(a.__isset, b.__isset);
+}
+
+key_value::key_value(const key_value& other41) {
+  key = other41.key;
+  revision = other41.revision;
+  value = other41.value;
+  __isset = other41.__isset;
+}
+key_value& key_value::operator=(const key_value& other42) {
+  key = other42.key;
+  revision = other42.revision;
+  value = other42.value;
+  __isset = other42.__isset;
+  return *this;
+}
+void key_value::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "key_value(";
+  out << "key=" << to_string(key);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "value=" << to_string(value);
+  out << ")";
+}
+
+
+key_reply::~key_reply() noexcept {
+}
+
+
+void key_reply::__set_entries(const std::vector<key_value> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const key_reply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t key_reply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->entries.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
+            {
+              xfer += this->entries[_i47].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t key_reply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("key_reply");
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<key_value> ::const_iterator _iter48;
+    for (_iter48 = this->entries.begin(); _iter48 != this->entries.end(); ++_iter48)
+    {
+      xfer += (*_iter48).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(key_reply &a, key_reply &b) {
+  using ::std::swap;
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+key_reply::key_reply(const key_reply& other49) {
+  entries = other49.entries;
+  __isset = other49.__isset;
+}
+key_reply& key_reply::operator=(const key_reply& other50) {
+  entries = other50.entries;
+  __isset = other50.__isset;
+  return *this;
+}
+void key_reply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "key_reply(";
+  out << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
 config_reply::~config_reply() noexcept {
 }
 
@@ -1342,14 +1988,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pages.clear();
-            uint32_t _size23;
-            ::apache::thrift::protocol::TType _etype26;
-            xfer += iprot->readListBegin(_etype26, _size23);
-            this->pages.resize(_size23);
-            uint32_t _i27;
-            for (_i27 = 0; _i27 < _size23; ++_i27)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->pages.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += this->pages[_i27].read(iprot);
+              xfer += this->pages[_i55].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1396,10 +2042,10 @@
     xfer += oprot->writeFieldBegin("pages", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pages.size()));
-      std::vector<config_page> ::const_iterator _iter28;
-      for (_iter28 = this->pages.begin(); _iter28 != this->pages.end(); ++_iter28)
+      std::vector<config_page> ::const_iterator _iter56;
+      for (_iter56 = this->pages.begin(); _iter56 != this->pages.end(); ++_iter56)
       {
-        xfer += (*_iter28).write(oprot);
+        xfer += (*_iter56).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1424,19 +2070,19 @@
   swap(a.__isset, b.__isset);
 }
 
-config_reply::config_reply(const config_reply& other29) {
-  revision = other29.revision;
-  head = other29.head;
-  pages = other29.pages;
-  delta = other29.delta;
-  __isset = other29.__isset;
+config_reply::config_reply(const config_reply& other57) {
+  revision = other57.revision;
+  head = other57.head;
+  pages = other57.pages;
+  delta = other57.delta;
+  __isset = other57.__isset;
 }
-config_reply& config_reply::operator=(const config_reply& other30) {
-  revision = other30.revision;
-  head = other30.head;
-  pages = other30.pages;
-  delta = other30.delta;
-  __isset = other30.__isset;
+config_reply& config_reply::operator=(const config_reply& other58) {
+  revision = other58.revision;
+  head = other58.head;
+  pages = other58.pages;
+  delta = other58.delta;
+  __isset = other58.__isset;
   return *this;
 }
 void config_reply::printTo(std::ostream& out) const {
@@ -1540,6 +2186,21 @@
   this->reply = val;
 __isset.reply = true;
 }
+
+void frame::__set_notices(const std::vector<key_notice> & val) {
+  this->notices = val;
+__isset.notices = true;
+}
+
+void frame::__set_keys_wanted(const key_request& val) {
+  this->keys_wanted = val;
+__isset.keys_wanted = true;
+}
+
+void frame::__set_keys(const key_reply& val) {
+  this->keys = val;
+__isset.keys = true;
+}
 std::ostream& operator<<(std::ostream& out, const frame& obj)
 {
   obj.printTo(out);
@@ -1586,9 +2247,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast31;
-          xfer += iprot->readI32(ecast31);
-          this->kind = static_cast<frame_kind::type>(ecast31);
+          int32_t ecast59;
+          xfer += iprot->readI32(ecast59);
+          this->kind = static_cast<frame_kind::type>(ecast59);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1670,14 +2331,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->members.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->members.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->members[_i36].read(iprot);
+              xfer += this->members[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1690,14 +2351,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tickets.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->tickets.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->tickets.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
             {
-              xfer += this->tickets[_i41].read(iprot);
+              xfer += this->tickets[_i69].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1710,14 +2371,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->demands.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->demands.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += this->demands[_i46].read(iprot);
+              xfer += this->demands[_i74].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1730,14 +2391,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leavings.clear();
-            uint32_t _size47;
-            ::apache::thrift::protocol::TType _etype50;
-            xfer += iprot->readListBegin(_etype50, _size47);
-            this->leavings.resize(_size47);
-            uint32_t _i51;
-            for (_i51 = 0; _i51 < _size47; ++_i51)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->leavings.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              xfer += this->leavings[_i51].read(iprot);
+              xfer += this->leavings[_i79].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1750,14 +2411,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->confirmations.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->confirmations.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->confirmations.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += this->confirmations[_i56].read(iprot);
+              xfer += this->confirmations[_i84].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1782,6 +2443,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->notices.clear();
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->notices.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
+            {
+              xfer += this->notices[_i89].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.notices = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->keys_wanted.read(iprot);
+          this->__isset.keys_wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->keys.read(iprot);
+          this->__isset.keys = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1855,10 +2552,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<member_update> ::const_iterator _iter57;
-      for (_iter57 = this->members.begin(); _iter57 != this->members.end(); ++_iter57)
+      std::vector<member_update> ::const_iterator _iter90;
+      for (_iter90 = this->members.begin(); _iter90 != this->members.end(); ++_iter90)
       {
-        xfer += (*_iter57).write(oprot);
+        xfer += (*_iter90).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1868,10 +2565,10 @@
     xfer += oprot->writeFieldBegin("tickets", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tickets.size()));
-      std::vector<ticket_digest> ::const_iterator _iter58;
-      for (_iter58 = this->tickets.begin(); _iter58 != this->tickets.end(); ++_iter58)
+      std::vector<ticket_digest> ::const_iterator _iter91;
+      for (_iter91 = this->tickets.begin(); _iter91 != this->tickets.end(); ++_iter91)
       {
-        xfer += (*_iter58).write(oprot);
+        xfer += (*_iter91).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1881,10 +2578,10 @@
     xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-      std::vector<demand> ::const_iterator _iter59;
-      for (_iter59 = this->demands.begin(); _iter59 != this->demands.end(); ++_iter59)
+      std::vector<demand> ::const_iterator _iter92;
+      for (_iter92 = this->demands.begin(); _iter92 != this->demands.end(); ++_iter92)
       {
-        xfer += (*_iter59).write(oprot);
+        xfer += (*_iter92).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1894,10 +2591,10 @@
     xfer += oprot->writeFieldBegin("leavings", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leavings.size()));
-      std::vector<leaving> ::const_iterator _iter60;
-      for (_iter60 = this->leavings.begin(); _iter60 != this->leavings.end(); ++_iter60)
+      std::vector<leaving> ::const_iterator _iter93;
+      for (_iter93 = this->leavings.begin(); _iter93 != this->leavings.end(); ++_iter93)
       {
-        xfer += (*_iter60).write(oprot);
+        xfer += (*_iter93).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1907,10 +2604,10 @@
     xfer += oprot->writeFieldBegin("confirmations", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->confirmations.size()));
-      std::vector<confirmation> ::const_iterator _iter61;
-      for (_iter61 = this->confirmations.begin(); _iter61 != this->confirmations.end(); ++_iter61)
+      std::vector<confirmation> ::const_iterator _iter94;
+      for (_iter94 = this->confirmations.begin(); _iter94 != this->confirmations.end(); ++_iter94)
       {
-        xfer += (*_iter61).write(oprot);
+        xfer += (*_iter94).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1926,6 +2623,29 @@
     xfer += this->reply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.notices) {
+    xfer += oprot->writeFieldBegin("notices", ::apache::thrift::protocol::T_LIST, 20);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notices.size()));
+      std::vector<key_notice> ::const_iterator _iter95;
+      for (_iter95 = this->notices.begin(); _iter95 != this->notices.end(); ++_iter95)
+      {
+        xfer += (*_iter95).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.keys_wanted) {
+    xfer += oprot->writeFieldBegin("keys_wanted", ::apache::thrift::protocol::T_STRUCT, 21);
+    xfer += this->keys_wanted.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.keys) {
+    xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_STRUCT, 22);
+    xfer += this->keys.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1952,52 +2672,61 @@
   swap(a.confirmations, b.confirmations);
   swap(a.request, b.request);
   swap(a.reply, b.reply);
+  swap(a.notices, b.notices);
+  swap(a.keys_wanted, b.keys_wanted);
+  swap(a.keys, b.keys);
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other62) {
-  version = other62.version;
-  deployment = other62.deployment;
-  kind = other62.kind;
-  sender = other62.sender;
-  boot = other62.boot;
-  incarnation = other62.incarnation;
-  sequence = other62.sequence;
-  sent_ms = other62.sent_ms;
-  target = other62.target;
-  subject = other62.subject;
-  member_digest = other62.member_digest;
-  config = other62.config;
-  members = other62.members;
-  tickets = other62.tickets;
-  demands = other62.demands;
-  leavings = other62.leavings;
-  confirmations = other62.confirmations;
-  request = other62.request;
-  reply = other62.reply;
-  __isset = other62.__isset;
-}
-frame& frame::operator=(const frame& other63) {
-  version = other63.version;
-  deployment = other63.deployment;
-  kind = other63.kind;
-  sender = other63.sender;
-  boot = other63.boot;
-  incarnation = other63.incarnation;
-  sequence = other63.sequence;
-  sent_ms = other63.sent_ms;
-  target = other63.target;
-  subject = other63.subject;
-  member_digest = other63.member_digest;
-  config = other63.config;
-  members = other63.members;
-  tickets = other63.tickets;
-  demands = other63.demands;
-  leavings = other63.leavings;
-  confirmations = other63.confirmations;
-  request = other63.request;
-  reply = other63.reply;
-  __isset = other63.__isset;
+frame::frame(const frame& other96) {
+  version = other96.version;
+  deployment = other96.deployment;
+  kind = other96.kind;
+  sender = other96.sender;
+  boot = other96.boot;
+  incarnation = other96.incarnation;
+  sequence = other96.sequence;
+  sent_ms = other96.sent_ms;
+  target = other96.target;
+  subject = other96.subject;
+  member_digest = other96.member_digest;
+  config = other96.config;
+  members = other96.members;
+  tickets = other96.tickets;
+  demands = other96.demands;
+  leavings = other96.leavings;
+  confirmations = other96.confirmations;
+  request = other96.request;
+  reply = other96.reply;
+  notices = other96.notices;
+  keys_wanted = other96.keys_wanted;
+  keys = other96.keys;
+  __isset = other96.__isset;
+}
+frame& frame::operator=(const frame& other97) {
+  version = other97.version;
+  deployment = other97.deployment;
+  kind = other97.kind;
+  sender = other97.sender;
+  boot = other97.boot;
+  incarnation = other97.incarnation;
+  sequence = other97.sequence;
+  sent_ms = other97.sent_ms;
+  target = other97.target;
+  subject = other97.subject;
+  member_digest = other97.member_digest;
+  config = other97.config;
+  members = other97.members;
+  tickets = other97.tickets;
+  demands = other97.demands;
+  leavings = other97.leavings;
+  confirmations = other97.confirmations;
+  request = other97.request;
+  reply = other97.reply;
+  notices = other97.notices;
+  keys_wanted = other97.keys_wanted;
+  keys = other97.keys;
+  __isset = other97.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -2022,6 +2751,9 @@
   out << ", " << "confirmations="; (__isset.confirmations ? (out << to_string(confirmations)) : (out << "<null>"));
   out << ", " << "request="; (__isset.request ? (out << to_string(request)) : (out << "<null>"));
   out << ", " << "reply="; (__isset.reply ? (out << to_string(reply)) : (out << "<null>"));
+  out << ", " << "notices="; (__isset.notices ? (out << to_string(notices)) : (out << "<null>"));
+  out << ", " << "keys_wanted="; (__isset.keys_wanted ? (out << to_string(keys_wanted)) : (out << "<null>"));
+  out << ", " << "keys="; (__isset.keys ? (out << to_string(keys)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/peers_types.h
+++ b/peers/gen/peers_types.h
@@ -30,7 +30,9 @@
     sync_request = 5,
     sync_reply = 6,
     config_request = 7,
-    config_reply = 8
+    config_reply = 8,
+    key_request = 9,
+    key_reply = 10
   };
 };
 
@@ -71,6 +73,16 @@
 
 class config_page;
 
+class key_notice;
+
+class known_key;
+
+class key_request;
+
+class key_value;
+
+class key_reply;
+
 class config_reply;
 
 class frame;
@@ -575,6 +587,262 @@
 
 std::ostream& operator<<(std::ostream& out, const config_page& obj);
 
+typedef struct _key_notice__isset {
+  _key_notice__isset() : key(false), revision(false), age(false) {}
+  bool key :1;
+  bool revision :1;
+  bool age :1;
+} _key_notice__isset;
+
+class key_notice : public virtual ::apache::thrift::TBase {
+ public:
+
+  key_notice(const key_notice&) noexcept;
+  key_notice& operator=(const key_notice&) noexcept;
+  key_notice() noexcept
+             : key(0),
+               revision(0),
+               age(0) {
+  }
+
+  virtual ~key_notice() noexcept;
+  int32_t key;
+  int64_t revision;
+  int16_t age;
+
+  _key_notice__isset __isset;
+
+  void __set_key(const int32_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_age(const int16_t val);
+
+  bool operator == (const key_notice & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(age == rhs.age))
+      return false;
+    return true;
+  }
+  bool operator != (const key_notice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const key_notice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(key_notice &a, key_notice &b);
+
+std::ostream& operator<<(std::ostream& out, const key_notice& obj);
+
+typedef struct _known_key__isset {
+  _known_key__isset() : key(false), revision(false) {}
+  bool key :1;
+  bool revision :1;
+} _known_key__isset;
+
+class known_key : public virtual ::apache::thrift::TBase {
+ public:
+
+  known_key(const known_key&) noexcept;
+  known_key& operator=(const known_key&) noexcept;
+  known_key() noexcept
+            : key(0),
+              revision(0) {
+  }
+
+  virtual ~known_key() noexcept;
+  int32_t key;
+  int64_t revision;
+
+  _known_key__isset __isset;
+
+  void __set_key(const int32_t val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const known_key & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const known_key &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const known_key & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(known_key &a, known_key &b);
+
+std::ostream& operator<<(std::ostream& out, const known_key& obj);
+
+typedef struct _key_request__isset {
+  _key_request__isset() : known(false), wanted(false) {}
+  bool known :1;
+  bool wanted :1;
+} _key_request__isset;
+
+class key_request : public virtual ::apache::thrift::TBase {
+ public:
+
+  key_request(const key_request&);
+  key_request& operator=(const key_request&);
+  key_request() noexcept {
+  }
+
+  virtual ~key_request() noexcept;
+  std::vector<known_key>  known;
+  std::vector<int32_t>  wanted;
+
+  _key_request__isset __isset;
+
+  void __set_known(const std::vector<known_key> & val);
+
+  void __set_wanted(const std::vector<int32_t> & val);
+
+  bool operator == (const key_request & rhs) const
+  {
+    if (!(known == rhs.known))
+      return false;
+    if (__isset.wanted != rhs.__isset.wanted)
+      return false;
+    else if (__isset.wanted && !(wanted == rhs.wanted))
+      return false;
+    return true;
+  }
+  bool operator != (const key_request &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const key_request & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(key_request &a, key_request &b);
+
+std::ostream& operator<<(std::ostream& out, const key_request& obj);
+
+typedef struct _key_value__isset {
+  _key_value__isset() : key(false), revision(false), value(false) {}
+  bool key :1;
+  bool revision :1;
+  bool value :1;
+} _key_value__isset;
+
+class key_value : public virtual ::apache::thrift::TBase {
+ public:
+
+  key_value(const key_value&);
+  key_value& operator=(const key_value&);
+  key_value() noexcept
+            : key(),
+              revision(0),
+              value() {
+  }
+
+  virtual ~key_value() noexcept;
+  std::string key;
+  int64_t revision;
+  std::string value;
+
+  _key_value__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_value(const std::string& val);
+
+  bool operator == (const key_value & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    return true;
+  }
+  bool operator != (const key_value &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const key_value & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(key_value &a, key_value &b);
+
+std::ostream& operator<<(std::ostream& out, const key_value& obj);
+
+typedef struct _key_reply__isset {
+  _key_reply__isset() : entries(false) {}
+  bool entries :1;
+} _key_reply__isset;
+
+class key_reply : public virtual ::apache::thrift::TBase {
+ public:
+
+  key_reply(const key_reply&);
+  key_reply& operator=(const key_reply&);
+  key_reply() noexcept {
+  }
+
+  virtual ~key_reply() noexcept;
+  std::vector<key_value>  entries;
+
+  _key_reply__isset __isset;
+
+  void __set_entries(const std::vector<key_value> & val);
+
+  bool operator == (const key_reply & rhs) const
+  {
+    if (!(entries == rhs.entries))
+      return false;
+    return true;
+  }
+  bool operator != (const key_reply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const key_reply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(key_reply &a, key_reply &b);
+
+std::ostream& operator<<(std::ostream& out, const key_reply& obj);
+
 typedef struct _config_reply__isset {
   _config_reply__isset() : revision(false), head(false), pages(false), delta(false) {}
   bool revision :1;
@@ -645,7 +913,7 @@
 std::ostream& operator<<(std::ostream& out, const config_reply& obj);
 
 typedef struct _frame__isset {
-  _frame__isset() : version(false), deployment(false), kind(false), sender(false), boot(false), incarnation(false), sequence(false), sent_ms(false), target(false), subject(false), member_digest(false), config(false), members(false), tickets(false), demands(false), leavings(false), confirmations(false), request(false), reply(false) {}
+  _frame__isset() : version(false), deployment(false), kind(false), sender(false), boot(false), incarnation(false), sequence(false), sent_ms(false), target(false), subject(false), member_digest(false), config(false), members(false), tickets(false), demands(false), leavings(false), confirmations(false), request(false), reply(false), notices(false), keys_wanted(false), keys(false) {}
   bool version :1;
   bool deployment :1;
   bool kind :1;
@@ -665,6 +933,9 @@
   bool confirmations :1;
   bool request :1;
   bool reply :1;
+  bool notices :1;
+  bool keys_wanted :1;
+  bool keys :1;
 } _frame__isset;
 
 class frame : public virtual ::apache::thrift::TBase {
@@ -710,6 +981,9 @@
   std::vector<confirmation>  confirmations;
   config_request request;
   config_reply reply;
+  std::vector<key_notice>  notices;
+  key_request keys_wanted;
+  key_reply keys;
 
   _frame__isset __isset;
 
@@ -751,6 +1025,12 @@
 
   void __set_reply(const config_reply& val);
 
+  void __set_notices(const std::vector<key_notice> & val);
+
+  void __set_keys_wanted(const key_request& val);
+
+  void __set_keys(const key_reply& val);
+
   bool operator == (const frame & rhs) const
   {
     if (!(version == rhs.version))
@@ -813,6 +1093,18 @@
       return false;
     else if (__isset.reply && !(reply == rhs.reply))
       return false;
+    if (__isset.notices != rhs.__isset.notices)
+      return false;
+    else if (__isset.notices && !(notices == rhs.notices))
+      return false;
+    if (__isset.keys_wanted != rhs.__isset.keys_wanted)
+      return false;
+    else if (__isset.keys_wanted && !(keys_wanted == rhs.keys_wanted))
+      return false;
+    if (__isset.keys != rhs.__isset.keys)
+      return false;
+    else if (__isset.keys && !(keys == rhs.keys))
+      return false;
     return true;
   }
   bool operator != (const frame &rhs) const {
--- /dev/null
+++ b/peers/key_relay.cc
@@ -0,0 +1,227 @@
+// Push and pull (Demers et al. 1987): a new value is announced as a rumor of 14 bytes; whoever
+// lacks it asks a random peer of its failure domain, which most likely has it by then, and each
+// third time in vain one of the domain's watchers, which certainly hears of it. Besides, each node
+// compares all its revisions with one peer's now and then, so a rumor that was lost costs time, not
+// the value.
+//
+// Why nothing goes backwards: a value is taken only at a revision above the one held, and the
+// platform's revisions only rise.
+//
+// Who may watch is worked out by every node alone, by rendezvous over the live members of the
+// domain. While members disagree on who is alive a domain has a watcher more or less for a moment;
+// comparing with peers covers that.
+#include "peers/key_relay.h"
+
+#include <algorithm>
+
+namespace jaynotch {
+
+namespace {
+
+constexpr std::size_t ask_a_watcher_each = 3;
+/// After so many the comparisons alone go on: what nobody has (a notice whose origin died before it
+/// told the value, or a forged one) must not be asked for for ever.
+constexpr std::size_t most_in_vain = 12;
+constexpr std::size_t entry_overhead = 16; ///< of an entry in a frame, bytes, about
+
+std::vector<node_id> without(const std::vector<node_id>& nodes, const node_id& self)
+{
+    std::vector<node_id> others;
+    std::copy_if(nodes.begin(), nodes.end(), std::back_inserter(others),
+                 [&](const node_id& node) { return node != self; });
+    return others;
+}
+
+} // namespace
+
+key_relay_core::key_relay_core(key_relay_settings settings, random_source random)
+    : m_settings{std::move(settings)}, m_random{random}
+{}
+
+key_relay_commands key_relay_core::members_changed(const std::vector<node_id>& own_domain,
+                                                   const std::vector<node_id>& all)
+{
+    std::vector<std::string> names;
+    for (const node_id& node : own_domain)
+        names.push_back(node.value());
+    std::sort(names.begin(), names.end());
+    m_watchers.clear();
+    bool chosen = false;
+    for (const std::size_t index : rendezvous(m_settings.name, names, m_settings.watchers)) {
+        const node_id watcher{names[index]};
+        chosen = chosen || watcher == m_settings.self;
+        if (watcher != m_settings.self)
+            m_watchers.push_back(watcher);
+    }
+    m_peers = without(own_domain, m_settings.self);
+    if (m_peers.empty())
+        m_peers = without(all, m_settings.self);
+    key_relay_commands out;
+    if (chosen != m_watching) {
+        m_watching = chosen;
+        out.emplace_back(watch_keys{chosen});
+    }
+    return out;
+}
+
+key_relay_commands key_relay_core::tick(time_point now)
+{
+    key_relay_commands out;
+    if (m_peers.empty())
+        return out;
+    if (now >= m_next_sync) {
+        const duration wait = m_synced ? m_settings.sync_interval : m_settings.start_interval;
+        // Spread over half to one and a half, so that nodes started together don't ask together.
+        const duration jitter{m_random.between(-wait.count() / 2, wait.count() / 2)};
+        m_next_sync = now + wait + jitter;
+        ask(now, true, out);
+    }
+    else if (!m_behind.empty() && now >= m_ask_again) {
+        ask(now, false, out);
+        if (m_asked_in_vain >= most_in_vain)
+            m_behind.clear();
+    }
+    return out;
+}
+
+key_relay_commands key_relay_core::learned(time_point /*now*/, const relayed_key& entry)
+{
+    key_relay_commands out;
+    m_synced = true;
+    if (take(entry, out))
+        out.emplace_back(announce_key{{wire_key(entry.key), entry.revision, duration{0}}});
+    return out;
+}
+
+key_relay_commands key_relay_core::noticed(time_point now, const key_notice& notice)
+{
+    key_relay_commands out;
+    const relayed_key* held = find(notice.key);
+    if (held != nullptr && held->revision >= notice.revision)
+        return out;
+    if (m_behind.size() >= m_settings.most_keys)
+        return out;
+    const bool first = m_behind.empty();
+    std::int64_t& wanted = m_behind[notice.key];
+    wanted = std::max(wanted, notice.revision);
+    if (first) {
+        // A moment's wait gathers notices that come together, and lets the peer asked get them too.
+        m_asked_in_vain = 0;
+        m_ask_again = now + m_settings.ask_wait / 4;
+    }
+    return out;
+}
+
+key_relay_commands key_relay_core::heard(time_point now, const key_message& message)
+{
+    key_relay_commands out;
+    if (const auto* asked = std::get_if<key_request>(&message.body)) {
+        answer(now, message.from, *asked, out);
+        return out;
+    }
+    m_synced = true;
+    const auto& reply = std::get<key_reply>(message.body);
+    for (const relayed_key& entry : reply.entries)
+        take(entry, out);
+    if (!reply.entries.empty()) {
+        m_asked_in_vain = 0;
+        m_ask_again = now; // what the reply had no room for is asked for at the next tick
+    }
+    return out;
+}
+
+bool key_relay_core::take(const relayed_key& entry, key_relay_commands& out)
+{
+    const auto found = m_keys.find(entry.key);
+    if (found != m_keys.end() && found->second.revision >= entry.revision)
+        return false;
+    if (found == m_keys.end() && m_keys.size() >= m_settings.most_keys)
+        return false;
+    const std::uint32_t wire = wire_key(entry.key);
+    m_keys[entry.key] = entry;
+    m_names[wire] = entry.key;
+    const auto behind = m_behind.find(wire);
+    if (behind != m_behind.end() && behind->second <= entry.revision)
+        m_behind.erase(behind);
+    out.emplace_back(take_key{entry});
+    return true;
+}
+
+void key_relay_core::answer(time_point now, const node_id& to, const key_request& asked,
+                            key_relay_commands& out)
+{
+    std::map<std::uint32_t, std::int64_t> theirs;
+    for (const known_key& item : asked.known)
+        theirs[item.key] = item.revision;
+    const std::set<std::uint32_t> wanted{asked.wanted.begin(), asked.wanted.end()};
+    key_reply reply;
+    std::size_t bytes = 0;
+    for (const auto& [name, entry] : m_keys) {
+        const std::uint32_t wire = wire_key(name);
+        const auto has = theirs.find(wire);
+        const bool newer = has == theirs.end() || has->second < entry.revision;
+        if (!newer || (!wanted.empty() && !wanted.contains(wire)))
+            continue;
+        const std::size_t size = name.size() + entry.value.size() + entry_overhead;
+        if (!reply.entries.empty() && bytes + size > m_settings.reply_bytes)
+            break; // the rest is asked for again
+        bytes += size;
+        reply.entries.push_back(entry);
+    }
+    // An empty reply is sent too: it tells a node that has just started that nothing is missing.
+    if (may_reply(now, bytes))
+        out.emplace_back(tell_keys{to, std::move(reply)});
+}
+
+void key_relay_core::ask(time_point now, bool everything, key_relay_commands& out)
+{
+    key_request request;
+    if (everything)
+        request.known = known();
+    else {
+        for (const auto& [wire, revision] : m_behind) {
+            const relayed_key* held = find(wire);
+            request.wanted.push_back(wire);
+            if (held != nullptr)
+                request.known.push_back({wire, held->revision});
+        }
+    }
+    const bool watcher = m_asked_in_vain % ask_a_watcher_each == ask_a_watcher_each - 1;
+    const std::vector<node_id>& among = watcher && !m_watchers.empty() ? m_watchers : m_peers;
+    ++m_asked_in_vain;
+    m_ask_again = now + m_settings.ask_wait;
+    out.emplace_back(tell_keys{among[m_random.index(among.size())], std::move(request)});
+}
+
+std::vector<known_key> key_relay_core::known() const
+{
+    std::vector<known_key> items;
+    items.reserve(m_keys.size());
+    for (const auto& [name, entry] : m_keys)
+        items.push_back({wire_key(name), entry.revision});
+    return items;
+}
+
+const relayed_key* key_relay_core::find(std::uint32_t wire) const
+{
+    const auto name = m_names.find(wire);
+    return name == m_names.end() ? nullptr : &m_keys.at(name->second);
+}
+
+bool key_relay_core::may_reply(time_point now, std::size_t bytes)
+{
+    const double burst = m_settings.reply_bytes_s + static_cast<double>(m_settings.reply_bytes);
+    if (!m_refilled)
+        m_reply_tokens = burst;
+    else {
+        const double seconds = std::chrono::duration<double>(now - *m_refilled).count();
+        m_reply_tokens = std::min(burst, m_reply_tokens + seconds * m_settings.reply_bytes_s);
+    }
+    m_refilled = now;
+    if (m_reply_tokens < static_cast<double>(bytes))
+        return false; // the asker tries another peer; a burst of joiners must not starve the rest
+    m_reply_tokens -= static_cast<double>(bytes);
+    return true;
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/peers/key_relay.h
@@ -0,0 +1,104 @@
+// Keys of the platform that a few nodes watch and all nodes need: the decision core of their relay.
+//
+//   key_relay_core relay{{.self = node}, random_source{seed}};
+//   run(relay.tick(now));                          // a few times a second
+//   run(relay.members_changed(own_domain, all));
+//   run(relay.learned(now, entry));                // read, watched or written by this node
+//   run(relay.noticed(now, notice));               // rumor of a peer
+//   run(relay.heard(now, message));                // request or reply of a peer
+//
+// The assignment records of the fabric domains travel this way. Were every node to watch them, the
+// calls on the platform would grow with the fleet; and a node that starts while the platform is
+// down would not know one group, though its peers know them all.
+//
+// The newest revision of each key wins. Keys are never removed, as records are not.
+#pragma once
+
+#include "base/base.h"
+#include "peers/frame.h"
+#include "peers/payload.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace jaynotch {
+
+struct key_relay_settings {
+    node_id self;
+    std::string name = "records"; ///< chooses the watchers, differently for each relay
+    std::size_t watchers = 2;     ///< nodes of a failure domain that watch the platform
+    duration ask_wait = std::chrono::milliseconds{400};       ///< for a peer's reply
+    duration sync_interval = std::chrono::seconds{20};        ///< between comparisons with a peer
+    duration start_interval = std::chrono::milliseconds{500}; ///< the same until the first reply
+    std::size_t reply_bytes = 256U << 10U;                    ///< of one reply
+    double reply_bytes_s = 200'000.0;                         ///< of all replies
+    std::size_t most_keys = 4096;
+};
+
+// Commands.
+/// Begin or stop to watch the platform.
+struct watch_keys {
+    bool on = false;
+};
+struct tell_keys {
+    node_id to;
+    key_body body;
+};
+/// To be published to all peers.
+struct announce_key {
+    key_notice notice;
+};
+/// A newer value that this node did not have.
+struct take_key {
+    relayed_key entry;
+};
+using key_relay_command = std::variant<watch_keys, tell_keys, announce_key, take_key>;
+using key_relay_commands = std::vector<key_relay_command>;
+
+class key_relay_core {
+public:
+    key_relay_core(key_relay_settings settings, random_source random);
+
+    key_relay_commands tick(time_point now);
+    /// Live members, this node among them: of its failure domain, and of all.
+    key_relay_commands members_changed(const std::vector<node_id>& own_domain,
+                                       const std::vector<node_id>& all);
+    key_relay_commands learned(time_point now, const relayed_key& entry);
+    key_relay_commands noticed(time_point now, const key_notice& notice);
+    key_relay_commands heard(time_point now, const key_message& message);
+
+    [[nodiscard]] bool watching() const { return m_watching; }
+    /// Keys known, by name.
+    [[nodiscard]] const std::map<std::string, relayed_key>& keys() const { return m_keys; }
+
+private:
+    bool take(const relayed_key& entry, key_relay_commands& out);
+    void answer(time_point now, const node_id& to, const key_request& asked,
+                key_relay_commands& out);
+    void ask(time_point now, bool everything, key_relay_commands& out);
+    [[nodiscard]] std::vector<known_key> known() const;
+    [[nodiscard]] const relayed_key* find(std::uint32_t wire) const;
+    bool may_reply(time_point now, std::size_t bytes);
+
+    key_relay_settings m_settings;
+    random_source m_random;
+    std::map<std::string, relayed_key> m_keys;
+    std::map<std::uint32_t, std::string> m_names;   ///< of m_keys by their hash
+    std::map<std::uint32_t, std::int64_t> m_behind; ///< noticed, not had yet
+    std::vector<node_id> m_watchers;                ///< of our failure domain, but us
+    std::vector<node_id> m_peers;                   ///< whom to ask: our domain's, else anyone
+    bool m_watching = false;
+    bool m_synced = false; ///< a peer or the platform has answered once
+    std::size_t m_asked_in_vain = 0;
+    time_point m_ask_again{};
+    time_point m_next_sync{};
+    double m_reply_tokens = 0.0;
+    std::optional<time_point> m_refilled;
+};
+
+} // namespace jaynotch
--- /dev/null
+++ b/peers/key_relay_test.cc
@@ -0,0 +1,308 @@
+// The relay of keys on a network of a few lines: nodes in failure domains, messages that are lost,
+// a platform that only watchers hear.
+#include "peers/key_relay.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <deque>
+
+using namespace jaynotch;
+
+namespace {
+
+struct node {
+    node_id name;
+    std::string domain;
+    key_relay_core core;
+    bool up = true;
+    std::size_t sent = 0; ///< messages
+};
+
+struct flight {
+    node_id to;
+    key_message message;
+};
+
+/// Nodes, the messages between them and the platform's keys.
+class network {
+public:
+    network(std::size_t nodes, std::size_t domains, std::uint64_t seed) : m_random{seed}
+    {
+        for (std::size_t i = 0; i < nodes; ++i)
+            add("n" + std::to_string(i), "d" + std::to_string(i % domains));
+        members_changed();
+    }
+
+    void add(const std::string& name, const std::string& domain)
+    {
+        key_relay_settings settings;
+        settings.self = node_id{name};
+        m_nodes.push_back(
+            {node_id{name}, domain, key_relay_core{settings, random_source{m_random.bits()}}});
+    }
+
+    void members_changed()
+    {
+        std::vector<node_id> all;
+        for (const node& each : m_nodes) {
+            if (each.up)
+                all.push_back(each.name);
+        }
+        for (node& each : m_nodes) {
+            std::vector<node_id> own;
+            for (const node& other : m_nodes) {
+                if (other.up && other.domain == each.domain)
+                    own.push_back(other.name);
+            }
+            run(each, each.core.members_changed(own, all));
+        }
+    }
+
+    /// The platform gets a value; those that watch hear it, unless it is dark.
+    void write(const std::string& key, std::int64_t revision)
+    {
+        m_platform[key] = {key, revision, key + "@" + std::to_string(revision)};
+        if (platform_dark)
+            return;
+        for (node& each : m_nodes) {
+            if (each.up && each.core.watching())
+                run(each, each.core.learned(m_now, m_platform[key]));
+        }
+    }
+
+    void step(duration by = std::chrono::milliseconds{100})
+    {
+        m_now += by;
+        for (node& each : m_nodes) {
+            if (each.up)
+                run(each, each.core.tick(m_now));
+        }
+        deliver();
+    }
+
+    void steps(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            step();
+    }
+
+    bool everyone_has(const std::string& key, std::int64_t revision) const
+    {
+        return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const node& each) {
+            const auto found = each.core.keys().find(key);
+            return !each.up ||
+                   (found != each.core.keys().end() && found->second.revision >= revision);
+        });
+    }
+
+    std::vector<node>& nodes() { return m_nodes; }
+
+    double loss = 0.0;
+    bool platform_dark = false;
+    std::string cut_off; ///< a domain whose messages to others are lost
+    bool went_back = false;
+
+private:
+    void run(node& from, const key_relay_commands& commands)
+    {
+        for (const key_relay_command& command : commands) {
+            if (const auto* tell = std::get_if<tell_keys>(&command)) {
+                ++from.sent;
+                m_flights.push_back({tell->to, {from.name, tell->body}});
+            }
+            else if (const auto* told = std::get_if<announce_key>(&command))
+                announce(from, told->notice);
+            else if (const auto* taken = std::get_if<take_key>(&command)) {
+                std::int64_t& high = m_high[from.name][taken->entry.key];
+                went_back = went_back || taken->entry.revision <= high;
+                high = taken->entry.revision;
+            }
+            else if (const auto* watch = std::get_if<watch_keys>(&command)) {
+                for (const auto& [key, entry] : m_platform) {
+                    if (watch->on && !platform_dark)
+                        run(from, from.core.learned(m_now, entry));
+                }
+            }
+        }
+    }
+
+    void announce(const node& from, const key_notice& notice)
+    {
+        for (node& each : m_nodes) {
+            if (each.up && each.name != from.name && !lost(from, each))
+                run(each, each.core.noticed(m_now, notice));
+        }
+    }
+
+    bool lost(const node& from, const node& to)
+    {
+        const bool parted =
+            from.domain != to.domain && (from.domain == cut_off || to.domain == cut_off);
+        return parted || m_random.chance(loss);
+    }
+
+    void deliver()
+    {
+        std::deque<flight> now;
+        now.swap(m_flights);
+        for (const flight& each : now) {
+            const auto by_name = [&](const node_id& name) {
+                return std::find_if(m_nodes.begin(), m_nodes.end(),
+                                    [&](const node& one) { return one.name == name; });
+            };
+            const auto from = by_name(each.message.from);
+            const auto to = by_name(each.to);
+            if (to->up && !lost(*from, *to))
+                run(*to, to->core.heard(m_now, each.message));
+        }
+    }
+
+    random_source m_random;
+    time_point m_now{std::chrono::seconds{100}};
+    std::vector<node> m_nodes;
+    std::deque<flight> m_flights;
+    std::map<std::string, relayed_key> m_platform;
+    std::map<node_id, std::map<std::string, std::int64_t>> m_high;
+};
+
+} // namespace
+
+Test(key_relay, two_nodes_of_each_domain_watch_however_large_it_is)
+{
+    for (const std::size_t nodes : {2U, 4U, 12U, 60U, 410U}) {
+        network net{nodes, 2, 1};
+        const auto watching = std::count_if(net.nodes().begin(), net.nodes().end(),
+                                            [](const node& each) { return each.core.watching(); });
+        cr_assert_eq(watching, static_cast<std::ptrdiff_t>(std::min<std::size_t>(nodes, 4)));
+    }
+}
+
+Test(key_relay, a_value_reaches_everyone_within_two_seconds_though_messages_are_lost)
+{
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        network net{40, 4, seed};
+        net.steps(20);
+        net.loss = 0.2;
+        net.write("r1", 5);
+        net.steps(20);
+        const auto late = std::count_if(net.nodes().begin(), net.nodes().end(), [](const node& n) {
+            return !n.core.keys().contains("r1");
+        });
+        // A rumor that was lost to a node altogether waits for its next comparison.
+        cr_assert(late <= 12, "seed %lu: %ld of 40 late", seed, late);
+        net.loss = 0.0;
+        net.steps(400);
+        cr_assert(net.everyone_has("r1", 5), "seed %lu", seed);
+    }
+}
+
+// The platform is down for an hour, and an entry VM is replaced meanwhile. Its callers would find
+// no group though all groups serve, since the fresh node could read no record. It learns them from
+// a peer.
+Test(key_relay, a_node_started_while_the_platform_is_dark_learns_all_keys_from_a_peer)
+{
+    network net{4, 3, 7};
+    for (int i = 0; i < 30; ++i)
+        net.write("r" + std::to_string(i), 10 + i);
+    net.steps(30);
+    net.platform_dark = true;
+    net.nodes()[3].up = false;
+    net.add("fresh", "d1");
+    net.members_changed();
+    net.steps(15);
+    cr_assert_eq(net.nodes().back().core.keys().size(), 30);
+}
+
+// Both watchers of a domain die. The domain's other nodes take their places by themselves.
+Test(key_relay, watchers_that_die_are_replaced)
+{
+    network net{10, 1, 3};
+    for (node& each : net.nodes()) {
+        if (each.core.watching())
+            each.up = false;
+    }
+    net.members_changed();
+    net.write("r", 2);
+    net.steps(10);
+    cr_assert(net.everyone_has("r", 2));
+}
+
+// A failure domain is cut off from the others; both sides learn new keys. When the cut heals each
+// side hears of the other's by comparison alone, as the rumors were lost.
+Test(key_relay, a_cut_domain_catches_up_without_rumors)
+{
+    network net{12, 3, 9};
+    net.steps(10);
+    net.platform_dark = true;
+    net.cut_off = "d0";
+    const auto in_domain = [&](const std::string& domain) -> node& {
+        return *std::find_if(net.nodes().begin(), net.nodes().end(),
+                             [&](const node& each) { return each.domain == domain; });
+    };
+    (void)in_domain("d0").core.learned(time_point{std::chrono::seconds{200}}, {"a", 3, "v"});
+    net.steps(1800); // three minutes: a comparison with one random peer each 20 s or so
+    std::size_t have = 0;
+    for (const node& each : net.nodes())
+        have += each.core.keys().contains("a") ? 1 : 0;
+    cr_assert_eq(have, 4, "%zu nodes of the cut-off domain have it", have);
+    net.cut_off.clear();
+    net.platform_dark = false;
+    net.write("a", 4);
+    net.steps(20);
+    cr_assert(net.everyone_has("a", 4));
+}
+
+// A forged or orphaned notice names a revision that nobody has. Asking has to end, or each such
+// notice would cost every node two messages a second for ever.
+Test(key_relay, a_notice_of_what_nobody_has_is_given_up)
+{
+    network net{4, 1, 11};
+    net.steps(20);
+    for (node& each : net.nodes())
+        (void)each.core.noticed(time_point{std::chrono::seconds{102}}, {wire_key("ghost"), 99, {}});
+    std::size_t before = 0;
+    for (const node& each : net.nodes())
+        before += each.sent;
+    net.steps(600);
+    std::size_t after = 0;
+    for (const node& each : net.nodes())
+        after += each.sent;
+    // Twelve asks and as many replies a node, and a comparison and its reply each 20 s or so.
+    cr_assert(after - before < 4 * (2 * 12 + 2 * 8), "%zu messages", after - before);
+}
+
+Test(key_relay, random_histories_never_go_back_and_end_the_same)
+{
+    for (std::uint64_t seed = 0; seed < 40; ++seed) {
+        random_source random{seed};
+        network net{6 + random.index(20), 1 + random.index(4), seed};
+        std::int64_t revision = 0;
+        for (int step = 0; step < 300; ++step) {
+            net.loss = random.chance(0.3) ? 0.5 : 0.0;
+            net.platform_dark = random.chance(0.2);
+            net.cut_off = random.chance(0.2) ? "d0" : "";
+            if (random.chance(0.1)) {
+                node& victim = net.nodes()[random.index(net.nodes().size())];
+                victim.up = !victim.up;
+                net.members_changed();
+            }
+            if (random.chance(0.3))
+                net.write("r" + std::to_string(random.index(5)), ++revision);
+            net.step();
+        }
+        for (node& each : net.nodes())
+            each.up = true;
+        net.loss = 0.0;
+        net.platform_dark = false;
+        net.cut_off.clear();
+        net.members_changed();
+        for (int i = 0; i < 5; ++i)
+            net.write("r" + std::to_string(i), ++revision);
+        net.steps(500);
+        for (int i = 0; i < 5; ++i)
+            cr_assert(net.everyone_has("r" + std::to_string(i), revision - 4 + i), "seed %lu",
+                      seed);
+        cr_assert(!net.went_back, "seed %lu", seed);
+    }
+}
--- a/peers/membership.cc
+++ b/peers/membership.cc
@@ -76,8 +76,9 @@
 {
     if (!to.node.value().empty())
         frame.__set_target(to.node.value());
-    const bool small =
-        frame.kind != wire::frame_kind::sync_reply && frame.kind != wire::frame_kind::config_reply;
+    const bool small = frame.kind != wire::frame_kind::sync_reply &&
+                       frame.kind != wire::frame_kind::config_reply &&
+                       frame.kind != wire::frame_kind::key_reply;
     // A peer that we hold for dead or left is told so: it alone can refute it.
     const member* known = m_members.find(to.node);
     if (known != nullptr && known->state != member_state::alive) {
@@ -136,6 +137,7 @@
     take_members(now, frame, out);
     take_rumors(now, stuck, frame, out);
     take_config(frame, out);
+    take_keys(frame, out);
     answer(now, frame, out);
     push_urgent(now, out);
     return out;
@@ -240,6 +242,12 @@
     }
     for (const wire::leaving& heard : frame.leavings)
         take_rumor(now, stuck, leaving{heard.server, from_wire_age(heard.age)}, out);
+    for (const wire::key_notice& heard : frame.notices) {
+        take_rumor(now, stuck,
+                   key_notice{static_cast<std::uint32_t>(heard.key), heard.revision,
+                              from_wire_age(heard.age)},
+                   out);
+    }
     for (const wire::confirmation& heard : frame.confirmations) {
         take_rumor(now, stuck,
                    confirmation{static_cast<std::uint32_t>(heard.node),
--- /dev/null
+++ b/peers/membership_keys.cc
@@ -0,0 +1,87 @@
+// Key requests and replies as frames; what they mean is decided in key_relay.cc.
+#include "peers/membership.h"
+
+namespace jaynotch {
+
+namespace {
+
+wire::key_request to_wire(const key_request& asked)
+{
+    wire::key_request out;
+    for (const known_key& known : asked.known) {
+        wire::known_key item;
+        item.key = static_cast<std::int32_t>(known.key);
+        item.revision = known.revision;
+        out.known.push_back(item);
+    }
+    std::vector<std::int32_t> wanted;
+    for (const std::uint32_t key : asked.wanted)
+        wanted.push_back(static_cast<std::int32_t>(key));
+    if (!wanted.empty())
+        out.__set_wanted(wanted);
+    return out;
+}
+
+key_request from_wire(const wire::key_request& heard)
+{
+    key_request asked;
+    for (const wire::known_key& known : heard.known)
+        asked.known.push_back({static_cast<std::uint32_t>(known.key), known.revision});
+    for (const std::int32_t key : heard.wanted)
+        asked.wanted.push_back(static_cast<std::uint32_t>(key));
+    return asked;
+}
+
+wire::key_reply to_wire(const key_reply& reply)
+{
+    wire::key_reply out;
+    for (const relayed_key& entry : reply.entries) {
+        wire::key_value item;
+        item.key = entry.key;
+        item.revision = entry.revision;
+        item.value = entry.value;
+        out.entries.push_back(std::move(item));
+    }
+    return out;
+}
+
+key_reply from_wire(const wire::key_reply& heard)
+{
+    key_reply reply;
+    for (const wire::key_value& item : heard.entries)
+        reply.entries.push_back({item.key, item.revision, item.value});
+    return reply;
+}
+
+} // namespace
+
+void membership_core::take_keys(const wire::frame& frame, membership_commands& out)
+{
+    if (frame.__isset.keys_wanted)
+        out.emplace_back(key_message{node_id{frame.sender}, from_wire(frame.keys_wanted)});
+    if (frame.__isset.keys)
+        out.emplace_back(key_message{node_id{frame.sender}, from_wire(frame.keys)});
+}
+
+membership_commands membership_core::send_keys(time_point now, const node_id& to,
+                                               const key_body& body)
+{
+    membership_commands out;
+    const member* known = m_members.find(to);
+    if (known == nullptr)
+        return out;
+    const member peer = *known;
+    if (const auto* request = std::get_if<key_request>(&body)) {
+        wire::frame frame = make_frame(now, wire::frame_kind::key_request);
+        frame.__set_keys_wanted(to_wire(*request));
+        send(now, peer, frame, out);
+    }
+    if (const auto* reply = std::get_if<key_reply>(&body)) {
+        wire::frame frame = make_frame(now, wire::frame_kind::key_reply);
+        frame.__set_keys(to_wire(*reply));
+        send(now, peer, frame, out);
+    }
+    return out;
+}
+
+} // namespace jaynotch
--- a/peers/payload.h
+++ b/peers/payload.h
@@ -59,7 +59,16 @@
     friend bool operator==(const confirmation&, const confirmation&) = default;
 };
 
+/// A key of the platform has a newer value; whoever lacks it asks a peer (key_relay.h).
+struct key_notice {
+    std::uint32_t key = 0; ///< wire_key of the key
+    std::int64_t revision = 0;
+    duration age{0};
+
+    friend bool operator==(const key_notice&, const key_notice&) = default;
+};
+
 /// One thing that spreads from node to node.
-using rumor = std::variant<ticket_digest, demand, leaving, confirmation>;
+using rumor = std::variant<ticket_digest, demand, leaving, confirmation, key_notice>;
 
 } // namespace jaynotch
--- a/peers/peer_service.cc
+++ b/peers/peer_service.cc
@@ -96,6 +96,7 @@
     std::function<void()> m_superseded_handler;
     std::function<void(const config_message&)> m_config_handler;
     std::function<void(const confirmation&)> m_confirmation_handler;
+    std::function<void(const key_message&)> m_key_handler;
 
 private:
     void carry_out(const send_frame& order)
@@ -126,6 +127,11 @@
         if (m_config_handler)
             m_config_handler(order);
     }
+    void carry_out(const key_message& order)
+    {
+        if (m_key_handler)
+            m_key_handler(order);
+    }
     void carry_out(const superseded& order)
     {
         if (m_superseded)
@@ -254,6 +260,16 @@
     m_state->run(m_state->m_core.send_config(runtime_clock::now(), to, body));
 }
 
+void peer_service::on_keys(std::function<void(const key_message&)> handler)
+{
+    m_state->m_key_handler = std::move(handler);
+}
+
+void peer_service::send_keys(const node_id& to, const key_body& body)
+{
+    m_state->run(m_state->m_core.send_keys(runtime_clock::now(), to, body));
+}
+
 void peer_service::ask(const std::vector<node_id>& nodes)
 {
     m_state->run(m_state->m_core.ask(runtime_clock::now(), nodes));
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -8,7 +8,7 @@
 //   co_await peers->leave();                                // says goodbye, then stops
 //
 // Parts: payload.h (typed items), frame.h (codec), membership.h (the decision core),
-// transport.h (TCP and mutual TLS).
+// transport.h (TCP and mutual TLS), key_relay.h (keys of the platform that a few nodes watch).
 #pragma once
 
 #include "base/base.h"
@@ -79,6 +79,11 @@
     void on_config(std::function<void(const config_message&)> handler);
     void on_confirmation(std::function<void(const confirmation&)> handler);
     void send_config(const node_id& to, const config_body& body);
+
+    // For the relay of keys (key_relay.h).
+    void on_keys(std::function<void(const key_message&)> handler);
+    void send_keys(const node_id& to, const key_body& body);
+
     /// Asks nodes for a sign of life, and so for the revision that they have installed.
     void ask(const std::vector<node_id>& nodes);
 
--- a/peers/peers.thrift
+++ b/peers/peers.thrift
@@ -12,6 +12,8 @@
   sync_reply = 6
   config_request = 7
   config_reply = 8
+  key_request = 9
+  key_reply = 10
 }
 
 enum member_state { alive = 1, suspect = 2, dead = 3, left = 4 }
@@ -75,6 +77,34 @@
   2: binary bytes
 }
 
+// A key of the platform that some nodes watch and the others hear of, at its newest revision.
+struct key_notice {
+  1: i32 key           // hash of the key
+  2: i64 revision
+  3: i16 age
+}
+
+struct known_key {
+  1: i32 key
+  2: i64 revision
+}
+
+// Asks for the keys that are newer than `known`: the wanted ones, or all if none are named.
+struct key_request {
+  1: list<known_key> known
+  2: optional list<i32> wanted
+}
+
+struct key_value {
+  1: string key
+  2: i64 revision
+  3: binary value
+}
+
+struct key_reply {
+  1: list<key_value> entries
+}
+
 // `head` is the head record of `revision` as it stands in the key-value service.
 struct config_reply {
   1: i64 revision
@@ -103,4 +133,7 @@
   17: optional list<confirmation> confirmations
   18: optional config_request request
   19: optional config_reply reply
+  20: optional list<key_notice> notices
+  21: optional key_request keys_wanted
+  22: optional key_reply keys
 }
--- a/peers/rumor_table.cc
+++ b/peers/rumor_table.cc
@@ -53,6 +53,7 @@
             [](const ticket_digest& ticket) { return ticket.complete ? third_class : first_class; },
             [](const demand&) { return third_class; },
             [](const confirmation&) { return third_class; },
+            [](const key_notice&) { return second_class; },
         },
         item);
 }
@@ -77,6 +78,7 @@
     constexpr std::size_t ticket_bytes = 17;
     constexpr std::size_t demand_bytes = 28;
     constexpr std::size_t confirmation_bytes = 14;
+    constexpr std::size_t notice_bytes = 14;
     constexpr std::size_t name_overhead = 8;
     constexpr std::size_t member_overhead = 24;
     return std::visit(overloaded{
@@ -88,6 +90,7 @@
                           [](const demand&) { return demand_bytes; },
                           [](const leaving& gone) { return name_overhead + gone.server.size(); },
                           [](const confirmation&) { return confirmation_bytes; },
+                          [](const key_notice&) { return notice_bytes; },
                       },
                       item);
 }
@@ -150,6 +153,14 @@
                        frame.leavings.push_back(out);
                        frame.__isset.leavings = true;
                    },
+                   [&](const key_notice& told) {
+                       wire::key_notice out;
+                       out.key = static_cast<std::int32_t>(told.key);
+                       out.revision = told.revision;
+                       out.age = wire_age(age);
+                       frame.notices.push_back(out);
+                       frame.__isset.notices = true;
+                   },
                    [&](const confirmation& told) {
                        wire::confirmation out;
                        out.node = static_cast<std::int32_t>(told.node);
@@ -214,6 +225,7 @@
                        },
                        [](const leaving& gone) { return hash64(gone.server); },
                        [](const confirmation& told) { return std::uint64_t{told.node}; },
+                       [](const key_notice& told) { return std::uint64_t{told.key}; },
                    },
                    item);
     return {item.index(), name};
@@ -231,6 +243,9 @@
             [&](const confirmation& news) {
                 return confirmation_is_news(news, std::get<confirmation>(known.item), later);
             },
+            [&](const key_notice& news) {
+                return news.revision > std::get<key_notice>(known.item).revision;
+            },
             [&](const auto&) { return later > age_slack; },
         },
         heard);
