Format: groups_test

Cause: two files had landed before the landing check looked at their format. Change: clang-format, nothing else. Conclusion: none.

--- a/groups/groups_test.cc
+++ b/groups/groups_test.cc
@@ -9,53 +9,57 @@
 
 namespace {
 
-configuration one_pool(std::uint32_t replicas, std::uint32_t vms) {
-  configuration tables;
-  tables.deployment = "fake";
-  tables.revision = config_revision{1};
-  pool row;
-  row.name = pool_id{"prices"};
-  row.model = "llm";
-  row.version = "v1";
-  row.replica_vms = vms;
-  row.replicas = replicas;
-  tables.pools.push_back(row);
-  return tables;
+configuration one_pool(std::uint32_t replicas, std::uint32_t vms)
+{
+    configuration tables;
+    tables.deployment = "fake";
+    tables.revision = config_revision{1};
+    pool row;
+    row.name = pool_id{"prices"};
+    row.model = "llm";
+    row.version = "v1";
+    row.replica_vms = vms;
+    row.replicas = replicas;
+    tables.pools.push_back(row);
+    return tables;
 }
 
-std::shared_ptr<const configuration> shared(configuration tables) {
-  return std::make_shared<const configuration>(std::move(tables));
+std::shared_ptr<const configuration> shared(configuration tables)
+{
+    return std::make_shared<const configuration>(std::move(tables));
 }
 
-void expect_sound(const fake_world &world) {
-  for (const std::string &what : world.violations())
-    cr_log_error("%s", what.c_str());
-  cr_assert(world.violations().empty());
+void expect_sound(const fake_world& world)
+{
+    for (const std::string& what : world.violations())
+        cr_log_error("%s", what.c_str());
+    cr_assert(world.violations().empty());
 }
 
 } // namespace
 
-Test(thin_path, groups_form_load_and_get_tickets) {
-  fake_world world{{.nodes = 2, .domains = 1, .vms_per_domain = 5}, 1};
-  world.install(shared(one_pool(2, 2)));
-  world.run(120s);
-  expect_sound(world);
-  const auto complete = world.complete_everywhere();
-  cr_assert_eq(complete.size(), 2);
-  const domain_record record = world.record(0);
-  cr_assert_eq(record.groups.size(), 2);
-  const auto standbys =
-      record.groups[0].standbys.size() + record.groups[1].standbys.size();
-  cr_assert_eq(standbys, 1, "the fifth VM is bound ahead of need");
+Test(thin_path, groups_form_load_and_get_tickets)
+{
+    fake_world world{{.nodes = 2, .domains = 1, .vms_per_domain = 5}, 1};
+    world.install(shared(one_pool(2, 2)));
+    world.run(120s);
+    expect_sound(world);
+    const auto complete = world.complete_everywhere();
+    cr_assert_eq(complete.size(), 2);
+    const domain_record record = world.record(0);
+    cr_assert_eq(record.groups.size(), 2);
+    const auto standbys = record.groups[0].standbys.size() + record.groups[1].standbys.size();
+    cr_assert_eq(standbys, 1, "the fifth VM is bound ahead of need");
 }
 
 namespace {
 
-std::size_t whole_in(const fake_world &world) {
-  const auto complete = world.complete_on(0);
-  return static_cast<std::size_t>(std::count_if(
-      complete.begin(), complete.end(),
-      [](const complete_group &group) { return !group.draining; }));
+std::size_t whole_in(const fake_world& world)
+{
+    const auto complete = world.complete_on(0);
+    return static_cast<std::size_t>(
+        std::count_if(complete.begin(), complete.end(),
+                      [](const complete_group& group) { return !group.draining; }));
 }
 
 } // namespace
@@ -64,101 +68,106 @@
 // goes down, then a member dies, and nobody may write the record that would
 // replace it. The standby was bound before, so the group is completed without a
 // new record.
-Test(stories, a_bound_standby_is_swapped_in_while_the_platform_is_dark) {
-  fake_world world{{.nodes = 2, .domains = 1, .vms_per_domain = 3}, 3};
-  world.install(shared(one_pool(1, 2)));
-  world.run(120s);
-  cr_assert_eq(whole_in(world), 1);
-  const domain_record before = world.record(0);
-  world.platform_down(true);
-  world.run(30s);
-  cr_assert_eq(whole_in(world), 1, "tickets go on without the platform");
-  const vm_id lost = before.groups[0].members[1].vm;
-  world.kill(lost);
-  world.run(180s);
-  const auto complete = world.complete_on(0);
-  cr_assert_eq(complete.size(), 1);
-  cr_assert(complete[0].members[1] == before.groups[0].standbys[0].vm);
-  cr_assert(world.record(0) == before, "nothing was written");
-  world.platform_down(false);
-  world.run(60s);
-  cr_assert(world.record(0).groups[0].members[1].vm == complete[0].members[1],
-            "the record follows once it can be written");
-  cr_assert_eq(whole_in(world), 1);
-  expect_sound(world);
+Test(stories, a_bound_standby_is_swapped_in_while_the_platform_is_dark)
+{
+    fake_world world{{.nodes = 2, .domains = 1, .vms_per_domain = 3}, 3};
+    world.install(shared(one_pool(1, 2)));
+    world.run(120s);
+    cr_assert_eq(whole_in(world), 1);
+    const domain_record before = world.record(0);
+    world.platform_down(true);
+    world.run(30s);
+    cr_assert_eq(whole_in(world), 1, "tickets go on without the platform");
+    const vm_id lost = before.groups[0].members[1].vm;
+    world.kill(lost);
+    world.run(180s);
+    const auto complete = world.complete_on(0);
+    cr_assert_eq(complete.size(), 1);
+    cr_assert(complete[0].members[1] == before.groups[0].standbys[0].vm);
+    cr_assert(world.record(0) == before, "nothing was written");
+    world.platform_down(false);
+    world.run(60s);
+    cr_assert(world.record(0).groups[0].members[1].vm == complete[0].members[1],
+              "the record follows once it can be written");
+    cr_assert_eq(whole_in(world), 1);
+    expect_sound(world);
 }
 
 // A member answers nothing for ten seconds and then goes on as before. The
 // group is whole again at that moment, and the standby that had begun to load
 // is let go: no second break.
-Test(stories, a_member_back_from_a_pause_keeps_its_place) {
-  fake_world world{{.nodes = 2, .domains = 1, .vms_per_domain = 3}, 4};
-  world.install(shared(one_pool(1, 2)));
-  world.run(120s);
-  const domain_record before = world.record(0);
-  const vm_id paused = before.groups[0].members[1].vm;
-  const vm_id standby = before.groups[0].standbys[0].vm;
-  world.engine(paused).paused_until = world.now() + 10s;
-  world.run(9s);
-  cr_assert_eq(whole_in(world), 0);
-  cr_assert(world.engine(standby).says.state == member_state::loading);
-  world.run(30s);
-  cr_assert_eq(whole_in(world), 1);
-  cr_assert(world.record(0).groups == before.groups);
-  cr_assert(world.engine(standby).says.group.value().empty());
-  expect_sound(world);
+Test(stories, a_member_back_from_a_pause_keeps_its_place)
+{
+    fake_world world{{.nodes = 2, .domains = 1, .vms_per_domain = 3}, 4};
+    world.install(shared(one_pool(1, 2)));
+    world.run(120s);
+    const domain_record before = world.record(0);
+    const vm_id paused = before.groups[0].members[1].vm;
+    const vm_id standby = before.groups[0].standbys[0].vm;
+    world.engine(paused).paused_until = world.now() + 10s;
+    world.run(9s);
+    cr_assert_eq(whole_in(world), 0);
+    cr_assert(world.engine(standby).says.state == member_state::loading);
+    world.run(30s);
+    cr_assert_eq(whole_in(world), 1);
+    cr_assert(world.record(0).groups == before.groups);
+    cr_assert(world.engine(standby).says.group.value().empty());
+    expect_sound(world);
 }
 
 // A new version is put in the tables. Callers must find a whole group at every
 // moment: the old one serves until the new one has loaded beside it.
-Test(stories, the_old_version_serves_until_the_new_one_is_whole) {
-  fake_world world{{.nodes = 1, .domains = 1, .vms_per_domain = 4}, 5};
-  world.install(shared(one_pool(1, 2)));
-  world.run(120s);
-  cr_assert_eq(whole_in(world), 1);
-  configuration tables = one_pool(1, 2);
-  tables.pools[0].version = "v2";
-  world.install(shared(tables));
-  for (int step = 0; step < 800; ++step) {
-    world.step();
-    cr_assert(whole_in(world) >= 1, "no group at step %d", step);
-  }
-  const auto complete = world.complete_on(0);
-  cr_assert_eq(complete.size(), 1);
-  cr_assert(complete[0].version == "v2");
-  expect_sound(world);
+Test(stories, the_old_version_serves_until_the_new_one_is_whole)
+{
+    fake_world world{{.nodes = 1, .domains = 1, .vms_per_domain = 4}, 5};
+    world.install(shared(one_pool(1, 2)));
+    world.run(120s);
+    cr_assert_eq(whole_in(world), 1);
+    configuration tables = one_pool(1, 2);
+    tables.pools[0].version = "v2";
+    world.install(shared(tables));
+    for (int step = 0; step < 800; ++step) {
+        world.step();
+        cr_assert(whole_in(world) >= 1, "no group at step %d", step);
+    }
+    const auto complete = world.complete_on(0);
+    cr_assert_eq(complete.size(), 1);
+    cr_assert(complete[0].version == "v2");
+    expect_sound(world);
 }
 
 // A VM is announced to leave. Its group must not break: a whole one is built
 // beside it first.
-Test(stories, a_leaving_vm_is_replaced_before_it_goes) {
-  fake_world world{{.nodes = 1, .domains = 1, .vms_per_domain = 5}, 6};
-  world.install(shared(one_pool(1, 2)));
-  world.run(120s);
-  const vm_id leaves = world.record(0).groups[0].members[0].vm;
-  world.engine(leaves).row.leaving = true;
-  world.engine(leaves).row.leaves_in = 100s;
-  for (int step = 0; step < 600; ++step) {
-    world.step();
-    cr_assert(whole_in(world) >= 1, "no group at step %d", step);
-    if (step == 400)
-      world.kill(leaves);
-  }
-  expect_sound(world);
+Test(stories, a_leaving_vm_is_replaced_before_it_goes)
+{
+    fake_world world{{.nodes = 1, .domains = 1, .vms_per_domain = 5}, 6};
+    world.install(shared(one_pool(1, 2)));
+    world.run(120s);
+    const vm_id leaves = world.record(0).groups[0].members[0].vm;
+    world.engine(leaves).row.leaving = true;
+    world.engine(leaves).row.leaves_in = 100s;
+    for (int step = 0; step < 600; ++step) {
+        world.step();
+        cr_assert(whole_in(world) >= 1, "no group at step %d", step);
+        if (step == 400)
+            world.kill(leaves);
+    }
+    expect_sound(world);
 }
 
 // An engine accepts every order and does nothing. Its group would wait for
 // good; the VM is set aside after some orders without effect and another takes
 // its place.
-Test(stories, an_engine_that_accepts_and_does_nothing_is_replaced) {
-  fake_world world{{.nodes = 1, .domains = 1, .vms_per_domain = 3}, 7};
-  const vm_id idle{"vm-0-2"};
-  world.engine(idle).fault = engine_fault::ignores_orders;
-  world.install(shared(one_pool(1, 2)));
-  world.run(240s);
-  const auto complete = world.complete_on(0);
-  cr_assert_eq(complete.size(), 1);
-  cr_assert(std::find(complete[0].members.begin(), complete[0].members.end(),
-                      idle) == complete[0].members.end());
-  expect_sound(world);
+Test(stories, an_engine_that_accepts_and_does_nothing_is_replaced)
+{
+    fake_world world{{.nodes = 1, .domains = 1, .vms_per_domain = 3}, 7};
+    const vm_id idle{"vm-0-2"};
+    world.engine(idle).fault = engine_fault::ignores_orders;
+    world.install(shared(one_pool(1, 2)));
+    world.run(240s);
+    const auto complete = world.complete_on(0);
+    cr_assert_eq(complete.size(), 1);
+    cr_assert(std::find(complete[0].members.begin(), complete[0].members.end(), idle) ==
+              complete[0].members.end());
+    expect_sound(world);
 }
--- a/groups/plan.cc
+++ b/groups/plan.cc
@@ -14,272 +14,266 @@
 
 namespace {
 
-constexpr duration last_moment =
-    5s; ///< before a leaving VM goes, its group is switched anyway
+constexpr duration last_moment = 5s; ///< before a leaving VM goes, its group is switched anyway
 
-std::set<vm_id> all_assigned(const record_map &records,
-                             const domain_record &next) {
-  std::set<vm_id> assigned;
-  const auto add = [&](const domain_record &record) {
-    for (const group_assignment &group : record.groups) {
-      for (const member &one : group.members)
-        assigned.insert(one.vm);
-      for (const member &one : group.standbys)
-        assigned.insert(one.vm);
+std::set<vm_id> all_assigned(const record_map& records, const domain_record& next)
+{
+    std::set<vm_id> assigned;
+    const auto add = [&](const domain_record& record) {
+        for (const group_assignment& group : record.groups) {
+            for (const member& one : group.members)
+                assigned.insert(one.vm);
+            for (const member& one : group.standbys)
+                assigned.insert(one.vm);
+        }
+    };
+    // Other domains' records too: the list may show a VM here that another domain
+    // still holds.
+    for (const auto& [domain, record] : records) {
+        if (domain != next.domain)
+            add(record);
     }
-  };
-  // Other domains' records too: the list may show a VM here that another domain
-  // still holds.
-  for (const auto &[domain, record] : records) {
-    if (domain != next.domain)
-      add(record);
-  }
-  add(next);
-  return assigned;
+    add(next);
+    return assigned;
 }
 
 } // namespace
 
-duration since_table::lasting(const std::string &what, bool holds,
-                              time_point now) {
-  if (!holds) {
-    m_since.erase(what);
-    return duration{0};
-  }
-  return now - m_since.try_emplace(what, now).first->second;
+duration since_table::lasting(const std::string& what, bool holds, time_point now)
+{
+    if (!holds) {
+        m_since.erase(what);
+        return duration{0};
+    }
+    return now - m_since.try_emplace(what, now).first->second;
 }
 
-void planner::look(const plan_input &in) {
-  m_substitutes.keep_only(in.record);
-  m_sights.clear();
-  for (const group_assignment &group : in.record.groups)
-    m_sights[group.group] = m_substitutes.look(group, in.vms, in.now);
+void planner::look(const plan_input& in)
+{
+    m_substitutes.keep_only(in.record);
+    m_sights.clear();
+    for (const group_assignment& group : in.record.groups)
+        m_sights[group.group] = m_substitutes.look(group, in.vms, in.now);
 }
 
-domain_record planner::next(const plan_input &in,
-                            std::vector<notice> &notices) {
-  look(in);
-  pass run{*this, in, notices};
-  run.drop_useless_standbys();
-  run.retire_unwanted();
-  run.dissolve_hopeless();
-  run.finish_drains();
-  run.switch_to_substitutes();
-  run.cover_lost_places();
-  run.complete_one_from_another();
-  run.form_groups();
-  run.roll_out();
-  run.build_beside_leaving();
-  run.bind_spares();
-  return std::move(run.next);
+domain_record planner::next(const plan_input& in, std::vector<notice>& notices)
+{
+    look(in);
+    pass run{*this, in, notices};
+    run.drop_useless_standbys();
+    run.retire_unwanted();
+    run.dissolve_hopeless();
+    run.finish_drains();
+    run.switch_to_substitutes();
+    run.cover_lost_places();
+    run.complete_one_from_another();
+    run.form_groups();
+    run.roll_out();
+    run.build_beside_leaving();
+    run.bind_spares();
+    return std::move(run.next);
 }
 
-planner::pass::pass(planner &owner, const plan_input &input,
-                    std::vector<notice> &out)
+planner::pass::pass(planner& owner, const plan_input& input, std::vector<notice>& out)
     : self{owner}, in{input}, notices{out}, next{input.record},
       shares{allotment::compute(input.tables, input.vms.listed(), input.records,
-                                input.settings.domain)} {
-  const std::set<vm_id> assigned = all_assigned(in.records, next);
-  for (const auto &[vm, view] : in.vms.all()) {
-    if (!assigned.contains(vm) && in.vms.quiet(view, in.now))
-      m_spares.push_back(view.id);
-  }
+                                input.settings.domain)}
+{
+    const std::set<vm_id> assigned = all_assigned(in.records, next);
+    for (const auto& [vm, view] : in.vms.all()) {
+        if (!assigned.contains(vm) && in.vms.quiet(view, in.now))
+            m_spares.push_back(view.id);
+    }
 }
 
-void planner::pass::drop_useless_standbys() {
-  for (group_assignment &group : next.groups) {
-    std::erase_if(group.standbys, [&](const member &standby) {
-      const vm_view *view = in.vms.find(standby.vm);
-      if (view == nullptr)
-        return true;
-      const vm_condition condition = in.vms.condition(*view, in.now);
-      if (condition == vm_condition::silent)
-        return in.now - view->silent_since > in.settings.hold_down;
-      return condition != vm_condition::sound || view->leaving ||
-             view->ambiguous;
-    });
-  }
+void planner::pass::drop_useless_standbys()
+{
+    for (group_assignment& group : next.groups) {
+        std::erase_if(group.standbys, [&](const member& standby) {
+            const vm_view* view = in.vms.find(standby.vm);
+            if (view == nullptr)
+                return true;
+            const vm_condition condition = in.vms.condition(*view, in.now);
+            if (condition == vm_condition::silent)
+                return in.now - view->silent_since > in.settings.hold_down;
+            return condition != vm_condition::sound || view->leaving || view->ambiguous;
+        });
+    }
 }
 
-void planner::pass::retire_unwanted() {
-  for (group_assignment &group : next.groups) {
-    const pool *row = pool_of(group);
-    if (!group.retiring && (row == nullptr || !may_live_in(*row, next.domain)))
-      start_drain(group, true, "pool dropped or moved");
-    // The group that it was built beside is gone: it counts as any other from
-    // now on.
-    if (find(group.replaces) == nullptr)
-      group.replaces = group_id{};
-  }
-  for (const pool *row : pools_by_rank(in.tables)) {
-    const pool_share share = shares.share(row->name);
-    // Another domain's manager may see the list or a record later than this
-    // one: a difference that has not lasted is no reason to dissolve a group.
-    const bool surplus =
-        self.m_since.lasting("surplus " + row->name.value(), share.surplus > 0,
-                             in.now) > in.settings.settle;
-    const bool yields =
-        self.m_since.lasting("yields " + row->name.value(), share.yielding > 0,
-                             in.now) > in.settings.settle;
-    const std::size_t go =
-        (surplus ? share.surplus : 0) + (yields ? share.yielding : 0);
-    std::vector<group_assignment *> candidates;
-    for (group_assignment &group : next.groups) {
-      if (group.pool == row->name && !group.retiring &&
-          group.replaces.value().empty())
-        candidates.push_back(&group);
+void planner::pass::retire_unwanted()
+{
+    for (group_assignment& group : next.groups) {
+        const pool* row = pool_of(group);
+        if (!group.retiring && (row == nullptr || !may_live_in(*row, next.domain)))
+            start_drain(group, true, "pool dropped or moved");
+        // The group that it was built beside is gone: it counts as any other from
+        // now on.
+        if (find(group.replaces) == nullptr)
+            group.replaces = group_id{};
+    }
+    for (const pool* row : pools_by_rank(in.tables)) {
+        const pool_share share = shares.share(row->name);
+        // Another domain's manager may see the list or a record later than this
+        // one: a difference that has not lasted is no reason to dissolve a group.
+        const bool surplus = self.m_since.lasting("surplus " + row->name.value(), share.surplus > 0,
+                                                  in.now) > in.settings.settle;
+        const bool yields = self.m_since.lasting("yields " + row->name.value(), share.yielding > 0,
+                                                 in.now) > in.settings.settle;
+        const std::size_t go = (surplus ? share.surplus : 0) + (yields ? share.yielding : 0);
+        std::vector<group_assignment*> candidates;
+        for (group_assignment& group : next.groups) {
+            if (group.pool == row->name && !group.retiring && group.replaces.value().empty())
+                candidates.push_back(&group);
+        }
+        std::stable_sort(candidates.begin(), candidates.end(),
+                         [&](const group_assignment* left, const group_assignment* right) {
+                             if (whole(*left) != whole(*right))
+                                 return !whole(*left);
+                             return outdated(*left) && !outdated(*right);
+                         });
+        for (std::size_t i = 0; i < std::min(go, candidates.size()); ++i)
+            start_drain(*candidates[i], true, surplus ? "more than wanted" : "gives way by rank");
     }
-    std::stable_sort(
-        candidates.begin(), candidates.end(),
-        [&](const group_assignment *left, const group_assignment *right) {
-          if (whole(*left) != whole(*right))
-            return !whole(*left);
-          return outdated(*left) && !outdated(*right);
-        });
-    for (std::size_t i = 0; i < std::min(go, candidates.size()); ++i)
-      start_drain(*candidates[i], true,
-                  surplus ? "more than wanted" : "gives way by rank");
-  }
 }
 
-void planner::pass::dissolve_hopeless() {
-  std::vector<group_id> hopeless;
-  for (const group_assignment &group : next.groups) {
-    const bool lost = !group.retiring && !whole(group) &&
-                      !shares.viable(group.group) &&
-                      group.replaces.value().empty();
-    if (lasting("hopeless", group.group, lost) > in.settings.settle)
-      hopeless.push_back(group.group);
-  }
-  for (const group_id &group : hopeless)
-    erase(group, "too few live VMs in this domain");
+void planner::pass::dissolve_hopeless()
+{
+    std::vector<group_id> hopeless;
+    for (const group_assignment& group : next.groups) {
+        const bool lost = !group.retiring && !whole(group) && !shares.viable(group.group) &&
+                          group.replaces.value().empty();
+        if (lasting("hopeless", group.group, lost) > in.settings.settle)
+            hopeless.push_back(group.group);
+    }
+    for (const group_id& group : hopeless)
+        erase(group, "too few live VMs in this domain");
 }
 
-void planner::pass::finish_drains() {
-  std::vector<group_id> done;
-  for (const group_assignment &group : next.groups) {
-    if (group.retiring && drained(group))
-      done.push_back(group.group);
-  }
-  for (const group_id &group : done)
-    erase(group, "retired");
+void planner::pass::finish_drains()
+{
+    std::vector<group_id> done;
+    for (const group_assignment& group : next.groups) {
+        if (group.retiring && drained(group))
+            done.push_back(group.group);
+    }
+    for (const group_id& group : done)
+        erase(group, "retired");
 }
 
-void planner::pass::switch_to_substitutes() {
-  for (group_assignment &group : next.groups) {
-    const group_sight &seen = sight(group);
-    if (group.retiring)
-      continue;
-    if (!seen.can_switch && !seen.switched) {
-      // The reason to drain may be gone: the member that was to be replaced is
-      // back.
-      group.draining = group.draining && outdated(group);
-      continue;
-    }
-    bool at_last_moment = false;
-    for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
-      const vm_view *view = in.vms.find(group.members[rank].vm);
-      at_last_moment =
-          at_last_moment || (view != nullptr && view->leaving &&
-                             view->leaves_at - in.now <= last_moment);
-    }
-    // A planned switch ends the requests in flight, so it waits until there are
-    // none.
-    if (seen.whole && !seen.switched && !at_last_moment) {
-      if (being_replaced(group.group))
-        continue;
-      if (!group.draining)
-        start_drain(group, false, "a member is replaced");
-      if (!drained(group))
-        continue;
+void planner::pass::switch_to_substitutes()
+{
+    for (group_assignment& group : next.groups) {
+        const group_sight& seen = sight(group);
+        if (group.retiring)
+            continue;
+        if (!seen.can_switch && !seen.switched) {
+            // The reason to drain may be gone: the member that was to be replaced is
+            // back.
+            group.draining = group.draining && outdated(group);
+            continue;
+        }
+        bool at_last_moment = false;
+        for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
+            const vm_view* view = in.vms.find(group.members[rank].vm);
+            at_last_moment = at_last_moment || (view != nullptr && view->leaving &&
+                                                view->leaves_at - in.now <= last_moment);
+        }
+        // A planned switch ends the requests in flight, so it waits until there are
+        // none.
+        if (seen.whole && !seen.switched && !at_last_moment) {
+            if (being_replaced(group.group))
+                continue;
+            if (!group.draining)
+                start_drain(group, false, "a member is replaced");
+            if (!drained(group))
+                continue;
+        }
+        std::erase_if(group.standbys, [&](const member& standby) {
+            return std::find(seen.target.begin(), seen.target.end(), standby) != seen.target.end();
+        });
+        group.members = seen.target;
+        group.draining = false;
+        tell("members_replaced", group.group, "bound standbys took the place of lost members");
     }
-    std::erase_if(group.standbys, [&](const member &standby) {
-      return std::find(seen.target.begin(), seen.target.end(), standby) !=
-             seen.target.end();
-    });
-    group.members = seen.target;
-    group.draining = false;
-    tell("members_replaced", group.group,
-         "bound standbys took the place of lost members");
-  }
 }
 
-group_assignment *planner::pass::find(const group_id &group) {
-  const auto at =
-      std::find_if(next.groups.begin(), next.groups.end(),
-                   [&](const auto &one) { return one.group == group; });
-  return at == next.groups.end() ? nullptr : &*at;
+group_assignment* planner::pass::find(const group_id& group)
+{
+    const auto at = std::find_if(next.groups.begin(), next.groups.end(),
+                                 [&](const auto& one) { return one.group == group; });
+    return at == next.groups.end() ? nullptr : &*at;
 }
 
-const pool *planner::pass::pool_of(const group_assignment &group) const {
-  const auto at =
-      std::find_if(in.tables.pools.begin(), in.tables.pools.end(),
-                   [&](const pool &row) { return row.name == group.pool; });
-  return at == in.tables.pools.end() || at->kind != pool_kind::model ? nullptr
-                                                                     : &*at;
+const pool* planner::pass::pool_of(const group_assignment& group) const
+{
+    const auto at = std::find_if(in.tables.pools.begin(), in.tables.pools.end(),
+                                 [&](const pool& row) { return row.name == group.pool; });
+    return at == in.tables.pools.end() || at->kind != pool_kind::model ? nullptr : &*at;
 }
 
-const group_sight &planner::pass::sight(const group_assignment &group) const {
-  static const group_sight nothing;
-  const auto at = self.m_sights.find(group.group);
-  return at == self.m_sights.end() ? nothing : at->second;
+const group_sight& planner::pass::sight(const group_assignment& group) const
+{
+    static const group_sight nothing;
+    const auto at = self.m_sights.find(group.group);
+    return at == self.m_sights.end() ? nothing : at->second;
 }
 
-bool planner::pass::outdated(const group_assignment &group) const {
-  const pool *row = pool_of(group);
-  return row != nullptr &&
-         (group.model != row->model || group.version != row->version ||
-          group.adapters != row->adapters ||
-          group.members.size() != row->replica_vms);
+bool planner::pass::outdated(const group_assignment& group) const
+{
+    const pool* row = pool_of(group);
+    return row != nullptr &&
+           (group.model != row->model || group.version != row->version ||
+            group.adapters != row->adapters || group.members.size() != row->replica_vms);
 }
 
-bool planner::pass::whole(const group_assignment &group) const {
-  return sight(group).whole || sight(group).switched;
+bool planner::pass::whole(const group_assignment& group) const
+{
+    return sight(group).whole || sight(group).switched;
 }
 
-duration planner::pass::lasting(const char *why, const group_id &group,
-                                bool holds) {
-  return self.m_since.lasting(std::string{why} + " " + group.value(), holds,
-                              in.now);
+duration planner::pass::lasting(const char* why, const group_id& group, bool holds)
+{
+    return self.m_since.lasting(std::string{why} + " " + group.value(), holds, in.now);
 }
 
-void planner::pass::erase(const group_id &group, const char *why) {
-  tell("group_dissolved", group, why);
-  for (const char *reason : {"draining", "hopeless", "broken", "ready"})
-    (void)lasting(reason, group, false);
-  std::erase_if(next.groups,
-                [&](const auto &one) { return one.group == group; });
+void planner::pass::erase(const group_id& group, const char* why)
+{
+    tell("group_dissolved", group, why);
+    for (const char* reason : {"draining", "hopeless", "broken", "ready"})
+        (void)lasting(reason, group, false);
+    std::erase_if(next.groups, [&](const auto& one) { return one.group == group; });
 }
 
-void planner::pass::start_drain(group_assignment &group, bool retire,
-                                const char *why) {
-  if (group.draining && group.retiring == retire)
-    return;
-  group.draining = true;
-  group.retiring = group.retiring || retire;
-  tell("group_draining", group.group, why);
+void planner::pass::start_drain(group_assignment& group, bool retire, const char* why)
+{
+    if (group.draining && group.retiring == retire)
+        return;
+    group.draining = true;
+    group.retiring = group.retiring || retire;
+    tell("group_draining", group.group, why);
 }
 
-bool planner::pass::drained(const group_assignment &group) {
-  // Counted from the record that says so, not from the plan: a group whose
-  // draining is not yet written still gets requests.
-  const auto written =
-      std::find_if(in.record.groups.begin(), in.record.groups.end(),
-                   [&](const auto &one) { return one.group == group.group; });
-  const bool draining = written != in.record.groups.end() && written->draining;
-  const duration lasted = lasting("draining", group.group, draining);
-  if (!draining)
-    return false;
-  if (!whole(group))
-    return true;
-  // By then every node's ticket says that it drains, or has run out.
-  const bool known = lasted > in.settings.report_horizon;
-  return (known && sight(group).idle) || lasted > in.settings.drain_limit;
+bool planner::pass::drained(const group_assignment& group)
+{
+    // Counted from the record that says so, not from the plan: a group whose
+    // draining is not yet written still gets requests.
+    const auto written = std::find_if(in.record.groups.begin(), in.record.groups.end(),
+                                      [&](const auto& one) { return one.group == group.group; });
+    const bool draining = written != in.record.groups.end() && written->draining;
+    const duration lasted = lasting("draining", group.group, draining);
+    if (!draining)
+        return false;
+    if (!whole(group))
+        return true;
+    // By then every node's ticket says that it drains, or has run out.
+    const bool known = lasted > in.settings.report_horizon;
+    return (known && sight(group).idle) || lasted > in.settings.drain_limit;
 }
 
-void planner::pass::tell(const char *kind, const group_id &group,
-                         std::string detail) {
-  notices.push_back({log_level::info, kind, group.value(), std::move(detail)});
+void planner::pass::tell(const char* kind, const group_id& group, std::string detail)
+{
+    notices.push_back({log_level::info, kind, group.value(), std::move(detail)});
 }
 
 } // namespace jaynotch::groups
