Routing: a group that says it is not whole is left alone for half a second

Cause: the scenarios leaving_vm and member_dies were red: 13 and 34 of 129 calls refused as not run while another complete group stood by. Traced to the retry budget: an engine whose group changes its members answers 409 "did not run"; its group has nothing in flight, looks idle and is picked again and again, and each retry was charged to the budget, which was empty after some ten calls. Ruled out: that the retry went to the same group (the tried list keeps it off). Change: such a refusal takes the group out of the picks for 500 ms or until its fencing number changes, and the retry is not charged, as it costs the group nothing and is bounded for each request.

--- a/routing/outliers.cc
+++ b/routing/outliers.cc
@@ -19,6 +19,8 @@
 constexpr std::size_t one_in = 3; ///< at most this part of a pool is out
 constexpr std::chrono::seconds first_ejection{2};
 constexpr std::uint32_t most_doublings = 4;
+/// About how long the watchers take to withdraw the ticket of a group that changes its members.
+constexpr std::chrono::milliseconds refusal_rest{500};
 constexpr double smoothing = 0.15;
 constexpr std::uint32_t samples_to_judge = 8;
 constexpr double dead_band = 1.5;
@@ -57,6 +59,12 @@
     ++health.failures_in_row;
 }
 
+void note_refusal(target_health& health, time_point now)
+{
+    health.refusing = true;
+    health.refusing_until = now + refusal_rest;
+}
+
 void note_first_token(target_health& health, double seconds)
 {
     ++health.first_token_samples;
@@ -74,6 +82,7 @@
     for (const target_row_index row : pool) {
         target_row& judged = targets.at(row);
         let_back(judged.health, now);
+        judged.health.refusing = judged.health.refusing && now < judged.health.refusing_until;
         if (judged.leaving())
             continue;
         ++usable;
--- a/routing/outliers.h
+++ b/routing/outliers.h
@@ -15,6 +15,9 @@
 void note_success(target_health& health);
 /// An attempt failed through the target's fault.
 void note_failure(target_health& health);
+/// A group's engine said that it is not whole in the group, so the request did not run. It is left
+/// out of the picks for a moment: a group that refuses looks idle, and would draw all requests.
+void note_refusal(target_health& health, time_point now);
 /// The first token of an attempt took this long.
 void note_first_token(target_health& health, double seconds);
 
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -210,6 +210,10 @@
     if (end == attempt_end::failed && reason != attempt_failure::refused_did_not_run &&
         reason != attempt_failure::version_changed)
         note_failure(targets.at(row.attempt.target).health);
+    const bool not_whole =
+        reason == attempt_failure::refused_did_not_run && pool.info.kind == pool_kind::model;
+    if (not_whole)
+        note_refusal(targets.at(row.attempt.target).health, now);
     leave_target(row);
 
     const bool in_time = row.head_given || now < row.deadline;
@@ -217,9 +221,11 @@
         finish_failed(row, error_for(reason), now, out);
         return;
     }
-    // A group's loss is no overload, and a resumed stream is bounded by what was in flight: neither
-    // is charged to the budget that guards against retry storms.
-    const bool charged = settings.retry_budget && end == attempt_end::failed && !row.head_given;
+    // A group's loss is no overload, a resumed stream is bounded by what was in flight, and a group
+    // that says it is not whole costs it nothing and gets no more for a moment: none of these is
+    // charged to the budget that guards against retry storms.
+    const bool charged =
+        settings.retry_budget && end == attempt_end::failed && !row.head_given && !not_whole;
     if (charged && !pool.budget.take()) {
         ++counters.retries_denied;
         finish_failed(row, error_for(reason), now, out);
--- a/routing/target_table.cc
+++ b/routing/target_table.cc
@@ -107,8 +107,10 @@
         still[row] = true;
         target_row& kept = m_rows[row];
         // Another epoch of a group is another process state: its cache is not what we knew.
-        if (kept.info.fencing != added.fencing || kept.info.version != added.version)
+        if (kept.info.fencing != added.fencing || kept.info.version != added.version) {
             ++kept.generation;
+            kept.health.refusing = false; // that was said of the epoch before
+        }
         kept.info = added;
         kept.present = true;
         if (kind == pool_kind::model)
--- a/routing/target_table.h
+++ b/routing/target_table.h
@@ -60,6 +60,8 @@
     bool ejected = false;        ///< gets nothing
     bool on_trial = false;       ///< back from an ejection: one request at a time
     time_point ejected_until;
+    bool refusing = false; ///< said of itself that it is not whole; gets nothing for a moment
+    time_point refusing_until;
     double first_token_s = 0.0; ///< moving average
     std::uint32_t first_token_samples = 0;
     double slowness = 1.0; ///< first token time against the pool's median; 1 is normal
@@ -80,7 +82,7 @@
     [[nodiscard]] bool leaving() const { return !present || told_leaving || info.leaving; }
     [[nodiscard]] bool may_be_picked() const
     {
-        return !leaving() && !health.ejected && !(health.on_trial && own > 0);
+        return !leaving() && !health.ejected && !health.refusing && !(health.on_trial && own > 0);
     }
     [[nodiscard]] target_slot slot(target_row_index index) const { return {index, generation}; }
 };
