--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -18,10 +18,12 @@
 import sys
 import tempfile
 import time
+import urllib.error
 import urllib.request
 
-FAILURE_DOMAINS = 5
+FAILURE_DOMAINS = 4
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+GROUPS = 8
 ROUTES = """deployment = "bench"
 [[route]]
 name = "chat"
@@ -58,7 +60,7 @@
     def start(self, nodes, port):
         where = os.path.join(self.folder, "fleet.json")
         domains = ",".join(f"d{i}" for i in range(FAILURE_DOMAINS))
-        self.spawn("standin", ["jaynotch-standin", "fleet", "--engines=40", "--fabric_domains=5",
+        self.spawn("standin", ["jaynotch-standin", "fleet", "--engines=40", f"--fabric_domains={FAILURE_DOMAINS}",
                                f"--failure_domains={domains}", f"--out={where}"])
         until(20, lambda: os.path.exists(where) and os.path.getsize(where) > 0)
         self.platform = json.load(open(where))
@@ -101,7 +103,10 @@
         return times
 
     def metric(self, node, name):
-        text = urllib.request.urlopen(f"http://{node['admin']}/metrics", timeout=5).read().decode()
+        try:
+            text = urllib.request.urlopen(f"http://{node['admin']}/metrics", timeout=5).read().decode()
+        except urllib.error.URLError:
+            return 0.0  # not listening yet
         found = re.search(rf"^{name}(?:{{[^}}]*}})? ([0-9.e+]+)", text, re.M)
         return float(found.group(1)) if found else 0.0
 
@@ -197,7 +202,9 @@
               fleet.metric(fleet.nodes[0], "jaynotch_live_members") >= size)
         first, _ = apply(fleet, 1000)
         until(60, lambda: in_force(fleet, first))
-        time.sleep(3)
+        until(90, lambda: max(fleet.metric(n, "jaynotch_complete_groups")
+                              for n in fleet.nodes[:FAILURE_DOMAINS]) >= GROUPS)
+        time.sleep(5)
         before = [(processor_seconds(n["child"]), fleet.metric(n, "jaynotch_peer_sent_bytes"))
                   for n in fleet.nodes]
         calls, began = fleet.kv_calls(), time.monotonic()
