--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,16 @@
 
 ONLY ?=
 SCENARIO_JOBS ?= 4
+SOAK_STEPS ?= 1000000
+SOAK_SEED ?= 1
+soak: build ## long seeded random histories of the groups' cores (SOAK_STEPS, SOAK_SEED)
+	@$(BUILD)/jaynotch-soak --steps=$(SOAK_STEPS) --seed=$(SOAK_SEED)
+
+bench: build ## the measurements that docs/ quotes, one after another; about a quarter of an hour
+	@for program in routing_bench manager_bench spread_bench proxy_bench jaynotch-policy jaynotch-ticket-age \
+	  "jaynotch-repair --days=14 --large_days=0 --seed=1"; do echo "== $$program"; $(BUILD)/$$program || exit 1; done
+	@echo "== bench/nodes.py"; python3 bench/nodes.py $(BUILD)
+
 scenarios: build ## play the scenarios on real daemons (ONLY=name for one)
 	@printf '%s\n' $(if $(ONLY),scenarios/$(ONLY).lua,$(sort $(filter-out scenarios/prelude.lua,$(wildcard scenarios/*.lua)))) \
 	  | xargs -P $(SCENARIO_JOBS) -n 1 $(BUILD)/jaynotch-scenario --programs=$(BUILD) --logs=$(BUILD)/scenarios
