--- a/standins/engine_standin.cc
+++ b/standins/engine_standin.cc
@@ -88,10 +88,7 @@
 {
     std::shared_ptr<engine_standin> standin{
         new engine_standin{executor, settings, std::move(directory)}};
-    auto handler = [weak = std::weak_ptr{standin}](standin_exchange& exchange) -> awaitable<void> {
-        if (const auto self = weak.lock())
-            co_await self->handle(exchange);
-    };
+    const standin_handler handler = forward_to(standin, &engine_standin::handle);
     BOOST_OUTCOME_TRY(standin->m_server,
                       standin_server::listen(executor, settings.listen, handler));
     if (standin->m_directory)
--- a/standins/kv_standin.cc
+++ b/standins/kv_standin.cc
@@ -92,10 +92,7 @@
                                                       const kv_standin_settings& settings)
 {
     std::shared_ptr<kv_standin> standin{new kv_standin{executor, settings}};
-    auto handler = [weak = std::weak_ptr{standin}](standin_exchange& exchange) -> awaitable<void> {
-        if (const auto self = weak.lock())
-            co_await self->handle(exchange);
-    };
+    const standin_handler handler = forward_to(standin, &kv_standin::handle);
     BOOST_OUTCOME_TRY(standin->m_server,
                       standin_server::listen(executor, settings.listen, handler));
     return standin;
@@ -106,10 +103,8 @@
     m_faults.apply(change);
     if (change.rate)
         m_writes.set(*change.rate);
-    if (m_faults.kill)
-        m_server->stop();
-    else if (change.kill)
-        m_server->restart().value();
+    if (change.kill)
+        m_server->set_running(!*change.kill);
     wake_watches();
 }
 
--- a/standins/plain_standin.cc
+++ b/standins/plain_standin.cc
@@ -15,10 +15,7 @@
                      const plain_standin_settings& settings)
 {
     std::shared_ptr<plain_standin> standin{new plain_standin{executor, settings}};
-    auto handler = [weak = std::weak_ptr{standin}](standin_exchange& exchange) -> awaitable<void> {
-        if (const auto self = weak.lock())
-            co_await self->handle(exchange);
-    };
+    const standin_handler handler = forward_to(standin, &plain_standin::handle);
     BOOST_OUTCOME_TRY(standin->m_server,
                       standin_server::listen(executor, settings.listen, handler));
     return standin;
@@ -27,10 +24,8 @@
 void plain_standin::apply(const fault_change& change)
 {
     m_faults.apply(change);
-    if (m_faults.kill)
-        m_server->stop();
-    else if (change.kill)
-        m_server->restart().value();
+    if (change.kill)
+        m_server->set_running(!*change.kill);
 }
 
 awaitable<void> plain_standin::handle(standin_exchange& exchange)
--- a/standins/standin_server.cc
+++ b/standins/standin_server.cc
@@ -202,6 +202,14 @@
     }
 }
 
+void standin_server::set_running(bool wanted)
+{
+    if (wanted)
+        restart().value();
+    else
+        stop();
+}
+
 result<void> standin_server::restart()
 {
     if (m_acceptor.is_open())
--- a/standins/standin_server.h
+++ b/standins/standin_server.h
@@ -69,6 +69,17 @@
 
 using standin_handler = std::function<awaitable<void>(standin_exchange&)>;
 
+/// A handler that hands requests to a member function while the stand-in lives.
+template <class Standin>
+standin_handler forward_to(const std::shared_ptr<Standin>& standin,
+                           awaitable<void> (Standin::*handle)(standin_exchange&))
+{
+    return [weak = std::weak_ptr{standin}, handle](standin_exchange& exchange) -> awaitable<void> {
+        if (const auto self = weak.lock())
+            co_await (self.get()->*handle)(exchange);
+    };
+}
+
 class standin_server : public std::enable_shared_from_this<standin_server> {
 public:
     /// Port 0 takes any free port.
@@ -81,6 +92,8 @@
     void stop();
     /// Listens again, on the same port.
     result<void> restart();
+    /// stop() or restart(), whichever leads there; throws if the port can't be had again.
+    void set_running(bool wanted);
     [[nodiscard]] bool running() const { return m_acceptor.is_open(); }
 
 private:
--- a/standins/vm_list_standin.cc
+++ b/standins/vm_list_standin.cc
@@ -17,10 +17,7 @@
                        const vm_list_standin_settings& settings)
 {
     std::shared_ptr<vm_list_standin> standin{new vm_list_standin{executor, settings.lag}};
-    auto handler = [weak = std::weak_ptr{standin}](standin_exchange& exchange) -> awaitable<void> {
-        if (const auto self = weak.lock())
-            co_await self->handle(exchange);
-    };
+    const standin_handler handler = forward_to(standin, &vm_list_standin::handle);
     BOOST_OUTCOME_TRY(standin->m_server,
                       standin_server::listen(executor, settings.listen, handler));
     return standin;
@@ -29,10 +26,8 @@
 void vm_list_standin::apply(const fault_change& change)
 {
     m_faults.apply(change);
-    if (m_faults.kill)
-        m_server->stop();
-    else if (change.kill)
-        m_server->restart().value();
+    if (change.kill)
+        m_server->set_running(!*change.kill);
 }
 
 void vm_list_standin::put(vm_entry entry)
--- a/standins/weight_standin.cc
+++ b/standins/weight_standin.cc
@@ -35,10 +35,7 @@
                       const weight_standin_settings& settings)
 {
     std::shared_ptr<weight_standin> standin{new weight_standin{executor, settings}};
-    auto handler = [weak = std::weak_ptr{standin}](standin_exchange& exchange) -> awaitable<void> {
-        if (const auto self = weak.lock())
-            co_await self->handle(exchange);
-    };
+    const standin_handler handler = forward_to(standin, &weight_standin::handle);
     BOOST_OUTCOME_TRY(standin->m_server,
                       standin_server::listen(executor, settings.listen, handler));
     return standin;
@@ -49,10 +46,8 @@
     m_faults.apply(change);
     if (change.rate && *change.rate > 0)
         m_settings.bytes_per_second = *change.rate;
-    if (m_faults.kill)
-        m_server->stop();
-    else if (change.kill)
-        m_server->restart().value();
+    if (change.kill)
+        m_server->set_running(!*change.kill);
 }
 
 time_point weight_standin::book(std::uint64_t bytes)
