Command line: no column that is never known, no blank states

Cause: the demo's nodes table showed age_ms as '-' on every row, and members that the asked node does not probe with a blank state. Change: the column is gone, such members are listed by name alone. Conclusion: the tables say only what is known.

--- a/cli/status_commands.cc
+++ b/cli/status_commands.cc
@@ -25,16 +25,20 @@
     return exit_code::fine;
 }
 
-/// The members of a group in words: "vm-1 ready, vm-2 loading".
+/// The members of a group in words: "vm-1 ready, vm-2 loading", or only "vm-1" for one not probed
+/// here.
 std::string members_text(const boost::json::value& group)
 {
     const boost::json::value* members = find_field(group, "members");
     std::string text;
     if (members == nullptr || !members->is_array())
         return "-";
-    for (const boost::json::value& member : members->as_array())
-        text += (text.empty() ? "" : ", ") + field_text(member, "vm") + " " +
-                field_text(member, "state");
+    for (const boost::json::value& member : members->as_array()) {
+        // Empty if this node is not one of those that probe it.
+        const std::string state = field_text(member, "state");
+        text += (text.empty() ? "" : ", ") + field_text(member, "vm");
+        text += state.empty() ? "" : " " + state;
+    }
     return text;
 }
 
@@ -49,7 +53,7 @@
 result<exit_code> run_nodes(const command_context& context)
 {
     return show_list(context, "/admin/v1/nodes", "nodes",
-                     {"node", "failure_domain", "state", "revision", "age_ms"});
+                     {"node", "failure_domain", "state", "revision"});
 }
 
 result<exit_code> run_drain_status(const command_context& context)
