Recut folders: outside (types), http (client and server), services (our own forms), platform (the users')

Cause: platform/ held interfaces, our own adapters and the HTTP client, so nothing could be said to be the users' platform alone. The types of the outside systems stand in outside/, our own wire forms in services/, HTTP in http/; platform/ translates the users' store, documents, headers, orders and settings. One parser of addresses and of base64 instead of four and two. The clock counts suspended time, since a frozen VM must not trust a lease that it slept through.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
 
 build: $(BUILD)/build.ninja ## compile everything into $(BUILD)
-	@ninja -C $(BUILD) -j $(JOBS) --quiet
+	@flock $(BUILD)/.lock ninja -C $(BUILD) -j $(JOBS) --quiet
 
 test: build ## build and run every test
 	@cd $(BUILD) && ctest --output-on-failure -j 6
--- a/base/base.h
+++ b/base/base.h
@@ -2,11 +2,15 @@
 // numbers, hashes, identifiers and JSON-line logs. Include this one, not the parts.
 #pragma once
 
+#include "base/address.h"
+#include "base/awaitable.h"
+#include "base/base64.h"
 #include "base/clock.h"
 #include "base/environment.h"
 #include "base/error.h"
 #include "base/hash.h"
 #include "base/ids.h"
+#include "base/json_fields.h"
 #include "base/log.h"
 #include "base/names.h"
 #include "base/random.h"
--- a/base/clock.cc
+++ b/base/clock.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <ctime>
 
 // now() = steady time + offset while running, or a frozen value while paused. Both live in atomics
 // since the log sink and tests read the clock from other threads.
@@ -10,16 +11,20 @@
 
 namespace {
 
-using steady = std::chrono::steady_clock;
 constexpr std::chrono::milliseconds paused_poll_interval{1};
 
 std::atomic<bool> g_paused{false};
 std::atomic<std::int64_t> g_frozen{0};
 std::atomic<std::int64_t> g_offset{0};
 
+/// Time since boot, suspended time included: a VM that was frozen must not believe that a lease or
+/// a deadline still runs because the time it slept through is missing from its clock.
 std::int64_t steady_now() noexcept
 {
-    return std::chrono::duration_cast<duration>(steady::now().time_since_epoch()).count();
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    constexpr std::int64_t ns_in_second = 1'000'000'000;
+    return now.tv_sec * ns_in_second + now.tv_nsec;
 }
 
 } // namespace
--- a/platform/json_fields.cc
+++ b/base/json_fields.cc
@@ -1,4 +1,4 @@
-#include "platform/json_fields.h"
+#include "base/json_fields.h"
 
 #include <charconv>
 #include <cmath>
--- a/platform/json_fields.h
+++ b/base/json_fields.h
@@ -6,10 +6,12 @@
 //   if (fields.failure()) return *fields.failure();
 //
 // A missing member reads as empty, zero or false, as in the JSON mapping of protocol buffers;
-// `require` refuses one that must be there. Used inside the platform and stand-ins libraries.
+// `require` refuses one that must be there. Used by adapters and stand-ins.
 #pragma once
 
-#include "base/base.h"
+#include "base/error.h"
+#include "base/names.h"
+#include "base/result.h"
 
 #include <boost/json.hpp>
 
--- a/cli/admin_client.cc
+++ b/cli/admin_client.cc
@@ -3,7 +3,7 @@
 // only the same change id makes asking again safe, and that is the operator's to decide.
 #include "cli/admin_client.h"
 
-#include "platform/http_client.h"
+#include "http/http_client.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/config/accept.h
+++ b/config/accept.h
@@ -7,7 +7,7 @@
 
 #include "base/base.h"
 #include "config/head.h"
-#include "platform/kv_types.h"
+#include "outside/kv_types.h"
 #include "tables/merge.h"
 #include "tables/pages.h"
 #include "tables/parse.h"
--- a/config/collect.h
+++ b/config/collect.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "config/head.h"
-#include "platform/kv_types.h"
+#include "outside/kv_types.h"
 
 #include <vector>
 
--- a/config/config.h
+++ b/config/config.h
@@ -15,7 +15,7 @@
 
 #include "base/base.h"
 #include "config/config_service.h"
-#include "platform/platform.h"
+#include "services/services.h"
 #include "tables/merge.h"
 #include "tables/pages.h"
 #include "tables/parse.h"
--- a/config/config_service.h
+++ b/config/config_service.h
@@ -6,7 +6,7 @@
 #include "config/accept.h"
 #include "config/head.h"
 #include "peers/peers.h"
-#include "platform/platform.h"
+#include "services/services.h"
 #include "tables/merge.h"
 #include "tables/pages.h"
 #include "tables/parse.h"
--- a/config/store.h
+++ b/config/store.h
@@ -4,7 +4,7 @@
 #include "base/base.h"
 #include "config/accept.h"
 #include "config/head.h"
-#include "platform/platform.h"
+#include "services/services.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/config/test_fleet.h
+++ b/config/test_fleet.h
@@ -6,7 +6,7 @@
 #include "config/collect.h"
 #include "config/spread.h"
 #include "peers/test_network.h"
-#include "platform/kv_store.h"
+#include "outside/kv_store.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/daemon/admin.h
+++ b/daemon/admin.h
@@ -6,7 +6,7 @@
 
 #include "config/config.h"
 #include "daemon/group_driver.h"
-#include "daemon/http_exchange.h"
+#include "http/http_exchange.h"
 #include "daemon/request_driver.h"
 #include "daemon/settings.h"
 
--- a/daemon/daemon_impl.h
+++ b/daemon/daemon_impl.h
@@ -6,7 +6,7 @@
 #include "daemon/daemon.h"
 #include "daemon/front.h"
 #include "daemon/group_driver.h"
-#include "daemon/http_server.h"
+#include "http/http_server.h"
 #include "daemon/metrics.h"
 #include "daemon/plain_watch.h"
 #include "daemon/relay.h"
@@ -14,7 +14,7 @@
 #include "daemon/trace.h"
 #include "daemon/upstreams.h"
 #include "peers/peers.h"
-#include "platform/platform.h"
+#include "services/services.h"
 
 #include <map>
 #include <memory>
--- a/daemon/flags.cc
+++ b/daemon/flags.cc
@@ -61,10 +61,10 @@
 daemon_timeouts timeouts_from_flags()
 {
     daemon_timeouts timeouts;
-    timeouts.header = ms(FLAGS_header_timeout_ms);
-    timeouts.body_stall = ms(FLAGS_body_stall_ms);
-    timeouts.idle = ms(FLAGS_idle_timeout_ms);
-    timeouts.write_stall = ms(FLAGS_write_stall_ms);
+    timeouts.http.header = ms(FLAGS_header_timeout_ms);
+    timeouts.http.body_stall = ms(FLAGS_body_stall_ms);
+    timeouts.http.idle = ms(FLAGS_idle_timeout_ms);
+    timeouts.http.write_stall = ms(FLAGS_write_stall_ms);
     timeouts.connect = ms(FLAGS_connect_timeout_ms);
     timeouts.stream_stall = ms(FLAGS_stream_stall_ms);
     timeouts.upstream_idle = ms(FLAGS_upstream_idle_ms);
@@ -77,12 +77,12 @@
 daemon_limits limits_from_flags()
 {
     daemon_limits limits;
-    limits.header_bytes = absl::GetFlag(FLAGS_max_header_bytes);
+    limits.http.header_bytes = absl::GetFlag(FLAGS_max_header_bytes);
     limits.model_body_bytes = absl::GetFlag(FLAGS_max_body_bytes);
     limits.answer_bytes = absl::GetFlag(FLAGS_max_answer_bytes);
     limits.keyed_body_bytes = absl::GetFlag(FLAGS_max_keyed_bytes);
-    limits.plain_body_bytes = absl::GetFlag(FLAGS_max_plain_bytes);
-    limits.connections = absl::GetFlag(FLAGS_max_connections);
+    limits.http.body_bytes = absl::GetFlag(FLAGS_max_plain_bytes);
+    limits.http.connections = absl::GetFlag(FLAGS_max_connections);
     limits.requests = absl::GetFlag(FLAGS_max_requests);
     limits.idle_upstream = absl::GetFlag(FLAGS_max_idle_upstream);
     return limits;
--- a/daemon/group_driver.h
+++ b/daemon/group_driver.h
@@ -12,7 +12,7 @@
 #include "daemon/settings.h"
 #include "groups/groups.h"
 #include "peers/peers.h"
-#include "platform/platform.h"
+#include "services/services.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/daemon/http_server_fuzz.cc
+++ b/daemon/http_server_fuzz.cc
@@ -1,5 +1,5 @@
 // Any bytes of a caller, over a real socket: the server answers or closes, and goes on.
-#include "daemon/http_server.h"
+#include "http/http_server.h"
 #include "daemon/model_request.h"
 
 #include <boost/asio/use_awaitable.hpp>
--- a/daemon/proxy_bench.cc
+++ b/daemon/proxy_bench.cc
@@ -325,7 +325,7 @@
 
     [[nodiscard]] std::uint16_t direct_port() const
     {
-        return parse_host_port(plain->address()).value().port;
+        return parse_endpoint(plain->address()).value().port();
     }
 
     worker platform;
--- a/daemon/record_feed.h
+++ b/daemon/record_feed.h
@@ -14,7 +14,7 @@
 #include "daemon/settings.h"
 #include "peers/key_relay.h"
 #include "peers/peers.h"
-#include "platform/platform.h"
+#include "services/services.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -7,7 +7,7 @@
 
 #include "base/base.h"
 #include "daemon/daemon.h"
-#include "daemon/http_exchange.h"
+#include "http/http_exchange.h"
 #include "daemon/metrics.h"
 #include "daemon/model_request.h"
 #include "daemon/request_driver.h"
--- a/daemon/request_driver.h
+++ b/daemon/request_driver.h
@@ -10,7 +10,7 @@
 #pragma once
 
 #include "base/base.h"
-#include "platform/platform.h"
+#include "services/services.h"
 #include "routing/routing.h"
 
 #include <boost/asio/io_context.hpp>
--- a/daemon/settings.cc
+++ b/daemon/settings.cc
@@ -1,8 +1,5 @@
 #include "daemon/settings.h"
 
-#include <boost/asio/ip/address.hpp>
-
-#include <charconv>
 #include <filesystem>
 
 // Each rule is one line that names the flag, so that what an operator reads is what he wrote.
@@ -19,7 +16,7 @@
 
 result<void> check_address(std::string_view flag, const std::string& text)
 {
-    const result<host_port> parsed = parse_host_port(text);
+    const auto parsed = parse_endpoint(text);
     if (!parsed)
         return bad(flag, "is \"" + text + "\", " + parsed.error().message, parsed.error().remedy);
     return success();
@@ -56,10 +53,10 @@
 
 result<void> check_timeouts(const daemon_timeouts& timeouts)
 {
-    BOOST_OUTCOME_TRY(check_positive("header_timeout_ms", timeouts.header));
-    BOOST_OUTCOME_TRY(check_positive("body_stall_ms", timeouts.body_stall));
-    BOOST_OUTCOME_TRY(check_positive("idle_timeout_ms", timeouts.idle));
-    BOOST_OUTCOME_TRY(check_positive("write_stall_ms", timeouts.write_stall));
+    BOOST_OUTCOME_TRY(check_positive("header_timeout_ms", timeouts.http.header));
+    BOOST_OUTCOME_TRY(check_positive("body_stall_ms", timeouts.http.body_stall));
+    BOOST_OUTCOME_TRY(check_positive("idle_timeout_ms", timeouts.http.idle));
+    BOOST_OUTCOME_TRY(check_positive("write_stall_ms", timeouts.http.write_stall));
     BOOST_OUTCOME_TRY(check_positive("connect_timeout_ms", timeouts.connect));
     BOOST_OUTCOME_TRY(check_positive("stream_stall_ms", timeouts.stream_stall));
     BOOST_OUTCOME_TRY(check_positive("upstream_idle_ms", timeouts.upstream_idle));
@@ -71,42 +68,20 @@
 
 result<void> check_limits(const daemon_limits& limits)
 {
-    if (limits.header_bytes < 1024)
+    if (limits.http.header_bytes < 1024)
         return bad("max_header_bytes", "is under 1024", "give 1024 or more");
     if (limits.model_body_bytes == 0 || limits.answer_bytes == 0 || limits.keyed_body_bytes == 0)
         return bad("max_body_bytes", "or another body bound is 0", "give 1 or more");
     if (limits.keyed_body_bytes > 900 * 1024)
         return bad("max_keyed_bytes", "is over what the key-value service holds",
                    "give 921600 or less");
-    if (limits.connections == 0 || limits.requests == 0)
+    if (limits.http.connections == 0 || limits.requests == 0)
         return bad("max_connections", "or --max_requests is 0", "give 1 or more");
     return success();
 }
 
 } // namespace
 
-result<host_port> parse_host_port(std::string_view text)
-{
-    const std::size_t colon = text.rfind(':');
-    const error malformed{error_kind::invalid_argument, "which is not an address",
-                          "write IP:port, for example 10.0.0.5:8080"};
-    if (colon == std::string_view::npos)
-        return malformed;
-    std::string_view host = text.substr(0, colon);
-    if (host.starts_with('[') && host.ends_with(']'))
-        host = host.substr(1, host.size() - 2);
-    const std::string_view digits = text.substr(colon + 1);
-    host_port parsed{std::string{host}, 0};
-    const auto [end, failed] =
-        std::from_chars(digits.data(), digits.data() + digits.size(), parsed.port);
-    boost::system::error_code not_address;
-    boost::asio::ip::make_address(parsed.host, not_address);
-    if (digits.empty() || failed != std::errc{} || end != digits.data() + digits.size() ||
-        not_address)
-        return malformed;
-    return parsed;
-}
-
 result<void> check(const daemon_settings& settings)
 {
     if (settings.node.value().empty())
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "base/base.h"
+#include "http/server_settings.h"
 
 #include <chrono>
 #include <cstddef>
@@ -17,21 +18,9 @@
 
 namespace jaynotch {
 
-/// PEM files of one side of a TLS connection; all empty for plain TCP.
-struct tls_files {
-    std::string certificate;
-    std::string key;
-    std::string authority; ///< checks the other side's certificate; empty: it needs none
-
-    [[nodiscard]] bool enabled() const { return !certificate.empty(); }
-};
-
 /// How long the daemon waits for others.
 struct daemon_timeouts {
-    std::chrono::milliseconds header{10'000};        ///< a caller's header, from its first byte
-    std::chrono::milliseconds body_stall{15'000};    ///< between two reads of a caller's body
-    std::chrono::milliseconds idle{75'000};          ///< a caller's connection between two requests
-    std::chrono::milliseconds write_stall{30'000};   ///< a caller that takes no bytes
+    http_timeouts http;                              ///< of callers' connections
     std::chrono::milliseconds connect{1'000};        ///< a connection to a backend server
     std::chrono::milliseconds stream_stall{10'000};  ///< between two events of an engine's stream
     std::chrono::milliseconds upstream_idle{30'000}; ///< a pooled connection nobody uses
@@ -43,14 +32,12 @@
 
 /// What the daemon spends at most, whatever callers send.
 struct daemon_limits {
-    std::size_t header_bytes = 16 * 1024;
+    http_server_limits http; ///< of callers' connections; plain bodies are streamed, never held
     std::size_t model_body_bytes = 4 * 1024 * 1024; ///< chat and completion bodies are held whole
     std::size_t answer_bytes = 8 * 1024 * 1024;     ///< a non-streamed engine answer is held whole
     std::size_t keyed_body_bytes = 512 * 1024;      ///< of a keyed call and of its stored answer
-    std::size_t plain_body_bytes = 1024ULL * 1024 * 1024; ///< streamed, never held
-    std::size_t connections = 10'000;                     ///< of callers
-    std::size_t requests = 4'096;                         ///< in flight and queued
-    std::size_t idle_upstream = 64;                       ///< pooled connections for each target
+    std::size_t requests = 4'096;                 ///< in flight and queued
+    std::size_t idle_upstream = 64;               ///< pooled connections for each target
 };
 
 /// Every setting. Addresses are "IP:port"; port 0 takes a free one.
@@ -81,15 +68,6 @@
     daemon_limits limits;
 };
 
-/// An "IP:port" taken apart.
-struct host_port {
-    std::string host;
-    std::uint16_t port = 0;
-};
-
-/// Reads "IP:port" or "[IPv6]:port".
-result<host_port> parse_host_port(std::string_view text);
-
 /// Refuses settings that can't work; the error names the flag and what to write.
 result<void> check(const daemon_settings& settings);
 
--- a/daemon/settings_test.cc
+++ b/daemon/settings_test.cc
@@ -47,7 +47,7 @@
     bad.peer_tls.key = "/nowhere.pem";
     cr_assert(refused_naming(bad, "--peer_certificate"));
     bad = whole();
-    bad.timeouts.header = std::chrono::milliseconds{0};
+    bad.timeouts.http.header = std::chrono::milliseconds{0};
     cr_assert(refused_naming(bad, "--header_timeout_ms"));
     bad = whole();
     bad.limits.keyed_body_bytes = 2 * 1024 * 1024;
--- a/daemon/upstreams.h
+++ b/daemon/upstreams.h
@@ -6,7 +6,7 @@
 
 #include "base/base.h"
 #include "daemon/settings.h"
-#include "platform/platform.h"
+#include "services/services.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/groups/types.h
+++ b/groups/types.h
@@ -10,7 +10,7 @@
 #pragma once
 
 #include "base/base.h"
-#include "platform/kv_types.h"
+#include "outside/kv_types.h"
 #include "tables/tables.h"
 
 #include <cstdint>
--- a/daemon/connection.cc
+++ b/http/connection.cc
@@ -1,4 +1,4 @@
-#include "daemon/connection.h"
+#include "http/connection.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/platform/http_client.cc
+++ b/http/http_client.cc
@@ -1,6 +1,6 @@
-#include "platform/http_client.h"
+#include "http/http_client.h"
 
-#include "platform/http_connection.h"
+#include "http/http_connection.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -428,27 +428,4 @@
     }
 }
 
-result<tcp::endpoint> parse_endpoint(std::string_view address)
-{
-    const error malformed{error_kind::invalid_argument,
-                          "\"" + std::string{address} + "\" is not an address",
-                          "write IP:port, for example 127.0.0.1:8080"};
-    const std::size_t colon = address.rfind(':');
-    if (colon == std::string_view::npos)
-        return malformed;
-    std::string_view host = address.substr(0, colon);
-    const std::string_view digits = address.substr(colon + 1);
-    if (host.starts_with('[') && host.ends_with(']'))
-        host = host.substr(1, host.size() - 2);
-    std::uint16_t port = 0;
-    const auto [end, failed] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    if (failed != std::errc{} || end != digits.data() + digits.size())
-        return malformed;
-    error_code ec;
-    const auto ip = asio::ip::make_address(std::string{host}, ec);
-    if (ec)
-        return malformed;
-    return tcp::endpoint{ip, port};
-}
-
 } // namespace jaynotch
--- a/platform/http_client.h
+++ b/http/http_client.h
@@ -17,7 +17,6 @@
 #include "base/base.h"
 
 #include <boost/asio/any_io_executor.hpp>
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/status.hpp>
@@ -32,9 +31,6 @@
 
 namespace jaynotch {
 
-template <class T>
-using awaitable = boost::asio::awaitable<T>;
-
 /// Sizes that hold whatever the other side sends.
 struct http_limits {
     std::size_t header_bytes = 16 * 1024;
@@ -122,7 +118,4 @@
     std::shared_ptr<http_pool> m_pool;
 };
 
-/// Parses "IP:port" or "[IPv6]:port"; names are not looked up.
-result<boost::asio::ip::tcp::endpoint> parse_endpoint(std::string_view address);
-
 } // namespace jaynotch
--- a/platform/http_connection.h
+++ b/http/http_connection.h
@@ -1,7 +1,7 @@
 // One connection of the HTTP client and the pool that keeps idle ones; private to the client.
 #pragma once
 
-#include "platform/http_client.h"
+#include "http/http_client.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
--- a/daemon/http_exchange.cc
+++ b/http/http_exchange.cc
@@ -1,4 +1,4 @@
-#include "daemon/http_exchange.h"
+#include "http/http_exchange.h"
 
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/url/parse.hpp>
@@ -84,7 +84,7 @@
 }
 
 http_exchange::http_exchange(std::shared_ptr<connection> caller, request_parser& parser,
-                             const daemon_timeouts& timeouts, bool keep_alive)
+                             const http_timeouts& timeouts, bool keep_alive)
     : m_caller{std::move(caller)}, m_parser{parser}, m_timeouts{timeouts}, m_keep_alive{
                                                                                keep_alive &&
                                                                                parser.keep_alive()}
--- a/daemon/http_exchange.h
+++ b/http/http_exchange.h
@@ -9,8 +9,8 @@
 #pragma once
 
 #include "base/base.h"
-#include "daemon/connection.h"
-#include "daemon/settings.h"
+#include "http/connection.h"
+#include "http/server_settings.h"
 
 #include <boost/beast/http.hpp>
 
@@ -43,7 +43,7 @@
 class http_exchange {
 public:
     http_exchange(std::shared_ptr<connection> caller, request_parser& parser,
-                  const daemon_timeouts& timeouts, bool keep_alive);
+                  const http_timeouts& timeouts, bool keep_alive);
 
     [[nodiscard]] const http::request_header<>& request() const;
     [[nodiscard]] std::string_view header(std::string_view name) const;
@@ -104,7 +104,7 @@
 
     std::shared_ptr<connection> m_caller;
     request_parser& m_parser;
-    const daemon_timeouts& m_timeouts;
+    const http_timeouts& m_timeouts;
     std::vector<std::string> m_extra; ///< names and values by turns
     framing m_framing = framing::length;
     std::uint64_t m_sent = 0;
--- a/daemon/http_server.cc
+++ b/http/http_server.cc
@@ -1,4 +1,4 @@
-#include "daemon/http_server.h"
+#include "http/http_server.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -68,12 +68,11 @@
 
     result<void> bind(const std::string& address)
     {
-        BOOST_OUTCOME_TRY(const host_port where, parse_host_port(address));
+        BOOST_OUTCOME_TRY(const tcp::endpoint endpoint, parse_endpoint(address));
         if (m_settings.tls.enabled()) {
             BOOST_OUTCOME_TRY(load_tls());
         }
         boost::system::error_code failed;
-        const tcp::endpoint endpoint{net::ip::make_address(where.host), where.port};
         m_acceptor.open(endpoint.protocol(), failed);
         if (!failed)
             m_acceptor.set_option(net::socket_base::reuse_address{true}, failed);
@@ -219,7 +218,7 @@
     {
         request_parser parser;
         parser.header_limit(static_cast<std::uint32_t>(m_settings.limits.header_bytes));
-        parser.body_limit(m_settings.limits.plain_body_bytes);
+        parser.body_limit(m_settings.limits.body_bytes);
         parser.eager(false);
         http_exchange early{one->caller, parser, m_settings.timeouts, false};
         const time_point deadline = runtime_clock::now() + m_settings.timeouts.header;
--- a/daemon/http_server.h
+++ b/http/http_server.h
@@ -10,8 +10,8 @@
 #pragma once
 
 #include "base/base.h"
-#include "daemon/http_exchange.h"
-#include "daemon/settings.h"
+#include "http/http_exchange.h"
+#include "http/server_settings.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -23,12 +23,6 @@
 
 using http_handler = std::function<net::awaitable<void>(http_exchange&)>;
 
-struct http_server_settings {
-    daemon_timeouts timeouts;
-    daemon_limits limits;
-    tls_files tls;
-};
-
 class http_server {
 public:
     /// Binds the port. Errors: a port in use, TLS files that can't be read.
--- a/daemon/http_server_test.cc
+++ b/http/http_server_test.cc
@@ -1,4 +1,4 @@
-#include "daemon/http_server.h"
+#include "http/http_server.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -40,7 +40,7 @@
         settings.timeouts.body_stall = 300ms;
         settings.timeouts.idle = 2s;
         settings.limits.header_bytes = 4096;
-        settings.limits.plain_body_bytes = 64 * 1024 * 1024;
+        settings.limits.body_bytes = 64 * 1024 * 1024;
         return settings;
     }
 
--- a/load/load.h
+++ b/load/load.h
@@ -13,7 +13,7 @@
 #include "base/base.h"
 #include "load/answer_text.h"
 #include "load/latency_histogram.h"
-#include "platform/platform.h"
+#include "services/services.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
--- a/platform/kv_store.cc
+++ b/outside/kv_store.cc
@@ -1,4 +1,4 @@
-#include "platform/kv_store.h"
+#include "outside/kv_store.h"
 
 // One revision for each transaction that changes anything, as in etcd: all its writes bear it, so
 // a watcher sees them together.
--- a/platform/kv_store.h
+++ b/outside/kv_store.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "base/base.h"
-#include "platform/kv_types.h"
+#include "outside/kv_types.h"
 
 #include <deque>
 #include <map>
--- a/platform/kv_types.h
+++ b/outside/kv_types.h
@@ -1,6 +1,6 @@
 // What the key-value service can do, in the core's terms: entries with revisions, and
 // transactions that compare, then write. Decision cores emit `kv_transaction` and receive
-// `kv_outcome`; platform/kv.h carries them out.
+// `kv_outcome`; services/kv.h carries them out.
 #pragma once
 
 #include "base/base.h"
--- a/platform/kv_watch.cc
+++ b/outside/kv_watch.cc
@@ -1,4 +1,4 @@
-#include "platform/kv.h"
+#include "outside/kv_watch.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -15,14 +15,6 @@
 
 } // namespace
 
-std::uint64_t kv_call_counts::total() const
-{
-    std::uint64_t sum = 0;
-    for (const std::uint64_t count : by_kind)
-        sum += count;
-    return sum;
-}
-
 kv_watch_queue::kv_watch_queue(const boost::asio::any_io_executor& executor) : m_wake{executor} {}
 
 void kv_watch_queue::push(kv_watch_batch batch)
--- /dev/null
+++ b/outside/kv_watch.h
@@ -0,0 +1,76 @@
+// What reads and watches of the key-value service bring, whichever adapter they come through.
+//
+//   result<kv_watch> watch = co_await kv.watch("/records/", revision + 1);
+//   result<kv_watch_batch> seen = co_await watch.value().next(10s);   // empty: nothing changed
+#pragma once
+
+#include "base/base.h"
+#include "outside/kv_types.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace jaynotch {
+
+/// Answer of a get.
+struct kv_read {
+    std::int64_t revision = 0; ///< of the whole store
+    std::optional<kv_entry> entry;
+
+    /// What a compare on the key must name; 0 if it does not exist.
+    [[nodiscard]] std::int64_t mod_revision() const { return entry ? entry->mod_revision : 0; }
+};
+
+/// Answer of get_prefix, by key.
+struct kv_range {
+    std::int64_t revision = 0; ///< of the whole store; watch from revision + 1
+    std::vector<kv_entry> entries;
+};
+
+struct kv_lease {
+    lease_id id;
+    std::chrono::seconds ttl{0};
+};
+
+/// Changes that a watch saw, in order of revision.
+struct kv_watch_batch {
+    std::int64_t revision = 0; ///< the store's when the batch was sent; 0 if nothing came
+    std::vector<kv_event> events;
+};
+
+/// Where adapters put what a watch sees and where its owner takes it.
+class kv_watch_queue {
+public:
+    explicit kv_watch_queue(const boost::asio::any_io_executor& executor);
+    void push(kv_watch_batch batch);
+    void close(error reason);
+    [[nodiscard]] bool closed() const { return m_end.has_value(); }
+    awaitable<result<kv_watch_batch>> next(duration longest_wait);
+
+private:
+    timer m_wake;
+    std::deque<kv_watch_batch> m_batches;
+    std::size_t m_events = 0;
+    std::optional<error> m_end;
+};
+
+/// One watch. It ends when it is destroyed.
+class kv_watch {
+public:
+    kv_watch(std::shared_ptr<kv_watch_queue> queue, std::shared_ptr<void> source);
+    /// Waits for changes. An empty batch means that none came within `longest_wait`. After an
+    /// error the watch is over: read the prefix and watch anew from its revision + 1.
+    awaitable<result<kv_watch_batch>> next(duration longest_wait);
+
+private:
+    std::shared_ptr<kv_watch_queue> m_queue;
+    std::shared_ptr<void> m_source; ///< what ends the watch when it goes
+};
+
+} // namespace jaynotch
--- a/peers/transport.cc
+++ b/peers/transport.cc
@@ -29,7 +29,6 @@
 namespace jaynotch {
 
 namespace asio = boost::asio;
-using asio::awaitable;
 using asio::ip::tcp;
 using boost::system::error_code;
 using namespace asio::experimental::awaitable_operators;
@@ -45,34 +44,6 @@
 constexpr std::size_t most_queued_bytes = 4U << 20U;
 constexpr std::size_t length_bytes = 4;
 
-result<tcp::endpoint> parse_endpoint(const std::string& address)
-{
-    const error malformed{error_kind::invalid_argument,
-                          "peer address \"" + address + "\" is not one",
-                          "write it as IP:port, [IPv6]:port for IPv6"};
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos || colon == 0)
-        return malformed;
-    std::string host = address.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
-        host = host.substr(1, host.size() - 2);
-    error_code failed;
-    const auto ip = asio::ip::make_address(host, failed);
-    const std::string port = address.substr(colon + 1);
-    const bool digits = !port.empty() && port.size() <= 5 &&
-                        port.find_first_not_of("0123456789") == std::string::npos;
-    if (failed || !digits || std::stoul(port) > 65'535)
-        return malformed;
-    return tcp::endpoint{ip, static_cast<std::uint16_t>(std::stoul(port))};
-}
-
-std::string to_text(const tcp::endpoint& endpoint)
-{
-    const std::string ip = endpoint.address().to_string();
-    const std::string port = std::to_string(endpoint.port());
-    return endpoint.address().is_v6() ? "[" + ip + "]:" + port : ip + ":" + port;
-}
-
 /// A TCP connection, with TLS on it if there are keys.
 class channel {
 public:
--- a/routing/claim_record.cc
+++ b/routing/claim_record.cc
@@ -2,38 +2,11 @@
 #include "routing/claim_record.h"
 
 #include <boost/json.hpp>
-#include <openssl/evp.h>
 
 namespace jaynotch {
 
 namespace {
 
-std::string to_base64(std::string_view bytes)
-{
-    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0'); // EVP_EncodeBlock ends with a NUL
-    const int written = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                                        reinterpret_cast<const unsigned char*>(bytes.data()),
-                                        static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(written));
-    return text;
-}
-
-std::optional<std::string> from_base64(std::string_view text)
-{
-    if (text.size() % 4 != 0)
-        return std::nullopt;
-    std::string bytes(text.size() / 4 * 3, '\0');
-    const int written = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
-                                        reinterpret_cast<const unsigned char*>(text.data()),
-                                        static_cast<int>(text.size()));
-    if (written < 0)
-        return std::nullopt;
-    // The decoder counts padding as bytes.
-    const std::size_t padding = text.ends_with("==") ? 2 : (text.ends_with('=') ? 1 : 0);
-    bytes.erase(bytes.end() - static_cast<std::ptrdiff_t>(padding), bytes.end());
-    return bytes;
-}
-
 error malformed()
 {
     return {error_kind::protocol, "a claim record can't be read",
@@ -65,11 +38,11 @@
     constexpr std::int64_t highest_status = 999;
     if (status->get_int64() < lowest_status || status->get_int64() > highest_status)
         return malformed();
-    auto body = from_base64(*encoded);
+    auto body = base64_decode(*encoded);
     if (!body)
         return malformed();
     return std::optional{stored_answer{static_cast<std::uint32_t>(status->get_int64()),
-                                       *content_type, std::move(*body)}};
+                                       *content_type, std::move(body).value()}};
 }
 
 } // namespace
@@ -82,7 +55,7 @@
     if (record.answer) {
         fields["answer"] = boost::json::object{{"status", record.answer->status},
                                                {"content_type", record.answer->content_type},
-                                               {"body", to_base64(record.answer->body)}};
+                                               {"body", base64_encode(record.answer->body)}};
     }
     return boost::json::serialize(fields);
 }
--- a/scenarios/forwarder.h
+++ b/scenarios/forwarder.h
@@ -11,7 +11,7 @@
 #pragma once
 
 #include "base/base.h"
-#include "platform/platform.h"
+#include "services/services.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/scenarios/world.cc
+++ b/scenarios/world.cc
@@ -1,6 +1,6 @@
 #include "scenarios/world.h"
 
-#include "platform/json_fields.h"
+#include "base/json_fields.h"
 
 #include <cstdio>
 
--- a/platform/engine.cc
+++ b/services/engine.cc
@@ -1,4 +1,4 @@
-#include "platform/engine.h"
+#include "services/engine.h"
 
 // Orders are idempotent (the engine takes the same order twice as one), so they are sent as
 // repeatable: a lost reply shows as deadline_exceeded and the sender sends again.
--- a/platform/engine.h
+++ b/services/engine.h
@@ -9,7 +9,7 @@
 #pragma once
 
 #include "base/base.h"
-#include "platform/http_client.h"
+#include "http/http_client.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
--- a/platform/engine_report_fuzz.cc
+++ b/services/engine_report_fuzz.cc
@@ -1,6 +1,6 @@
 // Whatever an engine answers must be read or refused; what was read stays within its bounds and
 // is rendered and read again to the same.
-#include "platform/platform.h"
+#include "services/services.h"
 
 #include <cstdlib>
 
--- a/platform/engine_wire.cc
+++ b/services/engine_wire.cc
@@ -1,5 +1,5 @@
-#include "platform/engine.h"
-#include "platform/json_fields.h"
+#include "services/engine.h"
+#include "base/json_fields.h"
 
 #include <charconv>
 
--- a/platform/etcd_gateway_kv.cc
+++ b/services/etcd_gateway_kv.cc
@@ -1,5 +1,5 @@
-#include "platform/kv.h"
-#include "platform/kv_wire.h"
+#include "services/kv.h"
+#include "services/kv_wire.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/platform/kv.cc
+++ b/services/kv.cc
@@ -1,13 +1,27 @@
-#include "platform/kv.h"
+#include "services/kv.h"
 
 namespace jaynotch {
 
+std::uint64_t kv_call_counts::total() const
+{
+    std::uint64_t sum = 0;
+    for (const std::uint64_t count : by_kind)
+        sum += count;
+    return sum;
+}
+
 kv_service kv_service::over_etcd(const boost::asio::any_io_executor& executor,
                                  etcd_settings settings)
 {
     return kv_service{etcd_gateway_kv{executor, std::move(settings)}};
 }
 
+kv_service kv_service::over_store(const boost::asio::any_io_executor& executor,
+                                  platform::store_settings settings)
+{
+    return kv_service{platform::store_kv{executor, std::move(settings)}};
+}
+
 kv_service kv_service::in_memory(const boost::asio::any_io_executor& executor,
                                  std::shared_ptr<memory_kv_server> server, duration timeout)
 {
--- a/platform/kv.h
+++ b/services/kv.h
@@ -14,9 +14,11 @@
 #pragma once
 
 #include "base/base.h"
-#include "platform/http_client.h"
-#include "platform/kv_store.h"
-#include "platform/kv_types.h"
+#include "http/http_client.h"
+#include "outside/kv_store.h"
+#include "outside/kv_types.h"
+#include "outside/kv_watch.h"
+#include "platform/platform.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -57,61 +59,6 @@
     static std::size_t index(kv_call kind) { return static_cast<std::size_t>(kind); }
 };
 
-/// Answer of a get.
-struct kv_read {
-    std::int64_t revision = 0; ///< of the whole store
-    std::optional<kv_entry> entry;
-
-    /// What a compare on the key must name; 0 if it does not exist.
-    [[nodiscard]] std::int64_t mod_revision() const { return entry ? entry->mod_revision : 0; }
-};
-
-/// Answer of get_prefix, by key.
-struct kv_range {
-    std::int64_t revision = 0; ///< of the whole store; watch from revision + 1
-    std::vector<kv_entry> entries;
-};
-
-struct kv_lease {
-    lease_id id;
-    std::chrono::seconds ttl{0};
-};
-
-/// Changes that a watch saw, in order of revision.
-struct kv_watch_batch {
-    std::int64_t revision = 0; ///< the store's when the batch was sent; 0 if nothing came
-    std::vector<kv_event> events;
-};
-
-/// Where adapters put what a watch sees and where its owner takes it.
-class kv_watch_queue {
-public:
-    explicit kv_watch_queue(const boost::asio::any_io_executor& executor);
-    void push(kv_watch_batch batch);
-    void close(error reason);
-    [[nodiscard]] bool closed() const { return m_end.has_value(); }
-    awaitable<result<kv_watch_batch>> next(duration longest_wait);
-
-private:
-    timer m_wake;
-    std::deque<kv_watch_batch> m_batches;
-    std::size_t m_events = 0;
-    std::optional<error> m_end;
-};
-
-/// One watch. It ends when it is destroyed.
-class kv_watch {
-public:
-    kv_watch(std::shared_ptr<kv_watch_queue> queue, std::shared_ptr<void> source);
-    /// Waits for changes. An empty batch means that none came within `longest_wait`. After an
-    /// error the watch is over: read the prefix and watch anew from its revision + 1.
-    awaitable<result<kv_watch_batch>> next(duration longest_wait);
-
-private:
-    std::shared_ptr<kv_watch_queue> m_queue;
-    std::shared_ptr<void> m_source; ///< what ends the watch when it goes
-};
-
 struct etcd_settings {
     std::string address; ///< "IP:port" of the JSON gateway
     duration timeout = std::chrono::seconds{2};
@@ -212,6 +159,9 @@
 public:
     static kv_service over_etcd(const boost::asio::any_io_executor& executor,
                                 etcd_settings settings);
+    /// The users' platform's store.
+    static kv_service over_store(const boost::asio::any_io_executor& executor,
+                                 platform::store_settings settings);
     static kv_service in_memory(const boost::asio::any_io_executor& executor,
                                 std::shared_ptr<memory_kv_server> server,
                                 duration timeout = std::chrono::seconds{2});
@@ -234,7 +184,7 @@
     memory_kv* memory() { return std::get_if<memory_kv>(&m_adapter); }
 
 private:
-    using adapter = std::variant<etcd_gateway_kv, memory_kv>;
+    using adapter = std::variant<etcd_gateway_kv, memory_kv, platform::store_kv>;
     explicit kv_service(adapter chosen) : m_adapter{std::move(chosen)} {}
 
     adapter m_adapter;
--- a/platform/kv_answer_fuzz.cc
+++ b/services/kv_answer_fuzz.cc
@@ -1,6 +1,6 @@
 // Whatever a key-value service answers must be read or refused, never trip the reader; a
 // transaction that was read is rendered and read again to the same.
-#include "platform/platform.h"
+#include "services/services.h"
 
 #include <cstdlib>
 
--- a/platform/kv_wire.cc
+++ b/services/kv_wire.cc
@@ -1,9 +1,7 @@
-#include "platform/kv_wire.h"
+#include "services/kv_wire.h"
 
-#include "platform/json_fields.h"
+#include "base/json_fields.h"
 
-#include <boost/beast/core/detail/base64.hpp>
-#include <openssl/evp.h>
 
 // The forms are those of etcd's rpc.proto through grpc-gateway. Only what this project uses is
 // read and written: compares on mod_revision, puts, deletes and gets of single keys, ranges by
@@ -174,32 +172,6 @@
 
 } // namespace
 
-std::string base64_encode(std::string_view bytes)
-{
-    namespace base64 = boost::beast::detail::base64;
-    std::string text(base64::encoded_size(bytes.size()), '\0');
-    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
-    return text;
-}
-
-result<std::string> base64_decode(std::string_view text)
-{
-    const error malformed{error_kind::protocol, "malformed base64", "check the sender"};
-    if (text.size() % 4 != 0)
-        return malformed;
-    if (text.empty())
-        return std::string{};
-    std::string bytes(text.size() / 4 * 3, '\0');
-    const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
-                                       reinterpret_cast<const unsigned char*>(text.data()),
-                                       static_cast<int>(text.size()));
-    if (length < 0)
-        return malformed;
-    const std::size_t padding = text.ends_with("==") ? 2 : (text.ends_with("=") ? 1 : 0);
-    bytes.resize(static_cast<std::size_t>(length) - padding);
-    return bytes;
-}
-
 std::string prefix_end(std::string_view prefix)
 {
     std::string end{prefix};
--- a/platform/kv_wire.h
+++ b/services/kv_wire.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "base/base.h"
-#include "platform/kv_types.h"
+#include "outside/kv_types.h"
 
 #include <boost/json.hpp>
 
@@ -33,8 +33,6 @@
     std::vector<kv_event> events;
 };
 
-std::string base64_encode(std::string_view bytes);
-result<std::string> base64_decode(std::string_view text);
 /// First key after every key that starts with `prefix`, the gateway's range_end.
 std::string prefix_end(std::string_view prefix);
 
--- a/platform/memory_kv.cc
+++ b/services/memory_kv.cc
@@ -1,4 +1,4 @@
-#include "platform/kv.h"
+#include "services/kv.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/platform/vm_list.cc
+++ b/services/vm_list.cc
@@ -1,6 +1,6 @@
-#include "platform/vm_list.h"
+#include "services/vm_list.h"
 
-#include "platform/json_fields.h"
+#include "base/json_fields.h"
 
 #include <unordered_set>
 
--- a/platform/vm_list_fuzz.cc
+++ b/services/vm_list_fuzz.cc
@@ -1,6 +1,6 @@
 // Whatever the VM list answers must be read or refused; a list that was read holds no VM twice and
 // is rendered and read again to the same.
-#include "platform/platform.h"
+#include "services/services.h"
 
 #include <cstdlib>
 #include <set>
--- a/platform/wire_test.cc
+++ b/services/wire_test.cc
@@ -1,4 +1,4 @@
-#include "platform/platform.h"
+#include "services/services.h"
 
 #include <criterion/criterion.h>
 
--- a/standins/engine_serving.cc
+++ b/standins/engine_serving.cc
@@ -1,5 +1,5 @@
 #include "load/answer_text.h"
-#include "platform/json_fields.h"
+#include "base/json_fields.h"
 #include "standins/engine_standin.h"
 
 #include <boost/asio/co_spawn.hpp>
--- a/standins/engine_standin.cc
+++ b/standins/engine_standin.cc
@@ -1,6 +1,6 @@
 #include "standins/engine_standin.h"
 
-#include "platform/json_fields.h"
+#include "base/json_fields.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/standins/engine_standin.h
+++ b/standins/engine_standin.h
@@ -12,7 +12,7 @@
 // not in the group when the answer was finished: the account for the invariant checks.
 #pragma once
 
-#include "platform/platform.h"
+#include "services/services.h"
 #include "standins/engine_batch.h"
 #include "standins/faults.h"
 #include "standins/prefix_cache.h"
--- a/standins/faults.cc
+++ b/standins/faults.cc
@@ -1,6 +1,6 @@
 #include "standins/faults.h"
 
-#include "platform/json_fields.h"
+#include "base/json_fields.h"
 
 namespace jaynotch {
 
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -10,7 +10,7 @@
 // kv, vms, weights, an engine's VM or a plain service, also while the target is dead.
 #pragma once
 
-#include "platform/platform.h"
+#include "services/services.h"
 #include "standins/engine_standin.h"
 #include "standins/kv_standin.h"
 #include "standins/plain_standin.h"
--- a/standins/kv_standin.cc
+++ b/standins/kv_standin.cc
@@ -1,6 +1,6 @@
 #include "standins/kv_standin.h"
 
-#include "platform/json_fields.h"
+#include "base/json_fields.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/standins/kv_standin.h
+++ b/standins/kv_standin.h
@@ -6,7 +6,7 @@
 // GET /stats answers the calls so far by kind, with the watches that wait now.
 #pragma once
 
-#include "platform/platform.h"
+#include "services/services.h"
 #include "standins/faults.h"
 #include "standins/standin_server.h"
 
--- a/standins/plain_standin.h
+++ b/standins/plain_standin.h
@@ -8,7 +8,7 @@
 // request's body, so a caller sees whether the answer is to its own request.
 #pragma once
 
-#include "platform/platform.h"
+#include "services/services.h"
 #include "standins/faults.h"
 #include "standins/standin_server.h"
 
--- a/standins/prefix_cache.h
+++ b/standins/prefix_cache.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "base/base.h"
-#include "platform/platform.h"
+#include "services/services.h"
 
 #include <deque>
 #include <list>
--- a/standins/standin_testing.h
+++ b/standins/standin_testing.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "base/base.h"
-#include "platform/platform.h"
+#include "services/services.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
--- a/standins/vm_list_standin.cc
+++ b/standins/vm_list_standin.cc
@@ -1,6 +1,6 @@
 #include "standins/vm_list_standin.h"
 
-#include "platform/json_fields.h"
+#include "base/json_fields.h"
 
 namespace jaynotch {
 
--- a/standins/vm_list_standin.h
+++ b/standins/vm_list_standin.h
@@ -7,7 +7,7 @@
 // POST /vms takes {"vm","state":"live"|"leaving"|"gone","leave_by_ms"}.
 #pragma once
 
-#include "platform/platform.h"
+#include "services/services.h"
 #include "standins/faults.h"
 #include "standins/standin_server.h"
 
--- a/standins/weight_standin.h
+++ b/standins/weight_standin.h
@@ -7,7 +7,7 @@
 // group of N reads.
 #pragma once
 
-#include "platform/platform.h"
+#include "services/services.h"
 #include "standins/faults.h"
 #include "standins/standin_server.h"
 
--- a/tables/check.cc
+++ b/tables/check.cc
@@ -173,18 +173,8 @@
 
 bool valid_server(std::string_view server)
 {
-    const std::size_t colon = server.rfind(':');
-    if (colon == std::string_view::npos)
-        return false;
-    std::string_view host = server.substr(0, colon);
-    if (host.starts_with('[') && host.ends_with(']'))
-        host = host.substr(1, host.size() - 2);
-    const std::string_view digits = server.substr(colon + 1);
-    std::uint16_t port = 0;
-    const auto [end, status] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    boost::system::error_code bad;
-    boost::asio::ip::make_address(std::string{host}, bad);
-    return !bad && status == std::errc{} && end == digits.data() + digits.size() && port != 0;
+    const auto parsed = parse_endpoint(server);
+    return parsed && parsed.value().port() != 0;
 }
 
 void check_plain_pool(const reporter& report, const pool& row)
--- a/tables/tables.h
+++ b/tables/tables.h
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,14 @@
     };
 };
 
+/// A service that takes part of a route's requests.
+struct backend_share {
+    std::string service;
+    double weight = 1.0; ///< relative to the route's other services
+
+    friend bool operator==(const backend_share&, const backend_share&) = default;
+};
+
 /// One row of routes.toml. The most specific row that matches wins: model before any model, named
 /// workspaces before "*", the longer path prefix before the shorter.
 struct route {
@@ -85,6 +94,17 @@
     std::uint32_t retries = 1;                ///< most further sendings, for idempotent routes
     std::chrono::seconds key_keeping{86'400}; ///< how long a keyed outcome is kept
 
+    // What only an operator's store says, not routes.toml.
+    std::string host;                     ///< plain routes: the Host that callers name; empty: any
+    std::vector<backend_share> backends;  ///< instead of `pool`: services, joined by their names
+    bool open = false;                    ///< needs no key
+    bool streaming = false;               ///< the answer is a series of events
+    bool resumable = false;               ///< such a series may go on from another server
+    bool repeat_failures = false;         ///< idempotent: a server's 500 is asked for elsewhere
+    std::uint32_t most_servers = 0;       ///< that one request may run on; 0: as `retries` allow
+    std::chrono::milliseconds first_target{0}; ///< an answer later than this is worth less; 0: none
+    std::chrono::milliseconds gap_target{0};   ///< the same for a pause between events
+
     friend bool operator==(const route&, const route&) = default;
 };
 
@@ -97,6 +117,36 @@
     friend bool operator==(const share&, const share&) = default;
 };
 
+/// How fast an engine works, as its operators publish it.
+struct engine_figures {
+    double step_ms = 0.0;              ///< one token for all requests that write
+    double sequence_ms = 0.0;          ///< more for each request that writes
+    double context_ms_per_1k = 0.0;    ///< more for each 1,000 tokens of their contexts
+    double prompt_tokens_per_ms = 0.0; ///< reading of prompts; 0: no figures are known
+    double pairs_ms_per_1m = 0.0;      ///< more for each million pairs of tokens in a prompt
+    std::uint32_t chunk_tokens = 0;    ///< of prompts read in one step
+    std::uint32_t steps_in_pass = 1;   ///< tokens of one event
+    double pace = 1.0;                 ///< factor on all of this model's times
+    std::uint32_t usual_prompt = 0;    ///< mean tokens
+    std::uint32_t usual_answer = 0;
+
+    [[nodiscard]] bool known() const { return prompt_tokens_per_ms > 0.0 && step_ms > 0.0; }
+    friend bool operator==(const engine_figures&, const engine_figures&) = default;
+};
+
+/// What forming a model's groups takes, as its operators publish it.
+struct forming_figures {
+    std::chrono::milliseconds load{0};      ///< weights from the weight store onto a host
+    std::chrono::milliseconds warm_up{0};   ///< a join of a runner whose host has the weights
+    std::chrono::milliseconds open{0};      ///< from the order to open until it serves
+    double share = 0.0;                     ///< the model's part of the runners at the start
+    double loads_per_s = 0.0;               ///< that may begin, over all runners; 0: no bound
+    std::uint32_t loads_at_once = 0;        ///< more of them slow one another down; 0: no bound
+    std::uint32_t staged_models = 1;        ///< that a host keeps
+
+    friend bool operator==(const forming_figures&, const forming_figures&) = default;
+};
+
 /// One row of pools.toml.
 struct pool {
     pool_id name;
@@ -122,15 +172,43 @@
 
     std::vector<share> shares; ///< workspaces not named get weight 1
 
+    // What only an operator's store says, not pools.toml.
+    std::string service;                ///< pools of one service differ in their model
+    std::uint32_t most_connections = 0; ///< that one server takes from all nodes; 0: no bound
+    engine_figures engine;
+    forming_figures forming;
+
     friend bool operator==(const pool&, const pool&) = default;
 };
 
+/// A workspace that proves itself by a key.
+struct workspace_row {
+    workspace_id name;
+    std::vector<std::string> keys;
+    std::optional<priority_class> priority; ///< goes before that of the route
+
+    friend bool operator==(const workspace_row&, const workspace_row&) = default;
+};
+
+/// What callers may send, where the operators say so.
+struct caller_limits {
+    std::size_t header_bytes = 0;
+    std::size_t body_bytes = 0;
+    std::chrono::milliseconds header_timeout{0};
+    std::chrono::milliseconds idle_timeout{0};
+
+    friend bool operator==(const caller_limits&, const caller_limits&) = default;
+};
+
 /// Both tables at one revision.
 struct configuration {
     std::string deployment; ///< both tables name it; a foreign one is refused
     config_revision revision;
     std::vector<route> routes; ///< by name
     std::vector<pool> pools;   ///< by name
+    /// Who may call. Empty: callers name their workspace themselves.
+    std::vector<workspace_row> workspaces;
+    std::optional<caller_limits> limits; ///< instead of this node's own
 
     friend bool operator==(const configuration&, const configuration&) = default;
 };
