--- a/daemon/flags.cc
+++ b/daemon/flags.cc
@@ -1,4 +1,5 @@
 #include "daemon/daemon.h"
+#include "platform/settings.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -47,6 +48,9 @@
 ABSL_FLAG(std::uint64_t, max_connections, 10'000, "Of callers");
 ABSL_FLAG(std::uint64_t, max_requests, 4'096, "In flight and queued");
 ABSL_FLAG(std::uint64_t, max_idle_upstream, 64, "Pooled connections for each target");
+ABSL_FLAG(std::string, settings, "",
+          "Settings file of the users' platform; then tables, runners and groups come from its store");
+ABSL_FLAG(std::string, ready_listen, "", "IP:port where the balancer asks, with --settings");
 ABSL_FLAG(bool, check_settings, false, "Check the settings, say what is wrong, and exit");
 
 namespace jaynotch {
@@ -88,6 +92,45 @@
     return limits;
 }
 
+/// What a flag says, or what the settings file says if the flag was left at its default.
+std::string flag_or(const absl::Flag<std::string>& flag, const std::string& usual,
+                    const std::string& from_file)
+{
+    std::string said = absl::GetFlag(flag);
+    return said == usual ? from_file : said;
+}
+
+/// Fills in what the platform's settings file says of this VM; flags go before it.
+result<void> read_site(const std::string& path, daemon_settings& chosen)
+{
+    constexpr std::string_view usual_admin_port = ":9464";
+    BOOST_OUTCOME_TRY(const site_settings site, platform::read_settings(path));
+    chosen.form = source_form::registry;
+    chosen.node = node_id{flag_or(FLAGS_node, "", site.node.value())};
+    chosen.failure_domain =
+        failure_domain_id{flag_or(FLAGS_failure_domain, "", site.failure_domain.value())};
+    chosen.deployment = flag_or(FLAGS_deployment, "", "jaynotch");
+    chosen.listen = flag_or(FLAGS_listen, "127.0.0.1:8080", site.listen);
+    chosen.peer_listen = flag_or(FLAGS_peer_listen, "127.0.0.1:8081", site.peer_listen);
+    chosen.ready_listen = flag_or(FLAGS_ready_listen, "", site.ready_listen);
+    chosen.admin_listen = flag_or(FLAGS_admin_listen, "127.0.0.1:8082",
+                                  site.bind_ip + std::string{usual_admin_port});
+    if (chosen.key_value.empty())
+        chosen.key_value = {site.store};
+    if (chosen.seed_peers.empty())
+        chosen.seed_peers = site.seed_peers;
+    chosen.first_start = site.first_start;
+    chosen.site = site.bounds;
+    // The kill comes at the bound: what is still in flight shortly before is cut in order.
+    constexpr std::chrono::milliseconds before_kill{500};
+    chosen.timeouts.longest_stop =
+        std::min(chosen.timeouts.longest_stop, site.bounds.stop - before_kill);
+    // Servers are a millisecond away; one that is dark costs its caller this much.
+    constexpr std::chrono::milliseconds longest_connect{400};
+    chosen.timeouts.connect = std::min(chosen.timeouts.connect, longest_connect);
+    return success();
+}
+
 } // namespace
 
 result<started_with> settings_from_flags(int argc, char** argv)
@@ -126,6 +169,10 @@
     chosen.seed = absl::GetFlag(FLAGS_seed);
     chosen.timeouts = timeouts_from_flags();
     chosen.limits = limits_from_flags();
+    const std::string site_file = absl::GetFlag(FLAGS_settings);
+    if (!site_file.empty()) {
+        BOOST_OUTCOME_TRY(read_site(site_file, chosen));
+    }
     return started;
 }
 
--- /dev/null
+++ b/daemon/formation_driver.cc
@@ -0,0 +1,302 @@
+#include "daemon/formation_driver.h"
+
+#include "platform/platform.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+// Each manager is told everything that the registry shows, also of other domains: how many groups a
+// model has elsewhere decides what this domain needs.
+
+namespace jaynotch {
+
+namespace {
+
+namespace net = boost::asio;
+
+constexpr duration order_timeout = std::chrono::milliseconds{600};
+/// A runner answers within some milliseconds; one that is dark never does.
+constexpr duration probe_timeout = std::chrono::milliseconds{150};
+
+} // namespace
+
+class formation_driver::impl : public std::enable_shared_from_this<impl> {
+public:
+    impl(net::io_context& context, const daemon_settings& chosen, kv_service& service,
+         peer_service& others)
+        : io{context}, settings{chosen}, kv{service}, peers{others},
+          orders{context.get_executor()}
+    {}
+
+    void tell(const groups::formation_event& happened)
+    {
+        for (auto& [domain, manager] : managers)
+            tell_one(domain, manager, happened);
+    }
+
+    void tell_one(const failure_domain_id& domain, groups::formation& manager,
+                  const groups::formation_event& happened)
+    {
+        if (stopped)
+            return;
+        const groups::formation_commands wanted = manager.handle(happened, runtime_clock::now());
+        for (const groups::formation_command& command : wanted)
+            std::visit([&](const auto& one) { carry_out(domain, one); }, command);
+    }
+
+    void tell_domain(const failure_domain_id& domain, const groups::formation_event& happened)
+    {
+        const auto found = managers.find(domain);
+        if (found != managers.end())
+            tell_one(domain, found->second, happened);
+    }
+
+    /// A domain's manager is made when its first runner shows itself.
+    void add_domain(const failure_domain_id& domain)
+    {
+        if (managers.contains(domain))
+            return;
+        groups::formation_settings chosen;
+        chosen.deployment = settings.deployment;
+        chosen.self = settings.node;
+        chosen.own_domain = settings.failure_domain;
+        chosen.domain = domain;
+        chosen.group_stall = settings.site.group_stall;
+        chosen.loads_excess = settings.site.loads_excess;
+        groups::formation& made =
+            managers.emplace(domain, groups::formation{std::move(chosen)}).first->second;
+        tell_one(domain, made, groups::model_pools_seen{pools});
+        tell_one(domain, made, groups::registry_current{current});
+        tell_one(domain, made, groups::peers_seen{peer_rows()});
+        if (traffic)
+            tell_one(domain, made, groups::traffic_begun{});
+        for (const auto& [vm, row] : runners)
+            tell_one(domain, made, groups::runner_seen{row});
+        const auto key = keys.find(groups::formation_key(settings.deployment, domain));
+        tell_one(domain, made,
+                 groups::manager_key_seen{key == keys.end() ? std::optional<kv_entry>{}
+                                                            : std::optional{key->second}});
+    }
+
+    std::vector<groups::peer_row> peer_rows() const
+    {
+        std::vector<groups::peer_row> rows;
+        for (const member& one : peers.members()) {
+            if (one.live())
+                rows.push_back({one.node, one.failure_domain});
+        }
+        return rows;
+    }
+
+    net::io_context& io;
+    const daemon_settings& settings;
+    kv_service& kv;
+    peer_service& peers;
+    platform::order_client orders;
+    std::map<failure_domain_id, groups::formation> managers;
+    std::map<vm_id, runner> runners;
+    std::map<std::string, kv_entry> keys;
+    std::vector<pool> pools;
+    std::uint64_t members_version = 0;
+    bool current = false;
+    bool traffic = false;
+    bool stopped = false;
+
+private:
+    void carry_out(const failure_domain_id& domain, const groups::kv_call& wanted)
+    {
+        net::co_spawn(io, transact(domain, wanted), net::detached);
+    }
+    void carry_out(const failure_domain_id& domain, const groups::lease_grant& wanted)
+    {
+        net::co_spawn(io, grant(domain, wanted), net::detached);
+    }
+    void carry_out(const failure_domain_id& domain, const groups::lease_renew& wanted)
+    {
+        net::co_spawn(io, renew(domain, wanted), net::detached);
+    }
+    void carry_out(const failure_domain_id& /*domain*/, const groups::lease_end& wanted)
+    {
+        net::co_spawn(io, end_lease(wanted.lease), net::detached);
+    }
+    void carry_out(const failure_domain_id& domain, const groups::send_order& wanted)
+    {
+        net::co_spawn(io, send(domain, wanted), net::detached);
+    }
+    void carry_out(const failure_domain_id& domain, const groups::probe_member& wanted)
+    {
+        net::co_spawn(io, probe(domain, wanted), net::detached);
+    }
+    void carry_out(const failure_domain_id& domain, const groups::notice& wanted)
+    {
+        log_event(wanted.level, wanted.kind,
+                  {{"subject", wanted.subject}, {"detail", wanted.detail},
+                   {"domain", domain.value()}});
+    }
+
+    net::awaitable<void> transact(failure_domain_id domain, groups::kv_call wanted)
+    {
+        const auto self = shared_from_this();
+        result<kv_outcome> outcome = co_await kv.transact(std::move(wanted.transaction));
+        tell_domain(domain, groups::kv_result{wanted.token, std::move(outcome)});
+    }
+
+    net::awaitable<void> grant(failure_domain_id domain, groups::lease_grant wanted)
+    {
+        const auto self = shared_from_this();
+        const result<kv_lease> granted = co_await kv.grant(wanted.ttl);
+        const result<lease_id> told =
+            granted ? result<lease_id>{granted.value().id} : result<lease_id>{granted.error()};
+        tell_domain(domain, groups::lease_result{wanted.token, told});
+    }
+
+    net::awaitable<void> renew(failure_domain_id domain, groups::lease_renew wanted)
+    {
+        const auto self = shared_from_this();
+        const result<kv_lease> kept = co_await kv.keep_alive(wanted.lease);
+        const result<lease_id> told =
+            kept ? result<lease_id>{kept.value().id} : result<lease_id>{kept.error()};
+        tell_domain(domain, groups::lease_result{wanted.token, told});
+    }
+
+    net::awaitable<void> end_lease(lease_id lease)
+    {
+        const auto self = shared_from_this();
+        // One that could not be ended runs out by itself.
+        (void)co_await kv.revoke(lease);
+    }
+
+    net::awaitable<void> send(failure_domain_id domain, groups::send_order wanted)
+    {
+        const auto self = shared_from_this();
+        const order_reply reply = co_await orders.send(wanted.address, wanted.vm, wanted.order,
+                                                       wanted.fence, order_timeout);
+        if (reply != order_reply::begun && reply != order_reply::holds)
+            log_event(log_level::warning, "order_not_taken",
+                      {{"vm", wanted.vm.value()}, {"reply", to_name(reply)}});
+        tell_domain(domain, groups::order_answered{wanted.token, wanted.vm, reply});
+    }
+
+    net::awaitable<void> probe(failure_domain_id domain, groups::probe_member wanted)
+    {
+        const auto self = shared_from_this();
+        const bool answers = co_await orders.answers(wanted.address, probe_timeout);
+        if (!answers)
+            log_event(log_level::warning, "runner_silent", {{"vm", wanted.vm.value()}});
+        tell_domain(domain, groups::member_probed{wanted.vm, answers});
+    }
+};
+
+formation_driver::formation_driver(net::io_context& io, const daemon_settings& settings,
+                                   kv_service& kv, peer_service& peers)
+    : m_impl{std::make_shared<impl>(io, settings, kv, peers)}
+{
+    m_impl->traffic = !settings.first_start;
+}
+
+formation_driver::~formation_driver()
+{
+    stop();
+}
+
+void formation_driver::stop()
+{
+    m_impl->stopped = true;
+}
+
+void formation_driver::install(const configuration& tables)
+{
+    m_impl->pools.clear();
+    for (const pool& row : tables.pools) {
+        if (row.kind == pool_kind::model)
+            m_impl->pools.push_back(row);
+    }
+    m_impl->tell(groups::model_pools_seen{m_impl->pools});
+}
+
+void formation_driver::runner_seen(const runner& row)
+{
+    m_impl->runners[row.id] = row;
+    if (row.joins_groups())
+        m_impl->add_domain(row.failure_domain);
+    m_impl->tell(groups::runner_seen{row});
+}
+
+void formation_driver::runner_gone(const vm_id& vm)
+{
+    m_impl->runners.erase(vm);
+    m_impl->tell(groups::runner_gone{vm});
+}
+
+void formation_driver::key_seen(const kv_entry& entry, bool there)
+{
+    if (there)
+        m_impl->keys[entry.key] = entry;
+    else
+        m_impl->keys.erase(entry.key);
+    for (auto& [domain, manager] : m_impl->managers) {
+        if (groups::formation_key(m_impl->settings.deployment, domain) == entry.key)
+            m_impl->tell_one(domain, manager,
+                             groups::manager_key_seen{there ? std::optional{entry}
+                                                            : std::optional<kv_entry>{}});
+    }
+}
+
+void formation_driver::set_current(bool current)
+{
+    m_impl->current = current;
+    m_impl->tell(groups::registry_current{current});
+}
+
+void formation_driver::traffic_begun()
+{
+    if (std::exchange(m_impl->traffic, true))
+        return;
+    m_impl->tell(groups::traffic_begun{});
+}
+
+void formation_driver::silent(const vm_id& head)
+{
+    m_impl->tell(groups::group_silent{head});
+}
+
+void formation_driver::tick()
+{
+    if (m_impl->members_version != m_impl->peers.members_version()) {
+        m_impl->members_version = m_impl->peers.members_version();
+        m_impl->tell(groups::peers_seen{m_impl->peer_rows()});
+    }
+    m_impl->tell(groups::formation_tick{});
+}
+
+net::awaitable<void> formation_driver::resign()
+{
+    const auto impl = m_impl;
+    std::vector<lease_id> leases;
+    for (auto& [domain, manager] : impl->managers) {
+        for (const groups::formation_command& command : manager.resign()) {
+            if (const auto* end = std::get_if<groups::lease_end>(&command))
+                leases.push_back(end->lease);
+        }
+    }
+    impl->stopped = true;
+    for (const lease_id lease : leases) {
+        const result<void> ended = co_await impl->kv.revoke(lease);
+        if (!ended)
+            log_event(log_level::warning, "manager_not_handed_over",
+                      {{"reason", ended.error().message}});
+    }
+}
+
+std::vector<failure_domain_id> formation_driver::managed() const
+{
+    std::vector<failure_domain_id> led;
+    for (const auto& [domain, manager] : m_impl->managers) {
+        if (manager.status(runtime_clock::now()).leading)
+            led.push_back(domain);
+    }
+    return led;
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/daemon/formation_driver.h
@@ -0,0 +1,54 @@
+// Drives the managers of groups (groups/formation.h), one for each failure domain that has runners:
+// hands them what the registry says and carries out what they want.
+//
+//   formation_driver managers{io, settings, kv, peers};
+//   managers.runner_seen(row);
+//   managers.tick();                  // after each batch, and ten times a second
+#pragma once
+
+#include "base/base.h"
+#include "daemon/settings.h"
+#include "groups/groups.h"
+#include "outside/outside.h"
+#include "peers/peers.h"
+#include "services/services.h"
+#include "tables/tables.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace jaynotch {
+
+class formation_driver {
+public:
+    formation_driver(boost::asio::io_context& io, const daemon_settings& settings, kv_service& kv,
+                     peer_service& peers);
+    ~formation_driver();
+    formation_driver(const formation_driver&) = delete;
+    formation_driver& operator=(const formation_driver&) = delete;
+
+    void install(const configuration& tables);
+    void runner_seen(const runner& row);
+    void runner_gone(const vm_id& vm);
+    /// A key of the store that may be a manager's.
+    void key_seen(const kv_entry& entry, bool there);
+    void set_current(bool current);
+    void traffic_begun();
+    /// A group's head is silent towards this node.
+    void silent(const vm_id& head);
+    void tick();
+    /// Gives all domains up, on a planned stop.
+    boost::asio::awaitable<void> resign();
+    void stop();
+
+    /// Failure domains that this node manages now.
+    [[nodiscard]] std::vector<failure_domain_id> managed() const;
+
+private:
+    class impl;
+    std::shared_ptr<impl> m_impl;
+};
+
+} // namespace jaynotch
--- a/daemon/front.cc
+++ b/daemon/front.cc
@@ -168,7 +168,7 @@
     asked.caller.set("url.path", exchange.path());
     exchange.set("traceparent", asked.caller.context.header());
     result<void> readable = success();
-    std::optional<std::chrono::seconds> retry_after;
+    std::optional<std::chrono::milliseconds> retry_after;
     if (!m_state().tables) {
         readable = error{error_kind::unavailable, "no configuration is known here yet",
                          "send it to another entry VM, or come back"};
@@ -239,7 +239,7 @@
 }
 
 net::awaitable<void> front::turn_away(http_exchange& exchange, const error& why,
-                                      std::optional<std::chrono::seconds> retry_after)
+                                      std::optional<std::chrono::milliseconds> retry_after)
 {
     ++m_services.counts.refused;
     m_services.counted.refused(why.kind);
--- a/daemon/jaynotchd_main.cc
+++ b/daemon/jaynotchd_main.cc
@@ -1,6 +1,7 @@
 // The daemon of one entry VM. Exit codes: 0 stopped gracefully, 1 a defect, 2 a setting is wrong,
 // 3 a port can't be opened.
 #include "daemon/daemon.h"
+#include "daemon/registry_daemon.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -24,19 +25,32 @@
     return why.kind == error_kind::unavailable ? exit_port : exit_setting;
 }
 
-boost::asio::awaitable<void> stop_then_end(class daemon& running, boost::asio::io_context& io)
+template <class Daemon>
+boost::asio::awaitable<void> stop_then_end(Daemon& running, boost::asio::io_context& io)
 {
     co_await running.stop();
     io.stop();
 }
 
-int run(const daemon_settings& settings)
+/// Reads the settings anew at each SIGHUP; a daemon of our own form has nothing to read.
+void watch_hangups(boost::asio::signal_set& hangups, const std::function<void()>& reload)
+{
+    hangups.async_wait([&hangups, reload](const boost::system::error_code& failed, int /*number*/) {
+        if (failed)
+            return;
+        reload();
+        watch_hangups(hangups, reload);
+    });
+}
+
+template <class Daemon>
+int run(const daemon_settings& settings, const std::function<void(Daemon&)>& reload)
 {
     boost::asio::io_context io{1};
-    result<std::unique_ptr<class daemon>> made = daemon::create(io, settings);
+    result<std::unique_ptr<Daemon>> made = Daemon::create(io, settings);
     if (!made)
         return refuse_start(made.error());
-    const std::unique_ptr<class daemon> running = std::move(made).value();
+    const std::unique_ptr<Daemon> running = std::move(made).value();
     const auto end = [&] {
         boost::asio::co_spawn(io, stop_then_end(*running, io), boost::asio::detached);
     };
@@ -45,6 +59,8 @@
         if (!failed)
             end();
     });
+    boost::asio::signal_set hangups{io, SIGHUP};
+    watch_hangups(hangups, [&] { reload(*running); });
     running->on_superseded(end);
     running->start();
     io.run();
@@ -69,7 +85,16 @@
     install_json_log("jaynotchd", settings.node.value());
     std::signal(SIGPIPE, SIG_IGN);
     try {
-        return run(settings);
+        if (settings.form == source_form::own)
+            return run<class daemon>(settings, [](class daemon&) {});
+        return run<registry_daemon>(settings, [&](registry_daemon& running) {
+            const result<started_with> again = settings_from_flags(argc, argv);
+            if (again)
+                running.reload(again.value().settings);
+            else
+                log_event(log_level::error, "settings_unreadable",
+                          {{"reason", to_string(again.error())}});
+        });
     }
     catch (const std::exception& thrown) {
         log_event(log_level::error, "daemon_failed", {{"message", thrown.what()}});
--- /dev/null
+++ b/daemon/registry_daemon.cc
@@ -0,0 +1,420 @@
+#include "daemon/registry_daemon.h"
+
+#include "daemon/formation_driver.h"
+#include "daemon/forward_front.h"
+#include "daemon/metrics.h"
+#include "daemon/registry_feed.h"
+#include "daemon/relay.h"
+#include "daemon/request_driver.h"
+#include "daemon/target_view.h"
+#include "daemon/trace.h"
+#include "daemon/upstreams.h"
+#include "http/http_server.h"
+#include "peers/peers.h"
+#include "services/services.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <random>
+
+// One thread. The registry's changes go to the managers of groups and, as targets, to the request
+// core; the core's word of a silent group goes to the managers, which find out who is lost.
+
+namespace jaynotch {
+
+namespace {
+
+constexpr duration beat = std::chrono::milliseconds{50}; ///< of managers, feed and targets
+constexpr duration second = std::chrono::seconds{1};
+constexpr duration longest_call = std::chrono::seconds{5};
+constexpr duration stop_poll = std::chrono::milliseconds{20};
+constexpr std::string_view text_type = "text/plain; version=0.0.4; charset=utf-8";
+
+std::uint64_t drawn_seed(const daemon_settings& settings)
+{
+    if (settings.seed != 0)
+        return settings.seed;
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+platform::store_settings store_settings_of(const daemon_settings& settings)
+{
+    platform::store_settings made;
+    made.address = settings.key_value.front();
+    return made;
+}
+
+peer_settings peer_settings_of(const daemon_settings& settings, std::uint64_t seed)
+{
+    peer_settings made;
+    made.deployment = settings.deployment;
+    made.node = settings.node;
+    made.failure_domain = settings.failure_domain;
+    made.listen = settings.peer_listen;
+    made.advertise = settings.peer_advertise;
+    made.seeds = settings.seed_peers;
+    made.random_seed = seed;
+    return made;
+}
+
+core_settings core_settings_of(const daemon_settings& settings, std::uint64_t incarnation)
+{
+    core_settings made;
+    made.node = settings.node;
+    made.incarnation = std::to_string(incarnation);
+    made.most_requests = settings.limits.requests;
+    made.admission = settings.admission;
+    made.stall_timeout = settings.timeouts.stream_stall;
+    made.failure_domain = settings.failure_domain;
+    made.retry_share = settings.site.retry_share;
+    made.retry_extra = settings.site.retry_extra;
+    made.retry_extra_shared = true;
+    made.charge_every_repeat = true;
+    made.shortest_return = std::chrono::milliseconds{100};
+    return made;
+}
+
+} // namespace
+
+class registry_daemon::impl : public std::enable_shared_from_this<impl> {
+public:
+    impl(net::io_context& context, const daemon_settings& chosen)
+        : io{context}, settings{chosen},
+          kv{kv_service::over_store(context.get_executor(), store_settings_of(chosen))},
+          servers{context, settings}, m_timer{context}
+    {}
+
+    result<void> open()
+    {
+        const std::uint64_t seed = drawn_seed(settings);
+        BOOST_OUTCOME_TRY(spans, tracer::open(settings.trace_file, settings.node, seed ^ 1U));
+        BOOST_OUTCOME_TRY(peers, peer_service::create(io, peer_settings_of(settings, seed ^ 2U)));
+        random_source random{seed ^ 4U};
+        const std::uint64_t incarnation = random.bits();
+        BOOST_OUTCOME_TRY(request_core core,
+                          request_core::create(core_settings_of(settings, incarnation), random,
+                                               runtime_clock::now()));
+        driver_hooks hooks;
+        hooks.on_silent = [this](const target_silent& seen) { take_silence(seen); };
+        requests = std::make_unique<request_driver>(io, std::move(core), kv, std::move(hooks));
+        managers = std::make_unique<formation_driver>(io, settings, kv, *peers);
+        feed = std::make_unique<registry_feed>(io, settings, kv, *peers, feed_hooks());
+        services.reset(new relay_services{
+            io, settings, *requests, servers, *spans, counted, counts, {}, {}, {}});
+        calls = std::make_unique<forward_front>(
+            *services, [this] { return front_state{tables, m_stopping, false}; });
+        peers->on_rumor([this](const rumor& heard) {
+            if (const auto* newer = std::get_if<key_notice>(&heard))
+                feed->noticed(*newer);
+        });
+        peers->on_superseded([this] {
+            if (superseded)
+                superseded();
+        });
+        return open_ports();
+    }
+
+    void start()
+    {
+        net::co_spawn(io, peers->run(), net::detached);
+        feed->start();
+        requests->start();
+        caller_server->start();
+        ready_server->start();
+        admin_server->start();
+        net::co_spawn(io, run_beats(), net::detached);
+        log_event(log_level::info, "daemon_started",
+                  {{"listen", settings.listen}, {"first_start", settings.first_start}});
+    }
+
+    net::awaitable<void> stop()
+    {
+        const auto self = shared_from_this();
+        if (m_stopping)
+            co_return;
+        m_stopping = true;
+        const time_point until = runtime_clock::now() + settings.timeouts.longest_stop;
+        log_event(log_level::info, "daemon_stopping", {{"in_flight", counts.in_flight}});
+        caller_server->wind_down();
+        co_await managers->resign();
+        co_await sleep(settings.timeouts.balancer);
+        caller_server->stop_accepting();
+        while ((counts.in_flight > 0 || caller_server->connections() > 0) &&
+               runtime_clock::now() < until)
+            co_await sleep(stop_poll);
+        const std::uint64_t cut_off = counts.in_flight;
+        co_await peers->leave();
+        log_event(cut_off == 0 ? log_level::info : log_level::error, "daemon_stopped",
+                  {{"in_flight", cut_off}});
+        abort();
+    }
+
+    void abort()
+    {
+        m_stopping = true;
+        m_stopped = true;
+        m_timer.cancel();
+        for (http_server* one : {caller_server.get(), ready_server.get(), admin_server.get()}) {
+            if (one != nullptr)
+                one->abort();
+        }
+        if (feed)
+            feed->stop();
+        if (managers)
+            managers->stop();
+        if (peers)
+            peers->stop();
+        if (requests)
+            requests->stop();
+    }
+
+    [[nodiscard]] bool ready() const { return !m_stopping && tables != nullptr; }
+
+    net::io_context& io;
+    daemon_settings settings;
+    daemon_counts counts;
+    metrics counted;
+    kv_service kv;
+    upstreams servers;
+    std::unique_ptr<tracer> spans;
+    std::unique_ptr<peer_service> peers;
+    std::unique_ptr<request_driver> requests;
+    std::unique_ptr<formation_driver> managers;
+    std::unique_ptr<registry_feed> feed;
+    std::unique_ptr<relay_services> services;
+    std::unique_ptr<forward_front> calls;
+    std::unique_ptr<http_server> caller_server;
+    std::unique_ptr<http_server> ready_server;
+    std::unique_ptr<http_server> admin_server;
+    std::shared_ptr<const configuration> tables;
+    std::function<void()> superseded;
+
+private:
+    result<void> open_ports()
+    {
+        const http_server_settings plain{settings.timeouts.http, settings.limits.http, {}};
+        BOOST_OUTCOME_TRY(caller_server,
+                          http_server::open(io, settings.listen, plain, [this](auto& exchange) {
+                              managers->traffic_begun();
+                              return calls->serve(exchange);
+                          }));
+        BOOST_OUTCOME_TRY(
+            ready_server,
+            http_server::open(io, settings.ready_listen, plain,
+                              [this](http_exchange& exchange) { return tell_ready(exchange); }));
+        BOOST_OUTCOME_TRY(
+            admin_server,
+            http_server::open(io, settings.admin_listen, plain,
+                              [this](http_exchange& exchange) { return tell_metrics(exchange); }));
+        return success();
+    }
+
+    registry_hooks feed_hooks()
+    {
+        registry_hooks hooks;
+        hooks.on_configuration = [this](std::shared_ptr<const configuration> next) {
+            install(std::move(next));
+        };
+        hooks.on_runner = [this](const runner& row) {
+            m_view.take(row);
+            managers->runner_seen(row);
+        };
+        hooks.on_runner_gone = [this](const vm_id& id) {
+            m_view.drop(id);
+            managers->runner_gone(id);
+        };
+        hooks.on_key = [this](const kv_entry& entry, bool there) {
+            managers->key_seen(entry, there);
+        };
+        hooks.on_current = [this](bool current) { managers->set_current(current); };
+        hooks.on_batch = [this] {
+            push_targets();
+            managers->tick();
+        };
+        return hooks;
+    }
+
+    void install(std::shared_ptr<const configuration> next)
+    {
+        tables = std::move(next);
+        log_event(log_level::info, "config_installed",
+                  {{"revision", tables->revision.value()},
+                   {"routes", tables->routes.size()},
+                   {"pools", tables->pools.size()}});
+        if (tables->limits) {
+            http_timeouts timeouts = settings.timeouts.http;
+            timeouts.header = tables->limits->header_timeout;
+            timeouts.idle = tables->limits->idle_timeout;
+            http_server_limits limits = settings.limits.http;
+            limits.header_bytes = tables->limits->header_bytes;
+            limits.body_bytes = tables->limits->body_bytes;
+            caller_server->set_limits(timeouts, limits);
+        }
+        managers->install(*tables);
+        requests->handle(tables_installed{*tables});
+        m_pushed = {};
+    }
+
+    void push_targets()
+    {
+        if (!tables)
+            return;
+        target_lists now = m_view.lists(*tables);
+        if (now.same(m_pushed))
+            return;
+        requests->handle(groups_changed{now.groups});
+        requests->handle(servers_changed{now.servers});
+        m_pushed = std::move(now);
+    }
+
+    void take_silence(const target_silent& seen)
+    {
+        log_event(log_level::warning, "group_silent",
+                  {{"group", seen.target.value()}, {"head", seen.instance.value()}});
+        managers->silent(seen.instance);
+    }
+
+    net::awaitable<void> run_beats()
+    {
+        const auto self = shared_from_this();
+        time_point next_second = runtime_clock::now();
+        while (!m_stopped) {
+            boost::system::error_code ignored;
+            m_timer.expires_after(beat);
+            co_await m_timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+            if (m_stopped)
+                co_return;
+            feed->tick();
+            managers->tick();
+            if (runtime_clock::now() < next_second)
+                continue;
+            next_second = runtime_clock::now() + second;
+            each_second();
+        }
+    }
+
+    void each_second()
+    {
+        std::vector<std::function<void()>> asked;
+        for (const auto& [way, ask] : services->slow)
+            asked.push_back(ask);
+        for (const auto& ask : asked)
+            ask();
+        spans->flush();
+        // Members that can't be reached may still send; only those that said goodbye don't count.
+        const std::vector<member> all = peers->members();
+        const auto nodes = static_cast<std::size_t>(
+            std::count_if(all.begin(), all.end(), [](const member& one) {
+                return one.state != member_state::left;
+            }));
+        if (nodes != m_fleet_size) {
+            m_fleet_size = nodes;
+            requests->handle(fleet_size_seen{std::max(nodes, least_fleet)});
+        }
+    }
+
+    net::awaitable<void> sleep(duration time)
+    {
+        timer pause{io, time};
+        boost::system::error_code ignored;
+        co_await pause.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    }
+
+    net::awaitable<void> tell_ready(http_exchange& exchange)
+    {
+        const bool fine = ready();
+        const http::status status =
+            fine ? http::status::ok : http::status::service_unavailable;
+        co_await exchange.answer(status, "text/plain", fine ? "ready\n" : "not ready\n");
+    }
+
+    net::awaitable<void> tell_metrics(http_exchange& exchange)
+    {
+        gauges now;
+        now.ready = ready();
+        now.revision = tables ? tables->revision.value() : 0;
+        now.platform_lost = !feed->current();
+        now.connections = caller_server->connections();
+        now.in_flight = counts.in_flight;
+        now.complete_groups = m_pushed.groups.size();
+        now.managed_domains = managers->managed().size();
+        for (const member& one : peers->members())
+            now.members += one.live() ? 1 : 0;
+        now.peer_bytes_sent = peers->counters().bytes_sent;
+        now.kv_calls = kv.counts().total();
+        now.spans_dropped = spans->dropped();
+        const std::string page = counted.render(now);
+        co_await exchange.answer(http::status::ok, text_type, page);
+    }
+
+    /// Before the peers are known, budgets are split as if there were this many nodes.
+    static constexpr std::size_t least_fleet = 4;
+
+    target_view m_view;
+    target_lists m_pushed;
+    std::size_t m_fleet_size = 0;
+    timer m_timer;
+    bool m_stopping = false;
+    bool m_stopped = false;
+};
+
+registry_daemon::registry_daemon(std::shared_ptr<impl> made) : m_impl{std::move(made)} {}
+
+// As with `daemon`, the parts are kept for longer than any call on them takes.
+registry_daemon::~registry_daemon()
+{
+    m_impl->abort();
+    const auto pause = std::make_shared<timer>(m_impl->io, longest_call);
+    pause->async_wait([kept = m_impl, pause](boost::system::error_code) {});
+}
+
+result<std::unique_ptr<registry_daemon>> registry_daemon::create(net::io_context& io,
+                                                                 const daemon_settings& settings)
+{
+    BOOST_OUTCOME_TRY(check(settings));
+    auto made = std::make_shared<impl>(io, settings);
+    BOOST_OUTCOME_TRY(made->open());
+    return std::unique_ptr<registry_daemon>{new registry_daemon{std::move(made)}};
+}
+
+void registry_daemon::start()
+{
+    m_impl->start();
+}
+
+net::awaitable<void> registry_daemon::stop()
+{
+    return m_impl->stop();
+}
+
+void registry_daemon::reload(const daemon_settings& changed)
+{
+    m_impl->peers->add_seeds(changed.seed_peers);
+    log_event(log_level::info, "settings_reloaded", {{"seeds", changed.seed_peers}});
+}
+
+void registry_daemon::on_superseded(std::function<void()> handler)
+{
+    m_impl->superseded = std::move(handler);
+}
+
+bool registry_daemon::ready() const
+{
+    return m_impl->ready();
+}
+
+std::uint16_t registry_daemon::listen_port() const
+{
+    return m_impl->caller_server->port();
+}
+
+daemon_counts registry_daemon::counts() const
+{
+    return m_impl->counts;
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/daemon/registry_feed.cc
@@ -0,0 +1,361 @@
+#include "daemon/registry_feed.h"
+
+#include "peers/key_relay.h"
+#include "platform/platform.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <set>
+
+// The feed reads everything once and then watches. After an error it goes on watching from the last
+// revision seen; only if the store has dropped that history does it read everything anew and work
+// out what is gone. What it learns it also tells its peers (peers/key_relay.h), so that a node that
+// the store turns away keeps up with them.
+//
+// Entries that lapsed while the store was away. Runners can't renew their leases then; those that
+// live are back within about two seconds of the store's return. Entries that vanish in that time
+// are therefore kept a little longer, or the whole fleet would be dropped for nothing.
+
+namespace jaynotch {
+
+namespace {
+
+namespace net = boost::asio;
+
+constexpr duration shortest_pause = std::chrono::milliseconds{50};
+constexpr duration longest_pause = std::chrono::milliseconds{800};
+constexpr duration watch_wait = std::chrono::seconds{10};
+/// For living runners to be back in the registry once the store answers again.
+constexpr duration return_grace = std::chrono::milliseconds{2'200};
+/// A store that failed for shorter has let no lease lapse: runners write each second or so.
+constexpr duration outage = std::chrono::milliseconds{1'500};
+
+} // namespace
+
+class registry_feed::impl : public std::enable_shared_from_this<impl> {
+public:
+    impl(net::io_context& context, const daemon_settings& chosen, kv_service& service,
+         peer_service& others, registry_hooks given)
+        : io{context}, settings{chosen}, kv{service}, peers{others}, hooks{std::move(given)},
+          relay{key_relay_settings{.self = chosen.node, .name = "documents"},
+                random_source{hash64(chosen.node.value(), chosen.seed)}},
+          m_pause{context}
+    {}
+
+    net::awaitable<void> run()
+    {
+        const auto self = shared_from_this();
+        duration pause = shortest_pause;
+        while (!stopped) {
+            const bool worked = co_await read_or_watch();
+            if (stopped)
+                break;
+            pause = worked ? shortest_pause : std::min(pause * 2, longest_pause);
+            boost::system::error_code woken;
+            m_pause.expires_after(pause);
+            co_await m_pause.async_wait(net::redirect_error(net::use_awaitable, woken));
+        }
+    }
+
+    void stop()
+    {
+        stopped = true;
+        m_pause.cancel();
+    }
+
+    void tick()
+    {
+        if (m_members_version != peers.members_version())
+            members_changed();
+        carry_out(relay.tick(runtime_clock::now()));
+        drop_overdue();
+        end_batch();
+    }
+
+    void carry_out(const key_relay_commands& commands)
+    {
+        for (const key_relay_command& command : commands)
+            std::visit([this](const auto& order) { carry_out(order); }, command);
+    }
+
+    void end_batch()
+    {
+        if (std::exchange(m_news, false))
+            hooks.on_batch();
+    }
+
+    net::io_context& io;
+    const daemon_settings& settings;
+    kv_service& kv;
+    peer_service& peers;
+    registry_hooks hooks;
+    key_relay_core relay;
+    bool stopped = false;
+    bool current = false;
+
+private:
+    /// True if the store answered.
+    net::awaitable<bool> read_or_watch()
+    {
+        bool fine = true;
+        if (m_revision == 0) {
+            fine = co_await read_all();
+        }
+        if (fine && !stopped) {
+            fine = co_await watch_on();
+        }
+        co_return fine;
+    }
+
+    net::awaitable<bool> read_all()
+    {
+        const result<kv_range> read =
+            co_await kv.get_prefix(std::string{platform::watched_prefix()});
+        if (stopped)
+            co_return false;
+        if (!read) {
+            lost(read.error());
+            co_return false;
+        }
+        regained();
+        std::set<std::string> there;
+        for (const kv_entry& entry : read.value().entries) {
+            there.insert(entry.key);
+            learn(entry);
+        }
+        for (const auto& [key, held] : std::map{relay.keys()}) {
+            if (!held.value.empty() && !there.contains(key) &&
+                held.revision < read.value().revision)
+                learn_gone(key, read.value().revision);
+        }
+        m_revision = read.value().revision;
+        set_current(true);
+        end_batch();
+        co_return true;
+    }
+
+    net::awaitable<bool> watch_on()
+    {
+        result<kv_watch> watch =
+            co_await kv.watch(std::string{platform::watched_prefix()}, m_revision + 1);
+        if (!watch) {
+            lost(watch.error());
+            co_return false;
+        }
+        bool answered = false;
+        while (!stopped) {
+            const result<kv_watch_batch> batch = co_await watch.value().next(watch_wait);
+            if (stopped)
+                co_return false;
+            if (!batch) {
+                if (batch.error().kind == error_kind::not_found)
+                    m_revision = 0; // that history is gone: read everything anew
+                else
+                    lost(batch.error());
+                co_return answered || m_revision == 0;
+            }
+            if (batch.value().revision == 0)
+                continue; // nothing came from the store yet
+            answered = true;
+            regained();
+            for (const kv_event& event : batch.value().events) {
+                if (event.deleted)
+                    learn_gone(event.entry.key, event.entry.mod_revision);
+                else
+                    learn(event.entry);
+            }
+            m_revision = std::max(m_revision, batch.value().revision);
+            set_current(true);
+            end_batch();
+        }
+        co_return false;
+    }
+
+    void learn(const kv_entry& entry)
+    {
+        carry_out(relay.learned(runtime_clock::now(),
+                                {entry.key, entry.mod_revision, entry.value}));
+    }
+
+    /// An empty value stands for a key that is gone: no document is empty.
+    void learn_gone(const std::string& key, std::int64_t revision)
+    {
+        carry_out(relay.learned(runtime_clock::now(), {key, revision, {}}));
+    }
+
+    void lost(const error& why)
+    {
+        if (!m_lost_since) {
+            m_lost_since = runtime_clock::now();
+            log_event(log_level::warning, "store_lost",
+                      {{"reason", why.message}, {"revision", m_revision}});
+        }
+        set_current(false);
+    }
+
+    void regained()
+    {
+        if (!m_lost_since)
+            return;
+        const time_point now = runtime_clock::now();
+        const duration away = now - *m_lost_since;
+        m_lost_since.reset();
+        if (away >= outage)
+            m_returning_until = now + return_grace;
+        log_event(log_level::info, "store_regained",
+                  {{"away_ms", std::chrono::duration_cast<std::chrono::milliseconds>(away).count()},
+                   {"revision", m_revision}});
+    }
+
+    void set_current(bool now)
+    {
+        if (current == now)
+            return;
+        current = now;
+        hooks.on_current(now);
+    }
+
+    void members_changed()
+    {
+        m_members_version = peers.members_version();
+        std::vector<node_id> own;
+        std::vector<node_id> all;
+        for (const member& one : peers.members()) {
+            if (!one.live())
+                continue;
+            all.push_back(one.node);
+            if (one.failure_domain == settings.failure_domain)
+                own.push_back(one.node);
+        }
+        carry_out(relay.members_changed(own, all));
+    }
+
+    void carry_out(const watch_keys& /*order*/) {} // every node watches; see docs/design-platform.md
+    void carry_out(const tell_keys& order) { peers.send_keys(order.to, order.body); }
+    void carry_out(const announce_key& order) { peers.publish(order.notice); }
+    void carry_out(const take_key& order)
+    {
+        m_news = true;
+        kv_entry entry;
+        entry.key = order.entry.key;
+        entry.value = order.entry.value;
+        entry.mod_revision = order.entry.revision;
+        const bool there = !entry.value.empty();
+        if (platform::is_runner(entry.key))
+            take_runner(entry, there);
+        else if (platform::is_configuration(entry.key))
+            take_configuration(entry, there);
+        else
+            hooks.on_key(entry, there);
+    }
+
+    void take_runner(const kv_entry& entry, bool there)
+    {
+        const vm_id id = platform::runner_id(entry.key);
+        m_missing.erase(id);
+        if (!there) {
+            const time_point now = runtime_clock::now();
+            if (now < m_returning_until)
+                m_missing[id] = m_returning_until;
+            else
+                hooks.on_runner_gone(id);
+            return;
+        }
+        result<runner> read = platform::parse_runner(entry);
+        if (read) {
+            hooks.on_runner(read.value());
+            return;
+        }
+        log_event(log_level::warning, "registry_entry_unreadable",
+                  {{"key", entry.key}, {"reason", read.error().message}});
+        hooks.on_runner_gone(id);
+    }
+
+    void take_configuration(const kv_entry& entry, bool there)
+    {
+        if (!there)
+            return; // the last one stays in force
+        result<configuration> read = platform::parse_configuration(entry);
+        if (!read) {
+            log_event(log_level::error, "configuration_unreadable",
+                      {{"revision", entry.mod_revision}, {"reason", read.error().message}});
+            return;
+        }
+        if (m_installed && read.value().revision < *m_installed)
+            return;
+        m_installed = read.value().revision;
+        hooks.on_configuration(
+            std::make_shared<const configuration>(std::move(read).value()));
+    }
+
+    void drop_overdue()
+    {
+        const time_point now = runtime_clock::now();
+        for (auto row = m_missing.begin(); row != m_missing.end();) {
+            if (now < row->second) {
+                ++row;
+                continue;
+            }
+            hooks.on_runner_gone(row->first);
+            m_news = true;
+            row = m_missing.erase(row);
+        }
+    }
+
+    timer m_pause;
+    std::uint64_t m_members_version = 0;
+    std::int64_t m_revision = 0; ///< seen last; 0: everything has to be read
+    bool m_news = false;
+    std::optional<time_point> m_lost_since;
+    time_point m_returning_until;
+    std::map<vm_id, time_point> m_missing; ///< entries that vanished as the store came back
+    std::optional<config_revision> m_installed;
+};
+
+registry_feed::registry_feed(net::io_context& io, const daemon_settings& settings, kv_service& kv,
+                             peer_service& peers, registry_hooks hooks)
+    : m_impl{std::make_shared<impl>(io, settings, kv, peers, std::move(hooks))}
+{
+    peers.on_keys([weak = std::weak_ptr{m_impl}](const key_message& message) {
+        const auto self = weak.lock();
+        if (!self || self->stopped)
+            return;
+        self->carry_out(self->relay.heard(runtime_clock::now(), message));
+        self->end_batch();
+    });
+}
+
+registry_feed::~registry_feed()
+{
+    stop();
+}
+
+void registry_feed::start()
+{
+    net::co_spawn(m_impl->io, m_impl->run(), net::detached);
+}
+
+void registry_feed::stop()
+{
+    m_impl->stop();
+}
+
+void registry_feed::tick()
+{
+    m_impl->tick();
+}
+
+void registry_feed::noticed(const key_notice& notice)
+{
+    m_impl->carry_out(m_impl->relay.noticed(runtime_clock::now(), notice));
+}
+
+bool registry_feed::current() const
+{
+    return m_impl->current;
+}
+
+} // namespace jaynotch
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -63,7 +63,7 @@
     };
     m_admission = m_services.spans.begin("admission", span_kind::internal, m_asked.caller.context);
     m_services.driver.handle(request_arrived{m_asked.info});
-    m_exchange.watch_caller(gone, m_asked.model.has_value());
+    m_exchange.watch_caller(gone, m_asked.model.has_value() || m_asked.facts.has_value());
     bool done = false;
     while (!done) {
         const command wanted = co_await m_inbox->next();
@@ -108,7 +108,7 @@
         attempt.stream->cancel();
     else
         attempt.stop.emit(net::cancellation_type::terminal);
-    if (attempt.sent && attempt.order.kind == pool_kind::model)
+    if (attempt.sent && attempt.order.kind == pool_kind::model && !m_asked.facts)
         net::co_spawn(m_services.io,
                       cancel_at_engine(m_services.io.get_executor(), attempt.order.address,
                                        attempt.order.attempt),
@@ -165,7 +165,7 @@
             fine = co_await m_exchange.write(m_held->body);
         }
     }
-    else if (m_streaming_events) {
+    else if (m_streaming_events && !m_asked.facts) {
         fine = co_await m_exchange.write(done_event);
     }
     if (fine) {
@@ -177,8 +177,7 @@
 net::awaitable<void> relay_request::way::refuse_caller(const refuse& wanted)
 {
     m_services.counted.refused(wanted.failure.kind);
-    const refusal shown{
-        .failure = wanted.failure, .ran = wanted.ran, .retry_after = wanted.retry_after};
+    const refusal shown = shown_to_caller(wanted);
     co_await m_exchange.refuse(shown);
     ended(outcome::refused);
 }
@@ -197,7 +196,7 @@
         m_exchange.abort();
     }
     else {
-        if (m_streaming_events) {
+        if (m_streaming_events && !m_asked.facts) {
             const refusal shown{.failure = wanted.failure, .ran = ran_state::unknown};
             const std::string last = error_event(refusal_body(shown));
             co_await m_exchange.write(last);
@@ -209,7 +208,7 @@
 
 net::awaitable<void> relay_request::way::forget_caller()
 {
-    if (!m_exchange.begun() && m_exchange.half_closed() && !m_writing) {
+    if (!m_asked.facts && !m_exchange.begun() && m_exchange.half_closed() && !m_writing) {
         const refusal shown{.failure = {error_kind::cancelled,
                                         "the connection's sending half was closed before the "
                                         "answer came, which counts as giving up",
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -14,6 +14,7 @@
 #include "daemon/settings.h"
 #include "daemon/trace.h"
 #include "daemon/upstreams.h"
+#include "outside/outside.h"
 
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/io_context.hpp>
@@ -47,6 +48,8 @@
 struct asked_request {
     request_info info;                  ///< its id is filled in by the relay
     std::optional<model_request> model; ///< chat and completion
+    /// Set if the request is passed on as it came, with what its headers say.
+    std::optional<call_facts> facts;
     std::string body;                   ///< as received; plain, if it was kept
     bool stream_body = false;           ///< plain: the body is still to be read
     span caller;                        ///< the caller's hop
--- a/daemon/relay_attempt.cc
+++ b/daemon/relay_attempt.cc
@@ -137,6 +137,10 @@
 
 net::awaitable<void> relay_request::way::send(attempt_state& attempt)
 {
+    if (m_asked.facts) {
+        co_await forward(attempt);
+        co_return;
+    }
     if (attempt.order.kind == pool_kind::model && !m_services.may_get(attempt.order.group)) {
         report_failure(attempt, attempt_failure::not_connected);
         co_return;
--- a/daemon/relay_way.h
+++ b/daemon/relay_way.h
@@ -67,6 +67,19 @@
     net::awaitable<bool> hand_on(attempt_state& attempt, std::string_view piece);
     net::awaitable<bool> begin(attempt_state& attempt, http::status status, http::fields headers,
                                std::optional<std::uint64_t> length);
+
+    // relay_forward.cc
+    net::awaitable<void> forward(attempt_state& attempt);
+    http_request build_forwarded_request(const attempt_state& attempt) const;
+    bool report_forwarded_head(attempt_state& attempt, const http_stream& answer,
+                               const answer_facts& facts);
+    net::awaitable<void> forward_events(attempt_state& attempt, http_stream& answer,
+                                        const answer_facts& facts);
+    net::awaitable<void> forward_whole(attempt_state& attempt, http_stream& answer,
+                                       const answer_facts& facts);
+    net::awaitable<bool> begin_forwarded(attempt_state& attempt, const http_stream& answer,
+                                         const answer_facts& facts);
+    [[nodiscard]] refusal shown_to_caller(const refuse& wanted) const;
     [[nodiscard]] bool keyed() const { return !m_asked.info.idempotency_key.empty(); }
 
     relay_services& m_services;
@@ -79,6 +92,7 @@
     std::optional<held_answer> m_held;
     timer m_attempt_ended;
     std::size_t m_running = 0;
+    std::optional<std::uint64_t> m_last_event; ///< given to the caller, of a forwarded stream
     bool m_streaming_events = false;
     bool m_writing = false;
     bool m_sent = false; ///< some attempt may have reached a backend server
--- a/daemon/request_driver.cc
+++ b/daemon/request_driver.cc
@@ -113,6 +113,11 @@
         if (m_hooks.on_released)
             m_hooks.on_released(wanted);
     }
+    void carry_out_own(const target_silent& wanted)
+    {
+        if (m_hooks.on_silent)
+            m_hooks.on_silent(wanted);
+    }
     void carry_out_own(const share_demand& wanted)
     {
         if (m_hooks.on_share_demand)
--- a/daemon/request_driver.h
+++ b/daemon/request_driver.h
@@ -45,6 +45,7 @@
 struct driver_hooks {
     std::function<void(const released&)> on_released;
     std::function<void(const share_demand&)> on_share_demand;
+    std::function<void(const target_silent&)> on_silent;
 };
 
 class request_driver {
--- a/daemon/settings.cc
+++ b/daemon/settings.cc
@@ -101,7 +101,12 @@
     for (const std::string& address : settings.key_value) {
         BOOST_OUTCOME_TRY(check_address("key_value", address));
     }
-    BOOST_OUTCOME_TRY(check_address("vm_list", settings.vm_list));
+    if (settings.form == source_form::own) {
+        BOOST_OUTCOME_TRY(check_address("vm_list", settings.vm_list));
+    }
+    else {
+        BOOST_OUTCOME_TRY(check_address("ready_listen", settings.ready_listen));
+    }
     if (!settings.weight_store.empty()) {
         BOOST_OUTCOME_TRY(check_address("weight_store", settings.weight_store));
     }
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -10,6 +10,7 @@
 
 #include "base/base.h"
 #include "http/server_settings.h"
+#include "outside/site.h"
 
 #include <chrono>
 #include <cstddef>
@@ -40,6 +41,12 @@
     std::size_t idle_upstream = 64;               ///< pooled connections for each target
 };
 
+/// Where the daemon's tables, backend servers and groups come from.
+enum class source_form {
+    own,      ///< our own tables and records in a key-value service, a VM list, engines
+    registry, ///< the users' platform: documents in its store, runners that register themselves
+};
+
 /// Every setting. Addresses are "IP:port"; port 0 takes a free one.
 struct daemon_settings {
     node_id node;
@@ -49,6 +56,7 @@
     std::string listen = "127.0.0.1:8080";
     std::string peer_listen = "127.0.0.1:8081";
     std::string admin_listen = "127.0.0.1:8082";
+    std::string ready_listen;   ///< registry form: where the balancer asks
     std::string peer_advertise; ///< what peers are told; empty: peer_listen
 
     std::vector<std::string> key_value;  ///< of the platform's key-value service
@@ -64,6 +72,10 @@
     bool admission = true;  ///< false only to measure the relay without the core's limits
     std::uint64_t seed = 0; ///< of the decision cores' random numbers; 0 draws one
 
+    source_form form = source_form::own;
+    bool first_start = false; ///< registry form: the whole system starts for the first time
+    site_bounds site;         ///< registry form: what the platform's operators bound
+
     daemon_timeouts timeouts;
     daemon_limits limits;
 };
--- a/daemon/sse.cc
+++ b/daemon/sse.cc
@@ -1,5 +1,7 @@
 #include "daemon/sse.h"
 
+#include <charconv>
+
 // Only the framing is read here; the JSON of an event is left to Boost.JSON. A line may end in LF,
 // CRLF or CR; an event ends at the first empty line. Each byte is looked at once.
 
@@ -88,6 +90,27 @@
     return joined;
 }
 
+std::optional<std::uint64_t> sse_id(std::string_view event)
+{
+    static constexpr std::string_view field = "id:";
+    while (!event.empty()) {
+        const std::size_t end = std::min(event.find_first_of("\r\n"), event.size());
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(std::min(end + 1, event.size()));
+        if (!line.starts_with(field))
+            continue;
+        line.remove_prefix(field.size());
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        std::uint64_t id = 0;
+        const auto [stop, failed] = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (line.empty() || failed != std::errc{} || stop != line.data() + line.size())
+            return std::nullopt;
+        return id;
+    }
+    return std::nullopt;
+}
+
 bool is_done_event(std::string_view event)
 {
     // The mark is short; a longer event can't be it and isn't copied.
--- a/daemon/sse.h
+++ b/daemon/sse.h
@@ -38,6 +38,9 @@
 /// The value of an event's data lines, joined; empty if it has none (a comment).
 std::string sse_data(std::string_view event);
 
+/// The number in an event's id line; nullopt if it has none.
+std::optional<std::uint64_t> sse_id(std::string_view event);
+
 /// The mark that ends an OpenAI stream.
 inline constexpr std::string_view done_mark = "[DONE]";
 inline constexpr std::string_view done_event = "data: [DONE]\n\n";
--- /dev/null
+++ b/groups/election.cc
@@ -0,0 +1,124 @@
+// The lease is counted from the sending of its grant or renewal, on this node's own clock, which
+// counts suspended time too: the holder always believes it to end before the platform does.
+//
+// A claim whose answer was lost is settled by the watch: the key then carries this node's name and
+// lease. A pause between the check of the lease and an order is covered by the term, which runners
+// compare.
+#include "groups/election.h"
+
+namespace jaynotch::groups {
+
+std::string election::value() const
+{
+    return boost::json::serialize(
+        boost::json::object{{"node", m_settings.self.value()}, {"lease", m_lease.value()}});
+}
+
+void election::key_seen(const std::optional<kv_entry>& entry, time_point now)
+{
+    const bool there = entry.has_value();
+    if (!there && (m_key_there || !m_key_known))
+        m_missing_since = now;
+    m_key_known = true;
+    m_key_there = there;
+    m_holder = there ? entry->value : std::string{};
+    const bool own = there && m_lease.value() != 0 && entry->value == value();
+    if (own && m_term == 0) {
+        m_term = entry->mod_revision;
+        m_until = m_lease_sent + m_settings.lease - m_settings.margin;
+    }
+    if (!own && m_term != 0 && (!there || entry->mod_revision > m_term))
+        m_term = 0;
+}
+
+void election::tick(std::optional<duration> patience, time_point now,
+                    std::vector<election_command>& out)
+{
+    if (m_call != call::none && now - m_call_sent < m_settings.call_timeout)
+        return;
+    m_call = call::none;
+    if (m_term != 0) {
+        if (now - m_renewed < m_settings.renewal)
+            return;
+        m_renewed = now;
+        m_call = call::renew;
+        m_token = next_token();
+        m_call_sent = now;
+        out.emplace_back(lease_renew{m_token, m_lease});
+        return;
+    }
+    const bool may = patience && m_key_known && !m_key_there && now >= m_not_before &&
+                     now - m_missing_since >= *patience;
+    if (!may)
+        return;
+    m_not_before = now + m_settings.retry;
+    m_call = call::grant;
+    m_token = next_token();
+    m_call_sent = now;
+    out.emplace_back(lease_grant{m_token, m_settings.lease});
+}
+
+void election::claim(std::vector<election_command>& out)
+{
+    m_call = call::claim;
+    m_token = next_token();
+    out.emplace_back(kv_call{m_token, kv_transaction{{kv_compare{m_settings.key, 0}},
+                                                     {kv_put{m_settings.key, value(), m_lease}},
+                                                     {}}});
+}
+
+bool election::take(const kv_result& answer, time_point now)
+{
+    if (m_call != call::claim || answer.token != m_token)
+        return false;
+    m_call = call::none;
+    m_not_before = now + m_settings.retry;
+    if (!answer.outcome || !answer.outcome.value().succeeded)
+        return true; // lost, or another was first: the watch tells
+    m_term = answer.outcome.value().revision;
+    m_until = m_lease_sent + m_settings.lease - m_settings.margin;
+    return true;
+}
+
+bool election::take(const lease_result& answer, time_point now, std::vector<election_command>& out)
+{
+    if ((m_call != call::grant && m_call != call::renew) || answer.token != m_token)
+        return false;
+    const call was = m_call;
+    m_call = call::none;
+    if (!answer.lease) {
+        if (was == call::renew && answer.lease.error().kind == error_kind::not_found) {
+            m_term = 0; // lapsed
+            m_lease = lease_id{0};
+        }
+        m_not_before = now + m_settings.retry;
+        return true;
+    }
+    m_lease_sent = m_call_sent;
+    if (was == call::grant) {
+        m_lease = answer.lease.value();
+        m_renewed = m_call_sent;
+        m_call_sent = now;
+        claim(out);
+        return true;
+    }
+    m_until = m_lease_sent + m_settings.lease - m_settings.margin;
+    return true;
+}
+
+void election::outdated(time_point now)
+{
+    m_term = 0;
+    m_not_before = now + m_settings.lease;
+}
+
+void election::resign(std::vector<election_command>& out)
+{
+    if (m_term == 0)
+        return;
+    m_term = 0;
+    out.emplace_back(lease_end{m_lease});
+    m_lease = lease_id{0};
+}
+
+} // namespace jaynotch::groups
--- /dev/null
+++ b/groups/formation.cc
@@ -0,0 +1,300 @@
+// Level-triggered: each tick compares what the registry shows with what should be and orders the
+// difference. An order that was lost, refused or carried out late is therefore simply due again, or
+// done already.
+//
+// Why a late order does no harm. Orders may be carried out seconds after they were sent, behind
+// newer ones. Each composition has a name and an epoch of its own, never used again and higher than
+// all before it (the manager's term, then a counter). A late join is refused for its lower epoch, or
+// takes a runner that is free into a group that no head opens; a late open, close or leave names a
+// composition that is over. A manager that was replaced has a lower term, which runners refuse once
+// they have met the new one.
+#include "groups/formation.h"
+
+#include "groups/formation_state.h"
+
+namespace jaynotch::groups {
+
+std::string formation_key(std::string_view deployment, const failure_domain_id& domain)
+{
+    return std::string{deployment} + "/manager/" + domain.value();
+}
+
+formation::state::state(formation_settings given)
+    : settings{std::move(given)}, vote{{.key = formation_key(settings.deployment, settings.domain),
+                                        .self = settings.self}}
+{}
+
+formation::formation(formation_settings settings)
+    : m_state{std::make_unique<state>(std::move(settings))}
+{}
+
+formation::~formation() = default;
+formation::formation(formation&&) noexcept = default;
+formation& formation::operator=(formation&&) noexcept = default;
+
+formation_commands formation::handle(const formation_event& happened, time_point now)
+{
+    m_state->take(happened, now);
+    return std::exchange(m_state->out, {});
+}
+
+formation_commands formation::resign()
+{
+    std::vector<election_command> calls;
+    m_state->vote.resign(calls);
+    formation_commands commands;
+    for (election_command& call : calls)
+        std::visit([&](auto& one) { commands.emplace_back(std::move(one)); }, call);
+    return commands;
+}
+
+formation_status formation::status(time_point now) const
+{
+    const state& core = *m_state;
+    formation_status told;
+    told.leading = core.vote.leading(now);
+    told.term = core.vote.term();
+    told.orders = core.orders;
+    for (const auto& [vm, view] : core.runners) {
+        if (!view.listed || !core.managed(view.row))
+            continue;
+        if (!view.row.group)
+            ++told.spare_runners;
+        else if (view.row.group->rank == 0 && view.row.group->phase == member_phase::open)
+            ++told.groups_open;
+        else if (view.row.group->rank == 0)
+            ++told.groups_forming;
+    }
+    return told;
+}
+
+bool formation::state::managed(const runner& row) const
+{
+    return row.failure_domain == settings.domain && row.joins_groups();
+}
+
+runner_view* formation::state::find(const vm_id& vm)
+{
+    const auto found = runners.find(vm);
+    return found == runners.end() ? nullptr : &found->second;
+}
+
+const runner_view* formation::state::find(const vm_id& vm) const
+{
+    const auto found = runners.find(vm);
+    return found == runners.end() ? nullptr : &found->second;
+}
+
+void formation::state::say(log_level level, std::string kind, std::string subject,
+                           std::string detail)
+{
+    out.emplace_back(notice{level, std::move(kind), std::move(subject), std::move(detail)});
+}
+
+void formation::state::take(const formation_event& happened, time_point now)
+{
+    struct visitor {
+        state& core;
+        time_point now;
+
+        void operator()(const runner_seen& e) const { core.take_runner(e.row, now); }
+        void operator()(const runner_gone& e) const { core.drop_runner(e.vm, now); }
+        void operator()(const model_pools_seen& e) const { core.pools = e.pools; }
+        void operator()(const manager_key_seen& e) const { core.vote.key_seen(e.entry, now); }
+        void operator()(const registry_current& e) const { core.registry_is_current = e.current; }
+        void operator()(const kv_result& e) const { core.vote.take(e, now); }
+        void operator()(const lease_result& e) const
+        {
+            std::vector<election_command> calls;
+            core.vote.take(e, now, calls);
+            for (election_command& call : calls)
+                std::visit([&](auto& one) { core.out.emplace_back(std::move(one)); }, call);
+        }
+        void operator()(const order_answered& e) const { core.take_answer(e, now); }
+        void operator()(const group_silent& e) const
+        {
+            if (core.vote.leading(now))
+                core.take_silence(e.head);
+        }
+        void operator()(const member_probed& e) const
+        {
+            if (runner_view* view = core.find(e.vm); view != nullptr) {
+                view->silent = !e.answers;
+                view->silent_until = now + core.settings.dead_mark;
+            }
+            core.run_tick(now);
+        }
+        void operator()(const peers_seen& e) const { core.peers = e.peers; }
+        void operator()(const traffic_begun& /*e*/) const { core.traffic = true; }
+        void operator()(const formation_tick& /*e*/) const { core.run_tick(now); }
+    };
+    std::visit(visitor{*this, now}, happened);
+}
+
+void formation::state::take_runner(const runner& row, time_point now)
+{
+    if (!row.joins_groups())
+        return;
+    if (first_runner == time_point{})
+        first_runner = now;
+    domains.insert(row.failure_domain);
+    const auto [found, fresh] = runners.try_emplace(row.id);
+    runner_view& view = found->second;
+    const bool reborn = !fresh && view.row.born_ms != row.born_ms;
+    if (reborn)
+        view = runner_view{};
+    if (row.leaving && (fresh || reborn || !view.row.leaving))
+        view.leaving_since = now;
+    view.row = row;
+    view.listed = true;
+    if (!row.model.empty())
+        view.warm = row.model;
+    const bool staged =
+        std::find(row.staged.begin(), row.staged.end(), view.staging) != row.staged.end();
+    if (staged)
+        view.staging.clear();
+}
+
+void formation::state::drop_runner(const vm_id& vm, time_point now)
+{
+    if (runner_view* view = find(vm); view != nullptr && view->listed) {
+        view->listed = false;
+        view->unlisted_at = now;
+    }
+}
+
+// What an accepted order does is taken for done at once; the registry confirms it some milliseconds
+// later, or shows that it was not so.
+void formation::state::take_answer(const order_answered& answer, time_point now)
+{
+    runner_view* view = find(answer.vm);
+    if (view == nullptr || view->pending != answer.token)
+        return;
+    view->pending.reset();
+    const bool taken = answer.reply == order_reply::begun || answer.reply == order_reply::holds;
+    if (answer.reply == order_reply::outdated && vote.leading(now)) {
+        say(log_level::warning, "manager_outdated", answer.vm.value(),
+            "a runner knows a newer term than " + std::to_string(vote.term()));
+        vote.outdated(now);
+        return;
+    }
+    if (!taken) {
+        view->not_before = now + settings.order_pause;
+        if (answer.reply == order_reply::lost || answer.reply == order_reply::elsewhere)
+            out.emplace_back(probe_member{answer.vm, view->row.address});
+        return;
+    }
+    if (const auto* joined = std::get_if<join_group>(&view->pending_order)) {
+        const auto at = std::find(joined->members.begin(), joined->members.end(), answer.vm);
+        const auto rank = static_cast<std::uint32_t>(at - joined->members.begin());
+        view->row.group =
+            membership{joined->group, joined->epoch, rank, member_phase::joining};
+        view->row.model.clear();
+    }
+    else if (std::holds_alternative<leave_group>(view->pending_order)) {
+        const auto& left = std::get<leave_group>(view->pending_order);
+        if (view->row.group && view->row.group->group == left.group)
+            stalled.try_emplace({left.group, left.epoch}, now);
+        view->row.group.reset();
+    }
+    else if (std::holds_alternative<open_group>(view->pending_order)) {
+        view->not_before = now + 2 * settings.order_pause; // it takes a moment to open
+    }
+    run_tick(now);
+}
+
+void formation::state::take_silence(const vm_id& head)
+{
+    const runner_view* view = find(head);
+    if (view == nullptr || !view->row.group || !managed(view->row))
+        return;
+    for (const auto& [vm, other] : runners) {
+        const bool same = other.row.group && other.row.group->group == view->row.group->group &&
+                          other.row.group->epoch == view->row.group->epoch;
+        if (same && !other.silent)
+            out.emplace_back(probe_member{vm, other.row.address});
+    }
+}
+
+std::optional<duration> formation::state::patience() const
+{
+    if (!registry_is_current || runners.empty())
+        return std::nullopt;
+    constexpr duration turn = 150ms; ///< nodes claim one after the other, not all at once
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const peer_row& peer : peers)
+        (peer.failure_domain == settings.domain ? near : far).push_back(peer.node.value());
+    const bool own = settings.own_domain == settings.domain;
+    std::vector<std::string>& mine = own ? near : far;
+    if (std::find(mine.begin(), mine.end(), settings.self.value()) == mine.end())
+        mine.push_back(settings.self.value());
+    std::sort(mine.begin(), mine.end());
+    const std::vector<std::size_t> ranked = rendezvous(settings.domain.value(), mine, mine.size());
+    duration wait = own || near.empty() ? duration{0} : settings.foreign_patience;
+    for (const std::size_t index : ranked) {
+        if (mine[index] == settings.self.value())
+            break;
+        wait += turn;
+    }
+    return wait;
+}
+
+void formation::state::run_election(time_point now)
+{
+    std::vector<election_command> calls;
+    vote.tick(patience(), now, calls);
+    for (election_command& call : calls)
+        std::visit([&](auto& one) { out.emplace_back(std::move(one)); }, call);
+    const bool leading = vote.leading(now);
+    if (leading != was_leading)
+        say(log_level::info, leading ? "manager_elected" : "manager_ended",
+            settings.domain.value(), "term " + std::to_string(vote.term()));
+    if (leading && vote.term() != number_term) {
+        number_term = vote.term();
+        last_number = 0;
+        planned.clear();
+    }
+    was_leading = leading;
+}
+
+void formation::state::forget_lost(time_point now)
+{
+    constexpr duration keep_unlisted = 30s; // longer than any order or stall that names it
+    std::erase_if(runners, [&](const auto& entry) {
+        return !entry.second.listed && now - entry.second.unlisted_at > keep_unlisted;
+    });
+    for (auto& [vm, view] : runners) {
+        if (view.silent && now >= view.silent_until)
+            view.silent = false;
+        if (!view.staging.empty() && now >= view.staging_until)
+            view.staging.clear();
+        if (view.pending && now - view.pending_since > 2 * settings.order_timeout)
+            view.pending.reset();
+    }
+}
+
+void formation::state::run_tick(time_point now)
+{
+    run_election(now);
+    forget_lost(now);
+    if (!vote.leading(now) || pools.empty())
+        return;
+    look_at_groups(now);
+    form_groups(now);
+}
+
+bool formation::state::order(runner_view& view, member_order wanted, time_point now)
+{
+    if (view.pending || now < view.not_before || !view.listed)
+        return false;
+    view.pending = call_token{++last_token};
+    view.pending_since = now;
+    view.pending_order = wanted;
+    ++orders;
+    out.emplace_back(send_order{*view.pending, view.row.id, view.row.address, std::move(wanted),
+                                fencing_number{vote.term()}});
+    return true;
+}
+
+} // namespace jaynotch::groups
--- /dev/null
+++ b/groups/formation.h
@@ -0,0 +1,142 @@
+// The manager of one failure domain's groups where runners register themselves: decides which of
+// them form which groups, and orders them to.
+//
+//   formation manager{{.self = node, .domain = failure_domain, ...}};
+//   run(manager.handle(runner_seen{row}, now));        // the registry, as it changes
+//   run(manager.handle(formation_tick{}, now));        // ten times a second or more
+//
+// No record of assignments is kept: every runner tells the registry which group it is in, so a
+// manager that takes over sees what the one before it did. Every daemon runs one of these for each
+// failure domain; the one that holds the domain's key orders, the others only follow the registry.
+#pragma once
+
+#include "groups/election.h"
+#include "groups/types.h"
+#include "outside/runner.h"
+#include "tables/tables.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace jaynotch::groups {
+
+// Events.
+
+/// A runner's entry is new or has changed. Rows of all failure domains are welcome.
+struct runner_seen {
+    runner row;
+};
+/// A runner's entry is gone.
+struct runner_gone {
+    vm_id vm;
+};
+/// The model pools in force.
+struct model_pools_seen {
+    std::vector<pool> pools;
+};
+/// The manager's key, or that there is none.
+struct manager_key_seen {
+    std::optional<kv_entry> entry;
+};
+/// Whether the registry as known here is up to date.
+struct registry_current {
+    bool current = false;
+};
+struct order_answered {
+    call_token token;
+    vm_id vm;
+    order_reply reply = order_reply::lost;
+};
+/// A group gives nothing though requests wait for it.
+struct group_silent {
+    vm_id head;
+};
+/// Answer to probe_member.
+struct member_probed {
+    vm_id vm;
+    bool answers = false;
+};
+/// Callers have begun to send requests.
+struct traffic_begun {};
+struct formation_tick {};
+
+using formation_event =
+    std::variant<runner_seen, runner_gone, model_pools_seen, manager_key_seen, registry_current,
+                 kv_result, lease_result, order_answered, group_silent, member_probed, peers_seen,
+                 traffic_begun, formation_tick>;
+
+// Commands.
+
+struct send_order {
+    call_token token;
+    vm_id vm;
+    std::string address;
+    member_order order;
+    fencing_number fence;
+};
+/// Find out whether a runner answers.
+struct probe_member {
+    vm_id vm;
+    std::string address;
+};
+using formation_command =
+    std::variant<kv_call, lease_grant, lease_renew, lease_end, send_order, probe_member, notice>;
+using formation_commands = std::vector<formation_command>;
+
+struct formation_settings {
+    std::string deployment; ///< keeps the manager's key apart from other systems' in the store
+    node_id self;
+    failure_domain_id own_domain;      ///< where this node stands
+    failure_domain_id domain;          ///< whose runners it manages
+    duration group_stall = 5s;         ///< a head without a member breaks after this
+    duration order_timeout = 1s;       ///< an order unanswered for this long counts as lost
+    duration order_pause = 200ms;      ///< before an order without effect is sent again
+    duration foreign_patience = 1500ms; ///< nodes of other domains claim the key this much later
+    /// Loads before the first request are quick: until then all may load at once after this.
+    duration early_window = 6s;
+    duration drain_notice = 6s; ///< a group with a leaving member is closed this long after notice
+    duration dead_mark = 3s;    ///< a runner that did not answer a probe isn't used for this long
+    /// A composition that an earlier manager ordered is given this long to come together. Joins
+    /// that load nothing take less.
+    duration adopt_wait = 5s;
+    double loads_excess = 1.0;  ///< see site_bounds
+};
+
+/// For status pages, metrics and logs.
+struct formation_status {
+    bool leading = false;
+    std::int64_t term = 0;
+    std::size_t groups_open = 0;
+    std::size_t groups_forming = 0;
+    std::size_t spare_runners = 0;
+    std::uint64_t orders = 0;
+};
+
+/// Pure: no clock, no sockets, no threads.
+class formation {
+public:
+    explicit formation(formation_settings settings);
+    ~formation();
+    formation(formation&&) noexcept;
+    formation& operator=(formation&&) noexcept;
+    formation(const formation&) = delete;
+    formation& operator=(const formation&) = delete;
+
+    formation_commands handle(const formation_event& happened, time_point now);
+    /// Gives the domain up, on a planned stop.
+    formation_commands resign();
+    [[nodiscard]] formation_status status(time_point now) const;
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+/// The key of a failure domain's manager.
+std::string formation_key(std::string_view deployment, const failure_domain_id& domain);
+
+} // namespace jaynotch::groups
--- /dev/null
+++ b/groups/formation_groups.cc
@@ -0,0 +1,225 @@
+// What becomes of the groups that there are: whole ones are opened, those that have lost a member
+// are ended so that the survivors can be used again, those that a member is about to leave are
+// closed in time.
+//
+// When a member may be taken. A head that is open, closing, or standing still because a member is
+// missing, still holds requests. So the head is told to leave first; that ends the group at once.
+// A head that can't be reached may be dead, or alive behind a cut: its other members are made to
+// leave, so that it stands still if it lives, and they are used again once it must have broken.
+#include "groups/formation_state.h"
+
+namespace jaynotch::groups {
+
+namespace {
+
+constexpr duration stall_margin = 500ms; ///< beyond the stall, for clocks and queues
+
+group_key key_of(const seen_group& seen)
+{
+    return {seen.group, seen.epoch};
+}
+
+bool is_head(const runner_view& view)
+{
+    return view.row.group && view.row.group->rank == 0;
+}
+
+bool holds_requests(const runner_view& head)
+{
+    return head.row.group && (head.row.group->phase == member_phase::open ||
+                              head.row.group->phase == member_phase::closing);
+}
+
+} // namespace
+
+/// In the registry, and not known to be unreachable.
+bool formation::state::standing(const runner_view& view) const
+{
+    return view.listed && !view.silent;
+}
+
+const pool* formation::state::pool_of(const seen_group& seen) const
+{
+    const auto known = planned.find(key_of(seen));
+    std::string model = known == planned.end() ? std::string{} : known->second.model;
+    for (const auto& [rank, vm] : seen.members) {
+        if (const runner_view* view = find(vm); model.empty() && view != nullptr)
+            model = view->row.model;
+    }
+    const auto found = std::find_if(pools.begin(), pools.end(),
+                                    [&](const pool& kind) { return kind.model == model; });
+    return found == pools.end() ? nullptr : &*found;
+}
+
+bool formation::state::whole(const seen_group& seen, const pool& kind) const
+{
+    if (seen.members.size() != kind.replica_vms ||
+        seen.members.rbegin()->first + 1 != kind.replica_vms)
+        return false;
+    return std::all_of(seen.members.begin(), seen.members.end(), [&](const auto& entry) {
+        const runner_view* view = find(entry.second);
+        return view != nullptr && standing(*view);
+    });
+}
+
+void formation::state::look_at_groups(time_point now)
+{
+    std::map<group_key, seen_group> all;
+    for (const auto& [vm, view] : runners) {
+        if (!view.row.group || !managed(view.row))
+            continue;
+        const membership& said = *view.row.group;
+        seen_group& group = all[{said.group, said.epoch}];
+        group.group = said.group;
+        group.epoch = said.epoch;
+        group.members[said.rank] = vm;
+        first_seen.try_emplace({said.group, said.epoch}, now);
+    }
+    for (const auto& [key, group] : all)
+        look_at(group, now);
+    join_again(now);
+    // A planned group whose members never came is forgotten, or they would stay bound to it.
+    std::erase_if(planned, [&](const auto& entry) {
+        return now >= entry.second.give_up && !all.contains(entry.first);
+    });
+    std::erase_if(stalled, [&](const auto& entry) {
+        return now - entry.second > 4 * settings.group_stall && !all.contains(entry.first);
+    });
+    std::erase_if(first_seen, [&](const auto& entry) { return !all.contains(entry.first); });
+}
+
+/// A join that was lost on its way is sent again: it names the same composition.
+void formation::state::join_again(time_point now)
+{
+    for (const auto& [key, plan] : planned) {
+        const runner_view* head = find(plan.members.front());
+        const bool opened = head != nullptr && head->row.group &&
+                            group_key{head->row.group->group, head->row.group->epoch} == key &&
+                            holds_requests(*head);
+        if (!opened && coming_together(key, now))
+            order_joins(plan, now);
+    }
+}
+
+void formation::state::look_at(const seen_group& seen, time_point now)
+{
+    const pool* kind = pool_of(seen);
+    const auto at_head = seen.members.find(0);
+    const runner_view* head = at_head == seen.members.end() ? nullptr : find(at_head->second);
+    const bool complete = kind != nullptr && whole(seen, *kind);
+    const bool serving = head != nullptr && standing(*head) && holds_requests(*head);
+    if (serving) {
+        if (complete)
+            close_before_leave(seen, *head, now);
+        else
+            dissolve(seen, now);
+        return;
+    }
+    if (complete) {
+        open_if_whole(seen, *head, now);
+        return;
+    }
+    // Joins of some members may not be in the registry yet.
+    if (!coming_together(key_of(seen), now))
+        dissolve(seen, now);
+}
+
+void formation::state::open_if_whole(const seen_group& seen, const runner_view& head,
+                                     time_point now)
+{
+    bool all_ready = head.row.group->phase == member_phase::ready;
+    bool leaving = false;
+    for (const auto& [rank, vm] : seen.members) {
+        const runner_view& view = *find(vm);
+        all_ready = all_ready && (view.row.group->phase == member_phase::ready);
+        leaving = leaving || view.row.leaving;
+    }
+    if (head.row.group->phase == member_phase::broken || leaving) {
+        dissolve(seen, now);
+        return;
+    }
+    if (!all_ready)
+        return;
+    if (order(*find(head.row.id), open_group{seen.group, seen.epoch}, now))
+        say(log_level::info, "group_opened", seen.group.value(),
+            "epoch " + std::to_string(seen.epoch));
+}
+
+void formation::state::close_before_leave(const seen_group& seen, const runner_view& head,
+                                          time_point now)
+{
+    bool due = false;
+    for (const auto& [rank, vm] : seen.members) {
+        const runner_view& view = *find(vm);
+        due = due || (view.row.leaving && now - view.leaving_since >= settings.drain_notice);
+    }
+    if (due && head.row.group->phase == member_phase::open &&
+        order(*find(head.row.id), close_group{seen.group, seen.epoch}, now))
+        say(log_level::info, "group_closed", seen.group.value(), "a member leaves");
+}
+
+void formation::state::dissolve(const seen_group& seen, time_point now)
+{
+    const auto at_head = seen.members.find(0);
+    runner_view* head = at_head == seen.members.end() ? nullptr : find(at_head->second);
+    planned.erase(key_of(seen));
+    const bool reachable = head != nullptr && standing(*head);
+    if (reachable && holds_requests(*head)) {
+        if (order(*head, leave_group{seen.group, seen.epoch}, now))
+            say(log_level::warning, "group_ended", seen.group.value(), "a member is lost");
+        return;
+    }
+    if (head != nullptr && holds_requests(*head)) {
+        for (const auto& [rank, vm] : seen.members) {
+            runner_view* view = find(vm);
+            if (rank != 0 && view != nullptr && standing(*view) &&
+                order(*view, leave_group{seen.group, seen.epoch}, now))
+                view->held_until = now + settings.group_stall + stall_margin;
+        }
+    }
+}
+
+const runner_view* formation::state::head_of(const group_key& key) const
+{
+    for (const auto& [vm, view] : runners) {
+        if (is_head(view) && view.row.group->group == key.first &&
+            view.row.group->epoch == key.second)
+            return &view;
+    }
+    return nullptr;
+}
+
+/// Whether a composition may still become whole.
+bool formation::state::coming_together(const group_key& key, time_point now) const
+{
+    const auto plan = planned.find(key);
+    if (plan != planned.end())
+        return now < plan->second.give_up &&
+               std::all_of(plan->second.members.begin(), plan->second.members.end(),
+                           [&](const vm_id& vm) {
+                               const runner_view* view = find(vm);
+                               return view != nullptr && standing(*view);
+                           });
+    // The manager before this one had it formed; who else belongs to it is not known here.
+    const auto since = first_seen.find(key);
+    return since != first_seen.end() && now - since->second < settings.adopt_wait;
+}
+
+/// Whether the runner still belongs to a group, so that no other may have it.
+bool formation::state::bound(const runner_view& view, time_point now) const
+{
+    if (!view.row.group)
+        return false;
+    const group_key key{view.row.group->group, view.row.group->epoch};
+    const runner_view* head = head_of(key);
+    if (head != nullptr && holds_requests(*head)) {
+        if (standing(*head))
+            return true;
+        const auto since = stalled.find(key);
+        return since == stalled.end() || now < since->second + settings.group_stall + stall_margin;
+    }
+    const bool over = head != nullptr && head->row.group->phase == member_phase::broken;
+    return !over && coming_together(key, now);
+}
+
+} // namespace jaynotch::groups
--- /dev/null
+++ b/groups/formation_plan.cc
@@ -0,0 +1,279 @@
+// What is made of free runners.
+//
+// Before the first request weights load ten times faster and without a bound on their rate, so every
+// fabric domain is filled then: each with the model that its turn gives it, since a domain of one
+// model wastes the fewest runners, group after group so that the first are whole early.
+//
+// Later a load takes longer than anything else, so a group is made only of runners whose hosts have
+// the weights: survivors of groups that lost a member and spares, the model that lacks groups most
+// first. Runners without weights, newcomers mostly, are staged with the model whose next group in
+// their domain lacks the fewest runners.
+#include "groups/formation_state.h"
+
+namespace jaynotch::groups {
+
+namespace {
+
+constexpr duration warm_join = 200ms;   ///< of a runner whose last group had the model
+constexpr duration load_patience = 10s; ///< beyond the time that joins and loads should take
+constexpr double load_burst = 3.0;      ///< loads that may begin at once, of those saved up
+constexpr std::int64_t epochs_in_term = 4096;
+
+bool has_staged(const runner_view& view, const std::string& model)
+{
+    return std::find(view.row.staged.begin(), view.row.staged.end(), model) !=
+           view.row.staged.end();
+}
+
+} // namespace
+
+duration formation::state::ready_in(const runner_view& view, const pool& kind) const
+{
+    if (view.warm == kind.model)
+        return warm_join;
+    if (has_staged(view, kind.model))
+        return kind.forming.warm_up;
+    return kind.forming.load;
+}
+
+std::vector<runner_view*> formation::state::free_in(const fabric_domain_id& domain, time_point now)
+{
+    std::vector<runner_view*> free;
+    for (auto& [vm, view] : runners) {
+        const bool usable = view.row.fabric_domain == domain && managed(view.row) &&
+                            standing(view) && !view.row.leaving && !view.pending &&
+                            now >= view.held_until && now >= view.not_before;
+        if (usable && !bound(view, now))
+            free.push_back(&view);
+    }
+    return free;
+}
+
+std::vector<fabric_domain_id> formation::state::own_fabric_domains() const
+{
+    std::set<fabric_domain_id> found;
+    for (const auto& [vm, view] : runners) {
+        if (managed(view.row))
+            found.insert(view.row.fabric_domain);
+    }
+    return {found.begin(), found.end()};
+}
+
+/// Models in the order of their need: the fewest groups, for their share, first.
+std::vector<const pool*> formation::state::by_need() const
+{
+    std::map<std::string, double> groups;
+    for (const auto& [vm, view] : runners) {
+        const bool head = view.listed && view.row.group && view.row.group->rank == 0;
+        if (!head)
+            continue;
+        const auto plan = planned.find({view.row.group->group, view.row.group->epoch});
+        groups[plan == planned.end() ? view.row.model : plan->second.model] += 1.0;
+    }
+    std::vector<std::pair<double, const pool*>> ranked;
+    for (const pool& kind : pools) {
+        const double wanted = std::max(kind.forming.share, 0.01) / kind.replica_vms;
+        ranked.emplace_back(groups[kind.model] / wanted, &kind);
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
+        return a.first != b.first ? a.first < b.first : a.second->name < b.second->name;
+    });
+    std::vector<const pool*> sorted;
+    for (const auto& [groups_for_share, kind] : ranked)
+        sorted.push_back(kind);
+    return sorted;
+}
+
+/// The model that a fabric domain is filled with first. Domains take turns by the models' shares;
+/// failure domains begin their turns at different models.
+const pool* formation::state::first_model(std::size_t domain_index) const
+{
+    const auto place = std::distance(domains.begin(), domains.find(settings.domain));
+    std::map<const pool*, double> given;
+    const pool* chosen = nullptr;
+    for (std::size_t turn = 0; turn <= domain_index + static_cast<std::size_t>(place); ++turn) {
+        chosen = nullptr;
+        for (const pool& kind : pools) {
+            const double share = std::max(kind.forming.share, 0.01);
+            if (chosen == nullptr ||
+                given[&kind] / share < given[chosen] / std::max(chosen->forming.share, 0.01))
+                chosen = &kind;
+        }
+        given[chosen] += 1.0;
+    }
+    return chosen;
+}
+
+std::size_t formation::state::loading() const
+{
+    std::size_t count = 0;
+    for (const auto& [vm, view] : runners) {
+        if (!view.listed || !managed(view.row))
+            continue;
+        if (!view.staging.empty()) {
+            ++count;
+            continue;
+        }
+        if (!view.row.group || view.row.group->phase != member_phase::joining)
+            continue;
+        const auto plan = planned.find({view.row.group->group, view.row.group->epoch});
+        if (plan != planned.end() && plan->second.loads && !has_staged(view, plan->second.model))
+            ++count;
+    }
+    return count;
+}
+
+/// Takes one load out of this domain's part of the weight store's rate, if there is one.
+bool formation::state::may_load(const pool& kind, time_point now)
+{
+    if (!traffic || kind.forming.loads_per_s <= 0.0)
+        return true;
+    const auto parts = static_cast<double>(std::max<std::size_t>(1, domains.size()));
+    const double passed = std::chrono::duration<double>(now - tokens_at).count();
+    tokens_at = now;
+    load_tokens = std::min(load_burst, load_tokens + passed * kind.forming.loads_per_s / parts);
+    if (load_tokens < 1.0)
+        return false;
+    load_tokens -= 1.0;
+    return true;
+}
+
+void formation::state::order_joins(const planned_group& plan, time_point now)
+{
+    for (const vm_id& vm : plan.members) {
+        runner_view* view = find(vm);
+        const bool joined = view != nullptr && view->row.group &&
+                            view->row.group->group == plan.group &&
+                            view->row.group->epoch == plan.epoch;
+        if (view != nullptr && !joined)
+            order(*view, join_group{plan.group, plan.epoch, plan.model, plan.members}, now);
+    }
+}
+
+void formation::state::start_group(const pool& kind, std::vector<runner_view*> members,
+                                   time_point now)
+{
+    if (last_number + 1 >= epochs_in_term) {
+        vote.outdated(now); // a new term brings new epochs
+        return;
+    }
+    planned_group plan;
+    plan.epoch = vote.term() * epochs_in_term + ++last_number;
+    plan.group = group_id{"g" + std::to_string(plan.epoch)};
+    plan.pool = kind.name;
+    plan.model = kind.model;
+    duration longest{0};
+    for (const runner_view* member : members) {
+        plan.members.push_back(member->row.id);
+        longest = std::max(longest, ready_in(*member, kind));
+    }
+    plan.loads = longest >= kind.forming.load;
+    plan.give_up = now + 2 * longest + load_patience;
+    const group_key key{plan.group, plan.epoch};
+    say(log_level::info, "group_forming", plan.group.value(),
+        kind.name.value() + " of " + std::to_string(members.size()) + " in " +
+            members.front()->row.fabric_domain.value());
+    order_joins(plan, now);
+    planned.emplace(key, std::move(plan));
+}
+
+/// Makes one group of `kind` whose members are all ready within `longest`; false if it can't.
+bool formation::state::form_one(const fabric_domain_id& domain, const pool& kind, duration longest,
+                                time_point now)
+{
+    std::vector<runner_view*> free = free_in(domain, now);
+    std::erase_if(free, [&](const runner_view* view) { return ready_in(*view, kind) > longest; });
+    if (free.size() < kind.replica_vms)
+        return false;
+    std::sort(free.begin(), free.end(), [&](const runner_view* a, const runner_view* b) {
+        const duration left = ready_in(*a, kind);
+        const duration right = ready_in(*b, kind);
+        return left != right ? left < right : a->row.id < b->row.id;
+    });
+    free.resize(kind.replica_vms);
+    start_group(kind, std::move(free), now);
+    return true;
+}
+
+void formation::state::form_early(const fabric_domain_id& domain, const pool& kind, time_point now)
+{
+    const auto parts = std::max<std::size_t>(1, domains.size());
+    const std::size_t at_once = (kind.forming.loads_at_once + parts - 1) / parts;
+    const bool hurry = now - first_runner >= settings.early_window;
+    while (hurry || loading() == 0 || loading() + kind.replica_vms <= at_once) {
+        if (!form_one(domain, kind, kind.forming.load, now))
+            return;
+    }
+}
+
+const pool* formation::state::model_to_stage(const std::vector<runner_view*>& spare) const
+{
+    const auto bare = static_cast<std::size_t>(
+        std::count_if(spare.begin(), spare.end(), [&](const runner_view* view) {
+            return view->staging.empty() &&
+                   std::none_of(pools.begin(), pools.end(), [&](const pool& kind) {
+                       return has_staged(*view, kind.model);
+                   });
+        }));
+    const pool* best = nullptr;
+    std::size_t best_lack = 0;
+    for (const pool* kind : by_need()) {
+        const auto have = static_cast<std::size_t>(
+            std::count_if(spare.begin(), spare.end(), [&](const runner_view* view) {
+                return view->staging == kind->model || has_staged(*view, kind->model);
+            }));
+        const std::size_t lack = kind->replica_vms - have % kind->replica_vms;
+        const bool can_fill = lack <= bare;
+        const bool best_can = best != nullptr && best_lack <= bare;
+        if (best == nullptr || (can_fill && !best_can) ||
+            (can_fill == best_can && lack < best_lack))
+        {
+            best = kind;
+            best_lack = lack;
+        }
+    }
+    return best;
+}
+
+void formation::state::stage_spares(const fabric_domain_id& domain, time_point now)
+{
+    const std::vector<runner_view*> spare = free_in(domain, now);
+    for (runner_view* view : spare) {
+        const bool useful = !view->staging.empty() ||
+                            std::any_of(pools.begin(), pools.end(), [&](const pool& kind) {
+                                return has_staged(*view, kind.model);
+                            });
+        if (useful)
+            continue;
+        const pool* kind = model_to_stage(spare);
+        if (kind == nullptr || !may_load(*kind, now))
+            return;
+        if (order(*view, stage_model{kind->model}, now)) {
+            view->staging = kind->model;
+            view->staging_until = now + 2 * kind->forming.load + load_patience;
+        }
+    }
+}
+
+void formation::state::form_groups(time_point now)
+{
+    const std::vector<fabric_domain_id> own = own_fabric_domains();
+    for (std::size_t index = 0; index < own.size(); ++index) {
+        for (const pool* kind : by_need()) {
+            while (form_one(own[index], *kind, kind->forming.warm_up, now)) {
+            }
+        }
+        const bool settled = now - first_runner >= settings.early_window;
+        if (!traffic) {
+            form_early(own[index], *first_model(index), now);
+            if (settled) {
+                for (const pool* kind : by_need())
+                    form_early(own[index], *kind, now);
+            }
+        }
+        if (traffic || settled)
+            stage_spares(own[index], now);
+    }
+}
+
+} // namespace jaynotch::groups
--- /dev/null
+++ b/groups/formation_state.h
@@ -0,0 +1,120 @@
+// Inside the formation manager: what it knows and the systems that run over it. Not part of the
+// public interface.
+#pragma once
+
+#include "groups/formation.h"
+
+namespace jaynotch::groups {
+
+/// One runner as the manager knows it.
+struct runner_view {
+    runner row;
+    std::string warm;   ///< model of the last group of this life: joins to it are quick
+    bool listed = true; ///< its entry is in the registry
+    time_point unlisted_at;
+    time_point leaving_since;
+    bool silent = false; ///< did not answer a probe
+    time_point silent_until;
+    std::optional<call_token> pending; ///< order under way
+    time_point pending_since;
+    member_order pending_order;
+    time_point not_before;             ///< of the next order
+    time_point held_until; ///< its last group may still hold requests till then
+    std::string staging;               ///< model that was ordered onto its host
+    time_point staging_until;          ///< given up then
+};
+
+/// A composition that this manager has ordered.
+struct planned_group {
+    group_id group;
+    std::int64_t epoch = 0;
+    pool_id pool;
+    std::string model;
+    std::vector<vm_id> members; ///< by rank
+    time_point give_up;         ///< dissolved if it isn't whole by then
+    bool loads = false;         ///< some member loads from the weight store
+};
+
+/// A composition as the registry shows it.
+struct seen_group {
+    group_id group;
+    std::int64_t epoch = 0;
+    std::map<std::uint32_t, vm_id> members; ///< by rank
+};
+
+using group_key = std::pair<group_id, std::int64_t>;
+
+struct formation::state {
+    explicit state(formation_settings given);
+
+    // formation.cc: events
+    void take(const formation_event& happened, time_point now);
+    void take_runner(const runner& row, time_point now);
+    void drop_runner(const vm_id& vm, time_point now);
+    void take_answer(const order_answered& answer, time_point now);
+    void take_silence(const vm_id& head);
+    void run_tick(time_point now);
+    void run_election(time_point now);
+    void forget_lost(time_point now);
+    [[nodiscard]] std::optional<duration> patience() const;
+    void say(log_level level, std::string kind, std::string subject, std::string detail);
+
+    // formation_groups.cc: what becomes of the groups that there are
+    void look_at_groups(time_point now);
+    void look_at(const seen_group& seen, time_point now);
+    void open_if_whole(const seen_group& seen, const runner_view& head, time_point now);
+    void dissolve(const seen_group& seen, time_point now);
+    void close_before_leave(const seen_group& seen, const runner_view& head, time_point now);
+    [[nodiscard]] const pool* pool_of(const seen_group& seen) const;
+    [[nodiscard]] bool standing(const runner_view& view) const;
+    [[nodiscard]] bool whole(const seen_group& seen, const pool& kind) const;
+    [[nodiscard]] bool bound(const runner_view& view, time_point now) const;
+    [[nodiscard]] bool coming_together(const group_key& key, time_point now) const;
+    [[nodiscard]] const runner_view* head_of(const group_key& key) const;
+    void join_again(time_point now);
+
+    // formation_plan.cc: what is made of free runners
+    void form_groups(time_point now);
+    bool form_one(const fabric_domain_id& domain, const pool& kind, duration longest,
+                  time_point now);
+    void form_early(const fabric_domain_id& domain, const pool& kind, time_point now);
+    void stage_spares(const fabric_domain_id& domain, time_point now);
+    [[nodiscard]] const pool* model_to_stage(const std::vector<runner_view*>& spare) const;
+    [[nodiscard]] std::vector<runner_view*> free_in(const fabric_domain_id& domain, time_point now);
+    [[nodiscard]] std::vector<fabric_domain_id> own_fabric_domains() const;
+    [[nodiscard]] const pool* first_model(std::size_t domain_index) const;
+    [[nodiscard]] std::vector<const pool*> by_need() const;
+    [[nodiscard]] duration ready_in(const runner_view& view, const pool& kind) const;
+    [[nodiscard]] std::size_t loading() const;
+    [[nodiscard]] bool may_load(const pool& kind, time_point now);
+    void start_group(const pool& kind, std::vector<runner_view*> members, time_point now);
+    void order_joins(const planned_group& plan, time_point now);
+
+    bool order(runner_view& view, member_order wanted, time_point now);
+    [[nodiscard]] runner_view* find(const vm_id& vm);
+    [[nodiscard]] const runner_view* find(const vm_id& vm) const;
+    [[nodiscard]] bool managed(const runner& row) const;
+
+    formation_settings settings;
+    election vote;
+    std::map<vm_id, runner_view> runners; ///< of all failure domains
+    std::vector<pool> pools;              ///< of models
+    std::vector<peer_row> peers;
+    std::map<group_key, planned_group> planned;
+    std::map<group_key, time_point> stalled; ///< since when a group is known to stand still
+    std::map<group_key, time_point> first_seen;
+    std::set<failure_domain_id> domains; ///< that have runners
+    bool registry_is_current = false;
+    bool traffic = false;
+    bool was_leading = false;
+    time_point first_runner;
+    std::int64_t last_number = 0; ///< of the groups of this term
+    std::int64_t number_term = 0;
+    std::uint64_t last_token = 0;
+    std::uint64_t orders = 0;
+    double load_tokens = 0.0; ///< loads that may begin now, by the weight store's rate
+    time_point tokens_at;
+    formation_commands out;
+};
+
+} // namespace jaynotch::groups
--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -220,12 +220,16 @@
     // answer is there though the sending failed.
     if (ec && !m_half_sent)
         co_return ec;
-    ec = {};
+    co_return co_await read_header(header_bytes, request.method == http::verb::head);
+}
+
+awaitable<error_code> http_connection::read_header(std::size_t header_bytes, bool bodiless)
+{
+    error_code ec;
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(header_bytes));
     m_parser->body_limit(boost::none);
-    if (request.method == http::verb::head)
-        m_parser->skip(true);
+    m_parser->skip(bodiless);
     co_await http::async_read_header(m_socket, m_buffer, *m_parser,
                                      asio::redirect_error(asio::use_awaitable, ec));
     co_return ec;
@@ -259,13 +263,15 @@
     co_return std::string{};
 }
 
-std::shared_ptr<http_connection> http_pool::take()
+std::shared_ptr<http_connection> http_pool::take(duration longest_idle)
 {
     const time_point now = runtime_clock::now();
     while (!idle.empty()) {
         const idle_row newest = std::move(idle.back());
         idle.pop_back();
-        if (now - newest.since < limits.idle_keeping && newest.connection->fresh())
+        const duration most =
+            std::min({limits.idle_keeping, longest_idle, newest.connection->idle_limit()});
+        if (now - newest.since < most && newest.connection->fresh())
             return newest.connection;
         newest.connection->close();
     }
@@ -330,6 +336,31 @@
     co_return co_await connection->read(idle_timeout, m_repeatable);
 }
 
+awaitable<bool> http_stream::skip(duration timeout)
+{
+    const auto connection = m_connection;
+    const time_point ends = runtime_clock::now() + timeout;
+    for (bool more = true; more;) {
+        const result<std::string> piece =
+            co_await connection->read(ends - runtime_clock::now(), m_repeatable);
+        if (!piece)
+            co_return false;
+        more = !piece.value().empty();
+    }
+    if (!connection->parser().get().keep_alive())
+        co_return false;
+    connection->arm(ends - runtime_clock::now());
+    const error_code ec = co_await connection->read_header(m_pool->limits.header_bytes, false);
+    connection->disarm();
+    co_return !ec;
+}
+
+void http_stream::set_idle_limit(duration limit)
+{
+    if (m_connection)
+        m_connection->set_idle_limit(limit);
+}
+
 void http_stream::cancel()
 {
     if (m_connection)
@@ -360,7 +391,7 @@
     const result<tcp::endpoint> remote = parse_endpoint(pool->address);
     if (!remote)
         co_return remote.error();
-    std::shared_ptr<http_connection> connection = pool->take();
+    std::shared_ptr<http_connection> connection = pool->take(request.longest_idle);
     bool reused = connection != nullptr;
     for (;;) {
         if (!connection) {
@@ -391,7 +422,7 @@
             co_return broken_answer(pool->address, ec);
         co_return failed_exchange(*connection, pool->address, ec, request.repeatable);
     }
-    if (connection->parser().need_eof()) {
+    if (connection->parser().need_eof() && !pool->limits.unframed_answers) {
         // Without a length or chunks a cut answer looks like a whole one.
         connection->close();
         co_return error{request.repeatable ? error_kind::protocol : error_kind::unknown_outcome,
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -38,6 +38,9 @@
     std::size_t idle_connections = 4;         ///< kept for later calls
     duration idle_keeping = std::chrono::seconds{20};
     duration connect_timeout = duration::max(); ///< of a call's timeout, for connecting
+    /// Take answers with neither length nor chunks, which end with their connection. One that is cut
+    /// in an orderly way can't be told from a whole one, so a mark in its headers must vouch for it.
+    bool unframed_answers = false;
 };
 
 struct http_header {
@@ -59,6 +62,9 @@
     /// May be sent again on a fresh connection if an idle one turned out closed, and its failure
     /// is deadline_exceeded or unavailable instead of unknown_outcome.
     bool repeatable = false;
+    /// An idle connection is used only if it has idled no longer: the server may be closing it, and
+    /// what was sent then can't be told from what ran.
+    duration longest_idle = duration::max();
 };
 
 struct http_response {
@@ -89,6 +95,11 @@
     [[nodiscard]] std::string_view header(std::string_view name) const;
     /// The next bytes of the body; empty once the body is whole.
     awaitable<result<std::string>> read(duration idle_timeout);
+    /// Passes over this answer, which belongs to an earlier request, to the one that follows on the
+    /// connection. False if there is none in time.
+    awaitable<bool> skip(duration timeout);
+    /// The server closes an idle connection after `limit`, as it says.
+    void set_idle_limit(duration limit);
     /// Closes the connection; a read that waits ends with `cancelled`.
     void cancel();
 
--- a/http/http_connection.h
+++ b/http/http_connection.h
@@ -44,6 +44,10 @@
     awaitable<boost::system::error_code> send_streamed(const http_request& request,
                                                        std::string_view host);
     awaitable<result<std::string>> read(duration idle_timeout, bool repeatable);
+    /// Reads the header of the next answer.
+    awaitable<boost::system::error_code> read_header(std::size_t header_bytes, bool bodiless);
+    void set_idle_limit(duration limit) { m_idle_limit = limit; }
+    [[nodiscard]] duration idle_limit() const { return m_idle_limit; }
 
     [[nodiscard]] const response_parser& parser() const { return *m_parser; }
 
@@ -56,6 +60,7 @@
     std::optional<response_parser> m_parser;
     std::vector<char> m_room; ///< what the body is read into
     time_point m_until;       ///< the deadline, if armed
+    duration m_idle_limit = duration::max();
     bool m_armed = false;
     bool m_timer_waits = false;
     bool m_timed_out = false;
@@ -75,7 +80,7 @@
     http_limits limits;
     std::deque<idle_row> idle;
 
-    std::shared_ptr<http_connection> take();
+    std::shared_ptr<http_connection> take(duration longest_idle);
     void give(std::shared_ptr<http_connection> connection);
 };
 
--- a/http/http_exchange.cc
+++ b/http/http_exchange.cc
@@ -41,6 +41,17 @@
     return text;
 }
 
+std::string retry_after_text(std::chrono::milliseconds wait, bool fractions)
+{
+    constexpr std::int64_t ms_in_second = 1000;
+    if (!fractions)
+        return std::to_string((wait.count() + ms_in_second - 1) / ms_in_second);
+    std::array<char, 32> text{};
+    const int length = std::snprintf(text.data(), text.size(), "%.3f",
+                                     static_cast<double>(wait.count()) / ms_in_second);
+    return {text.data(), static_cast<std::size_t>(length)};
+}
+
 } // namespace
 
 http::status status_of(error_kind kind)
@@ -291,7 +302,7 @@
 {
     set("jaynotch-ran", to_name(refused.ran));
     if (refused.retry_after)
-        set("Retry-After", std::to_string(refused.retry_after->count()));
+        set("Retry-After", retry_after_text(*refused.retry_after, refused.fractions));
     co_return co_await answer(refused.status.value_or(status_of(refused.failure.kind)),
                               "application/json", refusal_body(refused));
 }
--- a/http/http_exchange.h
+++ b/http/http_exchange.h
@@ -30,9 +30,11 @@
 struct refusal {
     error failure;
     ran_state ran = ran_state::no;
-    std::optional<std::chrono::seconds> retry_after = std::nullopt;
+    std::optional<std::chrono::milliseconds> retry_after = std::nullopt;
     /// Overrides the status that goes with the kind, where HTTP has a more telling one.
     std::optional<http::status> status = std::nullopt;
+    /// Whether the callers read fractions of a second in Retry-After. By RFC 9110 they need not.
+    bool fractions = false;
 };
 
 /// The status that goes with a kind of error.
--- a/http/http_server.cc
+++ b/http/http_server.cc
@@ -276,6 +276,12 @@
     net::co_spawn(m_impl->m_acceptor.get_executor(), m_impl->accept_all(), net::detached);
 }
 
+void http_server::set_limits(http_timeouts timeouts, http_server_limits limits)
+{
+    m_impl->m_settings.timeouts = timeouts;
+    m_impl->m_settings.limits = limits;
+}
+
 void http_server::wind_down()
 {
     m_impl->m_winding_down = true;
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -35,6 +35,8 @@
     ~http_server();
 
     void start();
+    /// For requests that are read from now on.
+    void set_limits(http_timeouts timeouts, http_server_limits limits);
     /// From now on each answer ends its connection.
     void wind_down();
     /// Takes no new connections and closes those that idle; requests in flight go on.
--- a/outside/site.h
+++ b/outside/site.h
@@ -36,6 +36,7 @@
     std::string store;         ///< "IP:port" of the platform's key-value service
     std::vector<std::string> seed_peers;
     std::size_t memory_bytes = 0;
+    bool first_start = false; ///< the whole system starts for the first time
     site_bounds bounds;
 };
 
--- /dev/null
+++ b/routing/engine_model.cc
@@ -0,0 +1,53 @@
+#include "routing/engine_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jaynotch {
+
+namespace {
+
+constexpr double pairs_in_unit = 1e6;
+constexpr double tokens_in_unit = 1e3;
+
+} // namespace
+
+double pass_ms(const engine_figures& figures, double writers)
+{
+    const double context = writers * (figures.usual_prompt + figures.usual_answer / 2.0);
+    const double step = figures.step_ms + figures.sequence_ms * writers +
+                        figures.context_ms_per_1k * context / tokens_in_unit;
+    return figures.steps_in_pass * step * figures.pace;
+}
+
+double prompt_ms(const engine_figures& figures, double tokens)
+{
+    const double pairs = tokens * tokens / 2.0 / pairs_in_unit;
+    return (tokens / figures.prompt_tokens_per_ms + pairs * figures.pairs_ms_per_1m) * figures.pace;
+}
+
+double first_event_ms(const engine_figures& figures, double places, const engine_work& work,
+                      double prompt_tokens)
+{
+    const double writers = std::min(work.running, places);
+    const double pass = pass_ms(figures, writers + 1.0);
+    // The pass under way is half done on average; the first event comes with a whole one.
+    double ms = (work.running > 0.0 ? 1.5 : 1.0) * pass;
+    ms += prompt_ms(figures, prompt_tokens) + prompt_ms(figures, work.pending_tokens);
+    ms += work.waiting * prompt_ms(figures, figures.usual_prompt);
+    const double beyond = work.running + work.waiting + 1.0 - places;
+    if (beyond > 0.0) {
+        const double passes = std::ceil(figures.usual_answer / double(figures.steps_in_pass));
+        ms += beyond * passes * pass / places; // until that many of the running ones have ended
+    }
+    return ms;
+}
+
+duration longest_pause(const engine_figures& figures)
+{
+    const double chunk_ms = figures.chunk_tokens / figures.prompt_tokens_per_ms;
+    const double ms = figures.steps_in_pass * (figures.step_ms + chunk_ms) * figures.pace;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{ms});
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/routing/modelled_pick.cc
@@ -0,0 +1,78 @@
+#include "routing/modelled_pick.h"
+
+#include <algorithm>
+
+namespace jaynotch {
+
+namespace {
+
+/// Prompts of this node that may wait at one group. With four nodes doing so a pass is lengthened by
+/// about the pause that streams still bear (200 ms); a single longer prompt is let through alone.
+constexpr double most_pending_ms = 60.0;
+/// What a target in another failure domain has to be sooner by: the way there and back, and that
+/// bytes between failure domains are paid for.
+constexpr double far_ms = 4.0;
+
+double places_of(const target_row& row, const pool& kind)
+{
+    const std::uint32_t told = row.info.places;
+    return std::max(1U, told > 0 ? told : kind.max_in_flight_per_replica);
+}
+
+engine_work work_at(const target_row& row, const pool_view& view, time_point now)
+{
+    engine_work work;
+    work.running = row.own + row.load.others(view.mean_others, now);
+    work.pending_tokens = row.pending_tokens;
+    return work;
+}
+
+bool has_room(const target_row& row, const pool& kind, const engine_work& work)
+{
+    if (work.running + 1.0 > places_of(row, kind))
+        return false;
+    return row.pending_tokens == 0 ||
+           prompt_ms(kind.engine, row.pending_tokens) < most_pending_ms;
+}
+
+} // namespace
+
+target_row_index pick_modelled(const target_table& targets, const pool_view& view, const pool& kind,
+                               const modelled_request& wanted, time_point now)
+{
+    target_row_index best = no_target;
+    double best_ms = 0.0;
+    for (const target_row_index at : view.targets) {
+        const target_row& row = targets.at(at);
+        const bool tried =
+            std::find(wanted.tried.begin(), wanted.tried.end(), at) != wanted.tried.end();
+        if (tried || !row.may_be_picked())
+            continue;
+        const engine_work work = work_at(row, view, now);
+        if (!has_room(row, kind, work))
+            continue;
+        double ms = first_event_ms(kind.engine, places_of(row, kind), work, wanted.prompt_tokens);
+        ms *= row.health.slowness;
+        if (row.info.failure_domain != wanted.near)
+            ms += far_ms;
+        if (best == no_target || ms < best_ms) {
+            best = at;
+            best_ms = ms;
+        }
+    }
+    return best;
+}
+
+double free_places(const target_table& targets, const pool_view& view, const pool& kind,
+                   time_point now)
+{
+    double sum = 0.0;
+    for (const target_row_index at : view.targets) {
+        const target_row& row = targets.at(at);
+        if (row.may_be_picked())
+            sum += std::max(0.0, places_of(row, kind) - work_at(row, view, now).running);
+    }
+    return sum;
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/routing/modelled_pick.h
@@ -0,0 +1,33 @@
+// Which group of a pool gets a request, where the engines' speed is known: the one whose first
+// event is predicted soonest, of those that have room.
+//
+//   const target_row_index row = pick_modelled(targets, view, pool, wanted, now);
+//   if (row == no_target) ...      // all are full: the request waits here, where it can be refused
+//
+// Room means a free place in the batch and little prompt work ahead: a batch takes one more answer
+// almost for nothing, but each prompt that is read holds up the tokens of all others.
+#pragma once
+
+#include "routing/engine_model.h"
+#include "routing/picker.h"
+#include "routing/target_table.h"
+
+#include <span>
+
+namespace jaynotch {
+
+struct modelled_request {
+    double prompt_tokens = 0.0;
+    std::span<const target_row_index> tried;
+    failure_domain_id near; ///< preferred at about equal times
+};
+
+/// Or no_target.
+target_row_index pick_modelled(const target_table& targets, const pool_view& view, const pool& kind,
+                               const modelled_request& wanted, time_point now);
+
+/// Places that this node may still fill at usable targets; the other nodes' requests are taken off.
+double free_places(const target_table& targets, const pool_view& view, const pool& kind,
+                   time_point now);
+
+} // namespace jaynotch
--- a/routing/pool_table.cc
+++ b/routing/pool_table.cc
@@ -4,6 +4,8 @@
 // and none gets nothing for good. A workspace's own limit is split strictly instead (demand.h).
 #include "routing/pool_table.h"
 
+#include "routing/modelled_pick.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -111,9 +113,15 @@
 
 double pool_row::estimated_wait_s(const flow_key& flow, double weight) const
 {
+    if (modelled()) {
+        if (free > static_cast<double>(queue.size()))
+            return 0.0;
+        const double places = std::max(1.0, free + in_flight);
+        return (queue.ahead_of(flow, weight) + 1.0) * service_s / places;
+    }
     const double slots = std::max(1U, allowed());
-    const double free = slots - (in_flight - departing) - static_cast<double>(queue.size());
-    if (free >= 1.0)
+    const double free_slots = slots - (in_flight - departing) - static_cast<double>(queue.size());
+    if (free_slots >= 1.0)
         return 0.0;
     const double by_all = (queue.ahead_of(flow, weight) + 1.0) * service_s / slots;
     return std::max(by_all, queue.backlog_s(flow));
@@ -153,6 +161,10 @@
     if (usable_targets == 0 && had_target)
         without_target_since = now;
     refresh(view, targets, now);
+    if (modelled()) {
+        free = free_places(targets, view, info, now);
+        return; // the groups' own words tell what the other nodes have there
+    }
 
     others_want = 0;
     for (const node_demand& other : peers.of_pool(info.name))
@@ -190,6 +202,17 @@
         *unused = pool_row{written, settings};
 }
 
+pool_index pool_table::of_service(std::string_view service, std::string_view model) const
+{
+    for (pool_index index = 0; index < size(); ++index) {
+        const pool_row& row = m_rows[index];
+        const bool fits = row.info.kind == pool_kind::plain || row.info.model == model;
+        if (row.present && row.info.service == service && fits)
+            return index;
+    }
+    return size();
+}
+
 pool_index pool_table::find(const pool_id& name) const
 {
     const auto found = std::find_if(m_rows.begin(), m_rows.end(),
--- a/routing/pool_table.h
+++ b/routing/pool_table.h
@@ -43,8 +43,11 @@
     double luck = 0.0;             ///< 0..1, drawn anew each tick, rounds the part up or down
     std::uint32_t usable_targets = 0;
     time_point without_target_since; ///< valid if usable_targets is 0
+    double free = 0.0;               ///< modelled pools: places that this node may still fill
     bool held_back = false;          ///< the limit kept a request waiting since the last tick
 
+    /// Whether its engines' speed is known, so that times are predicted instead of learnt.
+    [[nodiscard]] bool modelled() const { return info.engine.known(); }
     /// Requests that all entry VMs together may have in flight.
     [[nodiscard]] double capacity() const;
     /// Requests that this node may have in flight now, at targets that take new ones.
@@ -70,6 +73,8 @@
 public:
     void replace(const configuration& tables, const core_settings& settings);
     [[nodiscard]] pool_index find(const pool_id& name) const; ///< or size()
+    /// The pool of a service that serves `model`, or its only one; or size().
+    [[nodiscard]] pool_index of_service(std::string_view service, std::string_view model) const;
     [[nodiscard]] pool_row& at(pool_index index) { return m_rows[index]; }
     [[nodiscard]] const pool_row& at(pool_index index) const { return m_rows[index]; }
     [[nodiscard]] pool_index size() const { return static_cast<pool_index>(m_rows.size()); }
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -46,11 +46,53 @@
 
 } // namespace
 
+/// Finds out whose request it is by its key, where the tables say so; false if it was refused.
+bool request_core::state::identify(request_info& info, const route& taken,
+                                   std::optional<priority_class>& priority, command_list& out)
+{
+    if (!workspaces_by_keys)
+        return true;
+    info.workspace = workspace_id{};
+    const auto known = workspaces_by_key.find(info.credential);
+    if (known != workspaces_by_key.end()) {
+        info.workspace = known->second.name;
+        priority = known->second.priority;
+        return true;
+    }
+    if (taken.open)
+        return true;
+    refuse_unseen(info.id,
+                  {error_kind::unauthorized, "the request bears no key of a workspace",
+                   "send a key that is in force"},
+                  std::nullopt, out);
+    return false;
+}
+
+/// The pool of one of the route's services, by their weights; size() if there is none.
+pool_index request_core::state::choose_pool(const route& taken, const request_info& info)
+{
+    if (taken.backends.empty())
+        return pools.find(taken.pool);
+    double sum = 0.0;
+    for (const backend_share& backend : taken.backends)
+        sum += backend.weight;
+    double left = random.unit() * sum;
+    const backend_share* chosen = &taken.backends.back();
+    for (const backend_share& backend : taken.backends) {
+        left -= backend.weight;
+        if (left < 0.0) {
+            chosen = &backend;
+            break;
+        }
+    }
+    return pools.of_service(chosen->service, info.model);
+}
+
 bool request_core::state::refuse_unroutable(const request_info& info, const route* taken,
-                                            time_point now, command_list& out)
+                                            pool_index index, time_point now, command_list& out)
 {
     const auto refuse_with = [&](error_kind kind, std::string message, std::string remedy,
-                                 std::optional<std::chrono::seconds> after = std::nullopt) {
+                                 std::optional<std::chrono::milliseconds> after = std::nullopt) {
         refuse_unseen(info.id, {kind, std::move(message), std::move(remedy)}, after, out);
         return true;
     };
@@ -62,7 +104,12 @@
     if (taken == nullptr)
         return refuse_with(error_kind::not_found, "no route takes " + described(info),
                            "check the name or path, or add a row to routes.toml");
-    const pool_index index = pools.find(taken->pool);
+    // A service without a pool for the model named: the operators' next version may bring it.
+    if (index == pools.size() && !taken->backends.empty())
+        return refuse_with(error_kind::unavailable,
+                           "route " + taken->name.value() + " leads to nothing that serves model \"" +
+                               info.model + "\"",
+                           "come back after the time in Retry-After", no_target_retry);
     if (index == pools.size() || !pools.at(index).present)
         return refuse_with(error_kind::not_found,
                            "route " + taken->name.value() + " names a pool that does not exist",
@@ -84,30 +131,42 @@
     return false;
 }
 
-void request_core::state::arrive(const request_info& info, time_point now, command_list& out)
+void request_core::state::arrive(const request_info& asked, time_point now, command_list& out)
 {
     ++counters.arrived;
+    request_info info = asked;
     const route* taken = routes.find(info);
-    if (refuse_unroutable(info, taken, now, out))
+    std::optional<priority_class> own_priority;
+    if (taken != nullptr && !identify(info, *taken, own_priority, out))
+        return;
+    const pool_index index = taken == nullptr ? pools.size() : choose_pool(*taken, info);
+    if (refuse_unroutable(info, taken, index, now, out))
         return;
     request_row& row = requests[info.id];
-    row.info = info;
+    row.info = std::move(info);
     row.phase = request_phase::claiming;
-    row.terms.pool = pools.find(taken->pool);
+    row.terms.pool = index;
     ++pools.at(row.terms.pool).requests;
     row.terms.adapter = taken->adapter;
-    row.terms.priority = taken->priority;
+    row.terms.priority = own_priority.value_or(taken->priority);
     row.terms.repeat = taken->repeat;
     row.terms.retries = taken->retries;
     row.terms.timeout = taken->timeout;
     row.terms.longest_stream = taken->longest_stream;
     row.terms.key_keeping = taken->key_keeping;
+    row.terms.repeat_failures = taken->repeat_failures;
+    row.terms.most_servers = taken->most_servers;
+    const bool engine_stream = row.info.kind != request_kind::plain && row.info.stream;
+    row.terms.resumable =
+        taken->resumable || (engine_stream && taken->repeat == repeat_policy::idempotent);
+    row.info.stream = row.info.stream || taken->streaming;
+    row.first_by = taken->first_target.count() > 0 ? now + taken->first_target : time_point::max();
     row.deadline = now + taken->timeout;
-    if (info.deadline)
-        row.deadline = std::min(row.deadline, *info.deadline);
+    if (row.info.deadline)
+        row.deadline = std::min(row.deadline, *row.info.deadline);
     row.ends = row.deadline + taken->longest_stream;
     row.wake = row.deadline;
-    row.keyed = taken->repeat == repeat_policy::keyed && !info.idempotency_key.empty();
+    row.keyed = taken->repeat == repeat_policy::keyed && !row.info.idempotency_key.empty();
 
     if (refuse_early(row, now, out))
         return;
@@ -122,7 +181,7 @@
     if (!settings.admission)
         return false;
     const pool_row& pool = pools.at(row.terms.pool);
-    const flow_key flow{row.info.workspace, row.terms.priority};
+    const flow_key flow = flow_of(row);
     const double weight = pool.weight_of(row.info.workspace, row.terms.priority);
     const double wait_s = pool.estimated_wait_s(flow, weight);
     const double left_s = seconds(row.deadline - now) - pool.limit.first_token_s();
@@ -163,7 +222,7 @@
         return;
     }
     const double weight = pool.weight_of(row.info.workspace, row.terms.priority);
-    if (!pool.queue.push({row.info.workspace, row.terms.priority}, weight,
+    if (!pool.queue.push(flow_of(row), weight,
                          {row.info.id, cost_of(row.info)}))
     {
         finish_refuse(row,
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -90,7 +90,9 @@
     };
     if (head.echoed && *head.echoed != head.attempt)
         return drop(attempt_failure::wrong_attempt);
-    if (head.says_did_not_run)
+    if (head.wrong_instance)
+        note_refusal(targets.at(row->attempt.target).health, now);
+    if (head.says_did_not_run || head.wrong_instance)
         return drop(attempt_failure::refused_did_not_run);
     if (!head.version.empty() && head.version != row->attempt.version)
         return drop(attempt_failure::version_changed);
@@ -101,7 +103,12 @@
         if (row->head_given || may_send_again(*row, attempt_failure::cut))
             return drop(attempt_failure::cut);
     }
+    constexpr std::uint32_t server_error = 500;
+    if (head.status == server_error && row->terms.repeat_failures && !row->head_given &&
+        may_send_again(*row, attempt_failure::cut) && pools.at(row->terms.pool).budget.has_one())
+        return drop(attempt_failure::cut);
     note_success(targets.at(row->attempt.target).health);
+    note_heard(*row, now);
     row->phase = request_phase::answering;
     row->attempt.last_part = now;
     row->given_version = row->attempt.version;
@@ -112,6 +119,22 @@
     set_wake(*row, next_check(*row));
 }
 
+/// A byte of an answer shows that its target is at work.
+void request_core::state::note_heard(request_row& row, time_point now)
+{
+    target_row& target = targets.at(row.attempt.target);
+    target.heard = now;
+    target.health.silent = false;
+    drop_pending(row);
+}
+
+void request_core::state::drop_pending(request_row& row)
+{
+    target_row& target = targets.at(row.attempt.target);
+    target.pending_tokens -= std::min(target.pending_tokens, row.attempt.pending_tokens);
+    row.attempt.pending_tokens = 0;
+}
+
 void request_core::state::note_first_part(request_row& row, time_point now)
 {
     if (row.attempt.first_part_in || !head_comes_early(row))
@@ -128,6 +151,14 @@
     if (row == nullptr)
         return;
     row->attempt.sent = true;
+    if (part.tokens > 0 && row->attempt.first_part_in && !row->attempt.waits_for_caller) {
+        constexpr double smoothing = 0.1;
+        constexpr double ms_in_second = 1000.0;
+        const double gap_ms = ms_in_second * seconds(now - row->attempt.last_part) / part.tokens;
+        double& usual_ms = targets.at(row->attempt.target).health.gap_ms;
+        usual_ms += smoothing * (gap_ms - usual_ms);
+    }
+    note_heard(*row, now);
     row->attempt.last_part = now;
     if (row->attempt.waits_for_caller) {
         row->attempt.waits_for_caller = false;
@@ -175,12 +206,11 @@
     const bool certainly_not = reason == attempt_failure::refused_did_not_run ||
                                (reason == attempt_failure::not_connected && !row.attempt.sent);
     const bool may_have_run_now = row.may_have_run || (row.attempt.sent && !certainly_not);
-    if (row.head_given) {
-        // Only the engines' streams can be resumed.
-        return row.info.kind != request_kind::plain && row.info.stream &&
-               row.terms.repeat == repeat_policy::idempotent &&
-               row.retries_used < std::max(1U, row.terms.retries);
-    }
+    const std::uint32_t runs = row.runs + (row.attempt.sent && !certainly_not ? 1 : 0);
+    if (row.terms.most_servers > 0 && runs >= row.terms.most_servers)
+        return false;
+    if (row.head_given)
+        return row.terms.resumable && row.retries_used < std::max(1U, row.terms.retries);
     if (row.attempt.sent && !row.info.body_kept)
         return false;
     switch (row.terms.repeat) {
@@ -205,7 +235,10 @@
     const bool again = may_send_again(row, reason);
     const bool certainly_not = reason == attempt_failure::refused_did_not_run ||
                                (reason == attempt_failure::not_connected && !row.attempt.sent);
-    row.may_have_run = row.may_have_run || (row.attempt.sent && !certainly_not);
+    if (row.attempt.sent && !certainly_not) {
+        row.may_have_run = true;
+        ++row.runs;
+    }
     pool_row& pool = pools.at(row.terms.pool);
     if (end == attempt_end::failed && reason != attempt_failure::refused_did_not_run &&
         reason != attempt_failure::version_changed)
@@ -224,8 +257,10 @@
     // A group's loss is no overload, a resumed stream is bounded by what was in flight, and a group
     // that says it is not whole costs it nothing and gets no more for a moment: none of these is
     // charged to the budget that guards against retry storms.
-    const bool charged =
-        settings.retry_budget && end == attempt_end::failed && !row.head_given && !not_whole;
+    const bool costs = settings.charge_every_repeat
+                           ? row.attempt.sent
+                           : end == attempt_end::failed && !row.head_given && !not_whole;
+    const bool charged = settings.retry_budget && costs;
     if (charged && !pool.budget.take()) {
         ++counters.retries_denied;
         finish_failed(row, error_for(reason), now, out);
@@ -248,6 +283,7 @@
     if (!row.has_attempt)
         return;
     row.has_attempt = false;
+    drop_pending(row);
     --targets.at(row.attempt.target).own;
     pool_row& pool = pools.at(row.terms.pool);
     pool.view.own -= pool.view.own > 0 ? 1 : 0;
--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -18,6 +18,10 @@
     std::string version;    ///< model pools
     std::string adapter;    ///< model pools; empty for none
     priority_class priority = priority_class::standard;
+    vm_id instance;         ///< the only server that may run it; empty: any at the address
+    repeat_policy repeat = repeat_policy::never; ///< whether the client may send it twice
+    workspace_id workspace; ///< whose request it is; empty if nobody proved it
+    time_point deadline;    ///< after it nobody waits for the answer
     /// Continue after the text already given to the caller, whose head has been sent.
     bool resume = false;
 };
@@ -47,7 +51,7 @@
     request_id request;
     error failure;
     ran_state ran = ran_state::no;
-    std::optional<std::chrono::seconds> retry_after;
+    std::optional<std::chrono::milliseconds> retry_after;
 };
 
 /// Final: answer with the stored outcome of an earlier call of the same key.
@@ -111,6 +115,12 @@
     target_id target;
 };
 
+/// A group gives nothing although this node's requests wait for it: find out why.
+struct target_silent {
+    target_id target;
+    vm_id instance;
+};
+
 /// Tell the other entry VMs what this one wants.
 struct share_demand {
     std::vector<demand_row> rows;
@@ -118,7 +128,7 @@
 
 using command =
     std::variant<send_attempt, deliver, cancel_attempt, complete, refuse, replay, end_truncated,
-                 forget, report_key, call_kv, grant_lease, released, share_demand>;
+                 forget, report_key, call_kv, grant_lease, released, target_silent, share_demand>;
 using command_list = std::vector<command>;
 
 } // namespace jaynotch
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -6,6 +6,7 @@
 // targets and pools by the tables and groups that the platform holds.
 #include "routing/request_core.h"
 
+#include "routing/engine_model.h"
 #include "routing/request_state.h"
 
 namespace jaynotch {
@@ -114,6 +115,17 @@
             core.refresh_pools(now);
             core.dispatch_all(now, out);
         }
+        void operator()(const servers_changed& e) const
+        {
+            core.targets.list_servers(e.servers, now);
+            core.refresh_pools(now);
+            core.dispatch_all(now, out);
+        }
+        void operator()(const fleet_size_seen& e) const
+        {
+            core.fleet_size = std::max<std::size_t>(1, e.nodes);
+            core.set_budgets();
+        }
         void operator()(const group_broken& e) const { core.lose_group(e.group, now, out); }
         void operator()(const target_leaving& e) const
         {
@@ -123,8 +135,13 @@
         void operator()(const load_seen& e) const
         {
             const target_row_index row = core.targets.find(e.target);
-            if (row != no_target)
-                core.targets.at(row).load.report(e.load, e.age, now);
+            if (row == no_target)
+                return;
+            target_row& told = core.targets.at(row);
+            if (e.age.count() == 0)
+                told.load.report_now(e.load, told.own, now);
+            else
+                told.load.report(e.load, e.age, now);
         }
         void operator()(const cache_events_seen& e) const { core.take_cache_events(e); }
         void operator()(const tables_installed& e) const
@@ -154,7 +171,8 @@
         say_released(out);
     }
     if (std::holds_alternative<target_leaving>(happened) ||
-        std::holds_alternative<groups_changed>(happened))
+        std::holds_alternative<groups_changed>(happened) ||
+        std::holds_alternative<servers_changed>(happened))
         say_released(out);
     // Claims wait for nobody's tick.
     run_claims(now, out);
@@ -166,6 +184,13 @@
     deployment = tables.deployment;
     routes = route_index{tables.routes};
     pools.replace(tables, settings);
+    set_budgets();
+    workspaces_by_key.clear();
+    workspaces_by_keys = !tables.workspaces.empty();
+    for (const workspace_row& workspace : tables.workspaces) {
+        for (const std::string& key : workspace.keys)
+            workspaces_by_key[key] = workspace;
+    }
     targets.replace_servers(tables, now);
     refresh_pools(now);
     std::vector<request_id> orphans;
@@ -202,12 +227,13 @@
         pool_row& pool = pools.at(index);
         counters.ejections += eject_outliers(targets, pool.view.targets, now);
         judge_slowness(targets, pool.view.targets);
-        if (settings.adaptive)
+        if (settings.adaptive && !pool.modelled())
             pool.limit.tick(pool.held_back, pool.waiting_part(targets, now), now);
         pool.held_back = false;
         pool.luck = random.unit();
         pool.refresh_all(targets, peers, now);
     }
+    find_silent(now, out);
     wake_requests(now, out);
     dispatch_all(now, out);
     say_released(out);
@@ -260,10 +286,17 @@
     targets.at(at).present = false;
     targets.at(at).release_due = true;
     refresh_pools(now);
+    move_requests(at, now, out);
+    say_released(out);
+}
+
+/// Sends what a target that gives nothing was to do elsewhere, as far as that may be repeated. What
+/// must not be is left to its connection: the target may still answer it.
+void request_core::state::move_requests(target_row_index from, time_point now, command_list& out)
+{
     std::vector<request_id> hit;
     for (const auto& [request, row] : requests) {
-        // What must not be repeated is left to its connection: the group may still answer it.
-        if (row.has_attempt && row.attempt.target == at &&
+        if (row.has_attempt && row.attempt.target == from &&
             row.terms.repeat == repeat_policy::idempotent)
             hit.push_back(request);
     }
@@ -273,7 +306,62 @@
         cancel(row, out);
         end_attempt(row, attempt_failure::cut, attempt_end::group_lost, now, out);
     }
-    say_released(out);
+}
+
+// A group that has lost a member goes on taking requests and moves nothing, for seconds, until it
+// knows itself broken. It shows as silence of all its streams at once, longer than the longest pass
+// of a sound engine. It gets nothing more but a request now and then to see whether it is back, and
+// what it had goes on elsewhere while callers still wait.
+void request_core::state::find_silent(time_point now, command_list& out)
+{
+    constexpr double times_usual = 4.0;
+    constexpr std::chrono::milliseconds longest{1'500};
+    constexpr std::chrono::seconds trial{1};
+    for (pool_index index = 0; index < pools.size(); ++index) {
+        const pool_row& pool = pools.at(index);
+        if (!pool.present || !pool.modelled())
+            continue;
+        const duration sound = longest_pause(pool.info.engine);
+        for (const target_row_index at : pool.view.targets) {
+            target_row& row = targets.at(at);
+            if (row.health.silent && now >= row.health.next_trial) {
+                row.health.silent = false;
+                row.health.on_trial = true;
+                row.heard = now;
+                continue;
+            }
+            const duration usual = std::chrono::duration_cast<duration>(
+                std::chrono::duration<double, std::milli>{times_usual * row.health.gap_ms});
+            // A fifth more, for the network and this node's own turns.
+            const duration most = std::min<duration>(
+                std::max<duration>(sound + sound / 5, usual), longest);
+            if (row.own == 0 || row.health.silent || now - row.heard <= most)
+                continue;
+            row.health.silent = true;
+            row.health.silent_since = now;
+            row.health.next_trial = now + trial;
+            ++counters.silences;
+            out.emplace_back(target_silent{row.info.id, row.info.instance});
+            move_requests(at, now, out);
+        }
+    }
+}
+
+/// Each pool's part of the retries that the fleet may have: pools of one service share theirs.
+void request_core::state::set_budgets()
+{
+    for (pool_index index = 0; index < pools.size(); ++index) {
+        pool_row& pool = pools.at(index);
+        double extra = settings.retry_extra;
+        if (settings.retry_extra_shared) {
+            std::size_t sharing = 0;
+            for (pool_index other = 0; other < pools.size(); ++other)
+                sharing += pools.at(other).present &&
+                           pools.at(other).info.service == pool.info.service;
+            extra /= static_cast<double>(fleet_size * std::max<std::size_t>(1, sharing));
+        }
+        pool.budget.set(settings.retry_share, extra);
+    }
 }
 
 } // namespace jaynotch
--- a/routing/request_core.h
+++ b/routing/request_core.h
@@ -43,6 +43,17 @@
     std::chrono::milliseconds share_interval{500};   ///< between two share_demand
     std::chrono::milliseconds demand_keeping{5'000}; ///< of a silent peer's demand
     std::chrono::milliseconds repeat_wait{10'000};   ///< for a first call still in progress
+
+    std::chrono::milliseconds shortest_return{1'000}; ///< least that a refused caller is told to wait
+    failure_domain_id failure_domain; ///< of this node; its targets are preferred
+    /// Further sendings that one pool may have, of all nodes together: this share of its requests,
+    /// and `retry_extra` saved up.
+    double retry_share = 0.1;
+    double retry_extra = 10.0;
+    /// Whether `retry_extra` is of the whole fleet, to be split, or of each node.
+    bool retry_extra_shared = false;
+    /// Charge every further sending of which a byte left, also those that cost the first nothing.
+    bool charge_every_repeat = false;
 };
 
 /// What happened since the start; each counter only grows.
@@ -61,6 +72,7 @@
     std::uint64_t retries_denied = 0;  ///< by the retry budget
     std::uint64_t answers_dropped = 0; ///< late, crossed, or of another version
     std::uint64_t ejections = 0;
+    std::uint64_t silences = 0; ///< times that a group gave nothing though requests waited
     std::uint64_t claim_transactions = 0;
     std::uint64_t claims_settled = 0;
     std::uint64_t prefix_blocks = 0;      ///< of requests sent to model pools
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -3,6 +3,7 @@
 // Each request has one wake-up time, the earliest at which something may be due. Parts of an answer
 // only move `last_part`; the wake-up then finds that nothing is due yet and moves itself on, so a
 // token costs no work on the ordered set.
+#include "routing/modelled_pick.h"
 #include "routing/request_state.h"
 
 #include <cmath>
@@ -30,7 +31,7 @@
     };
     while (pools.at(index).queue.size() > 0) {
         pool_row& pool = pools.at(index);
-        if (settings.admission && pool.in_flight - pool.departing >= pool.allowed()) {
+        if (settings.admission && !pool.modelled() && pool.in_flight - pool.departing >= pool.allowed()) {
             pool.held_back = true;
             return;
         }
@@ -38,7 +39,7 @@
         if (!next)
             return;
         request_row& row = requests.at(next->request);
-        const flow_key flow{row.info.workspace, row.terms.priority};
+        const flow_key flow = flow_of(row);
         row.phase = request_phase::sending;
         --pool.use_of(row.info.workspace, peers).queued;
         if (try_send(row, now, out))
@@ -56,9 +57,20 @@
         dispatch(index, now, out);
 }
 
-bool request_core::state::try_send(request_row& row, time_point now, command_list& out)
+flow_key request_core::state::flow_of(const request_row& row)
+{
+    return {row.info.workspace, row.late ? priority_class::batch : row.terms.priority};
+}
+
+/// Or no_target, if the request has to wait.
+target_row_index request_core::state::choose_target(request_row& row, time_point now)
 {
     pool_row& pool = pools.at(row.terms.pool);
+    if (pool.modelled()) {
+        const modelled_request wanted{static_cast<double>(row.info.prompt_tokens), row.tried,
+                                      settings.failure_domain};
+        return pick_modelled(targets, pool.view, pool.info, wanted, now);
+    }
     const std::span<const std::uint64_t> blocks{
         row.info.prefix_blocks.data(), std::min(row.info.prefix_blocks.size(), most_prefix_blocks)};
     const pick_request wanted{
@@ -66,21 +78,33 @@
         row.head_given ? std::string_view{row.given_version} : std::string_view{}, row.tried};
     const picked chosen =
         pick(targets, pool.view, pool.prefixes, settings.pick, wanted, random, now);
-    if (chosen.row == no_target) {
+    if (chosen.row == no_target)
+        return no_target;
+    for (const std::uint64_t block : blocks)
+        pool.prefixes.note_stored(block, targets.at(chosen.row).slot(chosen.row));
+    counters.prefix_blocks += blocks.size();
+    counters.prefix_blocks_held += chosen.blocks_held;
+    return chosen.row;
+}
+
+bool request_core::state::try_send(request_row& row, time_point now, command_list& out)
+{
+    pool_row& pool = pools.at(row.terms.pool);
+    const target_row_index chosen = choose_target(row, now);
+    if (chosen == no_target) {
         pool.drop_if_unused(row.info.workspace);
         return false;
     }
-    target_row& target = targets.at(chosen.row);
+    target_row& target = targets.at(chosen);
+    if (target.own == 0)
+        target.heard = now;
     ++target.own;
     ++pool.view.own;
     ++pool.in_flight;
     ++pool.use_of(row.info.workspace, peers).in_flight;
-    for (const std::uint64_t block : blocks)
-        pool.prefixes.note_stored(block, target.slot(chosen.row));
+    pool.free = std::max(0.0, pool.free - 1.0);
 
     ++counters.attempts;
-    counters.prefix_blocks += blocks.size();
-    counters.prefix_blocks_held += chosen.blocks_held;
     if (row.sendings == 0)
         pool.budget.note_first_sending();
     else if (row.head_given)
@@ -91,7 +115,9 @@
     row.has_attempt = true;
     row.attempt = attempt_row{};
     row.attempt.id = attempt_id{next_attempt++};
-    row.attempt.target = chosen.row;
+    row.attempt.target = chosen;
+    row.attempt.pending_tokens = row.info.prompt_tokens;
+    target.pending_tokens += row.attempt.pending_tokens;
     row.attempt.started = now;
     row.attempt.last_part = now;
     row.attempt.version = target.info.version;
@@ -108,6 +134,10 @@
     sent.version = target.info.version;
     sent.adapter = row.terms.adapter;
     sent.priority = row.terms.priority;
+    sent.repeat = row.terms.repeat;
+    sent.instance = target.info.instance;
+    sent.workspace = row.info.workspace;
+    sent.deadline = row.head_given ? row.ends : row.deadline;
     sent.resume = row.head_given;
     out.emplace_back(std::move(sent));
     set_wake(row, next_check(row));
@@ -121,15 +151,28 @@
     row.has_attempt = false;
     row.phase = request_phase::queued;
     if (row.head_given)
-        row.deadline = now + settings.stall_timeout;
+        row.deadline = std::min(row.ends, now + settings.stall_timeout);
     pool_row& pool = pools.at(row.terms.pool);
-    const flow_key flow{row.info.workspace, row.terms.priority};
+    const flow_key flow = flow_of(row);
     // At the head and free of cost: its flow has paid for it once.
     pool.queue.push_front(flow, pool.weight_of(flow.workspace, flow.priority), {row.info.id, 0.0});
     ++pool.use_of(row.info.workspace, peers).queued;
     set_wake(row, next_check(row));
 }
 
+/// Moves a request that waits behind those that can still begin in time. They are worth more; the
+/// late one keeps a share, so it does not starve.
+void request_core::state::queue_as_late(request_row& row)
+{
+    pool_row& pool = pools.at(row.terms.pool);
+    if (!pool.queue.remove(flow_of(row), row.info.id))
+        return;
+    row.late = true;
+    const flow_key flow = flow_of(row);
+    pool.queue.push_front(flow, pool.weight_of(flow.workspace, flow.priority), {row.info.id, 1.0});
+    set_wake(row, next_check(row));
+}
+
 void request_core::state::set_wake(request_row& row, time_point at)
 {
     wakes.erase({row.wake, row.info.id});
@@ -143,8 +186,26 @@
     return row.info.stream || row.info.kind == request_kind::plain;
 }
 
+/// Between two parts of an answer.
+duration request_core::state::part_patience(const request_row& row) const
+{
+    if (!pools.at(row.terms.pool).modelled())
+        return settings.stall_timeout;
+    // One stream of a sound engine doesn't pause alone: its connection is silent or its group
+    // stands still. Callers leave after two seconds.
+    constexpr double times_usual = 8.0;
+    constexpr std::chrono::milliseconds shortest{800};
+    constexpr std::chrono::milliseconds longest{1'600};
+    const double usual_ms = targets.at(row.attempt.target).health.gap_ms;
+    return std::clamp<duration>(from_seconds(times_usual * usual_ms / 1000.0), shortest, longest);
+}
+
 duration request_core::state::head_patience(const request_row& row) const
 {
+    if (pools.at(row.terms.pool).modelled()) {
+        constexpr std::chrono::milliseconds modelled{1'200};
+        return modelled;
+    }
     // A target that is far beyond the pool's usual time hangs; a second try elsewhere may still be
     // in time. Only where a second sending is allowed.
     constexpr double times_typical = 8.0;
@@ -164,7 +225,8 @@
             return row.deadline;
         const double reserve_s =
             times_typical_reserved * pools.at(row.terms.pool).limit.first_token_s();
-        return row.deadline - from_seconds(reserve_s);
+        const time_point last_chance = row.deadline - from_seconds(reserve_s);
+        return row.late ? last_chance : std::min(last_chance, row.first_by);
     }
     case request_phase::sending:
         if (head_comes_early(row) && may_send_again(row, attempt_failure::stalled))
@@ -173,7 +235,7 @@
     case request_phase::answering:
         if (row.attempt.waits_for_caller)
             return row.ends;
-        return std::min(row.ends, row.attempt.last_part + settings.stall_timeout);
+        return std::min(row.ends, row.attempt.last_part + part_patience(row));
     case request_phase::claiming:
     case request_phase::asking:
         break;
@@ -201,6 +263,10 @@
     }
     switch (row.phase) {
     case request_phase::queued: {
+        if (!row.late && !row.head_given && now >= row.first_by && now < row.deadline) {
+            queue_as_late(row);
+            return;
+        }
         if (row.head_given || row.may_have_run) {
             finish_failed(row,
                           {error_kind::unavailable,
--- a/routing/request_events.h
+++ b/routing/request_events.h
@@ -39,6 +39,9 @@
     target_load load;
     std::chrono::milliseconds load_age{0}; ///< since the engine reported it
     bool leaving = false;                  ///< finishes what it has, gets nothing new
+    vm_id instance;                        ///< the only server that may run what is sent; or empty
+    failure_domain_id failure_domain;      ///< where it stands; empty if not known
+    std::uint32_t places = 0;              ///< requests at once; 0: as the pool says
 
     friend bool operator==(const target& a, const target& b) { return a.id == b.id; }
 };
@@ -49,6 +52,8 @@
     request_kind kind = request_kind::plain;
     std::string method; ///< plain requests: "GET"
     std::string path;   ///< plain requests: path without the query
+    std::string host;   ///< plain requests: as the caller names it, in lower case, without a port
+    std::string credential; ///< key of the caller, where the tables name workspaces by keys
     std::string model;  ///< chat and completion: as the caller names it
     workspace_id workspace;
     std::string idempotency_key; ///< empty for none
@@ -87,6 +92,7 @@
     std::optional<attempt_id> echoed;
     /// The backend server itself says that the request did not run (`jaynotch-ran: no`).
     bool says_did_not_run = false;
+    bool wrong_instance = false; ///< another server answers at that address
     std::string version; ///< model version that the engine names; empty if it names none
 };
 
@@ -183,6 +189,17 @@
     std::vector<target> groups;
 };
 
+/// The plain servers that the platform lists, all of them; replaces what was known. From then on
+/// those of the tables don't count.
+struct servers_changed {
+    std::vector<target> servers;
+};
+
+/// How many entry VMs share the budgets of retries.
+struct fleet_size_seen {
+    std::size_t nodes = 1;
+};
+
 /// A group lost a member: what it has in flight will not come; it is sent elsewhere if its route
 /// allows.
 struct group_broken {
@@ -247,7 +264,7 @@
 using event =
     std::variant<request_arrived, attempt_sent, attempt_head, attempt_progress, attempt_waits,
                  attempt_finished, attempt_failed, caller_gone, key_status_asked, kv_result,
-                 lease_result, groups_changed, group_broken, target_leaving, load_seen,
+                 lease_result, groups_changed, servers_changed, fleet_size_seen, group_broken, target_leaving, load_seen,
                  cache_events_seen, tables_installed, peer_demand_seen, peer_left, tick>;
 
 } // namespace jaynotch
--- a/routing/request_finish.cc
+++ b/routing/request_finish.cc
@@ -18,7 +18,7 @@
         --pools.at(row.terms.pool).requests;
     if (row.phase == request_phase::queued) {
         pool_row& pool = pools.at(row.terms.pool);
-        if (pool.queue.remove({row.info.workspace, row.terms.priority}, request))
+        if (pool.queue.remove(flow_of(row), request))
             --pool.use_of(row.info.workspace, peers).queued;
         pool.drop_if_unused(row.info.workspace);
     }
@@ -49,7 +49,7 @@
 }
 
 void request_core::state::finish_refuse(request_row& row, error failure, ran_state ran,
-                                        std::optional<std::chrono::seconds> after, time_point now,
+                                        std::optional<std::chrono::milliseconds> after, time_point now,
                                         command_list& out)
 {
     settle_claim_on_failure(row, now);
@@ -112,21 +112,21 @@
 }
 
 void request_core::state::refuse_unseen(request_id request, error failure,
-                                        std::optional<std::chrono::seconds> after,
+                                        std::optional<std::chrono::milliseconds> after,
                                         command_list& out)
 {
     ++counters.refused;
     out.emplace_back(refuse{request, std::move(failure), ran_state::no, after});
 }
 
-std::chrono::seconds request_core::state::retry_after(double wait_s)
+std::chrono::milliseconds request_core::state::retry_after(double wait_s)
 {
     // Spread over twice the wait, so that those refused together don't come back together.
-    constexpr double shortest_s = 1.0;
-    constexpr double longest_s = 60.0;
-    const double spread = wait_s * (1.0 + random.unit());
-    return std::chrono::seconds{
-        static_cast<std::int64_t>(std::ceil(std::clamp(spread, shortest_s, longest_s)))};
+    constexpr std::chrono::milliseconds longest{60'000};
+    constexpr double ms_in_second = 1000.0;
+    const double spread_ms = wait_s * (1.0 + random.unit()) * ms_in_second;
+    const std::chrono::milliseconds wait{static_cast<std::int64_t>(std::ceil(spread_ms))};
+    return std::clamp(wait, settings.shortest_return, longest);
 }
 
 } // namespace jaynotch
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -30,6 +30,7 @@
     bool sent = false; ///< a byte may have left
     bool first_part_in = false;
     bool waits_for_caller = false; ///< a part is being written to a slow caller
+    std::uint32_t pending_tokens = 0; ///< of its prompt, counted at the target until a part is in
     time_point started;
     time_point last_part; ///< of the answer; valid while answering
     std::string version;
@@ -45,6 +46,9 @@
     std::chrono::milliseconds timeout{0};
     std::chrono::milliseconds longest_stream{0};
     std::chrono::seconds key_keeping{0};
+    bool resumable = false;         ///< a stream that was cut may go on from another target
+    bool repeat_failures = false;   ///< a server's 500 may be asked for elsewhere
+    std::uint32_t most_servers = 0; ///< that it may run on; 0: as `retries` allow
 };
 
 struct request_row {
@@ -56,12 +60,15 @@
     bool head_given = false;   ///< part of an answer was handed on
     bool caller_left = false;  ///< keyed: goes on for the record's sake
     bool has_attempt = false;
+    bool late = false; ///< waits beyond its route's first target: those that can still meet theirs go first
     std::string given_version; ///< of the answer handed on in part
     std::uint32_t sendings = 0;
+    std::uint32_t runs = 0; ///< sendings that may have run
     std::uint32_t retries_used = 0;
     std::vector<target_row_index> tried;
     attempt_row attempt;
     time_point deadline; ///< of the first byte, or of the resumption
+    time_point first_by; ///< an answer that begins later is worth less; max if the route has none
     time_point ends;     ///< latest end of the answer
     time_point wake;
 };
@@ -81,11 +88,17 @@
     void say_released(command_list& out);
     void take_cache_events(const cache_events_seen& seen);
     void lose_group(const target_id& group, time_point now, command_list& out);
+    void move_requests(target_row_index from, time_point now, command_list& out);
+    void find_silent(time_point now, command_list& out);
+    void set_budgets();
 
     // request_arrival.cc: from arrival to the queue
     void arrive(const request_info& info, time_point now, command_list& out);
-    bool refuse_unroutable(const request_info& info, const route* taken, time_point now,
-                           command_list& out);
+    bool refuse_unroutable(const request_info& info, const route* taken, pool_index index,
+                           time_point now, command_list& out);
+    bool identify(request_info& info, const route& taken, std::optional<priority_class>& priority,
+                  command_list& out);
+    [[nodiscard]] pool_index choose_pool(const route& taken, const request_info& info);
     bool refuse_early(request_row& row, time_point now, command_list& out);
     void begin_claim(request_row& row, time_point now, command_list& out);
     void enqueue(request_row& row, time_point now, command_list& out);
@@ -99,12 +112,16 @@
     bool try_send(request_row& row, time_point now, command_list& out);
     /// Whether the answer's head comes before the work is done, so that its absence says something.
     [[nodiscard]] bool head_comes_early(const request_row& row) const;
+    target_row_index choose_target(request_row& row, time_point now);
     void requeue(request_row& row, time_point now);
+    void queue_as_late(request_row& row);
+    [[nodiscard]] static flow_key flow_of(const request_row& row);
     void set_wake(request_row& row, time_point at);
     void wake_requests(time_point now, command_list& out);
     void check_time(request_row& row, time_point now, command_list& out);
     [[nodiscard]] time_point next_check(const request_row& row) const;
     [[nodiscard]] duration head_patience(const request_row& row) const;
+    [[nodiscard]] duration part_patience(const request_row& row) const;
 
     // request_attempt.cc: what becomes of a sending
     request_row* find_attempt(request_id request, attempt_id attempt);
@@ -119,23 +136,25 @@
     void end_attempt(request_row& row, attempt_failure reason, attempt_end end, time_point now,
                      command_list& out);
     bool may_send_again(const request_row& row, attempt_failure reason) const;
+    void note_heard(request_row& row, time_point now);
+    void drop_pending(request_row& row);
     void cancel(request_row& row, command_list& out);
     void leave_target(request_row& row);
 
     // request_finish.cc: the final command, exactly one for each request
     void finish_complete(request_row& row, command_list& out);
     void finish_refuse(request_row& row, error failure, ran_state ran,
-                       std::optional<std::chrono::seconds> retry_after, time_point now,
+                       std::optional<std::chrono::milliseconds> retry_after, time_point now,
                        command_list& out);
     void finish_failed(request_row& row, error failure, time_point now, command_list& out);
     void finish_replay(request_row& row, const stored_answer& answer, command_list& out);
     void finish_forget(request_row& row, time_point now, command_list& out);
     void finish_report(request_row& row, const claim_reported& report, command_list& out);
     void refuse_unseen(request_id request, error failure,
-                       std::optional<std::chrono::seconds> retry_after, command_list& out);
+                       std::optional<std::chrono::milliseconds> retry_after, command_list& out);
     void settle_claim_on_failure(request_row& row, time_point now);
     void erase(request_row& row);
-    [[nodiscard]] std::chrono::seconds retry_after(double wait_s);
+    [[nodiscard]] std::chrono::milliseconds retry_after(double wait_s);
 
     core_settings settings;
     random_source random;
@@ -145,6 +164,9 @@
     target_table targets;
     demand_table peers;
     claim_book claims;
+    std::unordered_map<std::string, workspace_row> workspaces_by_key;
+    bool workspaces_by_keys = false; ///< callers must prove theirs
+    std::size_t fleet_size = 1;
     std::unordered_map<request_id, request_row> requests;
 
     struct wake_up {
--- a/routing/retry_budget.h
+++ b/routing/retry_budget.h
@@ -1,6 +1,7 @@
 // How many retries a pool may have: a share of its first sendings, so that retries can't multiply
 // the load of a pool that fails (a retry storm). Retries of all nodes are bounded alike, since each
-// node's budget follows its own traffic.
+// node's budget follows its own traffic; what may be saved up is set by whoever knows how many
+// nodes there are.
 #pragma once
 
 #include <algorithm>
@@ -10,12 +11,16 @@
 /// A bucket of retries; each first sending adds a part of one.
 class retry_budget {
 public:
-    /// Retries per first sending, in the long run.
-    static constexpr double share = 0.1;
-    /// Retries saved up at most; also what a quiet pool has for its first failure.
-    static constexpr double most_saved = 10.0;
-
-    void note_first_sending() { m_saved = std::min(most_saved, m_saved + share); }
+    /// Retries per first sending, in the long run, and how many are saved up at most; the latter is
+    /// also what a quiet pool has for its first failure.
+    void set(double share, double most_saved)
+    {
+        m_share = share;
+        m_saved = m_set ? std::min(m_saved, most_saved) : most_saved;
+        m_most_saved = most_saved;
+        m_set = true;
+    }
+    void note_first_sending() { m_saved = std::min(m_most_saved, m_saved + m_share); }
     [[nodiscard]] bool has_one() const { return m_saved >= 1.0; }
     /// True, and one retry less, if there is one.
     bool take()
@@ -27,7 +32,10 @@
     }
 
 private:
-    double m_saved = most_saved;
+    double m_share = 0.1;
+    double m_most_saved = 10.0;
+    double m_saved = 10.0;
+    bool m_set = false;
 };
 
 } // namespace jaynotch
--- a/routing/route_index.cc
+++ b/routing/route_index.cc
@@ -18,6 +18,15 @@
            std::find(row.methods.begin(), row.methods.end(), method) != row.methods.end();
 }
 
+/// Where a plain row stands: a host can't hold the byte between the two parts.
+std::string plain_key(std::string_view host, std::string_view prefix)
+{
+    std::string key{host};
+    key += '\n';
+    key += prefix;
+    return key;
+}
+
 } // namespace
 
 bool path_has_prefix(std::string_view path, std::string_view prefix)
@@ -59,7 +68,7 @@
         rows.completion[model].push_back(row);
         break;
     case request_kind::plain:
-        rows.plain[added.path_prefix].push_back(row);
+        rows.plain[plain_key(added.host, added.path_prefix)].push_back(row);
         break;
     }
 }
@@ -107,12 +116,16 @@
     for (const std::size_t length : m_prefix_lengths) {
         if (length > path.size() || !path_has_prefix(path, path.substr(0, length)))
             continue;
-        const auto found = rows.plain.find(path.substr(0, length));
-        if (found == rows.plain.end())
-            continue;
-        for (const std::size_t row : found->second) {
-            if (has_method(m_routes[row], request.method))
-                return &m_routes[row];
+        for (const std::string_view host : {std::string_view{request.host}, std::string_view{}}) {
+            const auto found = rows.plain.find(plain_key(host, path.substr(0, length)));
+            if (found == rows.plain.end())
+                continue;
+            for (const std::size_t row : found->second) {
+                if (has_method(m_routes[row], request.method))
+                    return &m_routes[row];
+            }
+            if (host.empty())
+                break;
         }
     }
     return nullptr;
--- a/routing/route_index.h
+++ b/routing/route_index.h
@@ -43,7 +43,7 @@
     struct workspace_rows {
         rows_by_text chat;       ///< by model, "*" for any
         rows_by_text completion; ///< by model, "*" for any
-        rows_by_text plain;      ///< by path prefix
+        rows_by_text plain;      ///< by host and path prefix
     };
 
     void add(std::size_t row, const std::string& workspace);
--- a/routing/target_table.cc
+++ b/routing/target_table.cc
@@ -35,6 +35,15 @@
     m_others = std::max(0.0, all - own_at(made));
 }
 
+void load_estimate::report_now(const target_load& load, std::uint32_t own, time_point now)
+{
+    m_known = true;
+    m_made = now;
+    m_waiting = load.waiting;
+    m_running = load.running;
+    m_others = std::max(0.0, static_cast<double>(load.running + load.waiting) - own);
+}
+
 void load_estimate::sample_own(std::uint32_t own, time_point now)
 {
     if (now - m_sampled < sample_interval)
@@ -77,8 +86,16 @@
     replace(groups, pool_kind::model, now);
 }
 
+void target_table::list_servers(const std::vector<target>& servers, time_point now)
+{
+    m_servers_listed = true;
+    replace(servers, pool_kind::plain, now);
+}
+
 void target_table::replace_servers(const configuration& tables, time_point now)
 {
+    if (m_servers_listed)
+        return;
     std::vector<target> servers;
     for (const pool& row : tables.pools) {
         if (row.kind != pool_kind::plain)
@@ -110,10 +127,11 @@
         if (kept.info.fencing != added.fencing || kept.info.version != added.version) {
             ++kept.generation;
             kept.health.refusing = false; // that was said of the epoch before
+            kept.health.silent = false;
         }
         kept.info = added;
         kept.present = true;
-        if (kind == pool_kind::model)
+        if (kind == pool_kind::model && added.instance.value().empty())
             kept.load.report(added.load, added.load_age, now);
         kept.release_due = kept.release_due || added.leaving;
     }
--- a/routing/target_table.h
+++ b/routing/target_table.h
@@ -27,6 +27,8 @@
 public:
     /// Takes in a report that is `age` old.
     void report(const target_load& load, std::chrono::milliseconds age, time_point now);
+    /// Takes in a report made this moment, while `own` requests of this node are at the target.
+    void report_now(const target_load& load, std::uint32_t own, time_point now);
     /// Samples this node's own requests; call at each tick.
     void sample_own(std::uint32_t own, time_point now);
     /// Requests of the other nodes: the report less our own part of it, drawn towards `mean` as the
@@ -65,6 +67,10 @@
     double first_token_s = 0.0; ///< moving average
     std::uint32_t first_token_samples = 0;
     double slowness = 1.0; ///< first token time against the pool's median; 1 is normal
+    bool silent = false;   ///< gave nothing though requests waited; gets one now and then
+    time_point silent_since;
+    time_point next_trial; ///< of a silent target
+    double gap_ms = 0.0;   ///< between two events of its streams, moving average
 };
 
 struct target_row {
@@ -76,13 +82,16 @@
     bool told_leaving = false;    ///< by target_leaving
     bool release_due = false;     ///< `released` is still to be said
     std::uint32_t own = 0;        ///< attempts of this node in flight
+    std::uint32_t pending_tokens = 0; ///< prompts of those that have brought nothing yet
+    time_point heard;                 ///< last byte of any of them, or the first one's sending
     load_estimate load;
     target_health health;
 
     [[nodiscard]] bool leaving() const { return !present || told_leaving || info.leaving; }
     [[nodiscard]] bool may_be_picked() const
     {
-        return !leaving() && !health.ejected && !health.refusing && !(health.on_trial && own > 0);
+        return !leaving() && !health.ejected && !health.refusing && !health.silent &&
+               !(health.on_trial && own > 0);
     }
     [[nodiscard]] target_slot slot(target_row_index index) const { return {index, generation}; }
 };
@@ -93,6 +102,8 @@
     void replace_groups(const std::vector<target>& groups, time_point now);
     /// The plain servers are those of `tables` and no others.
     void replace_servers(const configuration& tables, time_point now);
+    /// The plain servers are these; from now on those of the tables don't count.
+    void list_servers(const std::vector<target>& servers, time_point now);
     void set_leaving(const target_id& id, bool leaving, time_point now);
 
     [[nodiscard]] target_row_index find(const target_id& id) const; ///< or no_target
@@ -116,6 +127,7 @@
     std::unordered_map<target_id, target_row_index> m_by_id;
     std::vector<target_row_index> m_free;
     std::vector<target_id> m_early_leaving; ///< told to be leaving before they were known
+    bool m_servers_listed = false;          ///< by the platform, not by the tables
 };
 
 } // namespace jaynotch
