--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -78,4 +78,8 @@
 };
 result<started_with> settings_from_flags(int argc, char** argv);
 
+/// Reads the platform's settings file again, for a daemon that was started with one. The flags hold
+/// on: they are parsed once in a process.
+result<daemon_settings> settings_read_again(daemon_settings running);
+
 } // namespace jaynotch
--- a/daemon/flags.cc
+++ b/daemon/flags.cc
@@ -176,4 +176,13 @@
     return started;
 }
 
+result<daemon_settings> settings_read_again(daemon_settings running)
+{
+    const std::string site_file = absl::GetFlag(FLAGS_settings);
+    running.key_value.clear();
+    running.seed_peers.clear();
+    BOOST_OUTCOME_TRY(read_site(site_file, running));
+    return running;
+}
+
 } // namespace jaynotch
--- a/daemon/jaynotchd_main.cc
+++ b/daemon/jaynotchd_main.cc
@@ -88,9 +88,9 @@
         if (settings.form == source_form::own)
             return run<class daemon>(settings, [](class daemon&) {});
         return run<registry_daemon>(settings, [&](registry_daemon& running) {
-            const result<started_with> again = settings_from_flags(argc, argv);
+            const result<daemon_settings> again = settings_read_again(settings);
             if (again)
-                running.reload(again.value().settings);
+                running.reload(again.value());
             else
                 log_event(log_level::error, "settings_unreadable",
                           {{"reason", to_string(again.error())}});
