--- /dev/null
+++ b/groups/allot.cc
@@ -0,0 +1,120 @@
+// Worth: for each model the logarithm of its groups, weighted by how many groups of it are wanted for
+// each of the others. The logarithm makes the first groups of a model worth most and balances models
+// whose runners cost differently. Added to it are a little for each runner left over, which makes a
+// broken group whole again in a moment, and for each failure domain that has a model of its own, since
+// it may be cut off.
+//
+// Search: every domain starts with the fill that leaves the fewest runners over, then one domain at a
+// time takes the fill that makes the whole worth most, until none can be bettered. With six or eight
+// domains that is the optimum in every case that the tests enumerate.
+#include "groups/allot.h"
+
+#include <cmath>
+
+namespace jaynotch::groups {
+
+namespace {
+
+constexpr double spare_worth = 0.06;       ///< of one runner left over, against a doubling at 0.69
+constexpr double own_model_worth = 0.05;   ///< of a failure domain's first group of a model
+constexpr std::size_t most_rounds = 20;    ///< of the search; it ends by itself long before
+
+/// All fills of `runners` to which no further group can be added.
+void enumerate(const std::vector<pool>& pools, std::size_t index, std::uint32_t left,
+               group_counts& given, std::vector<group_counts>& found)
+{
+    if (index == pools.size()) {
+        for (const pool& kind : pools) {
+            if (kind.replica_vms <= left)
+                return;
+        }
+        found.push_back(given);
+        return;
+    }
+    const std::uint32_t size = std::max(1U, pools[index].replica_vms);
+    for (std::uint32_t count = 0; count * size <= left; ++count) {
+        given.push_back(count);
+        enumerate(pools, index + 1, left - count * size, given, found);
+        given.pop_back();
+    }
+}
+
+std::uint32_t runners_in(const group_counts& counts, const std::vector<pool>& pools)
+{
+    std::uint32_t sum = 0;
+    for (std::size_t index = 0; index < counts.size(); ++index)
+        sum += counts[index] * pools[index].replica_vms;
+    return sum;
+}
+
+double wanted(const pool& kind)
+{
+    constexpr double least_share = 0.01;
+    return std::max(kind.forming.share, least_share) / std::max(1U, kind.replica_vms);
+}
+
+} // namespace
+
+double worth_of(const allotment& given, const std::vector<pool>& pools,
+                const std::map<fabric_domain_id, domain_room>& rooms)
+{
+    constexpr double almost_none = 0.1; // so that a model without a group counts badly, not -inf
+    std::vector<double> groups(pools.size(), 0.0);
+    std::map<failure_domain_id, std::vector<bool>> has_own;
+    double worth = 0.0;
+    for (const auto& [domain, counts] : given) {
+        const domain_room& room = rooms.at(domain);
+        std::vector<bool>& own = has_own[room.failure_domain];
+        own.resize(pools.size(), false);
+        for (std::size_t index = 0; index < counts.size(); ++index) {
+            groups[index] += counts[index];
+            own[index] = own[index] || counts[index] > 0;
+        }
+        worth += spare_worth * (room.runners - runners_in(counts, pools));
+    }
+    double sum = 0.0;
+    for (const pool& kind : pools)
+        sum += wanted(kind);
+    for (std::size_t index = 0; index < pools.size(); ++index)
+        worth += wanted(pools[index]) / sum * static_cast<double>(pools.size()) *
+                 std::log(groups[index] + almost_none);
+    for (const auto& [domain, own] : has_own)
+        worth += own_model_worth * static_cast<double>(std::count(own.begin(), own.end(), true));
+    return worth;
+}
+
+allotment allot(const std::vector<pool>& pools,
+                const std::map<fabric_domain_id, domain_room>& rooms)
+{
+    std::map<fabric_domain_id, std::vector<group_counts>> fills;
+    allotment best;
+    for (const auto& [domain, room] : rooms) {
+        group_counts given;
+        enumerate(pools, 0, room.runners, given, fills[domain]);
+        best[domain] = *std::max_element(
+            fills[domain].begin(), fills[domain].end(), [&](const auto& a, const auto& b) {
+                return runners_in(a, pools) < runners_in(b, pools);
+            });
+    }
+    double worth = worth_of(best, pools, rooms);
+    bool bettered = true;
+    for (std::size_t round = 0; bettered && round < most_rounds; ++round) {
+        bettered = false;
+        for (const auto& [domain, choices] : fills) {
+            for (const group_counts& choice : choices) {
+                group_counts before = std::exchange(best[domain], choice);
+                const double changed = worth_of(best, pools, rooms);
+                if (changed > worth + 1e-9) {
+                    worth = changed;
+                    bettered = true;
+                }
+                else {
+                    best[domain] = std::move(before);
+                }
+            }
+        }
+    }
+    return best;
+}
+
+} // namespace jaynotch::groups
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -140,6 +140,8 @@
     domains.insert(row.failure_domain);
     const auto [found, fresh] = runners.try_emplace(row.id);
     runner_view& view = found->second;
+    if (fresh)
+        last_runner = now;
     const bool reborn = !fresh && view.row.born_ms != row.born_ms;
     if (reborn)
         view = runner_view{};
--- a/groups/formation.h
+++ b/groups/formation.h
@@ -96,10 +96,14 @@
     duration order_timeout = 1s;       ///< an order unanswered for this long counts as lost
     duration order_pause = 200ms;      ///< before an order without effect is sent again
     duration foreign_patience = 1500ms; ///< nodes of other domains claim the key this much later
-    /// Loads before the first request are quick: until then all may load at once after this.
-    duration early_window = 6s;
+    /// Before the first request loads are quick. Groups are planned once no runner has come for this
+    /// long, since who else is there decides what is best, ...
+    duration settled_after = 800ms;
+    duration settled_by = 4s;    ///< ... and no later than this after the first runner
     duration drain_notice = 6s; ///< a group with a leaving member is closed this long after notice
-    duration dead_mark = 3s;    ///< a runner that did not answer a probe isn't used for this long
+    /// A runner that did not answer a probe isn't used for this long. Longer than the registry takes
+    /// to drop the entry of a dead one (three heartbeats), or it would be used once more in between.
+    duration dead_mark = 5s;
     /// A composition that an earlier manager ordered is given this long to come together. Joins
     /// that load nothing take less.
     duration adopt_wait = 5s;
--- a/groups/formation_plan.cc
+++ b/groups/formation_plan.cc
@@ -1,13 +1,14 @@
 // What is made of free runners.
 //
 // Before the first request weights load ten times faster and without a bound on their rate, so every
-// fabric domain is filled then: each with the model that its turn gives it, since a domain of one
-// model wastes the fewest runners, group after group so that the first are whole early.
+// fabric domain is filled then, as the allotment of the whole fleet says (groups/allot.h); each
+// manager works it out alone from the registry.
 //
 // Later a load takes longer than anything else, so a group is made only of runners whose hosts have
 // the weights: survivors of groups that lost a member and spares, the model that lacks groups most
 // first. Runners without weights, newcomers mostly, are staged with the model whose next group in
 // their domain lacks the fewest runners.
+#include "groups/allot.h"
 #include "groups/formation_state.h"
 
 namespace jaynotch::groups {
@@ -84,26 +85,6 @@
     return sorted;
 }
 
-/// The model that a fabric domain is filled with first. Domains take turns by the models' shares;
-/// failure domains begin their turns at different models.
-const pool* formation::state::first_model(std::size_t domain_index) const
-{
-    const auto place = std::distance(domains.begin(), domains.find(settings.domain));
-    std::map<const pool*, double> given;
-    const pool* chosen = nullptr;
-    for (std::size_t turn = 0; turn <= domain_index + static_cast<std::size_t>(place); ++turn) {
-        chosen = nullptr;
-        for (const pool& kind : pools) {
-            const double share = std::max(kind.forming.share, 0.01);
-            if (chosen == nullptr ||
-                given[&kind] / share < given[chosen] / std::max(chosen->forming.share, 0.01))
-                chosen = &kind;
-        }
-        given[chosen] += 1.0;
-    }
-    return chosen;
-}
-
 std::size_t formation::state::loading() const
 {
     std::size_t count = 0;
@@ -195,14 +176,34 @@
     return true;
 }
 
-void formation::state::form_early(const fabric_domain_id& domain, const pool& kind, time_point now)
+/// Fills every fabric domain of the own failure domain as the allotment of the whole fleet says.
+void formation::state::form_early(time_point now)
 {
-    const auto parts = std::max<std::size_t>(1, domains.size());
-    const std::size_t at_once = (kind.forming.loads_at_once + parts - 1) / parts;
-    const bool hurry = now - first_runner >= settings.early_window;
-    while (hurry || loading() == 0 || loading() + kind.replica_vms <= at_once) {
-        if (!form_one(domain, kind, kind.forming.load, now))
-            return;
+    const bool settled =
+        now - last_runner >= settings.settled_after || now - first_runner >= settings.settled_by;
+    if (!settled)
+        return;
+    std::map<fabric_domain_id, domain_room> rooms;
+    for (const auto& [vm, view] : runners) {
+        if (!view.listed || view.row.leaving)
+            continue;
+        domain_room& room = rooms[view.row.fabric_domain];
+        room.failure_domain = view.row.failure_domain;
+        ++room.runners;
+    }
+    std::map<fabric_domain_id, std::map<std::string, std::uint32_t>> formed;
+    for (const auto& [key, plan] : planned) {
+        if (const runner_view* head = find(plan.members.front()); head != nullptr)
+            ++formed[head->row.fabric_domain][plan.model];
+    }
+    for (const auto& [domain, counts] : allot(pools, rooms)) {
+        if (rooms[domain].failure_domain != settings.domain)
+            continue;
+        for (std::size_t index = 0; index < counts.size(); ++index) {
+            const pool& kind = pools[index];
+            for (std::uint32_t done = formed[domain][kind.model]; done < counts[index]; ++done)
+                form_one(domain, kind, kind.forming.load, now);
+        }
     }
 }
 
@@ -257,21 +258,15 @@
 
 void formation::state::form_groups(time_point now)
 {
+    if (!traffic)
+        form_early(now);
     const std::vector<fabric_domain_id> own = own_fabric_domains();
     for (std::size_t index = 0; index < own.size(); ++index) {
         for (const pool* kind : by_need()) {
             while (form_one(own[index], *kind, kind->forming.warm_up, now)) {
             }
         }
-        const bool settled = now - first_runner >= settings.early_window;
-        if (!traffic) {
-            form_early(own[index], *first_model(index), now);
-            if (settled) {
-                for (const pool* kind : by_need())
-                    form_early(own[index], *kind, now);
-            }
-        }
-        if (traffic || settled)
+        if (traffic || now - first_runner >= 2 * settings.settled_by)
             stage_spares(own[index], now);
     }
 }
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -77,12 +77,11 @@
     void form_groups(time_point now);
     bool form_one(const fabric_domain_id& domain, const pool& kind, duration longest,
                   time_point now);
-    void form_early(const fabric_domain_id& domain, const pool& kind, time_point now);
+    void form_early(time_point now);
     void stage_spares(const fabric_domain_id& domain, time_point now);
     [[nodiscard]] const pool* model_to_stage(const std::vector<runner_view*>& spare) const;
     [[nodiscard]] std::vector<runner_view*> free_in(const fabric_domain_id& domain, time_point now);
     [[nodiscard]] std::vector<fabric_domain_id> own_fabric_domains() const;
-    [[nodiscard]] const pool* first_model(std::size_t domain_index) const;
     [[nodiscard]] std::vector<const pool*> by_need() const;
     [[nodiscard]] duration ready_in(const runner_view& view, const pool& kind) const;
     [[nodiscard]] std::size_t loading() const;
@@ -108,6 +107,7 @@
     bool traffic = false;
     bool was_leading = false;
     time_point first_runner;
+    time_point last_runner; ///< when one was first seen last
     std::int64_t last_number = 0; ///< of the groups of this term
     std::int64_t number_term = 0;
     std::uint64_t last_token = 0;
--- a/routing/engine_model.cc
+++ b/routing/engine_model.cc
@@ -43,10 +43,12 @@
     return ms;
 }
 
-duration longest_pause(const engine_figures& figures)
+duration longest_pause(const engine_figures& figures, double places, double pending_tokens)
 {
-    const double chunk_ms = figures.chunk_tokens / figures.prompt_tokens_per_ms;
-    const double ms = figures.steps_in_pass * (figures.step_ms + chunk_ms) * figures.pace;
+    constexpr double others = 2.0; // usual prompts of other nodes that may wait besides
+    const double in_one_pass = double(figures.steps_in_pass) * figures.chunk_tokens;
+    const double read = std::min(in_one_pass, pending_tokens + others * figures.usual_prompt);
+    const double ms = pass_ms(figures, places) + prompt_ms(figures, read);
     return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{ms});
 }
 
--- a/routing/engine_model.h
+++ b/routing/engine_model.h
@@ -26,8 +26,10 @@
 /// From sending a request to its first event.
 double first_event_ms(const engine_figures& figures, double places, const engine_work& work,
                       double prompt_tokens);
-/// The longest pause between two events of a sound engine: a pass that reads a full chunk with each
-/// of its steps. A longer one means that it stands still, or is slower than it should be.
-duration longest_pause(const engine_figures& figures);
+/// The longest pause between two events of a sound engine with a full batch: a pass that also reads
+/// the prompts that wait, as far as one pass reads. A longer one means that it stands still, or is
+/// slower than it should be. `pending_tokens`: of the prompts known to wait; some more are allowed
+/// for.
+duration longest_pause(const engine_figures& figures, double places, double pending_tokens);
 
 } // namespace jaynotch
--- a/routing/modelled_pick.cc
+++ b/routing/modelled_pick.cc
@@ -27,9 +27,16 @@
     return work;
 }
 
-bool has_room(const target_row& row, const pool& kind, const engine_work& work)
+/// This node's sure part of the places.
+double own_part(const target_row& row, const pool& kind, std::size_t nodes)
 {
-    if (work.running + 1.0 > places_of(row, kind))
+    return places_of(row, kind) / static_cast<double>(std::max<std::size_t>(1, nodes));
+}
+
+bool has_room(const target_row& row, const pool& kind, const engine_work& work, std::size_t nodes)
+{
+    const bool full = work.running + 1.0 > places_of(row, kind);
+    if (full && row.own + 1.0 > own_part(row, kind, nodes))
         return false;
     return row.pending_tokens == 0 ||
            prompt_ms(kind.engine, row.pending_tokens) < most_pending_ms;
@@ -49,7 +56,7 @@
         if (tried || !row.may_be_picked())
             continue;
         const engine_work work = work_at(row, view, now);
-        if (!has_room(row, kind, work))
+        if (!has_room(row, kind, work, wanted.nodes))
             continue;
         double ms = first_event_ms(kind.engine, places_of(row, kind), work, wanted.prompt_tokens);
         ms *= row.health.slowness;
@@ -64,13 +71,15 @@
 }
 
 double free_places(const target_table& targets, const pool_view& view, const pool& kind,
-                   time_point now)
+                   std::size_t nodes, time_point now)
 {
     double sum = 0.0;
     for (const target_row_index at : view.targets) {
         const target_row& row = targets.at(at);
-        if (row.may_be_picked())
-            sum += std::max(0.0, places_of(row, kind) - work_at(row, view, now).running);
+        if (!row.may_be_picked())
+            continue;
+        const double left = places_of(row, kind) - work_at(row, view, now).running;
+        sum += std::max({0.0, left, own_part(row, kind, nodes) - row.own});
     }
     return sum;
 }
--- a/routing/modelled_pick.h
+++ b/routing/modelled_pick.h
@@ -6,6 +6,10 @@
 //
 // Room means a free place in the batch and little prompt work ahead: a batch takes one more answer
 // almost for nothing, but each prompt that is read holds up the tokens of all others.
+//
+// Each node has an equal part of every group's places for sure, also when the others seem to fill
+// it: a node that only ever took what the others leave would get nothing from a full fleet, since
+// those whose requests end there notice first.
 #pragma once
 
 #include "routing/engine_model.h"
@@ -20,6 +24,7 @@
     double prompt_tokens = 0.0;
     std::span<const target_row_index> tried;
     failure_domain_id near; ///< preferred at about equal times
+    std::size_t nodes = 1;  ///< that share the groups
 };
 
 /// Or no_target.
@@ -28,6 +33,6 @@
 
 /// Places that this node may still fill at usable targets; the other nodes' requests are taken off.
 double free_places(const target_table& targets, const pool_view& view, const pool& kind,
-                   time_point now);
+                   std::size_t nodes, time_point now);
 
 } // namespace jaynotch
--- a/routing/pool_table.cc
+++ b/routing/pool_table.cc
@@ -142,7 +142,8 @@
     return waiting / running;
 }
 
-void pool_row::refresh_all(const target_table& targets, const demand_table& peers, time_point now)
+void pool_row::refresh_all(const target_table& targets, const demand_table& peers,
+                           std::size_t nodes, time_point now)
 {
     const bool had_target = usable_targets > 0;
     view.targets = targets.of_pool(info.name);
@@ -162,7 +163,7 @@
         without_target_since = now;
     refresh(view, targets, now);
     if (modelled()) {
-        free = free_places(targets, view, info, now);
+        free = free_places(targets, view, info, nodes, now);
         return; // the groups' own words tell what the other nodes have there
     }
 
--- a/routing/pool_table.h
+++ b/routing/pool_table.h
@@ -64,7 +64,8 @@
     /// What the targets report as waiting in their own queues, against what they run.
     [[nodiscard]] double waiting_part(const target_table& targets, time_point now) const;
     /// Refreshes what is cached of targets and peers; each tick and when either changed.
-    void refresh_all(const target_table& targets, const demand_table& peers, time_point now);
+    void refresh_all(const target_table& targets, const demand_table& peers, std::size_t nodes,
+                     time_point now);
 };
 
 /// The pools of the tables, and those that left them and still have requests. A row that is of
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -32,6 +32,14 @@
     return std::clamp(tokens / unit_tokens, least, most);
 }
 
+/// How long callers wait for a stream's first event: two seconds, or longer where the route's own
+/// targets are, by four times the first event's or eight times the pause's.
+duration first_event_patience(const route& taken)
+{
+    constexpr std::chrono::milliseconds least{2'000};
+    return std::max({least, 4 * taken.first_target, 8 * taken.gap_target});
+}
+
 double seconds(duration span)
 {
     return std::chrono::duration<double>(span).count();
@@ -165,6 +173,9 @@
     if (row.info.deadline)
         row.deadline = std::min(row.deadline, *row.info.deadline);
     row.ends = row.deadline + taken->longest_stream;
+    if (taken->streaming)
+        row.deadline = std::min(row.deadline, now + first_event_patience(*taken));
+    row.queue_until = now + (row.deadline - now) / 2;
     row.wake = row.deadline;
     row.keyed = taken->repeat == repeat_policy::keyed && !row.info.idempotency_key.empty();
 
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -213,7 +213,7 @@
 void request_core::state::refresh_pools(time_point now)
 {
     for (pool_index index = 0; index < pools.size(); ++index)
-        pools.at(index).refresh_all(targets, peers, now);
+        pools.at(index).refresh_all(targets, peers, fleet_size, now);
 }
 
 void request_core::state::run_tick(time_point now, command_list& out)
@@ -231,7 +231,7 @@
             pool.limit.tick(pool.held_back, pool.waiting_part(targets, now), now);
         pool.held_back = false;
         pool.luck = random.unit();
-        pool.refresh_all(targets, peers, now);
+        pool.refresh_all(targets, peers, fleet_size, now);
     }
     find_silent(now, out);
     wake_requests(now, out);
@@ -315,13 +315,13 @@
 void request_core::state::find_silent(time_point now, command_list& out)
 {
     constexpr double times_usual = 4.0;
+    constexpr std::chrono::milliseconds shortest{250}; // for the network and this node's own turns
     constexpr std::chrono::milliseconds longest{1'500};
     constexpr std::chrono::seconds trial{1};
     for (pool_index index = 0; index < pools.size(); ++index) {
         const pool_row& pool = pools.at(index);
         if (!pool.present || !pool.modelled())
             continue;
-        const duration sound = longest_pause(pool.info.engine);
         for (const target_row_index at : pool.view.targets) {
             target_row& row = targets.at(at);
             if (row.health.silent && now >= row.health.next_trial) {
@@ -332,9 +332,11 @@
             }
             const duration usual = std::chrono::duration_cast<duration>(
                 std::chrono::duration<double, std::milli>{times_usual * row.health.gap_ms});
-            // A fifth more, for the network and this node's own turns.
-            const duration most = std::min<duration>(
-                std::max<duration>(sound + sound / 5, usual), longest);
+            const duration sound =
+                longest_pause(pool.info.engine, row.info.places,
+                              static_cast<double>(fleet_size) * row.pending_tokens);
+            const duration most =
+                std::min<duration>(std::max<duration>({sound * 3 / 2, usual, shortest}), longest);
             if (row.own == 0 || row.health.silent || now - row.heard <= most)
                 continue;
             row.health.silent = true;
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -68,7 +68,7 @@
     pool_row& pool = pools.at(row.terms.pool);
     if (pool.modelled()) {
         const modelled_request wanted{static_cast<double>(row.info.prompt_tokens), row.tried,
-                                      settings.failure_domain};
+                                      settings.failure_domain, fleet_size};
         return pick_modelled(targets, pool.view, pool.info, wanted, now);
     }
     const std::span<const std::uint64_t> blocks{
@@ -137,7 +137,7 @@
     sent.repeat = row.terms.repeat;
     sent.instance = target.info.instance;
     sent.workspace = row.info.workspace;
-    sent.deadline = row.head_given ? row.ends : row.deadline;
+    sent.deadline = row.ends; // the server stops then; first events have a shorter patience
     sent.resume = row.head_given;
     out.emplace_back(std::move(sent));
     set_wake(row, next_check(row));
@@ -225,7 +225,10 @@
             return row.deadline;
         const double reserve_s =
             times_typical_reserved * pools.at(row.terms.pool).limit.first_token_s();
-        const time_point last_chance = row.deadline - from_seconds(reserve_s);
+        const bool modelled = pools.at(row.terms.pool).modelled();
+        const time_point last_chance = modelled && !row.may_have_run
+                                           ? row.queue_until
+                                           : row.deadline - from_seconds(reserve_s);
         return row.late ? last_chance : std::min(last_chance, row.first_by);
     }
     case request_phase::sending:
@@ -263,7 +266,7 @@
     }
     switch (row.phase) {
     case request_phase::queued: {
-        if (!row.late && !row.head_given && now >= row.first_by && now < row.deadline) {
+        if (!row.late && !row.head_given && now >= row.first_by && now < row.queue_until) {
             queue_as_late(row);
             return;
         }
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -68,6 +68,7 @@
     std::vector<target_row_index> tried;
     attempt_row attempt;
     time_point deadline; ///< of the first byte, or of the resumption
+    time_point queue_until; ///< modelled pools: refused if it has not been sent by then
     time_point first_by; ///< an answer that begins later is worth less; max if the route has none
     time_point ends;     ///< latest end of the answer
     time_point wake;
