--- a/daemon/formation_driver.cc
+++ b/daemon/formation_driver.cc
@@ -17,7 +17,10 @@
 
 constexpr duration order_timeout = std::chrono::milliseconds{600};
 /// A runner answers within some milliseconds; one that is dark never does.
-constexpr duration probe_timeout = std::chrono::milliseconds{150};
+constexpr duration probe_timeout = std::chrono::milliseconds{200};
+/// Nodes asked for their word on a silent runner. Some cuts leave a tenth of the nodes on its side; six
+/// miss such a cut in one of two cases, and then the rule for heads that may live is not applied.
+constexpr std::size_t most_asked = 6;
 
 } // namespace
 
@@ -62,7 +65,6 @@
         chosen.self = settings.node;
         chosen.own_domain = settings.failure_domain;
         chosen.domain = domain;
-        chosen.group_stall = settings.site.group_stall;
         chosen.loads_excess = settings.site.loads_excess;
         groups::formation& made =
             managers.emplace(domain, groups::formation{std::move(chosen)}).first->second;
@@ -89,6 +91,28 @@
         return rows;
     }
 
+    /// Another node asks, or says what we asked.
+    void take_message(const server_message& message)
+    {
+        if (stopped)
+            return;
+        if (const auto* asked = std::get_if<server_question>(&message.body)) {
+            net::co_spawn(io, answer_peer(message.from, *asked), net::detached);
+            return;
+        }
+        const auto& answer = std::get<server_answer>(message.body);
+        const auto found = m_asked.find(answer.vm);
+        if (found == m_asked.end() || found->second.erase(message.from) == 0)
+            return;
+        // One that is answered settles it; that nobody is takes the word of everyone asked.
+        if (!answer.answers && !found->second.empty())
+            return;
+        log_event(log_level::info, "peers_word",
+                  {{"vm", answer.vm.value()}, {"answers", answer.answers}});
+        m_asked.erase(found);
+        tell(groups::peers_word{answer.vm, answer.answers});
+    }
+
     net::io_context& io;
     const daemon_settings& settings;
     kv_service& kv;
@@ -98,6 +122,7 @@
     std::map<vm_id, runner> runners;
     std::map<std::string, kv_entry> keys;
     std::vector<pool> pools;
+    std::function<bool(const vm_id&)> hears;
     std::uint64_t members_version = 0;
     bool current = false;
     bool traffic = false;
@@ -128,6 +153,21 @@
     {
         net::co_spawn(io, probe(domain, wanted), net::detached);
     }
+    void carry_out(const failure_domain_id& /*domain*/, const groups::ask_peers& wanted)
+    {
+        std::set<node_id>& asked = m_asked[wanted.vm];
+        asked.clear();
+        for (const member& one : peers.members()) {
+            if (one.node == settings.node || one.state != member_state::alive)
+                continue;
+            if (asked.size() >= most_asked)
+                break;
+            asked.insert(one.node);
+            peers.send_server(one.node, server_question{wanted.vm, wanted.address});
+        }
+        if (asked.empty())
+            m_asked.erase(wanted.vm);
+    }
     void carry_out(const failure_domain_id& domain, const groups::notice& wanted)
     {
         log_event(wanted.level, wanted.kind,
@@ -135,6 +175,18 @@
                    {"domain", domain.value()}});
     }
 
+    net::awaitable<void> answer_peer(node_id from, server_question asked)
+    {
+        const auto self = shared_from_this();
+        // Requests may still reach a runner that takes no orders any more.
+        bool answers = hears && hears(asked.vm);
+        if (!answers) {
+            answers = co_await orders.answers(asked.address, probe_timeout);
+        }
+        if (!stopped)
+            peers.send_server(from, server_answer{asked.vm, answers});
+    }
+
     net::awaitable<void> transact(failure_domain_id domain, groups::kv_call wanted)
     {
         const auto self = shared_from_this();
@@ -186,6 +238,8 @@
             log_event(log_level::warning, "runner_silent", {{"vm", wanted.vm.value()}});
         tell_domain(domain, groups::member_probed{wanted.vm, answers});
     }
+
+    std::map<vm_id, std::set<node_id>> m_asked; ///< whose word on a runner is still awaited
 };
 
 formation_driver::formation_driver(net::io_context& io, const daemon_settings& settings,
@@ -193,6 +247,10 @@
     : m_impl{std::make_shared<impl>(io, settings, kv, peers)}
 {
     m_impl->traffic = !settings.first_start;
+    peers.on_servers([weak = std::weak_ptr{m_impl}](const server_message& message) {
+        if (const auto self = weak.lock())
+            self->take_message(message);
+    });
 }
 
 formation_driver::~formation_driver()
@@ -200,6 +258,11 @@
     stop();
 }
 
+void formation_driver::on_asked(std::function<bool(const vm_id&)> hears)
+{
+    m_impl->hears = std::move(hears);
+}
+
 void formation_driver::stop()
 {
     m_impl->stopped = true;
@@ -272,17 +335,17 @@
 
 net::awaitable<void> formation_driver::resign()
 {
-    const auto impl = m_impl;
+    const auto kept = m_impl;
     std::vector<lease_id> leases;
-    for (auto& [domain, manager] : impl->managers) {
+    for (auto& [domain, manager] : kept->managers) {
         for (const groups::formation_command& command : manager.resign()) {
             if (const auto* end = std::get_if<groups::lease_end>(&command))
                 leases.push_back(end->lease);
         }
     }
-    impl->stopped = true;
+    kept->stopped = true;
     for (const lease_id lease : leases) {
-        const result<void> ended = co_await impl->kv.revoke(lease);
+        const result<void> ended = co_await kept->kv.revoke(lease);
         if (!ended)
             log_event(log_level::warning, "manager_not_handed_over",
                       {{"reason", ended.error().message}});
--- a/daemon/formation_driver.h
+++ b/daemon/formation_driver.h
@@ -16,6 +16,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -38,6 +39,8 @@
     void traffic_begun();
     /// A group's head is silent towards this node.
     void silent(const vm_id& head);
+    /// How this node knows whether requests reach a runner, for other nodes that ask.
+    void on_asked(std::function<bool(const vm_id&)> hears);
     void tick();
     /// Gives all domains up, on a planned stop.
     boost::asio::awaitable<void> resign();
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -102,6 +102,9 @@
         hooks.on_silent = [this](const target_silent& seen) { take_silence(seen); };
         requests = std::make_unique<request_driver>(io, std::move(core), kv, std::move(hooks));
         managers = std::make_unique<formation_driver>(io, settings, kv, *peers);
+        managers->on_asked([this](const vm_id& vm) {
+            return requests->core().hears(vm, runtime_clock::now());
+        });
         feed = std::make_unique<registry_feed>(io, settings, kv, *peers, feed_hooks());
         services.reset(new relay_services{
             io, settings, *requests, servers, *spans, counted, counts, {}, {}, {}});
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -118,10 +118,13 @@
         }
         void operator()(const member_probed& e) const
         {
-            if (runner_view* view = core.find(e.vm); view != nullptr) {
-                view->silent = !e.answers;
-                view->silent_until = now + core.settings.dead_mark;
-            }
+            core.take_probe(e, now);
+            core.run_tick(now);
+        }
+        void operator()(const peers_word& e) const
+        {
+            if (runner_view* view = core.find(e.vm); view != nullptr && view->silent)
+                view->dead = !e.answers;
             core.run_tick(now);
         }
         void operator()(const peers_seen& e) const { core.peers = e.peers; }
@@ -149,6 +152,7 @@
         view.leaving_since = now;
     view.row = row;
     view.listed = true;
+    view.dead = false; // it has just written its entry
     if (!row.model.empty())
         view.warm = row.model;
     const bool staged =
@@ -196,8 +200,7 @@
     else if (std::holds_alternative<leave_group>(view->pending_order)) {
         const auto& left = std::get<leave_group>(view->pending_order);
         if (view->row.group && view->row.group->group == left.group)
-            stalled.try_emplace({left.group, left.epoch}, now);
-        view->row.group.reset();
+            view->row.group.reset();
     }
     else if (std::holds_alternative<open_group>(view->pending_order)) {
         view->not_before = now + 2 * settings.order_pause; // it takes a moment to open
@@ -205,6 +208,22 @@
     run_tick(now);
 }
 
+void formation::state::take_probe(const member_probed& probed, time_point now)
+{
+    runner_view* view = find(probed.vm);
+    if (view == nullptr)
+        return;
+    if (!probed.answers && !view->silent) {
+        view->silent_since = now;
+        const bool head = view->row.group && view->row.group->rank == 0;
+        if (head)
+            out.emplace_back(ask_peers{probed.vm, view->row.address});
+    }
+    view->silent = !probed.answers;
+    view->silent_until = now + settings.dead_mark;
+    view->dead = view->dead && view->silent;
+}
+
 void formation::state::take_silence(const vm_id& head)
 {
     const runner_view* view = find(head);
@@ -262,7 +281,7 @@
 
 void formation::state::forget_lost(time_point now)
 {
-    constexpr duration keep_unlisted = 30s; // longer than any order or stall that names it
+    constexpr duration keep_unlisted = 120s; // its group may outlive its entry behind a cut
     std::erase_if(runners, [&](const auto& entry) {
         return !entry.second.listed && now - entry.second.unlisted_at > keep_unlisted;
     });
--- a/groups/formation.h
+++ b/groups/formation.h
@@ -60,14 +60,19 @@
     vm_id vm;
     bool answers = false;
 };
+/// What other nodes say of a runner that did not answer this one: whether any of them is answered.
+struct peers_word {
+    vm_id vm;
+    bool answers = false;
+};
 /// Callers have begun to send requests.
 struct traffic_begun {};
 struct formation_tick {};
 
 using formation_event =
     std::variant<runner_seen, runner_gone, model_pools_seen, manager_key_seen, registry_current,
-                 kv_result, lease_result, order_answered, group_silent, member_probed, peers_seen,
-                 traffic_begun, formation_tick>;
+                 kv_result, lease_result, order_answered, group_silent, member_probed, peers_word,
+                 peers_seen, traffic_begun, formation_tick>;
 
 // Commands.
 
@@ -83,8 +88,13 @@
     vm_id vm;
     std::string address;
 };
-using formation_command =
-    std::variant<kv_call, lease_grant, lease_renew, lease_end, send_order, probe_member, notice>;
+/// Ask the other nodes whether a runner answers them.
+struct ask_peers {
+    vm_id vm;
+    std::string address;
+};
+using formation_command = std::variant<kv_call, lease_grant, lease_renew, lease_end, send_order,
+                                       probe_member, ask_peers, notice>;
 using formation_commands = std::vector<formation_command>;
 
 struct formation_settings {
@@ -92,7 +102,6 @@
     node_id self;
     failure_domain_id own_domain;      ///< where this node stands
     failure_domain_id domain;          ///< whose runners it manages
-    duration group_stall = 5s;         ///< a head without a member breaks after this
     duration order_timeout = 1s;       ///< an order unanswered for this long counts as lost
     duration order_pause = 200ms;      ///< before an order without effect is sent again
     duration foreign_patience = 1500ms; ///< nodes of other domains claim the key this much later
@@ -104,6 +113,7 @@
     /// A runner that did not answer a probe isn't used for this long. Longer than the registry takes
     /// to drop the entry of a dead one (three heartbeats), or it would be used once more in between.
     duration dead_mark = 5s;
+    duration peers_patience = 500ms; ///< for the other nodes' word on a silent head
     /// A composition that an earlier manager ordered is given this long to come together. Joins
     /// that load nothing take less.
     duration adopt_wait = 5s;
--- a/groups/formation_groups.cc
+++ b/groups/formation_groups.cc
@@ -3,17 +3,16 @@
 // closed in time.
 //
 // When a member may be taken. A head that is open, closing, or standing still because a member is
-// missing, still holds requests. So the head is told to leave first; that ends the group at once.
-// A head that can't be reached may be dead, or alive behind a cut: its other members are made to
-// leave, so that it stands still if it lives, and they are used again once it must have broken.
+// missing, still holds requests. So the head is told to leave first; that ends the group at once and
+// frees the others. A head that can't be reached may be dead, or alive behind a cut that others are
+// not behind: if another node is answered, the group is left alone. Otherwise its other members leave
+// it before they join anything else, so that none is in two groups whatever the head believes.
 #include "groups/formation_state.h"
 
 namespace jaynotch::groups {
 
 namespace {
 
-constexpr duration stall_margin = 500ms; ///< beyond the stall, for clocks and queues
-
 group_key key_of(const seen_group& seen)
 {
     return {seen.group, seen.epoch};
@@ -82,9 +81,6 @@
     std::erase_if(planned, [&](const auto& entry) {
         return now >= entry.second.give_up && !all.contains(entry.first);
     });
-    std::erase_if(stalled, [&](const auto& entry) {
-        return now - entry.second > 4 * settings.group_stall && !all.contains(entry.first);
-    });
     std::erase_if(first_seen, [&](const auto& entry) { return !all.contains(entry.first); });
 }
 
@@ -169,13 +165,15 @@
             say(log_level::warning, "group_ended", seen.group.value(), "a member is lost");
         return;
     }
-    if (head != nullptr && holds_requests(*head)) {
-        for (const auto& [rank, vm] : seen.members) {
-            runner_view* view = find(vm);
-            if (rank != 0 && view != nullptr && standing(*view) &&
-                order(*view, leave_group{seen.group, seen.epoch}, now))
-                view->held_until = now + settings.group_stall + stall_margin;
-        }
+    if (head != nullptr && holds_requests(*head) && !head->dead && head->silent &&
+        now - head->silent_since < settings.peers_patience)
+        return; // the other nodes' word on it is due
+    for (const auto& [rank, vm] : seen.members) {
+        runner_view* view = find(vm);
+        if (rank != 0 && view != nullptr && standing(*view) && bound(*view, now) &&
+            order(*view, leave_group{seen.group, seen.epoch}, now))
+            say(log_level::warning, "member_taken", vm.value(),
+                seen.group.value() + " has no head that can be reached");
     }
 }
 
@@ -212,12 +210,8 @@
         return false;
     const group_key key{view.row.group->group, view.row.group->epoch};
     const runner_view* head = head_of(key);
-    if (head != nullptr && holds_requests(*head)) {
-        if (standing(*head))
-            return true;
-        const auto since = stalled.find(key);
-        return since == stalled.end() || now < since->second + settings.group_stall + stall_margin;
-    }
+    if (head != nullptr && holds_requests(*head))
+        return true;
     const bool over = head != nullptr && head->row.group->phase == member_phase::broken;
     return !over && coming_together(key, now);
 }
--- a/groups/formation_plan.cc
+++ b/groups/formation_plan.cc
@@ -18,6 +18,7 @@
 constexpr duration warm_join = 200ms;   ///< of a runner whose last group had the model
 constexpr duration load_patience = 10s; ///< beyond the time that joins and loads should take
 constexpr double load_burst = 3.0;      ///< loads that may begin at once, of those saved up
+constexpr double alike = 1.3;           ///< needs within this factor count as equal
 constexpr std::int64_t epochs_in_term = 4096;
 
 bool has_staged(const runner_view& view, const std::string& model)
@@ -43,7 +44,7 @@
     for (auto& [vm, view] : runners) {
         const bool usable = view.row.fabric_domain == domain && managed(view.row) &&
                             standing(view) && !view.row.leaving && !view.pending &&
-                            now >= view.held_until && now >= view.not_before;
+                            now >= view.not_before;
         if (usable && !bound(view, now))
             free.push_back(&view);
     }
@@ -60,8 +61,8 @@
     return {found.begin(), found.end()};
 }
 
-/// Models in the order of their need: the fewest groups, for their share, first.
-std::vector<const pool*> formation::state::by_need() const
+/// Models with their groups for their share, the fewest first.
+std::vector<std::pair<double, const pool*>> formation::state::ranked_by_need() const
 {
     std::map<std::string, double> groups;
     for (const auto& [vm, view] : runners) {
@@ -79,8 +80,13 @@
     std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
         return a.first != b.first ? a.first < b.first : a.second->name < b.second->name;
     });
+    return ranked;
+}
+
+std::vector<const pool*> formation::state::by_need() const
+{
     std::vector<const pool*> sorted;
-    for (const auto& [groups_for_share, kind] : ranked)
+    for (const auto& [groups_for_share, kind] : ranked_by_need())
         sorted.push_back(kind);
     return sorted;
 }
@@ -218,17 +224,19 @@
         }));
     const pool* best = nullptr;
     std::size_t best_lack = 0;
-    for (const pool* kind : by_need()) {
+    double best_need = 0.0;
+    for (const auto& [groups_for_share, kind] : ranked_by_need()) {
         const auto have = static_cast<std::size_t>(
             std::count_if(spare.begin(), spare.end(), [&](const runner_view* view) {
                 return view->staging == kind->model || has_staged(*view, kind->model);
             }));
         const std::size_t lack = kind->replica_vms - have % kind->replica_vms;
-        const bool can_fill = lack <= bare;
-        const bool best_can = best != nullptr && best_lack <= bare;
-        if (best == nullptr || (can_fill && !best_can) ||
-            (can_fill == best_can && lack < best_lack))
-        {
+        // A model that has clearly fewer groups for its share goes first, however many runners its
+        // next group still lacks; among models of about equal need the one that lacks the fewest.
+        const bool needier = best != nullptr && groups_for_share > alike * best_need;
+        const bool nearer = lack <= bare && (best_lack > bare || lack < best_lack);
+        if (best == nullptr || (!needier && nearer)) {
+            best_need = best == nullptr ? groups_for_share : best_need;
             best = kind;
             best_lack = lack;
         }
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -14,12 +14,13 @@
     time_point unlisted_at;
     time_point leaving_since;
     bool silent = false; ///< did not answer a probe
+    time_point silent_since;
+    bool dead = false; ///< silent, and no other node is answered either
     time_point silent_until;
     std::optional<call_token> pending; ///< order under way
     time_point pending_since;
     member_order pending_order;
     time_point not_before;             ///< of the next order
-    time_point held_until; ///< its last group may still hold requests till then
     std::string staging;               ///< model that was ordered onto its host
     time_point staging_until;          ///< given up then
 };
@@ -53,6 +54,7 @@
     void drop_runner(const vm_id& vm, time_point now);
     void take_answer(const order_answered& answer, time_point now);
     void take_silence(const vm_id& head);
+    void take_probe(const member_probed& probed, time_point now);
     void run_tick(time_point now);
     void run_election(time_point now);
     void forget_lost(time_point now);
@@ -82,6 +84,7 @@
     [[nodiscard]] const pool* model_to_stage(const std::vector<runner_view*>& spare) const;
     [[nodiscard]] std::vector<runner_view*> free_in(const fabric_domain_id& domain, time_point now);
     [[nodiscard]] std::vector<fabric_domain_id> own_fabric_domains() const;
+    [[nodiscard]] std::vector<std::pair<double, const pool*>> ranked_by_need() const;
     [[nodiscard]] std::vector<const pool*> by_need() const;
     [[nodiscard]] duration ready_in(const runner_view& view, const pool& kind) const;
     [[nodiscard]] std::size_t loading() const;
@@ -100,7 +103,6 @@
     std::vector<pool> pools;              ///< of models
     std::vector<peer_row> peers;
     std::map<group_key, planned_group> planned;
-    std::map<group_key, time_point> stalled; ///< since when a group is known to stand still
     std::map<group_key, time_point> first_seen;
     std::set<failure_domain_id> domains; ///< that have runners
     bool registry_is_current = false;
--- a/peers/frame.cc
+++ b/peers/frame.cc
@@ -37,6 +37,8 @@
     const auto server_fits = [](const wire::leaving& item) { return name_fits(item.server); };
     const auto key_fits = [](const wire::key_value& item) { return name_fits(item.key); };
     return name_fits(frame.sender) && name_fits(frame.target) && name_fits(frame.subject) &&
+           name_fits(frame.question.vm) && name_fits(frame.question.address) &&
+           name_fits(frame.opinion.vm) &&
            std::all_of(frame.members.begin(), frame.members.end(), member_fits) &&
            std::all_of(frame.leavings.begin(), frame.leavings.end(), server_fits) &&
            std::all_of(frame.keys.entries.begin(), frame.keys.entries.end(), key_fits) &&
--- a/peers/frame.h
+++ b/peers/frame.h
@@ -94,4 +94,23 @@
     key_body body;
 };
 
+/// "Does this backend server answer you?"
+struct server_question {
+    vm_id vm;
+    std::string address; ///< "IP:port"
+};
+
+struct server_answer {
+    vm_id vm;
+    bool answers = false;
+};
+
+using server_body = std::variant<server_question, server_answer>;
+
+/// What a peer asks or says of a backend server.
+struct server_message {
+    node_id from;
+    server_body body;
+};
+
 } // namespace jaynotch
--- a/peers/gen/peers_types.cpp
+++ b/peers/gen/peers_types.cpp
@@ -23,7 +23,9 @@
   frame_kind::config_request,
   frame_kind::config_reply,
   frame_kind::key_request,
-  frame_kind::key_reply
+  frame_kind::key_reply,
+  frame_kind::server_question,
+  frame_kind::server_answer
 };
 const char* _kframe_kindNames[] = {
   "ping",
@@ -35,9 +37,11 @@
   "config_request",
   "config_reply",
   "key_request",
-  "key_reply"
+  "key_reply",
+  "server_question",
+  "server_answer"
 };
-const std::map<int, const char*> _frame_kind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(10, _kframe_kindValues, _kframe_kindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _frame_kind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(12, _kframe_kindValues, _kframe_kindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const frame_kind::type& val) {
   std::map<int, const char*>::const_iterator it = _frame_kind_VALUES_TO_NAMES.find(val);
@@ -2096,6 +2100,230 @@
 }
 
 
+server_question::~server_question() noexcept {
+}
+
+
+void server_question::__set_vm(const std::string& val) {
+  this->vm = val;
+}
+
+void server_question::__set_address(const std::string& val) {
+  this->address = val;
+}
+std::ostream& operator<<(std::ostream& out, const server_question& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t server_question::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->vm);
+          this->__isset.vm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t server_question::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("server_question");
+
+  xfer += oprot->writeFieldBegin("vm", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->vm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(server_question &a, server_question &b) {
+  using ::std::swap;
+  swap(a.vm, b.vm);
+  swap(a.address, b.address);
+  swap(a.__isset, b.__isset);
+}
+
+server_question::server_question(const server_question& other59) {
+  vm = other59.vm;
+  address = other59.address;
+  __isset = other59.__isset;
+}
+server_question& server_question::operator=(const server_question& other60) {
+  vm = other60.vm;
+  address = other60.address;
+  __isset = other60.__isset;
+  return *this;
+}
+void server_question::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "server_question(";
+  out << "vm=" << to_string(vm);
+  out << ", " << "address=" << to_string(address);
+  out << ")";
+}
+
+
+server_answer::~server_answer() noexcept {
+}
+
+
+void server_answer::__set_vm(const std::string& val) {
+  this->vm = val;
+}
+
+void server_answer::__set_answers(const bool val) {
+  this->answers = val;
+}
+std::ostream& operator<<(std::ostream& out, const server_answer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t server_answer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->vm);
+          this->__isset.vm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answers);
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t server_answer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("server_answer");
+
+  xfer += oprot->writeFieldBegin("vm", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->vm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->answers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(server_answer &a, server_answer &b) {
+  using ::std::swap;
+  swap(a.vm, b.vm);
+  swap(a.answers, b.answers);
+  swap(a.__isset, b.__isset);
+}
+
+server_answer::server_answer(const server_answer& other61) {
+  vm = other61.vm;
+  answers = other61.answers;
+  __isset = other61.__isset;
+}
+server_answer& server_answer::operator=(const server_answer& other62) {
+  vm = other62.vm;
+  answers = other62.answers;
+  __isset = other62.__isset;
+  return *this;
+}
+void server_answer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "server_answer(";
+  out << "vm=" << to_string(vm);
+  out << ", " << "answers=" << to_string(answers);
+  out << ")";
+}
+
+
 frame::~frame() noexcept {
 }
 
@@ -2201,6 +2429,16 @@
   this->keys = val;
 __isset.keys = true;
 }
+
+void frame::__set_question(const server_question& val) {
+  this->question = val;
+__isset.question = true;
+}
+
+void frame::__set_opinion(const server_answer& val) {
+  this->opinion = val;
+__isset.opinion = true;
+}
 std::ostream& operator<<(std::ostream& out, const frame& obj)
 {
   obj.printTo(out);
@@ -2247,9 +2485,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast59;
-          xfer += iprot->readI32(ecast59);
-          this->kind = static_cast<frame_kind::type>(ecast59);
+          int32_t ecast63;
+          xfer += iprot->readI32(ecast63);
+          this->kind = static_cast<frame_kind::type>(ecast63);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2331,14 +2569,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->members.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->members.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += this->members[_i64].read(iprot);
+              xfer += this->members[_i68].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2351,14 +2589,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tickets.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->tickets.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->tickets.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
             {
-              xfer += this->tickets[_i69].read(iprot);
+              xfer += this->tickets[_i73].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2371,14 +2609,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->demands.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->demands.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->demands[_i74].read(iprot);
+              xfer += this->demands[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2391,14 +2629,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leavings.clear();
-            uint32_t _size75;
-            ::apache::thrift::protocol::TType _etype78;
-            xfer += iprot->readListBegin(_etype78, _size75);
-            this->leavings.resize(_size75);
-            uint32_t _i79;
-            for (_i79 = 0; _i79 < _size75; ++_i79)
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->leavings.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
             {
-              xfer += this->leavings[_i79].read(iprot);
+              xfer += this->leavings[_i83].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2411,14 +2649,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->confirmations.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->confirmations.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->confirmations.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->confirmations[_i84].read(iprot);
+              xfer += this->confirmations[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2447,14 +2685,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->notices.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->notices.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->notices.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += this->notices[_i89].read(iprot);
+              xfer += this->notices[_i93].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2479,6 +2717,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->question.read(iprot);
+          this->__isset.question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->opinion.read(iprot);
+          this->__isset.opinion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2552,10 +2806,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<member_update> ::const_iterator _iter90;
-      for (_iter90 = this->members.begin(); _iter90 != this->members.end(); ++_iter90)
+      std::vector<member_update> ::const_iterator _iter94;
+      for (_iter94 = this->members.begin(); _iter94 != this->members.end(); ++_iter94)
       {
-        xfer += (*_iter90).write(oprot);
+        xfer += (*_iter94).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2565,10 +2819,10 @@
     xfer += oprot->writeFieldBegin("tickets", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tickets.size()));
-      std::vector<ticket_digest> ::const_iterator _iter91;
-      for (_iter91 = this->tickets.begin(); _iter91 != this->tickets.end(); ++_iter91)
+      std::vector<ticket_digest> ::const_iterator _iter95;
+      for (_iter95 = this->tickets.begin(); _iter95 != this->tickets.end(); ++_iter95)
       {
-        xfer += (*_iter91).write(oprot);
+        xfer += (*_iter95).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2578,10 +2832,10 @@
     xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-      std::vector<demand> ::const_iterator _iter92;
-      for (_iter92 = this->demands.begin(); _iter92 != this->demands.end(); ++_iter92)
+      std::vector<demand> ::const_iterator _iter96;
+      for (_iter96 = this->demands.begin(); _iter96 != this->demands.end(); ++_iter96)
       {
-        xfer += (*_iter92).write(oprot);
+        xfer += (*_iter96).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2591,10 +2845,10 @@
     xfer += oprot->writeFieldBegin("leavings", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leavings.size()));
-      std::vector<leaving> ::const_iterator _iter93;
-      for (_iter93 = this->leavings.begin(); _iter93 != this->leavings.end(); ++_iter93)
+      std::vector<leaving> ::const_iterator _iter97;
+      for (_iter97 = this->leavings.begin(); _iter97 != this->leavings.end(); ++_iter97)
       {
-        xfer += (*_iter93).write(oprot);
+        xfer += (*_iter97).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2604,10 +2858,10 @@
     xfer += oprot->writeFieldBegin("confirmations", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->confirmations.size()));
-      std::vector<confirmation> ::const_iterator _iter94;
-      for (_iter94 = this->confirmations.begin(); _iter94 != this->confirmations.end(); ++_iter94)
+      std::vector<confirmation> ::const_iterator _iter98;
+      for (_iter98 = this->confirmations.begin(); _iter98 != this->confirmations.end(); ++_iter98)
       {
-        xfer += (*_iter94).write(oprot);
+        xfer += (*_iter98).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2627,10 +2881,10 @@
     xfer += oprot->writeFieldBegin("notices", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notices.size()));
-      std::vector<key_notice> ::const_iterator _iter95;
-      for (_iter95 = this->notices.begin(); _iter95 != this->notices.end(); ++_iter95)
+      std::vector<key_notice> ::const_iterator _iter99;
+      for (_iter99 = this->notices.begin(); _iter99 != this->notices.end(); ++_iter99)
       {
-        xfer += (*_iter95).write(oprot);
+        xfer += (*_iter99).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2646,6 +2900,16 @@
     xfer += this->keys.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.question) {
+    xfer += oprot->writeFieldBegin("question", ::apache::thrift::protocol::T_STRUCT, 23);
+    xfer += this->question.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.opinion) {
+    xfer += oprot->writeFieldBegin("opinion", ::apache::thrift::protocol::T_STRUCT, 24);
+    xfer += this->opinion.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2675,58 +2939,64 @@
   swap(a.notices, b.notices);
   swap(a.keys_wanted, b.keys_wanted);
   swap(a.keys, b.keys);
+  swap(a.question, b.question);
+  swap(a.opinion, b.opinion);
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other96) {
-  version = other96.version;
-  deployment = other96.deployment;
-  kind = other96.kind;
-  sender = other96.sender;
-  boot = other96.boot;
-  incarnation = other96.incarnation;
-  sequence = other96.sequence;
-  sent_ms = other96.sent_ms;
-  target = other96.target;
-  subject = other96.subject;
-  member_digest = other96.member_digest;
-  config = other96.config;
-  members = other96.members;
-  tickets = other96.tickets;
-  demands = other96.demands;
-  leavings = other96.leavings;
-  confirmations = other96.confirmations;
-  request = other96.request;
-  reply = other96.reply;
-  notices = other96.notices;
-  keys_wanted = other96.keys_wanted;
-  keys = other96.keys;
-  __isset = other96.__isset;
-}
-frame& frame::operator=(const frame& other97) {
-  version = other97.version;
-  deployment = other97.deployment;
-  kind = other97.kind;
-  sender = other97.sender;
-  boot = other97.boot;
-  incarnation = other97.incarnation;
-  sequence = other97.sequence;
-  sent_ms = other97.sent_ms;
-  target = other97.target;
-  subject = other97.subject;
-  member_digest = other97.member_digest;
-  config = other97.config;
-  members = other97.members;
-  tickets = other97.tickets;
-  demands = other97.demands;
-  leavings = other97.leavings;
-  confirmations = other97.confirmations;
-  request = other97.request;
-  reply = other97.reply;
-  notices = other97.notices;
-  keys_wanted = other97.keys_wanted;
-  keys = other97.keys;
-  __isset = other97.__isset;
+frame::frame(const frame& other100) {
+  version = other100.version;
+  deployment = other100.deployment;
+  kind = other100.kind;
+  sender = other100.sender;
+  boot = other100.boot;
+  incarnation = other100.incarnation;
+  sequence = other100.sequence;
+  sent_ms = other100.sent_ms;
+  target = other100.target;
+  subject = other100.subject;
+  member_digest = other100.member_digest;
+  config = other100.config;
+  members = other100.members;
+  tickets = other100.tickets;
+  demands = other100.demands;
+  leavings = other100.leavings;
+  confirmations = other100.confirmations;
+  request = other100.request;
+  reply = other100.reply;
+  notices = other100.notices;
+  keys_wanted = other100.keys_wanted;
+  keys = other100.keys;
+  question = other100.question;
+  opinion = other100.opinion;
+  __isset = other100.__isset;
+}
+frame& frame::operator=(const frame& other101) {
+  version = other101.version;
+  deployment = other101.deployment;
+  kind = other101.kind;
+  sender = other101.sender;
+  boot = other101.boot;
+  incarnation = other101.incarnation;
+  sequence = other101.sequence;
+  sent_ms = other101.sent_ms;
+  target = other101.target;
+  subject = other101.subject;
+  member_digest = other101.member_digest;
+  config = other101.config;
+  members = other101.members;
+  tickets = other101.tickets;
+  demands = other101.demands;
+  leavings = other101.leavings;
+  confirmations = other101.confirmations;
+  request = other101.request;
+  reply = other101.reply;
+  notices = other101.notices;
+  keys_wanted = other101.keys_wanted;
+  keys = other101.keys;
+  question = other101.question;
+  opinion = other101.opinion;
+  __isset = other101.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -2754,6 +3024,8 @@
   out << ", " << "notices="; (__isset.notices ? (out << to_string(notices)) : (out << "<null>"));
   out << ", " << "keys_wanted="; (__isset.keys_wanted ? (out << to_string(keys_wanted)) : (out << "<null>"));
   out << ", " << "keys="; (__isset.keys ? (out << to_string(keys)) : (out << "<null>"));
+  out << ", " << "question="; (__isset.question ? (out << to_string(question)) : (out << "<null>"));
+  out << ", " << "opinion="; (__isset.opinion ? (out << to_string(opinion)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/peers_types.h
+++ b/peers/gen/peers_types.h
@@ -32,7 +32,9 @@
     config_request = 7,
     config_reply = 8,
     key_request = 9,
-    key_reply = 10
+    key_reply = 10,
+    server_question = 11,
+    server_answer = 12
   };
 };
 
@@ -85,6 +87,10 @@
 
 class config_reply;
 
+class server_question;
+
+class server_answer;
+
 class frame;
 
 typedef struct _member_update__isset {
@@ -912,8 +918,108 @@
 
 std::ostream& operator<<(std::ostream& out, const config_reply& obj);
 
+typedef struct _server_question__isset {
+  _server_question__isset() : vm(false), address(false) {}
+  bool vm :1;
+  bool address :1;
+} _server_question__isset;
+
+class server_question : public virtual ::apache::thrift::TBase {
+ public:
+
+  server_question(const server_question&);
+  server_question& operator=(const server_question&);
+  server_question() noexcept
+                  : vm(),
+                    address() {
+  }
+
+  virtual ~server_question() noexcept;
+  std::string vm;
+  std::string address;
+
+  _server_question__isset __isset;
+
+  void __set_vm(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  bool operator == (const server_question & rhs) const
+  {
+    if (!(vm == rhs.vm))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    return true;
+  }
+  bool operator != (const server_question &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const server_question & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(server_question &a, server_question &b);
+
+std::ostream& operator<<(std::ostream& out, const server_question& obj);
+
+typedef struct _server_answer__isset {
+  _server_answer__isset() : vm(false), answers(false) {}
+  bool vm :1;
+  bool answers :1;
+} _server_answer__isset;
+
+class server_answer : public virtual ::apache::thrift::TBase {
+ public:
+
+  server_answer(const server_answer&);
+  server_answer& operator=(const server_answer&);
+  server_answer() noexcept
+                : vm(),
+                  answers(0) {
+  }
+
+  virtual ~server_answer() noexcept;
+  std::string vm;
+  bool answers;
+
+  _server_answer__isset __isset;
+
+  void __set_vm(const std::string& val);
+
+  void __set_answers(const bool val);
+
+  bool operator == (const server_answer & rhs) const
+  {
+    if (!(vm == rhs.vm))
+      return false;
+    if (!(answers == rhs.answers))
+      return false;
+    return true;
+  }
+  bool operator != (const server_answer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const server_answer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(server_answer &a, server_answer &b);
+
+std::ostream& operator<<(std::ostream& out, const server_answer& obj);
+
 typedef struct _frame__isset {
-  _frame__isset() : version(false), deployment(false), kind(false), sender(false), boot(false), incarnation(false), sequence(false), sent_ms(false), target(false), subject(false), member_digest(false), config(false), members(false), tickets(false), demands(false), leavings(false), confirmations(false), request(false), reply(false), notices(false), keys_wanted(false), keys(false) {}
+  _frame__isset() : version(false), deployment(false), kind(false), sender(false), boot(false), incarnation(false), sequence(false), sent_ms(false), target(false), subject(false), member_digest(false), config(false), members(false), tickets(false), demands(false), leavings(false), confirmations(false), request(false), reply(false), notices(false), keys_wanted(false), keys(false), question(false), opinion(false) {}
   bool version :1;
   bool deployment :1;
   bool kind :1;
@@ -936,6 +1042,8 @@
   bool notices :1;
   bool keys_wanted :1;
   bool keys :1;
+  bool question :1;
+  bool opinion :1;
 } _frame__isset;
 
 class frame : public virtual ::apache::thrift::TBase {
@@ -984,6 +1092,8 @@
   std::vector<key_notice>  notices;
   key_request keys_wanted;
   key_reply keys;
+  server_question question;
+  server_answer opinion;
 
   _frame__isset __isset;
 
@@ -1031,6 +1141,10 @@
 
   void __set_keys(const key_reply& val);
 
+  void __set_question(const server_question& val);
+
+  void __set_opinion(const server_answer& val);
+
   bool operator == (const frame & rhs) const
   {
     if (!(version == rhs.version))
@@ -1105,6 +1219,14 @@
       return false;
     else if (__isset.keys && !(keys == rhs.keys))
       return false;
+    if (__isset.question != rhs.__isset.question)
+      return false;
+    else if (__isset.question && !(question == rhs.question))
+      return false;
+    if (__isset.opinion != rhs.__isset.opinion)
+      return false;
+    else if (__isset.opinion && !(opinion == rhs.opinion))
+      return false;
     return true;
   }
   bool operator != (const frame &rhs) const {
--- a/peers/membership.cc
+++ b/peers/membership.cc
@@ -138,6 +138,7 @@
     take_rumors(now, stuck, frame, out);
     take_config(frame, out);
     take_keys(frame, out);
+    take_servers(frame, out);
     answer(now, frame, out);
     push_urgent(now, out);
     return out;
--- a/peers/membership.h
+++ b/peers/membership.h
@@ -76,7 +76,8 @@
     std::uint64_t boot = 0;
 };
 using membership_command =
-    std::variant<send_frame, member_changed, rumor_heard, config_message, key_message, superseded>;
+    std::variant<send_frame, member_changed, rumor_heard, config_message, key_message,
+                 server_message, superseded>;
 using membership_commands = std::vector<membership_command>;
 
 class membership_core {
@@ -93,6 +94,7 @@
                                          bool platform_lost);
     membership_commands send_config(time_point now, const node_id& to, const config_body& body);
     membership_commands send_keys(time_point now, const node_id& to, const key_body& body);
+    membership_commands send_server(time_point now, const node_id& to, const server_body& body);
     /// Asks `nodes` for a sign of life, and so for the revision that they have installed.
     membership_commands ask(time_point now, const std::vector<node_id>& nodes);
     /// Says goodbye.
@@ -145,6 +147,7 @@
     void take_config(const wire::frame& frame, membership_commands& out);
     void answer_sync(time_point now, const member& to, membership_commands& out);
     static void take_keys(const wire::frame& frame, membership_commands& out);
+    static void take_servers(const wire::frame& frame, membership_commands& out);
     void answer(time_point now, const wire::frame& frame, membership_commands& out);
     void update_self(time_point now);
     void push_urgent(time_point now, membership_commands& out);
--- a/peers/peer_service.cc
+++ b/peers/peer_service.cc
@@ -97,6 +97,7 @@
     std::function<void(const config_message&)> m_config_handler;
     std::function<void(const confirmation&)> m_confirmation_handler;
     std::function<void(const key_message&)> m_key_handler;
+    std::function<void(const server_message&)> m_server_handler;
 
 private:
     void carry_out(const send_frame& order)
@@ -132,6 +133,11 @@
         if (m_key_handler)
             m_key_handler(order);
     }
+    void carry_out(const server_message& order)
+    {
+        if (m_server_handler)
+            m_server_handler(order);
+    }
     void carry_out(const superseded& order)
     {
         if (m_superseded)
@@ -270,6 +276,16 @@
     m_state->run(m_state->m_core.send_keys(runtime_clock::now(), to, body));
 }
 
+void peer_service::on_servers(std::function<void(const server_message&)> handler)
+{
+    m_state->m_server_handler = std::move(handler);
+}
+
+void peer_service::send_server(const node_id& to, const server_body& body)
+{
+    m_state->run(m_state->m_core.send_server(runtime_clock::now(), to, body));
+}
+
 void peer_service::ask(const std::vector<node_id>& nodes)
 {
     m_state->run(m_state->m_core.ask(runtime_clock::now(), nodes));
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -84,6 +84,10 @@
     void on_keys(std::function<void(const key_message&)> handler);
     void send_keys(const node_id& to, const key_body& body);
 
+    // Second opinions on backend servers.
+    void on_servers(std::function<void(const server_message&)> handler);
+    void send_server(const node_id& to, const server_body& body);
+
     /// Asks nodes for a sign of life, and so for the revision that they have installed.
     void ask(const std::vector<node_id>& nodes);
 
--- a/peers/peers.thrift
+++ b/peers/peers.thrift
@@ -14,6 +14,8 @@
   config_reply = 8
   key_request = 9
   key_reply = 10
+  server_question = 11
+  server_answer = 12
 }
 
 enum member_state { alive = 1, suspect = 2, dead = 3, left = 4 }
@@ -113,6 +115,17 @@
   4: optional binary delta         // what changed in the head since the asker's base
 }
 
+// "Does this backend server answer you?"
+struct server_question {
+  1: string vm
+  2: string address
+}
+
+struct server_answer {
+  1: string vm
+  2: bool answers
+}
+
 struct frame {
   1: i8 version
   2: i32 deployment            // hash of the deployment's name
@@ -136,4 +149,6 @@
   20: optional list<key_notice> notices
   21: optional key_request keys_wanted
   22: optional key_reply keys
+  23: optional server_question question
+  24: optional server_answer opinion
 }
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -61,6 +61,18 @@
     return m_state->requests.size();
 }
 
+bool request_core::hears(const vm_id& instance, time_point now) const
+{
+    constexpr std::chrono::milliseconds moment{400}; // longer than the pauses of a sound engine
+    const target_table& targets = m_state->targets;
+    for (std::size_t at = 0; at < targets.size(); ++at) {
+        const target_row& row = targets.at(static_cast<target_row_index>(at));
+        if (row.present && row.info.instance == instance)
+            return row.own > 0 && !row.health.silent && now - row.heard < moment;
+    }
+    return false;
+}
+
 std::vector<target_status> request_core::targets() const
 {
     std::vector<target_status> all;
--- a/routing/request_core.h
+++ b/routing/request_core.h
@@ -114,6 +114,8 @@
     [[nodiscard]] const routing_counters& counters() const;
     [[nodiscard]] std::vector<target_status> targets() const;
     [[nodiscard]] std::vector<pool_status> pools() const;
+    /// Whether requests of this node at that server were answered a moment ago.
+    [[nodiscard]] bool hears(const vm_id& instance, time_point now) const;
     /// Requests that have no final command yet; 0 means that a stopping daemon may go.
     [[nodiscard]] std::size_t open_requests() const;
 
