--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -10,6 +10,10 @@
 
 #include <set>
 
+// Two nodes of a failure domain watch and tell the others at once what is new, and that they are
+// still there; a node that hears from neither watches itself until it does. A watch that waits is a
+// call, so the calls grow with the failure domains and not with the nodes.
+//
 // The feed reads everything once and then watches. After an error it goes on watching from the last
 // revision seen; only if the store has dropped that history does it read everything anew and work
 // out what is gone. What it learns it also tells its peers (peers/key_relay.h), so that a node that
@@ -28,6 +32,11 @@
 constexpr duration shortest_pause = std::chrono::milliseconds{50};
 constexpr duration longest_pause = std::chrono::milliseconds{800};
 constexpr duration watch_wait = std::chrono::seconds{10};
+/// Between two pushes of a watcher that has nothing new, and how long another node waits for one
+/// before it watches itself: three pushes, well within the time in which a leaving runner must be
+/// known everywhere.
+constexpr duration push_interval = std::chrono::milliseconds{400};
+constexpr duration longest_untold = std::chrono::milliseconds{1'300};
 /// For living runners to be back in the registry once the store answers again.
 constexpr duration return_grace = std::chrono::milliseconds{2'200};
 /// A store that failed for shorter has let no lease lapse: runners write each second or so.
@@ -50,7 +59,10 @@
         const auto self = shared_from_this();
         duration pause = shortest_pause;
         while (!stopped) {
-            const bool worked = co_await read_or_watch();
+            bool worked = true;
+            if (should_watch()) {
+                worked = co_await read_or_watch();
+            }
             if (stopped)
                 break;
             pause = worked ? shortest_pause : std::min(pause * 2, longest_pause);
@@ -70,11 +82,17 @@
     {
         if (m_members_version != peers.members_version())
             members_changed();
-        carry_out(relay.tick(runtime_clock::now()));
+        const time_point now = runtime_clock::now();
+        carry_out(relay.tick(now));
         drop_overdue();
         end_batch();
+        if (current && now - m_pushed >= push_interval)
+            push(now);
     }
 
+    /// A neighbour that watches says so, with what is new or with nothing.
+    void told() { m_told = runtime_clock::now(); }
+
     void carry_out(const key_relay_commands& commands)
     {
         for (const key_relay_command& command : commands)
@@ -97,6 +115,19 @@
     bool current = false;
 
 private:
+    /// The chosen watchers of the failure domain, and whoever hears nothing from one.
+    [[nodiscard]] bool should_watch() const
+    {
+        return m_revision == 0 || relay.watching() ||
+               runtime_clock::now() - m_told > longest_untold;
+    }
+
+    void push(time_point now)
+    {
+        m_pushed = now;
+        carry_out(relay.push());
+    }
+
     /// True if the store answered.
     net::awaitable<bool> read_or_watch()
     {
@@ -170,6 +201,11 @@
             m_revision = std::max(m_revision, batch.value().revision);
             set_current(true);
             end_batch();
+            push(runtime_clock::now());
+            if (!should_watch()) {
+                set_current(false); // the watchers tell from now on
+                co_return true;
+            }
         }
         co_return false;
     }
@@ -233,7 +269,11 @@
         carry_out(relay.members_changed(own, all));
     }
 
-    void carry_out(const watch_keys& /*order*/) {} // every node watches; see docs/design-platform.md
+    void carry_out(const watch_keys& order)
+    {
+        if (order.on)
+            m_pause.cancel();
+    }
     void carry_out(const tell_keys& order) { peers.send_keys(order.to, order.body); }
     void carry_out(const announce_key& order) { peers.publish(order.notice); }
     void carry_out(const take_key& order)
@@ -306,6 +346,8 @@
     }
 
     timer m_pause;
+    time_point m_pushed;
+    time_point m_told; ///< when a watcher of this failure domain was heard last
     std::uint64_t m_members_version = 0;
     std::int64_t m_revision = 0; ///< seen last; 0: everything has to be read
     bool m_news = false;
@@ -323,6 +365,8 @@
         const auto self = weak.lock();
         if (!self || self->stopped)
             return;
+        if (std::holds_alternative<key_reply>(message.body))
+            self->told();
         self->carry_out(self->relay.heard(runtime_clock::now(), message));
         self->end_batch();
     });
--- a/peers/key_relay.cc
+++ b/peers/key_relay.cc
@@ -53,7 +53,8 @@
         if (watcher != m_settings.self)
             m_watchers.push_back(watcher);
     }
-    m_peers = without(own_domain, m_settings.self);
+    m_neighbours = without(own_domain, m_settings.self);
+    m_peers = m_neighbours;
     if (m_peers.empty())
         m_peers = without(all, m_settings.self);
     key_relay_commands out;
@@ -88,8 +89,32 @@
 {
     key_relay_commands out;
     m_synced = true;
-    if (take(entry, out))
+    if (take(entry, out)) {
+        m_fresh.push_back(entry);
         out.emplace_back(announce_key{{wire_key(entry.key), entry.revision, duration{0}}});
+    }
+    return out;
+}
+
+key_relay_commands key_relay_core::push()
+{
+    key_relay_commands out;
+    // Split by size, so that the first reading of everything fits into frames.
+    std::vector<key_reply> parts(1);
+    std::size_t bytes = 0;
+    for (relayed_key& entry : std::exchange(m_fresh, {})) {
+        const std::size_t size = entry.key.size() + entry.value.size() + entry_overhead;
+        if (bytes + size > m_settings.reply_bytes && !parts.back().entries.empty()) {
+            parts.emplace_back();
+            bytes = 0;
+        }
+        bytes += size;
+        parts.back().entries.push_back(std::move(entry));
+    }
+    for (const node_id& neighbour : m_neighbours) {
+        for (const key_reply& part : parts)
+            out.emplace_back(tell_keys{neighbour, part});
+    }
     return out;
 }
 
--- a/peers/key_relay.h
+++ b/peers/key_relay.h
@@ -69,6 +69,9 @@
     key_relay_commands members_changed(const std::vector<node_id>& own_domain,
                                        const std::vector<node_id>& all);
     key_relay_commands learned(time_point now, const relayed_key& entry);
+    /// Tells every node of the own failure domain at once what was learned since the last call, or
+    /// just that there was nothing: one that is told need not watch.
+    key_relay_commands push();
     key_relay_commands noticed(time_point now, const key_notice& notice);
     key_relay_commands heard(time_point now, const key_message& message);
 
@@ -91,6 +94,8 @@
     std::map<std::uint32_t, std::string> m_names;   ///< of m_keys by their hash
     std::map<std::uint32_t, std::int64_t> m_behind; ///< noticed, not had yet
     std::vector<node_id> m_watchers;                ///< of our failure domain, but us
+    std::vector<node_id> m_neighbours;              ///< all of our failure domain, but us
+    std::vector<relayed_key> m_fresh;               ///< learned since the last push
     std::vector<node_id> m_peers;                   ///< whom to ask: our domain's, else anyone
     bool m_watching = false;
     bool m_synced = false; ///< a peer or the platform has answered once
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -30,6 +30,18 @@
 /// Sendings that certainly did not run may be repeated at least this often, whatever the route.
 constexpr std::uint32_t least_safe_retries = 2;
 
+/// Of a request that may run on several servers; beyond that something else is wrong.
+constexpr std::uint32_t most_sendings = 4;
+
+/// Whether the sending counts as one of the servers that a request ran on. A connection that ended
+/// before any part of an answer most likely means that the server is gone, and it with its work.
+bool ran_for_sure(const request_row& row, attempt_failure reason)
+{
+    if (!row.attempt.sent || reason == attempt_failure::refused_did_not_run)
+        return false;
+    return reason != attempt_failure::cut || row.attempt.first_part_in;
+}
+
 double seconds(duration span)
 {
     return std::chrono::duration<double>(span).count();
@@ -206,9 +218,14 @@
     const bool certainly_not = reason == attempt_failure::refused_did_not_run ||
                                (reason == attempt_failure::not_connected && !row.attempt.sent);
     const bool may_have_run_now = row.may_have_run || (row.attempt.sent && !certainly_not);
-    const std::uint32_t runs = row.runs + (row.attempt.sent && !certainly_not ? 1 : 0);
-    if (row.terms.most_servers > 0 && runs >= row.terms.most_servers)
-        return false;
+    if (row.terms.most_servers > 0) {
+        // Sendings that did not run use up none of the servers that it may run on.
+        const std::uint32_t runs = row.runs + (ran_for_sure(row, reason) ? 1 : 0);
+        if (runs >= row.terms.most_servers || row.retries_used >= most_sendings)
+            return false;
+        if (row.head_given)
+            return row.terms.resumable;
+    }
     if (row.head_given)
         return row.terms.resumable && row.retries_used < std::max(1U, row.terms.retries);
     if (row.attempt.sent && !row.info.body_kept)
@@ -235,10 +252,9 @@
     const bool again = may_send_again(row, reason);
     const bool certainly_not = reason == attempt_failure::refused_did_not_run ||
                                (reason == attempt_failure::not_connected && !row.attempt.sent);
-    if (row.attempt.sent && !certainly_not) {
-        row.may_have_run = true;
+    if (ran_for_sure(row, reason))
         ++row.runs;
-    }
+    row.may_have_run = row.may_have_run || (row.attempt.sent && !certainly_not);
     pool_row& pool = pools.at(row.terms.pool);
     if (end == attempt_end::failed && reason != attempt_failure::refused_did_not_run &&
         reason != attempt_failure::version_changed)
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -327,7 +327,7 @@
 void request_core::state::find_silent(time_point now, command_list& out)
 {
     constexpr double times_usual = 4.0;
-    constexpr std::chrono::milliseconds shortest{250}; // for the network and this node's own turns
+    constexpr std::chrono::milliseconds shortest{300}; // for the network and this node's own turns
     constexpr std::chrono::milliseconds longest{1'500};
     constexpr std::chrono::seconds trial{1};
     for (pool_index index = 0; index < pools.size(); ++index) {
