--- a/groups/allot.cc
+++ b/groups/allot.cc
@@ -1,12 +1,13 @@
-// Worth: for each model the logarithm of its groups, weighted by its part of the work. That makes
-// the first groups of a model worth most, and at the optimum each model has its part of the
-// runners. Added to it are a little for each runner left over, which makes a broken group whole
-// again in a moment, and for each failure domain that has a model of its own, since it may be cut
-// off.
+// Worth: for each model the logarithm of its groups, weighted by its part of the work, damped. That
+// makes the first groups of a model worth most and gives each model runners after its part. Added
+// to it is a little for the runners left over, each of which makes a broken group whole again in a
+// moment (under a loss of two members each three seconds about one runner in nine left over served
+// best), and for each failure domain that has a model of its own, since it may be cut off.
 //
-// Search: every domain starts with the fill that leaves the fewest runners over, then one domain at
-// a time takes the fill that makes the whole worth most, until none can be bettered. With six or
-// eight domains that is the optimum in every case that the tests enumerate.
+// Search: every domain starts with the fill that leaves the fewest runners over; then single
+// domains and pairs of them take the fills that make the whole worth more, until none can be
+// bettered. Pairs are needed, since giving a group of one model for one of the other often takes
+// two domains. That is the optimum in every case that the tests enumerate.
 #include "groups/allot.h"
 
 #include <cmath>
@@ -15,10 +16,10 @@
 
 namespace {
 
-constexpr double spare_worth = 0.06;     ///< of one runner left over, against a doubling at 0.69
+constexpr double spare_worth = 0.26;     ///< of the logarithm of the runners left over
 constexpr double own_model_worth = 0.05; ///< of a failure domain's first group of a model
-constexpr std::size_t most_rounds = 50; ///< of the search; it ends by itself long before
-constexpr double least_gain = 1e-9;     ///< less is rounding
+constexpr std::size_t most_rounds = 50;  ///< of the search; it ends by itself long before
+constexpr double least_gain = 1e-9;      ///< less is rounding
 
 /// All fills of `runners` to which no further group can be added.
 void enumerate(const std::vector<pool>& pools, std::size_t index, std::uint32_t left,
@@ -48,11 +49,13 @@
     return sum;
 }
 
-/// The model's part of the work, which is in runners, not in groups.
-double work_of(const pool& kind)
+/// What the groups of a model weigh. The square root lies between equal weights and the model's
+/// part of the work: a model with little work needs more beyond it, since few groups fill up by
+/// chance and miss each one that is lost (square-root staffing).
+double weight_of(const pool& kind)
 {
     constexpr double least_share = 0.01;
-    return std::max(kind.forming.share, least_share);
+    return std::sqrt(std::max(kind.forming.share, least_share));
 }
 
 } // namespace
@@ -63,6 +66,7 @@
     constexpr double almost_none = 0.1; // so that a model without a group counts badly, not -inf
     std::vector<double> groups(pools.size(), 0.0);
     std::map<failure_domain_id, std::vector<bool>> has_own;
+    double spares = 0.0;
     double worth = 0.0;
     for (const auto& [domain, counts] : given) {
         const domain_room& room = rooms.at(domain);
@@ -72,13 +76,14 @@
             groups[index] += counts[index];
             own[index] = own[index] || counts[index] > 0;
         }
-        worth += spare_worth * (room.runners - runners_in(counts, pools));
+        spares += room.runners - runners_in(counts, pools);
     }
+    worth += spare_worth * std::log(spares + almost_none);
     double sum = 0.0;
     for (const pool& kind : pools)
-        sum += work_of(kind);
+        sum += weight_of(kind);
     for (std::size_t index = 0; index < pools.size(); ++index)
-        worth += work_of(pools[index]) / sum * static_cast<double>(pools.size()) *
+        worth += weight_of(pools[index]) / sum * static_cast<double>(pools.size()) *
                  std::log(groups[index] + almost_none);
     for (const auto& [domain, own] : has_own)
         worth += own_model_worth * static_cast<double>(std::count(own.begin(), own.end(), true));
