Logs on standard output, bounded and never waited for; one line for each decision on a request

Cause: engineers have only logs and metrics when a user complains, and there was no line about a request.

--- a/base/log.cc
+++ b/base/log.cc
@@ -1,50 +1,118 @@
 #include "base/log.h"
 
 #include "base/clock.h"
+#include "base/log_buffer.h"
 
 #include <glog/logging.h>
 
-#include <cstdio>
 #include <mutex>
+#include <poll.h>
+#include <unistd.h>
 
-// log_event hands glog a finished JSON object; the sink adds time, level and source to it. Lines
-// that are not ours (a library's) are wrapped. One write per line keeps lines of threads whole.
+// Our lines and, through a sink, those that libraries write with glog go into one bounded buffer, which
+// is written out as far as standard output takes it without a wait. A pipe that poll calls writable takes PIPE_BUF bytes at
+// once (POSIX, write), so that the descriptor's own flags, which it shares with others, stay as they
+// are.
 
 namespace jaynotch {
 
 namespace {
 
-constexpr std::string_view event_mark = "\x01";
+constexpr std::size_t pipe_write = 4096;   // PIPE_BUF on Linux
+constexpr std::size_t flush_from = 8 * 1024; // held bytes that are worth a system call
+constexpr int last_wait_ms = 100;          // for a reader at the process's end
 
-class json_sink final : public google::LogSink {
+/// The one log of a process.
+class log_output {
 public:
-    json_sink(std::string_view program, std::string_view instance)
-        : m_program{program}, m_instance{instance}
-    {}
+    void begin(std::string_view program, std::string_view instance)
+    {
+        const std::lock_guard lock{m_mutex};
+        m_program = program;
+        m_instance = instance;
+    }
 
-    void send(google::LogSeverity severity, const char* /*full_filename*/,
-              const char* base_filename, int line, const google::LogMessageTime& /*time*/,
-              const char* message, std::size_t message_len) override
+    void add(log_level level, std::string_view kind, boost::json::object fields)
+    {
+        const std::lock_guard lock{m_mutex};
+        put(level, kind, std::move(fields));
+        if (!m_timed || level != log_level::info || m_lines.held() >= flush_from)
+            write_out(0);
+    }
+
+    void flush_by_timer() { m_timed = true; }
+
+    void flush(int wait_ms)
+    {
+        const std::lock_guard lock{m_mutex};
+        std::map<std::string, std::uint64_t> dropped = m_lines.take_dropped();
+        if (!dropped.empty()) {
+            boost::json::object counts;
+            for (const auto& [kind, count] : dropped)
+                counts[kind] = count;
+            put(log_level::warning, "log_dropped", {{"lines", std::move(counts)}});
+        }
+        write_out(wait_ms);
+    }
+
+    [[nodiscard]] std::uint64_t dropped()
+    {
+        const std::lock_guard lock{m_mutex};
+        return m_lines.dropped();
+    }
+
+private:
+    void put(log_level level, std::string_view kind, boost::json::object fields)
     {
-        const std::string_view text{message, message_len};
         boost::json::object entry;
         entry["ts_ms"] = wall_time_ms();
-        entry["level"] = to_name(level_of(severity));
+        entry["level"] = to_name(level);
         entry["program"] = m_program;
         entry["instance"] = m_instance;
-        if (text.starts_with(event_mark)) {
-            const boost::json::value parsed = boost::json::parse(text.substr(event_mark.size()));
-            for (const auto& member : parsed.as_object())
-                entry[member.key()] = member.value();
-        }
-        else {
-            entry["kind"] = "library";
-            entry["source"] = std::string{base_filename} + ":" + std::to_string(line);
-            entry["message"] = text;
+        entry["kind"] = kind;
+        for (auto& field : fields)
+            entry[field.key()] = std::move(field.value());
+        m_lines.add(level, kind, boost::json::serialize(entry) + "\n", runtime_clock::now());
+    }
+
+    void write_out(int wait_ms)
+    {
+        for (std::string_view next = m_lines.front(pipe_write); !next.empty();
+             next = m_lines.front(pipe_write))
+        {
+            pollfd out{STDOUT_FILENO, POLLOUT, 0};
+            if (poll(&out, 1, wait_ms) <= 0 || (out.revents & POLLOUT) == 0)
+                return; // its reader is slow or gone: what does not fit is dropped and counted
+            const ssize_t written = write(STDOUT_FILENO, next.data(), next.size());
+            if (written <= 0)
+                return;
+            m_lines.consume(static_cast<std::size_t>(written));
         }
-        const std::string rendered = boost::json::serialize(entry) + "\n";
-        const std::lock_guard lock{m_mutex};
-        std::fwrite(rendered.data(), 1, rendered.size(), stderr);
+    }
+
+    std::mutex m_mutex;
+    std::string m_program;
+    std::string m_instance;
+    log_buffer m_lines{log_limits{}};
+    bool m_timed = false;
+};
+
+log_output& output()
+{
+    static log_output made;
+    return made;
+}
+
+class json_sink final : public google::LogSink {
+public:
+    void send(google::LogSeverity severity, const char* /*full_filename*/,
+              const char* base_filename, int line, const google::LogMessageTime& /*time*/,
+              const char* message, std::size_t message_len) override
+    {
+        const std::string_view text{message, message_len};
+        output().add(level_of(severity), "library",
+                     {{"source", std::string{base_filename} + ":" + std::to_string(line)},
+                      {"message", text}});
     }
 
 private:
@@ -54,10 +122,6 @@
             return log_level::info;
         return severity == google::GLOG_WARNING ? log_level::warning : log_level::error;
     }
-
-    std::mutex m_mutex;
-    std::string m_program;
-    std::string m_instance;
 };
 
 } // namespace
@@ -70,28 +134,37 @@
     google::InitGoogleLogging(name.c_str());
     for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity)
         google::SetLogDestination(severity, "");
-    static json_sink sink{program, instance};
+    static json_sink sink;
+    output().begin(program, instance);
     google::AddLogSink(&sink);
 }
 
 void log_event(log_level level, std::string_view kind, std::initializer_list<log_field> fields)
 {
     boost::json::object entry;
-    entry["kind"] = kind;
     for (const log_field& field : fields)
         entry[field.name] = field.value;
-    const std::string text = std::string{event_mark} + boost::json::serialize(entry);
-    switch (level) {
-    case log_level::info:
-        LOG(INFO) << text;
-        break;
-    case log_level::warning:
-        LOG(WARNING) << text;
-        break;
-    case log_level::error:
-        LOG(ERROR) << text;
-        break;
-    }
+    output().add(level, kind, std::move(entry));
+}
+
+void flush_log_by_timer()
+{
+    output().flush_by_timer();
+}
+
+void flush_log()
+{
+    output().flush(0);
+}
+
+void end_log()
+{
+    output().flush(last_wait_ms);
+}
+
+std::uint64_t log_lines_dropped()
+{
+    return output().dropped();
 }
 
 } // namespace jaynotch
--- a/base/log.h
+++ b/base/log.h
@@ -1,16 +1,18 @@
-// Logs: one JSON object a line on standard error, written by a glog sink.
+// Logs: one JSON object a line on standard output. Their volume is bounded and writing them never
+// waits (base/log_buffer.h); lines of libraries that log through glog come along.
 //
 //   install_json_log("jaynotchd", "entry-1");
 //   log_event(log_level::info, "config_installed", {{"revision", 7}, {"rows", 3}});
 //
 // The kind is a fixed word that docs/OPERATIONS.md lists; what varies goes into the fields.
-// Lines of libraries that log through glog come out with the kind "library".
+// Lines of libraries come out with the kind "library".
 #pragma once
 
 #include "base/names.h"
 
 #include <boost/json.hpp>
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -46,4 +48,13 @@
 /// Writes one line.
 void log_event(log_level level, std::string_view kind, std::initializer_list<log_field> fields);
 
+/// From now on routine lines wait for flush_log, which the process calls some times a second; warnings
+/// and errors still go out at once.
+void flush_log_by_timer();
+/// Writes out what standard output takes now, and a line that says what was dropped, by kind.
+void flush_log();
+/// The same at the process's end, where a slow reader is waited for a moment.
+void end_log();
+std::uint64_t log_lines_dropped();
+
 } // namespace jaynotch
--- /dev/null
+++ b/base/log_buffer.cc
@@ -0,0 +1,74 @@
+#include "base/log_buffer.h"
+
+#include <algorithm>
+
+namespace jaynotch {
+
+log_buffer::log_buffer(log_limits limits) : m_limits{limits}
+{
+    m_routine.tokens = limits.routine_bytes_s * limits.burst_s;
+    m_urgent.tokens = limits.urgent_bytes_s * limits.burst_s;
+}
+
+bool log_buffer::pay(lane& of, double rate, std::size_t bytes, time_point now) const
+{
+    if (of.filled != time_point{}) {
+        const double passed = std::chrono::duration<double>(now - of.filled).count();
+        of.tokens = std::min(rate * m_limits.burst_s, of.tokens + passed * rate);
+    }
+    of.filled = now;
+    if (of.tokens < static_cast<double>(bytes))
+        return false;
+    of.tokens -= static_cast<double>(bytes);
+    return true;
+}
+
+bool log_buffer::add(log_level level, std::string_view kind, std::string line, time_point now)
+{
+    const bool routine = level == log_level::info;
+    lane& into = routine ? m_routine : m_urgent;
+    const std::size_t size = line.size();
+    const bool room = held() + size <= m_limits.held_bytes &&
+                      (!routine || m_routine.bytes + size <= m_limits.held_routine_bytes);
+    const double rate = routine ? m_limits.routine_bytes_s : m_limits.urgent_bytes_s;
+    if (!room || !pay(into, rate, size, now)) {
+        ++m_dropped[std::string{kind}];
+        ++m_dropped_in_all;
+        return false;
+    }
+    into.bytes += size;
+    into.lines.push_back(std::move(line));
+    return true;
+}
+
+std::string_view log_buffer::front(std::size_t most)
+{
+    // A line that was begun is ended first, or it would be mixed with another.
+    if (m_current == nullptr)
+        m_current = !m_urgent.lines.empty() ? &m_urgent : &m_routine;
+    if (m_current->lines.empty()) {
+        m_current = nullptr;
+        return {};
+    }
+    return std::string_view{m_current->lines.front()}.substr(m_written, most);
+}
+
+void log_buffer::consume(std::size_t written)
+{
+    if (m_current == nullptr)
+        return;
+    m_written += written;
+    m_current->bytes -= std::min(written, m_current->bytes);
+    if (m_written < m_current->lines.front().size())
+        return;
+    m_current->lines.pop_front();
+    m_current = nullptr;
+    m_written = 0;
+}
+
+std::map<std::string, std::uint64_t> log_buffer::take_dropped()
+{
+    return std::exchange(m_dropped, {});
+}
+
+} // namespace jaynotch
--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -78,7 +78,7 @@
     def spawn(self, name, command):
         log = open(os.path.join(self.folder, name + ".log"), "w")
         child = subprocess.Popen([os.path.join(self.build, command[0])] + command[1:], stderr=log,
-                                 stdout=subprocess.DEVNULL)
+                                 stdout=log)
         self.children.append(child)
         return child
 
--- a/daemon/jaynotchd_main.cc
+++ b/daemon/jaynotchd_main.cc
@@ -63,7 +63,10 @@
     watch_hangups(hangups, [&] { reload(*running); });
     running->on_superseded(end);
     running->start();
+    if (settings.form == source_form::registry)
+        flush_log_by_timer(); // it flushes several times a second
     io.run();
+    end_log();
     return 0;
 }
 
--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -84,6 +84,8 @@
     Gauge& members = gauge(registry, "jaynotch_live_members", "Daemons alive, this one included");
     Gauge& peer_bytes = gauge(registry, "jaynotch_peer_sent_bytes", "Bytes sent to daemons");
     Gauge& kv_calls = gauge(registry, "jaynotch_kv_calls", "Calls on the key-value service");
+    Gauge& log_dropped =
+        gauge(registry, "jaynotch_log_lines_dropped", "Log lines dropped, over budget or unread");
     Gauge& dropped = gauge(registry, "jaynotch_spans_dropped", "Spans dropped, the buffer full");
 };
 
@@ -139,6 +141,7 @@
     all.members.Set(static_cast<double>(now.members));
     all.peer_bytes.Set(static_cast<double>(now.peer_bytes_sent));
     all.kv_calls.Set(static_cast<double>(now.kv_calls));
+    all.log_dropped.Set(static_cast<double>(now.log_lines_dropped));
     all.dropped.Set(static_cast<double>(now.spans_dropped));
     return prometheus::TextSerializer{}.Serialize(all.registry.Collect());
 }
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -37,6 +37,7 @@
     std::uint64_t peer_bytes_sent = 0;
     std::uint64_t kv_calls = 0;
     std::uint64_t spans_dropped = 0;
+    std::uint64_t log_lines_dropped = 0;
 };
 
 class metrics {
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -293,6 +293,7 @@
                 co_return;
             feed->tick();
             managers->tick();
+            flush_log();
             if (runtime_clock::now() < next_second)
                 continue;
             next_second = runtime_clock::now() + second;
@@ -350,6 +351,7 @@
         now.peer_bytes_sent = peers->counters().bytes_sent;
         now.kv_calls = kv.counts().total();
         now.spans_dropped = spans->dropped();
+        now.log_lines_dropped = log_lines_dropped();
         const std::string page = counted.render(now);
         co_await exchange.answer(http::status::ok, text_type, page);
     }
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -48,7 +48,8 @@
 relay_request::way::way(relay_services& services, http_exchange& exchange, asked_request asked)
     : m_services{services}, m_exchange{exchange}, m_asked{std::move(asked)}, m_attempt_ended{
                                                                                  services.io,
-                                                                                 time_point::max()}
+                                                                                 time_point::max()},
+      m_log{m_asked.facts ? m_asked.facts->attempt : std::string{}, m_asked.arrived}
 {}
 
 net::awaitable<void> relay_request::way::run()
@@ -62,6 +63,8 @@
         driver.handle(caller_gone{id});
     };
     m_admission = m_services.spans.begin("admission", span_kind::internal, m_asked.caller.context);
+    if (m_asked.facts)
+        m_log.admitted(m_asked.info, *m_asked.facts);
     m_services.driver.handle(request_arrived{m_asked.info});
     m_exchange.watch_caller(gone, m_asked.model.has_value() || m_asked.facts.has_value());
     bool done = false;
@@ -85,6 +88,7 @@
     if (const auto* order = std::get_if<send_attempt>(&wanted)) {
         const auto attempt = std::make_shared<attempt_state>();
         attempt->order = *order;
+        m_log.sent(*order);
         m_attempts.emplace(order->attempt, attempt);
     }
     else if (const auto* order_deliver = std::get_if<deliver>(&wanted)) {
@@ -160,6 +164,7 @@
     bool fine = true;
     if (m_held) {
         first_byte();
+        m_status = m_held->status;
         fine = co_await m_exchange.begin(m_held->status, m_held->headers, m_held->body.size());
         if (fine) {
             fine = co_await m_exchange.write(m_held->body);
@@ -171,6 +176,10 @@
     if (fine) {
         fine = co_await m_exchange.finish();
     }
+    if (fine)
+        m_log.finished(static_cast<unsigned>(m_status), m_events, m_first_after);
+    else
+        m_log.abandoned(m_sent, m_events);
     ended(fine ? outcome::answered : outcome::abandoned);
 }
 
@@ -178,6 +187,8 @@
 {
     m_services.counted.refused(wanted.failure.kind);
     const refusal shown = shown_to_caller(wanted);
+    m_log.refused(wanted, static_cast<unsigned>(
+                              shown.status.value_or(status_of(shown.failure.kind))));
     co_await m_exchange.refuse(shown);
     ended(outcome::refused);
 }
@@ -192,6 +203,7 @@
 
 net::awaitable<void> relay_request::way::end_cut(const end_truncated& wanted)
 {
+    m_log.cut(wanted.failure, m_events);
     if (m_writing) {
         m_exchange.abort();
     }
@@ -208,6 +220,7 @@
 
 net::awaitable<void> relay_request::way::forget_caller()
 {
+    m_log.abandoned(m_sent, m_events);
     if (!m_asked.facts && !m_exchange.begun() && m_exchange.half_closed() && !m_writing) {
         const refusal shown{.failure = {error_kind::cancelled,
                                         "the connection's sending half was closed before the "
@@ -250,7 +263,8 @@
 
 void relay_request::way::first_byte()
 {
-    m_services.counted.first_byte(runtime_clock::now() - m_asked.arrived);
+    m_first_after = runtime_clock::now() - m_asked.arrived;
+    m_services.counted.first_byte(m_first_after);
 }
 
 void relay_request::way::tell_slow_caller()
--- a/daemon/relay_attempt.cc
+++ b/daemon/relay_attempt.cc
@@ -254,6 +254,7 @@
 {
     attempt.hop.failed = true;
     attempt.hop.set("jaynotch.failure", to_name(reason));
+    m_log.attempt_ended(attempt.order, to_name(reason), attempt.sent);
     m_services.driver.handle(attempt_failed{m_inbox->id(), attempt.order.attempt, reason});
 }
 
@@ -308,6 +309,7 @@
     const bool fine = co_await hand_on(attempt, events);
     if (!fine)
         co_return false;
+    m_events += count;
     m_services.counts.tokens_relayed += count;
     m_services.counted.tokens(count);
     m_services.driver.handle(attempt_progress{m_inbox->id(), attempt.order.attempt, count});
--- a/daemon/relay_way.h
+++ b/daemon/relay_way.h
@@ -3,6 +3,7 @@
 
 #include "daemon/daemon.h"
 #include "daemon/relay.h"
+#include "daemon/request_log.h"
 
 namespace jaynotch {
 
@@ -93,6 +94,10 @@
     timer m_attempt_ended;
     std::size_t m_running = 0;
     std::optional<std::uint64_t> m_last_event; ///< given to the caller, of a forwarded stream
+    request_log m_log;
+    http::status m_status = http::status::ok; ///< of the answer begun
+    std::uint64_t m_events = 0;               ///< handed to the caller
+    duration m_first_after{0};                ///< from the arrival to the first byte
     bool m_streaming_events = false;
     bool m_writing = false;
     bool m_sent = false; ///< some attempt may have reached a backend server
--- /dev/null
+++ b/daemon/request_log.cc
@@ -0,0 +1,119 @@
+#include "daemon/request_log.h"
+
+// Refusals, cuts and failed sendings are warnings: they are what an engineer looks for, and they are
+// kept when routine lines have to be dropped.
+
+namespace jaynotch {
+
+namespace {
+
+std::int64_t to_ms(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+} // namespace
+
+request_log::request_log(std::string request, time_point arrived)
+    : m_request{std::move(request)}, m_arrived{arrived}
+{}
+
+std::int64_t request_log::age_ms() const
+{
+    return to_ms(runtime_clock::now() - m_arrived);
+}
+
+void request_log::admitted(const request_info& info, const call_facts& facts) const
+{
+    if (m_request.empty())
+        return;
+    log_event(log_level::info, "request_admitted",
+              {{"request", m_request},
+               {"method", info.method},
+               {"host", info.host},
+               {"path", info.path},
+               {"model", info.model},
+               {"prompt_tokens", info.prompt_tokens},
+               {"patience_ms", facts.patience ? facts.patience->count() : -1},
+               {"after_event", facts.after_event.value_or(0)}});
+}
+
+void request_log::sent(const send_attempt& order) const
+{
+    if (m_request.empty())
+        return;
+    const pick_basis& basis = order.basis;
+    log_event(log_level::info, order.resume ? "request_resumed" : "request_sent",
+              {{"request", m_request},
+               {"sending", basis.sending},
+               {"target", order.target.value()},
+               {"server", order.instance.value()},
+               {"workspace", order.workspace.value()},
+               {"waited_ms", basis.waited_ms},
+               {"own", basis.own},
+               {"others", basis.others},
+               {"load_age_ms", basis.load_age_ms},
+               {"predicted_ms", basis.predicted_ms},
+               {"candidates", basis.candidates}});
+}
+
+void request_log::attempt_ended(const send_attempt& order, std::string_view reason, bool sent) const
+{
+    if (m_request.empty())
+        return;
+    log_event(log_level::warning, "attempt_failed",
+              {{"request", m_request},
+               {"sending", order.basis.sending},
+               {"target", order.target.value()},
+               {"server", order.instance.value()},
+               {"reason", reason},
+               {"sent", sent},
+               {"age_ms", age_ms()}});
+}
+
+void request_log::refused(const refuse& wanted, unsigned status) const
+{
+    if (m_request.empty())
+        return;
+    log_event(log_level::warning, "request_refused",
+              {{"request", m_request},
+               {"status", status},
+               {"kind_of_error", to_name(wanted.failure.kind)},
+               {"message", wanted.failure.message},
+               {"ran", to_name(wanted.ran)},
+               {"retry_after_ms", wanted.retry_after ? wanted.retry_after->count() : -1},
+               {"age_ms", age_ms()}});
+}
+
+void request_log::finished(unsigned status, std::uint64_t events, duration first_after) const
+{
+    if (m_request.empty())
+        return;
+    log_event(log_level::info, "request_finished",
+              {{"request", m_request},
+               {"status", status},
+               {"events", events},
+               {"first_ms", to_ms(first_after)},
+               {"age_ms", age_ms()}});
+}
+
+void request_log::cut(const error& why, std::uint64_t events) const
+{
+    if (m_request.empty())
+        return;
+    log_event(log_level::warning, "request_cut",
+              {{"request", m_request},
+               {"message", why.message},
+               {"events", events},
+               {"age_ms", age_ms()}});
+}
+
+void request_log::abandoned(bool sent, std::uint64_t events) const
+{
+    if (m_request.empty())
+        return;
+    log_event(log_level::info, "request_abandoned",
+              {{"request", m_request}, {"sent", sent}, {"events", events}, {"age_ms", age_ms()}});
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/daemon/request_log.h
@@ -0,0 +1,38 @@
+// The log's lines of one forwarded request: one for each decision that touches it, under the name that
+// its caller gave it.
+//
+//   request_log lines{facts.attempt};
+//   lines.sent(order);            // where to, and what that rested on
+//   lines.refused(wanted);        // why, and whether it may have run
+#pragma once
+
+#include "base/base.h"
+#include "outside/call_facts.h"
+#include "routing/routing.h"
+
+#include <string>
+#include <string_view>
+
+namespace jaynotch {
+
+class request_log {
+public:
+    /// Writes nothing for requests without a name.
+    request_log(std::string request, time_point arrived);
+
+    void admitted(const request_info& info, const call_facts& facts) const;
+    void sent(const send_attempt& order) const;
+    void attempt_ended(const send_attempt& order, std::string_view reason, bool sent) const;
+    void refused(const refuse& wanted, unsigned status) const;
+    void finished(unsigned status, std::uint64_t events, duration first_after) const;
+    void cut(const error& why, std::uint64_t events) const;
+    void abandoned(bool sent, std::uint64_t events) const;
+
+private:
+    [[nodiscard]] std::int64_t age_ms() const;
+
+    std::string m_request;
+    time_point m_arrived;
+};
+
+} // namespace jaynotch
--- a/deployments/demo.sh
+++ b/deployments/demo.sh
@@ -39,7 +39,7 @@
 
 step "stand-ins: key-value service, VM list, weight store, 50 runners, 3 plain servers"
 "$bin/jaynotch-standin" fleet --engines=50 --fabric_domains=6 --failure_domains="$domains" \
-    --plain=plain-1,plain-2,plain-3 --out="$work/fleet.json" 2>"$work/standin.log" &
+    --plain=plain-1,plain-2,plain-3 --out="$work/fleet.json" >"$work/standin.log" 2>&1 &
 pids+=($!); standin=$!
 wait_for 20 test -s "$work/fleet.json"
 kv=$(field "$work/fleet.json" kv) vms=$(field "$work/fleet.json" vms)
@@ -67,7 +67,7 @@
      exec "$bin/jaynotchd" --listen=127.0.0.1:$((port + n)) --peer_listen=127.0.0.1:$((port + 10 + n)) \
         --admin_listen=127.0.0.1:$((port + 20 + n)) --seed_peers="$seeds" --key_value="$kv" \
         --vm_list="$vms" --weight_store="$weights" --balancer_wait_ms=200 \
-        --trace_file="$work/$node.trace" 2>"$work/$node.log") &
+        --trace_file="$work/$node.trace" >"$work/$node.log" 2>&1) &
     pids+=($!); daemons+=($!)
     admins+="${admins:+,}127.0.0.1:$((port + 20 + n))"
     echo "$node: callers at 127.0.0.1:$((port + n)), admin at 127.0.0.1:$((port + 20 + n))"
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -153,6 +153,7 @@
     request_row& row = requests[info.id];
     row.info = std::move(info);
     row.phase = request_phase::claiming;
+    row.arrived = now;
     row.terms.pool = index;
     ++pools.at(row.terms.pool).requests;
     row.terms.adapter = taken->adapter;
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -139,11 +139,33 @@
     sent.workspace = row.info.workspace;
     sent.deadline = row.ends; // the server stops then; first events have a shorter patience
     sent.resume = row.head_given;
+    sent.basis = basis_of(row, target, now);
     out.emplace_back(std::move(sent));
     set_wake(row, next_check(row));
     return true;
 }
 
+pick_basis request_core::state::basis_of(const request_row& row, const target_row& target,
+                                         time_point now) const
+{
+    const pool_row& pool = pools.at(row.terms.pool);
+    pick_basis basis;
+    basis.sending = row.sendings;
+    basis.own = target.own - 1;
+    basis.others = target.load.others(pool.view.mean_others, now);
+    basis.load_age_ms = target.load.age_ms(now);
+    basis.candidates = pool.view.targets.size();
+    basis.waited_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - row.arrived).count();
+    if (pool.modelled()) {
+        const engine_work work{basis.own + basis.others, 0.0,
+                               static_cast<double>(target.pending_tokens)};
+        basis.predicted_ms =
+            first_event_ms(pool.info.engine, target.info.places, work, row.info.prompt_tokens);
+    }
+    return basis;
+}
+
 void request_core::state::requeue(request_row& row, time_point now)
 {
     if (row.tried.size() < most_tried)
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -67,6 +67,7 @@
     std::uint32_t retries_used = 0;
     std::vector<target_row_index> tried;
     attempt_row attempt;
+    time_point arrived;
     time_point deadline; ///< of the first byte, or of the resumption
     time_point queue_until; ///< modelled pools: refused if it has not been sent by then
     time_point first_by; ///< an answer that begins later is worth less; max if the route has none
@@ -114,6 +115,8 @@
     /// Whether the answer's head comes before the work is done, so that its absence says something.
     [[nodiscard]] bool head_comes_early(const request_row& row) const;
     target_row_index choose_target(request_row& row, time_point now);
+    [[nodiscard]] pick_basis basis_of(const request_row& row, const target_row& target,
+                                      time_point now) const;
     void requeue(request_row& row, time_point now);
     void queue_as_late(request_row& row);
     [[nodiscard]] static flow_key flow_of(const request_row& row);
--- a/routing/target_table.h
+++ b/routing/target_table.h
@@ -37,6 +37,12 @@
     /// The same without drawing, and how much it is worth, 0..1.
     [[nodiscard]] double reported_others() const { return m_others; }
     [[nodiscard]] double worth(time_point now) const;
+    /// Since the target made its report; -1 if there is none.
+    [[nodiscard]] std::int64_t age_ms(time_point now) const
+    {
+        return m_known ? std::chrono::duration_cast<std::chrono::milliseconds>(now - m_made).count()
+                       : -1;
+    }
     [[nodiscard]] std::uint32_t waiting() const { return m_waiting; }
     [[nodiscard]] std::uint32_t running() const { return m_running; }
 
