--- a/base/log.cc
+++ b/base/log.cc
@@ -4,23 +4,23 @@
 #include "base/log_buffer.h"
 
 #include <glog/logging.h>
-
-#include <mutex>
 #include <poll.h>
 #include <unistd.h>
 
-// Our lines and, through a sink, those that libraries write with glog go into one bounded buffer, which
-// is written out as far as standard output takes it without a wait. A pipe that poll calls writable takes PIPE_BUF bytes at
-// once (POSIX, write), so that the descriptor's own flags, which it shares with others, stay as they
-// are.
+#include <mutex>
+
+// Our lines and, through a sink, those that libraries write with glog go into one bounded buffer,
+// which is written out as far as standard output takes it without a wait. A pipe that poll calls
+// writable takes PIPE_BUF bytes at once (POSIX, write), so that the descriptor's own flags, which
+// it shares with others, stay as they are.
 
 namespace jaynotch {
 
 namespace {
 
-constexpr std::size_t pipe_write = 4096;   // PIPE_BUF on Linux
+constexpr std::size_t pipe_write = 4096;     // PIPE_BUF on Linux
 constexpr std::size_t flush_from = 8 * 1024; // held bytes that are worth a system call
-constexpr int last_wait_ms = 100;          // for a reader at the process's end
+constexpr int last_wait_ms = 100;            // for a reader at the process's end
 
 /// The one log of a process.
 class log_output {
--- a/base/log.h
+++ b/base/log.h
@@ -48,8 +48,8 @@
 /// Writes one line.
 void log_event(log_level level, std::string_view kind, std::initializer_list<log_field> fields);
 
-/// From now on routine lines wait for flush_log, which the process calls some times a second; warnings
-/// and errors still go out at once.
+/// From now on routine lines wait for flush_log, which the process calls some times a second;
+/// warnings and errors still go out at once.
 void flush_log_by_timer();
 /// Writes out what standard output takes now, and a line that says what was dropped, by kind.
 void flush_log();
--- a/base/log_buffer.h
+++ b/base/log_buffer.h
@@ -1,12 +1,13 @@
-// Log lines on their way out: bounded in bytes held and in bytes a second, the important ones first.
+// Log lines on their way out: bounded in bytes held and in bytes a second, the important ones
+// first.
 //
 //   log_buffer lines{log_limits{}};
 //   lines.add(log_level::info, "request_sent", text, now);   // false: dropped, and counted by kind
 //   const std::string_view next = lines.front(4096);          // whole lines in their order
 //   lines.consume(written);
 //
-// Warnings and errors go out before routine lines, and are held when those are dropped. A reader that
-// takes nothing costs its lines, never a wait.
+// Warnings and errors go out before routine lines, and are held when those are dropped. A reader
+// that takes nothing costs its lines, never a wait.
 #pragma once
 
 #include "base/clock.h"
@@ -23,11 +24,11 @@
 /// What the log may take. A node that answers 40 requests a second writes about 40 KB/s of routine
 /// lines; a day of a busy fleet must not fill its operators' disks.
 struct log_limits {
-    std::size_t held_bytes = 256 * 1024;       ///< in all
+    std::size_t held_bytes = 256 * 1024;         ///< in all
     std::size_t held_routine_bytes = 192 * 1024; ///< of these, routine lines
-    double routine_bytes_s = 96.0 * 1024;      ///< in the long run
-    double urgent_bytes_s = 96.0 * 1024;       ///< warnings and errors, besides
-    double burst_s = 4.0;                      ///< seconds of rate that may be saved up
+    double routine_bytes_s = 96.0 * 1024;        ///< in the long run
+    double urgent_bytes_s = 96.0 * 1024;         ///< warnings and errors, besides
+    double burst_s = 4.0;                        ///< seconds of rate that may be saved up
 };
 
 class log_buffer {
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -176,6 +176,7 @@
     }
 
     [[nodiscard]] bool ready() const { return !m_stopping && tables != nullptr; }
+    [[nodiscard]] std::size_t serving_groups() const { return m_pushed.groups.size(); }
 
     net::io_context& io;
     daemon_settings settings;
@@ -417,6 +418,16 @@
     return m_impl->caller_server->port();
 }
 
+std::string registry_daemon::peer_address() const
+{
+    return m_impl->peers->address();
+}
+
+std::size_t registry_daemon::complete_groups() const
+{
+    return m_impl->serving_groups();
+}
+
 daemon_counts registry_daemon::counts() const
 {
     return m_impl->counts;
--- a/daemon/registry_daemon.h
+++ b/daemon/registry_daemon.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace jaynotch {
 
@@ -38,7 +39,10 @@
 
     [[nodiscard]] bool ready() const;
     [[nodiscard]] std::uint16_t listen_port() const;
+    [[nodiscard]] std::string peer_address() const; ///< "IP:port" bound
     [[nodiscard]] daemon_counts counts() const;
+    /// Groups that may be given requests now.
+    [[nodiscard]] std::size_t complete_groups() const;
 
 private:
     class impl;
--- a/daemon/request_log.cc
+++ b/daemon/request_log.cc
@@ -1,7 +1,7 @@
 #include "daemon/request_log.h"
 
-// Refusals, cuts and failed sendings are warnings: they are what an engineer looks for, and they are
-// kept when routine lines have to be dropped.
+// Refusals, cuts and failed sendings are warnings: they are what an engineer looks for, and they
+// are kept when routine lines have to be dropped.
 
 namespace jaynotch {
 
--- a/daemon/request_log.h
+++ b/daemon/request_log.h
@@ -1,5 +1,5 @@
-// The log's lines of one forwarded request: one for each decision that touches it, under the name that
-// its caller gave it.
+// The log's lines of one forwarded request: one for each decision that touches it, under the name
+// that its caller gave it.
 //
 //   request_log lines{facts.attempt};
 //   lines.sent(order);            // where to, and what that rested on
--- /dev/null
+++ b/standins/store_standin.cc
@@ -0,0 +1,392 @@
+#include "standins/store_standin.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+namespace jaynotch {
+
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration poll_step = 2ms;
+
+json::object item_of(const kv_entry& entry)
+{
+    return {{"key", entry.key},
+            {"value", base64_encode(entry.value)},
+            {"rev", entry.mod_revision},
+            {"created", entry.create_revision},
+            {"lease", entry.lease.value()}};
+}
+
+std::int64_t number(const std::string& text)
+{
+    return text.empty() ? 0 : std::stoll(text);
+}
+
+} // namespace
+
+result<std::shared_ptr<store_standin>>
+store_standin::start(const boost::asio::any_io_executor& executor)
+{
+    std::shared_ptr<store_standin> made{new store_standin{executor}};
+    const standin_handler handler = forward_to(made, &store_standin::handle);
+    BOOST_OUTCOME_TRY(made->m_server, standin_server::listen(executor, "127.0.0.1:0", handler));
+    return made;
+}
+
+void store_standin::put(const std::string& key, const std::string& value)
+{
+    (void)store.transact({{}, {kv_put{key, value, {}}}, {}});
+}
+
+void store_standin::remove(const std::string& key)
+{
+    (void)store.transact({{}, {kv_delete{key}}, {}});
+}
+
+awaitable<void> store_standin::handle(standin_exchange& exchange)
+{
+    const auto keep = shared_from_this();
+    ++calls;
+    store.expire(runtime_clock::now());
+    const std::string path{exchange.path()};
+    if (refuses) {
+        co_await exchange.answer(http::status::service_unavailable, "{}");
+        co_return;
+    }
+    if (path == "/kv-watch") {
+        co_await watch(exchange);
+        co_return;
+    }
+    if (path == "/kv-txn") {
+        co_await transact(exchange);
+        co_return;
+    }
+    if (path.starts_with("/kv-lease") || path.starts_with("/kv-keep/")) {
+        co_await lease(exchange);
+        co_return;
+    }
+    if (path == "/kv-range") {
+        json::array items;
+        for (const kv_entry& entry : store.with_prefix(exchange.query("prefix")))
+            items.push_back(item_of(entry));
+        json::object page;
+        page["items"] = std::move(items);
+        page["has_more"] = false;
+        page["current_rev"] = store.revision();
+        std::string text = json::serialize(page);
+        co_await exchange.answer(http::status::ok, std::move(text));
+        co_return;
+    }
+    const kv_entry* entry = store.find(exchange.query("key"));
+    json::object item;
+    if (entry != nullptr)
+        item = item_of(*entry);
+    item["current_rev"] = store.revision();
+    std::string text = json::serialize(item);
+    co_await exchange.answer(entry != nullptr ? http::status::ok : http::status::not_found,
+                             std::move(text));
+}
+
+awaitable<void> store_standin::watch(standin_exchange& exchange)
+{
+    const std::string prefix = exchange.query("prefix");
+    const std::int64_t after = number(exchange.query("after"));
+    const time_point until =
+        runtime_clock::now() + std::chrono::milliseconds{number(exchange.query("wait_ms"))};
+    json::array events;
+    for (;;) {
+        store.expire(runtime_clock::now());
+        const result<std::vector<kv_event>> seen = store.changes(prefix, after + 1);
+        if (!seen) {
+            co_await exchange.answer(http::status::gone, "{}");
+            co_return;
+        }
+        for (const kv_event& event : seen.value()) {
+            json::object item = item_of(event.entry);
+            if (event.deleted)
+                item["tombstone"] = true;
+            events.push_back(std::move(item));
+        }
+        if (!events.empty() || refuses || runtime_clock::now() >= until)
+            break;
+        co_await standin_sleep(m_executor, poll_step);
+    }
+    json::object page;
+    page["events"] = std::move(events);
+    page["current_rev"] = store.revision();
+    std::string text = json::serialize(page);
+    co_await exchange.answer(refuses ? http::status::service_unavailable : http::status::ok,
+                             std::move(text));
+}
+
+awaitable<void> store_standin::transact(standin_exchange& exchange)
+{
+    const json::object asked = json::parse(exchange.body()).as_object();
+    kv_transaction wanted;
+    json::array found;
+    for (const json::value& row : asked.at("expected").as_array()) {
+        const std::string key{row.at("key").as_string()};
+        wanted.compares.push_back({key, row.at("rev").to_number<std::int64_t>()});
+        if (const kv_entry* entry = store.find(key); entry != nullptr)
+            found.push_back(item_of(*entry));
+    }
+    for (const json::value& row : asked.at("puts").as_array()) {
+        const std::string value{row.at("value").as_string()};
+        wanted.then.push_back(kv_put{std::string{row.at("key").as_string()},
+                                     base64_decode(value).value(),
+                                     lease_id{row.at("lease").to_number<std::int64_t>()}});
+    }
+    for (const json::value& key : asked.at("remove").as_array())
+        wanted.then.push_back(kv_delete{std::string{key.as_string()}});
+    const result<kv_outcome> done = store.transact(wanted);
+    json::object told;
+    http::status status = http::status::ok;
+    if (!done) {
+        status = http::status::not_found;
+    }
+    else if (done.value().succeeded) {
+        told["rev"] = done.value().revision;
+    }
+    else {
+        status = http::status::precondition_failed;
+        told["items"] = std::move(found);
+    }
+    std::string text = json::serialize(told);
+    co_await exchange.answer(status, std::move(text));
+}
+
+awaitable<void> store_standin::lease(standin_exchange& exchange)
+{
+    const std::string path{exchange.path()};
+    const std::size_t slash = path.rfind('/');
+    const bool named = slash != 0;
+    const lease_id id{named ? number(path.substr(slash + 1)) : 0};
+    json::object told;
+    http::status status = http::status::ok;
+    if (!named) {
+        const json::object asked = json::parse(exchange.body()).as_object();
+        const auto ttl = asked.at("ttl_ms").to_number<std::int64_t>();
+        told["lease"] = store.grant(std::chrono::milliseconds{ttl}, runtime_clock::now()).value();
+        told["ttl_ms"] = ttl;
+    }
+    else if (exchange.method() == http::verb::delete_) {
+        store.revoke(id);
+    }
+    else if (const auto ttl = store.keep_alive(id, runtime_clock::now())) {
+        told["ttl_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(*ttl).count();
+    }
+    else {
+        status = http::status::not_found;
+    }
+    std::string text = json::serialize(told);
+    co_await exchange.answer(status, std::move(text));
+}
+
+result<std::shared_ptr<runner_standin>>
+runner_standin::start(const boost::asio::any_io_executor& executor,
+                      std::shared_ptr<store_standin> store, runner_standin_settings settings)
+{
+    std::shared_ptr<runner_standin> made{
+        new runner_standin{executor, std::move(store), std::move(settings)}};
+    const standin_handler handler = forward_to(made, &runner_standin::handle);
+    BOOST_OUTCOME_TRY(made->m_server, standin_server::listen(executor, "127.0.0.1:0", handler));
+    made->publish();
+    return made;
+}
+
+void runner_standin::publish()
+{
+    json::object entry{{"service", m_settings.service},
+                       {"addr", m_server->address()},
+                       {"zone", m_settings.zone},
+                       {"slot_count", 8},
+                       {"state", m_state},
+                       {"born", 1}};
+    if (!m_settings.domain.empty()) {
+        entry["domain"] = m_settings.domain;
+        json::array staged;
+        if (!m_staged.empty())
+            staged.push_back(json::string(m_staged));
+        entry["staged"] = std::move(staged);
+        json::array models;
+        if (!m_model.empty())
+            models.push_back(json::object{{"name", m_model}, {"version", 1}});
+        entry["models"] = std::move(models);
+        if (!m_group.empty())
+            entry["group"] = json::object{{"name", m_group},
+                                          {"epoch", m_epoch},
+                                          {"rank", m_rank},
+                                          {"state", to_name(m_phase)}};
+    }
+    m_store->put("servers/" + m_settings.id, json::serialize(entry));
+}
+
+void runner_standin::drain()
+{
+    m_state = "draining";
+    publish();
+}
+
+void runner_standin::stop()
+{
+    m_server->stop();
+    m_store->remove("servers/" + m_settings.id);
+}
+
+awaitable<void> runner_standin::handle(standin_exchange& exchange)
+{
+    const auto keep = shared_from_this();
+    constexpr duration longest_mute = 20s;
+    if (faults.mute) {
+        co_await standin_sleep(m_executor, longest_mute);
+        exchange.cut();
+        co_return;
+    }
+    if (exchange.path() == "/order") {
+        co_await take_order(exchange);
+        co_return;
+    }
+    if (exchange.path() == "/report") {
+        co_await exchange.answer(http::status::ok, "{}");
+        co_return;
+    }
+    const std::string_view expected = exchange.header("Jaynotch-Expect-Instance");
+    const bool head = m_settings.domain.empty() || (open() && m_rank == 0);
+    if ((!expected.empty() && expected != m_settings.id) || !head) {
+        co_await exchange.answer(http::status::misdirected_request, "");
+        co_return;
+    }
+    if (faults.refuse) {
+        exchange.set("Jaynotch-Not-Executed", "1");
+        co_await exchange.answer(http::status::service_unavailable, "");
+        co_return;
+    }
+    seen_request seen;
+    seen.attempt = std::string{exchange.header("Jaynotch-Attempt-Id")};
+    seen.target = std::string{exchange.request().target()};
+    seen.body = exchange.body();
+    for (const auto& field : exchange.request())
+        seen.headers[std::string{field.name_string()}] = std::string{field.value()};
+    ran.push_back(seen);
+    if (faults.cut) {
+        exchange.cut();
+        co_return;
+    }
+    if (m_settings.domain.empty()) {
+        co_await answer(exchange);
+    }
+    else {
+        co_await stream(exchange);
+    }
+}
+
+awaitable<void> runner_standin::answer(standin_exchange& exchange)
+{
+    const std::string attempt{exchange.header("Jaynotch-Attempt-Id")};
+    if (faults.foreign) {
+        const std::string other = "HTTP/1.1 200 OK\r\nJaynotch-Attempt-Id: another\r\n"
+                                  "Jaynotch-Response-Seal: s\r\nContent-Length: 6\r\n\r\nforged";
+        co_await exchange.write_raw(other);
+    }
+    exchange.set("Jaynotch-Attempt-Id", attempt);
+    exchange.set("Jaynotch-Response-Seal", "seal-" + m_settings.id);
+    exchange.set("Jaynotch-Server-Load", "1,0,8");
+    if (faults.fail) {
+        co_await exchange.answer(http::status::internal_server_error, "failed", "text/plain");
+        co_return;
+    }
+    std::string body = "answer of " + m_settings.id + " to " + attempt;
+    co_await exchange.answer(http::status::ok, std::move(body), "text/plain");
+}
+
+awaitable<void> runner_standin::stream(standin_exchange& exchange)
+{
+    exchange.set("Jaynotch-Attempt-Id", std::string{exchange.header("Jaynotch-Attempt-Id")});
+    exchange.set("Jaynotch-Response-Seal", "seal-" + m_settings.id);
+    exchange.set("Jaynotch-Server-Load", "1,0,8");
+    const std::string_view after = exchange.header("Last-Event-Id");
+    const std::size_t first = after.empty() ? 1 : std::stoul(std::string{after}) + 1;
+    if (!co_await exchange.begin_chunks(http::status::ok, "text/event-stream"))
+        co_return;
+    std::size_t written = 0;
+    for (std::size_t id = first; id <= m_settings.events; ++id) {
+        co_await standin_sleep(m_executor, m_settings.gap);
+        if (faults.cut_after > 0 && written == faults.cut_after) {
+            exchange.cut();
+            co_return;
+        }
+        std::string event = "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+        if (!co_await exchange.write_chunk(std::move(event)))
+            co_return;
+        ++written;
+    }
+    co_await exchange.finish_chunks();
+}
+
+awaitable<void> runner_standin::take_order(standin_exchange& exchange)
+{
+    orders.push_back(exchange.body());
+    const json::object order = json::parse(exchange.body()).as_object();
+    const std::string op{order.at("op").as_string()};
+    http::status status = http::status::accepted;
+    if (op == "stage") {
+        m_staged = std::string{order.at("model").as_string()};
+        publish();
+    }
+    else {
+        const std::string group{order.at("group").as_string()};
+        const auto epoch = order.at("epoch").to_number<std::int64_t>();
+        const bool own = group == m_group && epoch == m_epoch;
+        if (op == "join" && !own) {
+            const json::array& members = order.at("member_list").as_array();
+            const auto at =
+                std::find_if(members.begin(), members.end(), [&](const json::value& one) {
+                    return one.as_string() == m_settings.id;
+                });
+            m_rank = at - members.begin();
+            boost::asio::co_spawn(m_executor,
+                                  join(group, epoch, std::string{order.at("model").as_string()}),
+                                  boost::asio::detached);
+        }
+        else if (op == "open" && own && m_phase == member_phase::ready) {
+            m_phase = member_phase::open;
+            publish();
+        }
+        else if (op == "leave" && own) {
+            m_group.clear();
+            m_model.clear();
+            publish();
+            status = http::status::ok;
+        }
+        else {
+            status = own ? http::status::ok : http::status::conflict;
+        }
+    }
+    co_await exchange.answer(status, "");
+}
+
+awaitable<void> runner_standin::join(std::string group, std::int64_t epoch, std::string model)
+{
+    const auto keep = shared_from_this();
+    constexpr duration load = 40ms;
+    m_group = group;
+    m_epoch = epoch;
+    m_model.clear();
+    m_phase = member_phase::joining;
+    publish();
+    co_await standin_sleep(m_executor, load);
+    if (m_group != group || m_epoch != epoch)
+        co_return;
+    m_phase = member_phase::ready;
+    m_model = model;
+    m_staged = model;
+    publish();
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/standins/store_standin.h
@@ -0,0 +1,114 @@
+// Stand-in of the users' platform: its store with the operators' configuration and the registry,
+// over HTTP, and runners that register there, form groups and answer requests.
+//
+//   auto store = store_standin::start(executor).value();
+//   store->put("op/config", document);
+//   auto runner = runner_standin::start(executor, store, {.id = "i-1", .domain = "d0"}).value();
+//   runner->faults.mute = true;
+//
+// It speaks the platform's published forms. Runners' times are short: a load takes 40 ms.
+#pragma once
+
+#include "outside/outside.h"
+#include "standins/standin_server.h"
+
+#include <map>
+#include <set>
+
+namespace jaynotch {
+
+class store_standin : public std::enable_shared_from_this<store_standin> {
+public:
+    static result<std::shared_ptr<store_standin>>
+    start(const boost::asio::any_io_executor& executor);
+
+    [[nodiscard]] const std::string& address() const { return m_server->address(); }
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+    bool refuses = false; ///< answers every call with 503 and does nothing
+    std::size_t calls = 0;
+    kv_store store;
+
+private:
+    explicit store_standin(boost::asio::any_io_executor executor) : m_executor{std::move(executor)}
+    {}
+
+    awaitable<void> handle(standin_exchange& exchange);
+    awaitable<void> watch(standin_exchange& exchange);
+    awaitable<void> transact(standin_exchange& exchange);
+    awaitable<void> lease(standin_exchange& exchange);
+
+    boost::asio::any_io_executor m_executor;
+    std::shared_ptr<standin_server> m_server;
+};
+
+struct runner_standin_settings {
+    std::string id;
+    std::string service = "llm";
+    std::string zone = "zone-a";
+    std::string domain;     ///< empty for a plain server
+    std::size_t events = 6; ///< of a stream
+    std::chrono::milliseconds gap{10};
+};
+
+/// What a runner is made to do wrong.
+struct runner_faults {
+    bool mute = false;         ///< takes requests and orders and never answers
+    bool refuse = false;       ///< says that it did not run the request
+    bool fail = false;         ///< answers 500
+    bool cut = false;          ///< ends the connection after it ran the request
+    bool foreign = false;      ///< first sends the answer of another request
+    std::size_t cut_after = 0; ///< events of a stream; 0: none
+};
+
+/// One request as a runner saw it.
+struct seen_request {
+    std::string attempt;
+    std::string target;
+    std::string body;
+    std::map<std::string, std::string> headers;
+};
+
+class runner_standin : public std::enable_shared_from_this<runner_standin> {
+public:
+    static result<std::shared_ptr<runner_standin>>
+    start(const boost::asio::any_io_executor& executor, std::shared_ptr<store_standin> store,
+          runner_standin_settings settings);
+
+    runner_faults faults;
+    std::vector<seen_request> ran;
+    std::vector<std::string> orders; ///< their bodies
+    [[nodiscard]] bool open() const { return m_phase == member_phase::open; }
+    [[nodiscard]] const std::string& id() const { return m_settings.id; }
+    void drain();
+    /// Its process is gone: connections are cut and its entry goes.
+    void stop();
+
+private:
+    runner_standin(boost::asio::any_io_executor executor, std::shared_ptr<store_standin> store,
+                   runner_standin_settings settings)
+        : m_executor{std::move(executor)}, m_store{std::move(store)}, m_settings{
+                                                                          std::move(settings)}
+    {}
+
+    awaitable<void> handle(standin_exchange& exchange);
+    awaitable<void> take_order(standin_exchange& exchange);
+    awaitable<void> join(std::string group, std::int64_t epoch, std::string model);
+    awaitable<void> answer(standin_exchange& exchange);
+    awaitable<void> stream(standin_exchange& exchange);
+    void publish();
+
+    boost::asio::any_io_executor m_executor;
+    std::shared_ptr<store_standin> m_store;
+    runner_standin_settings m_settings;
+    std::shared_ptr<standin_server> m_server;
+    std::string m_state = "ready";
+    std::string m_group;
+    std::int64_t m_epoch = 0;
+    std::int64_t m_rank = 0;
+    std::string m_model;
+    std::string m_staged;
+    member_phase m_phase = member_phase::joining;
+};
+
+} // namespace jaynotch
