--- a/daemon/registry_daemon_test.cc
+++ b/daemon/registry_daemon_test.cc
@@ -38,6 +38,8 @@
 
 /// The platform's stand-ins, some daemons, and callers, on one io_context.
 class site {
+    boost::asio::io_context m_io; // first: everything else runs on it until the end
+
 public:
     explicit site(std::size_t daemons = 1, std::size_t runners = 4, std::size_t servers = 2)
     {
@@ -158,7 +160,6 @@
     std::vector<std::unique_ptr<registry_daemon>> daemons;
 
 private:
-    boost::asio::io_context m_io;
     std::shared_ptr<store_standin> m_store;
     int m_last_id = 0;
 };
--- a/routing/request_events.h
+++ b/routing/request_events.h
@@ -92,8 +92,8 @@
     std::optional<attempt_id> echoed;
     /// The backend server itself says that the request did not run (`jaynotch-ran: no`).
     bool says_did_not_run = false;
-    bool wrong_instance = false; ///< another server answers at that address
     std::string version; ///< model version that the engine names; empty if it names none
+    bool wrong_instance = false; ///< another server answers at that address
 };
 
 /// Part of an answer's body is in.
--- a/routing/request_finish.cc
+++ b/routing/request_finish.cc
@@ -78,7 +78,11 @@
             failure.remedy = row.keyed ? "ask for the status of its key; do not use another key"
                                        : "find out whether it took effect before sending it again";
         }
-        finish_refuse(row, std::move(failure), ran, std::nullopt, now, out);
+        // What never ran may come back, once a server is likely to be free.
+        std::optional<std::chrono::milliseconds> after;
+        if (ran == ran_state::no)
+            after = retry_after(pools.at(row.terms.pool).service_s);
+        finish_refuse(row, std::move(failure), ran, after, now, out);
         return;
     }
     settle_claim_on_failure(row, now);
