--- /dev/null
+++ b/base/log_test.cc
@@ -0,0 +1,77 @@
+#include "base/log_buffer.h"
+
+#include <criterion/criterion.h>
+
+using namespace jaynotch;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start{std::chrono::hours{1}};
+
+std::string line(char letter, std::size_t length = 100)
+{
+    return std::string(length - 1, letter) + "\n";
+}
+
+std::string drain(log_buffer& lines)
+{
+    std::string all;
+    for (std::string_view next = lines.front(64); !next.empty(); next = lines.front(64)) {
+        all += next;
+        lines.consume(next.size());
+    }
+    return all;
+}
+
+} // namespace
+
+Test(log_buffer, what_is_urgent_goes_out_first)
+{
+    log_buffer lines{{}};
+    lines.add(log_level::info, "a", line('a'), start);
+    lines.add(log_level::error, "b", line('b'), start);
+    const std::string out = drain(lines);
+    cr_assert_eq(out, line('b') + line('a'));
+}
+
+// A line that is partly out is ended before any other, however urgent: two lines mixed are none.
+Test(log_buffer, a_line_that_was_begun_is_ended_first)
+{
+    log_buffer lines{{}};
+    lines.add(log_level::info, "a", line('a'), start);
+    lines.consume(lines.front(10).size());
+    lines.add(log_level::error, "b", line('b'), start);
+    cr_assert_eq(drain(lines), line('a').substr(10) + line('b'));
+}
+
+// Nobody reads the log. It holds what it may and no more, keeps room for what is urgent, and says
+// what it dropped.
+Test(log_buffer, an_unread_log_stays_within_its_bounds)
+{
+    log_buffer lines{{.held_bytes = 1'000, .held_routine_bytes = 700}};
+    for (int index = 0; index < 50; ++index)
+        lines.add(log_level::info, "routine", line('a'), start);
+    cr_assert_eq(lines.held(), 700U);
+    for (int index = 0; index < 50; ++index)
+        lines.add(log_level::error, "urgent", line('b'), start);
+    cr_assert_eq(lines.held(), 1'000U);
+    const auto dropped = lines.take_dropped();
+    cr_assert_eq(dropped.at("routine"), 43U);
+    cr_assert_eq(dropped.at("urgent"), 47U);
+    cr_assert(lines.take_dropped().empty());
+    cr_assert_eq(lines.dropped(), 90U);
+}
+
+Test(log_buffer, a_flood_of_routine_lines_is_held_to_its_rate)
+{
+    log_buffer lines{{.routine_bytes_s = 1'000.0, .burst_s = 2.0}};
+    std::size_t taken = 0;
+    for (int step = 0; step < 1'000; ++step) {
+        taken += lines.add(log_level::info, "routine", line('a'), start + step * 10ms) ? 1 : 0;
+        drain(lines);
+    }
+    cr_assert_leq(taken, 121U); // ten seconds at ten lines, and what was saved up
+    cr_assert_geq(taken, 115U);
+    cr_assert(lines.add(log_level::error, "urgent", line('b'), start + 10s));
+}
--- a/cli/cli.cc
+++ b/cli/cli.cc
@@ -27,6 +27,7 @@
     command{"groups", run_groups},
     command{"drain-status", run_drain_status},
     command{"load", run_load},
+    command{"explain", run_explain},
     command{"version", run_version},
 };
 
--- a/cli/cli_test.cc
+++ b/cli/cli_test.cc
@@ -211,6 +211,41 @@
     cr_assert(!copy && copy.error().kind == error_kind::invalid_argument);
 }
 
+// A caller complains of one request. Its lines lie in the logs of two nodes, between those of
+// others; the story tells them in order, with what the node believed at the time and nothing of
+// other nodes.
+Test(explain, tells_one_requests_story_from_the_logs_of_several_nodes)
+{
+    const scratch_folder folder;
+    const auto line = [](int at, const std::string& node, const std::string& kind,
+                         const std::string& more) {
+        return R"({"ts_ms":)" + std::to_string(1'000'000 + at) +
+               R"(,"level":"info","program":"p",)" + R"("instance":")" + node + R"(","kind":")" +
+               kind + "\"" + more + "}\n";
+    };
+    std::ofstream{folder.path() + "/a.log"}
+        << line(50, "a", "request_refused", R"(,"request":"r1","status":503)")
+        << line(0, "a", "request_admitted", R"(,"request":"r1","model":"m")")
+        << line(10, "a", "group_silent", R"(,"group":"g1")")
+        << line(20, "a", "request_sent", R"(,"request":"r2")") << "no JSON\n";
+    std::ofstream{folder.path() + "/b.log"}
+        << line(15, "b", "group_silent", R"(,"group":"g2")")
+        << "2026 b: " << line(90, "c", "request_finished", R"(,"request":"r1","status":200)");
+    cli_options options;
+    options.words = {"explain", "r1", folder.path() + "/a.log", folder.path() + "/b.log"};
+    std::ostringstream out;
+    cr_assert(run_explain({options, out, out}).value() == exit_code::fine);
+    const std::string text = out.str();
+    const std::size_t admitted = text.find("request_admitted");
+    const std::size_t silent = text.find("(group_silent)");
+    const std::size_t refused = text.find("request_refused");
+    const std::size_t finished = text.find("request_finished");
+    cr_assert(admitted < silent && silent < refused && refused < finished, "%s", text.c_str());
+    cr_assert(text.find("r2") == std::string::npos && text.find("g2") == std::string::npos);
+    options.words = {"explain", "unknown", folder.path() + "/a.log"};
+    cr_assert(run_explain({options, out, out}).error().kind == error_kind::not_found);
+}
+
 Test(exit_codes, every_kind_has_one_that_is_not_fine)
 {
     for (const auto& entry : enum_names<error_kind>::entries)
--- /dev/null
+++ b/cli/explain_command.cc
@@ -0,0 +1,144 @@
+// Tells the story of one request from daemons' logs.
+//
+// Lines of the request itself are found by its id. Between them stand the lines that say what a
+// daemon came to believe at that time: groups that fell silent, configurations, the store lost.
+// Only those of daemons that had the request are shown, from a little before it to its end.
+#include "cli/commands.h"
+#include "cli/printer.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <set>
+
+namespace jaynotch {
+
+namespace {
+
+constexpr std::int64_t before_ms = 2'000; ///< beliefs this much older than the request are shown
+constexpr std::int64_t after_ms = 500;
+/// Kinds of lines that are a daemon's beliefs and not a request's.
+constexpr std::array belief_kinds{
+    "config_installed", "group_silent",   "group_ended",     "group_opened",   "group_closed",
+    "runner_silent",    "member_taken",   "store_lost",      "store_regained", "manager_elected",
+    "manager_ended",    "daemon_started", "daemon_stopping", "log_dropped"};
+/// Fields that every line has and that stand in columns of their own.
+constexpr std::array common_fields{"ts_ms", "level", "program", "instance", "kind", "request"};
+
+struct log_line {
+    std::int64_t at_ms = 0;
+    std::string instance;
+    std::string kind;
+    std::string request;
+    std::string rest; ///< the other fields, "name=value"
+};
+
+std::string text_of(const boost::json::object& from, std::string_view name)
+{
+    const boost::json::value* found = from.if_contains(name);
+    return found != nullptr && found->is_string() ? std::string{found->get_string()}
+                                                  : std::string{};
+}
+
+/// Nothing if the text is no line of a daemon's log.
+std::optional<log_line> read_line(const std::string& text)
+{
+    boost::system::error_code failed;
+    const boost::json::value parsed = boost::json::parse(text, failed);
+    const boost::json::object* fields = failed ? nullptr : parsed.if_object();
+    const boost::json::value* at = fields == nullptr ? nullptr : fields->if_contains("ts_ms");
+    if (at == nullptr || !at->is_int64())
+        return std::nullopt;
+    log_line line;
+    line.at_ms = at->get_int64();
+    line.instance = text_of(*fields, "instance");
+    line.kind = text_of(*fields, "kind");
+    line.request = text_of(*fields, "request");
+    for (const auto& field : *fields) {
+        const std::string name{field.key()};
+        if (std::find(common_fields.begin(), common_fields.end(), name) != common_fields.end())
+            continue;
+        const auto* word = field.value().if_string();
+        line.rest += (line.rest.empty() ? "" : " ") + name + "=" +
+                     (word != nullptr ? std::string{*word} : boost::json::serialize(field.value()));
+    }
+    return line;
+}
+
+void read_all(std::istream& from, const std::string& request, std::vector<log_line>& own,
+              std::vector<log_line>& beliefs)
+{
+    std::string text;
+    while (std::getline(from, text)) {
+        // Collectors put a time or a name before the line.
+        const std::size_t start = text.find('{');
+        std::optional<log_line> line =
+            start == std::string::npos ? std::nullopt : read_line(text.substr(start));
+        if (!line)
+            continue;
+        if (line->request == request)
+            own.push_back(std::move(*line));
+        else if (std::find(belief_kinds.begin(), belief_kinds.end(), line->kind) !=
+                 belief_kinds.end())
+            beliefs.push_back(std::move(*line));
+    }
+}
+
+std::vector<log_line> story_of(std::vector<log_line> own, const std::vector<log_line>& beliefs)
+{
+    const auto by_time = [](const log_line& a, const log_line& b) { return a.at_ms < b.at_ms; };
+    std::stable_sort(own.begin(), own.end(), by_time);
+    const std::int64_t from = own.front().at_ms - before_ms;
+    const std::int64_t until = own.back().at_ms + after_ms;
+    std::set<std::string> daemons;
+    for (const log_line& line : own)
+        daemons.insert(line.instance);
+    std::vector<log_line> story = std::move(own);
+    for (const log_line& line : beliefs) {
+        if (daemons.contains(line.instance) && line.at_ms >= from && line.at_ms <= until)
+            story.push_back(line);
+    }
+    std::stable_sort(story.begin(), story.end(), by_time);
+    return story;
+}
+
+} // namespace
+
+result<exit_code> run_explain(const command_context& context)
+{
+    const std::vector<std::string>& words = context.options.words;
+    if (words.size() < 2)
+        return error{
+            error_kind::invalid_argument, "no request is named",
+            "write `jaynotch explain REQUEST [LOG ...]`; without files, logs are read from "
+            "standard input"};
+    const std::string& request = words[1];
+    std::vector<log_line> own;
+    std::vector<log_line> beliefs;
+    if (words.size() == 2)
+        read_all(std::cin, request, own, beliefs);
+    for (std::size_t index = 2; index < words.size(); ++index) {
+        std::ifstream file{words[index]};
+        if (!file)
+            return error{error_kind::not_found, words[index] + " can't be read",
+                         "give paths of daemons' logs"};
+        read_all(file, request, own, beliefs);
+    }
+    if (own.empty())
+        return error{error_kind::not_found, "no line of these logs is about request " + request,
+                     "take the logs of every entry VM around that time; lines may also have been "
+                     "dropped (kind log_dropped)"};
+    const std::vector<log_line> story = story_of(std::move(own), beliefs);
+    const auto first = std::find_if(story.begin(), story.end(),
+                                    [&](const log_line& line) { return line.request == request; });
+    text_rows rows{{"ms", "node", "what", "with"}};
+    for (const log_line& line : story)
+        rows.push_back({std::to_string(line.at_ms - first->at_ms), line.instance,
+                        line.request.empty() ? "(" + line.kind + ")" : line.kind, line.rest});
+    print_columns(context.out, rows);
+    return exit_code::fine;
+}
+
+} // namespace jaynotch
--- a/cli/options.cc
+++ b/cli/options.cc
@@ -47,6 +47,7 @@
   jaynotch nodes                    every node and the revision it has in force
   jaynotch groups                   every group, its members and whether it is complete
   jaynotch drain-status             backend servers that are leaving, and what is left on them
+  jaynotch explain REQUEST [LOG...] tell one request's story from daemons' logs (or stdin)
   jaynotch load --model M           drive open-loop load at --target and print percentiles
   jaynotch version
 
--- a/daemon/admin.cc
+++ b/daemon/admin.cc
@@ -1,5 +1,7 @@
 #include "daemon/admin.h"
 
+#include "daemon/admin_answers.h"
+
 #include <charconv>
 
 // Every page is made from what this node knows; only the history and old revisions ask the
@@ -10,7 +12,6 @@
 namespace {
 
 constexpr std::size_t longest_apply = 8 * 1024 * 1024;
-constexpr std::string_view json_type = "application/json";
 constexpr std::string_view text_type = "text/plain; version=0.0.4; charset=utf-8";
 
 std::string text_of(const boost::json::object& body, std::string_view name)
@@ -66,22 +67,6 @@
             {"fields", std::move(fields)}};
 }
 
-net::awaitable<void> answer_json(http_exchange& exchange, const boost::json::object& page)
-{
-    const std::string text = boost::json::serialize(page);
-    co_await exchange.answer(http::status::ok, json_type, text);
-}
-
-net::awaitable<void> answer_error(http_exchange& exchange, const error& why)
-{
-    refusal shown{.failure = why};
-    if (why.kind == error_kind::unknown_outcome) {
-        shown.ran = ran_state::unknown;
-        shown.status = http::status::service_unavailable;
-    }
-    co_await exchange.refuse(shown);
-}
-
 } // namespace
 
 admin_pages::admin_pages(admin_sources sources) : m_sources{std::move(sources)} {}
@@ -111,7 +96,7 @@
         co_await answer_json(exchange, groups_page());
     }
     else if (path == "/admin/v1/drain") {
-        co_await answer_json(exchange, drain_page());
+        co_await answer_json(exchange, drain_page(m_sources.requests.core().targets()));
     }
     else if (path == "/admin/v1/config") {
         co_await show_config(exchange);
@@ -284,18 +269,4 @@
     return {{"groups", std::move(rows)}};
 }
 
-boost::json::object admin_pages::drain_page() const
-{
-    boost::json::array rows;
-    for (const target_status& one : m_sources.requests.core().targets()) {
-        const std::string_view state =
-            one.leaving ? (one.in_flight > 0 ? "draining" : "drained") : "serving";
-        rows.push_back(boost::json::object{{"server", one.target.value()},
-                                           {"pool", one.pool.value()},
-                                           {"state", state},
-                                           {"in_flight", one.in_flight}});
-    }
-    return {{"servers", std::move(rows)}};
-}
-
 } // namespace jaynotch
--- a/daemon/admin.h
+++ b/daemon/admin.h
@@ -6,9 +6,9 @@
 
 #include "config/config.h"
 #include "daemon/group_driver.h"
-#include "http/http_exchange.h"
 #include "daemon/request_driver.h"
 #include "daemon/settings.h"
+#include "http/http_exchange.h"
 
 #include <functional>
 #include <string>
@@ -43,7 +43,6 @@
     [[nodiscard]] boost::json::object status_page() const;
     [[nodiscard]] boost::json::object nodes_page() const;
     [[nodiscard]] boost::json::object groups_page() const;
-    [[nodiscard]] boost::json::object drain_page() const;
 
     admin_sources m_sources;
 };
--- a/daemon/flags.cc
+++ b/daemon/flags.cc
@@ -48,8 +48,9 @@
 ABSL_FLAG(std::uint64_t, max_connections, 10'000, "Of callers");
 ABSL_FLAG(std::uint64_t, max_requests, 4'096, "In flight and queued");
 ABSL_FLAG(std::uint64_t, max_idle_upstream, 64, "Pooled connections for each target");
-ABSL_FLAG(std::string, settings, "",
-          "Settings file of the users' platform; then tables, runners and groups come from its store");
+ABSL_FLAG(
+    std::string, settings, "",
+    "Settings file of the users' platform; then tables, runners and groups come from its store");
 ABSL_FLAG(std::string, ready_listen, "", "IP:port where the balancer asks, with --settings");
 ABSL_FLAG(bool, check_settings, false, "Check the settings, say what is wrong, and exit");
 
@@ -113,8 +114,8 @@
     chosen.listen = flag_or(FLAGS_listen, "127.0.0.1:8080", site.listen);
     chosen.peer_listen = flag_or(FLAGS_peer_listen, "127.0.0.1:8081", site.peer_listen);
     chosen.ready_listen = flag_or(FLAGS_ready_listen, "", site.ready_listen);
-    chosen.admin_listen = flag_or(FLAGS_admin_listen, "127.0.0.1:8082",
-                                  site.bind_ip + std::string{usual_admin_port});
+    chosen.admin_listen =
+        flag_or(FLAGS_admin_listen, "127.0.0.1:8082", site.bind_ip + std::string{usual_admin_port});
     if (chosen.key_value.empty())
         chosen.key_value = {site.store};
     if (chosen.seed_peers.empty())
--- a/daemon/formation_driver.cc
+++ b/daemon/formation_driver.cc
@@ -18,8 +18,9 @@
 constexpr duration order_timeout = std::chrono::milliseconds{600};
 /// A runner answers within some milliseconds; one that is dark never does.
 constexpr duration probe_timeout = std::chrono::milliseconds{200};
-/// Nodes asked for their word on a silent runner. Some cuts leave a tenth of the nodes on its side; six
-/// miss such a cut in one of two cases, and then the rule for heads that may live is not applied.
+/// Nodes asked for their word on a silent runner. Some cuts leave a tenth of the nodes on its side;
+/// six miss such a cut in one of two cases, and then the rule for heads that may live is not
+/// applied.
 constexpr std::size_t most_asked = 6;
 
 } // namespace
@@ -28,8 +29,7 @@
 public:
     impl(net::io_context& context, const daemon_settings& chosen, kv_service& service,
          peer_service& others)
-        : io{context}, settings{chosen}, kv{service}, peers{others},
-          orders{context.get_executor()}
+        : io{context}, settings{chosen}, kv{service}, peers{others}, orders{context.get_executor()}
     {}
 
     void tell(const groups::formation_event& happened)
@@ -170,9 +170,9 @@
     }
     void carry_out(const failure_domain_id& domain, const groups::notice& wanted)
     {
-        log_event(wanted.level, wanted.kind,
-                  {{"subject", wanted.subject}, {"detail", wanted.detail},
-                   {"domain", domain.value()}});
+        log_event(
+            wanted.level, wanted.kind,
+            {{"subject", wanted.subject}, {"detail", wanted.detail}, {"domain", domain.value()}});
     }
 
     net::awaitable<void> answer_peer(node_id from, server_question asked)
@@ -300,9 +300,9 @@
         m_impl->keys.erase(entry.key);
     for (auto& [domain, manager] : m_impl->managers) {
         if (groups::formation_key(m_impl->settings.deployment, domain) == entry.key)
-            m_impl->tell_one(domain, manager,
-                             groups::manager_key_seen{there ? std::optional{entry}
-                                                            : std::optional<kv_entry>{}});
+            m_impl->tell_one(
+                domain, manager,
+                groups::manager_key_seen{there ? std::optional{entry} : std::optional<kv_entry>{}});
     }
 }
 
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -32,8 +32,9 @@
     net::awaitable<void> serve_outcome(http_exchange& exchange);
     net::awaitable<void> serve_request(http_exchange& exchange, request_kind kind);
     net::awaitable<result<void>> read_asked(http_exchange& exchange, asked_request& asked);
-    net::awaitable<void> turn_away(http_exchange& exchange, const error& why,
-                                   std::optional<std::chrono::milliseconds> retry_after = std::nullopt);
+    net::awaitable<void>
+    turn_away(http_exchange& exchange, const error& why,
+              std::optional<std::chrono::milliseconds> retry_after = std::nullopt);
 
     relay_services& m_services;
     std::function<front_state()> m_state;
--- a/daemon/http_server_fuzz.cc
+++ b/daemon/http_server_fuzz.cc
@@ -1,6 +1,6 @@
 // Any bytes of a caller, over a real socket: the server answers or closes, and goes on.
-#include "http/http_server.h"
 #include "daemon/model_request.h"
+#include "http/http_server.h"
 
 #include <boost/asio/use_awaitable.hpp>
 
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -4,6 +4,7 @@
 #include "daemon/forward_front.h"
 #include "daemon/metrics.h"
 #include "daemon/registry_feed.h"
+#include "daemon/registry_pages.h"
 #include "daemon/relay.h"
 #include "daemon/request_driver.h"
 #include "daemon/target_view.h"
@@ -31,7 +32,6 @@
 constexpr duration second = std::chrono::seconds{1};
 constexpr duration longest_call = std::chrono::seconds{5};
 constexpr duration stop_poll = std::chrono::milliseconds{20};
-constexpr std::string_view text_type = "text/plain; version=0.0.4; charset=utf-8";
 
 std::uint64_t drawn_seed(const daemon_settings& settings)
 {
@@ -83,8 +83,8 @@
 class registry_daemon::impl : public std::enable_shared_from_this<impl> {
 public:
     impl(net::io_context& context, const daemon_settings& chosen)
-        : io{context}, settings{chosen},
-          kv{kv_service::over_store(context.get_executor(), store_settings_of(chosen))},
+        : io{context}, settings{chosen}, kv{kv_service::over_store(context.get_executor(),
+                                                                   store_settings_of(chosen))},
           servers{context, settings}, m_timer{context}
     {}
 
@@ -102,14 +102,19 @@
         hooks.on_silent = [this](const target_silent& seen) { take_silence(seen); };
         requests = std::make_unique<request_driver>(io, std::move(core), kv, std::move(hooks));
         managers = std::make_unique<formation_driver>(io, settings, kv, *peers);
-        managers->on_asked([this](const vm_id& vm) {
-            return requests->core().hears(vm, runtime_clock::now());
-        });
+        managers->on_asked(
+            [this](const vm_id& vm) { return requests->core().hears(vm, runtime_clock::now()); });
         feed = std::make_unique<registry_feed>(io, settings, kv, *peers, feed_hooks());
         services.reset(new relay_services{
             io, settings, *requests, servers, *spans, counted, counts, {}, {}, {}});
-        calls = std::make_unique<forward_front>(
-            *services, [this] { return front_state{tables, m_stopping, false}; });
+        calls = std::make_unique<forward_front>(*services, [this] {
+            return front_state{tables, m_stopping, false};
+        });
+        pages.reset(new registry_pages{
+            {settings, m_view, *peers, *requests, [this] { return tables; },
+             [this] { return ready(); }, [this] { return feed->current(); },
+             [this] { return managers->managed(); }, [this] { return counts.in_flight; },
+             [this] { return metrics_page(); }, runtime_clock::now()}});
         peers->on_rumor([this](const rumor& heard) {
             if (const auto* newer = std::get_if<key_notice>(&heard))
                 feed->noticed(*newer);
@@ -191,6 +196,7 @@
     std::unique_ptr<registry_feed> feed;
     std::unique_ptr<relay_services> services;
     std::unique_ptr<forward_front> calls;
+    std::unique_ptr<registry_pages> pages;
     std::unique_ptr<http_server> caller_server;
     std::unique_ptr<http_server> ready_server;
     std::unique_ptr<http_server> admin_server;
@@ -206,14 +212,14 @@
                               managers->traffic_begun();
                               return calls->serve(exchange);
                           }));
-        BOOST_OUTCOME_TRY(
-            ready_server,
-            http_server::open(io, settings.ready_listen, plain,
-                              [this](http_exchange& exchange) { return tell_ready(exchange); }));
-        BOOST_OUTCOME_TRY(
-            admin_server,
-            http_server::open(io, settings.admin_listen, plain,
-                              [this](http_exchange& exchange) { return tell_metrics(exchange); }));
+        BOOST_OUTCOME_TRY(ready_server, http_server::open(io, settings.ready_listen, plain,
+                                                          [this](http_exchange& exchange) {
+                                                              return tell_ready(exchange);
+                                                          }));
+        BOOST_OUTCOME_TRY(admin_server, http_server::open(io, settings.admin_listen, plain,
+                                                          [this](http_exchange& exchange) {
+                                                              return pages->serve(exchange);
+                                                          }));
         return success();
     }
 
@@ -312,8 +318,8 @@
         spans->flush();
         // Members that can't be reached may still send; only those that said goodbye don't count.
         const std::vector<member> all = peers->members();
-        const auto nodes = static_cast<std::size_t>(
-            std::count_if(all.begin(), all.end(), [](const member& one) {
+        const auto nodes =
+            static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const member& one) {
                 return one.state != member_state::left;
             }));
         if (nodes != m_fleet_size) {
@@ -332,12 +338,11 @@
     net::awaitable<void> tell_ready(http_exchange& exchange)
     {
         const bool fine = ready();
-        const http::status status =
-            fine ? http::status::ok : http::status::service_unavailable;
+        const http::status status = fine ? http::status::ok : http::status::service_unavailable;
         co_await exchange.answer(status, "text/plain", fine ? "ready\n" : "not ready\n");
     }
 
-    net::awaitable<void> tell_metrics(http_exchange& exchange)
+    [[nodiscard]] std::string metrics_page()
     {
         gauges now;
         now.ready = ready();
@@ -353,8 +358,7 @@
         now.kv_calls = kv.counts().total();
         now.spans_dropped = spans->dropped();
         now.log_lines_dropped = log_lines_dropped();
-        const std::string page = counted.render(now);
-        co_await exchange.answer(http::status::ok, text_type, page);
+        return counted.render(now);
     }
 
     /// Before the peers are known, budgets are split as if there were this many nodes.
--- a/daemon/registry_daemon.h
+++ b/daemon/registry_daemon.h
@@ -1,5 +1,6 @@
 // One entry VM's process where backend servers register themselves and operators write their tables
-// into the platform's store: the same requests, groups and promises as `daemon`, with other sources.
+// into the platform's store: the same requests, groups and promises as `daemon`, with other
+// sources.
 //
 //   auto made = registry_daemon::create(io, settings);
 //   made.value()->start();
--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -212,8 +212,8 @@
 
     void learn(const kv_entry& entry)
     {
-        carry_out(relay.learned(runtime_clock::now(),
-                                {entry.key, entry.mod_revision, entry.value}));
+        carry_out(
+            relay.learned(runtime_clock::now(), {entry.key, entry.mod_revision, entry.value}));
     }
 
     /// An empty value stands for a key that is gone: no document is empty.
@@ -327,8 +327,7 @@
         if (m_installed && read.value().revision < *m_installed)
             return;
         m_installed = read.value().revision;
-        hooks.on_configuration(
-            std::make_shared<const configuration>(std::move(read).value()));
+        hooks.on_configuration(std::make_shared<const configuration>(std::move(read).value()));
     }
 
     void drop_overdue()
--- /dev/null
+++ b/daemon/registry_pages.cc
@@ -0,0 +1,148 @@
+#include "daemon/registry_pages.h"
+
+#include "daemon/admin_answers.h"
+#include "tables/parse.h"
+
+// Every page is made from what this node knows. Changes and their history are the platform's: what
+// would write is refused with the place to go to.
+
+namespace jaynotch {
+
+namespace {
+
+constexpr std::string_view text_type = "text/plain; version=0.0.4; charset=utf-8";
+
+using group_key = std::pair<group_id, std::int64_t>;
+
+std::map<group_key, std::map<std::uint32_t, const runner*>> groups_of(const target_view& view)
+{
+    std::map<group_key, std::map<std::uint32_t, const runner*>> found;
+    for (const auto& [id, row] : view.runners()) {
+        if (row.group)
+            found[{row.group->group, row.group->epoch}][row.group->rank] = &row;
+    }
+    return found;
+}
+
+boost::json::object group_row(const group_key& key,
+                              const std::map<std::uint32_t, const runner*>& members)
+{
+    boost::json::array shown;
+    bool open = false;
+    for (const auto& [rank, row] : members) {
+        open = open || row->group->phase == member_phase::open;
+        shown.push_back(boost::json::object{{"vm", row->id.value()},
+                                            {"address", row->address},
+                                            {"state", to_name(row->group->phase)}});
+    }
+    const runner& first = *members.begin()->second;
+    return {{"group", key.first.value()},
+            {"pool", first.model.empty() ? first.service : first.service + "/" + first.model},
+            {"fabric_domain", first.fabric_domain.value()},
+            {"leader", first.address},
+            {"members", std::move(shown)},
+            {"complete", open},
+            {"fencing", key.second},
+            {"version", first.model}};
+}
+
+} // namespace
+
+net::awaitable<void> registry_pages::serve(http_exchange& exchange)
+{
+    const std::string path{exchange.path()};
+    const bool writes = exchange.request().method() != http::verb::get;
+    if (writes || path == "/admin/v1/history" || path == "/admin/v1/diff") {
+        co_await answer_error(exchange,
+                              {error_kind::unauthorized,
+                               "the tables are kept in the platform's store, with their history",
+                               "change them there; this node shows what is in force"});
+    }
+    else if (path == "/metrics") {
+        const std::string page = m_sources.metrics_page();
+        co_await exchange.answer(http::status::ok, text_type, page);
+    }
+    else if (path == "/admin/v1/status") {
+        co_await answer_json(exchange, status_page());
+    }
+    else if (path == "/admin/v1/nodes") {
+        co_await answer_json(exchange, nodes_page());
+    }
+    else if (path == "/admin/v1/groups") {
+        co_await answer_json(exchange, groups_page());
+    }
+    else if (path == "/admin/v1/drain") {
+        co_await answer_json(exchange, drain_page(m_sources.requests.core().targets()));
+    }
+    else if (path == "/admin/v1/config") {
+        co_await show_config(exchange);
+    }
+    else {
+        co_await answer_error(
+            exchange, {error_kind::not_found, "no such page", "see docs/operations-daemon.md"});
+    }
+}
+
+net::awaitable<void> registry_pages::show_config(http_exchange& exchange)
+{
+    const std::shared_ptr<const configuration> tables = m_sources.tables();
+    const std::string wanted = exchange.query("revision");
+    const bool other =
+        tables && !wanted.empty() && wanted != std::to_string(tables->revision.value());
+    if (!tables || other) {
+        co_await answer_error(exchange,
+                              {error_kind::not_found, "this node knows the tables in force only",
+                               "ask without a revision, or look into the platform's store"});
+        co_return;
+    }
+    const boost::json::object page{{"revision", tables->revision.value()},
+                                   {"routes", render_routes(*tables)},
+                                   {"pools", render_pools(*tables)}};
+    co_await answer_json(exchange, page);
+}
+
+boost::json::object registry_pages::status_page() const
+{
+    const std::shared_ptr<const configuration> tables = m_sources.tables();
+    const std::int64_t revision = tables ? tables->revision.value() : 0;
+    boost::json::array managing;
+    for (const failure_domain_id& domain : m_sources.managed())
+        managing.push_back(boost::json::string{domain.value()});
+    const auto uptime =
+        std::chrono::duration_cast<std::chrono::seconds>(runtime_clock::now() - m_sources.started);
+    return {{"node", m_sources.settings.node.value()},
+            {"failure_domain", m_sources.settings.failure_domain.value()},
+            {"deployment", m_sources.settings.deployment},
+            {"ready", m_sources.ready()},
+            {"revision", revision},
+            {"platform", m_sources.store_reached() ? "reachable" : "told by peers"},
+            {"managing", std::move(managing)},
+            {"runners", m_sources.view.runners().size()},
+            {"uptime_s", uptime.count()},
+            {"in_flight", m_sources.in_flight()}};
+}
+
+boost::json::object registry_pages::nodes_page() const
+{
+    const std::shared_ptr<const configuration> tables = m_sources.tables();
+    boost::json::array rows;
+    for (const member& one : m_sources.peers.members()) {
+        boost::json::object row{{"node", one.node.value()},
+                                {"failure_domain", one.failure_domain.value()},
+                                {"state", to_name(one.state)}};
+        const bool own = one.node == m_sources.settings.node;
+        row["revision"] = own && tables ? boost::json::value(tables->revision.value()) : nullptr;
+        rows.push_back(std::move(row));
+    }
+    return {{"nodes", std::move(rows)}};
+}
+
+boost::json::object registry_pages::groups_page() const
+{
+    boost::json::array rows;
+    for (const auto& [key, members] : groups_of(m_sources.view))
+        rows.push_back(group_row(key, members));
+    return {{"groups", std::move(rows)}};
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/daemon/registry_pages.h
@@ -0,0 +1,51 @@
+// The admin port where operators write the platform's store: the same pages as elsewhere,
+// read-only.
+//
+//   registry_pages pages{sources};
+//   http_server::open(io, listen, settings, [&](http_exchange& e) { return pages.serve(e); });
+#pragma once
+
+#include "daemon/request_driver.h"
+#include "daemon/settings.h"
+#include "daemon/target_view.h"
+#include "http/http_exchange.h"
+#include "peers/peers.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jaynotch {
+
+/// Where the pages come from.
+struct registry_page_sources {
+    const daemon_settings& settings;
+    const target_view& view;
+    peer_service& peers;
+    request_driver& requests;
+    std::function<std::shared_ptr<const configuration>()> tables;
+    std::function<bool()> ready;
+    std::function<bool()> store_reached;
+    std::function<std::vector<failure_domain_id>()> managed;
+    std::function<std::uint64_t()> in_flight;
+    std::function<std::string()> metrics_page;
+    time_point started;
+};
+
+class registry_pages {
+public:
+    explicit registry_pages(registry_page_sources sources) : m_sources{std::move(sources)} {}
+
+    net::awaitable<void> serve(http_exchange& exchange);
+
+private:
+    net::awaitable<void> show_config(http_exchange& exchange);
+    [[nodiscard]] boost::json::object status_page() const;
+    [[nodiscard]] boost::json::object nodes_page() const;
+    [[nodiscard]] boost::json::object groups_page() const;
+
+    registry_page_sources m_sources;
+};
+
+} // namespace jaynotch
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -46,10 +46,10 @@
 }
 
 relay_request::way::way(relay_services& services, http_exchange& exchange, asked_request asked)
-    : m_services{services}, m_exchange{exchange}, m_asked{std::move(asked)}, m_attempt_ended{
-                                                                                 services.io,
-                                                                                 time_point::max()},
-      m_log{m_asked.facts ? m_asked.facts->attempt : std::string{}, m_asked.arrived}
+    : m_services{services}, m_exchange{exchange}, m_asked{std::move(asked)},
+      m_attempt_ended{services.io, time_point::max()}, m_log{m_asked.facts ? m_asked.facts->attempt
+                                                                           : std::string{},
+                                                             m_asked.arrived}
 {}
 
 net::awaitable<void> relay_request::way::run()
@@ -187,8 +187,8 @@
 {
     m_services.counted.refused(wanted.failure.kind);
     const refusal shown = shown_to_caller(wanted);
-    m_log.refused(wanted, static_cast<unsigned>(
-                              shown.status.value_or(status_of(shown.failure.kind))));
+    m_log.refused(wanted,
+                  static_cast<unsigned>(shown.status.value_or(status_of(shown.failure.kind))));
     co_await m_exchange.refuse(shown);
     ended(outcome::refused);
 }
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -7,13 +7,13 @@
 
 #include "base/base.h"
 #include "daemon/daemon.h"
-#include "http/http_exchange.h"
 #include "daemon/metrics.h"
 #include "daemon/model_request.h"
 #include "daemon/request_driver.h"
 #include "daemon/settings.h"
 #include "daemon/trace.h"
 #include "daemon/upstreams.h"
+#include "http/http_exchange.h"
 #include "outside/outside.h"
 
 #include <boost/asio/cancellation_signal.hpp>
@@ -50,9 +50,9 @@
     std::optional<model_request> model; ///< chat and completion
     /// Set if the request is passed on as it came, with what its headers say.
     std::optional<call_facts> facts;
-    std::string body;                   ///< as received; plain, if it was kept
-    bool stream_body = false;           ///< plain: the body is still to be read
-    span caller;                        ///< the caller's hop
+    std::string body;         ///< as received; plain, if it was kept
+    bool stream_body = false; ///< plain: the body is still to be read
+    span caller;              ///< the caller's hop
     time_point arrived;
 };
 
--- a/daemon/relay_forward.cc
+++ b/daemon/relay_forward.cc
@@ -6,14 +6,15 @@
 
 // A request that is passed on as it came: its body is not read, what matters stands in its headers.
 //
-// - events: a stream with increasing ids. Nothing is handed on before the first whole event, so that
+// - events: a stream with increasing ids. Nothing is handed on before the first whole event, so
+// that
 //   a server that fails until then costs the caller nothing. When a stream goes on from another
 //   server, events that the caller has are dropped by their ids.
 // - whole: any other answer is held until it is known to be whole.
 //
 // An answer that names another attempt is an earlier request's, sent late: it is passed over, and
-// the one that follows on the connection is ours. A success without the server's own mark is nobody's
-// answer and is never handed on.
+// the one that follows on the connection is ours. A success without the server's own mark is
+// nobody's answer and is never handed on.
 
 namespace jaynotch {
 
@@ -46,8 +47,7 @@
 
 refusal relay_request::way::shown_to_caller(const refuse& wanted) const
 {
-    refusal shown{
-        .failure = wanted.failure, .ran = wanted.ran, .retry_after = wanted.retry_after};
+    refusal shown{.failure = wanted.failure, .ran = wanted.ran, .retry_after = wanted.retry_after};
     if (!m_asked.facts)
         return shown;
     shown.fractions = true;
@@ -65,8 +65,8 @@
 http_request relay_request::way::build_forwarded_request(const attempt_state& attempt) const
 {
     const auto& received = m_exchange.request();
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        attempt.order.deadline - runtime_clock::now());
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(attempt.order.deadline -
+                                                                            runtime_clock::now());
     call_dress told;
     told.left = std::max(left, std::chrono::milliseconds{1});
     told.instance = attempt.order.instance;
@@ -102,9 +102,9 @@
     http_stream answer = std::move(opened).value();
     attempt.stream = &answer;
     answer_facts facts = platform::read_answer(answer.status(), answer.headers());
-    for (std::size_t skipped = 0; !facts.attempt.empty() &&
-                                  facts.attempt != m_asked.facts->attempt &&
-                                  skipped < most_foreign_answers;
+    for (std::size_t skipped = 0;
+         !facts.attempt.empty() && facts.attempt != m_asked.facts->attempt &&
+         skipped < most_foreign_answers;
          ++skipped)
     {
         ++m_services.counts.foreign_answers;
@@ -167,8 +167,7 @@
     co_return co_await begin(attempt, answer.status(), std::move(headers), std::nullopt);
 }
 
-net::awaitable<void> relay_request::way::forward_events(attempt_state& attempt,
-                                                        http_stream& answer,
+net::awaitable<void> relay_request::way::forward_events(attempt_state& attempt, http_stream& answer,
                                                         const answer_facts& facts)
 {
     sse_splitter events{longest_event};
@@ -249,8 +248,7 @@
     }
     if (!report_forwarded_head(attempt, answer, facts))
         co_return;
-    m_held =
-        held_answer{answer.status(), platform::forwarded(answer.headers()), std::move(body)};
+    m_held = held_answer{answer.status(), platform::forwarded(answer.headers()), std::move(body)};
     m_services.driver.handle(
         attempt_finished{m_inbox->id(), attempt.order.attempt, true, std::nullopt});
 }
--- a/daemon/request_driver.h
+++ b/daemon/request_driver.h
@@ -10,8 +10,8 @@
 #pragma once
 
 #include "base/base.h"
-#include "services/services.h"
 #include "routing/routing.h"
+#include "services/services.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -37,8 +37,8 @@
     std::size_t model_body_bytes = 4 * 1024 * 1024; ///< chat and completion bodies are held whole
     std::size_t answer_bytes = 8 * 1024 * 1024;     ///< a non-streamed engine answer is held whole
     std::size_t keyed_body_bytes = 512 * 1024;      ///< of a keyed call and of its stored answer
-    std::size_t requests = 4'096;                 ///< in flight and queued
-    std::size_t idle_upstream = 64;               ///< pooled connections for each target
+    std::size_t requests = 4'096;                   ///< in flight and queued
+    std::size_t idle_upstream = 64;                 ///< pooled connections for each target
 };
 
 /// Where the daemon's tables, backend servers and groups come from.
--- a/daemon/target_view.cc
+++ b/daemon/target_view.cc
@@ -14,8 +14,8 @@
 const pool* pool_for(const configuration& tables, const runner& row)
 {
     for (const pool& one : tables.pools) {
-        const bool fits = one.kind == pool_kind::plain ? !row.joins_groups()
-                                                       : one.model == row.model;
+        const bool fits =
+            one.kind == pool_kind::plain ? !row.joins_groups() : one.model == row.model;
         if (one.service == row.service && fits)
             return &one;
     }
@@ -85,8 +85,8 @@
         group.group = row.group->group;
         group.fencing = fencing_number{row.group->epoch};
         group.version = kind->model;
-        group.leaving = group.leaving || members[{row.group->group, row.group->epoch}] <
-                                             kind->replica_vms;
+        group.leaving =
+            group.leaving || members[{row.group->group, row.group->epoch}] < kind->replica_vms;
         made.groups.push_back(std::move(group));
     }
     return made;
--- a/outside/call_facts.h
+++ b/outside/call_facts.h
@@ -13,13 +13,13 @@
 
 /// What a caller says of its request.
 struct call_facts {
-    std::string attempt;                              ///< the caller's own name for this sending
+    std::string attempt;                               ///< the caller's own name for this sending
     std::optional<std::chrono::milliseconds> patience; ///< how long the caller waits
-    std::string credential;                           ///< key that proves the caller's workspace
-    std::string model;                                ///< empty for plain calls
+    std::string credential;                            ///< key that proves the caller's workspace
+    std::string model;                                 ///< empty for plain calls
     std::uint32_t prompt_tokens = 0;
-    std::uint32_t answer_tokens = 0;                  ///< most that it may generate
-    std::optional<std::uint64_t> after_event;         ///< resume a stream behind this event
+    std::uint32_t answer_tokens = 0;          ///< most that it may generate
+    std::optional<std::uint64_t> after_event; ///< resume a stream behind this event
 };
 
 /// What a node tells the backend server along with a caller's request.
@@ -32,10 +32,10 @@
 
 /// What a backend server says of its answer and of itself.
 struct answer_facts {
-    std::string attempt;        ///< whose answer it is; empty if it names none
-    bool did_not_run = false;   ///< the server's own word that the request never ran there
+    std::string attempt;         ///< whose answer it is; empty if it names none
+    bool did_not_run = false;    ///< the server's own word that the request never ran there
     bool wrong_instance = false; ///< another server has the address
-    bool sealed = false;        ///< bears the server's own mark, so it is no one else's answer
+    bool sealed = false;         ///< bears the server's own mark, so it is no one else's answer
     bool ends_connection = false;
     std::optional<std::uint32_t> running; ///< requests at work there; with `waiting`, if told
     std::uint32_t waiting = 0;
--- a/outside/runner.h
+++ b/outside/runner.h
@@ -50,10 +50,10 @@
     std::string service; ///< what it belongs to; pools of that service are its own
     std::string address; ///< "IP:port"
     failure_domain_id failure_domain;
-    fabric_domain_id fabric_domain; ///< empty for plain servers
-    std::int64_t born_ms = 0;       ///< time of day of its start, by its own clock
-    std::uint32_t places = 0;       ///< requests at once
-    bool leaving = false;           ///< takes nothing new
+    fabric_domain_id fabric_domain;  ///< empty for plain servers
+    std::int64_t born_ms = 0;        ///< time of day of its start, by its own clock
+    std::uint32_t places = 0;        ///< requests at once
+    bool leaving = false;            ///< takes nothing new
     std::vector<std::string> staged; ///< models whose weights lie on its host
     std::string model;               ///< model that is loaded, empty if none is
     std::optional<membership> group;
--- a/outside/site.h
+++ b/outside/site.h
@@ -29,11 +29,11 @@
 struct site_settings {
     node_id node;
     failure_domain_id failure_domain;
-    std::string bind_ip;       ///< address of this VM
-    std::string listen;        ///< "IP:port" for callers
-    std::string ready_listen;  ///< "IP:port" where the balancer asks whether this node is ready
-    std::string peer_listen;   ///< "IP:port" for other daemons
-    std::string store;         ///< "IP:port" of the platform's key-value service
+    std::string bind_ip;      ///< address of this VM
+    std::string listen;       ///< "IP:port" for callers
+    std::string ready_listen; ///< "IP:port" where the balancer asks whether this node is ready
+    std::string peer_listen;  ///< "IP:port" for other daemons
+    std::string store;        ///< "IP:port" of the platform's key-value service
     std::vector<std::string> seed_peers;
     std::size_t memory_bytes = 0;
     bool first_start = false; ///< the whole system starts for the first time
--- a/peers/key_relay_test.cc
+++ b/peers/key_relay_test.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <set>
 
 using namespace jaynotch;
 
@@ -306,3 +307,29 @@
         cr_assert(!net.went_back, "seed %lu", seed);
     }
 }
+
+// Two nodes of a domain watch the platform. The others must hear of each change at once, and of the
+// watchers being there when nothing changes, since they would watch themselves otherwise.
+Test(key_relay, a_push_tells_the_whole_domain_what_is_new_and_then_nothing)
+{
+    key_relay_settings settings;
+    settings.self = node_id{"n0"};
+    key_relay_core watcher{settings, random_source{1}};
+    const time_point now{std::chrono::hours{1}};
+    watcher.members_changed({node_id{"n0"}, node_id{"n1"}, node_id{"n2"}},
+                            {node_id{"n0"}, node_id{"n1"}, node_id{"n2"}, node_id{"far"}});
+    watcher.learned(now, {"key", 5, "value"});
+    const auto told = [](const key_relay_commands& commands) {
+        std::size_t entries = 0;
+        std::set<node_id> to;
+        for (const key_relay_command& one : commands) {
+            const auto& order = std::get<tell_keys>(one);
+            to.insert(order.to);
+            entries += std::get<key_reply>(order.body).entries.size();
+        }
+        return std::pair{to, entries};
+    };
+    const std::set<node_id> neighbours{node_id{"n1"}, node_id{"n2"}};
+    cr_assert(told(watcher.push()) == std::pair(neighbours, std::size_t{2}));
+    cr_assert(told(watcher.push()) == std::pair(neighbours, std::size_t{0}));
+}
--- a/routing/engine_model.h
+++ b/routing/engine_model.h
@@ -1,6 +1,7 @@
 // How long a batching engine takes, worked out from the figures that its operators publish.
 //
-//   const double ms = first_event_ms(figures, places, {.running = 12, .pending_tokens = 900}, 1420);
+//   const double ms = first_event_ms(figures, places, {.running = 12, .pending_tokens = 900},
+//   1420);
 //
 // The engine works in passes: each reads up to a chunk of the prompts that wait and then writes a
 // few tokens of every answer. The more it runs, the longer a pass; the more prompts wait, the later
--- a/routing/modelled_pick.cc
+++ b/routing/modelled_pick.cc
@@ -6,8 +6,9 @@
 
 namespace {
 
-/// Prompts of this node that may wait at one group. With four nodes doing so a pass is lengthened by
-/// about the pause that streams still bear (200 ms); a single longer prompt is let through alone.
+/// Prompts of this node that may wait at one group. With four nodes doing so a pass is lengthened
+/// by about the pause that streams still bear (200 ms); a single longer prompt is let through
+/// alone.
 constexpr double most_pending_ms = 60.0;
 /// What a target in another failure domain has to be sooner by: the way there and back, and that
 /// bytes between failure domains are paid for.
@@ -38,8 +39,7 @@
     const bool full = work.running + 1.0 > places_of(row, kind);
     if (full && row.own + 1.0 > own_part(row, kind, nodes))
         return false;
-    return row.pending_tokens == 0 ||
-           prompt_ms(kind.engine, row.pending_tokens) < most_pending_ms;
+    return row.pending_tokens == 0 || prompt_ms(kind.engine, row.pending_tokens) < most_pending_ms;
 }
 
 } // namespace
--- /dev/null
+++ b/routing/modelled_test.cc
@@ -0,0 +1,404 @@
+// Pools whose engines' speed is known, routes by host and workspaces by key: what the operators'
+// store brings beyond our own tables.
+#include "routing/core_fixture.h"
+#include "routing/engine_model.h"
+#include "routing/modelled_pick.h"
+
+#include <criterion/criterion.h>
+
+using namespace jaynotch;
+using namespace jaynotch::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+engine_figures dense_model()
+{
+    engine_figures made;
+    made.step_ms = 6.0;
+    made.sequence_ms = 0.045;
+    made.context_ms_per_1k = 0.008;
+    made.prompt_tokens_per_ms = 50.0;
+    made.pairs_ms_per_1m = 0.37;
+    made.chunk_tokens = 2048;
+    made.steps_in_pass = 7;
+    made.usual_prompt = 1'100;
+    made.usual_answer = 180;
+    return made;
+}
+
+configuration store_tables()
+{
+    configuration tables;
+    tables.deployment = "test";
+    tables.revision = config_revision{1};
+    route chat;
+    chat.name = route_id{"chat"};
+    chat.kind = request_kind::plain;
+    chat.workspaces = {"*"};
+    chat.host = "a.example";
+    chat.path_prefix = "/chat/";
+    chat.backends = {{"llm", 1.0}};
+    chat.streaming = true;
+    chat.resumable = true;
+    chat.repeat = repeat_policy::idempotent;
+    chat.repeat_failures = true;
+    chat.most_servers = 2;
+    chat.retries = 1;
+    chat.timeout = 8s;
+    chat.longest_stream = 0ms;
+    chat.first_target = 300ms;
+    chat.gap_target = 300ms;
+    route deep = chat;
+    deep.name = route_id{"deep"};
+    deep.path_prefix = "/chat/deep/";
+    deep.backends = {{"app", 1.0}};
+    deep.streaming = false;
+    deep.resumable = false;
+    route other = chat;
+    other.name = route_id{"other"};
+    other.host = "b.example";
+    other.open = true;
+    tables.routes = {chat, deep, other};
+    pool model;
+    model.name = pool_id{"llm/m"};
+    model.service = "llm";
+    model.model = "m";
+    model.kind = pool_kind::model;
+    model.engine = dense_model();
+    model.max_in_flight_per_replica = 8;
+    pool app;
+    app.name = pool_id{"app"};
+    app.service = "app";
+    app.kind = pool_kind::plain;
+    tables.pools = {app, model};
+    tables.workspaces = {{workspace_id{"farm"}, {"key-1", "key-2"}, std::nullopt}};
+    return tables;
+}
+
+target group(int number)
+{
+    target made;
+    made.id = target_id{"g" + std::to_string(number)};
+    made.pool = pool_id{"llm/m"};
+    made.address = "10.0.0." + std::to_string(number) + ":1";
+    made.instance = vm_id{"i-" + std::to_string(number)};
+    made.version = "m";
+    made.places = 8;
+    return made;
+}
+
+core_settings shared_settings()
+{
+    core_settings settings = fixture::default_settings();
+    settings.retry_share = 0.2;
+    settings.retry_extra = 40.0;
+    settings.charge_every_repeat = true;
+    settings.shortest_return = 100ms;
+    return settings;
+}
+
+/// A core with the operators' tables and `groups` groups of the model.
+class world : public fixture {
+public:
+    explicit world(int groups, core_settings settings = shared_settings())
+        : fixture{std::move(settings), 0, 1, store_tables()}
+    {
+        std::vector<target> all;
+        for (int number = 1; number <= groups; ++number)
+            all.push_back(group(number));
+        send(groups_changed{all});
+        target app;
+        app.id = target_id{"app-1"};
+        app.pool = pool_id{"app"};
+        app.address = "10.0.1.1:1";
+        app.instance = vm_id{"app-1"};
+        send(servers_changed{{app}});
+        commands.clear();
+    }
+
+    command_list ask(const std::string& path = "/chat/x", const std::string& host = "a.example",
+                     const std::string& key = "key-1", std::uint32_t tokens = 1'000)
+    {
+        request_info info;
+        info.id = request_id{++m_last};
+        info.kind = request_kind::plain;
+        info.method = "POST";
+        info.path = path;
+        info.host = host;
+        info.credential = key;
+        info.model = "m";
+        info.prompt_tokens = tokens;
+        return send(request_arrived{info});
+    }
+
+    /// The sending that `out` asks for has left and brings its head.
+    void begin(const send_attempt& order)
+    {
+        send(attempt_sent{order.request, order.attempt});
+        attempt_head head;
+        head.request = order.request;
+        head.attempt = order.attempt;
+        head.status = 200;
+        send(head);
+        send(attempt_progress{order.request, order.attempt, 1});
+    }
+
+    command_list refuse_it(const send_attempt& order)
+    {
+        send(attempt_sent{order.request, order.attempt});
+        attempt_head head;
+        head.request = order.request;
+        head.attempt = order.attempt;
+        head.status = 503;
+        head.says_did_not_run = true;
+        return send(head);
+    }
+
+    command_list lose(const send_attempt& order, attempt_failure why = attempt_failure::cut)
+    {
+        return send(attempt_failed{order.request, order.attempt, why});
+    }
+
+    command_list pass(duration time)
+    {
+        command_list all;
+        for (duration done{0}; done < time; done += 10ms) {
+            now += 10ms;
+            const command_list out = send(tick{});
+            all.insert(all.end(), out.begin(), out.end());
+        }
+        return all;
+    }
+
+private:
+    std::uint64_t m_last = 0;
+};
+
+/// The last command of a kind.
+template <class Command>
+std::optional<Command> only(const command_list& list)
+{
+    std::optional<Command> found;
+    for (const command& one : list) {
+        if (const auto wanted = std::get_if<Command>(&one))
+            found = *wanted;
+    }
+    return found;
+}
+
+} // namespace
+
+Test(engine_model, a_fuller_batch_and_longer_prompts_take_longer)
+{
+    const engine_figures figures = dense_model();
+    cr_assert_lt(pass_ms(figures, 1), pass_ms(figures, 26));
+    const double idle = first_event_ms(figures, 26, {}, 700);
+    const double busy = first_event_ms(figures, 26, {.running = 20}, 700);
+    const double waiting =
+        first_event_ms(figures, 26, {.running = 20, .pending_tokens = 4'000}, 700);
+    const double full = first_event_ms(figures, 26, {.running = 26}, 700);
+    cr_assert(idle < busy && busy < waiting && busy < full);
+    cr_assert_lt(idle, 100.0);
+}
+
+Test(engine_model, a_sound_pause_is_never_longer_than_one_full_pass)
+{
+    const engine_figures figures = dense_model();
+    const duration most = longest_pause(figures, 26, 1e9);
+    cr_assert_lt(most, 450ms);
+    cr_assert_gt(most, longest_pause(figures, 26, 0));
+}
+
+Test(modelled, the_host_and_the_longest_prefix_decide)
+{
+    world here{1};
+    cr_assert_eq(only<send_attempt>(here.ask("/chat/x"))->target.value(), "g1");
+    cr_assert_eq(only<send_attempt>(here.ask("/chat/deep/x"))->target.value(), "app-1");
+    cr_assert_eq(only<refuse>(here.ask("/chat/x", "c.example"))->failure.kind,
+                 error_kind::not_found);
+    cr_assert_eq(only<refuse>(here.ask("/other/x"))->failure.kind, error_kind::not_found);
+}
+
+Test(modelled, a_key_proves_the_workspace_unless_the_route_is_open)
+{
+    world here{1};
+    cr_assert_eq(only<send_attempt>(here.ask())->workspace.value(), "farm");
+    cr_assert_eq(only<refuse>(here.ask("/chat/x", "a.example", "no"))->failure.kind,
+                 error_kind::unauthorized);
+    cr_assert_eq(only<send_attempt>(here.ask("/chat/x", "b.example", "no"))->workspace.value(), "");
+}
+
+Test(modelled, requests_spread_over_the_groups)
+{
+    world here{4};
+    std::map<std::string, int> sent;
+    for (int index = 0; index < 16; ++index) {
+        const command_list out = here.ask();
+        const auto order = only<send_attempt>(out);
+        cr_assert(order);
+        const send_attempt copy = *order;
+        ++sent[copy.target.value()];
+        here.begin(copy);
+    }
+    for (const auto& [target, number] : sent)
+        cr_assert_eq(number, 4, "%s got %d", target.c_str(), number);
+}
+
+// Everything is full. What comes now waits here for a moment and is then told to come back, long
+// before its caller gives up.
+Test(modelled, a_full_pool_refuses_in_time)
+{
+    world here{1};
+    for (int index = 0; index < 8; ++index)
+        here.begin(*only<send_attempt>(here.ask()));
+    const command_list asked = here.ask();
+    cr_assert(!only<send_attempt>(asked));
+    const command_list later = here.pass(1'300ms);
+    const auto refused = only<refuse>(asked) ? only<refuse>(asked) : only<refuse>(later);
+    cr_assert(refused);
+    cr_assert_eq(refused->ran, ran_state::no);
+    cr_assert(refused->retry_after && *refused->retry_after >= 100ms);
+}
+
+// The other nodes fill every group. A node that took only what they leave would never get a place.
+Test(modelled, each_node_has_its_part_of_a_full_group)
+{
+    world here{1};
+    here.send(fleet_size_seen{4});
+    here.send(load_seen{target_id{"g1"}, {8, 3, 0.0}, {}});
+    here.begin(*only<send_attempt>(here.ask()));
+    cr_assert(only<send_attempt>(here.ask()), "two of eight places are ours");
+    cr_assert(!only<send_attempt>(here.ask()));
+}
+
+// A stream that a full server refused, and that then broke in its middle at another, ended for its
+// caller though a third group was free: the refusal had used up its second server.
+Test(modelled, a_refusal_uses_up_none_of_a_streams_servers)
+{
+    world here{3};
+    const send_attempt first = *only<send_attempt>(here.ask());
+    const send_attempt second = *only<send_attempt>(here.refuse_it(first));
+    here.begin(second);
+    const auto third = only<send_attempt>(here.lose(second));
+    cr_assert(third);
+    cr_assert(third->resume);
+}
+
+Test(modelled, a_stream_runs_on_no_more_servers_than_its_route_allows)
+{
+    world here{4};
+    const send_attempt first = *only<send_attempt>(here.ask());
+    here.begin(first);
+    const send_attempt second = *only<send_attempt>(here.lose(first));
+    here.begin(second);
+    const command_list end = here.lose(second);
+    cr_assert(!only<send_attempt>(end));
+    cr_assert(only<end_truncated>(end));
+}
+
+// A group has lost a member: it takes requests and moves nothing, for seconds. All its streams
+// pause at once. They go on elsewhere before their callers leave, the managers are told, and
+// nothing new goes there but one request now and then.
+Test(modelled, a_silent_group_is_left)
+{
+    world here{2};
+    std::vector<send_attempt> at_first;
+    std::vector<send_attempt> at_second;
+    for (int index = 0; index < 6; ++index) {
+        const send_attempt order = *only<send_attempt>(here.ask());
+        here.begin(order);
+        (order.target.value() == "g1" ? at_first : at_second).push_back(order);
+    }
+    command_list out;
+    for (int step = 0; step < 60 && count<target_silent>(out) == 0; ++step) {
+        for (const send_attempt& order : at_second)
+            here.send(attempt_progress{order.request, order.attempt, 1});
+        out = here.pass(10ms);
+    }
+    const auto silent = only<target_silent>(out);
+    cr_assert(silent);
+    cr_assert_eq(silent->instance.value(), "i-1");
+    cr_assert_eq(count<send_attempt>(out), at_first.size());
+    for (const command& one : out) {
+        if (const auto* moved = std::get_if<send_attempt>(&one))
+            cr_assert(moved->resume && moved->target.value() == "g2");
+    }
+    cr_assert_neq(only<send_attempt>(here.ask())->target.value(), "g1");
+}
+
+// A sound group under a full load pauses for as long as a pass with many prompts takes. That is no
+// silence: moving its streams would double the load that makes it slow.
+Test(modelled, a_busy_group_is_not_taken_for_silent)
+{
+    world here{2};
+    std::vector<send_attempt> orders;
+    for (int index = 0; index < 8; ++index) {
+        orders.push_back(*only<send_attempt>(here.ask()));
+        here.begin(orders.back());
+    }
+    for (int pass = 0; pass < 20; ++pass) {
+        cr_assert_eq(count<target_silent>(here.pass(250ms)), 0U);
+        for (const send_attempt& order : orders)
+            here.send(attempt_progress{order.request, order.attempt, 1});
+    }
+}
+
+// Servers fail everything. The retries of all nodes together must stay within the fleet's budget.
+Test(modelled, retries_stay_within_the_nodes_part_of_the_fleets_budget)
+{
+    core_settings settings = shared_settings();
+    settings.retry_extra = 40.0;
+    settings.retry_extra_shared = true;
+    world here{4, settings};
+    here.send(fleet_size_seen{4});
+    std::size_t firsts = 0;
+    std::size_t repeats = 0;
+    for (int index = 0; index < 200; ++index) {
+        here.pass(20ms);
+        command_list out = here.ask();
+        auto order = only<send_attempt>(out);
+        firsts += order ? 1 : 0;
+        while (order) {
+            const send_attempt copy = *order;
+            here.send(attempt_sent{copy.request, copy.attempt});
+            out = here.lose(copy);
+            order = only<send_attempt>(out);
+            repeats += order ? 1 : 0;
+        }
+    }
+    cr_assert_leq(repeats, static_cast<std::size_t>(0.2 * firsts + 40.0 / 4 + 1));
+    cr_assert_gt(repeats, 5U);
+}
+
+// A request waits beyond the time that makes it worth its full. Those that can still make theirs go
+// first, and each of the others still gets its turn.
+Test(modelled, what_can_still_be_in_time_goes_first)
+{
+    world here{1};
+    std::vector<send_attempt> running;
+    for (int index = 0; index < 8; ++index) {
+        running.push_back(*only<send_attempt>(here.ask()));
+        here.begin(running.back());
+    }
+    for (int index = 0; index < 4; ++index)
+        here.ask(); // wait, and are late after these passes of the engine
+    for (int event = 2; event < 7; ++event) {
+        here.pass(80ms);
+        for (const send_attempt& order : running)
+            here.send(attempt_progress{order.request, order.attempt, 1});
+    }
+    constexpr std::uint64_t last_late = 12;
+    for (int index = 0; index < 4; ++index)
+        here.ask(); // could still be in time
+    std::size_t in_time = 0;
+    for (std::size_t index = 0; index < running.size(); ++index) {
+        const send_attempt& ended = running[index];
+        const auto next = only<send_attempt>(
+            here.send(attempt_finished{ended.request, ended.attempt, true, std::nullopt}));
+        cr_assert(next, "none of them starves");
+        here.begin(*next);
+        in_time += index < 4 && next->request.value() > last_late ? 1 : 0;
+    }
+    cr_assert_geq(in_time, 3U);
+}
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -115,8 +115,8 @@
     // A service without a pool for the model named: the operators' next version may bring it.
     if (index == pools.size() && !taken->backends.empty())
         return refuse_with(error_kind::unavailable,
-                           "route " + taken->name.value() + " leads to nothing that serves model \"" +
-                               info.model + "\"",
+                           "route " + taken->name.value() +
+                               " leads to nothing that serves model \"" + info.model + "\"",
                            "come back after the time in Retry-After", no_target_retry);
     if (index == pools.size() || !pools.at(index).present)
         return refuse_with(error_kind::not_found,
@@ -234,9 +234,7 @@
         return;
     }
     const double weight = pool.weight_of(row.info.workspace, row.terms.priority);
-    if (!pool.queue.push(flow_of(row), weight,
-                         {row.info.id, cost_of(row.info)}))
-    {
+    if (!pool.queue.push(flow_of(row), weight, {row.info.id, cost_of(row.info)})) {
         finish_refuse(row,
                       {error_kind::overloaded, "the queue of this workspace is full",
                        "come back after the time in Retry-After"},
--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -7,13 +7,13 @@
 
 /// What a choice of a target rested on, for the log.
 struct pick_basis {
-    std::uint32_t sending = 1;   ///< of this request, from 1
-    std::uint32_t own = 0;       ///< requests of this node at the target, this one not counted
-    double others = 0.0;         ///< of the other nodes, as estimated
+    std::uint32_t sending = 1;     ///< of this request, from 1
+    std::uint32_t own = 0;         ///< requests of this node at the target, this one not counted
+    double others = 0.0;           ///< of the other nodes, as estimated
     std::int64_t load_age_ms = -1; ///< since the target told its load; -1: never
-    double predicted_ms = 0.0;   ///< to the first event; 0: not predicted
-    std::size_t candidates = 0;  ///< targets of the pool at that moment
-    std::int64_t waited_ms = 0;  ///< since the request arrived
+    double predicted_ms = 0.0;     ///< to the first event; 0: not predicted
+    std::size_t candidates = 0;    ///< targets of the pool at that moment
+    std::int64_t waited_ms = 0;    ///< since the request arrived
 };
 
 /// Connect to `address` and send the request there.
@@ -29,10 +29,10 @@
     std::string version;    ///< model pools
     std::string adapter;    ///< model pools; empty for none
     priority_class priority = priority_class::standard;
-    vm_id instance;         ///< the only server that may run it; empty: any at the address
+    vm_id instance; ///< the only server that may run it; empty: any at the address
     repeat_policy repeat = repeat_policy::never; ///< whether the client may send it twice
-    workspace_id workspace; ///< whose request it is; empty if nobody proved it
-    time_point deadline;    ///< after it nobody waits for the answer
+    workspace_id workspace;                      ///< whose request it is; empty if nobody proved it
+    time_point deadline;                         ///< after it nobody waits for the answer
     pick_basis basis;
     /// Continue after the text already given to the caller, whose head has been sent.
     bool resume = false;
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -370,8 +370,8 @@
         if (settings.retry_extra_shared) {
             std::size_t sharing = 0;
             for (pool_index other = 0; other < pools.size(); ++other)
-                sharing += pools.at(other).present &&
-                           pools.at(other).info.service == pool.info.service;
+                sharing +=
+                    pools.at(other).present && pools.at(other).info.service == pool.info.service;
             extra /= static_cast<double>(fleet_size * std::max<std::size_t>(1, sharing));
         }
         pool.budget.set(settings.retry_share, extra);
--- a/routing/request_core.h
+++ b/routing/request_core.h
@@ -44,7 +44,8 @@
     std::chrono::milliseconds demand_keeping{5'000}; ///< of a silent peer's demand
     std::chrono::milliseconds repeat_wait{10'000};   ///< for a first call still in progress
 
-    std::chrono::milliseconds shortest_return{1'000}; ///< least that a refused caller is told to wait
+    std::chrono::milliseconds shortest_return{
+        1'000};                       ///< least that a refused caller is told to wait
     failure_domain_id failure_domain; ///< of this node; its targets are preferred
     /// Further sendings that one pool may have, of all nodes together: this share of its requests,
     /// and `retry_extra` saved up.
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -31,7 +31,8 @@
     };
     while (pools.at(index).queue.size() > 0) {
         pool_row& pool = pools.at(index);
-        if (settings.admission && !pool.modelled() && pool.in_flight - pool.departing >= pool.allowed()) {
+        if (settings.admission && !pool.modelled() &&
+            pool.in_flight - pool.departing >= pool.allowed()) {
             pool.held_back = true;
             return;
         }
--- a/routing/request_events.h
+++ b/routing/request_events.h
@@ -54,7 +54,7 @@
     std::string path;   ///< plain requests: path without the query
     std::string host;   ///< plain requests: as the caller names it, in lower case, without a port
     std::string credential; ///< key of the caller, where the tables name workspaces by keys
-    std::string model;  ///< chat and completion: as the caller names it
+    std::string model;      ///< chat and completion: as the caller names it
     workspace_id workspace;
     std::string idempotency_key; ///< empty for none
     /// Digest over method, path with query, and body; needed with an idempotency key.
@@ -92,7 +92,7 @@
     std::optional<attempt_id> echoed;
     /// The backend server itself says that the request did not run (`jaynotch-ran: no`).
     bool says_did_not_run = false;
-    std::string version; ///< model version that the engine names; empty if it names none
+    std::string version;         ///< model version that the engine names; empty if it names none
     bool wrong_instance = false; ///< another server answers at that address
 };
 
@@ -264,7 +264,8 @@
 using event =
     std::variant<request_arrived, attempt_sent, attempt_head, attempt_progress, attempt_waits,
                  attempt_finished, attempt_failed, caller_gone, key_status_asked, kv_result,
-                 lease_result, groups_changed, servers_changed, fleet_size_seen, group_broken, target_leaving, load_seen,
-                 cache_events_seen, tables_installed, peer_demand_seen, peer_left, tick>;
+                 lease_result, groups_changed, servers_changed, fleet_size_seen, group_broken,
+                 target_leaving, load_seen, cache_events_seen, tables_installed, peer_demand_seen,
+                 peer_left, tick>;
 
 } // namespace jaynotch
--- a/routing/request_finish.cc
+++ b/routing/request_finish.cc
@@ -49,8 +49,8 @@
 }
 
 void request_core::state::finish_refuse(request_row& row, error failure, ran_state ran,
-                                        std::optional<std::chrono::milliseconds> after, time_point now,
-                                        command_list& out)
+                                        std::optional<std::chrono::milliseconds> after,
+                                        time_point now, command_list& out)
 {
     settle_claim_on_failure(row, now);
     if (row.caller_left) {
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -29,7 +29,7 @@
     target_row_index target = no_target;
     bool sent = false; ///< a byte may have left
     bool first_part_in = false;
-    bool waits_for_caller = false; ///< a part is being written to a slow caller
+    bool waits_for_caller = false;    ///< a part is being written to a slow caller
     std::uint32_t pending_tokens = 0; ///< of its prompt, counted at the target until a part is in
     time_point started;
     time_point last_part; ///< of the answer; valid while answering
@@ -60,7 +60,8 @@
     bool head_given = false;   ///< part of an answer was handed on
     bool caller_left = false;  ///< keyed: goes on for the record's sake
     bool has_attempt = false;
-    bool late = false; ///< waits beyond its route's first target: those that can still meet theirs go first
+    bool late =
+        false; ///< waits beyond its route's first target: those that can still meet theirs go first
     std::string given_version; ///< of the answer handed on in part
     std::uint32_t sendings = 0;
     std::uint32_t runs = 0; ///< sendings that may have run
@@ -68,7 +69,7 @@
     std::vector<target_row_index> tried;
     attempt_row attempt;
     time_point arrived;
-    time_point deadline; ///< of the first byte, or of the resumption
+    time_point deadline;    ///< of the first byte, or of the resumption
     time_point queue_until; ///< modelled pools: refused if it has not been sent by then
     time_point first_by; ///< an answer that begins later is worth less; max if the route has none
     time_point ends;     ///< latest end of the answer
--- a/tables/render.cc
+++ b/tables/render.cc
@@ -76,6 +76,30 @@
     return fresh;
 }
 
+/// What routes.toml has no fields for; shown so that operators see where requests go.
+void write_store_fields(std::ostream& out, const route& row)
+{
+    if (!row.host.empty())
+        write_field(out, "host", row.host);
+    std::vector<std::string> services;
+    for (const backend_share& share : row.backends)
+        services.push_back(share.service + ":" + std::to_string(share.weight));
+    if (!services.empty())
+        write_field(out, "services", services);
+    if (row.streaming)
+        write_field(out, "streaming", row.streaming);
+    if (row.resumable)
+        write_field(out, "resumable", row.resumable);
+    if (row.open)
+        write_field(out, "open", row.open);
+}
+
+void write_store_fields(std::ostream& out, const pool& row)
+{
+    if (!row.service.empty())
+        write_field(out, "service", row.service);
+}
+
 template <class Row>
 void write_row(std::ostream& out, std::string_view key, const Row& row)
 {
@@ -89,6 +113,7 @@
             }
         });
     });
+    write_store_fields(out, row);
 }
 
 template <class Row>
