--- a/daemon/request_log.cc
+++ b/daemon/request_log.cc
@@ -1,5 +1,7 @@
 #include "daemon/request_log.h"
 
+#include <cmath>
+
 // Refusals, cuts and failed sendings are warnings: they are what an engineer looks for, and they
 // are kept when routine lines have to be dropped.
 
@@ -51,9 +53,9 @@
                {"workspace", order.workspace.value()},
                {"waited_ms", basis.waited_ms},
                {"own", basis.own},
-               {"others", basis.others},
+               {"others", std::llround(basis.others)},
                {"load_age_ms", basis.load_age_ms},
-               {"predicted_ms", basis.predicted_ms},
+               {"predicted_ms", std::llround(basis.predicted_ms)},
                {"candidates", basis.candidates}});
 }
 
--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -97,6 +97,13 @@
     gone.unlist_at = m_now + three_heartbeats;
 }
 
+void fake_registry::lose_entry(const std::string& id, duration away)
+{
+    fake_runner& lost = *find(id);
+    lost.unlist_at = m_now;
+    lost.list_at = m_now + away;
+}
+
 void fake_registry::start_again(const std::string& id)
 {
     fake_runner fresh;
@@ -169,6 +176,12 @@
     }
     if (!at.alive)
         return;
+    if (m_now >= at.list_at) {
+        at.list_at = time_point::max();
+        at.unlist_at = time_point::max();
+        at.listed = true;
+        publish(at);
+    }
     if (m_now >= at.staged_at) {
         at.staged_at = time_point::max();
         at.row.staged = {at.staging};
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -45,6 +45,8 @@
     void start_again(const std::string& id);
     /// The managers don't reach it and its entry goes, though it works on.
     void cut_off(const std::string& id);
+    /// The entry of a runner that works on runs out and is written anew after `away`.
+    void lose_entry(const std::string& id, duration away);
     void drain(const std::string& id);
     void add(const std::string& id, std::size_t domain);
     void begin_traffic();
@@ -76,6 +78,7 @@
         bool reachable = true;
         bool listed = true;
         time_point unlist_at = time_point::max();
+        time_point list_at = time_point::max();
         std::int64_t fence = 0;
         std::int64_t epoch = 0;
         std::string warm;
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -220,6 +220,8 @@
         if (head)
             out.emplace_back(ask_peers{probed.vm, view->row.address});
     }
+    if (probed.answers)
+        view->answered_at = now;
     view->silent = !probed.answers;
     view->silent_until = now + settings.dead_mark;
     view->dead = view->dead && view->silent;
--- a/groups/formation.h
+++ b/groups/formation.h
@@ -115,6 +115,9 @@
     /// between.
     duration dead_mark = 5s;
     duration peers_patience = 500ms; ///< for the other nodes' word on a silent head
+    /// Entries that ran out while a living runner could not reach the store are back within this
+    /// time, as the store's operators tell; what is missing for longer counts as gone.
+    duration entry_return = 2s;
     /// A composition that an earlier manager ordered is given this long to come together. Joins
     /// that load nothing take less.
     duration adopt_wait = 5s;
--- a/groups/formation_groups.cc
+++ b/groups/formation_groups.cc
@@ -104,6 +104,8 @@
     const auto at_head = seen.members.find(0);
     const runner_view* head = at_head == seen.members.end() ? nullptr : find(at_head->second);
     const bool complete = kind != nullptr && whole(seen, *kind);
+    if (!complete && head != nullptr && holds_requests(*head) && entries_may_return(seen, now))
+        return;
     const bool serving = head != nullptr && standing(*head) && holds_requests(*head);
     if (serving) {
         if (complete)
@@ -121,6 +123,37 @@
         dissolve(seen, now);
 }
 
+/// An entry that has run out is a suspicion, not a loss: when a cut heals between two members'
+/// entries running out, the others can be ordered again while all of them live and serve. So the
+/// member itself is asked. Only one that doesn't answer, or whose entry stays away, is lost.
+bool formation::state::entry_may_return(runner_view& view, time_point now)
+{
+    if (view.silent || now - view.unlisted_at >= settings.entry_return)
+        return false;
+    if (view.doubted_at < view.unlisted_at) {
+        view.doubted_at = now;
+        out.emplace_back(probe_member{view.row.id, view.row.address});
+    }
+    return view.answered_at >= view.doubted_at || now - view.doubted_at < settings.peers_patience;
+}
+
+/// Whether a group misses nothing but entries that may return.
+bool formation::state::entries_may_return(const seen_group& seen, time_point now)
+{
+    bool missing = false;
+    for (const auto& [rank, vm] : seen.members) {
+        runner_view* view = find(vm);
+        if (view == nullptr || view->silent)
+            return false;
+        if (view->listed)
+            continue;
+        missing = true;
+        if (!entry_may_return(*view, now))
+            return false;
+    }
+    return missing;
+}
+
 void formation::state::open_if_whole(const seen_group& seen, const runner_view& head,
                                      time_point now)
 {
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -13,6 +13,8 @@
     std::string warm;   ///< model of the last group of this life: joins to it are quick
     bool listed = true; ///< its entry is in the registry
     time_point unlisted_at;
+    time_point doubted_at;  ///< asked whether it lives, since its entry had gone
+    time_point answered_at; ///< a probe
     time_point leaving_since;
     bool silent = false; ///< did not answer a probe
     time_point silent_since;
@@ -68,6 +70,8 @@
     void open_if_whole(const seen_group& seen, const runner_view& head, time_point now);
     void dissolve(const seen_group& seen, time_point now);
     void close_before_leave(const seen_group& seen, const runner_view& head, time_point now);
+    [[nodiscard]] bool entries_may_return(const seen_group& seen, time_point now);
+    [[nodiscard]] bool entry_may_return(runner_view& view, time_point now);
     [[nodiscard]] const pool* pool_of(const seen_group& seen) const;
     [[nodiscard]] bool standing(const runner_view& view) const;
     [[nodiscard]] bool whole(const seen_group& seen, const pool& kind) const;
--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -82,6 +82,41 @@
     assert_sound(world);
 }
 
+// A failure domain is cut off for so long that the entries of its runners begin to run out, one
+// after the other. The cut heals in between: heads whose entries still stand can be ordered again,
+// members whose entries have gone live and write them anew within two seconds. The groups serve all
+// the time; ending them would leave the domain with nothing for as long as they form again.
+Test(formation, entries_that_run_out_behind_a_cut_end_no_group)
+{
+    fake_registry world = serving({.domains = 2, .runners = 9});
+    const std::size_t big = world.open_groups("big");
+    const std::size_t small = world.open_groups("small");
+    const std::vector<std::string> members = world.members_of(world.head_of("big", 0));
+    const std::size_t orders = world.orders();
+    world.lose_entry(members[1], 900ms);
+    world.lose_entry(members[2], 700ms);
+    world.run(300ms);
+    world.lose_entry(members[0], 900ms);
+    world.run(3s);
+    cr_assert_eq(world.open_groups("big"), big);
+    cr_assert_eq(world.open_groups("small"), small);
+    cr_assert_eq(world.orders(), orders, "nobody was told to leave");
+    assert_sound(world);
+}
+
+// A member lives and answers the manager but can't write its entry. Nobody knows for how long: its
+// group is ended after the time in which entries return, and another is made of a spare.
+Test(formation, a_member_whose_entry_stays_away_is_replaced)
+{
+    fake_registry world = serving({.domains = 2, .runners = 9});
+    const std::size_t big = world.open_groups("big");
+    const std::string lost = world.members_of(world.head_of("big", 0))[1];
+    world.lose_entry(lost, 60s);
+    world.run(5s);
+    cr_assert_eq(world.open_groups("big"), big);
+    assert_sound(world);
+}
+
 // Two groups of one model in one domain each lose a member and no spare is left: their survivors
 // make one group at once, rather than two that wait for weights to load.
 Test(formation, survivors_of_two_groups_make_one)
