--- a/cli/explain_command.cc
+++ b/cli/explain_command.cc
@@ -88,7 +88,13 @@
 
 std::vector<log_line> story_of(std::vector<log_line> own, const std::vector<log_line>& beliefs)
 {
-    const auto by_time = [](const log_line& a, const log_line& b) { return a.at_ms < b.at_ms; };
+    // Warnings may overtake routine lines of the same millisecond on their way out.
+    const auto by_time = [](const log_line& a, const log_line& b) {
+        const auto order = [](const log_line& line) {
+            return std::pair{line.at_ms, line.kind != "request_admitted"};
+        };
+        return order(a) < order(b);
+    };
     std::stable_sort(own.begin(), own.end(), by_time);
     const std::int64_t from = own.front().at_ms - before_ms;
     const std::int64_t until = own.back().at_ms + after_ms;
--- a/daemon/formation_driver.cc
+++ b/daemon/formation_driver.cc
@@ -362,4 +362,12 @@
     return led;
 }
 
+std::vector<groups::formation_status> formation_driver::status() const
+{
+    std::vector<groups::formation_status> all;
+    for (const auto& [domain, manager] : m_impl->managers)
+        all.push_back(manager.status(runtime_clock::now()));
+    return all;
+}
+
 } // namespace jaynotch
--- a/daemon/formation_driver.h
+++ b/daemon/formation_driver.h
@@ -48,6 +48,8 @@
 
     /// Failure domains that this node manages now.
     [[nodiscard]] std::vector<failure_domain_id> managed() const;
+    /// Of each failure domain whose runners are known.
+    [[nodiscard]] std::vector<groups::formation_status> status() const;
 
 private:
     class impl;
--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -64,6 +64,25 @@
                            .Help("From a request's header to its answer's first byte")
                            .Register(registry)
                            .Add({}, latency_buckets);
+    Histogram& queue = prometheus::BuildHistogram()
+                           .Name("jaynotch_queue_seconds")
+                           .Help("From a request's arrival until it was first sent")
+                           .Register(registry)
+                           .Add({}, latency_buckets);
+    Histogram& loop = prometheus::BuildHistogram()
+                          .Name("jaynotch_loop_delay_seconds")
+                          .Help("How much later than wanted a timer of the one thread came")
+                          .Register(registry)
+                          .Add({}, latency_buckets);
+    std::vector<Counter*> failures =
+        by_name<attempt_failure>(registry, "jaynotch_attempt_failures_total",
+                                 "Sendings that came to nothing, by reason", "reason");
+    Gauge& forming = gauge(registry, "jaynotch_groups_forming",
+                           "Groups that come together in failure domains managed here");
+    Gauge& spares =
+        gauge(registry, "jaynotch_spare_runners", "Runners in no group, in domains managed here");
+    Gauge& config_age =
+        gauge(registry, "jaynotch_config_age_seconds", "Since the tables in force were installed");
     Counter& tokens = counter(registry, "jaynotch_stream_events_total",
                               "Events of streams handed to callers, about one a token");
     Counter& attempts =
@@ -118,6 +137,21 @@
     m_families->attempts.Increment();
 }
 
+void metrics::attempt_failed(attempt_failure why)
+{
+    m_families->failures[static_cast<std::size_t>(why)]->Increment();
+}
+
+void metrics::queued(duration waited)
+{
+    m_families->queue.Observe(seconds(waited));
+}
+
+void metrics::loop_delay(duration late)
+{
+    m_families->loop.Observe(seconds(late));
+}
+
 void metrics::resumed()
 {
     m_families->resumes.Increment();
@@ -142,6 +176,9 @@
     all.peer_bytes.Set(static_cast<double>(now.peer_bytes_sent));
     all.kv_calls.Set(static_cast<double>(now.kv_calls));
     all.log_dropped.Set(static_cast<double>(now.log_lines_dropped));
+    all.forming.Set(static_cast<double>(now.groups_forming));
+    all.spares.Set(static_cast<double>(now.spare_runners));
+    all.config_age.Set(seconds(now.config_age));
     all.dropped.Set(static_cast<double>(now.spans_dropped));
     return prometheus::TextSerializer{}.Serialize(all.registry.Collect());
 }
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "base/base.h"
+#include "routing/routing.h"
 
 #include <memory>
 #include <string>
@@ -38,6 +39,9 @@
     std::uint64_t kv_calls = 0;
     std::uint64_t spans_dropped = 0;
     std::uint64_t log_lines_dropped = 0;
+    std::uint64_t groups_forming = 0; ///< in the failure domains that this node manages
+    std::uint64_t spare_runners = 0;  ///< there
+    duration config_age{0};           ///< since the tables in force were installed
 };
 
 class metrics {
@@ -52,6 +56,11 @@
     void first_byte(duration after);
     void tokens(std::uint64_t count);
     void attempt();
+    void attempt_failed(attempt_failure why);
+    /// From a request's arrival until it was first sent.
+    void queued(duration waited);
+    /// How much later than wanted a timer of the one thread came.
+    void loop_delay(duration late);
     void resumed();
     void foreign_answer();
     /// Prometheus text.
--- /dev/null
+++ b/daemon/metrics_test.cc
@@ -0,0 +1,40 @@
+// The page that operators scrape.
+#include "daemon/metrics.h"
+
+#include <criterion/criterion.h>
+
+using namespace jaynotch;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool has(const std::string& page, const std::string& line)
+{
+    return page.find(line) != std::string::npos;
+}
+
+} // namespace
+
+Test(metrics, a_page_tells_what_became_of_requests_and_why)
+{
+    metrics counted;
+    counted.ended(outcome::answered, 120ms);
+    counted.refused(error_kind::overloaded);
+    counted.attempt_failed(attempt_failure::stalled);
+    counted.queued(30ms);
+    counted.loop_delay(2ms);
+    gauges now;
+    now.groups_forming = 2;
+    now.spare_runners = 5;
+    now.config_age = 3s;
+    const std::string page = counted.render(now);
+    cr_assert(has(page, "jaynotch_requests_total{outcome=\"answered\"} 1"), "%s", page.c_str());
+    cr_assert(has(page, "jaynotch_refusals_total{kind=\"overloaded\"} 1"));
+    cr_assert(has(page, "jaynotch_attempt_failures_total{reason=\"stalled\"} 1"));
+    cr_assert(has(page, "jaynotch_queue_seconds_bucket{le=\"0.05\"} 1"));
+    cr_assert(has(page, "jaynotch_queue_seconds_bucket{le=\"0.025\"} 0"));
+    cr_assert(has(page, "jaynotch_loop_delay_seconds_count 1"));
+    cr_assert(has(page, "jaynotch_groups_forming 2"));
+    cr_assert(has(page, "jaynotch_spare_runners 5"));
+    cr_assert(has(page, "jaynotch_config_age_seconds 3"));
+}
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -251,6 +251,7 @@
     void install(std::shared_ptr<const configuration> next)
     {
         tables = std::move(next);
+        m_installed = runtime_clock::now();
         log_event(log_level::info, "config_installed",
                   {{"revision", tables->revision.value()},
                    {"routes", tables->routes.size()},
@@ -295,9 +296,11 @@
         while (!m_stopped) {
             boost::system::error_code ignored;
             m_timer.expires_after(beat);
+            const time_point wanted = runtime_clock::now() + beat;
             co_await m_timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
             if (m_stopped)
                 co_return;
+            counted.loop_delay(std::max<duration>(duration{0}, runtime_clock::now() - wanted));
             feed->tick();
             managers->tick();
             flush_log();
@@ -352,6 +355,12 @@
         now.in_flight = counts.in_flight;
         now.complete_groups = m_pushed.groups.size();
         now.managed_domains = managers->managed().size();
+        if (tables)
+            now.config_age = runtime_clock::now() - m_installed;
+        for (const groups::formation_status& one : managers->status()) {
+            now.groups_forming += one.leading ? one.groups_forming : 0;
+            now.spare_runners += one.leading ? one.spare_runners : 0;
+        }
         for (const member& one : peers->members())
             now.members += one.live() ? 1 : 0;
         now.peer_bytes_sent = peers->counters().bytes_sent;
@@ -366,6 +375,7 @@
 
     target_view m_view;
     target_lists m_pushed;
+    time_point m_installed; ///< of the tables in force
     std::size_t m_fleet_size = 0;
     timer m_timer;
     bool m_stopping = false;
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -151,6 +151,8 @@
         return;
     ++m_running;
     m_services.counted.attempt();
+    if (attempt->order.basis.sending <= 1)
+        m_services.counted.queued(std::chrono::milliseconds{attempt->order.basis.waited_ms});
     if (attempt->order.resume) {
         ++m_services.counts.resumed;
         m_services.counted.resumed();
--- a/daemon/relay_attempt.cc
+++ b/daemon/relay_attempt.cc
@@ -255,6 +255,7 @@
     attempt.hop.failed = true;
     attempt.hop.set("jaynotch.failure", to_name(reason));
     m_log.attempt_ended(attempt.order, to_name(reason), attempt.sent);
+    m_services.counted.attempt_failed(reason);
     m_services.driver.handle(attempt_failed{m_inbox->id(), attempt.order.attempt, reason});
 }
 
--- a/routing/modelled_test.cc
+++ b/routing/modelled_test.cc
@@ -330,6 +330,35 @@
     cr_assert_neq(only<send_attempt>(here.ask())->target.value(), "g1");
 }
 
+// A stream has used both servers that it may run on when its group falls silent. Most groups that
+// stand still go on after a second. Nobody else could take it over, so ending it at the first sign
+// would only lose the caller what may still come.
+Test(modelled, what_can_go_nowhere_else_stays_with_a_silent_group)
+{
+    world here{2};
+    const send_attempt first = *only<send_attempt>(here.ask());
+    here.begin(first);
+    const send_attempt second = *only<send_attempt>(here.lose(first));
+    here.begin(second);
+    const command_list out = here.pass(600ms);
+    cr_assert_eq(count<target_silent>(out), 1U);
+    cr_assert_eq(count<cancel_attempt>(out), 0U);
+    cr_assert_eq(count<end_truncated>(out), 0U);
+    here.send(attempt_progress{second.request, second.attempt, 1});
+    cr_assert(only<complete>(
+        here.send(attempt_finished{second.request, second.attempt, true, std::nullopt})));
+}
+
+// The only group pauses. Its requests have nowhere else to go and stay where they are.
+Test(modelled, a_silent_group_without_another_keeps_its_requests)
+{
+    world here{1};
+    here.begin(*only<send_attempt>(here.ask()));
+    const command_list out = here.pass(600ms);
+    cr_assert_eq(count<target_silent>(out), 1U);
+    cr_assert_eq(count<cancel_attempt>(out), 0U);
+}
+
 // A sound group under a full load pauses for as long as a pass with many prompts takes. That is no
 // silence: moving its streams would double the load that makes it slow.
 Test(modelled, a_busy_group_is_not_taken_for_silent)
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -302,22 +302,46 @@
     say_released(out);
 }
 
-/// Sends what a target that gives nothing was to do elsewhere, as far as that may be repeated. What
-/// must not be is left to its connection: the target may still answer it.
+/// Sends what a lost target was to do elsewhere, as far as that may be repeated. What must not be
+/// is left to its connection: the target may still answer it.
 void request_core::state::move_requests(target_row_index from, time_point now, command_list& out)
 {
-    std::vector<request_id> hit;
+    for (const request_id request : repeatable_at(from))
+        move_request(requests.at(request), now, out);
+}
+
+/// A silent target may yet go on, so only what another can take over now leaves it. For the rest,
+/// waiting is the only chance that is left; the patience between two parts bounds it.
+void request_core::state::leave_silent(target_row_index from, time_point now, command_list& out)
+{
+    for (const request_id request : repeatable_at(from)) {
+        request_row& row = requests.at(request);
+        const pool_row& pool = pools.at(row.terms.pool);
+        const bool afforded = !settings.retry_budget || pool.budget.has_one();
+        const bool taken = std::any_of(
+            pool.view.targets.begin(), pool.view.targets.end(),
+            [&](target_row_index at) { return at != from && targets.at(at).may_be_picked(); });
+        if (afforded && taken && may_send_again(row, attempt_failure::cut))
+            move_request(row, now, out);
+    }
+}
+
+std::vector<request_id> request_core::state::repeatable_at(target_row_index from) const
+{
+    std::vector<request_id> found;
     for (const auto& [request, row] : requests) {
         if (row.has_attempt && row.attempt.target == from &&
             row.terms.repeat == repeat_policy::idempotent)
-            hit.push_back(request);
-    }
-    std::sort(hit.begin(), hit.end()); // the map's order is not ours to depend on
-    for (const request_id request : hit) {
-        request_row& row = requests.at(request);
-        cancel(row, out);
-        end_attempt(row, attempt_failure::cut, attempt_end::group_lost, now, out);
+            found.push_back(request);
     }
+    std::sort(found.begin(), found.end()); // the map's order is not ours to depend on
+    return found;
+}
+
+void request_core::state::move_request(request_row& row, time_point now, command_list& out)
+{
+    cancel(row, out);
+    end_attempt(row, attempt_failure::cut, attempt_end::group_lost, now, out);
 }
 
 // A group that has lost a member goes on taking requests and moves nothing, for seconds, until it
@@ -356,7 +380,7 @@
             row.health.next_trial = now + trial;
             ++counters.silences;
             out.emplace_back(target_silent{row.info.id, row.info.instance});
-            move_requests(at, now, out);
+            leave_silent(at, now, out);
         }
     }
 }
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -92,6 +92,9 @@
     void take_cache_events(const cache_events_seen& seen);
     void lose_group(const target_id& group, time_point now, command_list& out);
     void move_requests(target_row_index from, time_point now, command_list& out);
+    void move_request(request_row& row, time_point now, command_list& out);
+    void leave_silent(target_row_index from, time_point now, command_list& out);
+    [[nodiscard]] std::vector<request_id> repeatable_at(target_row_index from) const;
     void find_silent(time_point now, command_list& out);
     void set_budgets();
 
