--- a/daemon/relay_attempt.cc
+++ b/daemon/relay_attempt.cc
@@ -135,17 +135,9 @@
     m_attempt_ended.cancel();
 }
 
-net::awaitable<void> relay_request::way::send(attempt_state& attempt)
+net::awaitable<std::optional<http_stream>> relay_request::way::open_answer(attempt_state& attempt,
+                                                                           http_request request)
 {
-    if (m_asked.facts) {
-        co_await forward(attempt);
-        co_return;
-    }
-    if (attempt.order.kind == pool_kind::model && !m_services.may_get(attempt.order.group)) {
-        report_failure(attempt, attempt_failure::not_connected);
-        co_return;
-    }
-    http_request request = build_request(attempt);
     const std::shared_ptr<http_client> client = m_services.servers.at(attempt.order.address);
     request.before_send = [this, &attempt] {
         attempt.sent = true;
@@ -154,12 +146,29 @@
     };
     result<http_stream> opened = co_await client->open(std::move(request), longest_wait);
     if (attempt.cancelled)
-        co_return;
+        co_return std::nullopt;
     if (!opened) {
         report_read_failure(attempt, opened.error());
+        co_return std::nullopt;
+    }
+    co_return std::move(opened).value();
+}
+
+net::awaitable<void> relay_request::way::send(attempt_state& attempt)
+{
+    if (m_asked.facts) {
+        co_await forward(attempt);
         co_return;
     }
-    http_stream answer = std::move(opened).value();
+    if (attempt.order.kind == pool_kind::model && !m_services.may_get(attempt.order.group)) {
+        report_failure(attempt, attempt_failure::not_connected);
+        co_return;
+    }
+    http_request request = build_request(attempt);
+    std::optional<http_stream> opened = co_await open_answer(attempt, std::move(request));
+    if (!opened)
+        co_return;
+    http_stream& answer = *opened;
     attempt.stream = &answer;
     if (!answer.header(leaving_header).empty() && m_services.on_leaving)
         m_services.on_leaving(attempt.order.target);
--- a/daemon/relay_forward.cc
+++ b/daemon/relay_forward.cc
@@ -86,20 +86,10 @@
 net::awaitable<void> relay_request::way::forward(attempt_state& attempt)
 {
     http_request request = build_forwarded_request(attempt);
-    const std::shared_ptr<http_client> client = m_services.servers.at(attempt.order.address);
-    request.before_send = [this, &attempt] {
-        attempt.sent = true;
-        m_sent = true;
-        m_services.driver.handle(attempt_sent{m_inbox->id(), attempt.order.attempt});
-    };
-    result<http_stream> opened = co_await client->open(std::move(request), longest_wait);
-    if (attempt.cancelled)
+    std::optional<http_stream> opened = co_await open_answer(attempt, std::move(request));
+    if (!opened)
         co_return;
-    if (!opened) {
-        report_read_failure(attempt, opened.error());
-        co_return;
-    }
-    http_stream answer = std::move(opened).value();
+    http_stream& answer = *opened;
     attempt.stream = &answer;
     answer_facts facts = platform::read_answer(answer.status(), answer.headers());
     for (std::size_t skipped = 0;
--- a/daemon/relay_way.h
+++ b/daemon/relay_way.h
@@ -5,6 +5,8 @@
 #include "daemon/relay.h"
 #include "daemon/request_log.h"
 
+#include <optional>
+
 namespace jaynotch {
 
 /// One sending of the request.
@@ -53,6 +55,10 @@
     // relay_attempt.cc
     net::awaitable<void> run_attempt(attempt_ptr attempt);
     net::awaitable<void> send(attempt_state& attempt);
+    /// The head of the backend server's answer. Nothing if the attempt was cancelled or came to
+    /// nothing, which has been reported then.
+    net::awaitable<std::optional<http_stream>> open_answer(attempt_state& attempt,
+                                                           http_request request);
     http_request build_request(const attempt_state& attempt) const;
     http_request build_model_request(const attempt_state& attempt) const;
     http_request build_plain_request(const attempt_state& attempt) const;
