Feeds: one driver carries out the relay of watched keys

Read again: record_feed and registry_feed each followed the members, carried out the relay's commands and turned entries into relayed keys. key_relay_driver does it for both.

--- a/daemon/key_relay_driver.cc
+++ b/daemon/key_relay_driver.cc
@@ -18,8 +18,7 @@
 
 void key_relay_driver::learned(const kv_entry& entry)
 {
-    carry_out(
-        m_core.learned(runtime_clock::now(), {entry.key, entry.mod_revision, entry.value}));
+    carry_out(m_core.learned(runtime_clock::now(), {entry.key, entry.mod_revision, entry.value}));
 }
 
 void key_relay_driver::push()
--- a/daemon/key_relay_driver.h
+++ b/daemon/key_relay_driver.h
@@ -1,5 +1,5 @@
-// Drives the relay of keys that a few nodes watch and all need (peers/key_relay.h): keeps it told of
-// the members and carries out what it decides. The feeds add where keys come from and go to.
+// Drives the relay of keys that a few nodes watch and all need (peers/key_relay.h): keeps it told
+// of the members and carries out what it decides. The feeds add where keys come from and go to.
 //
 //   key_relay_driver relay{settings, peers, "records", {on_key, on_watch}};
 //   relay.tick();                  // a few times a second
--- a/daemon/record_feed.cc
+++ b/daemon/record_feed.cc
@@ -1,5 +1,6 @@
 #include "daemon/record_feed.h"
 
+#include "daemon/key_relay_driver.h"
 #include "groups/groups.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -21,29 +22,17 @@
 /// Bounds how long a node that is no longer a watcher keeps its watch.
 constexpr duration longest_watch_wait = std::chrono::seconds{10};
 
-relayed_key to_relayed(const kv_entry& record)
-{
-    return {record.key, record.mod_revision, record.value};
-}
-
-kv_entry from_relayed(const relayed_key& entry)
-{
-    kv_entry record;
-    record.key = entry.key;
-    record.value = entry.value;
-    record.mod_revision = entry.revision;
-    return record;
-}
-
 } // namespace
 
 class record_feed::impl : public std::enable_shared_from_this<impl> {
 public:
     impl(net::io_context& context, const daemon_settings& chosen, kv_service& service,
          peer_service& others, std::function<void(const kv_entry&)> on_record)
-        : io{context}, settings{chosen}, kv{service}, peers{others}, hand_on{std::move(on_record)},
-          relay{key_relay_settings{.self = chosen.node},
-                random_source{hash64(chosen.node.value(), chosen.seed)}},
+        : io{context}, settings{chosen}, kv{service}, hand_on{std::move(on_record)},
+          relay{chosen,
+                others,
+                "records",
+                {[this](const kv_entry& entry) { take(entry); }, [this] { m_pause.cancel(); }}},
           prefix{groups::record_prefix(chosen.deployment)}, m_pause{context}
     {}
 
@@ -68,50 +57,21 @@
         m_pause.cancel();
     }
 
-    void tick()
-    {
-        if (m_members_version != peers.members_version())
-            members_changed();
-        carry_out(relay.tick(runtime_clock::now()));
-    }
-
     void learn(const kv_entry& record)
     {
         if (groups::is_record_key(settings.deployment, record.key))
-            carry_out(relay.learned(runtime_clock::now(), to_relayed(record)));
-    }
-
-    void carry_out(const key_relay_commands& commands)
-    {
-        for (const key_relay_command& command : commands)
-            std::visit([this](const auto& order) { carry_out(order); }, command);
+            relay.learned(record);
     }
 
     net::io_context& io;
     const daemon_settings& settings;
     kv_service& kv;
-    peer_service& peers;
     std::function<void(const kv_entry&)> hand_on;
-    key_relay_core relay;
+    key_relay_driver relay;
     std::string prefix;
     bool stopped = false;
 
 private:
-    void members_changed()
-    {
-        m_members_version = peers.members_version();
-        std::vector<node_id> own;
-        std::vector<node_id> all;
-        for (const member& one : peers.members()) {
-            if (!one.live())
-                continue;
-            all.push_back(one.node);
-            if (one.failure_domain == settings.failure_domain)
-                own.push_back(one.node);
-        }
-        carry_out(relay.members_changed(own, all));
-    }
-
     net::awaitable<void> read_and_watch()
     {
         const result<kv_range> read = co_await kv.get_prefix(prefix);
@@ -131,22 +91,14 @@
         }
     }
 
-    void carry_out(const watch_keys& order)
-    {
-        if (order.on)
-            m_pause.cancel();
-    }
-    void carry_out(const tell_keys& order) { peers.send_keys(order.to, order.body); }
-    void carry_out(const announce_key& order) { peers.publish(order.notice); }
-    void carry_out(const take_key& order)
+    void take(const kv_entry& entry)
     {
         // A peer may hand on any key; only records are taken for records.
-        if (groups::is_record_key(settings.deployment, order.entry.key))
-            hand_on(from_relayed(order.entry));
+        if (groups::is_record_key(settings.deployment, entry.key))
+            hand_on(entry);
     }
 
     timer m_pause;
-    std::uint64_t m_members_version = 0;
 };
 
 record_feed::record_feed(net::io_context& io, const daemon_settings& settings, kv_service& kv,
@@ -155,7 +107,7 @@
 {
     peers.on_keys([weak = std::weak_ptr{m_impl}](const key_message& message) {
         if (const auto self = weak.lock(); self && !self->stopped)
-            self->carry_out(self->relay.heard(runtime_clock::now(), message));
+            self->relay.heard(message);
     });
 }
 
@@ -176,12 +128,12 @@
 
 void record_feed::tick()
 {
-    m_impl->tick();
+    m_impl->relay.tick();
 }
 
 void record_feed::noticed(const key_notice& notice)
 {
-    m_impl->carry_out(m_impl->relay.noticed(runtime_clock::now(), notice));
+    m_impl->relay.noticed(notice);
 }
 
 void record_feed::written(const kv_entry& record)
--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -1,6 +1,6 @@
 #include "daemon/registry_feed.h"
 
-#include "peers/key_relay.h"
+#include "daemon/key_relay_driver.h"
 #include "platform/platform.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -48,9 +48,13 @@
 public:
     impl(net::io_context& context, const daemon_settings& chosen, kv_service& service,
          peer_service& others, registry_hooks given)
-        : io{context}, settings{chosen}, kv{service}, peers{others}, hooks{std::move(given)},
-          relay{key_relay_settings{.self = chosen.node, .name = "documents"},
-                random_source{hash64(chosen.node.value(), chosen.seed)}},
+        : io{context}, kv{service}, hooks{std::move(given)}, relay{chosen,
+                                                                   others,
+                                                                   "documents",
+                                                                   {[this](const kv_entry& entry) {
+                                                                        take(entry);
+                                                                    },
+                                                                    [this] { m_pause.cancel(); }}},
           m_pause{context}
     {}
 
@@ -80,25 +84,16 @@
 
     void tick()
     {
-        if (m_members_version != peers.members_version())
-            members_changed();
-        const time_point now = runtime_clock::now();
-        carry_out(relay.tick(now));
+        relay.tick();
         drop_overdue();
         end_batch();
-        if (current && now - m_pushed >= push_interval)
-            push(now);
+        if (current && runtime_clock::now() - m_pushed >= push_interval)
+            push();
     }
 
     /// A neighbour that watches says so, with what is new or with nothing.
     void told() { m_told = runtime_clock::now(); }
 
-    void carry_out(const key_relay_commands& commands)
-    {
-        for (const key_relay_command& command : commands)
-            std::visit([this](const auto& order) { carry_out(order); }, command);
-    }
-
     void end_batch()
     {
         if (std::exchange(m_news, false))
@@ -106,11 +101,9 @@
     }
 
     net::io_context& io;
-    const daemon_settings& settings;
     kv_service& kv;
-    peer_service& peers;
     registry_hooks hooks;
-    key_relay_core relay;
+    key_relay_driver relay;
     bool stopped = false;
     bool current = false;
 
@@ -122,10 +115,10 @@
                runtime_clock::now() - m_told > longest_untold;
     }
 
-    void push(time_point now)
+    void push()
     {
-        m_pushed = now;
-        carry_out(relay.push());
+        m_pushed = runtime_clock::now();
+        relay.push();
     }
 
     /// True if the store answered.
@@ -155,7 +148,7 @@
         std::set<std::string> there;
         for (const kv_entry& entry : read.value().entries) {
             there.insert(entry.key);
-            learn(entry);
+            relay.learned(entry);
         }
         for (const auto& [key, held] : std::map{relay.keys()}) {
             if (!held.value.empty() && !there.contains(key) &&
@@ -196,12 +189,12 @@
                 if (event.deleted)
                     learn_gone(event.entry.key, event.entry.mod_revision);
                 else
-                    learn(event.entry);
+                    relay.learned(event.entry);
             }
             m_revision = std::max(m_revision, batch.value().revision);
             set_current(true);
             end_batch();
-            push(runtime_clock::now());
+            push();
             if (!should_watch()) {
                 set_current(false); // the watchers tell from now on
                 co_return true;
@@ -210,16 +203,13 @@
         co_return false;
     }
 
-    void learn(const kv_entry& entry)
-    {
-        carry_out(
-            relay.learned(runtime_clock::now(), {entry.key, entry.mod_revision, entry.value}));
-    }
-
     /// An empty value stands for a key that is gone: no document is empty.
     void learn_gone(const std::string& key, std::int64_t revision)
     {
-        carry_out(relay.learned(runtime_clock::now(), {key, revision, {}}));
+        kv_entry gone;
+        gone.key = key;
+        gone.mod_revision = revision;
+        relay.learned(gone);
     }
 
     void lost(const error& why)
@@ -254,35 +244,9 @@
         hooks.on_current(now);
     }
 
-    void members_changed()
-    {
-        m_members_version = peers.members_version();
-        std::vector<node_id> own;
-        std::vector<node_id> all;
-        for (const member& one : peers.members()) {
-            if (!one.live())
-                continue;
-            all.push_back(one.node);
-            if (one.failure_domain == settings.failure_domain)
-                own.push_back(one.node);
-        }
-        carry_out(relay.members_changed(own, all));
-    }
-
-    void carry_out(const watch_keys& order)
-    {
-        if (order.on)
-            m_pause.cancel();
-    }
-    void carry_out(const tell_keys& order) { peers.send_keys(order.to, order.body); }
-    void carry_out(const announce_key& order) { peers.publish(order.notice); }
-    void carry_out(const take_key& order)
+    void take(const kv_entry& entry)
     {
         m_news = true;
-        kv_entry entry;
-        entry.key = order.entry.key;
-        entry.value = order.entry.value;
-        entry.mod_revision = order.entry.revision;
         const bool there = !entry.value.empty();
         if (platform::is_runner(entry.key))
             take_runner(entry, there);
@@ -346,8 +310,7 @@
 
     timer m_pause;
     time_point m_pushed;
-    time_point m_told; ///< when a watcher of this failure domain was heard last
-    std::uint64_t m_members_version = 0;
+    time_point m_told;           ///< when a watcher of this failure domain was heard last
     std::int64_t m_revision = 0; ///< seen last; 0: everything has to be read
     bool m_news = false;
     std::optional<time_point> m_lost_since;
@@ -366,7 +329,7 @@
             return;
         if (std::holds_alternative<key_reply>(message.body))
             self->told();
-        self->carry_out(self->relay.heard(runtime_clock::now(), message));
+        self->relay.heard(message);
         self->end_batch();
     });
 }
@@ -393,7 +356,7 @@
 
 void registry_feed::noticed(const key_notice& notice)
 {
-    m_impl->carry_out(m_impl->relay.noticed(runtime_clock::now(), notice));
+    m_impl->relay.noticed(notice);
 }
 
 bool registry_feed::current() const
