Daemons: what both forms do alike stands in daemon_setup

Read again: the drawn seed, peers' settings, the core's settings, the end of callers, the call to slow ones, the keeping of parts for calls under way and most gauges stood twice. The copies had come apart: the form on the users' platform left the peers' TLS flags out, though its log asks for them, and the other one never told jaynotch_log_lines_dropped.

--- a/daemon/admin.cc
+++ b/daemon/admin.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr std::size_t longest_apply = 8 * 1024 * 1024;
-constexpr std::string_view text_type = "text/plain; version=0.0.4; charset=utf-8";
 
 std::string text_of(const boost::json::object& body, std::string_view name)
 {
@@ -84,7 +83,8 @@
         co_await apply(exchange);
     }
     else if (path == "/metrics") {
-        co_await exchange.answer(http::status::ok, text_type, m_sources.metrics_page());
+        const std::string page = m_sources.metrics_page();
+        co_await answer_metrics(exchange, page);
     }
     else if (path == "/admin/v1/status") {
         co_await answer_json(exchange, status_page());
--- a/daemon/admin_answers.cc
+++ b/daemon/admin_answers.cc
@@ -8,6 +8,12 @@
     co_await exchange.answer(http::status::ok, "application/json", text);
 }
 
+net::awaitable<void> answer_metrics(http_exchange& exchange, const std::string& page)
+{
+    constexpr std::string_view text_type = "text/plain; version=0.0.4; charset=utf-8";
+    co_await exchange.answer(http::status::ok, text_type, page);
+}
+
 net::awaitable<void> answer_error(http_exchange& exchange, const error& why)
 {
     refusal shown{.failure = why};
--- a/daemon/admin_answers.h
+++ b/daemon/admin_answers.h
@@ -12,6 +12,8 @@
 namespace jaynotch {
 
 net::awaitable<void> answer_json(http_exchange& exchange, const boost::json::object& page);
+/// `page` in Prometheus text.
+net::awaitable<void> answer_metrics(http_exchange& exchange, const std::string& page);
 net::awaitable<void> answer_error(http_exchange& exchange, const error& why);
 /// `{"servers":[{"server","pool","state","in_flight"}]}`.
 boost::json::object drain_page(const std::vector<target_status>& targets);
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -1,14 +1,13 @@
 #include "daemon/daemon.h"
 
 #include "daemon/daemon_impl.h"
+#include "daemon/daemon_setup.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <random>
-
 // A graceful stop goes in this order: say "not ready" and go on serving until the balancer has seen
 // it; take no new connections; finish every request in flight, however long its stream is allowed
 // to be; leave the membership; end. Nothing that a caller or a peer still needs is taken away
@@ -19,18 +18,8 @@
 namespace {
 
 constexpr duration second = std::chrono::seconds{1};
-constexpr duration longest_call = std::chrono::seconds{5};
 /// Within it the tickets of complete groups have come round from the peers.
 constexpr duration longest_warm_up = std::chrono::seconds{10};
-constexpr duration stop_poll = std::chrono::milliseconds{20};
-
-std::uint64_t drawn_seed(const daemon_settings& settings)
-{
-    if (settings.seed != 0)
-        return settings.seed;
-    std::random_device device;
-    return (std::uint64_t{device()} << 32U) | device();
-}
 
 etcd_settings key_value_settings(const daemon_settings& settings)
 {
@@ -39,31 +28,6 @@
     return made;
 }
 
-peer_settings peer_settings_of(const daemon_settings& settings, std::uint64_t seed)
-{
-    peer_settings made;
-    made.deployment = settings.deployment;
-    made.node = settings.node;
-    made.failure_domain = settings.failure_domain;
-    made.listen = settings.peer_listen;
-    made.advertise = settings.peer_advertise;
-    made.seeds = settings.seed_peers;
-    made.tls = {settings.peer_tls.certificate, settings.peer_tls.key, settings.peer_tls.authority};
-    made.random_seed = seed;
-    return made;
-}
-
-core_settings core_settings_of(const daemon_settings& settings, std::uint64_t incarnation)
-{
-    core_settings made;
-    made.node = settings.node;
-    made.incarnation = std::to_string(incarnation);
-    made.most_requests = settings.limits.requests;
-    made.admission = settings.admission;
-    made.stall_timeout = settings.timeouts.stream_stall;
-    return made;
-}
-
 } // namespace
 
 daemon::impl::impl(net::io_context& context, const daemon_settings& chosen)
@@ -135,13 +99,6 @@
               {{"listen_port", caller_server->port()}, {"admin_port", admin_server->port()}});
 }
 
-net::awaitable<void> daemon::impl::sleep(duration time)
-{
-    timer pause{io, time};
-    boost::system::error_code ignored;
-    co_await pause.async_wait(net::redirect_error(net::use_awaitable, ignored));
-}
-
 net::awaitable<void> daemon::impl::housekeeping()
 {
     const auto self = shared_from_this();
@@ -149,11 +106,7 @@
         boost::system::error_code ignored;
         m_timer.expires_after(second);
         co_await m_timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
-        std::vector<std::function<void()>> asked;
-        for (const auto& [way, ask] : services->slow)
-            asked.push_back(ask);
-        for (const auto& ask : asked)
-            ask();
+        ask_slow_callers(*services);
         spans->flush();
     }
 }
@@ -184,11 +137,8 @@
     const time_point until = runtime_clock::now() + settings.timeouts.longest_stop;
     log_event(log_level::info, "daemon_stopping", {{"in_flight", counts.in_flight}});
     caller_server->wind_down();
-    co_await sleep(settings.timeouts.balancer);
-    caller_server->stop_accepting();
-    while ((counts.in_flight > 0 || caller_server->connections() > 0) &&
-           runtime_clock::now() < until)
-        co_await sleep(stop_poll);
+    co_await sleep_for(io, settings.timeouts.balancer);
+    co_await finish_callers(io, *caller_server, counts, until);
     const std::uint64_t cut_off = counts.in_flight;
     config->stop();
     co_await peers->leave();
@@ -226,13 +176,10 @@
 
 daemon::daemon(std::shared_ptr<impl> made) : m_impl{std::move(made)} {}
 
-// Calls under way use the parts until they end: the parts are kept for longer than any of them
-// takes once every connection is closed, or until the io_context goes.
 daemon::~daemon()
 {
     m_impl->abort();
-    const auto pause = std::make_shared<timer>(m_impl->io, longest_call);
-    pause->async_wait([kept = m_impl, pause](boost::system::error_code) {});
+    keep_for_calls(m_impl->io, m_impl);
 }
 
 result<std::unique_ptr<daemon>> daemon::create(net::io_context& io, const daemon_settings& settings)
--- a/daemon/daemon_events.cc
+++ b/daemon/daemon_events.cc
@@ -1,4 +1,5 @@
 #include "daemon/daemon_impl.h"
+#include "daemon/daemon_setup.h"
 
 // What one part tells another: configurations, complete groups, demand, servers that leave.
 
@@ -171,19 +172,12 @@
 
 std::string daemon::impl::metrics_page()
 {
-    gauges now;
+    gauges now = common_gauges(counts, *caller_server, *peers, kv, *spans);
     now.ready = ready();
     now.revision = config->status().installed.value();
     now.platform_lost = config->status().platform_lost;
-    now.connections = caller_server->connections();
-    now.in_flight = counts.in_flight;
     now.complete_groups = groups->complete().size();
     now.managed_domains = groups->managed().size();
-    for (const member& one : peers->members())
-        now.members += one.live() ? 1 : 0;
-    now.peer_bytes_sent = peers->counters().bytes_sent;
-    now.kv_calls = kv.counts().total();
-    now.spans_dropped = spans->dropped();
     return counted.render(now);
 }
 
--- a/daemon/daemon_impl.h
+++ b/daemon/daemon_impl.h
@@ -64,7 +64,6 @@
     result<void> open_cores(std::uint64_t seed);
     result<void> open_ports();
     net::awaitable<void> housekeeping();
-    net::awaitable<void> sleep(duration time);
 
     // daemon_events.cc
     void tie_together();
--- /dev/null
+++ b/daemon/daemon_setup.cc
@@ -0,0 +1,96 @@
+#include "daemon/daemon_setup.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <random>
+
+namespace jaynotch {
+
+namespace {
+
+constexpr duration longest_call = std::chrono::seconds{5};
+constexpr duration stop_poll = std::chrono::milliseconds{20};
+
+} // namespace
+
+std::uint64_t drawn_seed(const daemon_settings& settings)
+{
+    if (settings.seed != 0)
+        return settings.seed;
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+peer_settings peer_settings_of(const daemon_settings& settings, std::uint64_t seed)
+{
+    peer_settings made;
+    made.deployment = settings.deployment;
+    made.node = settings.node;
+    made.failure_domain = settings.failure_domain;
+    made.listen = settings.peer_listen;
+    made.advertise = settings.peer_advertise;
+    made.seeds = settings.seed_peers;
+    made.tls = {settings.peer_tls.certificate, settings.peer_tls.key, settings.peer_tls.authority};
+    made.random_seed = seed;
+    return made;
+}
+
+core_settings core_settings_of(const daemon_settings& settings, std::uint64_t incarnation)
+{
+    core_settings made;
+    made.node = settings.node;
+    made.incarnation = std::to_string(incarnation);
+    made.most_requests = settings.limits.requests;
+    made.admission = settings.admission;
+    made.stall_timeout = settings.timeouts.stream_stall;
+    return made;
+}
+
+net::awaitable<void> sleep_for(net::io_context& io, duration time)
+{
+    timer pause{io, time};
+    boost::system::error_code ignored;
+    co_await pause.async_wait(net::redirect_error(net::use_awaitable, ignored));
+}
+
+net::awaitable<void> finish_callers(net::io_context& io, http_server& server,
+                                    const daemon_counts& counts, time_point until)
+{
+    server.stop_accepting();
+    while ((counts.in_flight > 0 || server.connections() > 0) && runtime_clock::now() < until) {
+        co_await sleep_for(io, stop_poll);
+    }
+}
+
+void ask_slow_callers(const relay_services& services)
+{
+    std::vector<std::function<void()>> asked; // asking may end requests
+    for (const auto& [way, ask] : services.slow)
+        asked.push_back(ask);
+    for (const auto& ask : asked)
+        ask();
+}
+
+void keep_for_calls(net::io_context& io, std::shared_ptr<const void> parts)
+{
+    const auto pause = std::make_shared<timer>(io, longest_call);
+    pause->async_wait([kept = std::move(parts), pause](boost::system::error_code) {});
+}
+
+gauges common_gauges(const daemon_counts& counts, const http_server& callers,
+                     const peer_service& peers, const kv_service& kv, const tracer& spans)
+{
+    gauges now;
+    now.connections = callers.connections();
+    now.in_flight = counts.in_flight;
+    for (const member& one : peers.members())
+        now.members += one.live() ? 1 : 0;
+    now.peer_bytes_sent = peers.counters().bytes_sent;
+    now.kv_calls = kv.counts().total();
+    now.spans_dropped = spans.dropped();
+    now.log_lines_dropped = log_lines_dropped();
+    return now;
+}
+
+} // namespace jaynotch
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -1,5 +1,6 @@
 #include "daemon/registry_daemon.h"
 
+#include "daemon/daemon_setup.h"
 #include "daemon/formation_driver.h"
 #include "daemon/forward_front.h"
 #include "daemon/metrics.h"
@@ -19,8 +20,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <random>
-
 // One thread. The registry's changes go to the managers of groups and, as targets, to the request
 // core; the core's word of a silent group goes to the managers, which find out who is lost.
 
@@ -30,16 +29,6 @@
 
 constexpr duration beat = std::chrono::milliseconds{50}; ///< of managers, feed and targets
 constexpr duration second = std::chrono::seconds{1};
-constexpr duration longest_call = std::chrono::seconds{5};
-constexpr duration stop_poll = std::chrono::milliseconds{20};
-
-std::uint64_t drawn_seed(const daemon_settings& settings)
-{
-    if (settings.seed != 0)
-        return settings.seed;
-    std::random_device device;
-    return (std::uint64_t{device()} << 32U) | device();
-}
 
 platform::store_settings store_settings_of(const daemon_settings& settings)
 {
@@ -48,27 +37,10 @@
     return made;
 }
 
-peer_settings peer_settings_of(const daemon_settings& settings, std::uint64_t seed)
-{
-    peer_settings made;
-    made.deployment = settings.deployment;
-    made.node = settings.node;
-    made.failure_domain = settings.failure_domain;
-    made.listen = settings.peer_listen;
-    made.advertise = settings.peer_advertise;
-    made.seeds = settings.seed_peers;
-    made.random_seed = seed;
-    return made;
-}
-
-core_settings core_settings_of(const daemon_settings& settings, std::uint64_t incarnation)
+/// The operators of the platform bound retries over all nodes and all failures.
+core_settings bounded_core_settings(const daemon_settings& settings, std::uint64_t incarnation)
 {
-    core_settings made;
-    made.node = settings.node;
-    made.incarnation = std::to_string(incarnation);
-    made.most_requests = settings.limits.requests;
-    made.admission = settings.admission;
-    made.stall_timeout = settings.timeouts.stream_stall;
+    core_settings made = core_settings_of(settings, incarnation);
     made.failure_domain = settings.failure_domain;
     made.retry_share = settings.site.retry_share;
     made.retry_extra = settings.site.retry_extra;
@@ -96,7 +68,7 @@
         random_source random{seed ^ 4U};
         const std::uint64_t incarnation = random.bits();
         BOOST_OUTCOME_TRY(request_core core,
-                          request_core::create(core_settings_of(settings, incarnation), random,
+                          request_core::create(bounded_core_settings(settings, incarnation), random,
                                                runtime_clock::now()));
         driver_hooks hooks;
         hooks.on_silent = [this](const target_silent& seen) { take_silence(seen); };
@@ -149,11 +121,8 @@
         log_event(log_level::info, "daemon_stopping", {{"in_flight", counts.in_flight}});
         caller_server->wind_down();
         co_await managers->resign();
-        co_await sleep(settings.timeouts.balancer);
-        caller_server->stop_accepting();
-        while ((counts.in_flight > 0 || caller_server->connections() > 0) &&
-               runtime_clock::now() < until)
-            co_await sleep(stop_poll);
+        co_await sleep_for(io, settings.timeouts.balancer);
+        co_await finish_callers(io, *caller_server, counts, until);
         const std::uint64_t cut_off = counts.in_flight;
         co_await peers->leave();
         log_event(cut_off == 0 ? log_level::info : log_level::error, "daemon_stopped",
@@ -313,11 +282,7 @@
 
     void each_second()
     {
-        std::vector<std::function<void()>> asked;
-        for (const auto& [way, ask] : services->slow)
-            asked.push_back(ask);
-        for (const auto& ask : asked)
-            ask();
+        ask_slow_callers(*services);
         spans->flush();
         // Members that can't be reached may still send; only those that said goodbye don't count.
         const std::vector<member> all = peers->members();
@@ -331,13 +296,6 @@
         }
     }
 
-    net::awaitable<void> sleep(duration time)
-    {
-        timer pause{io, time};
-        boost::system::error_code ignored;
-        co_await pause.async_wait(net::redirect_error(net::use_awaitable, ignored));
-    }
-
     net::awaitable<void> tell_ready(http_exchange& exchange)
     {
         const bool fine = ready();
@@ -347,12 +305,10 @@
 
     [[nodiscard]] std::string metrics_page()
     {
-        gauges now;
+        gauges now = common_gauges(counts, *caller_server, *peers, kv, *spans);
         now.ready = ready();
         now.revision = tables ? tables->revision.value() : 0;
         now.platform_lost = !feed->current();
-        now.connections = caller_server->connections();
-        now.in_flight = counts.in_flight;
         now.complete_groups = m_pushed.groups.size();
         now.managed_domains = managers->managed().size();
         if (tables)
@@ -361,12 +317,6 @@
             now.groups_forming += one.leading ? one.groups_forming : 0;
             now.spare_runners += one.leading ? one.spare_runners : 0;
         }
-        for (const member& one : peers->members())
-            now.members += one.live() ? 1 : 0;
-        now.peer_bytes_sent = peers->counters().bytes_sent;
-        now.kv_calls = kv.counts().total();
-        now.spans_dropped = spans->dropped();
-        now.log_lines_dropped = log_lines_dropped();
         return counted.render(now);
     }
 
@@ -384,12 +334,10 @@
 
 registry_daemon::registry_daemon(std::shared_ptr<impl> made) : m_impl{std::move(made)} {}
 
-// As with `daemon`, the parts are kept for longer than any call on them takes.
 registry_daemon::~registry_daemon()
 {
     m_impl->abort();
-    const auto pause = std::make_shared<timer>(m_impl->io, longest_call);
-    pause->async_wait([kept = m_impl, pause](boost::system::error_code) {});
+    keep_for_calls(m_impl->io, m_impl);
 }
 
 result<std::unique_ptr<registry_daemon>> registry_daemon::create(net::io_context& io,
--- a/daemon/registry_pages.cc
+++ b/daemon/registry_pages.cc
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr std::string_view text_type = "text/plain; version=0.0.4; charset=utf-8";
-
 using group_key = std::pair<group_id, std::int64_t>;
 
 std::map<group_key, std::map<std::uint32_t, const runner*>> groups_of(const target_view& view)
@@ -60,7 +58,7 @@
     }
     else if (path == "/metrics") {
         const std::string page = m_sources.metrics_page();
-        co_await exchange.answer(http::status::ok, text_type, page);
+        co_await answer_metrics(exchange, page);
     }
     else if (path == "/admin/v1/status") {
         co_await answer_json(exchange, status_page());
