--- a/daemon/formation_driver.cc
+++ b/daemon/formation_driver.cc
@@ -65,7 +65,6 @@
         chosen.self = settings.node;
         chosen.own_domain = settings.failure_domain;
         chosen.domain = domain;
-        chosen.loads_excess = settings.site.loads_excess;
         groups::formation& made =
             managers.emplace(domain, groups::formation{std::move(chosen)}).first->second;
         tell_one(domain, made, groups::model_pools_seen{pools});
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -197,9 +197,7 @@
         const auto rank = static_cast<std::uint32_t>(at - joined->members.begin());
         // Its entry may have been faster than this answer. A head that is open already must not be
         // taken for one that still joins: its members would count as free.
-        const bool known = view->row.group && view->row.group->group == joined->group &&
-                           view->row.group->epoch == joined->epoch;
-        if (!known) {
+        if (!is_in(*view, {joined->group, joined->epoch})) {
             view->row.group = membership{joined->group, joined->epoch, rank, member_phase::joining};
             view->row.model.clear();
         }
@@ -238,10 +236,9 @@
     const runner_view* view = find(head);
     if (view == nullptr || !view->row.group || !managed(view->row))
         return;
+    const group_key key{view->row.group->group, view->row.group->epoch};
     for (const auto& [vm, other] : runners) {
-        const bool same = other.row.group && other.row.group->group == view->row.group->group &&
-                          other.row.group->epoch == view->row.group->epoch;
-        if (same && !other.silent)
+        if (is_in(other, key) && !other.silent)
             out.emplace_back(probe_member{vm, other.row.address});
     }
 }
--- a/groups/formation.h
+++ b/groups/formation.h
@@ -121,7 +121,6 @@
     /// A composition that an earlier manager ordered is given this long to come together. Joins
     /// that load nothing take less.
     duration adopt_wait = 5s;
-    double loads_excess = 1.0; ///< see site_bounds
 };
 
 /// For status pages, metrics and logs.
--- a/groups/formation_groups.cc
+++ b/groups/formation_groups.cc
@@ -46,6 +46,13 @@
     return found == pools.end() ? nullptr : &*found;
 }
 
+/// Null if its entry names another group, or none.
+runner_view* formation::state::head_of(const seen_group& seen)
+{
+    const auto found = seen.members.find(0);
+    return found == seen.members.end() ? nullptr : find(found->second);
+}
+
 bool formation::state::whole(const seen_group& seen, const pool& kind) const
 {
     if (seen.members.size() != kind.replica_vms ||
@@ -73,7 +80,7 @@
     for (const auto& [key, group] : all)
         look_at(group, now);
     join_again(now);
-    // A planned group whose members never came is forgotten, or they would stay bound to it.
+    // A planned group whose members never came is forgotten, or they would be asked for ever.
     std::erase_if(planned, [&](const auto& entry) {
         return now >= entry.second.give_up && !all.contains(entry.first);
     });
@@ -85,9 +92,7 @@
 {
     for (const auto& [key, plan] : planned) {
         const runner_view* head = find(plan.members.front());
-        const bool opened = head != nullptr && head->row.group &&
-                            group_key{head->row.group->group, head->row.group->epoch} == key &&
-                            holds_requests(*head);
+        const bool opened = head != nullptr && is_in(*head, key) && holds_requests(*head);
         if (!opened && coming_together(key, now))
             order_joins(plan, now);
     }
@@ -96,8 +101,7 @@
 void formation::state::look_at(const seen_group& seen, time_point now)
 {
     const pool* kind = pool_of(seen);
-    const auto at_head = seen.members.find(0);
-    const runner_view* head = at_head == seen.members.end() ? nullptr : find(at_head->second);
+    runner_view* const head = head_of(seen);
     const bool complete = kind != nullptr && whole(seen, *kind);
     if (!complete && head != nullptr && holds_requests(*head) && entries_may_return(seen, now))
         return;
@@ -149,8 +153,7 @@
     return missing;
 }
 
-void formation::state::open_if_whole(const seen_group& seen, const runner_view& head,
-                                     time_point now)
+void formation::state::open_if_whole(const seen_group& seen, runner_view& head, time_point now)
 {
     bool all_ready = head.row.group->phase == member_phase::ready;
     bool leaving = false;
@@ -165,13 +168,12 @@
     }
     if (!all_ready)
         return;
-    if (order(*find(head.row.id), open_group{seen.group, seen.epoch}, now))
+    if (order(head, open_group{seen.group, seen.epoch}, now))
         say(log_level::info, "group_opened", seen.group.value(),
             "epoch " + std::to_string(seen.epoch));
 }
 
-void formation::state::close_before_leave(const seen_group& seen, const runner_view& head,
-                                          time_point now)
+void formation::state::close_before_leave(const seen_group& seen, runner_view& head, time_point now)
 {
     bool due = false;
     for (const auto& [rank, vm] : seen.members) {
@@ -179,14 +181,13 @@
         due = due || (view.row.leaving && now - view.leaving_since >= settings.drain_notice);
     }
     if (due && head.row.group->phase == member_phase::open &&
-        order(*find(head.row.id), close_group{seen.group, seen.epoch}, now))
+        order(head, close_group{seen.group, seen.epoch}, now))
         say(log_level::info, "group_closed", seen.group.value(), "a member leaves");
 }
 
 void formation::state::dissolve(const seen_group& seen, time_point now)
 {
-    const auto at_head = seen.members.find(0);
-    runner_view* head = at_head == seen.members.end() ? nullptr : find(at_head->second);
+    runner_view* const head = head_of(seen);
     planned.erase(key_of(seen));
     const bool reachable = head != nullptr && standing(*head);
     if (reachable && holds_requests(*head)) {
--- a/groups/formation_plan.cc
+++ b/groups/formation_plan.cc
@@ -26,6 +26,14 @@
            view.row.staged.end();
 }
 
+/// Has weights of some model of `pools` on its host, or gets them.
+bool is_prepared(const runner_view& view, const std::vector<pool>& pools)
+{
+    return !view.staging.empty() || std::any_of(pools.begin(), pools.end(), [&](const pool& kind) {
+        return has_staged(view, kind.model);
+    });
+}
+
 } // namespace
 
 duration formation::state::ready_in(const runner_view& view, const pool& kind) const
@@ -92,25 +100,6 @@
     return sorted;
 }
 
-std::size_t formation::state::loading() const
-{
-    std::size_t count = 0;
-    for (const auto& [vm, view] : runners) {
-        if (!view.listed || !managed(view.row))
-            continue;
-        if (!view.staging.empty()) {
-            ++count;
-            continue;
-        }
-        if (!view.row.group || view.row.group->phase != member_phase::joining)
-            continue;
-        const auto plan = planned.find({view.row.group->group, view.row.group->epoch});
-        if (plan != planned.end() && plan->second.loads && !has_staged(view, plan->second.model))
-            ++count;
-    }
-    return count;
-}
-
 /// Takes one load out of this domain's part of the weight store's rate, if there is one.
 bool formation::state::may_load(const pool& kind, time_point now)
 {
@@ -130,9 +119,7 @@
 {
     for (const vm_id& vm : plan.members) {
         runner_view* view = find(vm);
-        const bool joined = view != nullptr && view->row.group &&
-                            view->row.group->group == plan.group &&
-                            view->row.group->epoch == plan.epoch;
+        const bool joined = view != nullptr && is_in(*view, {plan.group, plan.epoch});
         if (view != nullptr && !joined)
             order(*view, join_group{plan.group, plan.epoch, plan.model, plan.members}, now);
     }
@@ -148,14 +135,12 @@
     planned_group plan;
     plan.epoch = vote.term() * epochs_in_term + ++last_number;
     plan.group = group_id{"g" + std::to_string(plan.epoch)};
-    plan.pool = kind.name;
     plan.model = kind.model;
     duration longest{0};
     for (const runner_view* member : members) {
         plan.members.push_back(member->row.id);
         longest = std::max(longest, ready_in(*member, kind));
     }
-    plan.loads = longest >= kind.forming.load;
     plan.give_up = now + 2 * longest + load_patience;
     const group_key key{plan.group, plan.epoch};
     say(log_level::info, "group_forming", plan.group.value(),
@@ -227,11 +212,8 @@
 const pool* formation::state::model_to_stage(const std::vector<runner_view*>& spare) const
 {
     const auto bare = static_cast<std::size_t>(
-        std::count_if(spare.begin(), spare.end(), [&](const runner_view* view) {
-            return view->staging.empty() &&
-                   std::none_of(pools.begin(), pools.end(),
-                                [&](const pool& kind) { return has_staged(*view, kind.model); });
-        }));
+        std::count_if(spare.begin(), spare.end(),
+                      [&](const runner_view* view) { return !is_prepared(*view, pools); }));
     const pool* best = nullptr;
     std::size_t best_lack = 0;
     double best_need = 0.0;
@@ -260,11 +242,7 @@
 {
     const std::vector<runner_view*> spare = free_in(domain, now);
     for (runner_view* view : spare) {
-        const bool useful = !view->staging.empty() ||
-                            std::any_of(pools.begin(), pools.end(), [&](const pool& kind) {
-                                return has_staged(*view, kind.model);
-                            });
-        if (useful)
+        if (is_prepared(*view, pools))
             continue;
         const pool* kind = model_to_stage(spare);
         if (kind == nullptr || !may_load(*kind, now))
@@ -281,13 +259,13 @@
     if (!traffic)
         form_early(now);
     const std::vector<fabric_domain_id> own = own_fabric_domains();
-    for (std::size_t index = 0; index < own.size(); ++index) {
+    for (const fabric_domain_id& domain : own) {
         for (const pool* kind : by_need()) {
-            while (form_one(own[index], *kind, kind->forming.warm_up, now)) {
+            while (form_one(domain, *kind, kind->forming.warm_up, now)) {
             }
         }
         if (traffic || now - first_runner >= 2 * settings.settled_by)
-            stage_spares(own[index], now);
+            stage_spares(domain, now);
     }
 }
 
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -32,11 +32,9 @@
 struct planned_group {
     group_id group;
     std::int64_t epoch = 0;
-    pool_id pool;
     std::string model;
     std::vector<vm_id> members; ///< by rank
     time_point give_up;         ///< dissolved if it isn't whole by then
-    bool loads = false;         ///< some member loads from the weight store
 };
 
 /// A composition as the registry shows it.
@@ -46,8 +44,16 @@
     std::map<std::uint32_t, vm_id> members; ///< by rank
 };
 
+/// A composition's name and epoch.
 using group_key = std::pair<group_id, std::int64_t>;
 
+/// Whether the runner's entry names this composition.
+inline bool is_in(const runner_view& view, const group_key& key)
+{
+    return view.row.group && view.row.group->group == key.first &&
+           view.row.group->epoch == key.second;
+}
+
 struct formation::state {
     explicit state(formation_settings given);
 
@@ -67,11 +73,12 @@
     // formation_groups.cc: what becomes of the groups that there are
     void look_at_groups(time_point now);
     void look_at(const seen_group& seen, time_point now);
-    void open_if_whole(const seen_group& seen, const runner_view& head, time_point now);
+    void open_if_whole(const seen_group& seen, runner_view& head, time_point now);
     void dissolve(const seen_group& seen, time_point now);
-    void close_before_leave(const seen_group& seen, const runner_view& head, time_point now);
+    void close_before_leave(const seen_group& seen, runner_view& head, time_point now);
     [[nodiscard]] bool entries_may_return(const seen_group& seen, time_point now);
     [[nodiscard]] bool entry_may_return(runner_view& view, time_point now);
+    [[nodiscard]] runner_view* head_of(const seen_group& seen);
     [[nodiscard]] const pool* pool_of(const seen_group& seen) const;
     [[nodiscard]] bool standing(const runner_view& view) const;
     [[nodiscard]] bool whole(const seen_group& seen, const pool& kind) const;
@@ -91,7 +98,6 @@
     [[nodiscard]] std::vector<std::pair<double, const pool*>> ranked_by_need() const;
     [[nodiscard]] std::vector<const pool*> by_need() const;
     [[nodiscard]] duration ready_in(const runner_view& view, const pool& kind) const;
-    [[nodiscard]] std::size_t loading() const;
     [[nodiscard]] bool may_load(const pool& kind, time_point now);
     void start_group(const pool& kind, std::vector<runner_view*> members, time_point now);
     void order_joins(const planned_group& plan, time_point now);
