Routing: one rule for which repeats the budget is charged with

Read again: leave_silent asked the retry budget by a rule of its own beside end_attempt's. is_charged serves both, and whether another target could take over is worked out once a silent target, not for each of its requests.

--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -270,13 +270,7 @@
         finish_failed(row, error_for(reason), now, out);
         return;
     }
-    // A group's loss is no overload, a resumed stream is bounded by what was in flight, and a group
-    // that says it is not whole costs it nothing and gets no more for a moment: none of these is
-    // charged to the budget that guards against retry storms.
-    const bool costs = settings.charge_every_repeat
-                           ? row.attempt.sent
-                           : end == attempt_end::failed && !row.head_given && !not_whole;
-    const bool charged = settings.retry_budget && costs;
+    const bool charged = is_charged(row, end == attempt_end::failed && !not_whole);
     if (charged && !pool.budget.take()) {
         ++counters.retries_denied;
         finish_failed(row, error_for(reason), now, out);
@@ -288,6 +282,17 @@
     dispatch(index, now, out);
 }
 
+/// Whether sending it again is charged to the budget that guards against retry storms. A group's
+/// loss is no overload, a resumed stream is bounded by what was in flight, and a group that says it
+/// is not whole costs it nothing and gets no more for a moment: none of these is, unless every
+/// repeat is.
+bool request_core::state::is_charged(const request_row& row, bool servers_fault) const
+{
+    const bool costs =
+        settings.charge_every_repeat ? row.attempt.sent : servers_fault && !row.head_given;
+    return settings.retry_budget && costs;
+}
+
 void request_core::state::cancel(request_row& row, command_list& out)
 {
     const target& at = targets.at(row.attempt.target).info;
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -312,16 +312,19 @@
 
 /// A silent target may yet go on, so only what another can take over now leaves it. For the rest,
 /// waiting is the only chance that is left; the patience between two parts bounds it.
-void request_core::state::leave_silent(target_row_index from, time_point now, command_list& out)
+void request_core::state::leave_silent(const pool_row& pool, target_row_index from, time_point now,
+                                       command_list& out)
 {
+    const bool taken =
+        std::any_of(pool.view.targets.begin(), pool.view.targets.end(), [&](target_row_index at) {
+            return at != from && targets.at(at).may_be_picked();
+        });
+    if (!taken)
+        return;
     for (const request_id request : repeatable_at(from)) {
         request_row& row = requests.at(request);
-        const pool_row& pool = pools.at(row.terms.pool);
-        const bool afforded = !settings.retry_budget || pool.budget.has_one();
-        const bool taken = std::any_of(
-            pool.view.targets.begin(), pool.view.targets.end(),
-            [&](target_row_index at) { return at != from && targets.at(at).may_be_picked(); });
-        if (afforded && taken && may_send_again(row, attempt_failure::cut))
+        const bool afforded = !is_charged(row, false) || pool.budget.has_one();
+        if (afforded && may_send_again(row, attempt_failure::cut))
             move_request(row, now, out);
     }
 }
@@ -380,7 +383,7 @@
             row.health.next_trial = now + trial;
             ++counters.silences;
             out.emplace_back(target_silent{row.info.id, row.info.instance});
-            leave_silent(at, now, out);
+            leave_silent(pool, at, now, out);
         }
     }
 }
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -93,7 +93,8 @@
     void lose_group(const target_id& group, time_point now, command_list& out);
     void move_requests(target_row_index from, time_point now, command_list& out);
     void move_request(request_row& row, time_point now, command_list& out);
-    void leave_silent(target_row_index from, time_point now, command_list& out);
+    void leave_silent(const pool_row& pool, target_row_index from, time_point now,
+                      command_list& out);
     [[nodiscard]] std::vector<request_id> repeatable_at(target_row_index from) const;
     void find_silent(time_point now, command_list& out);
     void set_budgets();
@@ -141,6 +142,7 @@
     void on_failed(const attempt_failed& failed, time_point now, command_list& out);
     void on_caller_gone(request_id request, time_point now, command_list& out);
     void note_first_part(request_row& row, time_point now);
+    [[nodiscard]] bool is_charged(const request_row& row, bool servers_fault) const;
     void end_attempt(request_row& row, attempt_failure reason, attempt_end end, time_point now,
                      command_list& out);
     bool may_send_again(const request_row& row, attempt_failure reason) const;
