--- a/base/json_fields.h
+++ b/base/json_fields.h
@@ -42,6 +42,26 @@
     /// Null if it is missing.
     const boost::json::array* list(std::string_view name);
     const boost::json::object* object(std::string_view name);
+    /// Calls `read(object)`, which returns a result<void>, for each item of a list; a missing list
+    /// is an empty one.
+    template <class Read>
+    result<void> for_each_object(std::string_view name, Read read)
+    {
+        const boost::json::array* items = list(name);
+        if (m_failure)
+            return *m_failure;
+        if (items == nullptr)
+            return success();
+        for (const boost::json::value& item : *items) {
+            const boost::json::object* inner = item.if_object();
+            if (inner == nullptr) {
+                fail(name, "holds something else than objects");
+                return *m_failure;
+            }
+            BOOST_OUTCOME_TRY(read(*inner));
+        }
+        return success();
+    }
     void require(std::string_view name);
     /// The enumerator that the member names.
     template <class Enum>
