--- a/standins/faults.cc
+++ b/standins/faults.cc
@@ -92,6 +92,19 @@
     return change;
 }
 
+awaitable<bool> take_fault(standin_exchange& exchange,
+                           std::function<void(const fault_change&)> apply)
+{
+    if (exchange.path() != "/fault")
+        co_return false;
+    const result<fault_change> change = parse_fault(exchange.body());
+    if (change)
+        apply(change.value());
+    const http::status status = change ? http::status::ok : http::status::bad_request;
+    co_await exchange.answer(status, "{}");
+    co_return true;
+}
+
 awaitable<bool> meet_faults(boost::asio::any_io_executor executor, fault_state& faults,
                             standin_exchange& exchange)
 {
--- a/standins/faults.h
+++ b/standins/faults.h
@@ -9,6 +9,7 @@
 #include "base/base.h"
 #include "standins/standin_server.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -60,8 +61,12 @@
 
 result<fault_change> parse_fault(std::string_view body);
 
-/// What is common to all stand-ins: answers /fault, then pauses, refuses, delays or garbles as the
-/// switches say. True if the exchange is dealt with and the stand-in must not look at it.
+/// Answers /fault once `apply` has made the change, so that who asked finds it in force. True if
+/// the exchange is dealt with.
+awaitable<bool> take_fault(standin_exchange& exchange,
+                           std::function<void(const fault_change&)> apply);
+/// What is common to all stand-ins: pauses, refuses, delays or garbles as the switches say. True if
+/// the exchange is dealt with and the stand-in must not look at it.
 awaitable<bool> meet_faults(boost::asio::any_io_executor executor, fault_state& faults,
                             standin_exchange& exchange);
 /// Answers, or loses or spoils the answer as the switches say.
--- a/standins/kv_standin.cc
+++ b/standins/kv_standin.cc
@@ -131,13 +131,10 @@
 awaitable<void> kv_standin::handle(standin_exchange& exchange)
 {
     const auto keep = shared_from_this();
-    if (exchange.path() == "/fault") {
-        const result<fault_change> change = parse_fault(exchange.body());
-        if (change)
-            apply(change.value());
-        co_await exchange.answer(change ? http::status::ok : http::status::bad_request, "{}");
+    const auto change_faults = [this](const fault_change& change) { apply(change); };
+    const bool taken = co_await take_fault(exchange, change_faults);
+    if (taken)
         co_return;
-    }
     if (exchange.path() == "/stats") {
         const call_answer page = stats();
         co_await exchange.answer(page.status, page.body);
--- a/standins/plain_standin.cc
+++ b/standins/plain_standin.cc
@@ -31,13 +31,10 @@
 awaitable<void> plain_standin::handle(standin_exchange& exchange)
 {
     const auto keep = shared_from_this();
-    if (exchange.path() == "/fault") {
-        const result<fault_change> change = parse_fault(exchange.body());
-        if (change)
-            apply(change.value());
-        co_await exchange.answer(change ? http::status::ok : http::status::bad_request, "{}");
+    const auto change_faults = [this](const fault_change& change) { apply(change); };
+    const bool taken = co_await take_fault(exchange, change_faults);
+    if (taken)
         co_return;
-    }
     if (exchange.path() == "/executions") {
         co_await exchange.answer(http::status::ok, render_executions());
         co_return;
--- a/standins/weight_standin.cc
+++ b/standins/weight_standin.cc
@@ -82,13 +82,10 @@
 awaitable<void> weight_standin::handle(standin_exchange& exchange)
 {
     const auto keep = shared_from_this();
-    if (exchange.path() == "/fault") {
-        const result<fault_change> change = parse_fault(exchange.body());
-        if (change)
-            apply(change.value());
-        co_await exchange.answer(change ? http::status::ok : http::status::bad_request, "{}");
+    const auto change_faults = [this](const fault_change& change) { apply(change); };
+    const bool taken = co_await take_fault(exchange, change_faults);
+    if (taken)
         co_return;
-    }
     if (co_await meet_faults(m_executor, m_faults, exchange))
         co_return;
     if (!exchange.path().starts_with("/v1/weights/")) {
