Groups: a new manager knows since when compositions stand

Each new one gave every incomplete composition 5 s to come together, though it had been whole for long and had lost a member; survivors stood idle for 11 s. Besides, at the start of everything one node took two failure domains, since it had not yet heard of the others, so that its death left both without a manager. And each order that a runner left unanswered held a group up for 800 ms.

Change: compositions are timed from when they first stand in the registry, by managers and followers alike; other domains' nodes always wait for a domain's own; orders time out after 300 ms and a lost one is sent again at once. Test first: formation::a_new_manager_repairs_what_broke_without_one.

--- a/daemon/formation_driver.cc
+++ b/daemon/formation_driver.cc
@@ -15,7 +15,10 @@
 
 namespace net = boost::asio;
 
-constexpr duration order_timeout = std::chrono::milliseconds{600};
+/// A runner takes an order within some milliseconds, or with one retransmission by TCP (200 ms). At
+/// times runners leave orders unanswered; each such order holds its group up for this long, and a
+/// group takes three rounds of them.
+constexpr duration order_timeout = std::chrono::milliseconds{300};
 /// A runner answers within some milliseconds; one that is dark never does.
 constexpr duration probe_timeout = std::chrono::milliseconds{200};
 /// Nodes asked for their word on a silent runner. Some cuts leave a tenth of the nodes on its side;
--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -144,6 +144,14 @@
         step();
 }
 
+bool fake_registry::run_until(const std::function<bool()>& done, duration longest)
+{
+    const time_point until = m_now + longest;
+    while (!done() && m_now < until)
+        step();
+    return done();
+}
+
 void fake_registry::step()
 {
     m_now += step_time;
@@ -424,6 +432,15 @@
         }));
 }
 
+std::size_t fake_registry::leader() const
+{
+    const auto found =
+        std::find_if(m_managers.begin(), m_managers.end(), [&](const fake_manager& one) {
+            return one.alive && one.core.status(m_now).leading;
+        });
+    return static_cast<std::size_t>(found - m_managers.begin());
+}
+
 void fake_registry::fail(const std::string& what)
 {
     if (m_broken.empty())
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -18,6 +18,7 @@
 #include "outside/kv_store.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -39,6 +40,8 @@
     explicit fake_registry(fake_registry_settings settings);
 
     void run(duration time);
+    /// Runs until `done` holds; false if it doesn't within `longest`.
+    bool run_until(const std::function<bool()>& done, duration longest);
     /// The runner falls silent; its entry goes after the time of three heartbeats.
     void kill(const std::string& id);
     /// It starts again under its id; what was staged on its host is still there.
@@ -66,6 +69,8 @@
     [[nodiscard]] std::vector<std::string> spare() const;
     [[nodiscard]] std::size_t staged(const std::string& model) const;
     [[nodiscard]] std::size_t leaders() const;
+    /// Index of a manager that leads; the number of managers if none does.
+    [[nodiscard]] std::size_t leader() const;
     [[nodiscard]] const std::string& broken() const { return m_broken; }
     [[nodiscard]] std::size_t orders() const { return m_orders; }
 
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -154,6 +154,8 @@
         view = runner_view{};
     if (row.leaving && (fresh || reborn || !view.row.leaving))
         view.leaving_since = now;
+    if (row.group)
+        first_seen.try_emplace({row.group->group, row.group->epoch}, now);
     view.row = row;
     view.listed = true;
     view.dead = false; // it has just written its entry
@@ -189,7 +191,9 @@
         return;
     }
     if (!taken) {
-        view->not_before = now + settings.order_pause;
+        // One that is lost has waited for its timeout already; the probe tells whether to go on.
+        if (answer.reply != order_reply::lost)
+            view->not_before = now + settings.order_pause;
         if (answer.reply == order_reply::lost || answer.reply == order_reply::elsewhere)
             out.emplace_back(probe_member{answer.vm, view->row.address});
         return;
@@ -260,7 +264,9 @@
         mine.push_back(settings.self.value());
     std::sort(mine.begin(), mine.end());
     const std::vector<std::size_t> ranked = rendezvous(settings.domain.value(), mine, mine.size());
-    duration wait = own || near.empty() ? duration{0} : settings.foreign_patience;
+    // Also while no node there is known: at a start of everything they are not heard of yet, and
+    // one node that took all domains would leave all of them without a manager when it dies.
+    duration wait = own ? duration{0} : settings.foreign_patience;
     for (const std::size_t index : ranked) {
         if (mine[index] == settings.self.value())
             break;
@@ -293,7 +299,10 @@
     std::erase_if(runners, [&](const auto& entry) {
         return !entry.second.listed && now - entry.second.unlisted_at > keep_unlisted;
     });
+    std::set<group_key> named;
     for (auto& [vm, view] : runners) {
+        if (view.row.group)
+            named.emplace(view.row.group->group, view.row.group->epoch);
         if (view.silent && now >= view.silent_until)
             view.silent = false;
         if (!view.staging.empty() && now >= view.staging_until)
@@ -301,6 +310,7 @@
         if (view.pending && now - view.pending_since > 2 * settings.order_timeout)
             view.pending.reset();
     }
+    std::erase_if(first_seen, [&](const auto& entry) { return !named.contains(entry.first); });
 }
 
 void formation::state::run_tick(time_point now)
--- a/groups/formation_groups.cc
+++ b/groups/formation_groups.cc
@@ -75,7 +75,6 @@
         group.group = said.group;
         group.epoch = said.epoch;
         group.members[said.rank] = vm;
-        first_seen.try_emplace({said.group, said.epoch}, now);
     }
     for (const auto& [key, group] : all)
         look_at(group, now);
@@ -84,7 +83,6 @@
     std::erase_if(planned, [&](const auto& entry) {
         return now >= entry.second.give_up && !all.contains(entry.first);
     });
-    std::erase_if(first_seen, [&](const auto& entry) { return !all.contains(entry.first); });
 }
 
 /// A join that was lost on its way is sent again: it names the same composition.
@@ -235,7 +233,8 @@
                                const runner_view* view = find(vm);
                                return view != nullptr && standing(*view);
                            });
-    // The manager before this one had it formed; who else belongs to it is not known here.
+    // The manager before this one had it formed; who else belongs to it is not known here. One that
+    // has been in the registry for longer was whole and has lost somebody.
     const auto since = first_seen.find(key);
     return since != first_seen.end() && now - since->second < settings.adopt_wait;
 }
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -126,6 +126,7 @@
     std::vector<pool> pools;              ///< of models
     std::vector<peer_row> peers;
     std::map<group_key, planned_group> planned;
+    /// When a composition first stood in the registry, also while this node did not manage it.
     std::map<group_key, time_point> first_seen;
     std::set<failure_domain_id> domains; ///< that have runners
     bool registry_is_current = false;
--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -66,6 +66,23 @@
     assert_sound(world);
 }
 
+// A failure domain loses its manager, and in that time a group loses a member. The next manager has
+// followed the registry all along: the group was whole, so its survivors are not a composition that
+// is still coming together, and nothing is gained by waiting for more of it.
+Test(formation, a_new_manager_repairs_what_broke_without_one)
+{
+    fake_registry world = serving({.managers = 2, .domains = 2, .runners = 9});
+    const std::size_t groups = world.open_groups("big");
+    const std::string head = world.head_of("big", 0);
+    world.kill_manager(world.leader());
+    world.kill(world.members_of(head)[2]);
+    cr_assert(world.run_until([&] { return world.leaders() == 1; }, 5s));
+    world.say_silent(head);
+    world.run(1s);
+    cr_assert_eq(world.open_groups("big"), groups);
+    assert_sound(world);
+}
+
 // The head itself dies. Its members still believe themselves in its group; joined to another
 // without leaving, they would be in two groups if the head only stood behind a cut.
 Test(formation, members_of_a_lost_head_leave_before_they_join)
