--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -321,6 +321,44 @@
         return;
     look_at_groups(now);
     form_groups(now);
+    say_use(now);
+}
+
+/// What every runner of the domain does, so that accelerators that serve nobody are seen.
+void formation::state::say_use(time_point now)
+{
+    constexpr duration interval = 2s;
+    if (now - use_said < interval)
+        return;
+    use_said = now;
+    std::map<std::string, std::size_t> counts;
+    for (const auto& [vm, view] : runners) {
+        if (managed(view.row) && view.listed)
+            ++counts[view.row.fabric_domain.value() + " " + use_of(view)];
+    }
+    std::string told;
+    for (const auto& [use, count] : counts)
+        told += (told.empty() ? "" : ", ") + use + " " + std::to_string(count);
+    say(log_level::info, "runners_used", settings.domain.value(), std::move(told));
+}
+
+std::string formation::state::use_of(const runner_view& view) const
+{
+    if (view.silent)
+        return "silent";
+    const std::string leaving = view.row.leaving ? "leaving " : "";
+    if (view.row.group) {
+        const group_key key{view.row.group->group, view.row.group->epoch};
+        if (warms_up(key))
+            return leaving + "warming";
+        return leaving + std::string{to_name(view.row.group->phase)} + " " + view.row.model;
+    }
+    if (!view.staging.empty())
+        return leaving + "staging " + view.staging;
+    if (view.row.staged.empty())
+        return leaving + "bare";
+    return leaving + (view.warm == view.row.staged.front() ? "warm " : "staged ") +
+           view.row.staged.front();
 }
 
 bool formation::state::order(runner_view& view, member_order wanted, time_point now)
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -77,6 +77,8 @@
     void run_election(time_point now);
     void forget_lost(time_point now);
     [[nodiscard]] std::optional<duration> patience() const;
+    void say_use(time_point now);
+    [[nodiscard]] std::string use_of(const runner_view& view) const;
     void say(log_level level, std::string kind, std::string subject, std::string detail);
 
     // formation_groups.cc: what becomes of the groups that there are
@@ -142,6 +144,7 @@
     std::uint64_t orders = 0;
     double load_tokens = 0.0; ///< loads that may begin now, by the weight store's rate
     time_point tokens_at;
+    time_point use_said;
     formation_commands out;
 };
 
