--- a/daemon/formation_driver.cc
+++ b/daemon/formation_driver.cc
@@ -1,5 +1,6 @@
 #include "daemon/formation_driver.h"
 
+#include "daemon/outage_inquiry.h"
 #include "platform/platform.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -35,6 +36,22 @@
         : io{context}, settings{chosen}, kv{service}, peers{others}, orders{context.get_executor()}
     {}
 
+    void start()
+    {
+        outage_hooks hooks;
+        hooks.on_confirmed = [this](const failure_domain_id& domain, time_point asked) {
+            tell_domain(domain, groups::outage_confirmed{asked});
+        };
+        hooks.on_conceded = [this](const failure_domain_id& domain) {
+            tell_domain(domain, groups::outage_conceded{});
+        };
+        hooks.manages = [this](const failure_domain_id& domain) {
+            const auto found = managers.find(domain);
+            return found != managers.end() && found->second.status(runtime_clock::now()).leading;
+        };
+        outage = std::make_shared<outage_inquiry>(io, settings, kv, peers, std::move(hooks));
+    }
+
     void tell(const groups::formation_event& happened)
     {
         for (auto& [domain, manager] : managers)
@@ -44,7 +61,7 @@
     void tell_one(const failure_domain_id& domain, groups::formation& manager,
                   const groups::formation_event& happened)
     {
-        if (stopped)
+        if (stopped || given_up.contains(domain))
             return;
         const groups::formation_commands wanted = manager.handle(happened, runtime_clock::now());
         for (const groups::formation_command& command : wanted)
@@ -61,7 +78,7 @@
     /// A domain's manager is made when its first runner shows itself.
     void add_domain(const failure_domain_id& domain)
     {
-        if (managers.contains(domain))
+        if (managers.contains(domain) || stopping)
             return;
         groups::formation_settings chosen;
         chosen.deployment = settings.deployment;
@@ -96,23 +113,21 @@
     /// Another node asks, or says what we asked.
     void take_message(const server_message& message)
     {
-        if (stopped)
-            return;
-        if (const auto* asked = std::get_if<server_question>(&message.body)) {
-            net::co_spawn(io, answer_peer(message.from, *asked), net::detached);
-            return;
-        }
-        const auto& answer = std::get<server_answer>(message.body);
-        const auto found = m_asked.find(answer.vm);
-        if (found == m_asked.end() || found->second.erase(message.from) == 0)
-            return;
-        // One that is answered settles it; that nobody is takes the word of everyone asked.
-        if (!answer.answers && !found->second.empty())
+        if (!stopped)
+            std::visit([&](const auto& body) { take(message.from, body); }, message.body);
+    }
+
+    /// What the registry can't tell now: a runner's own word, its group changed.
+    void take_word(const runner_word& word)
+    {
+        const auto found = runners.find(word.vm);
+        if (found == runners.end() || found->second.born_ms != word.born_ms)
             return;
-        log_event(log_level::info, "peers_word",
-                  {{"vm", answer.vm.value()}, {"answers", answer.answers}});
-        m_asked.erase(found);
-        tell(groups::peers_word{answer.vm, answer.answers});
+        found->second.group = word.group;
+        found->second.model = word.model;
+        if (on_word)
+            on_word(found->second);
+        tell(groups::runner_told{word});
     }
 
     net::io_context& io;
@@ -125,12 +140,49 @@
     std::map<std::string, kv_entry> keys;
     std::vector<pool> pools;
     std::function<bool(const vm_id&)> hears;
+    std::function<void(const runner&)> on_word;
+    std::shared_ptr<outage_inquiry> outage;
     std::uint64_t members_version = 0;
     bool current = false;
     bool traffic = false;
+    std::set<failure_domain_id> given_up; ///< on a planned stop
+    bool stopping = false;
     bool stopped = false;
 
 private:
+    void take(const node_id& from, const server_question& asked)
+    {
+        net::co_spawn(io, answer_peer(from, asked), net::detached);
+    }
+    void take(const node_id& from, const store_question& asked)
+    {
+        // What this node has given up on its way out it never manages again.
+        if (given_up.contains(asked.domain))
+            outage->concede(from, asked);
+        else
+            outage->take(from, asked);
+    }
+    void take(const node_id& from, const store_answer& told) { outage->take(from, told); }
+    void take(const node_id& /*from*/, const runner_word& word)
+    {
+        // Whoever reaches the store knows better.
+        if (outage->conceded())
+            take_word(word);
+    }
+    void take(const node_id& from, const server_answer& answer)
+    {
+        const auto found = m_asked.find(answer.vm);
+        if (found == m_asked.end() || found->second.erase(from) == 0)
+            return;
+        // One that is answered settles it; that nobody is takes the word of everyone asked.
+        if (!answer.answers && !found->second.empty())
+            return;
+        log_event(log_level::info, "peers_word",
+                  {{"vm", answer.vm.value()}, {"answers", answer.answers}});
+        m_asked.erase(found);
+        tell(groups::peers_word{answer.vm, answer.answers});
+    }
+
     void carry_out(const failure_domain_id& domain, const groups::kv_call& wanted)
     {
         net::co_spawn(io, transact(domain, wanted), net::detached);
@@ -170,6 +222,28 @@
         if (asked.empty())
             m_asked.erase(wanted.vm);
     }
+    void carry_out(const failure_domain_id& domain, const groups::ask_about_outage& /*wanted*/)
+    {
+        outage->ask(domain);
+    }
+    void carry_out(const failure_domain_id& domain, const groups::ask_runner& wanted)
+    {
+        net::co_spawn(io, ask_runner(domain, wanted), net::detached);
+    }
+    void carry_out(const failure_domain_id& /*domain*/, const groups::share_runner& wanted)
+    {
+        for (const member& one : peers.members()) {
+            if (one.node != settings.node && one.live())
+                peers.send_server(one.node, wanted.word);
+        }
+        const auto found = runners.find(wanted.word.vm);
+        if (found == runners.end())
+            return;
+        found->second.group = wanted.word.group;
+        found->second.model = wanted.word.model;
+        if (on_word)
+            on_word(found->second);
+    }
     void carry_out(const failure_domain_id& domain, const groups::notice& wanted)
     {
         log_event(
@@ -232,6 +306,18 @@
         tell_domain(domain, groups::order_answered{wanted.token, wanted.vm, reply});
     }
 
+    net::awaitable<void> ask_runner(failure_domain_id domain, groups::ask_runner wanted)
+    {
+        const auto self = shared_from_this();
+        const result<runner_word> word =
+            co_await orders.report(wanted.vm, wanted.address, probe_timeout);
+        if (word)
+            tell_domain(domain, groups::runner_told{word.value()});
+        else
+            log_event(log_level::warning, "runner_report_missing",
+                      {{"vm", wanted.vm.value()}, {"reason", word.error().message}});
+    }
+
     net::awaitable<void> probe(failure_domain_id domain, groups::probe_member wanted)
     {
         const auto self = shared_from_this();
@@ -249,6 +335,7 @@
     : m_impl{std::make_shared<impl>(io, settings, kv, peers)}
 {
     m_impl->traffic = !settings.first_start;
+    m_impl->start();
     peers.on_servers([weak = std::weak_ptr{m_impl}](const server_message& message) {
         if (const auto self = weak.lock())
             self->take_message(message);
@@ -265,6 +352,11 @@
     m_impl->hears = std::move(hears);
 }
 
+void formation_driver::on_word(std::function<void(const runner&)> handler)
+{
+    m_impl->on_word = std::move(handler);
+}
+
 void formation_driver::stop()
 {
     m_impl->stopped = true;
@@ -332,20 +424,27 @@
         m_impl->members_version = m_impl->peers.members_version();
         m_impl->tell(groups::peers_seen{m_impl->peer_rows()});
     }
+    m_impl->outage->note_members();
     m_impl->tell(groups::formation_tick{});
 }
 
-net::awaitable<void> formation_driver::resign()
+net::awaitable<void> formation_driver::resign(resignation which)
 {
     const auto kept = m_impl;
+    kept->stopping = true;
     std::vector<lease_id> leases;
     for (auto& [domain, manager] : kept->managers) {
+        const bool nobody_else = manager.status(runtime_clock::now()).dark;
+        if (kept->given_up.contains(domain) ||
+            (nobody_else && which == resignation::where_possible))
+            continue;
         for (const groups::formation_command& command : manager.resign()) {
             if (const auto* end = std::get_if<groups::lease_end>(&command))
                 leases.push_back(end->lease);
         }
+        kept->given_up.insert(domain);
     }
-    kept->stopped = true;
+    kept->stopped = which == resignation::all;
     for (const lease_id lease : leases) {
         const result<void> ended = co_await kept->kv.revoke(lease);
         if (!ended)
--- a/daemon/formation_driver.h
+++ b/daemon/formation_driver.h
@@ -22,6 +22,13 @@
 
 namespace jaynotch {
 
+/// Which failure domains a node gives up on its way out.
+enum class resignation {
+    /// Not those that nobody else could take over now, since the store is down.
+    where_possible,
+    all,
+};
+
 class formation_driver {
 public:
     formation_driver(boost::asio::io_context& io, const daemon_settings& settings, kv_service& kv,
@@ -41,9 +48,11 @@
     void silent(const vm_id& head);
     /// How this node knows whether requests reach a runner, for other nodes that ask.
     void on_asked(std::function<bool(const vm_id&)> hears);
+    /// A runner's group changed while the registry could not tell.
+    void on_word(std::function<void(const runner&)> handler);
     void tick();
-    /// Gives all domains up, on a planned stop.
-    boost::asio::awaitable<void> resign();
+    /// Gives failure domains up, on a planned stop.
+    boost::asio::awaitable<void> resign(resignation which);
     void stop();
 
     /// Failure domains that this node manages now.
--- /dev/null
+++ b/daemon/outage_inquiry.cc
@@ -0,0 +1,145 @@
+#include "daemon/outage_inquiry.h"
+
+#include "base/log.h"
+#include "daemon/daemon_setup.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+// A round is confirmed when every node that lived lately has said that the store does not answer
+// it. One that is dead to this node may be alive behind a cut and reach the store, so it counts
+// until it has been dead for longer than such cuts last; one that has left does not count.
+//
+// Whoever answers "no" stands back for a while, so the word is safe to act on even if the check was
+// wrong or is some time old. That allows one check to serve many questions, and a failed one to be
+// remembered: calls are priced also while the store is down.
+
+namespace jaynotch {
+
+namespace {
+
+namespace net = boost::asio;
+
+/// The store answers in milliseconds, in some tenths of a second on its slowest days.
+constexpr duration check_timeout = std::chrono::milliseconds{400};
+constexpr duration failure_holds = std::chrono::milliseconds{1'500};
+/// Longer than nodes are cut off from each other without either being restarted.
+constexpr duration dead_counts = std::chrono::seconds{10};
+/// How long words of a manager without store are taken; as long as this node stands back.
+constexpr duration concession_holds = std::chrono::seconds{2};
+
+} // namespace
+
+outage_inquiry::outage_inquiry(net::io_context& io, const daemon_settings& settings, kv_service& kv,
+                               peer_service& peers, outage_hooks hooks)
+    : m_io{io}, m_settings{settings}, m_kv{kv}, m_peers{peers}, m_hooks{std::move(hooks)}
+{}
+
+void outage_inquiry::note_members()
+{
+    const time_point now = runtime_clock::now();
+    for (const member& one : m_peers.members()) {
+        if (one.state == member_state::left)
+            m_live.erase(one.node);
+        else if (one.live())
+            m_live[one.node] = now;
+    }
+    std::erase_if(m_live, [&](const auto& entry) { return now - entry.second > dead_counts; });
+}
+
+void outage_inquiry::ask(const failure_domain_id& domain)
+{
+    note_members();
+    round& begun = m_rounds[domain];
+    if (begun.number == 0 || begun.silent != begun.said) {
+        std::vector<std::string> names;
+        for (const node_id& node : begun.silent)
+            names.push_back(node.value());
+        log_event(log_level::warning, "outage_asked",
+                  {{"domain", domain.value()}, {"unconfirmed_by", names}});
+        begun.said = begun.silent;
+    }
+    begun.number = ++m_last_round;
+    begun.asked = runtime_clock::now();
+    begun.silent.clear();
+    for (const auto& [node, live] : m_live) {
+        if (node == m_settings.node)
+            continue;
+        begun.silent.insert(node);
+        m_peers.send_server(node, store_question{domain, begun.number});
+    }
+    if (begun.silent.empty())
+        m_hooks.on_confirmed(domain, begun.asked);
+}
+
+void outage_inquiry::take(const node_id& from, const store_answer& told)
+{
+    const auto found = m_rounds.find(told.domain);
+    // An answer to an earlier round may be old, and its sender may not be bound by it any more.
+    if (found == m_rounds.end() || told.reached || told.round != found->second.number)
+        return;
+    if (found->second.silent.erase(from) != 0 && found->second.silent.empty())
+        m_hooks.on_confirmed(told.domain, found->second.asked);
+}
+
+void outage_inquiry::take(const node_id& from, const store_question& asked)
+{
+    const asker to{from, asked};
+    if (m_hooks.manages(asked.domain))
+        return answer(to, true);
+    if (runtime_clock::now() - m_failed < failure_holds)
+        return answer(to, false);
+    m_askers.push_back(to);
+    if (!m_checking)
+        begin_check();
+}
+
+void outage_inquiry::answer(const asker& to, bool reached)
+{
+    if (!reached) {
+        m_conceded = runtime_clock::now();
+        m_hooks.on_conceded(to.question.domain);
+    }
+    m_peers.send_server(to.node, store_answer{to.question.domain, to.question.round, reached});
+}
+
+void outage_inquiry::begin_check()
+{
+    m_checking = true;
+    ++m_check;
+    net::co_spawn(m_io, call_store(), net::detached);
+    net::co_spawn(m_io, time_out(m_check), net::detached);
+}
+
+net::awaitable<void> outage_inquiry::call_store()
+{
+    const auto self = shared_from_this();
+    const std::uint64_t check = m_check;
+    const result<kv_read> read = co_await m_kv.get(m_settings.deployment + "/outage-check");
+    settle(check, read.has_value());
+}
+
+net::awaitable<void> outage_inquiry::time_out(std::uint64_t check)
+{
+    const auto self = shared_from_this();
+    co_await sleep_for(m_io, check_timeout);
+    settle(check, false);
+}
+
+void outage_inquiry::settle(std::uint64_t check, bool reached)
+{
+    if (!m_checking || check != m_check)
+        return;
+    m_checking = false;
+    if (!reached)
+        m_failed = runtime_clock::now();
+    for (const asker& waiting : std::exchange(m_askers, {}))
+        answer(waiting, reached);
+}
+
+bool outage_inquiry::conceded() const
+{
+    return runtime_clock::now() - m_conceded < concession_holds;
+}
+
+} // namespace jaynotch
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -76,6 +76,10 @@
         managers = std::make_unique<formation_driver>(io, settings, kv, *peers);
         managers->on_asked(
             [this](const vm_id& vm) { return requests->core().hears(vm, runtime_clock::now()); });
+        managers->on_word([this](const runner& row) {
+            m_view.take(row);
+            push_targets();
+        });
         feed = std::make_unique<registry_feed>(io, settings, kv, *peers, feed_hooks());
         services.reset(new relay_services{
             io, settings, *requests, servers, *spans, counted, counts, {}, {}, {}});
@@ -120,9 +124,10 @@
         const time_point until = runtime_clock::now() + settings.timeouts.longest_stop;
         log_event(log_level::info, "daemon_stopping", {{"in_flight", counts.in_flight}});
         caller_server->wind_down();
-        co_await managers->resign();
+        co_await managers->resign(resignation::where_possible);
         co_await sleep_for(io, settings.timeouts.balancer);
         co_await finish_callers(io, *caller_server, counts, until);
+        co_await managers->resign(resignation::all);
         const std::uint64_t cut_off = counts.in_flight;
         co_await peers->leave();
         log_event(cut_off == 0 ? log_level::info : log_level::error, "daemon_stopped",
--- a/groups/election.cc
+++ b/groups/election.cc
@@ -1,6 +1,15 @@
 // The lease is counted from the sending of its grant or renewal, on this node's own clock, which
 // counts suspended time too: the holder always believes it to end before the platform does.
 //
+// An outage of the platform. No renewal is answered, the lease ends, and no other node could claim
+// the key either: groups that lose members would stay broken until the platform is back. So a
+// manager in doubt asks all other nodes. One that does not reach the platform says so, and neither
+// claims nor manages for 2 s; if all say so, the manager goes on for 1 s from when it asked, and
+// asks again. One node that reaches the platform, or does not answer, is enough for it to stop. At
+// no moment do two nodes manage: the word ends before the pledge behind it, also where a claim was
+// on its way as it was given. Nothing is agreed on or kept by this, and runners compare terms as
+// ever.
+//
 // A claim whose answer was lost is settled by the watch: the key then carries this node's name and
 // lease. A pause between the check of the lease and an order is covered by the term, which runners
 // compare.
@@ -47,8 +56,8 @@
         out.emplace_back(lease_renew{m_token, m_lease});
         return;
     }
-    const bool may = patience && m_key_known && !m_key_there && now >= m_not_before &&
-                     now - m_missing_since >= *patience;
+    const bool may = patience && now >= m_back_until && m_key_known && !m_key_there &&
+                     now >= m_not_before && now - m_missing_since >= *patience;
     if (!may)
         return;
     m_not_before = now + m_settings.retry;
@@ -106,6 +115,17 @@
     return true;
 }
 
+void election::outage_confirmed(time_point asked)
+{
+    if (m_term != 0)
+        m_word_until = asked + m_settings.word_holds;
+}
+
+void election::stand_back(time_point now)
+{
+    m_back_until = now + m_settings.word_binds;
+}
+
 void election::outdated(time_point now)
 {
     m_term = 0;
--- a/groups/election.h
+++ b/groups/election.h
@@ -32,6 +32,13 @@
     duration renewal = 600ms;      ///< between two renewals: two may fail within the lease
     duration call_timeout = 1s;    ///< a call unanswered for this long counts as lost
     duration retry = 300ms;        ///< after a claim that failed
+    /// Less of the lease left than this, and renewals fail: they leave 1.1 s in good times, and
+    /// 0.3 s less on a slow platform.
+    duration doubt = 700ms;
+    /// A manager whose lease ends acts on its peers' word for this long, from when it asked them...
+    duration word_holds = 1s;
+    /// ... and who gave it stands back for longer, from when it answered.
+    duration word_binds = 2s;
 };
 
 class election {
@@ -51,8 +58,28 @@
     /// Gives the key up on a planned stop.
     void resign(std::vector<election_command>& out);
 
-    /// True while this node's own clock says that its lease can't have lapsed.
-    [[nodiscard]] bool leading(time_point now) const { return m_term != 0 && now < m_until; }
+    /// Every other node, asked at `asked`, has said that the platform does not answer it either,
+    /// and stands back. So nobody can have taken the key, and the holder goes on.
+    void outage_confirmed(time_point asked);
+    /// This node has said so to another: it neither claims the key nor manages for a while.
+    void stand_back(time_point now);
+
+    /// True while this node's own clock says that its lease can't have lapsed, or its peers' word
+    /// holds.
+    [[nodiscard]] bool leading(time_point now) const
+    {
+        return m_term != 0 && now >= m_back_until && (now < m_until || now < m_word_until);
+    }
+    /// Whether it leads only by its peers' word.
+    [[nodiscard]] bool leading_by_word(time_point now) const
+    {
+        return leading(now) && now >= m_until;
+    }
+    /// Whether its lease is about to end though it asked for renewal: time to ask the peers.
+    [[nodiscard]] bool doubtful(time_point now) const
+    {
+        return m_term != 0 && m_until - now < m_settings.doubt;
+    }
     [[nodiscard]] std::int64_t term() const { return m_term; }
     [[nodiscard]] const std::string& holder() const { return m_holder; }
 
@@ -78,6 +105,8 @@
     time_point m_missing_since;
     time_point m_not_before; ///< of the next claim
     time_point m_renewed;    ///< when a renewal was last sent
+    time_point m_word_until; ///< the peers' word holds
+    time_point m_back_until; ///< stands back
 };
 
 } // namespace jaynotch::groups
--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -122,6 +122,23 @@
     publish(*find(id));
 }
 
+void fake_registry::store_down()
+{
+    m_store_down = true;
+}
+
+void fake_registry::store_up()
+{
+    m_store_down = false;
+    for (auto& [id, at] : m_runners) {
+        if (at.alive)
+            publish(at);
+        else
+            tell_all(runner_gone{at.row.id});
+    }
+    publish_key();
+}
+
 void fake_registry::begin_traffic()
 {
     m_traffic = true;
@@ -178,7 +195,7 @@
 
 void fake_registry::progress(fake_runner& at)
 {
-    if (at.listed && m_now >= at.unlist_at) {
+    if (at.listed && !m_store_down && m_now >= at.unlist_at) {
         at.listed = false;
         tell_all(runner_gone{at.row.id});
     }
@@ -227,7 +244,34 @@
 
 void fake_registry::carry_out(std::size_t manager, const formation_command& command)
 {
-    if (const auto* call = std::get_if<kv_call>(&command)) {
+    const error unreachable{error_kind::unavailable, "the store is down", ""};
+    const auto* renewal = std::get_if<lease_renew>(&command);
+    const auto* asked_lease = std::get_if<lease_grant>(&command);
+    if (m_store_down && (renewal != nullptr || asked_lease != nullptr)) {
+        const call_token token = renewal != nullptr ? renewal->token : asked_lease->token;
+        tell(manager, lease_result{token, result<lease_id>{unreachable}});
+    }
+    else if (const auto* asked = std::get_if<ask_runner>(&command)) {
+        const fake_runner* at = find(asked->vm.value());
+        if (at != nullptr && at->alive && at->reachable)
+            tell(manager, runner_told{{at->row.id, at->row.born_ms, at->row.group, at->row.model}});
+    }
+    else if (const auto* told = std::get_if<share_runner>(&command)) {
+        for (std::size_t other = 0; other < m_managers.size(); ++other) {
+            if (other != manager)
+                tell(other, runner_told{told->word});
+        }
+    }
+    else if (std::holds_alternative<ask_about_outage>(command)) {
+        if (!m_store_down || peers_reach_store)
+            return;
+        for (std::size_t other = 0; other < m_managers.size(); ++other) {
+            if (other != manager)
+                tell(other, outage_conceded{});
+        }
+        tell(manager, outage_confirmed{m_now});
+    }
+    else if (const auto* call = std::get_if<kv_call>(&command)) {
         const result<kv_outcome> done = m_store.transact(call->transaction);
         tell(manager, kv_result{call->token, done});
         publish_key();
@@ -259,12 +303,14 @@
 
 void fake_registry::publish(const fake_runner& changed)
 {
-    if (changed.listed && changed.alive && changed.reachable)
+    if (changed.listed && changed.alive && changed.reachable && !m_store_down)
         tell_all(runner_seen{changed.row});
 }
 
 void fake_registry::publish_key()
 {
+    if (m_store_down)
+        return;
     const kv_entry* key = m_store.find(formation_key("test", failure_domain_id{"f"}));
     const std::int64_t revision = key == nullptr ? 0 : key->mod_revision;
     if (revision == m_key_revision)
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -59,8 +59,13 @@
     void lose_orders(double chance) { m_lost_orders = chance; }
     /// Requests at the group of this head get nothing: every manager's node says so.
     void say_silent(const std::string& head);
+    /// The store answers nobody and shows nothing from now on; leases run out meanwhile.
+    void store_down();
+    void store_up();
     /// What other nodes say when they are asked about a silent runner.
     bool peers_hear = false;
+    /// Whether another node reaches the store while these managers don't.
+    bool peers_reach_store = false;
 
     [[nodiscard]] std::size_t open_groups(const std::string& model) const;
     [[nodiscard]] std::string head_of(const std::string& model, std::size_t index) const;
@@ -130,6 +135,7 @@
     std::int64_t m_last_birth = 0;
     double m_lost_orders = 0.0;
     bool m_traffic = false;
+    bool m_store_down = false;
     std::size_t m_orders = 0;
     std::string m_broken;
 };
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -53,6 +53,7 @@
     const state& core = *m_state;
     formation_status told;
     told.leading = core.vote.leading(now);
+    told.dark = told.leading && core.dark(now);
     told.term = core.vote.term();
     told.orders = core.orders;
     for (const auto& [vm, view] : core.runners) {
@@ -131,6 +132,9 @@
             }
             core.run_tick(now);
         }
+        void operator()(const outage_confirmed& e) const { core.vote.outage_confirmed(e.asked); }
+        void operator()(const outage_conceded& /*e*/) const { core.vote.stand_back(now); }
+        void operator()(const runner_told& e) const { core.take_word(e.word, now); }
         void operator()(const peers_seen& e) const { core.peers = e.peers; }
         void operator()(const traffic_begun& /*e*/) const { core.traffic = true; }
         void operator()(const formation_tick& /*e*/) const { core.run_tick(now); }
@@ -206,12 +210,14 @@
         if (!is_in(*view, {joined->group, joined->epoch})) {
             view->row.group = membership{joined->group, joined->epoch, rank, member_phase::joining};
             view->row.model.clear();
+            share(*view, now);
         }
     }
     else if (std::holds_alternative<leave_group>(view->pending_order)) {
         const auto& left = std::get<leave_group>(view->pending_order);
         if (view->row.group && view->row.group->group == left.group)
             view->row.group.reset();
+        share(*view, now);
     }
     else if (std::holds_alternative<open_group>(view->pending_order)) {
         view->not_before = now + 2 * settings.order_pause; // it takes a moment to open
@@ -304,7 +310,7 @@
         if (view.row.group)
             named.emplace(view.row.group->group, view.row.group->epoch);
         if (view.silent && now >= view.silent_until)
-            view.silent = false;
+            doubt_silent(view, now);
         if (!view.staging.empty() && now >= view.staging_until)
             view.staging.clear();
         if (view.pending && now - view.pending_since > 2 * settings.order_timeout)
@@ -316,9 +322,11 @@
 void formation::state::run_tick(time_point now)
 {
     run_election(now);
+    ask_about_store(now);
     forget_lost(now);
     if (!vote.leading(now) || pools.empty())
         return;
+    ask_members(now);
     look_at_groups(now);
     form_groups(now);
     say_use(now);
--- a/groups/formation.h
+++ b/groups/formation.h
@@ -65,6 +65,16 @@
     vm_id vm;
     bool answers = false;
 };
+/// The platform's store answers no node; asked for at this time.
+struct outage_confirmed {
+    time_point asked;
+};
+/// This node has told another that the store does not answer it.
+struct outage_conceded {};
+/// What a runner said itself, to this node or to the manager's.
+struct runner_told {
+    runner_word word;
+};
 /// Callers have begun to send requests.
 struct traffic_begun {};
 struct formation_tick {};
@@ -72,7 +82,8 @@
 using formation_event =
     std::variant<runner_seen, runner_gone, model_pools_seen, manager_key_seen, registry_current,
                  kv_result, lease_result, order_answered, group_silent, member_probed, peers_word,
-                 peers_seen, traffic_begun, formation_tick>;
+                 outage_confirmed, outage_conceded, runner_told, peers_seen, traffic_begun,
+                 formation_tick>;
 
 // Commands.
 
@@ -93,8 +104,20 @@
     vm_id vm;
     std::string address;
 };
-using formation_command = std::variant<kv_call, lease_grant, lease_renew, lease_end, send_order,
-                                       probe_member, ask_peers, notice>;
+/// Ask the other nodes whether the platform's store answers them.
+struct ask_about_outage {};
+/// Ask a runner for its word.
+struct ask_runner {
+    vm_id vm;
+    std::string address;
+};
+/// Tell the other nodes what the registry can't tell them now.
+struct share_runner {
+    runner_word word;
+};
+using formation_command =
+    std::variant<kv_call, lease_grant, lease_renew, lease_end, send_order, probe_member, ask_peers,
+                 ask_about_outage, ask_runner, share_runner, notice>;
 using formation_commands = std::vector<formation_command>;
 
 struct formation_settings {
@@ -114,6 +137,9 @@
     /// takes to drop the entry of a dead one (three heartbeats), or it would be used once more in
     /// between.
     duration dead_mark = 5s;
+    duration outage_question = 300ms; ///< between two questions about an outage of the store
+    /// Between two questions to a runner while the registry is dark; its report is 200 ms old.
+    duration runner_question = 150ms;
     duration peers_patience = 500ms; ///< for the other nodes' word on a silent head
     /// Entries that ran out while a living runner could not reach the store are back within this
     /// time, as the store's operators tell; what is missing for longer counts as gone.
@@ -126,6 +152,7 @@
 /// For status pages, metrics and logs.
 struct formation_status {
     bool leading = false;
+    bool dark = false; ///< leads, and the store does not renew its lease
     std::int64_t term = 0;
     std::size_t groups_open = 0;
     std::size_t groups_forming = 0;
--- /dev/null
+++ b/groups/formation_dark.cc
@@ -0,0 +1,94 @@
+// Managing while the platform's store is down. The registry then shows nothing new: neither that a
+// member has joined nor that one is gone. What a manager has to know it asks the runners themselves
+// for, and tells the other nodes, whose registry is as dark; they need to know which groups are
+// open.
+//
+// What is told holds until the runner's next entry in the registry, which it writes as soon as the
+// store is back.
+#include "groups/formation_state.h"
+
+namespace jaynotch::groups {
+
+bool formation::state::dark(time_point now) const
+{
+    return vote.doubtful(now);
+}
+
+void formation::state::ask_about_store(time_point now)
+{
+    if (!vote.doubtful(now) || now - outage_asked < settings.outage_question)
+        return;
+    outage_asked = now;
+    out.emplace_back(ask_about_outage{});
+}
+
+/// Asks the members of the compositions that are to become groups.
+void formation::state::ask_members(time_point now)
+{
+    if (!dark(now))
+        return;
+    for (const auto& [key, plan] : planned) {
+        bool all_ready = true;
+        for (const vm_id& vm : plan.members) {
+            runner_view* view = find(vm);
+            const bool joins = view != nullptr && is_in(*view, key) &&
+                               view->row.group->phase == member_phase::joining;
+            all_ready = all_ready && !joins;
+            if (joins)
+                ask(*view, now);
+        }
+        runner_view* head = find(plan.members.front());
+        const bool opens = all_ready && head != nullptr && is_in(*head, key) &&
+                           head->row.group->phase == member_phase::ready;
+        if (opens)
+            ask(*head, now);
+    }
+}
+
+void formation::state::ask(runner_view& view, time_point now)
+{
+    if (now < view.ask_again || !standing(view))
+        return;
+    view.ask_again = now + settings.runner_question;
+    out.emplace_back(ask_runner{view.row.id, view.row.address});
+}
+
+void formation::state::take_word(const runner_word& word, time_point now)
+{
+    runner_view* view = find(word.vm);
+    const bool holds =
+        view != nullptr && view->listed && (word.born_ms == 0 || view->row.born_ms == word.born_ms);
+    if (!holds || (view->row.group == word.group && view->row.model == word.model))
+        return;
+    // Reports are some 100 ms old: one from before the last join says nothing.
+    const bool older = view->row.group && word.group && word.group->epoch < view->row.group->epoch;
+    const bool before_join = view->row.group && !word.group && vote.leading(now);
+    if (older || before_join)
+        return;
+    runner row = view->row;
+    row.group = word.group;
+    row.model = word.model;
+    take_runner(row, now);
+    share(*view, now);
+}
+
+void formation::state::share(const runner_view& view, time_point now)
+{
+    if (vote.leading(now) && dark(now))
+        out.emplace_back(
+            share_runner{{view.row.id, view.row.born_ms, view.row.group, view.row.model}});
+}
+
+/// The registry drops the entry of a dead runner in the time for which it isn't used. While it is
+/// dark it can't, so the runner has to answer before it is used again.
+void formation::state::doubt_silent(runner_view& view, time_point now)
+{
+    if (!dark(now)) {
+        view.silent = false;
+        return;
+    }
+    view.silent_until = now + settings.dead_mark;
+    out.emplace_back(probe_member{view.row.id, view.row.address});
+}
+
+} // namespace jaynotch::groups
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -24,6 +24,7 @@
     time_point pending_since;
     member_order pending_order;
     time_point not_before;    ///< of the next order
+    time_point ask_again;     ///< of the next question, while the registry is dark
     std::string staging;      ///< model that was ordered onto its host
     time_point staging_until; ///< given up then
 };
@@ -74,6 +75,15 @@
     void take_silence(const vm_id& head);
     void take_probe(const member_probed& probed, time_point now);
     void run_tick(time_point now);
+
+    // formation_dark.cc: while the registry shows nothing
+    [[nodiscard]] bool dark(time_point now) const;
+    void ask_about_store(time_point now);
+    void ask_members(time_point now);
+    void ask(runner_view& view, time_point now);
+    void take_word(const runner_word& word, time_point now);
+    void share(const runner_view& view, time_point now);
+    void doubt_silent(runner_view& view, time_point now);
     void run_election(time_point now);
     void forget_lost(time_point now);
     [[nodiscard]] std::optional<duration> patience() const;
@@ -145,6 +155,7 @@
     double load_tokens = 0.0; ///< loads that may begin now, by the weight store's rate
     time_point tokens_at;
     time_point use_said;
+    time_point outage_asked;
     formation_commands out;
 };
 
--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -83,6 +83,59 @@
     assert_sound(world);
 }
 
+// The platform's store is down for eight seconds, and in that time a member dies. No lease can be
+// renewed and no other node could become the manager: streams of the group would have nobody to go
+// to until the store is back. All nodes say that they don't reach it, so the manager goes on.
+Test(formation, groups_are_repaired_while_the_store_is_down)
+{
+    fake_registry world = serving({.managers = 3, .domains = 2, .runners = 9});
+    const std::size_t groups = world.open_groups("big");
+    const std::string head = world.head_of("big", 0);
+    world.store_down();
+    world.run(4s);
+    cr_assert_eq(world.leaders(), 1U);
+    world.kill(world.members_of(head)[2]);
+    world.say_silent(head);
+    world.run(1s);
+    cr_assert_eq(world.open_groups("big"), groups);
+    world.run(3s);
+    world.store_up();
+    cr_assert(world.run_until([&] { return world.leaders() == 1; }, 4s));
+    world.run(3s);
+    cr_assert_eq(world.open_groups("big"), groups);
+    assert_sound(world);
+}
+
+// The head of a group dies while the store is down, and its entry can't be dropped. Once it doesn't
+// answer it must not be joined to one composition after the other, none of which becomes whole.
+Test(formation, a_dead_runner_whose_entry_stays_is_not_used_again)
+{
+    fake_registry world = serving({.managers = 2, .domains = 2, .runners = 9});
+    const std::size_t groups = world.open_groups("big");
+    const std::string head = world.head_of("big", 0);
+    world.store_down();
+    world.run(3s);
+    world.kill(head);
+    world.say_silent(head);
+    world.run(9s);
+    cr_assert_eq(world.open_groups("big"), groups);
+    const std::size_t orders = world.orders();
+    world.run(10s);
+    cr_assert_leq(world.orders(), orders + 2, "nobody is ordered to and fro");
+    assert_sound(world);
+}
+
+// One failure domain is cut off from the store, another is not: a node there takes the key when the
+// lease ends. The manager behind the cut must have stopped by then.
+Test(formation, a_manager_stops_while_any_node_reaches_the_store)
+{
+    fake_registry world = serving({.managers = 2, .domains = 2, .runners = 9});
+    world.peers_reach_store = true;
+    world.store_down();
+    world.run(2s);
+    cr_assert_eq(world.leaders(), 0U);
+}
+
 // The head itself dies. Its members still believe themselves in its group; joined to another
 // without leaving, they would be in two groups if the head only stood behind a cut.
 Test(formation, members_of_a_lost_head_leave_before_they_join)
--- a/outside/runner.h
+++ b/outside/runner.h
@@ -63,6 +63,16 @@
     friend bool operator==(const runner&, const runner&) = default;
 };
 
+/// What a runner says of its group when it is asked itself, not through the registry.
+struct runner_word {
+    vm_id vm;
+    std::int64_t born_ms = 0; ///< of the start that it holds for; 0 if it does not say
+    std::optional<membership> group;
+    std::string model; ///< loaded; empty if none is
+
+    friend bool operator==(const runner_word&, const runner_word&) = default;
+};
+
 /// Makes the runner a member of a group; each member gets the same list.
 struct join_group {
     group_id group;
--- a/peers/frame.cc
+++ b/peers/frame.cc
@@ -38,7 +38,10 @@
     const auto key_fits = [](const wire::key_value& item) { return name_fits(item.key); };
     return name_fits(frame.sender) && name_fits(frame.target) && name_fits(frame.subject) &&
            name_fits(frame.question.vm) && name_fits(frame.question.address) &&
-           name_fits(frame.opinion.vm) &&
+           name_fits(frame.opinion.vm) && name_fits(frame.runner.vm) &&
+           name_fits(frame.runner.group) && name_fits(frame.runner.phase) &&
+           name_fits(frame.runner.model) && name_fits(frame.store_asked.failure_domain) &&
+           name_fits(frame.store_told.failure_domain) &&
            std::all_of(frame.members.begin(), frame.members.end(), member_fits) &&
            std::all_of(frame.leavings.begin(), frame.leavings.end(), server_fits) &&
            std::all_of(frame.keys.entries.begin(), frame.keys.entries.end(), key_fits) &&
--- a/peers/frame.h
+++ b/peers/frame.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "base/base.h"
+#include "outside/runner.h"
 #include "peers/gen/peers_types.h"
 
 #include <cstddef>
@@ -105,9 +106,22 @@
     bool answers = false;
 };
 
-using server_body = std::variant<server_question, server_answer>;
+/// "Does the platform's store answer you? I manage this failure domain."
+struct store_question {
+    failure_domain_id domain;
+    std::int64_t round = 0; ///< of the asker's questions; comes back with the answer
+};
+
+struct store_answer {
+    failure_domain_id domain;
+    std::int64_t round = 0;
+    bool reached = false;
+};
+
+using server_body =
+    std::variant<server_question, server_answer, runner_word, store_question, store_answer>;
 
-/// What a peer asks or says of a backend server.
+/// What a peer asks or says of a backend server, or of the store that they register in.
 struct server_message {
     node_id from;
     server_body body;
--- a/peers/gen/peers_types.cpp
+++ b/peers/gen/peers_types.cpp
@@ -25,7 +25,10 @@
   frame_kind::key_request,
   frame_kind::key_reply,
   frame_kind::server_question,
-  frame_kind::server_answer
+  frame_kind::server_answer,
+  frame_kind::runner_word,
+  frame_kind::store_question,
+  frame_kind::store_answer
 };
 const char* _kframe_kindNames[] = {
   "ping",
@@ -39,9 +42,12 @@
   "key_request",
   "key_reply",
   "server_question",
-  "server_answer"
+  "server_answer",
+  "runner_word",
+  "store_question",
+  "store_answer"
 };
-const std::map<int, const char*> _frame_kind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(12, _kframe_kindValues, _kframe_kindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _frame_kind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(15, _kframe_kindValues, _kframe_kindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const frame_kind::type& val) {
   std::map<int, const char*>::const_iterator it = _frame_kind_VALUES_TO_NAMES.find(val);
@@ -2324,6 +2330,482 @@
 }
 
 
+runner_word::~runner_word() noexcept {
+}
+
+
+void runner_word::__set_vm(const std::string& val) {
+  this->vm = val;
+}
+
+void runner_word::__set_born_ms(const int64_t val) {
+  this->born_ms = val;
+}
+
+void runner_word::__set_grouped(const bool val) {
+  this->grouped = val;
+}
+
+void runner_word::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void runner_word::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void runner_word::__set_rank(const int32_t val) {
+  this->rank = val;
+}
+
+void runner_word::__set_phase(const std::string& val) {
+  this->phase = val;
+}
+
+void runner_word::__set_model(const std::string& val) {
+  this->model = val;
+}
+std::ostream& operator<<(std::ostream& out, const runner_word& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t runner_word::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->vm);
+          this->__isset.vm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born_ms);
+          this->__isset.born_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->grouped);
+          this->__isset.grouped = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rank);
+          this->__isset.rank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->phase);
+          this->__isset.phase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t runner_word::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("runner_word");
+
+  xfer += oprot->writeFieldBegin("vm", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->vm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->born_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("grouped", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->grouped);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->rank);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("phase", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->phase);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(runner_word &a, runner_word &b) {
+  using ::std::swap;
+  swap(a.vm, b.vm);
+  swap(a.born_ms, b.born_ms);
+  swap(a.grouped, b.grouped);
+  swap(a.group, b.group);
+  swap(a.epoch, b.epoch);
+  swap(a.rank, b.rank);
+  swap(a.phase, b.phase);
+  swap(a.model, b.model);
+  swap(a.__isset, b.__isset);
+}
+
+runner_word::runner_word(const runner_word& other63) {
+  vm = other63.vm;
+  born_ms = other63.born_ms;
+  grouped = other63.grouped;
+  group = other63.group;
+  epoch = other63.epoch;
+  rank = other63.rank;
+  phase = other63.phase;
+  model = other63.model;
+  __isset = other63.__isset;
+}
+runner_word& runner_word::operator=(const runner_word& other64) {
+  vm = other64.vm;
+  born_ms = other64.born_ms;
+  grouped = other64.grouped;
+  group = other64.group;
+  epoch = other64.epoch;
+  rank = other64.rank;
+  phase = other64.phase;
+  model = other64.model;
+  __isset = other64.__isset;
+  return *this;
+}
+void runner_word::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "runner_word(";
+  out << "vm=" << to_string(vm);
+  out << ", " << "born_ms=" << to_string(born_ms);
+  out << ", " << "grouped=" << to_string(grouped);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "rank=" << to_string(rank);
+  out << ", " << "phase=" << to_string(phase);
+  out << ", " << "model=" << to_string(model);
+  out << ")";
+}
+
+
+store_question::~store_question() noexcept {
+}
+
+
+void store_question::__set_failure_domain(const std::string& val) {
+  this->failure_domain = val;
+}
+
+void store_question::__set_round(const int64_t val) {
+  this->round = val;
+}
+std::ostream& operator<<(std::ostream& out, const store_question& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t store_question::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failure_domain);
+          this->__isset.failure_domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t store_question::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("store_question");
+
+  xfer += oprot->writeFieldBegin("failure_domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->failure_domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(store_question &a, store_question &b) {
+  using ::std::swap;
+  swap(a.failure_domain, b.failure_domain);
+  swap(a.round, b.round);
+  swap(a.__isset, b.__isset);
+}
+
+store_question::store_question(const store_question& other65) {
+  failure_domain = other65.failure_domain;
+  round = other65.round;
+  __isset = other65.__isset;
+}
+store_question& store_question::operator=(const store_question& other66) {
+  failure_domain = other66.failure_domain;
+  round = other66.round;
+  __isset = other66.__isset;
+  return *this;
+}
+void store_question::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "store_question(";
+  out << "failure_domain=" << to_string(failure_domain);
+  out << ", " << "round=" << to_string(round);
+  out << ")";
+}
+
+
+store_answer::~store_answer() noexcept {
+}
+
+
+void store_answer::__set_failure_domain(const std::string& val) {
+  this->failure_domain = val;
+}
+
+void store_answer::__set_reached(const bool val) {
+  this->reached = val;
+}
+
+void store_answer::__set_round(const int64_t val) {
+  this->round = val;
+}
+std::ostream& operator<<(std::ostream& out, const store_answer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t store_answer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failure_domain);
+          this->__isset.failure_domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reached);
+          this->__isset.reached = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t store_answer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("store_answer");
+
+  xfer += oprot->writeFieldBegin("failure_domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->failure_domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reached", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->reached);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(store_answer &a, store_answer &b) {
+  using ::std::swap;
+  swap(a.failure_domain, b.failure_domain);
+  swap(a.reached, b.reached);
+  swap(a.round, b.round);
+  swap(a.__isset, b.__isset);
+}
+
+store_answer::store_answer(const store_answer& other67) {
+  failure_domain = other67.failure_domain;
+  reached = other67.reached;
+  round = other67.round;
+  __isset = other67.__isset;
+}
+store_answer& store_answer::operator=(const store_answer& other68) {
+  failure_domain = other68.failure_domain;
+  reached = other68.reached;
+  round = other68.round;
+  __isset = other68.__isset;
+  return *this;
+}
+void store_answer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "store_answer(";
+  out << "failure_domain=" << to_string(failure_domain);
+  out << ", " << "reached=" << to_string(reached);
+  out << ", " << "round=" << to_string(round);
+  out << ")";
+}
+
+
 frame::~frame() noexcept {
 }
 
@@ -2439,6 +2921,21 @@
   this->opinion = val;
 __isset.opinion = true;
 }
+
+void frame::__set_runner(const runner_word& val) {
+  this->runner = val;
+__isset.runner = true;
+}
+
+void frame::__set_store_asked(const store_question& val) {
+  this->store_asked = val;
+__isset.store_asked = true;
+}
+
+void frame::__set_store_told(const store_answer& val) {
+  this->store_told = val;
+__isset.store_told = true;
+}
 std::ostream& operator<<(std::ostream& out, const frame& obj)
 {
   obj.printTo(out);
@@ -2485,9 +2982,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast63;
-          xfer += iprot->readI32(ecast63);
-          this->kind = static_cast<frame_kind::type>(ecast63);
+          int32_t ecast69;
+          xfer += iprot->readI32(ecast69);
+          this->kind = static_cast<frame_kind::type>(ecast69);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2569,14 +3066,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->members.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->members.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += this->members[_i68].read(iprot);
+              xfer += this->members[_i74].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2589,14 +3086,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tickets.clear();
-            uint32_t _size69;
-            ::apache::thrift::protocol::TType _etype72;
-            xfer += iprot->readListBegin(_etype72, _size69);
-            this->tickets.resize(_size69);
-            uint32_t _i73;
-            for (_i73 = 0; _i73 < _size69; ++_i73)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->tickets.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              xfer += this->tickets[_i73].read(iprot);
+              xfer += this->tickets[_i79].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2609,14 +3106,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->demands.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->demands.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += this->demands[_i78].read(iprot);
+              xfer += this->demands[_i84].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2629,14 +3126,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leavings.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->leavings.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->leavings.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
             {
-              xfer += this->leavings[_i83].read(iprot);
+              xfer += this->leavings[_i89].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2649,14 +3146,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->confirmations.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->confirmations.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->confirmations.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->confirmations[_i88].read(iprot);
+              xfer += this->confirmations[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2685,14 +3182,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->notices.clear();
-            uint32_t _size89;
-            ::apache::thrift::protocol::TType _etype92;
-            xfer += iprot->readListBegin(_etype92, _size89);
-            this->notices.resize(_size89);
-            uint32_t _i93;
-            for (_i93 = 0; _i93 < _size89; ++_i93)
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->notices.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
             {
-              xfer += this->notices[_i93].read(iprot);
+              xfer += this->notices[_i99].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2733,6 +3230,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->runner.read(iprot);
+          this->__isset.runner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 26:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->store_asked.read(iprot);
+          this->__isset.store_asked = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 27:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->store_told.read(iprot);
+          this->__isset.store_told = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2806,10 +3327,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<member_update> ::const_iterator _iter94;
-      for (_iter94 = this->members.begin(); _iter94 != this->members.end(); ++_iter94)
+      std::vector<member_update> ::const_iterator _iter100;
+      for (_iter100 = this->members.begin(); _iter100 != this->members.end(); ++_iter100)
       {
-        xfer += (*_iter94).write(oprot);
+        xfer += (*_iter100).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2819,10 +3340,10 @@
     xfer += oprot->writeFieldBegin("tickets", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tickets.size()));
-      std::vector<ticket_digest> ::const_iterator _iter95;
-      for (_iter95 = this->tickets.begin(); _iter95 != this->tickets.end(); ++_iter95)
+      std::vector<ticket_digest> ::const_iterator _iter101;
+      for (_iter101 = this->tickets.begin(); _iter101 != this->tickets.end(); ++_iter101)
       {
-        xfer += (*_iter95).write(oprot);
+        xfer += (*_iter101).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2832,10 +3353,10 @@
     xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-      std::vector<demand> ::const_iterator _iter96;
-      for (_iter96 = this->demands.begin(); _iter96 != this->demands.end(); ++_iter96)
+      std::vector<demand> ::const_iterator _iter102;
+      for (_iter102 = this->demands.begin(); _iter102 != this->demands.end(); ++_iter102)
       {
-        xfer += (*_iter96).write(oprot);
+        xfer += (*_iter102).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2845,10 +3366,10 @@
     xfer += oprot->writeFieldBegin("leavings", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leavings.size()));
-      std::vector<leaving> ::const_iterator _iter97;
-      for (_iter97 = this->leavings.begin(); _iter97 != this->leavings.end(); ++_iter97)
+      std::vector<leaving> ::const_iterator _iter103;
+      for (_iter103 = this->leavings.begin(); _iter103 != this->leavings.end(); ++_iter103)
       {
-        xfer += (*_iter97).write(oprot);
+        xfer += (*_iter103).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2858,10 +3379,10 @@
     xfer += oprot->writeFieldBegin("confirmations", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->confirmations.size()));
-      std::vector<confirmation> ::const_iterator _iter98;
-      for (_iter98 = this->confirmations.begin(); _iter98 != this->confirmations.end(); ++_iter98)
+      std::vector<confirmation> ::const_iterator _iter104;
+      for (_iter104 = this->confirmations.begin(); _iter104 != this->confirmations.end(); ++_iter104)
       {
-        xfer += (*_iter98).write(oprot);
+        xfer += (*_iter104).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2881,10 +3402,10 @@
     xfer += oprot->writeFieldBegin("notices", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notices.size()));
-      std::vector<key_notice> ::const_iterator _iter99;
-      for (_iter99 = this->notices.begin(); _iter99 != this->notices.end(); ++_iter99)
+      std::vector<key_notice> ::const_iterator _iter105;
+      for (_iter105 = this->notices.begin(); _iter105 != this->notices.end(); ++_iter105)
       {
-        xfer += (*_iter99).write(oprot);
+        xfer += (*_iter105).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2910,6 +3431,21 @@
     xfer += this->opinion.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.runner) {
+    xfer += oprot->writeFieldBegin("runner", ::apache::thrift::protocol::T_STRUCT, 25);
+    xfer += this->runner.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.store_asked) {
+    xfer += oprot->writeFieldBegin("store_asked", ::apache::thrift::protocol::T_STRUCT, 26);
+    xfer += this->store_asked.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.store_told) {
+    xfer += oprot->writeFieldBegin("store_told", ::apache::thrift::protocol::T_STRUCT, 27);
+    xfer += this->store_told.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2941,62 +3477,71 @@
   swap(a.keys, b.keys);
   swap(a.question, b.question);
   swap(a.opinion, b.opinion);
+  swap(a.runner, b.runner);
+  swap(a.store_asked, b.store_asked);
+  swap(a.store_told, b.store_told);
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other100) {
-  version = other100.version;
-  deployment = other100.deployment;
-  kind = other100.kind;
-  sender = other100.sender;
-  boot = other100.boot;
-  incarnation = other100.incarnation;
-  sequence = other100.sequence;
-  sent_ms = other100.sent_ms;
-  target = other100.target;
-  subject = other100.subject;
-  member_digest = other100.member_digest;
-  config = other100.config;
-  members = other100.members;
-  tickets = other100.tickets;
-  demands = other100.demands;
-  leavings = other100.leavings;
-  confirmations = other100.confirmations;
-  request = other100.request;
-  reply = other100.reply;
-  notices = other100.notices;
-  keys_wanted = other100.keys_wanted;
-  keys = other100.keys;
-  question = other100.question;
-  opinion = other100.opinion;
-  __isset = other100.__isset;
-}
-frame& frame::operator=(const frame& other101) {
-  version = other101.version;
-  deployment = other101.deployment;
-  kind = other101.kind;
-  sender = other101.sender;
-  boot = other101.boot;
-  incarnation = other101.incarnation;
-  sequence = other101.sequence;
-  sent_ms = other101.sent_ms;
-  target = other101.target;
-  subject = other101.subject;
-  member_digest = other101.member_digest;
-  config = other101.config;
-  members = other101.members;
-  tickets = other101.tickets;
-  demands = other101.demands;
-  leavings = other101.leavings;
-  confirmations = other101.confirmations;
-  request = other101.request;
-  reply = other101.reply;
-  notices = other101.notices;
-  keys_wanted = other101.keys_wanted;
-  keys = other101.keys;
-  question = other101.question;
-  opinion = other101.opinion;
-  __isset = other101.__isset;
+frame::frame(const frame& other106) {
+  version = other106.version;
+  deployment = other106.deployment;
+  kind = other106.kind;
+  sender = other106.sender;
+  boot = other106.boot;
+  incarnation = other106.incarnation;
+  sequence = other106.sequence;
+  sent_ms = other106.sent_ms;
+  target = other106.target;
+  subject = other106.subject;
+  member_digest = other106.member_digest;
+  config = other106.config;
+  members = other106.members;
+  tickets = other106.tickets;
+  demands = other106.demands;
+  leavings = other106.leavings;
+  confirmations = other106.confirmations;
+  request = other106.request;
+  reply = other106.reply;
+  notices = other106.notices;
+  keys_wanted = other106.keys_wanted;
+  keys = other106.keys;
+  question = other106.question;
+  opinion = other106.opinion;
+  runner = other106.runner;
+  store_asked = other106.store_asked;
+  store_told = other106.store_told;
+  __isset = other106.__isset;
+}
+frame& frame::operator=(const frame& other107) {
+  version = other107.version;
+  deployment = other107.deployment;
+  kind = other107.kind;
+  sender = other107.sender;
+  boot = other107.boot;
+  incarnation = other107.incarnation;
+  sequence = other107.sequence;
+  sent_ms = other107.sent_ms;
+  target = other107.target;
+  subject = other107.subject;
+  member_digest = other107.member_digest;
+  config = other107.config;
+  members = other107.members;
+  tickets = other107.tickets;
+  demands = other107.demands;
+  leavings = other107.leavings;
+  confirmations = other107.confirmations;
+  request = other107.request;
+  reply = other107.reply;
+  notices = other107.notices;
+  keys_wanted = other107.keys_wanted;
+  keys = other107.keys;
+  question = other107.question;
+  opinion = other107.opinion;
+  runner = other107.runner;
+  store_asked = other107.store_asked;
+  store_told = other107.store_told;
+  __isset = other107.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -3026,6 +3571,9 @@
   out << ", " << "keys="; (__isset.keys ? (out << to_string(keys)) : (out << "<null>"));
   out << ", " << "question="; (__isset.question ? (out << to_string(question)) : (out << "<null>"));
   out << ", " << "opinion="; (__isset.opinion ? (out << to_string(opinion)) : (out << "<null>"));
+  out << ", " << "runner="; (__isset.runner ? (out << to_string(runner)) : (out << "<null>"));
+  out << ", " << "store_asked="; (__isset.store_asked ? (out << to_string(store_asked)) : (out << "<null>"));
+  out << ", " << "store_told="; (__isset.store_told ? (out << to_string(store_told)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/peers_types.h
+++ b/peers/gen/peers_types.h
@@ -34,7 +34,10 @@
     key_request = 9,
     key_reply = 10,
     server_question = 11,
-    server_answer = 12
+    server_answer = 12,
+    runner_word = 13,
+    store_question = 14,
+    store_answer = 15
   };
 };
 
@@ -91,6 +94,12 @@
 
 class server_answer;
 
+class runner_word;
+
+class store_question;
+
+class store_answer;
+
 class frame;
 
 typedef struct _member_update__isset {
@@ -1018,8 +1027,207 @@
 
 std::ostream& operator<<(std::ostream& out, const server_answer& obj);
 
+typedef struct _runner_word__isset {
+  _runner_word__isset() : vm(false), born_ms(false), grouped(false), group(false), epoch(false), rank(false), phase(false), model(false) {}
+  bool vm :1;
+  bool born_ms :1;
+  bool grouped :1;
+  bool group :1;
+  bool epoch :1;
+  bool rank :1;
+  bool phase :1;
+  bool model :1;
+} _runner_word__isset;
+
+class runner_word : public virtual ::apache::thrift::TBase {
+ public:
+
+  runner_word(const runner_word&);
+  runner_word& operator=(const runner_word&);
+  runner_word() noexcept
+              : vm(),
+                born_ms(0),
+                grouped(0),
+                group(),
+                epoch(0),
+                rank(0),
+                phase(),
+                model() {
+  }
+
+  virtual ~runner_word() noexcept;
+  std::string vm;
+  int64_t born_ms;
+  bool grouped;
+  std::string group;
+  int64_t epoch;
+  int32_t rank;
+  std::string phase;
+  std::string model;
+
+  _runner_word__isset __isset;
+
+  void __set_vm(const std::string& val);
+
+  void __set_born_ms(const int64_t val);
+
+  void __set_grouped(const bool val);
+
+  void __set_group(const std::string& val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_rank(const int32_t val);
+
+  void __set_phase(const std::string& val);
+
+  void __set_model(const std::string& val);
+
+  bool operator == (const runner_word & rhs) const
+  {
+    if (!(vm == rhs.vm))
+      return false;
+    if (!(born_ms == rhs.born_ms))
+      return false;
+    if (!(grouped == rhs.grouped))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(rank == rhs.rank))
+      return false;
+    if (!(phase == rhs.phase))
+      return false;
+    if (!(model == rhs.model))
+      return false;
+    return true;
+  }
+  bool operator != (const runner_word &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const runner_word & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(runner_word &a, runner_word &b);
+
+std::ostream& operator<<(std::ostream& out, const runner_word& obj);
+
+typedef struct _store_question__isset {
+  _store_question__isset() : failure_domain(false), round(false) {}
+  bool failure_domain :1;
+  bool round :1;
+} _store_question__isset;
+
+class store_question : public virtual ::apache::thrift::TBase {
+ public:
+
+  store_question(const store_question&);
+  store_question& operator=(const store_question&);
+  store_question() noexcept
+                 : failure_domain(),
+                   round(0) {
+  }
+
+  virtual ~store_question() noexcept;
+  std::string failure_domain;
+  int64_t round;
+
+  _store_question__isset __isset;
+
+  void __set_failure_domain(const std::string& val);
+
+  void __set_round(const int64_t val);
+
+  bool operator == (const store_question & rhs) const
+  {
+    if (!(failure_domain == rhs.failure_domain))
+      return false;
+    if (!(round == rhs.round))
+      return false;
+    return true;
+  }
+  bool operator != (const store_question &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const store_question & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(store_question &a, store_question &b);
+
+std::ostream& operator<<(std::ostream& out, const store_question& obj);
+
+typedef struct _store_answer__isset {
+  _store_answer__isset() : failure_domain(false), reached(false), round(false) {}
+  bool failure_domain :1;
+  bool reached :1;
+  bool round :1;
+} _store_answer__isset;
+
+class store_answer : public virtual ::apache::thrift::TBase {
+ public:
+
+  store_answer(const store_answer&);
+  store_answer& operator=(const store_answer&);
+  store_answer() noexcept
+               : failure_domain(),
+                 reached(0),
+                 round(0) {
+  }
+
+  virtual ~store_answer() noexcept;
+  std::string failure_domain;
+  bool reached;
+  int64_t round;
+
+  _store_answer__isset __isset;
+
+  void __set_failure_domain(const std::string& val);
+
+  void __set_reached(const bool val);
+
+  void __set_round(const int64_t val);
+
+  bool operator == (const store_answer & rhs) const
+  {
+    if (!(failure_domain == rhs.failure_domain))
+      return false;
+    if (!(reached == rhs.reached))
+      return false;
+    if (!(round == rhs.round))
+      return false;
+    return true;
+  }
+  bool operator != (const store_answer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const store_answer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(store_answer &a, store_answer &b);
+
+std::ostream& operator<<(std::ostream& out, const store_answer& obj);
+
 typedef struct _frame__isset {
-  _frame__isset() : version(false), deployment(false), kind(false), sender(false), boot(false), incarnation(false), sequence(false), sent_ms(false), target(false), subject(false), member_digest(false), config(false), members(false), tickets(false), demands(false), leavings(false), confirmations(false), request(false), reply(false), notices(false), keys_wanted(false), keys(false), question(false), opinion(false) {}
+  _frame__isset() : version(false), deployment(false), kind(false), sender(false), boot(false), incarnation(false), sequence(false), sent_ms(false), target(false), subject(false), member_digest(false), config(false), members(false), tickets(false), demands(false), leavings(false), confirmations(false), request(false), reply(false), notices(false), keys_wanted(false), keys(false), question(false), opinion(false), runner(false), store_asked(false), store_told(false) {}
   bool version :1;
   bool deployment :1;
   bool kind :1;
@@ -1044,6 +1252,9 @@
   bool keys :1;
   bool question :1;
   bool opinion :1;
+  bool runner :1;
+  bool store_asked :1;
+  bool store_told :1;
 } _frame__isset;
 
 class frame : public virtual ::apache::thrift::TBase {
@@ -1094,6 +1305,9 @@
   key_reply keys;
   server_question question;
   server_answer opinion;
+  runner_word runner;
+  store_question store_asked;
+  store_answer store_told;
 
   _frame__isset __isset;
 
@@ -1145,6 +1359,12 @@
 
   void __set_opinion(const server_answer& val);
 
+  void __set_runner(const runner_word& val);
+
+  void __set_store_asked(const store_question& val);
+
+  void __set_store_told(const store_answer& val);
+
   bool operator == (const frame & rhs) const
   {
     if (!(version == rhs.version))
@@ -1227,6 +1447,18 @@
       return false;
     else if (__isset.opinion && !(opinion == rhs.opinion))
       return false;
+    if (__isset.runner != rhs.__isset.runner)
+      return false;
+    else if (__isset.runner && !(runner == rhs.runner))
+      return false;
+    if (__isset.store_asked != rhs.__isset.store_asked)
+      return false;
+    else if (__isset.store_asked && !(store_asked == rhs.store_asked))
+      return false;
+    if (__isset.store_told != rhs.__isset.store_told)
+      return false;
+    else if (__isset.store_told && !(store_told == rhs.store_told))
+      return false;
     return true;
   }
   bool operator != (const frame &rhs) const {
--- a/peers/membership_servers.cc
+++ b/peers/membership_servers.cc
@@ -1,10 +1,84 @@
-// A second opinion on a backend server: a node that gets no answer from one asks its peers whether
-// they do. A server that is cut off from one node only must not be taken for dead (the indirect
-// probes of SWIM, Das et al. 2002, put to servers instead of members).
+// Second opinions. A node that gets no answer from a backend server, or from the store, asks its
+// peers whether they do: what is cut off from one node only must not be taken for dead (the
+// indirect probes of SWIM, Das et al. 2002, put to servers instead of members). And words of
+// runners, for nodes that the registry can't tell.
 #include "peers/membership.h"
 
 namespace jaynotch {
 
+namespace {
+
+/// Writes a message into a frame; returns its kind.
+struct frame_writer {
+    wire::frame& frame;
+
+    wire::frame_kind::type operator()(const server_question& body) const
+    {
+        wire::server_question asked;
+        asked.__set_vm(body.vm.value());
+        asked.__set_address(body.address);
+        frame.__set_question(asked);
+        return wire::frame_kind::server_question;
+    }
+    wire::frame_kind::type operator()(const server_answer& body) const
+    {
+        wire::server_answer told;
+        told.__set_vm(body.vm.value());
+        told.__set_answers(body.answers);
+        frame.__set_opinion(told);
+        return wire::frame_kind::server_answer;
+    }
+    wire::frame_kind::type operator()(const runner_word& body) const
+    {
+        wire::runner_word told;
+        told.__set_vm(body.vm.value());
+        told.__set_born_ms(body.born_ms);
+        told.__set_grouped(body.group.has_value());
+        told.__set_model(body.model);
+        if (body.group) {
+            told.__set_group(body.group->group.value());
+            told.__set_epoch(body.group->epoch);
+            told.__set_rank(static_cast<std::int32_t>(body.group->rank));
+            told.__set_phase(std::string{to_name(body.group->phase)});
+        }
+        frame.__set_runner(told);
+        return wire::frame_kind::runner_word;
+    }
+    wire::frame_kind::type operator()(const store_question& body) const
+    {
+        wire::store_question asked;
+        asked.__set_failure_domain(body.domain.value());
+        asked.__set_round(body.round);
+        frame.__set_store_asked(asked);
+        return wire::frame_kind::store_question;
+    }
+    wire::frame_kind::type operator()(const store_answer& body) const
+    {
+        wire::store_answer told;
+        told.__set_failure_domain(body.domain.value());
+        told.__set_round(body.round);
+        told.__set_reached(body.reached);
+        frame.__set_store_told(told);
+        return wire::frame_kind::store_answer;
+    }
+};
+
+/// Nothing if its phase is none that this version knows.
+std::optional<runner_word> read_word(const wire::runner_word& told)
+{
+    runner_word word{vm_id{told.vm}, told.born_ms, {}, told.model};
+    if (!told.grouped)
+        return word;
+    const auto phase = from_name<member_phase>(told.phase);
+    if (!phase || told.rank < 0)
+        return std::nullopt;
+    word.group =
+        membership{group_id{told.group}, told.epoch, static_cast<std::uint32_t>(told.rank), *phase};
+    return word;
+}
+
+} // namespace
+
 void membership_core::take_servers(const wire::frame& frame, membership_commands& out)
 {
     const node_id from{frame.sender};
@@ -14,6 +88,18 @@
     if (frame.__isset.opinion)
         out.emplace_back(
             server_message{from, server_answer{vm_id{frame.opinion.vm}, frame.opinion.answers}});
+    if (frame.__isset.runner) {
+        if (const auto word = read_word(frame.runner))
+            out.emplace_back(server_message{from, *word});
+    }
+    if (frame.__isset.store_asked)
+        out.emplace_back(
+            server_message{from, store_question{failure_domain_id{frame.store_asked.failure_domain},
+                                                frame.store_asked.round}});
+    if (frame.__isset.store_told)
+        out.emplace_back(
+            server_message{from, store_answer{failure_domain_id{frame.store_told.failure_domain},
+                                              frame.store_told.round, frame.store_told.reached}});
 }
 
 membership_commands membership_core::send_server(time_point now, const node_id& to,
@@ -24,23 +110,9 @@
     if (known == nullptr)
         return out;
     const member peer = *known;
-    if (const auto* question = std::get_if<server_question>(&body)) {
-        wire::frame frame = make_frame(now, wire::frame_kind::server_question);
-        wire::server_question asked;
-        asked.__set_vm(question->vm.value());
-        asked.__set_address(question->address);
-        frame.__set_question(asked);
-        send(now, peer, frame, out);
-    }
-    else {
-        const auto& answer = std::get<server_answer>(body);
-        wire::frame frame = make_frame(now, wire::frame_kind::server_answer);
-        wire::server_answer told;
-        told.__set_vm(answer.vm.value());
-        told.__set_answers(answer.answers);
-        frame.__set_opinion(told);
-        send(now, peer, frame, out);
-    }
+    wire::frame frame = make_frame(now, wire::frame_kind::server_question);
+    frame.__set_kind(std::visit(frame_writer{frame}, body));
+    send(now, peer, frame, out);
     return out;
 }
 
--- a/peers/peers.thrift
+++ b/peers/peers.thrift
@@ -16,6 +16,9 @@
   key_reply = 10
   server_question = 11
   server_answer = 12
+  runner_word = 13
+  store_question = 14
+  store_answer = 15
 }
 
 enum member_state { alive = 1, suspect = 2, dead = 3, left = 4 }
@@ -126,6 +129,30 @@
   2: bool answers
 }
 
+// What a runner says of its group while the registry is dark.
+struct runner_word {
+  1: string vm
+  2: i64 born_ms
+  3: bool grouped
+  4: string group
+  5: i64 epoch
+  6: i32 rank
+  7: string phase
+  8: string model
+}
+
+// "Does the platform's store answer you? I manage this failure domain."
+struct store_question {
+  1: string failure_domain
+  2: i64 round               // comes back with the answer
+}
+
+struct store_answer {
+  1: string failure_domain
+  2: bool reached
+  3: i64 round
+}
+
 struct frame {
   1: i8 version
   2: i32 deployment            // hash of the deployment's name
@@ -151,4 +178,7 @@
   22: optional key_reply keys
   23: optional server_question question
   24: optional server_answer opinion
+  25: optional runner_word runner
+  26: optional store_question store_asked
+  27: optional store_answer store_told
 }
