Soak: real daemons under random faults from outside

Each seed draws a plan: kills, pauses, planned stops, SIGHUP; links that delay, reset, go silent in one way or both; a store that refuses or is not reached; servers that crash, drain, lie or hang; changes of the configuration. Callers keep their connections until the process is gone. The book of promises checks answers, runs, drains, keys, versions and planned stops; the stand-in's runners now check fencing numbers and epochs and tell of a runner in two groups or a group that serves in part.

--- a/Makefile
+++ b/Makefile
@@ -11,10 +11,10 @@
 FUZZERS = $(basename $(notdir $(shell git ls-files '*_fuzz.cc')))
 CLANG_TIDY_SOURCES = $(shell git ls-files '*.cc' ':!*/gen/*')
 
-.PHONY: help packages build test demo lint format bench scenarios fuzz soak sanitize clean
+.PHONY: help packages build test demo lint format bench scenarios fuzz soak soak-faults sanitize clean
 
 help: ## list the targets
-	@grep -hE '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 14
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 14
 
 packages: ## install the Debian packages that the build declares
 	@if dpkg -s $(PACKAGES) >/dev/null 2>&1; then :; else \
@@ -68,6 +68,13 @@
 soak: build ## long seeded random histories of the groups' cores (SOAK_STEPS, SOAK_SEED)
 	@$(BUILD)/jaynotch-soak --steps=$(SOAK_STEPS) --seed=$(SOAK_SEED)
 
+SOAK_FROM ?= 1
+SOAK_COUNT ?= 50
+SOAK_JOBS ?= 4
+soak-faults: build ## real daemons under random faults from outside (SOAK_FROM, SOAK_COUNT seeds)
+	@seq $(SOAK_FROM) $$(($(SOAK_FROM) + $(SOAK_COUNT) - 1)) \
+	  | xargs -P $(SOAK_JOBS) -I SEED $(BUILD)/jaynotch-fault-soak --programs=$(BUILD) --logs=$(BUILD)/soak --seeds=SEED
+
 bench: build ## the measurements that docs/ quotes, one after another; about a quarter of an hour
 	@for program in routing_bench manager_bench spread_bench proxy_bench jaynotch-policy jaynotch-ticket-age \
 	  "jaynotch-repair --days=14 --large_days=0 --seed=1"; do echo "== $$program"; $(BUILD)/$$program || exit 1; done
--- /dev/null
+++ b/soak/fault_soak_main.cc
@@ -0,0 +1,102 @@
+// jaynotch-fault-soak: real daemons under random faults from outside, and the promises checked.
+//
+//   jaynotch-fault-soak --programs=build --seeds=1,2,3 --seconds=10
+//   jaynotch-fault-soak --from=100 --count=50                    # fifty fresh seeds
+//
+// Exit codes: 0 every promise was kept, 1 some was not, 2 usage.
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/flags/usage.h"
+#include "base/environment.h"
+#include "soak/soak_run.h"
+
+#include <charconv>
+#include <cstdio>
+
+ABSL_FLAG(std::string, programs, "build", "folder of jaynotchd");
+ABSL_FLAG(std::string, logs, "build/soak", "folder for settings files and the daemons' logs");
+ABSL_FLAG(std::vector<std::string>, seeds, {}, "seeds to play, by commas");
+ABSL_FLAG(std::uint64_t, from, 1, "first seed, if --seeds names none");
+ABSL_FLAG(std::uint64_t, count, 1, "how many seeds, if --seeds names none");
+ABSL_FLAG(std::uint32_t, seconds, 10, "how long faults come, for each seed");
+ABSL_FLAG(double, faults, 1.2, "faults that begin each second");
+ABSL_FLAG(std::uint32_t, daemons, 4, "entry VMs");
+ABSL_FLAG(std::uint32_t, runners, 10, "model runners");
+ABSL_FLAG(std::uint32_t, callers, 12, "callers");
+ABSL_FLAG(bool, story, false, "print each seed's faults, also if nothing broke");
+
+namespace jaynotch {
+namespace {
+
+bool play(std::uint64_t seed)
+{
+    soak_settings chosen;
+    chosen.seed = seed;
+    chosen.callers = absl::GetFlag(FLAGS_callers);
+    chosen.length = std::chrono::seconds{absl::GetFlag(FLAGS_seconds)};
+    chosen.faults_per_s = absl::GetFlag(FLAGS_faults);
+    chosen.site.program = absl::GetFlag(FLAGS_programs) + "/jaynotchd";
+    chosen.site.folder = absl::GetFlag(FLAGS_logs) + "/" + std::to_string(seed);
+    chosen.site.daemons = absl::GetFlag(FLAGS_daemons);
+    chosen.site.runners = absl::GetFlag(FLAGS_runners);
+    const soak_outcome seen = run_soak(chosen);
+    std::printf("%s seed %llu: %zu requests, %zu served, %zu faults\n",
+                seen.problems.empty() ? "ok  " : "FAIL", static_cast<unsigned long long>(seed),
+                seen.requests, seen.whole, seen.story.size());
+    if (!seen.problems.empty() || absl::GetFlag(FLAGS_story)) {
+        for (const std::string& fault : seen.story)
+            std::printf("     %s\n", fault.c_str());
+    }
+    for (const std::string& problem : seen.problems)
+        std::printf("  !! %s\n", problem.c_str());
+    std::fflush(stdout);
+    return seen.problems.empty();
+}
+
+/// Seeds to play; empty if one is no number.
+std::vector<std::uint64_t> wanted_seeds()
+{
+    std::vector<std::uint64_t> seeds;
+    for (const std::string& word : absl::GetFlag(FLAGS_seeds)) {
+        std::uint64_t seed = 0;
+        const auto [end, failed] = std::from_chars(word.data(), word.data() + word.size(), seed);
+        if (failed != std::errc{} || end != word.data() + word.size()) {
+            std::fprintf(stderr, "jaynotch-fault-soak: --seeds: \"%s\" is no number\n",
+                         word.c_str());
+            return {};
+        }
+        seeds.push_back(seed);
+    }
+    if (!seeds.empty())
+        return seeds;
+    for (std::uint64_t done = 0; done < absl::GetFlag(FLAGS_count); ++done)
+        seeds.push_back(absl::GetFlag(FLAGS_from) + done);
+    return seeds;
+}
+
+int play_all()
+{
+    const std::vector<std::uint64_t> seeds = wanted_seeds();
+    if (seeds.empty())
+        return 2;
+    std::size_t failed = 0;
+    for (const std::uint64_t seed : seeds)
+        failed += play(seed) ? 0 : 1;
+    std::printf("%zu seeds, %zu failed\n", seeds.size(), failed);
+    return failed == 0 ? 0 : 1;
+}
+
+} // namespace
+} // namespace jaynotch
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage("plays random faults: jaynotch-fault-soak [flags]");
+    const auto set = jaynotch::read_environment("soak/fault_soak_main.cc");
+    if (!set) {
+        std::fprintf(stderr, "jaynotch-fault-soak: %s\n", to_string(set.error()).c_str());
+        return 2;
+    }
+    absl::ParseCommandLine(argc, argv);
+    return jaynotch::play_all();
+}
--- /dev/null
+++ b/soak/soak_run.h
@@ -0,0 +1,32 @@
+// One seed of the fault soak, from the start of the processes to the verdict.
+//
+//   const soak_outcome seen = run_soak({.seed = 7, .site = {.folder = "build/soak/7"}});
+//   for (const std::string& problem : seen.problems) ...
+#pragma once
+
+#include "soak/fault_plan.h"
+#include "soak/soak_site.h"
+
+#include <string>
+#include <vector>
+
+namespace jaynotch {
+
+struct soak_settings {
+    std::uint64_t seed = 1;
+    std::size_t callers = 12;
+    std::chrono::milliseconds length{10'000};
+    double faults_per_s = 1.2;
+    soak_site_settings site;
+};
+
+struct soak_outcome {
+    std::vector<std::string> problems;
+    std::vector<std::string> story; ///< the faults, in order
+    std::size_t requests = 0;
+    std::size_t whole = 0; ///< answered with success
+};
+
+soak_outcome run_soak(const soak_settings& settings);
+
+} // namespace jaynotch
--- a/standins/store_standin.cc
+++ b/standins/store_standin.cc
@@ -196,14 +196,22 @@
         new runner_standin{executor, std::move(store), std::move(settings)}};
     const standin_handler handler = forward_to(made, &runner_standin::handle);
     BOOST_OUTCOME_TRY(made->m_server, standin_server::listen(executor, "127.0.0.1:0", handler));
+    if (made->m_settings.fabric)
+        made->m_settings.fabric->runners[made->id()] = made;
     made->publish();
     return made;
 }
 
-void runner_standin::publish()
+void runner_standin::show_at(std::string address)
+{
+    m_shown = std::move(address);
+    publish();
+}
+
+json::object runner_standin::description() const
 {
     json::object entry{{"service", m_settings.service},
-                       {"addr", m_server->address()},
+                       {"addr", m_shown.empty() ? m_server->address() : m_shown},
                        {"zone", m_settings.zone},
                        {"slot_count", 8},
                        {"state", m_state},
@@ -224,7 +232,13 @@
                                           {"rank", m_rank},
                                           {"state", to_name(m_phase)}};
     }
-    m_store->put("servers/" + m_settings.id, json::serialize(entry));
+    return entry;
+}
+
+void runner_standin::publish()
+{
+    if (m_alive)
+        m_store->put("servers/" + m_settings.id, json::serialize(description()));
 }
 
 void runner_standin::drain()
@@ -233,9 +247,15 @@
     publish();
 }
 
-void runner_standin::stop()
+void runner_standin::crash()
 {
+    m_alive = false;
     m_server->stop();
+}
+
+void runner_standin::stop()
+{
+    crash();
     m_store->remove("servers/" + m_settings.id);
 }
 
@@ -253,7 +273,8 @@
         co_return;
     }
     if (exchange.path() == "/report") {
-        co_await exchange.answer(http::status::ok, "{}");
+        std::string text = json::serialize(description());
+        co_await exchange.answer(http::status::ok, std::move(text));
         co_return;
     }
     const std::string_view expected = exchange.header("Jaynotch-Expect-Instance");
@@ -274,6 +295,7 @@
     for (const auto& field : exchange.request())
         seen.headers[std::string{field.name_string()}] = std::string{field.value()};
     ran.push_back(seen);
+    check_run();
     if (faults.cut) {
         exchange.cut();
         co_return;
@@ -317,7 +339,8 @@
     std::size_t written = 0;
     for (std::size_t id = first; id <= m_settings.events; ++id) {
         co_await standin_sleep(m_executor, m_settings.gap);
-        if (faults.cut_after > 0 && written == faults.cut_after) {
+        const bool cut = faults.cut_after > 0 && written == faults.cut_after;
+        if (cut || !co_await wait_for_members()) {
             exchange.cut();
             co_return;
         }
@@ -329,46 +352,125 @@
     co_await exchange.finish_chunks();
 }
 
+bool runner_standin::whole() const
+{
+    if (!m_settings.fabric)
+        return true;
+    return std::all_of(m_members.begin(), m_members.end(), [&](const std::string& id) {
+        const auto found = m_settings.fabric->runners.find(id);
+        const auto other =
+            found == m_settings.fabric->runners.end() ? nullptr : found->second.lock();
+        return other && other->m_alive && !other->faults.mute && other->m_group == m_group &&
+               other->m_epoch == m_epoch;
+    });
+}
+
+/// A head that misses a member stands still and then breaks.
+awaitable<bool> runner_standin::wait_for_members()
+{
+    constexpr duration look = 20ms;
+    const std::string group = m_group;
+    const time_point since = runtime_clock::now();
+    while (!whole()) {
+        co_await standin_sleep(m_executor, look);
+        if (!m_alive || m_group != group)
+            co_return false;
+        if (runtime_clock::now() - since >= m_settings.fabric->stall) {
+            m_phase = member_phase::broken;
+            publish();
+            co_return false;
+        }
+    }
+    co_return m_alive&& m_group == group;
+}
+
+void runner_standin::check_join(const std::string& group) const
+{
+    if (!m_settings.fabric || m_group.empty())
+        return;
+    for (const auto& [id, weak] : m_settings.fabric->runners) {
+        const auto head = weak.lock();
+        const bool serves =
+            head && head->m_alive && head->m_rank == 0 && head->m_group == m_group &&
+            head->m_epoch == m_epoch &&
+            (head->m_phase == member_phase::open || head->m_phase == member_phase::closing);
+        if (serves)
+            m_settings.fabric->broken.push_back(m_settings.id + " joined " + group + " while " +
+                                                id + " served " + m_group);
+    }
+}
+
+void runner_standin::check_run() const
+{
+    if (!m_settings.fabric || m_settings.domain.empty())
+        return;
+    if (m_members.size() != m_settings.fabric->group_size)
+        m_settings.fabric->broken.push_back(m_group + " serves with " +
+                                            std::to_string(m_members.size()) + " members");
+    for (const std::string& id : m_members) {
+        const auto other = m_settings.fabric->runners[id].lock();
+        if (other && other->m_alive && !other->m_was_ready.contains({m_group, m_epoch}))
+            m_settings.fabric->broken.push_back(m_group + " serves before " + id + " was ready");
+    }
+}
+
 awaitable<void> runner_standin::take_order(standin_exchange& exchange)
 {
     orders.push_back(exchange.body());
     const json::object order = json::parse(exchange.body()).as_object();
     const std::string op{order.at("op").as_string()};
-    http::status status = http::status::accepted;
+    const std::int64_t fence =
+        order.contains("fence") ? order.at("fence").to_number<std::int64_t>() : m_fence;
+    http::status status = http::status::precondition_failed;
+    if (fence >= m_fence) {
+        m_fence = fence;
+        status = obey(op, order);
+    }
+    co_await exchange.answer(status, "");
+}
+
+http::status runner_standin::obey(const std::string& op, const json::object& order)
+{
     if (op == "stage") {
         m_staged = std::string{order.at("model").as_string()};
         publish();
+        return http::status::accepted;
     }
-    else {
-        const std::string group{order.at("group").as_string()};
-        const auto epoch = order.at("epoch").to_number<std::int64_t>();
-        const bool own = group == m_group && epoch == m_epoch;
-        if (op == "join" && !own) {
-            const json::array& members = order.at("member_list").as_array();
-            const auto at =
-                std::find_if(members.begin(), members.end(), [&](const json::value& one) {
-                    return one.as_string() == m_settings.id;
-                });
-            m_rank = at - members.begin();
-            boost::asio::co_spawn(m_executor,
-                                  join(group, epoch, std::string{order.at("model").as_string()}),
-                                  boost::asio::detached);
-        }
-        else if (op == "open" && own && m_phase == member_phase::ready) {
-            m_phase = member_phase::open;
-            publish();
-        }
-        else if (op == "leave" && own) {
-            m_group.clear();
-            m_model.clear();
-            publish();
-            status = http::status::ok;
-        }
-        else {
-            status = own ? http::status::ok : http::status::conflict;
-        }
+    const bool own = order.at("group").as_string() == m_group &&
+                     order.at("epoch").to_number<std::int64_t>() == m_epoch;
+    if (op == "join")
+        return own ? http::status::ok : obey_join(order);
+    if (op == "open" && own && m_rank == 0 && m_phase == member_phase::ready) {
+        m_phase = member_phase::open;
+        publish();
+        return http::status::accepted;
     }
-    co_await exchange.answer(status, "");
+    if (op == "leave" && own) {
+        m_group.clear();
+        m_model.clear();
+        m_phase = member_phase::joining; // a head that has left serves nobody
+        publish();
+        return http::status::ok;
+    }
+    return own ? http::status::ok : http::status::conflict;
+}
+
+http::status runner_standin::obey_join(const json::object& order)
+{
+    const auto epoch = order.at("epoch").to_number<std::int64_t>();
+    if (epoch < m_highest_epoch)
+        return http::status::precondition_failed;
+    const std::string group{order.at("group").as_string()};
+    check_join(group);
+    m_highest_epoch = epoch;
+    m_members.clear();
+    for (const json::value& one : order.at("member_list").as_array())
+        m_members.emplace_back(one.as_string());
+    m_rank = std::find(m_members.begin(), m_members.end(), m_settings.id) - m_members.begin();
+    boost::asio::co_spawn(m_executor,
+                          join(group, epoch, std::string{order.at("model").as_string()}),
+                          boost::asio::detached);
+    return http::status::accepted;
 }
 
 awaitable<void> runner_standin::join(std::string group, std::int64_t epoch, std::string model)
@@ -384,6 +486,7 @@
     if (m_group != group || m_epoch != epoch)
         co_return;
     m_phase = member_phase::ready;
+    m_was_ready.emplace(group, epoch);
     m_model = model;
     m_staged = model;
     publish();
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -12,8 +12,13 @@
 #include "outside/outside.h"
 #include "standins/standin_server.h"
 
+#include <boost/json/object.hpp>
+
 #include <map>
+#include <memory>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace jaynotch {
 
@@ -42,6 +47,17 @@
     std::shared_ptr<standin_server> m_server;
 };
 
+class runner_standin;
+
+/// Runners that look at one another, as members of a group do, and check each order and request
+/// against what must never be: a runner in two groups, a group that serves though it isn't whole.
+struct runner_fabric {
+    std::map<std::string, std::weak_ptr<runner_standin>> runners;
+    std::size_t group_size = 2;
+    duration stall = std::chrono::seconds{1}; ///< a head that misses a member breaks after this
+    std::vector<std::string> broken;          ///< what must never be, as it happened
+};
+
 struct runner_standin_settings {
     std::string id;
     std::string service = "llm";
@@ -49,6 +65,7 @@
     std::string domain;     ///< empty for a plain server
     std::size_t events = 6; ///< of a stream
     std::chrono::milliseconds gap{10};
+    std::shared_ptr<runner_fabric> fabric; ///< null: it looks at nobody
 };
 
 /// What a runner is made to do wrong.
@@ -80,9 +97,16 @@
     std::vector<std::string> orders; ///< their bodies
     [[nodiscard]] bool open() const { return m_phase == member_phase::open; }
     [[nodiscard]] const std::string& id() const { return m_settings.id; }
+    [[nodiscard]] const runner_standin_settings& settings() const { return m_settings; }
+    [[nodiscard]] const std::string& address() const { return m_server->address(); }
+    /// Registers another address, which leads here.
+    void show_at(std::string address);
     void drain();
     /// Its process is gone: connections are cut and its entry goes.
     void stop();
+    /// The same, but its entry stays until somebody takes it away.
+    void crash();
+    [[nodiscard]] bool alive() const { return m_alive; }
 
 private:
     runner_standin(boost::asio::any_io_executor executor, std::shared_ptr<store_standin> store,
@@ -96,12 +120,25 @@
     awaitable<void> join(std::string group, std::int64_t epoch, std::string model);
     awaitable<void> answer(standin_exchange& exchange);
     awaitable<void> stream(standin_exchange& exchange);
+    awaitable<bool> wait_for_members();
+    boost::beast::http::status obey(const std::string& op, const boost::json::object& order);
+    boost::beast::http::status obey_join(const boost::json::object& order);
+    [[nodiscard]] bool whole() const;
+    void check_join(const std::string& group) const;
+    void check_run() const;
+    [[nodiscard]] boost::json::object description() const;
     void publish();
 
     boost::asio::any_io_executor m_executor;
     std::shared_ptr<store_standin> m_store;
     runner_standin_settings m_settings;
     std::shared_ptr<standin_server> m_server;
+    std::string m_shown;
+    bool m_alive = true;
+    std::int64_t m_fence = 0;
+    std::int64_t m_highest_epoch = 0;
+    std::vector<std::string> m_members;
+    std::set<std::pair<std::string, std::int64_t>> m_was_ready;
     std::string m_state = "ready";
     std::string m_group;
     std::int64_t m_epoch = 0;
