Soak and scenarios: daemons listen on ports that the kernel hands to nobody

A fault of the harness, also in the scenarios' copy of the same function; one function serves both now and takes ports below that range.

--- a/scenarios/world_daemons.cc
+++ b/scenarios/world_daemons.cc
@@ -1,4 +1,5 @@
 #include "base/json_fields.h"
+#include "scenarios/free_address.h"
 #include "scenarios/world.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -19,15 +20,6 @@
 constexpr duration http_timeout = std::chrono::seconds{5};
 constexpr std::chrono::seconds longest_start{15};
 
-/// An address that is free now.
-std::string free_address()
-{
-    boost::asio::io_context io;
-    boost::asio::ip::tcp::acceptor probe{
-        io, boost::asio::ip::tcp::endpoint{boost::asio::ip::address_v4::loopback(), 0}};
-    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
-}
-
 std::uint32_t count_or(json_fields& fields, const json::object& object, std::string_view name,
                        std::uint32_t otherwise)
 {
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -1,5 +1,7 @@
 #include "soak/soak_site.h"
 
+#include "scenarios/free_address.h"
+
 #include <boost/json.hpp>
 
 #include <filesystem>
@@ -16,13 +18,6 @@
 
 namespace {
 
-std::string free_address()
-{
-    asio::io_context io;
-    asio::ip::tcp::acceptor probe{io, asio::ip::tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
-    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
-}
-
 std::string zone_of(std::size_t index)
 {
     return index % 2 == 0 ? "zone-a" : "zone-b";
