Metrics: calls on the platform by kind and failure, retries left

Open point of the issue on explaining failures: the metrics showed store calls as one sum and nothing of the retry budget. Both are counted where they happen: kv_service counts each answer, and the scarcest pool's budget of this node is a gauge. No change of behaviour.

--- a/daemon/daemon_setup.cc
+++ b/daemon/daemon_setup.cc
@@ -87,7 +87,7 @@
     for (const member& one : peers.members())
         now.members += one.live() ? 1 : 0;
     now.peer_bytes_sent = peers.counters().bytes_sent;
-    now.kv_calls = kv.counts().total();
+    now.kv_calls = kv.counts();
     now.spans_dropped = spans.dropped();
     now.log_lines_dropped = log_lines_dropped();
     return now;
--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -103,6 +103,13 @@
     Gauge& members = gauge(registry, "jaynotch_live_members", "Daemons alive, this one included");
     Gauge& peer_bytes = gauge(registry, "jaynotch_peer_sent_bytes", "Bytes sent to daemons");
     Gauge& kv_calls = gauge(registry, "jaynotch_kv_calls", "Calls on the key-value service");
+    std::vector<Counter*> kv_by_kind = by_name<kv_call>(
+        registry, "jaynotch_kv_calls_total", "Calls on the key-value service by kind", "call");
+    std::vector<Counter*> kv_failures = by_name<kv_call>(
+        registry, "jaynotch_kv_failures_total", "Of those, without an answer or refused", "call");
+    kv_call_counts kv_shown; ///< what the counters say
+    Gauge& retries_left = gauge(registry, "jaynotch_retries_left",
+                                "Retries that this node may still send, in the scarcest pool");
     Gauge& log_dropped =
         gauge(registry, "jaynotch_log_lines_dropped", "Log lines dropped, over budget or unread");
     Gauge& dropped = gauge(registry, "jaynotch_spans_dropped", "Spans dropped, the buffer full");
@@ -174,7 +181,15 @@
     all.managed.Set(static_cast<double>(now.managed_domains));
     all.members.Set(static_cast<double>(now.members));
     all.peer_bytes.Set(static_cast<double>(now.peer_bytes_sent));
-    all.kv_calls.Set(static_cast<double>(now.kv_calls));
+    all.kv_calls.Set(static_cast<double>(now.kv_calls.total()));
+    for (std::size_t kind = 0; kind < all.kv_by_kind.size(); ++kind) {
+        all.kv_by_kind[kind]->Increment(
+            static_cast<double>(now.kv_calls.by_kind[kind] - all.kv_shown.by_kind[kind]));
+        all.kv_failures[kind]->Increment(
+            static_cast<double>(now.kv_calls.failed[kind] - all.kv_shown.failed[kind]));
+    }
+    all.kv_shown = now.kv_calls;
+    all.retries_left.Set(now.retries_left);
     all.log_dropped.Set(static_cast<double>(now.log_lines_dropped));
     all.forming.Set(static_cast<double>(now.groups_forming));
     all.spares.Set(static_cast<double>(now.spare_runners));
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -7,6 +7,7 @@
 
 #include "base/base.h"
 #include "routing/routing.h"
+#include "services/services.h"
 
 #include <memory>
 #include <string>
@@ -36,7 +37,8 @@
     std::uint64_t managed_domains = 0;
     std::uint64_t members = 0;
     std::uint64_t peer_bytes_sent = 0;
-    std::uint64_t kv_calls = 0;
+    kv_call_counts kv_calls;
+    double retries_left = 0.0; ///< of the pool that has the fewest
     std::uint64_t spans_dropped = 0;
     std::uint64_t log_lines_dropped = 0;
     std::uint64_t groups_forming = 0; ///< in the failure domains that this node manages
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -318,6 +318,11 @@
         now.managed_domains = managers->managed().size();
         if (tables)
             now.config_age = runtime_clock::now() - m_installed;
+        const std::vector<pool_status> pools = requests->core().pools();
+        for (const pool_status& pool : pools) {
+            const bool scarcest = &pool == &pools.front() || pool.retries_left < now.retries_left;
+            now.retries_left = scarcest ? pool.retries_left : now.retries_left;
+        }
         for (const groups::formation_status& one : managers->status()) {
             now.groups_forming += one.leading ? one.groups_forming : 0;
             now.spare_runners += one.leading ? one.spare_runners : 0;
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -95,7 +95,8 @@
         const pool_row& row = m_state->pools.at(index);
         if (row.present)
             all.push_back({row.info.name, row.in_flight,
-                           static_cast<std::uint32_t>(row.queue.size()), row.allowed()});
+                           static_cast<std::uint32_t>(row.queue.size()), row.allowed(),
+                           row.budget.left()});
     }
     return all;
 }
--- a/routing/request_core.h
+++ b/routing/request_core.h
@@ -96,6 +96,7 @@
     std::uint32_t in_flight = 0;
     std::uint32_t queued = 0;
     std::uint32_t allowed = 0; ///< in flight, of this node, at present
+    double retries_left = 0.0; ///< of this node's part
 };
 
 /// See routing.h for how to use it. Not thread-safe; handle() never throws for any event.
--- a/routing/retry_budget.h
+++ b/routing/retry_budget.h
@@ -22,6 +22,7 @@
     }
     void note_first_sending() { m_saved = std::min(m_most_saved, m_saved + m_share); }
     [[nodiscard]] bool has_one() const { return m_saved >= 1.0; }
+    [[nodiscard]] double left() const { return m_saved; }
     /// True, and one retry less, if there is one.
     bool take()
     {
--- a/services/kv.cc
+++ b/services/kv.cc
@@ -28,47 +28,60 @@
     return kv_service{memory_kv{executor, std::move(server), timeout}};
 }
 
+template <class Answer>
+awaitable<result<Answer>> kv_service::counted(kv_call kind, awaitable<result<Answer>> call)
+{
+    m_counts.add(kind);
+    result<Answer> answer = co_await std::move(call);
+    if (!answer)
+        m_counts.add_failure(kind);
+    co_return answer;
+}
+
 awaitable<result<kv_read>> kv_service::get(std::string key)
 {
-    m_counts.add(kv_call::get);
-    return std::visit([&](auto& via) { return via.get(std::move(key)); }, m_adapter);
+    return counted(kv_call::get,
+                   std::visit([&](auto& via) { return via.get(std::move(key)); }, m_adapter));
 }
 
 awaitable<result<kv_range>> kv_service::get_prefix(std::string prefix)
 {
-    m_counts.add(kv_call::get_prefix);
-    return std::visit([&](auto& via) { return via.get_prefix(std::move(prefix)); }, m_adapter);
+    return counted(
+        kv_call::get_prefix,
+        std::visit([&](auto& via) { return via.get_prefix(std::move(prefix)); }, m_adapter));
 }
 
 awaitable<result<kv_outcome>> kv_service::transact(kv_transaction transaction)
 {
-    m_counts.add(kv_call::transact);
-    return std::visit([&](auto& via) { return via.transact(std::move(transaction)); }, m_adapter);
+    return counted(
+        kv_call::transact,
+        std::visit([&](auto& via) { return via.transact(std::move(transaction)); }, m_adapter));
 }
 
 awaitable<result<kv_lease>> kv_service::grant(std::chrono::seconds ttl)
 {
-    m_counts.add(kv_call::grant);
-    return std::visit([&](auto& via) { return via.grant(ttl); }, m_adapter);
+    return counted(kv_call::grant,
+                   std::visit([&](auto& via) { return via.grant(ttl); }, m_adapter));
 }
 
 awaitable<result<kv_lease>> kv_service::keep_alive(lease_id lease)
 {
-    m_counts.add(kv_call::keep_alive);
-    return std::visit([&](auto& via) { return via.keep_alive(lease); }, m_adapter);
+    return counted(kv_call::keep_alive,
+                   std::visit([&](auto& via) { return via.keep_alive(lease); }, m_adapter));
 }
 
 awaitable<result<void>> kv_service::revoke(lease_id lease)
 {
-    m_counts.add(kv_call::revoke);
-    return std::visit([&](auto& via) { return via.revoke(lease); }, m_adapter);
+    return counted(kv_call::revoke,
+                   std::visit([&](auto& via) { return via.revoke(lease); }, m_adapter));
 }
 
 awaitable<result<kv_watch>> kv_service::watch(std::string prefix, std::int64_t from_revision)
 {
-    m_counts.add(kv_call::watch);
-    return std::visit([&](auto& via) { return via.watch(std::move(prefix), from_revision); },
-                      m_adapter);
+    return counted(
+        kv_call::watch,
+        std::visit([&](auto& via) { return via.watch(std::move(prefix), from_revision); },
+                   m_adapter));
 }
 
 } // namespace jaynotch
--- a/services/kv.h
+++ b/services/kv.h
@@ -52,9 +52,11 @@
 /// Calls made so far by kind, failed ones included.
 struct kv_call_counts {
     std::array<std::uint64_t, enum_names<kv_call>::entries.size()> by_kind{};
+    std::array<std::uint64_t, enum_names<kv_call>::entries.size()> failed{}; ///< of those
 
     [[nodiscard]] std::uint64_t of(kv_call kind) const { return by_kind.at(index(kind)); }
     void add(kv_call kind) { ++by_kind.at(index(kind)); }
+    void add_failure(kv_call kind) { ++failed.at(index(kind)); }
     [[nodiscard]] std::uint64_t total() const;
     static std::size_t index(kv_call kind) { return static_cast<std::size_t>(kind); }
 };
@@ -187,6 +189,9 @@
     using adapter = std::variant<etcd_gateway_kv, memory_kv, platform::store_kv>;
     explicit kv_service(adapter chosen) : m_adapter{std::move(chosen)} {}
 
+    template <class Answer>
+    awaitable<result<Answer>> counted(kv_call kind, awaitable<result<Answer>> call);
+
     adapter m_adapter;
     kv_call_counts m_counts;
 };
