Routing: a part of less than a place does not shut a node out

A node hears of a group with the answers to its own requests; each node has places/nodes of a group for sure, here 30/35, which is less than one, so it sent nothing, heard nothing and believed the groups full for ever. With four nodes a part is six places, and it can't happen.

Change: the sure part is counted over the pool, at least one place. Test first: modelled::a_part_of_less_than_a_place_does_not_shut_a_node_out.

--- a/routing/modelled_pick.cc
+++ b/routing/modelled_pick.cc
@@ -34,10 +34,33 @@
     return places_of(row, kind) / static_cast<double>(std::max<std::size_t>(1, nodes));
 }
 
-bool has_room(const target_row& row, const pool& kind, const engine_work& work, std::size_t nodes)
+/// This node's sure part of all places of the pool.
+double own_part_of_pool(const target_table& targets, const pool_view& view, const pool& kind,
+                        std::size_t nodes)
+{
+    double sum = 0.0;
+    for (const target_row_index at : view.targets) {
+        if (targets.at(at).may_be_picked())
+            sum += own_part(targets.at(at), kind, nodes);
+    }
+    return std::max(1.0, sum);
+}
+
+/// Whether the node has sure places left, at this target and in the pool. With more nodes than a
+/// group has places, a node's part of one group is less than a place, and rounded down by group it
+/// would be none at all: all groups once told to be full, the node would send nothing, so hear
+/// nothing of them, and believe them full for ever.
+bool has_sure_place(const target_row& row, const pool& kind, std::size_t nodes, double own_in_pool,
+                    double sure_in_pool)
+{
+    return row.own + 1.0 <= std::max(1.0, own_part(row, kind, nodes)) &&
+           own_in_pool + 1.0 <= sure_in_pool;
+}
+
+bool has_room(const target_row& row, const pool& kind, const engine_work& work, bool sure_place)
 {
     const bool full = work.running + 1.0 > places_of(row, kind);
-    if (full && row.own + 1.0 > own_part(row, kind, nodes))
+    if (full && !sure_place)
         return false;
     return row.pending_tokens == 0 || prompt_ms(kind.engine, row.pending_tokens) < most_pending_ms;
 }
@@ -47,6 +70,7 @@
 target_row_index pick_modelled(const target_table& targets, const pool_view& view, const pool& kind,
                                const modelled_request& wanted, time_point now)
 {
+    const double sure_in_pool = own_part_of_pool(targets, view, kind, wanted.nodes);
     target_row_index best = no_target;
     double best_ms = 0.0;
     for (const target_row_index at : view.targets) {
@@ -56,7 +80,8 @@
         if (tried || !row.may_be_picked())
             continue;
         const engine_work work = work_at(row, view, now);
-        if (!has_room(row, kind, work, wanted.nodes))
+        const bool sure = has_sure_place(row, kind, wanted.nodes, view.own, sure_in_pool);
+        if (!has_room(row, kind, work, sure))
             continue;
         double ms = first_event_ms(kind.engine, places_of(row, kind), work, wanted.prompt_tokens);
         ms *= row.health.slowness;
--- a/routing/modelled_test.cc
+++ b/routing/modelled_test.cc
@@ -275,6 +275,24 @@
     cr_assert(!only<send_attempt>(here.ask()));
 }
 
+// 35 nodes before six groups of eight places: a node's part of one group is less than a place. All
+// groups were full a moment ago, and their answers went to other nodes, so nothing tells this one
+// that they are idle now. It has one place of the 48 for sure, and hears with it how things stand.
+Test(modelled, a_part_of_less_than_a_place_does_not_shut_a_node_out)
+{
+    world here{6};
+    here.send(fleet_size_seen{35});
+    for (int number = 1; number <= 6; ++number)
+        here.send(load_seen{target_id{"g" + std::to_string(number)}, {8, 3, 0.0}, {}});
+    const auto first = only<send_attempt>(here.ask());
+    cr_assert(first);
+    here.begin(*first);
+    cr_assert(!only<send_attempt>(here.ask()), "the rest waits for news");
+    const command_list out = here.send(load_seen{first->target, {1, 0, 0.0}, {}});
+    const command_list later = here.pass(50ms);
+    cr_assert(only<send_attempt>(out) || only<send_attempt>(later), "which it has now");
+}
+
 // A stream that a full server refused, and that then broke in its middle at another, ended for its
 // caller though a third group was free: the refusal had used up its second server.
 Test(modelled, a_refusal_uses_up_none_of_a_streams_servers)
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -63,8 +63,8 @@
     return {row.info.workspace, row.late ? priority_class::batch : row.terms.priority};
 }
 
-/// A request that begins late is worth about a quarter of one in time to its caller; it has that part
-/// of the turns besides its class being the lowest.
+/// A request that begins late is worth about a quarter of one in time to its caller; it has that
+/// part of the turns besides its class being the lowest.
 double request_core::state::queue_weight(const request_row& row) const
 {
     constexpr double late_part = 0.25;
