--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -1,6 +1,7 @@
 #include "soak/soak_callers.h"
 
 #include "http/http_client.h"
+#include "standins/platform_forms.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -40,21 +41,11 @@
 
 http_request to_http(const asked_request& asked)
 {
-    http_request made;
-    made.method = asked.kind == asked_kind::read ? boost::beast::http::verb::get
-                                                 : boost::beast::http::verb::post;
-    made.target = std::string{path_of(asked.kind)};
-    made.headers = {{"Host", "a.example"},
-                    {"Jaynotch-Attempt-Id", asked.id},
-                    {"Jaynotch-Deadline-Ms", "4000"},
-                    {"Authorization", "Bearer key-" + std::to_string(asked.key_version)}};
-    if (asked.kind != asked_kind::read)
-        made.body = "body of " + asked.id;
-    if (asked.kind == asked_kind::stream) {
-        made.headers.push_back({"Jaynotch-Model", "m"});
-        made.headers.push_back({"Jaynotch-Token-Counts", "100,84"});
-    }
-    return made;
+    const bool reads = asked.kind == asked_kind::read;
+    const bool streams = asked.kind == asked_kind::stream;
+    return caller_request({asked.id, std::string{path_of(asked.kind)},
+                           "key-" + std::to_string(asked.key_version),
+                           reads ? std::string{} : "body of " + asked.id, streams});
 }
 
 } // namespace
@@ -102,7 +93,7 @@
     seen_answer answer;
     if (got) {
         answer.status = static_cast<std::uint32_t>(got.value().status);
-        answer.id = std::string{got.value().header("Jaynotch-Attempt-Id")};
+        answer.id = answered_request(got.value());
         answer.body = got.value().body;
     }
     m_book.answered(asked.id, std::move(answer), runtime_clock::now());
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -1,8 +1,7 @@
 #include "soak/soak_site.h"
 
 #include "scenarios/free_address.h"
-
-#include <boost/json.hpp>
+#include "standins/platform_forms.h"
 
 #include <filesystem>
 #include <fstream>
@@ -14,77 +13,16 @@
 namespace jaynotch {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 namespace {
 
+constexpr std::size_t most_seeds = 3; ///< as the platform gives
+
 std::string zone_of(std::size_t index)
 {
     return index % 2 == 0 ? "zone-a" : "zone-b";
 }
 
-json::object route(std::string_view name, std::string_view kind, std::string_view service,
-                   int attempts, bool open)
-{
-    json::object row{
-        {"name", name},       {"host", "a.example"}, {"prefix", "/" + std::string{name} + "/"},
-        {"route_kind", kind}, {"timeout_ms", 4000},  {"latency_target_ms", 300},
-        {"priority", 1},      {"service", service},  {"max_attempts", attempts},
-        {"public", open}};
-    if (kind == "streaming") {
-        row["session_affinity"] = true;
-        row["resumable"] = true;
-        row["gap_target_ms"] = 300;
-    }
-    return row;
-}
-
-json::object model_service()
-{
-    const json::object model{{"name", "m"}, {"size", 2},      {"share", 1.0},
-                             {"pace", 1.0}, {"load_s", 0.04}, {"warmup_s", 0.04}};
-    return {{"name", "llm"},
-            {"health_path", "/health"},
-            {"max_conns", 200},
-            {"engine", json::object{{"slot_count", 8},
-                                    {"kv_tokens", 100000},
-                                    {"stride", 7},
-                                    {"models", json::array{model}},
-                                    {"step_ms", 1.0},
-                                    {"per_seq_ms", 0.0},
-                                    {"context_per_k", 0.0},
-                                    {"read_per_s", 100000.0},
-                                    {"pairs_per_m", 0.0},
-                                    {"chunk", 2048},
-                                    {"loads_per_s", 50.0},
-                                    {"loads_at_once", 8},
-                                    {"usual", json::object{{"prompt", 100}, {"answer", 84}}},
-                                    {"retain_count", 1},
-                                    {"form_ms", 0}}}};
-}
-
-/// A version of the operators' document; keys of it and of the one before are in force.
-std::string document(std::int64_t version)
-{
-    const json::object limits{{"max_header_bytes", 16384},
-                              {"max_body_bytes", 65536},
-                              {"header_timeout_ms", 3000},
-                              {"idle_timeout_ms", 15000}};
-    const json::array keys{json::string("key-" + std::to_string(version)),
-                           json::string("key-" + std::to_string(version - 1))};
-    const json::object tenant{{"name", "farm"}, {"api_keys", keys}, {"priority", 1}};
-    return json::serialize(json::object{
-        {"version", version},
-        {"routes", json::array{route("chat", "streaming", "llm", 2, false),
-                               route("order", "non_idempotent", "app", 1, false),
-                               route("read", "idempotent", "app", 2, false)}},
-        {"services", json::array{model_service(), json::object{{"name", "app"},
-                                                               {"health_path", "/health"},
-                                                               {"max_conns", 200}}}},
-        {"limits", limits},
-        {"tenants", json::array{tenant}}});
-}
-
 } // namespace
 
 soak_site::soak_site(asio::io_context& io, soak_site_settings settings, promise_book& book)
@@ -125,17 +63,14 @@
 
 void soak_site::write_settings(const soak_daemon& one) const
 {
+    std::vector<std::string> seeds;
+    for (const soak_daemon& seed : m_daemons) {
+        if (seeds.size() < most_seeds)
+            seeds.push_back(seed.peer_link->address());
+    }
     std::ofstream file{one.settings_file};
-    file << "node = \"" << one.name << "\"\nzone = \"" << one.domain
-         << "\"\nbind_ip = \"127.0.0.1\"\nheartbeat_ms = 500\nbootstrap = "
-         << (one.first_start ? "true" : "false") << "\nseed_nodes = [";
-    for (std::size_t index = 0; index < std::min<std::size_t>(3, m_daemons.size()); ++index)
-        file << (index > 0 ? ", " : "") << '"' << m_daemons[index].peer_link->address() << '"';
-    file << "]\n[listen]\nfront = \"" << one.listen << "\"\nready = \"" << one.ready_listen
-         << "\"\ncontrol = \"" << one.peer_listen << "\"\n[limits]\nmemory_mb = 390\n"
-         << "[bounds]\ndrain_ms = 2000\ngrace_s = 8\nconfig_apply_ms = 2000\nstall_ms = 1000\n"
-         << "retry_ratio = 0.2\nretry_window_s = 10\nretry_extra = 200\nrequire_fencing = true\n"
-         << "[platform]\naddr = \"" << one.store_link->address() << "\"\n";
+    file << settings_text({one.name, one.domain, one.first_start, seeds, one.listen,
+                           one.ready_listen, one.peer_listen, one.store_link->address()});
 }
 
 void soak_site::launch(std::size_t index)
@@ -173,7 +108,7 @@
 void soak_site::next_version()
 {
     ++m_version;
-    m_store->put("op/config", document(m_version));
+    put_version(*m_store, m_version);
     m_book.accepted(m_version, runtime_clock::now());
 }
 
--- /dev/null
+++ b/standins/platform_forms.cc
@@ -0,0 +1,120 @@
+#include "standins/platform_forms.h"
+
+#include <boost/json.hpp>
+
+#include <sstream>
+
+namespace jaynotch {
+
+namespace json = boost::json;
+
+namespace {
+
+json::object route(std::string_view name, std::string_view kind, std::string_view service,
+                   int attempts, bool open)
+{
+    json::object row{
+        {"name", name},       {"host", "a.example"}, {"prefix", "/" + std::string{name} + "/"},
+        {"route_kind", kind}, {"timeout_ms", 4000},  {"latency_target_ms", 300},
+        {"priority", 1},      {"service", service},  {"max_attempts", attempts},
+        {"public", open}};
+    if (kind == "streaming") {
+        row["session_affinity"] = true;
+        row["resumable"] = true;
+        row["gap_target_ms"] = 300;
+    }
+    return row;
+}
+
+json::object model_service()
+{
+    const json::object model{{"name", "m"}, {"size", 2},      {"share", 1.0},
+                             {"pace", 1.0}, {"load_s", 0.04}, {"warmup_s", 0.04}};
+    return {{"name", "llm"},
+            {"health_path", "/health"},
+            {"max_conns", 200},
+            {"engine", json::object{{"slot_count", 8},
+                                    {"kv_tokens", 100000},
+                                    {"stride", 7},
+                                    {"models", json::array{model}},
+                                    {"step_ms", 1.0},
+                                    {"per_seq_ms", 0.0},
+                                    {"context_per_k", 0.0},
+                                    {"read_per_s", 100000.0},
+                                    {"pairs_per_m", 0.0},
+                                    {"chunk", 2048},
+                                    {"loads_per_s", 50.0},
+                                    {"loads_at_once", 8},
+                                    {"usual", json::object{{"prompt", 100}, {"answer", 84}}},
+                                    {"retain_count", 1},
+                                    {"form_ms", 0}}}};
+}
+
+std::string document(std::int64_t version)
+{
+    const json::object limits{{"max_header_bytes", 16384},
+                              {"max_body_bytes", 65536},
+                              {"header_timeout_ms", 3000},
+                              {"idle_timeout_ms", 15000}};
+    const json::array keys{json::string("key-" + std::to_string(version)),
+                           json::string("key-" + std::to_string(version - 1))};
+    const json::object tenant{{"name", "farm"}, {"api_keys", keys}, {"priority", 1}};
+    return json::serialize(json::object{
+        {"version", version},
+        {"routes", json::array{route("chat", "streaming", "llm", 2, false),
+                               route("order", "non_idempotent", "app", 1, false),
+                               route("read", "idempotent", "app", 2, false)}},
+        {"services", json::array{model_service(), json::object{{"name", "app"},
+                                                               {"health_path", "/health"},
+                                                               {"max_conns", 200}}}},
+        {"limits", limits},
+        {"tenants", json::array{tenant}}});
+}
+
+} // namespace
+
+void put_version(store_standin& store, std::int64_t version)
+{
+    store.put("op/config", document(version));
+}
+
+std::string settings_text(const site_file& site)
+{
+    std::ostringstream text;
+    text << "node = \"" << site.node << "\"\nzone = \"" << site.failure_domain
+         << "\"\nbind_ip = \"127.0.0.1\"\nheartbeat_ms = 500\nbootstrap = "
+         << (site.first_start ? "true" : "false") << "\nseed_nodes = [";
+    for (const std::string& seed : site.seeds)
+        text << '"' << seed << "\", ";
+    text << "]\n[listen]\nfront = \"" << site.listen << "\"\nready = \"" << site.ready_listen
+         << "\"\ncontrol = \"" << site.peer_listen << "\"\n[limits]\nmemory_mb = 390\n"
+         << "[bounds]\ndrain_ms = 2000\ngrace_s = 8\nconfig_apply_ms = 2000\nstall_ms = 1000\n"
+         << "retry_ratio = 0.2\nretry_window_s = 10\nretry_extra = 200\nrequire_fencing = true\n"
+         << "[platform]\naddr = \"" << site.store << "\"\n";
+    return text.str();
+}
+
+http_request caller_request(const caller_form& form)
+{
+    http_request made;
+    made.method =
+        form.body.empty() ? boost::beast::http::verb::get : boost::beast::http::verb::post;
+    made.target = form.path;
+    made.body = form.body;
+    made.headers = {{"Host", "a.example"},
+                    {"Jaynotch-Attempt-Id", form.id},
+                    {"Jaynotch-Deadline-Ms", "4000"},
+                    {"Authorization", "Bearer " + form.key}};
+    if (form.streams) {
+        made.headers.push_back({"Jaynotch-Model", "m"});
+        made.headers.push_back({"Jaynotch-Token-Counts", "100,84"});
+    }
+    return made;
+}
+
+std::string answered_request(const http_response& answer)
+{
+    return std::string{answer.header("Jaynotch-Attempt-Id")};
+}
+
+} // namespace jaynotch
