--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -59,12 +59,12 @@
     for (const auto& [vm, view] : core.runners) {
         if (!view.listed || !core.managed(view.row))
             continue;
-        if (!view.row.group)
+        const bool spare =
+            !view.row.group || core.warms_up({view.row.group->group, view.row.group->epoch});
+        if (spare)
             ++told.spare_runners;
         else if (view.row.group->rank == 0 && view.row.group->phase == member_phase::open)
             ++told.groups_open;
-        else if (core.warms_up({view.row.group->group, view.row.group->epoch}))
-            ++told.spare_runners;
         else if (view.row.group->rank == 0)
             ++told.groups_forming;
     }
