Groups: spares that complete no group stand by for the largest

Change: what neither guards nor completes a group, nor is of a model that clearly lacks groups, is staged with the domain's largest model.

--- a/groups/formation_plan.cc
+++ b/groups/formation_plan.cc
@@ -212,10 +212,8 @@
     }
 }
 
-/// The model with the largest groups of the domain, until it has spares for the losses that the
-/// domain is to bear: a large group without a spare strands the most runners.
-const pool* formation::state::model_to_guard(const fabric_domain_id& domain,
-                                             const std::vector<runner_view*>& spare) const
+/// Of those that have a group in the domain. Null if none has.
+const pool* formation::state::largest_in(const fabric_domain_id& domain) const
 {
     const pool* largest = nullptr;
     for (const pool& kind : pools) {
@@ -228,25 +226,36 @@
         if (here && (largest == nullptr || kind.replica_vms > largest->replica_vms))
             largest = &kind;
     }
-    if (largest == nullptr)
-        return nullptr;
-    const auto ready = std::count_if(spare.begin(), spare.end(), [&](const runner_view* view) {
-        return view->staging == largest->model || has_staged(*view, largest->model);
-    });
-    return ready < losses_to_bear ? largest : nullptr;
+    return largest;
 }
 
-const pool* formation::state::model_to_stage(const std::vector<runner_view*>& spare) const
+/// The model with the largest groups of the domain until it has spares for the losses that the
+/// domain is to bear: a large group without a spare strands the most runners. Then a model whose
+/// next group the bare runners complete, or that clearly lacks groups. Otherwise the largest again:
+/// two or three runners with another model would wait beside a broken group that they could make
+/// whole.
+const pool* formation::state::model_to_stage(const fabric_domain_id& domain,
+                                             const std::vector<runner_view*>& spare) const
 {
+    const pool* const largest = largest_in(domain);
+    const auto guards = std::count_if(spare.begin(), spare.end(), [&](const runner_view* view) {
+        return largest != nullptr &&
+               (view->staging == largest->model || has_staged(*view, largest->model));
+    });
+    if (largest != nullptr && guards < losses_to_bear)
+        return largest;
     const auto bare = static_cast<std::size_t>(
         std::count_if(spare.begin(), spare.end(),
                       [&](const runner_view* view) { return !is_prepared(*view, pools); }));
     const pool* best = nullptr;
     std::size_t best_lack = 0;
     double best_need = 0.0;
+    double largest_need = 0.0;
     for (const auto& ranked : ranked_by_need()) {
         const double groups_for_share = ranked.first;
         const pool* const kind = ranked.second;
+        if (kind == largest)
+            largest_need = groups_for_share;
         const auto have = static_cast<std::size_t>(
             std::count_if(spare.begin(), spare.end(), [&](const runner_view* view) {
                 return view->staging == kind->model || has_staged(*view, kind->model);
@@ -262,7 +271,8 @@
             best_lack = lack;
         }
     }
-    return best;
+    const bool lacking = best_need * alike < largest_need;
+    return best_lack > bare && largest != nullptr && !lacking ? largest : best;
 }
 
 void formation::state::stage_spares(const fabric_domain_id& domain, time_point now)
@@ -271,9 +281,7 @@
     for (runner_view* view : spare) {
         if (is_prepared(*view, pools))
             continue;
-        const pool* kind = model_to_guard(domain, spare);
-        if (kind == nullptr)
-            kind = model_to_stage(spare);
+        const pool* kind = model_to_stage(domain, spare);
         if (kind == nullptr || !may_load(*kind, now))
             return;
         if (order(*view, stage_model{kind->model}, now)) {
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -115,9 +115,9 @@
     void form_early(time_point now);
     [[nodiscard]] std::map<fabric_domain_id, domain_room> rooms() const;
     void stage_spares(const fabric_domain_id& domain, time_point now);
-    [[nodiscard]] const pool* model_to_guard(const fabric_domain_id& domain,
+    [[nodiscard]] const pool* largest_in(const fabric_domain_id& domain) const;
+    [[nodiscard]] const pool* model_to_stage(const fabric_domain_id& domain,
                                              const std::vector<runner_view*>& spare) const;
-    [[nodiscard]] const pool* model_to_stage(const std::vector<runner_view*>& spare) const;
     [[nodiscard]] std::vector<runner_view*> free_in(const fabric_domain_id& domain, time_point now);
     [[nodiscard]] std::vector<fabric_domain_id> own_fabric_domains() const;
     [[nodiscard]] std::vector<std::pair<double, const pool*>> ranked_by_need() const;
--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -342,3 +342,18 @@
                       static_cast<int>(seed));
     }
 }
+
+// Two runners are left over beside a large and a small group. One with each model would make neither
+// group whole after a second loss; both stand by for the larger one, which strands more runners.
+Test(formation, spares_stand_by_for_the_largest_group)
+{
+    fake_registry world{{.managers = 1, .domains = 1, .runners = 9}};
+    world.run(12s);
+    const std::size_t big = world.open_groups("big");
+    const std::size_t small = world.open_groups("small");
+    const std::size_t spares = 9 - 4 * big - 3 * small;
+    cr_assert_geq(big, 1U);
+    cr_assert_geq(spares, 1U);
+    cr_assert_eq(world.staged("big"), 4 * big + spares);
+    assert_sound(world);
+}
