--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -343,8 +343,9 @@
     }
 }
 
-// Two runners are left over beside a large and a small group. One with each model would make neither
-// group whole after a second loss; both stand by for the larger one, which strands more runners.
+// Two runners are left over beside a large and a small group. One with each model would make
+// neither group whole after a second loss; both stand by for the larger one, which strands more
+// runners.
 Test(formation, spares_stand_by_for_the_largest_group)
 {
     fake_registry world{{.managers = 1, .domains = 1, .runners = 9}};
