--- a/groups/allot.cc
+++ b/groups/allot.cc
@@ -1,8 +1,9 @@
 // Worth: for each model the logarithm of its groups, weighted by its part of the work, damped. That
-// makes the first groups of a model worth most and gives each model runners after its part. Added
-// to it is a little for the runners left over, each of which makes a broken group whole again in a
-// moment (under a loss of two members each three seconds about one runner in nine left over served
-// best), and for each failure domain that has a model of its own, since it may be cut off.
+// makes the first groups of a model worth most and gives each model runners after its part. A
+// domain counts with the groups that it has left on average over a few losses: spares are worth
+// most beside large groups, each of which strands many runners when it misses one. Added to it is a
+// little for the runners left over, each of which makes a broken group whole again in a moment, and
+// for each failure domain that has a model of its own, since it may be cut off.
 //
 // Search: every domain starts with the fill that leaves the fewest runners over; then single
 // domains and pairs of them take the fills that make the whole worth more, until none can be
@@ -16,13 +17,15 @@
 
 namespace {
 
-constexpr double spare_worth = 0.26;     ///< of the logarithm of the runners left over
+/// Of the logarithm of the runners left over. Under a loss of two members each three seconds, one
+/// runner in five left over (0.26) served a little better than one in nine (0.1).
+constexpr double spare_worth = 0.26;
 constexpr double own_model_worth = 0.05; ///< of a failure domain's first group of a model
 constexpr std::size_t most_rounds = 50;  ///< of the search; it ends by itself long before
 constexpr double least_gain = 1e-9;      ///< less is rounding
 
-/// All fills of `runners` that leave no more over than spares for these losses, and what is too few
-/// for a group of any model.
+/// All fills of `runners` that leave no more over than spares for the losses to bear, and what is
+/// too few for a group of the largest model.
 void enumerate(const std::vector<pool>& pools, std::size_t index, std::uint32_t left,
                group_counts& given, std::vector<group_counts>& found)
 {
