--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -236,7 +236,7 @@
     /// Another of its kind comes, with nothing on its host.
     void replace(const runner_standin& gone)
     {
-        const runner_standin_settings was = gone.settings();
+        const runner_standin_settings& was = gone.settings();
         m_site.add_runner(was.service, was.zone, was.domain);
     }
 
