Routing: a server that answered with a failure counts as one that ran the request

A connection that ends before a part of an answer isn't counted as a run, since its server is most likely gone; a 500 took the same way, though its head shows that the server ran it.

Change: an attempt that brought a head counts. Test first: modelled::a_failed_answer_uses_up_a_server, which fails without the line. Routing, daemon, groups and soak tests pass.

--- a/routing/modelled_test.cc
+++ b/routing/modelled_test.cc
@@ -264,6 +264,23 @@
     cr_assert(refused->retry_after && *refused->retry_after >= 100ms);
 }
 
+// A server answers a stream with 500, the next one ends in its middle: both have run it, and the
+// route allows two. A third sending would run it on a server too many.
+Test(modelled, a_failed_answer_uses_up_a_server)
+{
+    world here{3};
+    const send_attempt first = *only<send_attempt>(here.ask());
+    here.send(attempt_sent{first.request, first.attempt});
+    attempt_head failed;
+    failed.request = first.request;
+    failed.attempt = first.attempt;
+    failed.status = 500;
+    const auto second = only<send_attempt>(here.send(failed));
+    cr_assert(second);
+    here.begin(*second);
+    cr_assert(!only<send_attempt>(here.lose(*second)));
+}
+
 // The other nodes fill every group. A node that took only what they leave would never get a place.
 Test(modelled, each_node_has_its_part_of_a_full_group)
 {
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -39,7 +39,7 @@
 {
     if (!row.attempt.sent || reason == attempt_failure::refused_did_not_run)
         return false;
-    return reason != attempt_failure::cut || row.attempt.first_part_in;
+    return reason != attempt_failure::cut || row.attempt.answered || row.attempt.first_part_in;
 }
 
 double seconds(duration span)
@@ -106,6 +106,7 @@
         note_refusal(targets.at(row->attempt.target).health, now);
     if (head.says_did_not_run || head.wrong_instance)
         return drop(attempt_failure::refused_did_not_run);
+    row->attempt.answered = true;
     if (!head.version.empty() && head.version != row->attempt.version)
         return drop(attempt_failure::version_changed);
     if (is_server_trouble(head.status)) {
