Managers: one function installs a runner's word; a question that nobody asks is gone

Read again: formation_driver wrote a runner's word into its rows in two places, for words of peers and for those it shares itself; install_word serves both, and the check of the start holds for both. election::leading_by_word had no caller since darkness is judged by the lease in doubt.

--- a/daemon/formation_driver.cc
+++ b/daemon/formation_driver.cc
@@ -117,17 +117,18 @@
             std::visit([&](const auto& body) { take(message.from, body); }, message.body);
     }
 
-    /// What the registry can't tell now: a runner's own word, its group changed.
-    void take_word(const runner_word& word)
+    /// What the registry can't tell now: a runner's own word, its group changed. False if it is of
+    /// another start than the registry's entry.
+    bool install_word(const runner_word& word)
     {
         const auto found = runners.find(word.vm);
         if (found == runners.end() || found->second.born_ms != word.born_ms)
-            return;
+            return false;
         found->second.group = word.group;
         found->second.model = word.model;
         if (on_word)
             on_word(found->second);
-        tell(groups::runner_told{word});
+        return true;
     }
 
     net::io_context& io;
@@ -166,8 +167,8 @@
     void take(const node_id& /*from*/, const runner_word& word)
     {
         // Whoever reaches the store knows better.
-        if (outage->conceded())
-            take_word(word);
+        if (outage->conceded() && install_word(word))
+            tell(groups::runner_told{word});
     }
     void take(const node_id& from, const server_answer& answer)
     {
@@ -236,13 +237,7 @@
             if (one.node != settings.node && one.live())
                 peers.send_server(one.node, wanted.word);
         }
-        const auto found = runners.find(wanted.word.vm);
-        if (found == runners.end())
-            return;
-        found->second.group = wanted.word.group;
-        found->second.model = wanted.word.model;
-        if (on_word)
-            on_word(found->second);
+        install_word(wanted.word);
     }
     void carry_out(const failure_domain_id& domain, const groups::notice& wanted)
     {
--- a/groups/election.h
+++ b/groups/election.h
@@ -70,11 +70,6 @@
     {
         return m_term != 0 && now >= m_back_until && (now < m_until || now < m_word_until);
     }
-    /// Whether it leads only by its peers' word.
-    [[nodiscard]] bool leading_by_word(time_point now) const
-    {
-        return leading(now) && now >= m_until;
-    }
     /// Whether its lease is about to end though it asked for renewal: time to ask the peers.
     [[nodiscard]] bool doubtful(time_point now) const
     {
