Logs: a sending that the node gives up has a line and a counter, and each sending tells the servers used up

An engineer who asks why a request ran on three servers of two allowed saw the sendings but not why the node left a server, nor what it had counted; a repeat by the HTTP client left no trace at all. New lines attempt_cancelled (with the reason) and attempt_repeated, fields servers_used and most_servers on each sending, counters jaynotch_attempts_cancelled_total{reason} and jaynotch_attempts_repeated_total. No decision changes. Tests: metrics page, and the reason of a move in the routing tests.

--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -77,6 +77,12 @@
     std::vector<Counter*> failures =
         by_name<attempt_failure>(registry, "jaynotch_attempt_failures_total",
                                  "Sendings that came to nothing, by reason", "reason");
+    std::vector<Counter*> cancellations =
+        by_name<cancel_reason>(registry, "jaynotch_attempts_cancelled_total",
+                               "Sendings that this node gave up, by reason", "reason");
+    Counter& repeats =
+        counter(registry, "jaynotch_attempts_repeated_total",
+                "Sendings repeated to the same server, a kept connection being shut");
     Gauge& forming = gauge(registry, "jaynotch_groups_forming",
                            "Groups that come together in failure domains managed here");
     Gauge& spares =
@@ -149,6 +155,16 @@
     m_families->failures[static_cast<std::size_t>(why)]->Increment();
 }
 
+void metrics::attempt_cancelled(cancel_reason why)
+{
+    m_families->cancellations[static_cast<std::size_t>(why)]->Increment();
+}
+
+void metrics::attempt_repeated()
+{
+    m_families->repeats.Increment();
+}
+
 void metrics::queued(duration waited)
 {
     m_families->queue.Observe(seconds(waited));
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -59,6 +59,9 @@
     void tokens(std::uint64_t count);
     void attempt();
     void attempt_failed(attempt_failure why);
+    void attempt_cancelled(cancel_reason why);
+    /// Sent to the same server again on a new connection.
+    void attempt_repeated();
     /// From a request's arrival until it was first sent.
     void queued(duration waited);
     /// How much later than wanted a timer of the one thread came.
--- a/daemon/metrics_test.cc
+++ b/daemon/metrics_test.cc
@@ -21,6 +21,8 @@
     counted.ended(outcome::answered, 120ms);
     counted.refused(error_kind::overloaded);
     counted.attempt_failed(attempt_failure::stalled);
+    counted.attempt_cancelled(cancel_reason::target_silent);
+    counted.attempt_repeated();
     counted.queued(30ms);
     counted.loop_delay(2ms);
     gauges now;
@@ -31,6 +33,8 @@
     cr_assert(has(page, "jaynotch_requests_total{outcome=\"answered\"} 1"), "%s", page.c_str());
     cr_assert(has(page, "jaynotch_refusals_total{kind=\"overloaded\"} 1"));
     cr_assert(has(page, "jaynotch_attempt_failures_total{reason=\"stalled\"} 1"));
+    cr_assert(has(page, "jaynotch_attempts_cancelled_total{reason=\"target_silent\"} 1"));
+    cr_assert(has(page, "jaynotch_attempts_repeated_total 1"));
     cr_assert(has(page, "jaynotch_queue_seconds_bucket{le=\"0.05\"} 1"));
     cr_assert(has(page, "jaynotch_queue_seconds_bucket{le=\"0.025\"} 0"));
     cr_assert(has(page, "jaynotch_loop_delay_seconds_count 1"));
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -98,8 +98,12 @@
     }
     else if (const auto* order_cancel = std::get_if<cancel_attempt>(&wanted)) {
         const auto found = m_attempts.find(order_cancel->attempt);
-        if (found != m_attempts.end())
+        if (found != m_attempts.end()) {
+            m_log.attempt_cancelled(found->second->order, order_cancel->reason,
+                                    found->second->sent);
+            m_services.counted.attempt_cancelled(order_cancel->reason);
             cancel(*found->second);
+        }
     }
 }
 
--- a/daemon/relay_attempt.cc
+++ b/daemon/relay_attempt.cc
@@ -121,6 +121,10 @@
 {
     const std::shared_ptr<http_client> client = m_services.servers.at(attempt.order.address);
     request.before_send = [this, &attempt] {
+        if (attempt.sent) {
+            m_log.attempt_repeated(attempt.order);
+            m_services.counted.attempt_repeated();
+        }
         attempt.sent = true;
         m_sent = true;
         m_services.driver.handle(attempt_sent{m_inbox->id(), attempt.order.attempt});
--- a/daemon/request_log.cc
+++ b/daemon/request_log.cc
@@ -48,6 +48,8 @@
     log_event(log_level::info, order.resume ? "request_resumed" : "request_sent",
               {{"request", m_request},
                {"sending", basis.sending},
+               {"servers_used", basis.servers_used},
+               {"most_servers", basis.most_servers},
                {"target", order.target.value()},
                {"server", order.instance.value()},
                {"workspace", order.workspace.value()},
@@ -76,6 +78,33 @@
                {"age_ms", age_ms()}});
 }
 
+void request_log::attempt_cancelled(const send_attempt& order, cancel_reason why, bool sent) const
+{
+    if (m_request.empty())
+        return;
+    const bool routine = why == cancel_reason::caller_gone;
+    log_event(routine ? log_level::info : log_level::warning, "attempt_cancelled",
+              {{"request", m_request},
+               {"sending", order.basis.sending},
+               {"target", order.target.value()},
+               {"server", order.instance.value()},
+               {"reason", to_name(why)},
+               {"sent", sent},
+               {"age_ms", age_ms()}});
+}
+
+void request_log::attempt_repeated(const send_attempt& order) const
+{
+    if (m_request.empty())
+        return;
+    log_event(log_level::warning, "attempt_repeated",
+              {{"request", m_request},
+               {"sending", order.basis.sending},
+               {"target", order.target.value()},
+               {"server", order.instance.value()},
+               {"age_ms", age_ms()}});
+}
+
 void request_log::refused(const refuse& wanted, unsigned status) const
 {
     if (m_request.empty())
--- a/daemon/request_log.h
+++ b/daemon/request_log.h
@@ -23,6 +23,10 @@
     void admitted(const request_info& info, const call_facts& facts) const;
     void sent(const send_attempt& order) const;
     void attempt_ended(const send_attempt& order, std::string_view reason, bool sent) const;
+    /// The node gave the sending up.
+    void attempt_cancelled(const send_attempt& order, cancel_reason why, bool sent) const;
+    /// The HTTP client sent it to the same server again, since a kept connection was closed.
+    void attempt_repeated(const send_attempt& order) const;
     void refused(const refuse& wanted, unsigned status) const;
     /// `longest_pause`: between two parts of the answer.
     void finished(unsigned status, std::uint64_t events, duration first_after,
--- a/routing/modelled_test.cc
+++ b/routing/modelled_test.cc
@@ -188,6 +188,19 @@
     cr_assert_neq(only<send_attempt>(here.ask())->target.value(), "g1");
 }
 
+// An engineer sees a request sent twice and can't tell why, or how often it may still be sent.
+Test(modelled, a_move_tells_its_reason_and_the_servers_used)
+{
+    world here{2};
+    const send_attempt first = *only<send_attempt>(here.ask());
+    cr_assert_eq(first.basis.servers_used, 0U);
+    cr_assert_eq(first.basis.most_servers, 2U);
+    here.begin(first);
+    const command_list out = here.pass(600ms);
+    cr_assert_eq(only<cancel_attempt>(out)->reason, cancel_reason::target_silent);
+    cr_assert_eq(only<send_attempt>(out)->basis.servers_used, 1U);
+}
+
 // A stream has used both servers that it may run on when its group falls silent. Most groups that
 // stand still go on after a second. Nobody else could take it over, so ending it at the first sign
 // would only lose the caller what may still come.
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -97,7 +97,7 @@
     const auto drop = [&](attempt_failure reason) {
         if (reason != attempt_failure::refused_did_not_run)
             ++counters.answers_dropped;
-        cancel(*row, out);
+        cancel(*row, cancel_reason::answer_unusable, out);
         end_attempt(*row, reason, attempt_end::failed, now, out);
     };
     if (head.echoed && *head.echoed != head.attempt)
@@ -298,10 +298,10 @@
     return settings.retry_budget && costs;
 }
 
-void request_core::state::cancel(request_row& row, command_list& out)
+void request_core::state::cancel(request_row& row, cancel_reason why, command_list& out)
 {
     const target& at = targets.at(row.attempt.target).info;
-    out.emplace_back(cancel_attempt{row.info.id, row.attempt.id, at.id, at.address});
+    out.emplace_back(cancel_attempt{row.info.id, row.attempt.id, at.id, at.address, why});
 }
 
 void request_core::state::leave_target(request_row& row)
@@ -334,7 +334,7 @@
     }
     if (row.has_attempt) {
         row.may_have_run = row.may_have_run || row.attempt.sent;
-        cancel(row, out);
+        cancel(row, cancel_reason::caller_gone, out);
         leave_target(row);
     }
     finish_forget(row, now, out);
--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -7,14 +7,16 @@
 
 /// What a choice of a target rested on, for the log.
 struct pick_basis {
-    std::uint32_t sending = 1;     ///< of this request, from 1
-    std::uint32_t own = 0;         ///< requests of this node at the target, this one not counted
-    double others = 0.0;           ///< of the other nodes, as estimated
-    std::int64_t load_age_ms = -1; ///< since the target told its load; -1: never
-    double predicted_ms = 0.0;     ///< to the first event; 0: not predicted
-    std::size_t candidates = 0;    ///< targets of the pool at that moment
-    std::int64_t waited_ms = 0;    ///< since the request arrived
-    std::string route;             ///< that the request came by
+    std::uint32_t sending = 1;      ///< of this request, from 1
+    std::uint32_t servers_used = 0; ///< of `most_servers`, before this sending
+    std::uint32_t most_servers = 0; ///< that the route lets it run on; 0: as its retries allow
+    std::uint32_t own = 0;          ///< requests of this node at the target, this one not counted
+    double others = 0.0;            ///< of the other nodes, as estimated
+    std::int64_t load_age_ms = -1;  ///< since the target told its load; -1: never
+    double predicted_ms = 0.0;      ///< to the first event; 0: not predicted
+    std::size_t candidates = 0;     ///< targets of the pool at that moment
+    std::int64_t waited_ms = 0;     ///< since the request arrived
+    std::string route;              ///< that the request came by
     std::chrono::milliseconds first_target{0}; ///< of the route, for the first event; 0: none
     std::chrono::milliseconds gap_target{0};   ///< of the route, between two events; 0: none
 };
@@ -48,12 +50,35 @@
     attempt_id attempt;
 };
 
+/// Why the node gives up a sending that has not ended.
+enum class cancel_reason {
+    answer_unusable, ///< a refusal, a failure, or an answer that is not this sending's
+    target_lost,     ///< the group lost a member
+    target_silent,   ///< nothing of this node moves at the target
+    stalled,         ///< no byte of this answer for too long
+    out_of_time,     ///< the request's own time is over
+    caller_gone,
+};
+
+template <>
+struct enum_names<cancel_reason> {
+    static constexpr std::array entries{
+        named{cancel_reason::answer_unusable, "answer_unusable"},
+        named{cancel_reason::target_lost, "target_lost"},
+        named{cancel_reason::target_silent, "target_silent"},
+        named{cancel_reason::stalled, "stalled"},
+        named{cancel_reason::out_of_time, "out_of_time"},
+        named{cancel_reason::caller_gone, "caller_gone"},
+    };
+};
+
 /// Stop the attempt: close its connection, and cancel it at the engine if it was sent.
 struct cancel_attempt {
     request_id request;
     attempt_id attempt;
     target_id target;
     std::string address;
+    cancel_reason reason = cancel_reason::answer_unusable;
 };
 
 /// Final: the answer is whole; send its terminal mark.
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -315,7 +315,7 @@
 void request_core::state::move_requests(target_row_index from, time_point now, command_list& out)
 {
     for (const request_id request : repeatable_at(from))
-        move_request(requests.at(request), now, out);
+        move_request(requests.at(request), cancel_reason::target_lost, now, out);
 }
 
 /// A silent target may yet go on, so only what another can take over now leaves it. For the rest,
@@ -333,7 +333,7 @@
         request_row& row = requests.at(request);
         const bool afforded = !is_charged(row, false) || pool.budget.has_one();
         if (afforded && may_send_again(row, attempt_failure::cut))
-            move_request(row, now, out);
+            move_request(row, cancel_reason::target_silent, now, out);
     }
 }
 
@@ -349,9 +349,10 @@
     return found;
 }
 
-void request_core::state::move_request(request_row& row, time_point now, command_list& out)
+void request_core::state::move_request(request_row& row, cancel_reason why, time_point now,
+                                       command_list& out)
 {
-    cancel(row, out);
+    cancel(row, why, out);
     end_attempt(row, attempt_failure::cut, attempt_end::group_lost, now, out);
 }
 
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -173,6 +173,8 @@
     const pool_row& pool = pools.at(row.terms.pool);
     pick_basis basis;
     basis.sending = row.sendings;
+    basis.servers_used = row.runs;
+    basis.most_servers = row.terms.most_servers;
     basis.route = row.terms.route;
     basis.first_target = row.terms.first_target;
     basis.gap_target = row.terms.gap_target;
@@ -346,7 +348,7 @@
                 pools.at(row.terms.pool).limit.note_overload();
                 note_failure(targets.at(row.attempt.target).health);
             }
-            cancel(row, out);
+            cancel(row, cancel_reason::out_of_time, out);
             finish_failed(row,
                           {error_kind::deadline_exceeded, "no answer before its deadline",
                            "send it again with more time"},
@@ -359,11 +361,11 @@
             set_wake(row, std::min(row.deadline, now + head_patience(row)));
             return;
         }
-        cancel(row, out);
+        cancel(row, cancel_reason::stalled, out);
         end_attempt(row, attempt_failure::stalled, attempt_end::failed, now, out);
         return;
     case request_phase::answering:
-        cancel(row, out);
+        cancel(row, now >= row.ends ? cancel_reason::out_of_time : cancel_reason::stalled, out);
         if (now >= row.ends) {
             row.may_have_run = true;
             finish_failed(row,
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -102,7 +102,7 @@
     void take_cache_events(const cache_events_seen& seen);
     void lose_group(const target_id& group, time_point now, command_list& out);
     void move_requests(target_row_index from, time_point now, command_list& out);
-    void move_request(request_row& row, time_point now, command_list& out);
+    void move_request(request_row& row, cancel_reason why, time_point now, command_list& out);
     void leave_silent(const pool_row& pool, target_row_index from, time_point now,
                       command_list& out);
     [[nodiscard]] std::vector<request_id> repeatable_at(target_row_index from) const;
@@ -163,7 +163,7 @@
     bool may_send_again(const request_row& row, attempt_failure reason) const;
     void note_heard(request_row& row, time_point now);
     void drop_pending(request_row& row);
-    void cancel(request_row& row, command_list& out);
+    void cancel(request_row& row, cancel_reason why, command_list& out);
     void leave_target(request_row& row);
 
     // request_finish.cc: the final command, exactly one for each request
