Test, red: the HTTP client repeats a request that its server has worked on, and nobody counts it

The same class as the streams on a third server, one layer below: a closed connection is taken for proof that the request did not run. Two tests fail on the code as it is: a server that works for half a second and closes its kept connection gets the request again, and the repeat takes nothing from the pool's retries.

--- /dev/null
+++ b/http/http_client_test.cc
@@ -0,0 +1,114 @@
+#include "http/http_client.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+
+using namespace jaynotch;
+
+namespace {
+
+using namespace std::chrono_literals;
+namespace net = boost::asio;
+using net::ip::tcp;
+
+/// A server that answers its first request, works on the second for `working` and closes the
+/// connection without an answer, and answers all others. Time is paused and moved on by it.
+class closing_server {
+public:
+    explicit closing_server(duration working)
+        : m_working{working}, m_acceptor{m_io, {net::ip::make_address("127.0.0.1"), 0}}
+    {
+        runtime_clock::pause();
+        net::co_spawn(m_io, accept(), net::detached);
+    }
+    ~closing_server() { runtime_clock::resume(); }
+
+    /// Sends two requests one after the other and returns what became of the second.
+    result<http_response> ask_twice()
+    {
+        std::optional<result<http_response>> second;
+        const auto ask = [&]() -> net::awaitable<void> {
+            const std::string address =
+                "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+            http_client client{m_io.get_executor(), address, http_limits{}};
+            const result<http_response> first = co_await client.call(read_request(), 5s);
+            cr_assert(first);
+            second = co_await client.call(read_request(), 5s);
+            m_io.stop();
+        };
+        net::co_spawn(m_io, ask(), net::detached);
+        m_io.run();
+        return std::move(*second);
+    }
+
+    [[nodiscard]] int requests() const { return m_requests; }
+
+private:
+    static http_request read_request()
+    {
+        http_request request;
+        request.target = "/read";
+        request.repeatable = true;
+        return request;
+    }
+
+    net::awaitable<void> accept()
+    {
+        for (;;) {
+            tcp::socket socket = co_await m_acceptor.async_accept(net::use_awaitable);
+            net::co_spawn(m_io, serve(std::move(socket)), net::detached);
+        }
+    }
+
+    net::awaitable<void> serve(tcp::socket socket)
+    {
+        std::string received;
+        for (;;) {
+            boost::system::error_code failed;
+            const std::size_t length =
+                co_await net::async_read_until(socket, net::dynamic_buffer(received), "\r\n\r\n",
+                                               net::redirect_error(net::use_awaitable, failed));
+            if (failed)
+                co_return;
+            received.erase(0, length);
+            ++m_requests;
+            if (m_requests == 2) {
+                runtime_clock::advance(m_working);
+                co_return;
+            }
+            constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            co_await net::async_write(socket, net::buffer(answer), net::use_awaitable);
+        }
+    }
+
+    net::io_context m_io;
+    duration m_working;
+    tcp::acceptor m_acceptor;
+    int m_requests = 0;
+};
+
+} // namespace
+
+// Guards against a read that fails though its server only closed an idle connection.
+Test(http_client, a_kept_connection_that_is_being_closed_costs_nothing)
+{
+    closing_server server{0ms};
+    cr_assert(server.ask_twice());
+    cr_assert_eq(server.requests(), 3);
+}
+
+// Guards against a request that runs again, uncounted, after its server worked on it and broke off.
+Test(http_client, a_request_that_was_worked_on_is_not_repeated)
+{
+    closing_server server{500ms};
+    const result<http_response> second = server.ask_twice();
+    cr_assert(!second);
+    cr_assert_eq(second.error().kind, error_kind::unavailable);
+    cr_assert_eq(server.requests(), 2);
+}
--- a/routing/servers_limit_test.cc
+++ b/routing/servers_limit_test.cc
@@ -199,6 +199,23 @@
     cr_assert(!only<send_attempt>(here.lose(*second)), "a third server");
 }
 
+// Guards against repeats of the HTTP client's own that the pool's retries don't bound.
+Test(servers_limit, a_repeat_to_the_same_server_is_charged)
+{
+    const auto retries_left = [](const world& here) {
+        double sum = 0.0;
+        for (const pool_status& pool : here.core.pools())
+            sum += pool.retries_left;
+        return sum;
+    };
+    world here = make_world();
+    const send_attempt first = *only<send_attempt>(here.ask());
+    here.send(attempt_sent{first.request, first.attempt});
+    const double before = retries_left(here);
+    here.send(attempt_sent{first.request, first.attempt});
+    cr_assert_float_eq(retries_left(here), before - 1.0, 1e-9);
+}
+
 // Guards against any other way to one server too many: every short history of a stream and of a
 // read.
 Test(servers_limit, every_short_history_of_a_stream)
