HTTP client: a request is repeated only while its kept connection may just be closing, and the repeat is charged

Callers saw nothing; backend servers could run a request twice that was counted once, and a service whose servers reset connections got repeats that its share of retries did not bound. Cause: a kept connection that ends before the answer's head was always taken for one that was being closed when the request arrived, however long the server had worked; and the request core, which counts servers and charges repeats, never heard of it. Change: the client repeats only within 50 ms of sending, which covers a round trip; a later end is a cut, which the core counts and decides on. The core takes attempt_sent of the same attempt once more for what it is and charges the pool's retries. Why it holds: the race of an idle close shows within a round trip; everything later goes through the one rule of the core.

--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -18,7 +18,8 @@
 //
 // An idle connection may have been closed by the server just before its next use. It is looked at
 // before (fresh()), and a repeatable request that meets the rest of this race is sent once more on
-// a new connection.
+// a new connection. The race shows within a round trip; a server that closes later may have worked
+// on the request, and whether it is repeated is for the caller to decide.
 
 namespace jaynotch {
 
@@ -33,6 +34,10 @@
 constexpr std::size_t small_read = 1024;     // a few events of a stream
 constexpr std::size_t full_read = 16 * 1024; // once more has come than that
 
+/// From sending on a kept connection to the sign that the server was closing it: a round trip
+/// between two regions, and some.
+constexpr duration closing_race = std::chrono::milliseconds{50};
+
 error failed_exchange(const http_connection& connection, const std::string& address,
                       const error_code& ec, bool repeatable)
 {
@@ -426,13 +431,16 @@
                                 "check that the service is up and the address is right"};
             }
         }
-        connection->arm(ends - runtime_clock::now());
+        const time_point sent = runtime_clock::now();
+        connection->arm(ends - sent);
         const error_code ec =
             co_await connection->exchange_header(request, pool->address, pool->limits.header_bytes);
         connection->disarm();
         if (!ec)
             break;
-        if (reused && request.repeatable && !request.body_source && !connection->timed_out()) {
+        const bool was_closing =
+            reused && !connection->timed_out() && runtime_clock::now() - sent <= closing_race;
+        if (was_closing && request.repeatable && !request.body_source) {
             reused = false;
             connection = nullptr;
             continue;
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -60,8 +60,9 @@
     std::optional<std::uint64_t> body_length; ///< of body_source; chunked if unknown
     /// Called once a connection stands, right before the first byte may leave.
     std::function<void()> before_send;
-    /// May be sent again on a fresh connection if an idle one turned out closed, and its failure
-    /// is deadline_exceeded or unavailable instead of unknown_outcome.
+    /// May be sent again on a fresh connection if an idle one turned out to be closing, with
+    /// another call of `before_send`; its failure is deadline_exceeded or unavailable instead of
+    /// unknown_outcome.
     bool repeatable = false;
     /// An idle connection is used only if it has idled no longer: the server may be closing it, and
     /// what was sent then can't be told from what ran.
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -79,8 +79,13 @@
 
 void request_core::state::on_sent(const attempt_sent& sent)
 {
-    if (request_row* row = find_attempt(sent.request, sent.attempt); row != nullptr)
-        row->attempt.sent = true;
+    request_row* row = find_attempt(sent.request, sent.attempt);
+    if (row == nullptr)
+        return;
+    // The same server once more: no further server, but further load on its service.
+    if (row->attempt.sent && settings.retry_budget && settings.charge_every_repeat)
+        (void)pools.at(row->terms.pool).budget.take();
+    row->attempt.sent = true;
 }
 
 void request_core::state::on_head(const attempt_head& head, time_point now, command_list& out)
--- a/routing/request_events.h
+++ b/routing/request_events.h
@@ -77,7 +77,8 @@
 };
 
 /// The first byte is about to leave. Report it BEFORE the write starts: a request of which a byte
-/// may have left is never called "did not run".
+/// may have left is never called "did not run". Once more if the attempt is sent to the same server
+/// on a new connection.
 struct attempt_sent {
     request_id request;
     attempt_id attempt;
