--- a/soak/promise_book.cc
+++ b/soak/promise_book.cc
@@ -1,6 +1,7 @@
 #include "soak/promise_book.h"
 
 #include <algorithm>
+#include <set>
 
 // Some promises hold always: an answer belongs to its request and is whole, "did not run" is true,
 // an order runs once. Others have a time bound, or concern planned work, and hold for nodes that
@@ -118,6 +119,16 @@
         out.push_back(name_of(one.asked) + ": refused for its key, but it ran");
 }
 
+void promise_book::check_servers(const account& one, std::vector<std::string>& out)
+{
+    std::set<std::string> servers;
+    for (const run& each : one.runs)
+        servers.insert(each.runner);
+    if (servers.size() > one.asked.most_servers)
+        out.push_back(name_of(one.asked) + ": ran on " + std::to_string(servers.size()) +
+                      " servers, " + std::to_string(one.asked.most_servers) + " are allowed");
+}
+
 /// A planned stop cuts nobody off: what has reached a server is answered.
 void promise_book::check_stop(const account& one, std::vector<std::string>& out) const
 {
@@ -203,6 +214,8 @@
     std::vector<std::string> out;
     for (const auto& [id, one] : m_requests) {
         check_runs(one, out);
+        if (one.asked.kind != asked_kind::order)
+            check_servers(one, out);
         check_answer(one, out);
         check_stop(one, out);
         check_drain(one, out);
--- a/soak/promise_book.h
+++ b/soak/promise_book.h
@@ -29,6 +29,7 @@
     std::string node;
     std::int64_t key_version = 0; ///< of the key that it bore; 0: none is needed
     time_point sent;
+    std::size_t most_servers = 1; ///< that may run it
 };
 
 /// What a caller got. `status` is 0 if the connection ended without a whole answer.
@@ -93,6 +94,7 @@
 
     void check_answer(const account& one, std::vector<std::string>& out) const;
     void check_runs(const account& one, std::vector<std::string>& out) const;
+    static void check_servers(const account& one, std::vector<std::string>& out);
     void check_stop(const account& one, std::vector<std::string>& out) const;
     void check_drain(const account& one, std::vector<std::string>& out) const;
     void check_key(const account& one, std::vector<std::string>& out) const;
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -86,6 +86,7 @@
     const std::int64_t newest = m_site.version();
     const std::int64_t back = m_random.chance(old_key) ? m_random.between(1, 3) : 0;
     asked.key_version = std::max<std::int64_t>(1, newest - back);
+    asked.most_servers = asked.kind == asked_kind::order ? 1 : repeatable_attempts;
     asked.sent = runtime_clock::now();
     m_book.asked(asked);
     const result<http_response> got = co_await client.call(to_http(asked), patience);
--- a/soak/soak_test.cc
+++ b/soak/soak_test.cc
@@ -25,7 +25,7 @@
 void ask_with_key(promise_book& book, const std::string& id, std::int64_t key, duration sent,
                   std::uint32_t status)
 {
-    book.asked({id, asked_kind::read, "entry-1", key, at(sent)});
+    book.asked({id, asked_kind::read, "entry-1", key, at(sent), 1});
     if (status == 200)
         book.ran(id, "a-1", at(sent));
     book.answered(id, {status, id, "answer of a-1 to " + id}, at(sent + 10ms));
@@ -47,7 +47,7 @@
     book.asked(order("1"));
     book.ran("1", "a-1", at(1ms));
     book.answered("1", {200, "1", "answer of a-1 to 1"}, at(5ms));
-    book.asked({"2", asked_kind::stream, "entry-1", 0, at(0s)});
+    book.asked({"2", asked_kind::stream, "entry-1", 0, at(0s), 2});
     book.ran("2", "m-1", at(1ms));
     book.ran("2", "m-2", at(2ms)); // it was resumed
     book.answered("2", {200, "2", whole_stream}, at(5ms));
@@ -67,6 +67,18 @@
     assert_one(book, "ran 2 times");
 }
 
+Test(promise_book, a_stream_on_a_server_too_many_shows)
+{
+    promise_book book{events};
+    book.asked({"1", asked_kind::stream, "entry-1", 0, at(0s), 2});
+    book.ran("1", "m-1", at(1ms));
+    book.ran("1", "m-2", at(2ms));
+    book.ran("1", "m-2", at(3ms));
+    cr_assert(book.broken().empty(), "the same server twice is one server");
+    book.ran("1", "m-3", at(4ms));
+    assert_one(book, "ran on 3 servers, 2 are allowed");
+}
+
 Test(promise_book, a_false_word_that_it_did_not_run_shows)
 {
     promise_book book{events};
@@ -85,7 +97,7 @@
     assert_one(foreign, "got the answer to 2");
 
     promise_book partial{events};
-    partial.asked({"1", asked_kind::stream, "entry-1", 0, at(0s)});
+    partial.asked({"1", asked_kind::stream, "entry-1", 0, at(0s), 2});
     partial.ran("1", "m-1", at(1ms));
     partial.answered("1", {200, "1", "id: 2\ndata: e2\n\n"}, at(5ms));
     assert_one(partial, "not its server's whole answer");
--- a/standins/platform_forms.cc
+++ b/standins/platform_forms.cc
@@ -61,9 +61,9 @@
     const json::object tenant{{"name", "farm"}, {"api_keys", keys}, {"priority", 1}};
     return json::serialize(json::object{
         {"version", version},
-        {"routes", json::array{route("chat", "streaming", "llm", 2, false),
+        {"routes", json::array{route("chat", "streaming", "llm", repeatable_attempts, false),
                                route("order", "non_idempotent", "app", 1, false),
-                               route("read", "idempotent", "app", 2, false)}},
+                               route("read", "idempotent", "app", repeatable_attempts, false)}},
         {"services", json::array{model_service(), json::object{{"name", "app"},
                                                                {"health_path", "/health"},
                                                                {"max_conns", 200}}}},
--- a/standins/platform_forms.h
+++ b/standins/platform_forms.h
@@ -18,6 +18,9 @@
 
 namespace jaynotch {
 
+/// Servers that a stream or a read of the configuration may run on.
+constexpr int repeatable_attempts = 2;
+
 /// Has the operators write a version. The keys of it and of the one before, "key-N", are in force.
 void put_version(store_standin& store, std::int64_t version);
 
