Routing: a repeated sending may have run, whatever its server says of the repeat

Callers could be told 'it did not run' of a read or a stream whose first copy ran: the HTTP client repeats it on a new connection when a kept one closes, and a full server refuses the repeat. Change: attempt_sent of the same attempt once more marks it as repeated, and then no word of the server takes it out of the count or of 'may have run'.

--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -34,10 +34,12 @@
 constexpr std::uint32_t most_sendings = 4;
 
 /// Whether the server may have run the request. Only its own word proves that it did not: silence
-/// and a closed connection also come from servers that run it to the end.
+/// and a closed connection also come from servers that run it to the end. Of a repeated sending its
+/// word covers only what it got last.
 bool may_have_run_there(const attempt_row& attempt, attempt_failure reason)
 {
-    return attempt.sent && reason != attempt_failure::refused_did_not_run;
+    const bool said_not = reason == attempt_failure::refused_did_not_run;
+    return attempt.sent && (attempt.repeated || !said_not);
 }
 
 double seconds(duration span)
@@ -82,10 +84,11 @@
     request_row* row = find_attempt(sent.request, sent.attempt);
     if (row == nullptr)
         return;
+    row->attempt.repeated = row->attempt.sent;
+    row->attempt.sent = true;
     // The same server once more: no further server, but further load on its service.
-    if (row->attempt.sent && settings.retry_budget && settings.charge_every_repeat)
+    if (row->attempt.repeated && settings.retry_budget && settings.charge_every_repeat)
         (void)pools.at(row->terms.pool).budget.take();
-    row->attempt.sent = true;
 }
 
 void request_core::state::on_head(const attempt_head& head, time_point now, command_list& out)
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -28,7 +28,8 @@
 struct attempt_row {
     attempt_id id;
     target_row_index target = no_target;
-    bool sent = false; ///< a byte may have left
+    bool sent = false;     ///< a byte may have left
+    bool repeated = false; ///< sent to the same server once more: the first may have run
     bool first_part_in = false;
     bool waits_for_caller = false;    ///< a part is being written to a slow caller
     std::uint32_t pending_tokens = 0; ///< of its prompt, counted at the target until a part is in
--- a/routing/truth_test.cc
+++ b/routing/truth_test.cc
@@ -34,7 +34,8 @@
     attempt_id id;
     target_id target;
     bool sent = false;
-    bool did_not_run = false; ///< the backend server said so
+    bool repeated = false;    ///< sent to the same backend server once more
+    bool did_not_run = false; ///< the backend server said so of what it got last
     bool delivered = false;
     bool over = false; ///< ended, or cancelled
 };
@@ -53,6 +54,7 @@
                           next == step::head_did_not_run || next == step::head_trouble ||
                           next == step::head_other_version;
         const bool answer = next == step::part || next == step::whole || next == step::not_whole;
+        now.repeated = now.repeated || (next == step::sent && now.sent);
         now.sent = now.sent || next == step::sent || head || answer;
         now.did_not_run = now.did_not_run || (next == step::head_did_not_run && !now.delivered);
     }
@@ -93,7 +95,7 @@
     [[nodiscard]] bool any_may_have_run() const
     {
         for (const seen_attempt& each : m_attempts) {
-            if (each.sent && !each.did_not_run)
+            if (each.sent && (each.repeated || !each.did_not_run))
                 return true;
         }
         return false;
@@ -115,7 +117,7 @@
             cr_assert(!any_sent(), "a call that is sent once was sent again");
         if (m_call == call::keyed)
             cr_assert(!any_may_have_run(), "a keyed call was sent again though it may have run");
-        m_attempts.push_back({sending.attempt, sending.target, false, false, false, false});
+        m_attempts.push_back({sending.attempt, sending.target});
     }
 
     void check_cancelled(const cancel_attempt& ended)
