--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -98,15 +98,18 @@
     }
     else if (const auto* order_cancel = std::get_if<cancel_attempt>(&wanted)) {
         const auto found = m_attempts.find(order_cancel->attempt);
-        if (found != m_attempts.end()) {
-            m_log.attempt_cancelled(found->second->order, order_cancel->reason,
-                                    found->second->sent);
-            m_services.counted.attempt_cancelled(order_cancel->reason);
-            cancel(*found->second);
-        }
+        if (found != m_attempts.end())
+            give_up(*found->second, order_cancel->reason);
     }
 }
 
+void relay_request::way::give_up(attempt_state& attempt, cancel_reason why)
+{
+    m_log.attempt_cancelled(attempt.order, why, attempt.sent);
+    m_services.counted.attempt_cancelled(why);
+    cancel(attempt);
+}
+
 void relay_request::way::cancel(attempt_state& attempt)
 {
     if (attempt.cancelled)
--- a/daemon/relay_way.h
+++ b/daemon/relay_way.h
@@ -53,6 +53,8 @@
     void note(const command& wanted);
     net::awaitable<bool> carry_out(const command& wanted);
     void start_attempt(const attempt_ptr& attempt);
+    /// As the core decided; cancel() alone leaves no line.
+    void give_up(attempt_state& attempt, cancel_reason why);
     void cancel(attempt_state& attempt);
     net::awaitable<void> complete_answer();
     net::awaitable<void> refuse_caller(const refuse& wanted);
