Routing tests: one fixture makes heads and servers; the reference no longer takes a late refusal for one

The tests of the count of servers built heads and plain servers that their fixture builds as well. Reading them again, their reference let a refusal excuse a sending whose answer had begun, which the core rightly drops: it is stricter now. 70 routing tests pass, no assertion changed.

--- a/routing/modelled_fixture.h
+++ b/routing/modelled_fixture.h
@@ -88,6 +88,26 @@
     return made;
 }
 
+/// A plain server of the service "app".
+inline target server(int number)
+{
+    target made;
+    made.id = target_id{"app-" + std::to_string(number)};
+    made.pool = pool_id{"app"};
+    made.address = "10.0.1." + std::to_string(number) + ":1";
+    made.instance = vm_id{made.id.value()};
+    return made;
+}
+
+inline attempt_head head_of(const send_attempt& order, std::uint32_t status)
+{
+    attempt_head made;
+    made.request = order.request;
+    made.attempt = order.attempt;
+    made.status = status;
+    return made;
+}
+
 inline core_settings shared_settings()
 {
     core_settings settings = fixture::default_settings();
@@ -108,12 +128,7 @@
         for (int number = 1; number <= groups; ++number)
             all.push_back(group(number));
         send(groups_changed{all});
-        target app;
-        app.id = target_id{"app-1"};
-        app.pool = pool_id{"app"};
-        app.address = "10.0.1.1:1";
-        app.instance = vm_id{"app-1"};
-        send(servers_changed{{app}});
+        send(servers_changed{{server(1)}});
         commands.clear();
     }
 
@@ -139,11 +154,7 @@
     command_list begin(const send_attempt& order)
     {
         send(attempt_sent{order.request, order.attempt});
-        attempt_head head;
-        head.request = order.request;
-        head.attempt = order.attempt;
-        head.status = 200;
-        command_list out = send(head);
+        command_list out = send(head_of(order, 200));
         const command_list more = send(attempt_progress{order.request, order.attempt, 1});
         out.insert(out.end(), more.begin(), more.end());
         return out;
@@ -152,10 +163,7 @@
     command_list refuse_it(const send_attempt& order)
     {
         send(attempt_sent{order.request, order.attempt});
-        attempt_head head;
-        head.request = order.request;
-        head.attempt = order.attempt;
-        head.status = 503;
+        attempt_head head = head_of(order, 503);
         head.says_did_not_run = true;
         return send(head);
     }
--- a/routing/modelled_test.cc
+++ b/routing/modelled_test.cc
@@ -94,11 +94,7 @@
     world here{3};
     const send_attempt first = *only<send_attempt>(here.ask());
     here.send(attempt_sent{first.request, first.attempt});
-    attempt_head failed;
-    failed.request = first.request;
-    failed.attempt = first.attempt;
-    failed.status = 500;
-    const auto second = only<send_attempt>(here.send(failed));
+    const auto second = only<send_attempt>(here.send(head_of(first, 500)));
     cr_assert(second);
     here.begin(*second);
     cr_assert(!only<send_attempt>(here.lose(*second)));
--- a/routing/servers_limit_test.cc
+++ b/routing/servers_limit_test.cc
@@ -35,6 +35,7 @@
     bool sent = false;
     bool repeated = false;    ///< sent to the same server once more
     bool did_not_run = false; ///< the server said so of what it got last
+    bool delivered = false;   ///< its answer has begun, and no refusal can follow
 };
 
 /// Slow reference: looks at every sending anew before each further one.
@@ -51,7 +52,7 @@
                             next != step::silence && next != step::group_lost;
         now.repeated = now.repeated || (next == step::sent && now.sent);
         now.sent = now.sent || leaves;
-        now.did_not_run = now.did_not_run || next == step::refused;
+        now.did_not_run = now.did_not_run || (next == step::refused && !now.delivered);
         take(carry_out(next, now.order));
     }
 
@@ -67,18 +68,18 @@
         case step::sent:
             return m_world.send(attempt_sent{order.request, order.attempt});
         case step::answer_begins:
-            return m_world.send(head(order, ok));
+            return m_world.send(head_of(order, ok));
         case step::part:
             return m_world.send(attempt_progress{order.request, order.attempt, 1});
         case step::refused: {
-            attempt_head refusal = head(order, unavailable);
+            attempt_head refusal = head_of(order, unavailable);
             refusal.says_did_not_run = true;
             return m_world.send(refusal);
         }
         case step::failure:
-            return m_world.send(head(order, server_error));
+            return m_world.send(head_of(order, server_error));
         case step::overloaded:
-            return m_world.send(head(order, unavailable));
+            return m_world.send(head_of(order, unavailable));
         case step::cut:
             return m_world.lose(order);
         case step::not_connected:
@@ -93,15 +94,6 @@
         return {};
     }
 
-    static attempt_head head(const send_attempt& order, std::uint32_t status)
-    {
-        attempt_head made;
-        made.request = order.request;
-        made.attempt = order.attempt;
-        made.status = status;
-        return made;
-    }
-
     void take(const command_list& said)
     {
         for (const command& each : said) {
@@ -109,6 +101,8 @@
                 m_broken = m_broken || servers_used() >= most_servers;
                 m_sendings.push_back({*order});
             }
+            if (std::holds_alternative<deliver>(each))
+                m_sendings.back().delivered = true;
             m_over = m_over || std::holds_alternative<refuse>(each) ||
                      std::holds_alternative<end_truncated>(each) ||
                      std::holds_alternative<complete>(each);
@@ -141,14 +135,8 @@
 {
     world made{4, small_settings()};
     std::vector<target> servers;
-    for (int number = 1; number <= 4; ++number) {
-        target one;
-        one.id = target_id{"app-" + std::to_string(number)};
-        one.pool = pool_id{"app"};
-        one.address = "10.0.1." + std::to_string(number) + ":1";
-        one.instance = vm_id{one.id.value()};
-        servers.push_back(one);
-    }
+    for (int number = 1; number <= 4; ++number)
+        servers.push_back(server(number));
     made.send(servers_changed{servers});
     return made;
 }
