--- a/daemon/request_log.cc
+++ b/daemon/request_log.cc
@@ -64,11 +64,12 @@
                {"candidates", basis.candidates}});
 }
 
-void request_log::attempt_ended(const send_attempt& order, std::string_view reason, bool sent) const
+void request_log::attempt_over(log_level level, std::string_view kind, const send_attempt& order,
+                               std::string_view reason, bool sent) const
 {
     if (m_request.empty())
         return;
-    log_event(log_level::warning, "attempt_failed",
+    log_event(level, kind,
               {{"request", m_request},
                {"sending", order.basis.sending},
                {"target", order.target.value()},
@@ -78,19 +79,16 @@
                {"age_ms", age_ms()}});
 }
 
+void request_log::attempt_ended(const send_attempt& order, std::string_view reason, bool sent) const
+{
+    attempt_over(log_level::warning, "attempt_failed", order, reason, sent);
+}
+
 void request_log::attempt_cancelled(const send_attempt& order, cancel_reason why, bool sent) const
 {
-    if (m_request.empty())
-        return;
     const bool routine = why == cancel_reason::caller_gone;
-    log_event(routine ? log_level::info : log_level::warning, "attempt_cancelled",
-              {{"request", m_request},
-               {"sending", order.basis.sending},
-               {"target", order.target.value()},
-               {"server", order.instance.value()},
-               {"reason", to_name(why)},
-               {"sent", sent},
-               {"age_ms", age_ms()}});
+    attempt_over(routine ? log_level::info : log_level::warning, "attempt_cancelled", order,
+                 to_name(why), sent);
 }
 
 void request_log::attempt_repeated(const send_attempt& order) const
--- a/daemon/request_log.h
+++ b/daemon/request_log.h
@@ -36,6 +36,8 @@
 
 private:
     [[nodiscard]] std::int64_t age_ms() const;
+    void attempt_over(log_level level, std::string_view kind, const send_attempt& order,
+                      std::string_view reason, bool sent) const;
 
     std::string m_request;
     time_point m_arrived;
--- a/groups/fake_runner.cc
+++ b/groups/fake_runner.cc
@@ -11,6 +11,12 @@
 
 constexpr std::int64_t early_loads = 10; ///< times faster, before the first request
 
+duration load_time(const std::string& model, bool traffic)
+{
+    const duration load = model == "big" ? 16s : 12s;
+    return traffic ? load : load / early_loads;
+}
+
 } // namespace
 
 void fake_registry::progress(fake_runner& at)
@@ -56,9 +62,8 @@
     if (const auto* wanted = std::get_if<open_group>(&order.order))
         return open(at, *wanted);
     if (const auto* wanted = std::get_if<stage_model>(&order.order)) {
-        const duration load = wanted->model == "big" ? 16s : 12s;
         at.staging = wanted->model;
-        at.staged_at = m_now + (m_traffic ? load : load / early_loads);
+        at.staged_at = m_now + load_time(wanted->model, m_traffic);
         return order_reply::begun;
     }
     const auto named = [&](const group_id& group, std::int64_t epoch) {
@@ -109,9 +114,7 @@
     at.row.model.clear();
     at.joining_model = order.model;
     at.opens_at = time_point::max();
-    duration takes = order.model == "big" ? 16s : 12s;
-    if (!m_traffic)
-        takes = takes / early_loads;
+    duration takes = load_time(order.model, m_traffic);
     const bool staged =
         std::find(at.row.staged.begin(), at.row.staged.end(), order.model) != at.row.staged.end();
     if (staged)
