Test, red: closing the listener resets a request that waits in its backlog

A process that stands still past the balancer's wait closes its listener before it has accepted a caller who connected meanwhile. The kernel resets that connection; a request on a kept connection whose bytes nobody has read yet is cut the same way.

--- a/http/http_server_test.cc
+++ b/http/http_server_test.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
+#include <functional>
+#include <future>
 #include <thread>
 
 using namespace jaynotch;
@@ -70,6 +72,18 @@
         return text;
     }
 
+    /// Runs `act` while the server reads and accepts nothing, then has it stop accepting.
+    void stop_accepting_after(std::function<void()> act)
+    {
+        std::promise<void> done;
+        net::post(m_io, [&] {
+            act();
+            m_server->stop_accepting();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
     bool still_serves()
     {
         return talk("GET /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").find("200 OK") !=
@@ -260,3 +274,26 @@
     }
     cr_assert(refuses(served::read_all(caller), "413"));
 }
+
+// A process stands still until its planned stop closes the listener. A caller who connected and
+// sent a request meanwhile must not be reset.
+Test(http_server, a_request_waiting_in_the_backlog_is_answered_after_a_stop)
+{
+    served server;
+    tcp::socket known = server.dial();
+    net::write(known, net::buffer(std::string{"GET /first HTTP/1.1\r\nHost: a\r\n\r\n"}));
+    std::string text(12, '\0');
+    net::read(known, net::buffer(text));
+    cr_assert_eq(text, "HTTP/1.1 200");
+    std::optional<tcp::socket> late;
+    std::optional<tcp::socket> mute;
+    server.stop_accepting_after([&] {
+        late = server.dial();
+        mute = server.dial();
+        net::write(*late, net::buffer(std::string{"GET /late HTTP/1.1\r\nHost: a\r\n\r\n"}));
+        net::write(known, net::buffer(std::string{"GET /again HTTP/1.1\r\nHost: a\r\n\r\n"}));
+    });
+    cr_assert(served::read_all(*late).ends_with("/late|"));
+    cr_assert(served::read_all(known).ends_with("/again|"), "nor one on a kept connection");
+    cr_assert(served::read_all(*mute).empty(), "nothing is held up by one who sent nothing");
+}
