Groups: one registry a node, shared by the managers of all failure domains and the router

A manager holds views of its own domain's runners only while it holds the domain's key, and begins with what the registry shows. The router rebuilds its targets from the heads, and only if one of them or a group's members changed. The time to wait before a claim is worked out when the peers change, not each beat.

Tests: the 19 of formation and 15 of registry_daemon as they were.

--- a/daemon/formation_driver.cc
+++ b/daemon/formation_driver.cc
@@ -7,8 +7,9 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-// Each manager is told everything that the registry shows, also of other domains: how many groups a
-// model has elsewhere decides what this domain needs.
+// All managers read the node's one registry. What changes there concerns only the manager of the
+// runner's failure domain, and that one only while it leads; so following the registry costs a node
+// that manages nothing no more than keeping it.
 
 namespace jaynotch {
 
@@ -32,8 +33,9 @@
 class formation_driver::impl : public std::enable_shared_from_this<impl> {
 public:
     impl(net::io_context& context, const daemon_settings& chosen, kv_service& service,
-         peer_service& others)
-        : io{context}, settings{chosen}, kv{service}, peers{others}, orders{context.get_executor()}
+         peer_service& others, groups::runner_registry& shown)
+        : io{context}, settings{chosen}, kv{service}, peers{others}, registry{shown},
+          orders{context.get_executor()}
     {}
 
     void start()
@@ -47,7 +49,7 @@
         };
         hooks.manages = [this](const failure_domain_id& domain) {
             const auto found = managers.find(domain);
-            return found != managers.end() && found->second.status(runtime_clock::now()).leading;
+            return found != managers.end() && found->second.leading(runtime_clock::now());
         };
         outage = std::make_shared<outage_inquiry>(io, settings, kv, peers, std::move(hooks));
     }
@@ -87,14 +89,12 @@
         chosen.own_domain = settings.failure_domain;
         chosen.domain = domain;
         groups::formation& made =
-            managers.emplace(domain, groups::formation{std::move(chosen)}).first->second;
+            managers.emplace(domain, groups::formation{std::move(chosen), registry}).first->second;
         tell_one(domain, made, groups::model_pools_seen{pools});
         tell_one(domain, made, groups::registry_current{current});
         tell_one(domain, made, groups::peers_seen{peer_rows()});
         if (traffic)
             tell_one(domain, made, groups::traffic_begun{});
-        for (const auto& [vm, row] : runners)
-            tell_one(domain, made, groups::runner_seen{row});
         const auto key = keys.find(groups::formation_key(settings.deployment, domain));
         tell_one(domain, made,
                  groups::manager_key_seen{key == keys.end() ? std::optional<kv_entry>{}
@@ -122,13 +122,10 @@
     /// another start than the registry's entry.
     bool install_word(const runner_word& word)
     {
-        const auto found = runners.find(word.vm);
-        if (found == runners.end() || found->second.born_ms != word.born_ms)
+        if (!registry.tell(word, runtime_clock::now()))
             return false;
-        found->second.group = word.group;
-        found->second.model = word.model;
         if (on_word)
-            on_word(found->second);
+            on_word();
         return true;
     }
 
@@ -136,13 +133,13 @@
     const daemon_settings& settings;
     kv_service& kv;
     peer_service& peers;
+    groups::runner_registry& registry;
     platform::order_client orders;
     std::map<failure_domain_id, groups::formation> managers;
-    std::map<vm_id, runner> runners;
     std::map<std::string, kv_entry> keys;
     std::vector<pool> pools;
     std::function<bool(const vm_id&)> hears;
-    std::function<void(const runner&)> on_word;
+    std::function<void()> on_word;
     std::shared_ptr<outage_inquiry> outage;
     std::uint64_t members_version = 0;
     bool current = false;
@@ -327,8 +324,9 @@
 };
 
 formation_driver::formation_driver(net::io_context& io, const daemon_settings& settings,
-                                   kv_service& kv, peer_service& peers)
-    : m_impl{std::make_shared<impl>(io, settings, kv, peers)}
+                                   kv_service& kv, peer_service& peers,
+                                   groups::runner_registry& registry)
+    : m_impl{std::make_shared<impl>(io, settings, kv, peers, registry)}
 {
     m_impl->traffic = !settings.first_start;
     m_impl->start();
@@ -348,7 +346,7 @@
     m_impl->hears = std::move(hears);
 }
 
-void formation_driver::on_word(std::function<void(const runner&)> handler)
+void formation_driver::on_word(std::function<void()> handler)
 {
     m_impl->on_word = std::move(handler);
 }
@@ -370,15 +368,14 @@
 
 void formation_driver::runner_seen(const runner& row)
 {
-    m_impl->runners[row.id] = row;
-    if (row.joins_groups())
-        m_impl->add_domain(row.failure_domain);
-    m_impl->tell(groups::runner_seen{row});
+    if (!row.joins_groups())
+        return;
+    m_impl->add_domain(row.failure_domain);
+    m_impl->tell_domain(row.failure_domain, groups::runner_seen{row});
 }
 
 void formation_driver::runner_gone(const vm_id& vm)
 {
-    m_impl->runners.erase(vm);
     m_impl->tell(groups::runner_gone{vm});
 }
 
@@ -453,7 +450,7 @@
 {
     std::vector<failure_domain_id> led;
     for (const auto& [domain, manager] : m_impl->managers) {
-        if (manager.status(runtime_clock::now()).leading)
+        if (manager.leading(runtime_clock::now()))
             led.push_back(domain);
     }
     return led;
@@ -462,8 +459,10 @@
 std::vector<groups::formation_status> formation_driver::status() const
 {
     std::vector<groups::formation_status> all;
-    for (const auto& [domain, manager] : m_impl->managers)
-        all.push_back(manager.status(runtime_clock::now()));
+    for (const auto& [domain, manager] : m_impl->managers) {
+        if (manager.leading(runtime_clock::now()))
+            all.push_back(manager.status(runtime_clock::now()));
+    }
     return all;
 }
 
--- a/daemon/formation_driver.h
+++ b/daemon/formation_driver.h
@@ -1,8 +1,8 @@
 // Drives the managers of groups (groups/formation.h), one for each failure domain that has runners:
 // hands them what the registry says and carries out what they want.
 //
-//   formation_driver managers{io, settings, kv, peers};
-//   managers.runner_seen(row);
+//   formation_driver managers{io, settings, kv, peers, registry};
+//   managers.runner_seen(row);        // once the registry has it
 //   managers.tick();                  // after each batch, and ten times a second
 #pragma once
 
@@ -31,8 +31,9 @@
 
 class formation_driver {
 public:
+    /// All of these must outlive the driver.
     formation_driver(boost::asio::io_context& io, const daemon_settings& settings, kv_service& kv,
-                     peer_service& peers);
+                     peer_service& peers, groups::runner_registry& registry);
     ~formation_driver();
     formation_driver(const formation_driver&) = delete;
     formation_driver& operator=(const formation_driver&) = delete;
@@ -49,7 +50,7 @@
     /// How this node knows whether requests reach a runner, for other nodes that ask.
     void on_asked(std::function<bool(const vm_id&)> hears);
     /// A runner's group changed while the registry could not tell.
-    void on_word(std::function<void(const runner&)> handler);
+    void on_word(std::function<void()> handler);
     void tick();
     /// Gives failure domains up, on a planned stop.
     boost::asio::awaitable<void> resign(resignation which);
@@ -57,7 +58,7 @@
 
     /// Failure domains that this node manages now.
     [[nodiscard]] std::vector<failure_domain_id> managed() const;
-    /// Of each failure domain whose runners are known.
+    /// Of each failure domain that this node manages.
     [[nodiscard]] std::vector<groups::formation_status> status() const;
 
 private:
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -73,13 +73,10 @@
         driver_hooks hooks;
         hooks.on_silent = [this](const target_silent& seen) { take_silence(seen); };
         requests = std::make_unique<request_driver>(io, std::move(core), kv, std::move(hooks));
-        managers = std::make_unique<formation_driver>(io, settings, kv, *peers);
+        managers = std::make_unique<formation_driver>(io, settings, kv, *peers, m_registry);
         managers->on_asked(
             [this](const vm_id& vm) { return requests->core().hears(vm, runtime_clock::now()); });
-        managers->on_word([this](const runner& row) {
-            m_view.take(row);
-            push_targets();
-        });
+        managers->on_word([this] { push_targets(); });
         feed = std::make_unique<registry_feed>(io, settings, kv, *peers, feed_hooks());
         services.reset(new relay_services{
             io, settings, *requests, servers, *spans, counted, counts, {}, {}, {}});
@@ -87,7 +84,7 @@
             return front_state{tables, m_stopping, false};
         });
         pages.reset(new registry_pages{
-            {settings, m_view, *peers, *requests, [this] { return tables; },
+            {settings, m_registry, *peers, *requests, [this] { return tables; },
              [this] { return ready(); }, [this] { return feed->current(); },
              [this] { return managers->managed(); }, [this] { return counts.in_flight; },
              [this] { return metrics_page(); }, runtime_clock::now()}});
@@ -206,11 +203,11 @@
             install(std::move(next));
         };
         hooks.on_runner = [this](const runner& row) {
-            m_view.take(row);
+            m_registry.take(row, runtime_clock::now());
             managers->runner_seen(row);
         };
         hooks.on_runner_gone = [this](const vm_id& id) {
-            m_view.drop(id);
+            m_registry.drop(id, runtime_clock::now());
             managers->runner_gone(id);
         };
         hooks.on_key = [this](const kv_entry& entry, bool there) {
@@ -244,13 +241,15 @@
         managers->install(*tables);
         requests->handle(tables_installed{*tables});
         m_pushed = {};
+        m_pushed_version.reset();
     }
 
     void push_targets()
     {
-        if (!tables)
+        if (!tables || m_pushed_version == m_registry.serving_version())
             return;
-        target_lists now = m_view.lists(*tables);
+        m_pushed_version = m_registry.serving_version();
+        target_lists now = targets_of(m_registry, *tables);
         if (now.same(m_pushed))
             return;
         requests->handle(groups_changed{now.groups});
@@ -335,8 +334,9 @@
     /// Before the peers are known, budgets are split as if there were this many nodes.
     static constexpr std::size_t least_fleet = 4;
 
-    target_view m_view;
+    groups::runner_registry m_registry;
     target_lists m_pushed;
+    std::optional<std::uint64_t> m_pushed_version; ///< of the registry; none: push again
     time_point m_installed; ///< of the tables in force
     std::size_t m_fleet_size = 0;
     timer m_timer;
--- a/daemon/registry_pages.cc
+++ b/daemon/registry_pages.cc
@@ -10,14 +10,15 @@
 
 namespace {
 
-using group_key = std::pair<group_id, std::int64_t>;
+using groups::group_key;
 
-std::map<group_key, std::map<std::uint32_t, const runner*>> groups_of(const target_view& view)
+std::map<group_key, std::map<std::uint32_t, const runner*>>
+groups_of(const groups::runner_registry& registry)
 {
     std::map<group_key, std::map<std::uint32_t, const runner*>> found;
-    for (const auto& [id, row] : view.runners()) {
-        if (row.group)
-            found[{row.group->group, row.group->epoch}][row.group->rank] = &row;
+    for (const auto& [id, entry] : registry.runners()) {
+        if (entry.listed && entry.row.group)
+            found[groups::key_of(*entry.row.group)][entry.row.group->rank] = &entry.row;
     }
     return found;
 }
@@ -115,7 +116,7 @@
             {"revision", revision},
             {"platform", m_sources.store_reached() ? "reachable" : "told by peers"},
             {"managing", std::move(managing)},
-            {"runners", m_sources.view.runners().size()},
+            {"runners", m_sources.registry.listed()},
             {"uptime_s", uptime.count()},
             {"in_flight", m_sources.in_flight()}};
 }
@@ -138,7 +139,7 @@
 boost::json::object registry_pages::groups_page() const
 {
     boost::json::array rows;
-    for (const auto& [key, members] : groups_of(m_sources.view))
+    for (const auto& [key, members] : groups_of(m_sources.registry))
         rows.push_back(group_row(key, members));
     return {{"groups", std::move(rows)}};
 }
--- a/daemon/registry_pages.h
+++ b/daemon/registry_pages.h
@@ -7,7 +7,7 @@
 
 #include "daemon/request_driver.h"
 #include "daemon/settings.h"
-#include "daemon/target_view.h"
+#include "groups/groups.h"
 #include "http/http_exchange.h"
 #include "peers/peers.h"
 
@@ -21,7 +21,7 @@
 /// Where the pages come from.
 struct registry_page_sources {
     const daemon_settings& settings;
-    const target_view& view;
+    const groups::runner_registry& registry;
     peer_service& peers;
     request_driver& requests;
     std::function<std::shared_ptr<const configuration>()> tables;
--- a/daemon/target_view.cc
+++ b/daemon/target_view.cc
@@ -9,8 +9,6 @@
 
 namespace {
 
-using group_key = std::pair<group_id, std::int64_t>;
-
 const pool* pool_for(const configuration& tables, const runner& row)
 {
     for (const pool& one : tables.pools) {
@@ -50,43 +48,26 @@
     return same_list(groups, other.groups) && same_list(servers, other.servers);
 }
 
-void target_view::take(const runner& row)
-{
-    m_runners[row.id] = row;
-}
-
-void target_view::drop(const vm_id& id)
-{
-    m_runners.erase(id);
-}
-
-target_lists target_view::lists(const configuration& tables) const
+target_lists targets_of(const groups::runner_registry& registry, const configuration& tables)
 {
-    std::map<group_key, std::uint32_t> members;
-    for (const auto& [id, row] : m_runners) {
-        if (row.group)
-            ++members[{row.group->group, row.group->epoch}];
-    }
     target_lists made;
-    for (const auto& [id, row] : m_runners) {
-        const pool* kind = pool_for(tables, row);
-        if (kind == nullptr)
-            continue;
-        if (kind->kind == pool_kind::plain) {
+    for (const vm_id& id : registry.plain_servers()) {
+        const runner& row = registry.find(id)->row;
+        if (const pool* kind = pool_for(tables, row))
             made.servers.push_back(to_target(row, *kind));
+    }
+    for (const vm_id& id : registry.heads()) {
+        const runner& row = registry.find(id)->row;
+        const pool* kind = row.group->phase == member_phase::open ? pool_for(tables, row) : nullptr;
+        if (kind == nullptr)
             continue;
-        }
-        const bool serves =
-            row.group && row.group->rank == 0 && row.group->phase == member_phase::open;
-        if (!serves)
-            continue;
+        const groups::group_key key = groups::key_of(*row.group);
         target group = to_target(row, *kind);
-        group.id = target_id{row.group->group.value() + "/" + std::to_string(row.group->epoch)};
-        group.group = row.group->group;
-        group.fencing = fencing_number{row.group->epoch};
+        group.id = target_id{key.first.value() + "/" + std::to_string(key.second)};
+        group.group = key.first;
+        group.fencing = fencing_number{key.second};
         group.version = kind->model;
-        group.leaving =
-            group.leaving || members[{row.group->group, row.group->epoch}] < kind->replica_vms;
+        group.leaving = group.leaving || registry.members_of(key) < kind->replica_vms;
         made.groups.push_back(std::move(group));
     }
     return made;
--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -48,7 +48,7 @@
     for (std::size_t index = 0; index < settings.managers; ++index)
         m_peers.push_back({node_id{"node-" + std::to_string(index)}, failure_domain_id{"f"}});
     for (std::size_t index = 0; index < settings.managers; ++index) {
-        m_managers.push_back({make_core(index)});
+        m_managers.push_back(make_manager(index));
         tell_start(index);
     }
     for (std::size_t domain = 0; domain < settings.domains; ++domain) {
@@ -59,14 +59,16 @@
     }
 }
 
-formation fake_registry::make_core(std::size_t manager) const
+fake_registry::fake_manager fake_registry::make_manager(std::size_t manager) const
 {
     formation_settings chosen;
     chosen.deployment = "test";
     chosen.self = m_peers[manager].node;
     chosen.own_domain = m_peers[manager].failure_domain;
     chosen.domain = m_peers[manager].failure_domain;
-    return formation{chosen};
+    auto known = std::make_unique<runner_registry>();
+    formation core{chosen, *known};
+    return {std::move(known), std::move(core)};
 }
 
 void fake_registry::tell_start(std::size_t manager)
@@ -85,7 +87,7 @@
 
 void fake_registry::start_manager(std::size_t index)
 {
-    m_managers[index] = {make_core(index)};
+    m_managers[index] = make_manager(index);
     tell_start(index);
 }
 
@@ -221,6 +223,11 @@
 {
     if (!m_managers[manager].alive)
         return;
+    runner_registry& known = *m_managers[manager].known;
+    if (const auto* seen = std::get_if<runner_seen>(&event))
+        known.take(seen->row, m_now);
+    else if (const auto* gone = std::get_if<runner_gone>(&event))
+        known.drop(gone->vm, m_now);
     for (const formation_command& command : m_managers[manager].core.handle(event, m_now))
         carry_out(manager, command);
 }
@@ -241,6 +248,7 @@
     }
     else if (const auto* told = std::get_if<share_runner>(&command)) {
         for (std::size_t other = 0; other < m_managers.size(); ++other) {
+            m_managers[other].known->tell(told->word, m_now);
             if (other != manager)
                 tell(other, runner_told{told->word});
         }
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -105,6 +105,7 @@
         time_point staged_at = time_point::max();
     };
     struct fake_manager {
+        std::unique_ptr<runner_registry> known;
         formation core;
         bool alive = true;
     };
@@ -115,7 +116,7 @@
         bool answered = true;
     };
 
-    formation make_core(std::size_t manager) const;
+    fake_manager make_manager(std::size_t manager) const;
     void tell_start(std::size_t manager);
     void unlist(fake_runner& gone);
     void step();
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -19,13 +19,14 @@
     return std::string{deployment} + "/manager/" + domain.value();
 }
 
-formation::state::state(formation_settings given)
+formation::state::state(formation_settings given, const runner_registry& shared)
     : settings{std::move(given)}, vote{{.key = formation_key(settings.deployment, settings.domain),
-                                        .self = settings.self}}
+                                        .self = settings.self}},
+      known{shared}
 {}
 
-formation::formation(formation_settings settings)
-    : m_state{std::make_unique<state>(std::move(settings))}
+formation::formation(formation_settings settings, const runner_registry& known)
+    : m_state{std::make_unique<state>(std::move(settings), known)}
 {}
 
 formation::~formation() = default;
@@ -48,6 +49,11 @@
     return commands;
 }
 
+bool formation::leading(time_point now) const
+{
+    return m_state->vote.leading(now);
+}
+
 formation_status formation::status(time_point now) const
 {
     const state& core = *m_state;
@@ -57,7 +63,7 @@
     told.term = core.vote.term();
     told.orders = core.orders;
     for (const auto& [vm, view] : core.runners) {
-        if (!view.listed || !core.managed(view.row))
+        if (!view.listed)
             continue;
         const bool spare =
             !view.row.group || core.warms_up({view.row.group->group, view.row.group->epoch});
@@ -135,31 +141,62 @@
         void operator()(const outage_confirmed& e) const { core.vote.outage_confirmed(e.asked); }
         void operator()(const outage_conceded& /*e*/) const { core.vote.stand_back(now); }
         void operator()(const runner_told& e) const { core.take_word(e.word, now); }
-        void operator()(const peers_seen& e) const { core.peers = e.peers; }
+        void operator()(const peers_seen& e) const
+        {
+            core.peers = e.peers;
+            core.delay_before_claim.reset();
+        }
         void operator()(const traffic_begun& /*e*/) const { core.traffic = true; }
         void operator()(const formation_tick& /*e*/) const { core.run_tick(now); }
     };
     std::visit(visitor{*this, now}, happened);
 }
 
+/// Begins to manage with what the registry shows of the domain.
+void formation::state::adopt_runners()
+{
+    managing = true;
+    for (const auto& [vm, entry] : known.runners()) {
+        if (!managed(entry.row))
+            continue;
+        runner_view& view = runners[vm];
+        view.row = entry.row;
+        view.warm = entry.warm;
+        view.listed = entry.listed;
+        view.unlisted_at = entry.unlisted_at;
+        view.leaving_since = entry.leaving_since;
+        view.told_at = entry.told_at;
+    }
+    index_runners();
+}
+
+void formation::state::release_runners()
+{
+    managing = false;
+    by_fabric.clear();
+    runners.clear();
+    planned.clear();
+}
+
+void formation::state::index_runners()
+{
+    by_fabric.clear();
+    for (auto& [vm, view] : runners)
+        by_fabric[view.row.fabric_domain].push_back(&view);
+}
+
 void formation::state::take_runner(const runner& row, time_point now)
 {
-    if (!row.joins_groups())
+    if (!managing || !managed(row))
         return;
-    if (first_runner == time_point{})
-        first_runner = now;
-    domains.insert(row.failure_domain);
     const auto [found, fresh] = runners.try_emplace(row.id);
     runner_view& view = found->second;
-    if (fresh)
-        last_runner = now;
     const bool reborn = !fresh && view.row.born_ms != row.born_ms;
+    const bool moved = fresh || view.row.fabric_domain != row.fabric_domain;
     if (reborn)
         view = runner_view{};
     if (row.leaving && (fresh || reborn || !view.row.leaving))
         view.leaving_since = now;
-    if (row.group)
-        first_seen.try_emplace({row.group->group, row.group->epoch}, now);
     view.row = row;
     view.listed = true;
     view.dead = false; // it has just written its entry
@@ -169,6 +206,8 @@
         std::find(row.staged.begin(), row.staged.end(), view.staging) != row.staged.end();
     if (staged)
         view.staging.clear();
+    if (moved)
+        index_runners();
 }
 
 void formation::state::drop_runner(const vm_id& vm, time_point now)
@@ -248,20 +287,28 @@
 void formation::state::take_silence(const vm_id& head)
 {
     const runner_view* view = find(head);
-    if (view == nullptr || !view->row.group || !managed(view->row))
+    if (view == nullptr || !view->row.group)
         return;
-    const group_key key{view->row.group->group, view->row.group->epoch};
+    const group_key key = key_of(*view->row.group);
     for (const auto& [vm, other] : runners) {
         if (is_in(other, key) && !other.silent)
             out.emplace_back(probe_member{vm, other.row.address});
     }
 }
 
-std::optional<duration> formation::state::patience() const
+std::optional<duration> formation::state::patience()
 {
-    if (!registry_is_current || runners.empty())
+    if (!registry_is_current || known.runners().empty())
         return std::nullopt;
-    constexpr duration turn = 150ms; ///< nodes claim one after the other, not all at once
+    if (!delay_before_claim)
+        delay_before_claim = claim_delay();
+    return delay_before_claim;
+}
+
+/// Nodes claim one after the other, not all at once, those of the domain first.
+duration formation::state::claim_delay() const
+{
+    constexpr duration turn = 150ms;
     std::vector<std::string> near;
     std::vector<std::string> far;
     for (const peer_row& peer : peers)
@@ -293,26 +340,28 @@
     if (leading != was_leading)
         say(log_level::info, leading ? "manager_elected" : "manager_ended", settings.domain.value(),
             "term " + std::to_string(vote.term()));
-    if (leading && vote.term() != number_term) {
+    was_leading = leading;
+    const bool holds_key = vote.term() != 0;
+    const bool new_term = holds_key && vote.term() != number_term;
+    if (managing && (!holds_key || new_term))
+        release_runners();
+    if (new_term) {
         number_term = vote.term();
         last_number = 0;
-        planned.clear();
-        for (auto& [vm, view] : runners)
-            view.vouched = false;
     }
-    was_leading = leading;
+    if (holds_key && !managing)
+        adopt_runners();
 }
 
 void formation::state::forget_lost(time_point now)
 {
     constexpr duration keep_unlisted = 120s; // its group may outlive its entry behind a cut
-    std::erase_if(runners, [&](const auto& entry) {
+    const std::size_t forgotten = std::erase_if(runners, [&](const auto& entry) {
         return !entry.second.listed && now - entry.second.unlisted_at > keep_unlisted;
     });
-    std::set<group_key> named;
+    if (forgotten > 0)
+        index_runners();
     for (auto& [vm, view] : runners) {
-        if (view.row.group)
-            named.emplace(view.row.group->group, view.row.group->epoch);
         if (view.silent && now >= view.silent_until)
             doubt_silent(view, now);
         if (!view.staging.empty() && now >= view.staging_until)
@@ -320,7 +369,6 @@
         if (view.pending && now - view.pending_since > 2 * settings.order_timeout)
             view.pending.reset();
     }
-    std::erase_if(first_seen, [&](const auto& entry) { return !named.contains(entry.first); });
 }
 
 void formation::state::run_tick(time_point now)
@@ -345,7 +393,7 @@
     use_said = now;
     std::map<std::string, std::size_t> counts;
     for (const auto& [vm, view] : runners) {
-        if (managed(view.row) && view.listed)
+        if (view.listed)
             ++counts[view.row.fabric_domain.value() + " " + use_of(view)];
     }
     std::string told;
--- a/groups/formation.h
+++ b/groups/formation.h
@@ -1,16 +1,18 @@
 // The manager of one failure domain's groups where runners register themselves: decides which of
 // them form which groups, and orders them to.
 //
-//   formation manager{{.self = node, .domain = failure_domain, ...}};
+//   formation manager{{.self = node, .domain = failure_domain, ...}, registry};
 //   run(manager.handle(runner_seen{row}, now));        // the registry, as it changes
 //   run(manager.handle(formation_tick{}, now));        // ten times a second or more
 //
 // No record of assignments is kept: every runner tells the registry which group it is in, so a
 // manager that takes over sees what the one before it did. Every daemon runs one of these for each
-// failure domain; the one that holds the domain's key orders, the others only follow the registry.
+// failure domain; the one that holds the domain's key orders. The others keep nothing of runners:
+// whoever takes the key begins with what the node's registry shows.
 #pragma once
 
 #include "groups/election.h"
+#include "groups/runner_registry.h"
 #include "groups/types.h"
 #include "outside/runner.h"
 #include "tables/tables.h"
@@ -26,7 +28,8 @@
 
 // Events.
 
-/// A runner's entry is new or has changed. Rows of all failure domains are welcome.
+/// A runner's entry is new or has changed; the registry has been told. Rows of all failure domains
+/// are welcome.
 struct runner_seen {
     runner row;
 };
@@ -164,7 +167,8 @@
 /// Pure: no clock, no sockets, no threads.
 class formation {
 public:
-    explicit formation(formation_settings settings);
+    /// `known` is shared by all managers of a node and must outlive them.
+    formation(formation_settings settings, const runner_registry& known);
     ~formation();
     formation(formation&&) noexcept;
     formation& operator=(formation&&) noexcept;
@@ -174,6 +178,9 @@
     formation_commands handle(const formation_event& happened, time_point now);
     /// Gives the domain up, on a planned stop.
     formation_commands resign();
+    /// Whether this node orders the domain's runners now.
+    [[nodiscard]] bool leading(time_point now) const;
+    /// Counts are of the runners as the manager knows them; zero where it does not lead.
     [[nodiscard]] formation_status status(time_point now) const;
 
 private:
--- a/groups/formation_groups.cc
+++ b/groups/formation_groups.cc
@@ -68,7 +68,7 @@
 {
     std::map<group_key, seen_group> all;
     for (const auto& [vm, view] : runners) {
-        if (!view.row.group || !managed(view.row))
+        if (!view.row.group)
             continue;
         const membership& said = *view.row.group;
         seen_group& group = all[{said.group, said.epoch}];
@@ -251,8 +251,21 @@
                            });
     // The manager before this one had it formed; who else belongs to it is not known here. One that
     // has been in the registry for longer was whole and has lost somebody.
-    const auto since = first_seen.find(key);
-    return since != first_seen.end() && now - since->second < settings.adopt_wait;
+    const std::optional<time_point> since = first_seen(key);
+    return since && now - *since < settings.adopt_wait;
+}
+
+/// When the composition first stood in the registry, or else when a member first told of it.
+std::optional<time_point> formation::state::first_seen(const group_key& key) const
+{
+    std::optional<time_point> since = known.first_seen(key);
+    if (since)
+        return since;
+    for (const auto& [vm, view] : runners) {
+        if (is_in(view, key) && (!since || view.told_at < *since))
+            since = view.told_at;
+    }
+    return since;
 }
 
 } // namespace jaynotch::groups
--- a/groups/formation_plan.cc
+++ b/groups/formation_plan.cc
@@ -54,36 +54,31 @@
 std::vector<runner_view*> formation::state::free_in(const fabric_domain_id& domain, time_point now)
 {
     std::vector<runner_view*> free;
-    for (auto& [vm, view] : runners) {
-        const bool usable = view.row.fabric_domain == domain && managed(view.row) &&
-                            standing(view) && !view.row.leaving && !view.pending &&
-                            now >= view.not_before;
+    for (runner_view* view : by_fabric.at(domain)) {
+        const bool usable = standing(*view) && !view->row.leaving && !view->pending &&
+                            now >= view->not_before;
         // One whose entry names a group has to leave it first, whatever its head last said: an open
         // order that was lost may still be carried out there.
-        if (!usable || view.row.group)
+        if (!usable || view->row.group)
             continue;
-        if (view.vouched)
-            free.push_back(&view);
+        if (view->vouched)
+            free.push_back(view);
         else
-            ask(view, now);
+            ask(*view, now);
     }
     return free;
 }
 
-std::vector<fabric_domain_id> formation::state::own_fabric_domains() const
-{
-    std::set<fabric_domain_id> found;
-    for (const auto& [vm, view] : runners) {
-        if (managed(view.row))
-            found.insert(view.row.fabric_domain);
-    }
-    return {found.begin(), found.end()};
-}
-
-/// Models with their groups for their share, the fewest first.
-std::vector<std::pair<double, const pool*>> formation::state::ranked_by_need() const
+/// The models in the order of their groups for their share, the fewest first.
+std::vector<needed_model> formation::state::ranked_by_need() const
 {
     std::map<std::string, double> groups;
+    for (const auto& [domain, heads] : known.heads_by_domain()) {
+        if (domain == settings.domain)
+            continue;
+        for (const auto& [model, count] : heads)
+            groups[model] += static_cast<double>(count);
+    }
     for (const auto& [vm, view] : runners) {
         const bool head = view.listed && view.row.group && view.row.group->rank == 0;
         if (!head || warms_up({view.row.group->group, view.row.group->epoch}))
@@ -91,31 +86,24 @@
         const auto plan = planned.find({view.row.group->group, view.row.group->epoch});
         groups[plan == planned.end() ? view.row.model : plan->second.model] += 1.0;
     }
-    std::vector<std::pair<double, const pool*>> ranked;
+    std::vector<needed_model> ranked;
     for (const pool& kind : pools) {
         const double wanted = std::max(kind.forming.share, 0.01) / kind.replica_vms;
-        ranked.emplace_back(groups[kind.model] / wanted, &kind);
+        ranked.push_back({groups[kind.model] / wanted, &kind});
     }
-    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
-        return a.first != b.first ? a.first < b.first : a.second->name < b.second->name;
+    std::sort(ranked.begin(), ranked.end(), [](const needed_model& a, const needed_model& b) {
+        return a.groups_for_share != b.groups_for_share ? a.groups_for_share < b.groups_for_share
+                                                        : a.kind->name < b.kind->name;
     });
     return ranked;
 }
 
-std::vector<const pool*> formation::state::by_need() const
-{
-    std::vector<const pool*> sorted;
-    for (const auto& [groups_for_share, kind] : ranked_by_need())
-        sorted.push_back(kind);
-    return sorted;
-}
-
 /// Takes one load out of this domain's part of the weight store's rate, if there is one.
 bool formation::state::may_load(const pool& kind, time_point now)
 {
     if (!traffic || kind.forming.loads_per_s <= 0.0)
         return true;
-    const auto parts = static_cast<double>(std::max<std::size_t>(1, domains.size()));
+    const auto parts = static_cast<double>(std::max<std::size_t>(1, known.heads_by_domain().size()));
     const double passed = std::chrono::duration<double>(now - tokens_at).count();
     tokens_at = now;
     load_tokens = std::min(load_burst, load_tokens + passed * kind.forming.loads_per_s / parts);
@@ -180,29 +168,16 @@
     return true;
 }
 
-std::map<fabric_domain_id, domain_room> formation::state::rooms() const
-{
-    std::map<fabric_domain_id, domain_room> found;
-    for (const auto& [vm, view] : runners) {
-        if (!view.listed || view.row.leaving)
-            continue;
-        domain_room& room = found[view.row.fabric_domain];
-        room.failure_domain = view.row.failure_domain;
-        ++room.runners;
-    }
-    return found;
-}
-
 /// Fills every fabric domain of the own failure domain as the allotment of the whole fleet says.
 void formation::state::form_early(time_point now)
 {
-    const bool settled =
-        now - last_runner >= settings.settled_after || now - first_runner >= settings.settled_by;
+    const bool settled = now - known.last_joined() >= settings.settled_after ||
+                         now - known.first_joined() >= settings.settled_by;
     if (!settled)
         return;
-    if (!allotted || last_runner != allotted_for) {
-        allotted = allot(pools, rooms());
-        allotted_for = last_runner;
+    if (!allotted || known.last_joined() != allotted_for) {
+        allotted = allot(pools, known.rooms());
+        allotted_for = known.last_joined();
     }
     std::map<fabric_domain_id, std::map<std::string, std::uint32_t>> formed;
     for (const auto& [key, plan] : planned) {
@@ -210,9 +185,8 @@
         if (head != nullptr && plan.purpose == group_purpose::serve)
             ++formed[head->row.fabric_domain][plan.model];
     }
-    const std::vector<fabric_domain_id> own = own_fabric_domains();
     for (const auto& [domain, counts] : *allotted) {
-        if (std::find(own.begin(), own.end(), domain) == own.end())
+        if (!by_fabric.contains(domain))
             continue;
         for (std::size_t index = 0; index < counts.size(); ++index) {
             const pool& kind = pools[index];
@@ -227,11 +201,10 @@
 {
     const pool* largest = nullptr;
     for (const pool& kind : pools) {
-        const bool here = std::any_of(runners.begin(), runners.end(), [&](const auto& entry) {
-            const runner_view& view = entry.second;
-            return view.listed && view.row.fabric_domain == domain && view.row.group &&
-                   view.row.group->rank == 0 && view.row.model == kind.model &&
-                   !warms_up({view.row.group->group, view.row.group->epoch});
+        const std::vector<runner_view*>& there = by_fabric.at(domain);
+        const bool here = std::any_of(there.begin(), there.end(), [&](const runner_view* view) {
+            return view->listed && view->row.group && view->row.group->rank == 0 &&
+                   view->row.model == kind.model && !warms_up(key_of(*view->row.group));
         });
         if (here && (largest == nullptr || kind.replica_vms > largest->replica_vms))
             largest = &kind;
@@ -245,7 +218,8 @@
 /// two or three runners with another model would wait beside a broken group that they could make
 /// whole.
 const pool* formation::state::model_to_stage(const fabric_domain_id& domain,
-                                             const std::vector<runner_view*>& spare) const
+                                             const std::vector<runner_view*>& spare,
+                                             const std::vector<needed_model>& ranked) const
 {
     const pool* const largest = largest_in(domain);
     const auto guards = std::count_if(spare.begin(), spare.end(), [&](const runner_view* view) {
@@ -262,14 +236,12 @@
     std::size_t best_lack = 0;
     double best_need = 0.0;
     double largest_need = 0.0;
-    for (const auto& ranked : ranked_by_need()) {
-        const double groups_for_share = ranked.first;
-        const pool* const kind = ranked.second;
+    for (const auto& [groups_for_share, kind] : ranked) {
         if (kind == largest)
             largest_need = groups_for_share;
         const auto have = static_cast<std::size_t>(
-            std::count_if(spare.begin(), spare.end(), [&](const runner_view* view) {
-                return view->staging == kind->model || has_staged(*view, kind->model);
+            std::count_if(spare.begin(), spare.end(), [model = kind->model](const runner_view* view) {
+                return view->staging == model || has_staged(*view, model);
             }));
         const std::size_t lack = kind->replica_vms - have % kind->replica_vms;
         // A model that has clearly fewer groups for its share goes first, however many runners its
@@ -286,13 +258,14 @@
     return best_lack > bare && largest != nullptr && !lacking ? largest : best;
 }
 
-void formation::state::stage_spares(const fabric_domain_id& domain, time_point now)
+void formation::state::stage_spares(const fabric_domain_id& domain,
+                                    const std::vector<needed_model>& ranked, time_point now)
 {
     const std::vector<runner_view*> spare = free_in(domain, now);
     for (runner_view* view : spare) {
         if (is_prepared(*view, pools))
             continue;
-        const pool* kind = model_to_stage(domain, spare);
+        const pool* kind = model_to_stage(domain, spare, ranked);
         if (kind == nullptr || !may_load(*kind, now))
             return;
         if (order(*view, stage_model{kind->model}, now)) {
@@ -322,14 +295,14 @@
 {
     if (!traffic)
         form_early(now);
-    const std::vector<fabric_domain_id> own = own_fabric_domains();
-    for (const fabric_domain_id& domain : own) {
-        for (const pool* kind : by_need()) {
-            while (form_one(domain, *kind, kind->forming.warm_up, now)) {
+    const std::vector<needed_model> ranked = ranked_by_need();
+    for (const auto& [domain, members] : by_fabric) {
+        for (const needed_model& needed : ranked) {
+            while (form_one(domain, *needed.kind, needed.kind->forming.warm_up, now)) {
             }
         }
-        if (traffic || now - first_runner >= 2 * settings.settled_by) {
-            stage_spares(domain, now);
+        if (traffic || now - known.first_joined() >= 2 * settings.settled_by) {
+            stage_spares(domain, ranked, now);
             if (settings.mechanisms.has(mechanism::warm_spares))
                 warm_spares(domain, now);
         }
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -7,7 +7,7 @@
 
 namespace jaynotch::groups {
 
-/// One runner as the manager knows it.
+/// One runner of the domain as its manager knows it.
 struct runner_view {
     runner row;
     std::string warm;   ///< model of the last group of this life: joins to it are quick
@@ -50,6 +50,12 @@
     time_point give_up;         ///< dissolved if it isn't whole by then
 };
 
+/// A model with its groups for its share of the work.
+struct needed_model {
+    double groups_for_share = 0.0;
+    const pool* kind = nullptr;
+};
+
 /// A composition as the registry shows it.
 struct seen_group {
     group_id group;
@@ -57,21 +63,21 @@
     std::map<std::uint32_t, vm_id> members; ///< by rank
 };
 
-/// A composition's name and epoch.
-using group_key = std::pair<group_id, std::int64_t>;
-
 /// Whether the runner's entry names this composition.
 inline bool is_in(const runner_view& view, const group_key& key)
 {
-    return view.row.group && view.row.group->group == key.first &&
-           view.row.group->epoch == key.second;
+    return view.row.group && view.row.group->epoch == key.second &&
+           view.row.group->group == key.first;
 }
 
 struct formation::state {
-    explicit state(formation_settings given);
+    state(formation_settings given, const runner_registry& shared);
 
     // formation.cc: events
     void take(const formation_event& happened, time_point now);
+    void adopt_runners();
+    void release_runners();
+    void index_runners();
     void take_runner(const runner& row, time_point now);
     void drop_runner(const vm_id& vm, time_point now);
     void take_answer(const order_answered& answer, time_point now);
@@ -89,7 +95,8 @@
     void doubt_silent(runner_view& view, time_point now);
     void run_election(time_point now);
     void forget_lost(time_point now);
-    [[nodiscard]] std::optional<duration> patience() const;
+    [[nodiscard]] std::optional<duration> patience();
+    [[nodiscard]] duration claim_delay() const;
     void say_use(time_point now);
     [[nodiscard]] std::string use_of(const runner_view& view) const;
     void say(log_level level, std::string kind, std::string subject, std::string detail);
@@ -110,6 +117,7 @@
     [[nodiscard]] bool standing(const runner_view& view) const;
     [[nodiscard]] bool whole(const seen_group& seen, const pool& kind) const;
     [[nodiscard]] bool coming_together(const group_key& key, time_point now) const;
+    [[nodiscard]] std::optional<time_point> first_seen(const group_key& key) const;
     void join_again(time_point now);
 
     // formation_plan.cc: what is made of free runners
@@ -117,15 +125,14 @@
     bool form_one(const fabric_domain_id& domain, const pool& kind, duration longest,
                   time_point now);
     void form_early(time_point now);
-    [[nodiscard]] std::map<fabric_domain_id, domain_room> rooms() const;
-    void stage_spares(const fabric_domain_id& domain, time_point now);
+    void stage_spares(const fabric_domain_id& domain, const std::vector<needed_model>& ranked,
+                      time_point now);
     [[nodiscard]] const pool* largest_in(const fabric_domain_id& domain) const;
     [[nodiscard]] const pool* model_to_stage(const fabric_domain_id& domain,
-                                             const std::vector<runner_view*>& spare) const;
+                                             const std::vector<runner_view*>& spare,
+                                             const std::vector<needed_model>& ranked) const;
     [[nodiscard]] std::vector<runner_view*> free_in(const fabric_domain_id& domain, time_point now);
-    [[nodiscard]] std::vector<fabric_domain_id> own_fabric_domains() const;
-    [[nodiscard]] std::vector<std::pair<double, const pool*>> ranked_by_need() const;
-    [[nodiscard]] std::vector<const pool*> by_need() const;
+    [[nodiscard]] std::vector<needed_model> ranked_by_need() const;
     [[nodiscard]] duration ready_in(const runner_view& view, const pool& kind) const;
     [[nodiscard]] bool may_load(const pool& kind, time_point now);
     void warm_spares(const fabric_domain_id& domain, time_point now);
@@ -140,20 +147,21 @@
 
     formation_settings settings;
     election vote;
-    std::map<vm_id, runner_view> runners; ///< of all failure domains
+    const runner_registry& known;
+    bool managing = false;                ///< holds the domain's key, and so the runners' views
+    std::map<vm_id, runner_view> runners; ///< of the domain, while it manages
+    /// The runners by fabric domain.
+    std::map<fabric_domain_id, std::vector<runner_view*>> by_fabric;
     std::vector<pool> pools;              ///< of models
     std::vector<peer_row> peers;
     std::map<group_key, planned_group> planned;
-    /// When a composition first stood in the registry, also while this node did not manage it.
-    std::map<group_key, time_point> first_seen;
-    std::set<failure_domain_id> domains; ///< that have runners
+    /// Worked out anew when the peers change.
+    std::optional<duration> delay_before_claim;
     bool registry_is_current = false;
     bool traffic = false;
     bool was_leading = false;
     std::optional<allotment> allotted; ///< once the registry has settled
     time_point allotted_for;           ///< the last runner that it counts
-    time_point first_runner;
-    time_point last_runner;       ///< when one was first seen last
     std::int64_t last_number = 0; ///< of the groups of this term
     std::int64_t number_term = 0;
     std::uint64_t last_token = 0;
--- a/groups/groups.h
+++ b/groups/groups.h
@@ -12,5 +12,6 @@
 #include "groups/formation.h"
 #include "groups/manager.h"
 #include "groups/record.h"
+#include "groups/runner_registry.h"
 #include "groups/ticket_board.h"
 #include "groups/types.h"
--- /dev/null
+++ b/groups/runner_registry.cc
@@ -0,0 +1,198 @@
+// Every change takes the runner's old entry out of all counts, changes it and counts it again, so
+// that the counts can't drift from the entries.
+#include "groups/runner_registry.h"
+
+#include <algorithm>
+
+namespace jaynotch::groups {
+
+namespace {
+
+/// A group may outlive the entry of a member that is cut off.
+constexpr duration keep_unlisted = std::chrono::seconds{120};
+
+bool is_head(const runner& row)
+{
+    return row.group && row.group->rank == 0;
+}
+
+/// What the router goes by: all of a head or plain server, and of others only their group.
+struct serving_part {
+    explicit serving_part(const registered_runner& entry)
+    {
+        const runner& row = entry.row;
+        if (row.group)
+            group = key_of(*row.group);
+        listed = entry.listed;
+        if (is_head(row) || !row.joins_groups())
+            served = row;
+    }
+
+    std::optional<group_key> group;
+    std::optional<runner> served;
+    bool listed = false;
+
+    friend bool operator==(const serving_part&, const serving_part&) = default;
+};
+
+} // namespace
+
+void runner_registry::take(const runner& row, time_point now)
+{
+    forget_unlisted(now);
+    const auto [found, fresh] = m_runners.try_emplace(row.id);
+    const registered_runner& known = found->second;
+    if (known.listed && known.row == row)
+        return;
+    if (row.joins_groups() && m_first_joined == time_point{})
+        m_first_joined = now;
+    if (row.joins_groups() && !known.listed)
+        m_last_joined = now;
+    change(found->second, now, [&](registered_runner& entry) {
+        if (entry.row.born_ms != row.born_ms)
+            entry = registered_runner{};
+        if (row.leaving && !entry.row.leaving)
+            entry.leaving_since = now;
+        entry.row = row;
+        entry.listed = true;
+        if (!row.model.empty())
+            entry.warm = row.model;
+    });
+}
+
+void runner_registry::drop(const vm_id& vm, time_point now)
+{
+    forget_unlisted(now);
+    const auto found = m_runners.find(vm);
+    if (found == m_runners.end() || !found->second.listed)
+        return;
+    change(found->second, now, [&](registered_runner& entry) {
+        entry.listed = false;
+        entry.unlisted_at = now;
+    });
+    m_unlisted.emplace_back(now, vm);
+}
+
+bool runner_registry::tell(const runner_word& word, time_point now)
+{
+    const auto found = m_runners.find(word.vm);
+    if (found == m_runners.end() || !found->second.listed)
+        return false;
+    const runner& known = found->second.row;
+    if (word.born_ms != 0 && word.born_ms != known.born_ms)
+        return false;
+    if (known.group == word.group && known.model == word.model)
+        return true;
+    change(found->second, now, [&](registered_runner& entry) {
+        entry.row.group = word.group;
+        entry.row.model = word.model;
+        entry.told_at = now;
+        if (!word.model.empty())
+            entry.warm = word.model;
+    });
+    return true;
+}
+
+void runner_registry::change(registered_runner& entry, time_point now,
+                             const std::function<void(registered_runner&)>& edit)
+{
+    const serving_part before{entry};
+    uncount(entry);
+    edit(entry);
+    count(entry, now);
+    if (before.group)
+        forget_unnamed(*before.group);
+    if (serving_part{entry} != before)
+        ++m_serving_version;
+}
+
+const registered_runner* runner_registry::find(const vm_id& vm) const
+{
+    const auto found = m_runners.find(vm);
+    return found == m_runners.end() ? nullptr : &found->second;
+}
+
+std::size_t runner_registry::members_of(const group_key& key) const
+{
+    const auto found = m_compositions.find(key);
+    return found == m_compositions.end() ? 0 : found->second.listed;
+}
+
+std::optional<time_point> runner_registry::first_seen(const group_key& key) const
+{
+    const auto found = m_compositions.find(key);
+    return found == m_compositions.end() ? std::nullopt
+                                         : std::optional{found->second.first_seen};
+}
+
+void runner_registry::count(const registered_runner& entry, time_point now)
+{
+    const runner& row = entry.row;
+    if (row.group) {
+        const auto [found, fresh] = m_compositions.try_emplace(key_of(*row.group));
+        if (fresh)
+            found->second.first_seen = now;
+        ++found->second.named;
+        found->second.listed += entry.listed ? 1 : 0;
+    }
+    model_counts* heads = row.joins_groups() ? &m_heads_by_domain[row.failure_domain] : nullptr;
+    if (!entry.listed)
+        return;
+    ++m_listed;
+    if (heads == nullptr) {
+        m_plain.insert(row.id);
+        return;
+    }
+    if (is_head(row)) {
+        m_heads.insert(row.id);
+        ++(*heads)[row.model];
+    }
+    if (!row.leaving) {
+        domain_room& room = m_rooms[row.fabric_domain];
+        room.failure_domain = row.failure_domain;
+        ++room.runners;
+    }
+}
+
+void runner_registry::uncount(const registered_runner& entry)
+{
+    const runner& row = entry.row;
+    if (row.group) {
+        composition& named = m_compositions.at(key_of(*row.group));
+        named.listed -= entry.listed ? 1 : 0;
+        --named.named;
+    }
+    if (!entry.listed)
+        return;
+    --m_listed;
+    m_plain.erase(row.id);
+    if (m_heads.erase(row.id) != 0)
+        --m_heads_by_domain[row.failure_domain][row.model];
+    if (row.joins_groups() && !row.leaving && --m_rooms[row.fabric_domain].runners == 0)
+        m_rooms.erase(row.fabric_domain);
+}
+
+void runner_registry::forget_unnamed(const group_key& key)
+{
+    const auto found = m_compositions.find(key);
+    if (found != m_compositions.end() && found->second.named == 0)
+        m_compositions.erase(found);
+}
+
+void runner_registry::forget_unlisted(time_point now)
+{
+    while (!m_unlisted.empty() && now - m_unlisted.front().first > keep_unlisted) {
+        const auto found = m_runners.find(m_unlisted.front().second);
+        const bool stays = found == m_runners.end() || found->second.listed ||
+                           found->second.unlisted_at != m_unlisted.front().first;
+        m_unlisted.pop_front();
+        if (stays)
+            continue;
+        uncount(found->second);
+        if (found->second.row.group)
+            forget_unnamed(key_of(*found->second.row.group));
+        m_runners.erase(found);
+    }
+}
+
+} // namespace jaynotch::groups
