Groups: the allotment before the first request grows with the kinds of fabric domains, not their cube

Change: the worth depends on sums over domains, so a change is judged by what it adds to them; like domains of a failure domain are searched together; a bound on steps, not time, keeps managers agreed where all domains differ.

--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -337,7 +337,7 @@
     groups::runner_registry m_registry;
     target_lists m_pushed;
     std::optional<std::uint64_t> m_pushed_version; ///< of the registry; none: push again
-    time_point m_installed; ///< of the tables in force
+    time_point m_installed;                        ///< of the tables in force
     std::size_t m_fleet_size = 0;
     timer m_timer;
     bool m_stopping = false;
--- a/groups/allot.cc
+++ b/groups/allot.cc
@@ -9,6 +9,12 @@
 // domains and pairs of them take the fills that make the whole worth more, until none can be
 // bettered. Pairs are needed, since giving a group of one model for one of the other often takes
 // two domains. That is the optimum in every case that the tests enumerate.
+//
+// Cost: the worth depends on sums over the domains only, so a change is judged by what it adds to
+// them. Fabric domains of a failure domain that have equally many runners are alike: only how many
+// of them have which fill is searched. So the search grows with the kinds of domains, not with the
+// domains, and where all differ, most_tried bounds it. The bound is on steps, not on time: all
+// managers must find the same allotment.
 #include "groups/allot.h"
 
 #include <cmath>
@@ -17,10 +23,11 @@
 
 namespace {
 
-constexpr double spare_worth = 0.26;     ///< of the logarithm of the runners left over
-constexpr double own_model_worth = 0.05; ///< of a failure domain's first group of a model
-constexpr std::size_t most_rounds = 50;  ///< of the search; it ends by itself long before
-constexpr double least_gain = 1e-9;      ///< less is rounding
+constexpr double spare_worth = 0.26;        ///< of the logarithm of the runners left over
+constexpr double own_model_worth = 0.05;    ///< of a failure domain's first group of a model
+constexpr double almost_none = 0.1;         ///< a model without a group counts badly, not -inf
+constexpr std::size_t most_tried = 300'000; ///< changes that one search judges
+constexpr double least_gain = 1e-9;         ///< less is rounding
 
 /// All fills of `runners` that leave no more over than spares for the losses to bear, and what is
 /// too few for a group of the largest model.
@@ -101,7 +108,6 @@
 double worth_of(const allotment& given, const std::vector<pool>& pools,
                 const std::map<fabric_domain_id, domain_room>& rooms)
 {
-    constexpr double almost_none = 0.1; // so that a model without a group counts badly, not -inf
     std::vector<double> groups(pools.size(), 0.0);
     std::map<failure_domain_id, std::vector<bool>> has_own;
     double spares = 0.0;
@@ -130,52 +136,237 @@
     return worth;
 }
 
-allotment allot(const std::vector<pool>& pools,
+namespace {
+
+/// One way to fill a fabric domain, with what it adds to the sums.
+struct domain_fill {
+    group_counts counts;
+    double left = 0.0;           ///< runners
+    std::vector<double> lasting; ///< groups by model
+};
+
+/// Fabric domains of one failure domain with equally many runners.
+struct like_domains {
+    std::size_t failure_domain = 0; ///< index
+    std::vector<fabric_domain_id> members;
+    std::vector<domain_fill> fills;
+    std::vector<std::uint32_t> taken; ///< members with each fill
+};
+
+/// One of some like domains changes its fill.
+struct fill_change {
+    std::size_t kind = 0; ///< index of the like domains
+    std::size_t from = 0;
+    std::size_t to = 0;
+};
+
+class fill_search {
+public:
+    fill_search(const std::vector<pool>& pools,
                 const std::map<fabric_domain_id, domain_room>& rooms)
-{
-    std::map<fabric_domain_id, std::vector<group_counts>> fills;
-    allotment best;
-    for (const auto& [domain, room] : rooms) {
+        : m_pools{pools}, m_groups(pools.size(), 0.0)
+    {
+        double sum = 0.0;
+        for (const pool& kind : pools)
+            sum += weight_of(kind);
+        for (const pool& kind : pools)
+            m_weights.push_back(weight_of(kind) / sum * static_cast<double>(pools.size()));
+        sort_into_kinds(rooms);
+        for (like_domains& kind : m_kinds)
+            start(kind);
+        m_worth = worth();
+    }
+
+    void run()
+    {
+        while (better_one() || better_pair()) {
+        }
+    }
+
+    [[nodiscard]] allotment found() const
+    {
+        allotment given;
+        for (const like_domains& kind : m_kinds) {
+            auto member = kind.members.begin();
+            for (std::size_t fill = 0; fill < kind.fills.size(); ++fill) {
+                for (std::uint32_t count = 0; count < kind.taken[fill]; ++count)
+                    given[*member++] = kind.fills[fill].counts;
+            }
+        }
+        return given;
+    }
+
+private:
+    void sort_into_kinds(const std::map<fabric_domain_id, domain_room>& rooms)
+    {
+        std::map<failure_domain_id, std::size_t> failure_domains;
+        std::map<std::pair<std::size_t, std::uint32_t>, std::size_t> kinds;
+        for (const auto& [domain, room] : rooms) {
+            const std::size_t failure_domain =
+                failure_domains.try_emplace(room.failure_domain, failure_domains.size())
+                    .first->second;
+            const auto [kind, fresh] =
+                kinds.try_emplace({failure_domain, room.runners}, m_kinds.size());
+            if (fresh)
+                m_kinds.push_back(make_kind(failure_domain, room.runners));
+            m_kinds[kind->second].members.push_back(domain);
+        }
+        m_own.assign(failure_domains.size(), std::vector<std::uint32_t>(m_pools.size(), 0));
+    }
+
+    [[nodiscard]] like_domains make_kind(std::size_t failure_domain, std::uint32_t runners) const
+    {
+        like_domains made;
+        made.failure_domain = failure_domain;
+        std::vector<group_counts> fills;
         group_counts given;
-        enumerate(pools, 0, room.runners, given, fills[domain]);
-        best[domain] = *std::max_element(fills[domain].begin(), fills[domain].end(),
-                                         [&](const auto& a, const auto& b) {
-                                             return runners_in(a, pools) < runners_in(b, pools);
-                                         });
-    }
-    double worth = worth_of(best, pools, rooms);
-    const auto better = [&](const fabric_domain_id& domain, const group_counts& choice) {
-        group_counts before = std::exchange(best[domain], choice);
-        const double changed = worth_of(best, pools, rooms);
-        if (changed > worth + least_gain) {
-            worth = changed;
-            return true;
+        enumerate(m_pools, 0, runners, given, fills);
+        for (group_counts& counts : fills) {
+            domain_fill fill;
+            fill.left = runners - runners_in(counts, m_pools);
+            fill.lasting = lasting_groups(counts, m_pools, fill.left);
+            fill.counts = std::move(counts);
+            made.fills.push_back(std::move(fill));
         }
-        best[domain] = std::move(before);
-        return false;
-    };
-    bool bettered = true;
-    for (std::size_t round = 0; bettered && round < most_rounds; ++round) {
-        bettered = false;
-        for (const auto& [domain, choices] : fills) {
-            for (const group_counts& choice : choices)
-                bettered = better(domain, choice) || bettered;
+        made.taken.assign(made.fills.size(), 0);
+        return made;
+    }
+
+    void start(like_domains& kind)
+    {
+        const auto fullest = std::min_element(
+            kind.fills.begin(), kind.fills.end(),
+            [](const domain_fill& a, const domain_fill& b) { return a.left < b.left; });
+        const auto index = static_cast<std::size_t>(fullest - kind.fills.begin());
+        for (std::size_t member = 0; member < kind.members.size(); ++member)
+            add(kind, index);
+    }
+
+    void add(like_domains& kind, std::size_t fill)
+    {
+        ++kind.taken[fill];
+        const domain_fill& added = kind.fills[fill];
+        m_spares += added.left;
+        for (std::size_t index = 0; index < m_groups.size(); ++index) {
+            m_groups[index] += added.lasting[index];
+            m_own[kind.failure_domain][index] += added.counts[index] > 0 ? 1 : 0;
+        }
+    }
+
+    void remove(like_domains& kind, std::size_t fill)
+    {
+        --kind.taken[fill];
+        const domain_fill& removed = kind.fills[fill];
+        m_spares -= removed.left;
+        for (std::size_t index = 0; index < m_groups.size(); ++index) {
+            m_groups[index] -= removed.lasting[index];
+            m_own[kind.failure_domain][index] -= removed.counts[index] > 0 ? 1 : 0;
         }
-        for (auto first = fills.begin(); !bettered && first != fills.end(); ++first) {
-            for (const group_counts& choice : first->second) {
-                const group_counts before = std::exchange(best[first->first], choice);
-                bool pair = false;
-                for (auto second = std::next(first); second != fills.end(); ++second) {
-                    for (const group_counts& other : second->second)
-                        pair = better(second->first, other) || pair;
+    }
+
+    void make(const fill_change& change)
+    {
+        remove(m_kinds[change.kind], change.from);
+        add(m_kinds[change.kind], change.to);
+    }
+
+    void undo(const fill_change& change) { make({change.kind, change.to, change.from}); }
+
+    /// The same as worth_of(), from the sums.
+    [[nodiscard]] double worth() const
+    {
+        // What is left of a sum after additions and subtractions may be a little below zero.
+        double sum = spare_worth * std::log(std::max(0.0, m_spares) + almost_none);
+        for (std::size_t index = 0; index < m_groups.size(); ++index)
+            sum += m_weights[index] * std::log(std::max(0.0, m_groups[index]) + almost_none);
+        for (const std::vector<std::uint32_t>& own : m_own) {
+            for (const std::uint32_t domains : own)
+                sum += domains > 0 ? own_model_worth : 0.0;
+        }
+        return sum;
+    }
+
+    /// Keeps the change if it makes the whole worth more.
+    bool keep_if_better()
+    {
+        ++m_tried;
+        const double changed = worth();
+        if (changed <= m_worth + least_gain)
+            return false;
+        m_worth = changed;
+        return true;
+    }
+
+    [[nodiscard]] bool exhausted() const { return m_tried >= most_tried; }
+
+    /// Changes of some like domains that are possible now, those of `first` and later ones.
+    [[nodiscard]] std::vector<fill_change> changes(std::size_t first) const
+    {
+        std::vector<fill_change> possible;
+        for (std::size_t kind = first; kind < m_kinds.size(); ++kind) {
+            const like_domains& alike = m_kinds[kind];
+            for (std::size_t from = 0; from < alike.fills.size(); ++from) {
+                for (std::size_t to = 0; alike.taken[from] > 0 && to < alike.fills.size(); ++to) {
+                    if (to != from)
+                        possible.push_back({kind, from, to});
+                }
+            }
+        }
+        return possible;
+    }
+
+    bool better_one()
+    {
+        bool bettered = false;
+        for (const fill_change& change : changes(0)) {
+            // The same change may help again, for the next of the like domains.
+            while (m_kinds[change.kind].taken[change.from] > 0 && !exhausted()) {
+                make(change);
+                if (!keep_if_better()) {
+                    undo(change);
+                    break;
                 }
-                if (!pair)
-                    best[first->first] = before;
-                bettered = bettered || pair;
+                bettered = true;
             }
         }
+        return bettered;
+    }
+
+    bool better_pair()
+    {
+        for (const fill_change& first : changes(0)) {
+            make(first);
+            for (const fill_change& second : changes(first.kind)) {
+                if (exhausted())
+                    break;
+                make(second);
+                if (keep_if_better())
+                    return true;
+                undo(second);
+            }
+            undo(first);
+        }
+        return false;
     }
-    return best;
+
+    const std::vector<pool>& m_pools;
+    std::vector<double> m_weights;
+    std::vector<like_domains> m_kinds;
+    double m_spares = 0.0;
+    std::vector<double> m_groups;                  ///< lasting ones, by model
+    std::vector<std::vector<std::uint32_t>> m_own; ///< domains by failure domain and model
+    double m_worth = 0.0;
+    std::size_t m_tried = 0;
+};
+
+} // namespace
+
+allotment allot(const std::vector<pool>& pools,
+                const std::map<fabric_domain_id, domain_room>& rooms)
+{
+    fill_search search{pools, rooms};
+    search.run();
+    return search.found();
 }
 
 } // namespace jaynotch::groups
--- a/groups/allot_test.cc
+++ b/groups/allot_test.cc
@@ -36,6 +36,63 @@
     return best;
 }
 
+/// All fills of a domain that leave less than a group of each model and its spares.
+std::vector<group_counts> fills_of(std::uint32_t runners, const std::vector<pool>& pools)
+{
+    std::vector<group_counts> found;
+    for (std::uint32_t first = 0; first * pools[0].replica_vms <= runners; ++first) {
+        const std::uint32_t left = runners - first * pools[0].replica_vms;
+        for (std::uint32_t second = 0; second * pools[1].replica_vms <= left; ++second) {
+            const std::uint32_t over = left - second * pools[1].replica_vms;
+            if (over < std::max(pools[0].replica_vms, pools[1].replica_vms) + losses_to_bear)
+                found.push_back({first, second});
+        }
+    }
+    return found;
+}
+
+/// A search domain by domain that works the whole worth out for each change: the slow reference
+/// for fleets too large for all fills.
+double worth_by_slow_search(const std::vector<pool>& pools,
+                            const std::map<fabric_domain_id, domain_room>& rooms)
+{
+    allotment best;
+    for (const auto& [domain, room] : rooms)
+        best[domain] = fills_of(room.runners, pools).back();
+    double worth = worth_of(best, pools, rooms);
+    const auto better = [&](const fabric_domain_id& domain, const group_counts& choice) {
+        group_counts before = std::exchange(best[domain], choice);
+        const double changed = worth_of(best, pools, rooms);
+        if (changed > worth + 1e-9) {
+            worth = changed;
+            return true;
+        }
+        best[domain] = std::move(before);
+        return false;
+    };
+    for (bool bettered = true; bettered;) {
+        bettered = false;
+        for (const auto& [domain, room] : rooms) {
+            for (const group_counts& choice : fills_of(room.runners, pools))
+                bettered = better(domain, choice) || bettered;
+        }
+        for (auto first = rooms.begin(); !bettered && first != rooms.end(); ++first) {
+            for (const group_counts& choice : fills_of(first->second.runners, pools)) {
+                const group_counts before = std::exchange(best[first->first], choice);
+                bool pair = false;
+                for (auto second = std::next(first); second != rooms.end(); ++second) {
+                    for (const group_counts& other : fills_of(second->second.runners, pools))
+                        pair = better(second->first, other) || pair;
+                }
+                if (!pair)
+                    best[first->first] = before;
+                bettered = bettered || pair;
+            }
+        }
+    }
+    return worth;
+}
+
 double part_of_runners(const allotment& given, const std::vector<pool>& pools, std::size_t index)
 {
     double own = 0.0;
@@ -102,3 +159,31 @@
     }
     cr_assert_geq(large, 6U);
 }
+
+// Fleets of hundreds of runners. The search may not pay for its speed with worse allotments.
+Test(allot, large_fleets_are_filled_as_well_as_by_the_slow_search)
+{
+    std::vector<pool> pools = fake_registry::pools();
+    pools[0].replica_vms = 32;
+    pools[1].replica_vms = 8;
+    for (const auto& sizes :
+         {std::vector<std::uint32_t>(15, 73), std::vector<std::uint32_t>(22, 73),
+          std::vector<std::uint32_t>{73, 72, 70, 66, 41, 40, 39, 33, 20, 9, 8, 73, 55, 50, 64}})
+    {
+        const auto rooms = rooms_of(sizes);
+        const double slow = worth_by_slow_search(pools, rooms);
+        const double fast = worth_of(allot(pools, rooms), pools, rooms);
+        cr_assert_geq(fast, slow - 0.001 * std::abs(slow), "%f, slow search %f", fast, slow);
+    }
+}
+
+Test(allot, each_domain_gets_one_fill_that_fits)
+{
+    const std::vector<pool> pools = fake_registry::pools();
+    const auto rooms = rooms_of({9, 9, 12, 9, 12, 7, 2, 9});
+    const allotment given = allot(pools, rooms);
+    cr_assert_eq(given.size(), rooms.size());
+    for (const auto& [domain, counts] : given)
+        cr_assert_leq(counts[0] * pools[0].replica_vms + counts[1] * pools[1].replica_vms,
+                      rooms.at(domain).runners);
+}
--- a/groups/formation_plan.cc
+++ b/groups/formation_plan.cc
@@ -55,8 +55,8 @@
 {
     std::vector<runner_view*> free;
     for (runner_view* view : by_fabric.at(domain)) {
-        const bool usable = standing(*view) && !view->row.leaving && !view->pending &&
-                            now >= view->not_before;
+        const bool usable =
+            standing(*view) && !view->row.leaving && !view->pending && now >= view->not_before;
         // One whose entry names a group has to leave it first, whatever its head last said: an open
         // order that was lost may still be carried out there.
         if (!usable || view->row.group)
@@ -103,7 +103,8 @@
 {
     if (!traffic || kind.forming.loads_per_s <= 0.0)
         return true;
-    const auto parts = static_cast<double>(std::max<std::size_t>(1, known.heads_by_domain().size()));
+    const auto parts =
+        static_cast<double>(std::max<std::size_t>(1, known.heads_by_domain().size()));
     const double passed = std::chrono::duration<double>(now - tokens_at).count();
     tokens_at = now;
     load_tokens = std::min(load_burst, load_tokens + passed * kind.forming.loads_per_s / parts);
@@ -239,8 +240,8 @@
     for (const auto& [groups_for_share, kind] : ranked) {
         if (kind == largest)
             largest_need = groups_for_share;
-        const auto have = static_cast<std::size_t>(
-            std::count_if(spare.begin(), spare.end(), [model = kind->model](const runner_view* view) {
+        const auto have = static_cast<std::size_t>(std::count_if(
+            spare.begin(), spare.end(), [model = kind->model](const runner_view* view) {
                 return view->staging == model || has_staged(*view, model);
             }));
         const std::size_t lack = kind->replica_vms - have % kind->replica_vms;
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -152,7 +152,7 @@
     std::map<vm_id, runner_view> runners; ///< of the domain, while it manages
     /// The runners by fabric domain.
     std::map<fabric_domain_id, std::vector<runner_view*>> by_fabric;
-    std::vector<pool> pools;              ///< of models
+    std::vector<pool> pools; ///< of models
     std::vector<peer_row> peers;
     std::map<group_key, planned_group> planned;
     /// Worked out anew when the peers change.
@@ -162,7 +162,7 @@
     bool was_leading = false;
     std::optional<allotment> allotted; ///< once the registry has settled
     time_point allotted_for;           ///< the last runner that it counts
-    std::int64_t last_number = 0; ///< of the groups of this term
+    std::int64_t last_number = 0;      ///< of the groups of this term
     std::int64_t number_term = 0;
     std::uint64_t last_token = 0;
     std::uint64_t orders = 0;
--- a/groups/runner_registry.cc
+++ b/groups/runner_registry.cc
@@ -121,8 +121,7 @@
 std::optional<time_point> runner_registry::first_seen(const group_key& key) const
 {
     const auto found = m_compositions.find(key);
-    return found == m_compositions.end() ? std::nullopt
-                                         : std::optional{found->second.first_seen};
+    return found == m_compositions.end() ? std::nullopt : std::optional{found->second.first_seen};
 }
 
 void runner_registry::count(const registered_runner& entry, time_point now)
