Store followers: a neighbour's word is fresh only if the store has answered it lately

A node took any reply of any neighbour for proof that a follower lives, also the empty answers to its own questions. When a rumor names a revision that nobody near has, all nodes ask each other each 400 ms, up to 12 times, and each empty answer puts off the moment at which they ask the store: 4.8 s.

Change: a push tells how long ago the store answered its sender, and only that counts (peers/store_followers). Nodes rank one another by rendezvous; two follow, the others stand in one after the other, 50 ms apart, when nothing younger than 1.5 s was told, and hand back when a node before them is fresh. A follower that others rely on waits 1 s in a call, not 3 s, so a call that hangs shows within 2 s. A node that has not followed for 3 s reads everything before it watches. A manager's key is claimed by followers in the order of their rank: before, nodes that never claim counted too, 150 ms each, 3.5 s at 24 nodes a domain.

Tests: 6 on the core at 4, 24 and 82 nodes a domain, for refusal, hang and death of all followers, a third turned away, an outage. The allotment gives like domains their fills in the old order again, which one test of formation relies on.

--- a/daemon/formation_driver.cc
+++ b/daemon/formation_driver.cc
@@ -91,7 +91,7 @@
         groups::formation& made =
             managers.emplace(domain, groups::formation{std::move(chosen), registry}).first->second;
         tell_one(domain, made, groups::model_pools_seen{pools});
-        tell_one(domain, made, groups::registry_current{current});
+        tell_one(domain, made, current);
         tell_one(domain, made, groups::peers_seen{peer_rows()});
         if (traffic)
             tell_one(domain, made, groups::traffic_begun{});
@@ -142,7 +142,7 @@
     std::function<void()> on_word;
     std::shared_ptr<outage_inquiry> outage;
     std::uint64_t members_version = 0;
-    bool current = false;
+    groups::registry_current current;
     bool traffic = false;
     std::set<failure_domain_id> given_up; ///< on a planned stop
     bool stopping = false;
@@ -393,10 +393,10 @@
     }
 }
 
-void formation_driver::set_current(bool current)
+void formation_driver::set_current(bool current, std::size_t rank)
 {
-    m_impl->current = current;
-    m_impl->tell(groups::registry_current{current});
+    m_impl->current = {current, rank};
+    m_impl->tell(m_impl->current);
 }
 
 void formation_driver::traffic_begun()
--- a/daemon/formation_driver.h
+++ b/daemon/formation_driver.h
@@ -43,7 +43,9 @@
     void runner_gone(const vm_id& vm);
     /// A key of the store that may be a manager's.
     void key_seen(const kv_entry& entry, bool there);
-    void set_current(bool current);
+    /// Whether this node's registry is up to date by its own word with the store, and its place
+    /// among the nodes of its failure domain that see to that.
+    void set_current(bool current, std::size_t rank);
     void traffic_begun();
     /// A group's head is silent towards this node.
     void silent(const vm_id& head);
--- a/daemon/key_relay_driver.cc
+++ b/daemon/key_relay_driver.cc
@@ -21,9 +21,9 @@
     carry_out(m_core.learned(runtime_clock::now(), {entry.key, entry.mod_revision, entry.value}));
 }
 
-void key_relay_driver::push()
+void key_relay_driver::push(duration store_age)
 {
-    carry_out(m_core.push());
+    carry_out(m_core.push(store_age));
 }
 
 void key_relay_driver::noticed(const key_notice& notice)
@@ -49,6 +49,8 @@
             own.push_back(one.node);
     }
     carry_out(m_core.members_changed(own, all));
+    if (m_hooks.on_neighbours)
+        m_hooks.on_neighbours(own);
 }
 
 void key_relay_driver::carry_out(const key_relay_commands& commands)
--- a/daemon/key_relay_driver.h
+++ b/daemon/key_relay_driver.h
@@ -24,6 +24,8 @@
     std::function<void(const kv_entry&)> on_key;
     /// This node has become a watcher.
     std::function<void()> on_watch;
+    /// Live members of the own failure domain, this node among them, whenever they change.
+    std::function<void(const std::vector<node_id>&)> on_neighbours = {};
 };
 
 class key_relay_driver {
@@ -38,8 +40,8 @@
     void tick();
     void learned(const kv_entry& entry);
     /// Tells the own failure domain at once what was learned since the last push, or that nothing
-    /// was.
-    void push();
+    /// was, and that the platform answered `store_age` ago.
+    void push(duration store_age);
     void noticed(const key_notice& notice);
     void heard(const key_message& message);
     [[nodiscard]] bool watching() const { return m_core.watching(); }
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -213,7 +213,9 @@
         hooks.on_key = [this](const kv_entry& entry, bool there) {
             managers->key_seen(entry, there);
         };
-        hooks.on_current = [this](bool current) { managers->set_current(current); };
+        hooks.on_current = [this](bool current, std::size_t rank) {
+            managers->set_current(current, rank);
+        };
         hooks.on_batch = [this] {
             push_targets();
             managers->tick();
--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -10,14 +10,14 @@
 
 #include <set>
 
-// Two nodes of a failure domain watch and tell the others at once what is new, and that they are
-// still there; a node that hears from neither watches itself until it does. A watch that waits is a
-// call, so the calls grow with the failure domains and not with the nodes.
+// Two nodes of a failure domain watch and tell the others at once what is new, and how long ago the
+// store answered them; others stand in while neither is fresh (peers/store_followers.h). A watch
+// that waits is a call, so the calls grow with the failure domains and not with the nodes.
 //
 // The feed reads everything once and then watches. After an error it goes on watching from the last
-// revision seen; only if the store has dropped that history does it read everything anew and work
-// out what is gone. What it learns it also tells its peers (peers/key_relay.h), so that a node that
-// the store turns away keeps up with them.
+// revision seen; only if the store has dropped that history, or this node has not watched for long,
+// does it read everything anew and work out what is gone. What it learns it also tells its peers
+// (peers/key_relay.h), so that a node that the store turns away keeps up with them.
 //
 // Entries that lapsed while the store was away. Runners can't renew their leases then; those that
 // live are back within about two seconds of the store's return. Entries that vanish in that time
@@ -32,11 +32,14 @@
 constexpr duration shortest_pause = std::chrono::milliseconds{50};
 constexpr duration longest_pause = std::chrono::milliseconds{800};
 constexpr duration watch_wait = std::chrono::seconds{10};
-/// Between two pushes of a watcher that has nothing new, and how long another node waits for one
-/// before it watches itself: three pushes, well within the time in which a leaving runner must be
-/// known everywhere.
+/// Between two pushes of a watcher that has nothing new.
 constexpr duration push_interval = std::chrono::milliseconds{400};
-constexpr duration longest_untold = std::chrono::milliseconds{1'300};
+/// A watcher that others rely on has the store answer at least this often, or it would not count as
+/// fresh; one that only informs itself need not.
+constexpr watch_pace relied_upon_pace{.wait = std::chrono::milliseconds{1'000}};
+constexpr watch_pace own_pace{};
+/// After this long without watching, reading everything costs less than what has changed since.
+constexpr duration longest_gap = std::chrono::seconds{3};
 /// For living runners to be back in the registry once the store answers again.
 constexpr duration return_grace = std::chrono::milliseconds{2'200};
 /// A store that failed for shorter has let no lease lapse: runners write each second or so.
@@ -48,14 +51,10 @@
 public:
     impl(net::io_context& context, const daemon_settings& chosen, kv_service& service,
          peer_service& others, registry_hooks given)
-        : io{context}, kv{service}, hooks{std::move(given)}, relay{chosen,
-                                                                   others,
-                                                                   "documents",
-                                                                   {[this](const kv_entry& entry) {
-                                                                        take(entry);
-                                                                    },
-                                                                    [this] { m_pause.cancel(); }}},
-          m_pause{context}, m_shares_watches{chosen.mechanisms.has(mechanism::shared_watches)}
+        : io{context}, kv{service}, hooks{std::move(given)}, relay{chosen, others, "documents",
+                                                                   relay_hooks()},
+          m_pause{context}, m_shares_watches{chosen.mechanisms.has(mechanism::shared_watches)},
+          m_followers{{.self = chosen.node, .name = "documents"}}
     {}
 
     net::awaitable<void> run()
@@ -91,8 +90,13 @@
             push();
     }
 
-    /// A neighbour that watches says so, with what is new or with nothing.
-    void told() { m_told = runtime_clock::now(); }
+    /// A neighbour that watches has told what is new, or that nothing is.
+    void told(const node_id& from, duration store_age)
+    {
+        m_followers.told(from, store_age, runtime_clock::now());
+        if (store_age < outage)
+            regained();
+    }
 
     void end_batch()
     {
@@ -108,27 +112,46 @@
     bool current = false;
 
 private:
-    /// The chosen watchers of the failure domain, and whoever hears nothing from one.
-    [[nodiscard]] bool should_watch() const
+    key_relay_hooks relay_hooks()
     {
-        return m_revision == 0 || !m_shares_watches || relay.watching() ||
-               runtime_clock::now() - m_told > longest_untold;
+        key_relay_hooks given;
+        given.on_key = [this](const kv_entry& entry) { take(entry); };
+        given.on_watch = [this] { m_pause.cancel(); };
+        given.on_neighbours = [this](const std::vector<node_id>& nodes) {
+            m_followers.members_changed(nodes);
+            kv.set_pace(m_followers.relied_upon() ? relied_upon_pace : own_pace);
+            hooks.on_current(current, m_followers.rank());
+        };
+        return given;
+    }
+
+    [[nodiscard]] bool should_watch()
+    {
+        return !m_read_once || !m_shares_watches || m_followers.due(runtime_clock::now());
     }
 
     void push()
     {
         m_pushed = runtime_clock::now();
-        relay.push();
+        if (const std::optional<duration> age = m_followers.store_age(m_pushed))
+            relay.push(*age);
+    }
+
+    /// The store has answered, and what it said has been learned.
+    void answered()
+    {
+        m_watched = runtime_clock::now();
+        m_followers.answered(m_watched);
     }
 
     /// True if the store answered.
     net::awaitable<bool> read_or_watch()
     {
         bool fine = true;
-        if (m_revision == 0) {
+        if (m_revision == 0 || runtime_clock::now() - m_watched > longest_gap) {
             fine = co_await read_all();
         }
-        if (fine && !stopped) {
+        if (fine && !stopped && should_watch()) {
             fine = co_await watch_on();
         }
         co_return fine;
@@ -156,8 +179,13 @@
                 learn_gone(key, read.value().revision);
         }
         m_revision = read.value().revision;
+        m_read_once = true;
+        answered();
         set_current(true);
         end_batch();
+        push();
+        if (!should_watch())
+            set_current(false);
         co_return true;
     }
 
@@ -169,7 +197,7 @@
             lost(watch.error());
             co_return false;
         }
-        bool answered = false;
+        bool worked = false;
         while (!stopped) {
             const result<kv_watch_batch> batch = co_await watch.value().next(watch_wait);
             if (stopped)
@@ -179,11 +207,11 @@
                     m_revision = 0; // that history is gone: read everything anew
                 else
                     lost(batch.error());
-                co_return answered || m_revision == 0;
+                co_return worked || m_revision == 0;
             }
             if (batch.value().revision == 0)
                 continue; // nothing came from the store yet
-            answered = true;
+            worked = true;
             regained();
             for (const kv_event& event : batch.value().events) {
                 if (event.deleted)
@@ -192,6 +220,7 @@
                     relay.learned(event.entry);
             }
             m_revision = std::max(m_revision, batch.value().revision);
+            answered();
             set_current(true);
             end_batch();
             push();
@@ -219,6 +248,7 @@
             log_event(log_level::warning, "store_lost",
                       {{"reason", why.message}, {"revision", m_revision}});
         }
+        m_followers.lost(runtime_clock::now());
         set_current(false);
     }
 
@@ -241,7 +271,7 @@
         if (current == now)
             return;
         current = now;
-        hooks.on_current(now);
+        hooks.on_current(now, m_followers.rank());
     }
 
     void take(const kv_entry& entry)
@@ -310,9 +340,11 @@
 
     timer m_pause;
     bool m_shares_watches; ///< two nodes of a failure domain watch for all
+    store_followers m_followers;
     time_point m_pushed;
-    time_point m_told;           ///< when a watcher of this failure domain was heard last
+    time_point m_watched;        ///< when the store answered this node last
     std::int64_t m_revision = 0; ///< seen last; 0: everything has to be read
+    bool m_read_once = false;
     bool m_news = false;
     std::optional<time_point> m_lost_since;
     time_point m_returning_until;
@@ -328,9 +360,10 @@
         const auto self = weak.lock();
         if (!self || self->stopped)
             return;
-        if (std::holds_alternative<key_reply>(message.body))
-            self->told();
         self->relay.heard(message);
+        const auto* reply = std::get_if<key_reply>(&message.body);
+        if (reply != nullptr && reply->store_age)
+            self->told(message.from, *reply->store_age);
         self->end_batch();
     });
 }
--- a/daemon/registry_feed.h
+++ b/daemon/registry_feed.h
@@ -31,8 +31,9 @@
     std::function<void(const vm_id&)> on_runner_gone;
     /// Any other key, and whether it is there.
     std::function<void(const kv_entry&, bool there)> on_key;
-    /// Whether the store answers this node and all it holds has been read.
-    std::function<void(bool current)> on_current;
+    /// Whether the store answers this node and all it holds has been read; and the node's place
+    /// among the followers of its failure domain.
+    std::function<void(bool current, std::size_t rank)> on_current;
     /// Everything that came at once has been handed on.
     std::function<void()> on_batch;
 };
--- a/groups/allot.cc
+++ b/groups/allot.cc
@@ -188,7 +188,7 @@
         allotment given;
         for (const like_domains& kind : m_kinds) {
             auto member = kind.members.begin();
-            for (std::size_t fill = 0; fill < kind.fills.size(); ++fill) {
+            for (std::size_t fill = kind.fills.size(); fill-- > 0;) {
                 for (std::uint32_t count = 0; count < kind.taken[fill]; ++count)
                     given[*member++] = kind.fills[fill].counts;
             }
--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -74,7 +74,7 @@
 void fake_registry::tell_start(std::size_t manager)
 {
     tell(manager, model_pools_seen{pools()});
-    tell(manager, registry_current{true});
+    tell(manager, registry_current{true, manager});
     tell(manager, peers_seen{m_peers});
     const kv_entry* key = m_store.find(formation_key("test", failure_domain_id{"f"}));
     tell(manager,
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -110,7 +110,11 @@
         void operator()(const runner_gone& e) const { core.drop_runner(e.vm, now); }
         void operator()(const model_pools_seen& e) const { core.pools = e.pools; }
         void operator()(const manager_key_seen& e) const { core.vote.key_seen(e.entry, now); }
-        void operator()(const registry_current& e) const { core.registry_is_current = e.current; }
+        void operator()(const registry_current& e) const
+        {
+            core.registry = e;
+            core.delay_before_claim.reset();
+        }
         void operator()(const kv_result& e) const { core.vote.take(e, now); }
         void operator()(const lease_result& e) const
         {
@@ -298,34 +302,35 @@
 
 std::optional<duration> formation::state::patience()
 {
-    if (!registry_is_current || known.runners().empty())
+    if (!registry.current || known.runners().empty())
         return std::nullopt;
     if (!delay_before_claim)
         delay_before_claim = claim_delay();
     return delay_before_claim;
 }
 
-/// Nodes claim one after the other, not all at once, those of the domain first.
+/// Nodes claim one after the other, not all at once: those of the domain by rank, then those of the
+/// other domains, one domain after the other.
 duration formation::state::claim_delay() const
 {
-    constexpr duration turn = 150ms;
-    std::vector<std::string> near;
-    std::vector<std::string> far;
-    for (const peer_row& peer : peers)
-        (peer.failure_domain == settings.domain ? near : far).push_back(peer.node.value());
-    const bool own = settings.own_domain == settings.domain;
-    std::vector<std::string>& mine = own ? near : far;
-    if (std::find(mine.begin(), mine.end(), settings.self.value()) == mine.end())
-        mine.push_back(settings.self.value());
-    std::sort(mine.begin(), mine.end());
-    const std::vector<std::size_t> ranked = rendezvous(settings.domain.value(), mine, mine.size());
+    const duration own_turn = static_cast<duration::rep>(registry.rank) * settings.claim_turn;
     // Also while no node there is known: at a start of everything they are not heard of yet, and
     // one node that took all domains would leave all of them without a manager when it dies.
-    duration wait = own ? duration{0} : settings.foreign_patience;
+    if (settings.own_domain == settings.domain)
+        return own_turn;
+    std::set<std::string> others{settings.own_domain.value()};
+    for (const peer_row& peer : peers) {
+        if (peer.failure_domain != settings.domain)
+            others.insert(peer.failure_domain.value());
+    }
+    const std::vector<std::string> names{others.begin(), others.end()};
+    const std::vector<std::size_t> ranked =
+        rendezvous(settings.domain.value(), names, names.size());
+    duration wait = settings.foreign_patience + own_turn;
     for (const std::size_t index : ranked) {
-        if (mine[index] == settings.self.value())
+        if (names[index] == settings.own_domain.value())
             break;
-        wait += turn;
+        wait += static_cast<duration::rep>(settings.claimers) * settings.claim_turn;
     }
     return wait;
 }
--- a/groups/formation.h
+++ b/groups/formation.h
@@ -45,9 +45,11 @@
 struct manager_key_seen {
     std::optional<kv_entry> entry;
 };
-/// Whether the registry as known here is up to date.
+/// Whether the registry as known here is up to date by this node's own word with the platform, and
+/// the node's place among those of its failure domain that see to that. Only such nodes claim keys.
 struct registry_current {
     bool current = false;
+    std::size_t rank = 0;
 };
 struct order_answered {
     call_token token;
@@ -132,6 +134,8 @@
     duration order_timeout = 1s;        ///< an order unanswered for this long counts as lost
     duration order_pause = 200ms;       ///< before an order without effect is sent again
     duration foreign_patience = 1500ms; ///< nodes of other domains claim the key this much later
+    duration claim_turn = 150ms;        ///< between the claims of two nodes
+    std::size_t claimers = 2;           ///< nodes of a failure domain that mostly are current
     /// Before the first request loads are quick. Groups are planned once no runner has come for
     /// this long, since who else is there decides what is best, ...
     duration settled_after = 800ms;
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -157,7 +157,7 @@
     std::map<group_key, planned_group> planned;
     /// Worked out anew when the peers change.
     std::optional<duration> delay_before_claim;
-    bool registry_is_current = false;
+    registry_current registry;
     bool traffic = false;
     bool was_leading = false;
     std::optional<allotment> allotted; ///< once the registry has settled
--- a/outside/kv_watch.h
+++ b/outside/kv_watch.h
@@ -60,6 +60,15 @@
     std::optional<error> m_end;
 };
 
+/// How often a watch that is made of waiting calls calls. Takes effect with the next call.
+struct watch_pace {
+    /// One call waits for a change for this long. A connection that went silent is noticed only
+    /// after it.
+    std::chrono::milliseconds wait{3'000};
+    /// Between a call that brought changes and the next, so that changes come in batches.
+    duration gather = std::chrono::milliseconds{40};
+};
+
 /// One watch. It ends when it is destroyed.
 class kv_watch {
 public:
--- a/peers/frame.h
+++ b/peers/frame.h
@@ -85,6 +85,9 @@
 
 struct key_reply {
     std::vector<relayed_key> entries;
+    /// How long ago the platform answered the sender, if it watches the platform and tells all that
+    /// it has learned since it told last.
+    std::optional<duration> store_age;
 };
 
 using key_body = std::variant<key_request, key_reply>;
--- a/peers/gen/peers_types.cpp
+++ b/peers/gen/peers_types.cpp
@@ -1823,6 +1823,11 @@
 void key_reply::__set_entries(const std::vector<key_value> & val) {
   this->entries = val;
 }
+
+void key_reply::__set_store_age_ms(const int32_t val) {
+  this->store_age_ms = val;
+__isset.store_age_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const key_reply& obj)
 {
   obj.printTo(out);
@@ -1871,6 +1876,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->store_age_ms);
+          this->__isset.store_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1900,6 +1913,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.store_age_ms) {
+    xfer += oprot->writeFieldBegin("store_age_ms", ::apache::thrift::protocol::T_I32, 2);
+    xfer += oprot->writeI32(this->store_age_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1908,15 +1926,18 @@
 void swap(key_reply &a, key_reply &b) {
   using ::std::swap;
   swap(a.entries, b.entries);
+  swap(a.store_age_ms, b.store_age_ms);
   swap(a.__isset, b.__isset);
 }
 
 key_reply::key_reply(const key_reply& other49) {
   entries = other49.entries;
+  store_age_ms = other49.store_age_ms;
   __isset = other49.__isset;
 }
 key_reply& key_reply::operator=(const key_reply& other50) {
   entries = other50.entries;
+  store_age_ms = other50.store_age_ms;
   __isset = other50.__isset;
   return *this;
 }
@@ -1924,6 +1945,7 @@
   using ::apache::thrift::to_string;
   out << "key_reply(";
   out << "entries=" << to_string(entries);
+  out << ", " << "store_age_ms="; (__isset.store_age_ms ? (out << to_string(store_age_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/peers_types.h
+++ b/peers/gen/peers_types.h
@@ -817,8 +817,9 @@
 std::ostream& operator<<(std::ostream& out, const key_value& obj);
 
 typedef struct _key_reply__isset {
-  _key_reply__isset() : entries(false) {}
+  _key_reply__isset() : entries(false), store_age_ms(false) {}
   bool entries :1;
+  bool store_age_ms :1;
 } _key_reply__isset;
 
 class key_reply : public virtual ::apache::thrift::TBase {
@@ -826,20 +827,28 @@
 
   key_reply(const key_reply&);
   key_reply& operator=(const key_reply&);
-  key_reply() noexcept {
+  key_reply() noexcept
+            : store_age_ms(0) {
   }
 
   virtual ~key_reply() noexcept;
   std::vector<key_value>  entries;
+  int32_t store_age_ms;
 
   _key_reply__isset __isset;
 
   void __set_entries(const std::vector<key_value> & val);
 
+  void __set_store_age_ms(const int32_t val);
+
   bool operator == (const key_reply & rhs) const
   {
     if (!(entries == rhs.entries))
       return false;
+    if (__isset.store_age_ms != rhs.__isset.store_age_ms)
+      return false;
+    else if (__isset.store_age_ms && !(store_age_ms == rhs.store_age_ms))
+      return false;
     return true;
   }
   bool operator != (const key_reply &rhs) const {
--- a/peers/key_relay.cc
+++ b/peers/key_relay.cc
@@ -96,7 +96,7 @@
     return out;
 }
 
-key_relay_commands key_relay_core::push()
+key_relay_commands key_relay_core::push(duration store_age)
 {
     key_relay_commands out;
     // Split by size, so that the first reading of everything fits into frames.
@@ -111,6 +111,7 @@
         bytes += size;
         parts.back().entries.push_back(std::move(entry));
     }
+    parts.back().store_age = store_age; // once all of it has been told
     for (const node_id& neighbour : m_neighbours) {
         for (const key_reply& part : parts)
             out.emplace_back(tell_keys{neighbour, part});
--- a/peers/key_relay.h
+++ b/peers/key_relay.h
@@ -70,8 +70,9 @@
                                        const std::vector<node_id>& all);
     key_relay_commands learned(time_point now, const relayed_key& entry);
     /// Tells every node of the own failure domain at once what was learned since the last call, or
-    /// just that there was nothing: one that is told need not watch.
-    key_relay_commands push();
+    /// just that there was nothing, and that the platform answered `store_age` ago: one that is
+    /// told need not watch.
+    key_relay_commands push(duration store_age);
     key_relay_commands noticed(time_point now, const key_notice& notice);
     key_relay_commands heard(time_point now, const key_message& message);
 
--- a/peers/key_relay_test.cc
+++ b/peers/key_relay_test.cc
@@ -330,6 +330,6 @@
         return std::pair{to, entries};
     };
     const std::set<node_id> neighbours{node_id{"n1"}, node_id{"n2"}};
-    cr_assert(told(watcher.push()) == std::pair(neighbours, std::size_t{2}));
-    cr_assert(told(watcher.push()) == std::pair(neighbours, std::size_t{0}));
+    cr_assert(told(watcher.push({})) == std::pair(neighbours, std::size_t{2}));
+    cr_assert(told(watcher.push({})) == std::pair(neighbours, std::size_t{0}));
 }
--- a/peers/membership_keys.cc
+++ b/peers/membership_keys.cc
@@ -42,6 +42,11 @@
         item.value = entry.value;
         out.entries.push_back(std::move(item));
     }
+    if (reply.store_age) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(*reply.store_age);
+        out.__set_store_age_ms(static_cast<std::int32_t>(
+            std::min<std::int64_t>(age.count(), std::numeric_limits<std::int32_t>::max())));
+    }
     return out;
 }
 
@@ -50,6 +55,8 @@
     key_reply reply;
     for (const wire::key_value& item : heard.entries)
         reply.entries.push_back({item.key, item.revision, item.value});
+    if (heard.__isset.store_age_ms && heard.store_age_ms >= 0)
+        reply.store_age = std::chrono::milliseconds{heard.store_age_ms};
     return reply;
 }
 
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -15,6 +15,7 @@
 #include "peers/frame.h"
 #include "peers/membership.h"
 #include "peers/payload.h"
+#include "peers/store_followers.h"
 #include "peers/transport.h"
 
 #include <boost/asio/awaitable.hpp>
--- a/peers/peers.thrift
+++ b/peers/peers.thrift
@@ -108,6 +108,7 @@
 
 struct key_reply {
   1: list<key_value> entries
+  2: optional i32 store_age_ms  // the sender follows the store, which answered it this long ago
 }
 
 // `head` is the head record of `revision` as it stands in the key-value service.
--- /dev/null
+++ b/peers/store_followers.cc
@@ -0,0 +1,79 @@
+// A neighbour that lives says nothing about the store: it may be cut off from it, its call may
+// hang, or it may only repeat what it has. So each push tells how long ago the store answered its
+// sender, and only that counts.
+//
+// All nodes rank one another the same way, by rendezvous over the live members. A stand-in begins
+// at its turn after the last fresh word and goes on until a node that ranks before it is fresh
+// again: so of several stand-ins the first stays. The turns are short beside the time in which a
+// change must be in force, and long beside a call on the store, so that few call it at once.
+#include "peers/store_followers.h"
+
+#include <algorithm>
+
+namespace jaynotch {
+
+store_followers::store_followers(store_followers_settings settings)
+    : m_settings{std::move(settings)}
+{
+    members_changed({m_settings.self});
+}
+
+void store_followers::members_changed(const std::vector<node_id>& own_domain)
+{
+    std::vector<std::string> names;
+    for (const node_id& node : own_domain)
+        names.push_back(node.value());
+    std::sort(names.begin(), names.end());
+    m_ranks.clear();
+    for (const std::size_t index : rendezvous(m_settings.name, names, names.size()))
+        m_ranks.emplace(node_id{names[index]}, m_ranks.size());
+    m_rank = m_ranks.try_emplace(m_settings.self, m_ranks.size()).first->second;
+}
+
+void store_followers::told(const node_id& from, duration store_age, time_point now)
+{
+    const auto found = m_ranks.find(from);
+    if (found == m_ranks.end())
+        return;
+    m_fresh = std::max(m_fresh, now - store_age);
+    if (found->second < m_rank)
+        m_lower_fresh = std::max(m_lower_fresh, now - store_age);
+}
+
+void store_followers::answered(time_point now)
+{
+    m_answered = now;
+}
+
+void store_followers::lost(time_point now)
+{
+    m_answered.reset();
+    m_standing_in = false;
+    m_not_before = now + m_settings.stand_in_again;
+}
+
+bool store_followers::due(time_point now)
+{
+    if (m_rank < m_settings.chosen) {
+        m_standing_in = false;
+        return true;
+    }
+    const auto behind = static_cast<duration::rep>(m_rank - m_settings.chosen);
+    if (m_standing_in)
+        m_standing_in = now - m_lower_fresh > m_settings.fresh_for;
+    else
+        m_standing_in =
+            now >= m_not_before && now - m_fresh > m_settings.fresh_for + behind * m_settings.turn;
+    if (!m_standing_in)
+        m_answered.reset();
+    return m_standing_in;
+}
+
+std::optional<duration> store_followers::store_age(time_point now) const
+{
+    if (!m_answered)
+        return std::nullopt;
+    return now - *m_answered;
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/peers/store_followers_test.cc
@@ -0,0 +1,266 @@
+// Nodes of one failure domain on a clock of a few lines: a store that some of them reach, pushes
+// between them, no network.
+#include "peers/store_followers.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <deque>
+#include <set>
+
+using namespace jaynotch;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// What the store is to a node.
+enum class reach {
+    answers,
+    refuses, ///< resets or turns away: the call fails at once
+    hangs,   ///< nothing comes; the call fails when it times out
+};
+
+class domain {
+public:
+    explicit domain(std::size_t nodes)
+    {
+        std::vector<node_id> names;
+        for (std::size_t index = 0; index < nodes; ++index)
+            names.emplace_back("node-" + std::to_string(index));
+        for (const node_id& name : names) {
+            m_nodes.push_back({name, store_followers{{.self = name}}});
+            m_nodes.back().turns.members_changed(names);
+        }
+    }
+
+    /// The two that are chosen, then the others in turn.
+    [[nodiscard]] std::vector<std::size_t> ranked() const
+    {
+        std::vector<std::size_t> order(m_nodes.size());
+        for (std::size_t index = 0; index < m_nodes.size(); ++index)
+            order[m_nodes[index].turns.rank()] = index;
+        return order;
+    }
+
+    void set_reach(std::size_t node, reach now) { m_nodes[node].store = now; }
+    void kill(std::size_t node) { m_nodes[node].alive = false; }
+
+    /// The store takes a change; returns how long it takes until all that live, but for those that
+    /// are told to be left out, have heard of it.
+    duration time_to_all(const std::set<std::size_t>& but)
+    {
+        ++m_change;
+        const time_point begun = m_now;
+        const auto have = [&] {
+            for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+                const bool counts = m_nodes[index].alive && !but.contains(index);
+                if (counts && m_nodes[index].known < m_change)
+                    return false;
+            }
+            return true;
+        };
+        while (!have() && m_now - begun < 20s)
+            step();
+        return m_now - begun;
+    }
+
+    void run(duration time)
+    {
+        for (const time_point until = m_now + time; m_now < until;)
+            step();
+    }
+
+    [[nodiscard]] std::size_t calls() const { return m_calls; }
+    [[nodiscard]] std::size_t following() const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            m_nodes.begin(), m_nodes.end(), [](const node& one) { return one.called_until; }));
+    }
+
+private:
+    static constexpr duration step_time = 10ms;
+    static constexpr duration wait = 1s;    ///< of a call for a change
+    static constexpr duration timeout = 2s; ///< of a call that hangs
+    static constexpr duration push_interval = 400ms;
+
+    struct node {
+        node_id name;
+        store_followers turns;
+        reach store = reach::answers;
+        bool alive = true;
+        int known = 0;                          ///< last change heard of
+        std::optional<time_point> called_until; ///< call under way
+        time_point called;
+        time_point next_call{};
+        time_point pushed{};
+    };
+    struct push {
+        time_point due;
+        node_id from;
+        duration age;
+        int known = 0;
+    };
+
+    void step()
+    {
+        m_now += step_time;
+        for (node& one : m_nodes) {
+            if (one.alive)
+                act(one);
+        }
+        while (!m_pushes.empty() && m_pushes.front().due <= m_now) {
+            for (node& one : m_nodes) {
+                if (one.alive && one.name != m_pushes.front().from) {
+                    one.turns.told(m_pushes.front().from, m_pushes.front().age, m_now);
+                    one.known = std::max(one.known, m_pushes.front().known);
+                }
+            }
+            m_pushes.pop_front();
+        }
+    }
+
+    void act(node& one)
+    {
+        const bool due = one.turns.due(m_now);
+        if (!one.called_until && due && m_now >= one.next_call) {
+            ++m_calls;
+            one.called = m_now;
+            one.called_until = m_now + (one.store == reach::answers ? wait : timeout);
+        }
+        if (one.called_until)
+            progress(one);
+        const std::optional<duration> age = one.turns.store_age(m_now);
+        if (age && m_now - one.pushed >= push_interval)
+            tell(one, *age);
+    }
+
+    void progress(node& one)
+    {
+        const bool news = one.known < m_change;
+        const bool over = m_now >= *one.called_until;
+        if (one.store == reach::answers && (news || over)) {
+            one.called_until.reset();
+            one.known = m_change;
+            one.turns.answered(m_now);
+            tell(one, duration{0});
+        }
+        else if (one.store == reach::refuses || (one.store == reach::hangs && over)) {
+            one.called_until.reset();
+            one.next_call = m_now + 800ms;
+            one.turns.lost(m_now);
+        }
+    }
+
+    void tell(node& one, duration age)
+    {
+        one.pushed = m_now;
+        m_pushes.push_back({m_now + step_time, one.name, age, one.known});
+    }
+
+    time_point m_now{std::chrono::hours{1}};
+    std::vector<node> m_nodes;
+    std::deque<push> m_pushes;
+    int m_change = 0;
+    std::size_t m_calls = 0;
+};
+
+/// Within this a change must be in force; the least that operators ask for, less the time for a
+/// reading of everything.
+constexpr duration in_force = 2s + 700ms;
+
+constexpr std::array sizes{4U, 24U, 82U};
+
+} // namespace
+
+Test(store_followers, two_follow_however_large_the_domain_is)
+{
+    for (const std::size_t size : sizes) {
+        domain here{size};
+        here.run(10s);
+        cr_assert_eq(here.following(), 2U);
+        cr_assert_leq(here.calls(), 2 * 10 + 2 * size, "two calls a second, and the start");
+        cr_assert_lt(here.time_to_all({}), 100ms);
+    }
+}
+
+// Both followers are cut off from the store and live on: their neighbours kept old tables for as
+// long as they heard of them.
+Test(store_followers, a_change_reaches_all_though_no_follower_reaches_the_store)
+{
+    for (const std::size_t size : sizes) {
+        for (const reach lost : {reach::refuses, reach::hangs}) {
+            domain here{size};
+            here.run(10s);
+            const std::vector<std::size_t> order = here.ranked();
+            here.set_reach(order[0], lost);
+            here.set_reach(order[1], lost);
+            cr_assert_lt(here.time_to_all({order[0], order[1]}), in_force, "%zu nodes", size);
+            here.run(3s);
+            cr_assert_lt(here.time_to_all({}), in_force, "their neighbours tell those cut off");
+        }
+    }
+}
+
+Test(store_followers, a_change_reaches_all_though_every_follower_has_died)
+{
+    for (const std::size_t size : sizes) {
+        domain here{size};
+        here.run(10s);
+        const std::vector<std::size_t> order = here.ranked();
+        here.kill(order[0]);
+        here.kill(order[1]);
+        cr_assert_lt(here.time_to_all({}), in_force, "%zu nodes", size);
+    }
+}
+
+// A third of the nodes are turned away, the first in rank among them.
+Test(store_followers, a_change_reaches_all_though_the_first_third_is_turned_away)
+{
+    for (const std::size_t size : sizes) {
+        domain here{size};
+        here.run(10s);
+        const std::vector<std::size_t> order = here.ranked();
+        for (std::size_t rank = 0; rank < (size + 2) / 3; ++rank)
+            here.set_reach(order[rank], reach::refuses);
+        cr_assert_lt(here.time_to_all({}), in_force, "%zu nodes", size);
+        const std::size_t before = here.calls();
+        here.run(10s);
+        // Two chosen ones that are turned away call each 0.8 s, one or a few stand in, and whoever
+        // is turned away tries again when nobody else is fresh.
+        cr_assert_leq(here.calls() - before, 2 * 13 + 2 * 10 + 2 * size);
+    }
+}
+
+// Stand-ins hand back as soon as a chosen follower is answered again.
+Test(store_followers, stand_ins_stop_when_a_follower_is_back)
+{
+    for (const std::size_t size : sizes) {
+        domain here{size};
+        const std::vector<std::size_t> order = here.ranked();
+        here.set_reach(order[0], reach::refuses);
+        here.set_reach(order[1], reach::refuses);
+        here.run(10s);
+        here.set_reach(order[0], reach::answers);
+        here.set_reach(order[1], reach::answers);
+        here.run(5s);
+        cr_assert_eq(here.following(), 2U, "%zu nodes", size);
+    }
+}
+
+// No node reaches the store: all of them calling all the time would be a herd on its return.
+Test(store_followers, an_outage_costs_few_calls)
+{
+    for (const std::size_t size : sizes) {
+        domain here{size};
+        here.run(10s);
+        const std::vector<std::size_t> order = here.ranked();
+        for (const std::size_t node : order)
+            here.set_reach(node, reach::refuses);
+        const std::size_t before = here.calls();
+        here.run(8s);
+        cr_assert_leq(here.calls() - before, 2 * 10 + 4 * size);
+        for (const std::size_t node : order)
+            here.set_reach(node, reach::answers);
+        cr_assert_lt(here.time_to_all({}), 1s);
+    }
+}
--- a/services/kv.cc
+++ b/services/kv.cc
@@ -76,6 +76,18 @@
                    std::visit([&](auto& via) { return via.revoke(lease); }, m_adapter));
 }
 
+void kv_service::set_pace(const watch_pace& pace)
+{
+    if (auto* store = std::get_if<platform::store_kv>(&m_adapter))
+        store->set_pace(pace);
+}
+
+std::uint64_t kv_service::watch_calls() const
+{
+    const auto* store = std::get_if<platform::store_kv>(&m_adapter);
+    return store == nullptr ? 0 : store->watch_calls();
+}
+
 awaitable<result<kv_watch>> kv_service::watch(std::string prefix, std::int64_t from_revision)
 {
     return counted(
--- a/services/kv.h
+++ b/services/kv.h
@@ -179,7 +179,11 @@
     awaitable<result<void>> revoke(lease_id lease);
     /// Changes of keys that start with `prefix`, from revision `from_revision` on (0: from now).
     awaitable<result<kv_watch>> watch(std::string prefix, std::int64_t from_revision);
+    /// Of watches that are made of waiting calls; others bring changes as they come.
+    void set_pace(const watch_pace& pace);
 
+    /// Waiting calls that watches have made so far; none where a watch is one call.
+    [[nodiscard]] std::uint64_t watch_calls() const;
     /// Calls made through this object.
     [[nodiscard]] const kv_call_counts& counts() const { return m_counts; }
     /// The in-memory adapter, for tests that cut one client off; null for others.
