Router and outage inquiry: beats do no work that grows with nodes or targets unless these changed

Change: the registry's version rises only with open heads, plain servers and members of open groups; a pool lists its targets when the table of targets changed; the inquiry looks at the members when their version rises.

Tests: runner_registry against a slow recount over 50 random histories, what changes its version, first_seen and a returning id.

--- a/daemon/outage_inquiry.cc
+++ b/daemon/outage_inquiry.cc
@@ -37,19 +37,28 @@
 
 void outage_inquiry::note_members()
 {
+    if (m_members_seen == m_peers.members_version())
+        return;
+    m_members_seen = m_peers.members_version();
     const time_point now = runtime_clock::now();
     for (const member& one : m_peers.members()) {
-        if (one.state == member_state::left)
-            m_live.erase(one.node);
-        else if (one.live())
-            m_live[one.node] = now;
+        const auto known = m_live.find(one.node);
+        if (one.live())
+            m_live[one.node].reset();
+        else if (known != m_live.end() && one.state == member_state::left)
+            m_live.erase(known);
+        else if (known != m_live.end() && !known->second)
+            known->second = now;
     }
-    std::erase_if(m_live, [&](const auto& entry) { return now - entry.second > dead_counts; });
 }
 
 void outage_inquiry::ask(const failure_domain_id& domain)
 {
     note_members();
+    const time_point now = runtime_clock::now();
+    std::erase_if(m_live, [&](const auto& entry) {
+        return entry.second && now - *entry.second > dead_counts;
+    });
     round& begun = m_rounds[domain];
     if (begun.number == 0 || begun.silent != begun.said) {
         std::vector<std::string> names;
@@ -60,9 +69,9 @@
         begun.said = begun.silent;
     }
     begun.number = ++m_last_round;
-    begun.asked = runtime_clock::now();
+    begun.asked = now;
     begun.silent.clear();
-    for (const auto& [node, live] : m_live) {
+    for (const auto& [node, ceased] : m_live) {
         if (node == m_settings.node)
             continue;
         begun.silent.insert(node);
--- a/daemon/outage_inquiry.h
+++ b/daemon/outage_inquiry.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -71,9 +72,11 @@
     outage_hooks m_hooks;
     std::map<failure_domain_id, round> m_rounds;
     std::int64_t m_last_round = 0;
-    std::map<node_id, time_point> m_live; ///< when each node was known to live last
-    std::vector<asker> m_askers;          ///< wait for the check under way
-    std::uint64_t m_check = 0;            ///< the last one begun
+    /// Nodes that live, and those that lately did with the time at which they ceased to.
+    std::map<node_id, std::optional<time_point>> m_live;
+    std::optional<std::uint64_t> m_members_seen; ///< version of the members in m_live
+    std::vector<asker> m_askers;                 ///< wait for the check under way
+    std::uint64_t m_check = 0;                   ///< the last one begun
     bool m_checking = false;
     time_point m_failed;   ///< when the store was last found not to answer
     time_point m_conceded; ///< when another node was last told so
--- a/groups/runner_registry.cc
+++ b/groups/runner_registry.cc
@@ -16,24 +16,23 @@
     return row.group && row.group->rank == 0;
 }
 
-/// What the router goes by: all of a head or plain server, and of others only their group.
-struct serving_part {
-    explicit serving_part(const registered_runner& entry)
-    {
-        const runner& row = entry.row;
-        if (row.group)
-            group = key_of(*row.group);
-        listed = entry.listed;
-        if (is_head(row) || !row.joins_groups())
-            served = row;
-    }
+bool is_open_head(const runner& row)
+{
+    return is_head(row) && row.group->phase == member_phase::open;
+}
 
-    std::optional<group_key> group;
-    std::optional<runner> served;
-    bool listed = false;
+/// What the router goes by of an entry itself, whatever the group that it is in.
+std::optional<runner> served_part(const registered_runner& entry)
+{
+    const bool served = !entry.row.joins_groups() || is_open_head(entry.row);
+    return entry.listed && served ? std::optional{entry.row} : std::nullopt;
+}
 
-    friend bool operator==(const serving_part&, const serving_part&) = default;
-};
+/// The composition that an entry counts for.
+std::optional<group_key> counted_group(const registered_runner& entry)
+{
+    return entry.listed && entry.row.group ? std::optional{key_of(*entry.row.group)} : std::nullopt;
+}
 
 } // namespace
 
@@ -96,13 +95,19 @@
 void runner_registry::change(registered_runner& entry, time_point now,
                              const std::function<void(registered_runner&)>& edit)
 {
-    const serving_part before{entry};
+    const std::optional<runner> served = served_part(entry);
+    const std::optional<group_key> counted = counted_group(entry);
+    const std::optional<membership> said = entry.row.group;
+    const bool open_before = counted && m_compositions.at(*counted).open > 0;
     uncount(entry);
     edit(entry);
     count(entry, now);
-    if (before.group)
-        forget_unnamed(*before.group);
-    if (serving_part{entry} != before)
+    const std::optional<group_key> counts_now = counted_group(entry);
+    const bool open_now = counts_now && m_compositions.at(*counts_now).open > 0;
+    if (said)
+        forget_unnamed(key_of(*said));
+    const bool regrouped = counts_now != counted && (open_before || open_now);
+    if (regrouped || served_part(entry) != served)
         ++m_serving_version;
 }
 
@@ -133,6 +138,7 @@
             found->second.first_seen = now;
         ++found->second.named;
         found->second.listed += entry.listed ? 1 : 0;
+        found->second.open += entry.listed && is_open_head(row) ? 1 : 0;
     }
     model_counts* heads = row.joins_groups() ? &m_heads_by_domain[row.failure_domain] : nullptr;
     if (!entry.listed)
@@ -159,6 +165,7 @@
     if (row.group) {
         composition& named = m_compositions.at(key_of(*row.group));
         named.listed -= entry.listed ? 1 : 0;
+        named.open -= entry.listed && is_open_head(row) ? 1 : 0;
         --named.named;
     }
     if (!entry.listed)
--- a/groups/runner_registry.h
+++ b/groups/runner_registry.h
@@ -77,7 +77,7 @@
     /// When the first runner was seen, and when one was last seen that was not known.
     [[nodiscard]] time_point first_joined() const { return m_first_joined; }
     [[nodiscard]] time_point last_joined() const { return m_last_joined; }
-    /// Rises with each change of a head, a plain server or a group's members.
+    /// Rises with each change of an open head, a plain server or the members of an open group.
     [[nodiscard]] std::uint64_t serving_version() const { return m_serving_version; }
 
 private:
@@ -85,6 +85,7 @@
         time_point first_seen;
         std::size_t named = 0;  ///< entries, also those that have gone
         std::size_t listed = 0; ///< entries that are there
+        std::size_t open = 0;   ///< of those, heads that are open
     };
 
     void change(registered_runner& entry, time_point now,
--- /dev/null
+++ b/groups/runner_registry_test.cc
@@ -0,0 +1,155 @@
+#include "groups/runner_registry.h"
+
+#include <criterion/criterion.h>
+
+using namespace jaynotch;
+using namespace jaynotch::groups;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start{std::chrono::hours{1}};
+
+runner member_of(const std::string& id, const std::string& group, std::uint32_t rank,
+                 member_phase phase)
+{
+    runner row;
+    row.id = vm_id{id};
+    row.failure_domain = failure_domain_id{"f"};
+    row.fabric_domain = fabric_domain_id{"d"};
+    row.born_ms = 1;
+    row.model = "m";
+    if (!group.empty())
+        row.group = membership{group_id{group}, 1, rank, phase};
+    return row;
+}
+
+/// What is counted, worked out from the entries alone: the slow reference.
+struct recount {
+    explicit recount(const runner_registry& registry)
+    {
+        for (const auto& [id, entry] : registry.runners()) {
+            if (!entry.listed)
+                continue;
+            ++listed;
+            const runner& row = entry.row;
+            if (row.group)
+                ++members[key_of(*row.group)];
+            if (!row.joins_groups())
+                plain.insert(id);
+            else if (row.group && row.group->rank == 0)
+                heads.insert(id);
+            if (row.joins_groups() && !row.leaving)
+                ++rooms[row.fabric_domain];
+        }
+    }
+
+    std::size_t listed = 0;
+    std::map<group_key, std::size_t> members;
+    std::set<vm_id> heads;
+    std::set<vm_id> plain;
+    std::map<fabric_domain_id, std::uint32_t> rooms;
+};
+
+void assert_counts(const runner_registry& registry, std::uint64_t seed)
+{
+    const recount expected{registry};
+    cr_assert_eq(registry.listed(), expected.listed, "seed %lu", seed);
+    cr_assert(registry.heads() == expected.heads, "seed %lu", seed);
+    cr_assert(registry.plain_servers() == expected.plain, "seed %lu", seed);
+    cr_assert_eq(registry.rooms().size(), expected.rooms.size(), "seed %lu", seed);
+    for (const auto& [domain, room] : registry.rooms())
+        cr_assert_eq(room.runners, expected.rooms.at(domain), "seed %lu", seed);
+    for (const auto& [key, count] : expected.members)
+        cr_assert_eq(registry.members_of(key), count, "seed %lu", seed);
+    std::size_t heads = 0;
+    for (const auto& [domain, models] : registry.heads_by_domain()) {
+        for (const auto& [model, count] : models)
+            heads += count;
+    }
+    cr_assert_eq(heads, expected.heads.size(), "seed %lu", seed);
+}
+
+} // namespace
+
+Test(runner_registry, counts_are_what_the_entries_say_after_any_history)
+{
+    for (std::uint64_t seed = 0; seed < 50; ++seed) {
+        random_source random{seed};
+        runner_registry registry;
+        time_point now = start;
+        for (int step = 0; step < 400; ++step) {
+            now += std::chrono::milliseconds{random.between(0, 2'000)};
+            const std::string id = "r" + std::to_string(random.index(12));
+            const std::string group =
+                random.chance(0.3) ? "" : "g" + std::to_string(random.index(4));
+            const auto phase = static_cast<member_phase>(random.index(5));
+            runner row = member_of(id, group, static_cast<std::uint32_t>(random.index(3)), phase);
+            row.leaving = random.chance(0.2);
+            row.born_ms = random.chance(0.1) ? 2 : 1;
+            if (random.chance(0.2)) {
+                row.fabric_domain = {};
+                row.group.reset();
+            }
+            const std::size_t what = random.index(10);
+            if (what < 7)
+                registry.take(row, now);
+            else if (what < 9)
+                registry.drop(row.id, now);
+            else
+                registry.tell({row.id, 0, row.group, row.model}, now);
+            assert_counts(registry, seed);
+        }
+    }
+}
+
+// The router would work its targets out anew for each step of each member that joins or is warmed
+// up: thousands while a large fleet starts.
+Test(runner_registry, only_what_is_served_changes_the_version)
+{
+    runner_registry registry;
+    registry.take(member_of("head", "g", 0, member_phase::ready), start);
+    registry.take(member_of("other", "g", 1, member_phase::joining), start);
+    registry.take(member_of("spare", "w", 0, member_phase::joining), start);
+    cr_assert_eq(registry.serving_version(), 0U);
+    registry.take(member_of("head", "g", 0, member_phase::open), start);
+    const std::uint64_t open = registry.serving_version();
+    cr_assert_gt(open, 0U);
+    registry.take(member_of("other", "g", 1, member_phase::ready), start);
+    registry.take(member_of("spare", "", 0, member_phase::joining), start);
+    cr_assert_eq(registry.serving_version(), open);
+    registry.drop(vm_id{"other"}, start);
+    cr_assert_gt(registry.serving_version(), open, "an open group has lost a member");
+}
+
+// A manager that takes over must not give a composition that has long stood there more time to
+// come together, nor less to one that has just begun.
+Test(runner_registry, a_composition_keeps_the_time_at_which_it_was_first_seen)
+{
+    runner_registry registry;
+    registry.take(member_of("a", "g", 0, member_phase::joining), start);
+    registry.take(member_of("a", "g", 0, member_phase::ready), start + 3s);
+    const group_key key{group_id{"g"}, 1};
+    cr_assert(registry.first_seen(key) == start);
+    registry.drop(vm_id{"a"}, start + 5s);
+    cr_assert(registry.first_seen(key) == start, "its member may be cut off only");
+    registry.take(member_of("b", "", 0, member_phase::ready), start + 200s);
+    cr_assert(!registry.first_seen(key), "it is forgotten with its last member");
+    cr_assert(registry.find(vm_id{"a"}) == nullptr);
+}
+
+// An id that comes back is another start of its runner: nothing of the one before holds for it.
+Test(runner_registry, an_id_that_comes_back_begins_anew)
+{
+    runner_registry registry;
+    runner row = member_of("a", "g", 0, member_phase::open);
+    row.leaving = true;
+    registry.take(row, start);
+    runner again = member_of("a", "", 0, member_phase::ready);
+    again.model.clear();
+    again.born_ms = 2;
+    registry.take(again, start + 1s);
+    cr_assert(registry.find(vm_id{"a"})->warm.empty());
+    cr_assert(registry.heads().empty());
+    cr_assert(!registry.tell({vm_id{"a"}, 1, std::nullopt, ""}, start + 1s), "of the start before");
+}
--- a/routing/pool_table.cc
+++ b/routing/pool_table.cc
@@ -146,15 +146,19 @@
                            std::size_t nodes, time_point now)
 {
     const bool had_target = usable_targets > 0;
-    view.targets = targets.of_pool(info.name);
-    view.names.clear();
+    if (view_version != targets.version()) {
+        view_version = targets.version();
+        view.targets = targets.of_pool(info.name);
+        view.names.clear();
+        for (const target_row_index row : view.targets)
+            view.names.push_back(hash64(targets.at(row).info.id.value()));
+    }
     view.cap = std::max(1U, info.kind == pool_kind::model ? info.max_in_flight_per_replica
                                                           : info.max_in_flight_per_server);
     usable_targets = 0;
     std::uint32_t staying = 0;
     for (const target_row_index row : view.targets) {
         const target_row& counted = targets.at(row);
-        view.names.push_back(hash64(counted.info.id.value()));
         staying += counted.leaving() ? 0 : counted.own;
         usable_targets += counted.leaving() || counted.health.ejected ? 0 : 1;
     }
--- a/routing/pool_table.h
+++ b/routing/pool_table.h
@@ -30,6 +30,7 @@
     pool info;
     bool present = true; ///< in the tables of now
     pool_view view;
+    std::uint64_t view_version = 0; ///< of the targets in `view`; 0: list them anew
     fair_queue queue;
     adaptive_limit limit;
     retry_budget budget;
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -303,8 +303,7 @@
     const target_row_index at = targets.find(group);
     if (at == no_target)
         return;
-    targets.at(at).present = false;
-    targets.at(at).release_due = true;
+    targets.lose(at);
     refresh_pools(now);
     move_requests(at, now, out);
     say_released(out);
--- a/routing/target_table.cc
+++ b/routing/target_table.cc
@@ -113,6 +113,7 @@
 
 void target_table::replace(const std::vector<target>& wanted, pool_kind kind, time_point now)
 {
+    ++m_version;
     std::vector<bool> still(m_rows.size(), false);
     for (const target& added : wanted) {
         target_row_index row = find(added.id);
@@ -198,6 +199,13 @@
         m_early_leaving.push_back(id);
 }
 
+void target_table::lose(target_row_index row)
+{
+    ++m_version;
+    m_rows[row].present = false;
+    m_rows[row].release_due = true;
+}
+
 std::vector<target_row_index> target_table::of_pool(const pool_id& pool) const
 {
     std::vector<target_row_index> rows;
--- a/routing/target_table.h
+++ b/routing/target_table.h
@@ -111,11 +111,15 @@
     /// The plain servers are these; from now on those of the tables don't count.
     void list_servers(const std::vector<target>& servers, time_point now);
     void set_leaving(const target_id& id, bool leaving, time_point now);
+    /// The target is gone, before the next list says so.
+    void lose(target_row_index row);
 
     [[nodiscard]] target_row_index find(const target_id& id) const; ///< or no_target
     [[nodiscard]] target_row& at(target_row_index row) { return m_rows[row]; }
     [[nodiscard]] const target_row& at(target_row_index row) const { return m_rows[row]; }
     [[nodiscard]] std::size_t size() const { return m_rows.size(); }
+    /// Rises whenever of_pool() may tell something else.
+    [[nodiscard]] std::uint64_t version() const { return m_version; }
     /// Rows of a pool that are present, in a steady order.
     [[nodiscard]] std::vector<target_row_index> of_pool(const pool_id& pool) const;
     /// Leaving targets that have nothing of ours in flight any more; each is told once.
@@ -134,6 +138,7 @@
     std::vector<target_row_index> m_free;
     std::vector<target_id> m_early_leaving; ///< told to be leaving before they were known
     bool m_servers_listed = false;          ///< by the platform, not by the tables
+    std::uint64_t m_version = 1;
 };
 
 } // namespace jaynotch
