Registry feed: changes gather, the second follower waits for the first; calls are told by kind

Two followers in each failure domain return for each change after 40 ms, both for the same changes.

Change: the first fresh follower lets changes gather for 120 ms, one that ranks behind it for 500 ms until it has to take over. A domain whose nodes all follow keeps its pace. The counts of calls by kind now tell each waiting call and each page; a line store_calls each 10 s and node.

A node that reads from its peers asks again at once while replies come nearly full: of 1,100 entries a fresh node had 400 after the first reply, the rest 20 and 40 s later, if the store did not answer it. The new test of the relay fails without it.

--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -20,6 +20,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <numeric>
+
 // One thread. The registry's changes go to the managers of groups and, as targets, to the request
 // core; the core's word of a silent group goes to the managers, which find out who is lost.
 
@@ -29,6 +31,7 @@
 
 constexpr duration beat = std::chrono::milliseconds{50}; ///< of managers, feed and targets
 constexpr duration second = std::chrono::seconds{1};
+constexpr duration call_report_interval = std::chrono::seconds{10};
 
 platform::store_settings store_settings_of(const daemon_settings& settings)
 {
@@ -292,6 +295,8 @@
     {
         ask_slow_callers(*services);
         spans->flush();
+        if (runtime_clock::now() >= m_next_call_report)
+            say_store_calls();
         // Members that can't be reached may still send; only those that said goodbye don't count.
         const std::vector<member> all = peers->members();
         const auto nodes =
@@ -304,6 +309,27 @@
         }
     }
 
+    /// What this node has asked of the store since the last line.
+    void say_store_calls()
+    {
+        m_next_call_report = runtime_clock::now() + call_report_interval;
+        const kv_call_counts now = kv.counts();
+        const auto since = [&](kv_call kind) { return now.of(kind) - m_calls_told.of(kind); };
+        const auto failed = std::accumulate(now.failed.begin(), now.failed.end(), std::uint64_t{0});
+        const auto failed_told = std::accumulate(m_calls_told.failed.begin(),
+                                                 m_calls_told.failed.end(), std::uint64_t{0});
+        if (now.total() != m_calls_told.total())
+            log_event(log_level::info, "store_calls",
+                      {{"reads", since(kv_call::get)},
+                       {"pages", since(kv_call::get_prefix)},
+                       {"watches", since(kv_call::watch)},
+                       {"transactions", since(kv_call::transact)},
+                       {"renewals", since(kv_call::keep_alive)},
+                       {"leases", since(kv_call::grant) + since(kv_call::revoke)},
+                       {"failed", failed - failed_told}});
+        m_calls_told = now;
+    }
+
     net::awaitable<void> tell_ready(http_exchange& exchange)
     {
         const bool fine = ready();
@@ -341,6 +367,8 @@
     std::optional<std::uint64_t> m_pushed_version; ///< of the registry; none: push again
     time_point m_installed;                        ///< of the tables in force
     std::size_t m_fleet_size = 0;
+    kv_call_counts m_calls_told;
+    time_point m_next_call_report;
     timer m_timer;
     bool m_stopping = false;
     bool m_stopped = false;
--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -35,8 +35,14 @@
 /// Between two pushes of a watcher that has nothing new.
 constexpr duration push_interval = std::chrono::milliseconds{400};
 /// A watcher that others rely on has the store answer at least this often, or it would not count as
-/// fresh; one that only informs itself need not.
-constexpr watch_pace relied_upon_pace{.wait = std::chrono::milliseconds{1'000}};
+/// fresh; one that only informs itself need not. Each call costs the store the same whatever it
+/// brings, so changes gather, for a time that is short beside the time in which one must be in
+/// force.
+constexpr watch_pace first_pace{.wait = std::chrono::milliseconds{1'000},
+                                .gather = std::chrono::milliseconds{120}};
+/// While a watcher that ranks before is fresh, the next one only has to be ready to take over.
+constexpr watch_pace second_pace{.wait = std::chrono::milliseconds{1'000},
+                                 .gather = std::chrono::milliseconds{500}};
 constexpr watch_pace own_pace{};
 /// After this long without watching, reading everything costs less than what has changed since.
 constexpr duration longest_gap = std::chrono::seconds{3};
@@ -84,6 +90,7 @@
     void tick()
     {
         relay.tick();
+        kv.set_pace(pace());
         drop_overdue();
         end_batch();
         if (current && runtime_clock::now() - m_pushed >= push_interval)
@@ -119,12 +126,18 @@
         given.on_watch = [this] { m_pause.cancel(); };
         given.on_neighbours = [this](const std::vector<node_id>& nodes) {
             m_followers.members_changed(nodes);
-            kv.set_pace(m_followers.relied_upon() ? relied_upon_pace : own_pace);
             hooks.on_current(current, m_followers.rank());
         };
         return given;
     }
 
+    [[nodiscard]] watch_pace pace() const
+    {
+        if (!m_followers.relied_upon())
+            return own_pace;
+        return m_followers.first_fresh(runtime_clock::now()) ? first_pace : second_pace;
+    }
+
     [[nodiscard]] bool should_watch()
     {
         return !m_read_once || !m_shares_watches || m_followers.due(runtime_clock::now());
--- a/outside/kv_watch.h
+++ b/outside/kv_watch.h
@@ -69,6 +69,12 @@
     duration gather = std::chrono::milliseconds{40};
 };
 
+/// Calls of a store's own protocol, where one of ours takes several.
+struct kv_wire_calls {
+    std::uint64_t watches = 0; ///< waiting calls of all watches
+    std::uint64_t pages = 0;   ///< of readings of a prefix
+};
+
 /// One watch. It ends when it is destroyed.
 class kv_watch {
 public:
--- a/peers/key_relay.cc
+++ b/peers/key_relay.cc
@@ -147,8 +147,14 @@
     }
     m_synced = true;
     const auto& reply = std::get<key_reply>(message.body);
-    for (const relayed_key& entry : reply.entries)
+    std::size_t bytes = 0;
+    for (const relayed_key& entry : reply.entries) {
+        bytes += entry.key.size() + entry.value.size() + entry_overhead;
         take(entry, out);
+    }
+    // A reply that is nearly as large as it may be had no room for the rest.
+    if (bytes > m_settings.reply_bytes / 2)
+        m_next_sync = std::min(m_next_sync, now + m_settings.ask_wait);
     if (!reply.entries.empty()) {
         m_asked_in_vain = 0;
         m_ask_again = now; // what the reply had no room for is asked for at the next tick
--- a/peers/key_relay_test.cc
+++ b/peers/key_relay_test.cc
@@ -61,9 +61,9 @@
     }
 
     /// The platform gets a value; those that watch hear it, unless it is dark.
-    void write(const std::string& key, std::int64_t revision)
+    void write(const std::string& key, std::int64_t revision, const std::string& more = "")
     {
-        m_platform[key] = {key, revision, key + "@" + std::to_string(revision)};
+        m_platform[key] = {key, revision, key + "@" + std::to_string(revision) + more};
         if (platform_dark)
             return;
         for (node& each : m_nodes) {
@@ -215,6 +215,23 @@
     cr_assert_eq(net.nodes().back().core.keys().size(), 30);
 }
 
+// The same in a fleet of hundreds: what is known takes several replies. The fresh node had the rest
+// twenty seconds after the first, and forty.
+Test(key_relay, a_node_started_while_the_platform_is_dark_learns_a_thousand_keys_in_seconds)
+{
+    network net{24, 1, 7};
+    for (int i = 0; i < 1'100; ++i)
+        net.write("r" + std::to_string(i), 10 + i, std::string(600, 'v'));
+    net.steps(1'000);
+    cr_assert(net.everyone_has("r1099", 10 + 1'099));
+    net.platform_dark = true;
+    net.nodes()[3].up = false;
+    net.add("fresh", "d0");
+    net.members_changed();
+    net.steps(50);
+    cr_assert_eq(net.nodes().back().core.keys().size(), 1'100U);
+}
+
 // Both watchers of a domain die. The domain's other nodes take their places by themselves.
 Test(key_relay, watchers_that_die_are_replaced)
 {
--- a/peers/store_followers.h
+++ b/peers/store_followers.h
@@ -50,6 +50,11 @@
     [[nodiscard]] std::optional<duration> store_age(time_point now) const;
     /// Place among the nodes of the domain; the chosen ones come first.
     [[nodiscard]] std::size_t rank() const { return m_rank; }
+    /// Whether no node that ranks before this one is fresh, so that the others go by this one.
+    [[nodiscard]] bool first_fresh(time_point now) const
+    {
+        return now - m_lower_fresh > m_settings.fresh_for;
+    }
     /// Whether other nodes go by what this one tells.
     [[nodiscard]] bool relied_upon() const { return m_ranks.size() > m_settings.chosen; }
 
--- a/services/kv.cc
+++ b/services/kv.cc
@@ -82,10 +82,14 @@
         store->set_pace(pace);
 }
 
-std::uint64_t kv_service::watch_calls() const
+kv_call_counts kv_service::counts() const
 {
-    const auto* store = std::get_if<platform::store_kv>(&m_adapter);
-    return store == nullptr ? 0 : store->watch_calls();
+    kv_call_counts counts = m_counts;
+    if (const auto* store = std::get_if<platform::store_kv>(&m_adapter)) {
+        counts.set(kv_call::watch, store->wire_calls().watches);
+        counts.set(kv_call::get_prefix, store->wire_calls().pages);
+    }
+    return counts;
 }
 
 awaitable<result<kv_watch>> kv_service::watch(std::string prefix, std::int64_t from_revision)
--- a/services/kv.h
+++ b/services/kv.h
@@ -56,6 +56,7 @@
 
     [[nodiscard]] std::uint64_t of(kv_call kind) const { return by_kind.at(index(kind)); }
     void add(kv_call kind) { ++by_kind.at(index(kind)); }
+    void set(kv_call kind, std::uint64_t calls) { by_kind.at(index(kind)) = calls; }
     void add_failure(kv_call kind) { ++failed.at(index(kind)); }
     [[nodiscard]] std::uint64_t total() const;
     static std::size_t index(kv_call kind) { return static_cast<std::size_t>(kind); }
@@ -182,10 +183,9 @@
     /// Of watches that are made of waiting calls; others bring changes as they come.
     void set_pace(const watch_pace& pace);
 
-    /// Waiting calls that watches have made so far; none where a watch is one call.
-    [[nodiscard]] std::uint64_t watch_calls() const;
-    /// Calls made through this object.
-    [[nodiscard]] const kv_call_counts& counts() const { return m_counts; }
+    /// Calls made through this object, as the service counts them: a watch may take many, and so
+    /// may the reading of a prefix.
+    [[nodiscard]] kv_call_counts counts() const;
     /// The in-memory adapter, for tests that cut one client off; null for others.
     memory_kv* memory() { return std::get_if<memory_kv>(&m_adapter); }
 
