--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -43,7 +43,8 @@
 /// While a watcher that ranks before is fresh, the next one only has to be ready to take over.
 constexpr watch_pace second_pace{.wait = std::chrono::milliseconds{1'000},
                                  .gather = std::chrono::milliseconds{500}};
-constexpr watch_pace own_pace{};
+constexpr watch_pace own_pace{.wait = std::chrono::milliseconds{3'000},
+                              .gather = std::chrono::milliseconds{100}};
 /// After this long without watching, reading everything costs less than what has changed since.
 constexpr duration longest_gap = std::chrono::seconds{3};
 /// For living runners to be back in the registry once the store answers again.
--- a/peers/store_followers.cc
+++ b/peers/store_followers.cc
@@ -43,6 +43,7 @@
 void store_followers::answered(time_point now)
 {
     m_answered = now;
+    m_fresh = std::max(m_fresh, now);
 }
 
 void store_followers::lost(time_point now)
--- a/peers/store_followers.h
+++ b/peers/store_followers.h
@@ -63,7 +63,7 @@
     std::map<node_id, std::size_t> m_ranks;
     std::size_t m_rank = 0;
     bool m_standing_in = false;
-    time_point m_fresh;       ///< when the store last answered somebody who told us
+    time_point m_fresh;       ///< when the store last answered us, or somebody who told us
     time_point m_lower_fresh; ///< the same of nodes that rank before us
     time_point m_not_before;  ///< of standing in
     std::optional<time_point> m_answered;
