--- a/cli/cli.cc
+++ b/cli/cli.cc
@@ -29,6 +29,7 @@
     command{"load", run_load},
     command{"explain", run_explain},
     command{"losses", run_losses},
+    command{"calls", run_calls},
     command{"version", run_version},
 };
 
--- a/cli/cli_test.cc
+++ b/cli/cli_test.cc
@@ -12,6 +12,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <thread>
 
@@ -299,6 +300,40 @@
     cr_assert(run_losses({options, out, out}).error().kind == error_kind::not_found);
 }
 
+Test(calls, are_summed_by_time_and_by_node)
+{
+    const scratch_folder folder;
+    const auto line = [](int at, const std::string& node, int watches, int failed) {
+        return R"({"ts_ms":)" + std::to_string(1'000'000 + at) +
+               R"(,"level":"info","program":"p","instance":")" + node +
+               R"(","kind":"store_calls","reads":0,"pages":2,"watches":)" +
+               std::to_string(watches) + R"(,"transactions":1,"renewals":3,"leases":0,"failed":)" +
+               std::to_string(failed) + "}\n";
+    };
+    std::ofstream{folder.path() + "/a.log"} << line(0, "a", 10, 0) << line(10'000, "a", 20, 1)
+                                            << line(10'500, "b", 90, 0) << "cut short";
+    cli_options options;
+    options.words = {"calls", folder.path() + "/a.log"};
+    std::ostringstream out;
+    cr_assert(run_calls({options, out, out}).value() == exit_code::fine);
+    const std::string text = out.str();
+    const auto cells = [&](const std::string& name) {
+        const std::size_t from = text.find("\n" + name + " ") + 1;
+        std::istringstream row{text.substr(from, text.find('\n', from) - from)};
+        return std::vector<std::string>{std::istream_iterator<std::string>{row}, {}};
+    };
+    const std::vector<std::string> all{"all", "138", "0", "6", "120", "3", "9", "0", "1"};
+    const std::vector<std::string> later{"10", "122", "0", "4", "110", "2", "6", "0", "1"};
+    cr_assert(cells("all") == all, "%s", text.c_str());
+    cr_assert(cells("10") == later, "%s", text.c_str());
+    cr_assert_lt(text.find("\nb "), text.find("\na "), "who calls most comes first");
+    options.words = {"calls", folder.path() + "/none.log"};
+    cr_assert(run_calls({options, out, out}).error().kind == error_kind::not_found);
+    std::ofstream{folder.path() + "/other.log"} << "no line of ours\n";
+    options.words = {"calls", folder.path() + "/other.log"};
+    cr_assert(run_calls({options, out, out}).error().kind == error_kind::not_found);
+}
+
 Test(exit_codes, every_kind_has_one_that_is_not_fine)
 {
     for (const auto& entry : enum_names<error_kind>::entries)
--- a/cli/commands.h
+++ b/cli/commands.h
@@ -29,6 +29,7 @@
 result<exit_code> run_load(const command_context& context);
 result<exit_code> run_explain(const command_context& context);
 result<exit_code> run_losses(const command_context& context);
+result<exit_code> run_calls(const command_context& context);
 result<exit_code> run_version(const command_context& context);
 
 } // namespace jaynotch
--- a/cli/options.cc
+++ b/cli/options.cc
@@ -49,6 +49,7 @@
   jaynotch drain-status             backend servers that are leaving, and what is left on them
   jaynotch explain REQUEST [LOG...] tell one request's story from daemons' logs (or stdin)
   jaynotch losses [LOG...]          what was late or not served, by route, time and cause
+  jaynotch calls [LOG...]           what the nodes asked of the platform's store, by time and node
   jaynotch load --model M           drive open-loop load at --target and print percentiles
   jaynotch version
 
