Key relay: pushes are numbered, and what a watcher hears from peers is pushed too

Change: a follower pushes all it takes but what came in a neighbour's push; pushes carry numbers, and a neighbour counts as fresh only while none is missing and after one comparison with it.

Tests: two of the core, each fails on the code before.

--- a/daemon/key_relay_driver.cc
+++ b/daemon/key_relay_driver.cc
@@ -84,4 +84,10 @@
     m_hooks.on_key(entry);
 }
 
+void key_relay_driver::carry_out(const neighbour_fresh& order)
+{
+    if (m_hooks.on_fresh)
+        m_hooks.on_fresh(order.neighbour, order.store_age);
+}
+
 } // namespace jaynotch
--- a/daemon/key_relay_driver.h
+++ b/daemon/key_relay_driver.h
@@ -26,6 +26,9 @@
     std::function<void()> on_watch;
     /// Live members of the own failure domain, this node among them, whenever they change.
     std::function<void(const std::vector<node_id>&)> on_neighbours = {};
+    /// A neighbour watches the platform, which answered it so long ago, and this node has all that
+    /// it had then.
+    std::function<void(const node_id&, duration store_age)> on_fresh = {};
 };
 
 class key_relay_driver {
@@ -42,6 +45,7 @@
     /// Tells the own failure domain at once what was learned since the last push, or that nothing
     /// was, and that the platform answered `store_age` ago.
     void push(duration store_age);
+    void stop_pushing() { m_core.stop_pushing(); }
     void noticed(const key_notice& notice);
     void heard(const key_message& message);
     [[nodiscard]] bool watching() const { return m_core.watching(); }
@@ -54,6 +58,7 @@
     void carry_out(const tell_keys& order);
     void carry_out(const announce_key& order);
     void carry_out(const take_key& order);
+    void carry_out(const neighbour_fresh& order);
 
     const daemon_settings& m_settings;
     peer_service& m_peers;
--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -98,14 +98,6 @@
             push();
     }
 
-    /// A neighbour that watches has told what is new, or that nothing is.
-    void told(const node_id& from, duration store_age)
-    {
-        m_followers.told(from, store_age, runtime_clock::now());
-        if (store_age < outage)
-            regained();
-    }
-
     void end_batch()
     {
         if (std::exchange(m_news, false))
@@ -125,6 +117,11 @@
         key_relay_hooks given;
         given.on_key = [this](const kv_entry& entry) { take(entry); };
         given.on_watch = [this] { m_pause.cancel(); };
+        given.on_fresh = [this](const node_id& from, duration store_age) {
+            m_followers.told(from, store_age, runtime_clock::now());
+            if (store_age < outage)
+                regained();
+        };
         given.on_neighbours = [this](const std::vector<node_id>& nodes) {
             m_followers.members_changed(nodes);
             hooks.on_current(current, m_followers.rank());
@@ -199,7 +196,7 @@
         end_batch();
         push();
         if (!should_watch())
-            set_current(false);
+            hand_over();
         co_return true;
     }
 
@@ -239,13 +236,20 @@
             end_batch();
             push();
             if (!should_watch()) {
-                set_current(false); // the watchers tell from now on
+                hand_over();
                 co_return true;
             }
         }
         co_return false;
     }
 
+    /// Other watchers tell from now on.
+    void hand_over()
+    {
+        relay.stop_pushing();
+        set_current(false);
+    }
+
     /// An empty value stands for a key that is gone: no document is empty.
     void learn_gone(const std::string& key, std::int64_t revision)
     {
@@ -375,9 +379,6 @@
         if (!self || self->stopped)
             return;
         self->relay.heard(message);
-        const auto* reply = std::get_if<key_reply>(&message.body);
-        if (reply != nullptr && reply->store_age)
-            self->told(message.from, *reply->store_age);
         self->end_batch();
     });
 }
--- a/peers/frame.h
+++ b/peers/frame.h
@@ -85,9 +85,12 @@
 
 struct key_reply {
     std::vector<relayed_key> entries;
-    /// How long ago the platform answered the sender, if it watches the platform and tells all that
-    /// it has learned since it told last.
+    /// How long ago the platform answered the sender; in the last part of a push.
     std::optional<duration> store_age;
+    /// Counts the parts of the sender's pushes; nullopt in an answer.
+    std::optional<std::int64_t> push_number;
+    /// Answers a comparison of all keys, and nothing that the sender has newer was left out.
+    bool complete = false;
 };
 
 using key_body = std::variant<key_request, key_reply>;
--- a/peers/gen/peers_types.cpp
+++ b/peers/gen/peers_types.cpp
@@ -1828,6 +1828,16 @@
   this->store_age_ms = val;
 __isset.store_age_ms = true;
 }
+
+void key_reply::__set_push_number(const int64_t val) {
+  this->push_number = val;
+__isset.push_number = true;
+}
+
+void key_reply::__set_complete(const bool val) {
+  this->complete = val;
+__isset.complete = true;
+}
 std::ostream& operator<<(std::ostream& out, const key_reply& obj)
 {
   obj.printTo(out);
@@ -1884,6 +1894,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->push_number);
+          this->__isset.push_number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          this->__isset.complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1918,6 +1944,16 @@
     xfer += oprot->writeI32(this->store_age_ms);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.push_number) {
+    xfer += oprot->writeFieldBegin("push_number", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->push_number);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.complete) {
+    xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->complete);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1927,17 +1963,23 @@
   using ::std::swap;
   swap(a.entries, b.entries);
   swap(a.store_age_ms, b.store_age_ms);
+  swap(a.push_number, b.push_number);
+  swap(a.complete, b.complete);
   swap(a.__isset, b.__isset);
 }
 
 key_reply::key_reply(const key_reply& other49) {
   entries = other49.entries;
   store_age_ms = other49.store_age_ms;
+  push_number = other49.push_number;
+  complete = other49.complete;
   __isset = other49.__isset;
 }
 key_reply& key_reply::operator=(const key_reply& other50) {
   entries = other50.entries;
   store_age_ms = other50.store_age_ms;
+  push_number = other50.push_number;
+  complete = other50.complete;
   __isset = other50.__isset;
   return *this;
 }
@@ -1946,6 +1988,8 @@
   out << "key_reply(";
   out << "entries=" << to_string(entries);
   out << ", " << "store_age_ms="; (__isset.store_age_ms ? (out << to_string(store_age_ms)) : (out << "<null>"));
+  out << ", " << "push_number="; (__isset.push_number ? (out << to_string(push_number)) : (out << "<null>"));
+  out << ", " << "complete="; (__isset.complete ? (out << to_string(complete)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/peers_types.h
+++ b/peers/gen/peers_types.h
@@ -817,9 +817,11 @@
 std::ostream& operator<<(std::ostream& out, const key_value& obj);
 
 typedef struct _key_reply__isset {
-  _key_reply__isset() : entries(false), store_age_ms(false) {}
+  _key_reply__isset() : entries(false), store_age_ms(false), push_number(false), complete(false) {}
   bool entries :1;
   bool store_age_ms :1;
+  bool push_number :1;
+  bool complete :1;
 } _key_reply__isset;
 
 class key_reply : public virtual ::apache::thrift::TBase {
@@ -828,12 +830,16 @@
   key_reply(const key_reply&);
   key_reply& operator=(const key_reply&);
   key_reply() noexcept
-            : store_age_ms(0) {
+            : store_age_ms(0),
+              push_number(0),
+              complete(0) {
   }
 
   virtual ~key_reply() noexcept;
   std::vector<key_value>  entries;
   int32_t store_age_ms;
+  int64_t push_number;
+  bool complete;
 
   _key_reply__isset __isset;
 
@@ -841,6 +847,10 @@
 
   void __set_store_age_ms(const int32_t val);
 
+  void __set_push_number(const int64_t val);
+
+  void __set_complete(const bool val);
+
   bool operator == (const key_reply & rhs) const
   {
     if (!(entries == rhs.entries))
@@ -849,6 +859,14 @@
       return false;
     else if (__isset.store_age_ms && !(store_age_ms == rhs.store_age_ms))
       return false;
+    if (__isset.push_number != rhs.__isset.push_number)
+      return false;
+    else if (__isset.push_number && !(push_number == rhs.push_number))
+      return false;
+    if (__isset.complete != rhs.__isset.complete)
+      return false;
+    else if (__isset.complete && !(complete == rhs.complete))
+      return false;
     return true;
   }
   bool operator != (const key_reply &rhs) const {
--- a/peers/key_relay.cc
+++ b/peers/key_relay.cc
@@ -90,7 +90,7 @@
     key_relay_commands out;
     m_synced = true;
     if (take(entry, out)) {
-        m_fresh.push_back(entry);
+        m_untold.insert(entry.key);
         out.emplace_back(announce_key{{wire_key(entry.key), entry.revision, duration{0}}});
     }
     return out;
@@ -99,19 +99,23 @@
 key_relay_commands key_relay_core::push(duration store_age)
 {
     key_relay_commands out;
+    m_pushing = true;
     // Split by size, so that the first reading of everything fits into frames.
     std::vector<key_reply> parts(1);
     std::size_t bytes = 0;
-    for (relayed_key& entry : std::exchange(m_fresh, {})) {
+    for (const std::string& key : std::exchange(m_untold, {})) {
+        const relayed_key& entry = m_keys.at(key);
         const std::size_t size = entry.key.size() + entry.value.size() + entry_overhead;
         if (bytes + size > m_settings.reply_bytes && !parts.back().entries.empty()) {
             parts.emplace_back();
             bytes = 0;
         }
         bytes += size;
-        parts.back().entries.push_back(std::move(entry));
+        parts.back().entries.push_back(entry);
     }
-    parts.back().store_age = store_age; // once all of it has been told
+    for (key_reply& part : parts)
+        part.push_number = ++m_push_number;
+    parts.back().store_age = store_age;
     for (const node_id& neighbour : m_neighbours) {
         for (const key_reply& part : parts)
             out.emplace_back(tell_keys{neighbour, part});
@@ -119,6 +123,13 @@
     return out;
 }
 
+void key_relay_core::stop_pushing()
+{
+    m_pushing = false;
+    m_untold.clear();
+    ++m_push_number; // what was learned meanwhile is missing
+}
+
 key_relay_commands key_relay_core::noticed(time_point now, const key_notice& notice)
 {
     key_relay_commands out;
@@ -150,8 +161,16 @@
     std::size_t bytes = 0;
     for (const relayed_key& entry : reply.entries) {
         bytes += entry.key.size() + entry.value.size() + entry_overhead;
-        take(entry, out);
+        const bool news = take(entry, out);
+        // The neighbours have a push themselves; of other news they may not have heard, and what
+        // the platform then tells this node again is none.
+        if (news && m_pushing && !reply.push_number)
+            m_untold.insert(entry.key);
     }
+    if (reply.push_number)
+        take_push(now, message.from, reply, out);
+    else if (reply.complete && m_pushers.contains(message.from))
+        m_pushers[message.from].complete = true;
     // A reply that is nearly as large as it may be had no room for the rest.
     if (bytes > m_settings.reply_bytes / 2)
         m_next_sync = std::min(m_next_sync, now + m_settings.ask_wait);
@@ -162,6 +181,23 @@
     return out;
 }
 
+/// A push that was lost took its entries with it, and those after it say nothing of them. So unless
+/// the numbers follow one another, the neighbour counts as fresh only after a comparison with it.
+void key_relay_core::take_push(time_point now, const node_id& from, const key_reply& push,
+                               key_relay_commands& out)
+{
+    pusher& known = m_pushers[from];
+    const bool next = known.number != 0 && *push.push_number == known.number + 1;
+    known.number = *push.push_number;
+    known.complete = known.complete && next;
+    if (!known.complete && now - known.asked >= m_settings.ask_wait) {
+        known.asked = now;
+        out.emplace_back(tell_keys{from, key_request{this->known(), {}}});
+    }
+    if (known.complete && push.store_age)
+        out.emplace_back(neighbour_fresh{from, *push.store_age});
+}
+
 bool key_relay_core::take(const relayed_key& entry, key_relay_commands& out)
 {
     const auto found = m_keys.find(entry.key);
@@ -187,6 +223,7 @@
         theirs[item.key] = item.revision;
     const std::set<std::uint32_t> wanted{asked.wanted.begin(), asked.wanted.end()};
     key_reply reply;
+    reply.complete = asked.wanted.empty();
     std::size_t bytes = 0;
     for (const auto& [name, entry] : m_keys) {
         const std::uint32_t wire = wire_key(name);
@@ -195,8 +232,10 @@
         if (!newer || (!wanted.empty() && !wanted.contains(wire)))
             continue;
         const std::size_t size = name.size() + entry.value.size() + entry_overhead;
-        if (!reply.entries.empty() && bytes + size > m_settings.reply_bytes)
-            break; // the rest is asked for again
+        if (!reply.entries.empty() && bytes + size > m_settings.reply_bytes) {
+            reply.complete = false; // the rest is asked for again
+            break;
+        }
         bytes += size;
         reply.entries.push_back(entry);
     }
--- a/peers/key_relay.h
+++ b/peers/key_relay.h
@@ -57,7 +57,14 @@
 struct take_key {
     relayed_key entry;
 };
-using key_relay_command = std::variant<watch_keys, tell_keys, announce_key, take_key>;
+/// A neighbour watches the platform, which answered it `store_age` ago, and this node has all that
+/// the neighbour had then.
+struct neighbour_fresh {
+    node_id neighbour;
+    duration store_age{0};
+};
+using key_relay_command =
+    std::variant<watch_keys, tell_keys, announce_key, take_key, neighbour_fresh>;
 using key_relay_commands = std::vector<key_relay_command>;
 
 class key_relay_core {
@@ -73,6 +80,8 @@
     /// just that there was nothing, and that the platform answered `store_age` ago: one that is
     /// told need not watch.
     key_relay_commands push(duration store_age);
+    /// This node stops to push; when it begins again, the others have to compare with it first.
+    void stop_pushing();
     key_relay_commands noticed(time_point now, const key_notice& notice);
     key_relay_commands heard(time_point now, const key_message& message);
 
@@ -81,7 +90,16 @@
     [[nodiscard]] const std::map<std::string, relayed_key>& keys() const { return m_keys; }
 
 private:
+    /// A neighbour that pushes.
+    struct pusher {
+        std::int64_t number = 0; ///< of its last push that arrived
+        bool complete = false;   ///< no push of it is missing, and what came before was compared
+        time_point asked{};      ///< to compare
+    };
+
     bool take(const relayed_key& entry, key_relay_commands& out);
+    void take_push(time_point now, const node_id& from, const key_reply& push,
+                   key_relay_commands& out);
     void answer(time_point now, const node_id& to, const key_request& asked,
                 key_relay_commands& out);
     void ask(time_point now, bool everything, key_relay_commands& out);
@@ -96,8 +114,11 @@
     std::map<std::uint32_t, std::int64_t> m_behind; ///< noticed, not had yet
     std::vector<node_id> m_watchers;                ///< of our failure domain, but us
     std::vector<node_id> m_neighbours;              ///< all of our failure domain, but us
-    std::vector<relayed_key> m_fresh;               ///< learned since the last push
-    std::vector<node_id> m_peers;                   ///< whom to ask: our domain's, else anyone
+    std::set<std::string> m_untold;                 ///< keys to be told in the next push
+    bool m_pushing = false;
+    std::int64_t m_push_number = 0;
+    std::map<node_id, pusher> m_pushers;
+    std::vector<node_id> m_peers; ///< whom to ask: our domain's, else anyone
     bool m_watching = false;
     bool m_synced = false; ///< a peer or the platform has answered once
     std::size_t m_asked_in_vain = 0;
--- a/peers/key_relay_test.cc
+++ b/peers/key_relay_test.cc
@@ -325,6 +325,93 @@
     }
 }
 
+namespace {
+
+/// A node with two neighbours, whose messages a test carries itself.
+key_relay_core core_of(const std::string& name)
+{
+    key_relay_settings settings;
+    settings.self = node_id{name};
+    key_relay_core made{settings, random_source{1}};
+    const std::vector<node_id> own{node_id{"n0"}, node_id{"n1"}, node_id{"n2"}};
+    made.members_changed(own, own);
+    return made;
+}
+
+/// What is to be told to a node.
+std::vector<key_body> told_to(const std::string& name, const key_relay_commands& commands)
+{
+    std::vector<key_body> bodies;
+    for (const key_relay_command& one : commands) {
+        const auto* order = std::get_if<tell_keys>(&one);
+        if (order != nullptr && order->to == node_id{name})
+            bodies.push_back(order->body);
+    }
+    return bodies;
+}
+
+bool finds_fresh(const key_relay_commands& commands)
+{
+    return std::any_of(commands.begin(), commands.end(), [](const key_relay_command& one) {
+        return std::holds_alternative<neighbour_fresh>(one);
+    });
+}
+
+} // namespace
+
+// A watcher hears of a revoked key from a peer of another domain before the platform tells it. The
+// platform's word is no news to it then, and its neighbours never heard of the change.
+Test(key_relay, what_a_watcher_hears_from_peers_is_pushed_too)
+{
+    const time_point now{std::chrono::hours{1}};
+    key_relay_core watcher = core_of("n0");
+    watcher.push({});
+    watcher.heard(now, {node_id{"far"}, key_reply{{{"config", 7, "v"}}, {}, {}, false}});
+    watcher.learned(now, {"config", 7, "v"});
+    const std::vector<key_body> told = told_to("n1", watcher.push({}));
+    cr_assert_eq(told.size(), 1U);
+    cr_assert_eq(std::get<key_reply>(told.front()).entries.size(), 1U);
+}
+
+// A connection is reset while a push is on its way. The next push has nothing new, and the
+// neighbour took it for proof that it had everything.
+Test(key_relay, after_a_lost_push_a_neighbour_is_fresh_only_once_compared)
+{
+    time_point now{std::chrono::hours{1}};
+    key_relay_core watcher = core_of("n0");
+    key_relay_core other = core_of("n1");
+    const auto carry = [&](const key_relay_commands& pushed) {
+        key_relay_commands all;
+        for (const key_body& body : told_to("n1", pushed)) {
+            for (key_relay_command& one : other.heard(now, {node_id{"n0"}, body}))
+                all.push_back(std::move(one));
+        }
+        return all;
+    };
+    const auto compare = [&](const key_relay_commands& asked) {
+        const std::vector<key_body> request = told_to("n0", asked);
+        cr_assert_eq(request.size(), 1U);
+        return carry(watcher.heard(now, {node_id{"n1"}, request.front()}));
+    };
+    const key_relay_commands first = carry(watcher.push({}));
+    cr_assert(!finds_fresh(first), "what came before its first push is not known");
+    compare(first);
+    cr_assert(finds_fresh(carry(watcher.push({}))));
+
+    watcher.learned(now, {"config", 7, "v"});
+    watcher.push({}); // lost
+    now += std::chrono::seconds{1};
+    const key_relay_commands after = carry(watcher.push({}));
+    cr_assert(!finds_fresh(after));
+    compare(after);
+    cr_assert(other.keys().contains("config"));
+    cr_assert(finds_fresh(carry(watcher.push({}))));
+
+    watcher.stop_pushing();
+    now += std::chrono::seconds{1};
+    cr_assert(!finds_fresh(carry(watcher.push({}))), "it may have missed something meanwhile");
+}
+
 // Two nodes of a domain watch the platform. The others must hear of each change at once, and of the
 // watchers being there when nothing changes, since they would watch themselves otherwise.
 Test(key_relay, a_push_tells_the_whole_domain_what_is_new_and_then_nothing)
--- a/peers/membership_keys.cc
+++ b/peers/membership_keys.cc
@@ -42,6 +42,10 @@
         item.value = entry.value;
         out.entries.push_back(std::move(item));
     }
+    if (reply.push_number)
+        out.__set_push_number(*reply.push_number);
+    if (reply.complete)
+        out.__set_complete(true);
     if (reply.store_age) {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(*reply.store_age);
         out.__set_store_age_ms(static_cast<std::int32_t>(
@@ -57,6 +61,9 @@
         reply.entries.push_back({item.key, item.revision, item.value});
     if (heard.__isset.store_age_ms && heard.store_age_ms >= 0)
         reply.store_age = std::chrono::milliseconds{heard.store_age_ms};
+    if (heard.__isset.push_number)
+        reply.push_number = heard.push_number;
+    reply.complete = heard.__isset.complete && heard.complete;
     return reply;
 }
 
--- a/peers/peers.thrift
+++ b/peers/peers.thrift
@@ -109,6 +109,8 @@
 struct key_reply {
   1: list<key_value> entries
   2: optional i32 store_age_ms  // the sender follows the store, which answered it this long ago
+  3: optional i64 push_number   // of a push; one that is missing was lost
+  4: optional bool complete     // answers a comparison of all keys, and nothing newer was left out
 }
 
 // `head` is the head record of `revision` as it stands in the key-value service.
