Key relay: each follower tells all that it takes, also what another follower told it

A follower left out what the other follower's push had brought it; a node that the other one does not know as a member, as within seconds of a start, was never told, and the empty pushes counted as fresh.

--- a/peers/key_relay.cc
+++ b/peers/key_relay.cc
@@ -162,9 +162,9 @@
     for (const relayed_key& entry : reply.entries) {
         bytes += entry.key.size() + entry.value.size() + entry_overhead;
         const bool news = take(entry, out);
-        // The neighbours have a push themselves; of other news they may not have heard, and what
-        // the platform then tells this node again is none.
-        if (news && m_pushing && !reply.push_number)
+        // The neighbours may not have heard of it, not even of a push: its sender may not know all
+        // of them. Told by the platform afterwards it would be no news here.
+        if (news && m_pushing)
             m_untold.insert(entry.key);
     }
     if (reply.push_number)
--- a/peers/key_relay_test.cc
+++ b/peers/key_relay_test.cc
@@ -368,9 +368,14 @@
     watcher.push({});
     watcher.heard(now, {node_id{"far"}, key_reply{{{"config", 7, "v"}}, {}, {}, false}});
     watcher.learned(now, {"config", 7, "v"});
-    const std::vector<key_body> told = told_to("n1", watcher.push({}));
-    cr_assert_eq(told.size(), 1U);
-    cr_assert_eq(std::get<key_reply>(told.front()).entries.size(), 1U);
+    const auto told = [&] {
+        const std::vector<key_body> bodies = told_to("n1", watcher.push({}));
+        return std::get<key_reply>(bodies.at(0)).entries.size();
+    };
+    cr_assert_eq(told(), 1U);
+    watcher.heard(now, {node_id{"n2"}, key_reply{{{"config", 8, "v"}}, duration{0}, 1, false}});
+    cr_assert_eq(told(), 1U, "the other watcher may not know of every neighbour");
+    cr_assert_eq(told(), 0U);
 }
 
 // A connection is reset while a push is on its way. The next push has nothing new, and the
