Key relay: a reading of everything is compared with the neighbours, not pushed and announced

Cause: at the start of a fleet every node reads all entries; each then pushed them to its neighbours (660 KB at 1,100 runners, twice to each of 23) and announced each to all by rumor.

Change: entries of a full reading are taken quietly; the next push carries a number out of order, so that the neighbours compare once (13 KB) and get just what they lack. Test of the core.

--- a/daemon/key_relay_driver.cc
+++ b/daemon/key_relay_driver.cc
@@ -21,6 +21,11 @@
     carry_out(m_core.learned(runtime_clock::now(), {entry.key, entry.mod_revision, entry.value}));
 }
 
+void key_relay_driver::read(const kv_entry& entry)
+{
+    carry_out(m_core.read({entry.key, entry.mod_revision, entry.value}));
+}
+
 void key_relay_driver::push(duration store_age)
 {
     carry_out(m_core.push(store_age));
--- a/daemon/key_relay_driver.h
+++ b/daemon/key_relay_driver.h
@@ -42,6 +42,8 @@
 
     void tick();
     void learned(const kv_entry& entry);
+    /// One of everything that the platform has, which the others most likely have too.
+    void read(const kv_entry& entry);
     /// Tells the own failure domain at once what was learned since the last push, or that nothing
     /// was, and that the platform answered `store_age` ago.
     void push(duration store_age);
--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -182,13 +182,14 @@
         std::set<std::string> there;
         for (const kv_entry& entry : read.value().entries) {
             there.insert(entry.key);
-            relay.learned(entry);
+            relay.read(entry);
         }
         for (const auto& [key, held] : std::map{relay.keys()}) {
             if (!held.value.empty() && !there.contains(key) &&
                 held.revision < read.value().revision)
-                learn_gone(key, read.value().revision);
+                relay.read(gone(key, read.value().revision));
         }
+        relay.stop_pushing(); // the neighbours compare before they count on the next push
         m_revision = read.value().revision;
         m_read_once = true;
         answered();
@@ -226,7 +227,7 @@
             regained();
             for (const kv_event& event : batch.value().events) {
                 if (event.deleted)
-                    learn_gone(event.entry.key, event.entry.mod_revision);
+                    relay.learned(gone(event.entry.key, event.entry.mod_revision));
                 else
                     relay.learned(event.entry);
             }
@@ -251,12 +252,12 @@
     }
 
     /// An empty value stands for a key that is gone: no document is empty.
-    void learn_gone(const std::string& key, std::int64_t revision)
+    static kv_entry gone(const std::string& key, std::int64_t revision)
     {
-        kv_entry gone;
-        gone.key = key;
-        gone.mod_revision = revision;
-        relay.learned(gone);
+        kv_entry made;
+        made.key = key;
+        made.mod_revision = revision;
+        return made;
     }
 
     void lost(const error& why)
--- a/peers/key_relay.cc
+++ b/peers/key_relay.cc
@@ -96,6 +96,14 @@
     return out;
 }
 
+key_relay_commands key_relay_core::read(const relayed_key& entry)
+{
+    key_relay_commands out;
+    m_synced = true;
+    take(entry, out);
+    return out;
+}
+
 key_relay_commands key_relay_core::push(duration store_age)
 {
     key_relay_commands out;
--- a/peers/key_relay.h
+++ b/peers/key_relay.h
@@ -76,6 +76,9 @@
     key_relay_commands members_changed(const std::vector<node_id>& own_domain,
                                        const std::vector<node_id>& all);
     key_relay_commands learned(time_point now, const relayed_key& entry);
+    /// One of everything that the platform has. It is neither announced nor pushed: the others have
+    /// most of it, and what they lack they get by comparison. Call stop_pushing() after the last.
+    key_relay_commands read(const relayed_key& entry);
     /// Tells every node of the own failure domain at once what was learned since the last call, or
     /// just that there was nothing, and that the platform answered `store_age` ago: one that is
     /// told need not watch.
--- a/peers/key_relay_test.cc
+++ b/peers/key_relay_test.cc
@@ -378,6 +378,29 @@
     cr_assert_eq(told(), 0U);
 }
 
+// A fleet starts, and every node reads all entries. Were they pushed and announced, each node would
+// get them from both watchers once more, megabytes while it has most to do.
+Test(key_relay, a_reading_of_everything_is_compared_not_pushed)
+{
+    const time_point now{std::chrono::hours{1}};
+    key_relay_core watcher = core_of("n0");
+    key_relay_core other = core_of("n1");
+    for (int index = 0; index < 100; ++index) {
+        const relayed_key entry{"r" + std::to_string(index), 5 + index, "v"};
+        cr_assert_eq(watcher.read(entry).size(), 1U, "taken here, told to nobody");
+        if (index != 42)
+            other.read(entry);
+    }
+    watcher.stop_pushing();
+    const std::vector<key_body> pushed = told_to("n1", watcher.push({}));
+    cr_assert(std::get<key_reply>(pushed.at(0)).entries.empty());
+    const auto asked = told_to("n0", other.heard(now, {node_id{"n0"}, pushed.at(0)}));
+    const auto answer = told_to("n1", watcher.heard(now, {node_id{"n1"}, asked.at(0)}));
+    cr_assert_eq(std::get<key_reply>(answer.at(0)).entries.size(), 1U);
+    other.heard(now, {node_id{"n0"}, answer.at(0)});
+    cr_assert(other.keys().contains("r42"));
+}
+
 // A connection is reset while a push is on its way. The next push has nothing new, and the
 // neighbour took it for proof that it had everything.
 Test(key_relay, after_a_lost_push_a_neighbour_is_fresh_only_once_compared)
