--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -45,6 +45,11 @@
                                  .gather = std::chrono::milliseconds{500}};
 constexpr watch_pace own_pace{.wait = std::chrono::milliseconds{3'000},
                               .gather = std::chrono::milliseconds{100}};
+/// While a whole fleet starts, no node knows yet who else is there to follow, and all entries
+/// change.
+constexpr watch_pace start_pace{.wait = std::chrono::milliseconds{1'000},
+                                .gather = std::chrono::milliseconds{800}};
+constexpr duration start_span = std::chrono::seconds{6};
 /// After this long without watching, reading everything costs less than what has changed since.
 constexpr duration longest_gap = std::chrono::seconds{3};
 /// For living runners to be back in the registry once the store answers again.
@@ -61,7 +66,7 @@
         : io{context}, kv{service}, hooks{std::move(given)}, relay{chosen, others, "documents",
                                                                    relay_hooks()},
           m_pause{context}, m_shares_watches{chosen.mechanisms.has(mechanism::shared_watches)},
-          m_followers{{.self = chosen.node, .name = "documents"}}
+          m_first_start{chosen.first_start}, m_followers{{.self = chosen.node, .name = "documents"}}
     {}
 
     net::awaitable<void> run()
@@ -131,9 +136,13 @@
 
     [[nodiscard]] watch_pace pace() const
     {
-        if (!m_followers.relied_upon())
+        const time_point now = runtime_clock::now();
+        const bool relied_upon = m_followers.relied_upon();
+        if (m_first_start && !relied_upon && now - m_started < start_span)
+            return start_pace;
+        if (!relied_upon)
             return own_pace;
-        return m_followers.first_fresh(runtime_clock::now()) ? first_pace : second_pace;
+        return m_followers.first_fresh(now) ? first_pace : second_pace;
     }
 
     [[nodiscard]] bool should_watch()
@@ -359,6 +368,8 @@
 
     timer m_pause;
     bool m_shares_watches; ///< two nodes of a failure domain watch for all
+    bool m_first_start;    ///< of the whole fleet
+    time_point m_started = runtime_clock::now();
     store_followers m_followers;
     time_point m_pushed;
     time_point m_watched;        ///< when the store answered this node last
