Watches: many changes gather longer at nodes that start with the fleet, few as before

Cause: with 800 ms for all changes a drain in the first second of a lone node was seen late (registry_daemon/a_server_that_drains_gets_nothing_new failed). What costs calls is that hundreds of entries change at once.

Change: 100 ms and 10 ms a change, at most 800 ms.

--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -45,10 +45,12 @@
                                  .gather = std::chrono::milliseconds{500}};
 constexpr watch_pace own_pace{.wait = std::chrono::milliseconds{3'000},
                               .gather = std::chrono::milliseconds{100}};
-/// While a whole fleet starts, no node knows yet who else is there to follow, and all entries
+/// While a large fleet starts, no node knows yet who else is there to follow, and all entries
 /// change.
 constexpr watch_pace start_pace{.wait = std::chrono::milliseconds{1'000},
-                                .gather = std::chrono::milliseconds{800}};
+                                .gather = std::chrono::milliseconds{100},
+                                .gather_a_change = std::chrono::milliseconds{10},
+                                .most_gather = std::chrono::milliseconds{800}};
 constexpr duration start_span = std::chrono::seconds{6};
 /// After this long without watching, reading everything costs less than what has changed since.
 constexpr duration longest_gap = std::chrono::seconds{3};
--- a/outside/kv_watch.h
+++ b/outside/kv_watch.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -67,6 +68,14 @@
     std::chrono::milliseconds wait{3'000};
     /// Between a call that brought changes and the next, so that changes come in batches.
     duration gather = std::chrono::milliseconds{40};
+    duration gather_a_change{0}; ///< longer by this for each change that the call brought, ...
+    duration most_gather{0};     ///< ... up to this
+
+    [[nodiscard]] duration pause_after(std::size_t changes) const
+    {
+        const duration longer = static_cast<duration::rep>(changes) * gather_a_change;
+        return std::max(gather, std::min(gather + longer, most_gather));
+    }
 };
 
 /// Calls of a store's own protocol, where one of ours takes several.
--- a/services/wire_test.cc
+++ b/services/wire_test.cc
@@ -114,3 +114,16 @@
     }
     cr_assert(replayed == model);
 }
+
+// Each waiting call costs the store the same whatever it brings: while hundreds of entries change
+// at once, a follower that gathers no longer than usual calls many times a second.
+Test(watch_pace, many_changes_gather_longer_up_to_a_bound)
+{
+    using std::chrono::milliseconds;
+    const watch_pace pace{.gather = milliseconds{100},
+                          .gather_a_change = milliseconds{10},
+                          .most_gather = milliseconds{800}};
+    cr_assert(pace.pause_after(1) == milliseconds{110});
+    cr_assert(pace.pause_after(500) == milliseconds{800});
+    cr_assert(watch_pace{}.pause_after(500) == watch_pace{}.gather);
+}
