--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -208,6 +208,10 @@
     }
     for (auto& [id, row] : m_runners)
         progress(row);
+    while (!m_store_down && !m_late_entries.empty() && m_late_entries.front().first <= m_now) {
+        tell_all(runner_seen{m_late_entries.front().second});
+        m_late_entries.pop_front();
+    }
     constexpr std::int64_t steps_in_tick = 5;
     if (m_now.time_since_epoch() / step_time % steps_in_tick == 0)
         tell_all(formation_tick{});
@@ -300,7 +304,10 @@
     if (!written)
         return;
     m_published[changed.row.id.value()] = changed.row;
-    tell_all(runner_seen{changed.row});
+    if (m_entries_late > duration{0})
+        m_late_entries.emplace_back(m_now + m_entries_late, changed.row);
+    else
+        tell_all(runner_seen{changed.row});
 }
 
 void fake_registry::unlist(fake_runner& gone)
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -59,6 +59,8 @@
     void start_manager(std::size_t index);
     /// From now on, orders get no answer with this chance and are carried out up to 12 s later.
     void lose_orders(double chance) { m_lost_orders = chance; }
+    /// From now on the managers hear of each entry this much later than it was written.
+    void delay_entries(duration late) { m_entries_late = late; }
     /// Requests at the group of this head get nothing: every manager's node says so.
     void say_silent(const std::string& head);
     /// The store answers nobody and shows nothing from now on; leases run out meanwhile.
@@ -143,6 +145,8 @@
     std::vector<fake_manager> m_managers;
     std::deque<due_order> m_due;
     std::int64_t m_last_birth = 0;
+    std::deque<std::pair<time_point, runner>> m_late_entries; ///< written, not heard of yet
+    duration m_entries_late{0};
     double m_lost_orders = 0.0;
     bool m_traffic = false;
     bool m_store_down = false;
--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -386,3 +386,39 @@
     cr_assert_eq(world.staged("big"), 4 * big + spares);
     assert_sound(world);
 }
+
+// Changes gather before a manager hears of them, so it hears of entries after the answers to orders
+// that came later, and of some only after an outage of the store that began in between.
+Test(formation, late_entries_and_outages_put_no_runner_into_two_groups)
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        random_source random{seed};
+        fake_registry world = serving({.managers = 2, .domains = 2, .runners = 24, .seed = seed});
+        world.delay_entries(std::chrono::milliseconds{random.between(50, 600)});
+        for (int round = 0; round < 3; ++round) {
+            const std::string head =
+                world.head_of(random.chance(0.5) ? "big" : "small", random.index(3));
+            if (head.empty())
+                break;
+            const std::vector<std::string> members = world.members_of(head);
+            world.kill(members[random.index(members.size())]);
+            world.run(std::chrono::milliseconds{random.between(0, 400)});
+            world.say_silent(head);
+            world.run(std::chrono::milliseconds{random.between(0, 700)});
+        }
+        world.lose_orders(random.chance(0.5) ? 0.25 : 0.0);
+        world.store_down();
+        world.run(std::chrono::milliseconds{random.between(0, 2'500)});
+        world.peers_reach_store = random.chance(0.7);
+        const std::string next = world.head_of(random.chance(0.5) ? "big" : "small", 0);
+        if (!next.empty()) {
+            world.kill(world.members_of(next).back());
+            world.run(std::chrono::milliseconds{random.between(0, 400)});
+            world.say_silent(next);
+        }
+        world.run(std::chrono::milliseconds{random.between(1'000, 9'000)});
+        world.store_up(std::chrono::milliseconds{random.between(0, 2'000)});
+        world.run(4s);
+        cr_assert(world.broken().empty(), "seed %lu: %s", seed, world.broken().c_str());
+    }
+}
