Formation: an entry older than an accepted join frees nobody

As the store comes back it first takes the calls that runners had under way, entries from when they were in no group. The manager took them for the latest; while the new group came together it ordered its members to join once more, which hid that, but if just then another member was lost it did not, and used them, the head of an open group too, for the next group. The leases outlast such an outage, so the manager is the one that formed it, of the same term.

Change: a runner is ahead of its entry from when it accepts a join, or tells of a group itself, until an entry shows that composition or a later one, or it leaves. Entries from before change no group.

--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -151,10 +151,14 @@
 {
     m_store_down = false;
     for (auto& [id, at] : m_runners) {
-        if (at.alive)
-            at.list_at = m_now + entries_late;
-        else
+        if (!at.alive) {
             unlist(at);
+            continue;
+        }
+        at.list_at = m_now + entries_late;
+        // The call that it had under way is done first, whatever has changed since.
+        if (const auto first = std::exchange(at.unwritten, std::nullopt))
+            show(*first);
     }
     publish_key();
 }
@@ -243,6 +247,8 @@
     const auto* asked_lease = std::get_if<lease_grant>(&command);
     if (m_store_down && (renewal != nullptr || asked_lease != nullptr)) {
         const call_token token = renewal != nullptr ? renewal->token : asked_lease->token;
+        if (renewal != nullptr && leases_outlast_outages)
+            (void)m_store.keep_alive(renewal->lease, m_now);
         tell(manager, lease_result{token, result<lease_id>{unreachable}});
     }
     else if (const auto* asked = std::get_if<ask_runner>(&command)) {
@@ -296,18 +302,25 @@
     }
 }
 
-void fake_registry::publish(const fake_runner& changed)
+void fake_registry::publish(fake_runner& changed)
 {
+    if (m_store_down && changed.alive && changed.reachable && !changed.unwritten)
+        changed.unwritten = changed.row;
     // Until a runner writes its entry after an outage, the registry shows what it was before.
     const bool written = changed.listed && changed.alive && changed.reachable && !m_store_down &&
                          changed.list_at == time_point::max();
     if (!written)
         return;
-    m_published[changed.row.id.value()] = changed.row;
+    show(changed.row);
+}
+
+void fake_registry::show(const runner& row)
+{
+    m_published[row.id.value()] = row;
     if (m_entries_late > duration{0})
-        m_late_entries.emplace_back(m_now + m_entries_late, changed.row);
+        m_late_entries.emplace_back(m_now + m_entries_late, row);
     else
-        tell_all(runner_seen{changed.row});
+        tell_all(runner_seen{row});
 }
 
 void fake_registry::unlist(fake_runner& gone)
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -68,6 +68,8 @@
     /// Runners write their entries anew after `entries_late`; until then the registry shows what
     /// they were before the outage.
     void store_up(duration entries_late = duration{0});
+    /// Leases don't run out while the store is down, so a manager comes back with its old term.
+    bool leases_outlast_outages = false;
     /// What other nodes say when they are asked about a silent runner.
     bool peers_hear = false;
     /// Whether another node reaches the store while these managers don't.
@@ -103,6 +105,7 @@
         std::string joining_model;
         time_point joined_at = time_point::max();
         time_point opens_at = time_point::max();
+        std::optional<runner> unwritten; ///< its first entry that the store did not take
         std::string staging;
         time_point staged_at = time_point::max();
     };
@@ -125,7 +128,8 @@
     void tell_all(const formation_event& event);
     void tell(std::size_t manager, const formation_event& event);
     void carry_out(std::size_t manager, const formation_command& command);
-    void publish(const fake_runner& changed);
+    void publish(fake_runner& changed);
+    void show(const runner& row);
     void publish_key();
     order_reply obey(fake_runner& at, const send_order& order);
     order_reply join(fake_runner& at, const join_group& order);
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -201,7 +201,16 @@
         view = runner_view{};
     if (row.leaving && (fresh || reborn || !view.row.leaving))
         view.leaving_since = now;
+    const std::optional<membership> group = view.row.group;
+    const std::string model = view.row.model;
     view.row = row;
+    if (view.ahead && (!row.group || row.group->epoch < view.ahead->second)) {
+        view.row.group = group;
+        view.row.model = model;
+    }
+    else {
+        view.ahead.reset();
+    }
     view.listed = true;
     view.dead = false; // it has just written its entry
     if (!row.model.empty())
@@ -255,13 +264,16 @@
         if (!is_in(*view, {joined->group, joined->epoch})) {
             view->row.group = membership{joined->group, joined->epoch, rank, member_phase::joining};
             view->row.model.clear();
+            view->ahead = key_of(*view->row.group);
             share(*view, now);
         }
     }
     else if (std::holds_alternative<leave_group>(view->pending_order)) {
         const auto& left = std::get<leave_group>(view->pending_order);
-        if (view->row.group && view->row.group->group == left.group)
+        if (view->row.group && view->row.group->group == left.group) {
             view->row.group.reset();
+            view->ahead.reset();
+        }
         share(*view, now);
     }
     else if (std::holds_alternative<open_group>(view->pending_order)) {
--- a/groups/formation_dark.cc
+++ b/groups/formation_dark.cc
@@ -74,7 +74,10 @@
     runner row = view->row;
     row.group = word.group;
     row.model = word.model;
+    view->ahead.reset(); // this is later than what it said before
     take_runner(row, now);
+    if (view->row.group)
+        view->ahead = key_of(*view->row.group);
     share(*view, now);
 }
 
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -18,7 +18,10 @@
     time_point leaving_since;
     /// Said itself, since this node became the manager, which group it is in.
     bool vouched = false;
-    time_point told_at;  ///< when its own word last differed from the registry
+    time_point told_at; ///< when its own word last differed from the registry
+    /// Composition that it has joined by its own word, to an order or a question. Its entry has yet
+    /// to show it; until then entries of older compositions, or of none, were written before.
+    std::optional<group_key> ahead;
     bool silent = false; ///< did not answer a probe
     time_point silent_since;
     bool dead = false; ///< silent, and no other node is answered either
--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -422,3 +422,39 @@
         cr_assert(world.broken().empty(), "seed %lu: %s", seed, world.broken().c_str());
     }
 }
+
+// The store is down, and a manager ends a group that has lost a member and makes it anew by the
+// runners' own word. As the store comes back it first takes the calls that runners had under way:
+// entries from when they were in no group. One VM was ordered into another group while the one it
+// headed served.
+Test(formation, an_entry_older_than_an_accepted_join_frees_nobody)
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        random_source random{seed};
+        fake_registry world = serving({.managers = 2, .domains = 2, .runners = 24, .seed = seed});
+        world.leases_outlast_outages = true;
+        world.store_down();
+        world.run(3s);
+        for (int lost = 0; lost < 3; ++lost) {
+            const std::string head = world.head_of("big", random.index(3));
+            if (head.empty())
+                break;
+            world.kill(world.members_of(head)[1 + random.index(3)]);
+            world.say_silent(head);
+            world.run(std::chrono::milliseconds{random.between(100, 900)});
+        }
+        std::vector<std::string> heads;
+        for (std::size_t index = 0; !world.head_of("big", index).empty(); ++index)
+            heads.push_back(world.head_of("big", index));
+        for (const std::string& head : heads) {
+            if (random.chance(0.6))
+                world.kill(world.members_of(head)[1 + random.index(3)]);
+        }
+        world.store_up(std::chrono::milliseconds{random.between(100, 1'000)});
+        world.run(std::chrono::milliseconds{random.between(0, 60)});
+        for (const std::string& head : heads)
+            world.say_silent(head);
+        world.run(3s);
+        cr_assert(world.broken().empty(), "seed %lu: %s", seed, world.broken().c_str());
+    }
+}
