Groups: one constant for how long a runner without an entry is remembered

It stood in the manager and in the registry that it now reads from, and the two could have drifted. The manager also uses key_of() where it put a composition's key together by hand.

--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -65,8 +65,7 @@
     for (const auto& [vm, view] : core.runners) {
         if (!view.listed)
             continue;
-        const bool spare =
-            !view.row.group || core.warms_up({view.row.group->group, view.row.group->epoch});
+        const bool spare = !view.row.group || core.warms_up(key_of(*view.row.group));
         if (spare)
             ++told.spare_runners;
         else if (view.row.group->rank == 0 && view.row.group->phase == member_phase::open)
@@ -372,7 +371,6 @@
 
 void formation::state::forget_lost(time_point now)
 {
-    constexpr duration keep_unlisted = 120s; // its group may outlive its entry behind a cut
     const std::size_t forgotten = std::erase_if(runners, [&](const auto& entry) {
         return !entry.second.listed && now - entry.second.unlisted_at > keep_unlisted;
     });
@@ -425,7 +423,7 @@
         return "silent";
     const std::string leaving = view.row.leaving ? "leaving " : "";
     if (view.row.group) {
-        const group_key key{view.row.group->group, view.row.group->epoch};
+        const group_key key = key_of(*view.row.group);
         if (warms_up(key))
             return leaving + "warming";
         return leaving + std::string{to_name(view.row.group->phase)} + " " + view.row.model;
--- a/groups/runner_registry.cc
+++ b/groups/runner_registry.cc
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// A group may outlive the entry of a member that is cut off.
-constexpr duration keep_unlisted = std::chrono::seconds{120};
-
 bool is_head(const runner& row)
 {
     return row.group && row.group->rank == 0;
--- a/groups/runner_registry.h
+++ b/groups/runner_registry.h
@@ -26,6 +26,10 @@
 /// A composition's name and epoch.
 using group_key = std::pair<group_id, std::int64_t>;
 
+/// A runner whose entry has gone is remembered for this long: its group may outlive the entry where
+/// it is cut off.
+constexpr duration keep_unlisted = std::chrono::seconds{120};
+
 inline group_key key_of(const membership& said)
 {
     return {said.group, said.epoch};
