--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -59,6 +59,16 @@
 /// A store that failed for shorter has let no lease lapse: runners write each second or so.
 constexpr duration outage = std::chrono::milliseconds{1'500};
 
+std::int64_t in_milliseconds(duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+std::int64_t milliseconds_since(time_point then)
+{
+    return in_milliseconds(runtime_clock::now() - then);
+}
+
 } // namespace
 
 class registry_feed::impl : public std::enable_shared_from_this<impl> {
@@ -181,6 +191,7 @@
 
     net::awaitable<bool> read_all()
     {
+        const time_point asked = runtime_clock::now();
         const result<kv_range> read =
             co_await kv.get_prefix(std::string{platform::watched_prefix()});
         if (stopped)
@@ -189,6 +200,10 @@
             lost(read.error());
             co_return false;
         }
+        log_event(log_level::info, "store_read",
+                  {{"entries", read.value().entries.size()},
+                   {"revision", read.value().revision},
+                   {"took_ms", milliseconds_since(asked)}});
         regained();
         std::set<std::string> there;
         for (const kv_entry& entry : read.value().entries) {
@@ -221,11 +236,16 @@
             co_return false;
         }
         bool worked = false;
+        time_point answered_last = runtime_clock::now();
         while (!stopped) {
             const result<kv_watch_batch> batch = co_await watch.value().next(watch_wait);
             if (stopped)
                 co_return false;
             if (!batch) {
+                log_event(log_level::info, "watch_ended",
+                          {{"reason", batch.error().message},
+                           {"revision", m_revision},
+                           {"silent_ms", milliseconds_since(answered_last)}});
                 if (batch.error().kind == error_kind::not_found)
                     m_revision = 0; // that history is gone: read everything anew
                 else
@@ -235,6 +255,7 @@
             if (batch.value().revision == 0)
                 continue; // nothing came from the store yet
             worked = true;
+            answered_last = runtime_clock::now();
             regained();
             for (const kv_event& event : batch.value().events) {
                 if (event.deleted)
@@ -292,8 +313,7 @@
         if (away >= outage)
             m_returning_until = now + return_grace;
         log_event(log_level::info, "store_regained",
-                  {{"away_ms", std::chrono::duration_cast<std::chrono::milliseconds>(away).count()},
-                   {"revision", m_revision}});
+                  {{"away_ms", in_milliseconds(away)}, {"revision", m_revision}});
     }
 
     void set_current(bool now)
