--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -432,6 +432,11 @@
     return m_impl->serving_groups();
 }
 
+config_revision registry_daemon::tables_revision() const
+{
+    return m_impl->tables ? m_impl->tables->revision : config_revision{0};
+}
+
 daemon_counts registry_daemon::counts() const
 {
     return m_impl->counts;
--- a/daemon/registry_daemon.h
+++ b/daemon/registry_daemon.h
@@ -44,6 +44,8 @@
     [[nodiscard]] daemon_counts counts() const;
     /// Groups that may be given requests now.
     [[nodiscard]] std::size_t complete_groups() const;
+    /// Of the tables in force; 0 before the first.
+    [[nodiscard]] config_revision tables_revision() const;
 
 private:
     class impl;
--- a/daemon/registry_daemon_test.cc
+++ b/daemon/registry_daemon_test.cc
@@ -91,6 +91,24 @@
         return done();
     }
 
+    /// Runs on paused time, which moves on in small steps until `done`; returns how long it took.
+    template <class Done>
+    duration time_until(Done done, duration longest)
+    {
+        constexpr duration step = 5ms;
+        const auto work = std::chrono::milliseconds{2}; // for the sockets, between two steps
+        runtime_clock::pause();
+        const time_point begun = runtime_clock::now();
+        m_io.restart();
+        while (!done() && runtime_clock::now() - begun < longest) {
+            runtime_clock::advance(step);
+            m_io.run_for(work);
+        }
+        const duration took = runtime_clock::now() - begun;
+        runtime_clock::resume();
+        return took;
+    }
+
     void run(duration time)
     {
         const time_point until = runtime_clock::now() + time;
@@ -341,6 +359,39 @@
     cr_assert_eq(here.ask("/order/1").status, 401, "an older version never comes back");
 }
 
+namespace {
+
+/// How long a lone node takes to put a revoked key into force after `trouble` befell its watch.
+duration time_to_revoke(const std::function<void(store_standin&)>& trouble)
+{
+    site here{1, 0};
+    cr_assert(here.run_until([&] { return here.ask("/order/1").status == 200; }));
+    const duration start = 7s; // watches wait for less while a fleet starts
+    here.time_until([] { return false; }, start);
+    here.store().withholds_news = true;
+    here.store().put("op/config", document(2, R"(["key-2"])"));
+    trouble(here.store());
+    here.store().withholds_news = false;
+    const auto in_force = [&] { return here.daemons[0]->tables_revision().value() == 2; };
+    return here.time_until(in_force, 2 * site_bounds{}.config_apply);
+}
+
+} // namespace
+
+// Guards against a node that waits for news of a history that the store has dropped.
+Test(registry_daemon, a_change_is_in_force_in_time_though_the_history_was_dropped)
+{
+    const duration took = time_to_revoke([](store_standin& store) { store.drop_history(); });
+    cr_assert_lt(took, site_bounds{}.config_apply);
+}
+
+// Guards against a node that waits too long on a connection that has gone silent.
+Test(registry_daemon, a_change_is_in_force_in_time_though_the_watch_went_silent)
+{
+    const duration took = time_to_revoke([](store_standin& store) { store.silence_watches(); });
+    cr_assert_lt(took, site_bounds{}.config_apply);
+}
+
 // While the store is down nothing can be learned, and everything that is known goes on serving.
 Test(registry_daemon, an_outage_of_the_store_stops_nothing)
 {
--- a/standins/store_standin.cc
+++ b/standins/store_standin.cc
@@ -23,6 +23,18 @@
             {"lease", entry.lease.value()}};
 }
 
+json::array events_of(const std::vector<kv_event>& changes)
+{
+    json::array events;
+    for (const kv_event& event : changes) {
+        json::object item = item_of(event.entry);
+        if (event.deleted)
+            item["tombstone"] = true;
+        events.push_back(std::move(item));
+    }
+    return events;
+}
+
 std::int64_t number(const std::string& text)
 {
     return text.empty() ? 0 : std::stoll(text);
@@ -49,6 +61,12 @@
     (void)store.transact({{}, {kv_delete{key}}, {}});
 }
 
+void store_standin::drop_history()
+{
+    m_forgotten = store.revision();
+    ++m_drops;
+}
+
 awaitable<void> store_standin::handle(standin_exchange& exchange)
 {
     const auto keep = shared_from_this();
@@ -99,24 +117,32 @@
     const std::int64_t after = number(exchange.query("after"));
     const time_point until =
         runtime_clock::now() + std::chrono::milliseconds{number(exchange.query("wait_ms"))};
+    const std::size_t drops = m_drops;
+    const std::size_t silenced = m_silenced;
     json::array events;
     for (;;) {
         store.expire(runtime_clock::now());
+        if (drops != m_drops || exchange.client_gone()) {
+            exchange.cut();
+            co_return;
+        }
         const result<std::vector<kv_event>> seen = store.changes(prefix, after + 1);
         if (!seen) {
             co_await exchange.answer(http::status::gone, "{}");
             co_return;
         }
-        for (const kv_event& event : seen.value()) {
-            json::object item = item_of(event.entry);
-            if (event.deleted)
-                item["tombstone"] = true;
-            events.push_back(std::move(item));
-        }
-        if (!events.empty() || refuses || runtime_clock::now() >= until)
+        const bool may_tell = !withholds_news && silenced == m_silenced && after >= m_forgotten;
+        if (may_tell)
+            events = events_of(seen.value());
+        const bool over = runtime_clock::now() >= until && silenced == m_silenced;
+        if (!events.empty() || refuses || over)
             break;
         co_await standin_sleep(m_executor, poll_step);
     }
+    if (after < m_forgotten && !refuses) {
+        co_await exchange.answer(http::status::gone, "{}");
+        co_return;
+    }
     json::object page;
     page["events"] = std::move(events);
     page["current_rev"] = store.revision();
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -30,7 +30,13 @@
     [[nodiscard]] const std::string& address() const { return m_server->address(); }
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
-    bool refuses = false; ///< answers every call with 503 and does nothing
+    /// Forgets all changes so far and cuts the watches that wait. As the platform's store does, it
+    /// tells a later watch from a forgotten revision so only when that call's waiting time is over.
+    void drop_history();
+    /// The watches that wait now are never answered, and their connections stay open.
+    void silence_watches() { ++m_silenced; }
+    bool refuses = false;        ///< answers every call with 503 and does nothing
+    bool withholds_news = false; ///< watches hear of no change
     std::size_t calls = 0;
     kv_store store;
 
@@ -45,6 +51,9 @@
 
     boost::asio::any_io_executor m_executor;
     std::shared_ptr<standin_server> m_server;
+    std::int64_t m_forgotten = 0; ///< changes up to this revision are no longer told
+    std::size_t m_drops = 0;      ///< how often the history was dropped
+    std::size_t m_silenced = 0;   ///< how often the waiting watches were silenced
 };
 
 class runner_standin;
