--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -34,21 +34,16 @@
 constexpr duration watch_wait = std::chrono::seconds{10};
 /// Between two pushes of a watcher that has nothing new.
 constexpr duration push_interval = std::chrono::milliseconds{400};
-/// A watcher that others rely on has the store answer at least this often, or it would not count as
-/// fresh; one that only informs itself need not. Each call costs the store the same whatever it
-/// brings, so changes gather, for a time that is short beside the time in which one must be in
-/// force.
-constexpr watch_pace first_pace{.wait = std::chrono::milliseconds{1'000},
-                                .gather = std::chrono::milliseconds{120}};
+/// Each call costs the store the same whatever it brings, so changes gather, for a time that is
+/// short beside the time in which one must be in force.
+constexpr watch_pace first_pace{.gather = std::chrono::milliseconds{120}};
 /// While a watcher that ranks before is fresh, the next one only has to be ready to take over.
-constexpr watch_pace second_pace{.wait = std::chrono::milliseconds{1'000},
-                                 .gather = std::chrono::milliseconds{500}};
-constexpr watch_pace own_pace{.wait = std::chrono::milliseconds{3'000},
-                              .gather = std::chrono::milliseconds{100}};
+constexpr watch_pace second_pace{.gather = std::chrono::milliseconds{500}};
+/// Of a watcher that only informs itself.
+constexpr watch_pace own_pace{.gather = std::chrono::milliseconds{100}};
 /// While a large fleet starts, no node knows yet who else is there to follow, and all entries
 /// change.
-constexpr watch_pace start_pace{.wait = std::chrono::milliseconds{1'000},
-                                .gather = std::chrono::milliseconds{100},
+constexpr watch_pace start_pace{.gather = std::chrono::milliseconds{100},
                                 .gather_a_change = std::chrono::milliseconds{10},
                                 .most_gather = std::chrono::milliseconds{800}};
 constexpr duration start_span = std::chrono::seconds{6};
@@ -235,8 +230,8 @@
             lost(watch.error());
             co_return false;
         }
-        bool worked = false;
-        time_point answered_last = runtime_clock::now();
+        const time_point begun = runtime_clock::now();
+        time_point answered_last = begun;
         while (!stopped) {
             const result<kv_watch_batch> batch = co_await watch.value().next(watch_wait);
             if (stopped)
@@ -250,11 +245,12 @@
                     m_revision = 0; // that history is gone: read everything anew
                 else
                     lost(batch.error());
-                co_return worked || m_revision == 0;
+                // One that ends again and again soon after its first answer must not be begun anew
+                // at once.
+                co_return m_revision == 0 || runtime_clock::now() - begun >= longest_pause;
             }
             if (batch.value().revision == 0)
                 continue; // nothing came from the store yet
-            worked = true;
             answered_last = runtime_clock::now();
             regained();
             for (const kv_event& event : batch.value().events) {
--- a/outside/kv_watch.h
+++ b/outside/kv_watch.h
@@ -64,8 +64,9 @@
 /// How often a watch that is made of waiting calls calls. Takes effect with the next call.
 struct watch_pace {
     /// One call waits for a change for this long. A connection that went silent is noticed only
-    /// after it.
-    std::chrono::milliseconds wait{3'000};
+    /// after it and `slack`, so both together must be shorter than a change may take.
+    std::chrono::milliseconds wait{1'000};
+    std::chrono::milliseconds slack{800}; ///< after `wait`, for the answer to arrive
     /// Between a call that brought changes and the next, so that changes come in batches.
     duration gather = std::chrono::milliseconds{40};
     duration gather_a_change{0}; ///< longer by this for each change that the call brought, ...
