--- a/daemon/registry_daemon_test.cc
+++ b/daemon/registry_daemon_test.cc
@@ -392,6 +392,41 @@
     cr_assert_lt(took, site_bounds{}.config_apply);
 }
 
+// Guards against nodes that each keep to a server's limit by themselves, or not at all.
+Test(registry_daemon, a_servers_limit_holds_for_all_nodes_together)
+{
+    constexpr std::size_t nodes = 3;
+    constexpr duration window = 4s;
+    constexpr std::size_t most_in_window =
+        2 * 4 * 3 / 2 + 5; // 2 a second, half as many again, and 5
+    site here{nodes, 0, 1};
+    for (std::size_t node = 0; node < nodes; ++node)
+        cr_assert(here.run_until([&] { return here.ask("/read/1", {}, node).status == 200; }));
+    here.apps[0]->faults.limit = "2";
+    const std::size_t before = here.apps[0]->ran.size();
+    const time_point begun = runtime_clock::now();
+    time_point next = begun;
+    const duration span = 9s;
+    here.time_until(
+        [&] {
+            if (runtime_clock::now() < next)
+                return false;
+            next += 50ms;
+            for (std::size_t node = 0; node < nodes; ++node)
+                here.begin("/read/1", {}, node);
+            return false;
+        },
+        span);
+    std::vector<time_point> arrivals;
+    for (std::size_t at = before; at < here.apps[0]->ran.size(); ++at) {
+        if (here.apps[0]->ran[at].at >= begun + 1s)
+            arrivals.push_back(here.apps[0]->ran[at].at);
+    }
+    for (std::size_t at = most_in_window; at < arrivals.size(); ++at)
+        cr_assert_gt(arrivals[at] - arrivals[at - most_in_window], window);
+    cr_assert_geq(arrivals.size(), 8U, "half of what the server takes is used");
+}
+
 // While the store is down nothing can be learned, and everything that is known goes on serving.
 Test(registry_daemon, an_outage_of_the_store_stops_nothing)
 {
--- a/standins/store_standin.cc
+++ b/standins/store_standin.cc
@@ -315,6 +315,7 @@
         co_return;
     }
     seen_request seen;
+    seen.at = runtime_clock::now();
     seen.attempt = std::string{exchange.header("Jaynotch-Attempt-Id")};
     seen.target = std::string{exchange.request().target()};
     seen.body = exchange.body();
@@ -344,6 +345,8 @@
     exchange.set("Jaynotch-Attempt-Id", attempt);
     exchange.set("Jaynotch-Response-Seal", "seal-" + m_settings.id);
     exchange.set("Jaynotch-Server-Load", "1,0,8");
+    if (!faults.limit.empty())
+        exchange.set("Server-Limit", faults.limit);
     return attempt;
 }
 
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -85,6 +85,7 @@
     bool cut = false;          ///< ends the connection after it ran the request
     bool foreign = false;      ///< first sends the answer of another request
     std::size_t cut_after = 0; ///< events of a stream; 0: none
+    std::string limit;         ///< that its answers name, requests a second of all nodes together
 };
 
 /// One request as a runner saw it.
@@ -93,6 +94,7 @@
     std::string target;
     std::string body;
     std::map<std::string, std::string> headers;
+    time_point at; ///< when it arrived
 };
 
 class runner_standin : public std::enable_shared_from_this<runner_standin> {
