--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -116,6 +116,10 @@
     kv_call_counts kv_shown; ///< what the counters say
     Gauge& retries_left = gauge(registry, "jaynotch_retries_left",
                                 "Retries that this node may still send, in the scarcest pool");
+    Gauge& limited = gauge(registry, "jaynotch_limited_servers",
+                           "Backend servers that limit the requests a second of all nodes");
+    Gauge& refused_limited =
+        gauge(registry, "jaynotch_refused_limited", "Requests refused for these limits");
     Gauge& log_dropped =
         gauge(registry, "jaynotch_log_lines_dropped", "Log lines dropped, over budget or unread");
     Gauge& dropped = gauge(registry, "jaynotch_spans_dropped", "Spans dropped, the buffer full");
@@ -206,6 +210,8 @@
     }
     all.kv_shown = now.kv_calls;
     all.retries_left.Set(now.retries_left);
+    all.limited.Set(static_cast<double>(now.limited_servers));
+    all.refused_limited.Set(static_cast<double>(now.refused_limited));
     all.log_dropped.Set(static_cast<double>(now.log_lines_dropped));
     all.forming.Set(static_cast<double>(now.groups_forming));
     all.spares.Set(static_cast<double>(now.spare_runners));
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -41,9 +41,11 @@
     double retries_left = 0.0; ///< of the pool that has the fewest
     std::uint64_t spans_dropped = 0;
     std::uint64_t log_lines_dropped = 0;
-    std::uint64_t groups_forming = 0; ///< in the failure domains that this node manages
-    std::uint64_t spare_runners = 0;  ///< there
-    duration config_age{0};           ///< since the tables in force were installed
+    std::uint64_t groups_forming = 0;  ///< in the failure domains that this node manages
+    std::uint64_t spare_runners = 0;   ///< there
+    std::uint64_t limited_servers = 0; ///< that limit the requests a second of all nodes together
+    std::uint64_t refused_limited = 0; ///< requests, for these limits
+    duration config_age{0};            ///< since the tables in force were installed
 };
 
 class metrics {
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -75,6 +75,7 @@
                                                runtime_clock::now()));
         driver_hooks hooks;
         hooks.on_silent = [this](const target_silent& seen) { take_silence(seen); };
+        hooks.on_share_limit = [this](const share_limit& seen) { take_limit(seen); };
         requests = std::make_unique<request_driver>(io, std::move(core), kv, std::move(hooks));
         managers = std::make_unique<formation_driver>(io, settings, kv, *peers, m_registry);
         managers->on_asked(
@@ -94,6 +95,8 @@
         peers->on_rumor([this](const rumor& heard) {
             if (const auto* newer = std::get_if<key_notice>(&heard))
                 feed->noticed(*newer);
+            if (const auto* limit = std::get_if<server_limit>(&heard))
+                requests->handle(limit_told{vm_id{limit->server}, limit->per_second, limit->age});
         });
         peers->on_superseded([this] {
             if (superseded)
@@ -269,6 +272,18 @@
         managers->silent(seen.instance);
     }
 
+    void take_limit(const share_limit& seen)
+    {
+        peers->publish(server_limit{seen.server.value(), seen.per_second, {}});
+        if (seen.per_second)
+            log_event(log_level::info, "server_limited",
+                      {{"server", seen.server.value()},
+                       {"per_second", *seen.per_second},
+                       {"own_share", seen.own_share}});
+        else
+            log_event(log_level::info, "server_unlimited", {{"server", seen.server.value()}});
+    }
+
     net::awaitable<void> run_beats()
     {
         const auto self = shared_from_this();
@@ -297,6 +312,7 @@
         spans->flush();
         if (runtime_clock::now() >= m_next_call_report)
             say_store_calls();
+        tell_fleet();
         // Members that can't be reached may still send; only those that said goodbye don't count.
         const std::vector<member> all = peers->members();
         const auto nodes =
@@ -309,6 +325,16 @@
         }
     }
 
+    void tell_fleet()
+    {
+        fleet_seen seen;
+        for (const member& one : peers->members()) {
+            if (one.state != member_state::left)
+                seen.members.push_back({one.node, one.failure_domain, one.live()});
+        }
+        requests->handle(std::move(seen));
+    }
+
     /// What this node has asked of the store since the last line.
     void say_store_calls()
     {
@@ -352,6 +378,8 @@
             const bool scarcest = &pool == &pools.front() || pool.retries_left < now.retries_left;
             now.retries_left = scarcest ? pool.retries_left : now.retries_left;
         }
+        now.limited_servers = requests->core().limited_servers();
+        now.refused_limited = requests->core().counters().refused_limited;
         for (const groups::formation_status& one : managers->status()) {
             now.groups_forming += one.leading ? one.groups_forming : 0;
             now.spare_runners += one.leading ? one.spare_runners : 0;
--- a/daemon/relay_forward.cc
+++ b/daemon/relay_forward.cc
@@ -100,6 +100,7 @@
     if (facts.running && !facts.did_not_run)
         m_services.driver.handle(
             load_seen{attempt.order.target, {*facts.running, facts.waiting, 0.0}, {}});
+    note_limit(attempt, facts);
     const bool unmarked = is_success(answer.status()) && !facts.sealed;
     if (unmarked || !answer.header("Content-Encoding").empty()) {
         report_failure(attempt, attempt_failure::protocol);
@@ -115,6 +116,19 @@
     attempt.stream = nullptr;
 }
 
+/// Of every answer, whatever its status: what the server says of the requests that it takes.
+void relay_request::way::note_limit(const attempt_state& attempt, const answer_facts& facts)
+{
+    if (facts.wrong_instance)
+        return; // another server's word
+    if (!facts.unreadable_limit.empty()) {
+        log_event(log_level::warning, "server_limit_unreadable",
+                  {{"server", attempt.order.instance.value()}, {"text", facts.unreadable_limit}});
+        return;
+    }
+    m_services.driver.handle(limit_answered{attempt.order.target, facts.rate_limit});
+}
+
 bool relay_request::way::report_forwarded_head(attempt_state& attempt, const http_stream& answer,
                                                const answer_facts& facts, answer_shape shape)
 {
--- a/daemon/relay_way.h
+++ b/daemon/relay_way.h
@@ -102,6 +102,7 @@
     // relay_forward.cc
     net::awaitable<void> forward(attempt_state& attempt);
     http_request build_forwarded_request(const attempt_state& attempt) const;
+    void note_limit(const attempt_state& attempt, const answer_facts& facts);
     bool report_forwarded_head(attempt_state& attempt, const http_stream& answer,
                                const answer_facts& facts, answer_shape shape);
     net::awaitable<void> forward_events(attempt_state& attempt, http_stream& answer,
--- a/daemon/request_driver.cc
+++ b/daemon/request_driver.cc
@@ -118,6 +118,11 @@
         if (m_hooks.on_silent)
             m_hooks.on_silent(wanted);
     }
+    void carry_out_own(const share_limit& wanted)
+    {
+        if (m_hooks.on_share_limit)
+            m_hooks.on_share_limit(wanted);
+    }
     void carry_out_own(const share_demand& wanted)
     {
         if (m_hooks.on_share_demand)
--- a/daemon/request_driver.h
+++ b/daemon/request_driver.h
@@ -46,6 +46,7 @@
     std::function<void(const released&)> on_released;
     std::function<void(const share_demand&)> on_share_demand;
     std::function<void(const target_silent&)> on_silent;
+    std::function<void(const share_limit&)> on_share_limit;
 };
 
 class request_driver {
--- a/outside/call_facts.h
+++ b/outside/call_facts.h
@@ -38,6 +38,10 @@
     bool sealed = false;         ///< bears the server's own mark, so it is no one else's answer
     std::optional<std::uint32_t> running; ///< requests at work there; with `waiting`, if told
     std::uint32_t waiting = 0;
+    /// Requests a second that the server takes of all entry VMs together, for as long as it says
+    /// so.
+    std::optional<double> rate_limit;
+    std::string unreadable_limit; ///< what it says instead of a number; empty if it is readable
     std::optional<std::chrono::milliseconds> idle_limit; ///< an idle connection is closed after it
 };
 
--- a/peers/frame.cc
+++ b/peers/frame.cc
@@ -35,6 +35,7 @@
                name_fits(update.address);
     };
     const auto server_fits = [](const wire::leaving& item) { return name_fits(item.server); };
+    const auto limit_fits = [](const wire::server_limit& item) { return name_fits(item.server); };
     const auto key_fits = [](const wire::key_value& item) { return name_fits(item.key); };
     return name_fits(frame.sender) && name_fits(frame.target) && name_fits(frame.subject) &&
            name_fits(frame.question.vm) && name_fits(frame.question.address) &&
@@ -44,6 +45,7 @@
            name_fits(frame.store_told.failure_domain) &&
            std::all_of(frame.members.begin(), frame.members.end(), member_fits) &&
            std::all_of(frame.leavings.begin(), frame.leavings.end(), server_fits) &&
+           std::all_of(frame.limits.begin(), frame.limits.end(), limit_fits) &&
            std::all_of(frame.keys.entries.begin(), frame.keys.entries.end(), key_fits) &&
            std::all_of(frame.request.digests.begin(), frame.request.digests.end(), name_fits);
 }
--- a/peers/gen/peers_types.cpp
+++ b/peers/gen/peers_types.cpp
@@ -1040,6 +1040,140 @@
 }
 
 
+server_limit::~server_limit() noexcept {
+}
+
+
+void server_limit::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void server_limit::__set_per_second_milli(const int32_t val) {
+  this->per_second_milli = val;
+__isset.per_second_milli = true;
+}
+
+void server_limit::__set_age(const int16_t val) {
+  this->age = val;
+}
+std::ostream& operator<<(std::ostream& out, const server_limit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t server_limit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->per_second_milli);
+          this->__isset.per_second_milli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->age);
+          this->__isset.age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t server_limit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("server_limit");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.per_second_milli) {
+    xfer += oprot->writeFieldBegin("per_second_milli", ::apache::thrift::protocol::T_I32, 2);
+    xfer += oprot->writeI32(this->per_second_milli);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("age", ::apache::thrift::protocol::T_I16, 3);
+  xfer += oprot->writeI16(this->age);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(server_limit &a, server_limit &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.per_second_milli, b.per_second_milli);
+  swap(a.age, b.age);
+  swap(a.__isset, b.__isset);
+}
+
+server_limit::server_limit(const server_limit& other13) {
+  server = other13.server;
+  per_second_milli = other13.per_second_milli;
+  age = other13.age;
+  __isset = other13.__isset;
+}
+server_limit& server_limit::operator=(const server_limit& other14) {
+  server = other14.server;
+  per_second_milli = other14.per_second_milli;
+  age = other14.age;
+  __isset = other14.__isset;
+  return *this;
+}
+void server_limit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "server_limit(";
+  out << "server=" << to_string(server);
+  out << ", " << "per_second_milli="; (__isset.per_second_milli ? (out << to_string(per_second_milli)) : (out << "<null>"));
+  out << ", " << "age=" << to_string(age);
+  out << ")";
+}
+
+
 config_request::~config_request() noexcept {
 }
 
@@ -1092,14 +1226,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->digests.clear();
-            uint32_t _size13;
-            ::apache::thrift::protocol::TType _etype16;
-            xfer += iprot->readListBegin(_etype16, _size13);
-            this->digests.resize(_size13);
-            uint32_t _i17;
-            for (_i17 = 0; _i17 < _size13; ++_i17)
+            uint32_t _size15;
+            ::apache::thrift::protocol::TType _etype18;
+            xfer += iprot->readListBegin(_etype18, _size15);
+            this->digests.resize(_size15);
+            uint32_t _i19;
+            for (_i19 = 0; _i19 < _size15; ++_i19)
             {
-              xfer += iprot->readString(this->digests[_i17]);
+              xfer += iprot->readString(this->digests[_i19]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1133,10 +1267,10 @@
     xfer += oprot->writeFieldBegin("digests", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->digests.size()));
-      std::vector<std::string> ::const_iterator _iter18;
-      for (_iter18 = this->digests.begin(); _iter18 != this->digests.end(); ++_iter18)
+      std::vector<std::string> ::const_iterator _iter20;
+      for (_iter20 = this->digests.begin(); _iter20 != this->digests.end(); ++_iter20)
       {
-        xfer += oprot->writeString((*_iter18));
+        xfer += oprot->writeString((*_iter20));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1154,15 +1288,15 @@
   swap(a.__isset, b.__isset);
 }
 
-config_request::config_request(const config_request& other19) {
-  base = other19.base;
-  digests = other19.digests;
-  __isset = other19.__isset;
+config_request::config_request(const config_request& other21) {
+  base = other21.base;
+  digests = other21.digests;
+  __isset = other21.__isset;
 }
-config_request& config_request::operator=(const config_request& other20) {
-  base = other20.base;
-  digests = other20.digests;
-  __isset = other20.__isset;
+config_request& config_request::operator=(const config_request& other22) {
+  base = other22.base;
+  digests = other22.digests;
+  __isset = other22.__isset;
   return *this;
 }
 void config_request::printTo(std::ostream& out) const {
@@ -1266,15 +1400,15 @@
   swap(a.__isset, b.__isset);
 }
 
-config_page::config_page(const config_page& other21) {
-  digest = other21.digest;
-  bytes = other21.bytes;
-  __isset = other21.__isset;
+config_page::config_page(const config_page& other23) {
+  digest = other23.digest;
+  bytes = other23.bytes;
+  __isset = other23.__isset;
 }
-config_page& config_page::operator=(const config_page& other22) {
-  digest = other22.digest;
-  bytes = other22.bytes;
-  __isset = other22.__isset;
+config_page& config_page::operator=(const config_page& other24) {
+  digest = other24.digest;
+  bytes = other24.bytes;
+  __isset = other24.__isset;
   return *this;
 }
 void config_page::printTo(std::ostream& out) const {
@@ -1395,17 +1529,17 @@
   swap(a.__isset, b.__isset);
 }
 
-key_notice::key_notice(const key_notice& other23) noexcept {
-  key = other23.key;
-  revision = other23.revision;
-  age = other23.age;
-  __isset = other23.__isset;
+key_notice::key_notice(const key_notice& other25) noexcept {
+  key = other25.key;
+  revision = other25.revision;
+  age = other25.age;
+  __isset = other25.__isset;
 }
-key_notice& key_notice::operator=(const key_notice& other24) noexcept {
-  key = other24.key;
-  revision = other24.revision;
-  age = other24.age;
-  __isset = other24.__isset;
+key_notice& key_notice::operator=(const key_notice& other26) noexcept {
+  key = other26.key;
+  revision = other26.revision;
+  age = other26.age;
+  __isset = other26.__isset;
   return *this;
 }
 void key_notice::printTo(std::ostream& out) const {
@@ -1510,15 +1644,15 @@
   swap(a.__isset, b.__isset);
 }
 
-known_key::known_key(const known_key& other25) noexcept {
-  key = other25.key;
-  revision = other25.revision;
-  __isset = other25.__isset;
+known_key::known_key(const known_key& other27) noexcept {
+  key = other27.key;
+  revision = other27.revision;
+  __isset = other27.__isset;
 }
-known_key& known_key::operator=(const known_key& other26) noexcept {
-  key = other26.key;
-  revision = other26.revision;
-  __isset = other26.__isset;
+known_key& known_key::operator=(const known_key& other28) noexcept {
+  key = other28.key;
+  revision = other28.revision;
+  __isset = other28.__isset;
   return *this;
 }
 void known_key::printTo(std::ostream& out) const {
@@ -1574,14 +1708,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->known.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->known.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
             {
-              xfer += this->known[_i31].read(iprot);
+              xfer += this->known[_i33].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1594,14 +1728,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->wanted.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->wanted.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += iprot->readI32(this->wanted[_i36]);
+              xfer += iprot->readI32(this->wanted[_i38]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1630,10 +1764,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known.size()));
-    std::vector<known_key> ::const_iterator _iter37;
-    for (_iter37 = this->known.begin(); _iter37 != this->known.end(); ++_iter37)
+    std::vector<known_key> ::const_iterator _iter39;
+    for (_iter39 = this->known.begin(); _iter39 != this->known.end(); ++_iter39)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter39).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1643,10 +1777,10 @@
     xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->wanted.size()));
-      std::vector<int32_t> ::const_iterator _iter38;
-      for (_iter38 = this->wanted.begin(); _iter38 != this->wanted.end(); ++_iter38)
+      std::vector<int32_t> ::const_iterator _iter40;
+      for (_iter40 = this->wanted.begin(); _iter40 != this->wanted.end(); ++_iter40)
       {
-        xfer += oprot->writeI32((*_iter38));
+        xfer += oprot->writeI32((*_iter40));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1664,15 +1798,15 @@
   swap(a.__isset, b.__isset);
 }
 
-key_request::key_request(const key_request& other39) {
-  known = other39.known;
-  wanted = other39.wanted;
-  __isset = other39.__isset;
+key_request::key_request(const key_request& other41) {
+  known = other41.known;
+  wanted = other41.wanted;
+  __isset = other41.__isset;
 }
-key_request& key_request::operator=(const key_request& other40) {
-  known = other40.known;
-  wanted = other40.wanted;
-  __isset = other40.__isset;
+key_request& key_request::operator=(const key_request& other42) {
+  known = other42.known;
+  wanted = other42.wanted;
+  __isset = other42.__isset;
   return *this;
 }
 void key_request::printTo(std::ostream& out) const {
@@ -1793,17 +1927,17 @@
   swap(a.__isset, b.__isset);
 }
 
-key_value::key_value(const key_value& other41) {
-  key = other41.key;
-  revision = other41.revision;
-  value = other41.value;
-  __isset = other41.__isset;
+key_value::key_value(const key_value& other43) {
+  key = other43.key;
+  revision = other43.revision;
+  value = other43.value;
+  __isset = other43.__isset;
 }
-key_value& key_value::operator=(const key_value& other42) {
-  key = other42.key;
-  revision = other42.revision;
-  value = other42.value;
-  __isset = other42.__isset;
+key_value& key_value::operator=(const key_value& other44) {
+  key = other44.key;
+  revision = other44.revision;
+  value = other44.value;
+  __isset = other44.__isset;
   return *this;
 }
 void key_value::printTo(std::ostream& out) const {
@@ -1870,14 +2004,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->entries.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size45;
+            ::apache::thrift::protocol::TType _etype48;
+            xfer += iprot->readListBegin(_etype48, _size45);
+            this->entries.resize(_size45);
+            uint32_t _i49;
+            for (_i49 = 0; _i49 < _size45; ++_i49)
             {
-              xfer += this->entries[_i47].read(iprot);
+              xfer += this->entries[_i49].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1930,10 +2064,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<key_value> ::const_iterator _iter48;
-    for (_iter48 = this->entries.begin(); _iter48 != this->entries.end(); ++_iter48)
+    std::vector<key_value> ::const_iterator _iter50;
+    for (_iter50 = this->entries.begin(); _iter50 != this->entries.end(); ++_iter50)
     {
-      xfer += (*_iter48).write(oprot);
+      xfer += (*_iter50).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1968,19 +2102,19 @@
   swap(a.__isset, b.__isset);
 }
 
-key_reply::key_reply(const key_reply& other49) {
-  entries = other49.entries;
-  store_age_ms = other49.store_age_ms;
-  push_number = other49.push_number;
-  complete = other49.complete;
-  __isset = other49.__isset;
+key_reply::key_reply(const key_reply& other51) {
+  entries = other51.entries;
+  store_age_ms = other51.store_age_ms;
+  push_number = other51.push_number;
+  complete = other51.complete;
+  __isset = other51.__isset;
 }
-key_reply& key_reply::operator=(const key_reply& other50) {
-  entries = other50.entries;
-  store_age_ms = other50.store_age_ms;
-  push_number = other50.push_number;
-  complete = other50.complete;
-  __isset = other50.__isset;
+key_reply& key_reply::operator=(const key_reply& other52) {
+  entries = other52.entries;
+  store_age_ms = other52.store_age_ms;
+  push_number = other52.push_number;
+  complete = other52.complete;
+  __isset = other52.__isset;
   return *this;
 }
 void key_reply::printTo(std::ostream& out) const {
@@ -2064,14 +2198,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pages.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->pages.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->pages.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              xfer += this->pages[_i55].read(iprot);
+              xfer += this->pages[_i57].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2118,10 +2252,10 @@
     xfer += oprot->writeFieldBegin("pages", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pages.size()));
-      std::vector<config_page> ::const_iterator _iter56;
-      for (_iter56 = this->pages.begin(); _iter56 != this->pages.end(); ++_iter56)
+      std::vector<config_page> ::const_iterator _iter58;
+      for (_iter58 = this->pages.begin(); _iter58 != this->pages.end(); ++_iter58)
       {
-        xfer += (*_iter56).write(oprot);
+        xfer += (*_iter58).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2146,19 +2280,19 @@
   swap(a.__isset, b.__isset);
 }
 
-config_reply::config_reply(const config_reply& other57) {
-  revision = other57.revision;
-  head = other57.head;
-  pages = other57.pages;
-  delta = other57.delta;
-  __isset = other57.__isset;
+config_reply::config_reply(const config_reply& other59) {
+  revision = other59.revision;
+  head = other59.head;
+  pages = other59.pages;
+  delta = other59.delta;
+  __isset = other59.__isset;
 }
-config_reply& config_reply::operator=(const config_reply& other58) {
-  revision = other58.revision;
-  head = other58.head;
-  pages = other58.pages;
-  delta = other58.delta;
-  __isset = other58.__isset;
+config_reply& config_reply::operator=(const config_reply& other60) {
+  revision = other60.revision;
+  head = other60.head;
+  pages = other60.pages;
+  delta = other60.delta;
+  __isset = other60.__isset;
   return *this;
 }
 void config_reply::printTo(std::ostream& out) const {
@@ -2264,15 +2398,15 @@
   swap(a.__isset, b.__isset);
 }
 
-server_question::server_question(const server_question& other59) {
-  vm = other59.vm;
-  address = other59.address;
-  __isset = other59.__isset;
+server_question::server_question(const server_question& other61) {
+  vm = other61.vm;
+  address = other61.address;
+  __isset = other61.__isset;
 }
-server_question& server_question::operator=(const server_question& other60) {
-  vm = other60.vm;
-  address = other60.address;
-  __isset = other60.__isset;
+server_question& server_question::operator=(const server_question& other62) {
+  vm = other62.vm;
+  address = other62.address;
+  __isset = other62.__isset;
   return *this;
 }
 void server_question::printTo(std::ostream& out) const {
@@ -2376,15 +2510,15 @@
   swap(a.__isset, b.__isset);
 }
 
-server_answer::server_answer(const server_answer& other61) {
-  vm = other61.vm;
-  answers = other61.answers;
-  __isset = other61.__isset;
+server_answer::server_answer(const server_answer& other63) {
+  vm = other63.vm;
+  answers = other63.answers;
+  __isset = other63.__isset;
 }
-server_answer& server_answer::operator=(const server_answer& other62) {
-  vm = other62.vm;
-  answers = other62.answers;
-  __isset = other62.__isset;
+server_answer& server_answer::operator=(const server_answer& other64) {
+  vm = other64.vm;
+  answers = other64.answers;
+  __isset = other64.__isset;
   return *this;
 }
 void server_answer::printTo(std::ostream& out) const {
@@ -2590,27 +2724,27 @@
   swap(a.__isset, b.__isset);
 }
 
-runner_word::runner_word(const runner_word& other63) {
-  vm = other63.vm;
-  born_ms = other63.born_ms;
-  grouped = other63.grouped;
-  group = other63.group;
-  epoch = other63.epoch;
-  rank = other63.rank;
-  phase = other63.phase;
-  model = other63.model;
-  __isset = other63.__isset;
+runner_word::runner_word(const runner_word& other65) {
+  vm = other65.vm;
+  born_ms = other65.born_ms;
+  grouped = other65.grouped;
+  group = other65.group;
+  epoch = other65.epoch;
+  rank = other65.rank;
+  phase = other65.phase;
+  model = other65.model;
+  __isset = other65.__isset;
 }
-runner_word& runner_word::operator=(const runner_word& other64) {
-  vm = other64.vm;
-  born_ms = other64.born_ms;
-  grouped = other64.grouped;
-  group = other64.group;
-  epoch = other64.epoch;
-  rank = other64.rank;
-  phase = other64.phase;
-  model = other64.model;
-  __isset = other64.__isset;
+runner_word& runner_word::operator=(const runner_word& other66) {
+  vm = other66.vm;
+  born_ms = other66.born_ms;
+  grouped = other66.grouped;
+  group = other66.group;
+  epoch = other66.epoch;
+  rank = other66.rank;
+  phase = other66.phase;
+  model = other66.model;
+  __isset = other66.__isset;
   return *this;
 }
 void runner_word::printTo(std::ostream& out) const {
@@ -2720,15 +2854,15 @@
   swap(a.__isset, b.__isset);
 }
 
-store_question::store_question(const store_question& other65) {
-  failure_domain = other65.failure_domain;
-  round = other65.round;
-  __isset = other65.__isset;
+store_question::store_question(const store_question& other67) {
+  failure_domain = other67.failure_domain;
+  round = other67.round;
+  __isset = other67.__isset;
 }
-store_question& store_question::operator=(const store_question& other66) {
-  failure_domain = other66.failure_domain;
-  round = other66.round;
-  __isset = other66.__isset;
+store_question& store_question::operator=(const store_question& other68) {
+  failure_domain = other68.failure_domain;
+  round = other68.round;
+  __isset = other68.__isset;
   return *this;
 }
 void store_question::printTo(std::ostream& out) const {
@@ -2849,17 +2983,17 @@
   swap(a.__isset, b.__isset);
 }
 
-store_answer::store_answer(const store_answer& other67) {
-  failure_domain = other67.failure_domain;
-  reached = other67.reached;
-  round = other67.round;
-  __isset = other67.__isset;
+store_answer::store_answer(const store_answer& other69) {
+  failure_domain = other69.failure_domain;
+  reached = other69.reached;
+  round = other69.round;
+  __isset = other69.__isset;
 }
-store_answer& store_answer::operator=(const store_answer& other68) {
-  failure_domain = other68.failure_domain;
-  reached = other68.reached;
-  round = other68.round;
-  __isset = other68.__isset;
+store_answer& store_answer::operator=(const store_answer& other70) {
+  failure_domain = other70.failure_domain;
+  reached = other70.reached;
+  round = other70.round;
+  __isset = other70.__isset;
   return *this;
 }
 void store_answer::printTo(std::ostream& out) const {
@@ -3002,6 +3136,11 @@
   this->store_told = val;
 __isset.store_told = true;
 }
+
+void frame::__set_limits(const std::vector<server_limit> & val) {
+  this->limits = val;
+__isset.limits = true;
+}
 std::ostream& operator<<(std::ostream& out, const frame& obj)
 {
   obj.printTo(out);
@@ -3048,9 +3187,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast69;
-          xfer += iprot->readI32(ecast69);
-          this->kind = static_cast<frame_kind::type>(ecast69);
+          int32_t ecast71;
+          xfer += iprot->readI32(ecast71);
+          this->kind = static_cast<frame_kind::type>(ecast71);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3132,14 +3271,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->members.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->members.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->members[_i74].read(iprot);
+              xfer += this->members[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3152,14 +3291,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tickets.clear();
-            uint32_t _size75;
-            ::apache::thrift::protocol::TType _etype78;
-            xfer += iprot->readListBegin(_etype78, _size75);
-            this->tickets.resize(_size75);
-            uint32_t _i79;
-            for (_i79 = 0; _i79 < _size75; ++_i79)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->tickets.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += this->tickets[_i79].read(iprot);
+              xfer += this->tickets[_i81].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3172,14 +3311,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->demands.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->demands.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->demands[_i84].read(iprot);
+              xfer += this->demands[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3192,14 +3331,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leavings.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->leavings.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->leavings.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += this->leavings[_i89].read(iprot);
+              xfer += this->leavings[_i91].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3212,14 +3351,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->confirmations.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->confirmations.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->confirmations.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->confirmations[_i94].read(iprot);
+              xfer += this->confirmations[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3248,14 +3387,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->notices.clear();
-            uint32_t _size95;
-            ::apache::thrift::protocol::TType _etype98;
-            xfer += iprot->readListBegin(_etype98, _size95);
-            this->notices.resize(_size95);
-            uint32_t _i99;
-            for (_i99 = 0; _i99 < _size95; ++_i99)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->notices.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += this->notices[_i99].read(iprot);
+              xfer += this->notices[_i101].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3320,6 +3459,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 28:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limits.clear();
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->limits.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
+            {
+              xfer += this->limits[_i106].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3393,10 +3552,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<member_update> ::const_iterator _iter100;
-      for (_iter100 = this->members.begin(); _iter100 != this->members.end(); ++_iter100)
+      std::vector<member_update> ::const_iterator _iter107;
+      for (_iter107 = this->members.begin(); _iter107 != this->members.end(); ++_iter107)
       {
-        xfer += (*_iter100).write(oprot);
+        xfer += (*_iter107).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3406,10 +3565,10 @@
     xfer += oprot->writeFieldBegin("tickets", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tickets.size()));
-      std::vector<ticket_digest> ::const_iterator _iter101;
-      for (_iter101 = this->tickets.begin(); _iter101 != this->tickets.end(); ++_iter101)
+      std::vector<ticket_digest> ::const_iterator _iter108;
+      for (_iter108 = this->tickets.begin(); _iter108 != this->tickets.end(); ++_iter108)
       {
-        xfer += (*_iter101).write(oprot);
+        xfer += (*_iter108).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3419,10 +3578,10 @@
     xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-      std::vector<demand> ::const_iterator _iter102;
-      for (_iter102 = this->demands.begin(); _iter102 != this->demands.end(); ++_iter102)
+      std::vector<demand> ::const_iterator _iter109;
+      for (_iter109 = this->demands.begin(); _iter109 != this->demands.end(); ++_iter109)
       {
-        xfer += (*_iter102).write(oprot);
+        xfer += (*_iter109).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3432,10 +3591,10 @@
     xfer += oprot->writeFieldBegin("leavings", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leavings.size()));
-      std::vector<leaving> ::const_iterator _iter103;
-      for (_iter103 = this->leavings.begin(); _iter103 != this->leavings.end(); ++_iter103)
+      std::vector<leaving> ::const_iterator _iter110;
+      for (_iter110 = this->leavings.begin(); _iter110 != this->leavings.end(); ++_iter110)
       {
-        xfer += (*_iter103).write(oprot);
+        xfer += (*_iter110).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3445,10 +3604,10 @@
     xfer += oprot->writeFieldBegin("confirmations", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->confirmations.size()));
-      std::vector<confirmation> ::const_iterator _iter104;
-      for (_iter104 = this->confirmations.begin(); _iter104 != this->confirmations.end(); ++_iter104)
+      std::vector<confirmation> ::const_iterator _iter111;
+      for (_iter111 = this->confirmations.begin(); _iter111 != this->confirmations.end(); ++_iter111)
       {
-        xfer += (*_iter104).write(oprot);
+        xfer += (*_iter111).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3468,10 +3627,10 @@
     xfer += oprot->writeFieldBegin("notices", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notices.size()));
-      std::vector<key_notice> ::const_iterator _iter105;
-      for (_iter105 = this->notices.begin(); _iter105 != this->notices.end(); ++_iter105)
+      std::vector<key_notice> ::const_iterator _iter112;
+      for (_iter112 = this->notices.begin(); _iter112 != this->notices.end(); ++_iter112)
       {
-        xfer += (*_iter105).write(oprot);
+        xfer += (*_iter112).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3512,6 +3671,19 @@
     xfer += this->store_told.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.limits) {
+    xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 28);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
+      std::vector<server_limit> ::const_iterator _iter113;
+      for (_iter113 = this->limits.begin(); _iter113 != this->limits.end(); ++_iter113)
+      {
+        xfer += (*_iter113).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3546,68 +3718,71 @@
   swap(a.runner, b.runner);
   swap(a.store_asked, b.store_asked);
   swap(a.store_told, b.store_told);
+  swap(a.limits, b.limits);
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other106) {
-  version = other106.version;
-  deployment = other106.deployment;
-  kind = other106.kind;
-  sender = other106.sender;
-  boot = other106.boot;
-  incarnation = other106.incarnation;
-  sequence = other106.sequence;
-  sent_ms = other106.sent_ms;
-  target = other106.target;
-  subject = other106.subject;
-  member_digest = other106.member_digest;
-  config = other106.config;
-  members = other106.members;
-  tickets = other106.tickets;
-  demands = other106.demands;
-  leavings = other106.leavings;
-  confirmations = other106.confirmations;
-  request = other106.request;
-  reply = other106.reply;
-  notices = other106.notices;
-  keys_wanted = other106.keys_wanted;
-  keys = other106.keys;
-  question = other106.question;
-  opinion = other106.opinion;
-  runner = other106.runner;
-  store_asked = other106.store_asked;
-  store_told = other106.store_told;
-  __isset = other106.__isset;
-}
-frame& frame::operator=(const frame& other107) {
-  version = other107.version;
-  deployment = other107.deployment;
-  kind = other107.kind;
-  sender = other107.sender;
-  boot = other107.boot;
-  incarnation = other107.incarnation;
-  sequence = other107.sequence;
-  sent_ms = other107.sent_ms;
-  target = other107.target;
-  subject = other107.subject;
-  member_digest = other107.member_digest;
-  config = other107.config;
-  members = other107.members;
-  tickets = other107.tickets;
-  demands = other107.demands;
-  leavings = other107.leavings;
-  confirmations = other107.confirmations;
-  request = other107.request;
-  reply = other107.reply;
-  notices = other107.notices;
-  keys_wanted = other107.keys_wanted;
-  keys = other107.keys;
-  question = other107.question;
-  opinion = other107.opinion;
-  runner = other107.runner;
-  store_asked = other107.store_asked;
-  store_told = other107.store_told;
-  __isset = other107.__isset;
+frame::frame(const frame& other114) {
+  version = other114.version;
+  deployment = other114.deployment;
+  kind = other114.kind;
+  sender = other114.sender;
+  boot = other114.boot;
+  incarnation = other114.incarnation;
+  sequence = other114.sequence;
+  sent_ms = other114.sent_ms;
+  target = other114.target;
+  subject = other114.subject;
+  member_digest = other114.member_digest;
+  config = other114.config;
+  members = other114.members;
+  tickets = other114.tickets;
+  demands = other114.demands;
+  leavings = other114.leavings;
+  confirmations = other114.confirmations;
+  request = other114.request;
+  reply = other114.reply;
+  notices = other114.notices;
+  keys_wanted = other114.keys_wanted;
+  keys = other114.keys;
+  question = other114.question;
+  opinion = other114.opinion;
+  runner = other114.runner;
+  store_asked = other114.store_asked;
+  store_told = other114.store_told;
+  limits = other114.limits;
+  __isset = other114.__isset;
+}
+frame& frame::operator=(const frame& other115) {
+  version = other115.version;
+  deployment = other115.deployment;
+  kind = other115.kind;
+  sender = other115.sender;
+  boot = other115.boot;
+  incarnation = other115.incarnation;
+  sequence = other115.sequence;
+  sent_ms = other115.sent_ms;
+  target = other115.target;
+  subject = other115.subject;
+  member_digest = other115.member_digest;
+  config = other115.config;
+  members = other115.members;
+  tickets = other115.tickets;
+  demands = other115.demands;
+  leavings = other115.leavings;
+  confirmations = other115.confirmations;
+  request = other115.request;
+  reply = other115.reply;
+  notices = other115.notices;
+  keys_wanted = other115.keys_wanted;
+  keys = other115.keys;
+  question = other115.question;
+  opinion = other115.opinion;
+  runner = other115.runner;
+  store_asked = other115.store_asked;
+  store_told = other115.store_told;
+  limits = other115.limits;
+  __isset = other115.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -3640,6 +3815,7 @@
   out << ", " << "runner="; (__isset.runner ? (out << to_string(runner)) : (out << "<null>"));
   out << ", " << "store_asked="; (__isset.store_asked ? (out << to_string(store_asked)) : (out << "<null>"));
   out << ", " << "store_told="; (__isset.store_told ? (out << to_string(store_told)) : (out << "<null>"));
+  out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/peers_types.h
+++ b/peers/gen/peers_types.h
@@ -74,6 +74,8 @@
 
 class leaving;
 
+class server_limit;
+
 class config_request;
 
 class config_page;
@@ -501,6 +503,65 @@
 
 std::ostream& operator<<(std::ostream& out, const leaving& obj);
 
+typedef struct _server_limit__isset {
+  _server_limit__isset() : server(false), per_second_milli(false), age(false) {}
+  bool server :1;
+  bool per_second_milli :1;
+  bool age :1;
+} _server_limit__isset;
+
+class server_limit : public virtual ::apache::thrift::TBase {
+ public:
+
+  server_limit(const server_limit&);
+  server_limit& operator=(const server_limit&);
+  server_limit() noexcept
+               : server(),
+                 per_second_milli(0),
+                 age(0) {
+  }
+
+  virtual ~server_limit() noexcept;
+  std::string server;
+  int32_t per_second_milli;
+  int16_t age;
+
+  _server_limit__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_per_second_milli(const int32_t val);
+
+  void __set_age(const int16_t val);
+
+  bool operator == (const server_limit & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (__isset.per_second_milli != rhs.__isset.per_second_milli)
+      return false;
+    else if (__isset.per_second_milli && !(per_second_milli == rhs.per_second_milli))
+      return false;
+    if (!(age == rhs.age))
+      return false;
+    return true;
+  }
+  bool operator != (const server_limit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const server_limit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(server_limit &a, server_limit &b);
+
+std::ostream& operator<<(std::ostream& out, const server_limit& obj);
+
 typedef struct _config_request__isset {
   _config_request__isset() : base(false), digests(false) {}
   bool base :1;
@@ -1254,7 +1315,7 @@
 std::ostream& operator<<(std::ostream& out, const store_answer& obj);
 
 typedef struct _frame__isset {
-  _frame__isset() : version(false), deployment(false), kind(false), sender(false), boot(false), incarnation(false), sequence(false), sent_ms(false), target(false), subject(false), member_digest(false), config(false), members(false), tickets(false), demands(false), leavings(false), confirmations(false), request(false), reply(false), notices(false), keys_wanted(false), keys(false), question(false), opinion(false), runner(false), store_asked(false), store_told(false) {}
+  _frame__isset() : version(false), deployment(false), kind(false), sender(false), boot(false), incarnation(false), sequence(false), sent_ms(false), target(false), subject(false), member_digest(false), config(false), members(false), tickets(false), demands(false), leavings(false), confirmations(false), request(false), reply(false), notices(false), keys_wanted(false), keys(false), question(false), opinion(false), runner(false), store_asked(false), store_told(false), limits(false) {}
   bool version :1;
   bool deployment :1;
   bool kind :1;
@@ -1282,6 +1343,7 @@
   bool runner :1;
   bool store_asked :1;
   bool store_told :1;
+  bool limits :1;
 } _frame__isset;
 
 class frame : public virtual ::apache::thrift::TBase {
@@ -1335,6 +1397,7 @@
   runner_word runner;
   store_question store_asked;
   store_answer store_told;
+  std::vector<server_limit>  limits;
 
   _frame__isset __isset;
 
@@ -1392,6 +1455,8 @@
 
   void __set_store_told(const store_answer& val);
 
+  void __set_limits(const std::vector<server_limit> & val);
+
   bool operator == (const frame & rhs) const
   {
     if (!(version == rhs.version))
@@ -1486,6 +1551,10 @@
       return false;
     else if (__isset.store_told && !(store_told == rhs.store_told))
       return false;
+    if (__isset.limits != rhs.__isset.limits)
+      return false;
+    else if (__isset.limits && !(limits == rhs.limits))
+      return false;
     return true;
   }
   bool operator != (const frame &rhs) const {
--- a/peers/membership.cc
+++ b/peers/membership.cc
@@ -249,6 +249,13 @@
                               from_wire_age(heard.age)},
                    out);
     }
+    for (const wire::server_limit& heard : frame.limits) {
+        constexpr double milli = 1'000.0;
+        server_limit told{heard.server, std::nullopt, from_wire_age(heard.age)};
+        if (heard.__isset.per_second_milli)
+            told.per_second = std::max(0, heard.per_second_milli) / milli;
+        take_rumor(now, stuck, std::move(told), out);
+    }
     for (const wire::confirmation& heard : frame.confirmations) {
         take_rumor(now, stuck,
                    confirmation{static_cast<std::uint32_t>(heard.node),
--- a/peers/payload.h
+++ b/peers/payload.h
@@ -8,6 +8,7 @@
 #include "base/base.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -68,7 +69,16 @@
     friend bool operator==(const key_notice&, const key_notice&) = default;
 };
 
+/// What a backend server said of the requests a second that it takes of all nodes together.
+struct server_limit {
+    std::string server;               ///< VM
+    std::optional<double> per_second; ///< in steps of a thousandth; empty: it names none any more
+    duration age{0};
+
+    friend bool operator==(const server_limit&, const server_limit&) = default;
+};
+
 /// One thing that spreads from node to node.
-using rumor = std::variant<ticket_digest, demand, leaving, confirmation, key_notice>;
+using rumor = std::variant<ticket_digest, demand, leaving, confirmation, key_notice, server_limit>;
 
 } // namespace jaynotch
--- a/peers/peers.thrift
+++ b/peers/peers.thrift
@@ -71,6 +71,13 @@
   2: i16 age
 }
 
+// What a backend server takes of all nodes together; without a rate it names no limit any more.
+struct server_limit {
+  1: string server
+  2: optional i32 per_second_milli
+  3: i16 age
+}
+
 // Asks for the head that `base` lacks, or for pages by digest.
 struct config_request {
   1: i64 base
@@ -184,4 +191,5 @@
   25: optional runner_word runner
   26: optional store_question store_asked
   27: optional store_answer store_told
+  28: optional list<server_limit> limits
 }
--- a/peers/rumor_table.cc
+++ b/peers/rumor_table.cc
@@ -54,6 +54,7 @@
             [](const demand&) { return third_class; },
             [](const confirmation&) { return third_class; },
             [](const key_notice&) { return second_class; },
+            [](const server_limit&) { return second_class; },
         },
         item);
 }
@@ -67,8 +68,9 @@
 
 duration life_of(const spread_item& item)
 {
-    const bool status =
-        std::holds_alternative<ticket_digest>(item) || std::holds_alternative<demand>(item);
+    const bool status = std::holds_alternative<ticket_digest>(item) ||
+                        std::holds_alternative<demand>(item) ||
+                        std::holds_alternative<server_limit>(item);
     return status ? status_life : notice_life;
 }
 
@@ -81,18 +83,20 @@
     constexpr std::size_t notice_bytes = 14;
     constexpr std::size_t name_overhead = 8;
     constexpr std::size_t member_overhead = 24;
-    return std::visit(overloaded{
-                          [](const member& known) {
-                              return member_overhead + known.node.value().size() +
-                                     known.failure_domain.value().size() + known.address.size();
-                          },
-                          [](const ticket_digest&) { return ticket_bytes; },
-                          [](const demand&) { return demand_bytes; },
-                          [](const leaving& gone) { return name_overhead + gone.server.size(); },
-                          [](const confirmation&) { return confirmation_bytes; },
-                          [](const key_notice&) { return notice_bytes; },
-                      },
-                      item);
+    return std::visit(
+        overloaded{
+            [](const member& known) {
+                return member_overhead + known.node.value().size() +
+                       known.failure_domain.value().size() + known.address.size();
+            },
+            [](const ticket_digest&) { return ticket_bytes; },
+            [](const demand&) { return demand_bytes; },
+            [](const leaving& gone) { return name_overhead + gone.server.size(); },
+            [](const confirmation&) { return confirmation_bytes; },
+            [](const key_notice&) { return notice_bytes; },
+            [](const server_limit& told) { return name_overhead + told.server.size(); },
+        },
+        item);
 }
 
 bool ticket_is_news(const ticket_digest& heard, const ticket_digest& known, duration later)
@@ -117,6 +121,13 @@
     return !same && later > age_slack;
 }
 
+std::int32_t limit_to_wire(double per_second)
+{
+    constexpr double milli = 1'000.0;
+    constexpr double most = 2e9;
+    return static_cast<std::int32_t>(std::lround(std::clamp(per_second * milli, 0.0, most)));
+}
+
 void append(wire::frame& frame, const spread_item& item, duration age)
 {
     std::visit(overloaded{
@@ -153,6 +164,15 @@
                        frame.leavings.push_back(out);
                        frame.__isset.leavings = true;
                    },
+                   [&](const server_limit& told) {
+                       wire::server_limit out;
+                       out.server = told.server;
+                       if (told.per_second)
+                           out.__set_per_second_milli(limit_to_wire(*told.per_second));
+                       out.age = wire_age(age);
+                       frame.limits.push_back(out);
+                       frame.__isset.limits = true;
+                   },
                    [&](const key_notice& told) {
                        wire::key_notice out;
                        out.key = static_cast<std::int32_t>(told.key);
@@ -226,6 +246,7 @@
                        [](const leaving& gone) { return hash64(gone.server); },
                        [](const confirmation& told) { return std::uint64_t{told.node}; },
                        [](const key_notice& told) { return std::uint64_t{told.key}; },
+                       [](const server_limit& told) { return hash64(told.server); },
                    },
                    item);
     return {item.index(), name};
@@ -246,6 +267,10 @@
             [&](const key_notice& news) {
                 return news.revision > std::get<key_notice>(known.item).revision;
             },
+            [&](const server_limit& news) {
+                const bool same = news.per_second == std::get<server_limit>(known.item).per_second;
+                return later > (same ? age_slack : duration{0});
+            },
             [&](const auto&) { return later > age_slack; },
         },
         heard);
--- a/peers/rumor_table.h
+++ b/peers/rumor_table.h
@@ -20,7 +20,8 @@
 namespace jaynotch {
 
 /// Everything that is passed from node to node.
-using spread_item = std::variant<member, ticket_digest, demand, leaving, confirmation, key_notice>;
+using spread_item =
+    std::variant<member, ticket_digest, demand, leaving, confirmation, key_notice, server_limit>;
 
 /// Most things kept; the newest of each kind at 410 nodes and 200 groups is 3,000 or so.
 inline constexpr std::size_t max_rumors = 8192;
--- /dev/null
+++ b/routing/rate_limits_test.cc
@@ -0,0 +1,325 @@
+// Fleets of nodes before one server that names a limit, on a clock of a few lines: answers, rumors
+// and views of the membership that arrive late, no network.
+#include "routing/rate_limits.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+
+using namespace jaynotch;
+using namespace std::chrono_literals;
+
+namespace {
+
+const vm_id server{"i-limited"};
+const failure_domain_id home{"zone-0"};
+
+class fleet {
+public:
+    fleet(std::size_t nodes, double per_second, double demand_per_node, std::uint64_t seed)
+        : m_per_second{per_second}, m_demand{demand_per_node}, m_random{seed}
+    {
+        for (std::size_t index = 0; index < nodes; ++index)
+            join();
+        for (node& one : m_nodes)
+            one.seen = views();
+    }
+
+    std::size_t join()
+    {
+        const std::string number = std::to_string(m_nodes.size());
+        const node_id name{"node-" + number};
+        m_nodes.push_back({name, failure_domain_id{"zone-" + std::to_string(m_nodes.size() % 3)},
+                           std::make_unique<rate_limits>(name)});
+        return m_nodes.size() - 1;
+    }
+    void kill(std::size_t at) { m_nodes[at].running = m_nodes[at].alive = false; }
+    void restart(std::size_t at)
+    {
+        m_nodes[at].limits = std::make_unique<rate_limits>(m_nodes[at].name);
+        m_nodes[at].running = m_nodes[at].alive = true;
+        m_nodes[at].seen.clear();
+        m_nodes[at].named.reset();
+    }
+    void freeze(std::size_t at) { m_nodes[at].running = false; }
+    void wake(std::size_t at) { m_nodes[at].running = true; }
+    /// Nodes of different islands don't hear one another.
+    void set_island(std::size_t at, int island) { m_nodes[at].island = island; }
+    void lift() { m_limited = false; }
+    [[nodiscard]] std::size_t size() const { return m_nodes.size(); }
+    [[nodiscard]] const failure_domain_id& domain(std::size_t at) const
+    {
+        return m_nodes[at].domain;
+    }
+    [[nodiscard]] const rate_limits& at(std::size_t at) const { return *m_nodes[at].limits; }
+
+    void run(duration span)
+    {
+        for (const time_point until = m_now + span; m_now < until;)
+            step();
+    }
+
+    /// Most requests that the server got in one window, from `since` on, of nodes to which it had
+    /// named its limit half a second before.
+    [[nodiscard]] std::size_t most_in(duration window, duration since) const
+    {
+        std::size_t most = 0;
+        std::size_t from = 0;
+        for (std::size_t to = 0; to < m_arrivals.size(); ++to) {
+            while (m_arrivals[to] - m_arrivals[from] >= window)
+                ++from;
+            if (m_arrivals[from] - m_begun >= since)
+                most = std::max(most, to - from + 1);
+        }
+        return most;
+    }
+    [[nodiscard]] std::size_t arrivals() const { return m_arrivals.size(); }
+
+private:
+    static constexpr duration step_time = 20ms;
+    static constexpr duration knowing = 500ms;
+    static constexpr duration answer_time = 200ms;
+    static constexpr duration rumor_time = 300ms;
+    static constexpr duration death_seen = 5s;
+    static constexpr duration view_interval = 1s;
+
+    struct node {
+        node_id name;
+        failure_domain_id domain;
+        std::unique_ptr<rate_limits> limits;
+        bool running = true;
+        bool alive = true;
+        int island = 0;
+        double wanted = 0.0;
+        std::map<std::size_t, time_point> seen; ///< others, when last heard
+        time_point viewed{};
+        std::optional<time_point> named; ///< when an answer first named the limit to it
+    };
+    struct answer {
+        time_point due;
+        std::size_t to;
+        std::optional<double> limit;
+    };
+    struct rumor {
+        time_point due;
+        std::size_t from;
+        std::optional<double> limit;
+        time_point observed;
+    };
+
+    [[nodiscard]] std::map<std::size_t, time_point> views() const
+    {
+        std::map<std::size_t, time_point> all;
+        for (std::size_t index = 0; index < m_nodes.size(); ++index)
+            all[index] = m_now;
+        return all;
+    }
+
+    void step()
+    {
+        m_now += step_time;
+        hand_out_answers();
+        hand_out_rumors();
+        for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+            if (m_nodes[index].running)
+                act(index);
+        }
+    }
+
+    void hand_out_answers()
+    {
+        for (; !m_answers.empty() && m_answers.front().due <= m_now; m_answers.pop_front()) {
+            const answer& arrived = m_answers.front();
+            node& one = m_nodes[arrived.to];
+            if (!one.running)
+                continue;
+            one.named = one.named.value_or(m_now);
+            if (one.limits->answered(server, home, arrived.limit, m_now))
+                m_rumors.push_back({m_now + rumor_time, arrived.to, arrived.limit, m_now});
+        }
+    }
+
+    void hand_out_rumors()
+    {
+        for (; !m_rumors.empty() && m_rumors.front().due <= m_now; m_rumors.pop_front()) {
+            const rumor& spread = m_rumors.front();
+            for (std::size_t to = 0; to < m_nodes.size(); ++to) {
+                node& one = m_nodes[to];
+                const bool reached = one.running && one.island == m_nodes[spread.from].island;
+                if (to != spread.from && reached)
+                    one.limits->told(server, home, spread.limit, spread.observed, m_now);
+            }
+        }
+    }
+
+    void act(std::size_t index)
+    {
+        node& one = m_nodes[index];
+        if (m_now - one.viewed >= view_interval)
+            look_around(one);
+        one.limits->tick(m_now);
+        const double step_s = std::chrono::duration<double>(step_time).count();
+        one.wanted = std::min(3.0, one.wanted + m_demand * step_s * 2.0 * m_random.unit());
+        for (; one.wanted >= 1.0 && one.limits->may_send(server, m_now); one.wanted -= 1.0) {
+            one.limits->take(server, m_now);
+            if (one.named && m_now - *one.named >= knowing)
+                m_arrivals.push_back(m_now);
+            const std::optional<double> named =
+                m_limited ? std::optional{m_per_second} : std::nullopt;
+            m_answers.push_back({m_now + answer_time, index, named});
+        }
+    }
+
+    void look_around(node& one)
+    {
+        one.viewed = m_now;
+        std::vector<fleet_member> members;
+        for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+            const node& other = m_nodes[index];
+            if (other.running && other.island == one.island)
+                one.seen[index] = m_now;
+            const auto last = one.seen.find(index);
+            if (last != one.seen.end())
+                members.push_back({other.name, other.domain, m_now - last->second < death_seen});
+        }
+        one.limits->fleet_seen(members, m_now);
+    }
+
+    double m_per_second;
+    double m_demand;
+    random_source m_random;
+    time_point m_begun{std::chrono::hours{1}};
+    time_point m_now = m_begun;
+    bool m_limited = true;
+    std::vector<node> m_nodes;
+    std::deque<answer> m_answers;
+    std::deque<rumor> m_rumors;
+    std::vector<time_point> m_arrivals;
+};
+
+constexpr duration window = 4s;
+/// For nodes to learn of a limit.
+constexpr duration learning = 3s;
+constexpr std::array sizes{1U, 4U, 35U, 117U, 410U};
+constexpr std::array limits{0.3, 1.4, 1.9, 7.5, 40.0};
+
+/// Half as many again as the server takes, and five.
+std::size_t allowed(double per_second)
+{
+    return static_cast<std::size_t>(4.0 * per_second * 1.5 + 5.0);
+}
+
+} // namespace
+
+// Guards against parts that each round up to a request, or that leave the server unused.
+Test(rate_limits, the_sum_over_all_nodes_keeps_to_the_limit_at_every_size)
+{
+    constexpr double demand = 20.0;
+    for (const std::size_t nodes : sizes) {
+        for (const double limit : limits) {
+            fleet here{nodes, limit, demand, 1};
+            here.run(20s);
+            cr_assert_leq(here.most_in(window, learning), allowed(limit), "%zu nodes, %.1f", nodes,
+                          limit);
+            const double wanted = std::min(limit, demand * static_cast<double>(nodes));
+            const auto least = static_cast<std::size_t>(20.0 * wanted * 0.75);
+            cr_assert_geq(here.arrivals(), least, "%zu nodes, %.1f", nodes, limit);
+        }
+    }
+}
+
+// Guards against parts that are given out twice while nodes disagree on who is there.
+Test(rate_limits, the_sum_holds_while_nodes_join_die_freeze_and_are_cut_off)
+{
+    for (const std::size_t nodes : {4U, 35U, 117U}) {
+        for (const double limit : limits) {
+            const std::uint64_t seeds = nodes > 100 ? 2 : 8;
+            for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+                fleet here{nodes, limit, 6.0, seed};
+                random_source random{seed};
+                here.run(5s);
+                for (int trouble = 0; trouble < 6; ++trouble) {
+                    const std::size_t one = random.index(here.size());
+                    const std::size_t other = random.index(here.size());
+                    here.kill(one);
+                    here.freeze(other);
+                    here.run(std::chrono::milliseconds{random.between(500, 4'000)});
+                    here.restart(one);
+                    here.wake(other);
+                    here.join();
+                    const std::string cut = "zone-" + std::to_string(random.index(3));
+                    for (std::size_t at = 0; at < here.size(); ++at)
+                        here.set_island(at, here.domain(at).value() == cut ? 1 : 0);
+                    here.run(std::chrono::milliseconds{random.between(1'000, 9'000)});
+                    for (std::size_t at = 0; at < here.size(); ++at)
+                        here.set_island(at, 0);
+                    here.run(std::chrono::milliseconds{random.between(100, 3'000)});
+                }
+                cr_assert_leq(here.most_in(window, learning), allowed(limit),
+                              "%zu nodes, %.1f, seed %zu", nodes, limit,
+                              static_cast<std::size_t>(seed));
+            }
+        }
+    }
+}
+
+// Guards against nodes that go on with a limit that the server no longer names.
+Test(rate_limits, a_lifted_limit_is_known_to_all_soon)
+{
+    fleet here{117, 1.9, 6.0, 3};
+    here.run(8s);
+    here.lift();
+    here.run(2s);
+    for (std::size_t at = 0; at < here.size(); ++at)
+        cr_assert(here.at(at).empty(), "node %zu", at);
+}
+
+// Guards against a node without a part that waits for ever for a word that nobody is left to send.
+Test(rate_limits, a_node_that_hears_nothing_tries_again_by_itself)
+{
+    const node_id self{"node-0"};
+    rate_limits limits{self};
+    time_point now{1h};
+    std::vector<fleet_member> members;
+    for (int index = 0; index < 40; ++index)
+        members.push_back({node_id{"node-" + std::to_string(index)}, home, true});
+    vm_id refused;
+    limits.fleet_seen(members, now);
+    for (int index = 0; limits.find(refused).value_or(rate_limit_status{.share = 1.0}).share > 0.0;
+         ++index)
+    {
+        refused = vm_id{"i-" + std::to_string(index)};
+        limits.told(refused, home, 1.0, now, now);
+    }
+    cr_assert(!limits.may_send(refused, now + 9s));
+    cr_assert_eq(limits.wait(refused, now), duration::max());
+    std::size_t trials = 0;
+    for (const time_point until = now + 400s; now < until; now += 1s) {
+        limits.fleet_seen(members, now);
+        limits.tick(now);
+        if (limits.may_send(refused, now)) {
+            limits.take(refused, now);
+            ++trials;
+        }
+    }
+    cr_assert_geq(trials, 2U);
+    cr_assert_leq(trials, 40U);
+}
+
+// Guards against a limit that an old rumor brings back after the server's own answer lifted it.
+Test(rate_limits, the_newest_word_on_a_server_wins)
+{
+    rate_limits limits{node_id{"node-0"}};
+    const time_point now{1h};
+    cr_assert(limits.answered(server, home, 2.0, now));
+    cr_assert(!limits.answered(server, home, 2.0, now + 100ms), "no news");
+    limits.told(server, home, std::nullopt, now, now + 200ms);
+    cr_assert(limits.find(server));
+    limits.told(server, home, std::nullopt, now + 300ms, now + 400ms);
+    cr_assert(!limits.find(server));
+    cr_assert(limits.answered(server, home, 2.0, now + 1s));
+    cr_assert(limits.answered(server, home, std::nullopt, now + 2s));
+    cr_assert(limits.may_send(server, now + 2s));
+}
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -186,7 +186,7 @@
     row.wake = row.deadline;
     row.keyed = taken->repeat == repeat_policy::keyed && !row.info.idempotency_key.empty();
 
-    if (refuse_early(row, now, out))
+    if (refuse_limited(row, now, out) || refuse_early(row, now, out))
         return;
     if (row.keyed)
         begin_claim(row, now, out);
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -79,13 +79,15 @@
     return &found->second;
 }
 
-void request_core::state::on_sent(const attempt_sent& sent)
+void request_core::state::on_sent(const attempt_sent& sent, time_point now)
 {
     request_row* row = find_attempt(sent.request, sent.attempt);
     if (row == nullptr)
         return;
     row->attempt.repeated = row->attempt.sent;
     row->attempt.sent = true;
+    if (row->attempt.repeated)
+        use_limit(targets.at(row->attempt.target), now);
     // The same server once more: no further server, but further load on its service.
     if (row->attempt.repeated && settings.retry_budget && settings.charge_every_repeat)
         (void)pools.at(row->terms.pool).budget.take();
--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -162,14 +162,22 @@
     vm_id instance;
 };
 
+/// A server has named a limit on the requests a second of all entry VMs together, or names none any
+/// more: tell the other entry VMs.
+struct share_limit {
+    vm_id server;
+    std::optional<double> per_second;
+    double own_share = 0.0; ///< of this node
+};
+
 /// Tell the other entry VMs what this one wants.
 struct share_demand {
     std::vector<demand_row> rows;
 };
 
-using command =
-    std::variant<send_attempt, deliver, cancel_attempt, complete, refuse, replay, end_truncated,
-                 forget, report_key, call_kv, grant_lease, released, target_silent, share_demand>;
+using command = std::variant<send_attempt, deliver, cancel_attempt, complete, refuse, replay,
+                             end_truncated, forget, report_key, call_kv, grant_lease, released,
+                             target_silent, share_limit, share_demand>;
 using command_list = std::vector<command>;
 
 } // namespace jaynotch
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -18,8 +18,9 @@
 } // namespace
 
 request_core::state::state(core_settings given, random_source source, time_point now)
-    : settings{std::move(given)}, random{source},
-      peers{settings.most_peers, settings.demand_keeping}, claims{settings}, next_share{now}
+    : settings{std::move(given)}, random{source}, peers{settings.most_peers,
+                                                        settings.demand_keeping},
+      claims{settings}, limits{settings.node}, next_share{now}
 {
     // Attempts of different nodes and processes must not share an id: an engine cancels by it.
     next_attempt = random.bits() << attempt_space_bits;
@@ -61,6 +62,11 @@
     return m_state->requests.size();
 }
 
+std::size_t request_core::limited_servers() const
+{
+    return m_state->limits.size();
+}
+
 bool request_core::hears(const vm_id& instance, time_point now) const
 {
     constexpr std::chrono::milliseconds moment{400}; // longer than the pauses of a sound engine
@@ -109,7 +115,7 @@
         command_list& out;
 
         void operator()(const request_arrived& e) const { core.arrive(e.request, now, out); }
-        void operator()(const attempt_sent& e) const { core.on_sent(e); }
+        void operator()(const attempt_sent& e) const { core.on_sent(e, now); }
         void operator()(const attempt_head& e) const { core.on_head(e, now, out); }
         void operator()(const attempt_progress& e) const { core.on_progress(e, now); }
         void operator()(const attempt_waits& e) const { core.on_waits(e); }
@@ -139,6 +145,9 @@
             core.fleet_size = std::max<std::size_t>(1, e.nodes);
             core.set_budgets();
         }
+        void operator()(const fleet_seen& e) const { core.take_fleet(e, now); }
+        void operator()(const limit_answered& e) const { core.take_limit(e, now, out); }
+        void operator()(const limit_told& e) const { core.take_limit(e, now); }
         void operator()(const group_broken& e) const { core.lose_group(e.group, now, out); }
         void operator()(const target_leaving& e) const
         {
@@ -236,6 +245,7 @@
 void request_core::state::run_tick(time_point now, command_list& out)
 {
     peers.expire(now);
+    refresh_limits(now);
     for (std::size_t row = 0; row < targets.size(); ++row) {
         target_row& sampled = targets.at(static_cast<target_row_index>(row));
         sampled.load.sample_own(sampled.own, now);
--- a/routing/request_core.h
+++ b/routing/request_core.h
@@ -65,8 +65,9 @@
     std::uint64_t replayed = 0;
     std::uint64_t truncated = 0;
     std::uint64_t forgotten = 0;
-    std::uint64_t refused_early = 0; ///< of refused: by the estimate of the wait, on arrival
-    std::uint64_t refused_late = 0;  ///< of refused: by the deadline while queued
+    std::uint64_t refused_early = 0;   ///< of refused: by the estimate of the wait, on arrival
+    std::uint64_t refused_late = 0;    ///< of refused: by the deadline while queued
+    std::uint64_t refused_limited = 0; ///< of refused: by what the servers say that they take
     std::uint64_t attempts = 0;
     std::uint64_t retries = 0;
     std::uint64_t resumes = 0;
@@ -116,6 +117,8 @@
     [[nodiscard]] const routing_counters& counters() const;
     [[nodiscard]] std::vector<target_status> targets() const;
     [[nodiscard]] std::vector<pool_status> pools() const;
+    /// Servers that limit the requests a second of all nodes together.
+    [[nodiscard]] std::size_t limited_servers() const;
     /// Whether requests of this node at that server were answered a moment ago.
     [[nodiscard]] bool hears(const vm_id& instance, time_point now) const;
     /// Requests that have no final command yet; 0 means that a stopping daemon may go.
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -120,6 +120,7 @@
     target_row& target = targets.at(chosen);
     if (target.own == 0)
         target.heard = now;
+    use_limit(target, now);
     ++target.own;
     ++pool.view.own;
     ++pool.in_flight;
--- a/routing/request_events.h
+++ b/routing/request_events.h
@@ -3,6 +3,7 @@
 
 #include "base/base.h"
 #include "outside/kv_types.h"
+#include "routing/rate_limits.h"
 #include "tables/tables.h"
 
 #include <chrono>
@@ -222,6 +223,25 @@
     std::chrono::milliseconds age{0};
 };
 
+/// An answer of a target came and named the requests a second that it takes of all entry VMs
+/// together, or named no limit.
+struct limit_answered {
+    target_id target;
+    std::optional<double> per_second;
+};
+
+/// Another entry VM got such an answer, `age` ago.
+struct limit_told {
+    vm_id server;
+    std::optional<double> per_second;
+    duration age{0};
+};
+
+/// The entry VMs that share servers' limits. About once a second, also if none has changed.
+struct fleet_seen {
+    std::vector<fleet_member> members;
+};
+
 /// One change of an engine's prefix cache. Late, with gaps, a hint.
 struct prefix_event {
     std::uint64_t prefix = 0; ///< chained block hash as in request_info::prefix_blocks
@@ -266,8 +286,8 @@
 using event =
     std::variant<request_arrived, attempt_sent, attempt_head, attempt_progress, attempt_waits,
                  attempt_finished, attempt_failed, caller_gone, key_status_asked, kv_result,
-                 lease_result, groups_changed, servers_changed, fleet_size_seen, group_broken,
-                 target_leaving, load_seen, cache_events_seen, tables_installed, peer_demand_seen,
-                 peer_left, tick>;
+                 lease_result, groups_changed, servers_changed, fleet_size_seen, fleet_seen,
+                 group_broken, target_leaving, load_seen, limit_answered, limit_told,
+                 cache_events_seen, tables_installed, peer_demand_seen, peer_left, tick>;
 
 } // namespace jaynotch
--- /dev/null
+++ b/routing/request_limits.cc
@@ -0,0 +1,123 @@
+// Targets whose servers limit the requests a second of all entry VMs together (rate_limits.h). A
+// target is left out of the choice while this node's part is used up; a request that would wait for
+// too long for a part of any is refused on arrival, since callers come back through other nodes.
+#include "routing/request_state.h"
+
+#include <limits>
+
+namespace jaynotch {
+
+namespace {
+
+/// Part of the time left that may go into waiting, as for full queues.
+constexpr double most_waiting_part = 0.5;
+/// For a caller that comes back to a node without a part.
+constexpr double no_part_retry_s = 0.5;
+
+double seconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+void request_core::state::take_limit(const limit_answered& answered, time_point now,
+                                     command_list& out)
+{
+    const target_row_index at = targets.find(answered.target);
+    if (at == no_target || targets.at(at).info.instance.value().empty())
+        return;
+    target_row& target = targets.at(at);
+    const vm_id& server = target.info.instance;
+    const bool tell = limits.answered(server, target.info.failure_domain, answered.per_second, now);
+    target.limit_used_up = !limits.may_send(server, now);
+    if (!tell)
+        return;
+    const rate_limit_status known = limits.find(server).value_or(rate_limit_status{});
+    out.emplace_back(share_limit{server, answered.per_second, known.share});
+}
+
+void request_core::state::take_limit(const limit_told& told, time_point now)
+{
+    failure_domain_id where;
+    for (std::size_t at = 0; at < targets.size(); ++at) {
+        const target_row& row = targets.at(static_cast<target_row_index>(at));
+        if (row.present && row.info.instance == told.server)
+            where = row.info.failure_domain;
+    }
+    limits.told(told.server, where, told.per_second, now - told.age, now);
+}
+
+void request_core::state::use_limit(target_row& target, time_point now)
+{
+    if (limits.empty())
+        return;
+    limits.take(target.info.instance, now);
+    target.limit_used_up = !limits.may_send(target.info.instance, now);
+}
+
+void request_core::state::take_fleet(const fleet_seen& seen, time_point now)
+{
+    limits.fleet_seen(seen.members, now);
+    std::set<vm_id> known;
+    for (std::size_t at = 0; at < targets.size() && !limits.empty(); ++at) {
+        const target_row& row = targets.at(static_cast<target_row_index>(at));
+        if (row.present)
+            known.insert(row.info.instance);
+    }
+    limits.forget([&](const vm_id& server) { return known.contains(server); }, now);
+}
+
+void request_core::state::refresh_limits(time_point now)
+{
+    constexpr std::chrono::milliseconds interval{50};
+    if ((limits.empty() && !limits_in_use) || now < next_limit_refresh)
+        return;
+    next_limit_refresh = now + interval;
+    limits_in_use = !limits.empty();
+    limits.tick(now);
+    for (std::size_t at = 0; at < targets.size(); ++at) {
+        target_row& row = targets.at(static_cast<target_row_index>(at));
+        row.limit_used_up = !limits.may_send(row.info.instance, now);
+    }
+}
+
+duration request_core::state::limit_wait(const pool_row& pool, time_point now) const
+{
+    if (limits.empty())
+        return duration{0};
+    duration shortest = duration::max();
+    double share = 0.0;
+    for (const target_row_index at : pool.view.targets) {
+        const target_row& row = targets.at(at);
+        if (row.leaving() || row.health.ejected)
+            continue;
+        const std::optional<rate_limit_status> known = limits.find(row.info.instance);
+        if (!known)
+            return duration{0};
+        shortest = std::min(shortest, limits.wait(row.info.instance, now));
+        share += known->share;
+    }
+    if (shortest == duration::max() || share == 0.0)
+        return shortest;
+    const std::chrono::duration<double> ahead{static_cast<double>(pool.queue.size()) / share};
+    return shortest + std::chrono::duration_cast<duration>(ahead);
+}
+
+bool request_core::state::refuse_limited(request_row& row, time_point now, command_list& out)
+{
+    const duration wait = limit_wait(pools.at(row.terms.pool), now);
+    if (wait == duration{0} || seconds(wait) <= most_waiting_part * seconds(row.deadline - now))
+        return false;
+    ++counters.refused_limited;
+    row.keyed = false; // nothing is claimed yet
+    const double back_s = wait == duration::max() ? no_part_retry_s : seconds(wait);
+    finish_refuse(row,
+                  {error_kind::overloaded,
+                   "all its backend servers limit the requests a second that they take",
+                   "come back after the time in Retry-After"},
+                  ran_state::no, retry_after(back_s), now, out);
+    return true;
+}
+
+} // namespace jaynotch
--- /dev/null
+++ b/routing/request_limits_test.cc
@@ -0,0 +1,114 @@
+// A core before servers that limit the requests a second of all nodes together.
+#include "routing/modelled_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace jaynotch;
+using namespace jaynotch::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+using world = modelled_world;
+
+/// Servers that answer at once and name their limits, if they have one.
+struct servers {
+    std::map<std::string, double> limits;
+    std::map<std::string, int> got;
+
+    void answer(world& here, const command_list& wanted)
+    {
+        for (const command& each : wanted) {
+            if (const auto* order = std::get_if<send_attempt>(&each))
+                answer(here, *order);
+        }
+    }
+    void answer(world& here, const send_attempt& order)
+    {
+        ++got[order.target.value()];
+        const auto limit = limits.find(order.target.value());
+        std::optional<double> named;
+        if (limit != limits.end())
+            named = limit->second;
+        here.send(limit_answered{order.target, named});
+        here.begin(order);
+        answer(here, here.send(attempt_finished{order.request, order.attempt, {}}));
+    }
+};
+
+/// So many requests a second for `span`; counts what each target got.
+std::map<std::string, int> serve(world& here, duration span, int per_second,
+                                 const std::map<std::string, double>& limits)
+{
+    servers all{limits, {}};
+    for (const time_point until = here.now + span; here.now < until;) {
+        all.answer(here, here.ask());
+        all.answer(here, here.pass(duration{1s} / per_second));
+    }
+    return all.got;
+}
+
+void see_fleet(world& here, std::size_t nodes)
+{
+    fleet_seen seen;
+    seen.members.push_back({node_id{"entry-1"}, {}, true});
+    for (std::size_t index = 1; index < nodes; ++index)
+        seen.members.push_back({node_id{"other-" + std::to_string(index)}, {}, true});
+    here.send(seen);
+}
+
+} // namespace
+
+// Guards against a limited server that gets its usual part of the requests, or none.
+Test(request_limits, what_a_limited_server_does_not_take_goes_to_the_others)
+{
+    world here{3};
+    see_fleet(here, 2);
+    const auto sent = serve(here, 20s, 30, {{"g1", 2.0}});
+    cr_assert_leq(sent.at("g1"), 25, "half of 2 a second, and what was sent before it said so");
+    cr_assert_geq(sent.at("g1"), 12);
+    cr_assert_geq(sent.at("g2") + sent.at("g3"), 560);
+}
+
+// Guards against requests that wait for a server whose limit leaves this node no part.
+Test(request_limits, a_node_without_a_part_refuses_at_once)
+{
+    world here{1};
+    see_fleet(here, 60);
+    servers all{{{"g1", 0.3}}, {}};
+    int refused = 0;
+    for (int round = 0; round < 40; ++round) {
+        const command_list out = here.ask();
+        all.answer(here, out);
+        all.answer(here, here.pass(100ms));
+        if (const auto no = only<refuse>(out)) {
+            ++refused;
+            cr_assert(no->ran == ran_state::no);
+            cr_assert(no->retry_after);
+            cr_assert_leq(*no->retry_after, 2s);
+        }
+    }
+    cr_assert_geq(refused, 38, "either refused at once or, rarely, sent");
+}
+
+// Guards against a server that stays limited though its answers no longer say so.
+Test(request_limits, a_server_that_names_no_limit_any_more_is_used_as_before)
+{
+    world here{1};
+    see_fleet(here, 2);
+    (void)serve(here, 5s, 10, {{"g1", 1.0}});
+    const auto sent = serve(here, 20s, 10, {});
+    cr_assert_geq(sent.at("g1"), 150);
+}
+
+// Guards against a peer's word on a limit that is not kept to.
+Test(request_limits, a_limit_told_by_a_peer_holds)
+{
+    world here{1};
+    see_fleet(here, 2);
+    here.send(limit_told{vm_id{"i-1"}, 2.0, 100ms});
+    const auto sent = serve(here, 10s, 20, {{"g1", 2.0}});
+    cr_assert_leq(sent.at("g1"), 12);
+    here.send(limit_told{vm_id{"i-1"}, std::nullopt, 0ms});
+    cr_assert_eq(here.core.limited_servers(), 0U);
+}
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -109,6 +109,17 @@
     void find_silent(time_point now, command_list& out);
     void set_budgets();
 
+    // request_limits.cc: servers that limit the requests a second of all nodes together
+    void take_limit(const limit_answered& answered, time_point now, command_list& out);
+    void take_limit(const limit_told& told, time_point now);
+    void take_fleet(const fleet_seen& seen, time_point now);
+    void use_limit(target_row& target, time_point now);
+    void refresh_limits(time_point now);
+    bool refuse_limited(request_row& row, time_point now, command_list& out);
+    /// How long its targets' limits would keep one more request of the pool waiting; 0 if a target
+    /// has none, max() if this node has no part of any.
+    [[nodiscard]] duration limit_wait(const pool_row& pool, time_point now) const;
+
     // request_arrival.cc: from arrival to the queue
     void arrive(const request_info& info, time_point now, command_list& out);
     bool refuse_unroutable(const request_info& info, const route* taken, pool_index index,
@@ -149,7 +160,7 @@
 
     // request_attempt.cc: what becomes of a sending
     request_row* find_attempt(request_id request, attempt_id attempt);
-    void on_sent(const attempt_sent& sent);
+    void on_sent(const attempt_sent& sent, time_point now);
     void on_head(const attempt_head& head, time_point now, command_list& out);
     void on_progress(const attempt_progress& part, time_point now);
     void on_waits(const attempt_waits& waiting);
@@ -189,6 +200,9 @@
     target_table targets;
     demand_table peers;
     claim_book claims;
+    rate_limits limits;
+    bool limits_in_use = false; ///< some target may be marked by `limits`
+    time_point next_limit_refresh;
     std::unordered_map<std::string, usual_patience> patience_by_route;
     std::unordered_map<std::string, workspace_row> workspaces_by_key;
     bool workspaces_by_keys = false; ///< callers must prove theirs
--- a/routing/target_table.h
+++ b/routing/target_table.h
@@ -87,6 +87,7 @@
     bool present = false;         ///< in the groups or tables of now
     bool told_leaving = false;    ///< by target_leaving
     bool release_due = false;     ///< `released` is still to be said
+    bool limit_used_up = false;   ///< this node's part of what the server takes a second
     std::uint32_t own = 0;        ///< attempts of this node in flight
     std::uint32_t pending_tokens = 0; ///< prompts of those that have brought nothing yet
     time_point heard;                 ///< last byte of any of them, or the first one's sending
@@ -97,7 +98,7 @@
     [[nodiscard]] bool may_be_picked() const
     {
         return !leaving() && !health.ejected && !health.refusing && !health.silent &&
-               !(health.on_trial && own > 0);
+               !limit_used_up && !(health.on_trial && own > 0);
     }
     [[nodiscard]] target_slot slot(target_row_index index) const { return {index, generation}; }
 };
