--- a/peers/membership_test.cc
+++ b/peers/membership_test.cc
@@ -180,6 +180,40 @@
     cr_assert(net.until([&] { return heard >= 89; }, seconds{2}), "only %zu of 89", heard);
 }
 
+// Guards against nodes that keep a server's limit after another node heard that it is lifted.
+Test(membership, a_servers_limit_and_its_end_are_known_everywhere)
+{
+    test_network net{15};
+    net.loss = 0.02;
+    constexpr std::size_t nodes = 30;
+    for (std::size_t i = 0; i < nodes; ++i)
+        net.add(i, 3);
+    cr_assert(net.until([&] { return net.all_see_all(); }, minutes{3}));
+    std::vector<std::optional<double>> known(nodes);
+    for (std::size_t i = 0; i < nodes; ++i) {
+        net.nodes[i]->on_command = [&known, i](const membership_command& command) {
+            const auto* news = std::get_if<rumor_heard>(&command);
+            if (news == nullptr)
+                return;
+            if (const auto* limit = std::get_if<server_limit>(&news->item))
+                known[i] = limit->per_second;
+        };
+    }
+    const auto all_know = [&](std::optional<double> wanted) {
+        return [&known, wanted] {
+            const auto others = known.begin() + 1; // the first one published it
+            return std::all_of(others, known.end(), [&](const auto& one) { return one == wanted; });
+        };
+    };
+    test_node& first = *net.nodes[0];
+    net.run(first, first.core.publish(net.now, server_limit{"i-1", 1.9, {}}));
+    cr_assert(net.until(all_know(1.9), seconds{15}));
+    net.run(first, first.core.publish(net.now, server_limit{"i-1", std::nullopt, {}}));
+    cr_assert(net.until(all_know(std::nullopt), seconds{15}));
+    net.run_for(seconds{30});
+    cr_assert(all_know(std::nullopt)(), "an echo of the limit came back");
+}
+
 // A frame sat in a paused node's socket for a minute. The ticket that it brings must look a minute
 // old, or a group that has lost a VM since would be served from.
 Test(membership, a_stuck_frame_does_not_make_a_ticket_fresh)
