Routing: what others have at a group is expected by failure domain, and a stale estimate costs what it may be wrong by

A group that a node had not heard of was expected to be as busy as those near it, so a node whose own domain was full never tried another; and the prediction hardly rose until a group was known to be full, though three of four reports were older than 0.1 s.

Change: what is not known of a group is expected by its failure domain, and a domain that was not heard of counts as a little less busy. The expected wait takes the deviation of an old report in, which grows until a usual answer's time has passed. Ties are broken by chance.

Pattern of the tests: groups of several failure domains, unequal traffic, nodes that hear little.

--- a/routing/engine_model.cc
+++ b/routing/engine_model.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
 namespace jaynotch {
 
@@ -10,6 +11,17 @@
 constexpr double pairs_in_unit = 1e6;
 constexpr double tokens_in_unit = 1e3;
 
+/// Mean of max(x, 0) where x is normal.
+double mean_above_zero(double mean, double deviation)
+{
+    if (deviation <= 0.0)
+        return std::max(mean, 0.0);
+    const double z = mean / deviation;
+    const double density = std::exp(-z * z / 2.0) / std::sqrt(2.0 * std::numbers::pi);
+    const double below = std::erfc(-z / std::numbers::sqrt2) / 2.0;
+    return deviation * density + mean * below;
+}
+
 } // namespace
 
 double pass_ms(const engine_figures& figures, double writers)
@@ -26,6 +38,12 @@
     return (tokens / figures.prompt_tokens_per_ms + pairs * figures.pairs_ms_per_1m) * figures.pace;
 }
 
+double answer_ms(const engine_figures& figures, double writers)
+{
+    const double passes = std::ceil(figures.usual_answer / double(figures.steps_in_pass));
+    return passes * pass_ms(figures, writers);
+}
+
 double first_event_ms(const engine_figures& figures, double places, const engine_work& work,
                       double prompt_tokens)
 {
@@ -35,11 +53,9 @@
     double ms = (work.running > 0.0 ? 1.5 : 1.0) * pass;
     ms += prompt_ms(figures, prompt_tokens) + prompt_ms(figures, work.pending_tokens);
     ms += work.waiting * prompt_ms(figures, figures.usual_prompt);
+    // Until so many of the running ones have ended.
     const double beyond = work.running + work.waiting + 1.0 - places;
-    if (beyond > 0.0) {
-        const double passes = std::ceil(figures.usual_answer / double(figures.steps_in_pass));
-        ms += beyond * passes * pass / places; // until that many of the running ones have ended
-    }
+    ms += mean_above_zero(beyond, work.deviation) * answer_ms(figures, writers + 1.0) / places;
     return ms;
 }
 
--- a/routing/engine_model.h
+++ b/routing/engine_model.h
@@ -18,13 +18,16 @@
     double running = 0.0;        ///< requests of all nodes that are in the batch or on their way
     double waiting = 0.0;        ///< requests queued in the engine
     double pending_tokens = 0.0; ///< prompts of ours that have brought nothing yet
+    double deviation = 0.0;      ///< standard deviation of `running`, which is an estimate
 };
 
 /// One pass that writes for `writers` answers and reads nothing.
 double pass_ms(const engine_figures& figures, double writers);
 /// Reading a prompt.
 double prompt_ms(const engine_figures& figures, double tokens);
-/// From sending a request to its first event.
+/// A usual answer, in a batch of `writers`.
+double answer_ms(const engine_figures& figures, double writers);
+/// Mean from sending a request to its first event.
 double first_event_ms(const engine_figures& figures, double places, const engine_work& work,
                       double prompt_tokens);
 /// The longest pause between two events of a sound engine with a full batch: a pass that also reads
--- a/routing/modelled_pick.cc
+++ b/routing/modelled_pick.cc
@@ -23,11 +23,23 @@
     return std::max(1U, told > 0 ? told : kind.max_in_flight_per_replica);
 }
 
-engine_work work_at(const target_row& row, const pool_view& view, time_point now)
+/// Requests come and go at random, so what others have there strays from the report as time goes
+/// on, until after a usual answer's time all of them are others.
+double deviation_of(double others, const target_row& row, const pool& kind, time_point now)
 {
+    const double turnover_ms = answer_ms(kind.engine, places_of(row, kind));
+    const auto age_ms = static_cast<double>(row.load.age_ms(now));
+    const double changed = age_ms < 0.0 ? 1.0 : std::min(1.0, age_ms / turnover_ms);
+    return std::sqrt(others * changed);
+}
+
+engine_work work_at(const target_row& row, const pool_view& view, const pool& kind, time_point now)
+{
+    const double others = row.load.others(expected_others(row, view), now);
     engine_work work;
-    work.running = row.own + row.load.others(view.mean_others, now);
+    work.running = row.own + others;
     work.pending_tokens = row.pending_tokens;
+    work.deviation = deviation_of(others, row, kind, now);
     return work;
 }
 
@@ -85,13 +97,14 @@
     const double sure_in_pool = own_part_of_pool(targets, view, kind, wanted.nodes);
     target_row_index best = no_target;
     double best_ms = 0.0;
-    for (const target_row_index at : view.targets) {
+    for (std::size_t step = 0; step < view.targets.size(); ++step) {
+        const target_row_index at = view.targets[(wanted.first + step) % view.targets.size()];
         const target_row& row = targets.at(at);
         const bool tried =
             std::find(wanted.tried.begin(), wanted.tried.end(), at) != wanted.tried.end();
         if (tried || !row.may_be_picked())
             continue;
-        const engine_work work = work_at(row, view, now);
+        const engine_work work = work_at(row, view, kind, now);
         const bool sure = !wanted.gives_way && wanted.mechanisms.has(mechanism::sure_places) &&
                           has_sure_place(row, kind, wanted.nodes, view.own, sure_in_pool);
         if (!has_room(row, kind, work, wanted, sure))
@@ -126,7 +139,7 @@
         const target_row& row = targets.at(at);
         if (!row.may_be_picked())
             continue;
-        const double left = places_of(row, kind) - work_at(row, view, now).running;
+        const double left = places_of(row, kind) - work_at(row, view, kind, now).running;
         sum += std::max({0.0, left, own_part(row, kind, nodes) - row.own});
     }
     return sum;
--- a/routing/modelled_pick.h
+++ b/routing/modelled_pick.h
@@ -30,6 +30,9 @@
     std::size_t nodes = 1;  ///< that share the groups
     mechanism_set mechanisms;
     bool gives_way = false; ///< begins late anyway: takes only what others can spare
+    /// Which of the targets is looked at first. Nodes that know as little as one another must not
+    /// all take the same one.
+    std::size_t first = 0;
 };
 
 /// Or no_target.
--- a/routing/modelled_test.cc
+++ b/routing/modelled_test.cc
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 
 #include <map>
+#include <set>
 
 using namespace jaynotch;
 using namespace jaynotch::testing;
@@ -129,6 +130,94 @@
     cr_assert(only<send_attempt>(out) || only<send_attempt>(later), "which it has now");
 }
 
+namespace {
+
+constexpr std::chrono::milliseconds report_age{500};
+
+/// A node of domain "a" before six groups there and six in "b".
+modelled_world beside_another_domain()
+{
+    core_settings settings = shared_settings();
+    settings.failure_domain = failure_domain_id{"a"};
+    modelled_world here{0, settings};
+    std::vector<target> all;
+    for (int number = 1; number <= 12; ++number) {
+        all.push_back(group(number));
+        all.back().failure_domain = failure_domain_id{number <= 6 ? "a" : "b"};
+    }
+    here.send(groups_changed{all});
+    here.send(fleet_size_seen{100});
+    return here;
+}
+
+void report(modelled_world& here, int from, int to, std::uint32_t running)
+{
+    for (int number = from; number <= to; ++number)
+        here.send(
+            load_seen{target_id{"g" + std::to_string(number)}, {running, 0, 0.0}, report_age});
+    here.pass(10ms);
+}
+
+/// How many of 50 requests go to domain "b", whose groups answer with their load if it is told.
+int sent_to_b(modelled_world& here, std::optional<std::uint32_t> running_there)
+{
+    int sent = 0;
+    for (int round = 0; round < 50; ++round) {
+        report(here, 1, 6, 7);
+        const auto order = only<send_attempt>(here.ask());
+        cr_assert(order);
+        const bool there = std::stoi(order->target.value().substr(1)) > 6;
+        sent += there ? 1 : 0;
+        if (there && running_there)
+            here.send(load_seen{order->target, {*running_there, 0, 0.0}, report_age});
+        here.begin(*order);
+        here.send(attempt_finished{order->request, order->attempt, {}});
+    }
+    return sent;
+}
+
+} // namespace
+
+// Guards against a node whose own domain is nearly full and that never hears that another is idle.
+// Pattern: many nodes before groups of several failure domains, unequal traffic.
+Test(modelled, an_idle_domain_that_was_not_heard_of_gets_requests)
+{
+    modelled_world here = beside_another_domain();
+    report(here, 1, 6, 7);
+    cr_assert_geq(sent_to_b(here, 1), 45);
+}
+
+// Guards against a node that keeps trying another domain though it is no less busy than its own.
+Test(modelled, a_domain_that_is_as_busy_gets_no_more_than_trials)
+{
+    modelled_world here = beside_another_domain();
+    report(here, 1, 6, 7);
+    const int sent = sent_to_b(here, 7);
+    cr_assert_leq(sent, 10, "%d", sent);
+}
+
+// Guards against nodes that all choose the same of several groups of which they know nothing.
+Test(modelled, equal_groups_are_not_taken_in_the_same_order_by_all)
+{
+    std::set<std::string> chosen;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        fixture here{shared_settings(), 0, seed, store_tables()};
+        std::vector<target> all;
+        for (int number = 1; number <= 6; ++number)
+            all.push_back(group(number));
+        here.send(groups_changed{all});
+        request_info info;
+        info.id = request_id{1};
+        info.method = "POST";
+        info.path = "/chat/x";
+        info.host = "a.example";
+        info.credential = "key-1";
+        info.model = "m";
+        chosen.insert(only<send_attempt>(here.send(request_arrived{info}))->target.value());
+    }
+    cr_assert_geq(chosen.size(), 4U);
+}
+
 // A stream that a full server refused, and that then broke in its middle at another, ended for its
 // caller though a third group was free: the refusal had used up its second server.
 Test(modelled, a_refusal_uses_up_none_of_a_streams_servers)
--- a/routing/picker.cc
+++ b/routing/picker.cc
@@ -23,6 +23,10 @@
 
 constexpr double load_bound = 1.25;
 constexpr double load_slack = 2.0;
+/// A failure domain that this node sends nothing to is not heard of. It counts as less busy than
+/// those that are, or a node whose own domain is full would never find out that others are not.
+constexpr double unheard_part = 0.75; ///< of the mean that is heard of
+constexpr double unheard_worth = 0.1; ///< of that guess, in reports made this moment
 constexpr std::size_t holders_looked_at = 4;
 constexpr std::size_t most_homes = 4;
 
@@ -230,6 +234,12 @@
 
 } // namespace
 
+double expected_others(const target_row& row, const pool_view& pool)
+{
+    const auto known = pool.mean_others_by_domain.find(row.info.failure_domain);
+    return known == pool.mean_others_by_domain.end() ? pool.mean_others : known->second;
+}
+
 double estimated_load(const target_row& row, const pool_view& pool, time_point now)
 {
     return row.own + row.load.others(pool.mean_others, now);
@@ -237,17 +247,30 @@
 
 void refresh(pool_view& pool, const target_table& targets, time_point now)
 {
-    double sum = 0.0;
-    double worth = 0.0;
+    struct heard {
+        double sum = 0.0;
+        double worth = 0.0;
+    };
+    heard all;
+    std::map<failure_domain_id, heard> by_domain;
     pool.own = 0;
     for (const target_row_index row : pool.targets) {
         const target_row& counted = targets.at(row);
         const double weight = counted.load.worth(now);
-        sum += weight * counted.load.reported_others();
-        worth += weight;
+        heard& domain = by_domain[counted.info.failure_domain];
+        for (heard* one : {&all, &domain}) {
+            one->sum += weight * counted.load.reported_others();
+            one->worth += weight;
+        }
         pool.own += counted.own;
     }
-    pool.mean_others = worth > 0.0 ? sum / worth : 0.0;
+    pool.mean_others = all.worth > 0.0 ? all.sum / all.worth : 0.0;
+    pool.mean_others_by_domain.clear();
+    for (const auto& [domain, told] : by_domain) {
+        const double unheard = unheard_part * pool.mean_others;
+        pool.mean_others_by_domain[domain] =
+            (told.sum + unheard_worth * unheard) / (told.worth + unheard_worth);
+    }
 }
 
 picked pick(const target_table& targets, pool_view& pool, prefix_index& prefixes,
--- a/routing/picker.h
+++ b/routing/picker.h
@@ -7,6 +7,7 @@
 #include "routing/request_core.h"
 #include "routing/target_table.h"
 
+#include <map>
 #include <span>
 #include <string_view>
 
@@ -18,7 +19,9 @@
     std::vector<std::uint64_t> names;      ///< hashes of their ids, for rendezvous
     std::uint32_t own = 0;                 ///< this node's requests at them
     double mean_others = 0.0;              ///< of the other nodes, at one target
-    std::uint32_t cap = 64;                ///< most in flight at one target, over all nodes
+    /// The same of the targets in one failure domain, less where little has been heard of it.
+    std::map<failure_domain_id, double> mean_others_by_domain;
+    std::uint32_t cap = 64; ///< most in flight at one target, over all nodes
     std::size_t round_robin_next = 0;
 };
 
@@ -35,6 +38,9 @@
     std::uint32_t blocks_held = 0; ///< thought to be cached there
 };
 
+/// What the other nodes are expected to have at a target of which nothing is known.
+double expected_others(const target_row& row, const pool_view& pool);
+
 /// The estimate of all nodes' requests at a target.
 double estimated_load(const target_row& row, const pool_view& pool, time_point now);
 
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -90,6 +90,7 @@
         modelled_request wanted{static_cast<double>(row.info.prompt_tokens), row.tried,
                                 settings.failure_domain, fleet_size};
         wanted.gives_way = gives_way(row);
+        wanted.first = random.index(std::max<std::size_t>(1, pool.view.targets.size()));
         wanted.mechanisms = settings.mechanisms;
         return pick_modelled(targets, pool.view, pool.info, wanted, now);
     }
@@ -180,7 +181,7 @@
     basis.first_target = row.terms.first_target;
     basis.gap_target = row.terms.gap_target;
     basis.own = target.own - 1;
-    basis.others = target.load.others(pool.view.mean_others, now);
+    basis.others = target.load.others(expected_others(target, pool.view), now);
     basis.load_age_ms = target.load.age_ms(now);
     basis.candidates = pool.view.targets.size();
     basis.waited_ms =
