Formation: groups are planned once the registry has been quiet for 2 s

Cause: managers take the registry for settled when no runner has come for 0.8 s, and split the whole fleet between the models by what they know then. While a fleet starts, entries gather for up to 0.8 s between two calls on the store, so pauses between batches looked settled: managers began at -11.5, -10.7 and -9.8 s with a part of the fleet (group_forming lines), and what they had formed was not undone when the rest came.

Change: 2 s, longer than entries gather and a call waits.

Test: runners that are seen in batches 0.9 s apart lead to the same groups as runners seen at once; red before.

--- a/groups/formation.h
+++ b/groups/formation.h
@@ -137,8 +137,9 @@
     duration claim_turn = 150ms;        ///< between the claims of two nodes
     std::size_t claimers = 2;           ///< nodes of a failure domain that mostly are current
     /// Before the first request loads are quick. Groups are planned once no runner has come for
-    /// this long, since who else is there decides what is best, ...
-    duration settled_after = 800ms;
+    /// this long, since who else is there decides what is best, ... Must be longer than entries
+    /// gather on their way here while a fleet starts.
+    duration settled_after = 2s;
     duration settled_by = 4s;   ///< ... and no later than this after the first runner
     duration drain_notice = 6s; ///< a group with a leaving member is closed this long after notice
     /// A runner that did not answer a probe isn't used for this long. Longer than the registry
--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -35,6 +35,27 @@
     assert_sound(world);
 }
 
+// Guards against a split between the models that hangs on which part of a large fleet was known
+// first. Pattern: runners that register for seconds, seen in batches.
+Test(formation, runners_that_are_seen_in_batches_are_planned_together)
+{
+    constexpr std::size_t domains = 4;
+    constexpr std::size_t runners = 9;
+    constexpr duration batch = 900ms;
+    fake_registry at_once{{.domains = domains, .runners = runners}};
+    at_once.run(12s);
+    fake_registry in_batches{{.domains = 1, .runners = runners}};
+    for (std::size_t domain = 1; domain < domains; ++domain) {
+        in_batches.run(batch);
+        for (std::size_t index = 0; index < runners; ++index)
+            in_batches.add("r-" + std::to_string(domain) + "-" + std::to_string(index), domain);
+    }
+    in_batches.run(12s);
+    for (const char* model : {"big", "small"})
+        cr_assert_eq(in_batches.open_groups(model), at_once.open_groups(model), "%s", model);
+    assert_sound(in_batches);
+}
+
 // A caller's streams at one group stop in their middle, all at once: a member of the group has
 // died. The head goes on taking requests and would notice only after seconds. The manager finds the
 // dead member, ends the group and makes one of the survivors and a spare.
