--- a/daemon/registry_daemon_test.cc
+++ b/daemon/registry_daemon_test.cc
@@ -366,7 +366,7 @@
 {
     site here{1, 0};
     cr_assert(here.run_until([&] { return here.ask("/order/1").status == 200; }));
-    const duration start = 7s; // watches wait for less while a fleet starts
+    const duration start = 7s; // changes gather differently while a fleet starts
     here.time_until([] { return false; }, start);
     here.store().withholds_news = true;
     here.store().put("op/config", document(2, R"(["key-2"])"));
--- /dev/null
+++ b/standins/runner_standin.cc
@@ -0,0 +1,332 @@
+// A runner that registers itself, forms groups as it is ordered, answers requests and, if a test
+// wants it, does each of them wrong.
+#include "standins/store_standin.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+namespace jaynotch {
+
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+result<std::shared_ptr<runner_standin>>
+runner_standin::start(const boost::asio::any_io_executor& executor,
+                      std::shared_ptr<store_standin> store, runner_standin_settings settings)
+{
+    std::shared_ptr<runner_standin> made{
+        new runner_standin{executor, std::move(store), std::move(settings)}};
+    const standin_handler handler = forward_to(made, &runner_standin::handle);
+    BOOST_OUTCOME_TRY(made->m_server, standin_server::listen(executor, "127.0.0.1:0", handler));
+    if (made->m_settings.fabric)
+        made->m_settings.fabric->runners[made->id()] = made;
+    made->publish();
+    return made;
+}
+
+void runner_standin::show_at(std::string address)
+{
+    m_shown = std::move(address);
+    publish();
+}
+
+json::object runner_standin::description() const
+{
+    json::object entry{{"service", m_settings.service},
+                       {"addr", m_shown.empty() ? m_server->address() : m_shown},
+                       {"zone", m_settings.zone},
+                       {"slot_count", 8},
+                       {"state", m_state},
+                       {"born", 1}};
+    if (!m_settings.domain.empty()) {
+        entry["domain"] = m_settings.domain;
+        json::array staged;
+        if (!m_staged.empty())
+            staged.push_back(json::string(m_staged));
+        entry["staged"] = std::move(staged);
+        json::array models;
+        if (!m_model.empty())
+            models.push_back(json::object{{"name", m_model}, {"version", 1}});
+        entry["models"] = std::move(models);
+        if (!m_group.empty())
+            entry["group"] = json::object{{"name", m_group},
+                                          {"epoch", m_epoch},
+                                          {"rank", m_rank},
+                                          {"state", to_name(m_phase)}};
+    }
+    return entry;
+}
+
+void runner_standin::publish()
+{
+    if (m_alive)
+        m_store->put("servers/" + m_settings.id, json::serialize(description()));
+}
+
+void runner_standin::drain()
+{
+    m_state = "draining";
+    publish();
+}
+
+void runner_standin::crash()
+{
+    m_alive = false;
+    m_server->stop();
+}
+
+void runner_standin::stop()
+{
+    crash();
+    m_store->remove("servers/" + m_settings.id);
+}
+
+awaitable<void> runner_standin::handle(standin_exchange& exchange)
+{
+    const auto keep = shared_from_this();
+    constexpr duration longest_mute = 20s;
+    if (faults.mute) {
+        co_await standin_sleep(m_executor, longest_mute);
+        exchange.cut();
+        co_return;
+    }
+    if (exchange.path() == "/order") {
+        co_await take_order(exchange);
+        co_return;
+    }
+    if (exchange.path() == "/report") {
+        std::string text = json::serialize(description());
+        co_await exchange.answer(http::status::ok, std::move(text));
+        co_return;
+    }
+    const std::string_view expected = exchange.header("Jaynotch-Expect-Instance");
+    const bool head = m_settings.domain.empty() || (open() && m_rank == 0);
+    if ((!expected.empty() && expected != m_settings.id) || !head) {
+        co_await exchange.answer(http::status::misdirected_request, "");
+        co_return;
+    }
+    if (faults.refuse) {
+        exchange.set("Jaynotch-Not-Executed", "1");
+        co_await exchange.answer(http::status::service_unavailable, "");
+        co_return;
+    }
+    seen_request seen;
+    seen.at = runtime_clock::now();
+    seen.attempt = std::string{exchange.header("Jaynotch-Attempt-Id")};
+    seen.target = std::string{exchange.request().target()};
+    seen.body = exchange.body();
+    for (const auto& field : exchange.request())
+        seen.headers[std::string{field.name_string()}] = std::string{field.value()};
+    ran.push_back(seen);
+    check_run();
+    if (faults.cut) {
+        exchange.cut();
+        co_return;
+    }
+    if (faults.fail) {
+        co_await fail(exchange);
+        co_return;
+    }
+    if (m_settings.domain.empty()) {
+        co_await answer(exchange);
+    }
+    else {
+        co_await stream(exchange);
+    }
+}
+
+std::string runner_standin::mark_answer(standin_exchange& exchange) const
+{
+    std::string attempt{exchange.header("Jaynotch-Attempt-Id")};
+    exchange.set("Jaynotch-Attempt-Id", attempt);
+    exchange.set("Jaynotch-Response-Seal", "seal-" + m_settings.id);
+    exchange.set("Jaynotch-Server-Load", "1,0,8");
+    if (!faults.limit.empty())
+        exchange.set("Server-Limit", faults.limit);
+    return attempt;
+}
+
+awaitable<void> runner_standin::fail(standin_exchange& exchange)
+{
+    mark_answer(exchange);
+    co_await exchange.answer(http::status::internal_server_error, "failed", "text/plain");
+}
+
+awaitable<void> runner_standin::answer(standin_exchange& exchange)
+{
+    const std::string attempt = mark_answer(exchange);
+    if (faults.foreign) {
+        const std::string other = "HTTP/1.1 200 OK\r\nJaynotch-Attempt-Id: another\r\n"
+                                  "Jaynotch-Response-Seal: s\r\nContent-Length: 6\r\n\r\nforged";
+        co_await exchange.write_raw(other);
+    }
+    std::string body = "answer of " + m_settings.id + " to " + attempt;
+    co_await exchange.answer(http::status::ok, std::move(body), "text/plain");
+}
+
+awaitable<void> runner_standin::stream(standin_exchange& exchange)
+{
+    mark_answer(exchange);
+    const std::string_view after = exchange.header("Last-Event-Id");
+    const std::size_t first = after.empty() ? 1 : std::stoul(std::string{after}) + 1;
+    if (!co_await exchange.begin_chunks(http::status::ok, "text/event-stream"))
+        co_return;
+    std::size_t written = 0;
+    for (std::size_t id = first; id <= m_settings.events; ++id) {
+        co_await standin_sleep(m_executor, m_settings.gap);
+        const bool cut = faults.cut_after > 0 && written == faults.cut_after;
+        if (cut || !co_await wait_for_members()) {
+            exchange.cut();
+            co_return;
+        }
+        std::string event = "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+        if (!co_await exchange.write_chunk(std::move(event)))
+            co_return;
+        ++written;
+    }
+    co_await exchange.finish_chunks();
+}
+
+bool runner_standin::whole() const
+{
+    if (!m_settings.fabric)
+        return true;
+    return std::all_of(m_members.begin(), m_members.end(), [&](const std::string& id) {
+        const auto found = m_settings.fabric->runners.find(id);
+        const auto other =
+            found == m_settings.fabric->runners.end() ? nullptr : found->second.lock();
+        return other && other->m_alive && !other->faults.mute && other->m_group == m_group &&
+               other->m_epoch == m_epoch;
+    });
+}
+
+/// A head that misses a member stands still and then breaks.
+awaitable<bool> runner_standin::wait_for_members()
+{
+    constexpr duration look = 20ms;
+    const std::string group = m_group;
+    const time_point since = runtime_clock::now();
+    while (!whole()) {
+        co_await standin_sleep(m_executor, look);
+        if (!m_alive || m_group != group)
+            co_return false;
+        if (runtime_clock::now() - since >= m_settings.fabric->stall) {
+            m_phase = member_phase::broken;
+            publish();
+            co_return false;
+        }
+    }
+    co_return m_alive&& m_group == group;
+}
+
+void runner_standin::check_join(const std::string& group) const
+{
+    if (!m_settings.fabric || m_group.empty())
+        return;
+    for (const auto& [id, weak] : m_settings.fabric->runners) {
+        const auto head = weak.lock();
+        const bool serves =
+            head && head->m_alive && head->m_rank == 0 && head->m_group == m_group &&
+            head->m_epoch == m_epoch &&
+            (head->m_phase == member_phase::open || head->m_phase == member_phase::closing);
+        if (serves)
+            m_settings.fabric->broken.push_back(m_settings.id + " joined " + group + " while " +
+                                                id + " served " + m_group);
+    }
+}
+
+void runner_standin::check_run() const
+{
+    if (!m_settings.fabric || m_settings.domain.empty())
+        return;
+    if (m_members.size() != m_settings.fabric->group_size)
+        m_settings.fabric->broken.push_back(m_group + " serves with " +
+                                            std::to_string(m_members.size()) + " members");
+    for (const std::string& id : m_members) {
+        const auto other = m_settings.fabric->runners[id].lock();
+        if (other && other->m_alive && !other->m_was_ready.contains({m_group, m_epoch}))
+            m_settings.fabric->broken.push_back(m_group + " serves before " + id + " was ready");
+    }
+}
+
+awaitable<void> runner_standin::take_order(standin_exchange& exchange)
+{
+    orders.push_back(exchange.body());
+    const json::object order = json::parse(exchange.body()).as_object();
+    const std::string op{order.at("op").as_string()};
+    const std::int64_t fence =
+        order.contains("fence") ? order.at("fence").to_number<std::int64_t>() : m_fence;
+    http::status status = http::status::precondition_failed;
+    if (fence >= m_fence) {
+        m_fence = fence;
+        status = obey(op, order);
+    }
+    co_await exchange.answer(status, "");
+}
+
+http::status runner_standin::obey(const std::string& op, const json::object& order)
+{
+    if (op == "stage") {
+        m_staged = std::string{order.at("model").as_string()};
+        publish();
+        return http::status::accepted;
+    }
+    const bool own = order.at("group").as_string() == m_group &&
+                     order.at("epoch").to_number<std::int64_t>() == m_epoch;
+    if (op == "join")
+        return own ? http::status::ok : obey_join(order);
+    if (op == "open" && own && m_rank == 0 && m_phase == member_phase::ready) {
+        m_phase = member_phase::open;
+        publish();
+        return http::status::accepted;
+    }
+    if (op == "leave" && own) {
+        m_group.clear();
+        m_model.clear();
+        m_phase = member_phase::joining; // a head that has left serves nobody
+        publish();
+        return http::status::ok;
+    }
+    return own ? http::status::ok : http::status::conflict;
+}
+
+http::status runner_standin::obey_join(const json::object& order)
+{
+    const auto epoch = order.at("epoch").to_number<std::int64_t>();
+    if (epoch < m_highest_epoch)
+        return http::status::precondition_failed;
+    const std::string group{order.at("group").as_string()};
+    check_join(group);
+    m_highest_epoch = epoch;
+    m_members.clear();
+    for (const json::value& one : order.at("member_list").as_array())
+        m_members.emplace_back(one.as_string());
+    m_rank = std::find(m_members.begin(), m_members.end(), m_settings.id) - m_members.begin();
+    boost::asio::co_spawn(m_executor,
+                          join(group, epoch, std::string{order.at("model").as_string()}),
+                          boost::asio::detached);
+    return http::status::accepted;
+}
+
+awaitable<void> runner_standin::join(std::string group, std::int64_t epoch, std::string model)
+{
+    const auto keep = shared_from_this();
+    constexpr duration load = 40ms;
+    m_group = group;
+    m_epoch = epoch;
+    m_model.clear();
+    m_phase = member_phase::joining;
+    publish();
+    co_await standin_sleep(m_executor, load);
+    if (m_group != group || m_epoch != epoch)
+        co_return;
+    m_phase = member_phase::ready;
+    m_was_ready.emplace(group, epoch);
+    m_model = model;
+    m_staged = model;
+    publish();
+}
+
+} // namespace jaynotch
