Routing: one search for a server's target, one bound on waiting, a limit's part without its record

Read again: hears(), a peer's word on a limit and the forgetting of limits each walked all rows for a server's target; target_table::find_instance serves them. The bound on waiting for limited servers repeated that for full queues. Of what rate_limits told of a server only the part was used. No behaviour changes; tests call share() for find(), their assertions are as they were.

--- a/routing/rate_limits.cc
+++ b/routing/rate_limits.cc
@@ -59,13 +59,13 @@
 
 rate_limits::rate_limits(node_id self) : m_self{std::move(self)}
 {
-    m_sharers[m_self];
+    m_sharers.try_emplace(m_self);
 }
 
 void rate_limits::fleet_seen(const std::vector<fleet_member>& members, time_point now)
 {
     std::map<node_id, failure_domain_id> sharers;
-    sharers[m_self]; // its own row below gives the failure domain
+    sharers.try_emplace(m_self); // its failure domain is known once the members tell it
     for (const fleet_member& one : members) {
         if (one.live)
             m_last_live[one.node] = now;
@@ -213,12 +213,10 @@
     return row.share > 0.0 ? from_seconds(missing / row.share) : duration::max();
 }
 
-std::optional<rate_limit_status> rate_limits::find(const vm_id& server) const
+std::optional<double> rate_limits::share(const vm_id& server) const
 {
     const auto known = m_servers.find(server);
-    if (known == m_servers.end())
-        return std::nullopt;
-    return rate_limit_status{known->second.per_second, known->second.share, known->second.rank};
+    return known == m_servers.end() ? std::nullopt : std::optional{known->second.share};
 }
 
 } // namespace jaynotch
--- a/routing/rate_limits.h
+++ b/routing/rate_limits.h
@@ -25,13 +25,6 @@
     bool live = true;
 };
 
-/// A server's limit as this node knows it.
-struct rate_limit_status {
-    double per_second = 0.0; ///< of all nodes together
-    double share = 0.0;      ///< of this node, requests a second
-    std::size_t rank = 0;    ///< of this node among those that may use the server
-};
-
 class rate_limits {
 public:
     explicit rate_limits(node_id self);
@@ -64,8 +57,8 @@
     void take(const vm_id& server, time_point now);
     /// Until one more request may be sent: 0 if at once, max() if this node has no part.
     [[nodiscard]] duration wait(const vm_id& server, time_point now) const;
-    /// nullopt if the server names no limit.
-    [[nodiscard]] std::optional<rate_limit_status> find(const vm_id& server) const;
+    /// This node's part, requests a second; nullopt if the server names no limit.
+    [[nodiscard]] std::optional<double> share(const vm_id& server) const;
 
 private:
     static constexpr std::chrono::seconds keep_unknown{60};
--- a/routing/rate_limits_test.cc
+++ b/routing/rate_limits_test.cc
@@ -287,9 +287,7 @@
         members.push_back({node_id{"node-" + std::to_string(index)}, home, true});
     vm_id refused;
     limits.fleet_seen(members, now);
-    for (int index = 0; limits.find(refused).value_or(rate_limit_status{.share = 1.0}).share > 0.0;
-         ++index)
-    {
+    for (int index = 0; limits.share(refused).value_or(1.0) > 0.0; ++index) {
         refused = vm_id{"i-" + std::to_string(index)};
         limits.told(refused, home, 1.0, now, now);
     }
@@ -316,9 +314,9 @@
     cr_assert(limits.answered(server, home, 2.0, now));
     cr_assert(!limits.answered(server, home, 2.0, now + 100ms), "no news");
     limits.told(server, home, std::nullopt, now, now + 200ms);
-    cr_assert(limits.find(server));
+    cr_assert(limits.share(server));
     limits.told(server, home, std::nullopt, now + 300ms, now + 400ms);
-    cr_assert(!limits.find(server));
+    cr_assert(!limits.share(server));
     cr_assert(limits.answered(server, home, 2.0, now + 1s));
     cr_assert(limits.answered(server, home, std::nullopt, now + 2s));
     cr_assert(limits.may_send(server, now + 2s));
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -15,10 +15,6 @@
 constexpr std::chrono::seconds in_progress_retry{1};
 constexpr std::chrono::seconds full_retry{5};
 
-/// Part of the time left that may go into waiting. The estimate is a mean, and what is dispatched
-/// at the last moment misses its deadline in the engine, where its work is lost.
-constexpr double most_queued_part = 0.5;
-
 /// Cost against a workspace's share: work in an engine is mostly the tokens it generates; a prompt
 /// token costs about an eighth of one, since prompts are processed in parallel.
 double cost_of(const request_info& info)
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -71,12 +71,11 @@
 {
     constexpr std::chrono::milliseconds moment{400}; // longer than the pauses of a sound engine
     const target_table& targets = m_state->targets;
-    for (std::size_t at = 0; at < targets.size(); ++at) {
-        const target_row& row = targets.at(static_cast<target_row_index>(at));
-        if (row.present && row.info.instance == instance)
-            return row.own > 0 && !row.health.silent && now - row.heard < moment;
-    }
-    return false;
+    const target_row_index at = targets.find_instance(instance);
+    if (at == no_target)
+        return false;
+    const target_row& row = targets.at(at);
+    return row.own > 0 && !row.health.silent && now - row.heard < moment;
 }
 
 std::vector<target_status> request_core::targets() const
--- a/routing/request_limits.cc
+++ b/routing/request_limits.cc
@@ -3,14 +3,10 @@
 // too long for a part of any is refused on arrival, since callers come back through other nodes.
 #include "routing/request_state.h"
 
-#include <limits>
-
 namespace jaynotch {
 
 namespace {
 
-/// Part of the time left that may go into waiting, as for full queues.
-constexpr double most_waiting_part = 0.5;
 /// For a caller that comes back to a node without a part.
 constexpr double no_part_retry_s = 0.5;
 
@@ -33,18 +29,15 @@
     target.limit_used_up = !limits.may_send(server, now);
     if (!tell)
         return;
-    const rate_limit_status known = limits.find(server).value_or(rate_limit_status{});
-    out.emplace_back(share_limit{server, answered.per_second, known.share});
+    const double share = limits.share(server).value_or(0.0);
+    out.emplace_back(share_limit{server, answered.per_second, share});
 }
 
 void request_core::state::take_limit(const limit_told& told, time_point now)
 {
-    failure_domain_id where;
-    for (std::size_t at = 0; at < targets.size(); ++at) {
-        const target_row& row = targets.at(static_cast<target_row_index>(at));
-        if (row.present && row.info.instance == told.server)
-            where = row.info.failure_domain;
-    }
+    const target_row_index at = targets.find_instance(told.server);
+    const failure_domain_id where =
+        at == no_target ? failure_domain_id{} : targets.at(at).info.failure_domain;
     limits.told(told.server, where, told.per_second, now - told.age, now);
 }
 
@@ -59,13 +52,10 @@
 void request_core::state::take_fleet(const fleet_seen& seen, time_point now)
 {
     limits.fleet_seen(seen.members, now);
-    std::set<vm_id> known;
-    for (std::size_t at = 0; at < targets.size() && !limits.empty(); ++at) {
-        const target_row& row = targets.at(static_cast<target_row_index>(at));
-        if (row.present)
-            known.insert(row.info.instance);
-    }
-    limits.forget([&](const vm_id& server) { return known.contains(server); }, now);
+    const auto known = [&](const vm_id& server) {
+        return targets.find_instance(server) != no_target;
+    };
+    limits.forget(known, now);
 }
 
 void request_core::state::refresh_limits(time_point now)
@@ -92,11 +82,11 @@
         const target_row& row = targets.at(at);
         if (row.leaving() || row.health.ejected)
             continue;
-        const std::optional<rate_limit_status> known = limits.find(row.info.instance);
-        if (!known)
+        const std::optional<double> part = limits.share(row.info.instance);
+        if (!part)
             return duration{0};
         shortest = std::min(shortest, limits.wait(row.info.instance, now));
-        share += known->share;
+        share += *part;
     }
     if (shortest == duration::max() || share == 0.0)
         return shortest;
@@ -107,7 +97,7 @@
 bool request_core::state::refuse_limited(request_row& row, time_point now, command_list& out)
 {
     const duration wait = limit_wait(pools.at(row.terms.pool), now);
-    if (wait == duration{0} || seconds(wait) <= most_waiting_part * seconds(row.deadline - now))
+    if (wait == duration{0} || seconds(wait) <= most_queued_part * seconds(row.deadline - now))
         return false;
     ++counters.refused_limited;
     row.keyed = false; // nothing is claimed yet
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -15,6 +15,10 @@
 
 namespace jaynotch {
 
+/// Part of the time left that may go into waiting. The estimate is a mean, and what is dispatched
+/// at the last moment misses its deadline in the engine, where its work is lost.
+constexpr double most_queued_part = 0.5;
+
 /// Where a request stands.
 enum class request_phase {
     claiming,  ///< keyed: its claim is not settled
--- a/routing/target_table.cc
+++ b/routing/target_table.cc
@@ -81,6 +81,16 @@
     return found == m_by_id.end() ? no_target : found->second;
 }
 
+target_row_index target_table::find_instance(const vm_id& instance) const
+{
+    const auto found = std::find_if(m_rows.begin(), m_rows.end(), [&](const target_row& row) {
+        return row.present && row.info.instance == instance;
+    });
+    if (found == m_rows.end())
+        return no_target;
+    return static_cast<target_row_index>(found - m_rows.begin());
+}
+
 void target_table::replace_groups(const std::vector<target>& groups, time_point now)
 {
     replace(groups, pool_kind::model, now);
--- a/routing/target_table.h
+++ b/routing/target_table.h
@@ -116,6 +116,8 @@
     void lose(target_row_index row);
 
     [[nodiscard]] target_row_index find(const target_id& id) const; ///< or no_target
+    /// The present target of a backend server, or no_target. Looks at all rows.
+    [[nodiscard]] target_row_index find_instance(const vm_id& instance) const;
     [[nodiscard]] target_row& at(target_row_index row) { return m_rows[row]; }
     [[nodiscard]] const target_row& at(target_row_index row) const { return m_rows[row]; }
     [[nodiscard]] std::size_t size() const { return m_rows.size(); }
