--- a/peers/membership.cc
+++ b/peers/membership.cc
@@ -250,10 +250,9 @@
                    out);
     }
     for (const wire::server_limit& heard : frame.limits) {
-        constexpr double milli = 1'000.0;
         server_limit told{heard.server, std::nullopt, from_wire_age(heard.age)};
         if (heard.__isset.per_second_milli)
-            told.per_second = std::max(0, heard.per_second_milli) / milli;
+            told.per_second = limit_from_wire(heard.per_second_milli);
         take_rumor(now, stuck, std::move(told), out);
     }
     for (const wire::confirmation& heard : frame.confirmations) {
--- a/peers/rumor_table.cc
+++ b/peers/rumor_table.cc
@@ -19,6 +19,7 @@
 
 namespace {
 
+constexpr double milli = 1'000.0;
 constexpr duration age_unit = std::chrono::milliseconds{100};
 constexpr duration age_slack = std::chrono::milliseconds{250};
 constexpr duration status_life = std::chrono::seconds{120}; ///< of tickets and demand
@@ -121,13 +122,6 @@
     return !same && later > age_slack;
 }
 
-std::int32_t limit_to_wire(double per_second)
-{
-    constexpr double milli = 1'000.0;
-    constexpr double most = 2e9;
-    return static_cast<std::int32_t>(std::lround(std::clamp(per_second * milli, 0.0, most)));
-}
-
 void append(wire::frame& frame, const spread_item& item, duration age)
 {
     std::visit(overloaded{
@@ -209,6 +203,17 @@
     return std::max<int>(age, 0) * age_unit;
 }
 
+std::int32_t limit_to_wire(double per_second) noexcept
+{
+    constexpr double most = 2e9;
+    return static_cast<std::int32_t>(std::lround(std::clamp(per_second * milli, 0.0, most)));
+}
+
+double limit_from_wire(std::int32_t milli_per_second) noexcept
+{
+    return std::max(0, milli_per_second) / milli;
+}
+
 wire::member_update to_wire(const member& known)
 {
     wire::member_update out;
--- a/peers/rumor_table.h
+++ b/peers/rumor_table.h
@@ -82,6 +82,10 @@
 std::int16_t wire_age(duration age) noexcept;
 duration from_wire_age(std::int16_t age) noexcept;
 
+/// Limits in frames count thousandths of a request a second.
+std::int32_t limit_to_wire(double per_second) noexcept;
+double limit_from_wire(std::int32_t milli_per_second) noexcept;
+
 /// Conversions of members between the frame and the core.
 wire::member_update to_wire(const member& known);
 member from_wire(const wire::member_update& heard);
