--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -313,18 +313,9 @@
         if (runtime_clock::now() >= m_next_call_report)
             say_store_calls();
         tell_fleet();
-        // Members that can't be reached may still send; only those that said goodbye don't count.
-        const std::vector<member> all = peers->members();
-        const auto nodes =
-            static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const member& one) {
-                return one.state != member_state::left;
-            }));
-        if (nodes != m_fleet_size) {
-            m_fleet_size = nodes;
-            requests->handle(fleet_size_seen{std::max(nodes, least_fleet)});
-        }
     }
 
+    /// Members that can't be reached may still send; only those that said goodbye don't count.
     void tell_fleet()
     {
         fleet_seen seen;
@@ -332,7 +323,12 @@
             if (one.state != member_state::left)
                 seen.members.push_back({one.node, one.failure_domain, one.live()});
         }
+        const std::size_t nodes = seen.members.size();
         requests->handle(std::move(seen));
+        if (nodes != m_fleet_size) {
+            m_fleet_size = nodes;
+            requests->handle(fleet_size_seen{std::max(nodes, least_fleet)});
+        }
     }
 
     /// What this node has asked of the store since the last line.
