Formation: a test of the manager that is back in its old term; the trace of the VM in two groups

Cause: a runner whose entry named a group counted as free once its group had neither an open head nor time left to come together. That time, 10.4 s from 15.77, had run out at 26.2, while the manager led nothing. The answer to the late order was gone and the entry of the open head was still on its way, so members of the group that served were free, and were joined to another without leaving.

The fake registry tells what the platform's pages tell: an order without an answer is said to be lost after 300 ms, reports may be old, an answer may be lost though the order was carried out, opening an open head holds.

--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -3,7 +3,8 @@
 #include <algorithm>
 
 // Time goes in steps of 10 ms. An order is carried out in the step after it was sent, its answer
-// comes with it; a lost one is carried out 2 to 12 s later, whatever came between.
+// comes with it; a lost one is carried out 2 to 12 s later, whatever came between. Where no answer
+// comes, the manager is told so after as long as its node waits for one.
 
 namespace jaynotch::groups {
 
@@ -11,6 +12,8 @@
 
 constexpr duration step_time = 10ms;
 constexpr duration three_heartbeats = 3'600ms;
+constexpr duration answer_wait = 300ms; ///< for a runner's answer to an order
+constexpr duration words_kept = 1s;     ///< longer than reports may be late
 
 bool has(const std::vector<std::string>& list, const std::string& wanted)
 {
@@ -150,6 +153,9 @@
 void fake_registry::store_up(duration entries_late)
 {
     m_store_down = false;
+    // A watch that was cut begins anew, and what it missed takes its time like any entry.
+    for (auto& [at, row] : m_late_entries)
+        at = std::max(at, m_now + m_entries_late);
     for (auto& [id, at] : m_runners) {
         if (!at.alive) {
             unlist(at);
@@ -205,7 +211,7 @@
     m_due = std::move(later);
     for (const due_order& due : now) {
         fake_runner* at = find(due.order.vm.value());
-        const bool heard = at != nullptr && at->alive && at->reachable;
+        const bool heard = due.carried_out && at != nullptr && at->alive && at->reachable;
         const order_reply reply = heard ? obey(*at, due.order) : order_reply::lost;
         if (due.answered)
             tell(due.manager, order_answered{due.order.token, due.order.vm, reply});
@@ -254,7 +260,7 @@
     else if (const auto* asked = std::get_if<ask_runner>(&command)) {
         const fake_runner* at = find(asked->vm.value());
         if (at != nullptr && at->alive && at->reachable)
-            tell(manager, runner_told{{at->row.id, at->row.born_ms, at->row.group, at->row.model}});
+            tell(manager, runner_told{report_of(*at)});
     }
     else if (const auto* told = std::get_if<share_runner>(&command)) {
         for (std::size_t other = 0; other < m_managers.size(); ++other) {
@@ -288,10 +294,7 @@
         tell(manager, lease_result{renewed->token, told});
     }
     else if (const auto* order = std::get_if<send_order>(&command)) {
-        ++m_orders;
-        const bool lost = m_random.chance(m_lost_orders);
-        const duration late{m_random.between(duration{2s}.count(), duration{12s}.count())};
-        m_due.push_back({m_now + (lost ? late : step_time), manager, *order, !lost});
+        send(manager, *order);
     }
     else if (const auto* asked = std::get_if<probe_member>(&command)) {
         const fake_runner* at = find(asked->vm.value());
@@ -302,8 +305,33 @@
     }
 }
 
+void fake_registry::send(std::size_t manager, const send_order& order)
+{
+    ++m_orders;
+    const bool late = m_random.chance(m_lost_orders);
+    const bool answered = !late && !m_random.chance(m_lost_answers);
+    const duration lateness{m_random.between(duration{2s}.count(), duration{12s}.count())};
+    m_due.push_back({m_now + (late ? lateness : step_time), manager, order, answered, true});
+    if (!answered)
+        m_due.push_back({m_now + answer_wait, manager, order, true, false});
+}
+
+runner_word fake_registry::report_of(const fake_runner& at) const
+{
+    runner_word told{at.row.id, at.row.born_ms, std::nullopt, {}};
+    for (const auto& [since, word] : at.words) {
+        if (since <= m_now - m_reports_late)
+            told = word;
+    }
+    return told;
+}
+
 void fake_registry::publish(fake_runner& changed)
 {
+    changed.words.emplace_back(m_now, runner_word{changed.row.id, changed.row.born_ms,
+                                                  changed.row.group, changed.row.model});
+    while (changed.words.size() > 1 && changed.words[1].first < m_now - words_kept)
+        changed.words.pop_front();
     if (m_store_down && changed.alive && changed.reachable && !changed.unwritten)
         changed.unwritten = changed.row;
     // Until a runner writes its entry after an outage, the registry shows what it was before.
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -59,6 +59,10 @@
     void start_manager(std::size_t index);
     /// From now on, orders get no answer with this chance and are carried out up to 12 s later.
     void lose_orders(double chance) { m_lost_orders = chance; }
+    /// From now on, orders are carried out at once but get no answer with this chance.
+    void lose_answers(double chance) { m_lost_answers = chance; }
+    /// From now on, runners tell in their reports what held this long ago.
+    void delay_reports(duration late) { m_reports_late = late; }
     /// From now on the managers hear of each entry this much later than it was written.
     void delay_entries(duration late) { m_entries_late = late; }
     /// Requests at the group of this head get nothing: every manager's node says so.
@@ -108,6 +112,7 @@
         std::optional<runner> unwritten; ///< its first entry that the store did not take
         std::string staging;
         time_point staged_at = time_point::max();
+        std::deque<std::pair<time_point, runner_word>> words; ///< by the time from which they held
     };
     struct fake_manager {
         std::unique_ptr<runner_registry> known;
@@ -119,6 +124,7 @@
         std::size_t manager = 0;
         send_order order;
         bool answered = true;
+        bool carried_out = true;
     };
 
     fake_manager make_manager(std::size_t manager) const;
@@ -128,6 +134,8 @@
     void tell_all(const formation_event& event);
     void tell(std::size_t manager, const formation_event& event);
     void carry_out(std::size_t manager, const formation_command& command);
+    void send(std::size_t manager, const send_order& order);
+    [[nodiscard]] runner_word report_of(const fake_runner& at) const;
     void publish(fake_runner& changed);
     void show(const runner& row);
     void publish_key();
@@ -151,7 +159,9 @@
     std::int64_t m_last_birth = 0;
     std::deque<std::pair<time_point, runner>> m_late_entries; ///< written, not heard of yet
     duration m_entries_late{0};
+    duration m_reports_late{0};
     double m_lost_orders = 0.0;
+    double m_lost_answers = 0.0;
     bool m_traffic = false;
     bool m_store_down = false;
     std::size_t m_orders = 0;
--- a/groups/fake_runner.cc
+++ b/groups/fake_runner.cc
@@ -128,10 +128,11 @@
 
 order_reply fake_registry::open(fake_runner& at, const open_group& order)
 {
-    const bool fits = at.row.group && at.row.group->group == order.group &&
-                      at.row.group->epoch == order.epoch && at.row.group->rank == 0 &&
-                      at.row.group->phase == member_phase::ready;
-    if (!fits)
+    const bool head = at.row.group && at.row.group->group == order.group &&
+                      at.row.group->epoch == order.epoch && at.row.group->rank == 0;
+    if (head && (at.row.group->phase == member_phase::open || at.opens_at != time_point::max()))
+        return order_reply::holds;
+    if (!head || at.row.group->phase != member_phase::ready)
         return order_reply::misfit;
     const std::size_t size = at.row.model == "big" ? 4 : 3;
     if (at.list.size() != size)
--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -479,3 +479,32 @@
         cr_assert(world.broken().empty(), "seed %lu: %s", seed, world.broken().c_str());
     }
 }
+
+// Guards against a manager that is back in its old term after an outage and takes the members of a
+// group that it had made: the group opened in the outage, on an order that was carried out late, and
+// the time in which it had to come together has passed.
+Test(formation, a_manager_back_in_its_old_term_leaves_its_own_group_alone)
+{
+    fake_registry world = serving({.managers = 2, .domains = 2, .runners = 10});
+    world.leases_outlast_outages = true;
+    world.delay_entries(600ms);
+    const std::size_t groups = world.open_groups("big");
+    const std::string lost = world.head_of("big", 0);
+    world.kill(lost);
+    world.say_silent(lost);
+    world.run(500ms);
+    cr_assert_eq(world.open_groups("big"), groups - 1, "its successor is about to open");
+    world.lose_orders(1.0);
+    world.run(600ms);
+    world.peers_reach_store = true; // so the manager stops until the store answers it again
+    world.store_down();
+    world.run(15s);
+    cr_assert_eq(world.leaders(), 0U);
+    cr_assert_eq(world.open_groups("big"), groups);
+    world.lose_orders(0.0);
+    world.store_up();
+    world.run(4s);
+    assert_sound(world);
+    cr_assert_eq(world.leaders(), 1U);
+    cr_assert_eq(world.open_groups("big"), groups);
+}
