Formation: a join names the orders that the runner had begun before it; reports are ordered by that count

What callers saw: nothing yet.

Cause: a manager orders a join on what it believes of a runner, and nothing ties the order to that belief. A report 200 ms old, or an accepted order to open, vouched for an entry from before as well as a fresh word did.

Change: a join carries the number of orders that the runner had begun when it was in no group by its own word; the runner refuses it after any other. A report with fewer orders than are known is from before and is passed over. An entry that contradicts the last word, and an order to open, vouch for nothing. Words of other nodes don't either.

--- a/daemon/formation_driver.cc
+++ b/daemon/formation_driver.cc
@@ -118,15 +118,12 @@
             std::visit([&](const auto& body) { take(message.from, body); }, message.body);
     }
 
-    /// What the registry can't tell now: a runner's own word, its group changed. False if it is of
-    /// another start than the registry's entry.
-    bool install_word(const runner_word& word)
+    /// What the registry can't tell now: a runner's own word, its group changed. One that is of
+    /// another start than the registry's entry is passed over.
+    void install_word(const runner_word& word)
     {
-        if (!registry.tell(word, runtime_clock::now()))
-            return false;
-        if (on_word)
+        if (registry.tell(word, runtime_clock::now()) && on_word)
             on_word();
-        return true;
     }
 
     net::io_context& io;
@@ -165,8 +162,8 @@
     void take(const node_id& /*from*/, const runner_word& word)
     {
         // Whoever reaches the store knows better.
-        if (outage->conceded() && install_word(word))
-            tell(groups::runner_told{word});
+        if (outage->conceded())
+            install_word(word);
     }
     void take(const node_id& from, const server_answer& answer)
     {
@@ -302,13 +299,13 @@
     net::awaitable<void> ask_runner(failure_domain_id domain, groups::ask_runner wanted)
     {
         const auto self = shared_from_this();
-        const result<runner_word> word =
+        const result<runner_report> report =
             co_await orders.report(wanted.vm, wanted.address, probe_timeout);
-        if (word)
-            tell_domain(domain, groups::runner_told{word.value()});
+        if (report)
+            tell_domain(domain, groups::runner_reported{report.value()});
         else
             log_event(log_level::warning, "runner_report_missing",
-                      {{"vm", wanted.vm.value()}, {"reason", word.error().message}});
+                      {{"vm", wanted.vm.value()}, {"reason", report.error().message}});
     }
 
     net::awaitable<void> probe(failure_domain_id domain, groups::probe_member wanted)
--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -260,14 +260,11 @@
     else if (const auto* asked = std::get_if<ask_runner>(&command)) {
         const fake_runner* at = find(asked->vm.value());
         if (at != nullptr && at->alive && at->reachable)
-            tell(manager, runner_told{report_of(*at)});
+            tell(manager, runner_reported{report_of(*at)});
     }
     else if (const auto* told = std::get_if<share_runner>(&command)) {
-        for (std::size_t other = 0; other < m_managers.size(); ++other) {
-            m_managers[other].known->tell(told->word, m_now);
-            if (other != manager)
-                tell(other, runner_told{told->word});
-        }
+        for (const fake_manager& other : m_managers)
+            other.known->tell(told->word, m_now);
     }
     else if (std::holds_alternative<ask_about_outage>(command)) {
         if (!m_store_down || peers_reach_store)
@@ -316,22 +313,29 @@
         m_due.push_back({m_now + answer_wait, manager, order, true, false});
 }
 
-runner_word fake_registry::report_of(const fake_runner& at) const
+runner_report fake_registry::report_of(const fake_runner& at) const
 {
-    runner_word told{at.row.id, at.row.born_ms, std::nullopt, {}};
-    for (const auto& [since, word] : at.words) {
+    runner_report told{{at.row.id, at.row.born_ms, std::nullopt, {}}, 0};
+    for (const auto& [since, report] : at.words) {
         if (since <= m_now - m_reports_late)
-            told = word;
+            told = report;
     }
     return told;
 }
 
+/// From now on its reports tell what holds now.
+void fake_registry::note_report(fake_runner& at, time_point now)
+{
+    at.words.emplace_back(
+        now,
+        runner_report{{at.row.id, at.row.born_ms, at.row.group, at.row.model}, at.begun_orders});
+    while (at.words.size() > 1 && at.words[1].first < now - words_kept)
+        at.words.pop_front();
+}
+
 void fake_registry::publish(fake_runner& changed)
 {
-    changed.words.emplace_back(m_now, runner_word{changed.row.id, changed.row.born_ms,
-                                                  changed.row.group, changed.row.model});
-    while (changed.words.size() > 1 && changed.words[1].first < m_now - words_kept)
-        changed.words.pop_front();
+    note_report(changed, m_now);
     if (m_store_down && changed.alive && changed.reachable && !changed.unwritten)
         changed.unwritten = changed.row;
     // Until a runner writes its entry after an outage, the registry shows what it was before.
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -110,9 +110,11 @@
         time_point joined_at = time_point::max();
         time_point opens_at = time_point::max();
         std::optional<runner> unwritten; ///< its first entry that the store did not take
+        std::int64_t begun_orders = 0;
         std::string staging;
         time_point staged_at = time_point::max();
-        std::deque<std::pair<time_point, runner_word>> words; ///< by the time from which they held
+        std::deque<std::pair<time_point, runner_report>>
+            words; ///< by the time from which they held
     };
     struct fake_manager {
         std::unique_ptr<runner_registry> known;
@@ -134,12 +136,14 @@
     void tell_all(const formation_event& event);
     void tell(std::size_t manager, const formation_event& event);
     void carry_out(std::size_t manager, const formation_command& command);
+    static void note_report(fake_runner& at, time_point now);
     void send(std::size_t manager, const send_order& order);
-    [[nodiscard]] runner_word report_of(const fake_runner& at) const;
+    [[nodiscard]] runner_report report_of(const fake_runner& at) const;
     void publish(fake_runner& changed);
     void show(const runner& row);
     void publish_key();
     order_reply obey(fake_runner& at, const send_order& order);
+    void begin(fake_runner& at);
     order_reply join(fake_runner& at, const join_group& order);
     order_reply open(fake_runner& at, const open_group& order);
     void progress(fake_runner& at);
--- a/groups/fake_runner.cc
+++ b/groups/fake_runner.cc
@@ -62,8 +62,13 @@
     if (const auto* wanted = std::get_if<open_group>(&order.order))
         return open(at, *wanted);
     if (const auto* wanted = std::get_if<stage_model>(&order.order)) {
+        const bool under_way = at.staging == wanted->model && at.staged_at != time_point::max();
+        if (under_way)
+            return order_reply::begun;
         at.staging = wanted->model;
         at.staged_at = m_now + load_time(wanted->model, m_traffic);
+        ++at.begun_orders;
+        note_report(at, m_now);
         return order_reply::begun;
     }
     const auto named = [&](const group_id& group, std::int64_t epoch) {
@@ -76,21 +81,30 @@
         at.row.model.clear();
         at.joined_at = time_point::max();
         at.opens_at = time_point::max();
-        publish(at);
-        return order_reply::holds;
+        begin(at);
+        return order_reply::holds; // it is done already, though it counts
     }
     const auto& closed = std::get<close_group>(order.order);
     if (!named(closed.group, closed.epoch))
         return order_reply::misfit;
     at.row.group->phase = member_phase::ready; // it has nothing to finish here
-    publish(at);
+    begin(at);
     return order_reply::begun;
 }
 
+/// Counts an order that changes something, and tells of the change.
+void fake_registry::begin(fake_runner& at)
+{
+    ++at.begun_orders;
+    publish(at);
+}
+
 order_reply fake_registry::join(fake_runner& at, const join_group& order)
 {
     if (order.epoch < at.epoch)
         return order_reply::outdated;
+    if (order.orders_before && *order.orders_before != at.begun_orders)
+        return order_reply::misfit;
     const bool same =
         at.row.group && at.row.group->group == order.group && at.row.group->epoch == order.epoch;
     if (same)
@@ -122,7 +136,7 @@
     if (at.warm == order.model)
         takes = 200ms;
     at.joined_at = m_now + takes;
-    publish(at);
+    begin(at);
     return order_reply::begun;
 }
 
@@ -146,6 +160,8 @@
             fail(order.group.value() + " opened before " + member.value() + " was ready");
     }
     at.opens_at = m_now + 300ms;
+    ++at.begun_orders;
+    note_report(at, m_now);
     return order_reply::begun;
 }
 
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -143,7 +143,7 @@
         }
         void operator()(const outage_confirmed& e) const { core.vote.outage_confirmed(e.asked); }
         void operator()(const outage_conceded& /*e*/) const { core.vote.stand_back(now); }
-        void operator()(const runner_told& e) const { core.take_word(e.word, now); }
+        void operator()(const runner_reported& e) const { core.take_report(e.report, now); }
         void operator()(const peers_seen& e) const
         {
             core.peers = e.peers;
@@ -203,11 +203,15 @@
     const std::optional<membership> group = view.row.group;
     const std::string model = view.row.model;
     view.row = row;
-    if (view.ahead && (!row.group || row.group->epoch < view.ahead->second)) {
+    const bool before_join = view.ahead && (!row.group || row.group->epoch < view.ahead->second);
+    const bool before_leave = row.group && row.group->epoch <= view.left_epoch;
+    if (before_join || before_leave) {
         view.row.group = group;
         view.row.model = model;
     }
     else {
+        const bool stays = row.group ? group && key_of(*group) == key_of(*row.group) : !group;
+        view.vouched = view.vouched && stays; // older or newer than its word: it has to be asked
         view.ahead.reset();
     }
     view.listed = true;
@@ -230,8 +234,6 @@
     }
 }
 
-// What an accepted order does is taken for done at once; the registry confirms it some milliseconds
-// later, or shows that it was not so.
 void formation::state::take_answer(const order_answered& answer, time_point now)
 {
     runner_view* view = find(answer.vm);
@@ -251,34 +253,56 @@
             view->not_before = now + settings.order_pause;
         if (answer.reply == order_reply::lost || answer.reply == order_reply::elsewhere)
             out.emplace_back(probe_member{answer.vm, view->row.address});
+        // It has begun an order that this manager knows nothing of.
+        if (answer.reply == order_reply::misfit &&
+            std::holds_alternative<join_group>(view->pending_order))
+            view->vouched = false;
         return;
     }
-    // An order that began something tells where the runner is as well as its own word would.
-    view->vouched = view->vouched || answer.reply == order_reply::begun;
-    if (const auto* joined = std::get_if<join_group>(&view->pending_order)) {
-        const auto at = std::find(joined->members.begin(), joined->members.end(), answer.vm);
+    carried_out(*view, view->pending_order, answer.reply, now);
+    run_tick(now);
+}
+
+// What an accepted order does is taken for done at once; the registry confirms it some milliseconds
+// later, or shows that it was not so.
+void formation::state::carried_out(runner_view& view, const member_order& order, order_reply reply,
+                                   time_point now)
+{
+    const bool begun = reply == order_reply::begun;
+    const bool undisturbed = view.vouched && view.begun_orders == view.begun_before_pending;
+    if (const auto* joined = std::get_if<join_group>(&order)) {
+        const auto at = std::find(joined->members.begin(), joined->members.end(), view.row.id);
         const auto rank = static_cast<std::uint32_t>(at - joined->members.begin());
+        view.vouched = begun;
+        if (begun)
+            view.begun_orders = view.begun_before_pending + 1;
         // Its entry may have been faster than this answer. A head that is open already must not be
         // taken for one that still joins: its members would count as free.
-        if (!is_in(*view, {joined->group, joined->epoch})) {
-            view->row.group = membership{joined->group, joined->epoch, rank, member_phase::joining};
-            view->row.model.clear();
-            view->ahead = key_of(*view->row.group);
-            share(*view, now);
+        if (!is_in(view, {joined->group, joined->epoch})) {
+            view.row.group = membership{joined->group, joined->epoch, rank, member_phase::joining};
+            view.row.model.clear();
+            view.ahead = key_of(*view.row.group);
+            share(view, now);
         }
+        return;
     }
-    else if (std::holds_alternative<leave_group>(view->pending_order)) {
-        const auto& left = std::get<leave_group>(view->pending_order);
-        if (view->row.group && view->row.group->group == left.group) {
-            view->row.group.reset();
-            view->ahead.reset();
+    if (const auto* left = std::get_if<leave_group>(&order)) {
+        const group_key key{left->group, left->epoch};
+        view.vouched = undisturbed && is_in(view, key);
+        view.begun_orders += view.vouched ? 1 : 0;
+        view.left_epoch = std::max(view.left_epoch, left->epoch);
+        if (is_in(view, key)) {
+            view.row.group.reset();
+            view.ahead.reset();
         }
-        share(*view, now);
-    }
-    else if (std::holds_alternative<open_group>(view->pending_order)) {
-        view->not_before = now + 2 * settings.order_pause; // it takes a moment to open
+        share(view, now);
+        return;
     }
-    run_tick(now);
+    // One that was begun already is answered alike but not counted, so only its report tells.
+    view.vouched = view.vouched && !begun;
+    view.ask_again = now + settings.report_age;
+    if (std::holds_alternative<open_group>(order))
+        view.not_before = now + 2 * settings.order_pause; // it takes a moment to open
 }
 
 void formation::state::take_probe(const member_probed& probed, time_point now)
@@ -443,6 +467,7 @@
     view.pending = call_token{++last_token};
     view.pending_since = now;
     view.pending_order = wanted;
+    view.begun_before_pending = view.begun_orders;
     ++orders;
     out.emplace_back(send_order{*view.pending, view.row.id, view.row.address, std::move(wanted),
                                 fencing_number{vote.term()}});
--- a/groups/formation.h
+++ b/groups/formation.h
@@ -76,9 +76,9 @@
 };
 /// This node has told another that the store does not answer it.
 struct outage_conceded {};
-/// What a runner said itself, to this node or to the manager's.
-struct runner_told {
-    runner_word word;
+/// Answer to ask_runner.
+struct runner_reported {
+    runner_report report;
 };
 /// Callers have begun to send requests.
 struct traffic_begun {};
@@ -87,7 +87,7 @@
 using formation_event =
     std::variant<runner_seen, runner_gone, model_pools_seen, manager_key_seen, registry_current,
                  kv_result, lease_result, order_answered, group_silent, member_probed, peers_word,
-                 outage_confirmed, outage_conceded, runner_told, peers_seen, traffic_begun,
+                 outage_confirmed, outage_conceded, runner_reported, peers_seen, traffic_begun,
                  formation_tick>;
 
 // Commands.
@@ -111,7 +111,7 @@
 };
 /// Ask the other nodes whether the platform's store answers them.
 struct ask_about_outage {};
-/// Ask a runner for its word.
+/// Ask a runner for its report.
 struct ask_runner {
     vm_id vm;
     std::string address;
@@ -147,8 +147,10 @@
     /// between.
     duration dead_mark = 5s;
     duration outage_question = 300ms; ///< between two questions about an outage of the store
-    /// Between two questions to a runner for its word; its report is 200 ms old.
+    /// Between two questions to a runner for its report.
     duration runner_question = 150ms;
+    /// Longer than reports are old; one that is asked for this long after an order counts it.
+    duration report_age = 250ms;
     duration peers_patience = 500ms; ///< for the other nodes' word on a silent head
     /// Entries that ran out while a living runner could not reach the store are back within this
     /// time, as the store's operators tell; what is missing for longer counts as gone.
--- a/groups/formation_dark.cc
+++ b/groups/formation_dark.cc
@@ -9,6 +9,24 @@
 
 namespace jaynotch::groups {
 
+namespace {
+
+/// A report from before the last order that the runner has begun says nothing. Where this manager
+/// doesn't know how many it has begun, the compositions tell.
+bool is_outdated(const runner_report& report, const runner_view& view)
+{
+    const std::optional<membership>& told = report.word.group;
+    const std::optional<membership>& known = view.row.group;
+    if (view.vouched && report.orders < view.begun_orders)
+        return true;
+    if (told)
+        return told->epoch <= view.left_epoch || (known && told->epoch < known->epoch);
+    const bool has_left = view.vouched && report.orders > view.begun_orders;
+    return known && !has_left;
+}
+
+} // namespace
+
 bool formation::state::dark(time_point now) const
 {
     return vote.doubtful(now);
@@ -55,30 +73,34 @@
     out.emplace_back(ask_runner{view.row.id, view.row.address});
 }
 
-void formation::state::take_word(const runner_word& word, time_point now)
+void formation::state::take_report(const runner_report& report, time_point now)
 {
+    const runner_word& word = report.word;
     runner_view* view = find(word.vm);
     const bool holds =
         view != nullptr && view->listed && (word.born_ms == 0 || view->row.born_ms == word.born_ms);
-    if (!holds)
+    if (!holds || is_outdated(report, *view))
         return;
+    // How far it has come there its entry tells, sooner than a report, unless the registry is dark.
+    const bool same = word.group ? is_in(*view, key_of(*word.group)) : !view->row.group;
+    const bool unchanged = view->row.group == word.group && view->row.model == word.model;
+    if (!unchanged && (!same || dark(now)))
+        install(word, *view, now);
+    view->begun_orders = report.orders;
     view->vouched = true;
-    if (view->row.group == word.group && view->row.model == word.model)
-        return;
-    // Reports are some 100 ms old: one from before the last join says nothing.
-    const bool older = view->row.group && word.group && word.group->epoch < view->row.group->epoch;
-    const bool before_join = view->row.group && !word.group && vote.leading(now);
-    if (older || before_join)
-        return;
-    view->told_at = now;
-    runner row = view->row;
+}
+
+void formation::state::install(const runner_word& word, runner_view& view, time_point now)
+{
+    view.told_at = now;
+    runner row = view.row;
     row.group = word.group;
     row.model = word.model;
-    view->ahead.reset(); // this is later than what it said before
+    view.ahead.reset(); // this is later than what it said before
     take_runner(row, now);
-    if (view->row.group)
-        view->ahead = key_of(*view->row.group);
-    share(*view, now);
+    if (view.row.group)
+        view.ahead = key_of(*view.row.group);
+    share(view, now);
 }
 
 void formation::state::share(const runner_view& view, time_point now)
--- a/groups/formation_groups.cc
+++ b/groups/formation_groups.cc
@@ -111,6 +111,8 @@
         return;
     const bool serving = head != nullptr && standing(*head) && holds_requests(*head);
     if (serving) {
+        if (!head->vouched)
+            ask(*head, now); // so that it can be used at once if the group ends
         if (complete)
             close_before_leave(seen, *head, now);
         else
@@ -225,6 +227,7 @@
     if (reachable && holds_requests(*head)) {
         if (order(*head, leave_group{seen.group, seen.epoch}, now))
             say(log_level::warning, "group_ended", seen.group.value(), "a member is lost");
+        ask_survivors(seen, now);
         return;
     }
     if (head != nullptr && holds_requests(*head) && !head->dead && head->silent &&
@@ -238,6 +241,15 @@
     }
 }
 
+/// Survivors that have to leave next can be used at once if their own word is known by then.
+void formation::state::ask_survivors(const seen_group& seen, time_point now)
+{
+    for (const auto& [rank, vm] : seen.members) {
+        if (runner_view* view = find(vm); view != nullptr && !view->vouched)
+            ask(*view, now);
+    }
+}
+
 /// Whether a composition may still become whole.
 bool formation::state::coming_together(const group_key& key, time_point now) const
 {
--- /dev/null
+++ b/groups/formation_histories_test.cc
@@ -0,0 +1,149 @@
+#include "groups/fake_registry.h"
+
+#include <criterion/criterion.h>
+
+using namespace jaynotch;
+using namespace jaynotch::groups;
+
+namespace {
+
+// Troubles of a history, as bits of a number.
+constexpr unsigned old_reports = 1;     ///< runners say what held 200 ms ago
+constexpr unsigned late_entries = 2;    ///< the registry tells of changes up to 600 ms late
+constexpr unsigned late_orders = 4;     ///< up to a third are carried out seconds later
+constexpr unsigned lost_answers = 8;    ///< up to 40% of orders get no answer
+constexpr unsigned outages = 16;        ///< of the store
+constexpr unsigned dying_managers = 32; ///< that start again with what the registry shows
+constexpr unsigned all_mixes = 64;
+
+/// The days of one failure domain, one random step after the other.
+class history {
+public:
+    history(std::uint64_t seed, unsigned troubles)
+        : m_random{seed * 7919 + troubles}, m_troubles{troubles},
+          m_world{{.managers = 3, .domains = 2, .runners = 9 + m_random.index(12), .seed = seed}}
+    {
+        m_world.run(12s);
+        m_world.begin_traffic();
+        m_world.leases_outlast_outages = m_random.chance(0.5);
+        if (has(old_reports))
+            m_world.delay_reports(200ms);
+        if (has(late_entries))
+            m_world.delay_entries(milliseconds(50, 600));
+        if (has(late_orders))
+            m_world.lose_orders(m_random.unit() * 0.35);
+        if (has(lost_answers))
+            m_world.lose_answers(m_random.unit() * 0.4);
+    }
+
+    /// Which promise was broken; empty if none was.
+    std::string play()
+    {
+        constexpr int steps = 14;
+        for (int step = 0; step < steps && m_world.broken().empty(); ++step) {
+            take_step("late-" + std::to_string(step));
+            m_world.run(milliseconds(0, 2'500));
+        }
+        if (m_down)
+            m_world.store_up(1s);
+        m_world.lose_orders(0.0);
+        m_world.lose_answers(0.0);
+        m_world.run(14s);
+        return m_world.broken();
+    }
+
+private:
+    [[nodiscard]] bool has(unsigned trouble) const { return (m_troubles & trouble) != 0; }
+
+    std::chrono::milliseconds milliseconds(std::int64_t least, std::int64_t most)
+    {
+        return std::chrono::milliseconds{m_random.between(least, most)};
+    }
+
+    void take_step(const std::string& newcomer)
+    {
+        const double what = m_random.unit();
+        const std::string model = m_random.chance(0.5) ? "big" : "small";
+        const std::string head = m_world.head_of(model, m_random.index(3));
+        if (what < 0.5 && !head.empty())
+            hurt_group(head);
+        else if (what < 0.62 && !m_down && has(outages))
+            begin_outage();
+        else if (what < 0.8 && m_down)
+            end_outage();
+        else if (what < 0.87 && has(dying_managers))
+            restart_manager(m_random.index(3));
+        else
+            m_world.add(newcomer, m_random.index(2));
+    }
+
+    void hurt_group(const std::string& head)
+    {
+        const std::vector<std::string> members = m_world.members_of(head);
+        const std::string& victim = members[m_random.index(members.size())];
+        const double how = m_random.unit();
+        if (how < 0.2)
+            m_world.lose_entry(victim, milliseconds(100, 4'000));
+        else if (how < 0.3)
+            m_world.cut_off(victim);
+        else
+            m_world.kill(victim);
+        m_world.run(milliseconds(0, 400));
+        m_world.say_silent(head);
+    }
+
+    void begin_outage()
+    {
+        m_world.peers_reach_store = m_random.chance(0.5);
+        m_world.store_down();
+        m_down = true;
+    }
+
+    void end_outage()
+    {
+        m_world.peers_reach_store = false;
+        m_world.store_up(milliseconds(0, 2'000));
+        m_down = false;
+    }
+
+    void restart_manager(std::size_t index)
+    {
+        m_world.kill_manager(index);
+        m_world.run(milliseconds(0, 2'500));
+        m_world.start_manager(index);
+    }
+
+    random_source m_random;
+    unsigned m_troubles;
+    fake_registry m_world;
+    bool m_down = false;
+};
+
+void assert_kept(std::uint64_t seed, unsigned troubles)
+{
+    const std::string broken = history{seed, troubles}.play();
+    cr_assert(broken.empty(), "seed %lu, troubles %u: %s", seed, troubles, broken.c_str());
+}
+
+} // namespace
+
+// Guards against a runner in two groups when a join that got no answer is carried out after the
+// runner was told to leave that group.
+Test(formation, a_join_carried_out_late_moves_nobody)
+{
+    assert_kept(92, late_orders);
+    assert_kept(29, old_reports | late_orders);
+    assert_kept(7, late_orders | lost_answers);
+    assert_kept(5, late_entries | late_orders | lost_answers);
+    assert_kept(31, late_orders | outages);
+}
+
+// Guards against whatever mix of troubles puts a runner into two groups or opens a group too early.
+Test(formation, random_histories_break_no_promise)
+{
+    constexpr std::uint64_t seeds = 6;
+    for (unsigned troubles = 0; troubles < all_mixes; ++troubles) {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+            assert_kept(seed, troubles);
+    }
+}
--- a/groups/formation_plan.cc
+++ b/groups/formation_plan.cc
@@ -51,6 +51,8 @@
 /// may meanwhile make a group of one that was a spare. A node that starts as the store comes back
 /// and becomes the manager reads what was before; it would order a member of an open group to join
 /// another, and one VM would serve in two. So a manager asks each runner once before it uses it.
+/// What a runner said may be over too: an order may reach it late, behind the word. So a join names
+/// how many orders the runner had begun by that word, and the runner refuses it after any other.
 std::vector<runner_view*> formation::state::free_in(const fabric_domain_id& domain, time_point now)
 {
     std::vector<runner_view*> free;
@@ -118,9 +120,14 @@
 {
     for (const vm_id& vm : plan.members) {
         runner_view* view = find(vm);
-        const bool joined = view != nullptr && is_in(*view, {plan.group, plan.epoch});
-        if (view != nullptr && !joined)
-            order(*view, join_group{plan.group, plan.epoch, plan.model, plan.members}, now);
+        if (view == nullptr || is_in(*view, {plan.group, plan.epoch}))
+            continue;
+        if (view->vouched)
+            order(*view,
+                  join_group{plan.group, plan.epoch, plan.model, plan.members, view->begun_orders},
+                  now);
+        else
+            ask(*view, now);
     }
 }
 
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -16,12 +16,17 @@
     time_point doubted_at;  ///< asked whether it lives, since its entry had gone
     time_point answered_at; ///< a probe
     time_point leaving_since;
-    /// Said itself, since this node became the manager, which group it is in.
+    /// Whether it was in `row.group` after it had begun just `begun_orders` orders of this start,
+    /// by its own word. Others may have reached it since.
     bool vouched = false;
+    std::int64_t begun_orders = 0;
     time_point told_at; ///< when its own word last differed from the registry
     /// Composition that it has joined by its own word, to an order or a question. Its entry has yet
     /// to show it; until then entries of older compositions, or of none, were written before.
     std::optional<group_key> ahead;
+    /// Newest composition that it has left by its own word. Entries and reports that name it, or
+    /// one before it, are from before.
+    std::int64_t left_epoch = 0;
     bool silent = false; ///< did not answer a probe
     time_point silent_since;
     bool dead = false; ///< silent, and no other node is answered either
@@ -29,10 +34,11 @@
     std::optional<call_token> pending; ///< order under way
     time_point pending_since;
     member_order pending_order;
-    time_point not_before;    ///< of the next order
-    time_point ask_again;     ///< of the next question for its word
-    std::string staging;      ///< model that was ordered onto its host
-    time_point staging_until; ///< given up then
+    std::int64_t begun_before_pending = 0; ///< orders that it had begun as that was sent
+    time_point not_before;                 ///< of the next order
+    time_point ask_again;                  ///< of the next question for its word
+    std::string staging;                   ///< model that was ordered onto its host
+    time_point staging_until;              ///< given up then
 };
 
 /// What a composition is for.
@@ -84,6 +90,8 @@
     void take_runner(const runner& row, time_point now);
     void drop_runner(const vm_id& vm, time_point now);
     void take_answer(const order_answered& answer, time_point now);
+    void carried_out(runner_view& view, const member_order& order, order_reply reply,
+                     time_point now);
     void take_silence(const vm_id& head);
     void take_probe(const member_probed& probed, time_point now);
     void run_tick(time_point now);
@@ -93,7 +101,8 @@
     void ask_about_store(time_point now);
     void ask_members(time_point now);
     void ask(runner_view& view, time_point now);
-    void take_word(const runner_word& word, time_point now);
+    void take_report(const runner_report& report, time_point now);
+    void install(const runner_word& word, runner_view& view, time_point now);
     void share(const runner_view& view, time_point now);
     void doubt_silent(runner_view& view, time_point now);
     void run_election(time_point now);
@@ -111,6 +120,7 @@
     void end_warm_up(const seen_group& seen, time_point now);
     void open_if_whole(const seen_group& seen, runner_view& head, time_point now);
     void dissolve(const seen_group& seen, time_point now);
+    void ask_survivors(const seen_group& seen, time_point now);
     void close_before_leave(const seen_group& seen, runner_view& head, time_point now);
     [[nodiscard]] bool told_lately(const seen_group& seen, time_point now) const;
     [[nodiscard]] bool entries_may_return(const seen_group& seen, time_point now);
--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -481,8 +481,8 @@
 }
 
 // Guards against a manager that is back in its old term after an outage and takes the members of a
-// group that it had made: the group opened in the outage, on an order that was carried out late, and
-// the time in which it had to come together has passed.
+// group that it had made: the group opened in the outage, on an order that was carried out late,
+// and the time in which it had to come together has passed.
 Test(formation, a_manager_back_in_its_old_term_leaves_its_own_group_alone)
 {
     fake_registry world = serving({.managers = 2, .domains = 2, .runners = 10});
@@ -508,3 +508,29 @@
     cr_assert_eq(world.leaders(), 1U);
     cr_assert_eq(world.open_groups("big"), groups);
 }
+
+// Guards against a runner in two groups when an entry from before an outage is heard after the
+// manager, elected anew as the store came back, has opened the group that it made in the outage.
+Test(formation, an_open_order_vouches_for_no_entry)
+{
+    fake_registry world = serving({.managers = 2, .domains = 2, .runners = 9});
+    world.delay_entries(500ms);
+    const std::string first = world.head_of("big", 0);
+    const std::string second = world.head_of("big", 1);
+    world.store_down();
+    world.run(1400ms);
+    world.kill(world.members_of(first)[1]);
+    world.say_silent(first);
+    world.run(300ms);
+    world.lose_orders(1.0); // its successor is whole, and the order to open is lost
+    world.run(200ms);
+    world.store_up(2s);
+    world.run(250ms);
+    world.lose_orders(0.0);
+    world.run(300ms);
+    world.kill(world.members_of(second)[1]);
+    world.run(150ms);
+    world.say_silent(second);
+    world.run(3s);
+    assert_sound(world);
+}
--- a/outside/runner.h
+++ b/outside/runner.h
@@ -73,12 +73,21 @@
     friend bool operator==(const runner_word&, const runner_word&) = default;
 };
 
+/// What a runner answers when it is asked itself. It may be some 100 ms old.
+struct runner_report {
+    runner_word word;
+    std::int64_t orders = 0; ///< that it had begun in this start when the word held
+};
+
 /// Makes the runner a member of a group; each member gets the same list.
 struct join_group {
     group_id group;
     std::int64_t epoch = 0;
     std::string model;
     std::vector<vm_id> members; ///< by rank
+    /// A misfit unless the runner has begun just so many orders in this start. So a join that is
+    /// carried out late, or was ordered on an old belief, moves nobody.
+    std::optional<std::int64_t> orders_before;
 };
 /// Has a head whose members are all ready begin to serve.
 struct open_group {
--- a/standins/runner_standin.cc
+++ b/standins/runner_standin.cc
@@ -97,7 +97,9 @@
         co_return;
     }
     if (exchange.path() == "/report") {
-        std::string text = json::serialize(description());
+        json::object report = description();
+        report["seq"] = m_begun_orders;
+        std::string text = json::serialize(report);
         co_await exchange.answer(http::status::ok, std::move(text));
         co_return;
     }
@@ -269,6 +271,7 @@
 http::status runner_standin::obey(const std::string& op, const json::object& order)
 {
     if (op == "stage") {
+        ++m_begun_orders;
         m_staged = std::string{order.at("model").as_string()};
         publish();
         return http::status::accepted;
@@ -278,11 +281,13 @@
     if (op == "join")
         return own ? http::status::ok : obey_join(order);
     if (op == "open" && own && m_rank == 0 && m_phase == member_phase::ready) {
+        ++m_begun_orders;
         m_phase = member_phase::open;
         publish();
         return http::status::accepted;
     }
     if (op == "leave" && own) {
+        ++m_begun_orders;
         m_group.clear();
         m_model.clear();
         m_phase = member_phase::joining; // a head that has left serves nobody
@@ -297,6 +302,10 @@
     const auto epoch = order.at("epoch").to_number<std::int64_t>();
     if (epoch < m_highest_epoch)
         return http::status::precondition_failed;
+    if (order.contains("expected") &&
+        order.at("expected").to_number<std::int64_t>() != m_begun_orders)
+        return http::status::conflict;
+    ++m_begun_orders;
     const std::string group{order.at("group").as_string()};
     check_join(group);
     m_highest_epoch = epoch;
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -151,6 +151,7 @@
     bool m_alive = true;
     std::int64_t m_fence = 0;
     std::int64_t m_highest_epoch = 0;
+    std::int64_t m_begun_orders = 0;
     std::vector<std::string> m_members;
     std::set<std::pair<std::string, std::int64_t>> m_was_ready;
     std::string m_state = "ready";
