Formation: a runner that turned up in another group is not joined; its plan is given up

Cause: a join without an answer is ordered again until its composition has come together, whatever group the runner is in by then. One that a join of the manager before has reached late is in that one's group, which may be whole and open, and was taken out of it.

Change: joins go to runners in no group only. A composition one of whose members is in another can't come together: it is ended, and one that nobody has joined yet is forgotten at once, not after its 10 s.

Test: formation/a_runner_that_turned_up_in_another_group_is_not_joined, red before.

--- a/groups/formation_groups.cc
+++ b/groups/formation_groups.cc
@@ -79,9 +79,9 @@
     for (const auto& [key, group] : all)
         look_at(group, now);
     join_again(now);
-    // A planned group whose members never came is forgotten, or they would be asked for ever.
+    // One that none of its members has joined, and that can't become whole, is forgotten.
     std::erase_if(planned, [&](const auto& entry) {
-        return now >= entry.second.give_up && !all.contains(entry.first);
+        return !all.contains(entry.first) && !coming_together(entry.first, now);
     });
 }
 
@@ -259,7 +259,9 @@
                std::all_of(plan->second.members.begin(), plan->second.members.end(),
                            [&](const vm_id& vm) {
                                const runner_view* view = find(vm);
-                               return view != nullptr && standing(*view);
+                               const bool free_or_in =
+                                   view != nullptr && (!view->row.group || is_in(*view, key));
+                               return free_or_in && standing(*view);
                            });
     // The manager before this one had it formed; who else belongs to it is not known here. One that
     // has been in the registry for longer was whole and has lost somebody.
--- a/groups/formation_orders_test.cc
+++ b/groups/formation_orders_test.cc
@@ -144,6 +144,22 @@
     cr_assert(join->orders_before == 4);
 }
 
+// Guards against a join that is ordered, until it is answered, to a runner that has turned up in a
+// group of the manager before: that one's join was carried out late, and its group may serve.
+Test(formation, a_runner_that_turned_up_in_another_group_is_not_joined)
+{
+    lone_manager manager = forming();
+    manager.answer("r-1", order_reply::misfit);
+    manager.forget_orders();
+    const membership other{group_id{"g1"}, 1, 1, member_phase::ready};
+    manager.see("r-8", membership{group_id{"g1"}, 1, 0, member_phase::open});
+    manager.see("r-9", membership{group_id{"g1"}, 1, 2, member_phase::ready});
+    manager.see("r-1", other);
+    manager.report("r-1", other, 5);
+    manager.pass(1s);
+    cr_assert_null(manager.join_of("r-1"));
+}
+
 // Guards against a runner that is never used again since its manager counted an order that the
 // runner didn't.
 Test(formation, a_runner_that_refused_a_join_is_asked_and_joined_again)
--- a/groups/formation_plan.cc
+++ b/groups/formation_plan.cc
@@ -120,7 +120,8 @@
 {
     for (const vm_id& vm : plan.members) {
         runner_view* view = find(vm);
-        if (view == nullptr || is_in(*view, {plan.group, plan.epoch}))
+        // One that has turned up in another composition has to leave that first.
+        if (view == nullptr || view->row.group)
             continue;
         if (view->vouched)
             order(*view,
