--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -4,10 +4,11 @@
 //
 // Why a late order does no harm. Orders may be carried out seconds after they were sent, behind
 // newer ones. Each composition has a name and an epoch of its own, never used again and higher than
-// all before it (the manager's term, then a counter). A late join is refused for its lower epoch,
-// or takes a runner that is free into a group that no head opens; a late open, close or leave names
-// a composition that is over. A manager that was replaced has a lower term, which runners refuse
-// once they have met the new one.
+// all before it (the manager's term, then a counter). A join also names how many orders the runner
+// had begun when it was free; one that comes behind any other is refused. So no join takes a runner
+// out of a group, and none brings it back into one that it has left. A late open, close or leave
+// names a composition that is over. A manager that was replaced has a lower term, which runners
+// refuse once they have met the new one.
 #include "groups/formation.h"
 
 #include "groups/formation_state.h"
@@ -210,8 +211,9 @@
         view.row.model = model;
     }
     else {
+        // One that contradicts its word is older or newer than that: it has to be asked.
         const bool stays = row.group ? group && key_of(*group) == key_of(*row.group) : !group;
-        view.vouched = view.vouched && stays; // older or newer than its word: it has to be asked
+        view.vouched = view.vouched && stays;
         view.ahead.reset();
     }
     view.listed = true;
@@ -253,10 +255,10 @@
             view->not_before = now + settings.order_pause;
         if (answer.reply == order_reply::lost || answer.reply == order_reply::elsewhere)
             out.emplace_back(probe_member{answer.vm, view->row.address});
-        // It has begun an order that this manager knows nothing of.
-        if (answer.reply == order_reply::misfit &&
-            std::holds_alternative<join_group>(view->pending_order))
-            view->vouched = false;
+        const bool refused_join = answer.reply == order_reply::misfit &&
+                                  std::holds_alternative<join_group>(view->pending_order);
+        if (refused_join)
+            view->vouched = false; // it has begun an order that this manager knows nothing of
         return;
     }
     carried_out(*view, view->pending_order, answer.reply, now);
@@ -269,33 +271,12 @@
                                    time_point now)
 {
     const bool begun = reply == order_reply::begun;
-    const bool undisturbed = view.vouched && view.begun_orders == view.begun_before_pending;
     if (const auto* joined = std::get_if<join_group>(&order)) {
-        const auto at = std::find(joined->members.begin(), joined->members.end(), view.row.id);
-        const auto rank = static_cast<std::uint32_t>(at - joined->members.begin());
-        view.vouched = begun;
-        if (begun)
-            view.begun_orders = view.begun_before_pending + 1;
-        // Its entry may have been faster than this answer. A head that is open already must not be
-        // taken for one that still joins: its members would count as free.
-        if (!is_in(view, {joined->group, joined->epoch})) {
-            view.row.group = membership{joined->group, joined->epoch, rank, member_phase::joining};
-            view.row.model.clear();
-            view.ahead = key_of(*view.row.group);
-            share(view, now);
-        }
+        has_joined(view, *joined, begun, now);
         return;
     }
     if (const auto* left = std::get_if<leave_group>(&order)) {
-        const group_key key{left->group, left->epoch};
-        view.vouched = undisturbed && is_in(view, key);
-        view.begun_orders += view.vouched ? 1 : 0;
-        view.left_epoch = std::max(view.left_epoch, left->epoch);
-        if (is_in(view, key)) {
-            view.row.group.reset();
-            view.ahead.reset();
-        }
-        share(view, now);
+        has_left(view, *left, now);
         return;
     }
     // One that was begun already is answered alike but not counted, so only its report tells.
@@ -305,6 +286,39 @@
         view.not_before = now + 2 * settings.order_pause; // it takes a moment to open
 }
 
+void formation::state::has_joined(runner_view& view, const join_group& joined, bool begun,
+                                  time_point now)
+{
+    view.vouched = begun;
+    if (begun)
+        view.begun_orders = view.begun_before_pending + 1;
+    // Its entry may have been faster than this answer. A head that is open already must not be
+    // taken for one that still joins: its members would count as free.
+    if (is_in(view, {joined.group, joined.epoch}))
+        return;
+    const auto at = std::find(joined.members.begin(), joined.members.end(), view.row.id);
+    const auto rank = static_cast<std::uint32_t>(at - joined.members.begin());
+    view.row.group = membership{joined.group, joined.epoch, rank, member_phase::joining};
+    view.row.model.clear();
+    view.ahead = key_of(*view.row.group);
+    share(view, now);
+}
+
+void formation::state::has_left(runner_view& view, const leave_group& left, time_point now)
+{
+    const bool was_in = is_in(view, {left.group, left.epoch});
+    const bool undisturbed = view.vouched && view.begun_orders == view.begun_before_pending;
+    view.vouched = undisturbed && was_in;
+    if (view.vouched)
+        ++view.begun_orders;
+    view.left_epoch = std::max(view.left_epoch, left.epoch);
+    if (was_in) {
+        view.row.group.reset();
+        view.ahead.reset();
+    }
+    share(view, now);
+}
+
 void formation::state::take_probe(const member_probed& probed, time_point now)
 {
     runner_view* view = find(probed.vm);
--- a/groups/formation_groups.cc
+++ b/groups/formation_groups.cc
@@ -241,7 +241,7 @@
     }
 }
 
-/// Survivors that have to leave next can be used at once if their own word is known by then.
+/// Survivors that have to leave next can be used at once if they have told of themselves by then.
 void formation::state::ask_survivors(const seen_group& seen, time_point now)
 {
     for (const auto& [rank, vm] : seen.members) {
@@ -259,9 +259,8 @@
                std::all_of(plan->second.members.begin(), plan->second.members.end(),
                            [&](const vm_id& vm) {
                                const runner_view* view = find(vm);
-                               const bool free_or_in =
-                                   view != nullptr && (!view->row.group || is_in(*view, key));
-                               return free_or_in && standing(*view);
+                               return view != nullptr && standing(*view) &&
+                                      (!view->row.group || is_in(*view, key));
                            });
     // The manager before this one had it formed; who else belongs to it is not known here. One that
     // has been in the registry for longer was whole and has lost somebody.
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -16,8 +16,8 @@
     time_point doubted_at;  ///< asked whether it lives, since its entry had gone
     time_point answered_at; ///< a probe
     time_point leaving_since;
-    /// Whether it was in `row.group` after it had begun just `begun_orders` orders of this start,
-    /// by its own word. Others may have reached it since.
+    /// By its own word it was in `row.group` after it had begun just `begun_orders` orders of this
+    /// start. Others may have reached it since.
     bool vouched = false;
     std::int64_t begun_orders = 0;
     time_point told_at; ///< when its own word last differed from the registry
@@ -36,7 +36,7 @@
     member_order pending_order;
     std::int64_t begun_before_pending = 0; ///< orders that it had begun as that was sent
     time_point not_before;                 ///< of the next order
-    time_point ask_again;                  ///< of the next question for its word
+    time_point ask_again;                  ///< of the next question for its report
     std::string staging;                   ///< model that was ordered onto its host
     time_point staging_until;              ///< given up then
 };
@@ -92,6 +92,8 @@
     void take_answer(const order_answered& answer, time_point now);
     void carried_out(runner_view& view, const member_order& order, order_reply reply,
                      time_point now);
+    void has_joined(runner_view& view, const join_group& joined, bool begun, time_point now);
+    void has_left(runner_view& view, const leave_group& left, time_point now);
     void take_silence(const vm_id& head);
     void take_probe(const member_probed& probed, time_point now);
     void run_tick(time_point now);
