Formation: a test of reports that come after the lease has ended

A way in which a manager back in its old term held a runner for free until: a report from before a join was passed over only while the manager led.

--- a/groups/formation_orders_test.cc
+++ b/groups/formation_orders_test.cc
@@ -37,6 +37,17 @@
         pass(50ms);
     }
 
+    /// The lease ends without a word of the store, which renews it later all the same.
+    void stop_and_come_back(const std::function<void()>& meanwhile)
+    {
+        pass(4s);
+        cr_assert_not(m_core.leading(m_now));
+        meanwhile();
+        tell(lease_result{last<lease_renew>().token, lease_id{1}});
+        pass(50ms);
+        cr_assert(m_core.leading(m_now));
+    }
+
     void see(const std::string& id, std::optional<membership> group)
     {
         runner row;
@@ -173,3 +184,15 @@
     cr_assert_not_null(join);
     cr_assert(join->orders_before == 3);
 }
+
+// Guards against a report from before a join that arrives after the lease has ended: its runner
+// would be free to the manager that is back in its old term, and is in a group.
+Test(formation, a_report_from_before_a_join_frees_nobody_while_the_manager_stands_still)
+{
+    lone_manager manager = forming();
+    for (const char* id : {"r-1", "r-2", "r-3"})
+        manager.answer(id, order_reply::begun);
+    manager.forget_orders();
+    manager.stop_and_come_back([&] { manager.report("r-1", std::nullopt, 4); });
+    cr_assert_null(manager.join_of("r-1"));
+}
