Formation: a test of the first loss after a change of the manager

Cause: the new manager asked the survivors that had just left, their reports of 200 ms ago still named the group, and the manager took them for members of it for two seconds more.

--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -104,6 +104,25 @@
     assert_sound(world);
 }
 
+// Guards against survivors that wait for two seconds since their reports, 200 ms old, still name
+// the group that they have just left. Pattern: the first loss after a change of the manager.
+Test(formation, a_new_manager_uses_survivors_though_their_reports_are_old)
+{
+    fake_registry world = serving({.managers = 2, .domains = 2, .runners = 9});
+    world.delay_reports(200ms);
+    const std::size_t groups = world.open_groups("big");
+    world.kill_manager(world.leader());
+    cr_assert(world.run_until([&] { return world.leaders() == 1; }, 5s));
+    world.run(2s);
+    const std::string head = world.head_of("big", 0);
+    world.kill(world.members_of(head)[2]);
+    world.run(200ms);
+    world.say_silent(head);
+    world.run(1s);
+    cr_assert_eq(world.open_groups("big"), groups);
+    assert_sound(world);
+}
+
 // The platform's store is down for eight seconds, and in that time a member dies. No lease can be
 // renewed and no other node could become the manager: streams of the group would have nobody to go
 // to until the store is back. All nodes say that they don't reach it, so the manager goes on.
