--- a/groups/formation_orders_test.cc
+++ b/groups/formation_orders_test.cc
@@ -18,12 +18,22 @@
         tell(registry_current{true, 0});
         tell(traffic_begun{});
     }
-
-    /// Three runners that are warm for the small model.
-    void see_spares()
+    ~lone_manager() = default;
+    lone_manager(const lone_manager&) = delete; // the core refers to the registry
+    lone_manager& operator=(const lone_manager&) = delete;
+    lone_manager(lone_manager&&) = delete;
+    lone_manager& operator=(lone_manager&&) = delete;
+
+    /// Becomes the manager of three spares and orders them into one group; no order is answered
+    /// yet.
+    void form()
     {
         for (const char* id : {"r-1", "r-2", "r-3"})
             see(id, std::nullopt);
+        become_manager();
+        for (const char* id : {"r-1", "r-2", "r-3"})
+            report(id, std::nullopt, 4);
+        pass(50ms);
     }
 
     void become_manager()
@@ -132,24 +142,13 @@
     std::map<std::string, send_order> m_orders; ///< the last to each runner
 };
 
-/// A manager that has ordered its three spares into one group; no order is answered yet.
-lone_manager forming()
-{
-    lone_manager manager;
-    manager.see_spares();
-    manager.become_manager();
-    for (const char* id : {"r-1", "r-2", "r-3"})
-        manager.report(id, std::nullopt, 4);
-    manager.pass(50ms);
-    return manager;
-}
-
 } // namespace
 
 // Guards against a join that takes effect behind other orders, late or on an old belief.
 Test(formation, a_join_names_the_orders_that_the_runner_had_begun)
 {
-    const lone_manager manager = forming();
+    lone_manager manager;
+    manager.form();
     const join_group* join = manager.join_of("r-1");
     cr_assert_not_null(join);
     cr_assert(join->orders_before == 4);
@@ -159,7 +158,8 @@
 // group of the manager before: that one's join was carried out late, and its group may serve.
 Test(formation, a_runner_that_turned_up_in_another_group_is_not_joined)
 {
-    lone_manager manager = forming();
+    lone_manager manager;
+    manager.form();
     manager.answer("r-1", order_reply::misfit);
     manager.forget_orders();
     const membership other{group_id{"g1"}, 1, 1, member_phase::ready};
@@ -175,7 +175,8 @@
 // runner didn't.
 Test(formation, a_runner_that_refused_a_join_is_asked_and_joined_again)
 {
-    lone_manager manager = forming();
+    lone_manager manager;
+    manager.form();
     manager.answer("r-1", order_reply::misfit);
     manager.forget_orders();
     manager.report("r-1", std::nullopt, 3);
@@ -189,7 +190,8 @@
 // would be free to the manager that is back in its old term, and is in a group.
 Test(formation, a_report_from_before_a_join_frees_nobody_while_the_manager_stands_still)
 {
-    lone_manager manager = forming();
+    lone_manager manager;
+    manager.form();
     for (const char* id : {"r-1", "r-2", "r-3"})
         manager.answer(id, order_reply::begun);
     manager.forget_orders();
