Relay: attempts write to the caller in the order in which they asked

Cause (found by reading): write_to_caller() waited for the writer by polling a flag each 2 ms. A cancelled attempt still writes what it has read, since that counts as delivered. With two waiters, a cancelled one and the one that resumes the stream after it, the one whose timer came first wrote first: text in the wrong order. Besides, the head of the answer was written without the flag, so that the next attempt's events could be written into it.

Change: write_turns, a ticket lock for coroutines; the head takes a turn too.

Conclusion: the order of the text no longer depends on timers.

--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -50,10 +50,8 @@
 relay_request::impl::impl(relay_services& services, http_exchange& exchange,
                           incoming_request incoming)
     : m_services{services}, m_exchange{exchange}, m_incoming{std::move(incoming)},
-      m_attempt_ended{services.io, time_point::max()}, m_log{m_incoming.metadata
-                                                                 ? m_incoming.metadata->attempt
-                                                                 : std::string{},
-                                                             m_incoming.arrived}
+      m_attempt_ended{services.io, time_point::max()}, m_write_turns{services.io.get_executor()},
+      m_log{m_incoming.metadata ? m_incoming.metadata->attempt : std::string{}, m_incoming.arrived}
 {}
 
 net::awaitable<void> relay_request::impl::run()
@@ -221,7 +219,7 @@
 net::awaitable<void> relay_request::impl::truncate_answer(const end_truncated& cmd)
 {
     m_log.cut(cmd.failure, m_event_count);
-    if (m_writing) {
+    if (m_write_turns.busy()) {
         m_exchange.abort();
     }
     else {
@@ -238,7 +236,8 @@
 net::awaitable<void> relay_request::impl::end_abandoned()
 {
     m_log.abandoned(m_any_attempt_sent, m_event_count);
-    if (!m_incoming.metadata && !m_exchange.header_sent() && m_exchange.half_closed() && !m_writing)
+    if (!m_incoming.metadata && !m_exchange.header_sent() && m_exchange.half_closed() &&
+        !m_write_turns.busy())
     {
         const refusal reply{.failure = {error_kind::cancelled,
                                         "the connection's sending half was closed before the "
@@ -287,7 +286,7 @@
 
 void relay_request::impl::report_slow_caller()
 {
-    if (!m_writing)
+    if (!m_write_turns.busy())
         return;
     for (const auto& [id, attempt] : m_attempts) {
         if (attempt->delivering && !attempt->cancelled)
--- a/daemon/relay_attempt.cc
+++ b/daemon/relay_attempt.cc
@@ -28,7 +28,6 @@
 namespace {
 
 constexpr duration drain_timeout = std::chrono::seconds{1};
-constexpr duration write_poll_interval = std::chrono::milliseconds{2};
 
 constexpr std::string_view attempt_header = "jaynotch-attempt";
 constexpr std::string_view group_header = "jaynotch-group";
@@ -301,6 +300,7 @@
                                                        std::optional<std::uint64_t> length)
 {
     record_first_byte();
+    const write_turns::turn mine = co_await m_write_turns.next();
     const bool succeeded = co_await m_exchange.begin(status, headers, length);
     if (!succeeded && !attempt.cancelled)
         m_services.driver.handle(caller_gone{m_inbox->id()});
@@ -310,20 +310,15 @@
 net::awaitable<bool> relay_request::impl::write_to_caller(attempt_state& attempt,
                                                           std::string_view piece)
 {
-    // A cancelled attempt may still be writing what it has read. These bytes count as delivered, so
-    // the attempt that resumes the stream waits until they are written.
-    while (m_writing) {
-        timer pause{m_services.io, write_poll_interval};
-        co_await pause.async_wait(net::use_awaitable);
-    }
-    m_writing = true;
+    // A cancelled attempt still writes what it has read, because these bytes count as delivered. So
+    // the attempt that resumes the stream writes after it.
+    const write_turns::turn mine = co_await m_write_turns.next();
     // Reports to the core that the attempt waits for the caller. Otherwise a caller that reads
     // slowly would be mistaken for a stalled backend server.
     if (!attempt.cancelled)
         m_services.driver.handle(
             attempt_writing_to_caller{m_inbox->id(), attempt.send_command.attempt});
     const bool succeeded = co_await m_exchange.write(piece);
-    m_writing = false;
     if (!succeeded && !attempt.cancelled)
         m_services.driver.handle(caller_gone{m_inbox->id()});
     co_return succeeded && !attempt.cancelled;
--- a/daemon/relay_way.h
+++ b/daemon/relay_way.h
@@ -6,6 +6,7 @@
 #include "daemon/daemon.h"
 #include "daemon/relay.h"
 #include "daemon/request_log.h"
+#include "daemon/write_turns.h"
 
 #include <optional>
 
@@ -132,6 +133,7 @@
     std::string m_delivered_text; ///< of a model's stream, to resume it
     std::optional<buffered_answer> m_buffered_answer;
     timer m_attempt_ended;
+    write_turns m_write_turns; ///< of the attempts that write to the caller
     std::size_t m_running_attempts = 0;
     std::optional<std::uint64_t> m_last_event_id; ///< sent to the caller, of a forwarded stream
     request_log m_log;
@@ -141,7 +143,6 @@
     time_point m_last_events_at;              ///< when events were last written
     duration m_max_event_gap{0};              ///< between two writes of events
     bool m_streaming_events = false; ///< the answer to the caller is a stream, and has begun
-    bool m_writing = false;          ///< a write to the caller is pending
     bool m_any_attempt_sent = false; ///< some attempt may have reached a backend server
 };
 
