Groups: a manager that has used the numbers of its term stops planning

Cause (found by reading): start_group() gave up the key once a term's 4,095 numbers were used, but form_group() still returned true, and form_groups() called it again for ever while enough runners were free: the node hung. Change: start_group() says whether it ordered a composition; without numbers the pass ends and the next term goes on. The bound is a setting, so that a test reaches it.

--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -68,6 +68,7 @@
     chosen.self = m_peers[manager].node;
     chosen.own_domain = m_peers[manager].failure_domain;
     chosen.domain = m_peers[manager].failure_domain;
+    chosen.max_groups_per_term = m_settings.max_groups_per_term;
     auto registry = std::make_unique<runner_registry>();
     formation_manager core{chosen, *registry};
     return {std::move(registry), std::move(core)};
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -35,6 +35,7 @@
     std::size_t runners = 9; ///< in each of them
     std::uint64_t seed = 1;
     bool traffic = false; ///< whether there is traffic from the start, which slows loads
+    std::int64_t max_groups_per_term = formation_settings{}.max_groups_per_term;
 };
 
 class fake_registry {
--- a/groups/formation.h
+++ b/groups/formation.h
@@ -171,6 +171,9 @@
 struct formation_status {
     bool leading = false;
     bool store_unreachable = false; ///< this node leads, but lease renewals fail
+    /// Compositions that one term can number; a manager that has used them gives up its key. At
+    /// most 4,095, because an epoch consists of the term and a number of 12 bits.
+    std::int64_t max_groups_per_term = 4'095;
     std::int64_t term = 0;
     std::size_t groups_open = 0;
     std::size_t groups_forming = 0;
--- a/groups/formation_plan.cc
+++ b/groups/formation_plan.cc
@@ -138,13 +138,15 @@
     }
 }
 
-void formation_manager::state::start_group(const pool& model_pool,
+/// Orders a new composition; false if the manager has just given up its key, because its term has
+/// no group numbers left.
+bool formation_manager::state::start_group(const pool& model_pool,
                                            std::vector<runner_view*> members, group_purpose purpose,
                                            time_point now)
 {
-    if (last_group_number + 1 >= epochs_in_term) {
-        lease_election.outdated(now); // epochs of this term are used up; only a new term has more
-        return;
+    if (last_group_number >= std::min(settings.max_groups_per_term, epochs_in_term - 1)) {
+        lease_election.outdated(now);
+        return false;
     }
     planned_group plan;
     plan.purpose = purpose;
@@ -164,10 +166,11 @@
                    members.front()->row.fabric_domain.value());
     order_joins(plan, now);
     planned.emplace(key, std::move(plan));
+    return true;
 }
 
 /// Starts one group of `model_pool` from free runners that can be ready within `longest`; false if
-/// there are too few.
+/// there are too few, or if start_group() failed.
 bool formation_manager::state::form_group(const fabric_domain_id& domain, const pool& model_pool,
                                           duration longest, time_point now)
 {
@@ -182,8 +185,7 @@
         return left != right ? left < right : a->row.id < b->row.id;
     });
     free.resize(model_pool.replica_vms);
-    start_group(model_pool, std::move(free), group_purpose::serve, now);
-    return true;
+    return start_group(model_pool, std::move(free), group_purpose::serve, now);
 }
 
 /// Fills every fabric domain of this failure domain according to the allocation of the whole fleet.
@@ -310,7 +312,8 @@
             if (single_runner_groups || view->warm_model == model_pool.model ||
                 !has_staged(*view, model_pool.model))
                 continue;
-            start_group(model_pool, {view}, group_purpose::warm_up, now);
+            if (!start_group(model_pool, {view}, group_purpose::warm_up, now))
+                return;
             break;
         }
     }
@@ -327,6 +330,8 @@
             {
             }
         }
+        if (!lease_election.leading(now))
+            return;
         // Before the first request, spares are left alone until the initial groups are planned.
         if (traffic || now - registry.first_joined() >= 2 * settings.max_settle_time) {
             stage_spares(domain, ranked, now);
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -154,7 +154,7 @@
     [[nodiscard]] duration time_to_ready(const runner_view& view, const pool& model_pool) const;
     [[nodiscard]] bool take_load_token(const pool& model_pool, time_point now);
     void warm_spares(const fabric_domain_id& domain, time_point now);
-    void start_group(const pool& model_pool, std::vector<runner_view*> members,
+    bool start_group(const pool& model_pool, std::vector<runner_view*> members,
                      group_purpose purpose, time_point now);
     void order_joins(const planned_group& plan, time_point now);
 
--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -330,3 +330,20 @@
     cr_assert_eq(world.staged("big"), 4 * big + spares);
     assert_no_violations(world);
 }
+
+// Guards against an endless loop in a manager that has used all group numbers of its term while
+// enough runners for a group are free: it must give up its key and go on in a new term.
+Test(formation, a_manager_without_group_numbers_goes_on_in_a_new_term)
+{
+    fake_registry world =
+        serving_fleet({.managers = 2, .domains = 2, .runners = 9, .max_groups_per_term = 6});
+    const std::size_t groups = world.open_groups("big") + world.open_groups("small");
+    cr_assert_gt(groups, 2);
+    for (int round = 0; round < 4; ++round) {
+        world.kill(world.head_of("big", 0));
+        world.run(8s);
+    }
+    cr_assert(world.run_until([&] { return world.open_groups("big") >= 1; }, 20s));
+    cr_assert_eq(world.leaders(), 1);
+    assert_no_violations(world);
+}
