Groups: nodes tell the manager of a silent group; old responses vouch for nobody

(1) A silent group was reported to the managers of the same node only. A manager without requests there learnt of the loss when the member's entry expired, after three heartbeats. (2) A manager that did not reach a head asked other nodes, and a node that had sent a request there, or had got its last event, within 400 ms said that the head answers; the question comes 300 ms after the loss. Change: a node that finds a group silent tells the manager of its failure domain, named in the manager's key (a frame of its own). The manager probes a group at most each 200 ms, however many report it. A node that is asked probes the head itself and vouches for it only if it has sent something since the question. Ruled out: the silence limit (first report 0.28 s after the loss, as before). Tests: formation/a_loss_that_only_another_node_observes_is_repaired_at_once, formation/many_reports_of_one_group_cause_one_probe_of_its_members, modelled/only_a_response_since_the_question_shows_that_a_head_is_alive.

--- a/daemon/formation_driver.cc
+++ b/daemon/formation_driver.cc
@@ -138,7 +138,7 @@
     std::map<failure_domain_id, groups::formation_manager> managers;
     std::map<std::string, kv_entry> keys;
     std::vector<pool> pools;
-    std::function<bool(const vm_id&)> responded_recently;
+    std::function<bool(const vm_id&, time_point)> responded_since;
     std::function<void()> on_group_changed;
     std::shared_ptr<outage_inquiry> outage;
     std::uint64_t members_version = 0;
@@ -169,6 +169,10 @@
         if (outage->recently_reported_outage())
             apply_runner_word(word);
     }
+    void receive(const node_id& /*from*/, const unresponsive_head& seen)
+    {
+        dispatch(groups::group_unresponsive{seen.vm, true});
+    }
     void receive(const node_id& from, const server_answer& answer)
     {
         const auto found = m_awaited_answers.find(answer.vm);
@@ -223,6 +227,10 @@
         if (asked.empty())
             m_awaited_answers.erase(command.vm);
     }
+    void execute(const failure_domain_id& /*domain*/, const groups::report_to_manager& command)
+    {
+        peers.send_server_message(command.manager, unresponsive_head{command.head});
+    }
     void execute(const failure_domain_id& domain,
                  const groups::query_peers_about_outage& /*wanted*/)
     {
@@ -250,11 +258,12 @@
     net::awaitable<void> answer_peer(node_id from, server_question asked)
     {
         const auto self = shared_from_this();
-        // A runner that no longer answers orders may still respond to requests.
-        bool answers = responded_recently && responded_recently(asked.vm);
-        if (!answers) {
-            answers = co_await orders.answers(asked.address, probe_timeout);
-        }
+        const time_point asked_at = runtime_clock::now();
+        bool answers = co_await orders.answers(asked.address, probe_timeout);
+        // A runner that no longer answers orders may still respond to requests. What it sent before
+        // the question is no evidence: the question is asked right after a loss.
+        if (!answers)
+            answers = responded_since && responded_since(asked.vm, asked_at);
         if (!stopped)
             peers.send_server_message(from, server_answer{asked.vm, answers});
     }
@@ -345,9 +354,10 @@
     stop();
 }
 
-void formation_driver::set_response_check(std::function<bool(const vm_id&)> responded_recently)
+void formation_driver::set_response_check(
+    std::function<bool(const vm_id&, time_point)> responded_since)
 {
-    m_impl->responded_recently = std::move(responded_recently);
+    m_impl->responded_since = std::move(responded_since);
 }
 
 void formation_driver::on_group_changed(std::function<void()> handler)
--- a/daemon/formation_driver.h
+++ b/daemon/formation_driver.h
@@ -51,9 +51,9 @@
     void traffic_started();
     /// Requests that this node sent to a group's head get no response.
     void report_unresponsive_head(const vm_id& head);
-    /// Sets the function that returns whether a runner has recently responded to this node's
-    /// requests. It is used to answer other nodes that probe a runner through this one.
-    void set_response_check(std::function<bool(const vm_id&)> responded_recently);
+    /// Sets the function that returns whether a runner has responded to this node's requests since
+    /// the given time. It is used to answer other nodes that probe a runner through this one.
+    void set_response_check(std::function<bool(const vm_id&, time_point)> responded_since);
     /// `handler` is called when a runner's group changed according to the runner itself, while the
     /// store is down and the registry can't be updated.
     void on_group_changed(std::function<void()> handler);
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -80,8 +80,8 @@
         hooks.on_share_limit = [this](const share_limit& seen) { publish_limit(seen); };
         requests = std::make_unique<request_driver>(io, std::move(core), kv, std::move(hooks));
         managers = std::make_unique<formation_driver>(io, settings, kv, *peers, m_registry);
-        managers->set_response_check([this](const vm_id& vm) {
-            return requests->core().responded_recently(vm, runtime_clock::now());
+        managers->set_response_check([this](const vm_id& vm, time_point since) {
+            return requests->core().responded_since(vm, since);
         });
         managers->on_group_changed([this] { push_targets(); });
         feed = std::make_unique<registry_feed>(io, settings, kv, *peers, feed_hooks());
--- a/groups/election.cc
+++ b/groups/election.cc
@@ -23,6 +23,18 @@
         boost::json::object{{"node", m_settings.self.value()}, {"lease", m_lease.value()}});
 }
 
+std::optional<node_id> election::holder() const
+{
+    boost::system::error_code malformed;
+    const boost::json::value parsed = boost::json::parse(m_holder, malformed);
+    const boost::json::object* const fields = malformed ? nullptr : parsed.if_object();
+    const boost::json::value* const node =
+        fields == nullptr ? nullptr : fields->if_contains("node");
+    if (node == nullptr || !node->is_string())
+        return std::nullopt;
+    return node_id{std::string{node->as_string()}};
+}
+
 void election::key_updated(const std::optional<kv_entry>& entry, time_point now)
 {
     const bool exists = entry.has_value();
--- a/groups/election.h
+++ b/groups/election.h
@@ -75,6 +75,8 @@
         return m_term != 0 && now >= m_suspended_until &&
                (now < m_until || now < m_confirmed_until);
     }
+    /// The node named in the key; nullopt if the key does not exist or can't be read.
+    [[nodiscard]] std::optional<node_id> holder() const;
     /// Whether the lease is about to end because renewals fail; the peers should be asked about an
     /// outage.
     [[nodiscard]] bool renewal_overdue(time_point now) const
@@ -82,7 +84,6 @@
         return m_term != 0 && m_until - now < m_settings.renewal_warning;
     }
     [[nodiscard]] std::int64_t term() const { return m_term; }
-    [[nodiscard]] const std::string& holder() const { return m_holder; }
 
 private:
     enum class election_call { none, grant, claim, renew };
--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -185,6 +185,11 @@
     broadcast(group_unresponsive{vm_id{head}});
 }
 
+void fake_registry::report_unresponsive_group(const std::string& head, std::size_t manager)
+{
+    deliver(manager, group_unresponsive{vm_id{head}});
+}
+
 void fake_registry::run(duration time)
 {
     for (const time_point until = m_now + time; m_now < until;)
@@ -268,6 +273,12 @@
         for (const fake_manager& other : m_managers)
             other.registry->tell(shared->word, m_now);
     }
+    else if (const auto* told = std::get_if<report_to_manager>(&command)) {
+        for (std::size_t other = 0; other < m_managers.size(); ++other) {
+            if (m_peers[other].node == told->manager)
+                deliver(other, group_unresponsive{told->head, true});
+        }
+    }
     else if (std::holds_alternative<query_peers_about_outage>(command)) {
         if (!m_store_down || peers_reach_store)
             return;
@@ -296,6 +307,7 @@
         send(manager, *order);
     }
     else if (const auto* asked = std::get_if<probe_member>(&command)) {
+        ++m_probes;
         const fake_runner* target = find(asked->vm.value());
         deliver(manager,
                 member_probed{asked->vm, target != nullptr && target->alive && target->reachable});
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -73,6 +73,8 @@
     void delay_entries(duration late) { m_entry_delay = late; }
     /// Reports to every manager that requests to this head's group get no answer.
     void report_unresponsive_group(const std::string& head);
+    /// The same to one node only.
+    void report_unresponsive_group(const std::string& head, std::size_t manager);
     /// Begins an outage of the store: no answers and no updates, while leases expire.
     void store_down();
     /// Ends the outage. Runners write their entries again after `entries_late`; until then the
@@ -100,6 +102,8 @@
     [[nodiscard]] const std::string& violation() const { return m_violation; }
     /// Number of orders sent.
     [[nodiscard]] std::size_t orders() const { return m_orders; }
+    /// Number of probes that managers have sent to runners.
+    [[nodiscard]] std::size_t probes() const { return m_probes; }
 
     static std::vector<pool> pools();
 
@@ -180,6 +184,7 @@
     bool m_traffic = false;
     bool m_store_down = false;
     std::size_t m_orders = 0;
+    std::size_t m_probes = 0;
     std::string m_violation;
 };
 
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -130,8 +130,7 @@
         void operator()(const order_answered& e) const { core.handle_order_answer(e, now); }
         void operator()(const group_unresponsive& e) const
         {
-            if (core.lease_election.leading(now))
-                core.probe_group(e.head);
+            core.handle_unresponsive_group(e, now);
         }
         void operator()(const member_probed& e) const
         {
@@ -356,11 +355,29 @@
     view->dead = view->dead && view->unresponsive;
 }
 
-void formation_manager::state::probe_group(const vm_id& head)
+/// The manager finds out which member is lost. It may have no requests at the group itself, so
+/// nodes that do tell it; otherwise it would learn of the loss only when the member's entry
+/// expires.
+void formation_manager::state::handle_unresponsive_group(const group_unresponsive& seen,
+                                                         time_point now)
 {
-    const runner_view* view = find(head);
-    if (view == nullptr || !view->row.group)
+    if (lease_election.leading(now)) {
+        probe_group(seen.head, now);
         return;
+    }
+    const registered_runner* head = registry.find(seen.head);
+    const std::optional<node_id> manager = lease_election.holder();
+    const bool forward = !seen.reported_by_peer && manager && *manager != settings.self;
+    if (forward && head != nullptr && head->row.failure_domain == settings.domain)
+        out.emplace_back(report_to_manager{*manager, seen.head});
+}
+
+void formation_manager::state::probe_group(const vm_id& head, time_point now)
+{
+    runner_view* view = find(head);
+    if (view == nullptr || !view->row.group || now < view->next_group_probe)
+        return;
+    view->next_group_probe = now + settings.group_probe_interval;
     const group_key key = key_of(*view->row.group);
     for (const auto& [vm, other] : runners) {
         if (is_in(other, key) && !other.unresponsive)
--- a/groups/formation.h
+++ b/groups/formation.h
@@ -63,6 +63,7 @@
 /// A group sends no output although requests are waiting for it.
 struct group_unresponsive {
     vm_id head;
+    bool reported_by_peer = false; ///< another node has observed it
 };
 /// Answer to probe_member.
 struct member_probed {
@@ -113,6 +114,11 @@
     vm_id vm;
     std::string address;
 };
+/// Tells the domain's manager, another node, that a group is unresponsive.
+struct report_to_manager {
+    node_id manager;
+    vm_id head;
+};
 /// Asks the other nodes whether the platform's store answers them.
 struct query_peers_about_outage {};
 /// Asks a runner for its report.
@@ -124,9 +130,10 @@
 struct broadcast_runner {
     runner_word word;
 };
-using formation_command = std::variant<kv_call, lease_grant, lease_renew, lease_end, send_order,
-                                       probe_member, probe_through_peers, query_peers_about_outage,
-                                       request_runner_report, broadcast_runner, notice>;
+using formation_command =
+    std::variant<kv_call, lease_grant, lease_renew, lease_end, send_order, probe_member,
+                 probe_through_peers, report_to_manager, query_peers_about_outage,
+                 request_runner_report, broadcast_runner, notice>;
 using formation_commands = std::vector<formation_command>;
 
 struct formation_settings {
@@ -159,9 +166,8 @@
     /// that order in its count.
     duration max_report_age = 250ms;
     duration peer_probe_timeout = 500ms; ///< wait for other nodes' probes of an unresponsive head
-    /// A live runner whose entry expired while it could not reach the store writes it again within
-    /// this time (figure from the store's operators). An entry missing for longer counts as lost.
-    duration entry_grace_period = 2s;
+    /// Interval between two probes of one group, however many nodes report it as unresponsive.
+    duration group_probe_interval = 200ms;
     /// Time for a composition ordered by an earlier manager to become complete. Joins that load no
     /// weights take less.
     duration adopted_group_timeout = 5s;
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -37,6 +37,7 @@
     member_order pending_order;
     std::int64_t begun_orders_before_pending = 0; ///< `begun_orders` when that order was sent
     time_point next_order_at;                     ///< earliest time of the next order
+    time_point next_group_probe;                  ///< of the group that it is the head of
     time_point next_report_query;                 ///< earliest time of the next report request
     std::string staging;                          ///< model that is being staged on its host
     time_point staging_until;                     ///< staging is given up at this time
@@ -95,7 +96,8 @@
                               time_point now);
     void apply_join(runner_view& view, const join_group& joined, bool begun, time_point now);
     void apply_leave(runner_view& view, const leave_group& left, time_point now);
-    void probe_group(const vm_id& head);
+    void handle_unresponsive_group(const group_unresponsive& seen, time_point now);
+    void probe_group(const vm_id& head, time_point now);
     void handle_probe_answer(const member_probed& probed, time_point now);
     void run_tick(time_point now);
 
--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -52,6 +52,35 @@
     assert_no_violations(world);
 }
 
+// Guards against a group that stands still for three heartbeats because its manager has no requests
+// there: the nodes whose requests wait must tell the manager.
+Test(formation, a_loss_that_only_another_node_observes_is_repaired_at_once)
+{
+    fake_registry world = serving_fleet({.managers = 2, .domains = 2, .runners = 9});
+    const std::size_t groups = world.open_groups("big");
+    const std::string head = world.head_of("big", 0);
+    const std::size_t observer = 1 - world.leader();
+    world.kill(world.members_of(head)[2]);
+    world.run(300ms);
+    world.report_unresponsive_group(head, observer);
+    world.run(1500ms);
+    cr_assert_eq(world.open_groups("big"), groups);
+    assert_no_violations(world);
+}
+
+// Guards against a storm of probes: every node with requests at a lost group reports it.
+Test(formation, many_reports_of_one_group_cause_one_probe_of_its_members)
+{
+    fake_registry world = serving_fleet({.managers = 2, .domains = 2, .runners = 9});
+    const std::string head = world.head_of("big", 0);
+    const std::size_t members = world.members_of(head).size();
+    const std::size_t before = world.probes();
+    for (int report = 0; report < 20; ++report)
+        world.report_unresponsive_group(head, 1 - world.leader());
+    cr_assert_eq(world.probes() - before, members);
+    assert_no_violations(world);
+}
+
 // A member dies while a spare of its domain has the weights staged on its host. Loading them into
 // the accelerators takes more than a second, during which the group is missing, unless the spare
 // was warmed up before.
--- a/peers/frame.cc
+++ b/peers/frame.cc
@@ -42,7 +42,7 @@
            name_fits(frame.opinion.vm) && name_fits(frame.runner.vm) &&
            name_fits(frame.runner.group) && name_fits(frame.runner.phase) &&
            name_fits(frame.runner.model) && name_fits(frame.store_asked.failure_domain) &&
-           name_fits(frame.store_told.failure_domain) &&
+           name_fits(frame.store_told.failure_domain) && name_fits(frame.silent.vm) &&
            std::all_of(frame.members.begin(), frame.members.end(), member_fits) &&
            std::all_of(frame.leavings.begin(), frame.leavings.end(), server_fits) &&
            std::all_of(frame.limits.begin(), frame.limits.end(), limit_fits) &&
--- a/peers/frame.h
+++ b/peers/frame.h
@@ -127,8 +127,14 @@
     bool reached = false;
 };
 
-using server_body =
-    std::variant<server_question, server_answer, runner_word, store_question, store_answer>;
+/// Tells the manager of the head's failure domain that the head's group sends the sender no output
+/// although requests of the sender are waiting for it.
+struct unresponsive_head {
+    vm_id vm;
+};
+
+using server_body = std::variant<server_question, server_answer, runner_word, store_question,
+                                 store_answer, unresponsive_head>;
 
 /// A message from a peer about a backend server, a runner or the platform's store.
 struct server_message {
--- a/peers/gen/peers_types.cpp
+++ b/peers/gen/peers_types.cpp
@@ -28,7 +28,8 @@
   frame_kind::server_answer,
   frame_kind::runner_word,
   frame_kind::store_question,
-  frame_kind::store_answer
+  frame_kind::store_answer,
+  frame_kind::unresponsive_head
 };
 const char* _kframe_kindNames[] = {
   "ping",
@@ -45,9 +46,10 @@
   "server_answer",
   "runner_word",
   "store_question",
-  "store_answer"
+  "store_answer",
+  "unresponsive_head"
 };
-const std::map<int, const char*> _frame_kind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(15, _kframe_kindValues, _kframe_kindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _frame_kind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(16, _kframe_kindValues, _kframe_kindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const frame_kind::type& val) {
   std::map<int, const char*>::const_iterator it = _frame_kind_VALUES_TO_NAMES.find(val);
@@ -3006,6 +3008,98 @@
 }
 
 
+unresponsive_head::~unresponsive_head() noexcept {
+}
+
+
+void unresponsive_head::__set_vm(const std::string& val) {
+  this->vm = val;
+}
+std::ostream& operator<<(std::ostream& out, const unresponsive_head& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t unresponsive_head::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->vm);
+          this->__isset.vm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t unresponsive_head::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("unresponsive_head");
+
+  xfer += oprot->writeFieldBegin("vm", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->vm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(unresponsive_head &a, unresponsive_head &b) {
+  using ::std::swap;
+  swap(a.vm, b.vm);
+  swap(a.__isset, b.__isset);
+}
+
+unresponsive_head::unresponsive_head(const unresponsive_head& other71) {
+  vm = other71.vm;
+  __isset = other71.__isset;
+}
+unresponsive_head& unresponsive_head::operator=(const unresponsive_head& other72) {
+  vm = other72.vm;
+  __isset = other72.__isset;
+  return *this;
+}
+void unresponsive_head::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "unresponsive_head(";
+  out << "vm=" << to_string(vm);
+  out << ")";
+}
+
+
 frame::~frame() noexcept {
 }
 
@@ -3141,6 +3235,11 @@
   this->limits = val;
 __isset.limits = true;
 }
+
+void frame::__set_silent(const unresponsive_head& val) {
+  this->silent = val;
+__isset.silent = true;
+}
 std::ostream& operator<<(std::ostream& out, const frame& obj)
 {
   obj.printTo(out);
@@ -3187,9 +3286,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast71;
-          xfer += iprot->readI32(ecast71);
-          this->kind = static_cast<frame_kind::type>(ecast71);
+          int32_t ecast73;
+          xfer += iprot->readI32(ecast73);
+          this->kind = static_cast<frame_kind::type>(ecast73);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3271,14 +3370,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->members.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->members.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->members[_i76].read(iprot);
+              xfer += this->members[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3291,14 +3390,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tickets.clear();
-            uint32_t _size77;
-            ::apache::thrift::protocol::TType _etype80;
-            xfer += iprot->readListBegin(_etype80, _size77);
-            this->tickets.resize(_size77);
-            uint32_t _i81;
-            for (_i81 = 0; _i81 < _size77; ++_i81)
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->tickets.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
             {
-              xfer += this->tickets[_i81].read(iprot);
+              xfer += this->tickets[_i83].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3311,14 +3410,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->demands.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->demands.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->demands[_i86].read(iprot);
+              xfer += this->demands[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3331,14 +3430,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leavings.clear();
-            uint32_t _size87;
-            ::apache::thrift::protocol::TType _etype90;
-            xfer += iprot->readListBegin(_etype90, _size87);
-            this->leavings.resize(_size87);
-            uint32_t _i91;
-            for (_i91 = 0; _i91 < _size87; ++_i91)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->leavings.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += this->leavings[_i91].read(iprot);
+              xfer += this->leavings[_i93].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3351,14 +3450,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->confirmations.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->confirmations.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->confirmations.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->confirmations[_i96].read(iprot);
+              xfer += this->confirmations[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3387,14 +3486,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->notices.clear();
-            uint32_t _size97;
-            ::apache::thrift::protocol::TType _etype100;
-            xfer += iprot->readListBegin(_etype100, _size97);
-            this->notices.resize(_size97);
-            uint32_t _i101;
-            for (_i101 = 0; _i101 < _size97; ++_i101)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->notices.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += this->notices[_i101].read(iprot);
+              xfer += this->notices[_i103].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3463,14 +3562,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size102;
-            ::apache::thrift::protocol::TType _etype105;
-            xfer += iprot->readListBegin(_etype105, _size102);
-            this->limits.resize(_size102);
-            uint32_t _i106;
-            for (_i106 = 0; _i106 < _size102; ++_i106)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->limits.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->limits[_i106].read(iprot);
+              xfer += this->limits[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3479,6 +3578,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 29:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->silent.read(iprot);
+          this->__isset.silent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3552,10 +3659,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<member_update> ::const_iterator _iter107;
-      for (_iter107 = this->members.begin(); _iter107 != this->members.end(); ++_iter107)
+      std::vector<member_update> ::const_iterator _iter109;
+      for (_iter109 = this->members.begin(); _iter109 != this->members.end(); ++_iter109)
       {
-        xfer += (*_iter107).write(oprot);
+        xfer += (*_iter109).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3565,10 +3672,10 @@
     xfer += oprot->writeFieldBegin("tickets", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tickets.size()));
-      std::vector<ticket_digest> ::const_iterator _iter108;
-      for (_iter108 = this->tickets.begin(); _iter108 != this->tickets.end(); ++_iter108)
+      std::vector<ticket_digest> ::const_iterator _iter110;
+      for (_iter110 = this->tickets.begin(); _iter110 != this->tickets.end(); ++_iter110)
       {
-        xfer += (*_iter108).write(oprot);
+        xfer += (*_iter110).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3578,10 +3685,10 @@
     xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-      std::vector<demand> ::const_iterator _iter109;
-      for (_iter109 = this->demands.begin(); _iter109 != this->demands.end(); ++_iter109)
+      std::vector<demand> ::const_iterator _iter111;
+      for (_iter111 = this->demands.begin(); _iter111 != this->demands.end(); ++_iter111)
       {
-        xfer += (*_iter109).write(oprot);
+        xfer += (*_iter111).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3591,10 +3698,10 @@
     xfer += oprot->writeFieldBegin("leavings", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leavings.size()));
-      std::vector<leaving> ::const_iterator _iter110;
-      for (_iter110 = this->leavings.begin(); _iter110 != this->leavings.end(); ++_iter110)
+      std::vector<leaving> ::const_iterator _iter112;
+      for (_iter112 = this->leavings.begin(); _iter112 != this->leavings.end(); ++_iter112)
       {
-        xfer += (*_iter110).write(oprot);
+        xfer += (*_iter112).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3604,10 +3711,10 @@
     xfer += oprot->writeFieldBegin("confirmations", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->confirmations.size()));
-      std::vector<confirmation> ::const_iterator _iter111;
-      for (_iter111 = this->confirmations.begin(); _iter111 != this->confirmations.end(); ++_iter111)
+      std::vector<confirmation> ::const_iterator _iter113;
+      for (_iter113 = this->confirmations.begin(); _iter113 != this->confirmations.end(); ++_iter113)
       {
-        xfer += (*_iter111).write(oprot);
+        xfer += (*_iter113).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3627,10 +3734,10 @@
     xfer += oprot->writeFieldBegin("notices", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notices.size()));
-      std::vector<key_notice> ::const_iterator _iter112;
-      for (_iter112 = this->notices.begin(); _iter112 != this->notices.end(); ++_iter112)
+      std::vector<key_notice> ::const_iterator _iter114;
+      for (_iter114 = this->notices.begin(); _iter114 != this->notices.end(); ++_iter114)
       {
-        xfer += (*_iter112).write(oprot);
+        xfer += (*_iter114).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3675,15 +3782,20 @@
     xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 28);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-      std::vector<server_limit> ::const_iterator _iter113;
-      for (_iter113 = this->limits.begin(); _iter113 != this->limits.end(); ++_iter113)
+      std::vector<server_limit> ::const_iterator _iter115;
+      for (_iter115 = this->limits.begin(); _iter115 != this->limits.end(); ++_iter115)
       {
-        xfer += (*_iter113).write(oprot);
+        xfer += (*_iter115).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.silent) {
+    xfer += oprot->writeFieldBegin("silent", ::apache::thrift::protocol::T_STRUCT, 29);
+    xfer += this->silent.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3719,70 +3831,73 @@
   swap(a.store_asked, b.store_asked);
   swap(a.store_told, b.store_told);
   swap(a.limits, b.limits);
+  swap(a.silent, b.silent);
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other114) {
-  version = other114.version;
-  deployment = other114.deployment;
-  kind = other114.kind;
-  sender = other114.sender;
-  boot = other114.boot;
-  incarnation = other114.incarnation;
-  sequence = other114.sequence;
-  sent_ms = other114.sent_ms;
-  target = other114.target;
-  subject = other114.subject;
-  member_digest = other114.member_digest;
-  config = other114.config;
-  members = other114.members;
-  tickets = other114.tickets;
-  demands = other114.demands;
-  leavings = other114.leavings;
-  confirmations = other114.confirmations;
-  request = other114.request;
-  reply = other114.reply;
-  notices = other114.notices;
-  keys_wanted = other114.keys_wanted;
-  keys = other114.keys;
-  question = other114.question;
-  opinion = other114.opinion;
-  runner = other114.runner;
-  store_asked = other114.store_asked;
-  store_told = other114.store_told;
-  limits = other114.limits;
-  __isset = other114.__isset;
-}
-frame& frame::operator=(const frame& other115) {
-  version = other115.version;
-  deployment = other115.deployment;
-  kind = other115.kind;
-  sender = other115.sender;
-  boot = other115.boot;
-  incarnation = other115.incarnation;
-  sequence = other115.sequence;
-  sent_ms = other115.sent_ms;
-  target = other115.target;
-  subject = other115.subject;
-  member_digest = other115.member_digest;
-  config = other115.config;
-  members = other115.members;
-  tickets = other115.tickets;
-  demands = other115.demands;
-  leavings = other115.leavings;
-  confirmations = other115.confirmations;
-  request = other115.request;
-  reply = other115.reply;
-  notices = other115.notices;
-  keys_wanted = other115.keys_wanted;
-  keys = other115.keys;
-  question = other115.question;
-  opinion = other115.opinion;
-  runner = other115.runner;
-  store_asked = other115.store_asked;
-  store_told = other115.store_told;
-  limits = other115.limits;
-  __isset = other115.__isset;
+frame::frame(const frame& other116) {
+  version = other116.version;
+  deployment = other116.deployment;
+  kind = other116.kind;
+  sender = other116.sender;
+  boot = other116.boot;
+  incarnation = other116.incarnation;
+  sequence = other116.sequence;
+  sent_ms = other116.sent_ms;
+  target = other116.target;
+  subject = other116.subject;
+  member_digest = other116.member_digest;
+  config = other116.config;
+  members = other116.members;
+  tickets = other116.tickets;
+  demands = other116.demands;
+  leavings = other116.leavings;
+  confirmations = other116.confirmations;
+  request = other116.request;
+  reply = other116.reply;
+  notices = other116.notices;
+  keys_wanted = other116.keys_wanted;
+  keys = other116.keys;
+  question = other116.question;
+  opinion = other116.opinion;
+  runner = other116.runner;
+  store_asked = other116.store_asked;
+  store_told = other116.store_told;
+  limits = other116.limits;
+  silent = other116.silent;
+  __isset = other116.__isset;
+}
+frame& frame::operator=(const frame& other117) {
+  version = other117.version;
+  deployment = other117.deployment;
+  kind = other117.kind;
+  sender = other117.sender;
+  boot = other117.boot;
+  incarnation = other117.incarnation;
+  sequence = other117.sequence;
+  sent_ms = other117.sent_ms;
+  target = other117.target;
+  subject = other117.subject;
+  member_digest = other117.member_digest;
+  config = other117.config;
+  members = other117.members;
+  tickets = other117.tickets;
+  demands = other117.demands;
+  leavings = other117.leavings;
+  confirmations = other117.confirmations;
+  request = other117.request;
+  reply = other117.reply;
+  notices = other117.notices;
+  keys_wanted = other117.keys_wanted;
+  keys = other117.keys;
+  question = other117.question;
+  opinion = other117.opinion;
+  runner = other117.runner;
+  store_asked = other117.store_asked;
+  store_told = other117.store_told;
+  limits = other117.limits;
+  silent = other117.silent;
+  __isset = other117.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -3816,6 +3931,7 @@
   out << ", " << "store_asked="; (__isset.store_asked ? (out << to_string(store_asked)) : (out << "<null>"));
   out << ", " << "store_told="; (__isset.store_told ? (out << to_string(store_told)) : (out << "<null>"));
   out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
+  out << ", " << "silent="; (__isset.silent ? (out << to_string(silent)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/peers_types.h
+++ b/peers/gen/peers_types.h
@@ -37,7 +37,8 @@
     server_answer = 12,
     runner_word = 13,
     store_question = 14,
-    store_answer = 15
+    store_answer = 15,
+    unresponsive_head = 16
   };
 };
 
@@ -102,6 +103,8 @@
 
 class store_answer;
 
+class unresponsive_head;
+
 class frame;
 
 typedef struct _member_update__isset {
@@ -1314,8 +1317,51 @@
 
 std::ostream& operator<<(std::ostream& out, const store_answer& obj);
 
+typedef struct _unresponsive_head__isset {
+  _unresponsive_head__isset() : vm(false) {}
+  bool vm :1;
+} _unresponsive_head__isset;
+
+class unresponsive_head : public virtual ::apache::thrift::TBase {
+ public:
+
+  unresponsive_head(const unresponsive_head&);
+  unresponsive_head& operator=(const unresponsive_head&);
+  unresponsive_head() noexcept
+                    : vm() {
+  }
+
+  virtual ~unresponsive_head() noexcept;
+  std::string vm;
+
+  _unresponsive_head__isset __isset;
+
+  void __set_vm(const std::string& val);
+
+  bool operator == (const unresponsive_head & rhs) const
+  {
+    if (!(vm == rhs.vm))
+      return false;
+    return true;
+  }
+  bool operator != (const unresponsive_head &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const unresponsive_head & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(unresponsive_head &a, unresponsive_head &b);
+
+std::ostream& operator<<(std::ostream& out, const unresponsive_head& obj);
+
 typedef struct _frame__isset {
-  _frame__isset() : version(false), deployment(false), kind(false), sender(false), boot(false), incarnation(false), sequence(false), sent_ms(false), target(false), subject(false), member_digest(false), config(false), members(false), tickets(false), demands(false), leavings(false), confirmations(false), request(false), reply(false), notices(false), keys_wanted(false), keys(false), question(false), opinion(false), runner(false), store_asked(false), store_told(false), limits(false) {}
+  _frame__isset() : version(false), deployment(false), kind(false), sender(false), boot(false), incarnation(false), sequence(false), sent_ms(false), target(false), subject(false), member_digest(false), config(false), members(false), tickets(false), demands(false), leavings(false), confirmations(false), request(false), reply(false), notices(false), keys_wanted(false), keys(false), question(false), opinion(false), runner(false), store_asked(false), store_told(false), limits(false), silent(false) {}
   bool version :1;
   bool deployment :1;
   bool kind :1;
@@ -1344,6 +1390,7 @@
   bool store_asked :1;
   bool store_told :1;
   bool limits :1;
+  bool silent :1;
 } _frame__isset;
 
 class frame : public virtual ::apache::thrift::TBase {
@@ -1398,6 +1445,7 @@
   store_question store_asked;
   store_answer store_told;
   std::vector<server_limit>  limits;
+  unresponsive_head silent;
 
   _frame__isset __isset;
 
@@ -1457,6 +1505,8 @@
 
   void __set_limits(const std::vector<server_limit> & val);
 
+  void __set_silent(const unresponsive_head& val);
+
   bool operator == (const frame & rhs) const
   {
     if (!(version == rhs.version))
@@ -1555,6 +1605,10 @@
       return false;
     else if (__isset.limits && !(limits == rhs.limits))
       return false;
+    if (__isset.silent != rhs.__isset.silent)
+      return false;
+    else if (__isset.silent && !(silent == rhs.silent))
+      return false;
     return true;
   }
   bool operator != (const frame &rhs) const {
--- a/peers/membership_servers.cc
+++ b/peers/membership_servers.cc
@@ -63,6 +63,13 @@
         frame.__set_store_told(message);
         return wire::frame_kind::store_answer;
     }
+    wire::frame_kind::type operator()(const unresponsive_head& body) const
+    {
+        wire::unresponsive_head message;
+        message.__set_vm(body.vm.value());
+        frame.__set_silent(message);
+        return wire::frame_kind::unresponsive_head;
+    }
 };
 
 /// Returns nullopt if the phase is unknown to this version or the rank is negative.
@@ -102,6 +109,8 @@
         out.emplace_back(
             server_message{from, store_answer{failure_domain_id{frame.store_told.failure_domain},
                                               frame.store_told.round, frame.store_told.reached}});
+    if (frame.__isset.silent)
+        out.emplace_back(server_message{from, unresponsive_head{vm_id{frame.silent.vm}}});
 }
 
 membership_commands membership_core::send_server_message(time_point now, const node_id& to,
--- a/peers/peers.thrift
+++ b/peers/peers.thrift
@@ -20,6 +20,7 @@
   runner_word = 13
   store_question = 14
   store_answer = 15
+  unresponsive_head = 16
 }
 
 enum member_state { alive = 1, suspect = 2, dead = 3, left = 4 }
@@ -164,6 +165,12 @@
   3: i64 round
 }
 
+// Tells the manager of the head's failure domain that the head's group sends the sender no output
+// although requests of the sender are waiting for it.
+struct unresponsive_head {
+  1: string vm
+}
+
 struct frame {
   1: i8 version
   2: i32 deployment            // hash of the deployment's name
@@ -193,4 +200,5 @@
   26: optional store_question store_asked
   27: optional store_answer store_told
   28: optional list<server_limit> limits
+  29: optional unresponsive_head silent
 }
--- a/routing/modelled_test.cc
+++ b/routing/modelled_test.cc
@@ -372,3 +372,20 @@
     cr_assert_leq(repeats, static_cast<std::size_t>(0.2 * firsts + 40.0 / 4 + 1));
     cr_assert_gt(repeats, 5U);
 }
+
+// Guards against a dead head that other nodes take for alive: a node that has just sent a request
+// there, or got its last answer before the head died, must not vouch for it.
+Test(modelled, only_a_response_since_the_question_shows_that_a_head_is_alive)
+{
+    world sim{1};
+    const vm_id head{"i-1"};
+    const send_attempt order = *last_command<send_attempt>(sim.submit());
+    sim.begin(order);
+    sim.pass(100ms);
+    const time_point asked = sim.now;
+    sim.submit();
+    sim.pass(100ms);
+    cr_assert(!sim.core.responded_since(head, asked));
+    sim.send(attempt_progress{order.request, order.attempt, 1});
+    cr_assert(sim.core.responded_since(head, asked));
+}
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -149,6 +149,7 @@
 void request_core::state::note_activity(request_row& row, time_point now)
 {
     target_row& target = targets.at(row.attempt.target);
+    target.last_response = now;
     target.last_activity = now;
     target.health.silent = false;
     clear_pending_tokens(row);
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -67,15 +67,11 @@
     return m_state->limits.size();
 }
 
-bool request_core::responded_recently(const vm_id& instance, time_point now) const
+bool request_core::responded_since(const vm_id& instance, time_point since) const
 {
-    constexpr std::chrono::milliseconds recent{400}; // longer than the pauses of a healthy engine
     const target_table& targets = m_state->targets;
     const target_row_index at = targets.find_instance(instance);
-    if (at == no_target)
-        return false;
-    const target_row& row = targets.at(at);
-    return row.own > 0 && !row.health.silent && now - row.last_activity < recent;
+    return at != no_target && targets.at(at).last_response > since;
 }
 
 std::vector<target_status> request_core::targets() const
--- a/routing/request_core.h
+++ b/routing/request_core.h
@@ -121,9 +121,8 @@
     [[nodiscard]] std::vector<pool_status> pools() const;
     /// Number of servers with a limit on the requests per second of all nodes together.
     [[nodiscard]] std::size_t limited_servers() const;
-    /// Whether this node has requests at that server and received part of an answer to one of them
-    /// within the last 400 ms.
-    [[nodiscard]] bool responded_recently(const vm_id& instance, time_point now) const;
+    /// Whether this node has received part of an answer from that server since the given time.
+    [[nodiscard]] bool responded_since(const vm_id& instance, time_point since) const;
     /// Requests without a final command; at 0 a stopping daemon may exit.
     [[nodiscard]] std::size_t open_requests() const;
 
--- a/routing/target_table.h
+++ b/routing/target_table.h
@@ -93,6 +93,7 @@
     bool rate_limit_reached = false;  ///< this node's share of the server's rate limit is used up
     std::uint32_t own = 0;            ///< this node's attempts in flight
     std::uint32_t pending_tokens = 0; ///< of the prompts of attempts without a first event
+    time_point last_response;         ///< last byte of any attempt
     time_point last_activity;         ///< last byte of any attempt, or when the first was sent
     load_estimate load;
     target_health health;
