Targets: a group is used while an expired entry of a member may return

Their entries expire after 3.5 s, and a group with one missing entry got no new requests: the model of 8 went from 7 groups to 3, whose first events came after 0.5 to 1.4 s, though all 7 served on. Change: a group whose head is listed is used for the 2 s in which an expired entry may return. A dead member shows seconds earlier, as silence, and ends the group then. Ways weighed: standing (no requests at once); this one. A probe by each node was not built: it costs a probe a node and group. Tests: daemon/target_view_test.cc, which has no network.

--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -258,15 +258,19 @@
 
     void push_targets()
     {
-        if (!tables || m_pushed_version == m_registry.serving_version())
+        const time_point now = runtime_clock::now();
+        const bool valid =
+            m_pushed_version == m_registry.serving_version() && now < m_pushed.valid_until;
+        if (!tables || valid)
             return;
         m_pushed_version = m_registry.serving_version();
-        target_lists now = targets_of(m_registry, *tables);
-        if (now.same(m_pushed))
+        target_lists next = targets_of(m_registry, *tables, now);
+        const bool changed = !next.same(m_pushed);
+        m_pushed = std::move(next);
+        if (!changed)
             return;
-        requests->handle(groups_changed{now.groups});
-        requests->handle(servers_changed{now.servers});
-        m_pushed = std::move(now);
+        requests->handle(groups_changed{m_pushed.groups});
+        requests->handle(servers_changed{m_pushed.servers});
     }
 
     void handle_silent_target(const target_silent& seen)
@@ -302,6 +306,7 @@
             exported_metrics.loop_delay(
                 std::max<duration>(duration{0}, runtime_clock::now() - expected_at));
             feed->tick();
+            push_targets();
             managers->tick();
             flush_log();
             if (runtime_clock::now() < next_second)
--- a/daemon/target_view.cc
+++ b/daemon/target_view.cc
@@ -1,6 +1,12 @@
 // The group's manager opens the head only when every member is ready with the same group name,
 // epoch and member list. So a group whose head is open was complete when it was opened. What is
 // checked here is that it has lost no member since; if it has, it gets no new requests.
+//
+// An expired entry of a member other than the head is weak evidence of a loss. The group of a
+// member that dies stands still at once, which the nodes with requests there notice seconds before
+// the entry expires. So the member is probably alive and only cut off from the store, and the group
+// is used until the entry is overdue. If many runners lose the store together, most large groups
+// have such a member; without them the remaining groups would be overloaded.
 #include "daemon/target_view.h"
 
 #include <algorithm>
@@ -48,7 +54,8 @@
     return same_list(groups, other.groups) && same_list(servers, other.servers);
 }
 
-target_lists targets_of(const groups::runner_registry& registry, const configuration& tables)
+target_lists targets_of(const groups::runner_registry& registry, const configuration& tables,
+                        time_point now)
 {
     target_lists made;
     for (const vm_id& id : registry.plain_servers()) {
@@ -68,7 +75,12 @@
         group.group = key.first;
         group.fencing = fencing_number{key.second};
         group.version = source->model;
-        group.leaving = group.leaving || registry.members_of(key) < source->replica_vms;
+        const std::size_t listed = registry.members_of(key);
+        if (listed < source->replica_vms) {
+            const auto missing = registry.missing_from(key, now);
+            group.leaving = group.leaving || listed + missing.count < source->replica_vms;
+            made.valid_until = std::min(made.valid_until, missing.until);
+        }
         made.groups.push_back(std::move(group));
     }
     return made;
--- a/daemon/target_view.h
+++ b/daemon/target_view.h
@@ -15,12 +15,16 @@
 struct target_lists {
     std::vector<target> groups;
     std::vector<target> servers;
+    /// The lists change at this time even if the registry doesn't.
+    time_point valid_until = time_point::max();
 
     [[nodiscard]] bool same(const target_lists& other) const;
 };
 
 /// The heads of open groups, and the plain servers. A group with fewer members in the registry than
 /// its pool requires has stopped or soon will; it is marked as leaving, so it gets no new requests.
-target_lists targets_of(const groups::runner_registry& registry, const configuration& tables);
+/// Members whose entries may still return count as present.
+target_lists targets_of(const groups::runner_registry& registry, const configuration& tables,
+                        time_point now);
 
 } // namespace jaynotch
--- /dev/null
+++ b/daemon/target_view_test.cc
@@ -0,0 +1,86 @@
+#include "daemon/target_view.h"
+
+#include <criterion/criterion.h>
+
+using namespace jaynotch;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t members = 4;
+
+/// One open group of four runners, as a node's registry shows it.
+struct open_group_world {
+    open_group_world()
+    {
+        pool model;
+        model.name = pool_id{"llm/m"};
+        model.service = "llm";
+        model.model = "m";
+        model.kind = pool_kind::model;
+        model.replica_vms = members;
+        tables.pools = {model};
+        for (std::uint32_t rank = 0; rank < members; ++rank)
+            write_entry(rank);
+    }
+
+    static vm_id member(std::uint32_t rank) { return vm_id{"i-" + std::to_string(rank)}; }
+
+    void write_entry(std::uint32_t rank, bool in_group = true)
+    {
+        runner row;
+        row.id = member(rank);
+        row.service = "llm";
+        row.model = in_group ? "m" : "";
+        row.failure_domain = failure_domain_id{"f"};
+        row.fabric_domain = fabric_domain_id{"d"};
+        if (in_group)
+            row.group = membership{group_id{"g1"}, 1, rank,
+                                   rank == 0 ? member_phase::open : member_phase::ready};
+        registry.update(row, now);
+    }
+
+    [[nodiscard]] bool gets_requests() const
+    {
+        const target_lists lists = targets_of(registry, tables, now);
+        return lists.groups.size() == 1 && !lists.groups.front().leaving;
+    }
+
+    groups::runner_registry registry;
+    configuration tables;
+    time_point now{1h};
+};
+
+} // namespace
+
+// Guards against overload of a few groups while many runners have lost the store: their entries
+// expire, but their groups serve on and must keep getting requests until the entries are overdue.
+Test(target_view, a_group_is_used_while_the_entries_of_its_members_may_return)
+{
+    open_group_world world;
+    world.registry.remove(world.member(2), world.now);
+    cr_assert(world.gets_requests());
+    world.now += 1s;
+    world.registry.remove(world.member(3), world.now);
+    cr_assert(world.gets_requests());
+    const target_lists lists = targets_of(world.registry, world.tables, world.now);
+    cr_assert(lists.valid_until == world.now + 1s, "the first entry is overdue then");
+    world.write_entry(2);
+    world.now += 1s;
+    cr_assert(world.gets_requests());
+    world.now += 1s;
+    cr_assert(!world.gets_requests(), "the second entry is overdue");
+}
+
+// Guards against requests to a group that has lost a member: one whose entry returned without the
+// group has started again, and a head without an entry may be gone.
+Test(target_view, a_group_is_not_used_after_a_member_left_it)
+{
+    open_group_world world;
+    world.registry.remove(world.member(2), world.now);
+    world.write_entry(2, false);
+    cr_assert(!world.gets_requests());
+    open_group_world other;
+    other.registry.remove(other.member(0), other.now);
+    cr_assert(!other.gets_requests());
+}
--- a/groups/formation.h
+++ b/groups/formation.h
@@ -171,15 +171,15 @@
     /// Time for a composition ordered by an earlier manager to become complete. Joins that load no
     /// weights take less.
     duration adopted_group_timeout = 5s;
+    /// Compositions that one term can number; a manager that has used them gives up its key. At
+    /// most 4,095, because an epoch consists of the term and a number of 12 bits.
+    std::int64_t max_groups_per_term = 4'095;
 };
 
 /// For status pages, metrics and logs.
 struct formation_status {
     bool leading = false;
     bool store_unreachable = false; ///< this node leads, but lease renewals fail
-    /// Compositions that one term can number; a manager that has used them gives up its key. At
-    /// most 4,095, because an epoch consists of the term and a number of 12 bits.
-    std::int64_t max_groups_per_term = 4'095;
     std::int64_t term = 0;
     std::size_t groups_open = 0;
     std::size_t groups_forming = 0;
--- a/groups/formation_groups.cc
+++ b/groups/formation_groups.cc
@@ -140,7 +140,7 @@
         return false;
     return std::any_of(observed.members.begin(), observed.members.end(), [&](const auto& entry) {
         const runner_view* view = find(entry.second);
-        return view != nullptr && now - view->reported_at < settings.entry_grace_period;
+        return view != nullptr && now - view->reported_at < entry_grace_period;
     });
 }
 
@@ -151,7 +151,7 @@
 bool formation_manager::state::entry_may_return(runner_view& view, time_point now)
 {
     const bool probed = settings.mechanisms.has(mechanism::probes_before_ending);
-    if (!probed || view.unresponsive || now - view.unlisted_at >= settings.entry_grace_period)
+    if (!probed || view.unresponsive || now - view.unlisted_at >= entry_grace_period)
         return false;
     if (view.liveness_queried_at < view.unlisted_at) {
         view.liveness_queried_at = now;
--- a/groups/runner_registry.cc
+++ b/groups/runner_registry.cc
@@ -120,6 +120,25 @@
     return found == m_compositions.end() ? 0 : found->second.listed;
 }
 
+runner_registry::missing_members runner_registry::missing_from(const group_key& key,
+                                                               time_point now) const
+{
+    missing_members missing;
+    for (auto at = m_unlisted.rbegin(); at != m_unlisted.rend(); ++at) {
+        const auto& [removed_at, vm] = *at;
+        if (now - removed_at >= entry_grace_period)
+            break;
+        const registered_runner* entry = find(vm);
+        const bool still_missing =
+            entry != nullptr && !entry->listed && entry->unlisted_at == removed_at;
+        if (!still_missing || !entry->row.group || key_of(*entry->row.group) != key)
+            continue;
+        ++missing.count;
+        missing.until = std::min(missing.until, removed_at + entry_grace_period);
+    }
+    return missing;
+}
+
 std::optional<time_point> runner_registry::first_seen(const group_key& key) const
 {
     const auto found = m_compositions.find(key);
--- a/groups/runner_registry.h
+++ b/groups/runner_registry.h
@@ -30,6 +30,10 @@
 /// serving behind a partition.
 constexpr duration unlisted_retention = std::chrono::seconds{120};
 
+/// A live runner whose entry expired while it could not reach the store writes it again within this
+/// time (figure from the store's operators). An entry missing for longer counts as lost.
+constexpr duration entry_grace_period = std::chrono::seconds{2};
+
 inline group_key key_of(const membership& group)
 {
     return {group.group, group.epoch};
@@ -70,6 +74,13 @@
     [[nodiscard]] const std::set<vm_id>& plain_servers() const { return m_plain; }
     /// Listed runners whose entries name the composition.
     [[nodiscard]] std::size_t members_of(const group_key& key) const;
+    /// Entries that named the composition when they were removed, less than entry_grace_period ago;
+    /// the first of these periods ends at `until`.
+    struct missing_members {
+        std::size_t count = 0;
+        time_point until = time_point::max();
+    };
+    [[nodiscard]] missing_members missing_from(const group_key& key, time_point now) const;
     /// When an entry first named the composition; nullopt if no known entry does.
     [[nodiscard]] std::optional<time_point> first_seen(const group_key& key) const;
     /// Head counts of every failure domain that has had runners.
