--- a/peers/membership_test.cc
+++ b/peers/membership_test.cc
@@ -218,6 +218,31 @@
     cr_assert(all_know(std::nullopt)(), "an outdated limit was accepted");
 }
 
+// Guards against a report of a silent group that gets lost in the frame: it must reach the
+// manager's node with the head's name.
+Test(membership, a_report_of_an_unresponsive_head_reaches_its_receiver)
+{
+    test_network net{16};
+    for (std::size_t i = 0; i < 3; ++i)
+        net.add(i, 3);
+    cr_assert(net.until([&] { return net.views_converged(); }, minutes{1}));
+    test_node& reporter = *net.nodes[1];
+    test_node& manager = *net.nodes[2];
+    std::vector<vm_id> heard;
+    manager.on_command = [&](const membership_command& command) {
+        const auto* message = std::get_if<server_message>(&command);
+        if (message == nullptr)
+            return;
+        if (const auto* report = std::get_if<unresponsive_head>(&message->body))
+            heard.push_back(report->vm);
+    };
+    const node_id& to = manager.core.self().node;
+    net.run(reporter,
+            reporter.core.send_server_message(net.now, to, unresponsive_head{vm_id{"i-7"}}));
+    net.run_for(seconds{1});
+    cr_assert(heard == std::vector{vm_id{"i-7"}});
+}
+
 // A frame waits in a paused node's socket for a minute. Its ticket must get an age of about a
 // minute. Otherwise requests would go to a group that may have lost a VM since.
 Test(membership, a_delayed_frame_does_not_make_a_ticket_look_recent)
