Groups: only stopped streams are reported to another node, and probes are bounded

In a congested fleet nodes miss first events all the time, so that managers are sent reports and probe members without end; they and the followers of the store are the same few nodes. That the reports are the whole cause is not shown. Change: a node reports a group only if streams that had begun have stopped, which a busy group does not do; a manager probes at most 20 groups a second because of reports. Tests: formation/a_missing_first_event_is_not_reported_to_the_manager, formation/reports_of_other_nodes_cause_a_bounded_number_of_probes.

--- a/daemon/formation_driver.cc
+++ b/daemon/formation_driver.cc
@@ -171,7 +171,7 @@
     }
     void receive(const node_id& /*from*/, const unresponsive_head& seen)
     {
-        dispatch(groups::group_unresponsive{seen.vm, true});
+        dispatch(groups::group_unresponsive{seen.vm, groups::silence_evidence::peer_report});
     }
     void receive(const node_id& from, const server_answer& answer)
     {
@@ -420,9 +420,10 @@
     m_impl->dispatch(groups::traffic_started{});
 }
 
-void formation_driver::report_unresponsive_head(const vm_id& head)
+void formation_driver::report_unresponsive_head(const vm_id& head,
+                                                groups::silence_evidence evidence)
 {
-    m_impl->dispatch(groups::group_unresponsive{head});
+    m_impl->dispatch(groups::group_unresponsive{head, evidence});
 }
 
 void formation_driver::tick()
--- a/daemon/formation_driver.h
+++ b/daemon/formation_driver.h
@@ -50,7 +50,7 @@
     /// Callers have started to send requests.
     void traffic_started();
     /// Requests that this node sent to a group's head get no response.
-    void report_unresponsive_head(const vm_id& head);
+    void report_unresponsive_head(const vm_id& head, groups::silence_evidence evidence);
     /// Sets the function that returns whether a runner has responded to this node's requests since
     /// the given time. It is used to answer other nodes that probe a runner through this one.
     void set_response_check(std::function<bool(const vm_id&, time_point)> responded_since);
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -277,7 +277,9 @@
     {
         log_event(log_level::warning, "group_silent",
                   {{"group", seen.target.value()}, {"head", seen.instance.value()}});
-        managers->report_unresponsive_head(seen.instance);
+        managers->report_unresponsive_head(
+            seen.instance, seen.streams_stopped ? groups::silence_evidence::stopped_streams
+                                                : groups::silence_evidence::awaited_response);
     }
 
     void publish_limit(const share_limit& seen)
--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -185,9 +185,10 @@
     broadcast(group_unresponsive{vm_id{head}});
 }
 
-void fake_registry::report_unresponsive_group(const std::string& head, std::size_t manager)
+void fake_registry::report_unresponsive_group(const std::string& head, std::size_t manager,
+                                              silence_evidence evidence)
 {
-    deliver(manager, group_unresponsive{vm_id{head}});
+    deliver(manager, group_unresponsive{vm_id{head}, evidence});
 }
 
 void fake_registry::run(duration time)
@@ -276,7 +277,7 @@
     else if (const auto* told = std::get_if<report_to_manager>(&command)) {
         for (std::size_t other = 0; other < m_managers.size(); ++other) {
             if (m_peers[other].node == told->manager)
-                deliver(other, group_unresponsive{told->head, true});
+                deliver(other, group_unresponsive{told->head, silence_evidence::peer_report});
         }
     }
     else if (std::holds_alternative<query_peers_about_outage>(command)) {
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -74,7 +74,8 @@
     /// Reports to every manager that requests to this head's group get no answer.
     void report_unresponsive_group(const std::string& head);
     /// The same to one node only.
-    void report_unresponsive_group(const std::string& head, std::size_t manager);
+    void report_unresponsive_group(const std::string& head, std::size_t manager,
+                                   silence_evidence evidence = silence_evidence::stopped_streams);
     /// Begins an outage of the store: no answers and no updates, while leases expire.
     void store_down();
     /// Ends the outage. Runners write their entries again after `entries_late`; until then the
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -365,21 +365,41 @@
         probe_group(seen, now);
         return;
     }
+    // A missing first event is no reason to trouble another node: in a congested fleet every node
+    // misses some all the time.
+    if (seen.evidence != silence_evidence::stopped_streams)
+        return;
     const registered_runner* head = registry.find(seen.head);
     const std::optional<node_id> manager = lease_election.holder();
-    const bool forward = !seen.reported_by_peer && manager && *manager != settings.self;
-    if (forward && head != nullptr && head->row.failure_domain == settings.domain)
+    const bool managed_elsewhere = manager && *manager != settings.self;
+    if (managed_elsewhere && head != nullptr && head->row.failure_domain == settings.domain)
         out.emplace_back(report_to_manager{*manager, seen.head});
 }
 
+/// Takes a token for one probe of a group that another node has reported; false if none is left.
+bool formation_manager::state::take_peer_probe_token(time_point now)
+{
+    const double rate = settings.peer_report_probes_per_s;
+    const double passed = std::chrono::duration<double>(now - peer_probe_tokens_at).count();
+    peer_probe_tokens_at = now;
+    peer_probe_tokens = std::min(rate, peer_probe_tokens + passed * rate);
+    if (peer_probe_tokens < 1.0)
+        return false;
+    peer_probe_tokens -= 1.0;
+    return true;
+}
+
 void formation_manager::state::probe_group(const group_unresponsive& seen, time_point now)
 {
     runner_view* view = find(seen.head);
     if (view == nullptr || !view->row.group || now < view->next_group_probe)
         return;
+    const bool reported = seen.evidence == silence_evidence::peer_report;
+    if (reported && !take_peer_probe_token(now))
+        return;
     view->next_group_probe = now + settings.group_probe_interval;
     add_notice(log_level::info, "group_probed", view->row.group->group.value(),
-               seen.reported_by_peer ? "another node gets no output" : "this node gets no output");
+               std::string{to_name(seen.evidence)});
     const group_key key = key_of(*view->row.group);
     for (const auto& [vm, other] : runners) {
         if (is_in(other, key) && !other.unresponsive)
--- a/groups/formation.h
+++ b/groups/formation.h
@@ -60,10 +60,15 @@
     vm_id vm;
     order_reply reply = order_reply::lost;
 };
-/// A group sends no output although requests are waiting for it.
+/// What shows that a group sends no output although requests are waiting for it.
+enum class silence_evidence {
+    awaited_response, ///< requests of this node have got no first event
+    stopped_streams,  ///< streams of this node have stopped
+    peer_report,      ///< another node reports that its streams have stopped
+};
 struct group_unresponsive {
     vm_id head;
-    bool reported_by_peer = false; ///< another node has observed it
+    silence_evidence evidence = silence_evidence::stopped_streams;
 };
 /// Answer to probe_member.
 struct member_probed {
@@ -168,6 +173,9 @@
     duration peer_probe_timeout = 500ms; ///< wait for other nodes' probes of an unresponsive head
     /// Interval between two probes of one group, however many nodes report it as unresponsive.
     duration group_probe_interval = 200ms;
+    /// Groups probed per second because of other nodes' reports, and how many at once. Bounds the
+    /// manager's work when many groups stop or a large fleet is congested.
+    double peer_report_probes_per_s = 20.0;
     /// Time for a composition ordered by an earlier manager to become complete. Joins that load no
     /// weights take less.
     duration adopted_group_timeout = 5s;
@@ -215,3 +223,16 @@
 std::string formation_key(std::string_view deployment, const failure_domain_id& domain);
 
 } // namespace jaynotch::groups
+
+namespace jaynotch {
+
+template <>
+struct enum_names<groups::silence_evidence> {
+    static constexpr std::array entries{
+        named{groups::silence_evidence::awaited_response, "awaited_response"},
+        named{groups::silence_evidence::stopped_streams, "stopped_streams"},
+        named{groups::silence_evidence::peer_report, "peer_report"},
+    };
+};
+
+} // namespace jaynotch
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -98,6 +98,7 @@
     void apply_leave(runner_view& view, const leave_group& left, time_point now);
     void handle_unresponsive_group(const group_unresponsive& seen, time_point now);
     void probe_group(const group_unresponsive& seen, time_point now);
+    [[nodiscard]] bool take_peer_probe_token(time_point now);
     void handle_probe_answer(const member_probed& probed, time_point now);
     void run_tick(time_point now);
 
@@ -187,6 +188,8 @@
     std::uint64_t orders = 0;
     double load_tokens = 0.0; ///< token bucket: loads that may start now
     time_point load_tokens_at;
+    double peer_probe_tokens = 0.0; ///< token bucket: probes because of other nodes' reports
+    time_point peer_probe_tokens_at;
     time_point use_logged_at;
     time_point outage_queried_at;
     formation_commands out;
--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -81,6 +81,37 @@
     assert_no_violations(world);
 }
 
+// Guards against managers that are kept busy by the reports of a congested fleet: a first event
+// that comes late is not reported to another node.
+Test(formation, a_missing_first_event_is_not_reported_to_the_manager)
+{
+    fake_registry world = serving_fleet({.managers = 2, .domains = 2, .runners = 9});
+    const std::size_t before = world.probes();
+    world.report_unresponsive_group(world.head_of("big", 0), 1 - world.leader(),
+                                    silence_evidence::awaited_response);
+    cr_assert_eq(world.probes(), before);
+}
+
+// Guards against more probes than a manager can make while many groups are reported for long.
+Test(formation, reports_of_other_nodes_cause_a_bounded_number_of_probes)
+{
+    fake_registry world = serving_fleet({.managers = 2, .domains = 6, .runners = 9});
+    const std::size_t observer = 1 - world.leader();
+    const std::size_t groups = world.open_groups("big");
+    const std::size_t members = world.members_of(world.head_of("big", 0)).size();
+    cr_assert_geq(groups, 6U);
+    const std::size_t before = world.probes();
+    for (int round = 0; round < 40; ++round) {
+        for (std::size_t index = 0; index < groups; ++index)
+            world.report_unresponsive_group(world.head_of("big", index), observer);
+        world.run(50ms);
+    }
+    // 20 at once and 20 a second for two seconds
+    cr_assert_leq(world.probes() - before, 61 * members);
+    cr_assert_geq(world.probes() - before, 50 * members);
+    assert_no_violations(world);
+}
+
 // A member dies while a spare of its domain has the weights staged on its host. Loading them into
 // the accelerators takes more than a second, during which the group is missing, unless the spare
 // was warmed up before.
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -167,6 +167,7 @@
     if (row.attempt.first_part_received || !head_comes_early(row))
         return;
     row.attempt.first_part_received = true;
+    ++targets.at(row.attempt.target).streaming;
     const double took_s = seconds(now - row.attempt.started);
     pools.at(row.terms.pool).limit.note_first_token(took_s, seconds(row.terms.timeout));
     note_first_token(targets.at(row.attempt.target).health, took_s);
@@ -318,11 +319,13 @@
         return;
     row.has_attempt = false;
     clear_pending_tokens(row);
-    --targets.at(row.attempt.target).own;
+    target_row& target = targets.at(row.attempt.target);
+    --target.own;
+    target.streaming -= row.attempt.first_part_received ? 1 : 0;
     pool_row& pool = pools.at(row.terms.pool);
     pool.view.own -= pool.view.own > 0 ? 1 : 0;
     --pool.in_flight;
-    if (targets.at(row.attempt.target).leaving() && pool.in_flight_leaving > 0)
+    if (target.leaving() && pool.in_flight_leaving > 0)
         --pool.in_flight_leaving;
     --pool.use_of(row.info.workspace, peers).in_flight;
     pool.drop_if_unused(row.info.workspace);
--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -160,6 +160,9 @@
 struct target_silent {
     target_id target;
     vm_id instance;
+    /// Streams that had begun have stopped. Otherwise only first events are missing, which may also
+    /// mean that the group is busy.
+    bool streams_stopped = false;
 };
 
 /// A server stated a limit on the requests per second of all entry VMs together, or no longer
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -404,7 +404,7 @@
             row.health.silent_since = now;
             row.health.next_trial = now + probe_interval;
             ++counters.silences;
-            out.emplace_back(target_silent{row.info.id, row.info.instance});
+            out.emplace_back(target_silent{row.info.id, row.info.instance, row.streaming > 0});
             reroute_from_silent(pool, at, now, out);
         }
     }
--- a/routing/target_table.h
+++ b/routing/target_table.h
@@ -92,6 +92,7 @@
     bool release_due = false;     ///< a `target_released` command is due once nothing is in flight
     bool rate_limit_reached = false;  ///< this node's share of the server's rate limit is used up
     std::uint32_t own = 0;            ///< this node's attempts in flight
+    std::uint32_t streaming = 0;      ///< of those: attempts whose first event has come
     std::uint32_t pending_tokens = 0; ///< of the prompts of attempts without a first event
     time_point last_response;         ///< last byte of any attempt
     time_point last_activity;         ///< last byte of any attempt, or when the first was sent
