--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -14,6 +14,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -80,6 +81,8 @@
 
     daemon_timeouts timeouts;
     daemon_limits limits;
+    /// Of connections to backend servers (http_limits::before_connect), for tests.
+    std::function<boost::system::error_code(const std::string& address)> before_connect;
 };
 
 /// Returns an error for invalid settings; it names the flag and how to correct it.
--- a/daemon/upstreams.cc
+++ b/daemon/upstreams.cc
@@ -26,6 +26,7 @@
         limits.connect_timeout = m_settings.timeouts.connect;
         limits.idle_connections = m_settings.limits.idle_upstream;
         limits.idle_connection_timeout = m_settings.timeouts.upstream_idle;
+        limits.before_connect = m_settings.before_connect;
         found.client = std::make_shared<http_client>(m_io.get_executor(), address, limits);
     }
     return found.client;
--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -2,6 +2,7 @@
 
 #include "http/http_connection.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
@@ -425,7 +426,16 @@
             connection = std::make_shared<http_connection>(pool->executor);
             connection->arm(
                 std::min(deadline - runtime_clock::now(), pool->limits.connect_timeout));
-            const error_code refused = co_await connection->connect(remote.value());
+            error_code refused;
+            if (pool->limits.before_connect)
+                refused = pool->limits.before_connect(pool->address);
+            if (refused) {
+                // Like a refusal by the network, it never arrives before open() has suspended.
+                co_await asio::post(pool->executor, asio::use_awaitable);
+            }
+            else {
+                refused = co_await connection->connect(remote.value());
+            }
             if (refused) {
                 connection->disarm();
                 co_return error{error_kind::unavailable,
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -43,6 +43,9 @@
     /// connection closes. If the server closes such a connection early, the response looks
     /// complete, so the caller needs another proof that it is, such as a header.
     bool allow_unframed_answers = false;
+    /// Called before a connection is opened; an error fails the connection. Tests use it to cut a
+    /// client off from a server.
+    std::function<boost::system::error_code(const std::string& address)> before_connect;
 };
 
 struct http_header {
