--- a/base/mechanisms.h
+++ b/base/mechanisms.h
@@ -33,6 +33,7 @@
     refusal_pause,       ///< avoids a group for a while after it has refused a request
     adaptive_limit,      ///< adapts concurrency limits where the engines' speed is not known
     resumption,          ///< resumes interrupted streams on another server
+    detours,             ///< sends through another node while this one reaches no server
     // Groups.
     warm_spares,          ///< spare runners warm up staged weights in groups of their own
     guard_largest,        ///< spare runners are staged for the largest groups first
@@ -58,6 +59,7 @@
         named{mechanism::refusal_pause, "refusal_pause"},
         named{mechanism::adaptive_limit, "adaptive_limit"},
         named{mechanism::resumption, "resumption"},
+        named{mechanism::detours, "detours"},
         named{mechanism::warm_spares, "warm_spares"},
         named{mechanism::guard_largest, "guard_largest"},
         named{mechanism::probes_before_ending, "probes_before_ending"},
--- a/daemon/detour_test.cc
+++ b/daemon/detour_test.cc
@@ -110,6 +110,12 @@
         return runner_standin::start(m_io.get_executor(), m_store, std::move(settings)).value();
     }
 
+    [[nodiscard]] bool is_server(const std::string& address) const
+    {
+        return std::any_of(servers.begin(), servers.end(),
+                           [&](const auto& server) { return server->address() == address; });
+    }
+
     void start_daemon(std::size_t node)
     {
         daemon_settings chosen;
@@ -122,12 +128,14 @@
         chosen.ready_listen = "127.0.0.1:0";
         chosen.admin_listen = "127.0.0.1:0";
         chosen.peer_listen = "127.0.0.1:0";
+        chosen.relay_listen = "127.0.0.1:0";
         chosen.key_value = {m_store->address()};
         chosen.site.retry_extra = 100;
         chosen.seed = node + 1;
-        chosen.before_connect = [this, node](const std::string&) {
-            return m_cut.contains(node) ? make_error_code(boost::asio::error::connection_refused)
-                                        : boost::system::error_code{};
+        chosen.before_connect = [this, node](const std::string& address) {
+            const bool refused = m_cut.contains(node) && is_server(address);
+            return refused ? make_error_code(boost::asio::error::connection_refused)
+                           : boost::system::error_code{};
         };
         if (!daemons.empty())
             chosen.seed_peers = {daemons.front()->peer_address()};
--- a/daemon/flags.cc
+++ b/daemon/flags.cc
@@ -14,6 +14,8 @@
 ABSL_FLAG(std::string, listen, "127.0.0.1:8080", "IP:port for callers");
 ABSL_FLAG(std::string, peer_listen, "127.0.0.1:8081", "IP:port for other daemons");
 ABSL_FLAG(std::string, admin_listen, "127.0.0.1:8082", "IP:port for `jaynotch` and /metrics");
+ABSL_FLAG(std::string, relay_listen, "",
+          "IP:port for requests that other daemons pass on, with --settings; empty: none");
 ABSL_FLAG(std::string, peer_advertise, "", "IP:port announced to peers; --peer_listen if empty");
 ABSL_FLAG(std::vector<std::string>, key_value, {},
           "IP:ports of the key-value service, comma-separated");
@@ -122,6 +124,7 @@
     chosen.deployment = flag_or(FLAGS_deployment, "", "jaynotch");
     chosen.listen = flag_or(FLAGS_listen, "127.0.0.1:8080", site.listen);
     chosen.peer_listen = flag_or(FLAGS_peer_listen, "127.0.0.1:8081", site.peer_listen);
+    chosen.relay_listen = flag_or(FLAGS_relay_listen, "", site.relay_listen);
     chosen.ready_listen = flag_or(FLAGS_ready_listen, "", site.ready_listen);
     chosen.admin_listen = flag_or(FLAGS_admin_listen, "127.0.0.1:8082",
                                   site.bind_ip + std::string{default_admin_port});
--- a/daemon/forward_front.cc
+++ b/daemon/forward_front.cc
@@ -31,18 +31,43 @@
 {}
 
 net::awaitable<void> forward_front::serve(http_exchange& exchange)
+{
+    co_await serve(exchange, std::nullopt);
+}
+
+net::awaitable<void> forward_front::serve_relayed(http_exchange& exchange)
+{
+    const result<relayed_marker> marker = parse_relayed(exchange.header(relayed_header));
+    if (!marker) {
+        log_event(log_level::warning, "relayed_request_unreadable",
+                  {{"message", marker.error().message}});
+        exchange.close_after_answer(); // its body has not been read
+        co_await reject(exchange, marker.error(), true);
+        co_return;
+    }
+    co_await serve(exchange, marker.value());
+}
+
+net::awaitable<void> forward_front::serve(http_exchange& exchange,
+                                          std::optional<relayed_marker> marker)
 {
     incoming_request incoming;
     incoming.arrived = runtime_clock::now();
     ++m_services.counts.requests;
     const std::shared_ptr<const configuration> tables = m_state().tables;
-    const result<void> accepted = co_await read_request(exchange, incoming, tables.get());
+    result<void> accepted = co_await read_request(exchange, incoming, tables.get());
+    if (accepted && marker && tables->revision < marker->revision)
+        accepted = error{error_kind::unavailable,
+                         "this node has an older configuration than the one that passed it on",
+                         "pass it on to another node"};
     if (!accepted) {
         m_services.exported_metrics.ended(outcome::refused,
                                           runtime_clock::now() - incoming.arrived);
-        co_await reject(exchange, accepted.error());
+        co_await reject(exchange, accepted.error(), marker.has_value());
         co_return;
     }
+    if (marker)
+        incoming.info.relayed = marker->request;
     incoming.server_span = m_services.spans.begin(
         "request", span_kind::server, trace_context::from_header(exchange.header("traceparent")));
     incoming.server_span.set("url.path", exchange.path());
@@ -87,7 +112,7 @@
     co_return success();
 }
 
-net::awaitable<void> forward_front::reject(http_exchange& exchange, const error& why)
+net::awaitable<void> forward_front::reject(http_exchange& exchange, const error& why, bool relayed)
 {
     ++m_services.counts.refused;
     m_services.exported_metrics.refused(why.kind);
@@ -97,6 +122,8 @@
         reply.retry_after = default_retry_after;
     if (why.kind == error_kind::deadline_exceeded)
         reply.status = http::status::request_timeout; // the request's body did not arrive in time
+    if (relayed)
+        exchange.set(refused_header, to_name(why.kind));
     co_await exchange.refuse(reply);
 }
 
--- a/daemon/forward_front.h
+++ b/daemon/forward_front.h
@@ -7,8 +7,10 @@
 
 #include "daemon/front.h"
 #include "daemon/relay.h"
+#include "daemon/relay_headers.h"
 
 #include <functional>
+#include <optional>
 
 namespace jaynotch {
 
@@ -17,13 +19,16 @@
     forward_front(relay_services& services, std::function<front_state()> state);
 
     net::awaitable<void> serve(http_exchange& exchange);
+    /// Serves a request that another node passes on (daemon/relay_headers.h).
+    net::awaitable<void> serve_relayed(http_exchange& exchange);
 
 private:
+    net::awaitable<void> serve(http_exchange& exchange, std::optional<relayed_marker> marker);
     /// Fills `incoming` from the exchange. `tables`: null until a configuration is in force.
     net::awaitable<result<void>> read_request(http_exchange& exchange, incoming_request& incoming,
                                               const configuration* tables);
     /// Refuses a request that the request core has not seen.
-    net::awaitable<void> reject(http_exchange& exchange, const error& why);
+    net::awaitable<void> reject(http_exchange& exchange, const error& why, bool relayed);
 
     relay_services& m_services;
     std::function<front_state()> m_state;
--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -120,6 +120,12 @@
                            "Backend servers that limit the requests a second of all nodes");
     Gauge& refused_limited =
         gauge(registry, "jaynotch_refused_limited", "Requests refused for these limits");
+    Gauge& cut_off =
+        gauge(registry, "jaynotch_servers_unreachable", "1 if no backend server seems reachable");
+    Gauge& detours = gauge(registry, "jaynotch_detoured_requests",
+                           "Requests sent through another node, since the start");
+    Gauge& relayed = gauge(registry, "jaynotch_relayed_requests",
+                           "Requests that other nodes passed on to this one, since the start");
     Gauge& log_dropped =
         gauge(registry, "jaynotch_log_lines_dropped", "Log lines dropped, over budget or unread");
     Gauge& dropped = gauge(registry, "jaynotch_spans_dropped", "Spans dropped, the buffer full");
@@ -212,6 +218,9 @@
     all.retries_left.Set(now.retries_left);
     all.limited.Set(static_cast<double>(now.limited_servers));
     all.refused_limited.Set(static_cast<double>(now.refused_limited));
+    all.cut_off.Set(now.cut_off ? 1.0 : 0.0);
+    all.detours.Set(static_cast<double>(now.detours));
+    all.relayed.Set(static_cast<double>(now.relayed));
     all.log_dropped.Set(static_cast<double>(now.log_lines_dropped));
     all.forming.Set(static_cast<double>(now.groups_forming));
     all.spares.Set(static_cast<double>(now.spare_runners));
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -32,6 +32,8 @@
 
 constexpr duration tick_interval = std::chrono::milliseconds{50}; ///< of managers and feed
 constexpr duration second = std::chrono::seconds{1};
+/// A reachable server answers within a few milliseconds.
+constexpr duration reach_probe_timeout = std::chrono::milliseconds{200};
 constexpr duration call_report_interval = std::chrono::seconds{10};
 
 platform::store_settings store_settings_of(const daemon_settings& settings)
@@ -69,7 +71,10 @@
     {
         const std::uint64_t seed = seed_or_random(settings);
         BOOST_OUTCOME_TRY(spans, tracer::open(settings.trace_file, settings.node, seed ^ 1U));
-        BOOST_OUTCOME_TRY(peers, peer_service::create(io, peer_settings_of(settings, seed ^ 2U)));
+        BOOST_OUTCOME_TRY(open_relay_port());
+        peer_settings chosen_peers = peer_settings_of(settings, seed ^ 2U);
+        chosen_peers.relay_port = relay_server ? relay_server->port() : std::uint16_t{0};
+        BOOST_OUTCOME_TRY(peers, peer_service::create(io, std::move(chosen_peers)));
         random_source random{seed ^ 4U};
         const std::uint64_t incarnation = random.bits();
         BOOST_OUTCOME_TRY(request_core core,
@@ -78,6 +83,10 @@
         driver_hooks hooks;
         hooks.on_silent = [this](const target_silent& seen) { handle_silent_target(seen); };
         hooks.on_share_limit = [this](const share_limit& seen) { publish_limit(seen); };
+        hooks.on_probe_server = [this](const probe_server& wanted) {
+            net::co_spawn(io, probe(wanted), net::detached);
+        };
+        hooks.on_reach_changed = [this](const reach_changed& seen) { handle_reach(seen); };
         requests = std::make_unique<request_driver>(io, std::move(core), kv, std::move(hooks));
         managers = std::make_unique<formation_driver>(io, settings, kv, *peers, m_registry);
         managers->set_response_check([this](const vm_id& vm, time_point since) {
@@ -85,8 +94,18 @@
         });
         managers->on_group_changed([this] { push_targets(); });
         feed = std::make_unique<registry_feed>(io, settings, kv, *peers, feed_hooks());
-        services.reset(new relay_services{
-            io, settings, *requests, servers, *spans, exported_metrics, counts, {}, {}, {}});
+        services.reset(
+            new relay_services{io,
+                               settings,
+                               *requests,
+                               servers,
+                               *spans,
+                               exported_metrics,
+                               counts,
+                               {},
+                               {},
+                               [this] { return tables ? tables->revision : config_revision{0}; },
+                               {}});
         caller_front = std::make_unique<forward_front>(*services, [this] {
             return front_state{tables, m_stopping, false};
         });
@@ -115,6 +134,8 @@
         feed->start();
         requests->start();
         caller_server->start();
+        if (relay_server)
+            relay_server->start();
         ready_server->start();
         admin_server->start();
         net::co_spawn(io, run_ticks(), net::detached);
@@ -133,8 +154,12 @@
         const time_point until = runtime_clock::now() + settings.timeouts.max_stop_time;
         log_event(log_level::info, "daemon_stopping", {{"in_flight", counts.in_flight}});
         caller_server->disable_keep_alive();
+        if (relay_server)
+            relay_server->disable_keep_alive();
         co_await managers->resign(resignation::where_possible);
         co_await sleep_for(io, settings.timeouts.balancer_wait);
+        if (relay_server)
+            relay_server->stop_accepting();
         co_await drain_callers(io, *caller_server, counts, until);
         co_await managers->resign(resignation::all);
         const std::uint64_t unfinished = counts.in_flight;
@@ -149,7 +174,9 @@
         m_stopping = true;
         m_stopped = true;
         m_timer.cancel();
-        for (http_server* one : {caller_server.get(), ready_server.get(), admin_server.get()}) {
+        for (http_server* one :
+             {caller_server.get(), relay_server.get(), ready_server.get(), admin_server.get()})
+        {
             if (one != nullptr)
                 one->abort();
         }
@@ -181,6 +208,7 @@
     std::unique_ptr<forward_front> caller_front;
     std::unique_ptr<registry_pages> pages;
     std::unique_ptr<http_server> caller_server;
+    std::unique_ptr<http_server> relay_server; ///< null if requests of other nodes are not accepted
     std::unique_ptr<http_server> ready_server;
     std::unique_ptr<http_server> admin_server;
     std::shared_ptr<const configuration> tables;
@@ -206,6 +234,26 @@
         return success();
     }
 
+    /// The port on which other nodes pass on requests. Their credentials cross it, so it is not
+    /// opened in plain text where the nodes use TLS among themselves.
+    result<void> open_relay_port()
+    {
+        if (settings.relay_listen.empty())
+            return success();
+        if (settings.peer_tls.enabled()) {
+            log_event(log_level::warning, "relay_port_closed",
+                      {{"reason", "requests can't be passed on under --peer_certificate"}});
+            return success();
+        }
+        const http_server_settings plain{settings.timeouts.http, settings.limits.http, {}};
+        BOOST_OUTCOME_TRY(
+            relay_server,
+            http_server::open(io, settings.relay_listen, plain, [this](auto& exchange) {
+                return caller_front->serve_relayed(exchange);
+            }));
+        return success();
+    }
+
     registry_hooks feed_hooks()
     {
         registry_hooks hooks;
@@ -282,6 +330,48 @@
                                                 : groups::silence_evidence::awaited_response);
     }
 
+    void handle_reach(const reach_changed& seen)
+    {
+        log_event(seen.cut_off ? log_level::warning : log_level::info,
+                  seen.cut_off ? "servers_unreachable" : "servers_reached_again",
+                  {{"detours", requests->core().counters().detours}});
+    }
+
+    net::awaitable<void> probe(probe_server wanted)
+    {
+        const auto self = shared_from_this();
+        const bool answers = co_await probe_connection(wanted.address);
+        if (!m_stopped)
+            requests->handle(server_probed{wanted.target, answers});
+    }
+
+    /// Whether a new connection to a backend server can be opened and brings an answer.
+    net::awaitable<bool> probe_connection(std::string address)
+    {
+        http_limits limits;
+        limits.before_connect = settings.before_connect;
+        platform::order_client prober{io.get_executor(), limits};
+        co_return co_await prober.answers(std::move(address), reach_probe_timeout);
+    }
+
+    /// Tells the request core which nodes accept requests passed on to them, when that changes.
+    void update_relay_nodes()
+    {
+        if (m_relay_nodes_version == peers->members_version())
+            return;
+        m_relay_nodes_version = peers->members_version();
+        relay_nodes_changed seen;
+        for (const member& one : peers->members()) {
+            const result<net::ip::tcp::endpoint> address = parse_endpoint(one.address);
+            if (one.node == settings.node || !one.live() || one.relay_port == 0 || !address)
+                continue;
+            seen.nodes.push_back(
+                {one.node, one.failure_domain,
+                 address.value().address().to_string() + ":" + std::to_string(one.relay_port)});
+        }
+        requests->handle(std::move(seen));
+    }
+
     void publish_limit(const share_limit& seen)
     {
         peers->publish(server_limit{seen.server.value(), seen.per_second, {}});
@@ -309,6 +399,7 @@
                 std::max<duration>(duration{0}, runtime_clock::now() - expected_at));
             feed->tick();
             push_targets();
+            update_relay_nodes();
             managers->tick();
             flush_log();
             if (runtime_clock::now() < next_second)
@@ -387,6 +478,9 @@
             const bool scarcest = &pool == &pools.front() || pool.retries_left < now.retries_left;
             now.retries_left = scarcest ? pool.retries_left : now.retries_left;
         }
+        now.cut_off = requests->core().cut_off();
+        now.detours = requests->core().counters().detours;
+        now.relayed = requests->core().counters().relayed;
         now.limited_servers = requests->core().limited_servers();
         now.refused_limited = requests->core().counters().refused_limited;
         for (const groups::formation_status& one : managers->status()) {
@@ -405,6 +499,7 @@
     std::optional<std::uint64_t> m_pushed_version; ///< of the registry; nullopt forces a push
     time_point m_installed;                        ///< when the current tables were installed
     std::size_t m_fleet_size = 0;
+    std::optional<std::uint64_t> m_relay_nodes_version; ///< of the members; nullopt: none so far
     kv_call_counts m_logged_calls;
     time_point m_next_call_report;
     timer m_timer;
--- a/daemon/registry_pages.cc
+++ b/daemon/registry_pages.cc
@@ -115,6 +115,7 @@
             {"ready", m_sources.ready()},
             {"revision", revision},
             {"platform", m_sources.store_reached() ? "reachable" : "told by peers"},
+            {"servers", m_sources.requests.core().cut_off() ? "unreachable" : "reachable"},
             {"managing", std::move(managing)},
             {"runners", m_sources.registry.listed()},
             {"uptime_s", uptime.count()},
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -40,6 +40,8 @@
     std::function<void(const target_id&)> on_leaving;
     /// Whether the group's completeness ticket is valid now.
     std::function<bool(const group_id&)> has_valid_ticket;
+    /// Revision of the configuration that is installed on this node.
+    std::function<config_revision()> revision;
     /// One function per running request, by the request's address; all are called every second.
     /// Each tells the core if the request is waiting for its caller to read.
     std::unordered_map<const void*, std::function<void()>> slow_caller_checks;
--- a/daemon/relay_attempt.cc
+++ b/daemon/relay_attempt.cc
@@ -131,6 +131,9 @@
         m_any_attempt_sent = true;
         m_services.driver.handle(attempt_sent{m_inbox->id(), attempt.send_command.attempt});
     };
+    request.on_connected = [this, &attempt] {
+        m_services.driver.handle(attempt_connected{m_inbox->id(), attempt.send_command.attempt});
+    };
     result<http_stream> opened = co_await client->open(std::move(request), max_read_wait);
     if (attempt.cancelled)
         co_return std::nullopt;
--- a/daemon/relay_forward.cc
+++ b/daemon/relay_forward.cc
@@ -1,3 +1,4 @@
+#include "daemon/relay_headers.h"
 #include "daemon/relay_way.h"
 #include "daemon/sse.h"
 #include "platform/platform.h"
@@ -66,7 +67,12 @@
     http_request request;
     request.method = received.method();
     request.target = std::string{received.target()};
+    const std::optional<relayed_request>& relayed = attempt.send_command.relayed;
+    outgoing.to_node = relayed.has_value();
     request.headers = platform::forwarded_request_headers(received, outgoing);
+    remove_relayed(request.headers);
+    if (relayed)
+        request.headers.push_back(render_relayed({*relayed, m_services.revision()}));
     request.body = m_incoming.body;
     request.repeatable = attempt.send_command.repeat == repeat_policy::idempotent;
     if (!request.repeatable)
@@ -98,12 +104,16 @@
         }
         metadata = platform::parse_answer_headers(answer.status(), answer.headers());
     }
+    if (attempt.send_command.relayed && !metadata.sealed && report_refusal(attempt, answer))
+        co_return;
     if (metadata.idle_limit)
         answer.set_idle_limit(*metadata.idle_limit - idle_margin);
-    if (metadata.running && !metadata.did_not_run)
+    const bool from_server = !attempt.send_command.relayed;
+    if (from_server && metadata.running && !metadata.did_not_run)
         m_services.driver.handle(load_reported{
             attempt.send_command.target, {*metadata.running, metadata.waiting, 0.0}, {}});
-    report_limit(attempt, metadata);
+    if (from_server)
+        report_limit(attempt, metadata);
     const bool unsealed = is_success(answer.status()) && !metadata.sealed;
     if (unsealed || !answer.header("Content-Encoding").empty()) {
         report_failure(attempt, attempt_failure::protocol);
@@ -119,6 +129,19 @@
     attempt.stream = nullptr;
 }
 
+/// Reports a refusal by the node that the request was passed on to; false if the answer is none.
+bool relay_request::impl::report_refusal(attempt_state& attempt, const http_stream& answer)
+{
+    std::optional<relay_refusal> refused = parse_refusal(answer.headers());
+    if (!refused)
+        return false;
+    attempt_head head = make_head(attempt, answer, delivery_mode::buffered);
+    head.refusal = std::move(refused);
+    report_head(attempt, head);
+    attempt.stream = nullptr;
+    return true;
+}
+
 /// Reports the rate limit that an answer of any status states, or that it states none.
 void relay_request::impl::report_limit(const attempt_state& attempt,
                                        const answer_metadata& metadata)
--- a/daemon/relay_way.h
+++ b/daemon/relay_way.h
@@ -109,6 +109,7 @@
     // relay_forward.cc
     net::awaitable<void> forward(attempt_state& attempt);
     http_request build_forwarded_request(const attempt_state& attempt) const;
+    bool report_refusal(attempt_state& attempt, const http_stream& answer);
     void report_limit(const attempt_state& attempt, const answer_metadata& metadata);
     bool report_forwarded_head(attempt_state& attempt, const http_stream& answer,
                                const answer_metadata& metadata, delivery_mode mode);
--- a/daemon/request_driver.cc
+++ b/daemon/request_driver.cc
@@ -124,6 +124,17 @@
             m_hooks.on_share_demand(cmd);
     }
 
+    void execute_global(const probe_server& cmd)
+    {
+        if (m_hooks.on_probe_server)
+            m_hooks.on_probe_server(cmd);
+    }
+    void execute_global(const reach_changed& cmd)
+    {
+        if (m_hooks.on_reach_changed)
+            m_hooks.on_reach_changed(cmd);
+    }
+
     net::awaitable<void> transact(call_kv cmd)
     {
         const auto self = shared_from_this();
--- a/daemon/request_driver.h
+++ b/daemon/request_driver.h
@@ -47,6 +47,8 @@
     std::function<void(const share_demand&)> on_share_demand;
     std::function<void(const target_silent&)> on_silent;
     std::function<void(const share_limit&)> on_share_limit;
+    std::function<void(const probe_server&)> on_probe_server;
+    std::function<void(const reach_changed&)> on_reach_changed;
 };
 
 class request_driver {
--- a/daemon/request_log.cc
+++ b/daemon/request_log.cc
@@ -61,7 +61,8 @@
                {"others", std::llround(basis.others)},
                {"load_age_ms", basis.load_age_ms},
                {"predicted_ms", std::llround(basis.predicted_ms)},
-               {"candidates", basis.candidates}});
+               {"candidates", basis.candidates},
+               {"through_node", attempt.relayed.has_value()}});
 }
 
 void request_log::log_attempt_end(log_level level, std::string_view kind,
--- a/daemon/settings.cc
+++ b/daemon/settings.cc
@@ -100,6 +100,9 @@
     if (!settings.peer_advertise.empty()) {
         BOOST_OUTCOME_TRY(check_address("peer_advertise", settings.peer_advertise));
     }
+    if (!settings.relay_listen.empty()) {
+        BOOST_OUTCOME_TRY(check_address("relay_listen", settings.relay_listen));
+    }
     if (settings.key_value.empty())
         return setting_error("key_value", "is empty",
                              "give IP:port of the platform's key-value service");
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -58,7 +58,9 @@
     std::string listen = "127.0.0.1:8080";
     std::string peer_listen = "127.0.0.1:8081";
     std::string admin_listen = "127.0.0.1:8082";
-    std::string ready_listen;   ///< registry only: IP:port of the load balancer's readiness check
+    std::string ready_listen; ///< registry only: IP:port of the load balancer's readiness check
+    /// registry only: IP:port for requests that other nodes pass on; empty: accepts none.
+    std::string relay_listen;
     std::string peer_advertise; ///< address announced to peers; empty: peer_listen
 
     std::vector<std::string> key_value;  ///< addresses of the platform's key-value service
--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -443,6 +443,8 @@
                                     (connection->timed_out() ? "timed out" : refused.message()),
                                 "check that the service is up and the address is right"};
             }
+            if (request.on_connected)
+                request.on_connected();
         }
         const time_point sent = runtime_clock::now();
         connection->arm(deadline - sent);
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -58,6 +58,8 @@
     std::string target = "/";
     std::vector<http_header> headers;
     std::string body;
+    /// Called when a new connection was opened for the request, before `before_send`.
+    std::function<void()> on_connected;
     /// Replaces `body`: returns the next bytes, or an empty string at the end. It is not called
     /// while the server accepts no more bytes. Such a request is never sent a second time.
     std::function<awaitable<result<std::string>>()> body_source;
--- a/outside/call_facts.h
+++ b/outside/call_facts.h
@@ -28,6 +28,7 @@
     vm_id instance;                           ///< the only server that may run the request
     workspace_id workspace;                   ///< empty if the caller sent no valid key
     std::optional<std::uint64_t> after_event; ///< resume a stream after this event
+    bool to_node = false; ///< the receiver is another node, which checks the credential itself
 };
 
 /// Metadata of a backend server's answer, and what it reports about the server.
--- a/outside/site.h
+++ b/outside/site.h
@@ -36,6 +36,7 @@
     std::string listen;       ///< "IP:port" for callers
     std::string ready_listen; ///< "IP:port" for the load balancer's readiness checks
     std::string peer_listen;  ///< "IP:port" for other daemons
+    std::string relay_listen; ///< "IP:port" for requests that other daemons pass on; may be empty
     std::string store;        ///< "IP:port" of the platform's key-value service
     std::vector<std::string> seed_peers;
     std::size_t memory_bytes = 0;
--- a/peers/gen/peers_types.cpp
+++ b/peers/gen/peers_types.cpp
@@ -131,6 +131,11 @@
 void member_update::__set_state(const member_state::type val) {
   this->state = val;
 }
+
+void member_update::__set_relay_port(const int32_t val) {
+  this->relay_port = val;
+__isset.relay_port = true;
+}
 std::ostream& operator<<(std::ostream& out, const member_update& obj)
 {
   obj.printTo(out);
@@ -209,6 +214,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->relay_port);
+          this->__isset.relay_port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -250,6 +263,11 @@
   xfer += oprot->writeI32(static_cast<int32_t>(this->state));
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.relay_port) {
+    xfer += oprot->writeFieldBegin("relay_port", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->relay_port);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -263,6 +281,7 @@
   swap(a.boot, b.boot);
   swap(a.incarnation, b.incarnation);
   swap(a.state, b.state);
+  swap(a.relay_port, b.relay_port);
   swap(a.__isset, b.__isset);
 }
 
@@ -273,6 +292,7 @@
   boot = other1.boot;
   incarnation = other1.incarnation;
   state = other1.state;
+  relay_port = other1.relay_port;
   __isset = other1.__isset;
 }
 member_update& member_update::operator=(const member_update& other2) {
@@ -282,6 +302,7 @@
   boot = other2.boot;
   incarnation = other2.incarnation;
   state = other2.state;
+  relay_port = other2.relay_port;
   __isset = other2.__isset;
   return *this;
 }
@@ -294,6 +315,7 @@
   out << ", " << "boot=" << to_string(boot);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "state=" << to_string(state);
+  out << ", " << "relay_port="; (__isset.relay_port ? (out << to_string(relay_port)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/peers_types.h
+++ b/peers/gen/peers_types.h
@@ -108,13 +108,14 @@
 class frame;
 
 typedef struct _member_update__isset {
-  _member_update__isset() : node(false), failure_domain(false), address(false), boot(false), incarnation(false), state(false) {}
+  _member_update__isset() : node(false), failure_domain(false), address(false), boot(false), incarnation(false), state(false), relay_port(false) {}
   bool node :1;
   bool failure_domain :1;
   bool address :1;
   bool boot :1;
   bool incarnation :1;
   bool state :1;
+  bool relay_port :1;
 } _member_update__isset;
 
 class member_update : public virtual ::apache::thrift::TBase {
@@ -128,7 +129,8 @@
                   address(),
                   boot(0),
                   incarnation(0),
-                  state(static_cast<member_state::type>(0)) {
+                  state(static_cast<member_state::type>(0)),
+                  relay_port(0) {
   }
 
   virtual ~member_update() noexcept;
@@ -142,6 +144,7 @@
    * @see member_state
    */
   member_state::type state;
+  int32_t relay_port;
 
   _member_update__isset __isset;
 
@@ -157,6 +160,8 @@
 
   void __set_state(const member_state::type val);
 
+  void __set_relay_port(const int32_t val);
+
   bool operator == (const member_update & rhs) const
   {
     if (!(node == rhs.node))
@@ -171,6 +176,10 @@
       return false;
     if (!(state == rhs.state))
       return false;
+    if (__isset.relay_port != rhs.__isset.relay_port)
+      return false;
+    else if (__isset.relay_port && !(relay_port == rhs.relay_port))
+      return false;
     return true;
   }
   bool operator != (const member_update &rhs) const {
--- a/peers/member.h
+++ b/peers/member.h
@@ -28,6 +28,8 @@
     std::uint64_t boot = 0;        ///< increases with each start; the higher one is current
     std::uint32_t incarnation = 0; ///< increased by the member itself to refute a suspicion
     member_state state = member_state::alive;
+    /// Port of `address`'s IP on which it accepts requests that other nodes pass on; 0 for none.
+    std::uint16_t relay_port = 0;
 
     /// True if the member is alive or suspected, but not declared dead.
     [[nodiscard]] bool live() const
--- a/peers/peer_service.cc
+++ b/peers/peer_service.cc
@@ -31,7 +31,8 @@
                 settings.advertise.empty() ? address : settings.advertise,
                 settings.boot,
                 0,
-                member_state::alive};
+                member_state::alive,
+                settings.relay_port};
     return out;
 }
 
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -36,6 +36,7 @@
     std::string listen = "127.0.0.1:0"; ///< "IP:port"; port 0 selects a free port
     std::string advertise;              ///< "IP:port" sent to peers; empty: the bound address
     std::vector<std::string> seeds;     ///< "IP:port" of peers to contact first
+    std::uint16_t relay_port = 0;       ///< member::relay_port
     std::uint64_t boot = 0;             ///< increases with each start; 0: wall time in ms
     peer_tls_files tls;                 ///< empty: plain TCP, with a warning in the log
     std::uint64_t random_seed = 0;      ///< 0: derived from the boot number and the node's name
--- a/peers/peers.thrift
+++ b/peers/peers.thrift
@@ -32,6 +32,7 @@
   4: i64 boot
   5: i32 incarnation
   6: member_state state
+  7: optional i32 relay_port  // on which it accepts requests that other nodes pass on
 }
 
 // Revision that the sender has installed; part of every frame.
--- a/peers/rumor_table.cc
+++ b/peers/rumor_table.cc
@@ -234,11 +234,14 @@
     out.boot = static_cast<std::int64_t>(known.boot);
     out.incarnation = static_cast<std::int32_t>(known.incarnation);
     out.state = static_cast<wire::member_state::type>(static_cast<int>(known.state) + 1);
+    if (known.relay_port != 0)
+        out.__set_relay_port(known.relay_port);
     return out;
 }
 
 member from_wire(const wire::member_update& received)
 {
+    constexpr std::int32_t max_port = std::numeric_limits<std::uint16_t>::max();
     // An unknown state, of a newer version, is read as alive, which keeps the member in use.
     const int state = static_cast<int>(received.state) - 1;
     const bool known = state >= 0 && state <= static_cast<int>(member_state::left);
@@ -247,7 +250,10 @@
             received.address,
             static_cast<std::uint64_t>(received.boot),
             static_cast<std::uint32_t>(received.incarnation),
-            known ? static_cast<member_state>(state) : member_state::alive};
+            known ? static_cast<member_state>(state) : member_state::alive,
+            received.relay_port > 0 && received.relay_port <= max_port
+                ? static_cast<std::uint16_t>(received.relay_port)
+                : std::uint16_t{0}};
 }
 
 rumor_table::item_key rumor_table::key_of(const gossip_item& item)
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -91,7 +91,8 @@
     if (row->attempt.repeated)
         consume_limit(targets.at(row->attempt.target), now);
     // Resending to the same server does not use another server, but adds load to the service.
-    if (row->attempt.repeated && settings.retry_budget && settings.charge_every_retry)
+    const bool at_server = !targets.at(row->attempt.target).other_node;
+    if (row->attempt.repeated && at_server && settings.retry_budget && settings.charge_every_retry)
         (void)pools.at(row->terms.pool).budget.take();
 }
 
@@ -104,6 +105,10 @@
         return;
     }
     row->attempt.sent = true;
+    if (head.refusal) {
+        on_relay_refusal(*row, *head.refusal, now, out);
+        return;
+    }
     const auto drop = [&](attempt_failure reason) {
         if (reason != attempt_failure::refused_did_not_run)
             ++counters.answers_dropped;
@@ -122,7 +127,9 @@
         return drop(attempt_failure::cut);
     if (!head.version.empty() && head.version != row->attempt.version)
         return drop(attempt_failure::version_changed);
-    if (is_server_failure_status(head.status)) {
+    // Another node has already made the retries that the route allows.
+    const bool at_server = !targets.at(row->attempt.target).other_node;
+    if (at_server && is_server_failure_status(head.status)) {
         pools.at(row->terms.pool).limit.note_overload();
         // A partly delivered answer can't continue with the body of an error. Otherwise the error
         // is delivered as it is if no retry is allowed.
@@ -130,8 +137,9 @@
             return drop(attempt_failure::cut);
     }
     constexpr std::uint32_t server_error = 500;
-    if (head.status == server_error && row->terms.retry_server_errors && !row->head_delivered &&
-        may_retry(*row, attempt_failure::cut) && pools.at(row->terms.pool).budget.has_retry())
+    if (at_server && head.status == server_error && row->terms.retry_server_errors &&
+        !row->head_delivered && may_retry(*row, attempt_failure::cut) &&
+        pools.at(row->terms.pool).budget.has_retry())
         return drop(attempt_failure::cut);
     note_success(targets.at(row->attempt.target).health);
     note_activity(*row, now);
@@ -149,6 +157,8 @@
 void request_core::state::note_activity(request_row& row, time_point now)
 {
     target_row& target = targets.at(row.attempt.target);
+    if (!target.other_node)
+        reach.note_response();
     target.last_response = now;
     target.last_activity = now;
     target.health.silent = false;
@@ -169,6 +179,8 @@
     row.attempt.first_part_received = true;
     ++targets.at(row.attempt.target).streaming;
     const double took_s = seconds(now - row.attempt.started);
+    if (targets.at(row.attempt.target).other_node)
+        return; // the time depends on the other node as well
     pools.at(row.terms.pool).limit.note_first_token(took_s, seconds(row.terms.timeout));
     note_first_token(targets.at(row.attempt.target).health, took_s);
 }
@@ -264,6 +276,11 @@
 void request_core::state::end_attempt(request_row& row, attempt_failure reason, attempt_end end,
                                       time_point now, command_list& out)
 {
+    if (targets.at(row.attempt.target).other_node) {
+        end_detour(row, reason, now, out);
+        return;
+    }
+    note_failed_attempt(row, reason);
     const bool again = may_retry(row, reason);
     if (may_have_run_at_target(row.attempt, reason)) {
         ++row.servers_used;
@@ -280,6 +297,11 @@
     release_target(row);
 
     const bool in_time = row.head_delivered || now < row.deadline;
+    const bool detour = may_detour(row) && (again || !row.may_have_run);
+    if (detour && in_time && !row.caller_left &&
+        (!is_charged_to_budget(row, true) || pool.budget.take()) &&
+        send_through_node(row, now, out))
+        return;
     if (!again || !in_time || row.caller_left) {
         finish_failed(row, error_for(reason), now, out);
         return;
@@ -322,6 +344,8 @@
     target_row& target = targets.at(row.attempt.target);
     --target.own;
     target.streaming -= row.attempt.first_part_received ? 1 : 0;
+    if (target.other_node)
+        return;
     pool_row& pool = pools.at(row.terms.pool);
     pool.view.own -= pool.view.own > 0 ? 1 : 0;
     --pool.in_flight;
--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -41,6 +41,8 @@
     pick_basis basis;
     /// Continue after the text already delivered to the caller, who has received the head.
     bool resume = false;
+    /// Set if `address` is that of another node, which sends the request to a server.
+    std::optional<relayed_request> relayed;
 };
 
 /// Deliver the head just reported, and the body that follows, to the caller. Bytes of any other
@@ -173,14 +175,26 @@
     double own_share = 0.0; ///< this node's part of it, requests per second
 };
 
+/// Find out whether a backend server answers this node; answered by server_probed.
+struct probe_server {
+    target_id target;
+    std::string address;
+};
+
+/// This node's belief whether it reaches any backend server has changed.
+struct reach_changed {
+    bool cut_off = false;
+};
+
 /// Send this node's demand to the other entry VMs.
 struct share_demand {
     std::vector<demand_row> rows;
 };
 
-using command = std::variant<send_attempt, deliver, cancel_attempt, complete, refuse, replay,
-                             end_truncated, forget, report_key_status, call_kv, grant_lease,
-                             target_released, target_silent, share_limit, share_demand>;
+using command =
+    std::variant<send_attempt, deliver, cancel_attempt, complete, refuse, replay, end_truncated,
+                 forget, report_key_status, call_kv, grant_lease, target_released, target_silent,
+                 share_limit, probe_server, reach_changed, share_demand>;
 using command_list = std::vector<command>;
 
 } // namespace jaynotch
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -63,6 +63,11 @@
     return m_state->requests.size();
 }
 
+bool request_core::cut_off() const
+{
+    return m_state->was_cut_off;
+}
+
 std::size_t request_core::limited_servers() const
 {
     return m_state->limits.size();
@@ -112,6 +117,12 @@
 
         void operator()(const request_arrived& e) const { core.arrive(e.request, now, out); }
         void operator()(const attempt_sent& e) const { core.on_sent(e, now); }
+        void operator()(const attempt_connected& e) const
+        {
+            const request_row* row = core.find_attempt(e.request, e.attempt);
+            if (row != nullptr && !core.targets.at(row->attempt.target).other_node)
+                core.reach.note_connected();
+        }
         void operator()(const attempt_head& e) const { core.on_head(e, now, out); }
         void operator()(const attempt_progress& e) const { core.on_progress(e, now); }
         void operator()(const attempt_writing_to_caller& e) const { core.on_writing_to_caller(e); }
@@ -139,6 +150,11 @@
             core.refresh_pools(now);
             core.dispatch_all(now, out);
         }
+        void operator()(const relay_nodes_changed& e) const
+        {
+            core.on_relay_nodes(e.nodes, now, out);
+        }
+        void operator()(const server_probed& e) const { core.on_server_probed(e); }
         void operator()(const fleet_size_updated& e) const
         {
             core.fleet_size = std::max<std::size_t>(1, e.nodes);
@@ -266,6 +282,7 @@
     }
     if (settings.mechanisms.has(mechanism::silence_detection))
         detect_silent_targets(now, out);
+    review_reach(now, out);
     wake_requests(now, out);
     dispatch_all(now, out);
     emit_released(out);
@@ -404,6 +421,7 @@
             row.health.silent_since = now;
             row.health.next_trial = now + probe_interval;
             ++counters.silences;
+            reach.note_silent(row.info.id.value());
             out.emplace_back(target_silent{row.info.id, row.info.instance, row.streaming > 0});
             reroute_from_silent(pool, at, now, out);
         }
--- a/routing/request_core.h
+++ b/routing/request_core.h
@@ -73,6 +73,8 @@
     std::uint64_t attempts = 0;
     std::uint64_t retries = 0;
     std::uint64_t resumes = 0;
+    std::uint64_t detours = 0;         ///< requests sent through another node
+    std::uint64_t relayed = 0;         ///< of arrived: passed on by another node
     std::uint64_t retries_denied = 0;  ///< by the retry budget
     std::uint64_t answers_dropped = 0; ///< too late, for another attempt, or of another version
     std::uint64_t ejections = 0;
@@ -121,6 +123,8 @@
     [[nodiscard]] std::vector<pool_status> pools() const;
     /// Number of servers with a limit on the requests per second of all nodes together.
     [[nodiscard]] std::size_t limited_servers() const;
+    /// Whether this node seems to reach no backend server.
+    [[nodiscard]] bool cut_off() const;
     /// Whether this node has received part of an answer from that server since the given time.
     [[nodiscard]] bool responded_since(const vm_id& instance, time_point since) const;
     /// Requests without a final command; at 0 a stopping daemon may exit.
--- /dev/null
+++ b/routing/request_detour.cc
@@ -0,0 +1,286 @@
+// Requests that are sent through another node while this one reaches no backend server.
+//
+// The other node treats such a request like a caller's: it checks the caller's key, queues it,
+// chooses the server and retries. This node passes the answer on. The rules that hold across both:
+//
+//   - A node never passes on a request that was passed on to it, so there are no loops.
+//   - The other node is told how many servers may have run the request, so that the route's limit
+//     holds for both nodes together, and whether a server has had it, so that exactly one node
+//     counts it in its retry budget.
+//   - A request that must not be repeated is passed on only while it certainly did not run, and to
+//     a second node only if the first one could not be reached or reported that it did not run.
+//     Every other end of a detour means that the request may have run.
+//   - Answers from a node are no evidence that this node reaches a server.
+#include "routing/request_state.h"
+
+namespace jaynotch {
+
+namespace {
+
+constexpr std::uint32_t max_detours = 3; ///< nodes that one request is passed on to
+/// A node that could not take a request is not asked again for this long, if there are others.
+constexpr std::chrono::milliseconds node_pause{1'000};
+/// How many more requests a node of the own failure domain gets before one of another domain is
+/// preferred.
+constexpr double other_domain_cost = 4.0;
+constexpr std::chrono::milliseconds probe_interval{100}; ///< between two probes of servers
+
+error relay_failure()
+{
+    return {error_kind::unavailable, "this node reaches no backend server, and no other node did",
+            "send it again"};
+}
+
+} // namespace
+
+/// Records what an attempt's failure tells about this node's links.
+void request_core::state::note_failed_attempt(const request_row& row, attempt_failure reason)
+{
+    const std::string& server = targets.at(row.attempt.target).info.id.value();
+    if (reason == attempt_failure::not_connected)
+        reach.note_unreachable(server);
+    else if (reason == attempt_failure::cut || reason == attempt_failure::stalled)
+        reach.note_silent(server);
+}
+
+bool request_core::state::may_detour(const request_row& row) const
+{
+    // Idempotency claims belong to one node.
+    return reach.in_doubt() && !row.info.relayed && !row.keyed && row.detours == 0 &&
+           !targets.nodes().empty() && settings.mechanisms.has(mechanism::detours);
+}
+
+bool request_core::state::detours_on_arrival(const request_info& info, time_point now) const
+{
+    const auto usable = [&](target_row_index at) { return now >= targets.at(at).avoided_until; };
+    return reach.cut_off() && !info.relayed && info.idempotency_key.empty() &&
+           settings.mechanisms.has(mechanism::detours) &&
+           std::any_of(targets.nodes().begin(), targets.nodes().end(), usable);
+}
+
+/// The node with the fewest requests of this node, preferably in the own failure domain; no_target
+/// if there is none.
+target_row_index request_core::state::choose_node(time_point now)
+{
+    const std::vector<target_row_index>& nodes = targets.nodes();
+    const std::size_t first = random.index(std::max<std::size_t>(1, nodes.size()));
+    target_row_index best = no_target;
+    double lowest = 0.0;
+    for (std::size_t step = 0; step < nodes.size(); ++step) {
+        const target_row_index at = nodes[(first + step) % nodes.size()];
+        const target_row& node = targets.at(at);
+        if (now < node.avoided_until)
+            continue;
+        const bool far = node.info.failure_domain != settings.failure_domain;
+        const double cost = node.own + (far ? other_domain_cost : 0.0);
+        if (best == no_target || cost < lowest) {
+            best = at;
+            lowest = cost;
+        }
+    }
+    return best;
+}
+
+bool request_core::state::send_through_node(request_row& row, time_point now, command_list& out)
+{
+    const target_row_index node = choose_node(now);
+    if (node == no_target)
+        return false;
+    const bool first = row.attempt_count == row.detours;
+    ++targets.at(node).own;
+    row.phase = request_phase::sending;
+    begin_attempt(row, node, now);
+    ++row.detours;
+    ++counters.detours;
+    send_attempt sent = send_command_for(row, now);
+    sent.relayed = relayed_request{row.servers_used, first};
+    out.emplace_back(std::move(sent));
+    set_wake(row, next_wake_time(row));
+    return true;
+}
+
+/// Ends an attempt at another node that brought no usable answer.
+void request_core::state::end_detour(request_row& row, attempt_failure reason, time_point now,
+                                     command_list& out)
+{
+    const bool may_have_run = row.attempt.sent && reason != attempt_failure::refused_did_not_run;
+    if (reason != attempt_failure::version_changed)
+        targets.at(row.attempt.target).avoided_until = now + node_pause;
+    release_target(row);
+    if (may_have_run) {
+        // The other node may have used all servers that the route allows.
+        row.may_have_run = true;
+        row.servers_used = std::max(row.servers_used, row.terms.most_servers);
+    }
+    const bool in_time = row.head_delivered || now < row.deadline;
+    if (!may_have_run && in_time && !row.caller_left && row.detours < max_detours &&
+        send_through_node(row, now, out))
+        return;
+    finish_failed(row, relay_failure(), now, out);
+}
+
+/// The other node has refused the request itself. If it reaches no server either, or stops, another
+/// one may serve it; any other refusal is the answer.
+void request_core::state::on_relay_refusal(request_row& row, const relay_refusal& refusal,
+                                           time_point now, command_list& out)
+{
+    const bool not_run = refusal.ran == ran_state::no;
+    if (not_run && refusal.failure.kind == error_kind::unavailable) {
+        end_detour(row, attempt_failure::refused_did_not_run, now, out);
+        return;
+    }
+    release_target(row);
+    row.may_have_run = row.may_have_run || !not_run;
+    if (row.may_have_run || row.head_delivered) {
+        finish_failed(row, refusal.failure, now, out);
+        return;
+    }
+    finish_refuse(row, refusal.failure, ran_state::no, refusal.retry_after, now, out);
+}
+
+void request_core::state::on_relay_nodes(const std::vector<relay_node>& nodes, time_point now,
+                                         command_list& out)
+{
+    std::vector<target> rows;
+    rows.reserve(nodes.size());
+    for (const relay_node& node : nodes) {
+        target& made = rows.emplace_back();
+        made.id = target_id{"node/" + node.node.value()};
+        made.address = node.address;
+        made.failure_domain = node.failure_domain;
+    }
+    targets.replace_nodes(rows);
+    std::vector<request_id> stranded;
+    for (const auto& [request, row] : requests) {
+        if (!row.has_attempt)
+            continue;
+        const target_row& at = targets.at(row.attempt.target);
+        if (at.other_node && !at.present)
+            stranded.push_back(request);
+    }
+    std::sort(stranded.begin(), stranded.end());
+    for (const request_id request : stranded) {
+        request_row& row = requests.at(request);
+        cancel(row, cancel_reason::target_lost, out);
+        end_attempt(row, attempt_failure::cut, attempt_end::group_lost, now, out);
+    }
+}
+
+/// Refuses a request that another node has passed on if this node reaches no server either, or
+/// if half of its places are taken by such requests; the rest are for its own callers.
+bool request_core::state::refuse_relayed(const request_info& info, command_list& out)
+{
+    if (reach.cut_off()) {
+        refuse_untracked(info.id,
+                         {error_kind::unavailable, "this node reaches no backend server either",
+                          "pass it on to another node"},
+                         settings.min_retry_after, out);
+        return true;
+    }
+    if (relayed_open < settings.max_requests / 2)
+        return false;
+    refuse_untracked(info.id,
+                     {error_kind::overloaded,
+                      "this node serves as many other nodes' callers as "
+                      "it may",
+                      "come back after the time in Retry-After"},
+                     settings.min_retry_after, out);
+    return true;
+}
+
+void request_core::state::on_server_probed(const server_probed& probed)
+{
+    probe_pending = false;
+    if (!probed.answers) {
+        reach.note_unreachable(probed.target.value());
+        return;
+    }
+    reach.note_response();
+    reach.note_connected();
+}
+
+void request_core::state::review_reach(time_point now, command_list& out)
+{
+    const bool cut_off = reach.cut_off();
+    if (cut_off != was_cut_off) {
+        was_cut_off = cut_off;
+        out.emplace_back(reach_changed{cut_off});
+        if (!cut_off)
+            return_to_servers(now);
+    }
+    if (cut_off)
+        leave_servers(now, out);
+    if (reach.in_doubt())
+        probe_if_due(now, out);
+}
+
+/// Passes on the requests that wait for a server, and those at a silent server that may be
+/// repeated.
+void request_core::state::leave_servers(time_point now, command_list& out)
+{
+    std::vector<request_id> waiting;
+    for (const auto& [request, row] : requests) {
+        const bool at_server = row.has_attempt && !targets.at(row.attempt.target).other_node;
+        const bool repeatable = at_server && row.terms.repeat == repeat_policy::idempotent &&
+                                targets.at(row.attempt.target).health.silent &&
+                                may_retry(row, attempt_failure::cut);
+        if (may_detour(row) && (row.phase == request_phase::queued || repeatable))
+            waiting.push_back(request);
+    }
+    std::sort(waiting.begin(), waiting.end()); // deterministic: the map's order is unspecified
+    for (const request_id request : waiting) {
+        request_row& row = requests.at(request);
+        if (row.has_attempt) {
+            reroute_request(row, cancel_reason::target_silent, now, out);
+            continue;
+        }
+        pool_row& pool = pools.at(row.terms.pool);
+        const flow_key flow = flow_of(row);
+        if (choose_node(now) == no_target || !pool.queue.remove(flow, request))
+            continue;
+        --pool.use_of(row.info.workspace, peers).queued;
+        send_through_node(row, now, out);
+    }
+}
+
+/// The failures during the cut were the links', so no server is avoided because of them.
+void request_core::state::return_to_servers(time_point now)
+{
+    for (std::size_t at = 0; at < targets.size(); ++at) {
+        target_row& row = targets.at(static_cast<target_row_index>(at));
+        if (row.other_node)
+            continue;
+        row.health.silent = false;
+        row.health.ejected = false;
+        row.health.on_trial = false;
+        row.health.consecutive_failures = 0;
+        row.health.ejections = 0;
+        row.last_activity = now;
+    }
+    refresh_pools(now);
+}
+
+void request_core::state::probe_if_due(time_point now, command_list& out)
+{
+    if (probe_pending || now < next_reach_probe || targets.size() == 0)
+        return;
+    const std::size_t first = random.index(targets.size());
+    target_row_index chosen = no_target;
+    for (std::size_t step = 0; step < targets.size(); ++step) {
+        const auto at = static_cast<target_row_index>((first + step) % targets.size());
+        const target_row& row = targets.at(at);
+        if (row.other_node || row.leaving())
+            continue;
+        // A model's server answers a probe whatever its load.
+        const bool better = chosen == no_target || targets.at(chosen).kind != pool_kind::model;
+        if (better && (chosen == no_target || row.kind == pool_kind::model))
+            chosen = at;
+    }
+    if (chosen == no_target)
+        return;
+    next_reach_probe = now + probe_interval;
+    probe_pending = true;
+    out.emplace_back(probe_server{targets.at(chosen).info.id, targets.at(chosen).info.address});
+}
+
+} // namespace jaynotch
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -133,9 +133,20 @@
     ++pool.use_of(row.info.workspace, peers).in_flight;
     pool.available_places = std::max(0.0, pool.available_places - 1.0);
 
+    begin_attempt(row, chosen, now);
+    row.attempt.pending_tokens = row.info.prompt_tokens;
+    target.pending_tokens += row.attempt.pending_tokens;
+    out.emplace_back(send_command_for(row, now));
+    set_wake(row, next_wake_time(row));
+    return true;
+}
+
+/// Counts an attempt and makes it the request's current one.
+void request_core::state::begin_attempt(request_row& row, target_row_index chosen, time_point now)
+{
     ++counters.attempts;
-    if (row.attempt_count == 0)
-        pool.budget.note_first_attempt();
+    if (row.attempt_count == 0 && !targets.at(chosen).other_node)
+        pools.at(row.terms.pool).budget.note_first_attempt();
     else if (row.head_delivered)
         ++counters.resumes;
     else
@@ -145,12 +156,14 @@
     row.attempt = attempt_row{};
     row.attempt.id = attempt_id{next_attempt++};
     row.attempt.target = chosen;
-    row.attempt.pending_tokens = row.info.prompt_tokens;
-    target.pending_tokens += row.attempt.pending_tokens;
     row.attempt.started = now;
     row.attempt.last_part = now;
-    row.attempt.version = target.info.version;
+    row.attempt.version = targets.at(chosen).info.version;
+}
 
+send_attempt request_core::state::send_command_for(const request_row& row, time_point now) const
+{
+    const target_row& target = targets.at(row.attempt.target);
     send_attempt sent;
     sent.request = row.info.id;
     sent.attempt = row.attempt.id;
@@ -159,7 +172,7 @@
     sent.kind = target.kind;
     sent.group = target.info.group;
     sent.fencing = target.info.fencing;
-    sent.model = pool.info.model;
+    sent.model = pools.at(row.terms.pool).info.model;
     sent.version = target.info.version;
     sent.adapter = row.terms.adapter;
     sent.priority = row.terms.priority;
@@ -170,9 +183,7 @@
     sent.deadline = row.answer_deadline;
     sent.resume = row.head_delivered;
     sent.basis = basis_of(row, target, now);
-    out.emplace_back(std::move(sent));
-    set_wake(row, next_wake_time(row));
-    return true;
+    return sent;
 }
 
 pick_basis request_core::state::basis_of(const request_row& row, const target_row& target,
@@ -190,13 +201,14 @@
     basis.first_target = row.terms.first_target;
     basis.gap_target = row.terms.gap_target;
     basis.own = target.own - 1;
-    basis.others =
-        target.load.others(expected_others(pool.view, static_cast<std::size_t>(position)), now);
+    if (!target.other_node)
+        basis.others =
+            target.load.others(expected_others(pool.view, static_cast<std::size_t>(position)), now);
     basis.load_age_ms = target.load.age_ms(now);
     basis.candidates = pool.view.targets.size();
     basis.waited_ms =
         std::chrono::duration_cast<std::chrono::milliseconds>(now - row.arrived).count();
-    if (pool.modelled()) {
+    if (pool.modelled() && !target.other_node) {
         const engine_work work{basis.own + basis.others, 0.0,
                                static_cast<double>(target.pending_tokens)};
         basis.predicted_ms =
@@ -300,6 +312,8 @@
         return row.late ? last_chance : std::min(last_chance, row.start_by);
     }
     case request_phase::sending:
+        if (targets.at(row.attempt.target).other_node)
+            return row.deadline; // the other node watches over the server
         if (head_comes_early(row) && may_retry(row, attempt_failure::stalled))
             return std::min(row.deadline, row.attempt.started + head_timeout(row));
         return row.deadline;
--- a/routing/request_events.h
+++ b/routing/request_events.h
@@ -49,6 +49,19 @@
     friend bool operator==(const target& a, const target& b) { return a.id == b.id; }
 };
 
+/// What another node states about a request that it passes on to this one.
+struct relayed_request {
+    std::uint32_t servers_used = 0; ///< servers that may have run it so far
+    bool first_attempt = true;      ///< it has been sent to no server yet
+};
+
+/// Another node that accepts requests from nodes that reach no backend server.
+struct relay_node {
+    node_id node;
+    failure_domain_id failure_domain;
+    std::string address; ///< "ip:port"
+};
+
 /// The caller's request.
 struct request_info {
     request_id id; ///< assigned by the shell, never reused
@@ -72,6 +85,7 @@
     bool stream = false;
     /// Whether the shell has buffered the body and can send it again.
     bool body_buffered = true;
+    std::optional<relayed_request> relayed; ///< set if another node passed it on
 };
 
 /// A request was read: its headers, and for model and keyed calls its body.
@@ -87,6 +101,19 @@
     attempt_id attempt;
 };
 
+/// A new connection was opened for the attempt.
+struct attempt_connected {
+    request_id request;
+    attempt_id attempt;
+};
+
+/// Another node's own refusal of a request that was passed on to it.
+struct relay_refusal {
+    error failure;
+    ran_state ran = ran_state::unknown;
+    std::optional<std::chrono::milliseconds> retry_after;
+};
+
 /// The head (status and headers) of an answer was received.
 struct attempt_head {
     request_id request;
@@ -96,9 +123,10 @@
     std::optional<attempt_id> echoed;
     /// The backend server reported that the request did not run (`jaynotch-ran: no`).
     bool reported_not_run = false;
-    std::string version;         ///< model version stated by the engine, or empty
-    bool wrong_instance = false; ///< a server other than target::instance answered
-    bool buffered = false;       ///< a complete answer buffered by the shell, not a stream
+    std::string version;                  ///< model version stated by the engine, or empty
+    bool wrong_instance = false;          ///< a server other than target::instance answered
+    bool buffered = false;                ///< a complete answer buffered by the shell, not a stream
+    std::optional<relay_refusal> refusal; ///< set if the node that it was passed on to refused it
 };
 
 /// Part of an answer's body was received.
@@ -200,6 +228,17 @@
     std::vector<target> servers;
 };
 
+/// The other nodes that accept requests passed on to them; replaces the previous list.
+struct relay_nodes_changed {
+    std::vector<relay_node> nodes;
+};
+
+/// Result of a `probe_server`.
+struct server_probed {
+    target_id target;
+    bool answers = false;
+};
+
 /// Number of entry VMs that share the retry budgets.
 struct fleet_size_updated {
     std::size_t nodes = 1;
@@ -288,11 +327,12 @@
 struct tick {};
 
 using event =
-    std::variant<request_arrived, attempt_sent, attempt_head, attempt_progress,
+    std::variant<request_arrived, attempt_sent, attempt_connected, attempt_head, attempt_progress,
                  attempt_writing_to_caller, attempt_finished, attempt_failed, caller_gone,
                  key_status_requested, kv_result, lease_result, groups_changed, servers_changed,
-                 fleet_size_updated, fleet_updated, group_broken, target_leaving, load_reported,
-                 response_limit_received, peer_limit_received, cache_events_received,
-                 tables_installed, peer_demand_received, peer_left, tick>;
+                 relay_nodes_changed, server_probed, fleet_size_updated, fleet_updated,
+                 group_broken, target_leaving, load_reported, response_limit_received,
+                 peer_limit_received, cache_events_received, tables_installed, peer_demand_received,
+                 peer_left, tick>;
 
 } // namespace jaynotch
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -8,6 +8,7 @@
 #include "routing/pool_table.h"
 #include "routing/request_core.h"
 #include "routing/route_index.h"
+#include "routing/server_reach.h"
 #include "routing/target_table.h"
 
 #include <set>
@@ -76,6 +77,7 @@
     std::uint32_t attempt_count = 0;
     std::uint32_t servers_used = 0; ///< attempts that may have run
     std::uint32_t retries_used = 0;
+    std::uint32_t detours = 0; ///< times it was passed on to another node
     std::vector<target_row_index> tried;
     attempt_row attempt;
     time_point arrived;
@@ -127,6 +129,23 @@
     /// has no limit, max() if this node has no share of any limit.
     [[nodiscard]] duration limit_wait(const pool_row& pool, time_point now) const;
 
+    // request_detour.cc: requests sent through other nodes while this one reaches no server
+    void note_failed_attempt(const request_row& row, attempt_failure reason);
+    [[nodiscard]] bool may_detour(const request_row& row) const;
+    [[nodiscard]] bool detours_on_arrival(const request_info& info, time_point now) const;
+    [[nodiscard]] target_row_index choose_node(time_point now);
+    bool send_through_node(request_row& row, time_point now, command_list& out);
+    void end_detour(request_row& row, attempt_failure reason, time_point now, command_list& out);
+    void on_relay_refusal(request_row& row, const relay_refusal& refusal, time_point now,
+                          command_list& out);
+    void on_relay_nodes(const std::vector<relay_node>& nodes, time_point now, command_list& out);
+    void on_server_probed(const server_probed& probed);
+    void review_reach(time_point now, command_list& out);
+    void leave_servers(time_point now, command_list& out);
+    void return_to_servers(time_point now);
+    void probe_if_due(time_point now, command_list& out);
+    bool refuse_relayed(const request_info& info, command_list& out);
+
     // request_arrival.cc: from arrival to the queue
     void arrive(const request_info& info, time_point now, command_list& out);
     bool refuse_unroutable(const request_info& info, const route* taken, pool_index index,
@@ -149,6 +168,8 @@
     void dispatch(pool_index pool, queue_pass pass, time_point now, command_list& out);
     void dispatch_all(time_point now, command_list& out);
     bool try_send(request_row& row, time_point now, command_list& out);
+    void begin_attempt(request_row& row, target_row_index chosen, time_point now);
+    [[nodiscard]] send_attempt send_command_for(const request_row& row, time_point now) const;
     /// Whether the head is sent before the answer is generated, so that a missing head is a sign of
     /// a stalled target.
     [[nodiscard]] bool head_comes_early(const request_row& row) const;
@@ -211,7 +232,12 @@
     demand_table peers;
     claim_manager claims;
     rate_limits limits;
-    bool limits_in_use = false; ///< some target_row::rate_limit_reached may be set
+    server_reach reach;
+    bool was_cut_off = false; ///< as of the last review_reach()
+    bool probe_pending = false;
+    time_point next_reach_probe;
+    std::size_t relayed_open = 0; ///< open requests that other nodes have passed on
+    bool limits_in_use = false;   ///< some target_row::rate_limit_reached may be set
     time_point next_limit_refresh;
     std::unordered_map<std::string, caller_timeout_estimate> caller_timeouts_by_route;
     std::unordered_map<std::string, workspace_row> workspaces_by_key;
--- a/routing/target_table.cc
+++ b/routing/target_table.cc
@@ -85,7 +85,7 @@
 target_row_index target_table::find_instance(const vm_id& instance) const
 {
     const auto found = std::find_if(m_rows.begin(), m_rows.end(), [&](const target_row& row) {
-        return row.present && row.info.instance == instance;
+        return row.present && !row.other_node && row.info.instance == instance;
     });
     if (found == m_rows.end())
         return no_target;
@@ -148,13 +148,32 @@
         kept.release_due = kept.release_due || added.leaving;
     }
     for (std::size_t row = 0; row < m_rows.size(); ++row) {
-        if (m_rows[row].kind != kind || !m_rows[row].present || still_present[row])
+        if (m_rows[row].kind != kind || !m_rows[row].present || still_present[row] ||
+            m_rows[row].other_node)
             continue;
         m_rows[row].present = false;
         m_rows[row].release_due = true;
     }
 }
 
+void target_table::replace_nodes(const std::vector<target>& nodes)
+{
+    for (const target_row_index row : m_nodes)
+        m_rows[row].present = false;
+    m_nodes.clear();
+    for (const target& added : nodes) {
+        target_row_index row = find(added.id);
+        if (row == no_target)
+            row = make_row(added, pool_kind::plain);
+        if (row == no_target)
+            return;
+        m_rows[row].info = added;
+        m_rows[row].present = true;
+        m_rows[row].other_node = true;
+        m_nodes.push_back(row);
+    }
+}
+
 target_row_index target_table::make_row(const target& added, pool_kind kind)
 {
     free_unused();
--- a/routing/target_table.h
+++ b/routing/target_table.h
@@ -87,6 +87,8 @@
     pool_kind kind = pool_kind::model;
     std::uint16_t generation = 0; ///< incremented with each new target, epoch or version; never 0
     bool free = true;             ///< the row is not in use
+    bool other_node = false;      ///< not a server but a node that passes requests on
+    time_point avoided_until;     ///< of another node: it could not take a request before
     bool present = false;         ///< in the current list of groups or servers
     bool marked_leaving = false;  ///< by a target_leaving event
     bool release_due = false;     ///< a `target_released` command is due once nothing is in flight
@@ -118,6 +120,9 @@
     /// Replaces the list of plain servers by that of the platform, which from now on takes
     /// precedence over the tables.
     void set_discovered_servers(const std::vector<target>& servers, time_point now);
+    /// Replaces the list of nodes that pass requests on. They belong to no pool.
+    void replace_nodes(const std::vector<target>& nodes);
+    [[nodiscard]] const std::vector<target_row_index>& nodes() const { return m_nodes; }
     void set_leaving(const target_id& id, bool leaving, time_point now);
     /// Marks a target as lost before the next list omits it.
     void mark_lost(target_row_index row);
@@ -146,6 +151,7 @@
     std::vector<target_row> m_rows;
     std::unordered_map<target_id, target_row_index> m_by_id;
     std::vector<target_row_index> m_free;
+    std::vector<target_row_index> m_nodes;  ///< present rows of other nodes
     std::vector<target_id> m_early_leaving; ///< leaving targets that are not listed yet
     bool m_servers_discovered = false; ///< the servers come from the platform, not from the tables
     std::uint64_t m_version = 1;
