Groups: a manager whose node reaches no server ends no group and hands over

Cause: a probe without an answer counted as the runner's loss although no runner answered this node; only heads were asked about through other nodes. Change: a failed probe counts at once only if another runner has answered since it was sent; otherwise other nodes are asked and the group is left alone for peer_probe_timeout. A node that reaches no server gives up its keys and claims none, so a node that reaches the domain manages it. Cost: nothing on beats; one comparison for each failed probe.

--- a/daemon/formation_driver.cc
+++ b/daemon/formation_driver.cc
@@ -95,6 +95,7 @@
                 .first->second;
         dispatch_to(domain, made, groups::model_pools_updated{pools});
         dispatch_to(domain, made, current);
+        dispatch_to(domain, made, reach);
         dispatch_to(domain, made, groups::peers_seen{peer_rows()});
         if (traffic)
             dispatch_to(domain, made, groups::traffic_started{});
@@ -143,6 +144,7 @@
     std::shared_ptr<outage_inquiry> outage;
     std::uint64_t members_version = 0;
     groups::registry_status current;
+    groups::server_reach_changed reach;
     bool traffic = false;
     std::set<failure_domain_id> resigned; ///< during a planned stop
     bool stopping = false;
@@ -413,6 +415,12 @@
     m_impl->dispatch(m_impl->current);
 }
 
+void formation_driver::set_cut_off(bool cut_off)
+{
+    m_impl->reach = {cut_off};
+    m_impl->dispatch(m_impl->reach);
+}
+
 void formation_driver::traffic_started()
 {
     if (std::exchange(m_impl->traffic, true))
--- a/daemon/formation_driver.h
+++ b/daemon/formation_driver.h
@@ -47,6 +47,8 @@
     /// Whether this node's copy of the registry is up to date because the store itself answers this
     /// node, and the node's rank among the followers of the store in its failure domain.
     void set_current(bool current, std::size_t rank);
+    /// Whether this node seems to reach no backend server. Such a node manages nothing.
+    void set_cut_off(bool cut_off);
     /// Callers have started to send requests.
     void traffic_started();
     /// Requests that this node sent to a group's head get no response.
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -335,6 +335,7 @@
         log_event(seen.cut_off ? log_level::warning : log_level::info,
                   seen.cut_off ? "servers_unreachable" : "servers_reached_again",
                   {{"detours", requests->core().counters().detours}});
+        managers->set_cut_off(seen.cut_off);
     }
 
     net::awaitable<void> probe(probe_server wanted)
--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -191,6 +191,11 @@
     deliver(manager, group_unresponsive{vm_id{head}, evidence});
 }
 
+void fake_registry::report_reach(std::size_t manager, bool cut_off)
+{
+    deliver(manager, server_reach_changed{cut_off});
+}
+
 void fake_registry::run(duration time)
 {
     for (const time_point until = m_now + time; m_now < until;)
@@ -267,7 +272,8 @@
     }
     else if (const auto* asked = std::get_if<request_runner_report>(&command)) {
         const fake_runner* target = find(asked->vm.value());
-        if (target != nullptr && target->alive && target->reachable)
+        const bool cut = m_cut_managers.contains(manager);
+        if (!cut && target != nullptr && target->alive && target->reachable)
             deliver(manager, runner_reported{report_of(*target)});
     }
     else if (const auto* shared = std::get_if<broadcast_runner>(&command)) {
@@ -310,8 +316,9 @@
     else if (const auto* asked = std::get_if<probe_member>(&command)) {
         ++m_probes;
         const fake_runner* target = find(asked->vm.value());
-        deliver(manager,
-                member_probed{asked->vm, target != nullptr && target->alive && target->reachable});
+        const bool reached = !m_cut_managers.contains(manager) && target != nullptr &&
+                             target->alive && target->reachable;
+        deliver(manager, member_probed{asked->vm, reached});
     }
     else if (const auto* doubted = std::get_if<probe_through_peers>(&command)) {
         deliver(manager, peer_probe_result{doubted->vm, peers_reach_runner});
@@ -321,6 +328,10 @@
 void fake_registry::send(std::size_t manager, const send_order& order)
 {
     ++m_orders;
+    if (m_cut_managers.contains(manager)) {
+        m_due.push_back({m_now + answer_wait, manager, order, true, false});
+        return;
+    }
     const bool late = m_random.chance(m_lost_orders);
     const bool answered = !late && !m_random.chance(m_lost_answers);
     const duration delay{m_random.between(duration{2s}.count(), duration{12s}.count())};
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -83,6 +83,12 @@
     void store_up(duration entries_late = duration{0});
     /// Whether leases survive an outage of the store, so that a manager resumes its old term.
     bool leases_outlast_outages = false;
+    /// Cuts the manager's node off from all runners, or reconnects it. Its peers and the store stay
+    /// in reach.
+    void cut_manager(std::size_t index) { m_cut_managers.insert(index); }
+    void reconnect_manager(std::size_t index) { m_cut_managers.erase(index); }
+    /// Tells the manager what its node believes about its reach of backend servers.
+    void report_reach(std::size_t manager, bool cut_off);
     /// Whether other nodes reach a runner that a manager does not reach.
     bool peers_reach_runner = false;
     /// Whether another node reaches the store while these managers don't.
@@ -175,6 +181,7 @@
     std::map<std::string, fake_runner> m_runners;
     std::map<std::string, runner> m_published; ///< entries in the registry
     std::vector<fake_manager> m_managers;
+    std::set<std::size_t> m_cut_managers; ///< that reach no runner
     std::deque<due_order> m_due;
     std::int64_t m_last_born_ms = 0;
     std::deque<std::pair<time_point, runner>> m_delayed_entries; ///< written, not yet delivered
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -119,6 +119,11 @@
             core.registry_state = e;
             core.delay_before_claim.reset();
         }
+        void operator()(const server_reach_changed& e) const
+        {
+            core.handle_reach(e);
+            core.run_tick(now);
+        }
         void operator()(const kv_result& e) const { core.lease_election.apply(e, now); }
         void operator()(const lease_result& e) const
         {
@@ -268,7 +273,7 @@
         if (answer.reply != order_reply::lost)
             view->next_order_at = now + settings.order_retry_delay;
         if (answer.reply == order_reply::lost || answer.reply == order_reply::elsewhere)
-            out.emplace_back(probe_member{answer.vm, view->row.address});
+            probe(*view, now);
         const bool refused_join = answer.reply == order_reply::misfit &&
                                   std::holds_alternative<join_group>(view->pending_order);
         if (refused_join)
@@ -276,6 +281,7 @@
             view->membership_confirmed = false;
         return;
     }
+    runner_answered_at = now;
     apply_accepted_order(*view, view->pending_order, answer.reply, now);
     run_tick(now);
 }
@@ -337,6 +343,26 @@
     broadcast(view, now);
 }
 
+void formation_manager::state::probe(runner_view& view, time_point now)
+{
+    view.probed_at = now;
+    out.emplace_back(probe_member{view.row.id, view.row.address});
+}
+
+/// Another node must manage the domain while this one reaches no runner.
+void formation_manager::state::handle_reach(const server_reach_changed& changed)
+{
+    cut_off = changed.cut_off;
+    if (!cut_off)
+        return;
+    std::vector<election_command> calls;
+    lease_election.resign(calls);
+    for (election_command& call : calls)
+        std::visit([&](auto& one) { out.emplace_back(std::move(one)); }, call);
+}
+
+/// A probe without an answer shows that the runner is lost only if this node's links work, that is,
+/// if another runner has answered since. Otherwise the peers are asked first.
 void formation_manager::state::handle_probe_answer(const member_probed& probed, time_point now)
 {
     runner_view* view = find(probed.vm);
@@ -345,11 +371,16 @@
     if (!probed.answers && !view->unresponsive) {
         view->unresponsive_since = now;
         const bool head = view->row.group && view->row.group->rank == 0;
-        if (head)
+        const bool doubted = view->row.group && runner_answered_at < view->probed_at;
+        if (doubted)
+            view->doubted_until = now + settings.peer_probe_timeout;
+        if (head || doubted)
             out.emplace_back(probe_through_peers{probed.vm, view->row.address});
     }
-    if (probed.answers)
+    if (probed.answers) {
         view->probe_answered_at = now;
+        runner_answered_at = now;
+    }
     view->unresponsive = !probed.answers;
     view->unresponsive_until = now + settings.unresponsive_hold_time;
     view->dead = view->dead && view->unresponsive;
@@ -401,15 +432,15 @@
     add_notice(log_level::info, "group_probed", view->row.group->group.value(),
                std::string{to_name(seen.evidence)});
     const group_key key = key_of(*view->row.group);
-    for (const auto& [vm, other] : runners) {
+    for (auto& [vm, other] : runners) {
         if (is_in(other, key) && !other.unresponsive)
-            out.emplace_back(probe_member{vm, other.row.address});
+            probe(other, now);
     }
 }
 
 std::optional<duration> formation_manager::state::current_claim_delay()
 {
-    if (!registry_state.current || registry.runners().empty())
+    if (!registry_state.current || registry.runners().empty() || cut_off)
         return std::nullopt;
     if (!delay_before_claim)
         delay_before_claim = compute_claim_delay();
--- a/groups/formation.h
+++ b/groups/formation.h
@@ -55,6 +55,10 @@
     bool current = false;
     std::size_t rank = 0;
 };
+/// Whether this node seems to reach no backend server. A node that reaches none manages nothing.
+struct server_reach_changed {
+    bool cut_off = false;
+};
 struct order_answered {
     call_token token;
     vm_id vm;
@@ -96,9 +100,9 @@
 
 using formation_event =
     std::variant<runner_updated, runner_removed, model_pools_updated, manager_key_updated,
-                 registry_status, kv_result, lease_result, order_answered, group_unresponsive,
-                 member_probed, peer_probe_result, outage_confirmed, outage_reported,
-                 runner_reported, peers_seen, traffic_started, formation_tick>;
+                 registry_status, server_reach_changed, kv_result, lease_result, order_answered,
+                 group_unresponsive, member_probed, peer_probe_result, outage_confirmed,
+                 outage_reported, runner_reported, peers_seen, traffic_started, formation_tick>;
 
 // Commands.
 
--- a/groups/formation_groups.cc
+++ b/groups/formation_groups.cc
@@ -109,7 +109,7 @@
     const bool complete = model_pool != nullptr && is_complete(observed, *model_pool);
     if (!complete && head != nullptr && holds_requests(*head) && entries_may_return(observed, now))
         return;
-    if (!complete && reported_recently(observed, now))
+    if (!complete && (reported_recently(observed, now) || has_doubted_member(observed, now)))
         return;
     const bool serving = head != nullptr && is_reachable(*head) && holds_requests(*head);
     if (serving) {
@@ -144,6 +144,16 @@
     });
 }
 
+/// Whether the peers' word on a member that did not answer is still awaited.
+bool formation_manager::state::has_doubted_member(const observed_group& observed,
+                                                  time_point now) const
+{
+    return std::any_of(observed.members.begin(), observed.members.end(), [&](const auto& entry) {
+        const runner_view* view = find(entry.second);
+        return view != nullptr && view->unresponsive && !view->dead && now < view->doubted_until;
+    });
+}
+
 /// An expired entry does not prove that the runner is lost: if a partition heals after the entries
 /// of some members have expired, the other members become reachable again while the whole group is
 /// alive and serving. So the runner is probed, and counts as lost only if it does not answer or its
@@ -155,7 +165,7 @@
         return false;
     if (view.liveness_queried_at < view.unlisted_at) {
         view.liveness_queried_at = now;
-        out.emplace_back(probe_member{view.row.id, view.row.address});
+        probe(view, now);
     }
     return view.probe_answered_at >= view.liveness_queried_at ||
            now - view.liveness_queried_at < settings.peer_probe_timeout;
--- a/groups/formation_outage.cc
+++ b/groups/formation_outage.cc
@@ -125,7 +125,7 @@
         return;
     }
     view.unresponsive_until = now + settings.unresponsive_hold_time;
-    out.emplace_back(probe_member{view.row.id, view.row.address});
+    probe(view, now);
 }
 
 } // namespace jaynotch::groups
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -13,6 +13,7 @@
     bool listed = true;     ///< its entry is in the registry
     time_point unlisted_at;
     time_point liveness_queried_at; ///< last probe that was sent because its entry was missing
+    time_point probed_at;           ///< last probe
     time_point probe_answered_at;   ///< last answer to a probe
     time_point leaving_since;
     /// The runner itself has confirmed (by an order reply or a report) that it was in `row.group`,
@@ -31,6 +32,9 @@
     bool unresponsive = false; ///< did not answer a probe
     time_point unresponsive_since;
     bool dead = false; ///< unresponsive, and it did not answer any other node either
+    /// Unresponsive like every runner that this node has probed lately: the peers are asked before
+    /// it counts as lost, until this time at most.
+    time_point doubted_until;
     time_point unresponsive_until;
     std::optional<call_token> pending; ///< order without a reply yet
     time_point pending_since;
@@ -99,7 +103,9 @@
     void handle_unresponsive_group(const group_unresponsive& seen, time_point now);
     void probe_group(const group_unresponsive& seen, time_point now);
     [[nodiscard]] bool take_peer_probe_token(time_point now);
+    void probe(runner_view& view, time_point now);
     void handle_probe_answer(const member_probed& probed, time_point now);
+    void handle_reach(const server_reach_changed& changed);
     void run_tick(time_point now);
 
     // formation_outage.cc: managing while the platform's store is unreachable
@@ -130,6 +136,7 @@
     void query_survivors(const observed_group& observed, time_point now);
     void close_before_leave(const observed_group& observed, runner_view& head, time_point now);
     [[nodiscard]] bool reported_recently(const observed_group& observed, time_point now) const;
+    [[nodiscard]] bool has_doubted_member(const observed_group& observed, time_point now) const;
     [[nodiscard]] bool entries_may_return(const observed_group& observed, time_point now);
     [[nodiscard]] bool entry_may_return(runner_view& view, time_point now);
     [[nodiscard]] runner_view* head_of(const observed_group& observed);
@@ -179,6 +186,8 @@
     std::optional<duration> delay_before_claim;
     registry_status registry_state;
     bool traffic = false;
+    bool cut_off = false;          ///< this node seems to reach no backend server
+    time_point runner_answered_at; ///< last answer of any runner to a probe
     bool was_leading = false;
     std::optional<group_allocation> initial_allocation; ///< computed once registration has settled
     time_point allocated_at_join;       ///< registry.last_joined() when it was computed
--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -276,8 +276,10 @@
         if (better && (chosen == no_target || row.kind == pool_kind::model))
             chosen = at;
     }
-    if (chosen == no_target)
+    if (chosen == no_target) {
+        reach = server_reach{}; // all servers that failed are gone
         return;
+    }
     next_reach_probe = now + probe_interval;
     probe_pending = true;
     out.emplace_back(probe_server{targets.at(chosen).info.id, targets.at(chosen).info.address});
