Test: detours in the request core, without network

Cause: the detour's rules (at most once, never back, truth of not run, one probe at a time) had one daemon test only. Change: eleven tests of the core, each with the failure that it guards against. Conclusion: no change of the product.

--- /dev/null
+++ b/routing/request_detour_test.cc
@@ -0,0 +1,234 @@
+// Requests that are sent through another node while this one reaches no backend server.
+#include "routing/core_fixture.h"
+
+#include <criterion/criterion.h>
+
+#include <set>
+
+using namespace jaynotch;
+using namespace jaynotch::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Tables in which /read and /once need three servers each to fail before the node is cut off.
+fixture make_world(std::size_t nodes = 2)
+{
+    fixture world{3};
+    relay_nodes_changed seen;
+    for (std::size_t node = 0; node < nodes; ++node)
+        seen.nodes.push_back({node_id{"entry-" + std::to_string(node + 2)}, failure_domain_id{"a"},
+                              "10.2.0." + std::to_string(node + 2) + ":7340"});
+    world.send(seen);
+    return world;
+}
+
+command_list fail(fixture& world, const send_attempt& attempt, attempt_failure why)
+{
+    return world.send(attempt_failed{attempt.request, attempt.attempt, why});
+}
+
+/// Fails connections until the request leaves the servers; the attempt at a node, or nullopt.
+std::optional<send_attempt> fail_connections(fixture& world, command_list next)
+{
+    for (int attempts = 0; attempts < 8; ++attempts) {
+        const auto* sent = first<send_attempt>(next);
+        if (sent == nullptr || sent->relayed)
+            return sent == nullptr ? std::optional<send_attempt>{} : *sent;
+        next = fail(world, *sent, attempt_failure::not_connected);
+    }
+    return std::nullopt;
+}
+
+/// Cuts the node off: requests find no connection until each is sent through another node.
+void cut_off(fixture& world)
+{
+    for (std::uint64_t id = 900; id < 904; ++id)
+        (void)fail_connections(world, world.plain(id, "/once"));
+    world.pass(20ms);
+    cr_assert(world.core.cut_off());
+}
+
+attempt_head refusal_of(const send_attempt& attempt, error_kind kind, ran_state ran)
+{
+    attempt_head head;
+    head.request = attempt.request;
+    head.attempt = attempt.attempt;
+    head.status = 503;
+    head.refusal = relay_refusal{{kind, "refused", "send it again"}, ran, 700ms};
+    return head;
+}
+
+} // namespace
+
+// Guards against refusing a request that another node could serve.
+Test(detour_core, a_request_that_reaches_no_server_goes_through_another_node)
+{
+    fixture world = make_world();
+    const auto detour = fail_connections(world, world.plain(1, "/once"));
+    cr_assert(detour);
+    cr_assert(detour->address.starts_with("10.2.0."));
+    cr_assert(detour->instance.value().empty());
+    cr_assert_eq(detour->relayed->servers_used, 0U);
+}
+
+// Guards against wasting a caller's time on servers that are known to be out of reach.
+Test(detour_core, a_cut_off_node_passes_requests_on_at_once)
+{
+    fixture world = make_world();
+    cut_off(world);
+    const command_list next = world.plain(1, "/read");
+    const auto* sent = first<send_attempt>(next);
+    cr_assert(sent != nullptr && sent->relayed);
+    cr_assert(sent->relayed->first_attempt, "no server has had it");
+}
+
+// Guards against a request that runs twice: its first sending may have run at a server.
+Test(detour_core, a_request_that_may_have_run_is_not_passed_on)
+{
+    fixture world = make_world();
+    std::vector<send_attempt> sent; // each at another server
+    for (std::uint64_t id = 1; id <= 3; ++id)
+        sent.push_back(*first<send_attempt>(world.plain(id, "/once")));
+    world.send(attempt_sent{sent[0].request, sent[0].attempt});
+    fail(world, sent[1], attempt_failure::not_connected);
+    fail(world, sent[2], attempt_failure::not_connected);
+    const command_list end = fail(world, sent[0], attempt_failure::cut);
+    world.pass(10ms);
+    cr_assert(world.core.cut_off());
+    cr_assert_eq(first<send_attempt>(end), nullptr);
+    cr_assert_eq(first<refuse>(end)->ran, ran_state::unknown);
+}
+
+// Guards against a second run through a second node after the first node was lost.
+Test(detour_core, a_detour_that_was_cut_is_not_repeated)
+{
+    fixture world = make_world();
+    const auto detour = fail_connections(world, world.plain(1, "/once"));
+    cr_assert(detour);
+    world.send(attempt_sent{detour->request, detour->attempt});
+    const command_list end = fail(world, *detour, attempt_failure::cut);
+    cr_assert_eq(first<send_attempt>(end), nullptr);
+    cr_assert_eq(first<refuse>(end)->ran, ran_state::unknown);
+}
+
+// Guards against requests that travel between nodes: one that was passed on is never passed on.
+Test(detour_core, a_relayed_request_is_never_passed_on)
+{
+    fixture world = make_world();
+    cut_off(world);
+    request_info info;
+    info.id = request_id{1};
+    info.method = "POST";
+    info.path = "/read";
+    info.relayed = relayed_request{};
+    const command_list next = world.send(request_arrived{info});
+    cr_assert_eq(first<send_attempt>(next), nullptr);
+    cr_assert_eq(first<refuse>(next)->ran, ran_state::no);
+    cr_assert_eq(first<refuse>(next)->failure.kind, error_kind::unavailable);
+}
+
+// Guards against a refusal while a third node could serve the request, and against endless tries.
+Test(detour_core, a_node_that_reaches_no_server_either_is_replaced_by_another)
+{
+    fixture world = make_world(2);
+    const auto detour = fail_connections(world, world.plain(1, "/once"));
+    cr_assert(detour);
+    const command_list next =
+        world.send(refusal_of(*detour, error_kind::unavailable, ran_state::no));
+    const auto* second = first<send_attempt>(next);
+    cr_assert(second != nullptr && second->relayed && second->address != detour->address);
+    const command_list end =
+        world.send(refusal_of(*second, error_kind::unavailable, ran_state::no));
+    cr_assert_eq(first<send_attempt>(end), nullptr);
+    cr_assert_eq(first<refuse>(end)->ran, ran_state::no);
+}
+
+// Guards against losing the other node's statement of when to return.
+Test(detour_core, the_refusal_of_a_busy_node_is_the_answer)
+{
+    fixture world = make_world();
+    const auto detour = fail_connections(world, world.plain(1, "/once"));
+    cr_assert(detour);
+    const command_list end = world.send(refusal_of(*detour, error_kind::overloaded, ran_state::no));
+    cr_assert_eq(first<refuse>(end)->failure.kind, error_kind::overloaded);
+    cr_assert_eq(*first<refuse>(end)->retry_after, 700ms);
+}
+
+// Guards against detours after a single server has failed.
+Test(detour_core, one_failed_server_is_no_cut)
+{
+    fixture world = make_world();
+    for (std::uint64_t id = 1; id <= 20; ++id) {
+        command_list next = world.plain(id, "/read");
+        const auto* sent = first<send_attempt>(next);
+        cr_assert(sent != nullptr && !sent->relayed);
+        if (sent->address != "10.0.0.1:80") {
+            world.send(attempt_connected{sent->request, sent->attempt});
+            attempt_head head;
+            head.request = sent->request;
+            head.attempt = sent->attempt;
+            head.status = 200;
+            world.send(head);
+            world.send(attempt_finished{sent->request, sent->attempt, true, std::nullopt});
+            continue;
+        }
+        next = fail(world, *sent, attempt_failure::not_connected);
+        const auto* again = first<send_attempt>(next);
+        cr_assert(again != nullptr && !again->relayed);
+        world.send(caller_gone{again->request});
+    }
+    cr_assert_eq(world.core.counters().detours, 0U);
+}
+
+// Guards against detours after the cut has ended.
+Test(detour_core, a_probe_that_is_answered_ends_the_detours)
+{
+    fixture world = make_world();
+    cut_off(world);
+    world.pass(300ms);
+    const auto* probe = first<probe_server>(world.commands);
+    cr_assert_neq(probe, nullptr);
+    cr_assert_eq(count<probe_server>(world.commands), 1U, "one probe at a time");
+    world.send(server_probed{probe->target, true});
+    const command_list ended = world.pass(10ms);
+    cr_assert(!first<reach_changed>(ended)->cut_off);
+    const command_list next = world.plain(1, "/read");
+    const auto* sent = first<send_attempt>(next);
+    cr_assert(sent != nullptr && !sent->relayed);
+}
+
+// Guards against requests that wait in the queue of a node that reaches no server.
+Test(detour_core, waiting_requests_leave_with_the_cut)
+{
+    fixture world = make_world();
+    command_list sent;
+    for (std::uint64_t id = 1; id <= 40; ++id) {
+        const command_list next = world.plain(id, "/read");
+        sent.insert(sent.end(), next.begin(), next.end());
+    }
+    std::set<target_id> failed;
+    for (const command& each : sent) {
+        const auto* attempt = std::get_if<send_attempt>(&each);
+        if (attempt != nullptr && failed.insert(attempt->target).second)
+            fail(world, *attempt, attempt_failure::not_connected);
+    }
+    world.pass(10ms);
+    cr_assert(world.core.cut_off());
+    std::size_t queued = 0;
+    for (const pool_status& pool : world.core.pools())
+        queued += pool.queued;
+    cr_assert_eq(queued, 0U);
+}
+
+// Guards against a caller that is left without an answer because the other node was lost.
+Test(detour_core, a_lost_node_ends_its_detours)
+{
+    fixture world = make_world();
+    const auto detour = fail_connections(world, world.plain(1, "/once"));
+    cr_assert(detour);
+    world.send(attempt_sent{detour->request, detour->attempt});
+    const command_list end = world.send(relay_nodes_changed{});
+    cr_assert_neq(first<cancel_attempt>(end), nullptr);
+    cr_assert_eq(first<refuse>(end)->ran, ran_state::unknown);
+}
