Routing: reach is judged by pool, and a cut ends after two answered probes

Cause: one judgement for all servers of a node. Change: each pool has its own; a pool with a single group is judged by the other models'; probes decide about the return, two servers in a row. Managers hand over when no group of any model responds.

--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -45,7 +45,7 @@
     std::uint64_t spare_runners = 0;   ///< in the same failure domains
     std::uint64_t limited_servers = 0; ///< servers with a rate limit for all nodes together
     std::uint64_t refused_limited = 0; ///< requests refused because of these limits
-    bool cut_off = false;              ///< this node seems to reach no backend server
+    bool cut_off = false;              ///< this node seems to reach no server of some pool
     std::uint64_t detours = 0;         ///< requests sent through another node
     std::uint64_t relayed = 0;         ///< requests that another node passed on to this one
     duration config_age{0};            ///< since the tables in force were installed
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -87,6 +87,9 @@
             net::co_spawn(io, probe(wanted), net::detached);
         };
         hooks.on_reach_changed = [this](const reach_changed& seen) { handle_reach(seen); };
+        hooks.on_group_reach_changed = [this](const group_reach_changed& seen) {
+            managers->set_cut_off(seen.reaches_none);
+        };
         requests = std::make_unique<request_driver>(io, std::move(core), kv, std::move(hooks));
         managers = std::make_unique<formation_driver>(io, settings, kv, *peers, m_registry);
         managers->set_response_check([this](const vm_id& vm, time_point since) {
@@ -334,8 +337,7 @@
     {
         log_event(seen.cut_off ? log_level::warning : log_level::info,
                   seen.cut_off ? "servers_unreachable" : "servers_reached_again",
-                  {{"detours", requests->core().counters().detours}});
-        managers->set_cut_off(seen.cut_off);
+                  {{"pool", seen.pool.value()}, {"detours", requests->core().counters().detours}});
     }
 
     net::awaitable<void> probe(probe_server wanted)
--- a/daemon/request_driver.cc
+++ b/daemon/request_driver.cc
@@ -134,6 +134,11 @@
         if (m_hooks.on_reach_changed)
             m_hooks.on_reach_changed(cmd);
     }
+    void execute_global(const group_reach_changed& cmd)
+    {
+        if (m_hooks.on_group_reach_changed)
+            m_hooks.on_group_reach_changed(cmd);
+    }
 
     net::awaitable<void> transact(call_kv cmd)
     {
--- a/daemon/request_driver.h
+++ b/daemon/request_driver.h
@@ -49,6 +49,7 @@
     std::function<void(const share_limit&)> on_share_limit;
     std::function<void(const probe_server&)> on_probe_server;
     std::function<void(const reach_changed&)> on_reach_changed;
+    std::function<void(const group_reach_changed&)> on_group_reach_changed;
 };
 
 class request_driver {
--- a/routing/pool_table.h
+++ b/routing/pool_table.h
@@ -8,6 +8,7 @@
 #include "routing/picker.h"
 #include "routing/prefix_index.h"
 #include "routing/retry_budget.h"
+#include "routing/server_reach.h"
 
 #include <map>
 #include <string_view>
@@ -35,6 +36,10 @@
     fair_queue queue;
     adaptive_limit limit;
     retry_budget budget;
+    server_reach reach;         ///< of the pool's servers from this node
+    bool was_cut_off = false;   ///< reach.cut_off() when it was last reviewed
+    bool probe_pending = false; ///< a server is being probed
+    time_point next_probe;      ///< earliest time of the next probe
     prefix_index prefixes;
     std::map<workspace_id, workspace_use> uses; ///< workspaces with requests in flight or queued
     std::uint32_t requests = 0;                 ///< requests in any phase that refer to this row
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -125,7 +125,7 @@
     if (info.deadline && *info.deadline <= now)
         return refuse_with(error_kind::deadline_exceeded, "the deadline had passed on arrival",
                            "send it with a later deadline");
-    if (pools.at(index).usable_targets == 0 && !detours_on_arrival(info, now))
+    if (pools.at(index).usable_targets == 0 && !detours_on_arrival(info, pools.at(index), now))
         return refuse_with(error_kind::unavailable,
                            "pool " + taken->pool.value() + " has nothing complete to serve it",
                            "come back after the time in Retry-After", no_target_retry);
@@ -150,7 +150,7 @@
     const pool_index index = taken == nullptr ? pools.size() : choose_pool(*taken, info);
     if (refuse_unroutable(info, taken, index, now, out))
         return;
-    if (info.relayed && refuse_relayed(info, out))
+    if (info.relayed && refuse_relayed(info, pools.at(index), out))
         return;
     request_row& row = requests[info.id];
     row.info = std::move(info);
@@ -193,7 +193,7 @@
     row.wake = row.deadline;
     row.keyed = taken->repeat == repeat_policy::keyed && !row.info.idempotency_key.empty();
 
-    if (detours_on_arrival(row.info, now) && send_through_node(row, now, out))
+    if (detours_on_arrival(row.info, pools.at(index), now) && send_through_node(row, now, out))
         return;
     if (refuse_limited(row, now, out) || refuse_early(row, now, out))
         return;
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -158,7 +158,7 @@
 {
     target_row& target = targets.at(row.attempt.target);
     if (!target.other_node)
-        reach.note_response();
+        pools.at(row.terms.pool).reach.note_response(now);
     target.last_response = now;
     target.last_activity = now;
     target.health.silent = false;
--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -181,9 +181,15 @@
     std::string address;
 };
 
-/// This node's belief whether it reaches any backend server has changed.
+/// This node's belief whether it reaches the backend servers of a pool has changed.
 struct reach_changed {
-    bool cut_off = false;
+    pool_id pool;
+    bool cut_off = false; ///< it seems to reach no server of the pool
+};
+
+/// This node's belief whether it reaches any group of any model has changed.
+struct group_reach_changed {
+    bool reaches_none = false;
 };
 
 /// Send this node's demand to the other entry VMs.
@@ -194,7 +200,7 @@
 using command =
     std::variant<send_attempt, deliver, cancel_attempt, complete, refuse, replay, end_truncated,
                  forget, report_key_status, call_kv, grant_lease, target_released, target_silent,
-                 share_limit, probe_server, reach_changed, share_demand>;
+                 share_limit, probe_server, reach_changed, group_reach_changed, share_demand>;
 using command_list = std::vector<command>;
 
 } // namespace jaynotch
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -65,7 +65,10 @@
 
 bool request_core::cut_off() const
 {
-    return m_state->was_cut_off;
+    bool found = false;
+    for (pool_index index = 0; index < m_state->pools.size(); ++index)
+        found = found || m_state->pools.at(index).reach.cut_off();
+    return found;
 }
 
 std::size_t request_core::limited_servers() const
@@ -121,7 +124,7 @@
         {
             const request_row* row = core.find_attempt(e.request, e.attempt);
             if (row != nullptr && !core.targets.at(row->attempt.target).other_node)
-                core.reach.note_connected();
+                core.pools.at(row->terms.pool).reach.note_connected();
         }
         void operator()(const attempt_head& e) const { core.on_head(e, now, out); }
         void operator()(const attempt_progress& e) const { core.on_progress(e, now); }
@@ -397,7 +400,7 @@
     constexpr std::chrono::milliseconds max_silence{1'500};
     constexpr std::chrono::seconds probe_interval{1};
     for (pool_index index = 0; index < pools.size(); ++index) {
-        const pool_row& pool = pools.at(index);
+        pool_row& pool = pools.at(index);
         if (!pool.present || !pool.modelled())
             continue;
         for (const target_row_index at : pool.view.targets) {
@@ -421,7 +424,7 @@
             row.health.silent_since = now;
             row.health.next_trial = now + probe_interval;
             ++counters.silences;
-            reach.note_silent(row.info.id.value());
+            pool.reach.note_silent(row.info.id.value(), pool.view.targets.size());
             out.emplace_back(target_silent{row.info.id, row.info.instance, row.streaming > 0});
             reroute_from_silent(pool, at, now, out);
         }
--- a/routing/request_core.h
+++ b/routing/request_core.h
@@ -123,7 +123,7 @@
     [[nodiscard]] std::vector<pool_status> pools() const;
     /// Number of servers with a limit on the requests per second of all nodes together.
     [[nodiscard]] std::size_t limited_servers() const;
-    /// Whether this node seems to reach no backend server.
+    /// Whether this node seems to reach no server of some pool.
     [[nodiscard]] bool cut_off() const;
     /// Whether this node has received part of an answer from that server since the given time.
     [[nodiscard]] bool responded_since(const vm_id& instance, time_point since) const;
--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -23,7 +23,11 @@
 /// How many more requests a node of the own failure domain gets before one of another domain is
 /// preferred.
 constexpr double other_domain_cost = 4.0;
-constexpr std::chrono::milliseconds probe_interval{100}; ///< between two probes of servers
+constexpr std::chrono::milliseconds probe_interval{100}; ///< between two probes of a pool's servers
+/// A probe without a result for this long was lost with its server.
+constexpr std::chrono::milliseconds probe_timeout{1'000};
+/// A response of a group within this time shows that the node reaches groups.
+constexpr std::chrono::milliseconds recent_response{1'000};
 
 error relay_failure()
 {
@@ -37,23 +41,27 @@
 void request_core::state::note_failed_attempt(const request_row& row, attempt_failure reason)
 {
     const std::string& server = targets.at(row.attempt.target).info.id.value();
+    pool_row& pool = pools.at(row.terms.pool);
+    const std::size_t servers = pool.view.targets.size();
     if (reason == attempt_failure::not_connected)
-        reach.note_unreachable(server);
+        pool.reach.note_unreachable(server, servers);
     else if (reason == attempt_failure::cut || reason == attempt_failure::stalled)
-        reach.note_silent(server);
+        pool.reach.note_silent(server, servers);
 }
 
 bool request_core::state::may_detour(const request_row& row) const
 {
     // Idempotency claims belong to one node.
-    return reach.in_doubt() && !row.info.relayed && !row.keyed && row.detours == 0 &&
-           !targets.nodes().empty() && settings.mechanisms.has(mechanism::detours);
+    return pools.at(row.terms.pool).reach.in_doubt() && !row.info.relayed && !row.keyed &&
+           row.detours == 0 && !targets.nodes().empty() &&
+           settings.mechanisms.has(mechanism::detours);
 }
 
-bool request_core::state::detours_on_arrival(const request_info& info, time_point now) const
+bool request_core::state::detours_on_arrival(const request_info& info, const pool_row& pool,
+                                             time_point now) const
 {
     const auto usable = [&](target_row_index at) { return now >= targets.at(at).avoided_until; };
-    return reach.cut_off() && !info.relayed && info.idempotency_key.empty() &&
+    return pool.reach.cut_off() && !info.relayed && info.idempotency_key.empty() &&
            settings.mechanisms.has(mechanism::detours) &&
            std::any_of(targets.nodes().begin(), targets.nodes().end(), usable);
 }
@@ -168,9 +176,10 @@
 
 /// Refuses a request that another node has passed on if this node reaches no server either, or
 /// if half of its places are taken by such requests; the rest are for its own callers.
-bool request_core::state::refuse_relayed(const request_info& info, command_list& out)
+bool request_core::state::refuse_relayed(const request_info& info, const pool_row& pool,
+                                         command_list& out)
 {
-    if (reach.cut_off()) {
+    if (pool.reach.cut_off()) {
         refuse_untracked(info.id,
                          {error_kind::unavailable, "this node reaches no backend server either",
                           "pass it on to another node"},
@@ -190,41 +199,70 @@
 
 void request_core::state::on_server_probed(const server_probed& probed)
 {
-    probe_pending = false;
-    if (!probed.answers) {
-        reach.note_unreachable(probed.target.value());
+    const target_row_index at = targets.find(probed.target);
+    if (at == no_target)
         return;
-    }
-    reach.note_response();
-    reach.note_connected();
+    const pool_index index = pools.find(targets.at(at).info.pool);
+    if (index == pools.size())
+        return;
+    pool_row& pool = pools.at(index);
+    pool.probe_pending = false;
+    pool.reach.note_probe(probed.target.value(), probed.answers, pool.view.targets.size());
 }
 
 void request_core::state::review_reach(time_point now, command_list& out)
 {
-    const bool cut_off = reach.cut_off();
-    if (cut_off != was_cut_off) {
-        was_cut_off = cut_off;
-        out.emplace_back(reach_changed{cut_off});
-        if (!cut_off)
-            return_to_servers(now);
+    for (pool_index index = 0; index < pools.size(); ++index) {
+        pool_row& pool = pools.at(index);
+        if (reached_no_group && pool.present && pool.info.kind == pool_kind::model)
+            pool.reach.note_others_cut_off();
+        if (!pool.reach.in_doubt() && !pool.was_cut_off)
+            continue;
+        const bool cut_off = pool.reach.cut_off();
+        if (cut_off != std::exchange(pool.was_cut_off, cut_off)) {
+            out.emplace_back(reach_changed{pool.info.name, cut_off});
+            if (!cut_off)
+                return_to_servers(pool, now);
+        }
+        if (cut_off)
+            leave_servers(index, now, out);
+        if (pool.reach.in_doubt())
+            probe_if_due(pool, now, out);
     }
-    if (cut_off)
-        leave_servers(now, out);
-    if (reach.in_doubt())
-        probe_if_due(now, out);
+    const bool none = reaches_no_group(now);
+    if (none != std::exchange(reached_no_group, none))
+        out.emplace_back(group_reach_changed{none});
 }
 
-/// Passes on the requests that wait for a server, and those at a silent server that may be
+/// Whether some model's groups are out of reach and no group of another model has responded lately.
+bool request_core::state::reaches_no_group(time_point now) const
+{
+    time_point last_response;
+    bool cut_off = false;
+    for (pool_index index = 0; index < pools.size(); ++index) {
+        const pool_row& pool = pools.at(index);
+        if (!pool.present || pool.info.kind != pool_kind::model)
+            continue;
+        cut_off = cut_off || pool.reach.cut_off();
+        if (!pool.reach.cut_off())
+            last_response = std::max(last_response, pool.reach.last_response());
+    }
+    return cut_off && now - last_response > recent_response;
+}
+
+/// Passes on the pool's requests that wait for a server, and those at a silent server that may be
 /// repeated.
-void request_core::state::leave_servers(time_point now, command_list& out)
+void request_core::state::leave_servers(pool_index index, time_point now, command_list& out)
 {
     std::vector<request_id> waiting;
     for (const auto& [request, row] : requests) {
+        if (row.terms.pool != index || !may_detour(row))
+            continue;
         const bool at_server = row.has_attempt && !targets.at(row.attempt.target).other_node;
         const bool repeatable = at_server && row.terms.repeat == repeat_policy::idempotent &&
                                 targets.at(row.attempt.target).health.silent &&
                                 may_retry(row, attempt_failure::cut);
-        if (may_detour(row) && (row.phase == request_phase::queued || repeatable))
+        if (row.phase == request_phase::queued || repeatable)
             waiting.push_back(request);
     }
     std::sort(waiting.begin(), waiting.end()); // deterministic: the map's order is unspecified
@@ -234,55 +272,42 @@
             reroute_request(row, cancel_reason::target_silent, now, out);
             continue;
         }
-        pool_row& pool = pools.at(row.terms.pool);
-        const flow_key flow = flow_of(row);
-        if (choose_node(now) == no_target || !pool.queue.remove(flow, request))
+        pool_row& pool = pools.at(index);
+        if (choose_node(now) == no_target || !pool.queue.remove(flow_of(row), request))
             continue;
         --pool.use_of(row.info.workspace, peers).queued;
         send_through_node(row, now, out);
     }
 }
 
-/// The failures during the cut were the links', so no server is avoided because of them.
-void request_core::state::return_to_servers(time_point now)
+/// Gives each server that failed during the cut one request to show that it responds again.
+void request_core::state::return_to_servers(const pool_row& pool, time_point now)
 {
-    for (std::size_t at = 0; at < targets.size(); ++at) {
-        target_row& row = targets.at(static_cast<target_row_index>(at));
-        if (row.other_node)
-            continue;
-        row.health.silent = false;
-        row.health.ejected = false;
-        row.health.on_trial = false;
+    for (const target_row_index at : pool.view.targets) {
+        target_row& row = targets.at(at);
         row.health.consecutive_failures = 0;
-        row.health.ejections = 0;
-        row.last_activity = now;
+        if (row.health.silent)
+            row.health.next_trial = now;
+        if (row.health.ejected)
+            row.health.ejected_until = now;
     }
-    refresh_pools(now);
 }
 
-void request_core::state::probe_if_due(time_point now, command_list& out)
+void request_core::state::probe_if_due(pool_row& pool, time_point now, command_list& out)
 {
-    if (probe_pending || now < next_reach_probe || targets.size() == 0)
+    const std::vector<target_row_index>& candidates = pool.view.targets;
+    if (candidates.empty()) {
+        pool.reach.reset(); // all servers that failed are gone
         return;
-    const std::size_t first = random.index(targets.size());
-    target_row_index chosen = no_target;
-    for (std::size_t step = 0; step < targets.size(); ++step) {
-        const auto at = static_cast<target_row_index>((first + step) % targets.size());
-        const target_row& row = targets.at(at);
-        if (row.other_node || row.leaving())
-            continue;
-        // A model's server answers a probe whatever its load.
-        const bool better = chosen == no_target || targets.at(chosen).kind != pool_kind::model;
-        if (better && (chosen == no_target || row.kind == pool_kind::model))
-            chosen = at;
     }
-    if (chosen == no_target) {
-        reach = server_reach{}; // all servers that failed are gone
+    if (pool.probe_pending && now < pool.next_probe + probe_timeout)
         return;
-    }
-    next_reach_probe = now + probe_interval;
-    probe_pending = true;
-    out.emplace_back(probe_server{targets.at(chosen).info.id, targets.at(chosen).info.address});
+    if (now < pool.next_probe)
+        return;
+    const target& chosen = targets.at(candidates[random.index(candidates.size())]).info;
+    pool.next_probe = now + probe_interval;
+    pool.probe_pending = true;
+    out.emplace_back(probe_server{chosen.id, chosen.address});
 }
 
 } // namespace jaynotch
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -8,7 +8,6 @@
 #include "routing/pool_table.h"
 #include "routing/request_core.h"
 #include "routing/route_index.h"
-#include "routing/server_reach.h"
 #include "routing/target_table.h"
 
 #include <set>
@@ -132,7 +131,8 @@
     // request_detour.cc: requests sent through other nodes while this one reaches no server
     void note_failed_attempt(const request_row& row, attempt_failure reason);
     [[nodiscard]] bool may_detour(const request_row& row) const;
-    [[nodiscard]] bool detours_on_arrival(const request_info& info, time_point now) const;
+    [[nodiscard]] bool detours_on_arrival(const request_info& info, const pool_row& pool,
+                                          time_point now) const;
     [[nodiscard]] target_row_index choose_node(time_point now);
     bool send_through_node(request_row& row, time_point now, command_list& out);
     void end_detour(request_row& row, attempt_failure reason, time_point now, command_list& out);
@@ -141,10 +141,11 @@
     void on_relay_nodes(const std::vector<relay_node>& nodes, time_point now, command_list& out);
     void on_server_probed(const server_probed& probed);
     void review_reach(time_point now, command_list& out);
-    void leave_servers(time_point now, command_list& out);
-    void return_to_servers(time_point now);
-    void probe_if_due(time_point now, command_list& out);
-    bool refuse_relayed(const request_info& info, command_list& out);
+    void leave_servers(pool_index index, time_point now, command_list& out);
+    void return_to_servers(const pool_row& pool, time_point now);
+    void probe_if_due(pool_row& pool, time_point now, command_list& out);
+    bool refuse_relayed(const request_info& info, const pool_row& pool, command_list& out);
+    [[nodiscard]] bool reaches_no_group(time_point now) const;
 
     // request_arrival.cc: from arrival to the queue
     void arrive(const request_info& info, time_point now, command_list& out);
@@ -232,12 +233,9 @@
     demand_table peers;
     claim_manager claims;
     rate_limits limits;
-    server_reach reach;
-    bool was_cut_off = false; ///< as of the last review_reach()
-    bool probe_pending = false;
-    time_point next_reach_probe;
-    std::size_t relayed_open = 0; ///< open requests that other nodes have passed on
-    bool limits_in_use = false;   ///< some target_row::rate_limit_reached may be set
+    bool reached_no_group = false; ///< as last reported
+    std::size_t relayed_open = 0;  ///< open requests that other nodes have passed on
+    bool limits_in_use = false;    ///< some target_row::rate_limit_reached may be set
     time_point next_limit_refresh;
     std::unordered_map<std::string, caller_timeout_estimate> caller_timeouts_by_route;
     std::unordered_map<std::string, workspace_row> workspaces_by_key;
