Routing, groups: silence alone is no cut; a group's own members vouch for the links

Change: silent servers have to fail a probe as well; the probe goes to one of the silent ones, and what other servers send meanwhile doesn't matter. A member without an answer counts as lost at once only if another member of its group answered.

--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -281,7 +281,6 @@
             view->membership_confirmed = false;
         return;
     }
-    runner_answered_at = now;
     apply_accepted_order(*view, view->pending_order, answer.reply, now);
     run_tick(now);
 }
@@ -361,8 +360,18 @@
         std::visit([&](auto& one) { out.emplace_back(std::move(one)); }, call);
 }
 
+/// Whether a member of the runner's group has answered a probe since then.
+bool formation_manager::state::group_answered_since(const runner_view& member,
+                                                    time_point since) const
+{
+    const group_key key = key_of(*member.row.group);
+    return std::any_of(runners.begin(), runners.end(), [&](const auto& entry) {
+        return is_in(entry.second, key) && entry.second.probe_answered_at >= since;
+    });
+}
+
 /// A probe without an answer shows that the runner is lost only if this node's links work, that is,
-/// if another runner has answered since. Otherwise the peers are asked first.
+/// if another member of its group has answered since. Otherwise the peers are asked first.
 void formation_manager::state::handle_probe_answer(const member_probed& probed, time_point now)
 {
     runner_view* view = find(probed.vm);
@@ -371,16 +380,14 @@
     if (!probed.answers && !view->unresponsive) {
         view->unresponsive_since = now;
         const bool head = view->row.group && view->row.group->rank == 0;
-        const bool doubted = view->row.group && runner_answered_at < view->probed_at;
+        const bool doubted = view->row.group && !group_answered_since(*view, view->probed_at);
         if (doubted)
             view->doubted_until = now + settings.peer_probe_timeout;
         if (head || doubted)
             out.emplace_back(probe_through_peers{probed.vm, view->row.address});
     }
-    if (probed.answers) {
+    if (probed.answers)
         view->probe_answered_at = now;
-        runner_answered_at = now;
-    }
     view->unresponsive = !probed.answers;
     view->unresponsive_until = now + settings.unresponsive_hold_time;
     view->dead = view->dead && view->unresponsive;
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -32,8 +32,8 @@
     bool unresponsive = false; ///< did not answer a probe
     time_point unresponsive_since;
     bool dead = false; ///< unresponsive, and it did not answer any other node either
-    /// Unresponsive like every runner that this node has probed lately: the peers are asked before
-    /// it counts as lost, until this time at most.
+    /// Unresponsive, and no other member of its group has answered either: until this time, the
+    /// peers' word is awaited before it counts as lost.
     time_point doubted_until;
     time_point unresponsive_until;
     std::optional<call_token> pending; ///< order without a reply yet
@@ -105,6 +105,7 @@
     [[nodiscard]] bool take_peer_probe_token(time_point now);
     void probe(runner_view& view, time_point now);
     void handle_probe_answer(const member_probed& probed, time_point now);
+    [[nodiscard]] bool group_answered_since(const runner_view& member, time_point since) const;
     void handle_reach(const server_reach_changed& changed);
     void run_tick(time_point now);
 
@@ -186,8 +187,7 @@
     std::optional<duration> delay_before_claim;
     registry_status registry_state;
     bool traffic = false;
-    bool cut_off = false;          ///< this node seems to reach no backend server
-    time_point runner_answered_at; ///< last answer of any runner to a probe
+    bool cut_off = false; ///< this node seems to reach no backend server
     bool was_leading = false;
     std::optional<group_allocation> initial_allocation; ///< computed once registration has settled
     time_point allocated_at_join;       ///< registry.last_joined() when it was computed
--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -52,7 +52,7 @@
 bool request_core::state::may_detour(const request_row& row) const
 {
     // Idempotency claims belong to one node.
-    return pools.at(row.terms.pool).reach.in_doubt() && !row.info.relayed && !row.keyed &&
+    return pools.at(row.terms.pool).reach.avoid() && !row.info.relayed && !row.keyed &&
            row.detours == 0 && !targets.nodes().empty() &&
            settings.mechanisms.has(mechanism::detours);
 }
@@ -304,7 +304,13 @@
         return;
     if (now < pool.next_probe)
         return;
-    const target& chosen = targets.at(candidates[random.index(candidates.size())]).info;
+    target_row_index at = candidates[random.index(candidates.size())];
+    if (pool.reach.suspected()) {
+        const auto silent = [&](target_row_index one) { return targets.at(one).health.silent; };
+        const auto found = std::find_if(candidates.begin(), candidates.end(), silent);
+        at = found == candidates.end() ? at : *found;
+    }
+    const target& chosen = targets.at(at).info;
     pool.next_probe = now + probe_interval;
     pool.probe_pending = true;
     out.emplace_back(probe_server{chosen.id, chosen.address});
--- a/routing/server_reach.cc
+++ b/routing/server_reach.cc
@@ -1,8 +1,12 @@
-// A failure of one server says nothing about the node's links. Failures of several different
-// servers without a response from any server in between are evidence of a cut. Once it is found,
-// requests take another way, so only probes can tell that it has ended. They have to be answered by
-// two servers in a row: where a few servers of many are in reach, a single answer would send the
-// requests back into the cut. All lists are bounded by the number of servers that decides.
+// A failure of one server says nothing about the node's links. Several different servers to which
+// no connection can be opened, without a response from any server in between, are evidence of a
+// cut. Silent servers may only be busy, so a probe of one of them has to fail as well; what other
+// servers send meanwhile doesn't matter, since a cut may spare a few.
+//
+// Once a cut is found, requests take another way, and only probes can tell that it has ended. They
+// have to be answered by two servers in a row: where a few servers of many are in reach, a single
+// answer would send the requests back into the cut. All lists are bounded by the number of servers
+// that decides.
 //
 // A cut may leave open connections intact while new ones fail. Responses then contradict cut_off()
 // but not connections_fail(), which a new connection contradicts.
@@ -24,20 +28,28 @@
 
 } // namespace
 
+void server_reach::conclude()
+{
+    m_cut_off = true;
+    m_suspected = false;
+    m_answered.clear();
+}
+
 void server_reach::note_unreachable(std::string_view server, std::size_t servers)
 {
-    insert_once(m_unreachable, server, servers_for_connections);
+    insert_once(m_unreachable, server, servers_for_cut);
     note_silent(server, servers);
+    const std::size_t decisive = std::clamp(servers, servers_for_connections, servers_for_cut);
+    if (m_suspected && m_unreachable.size() >= decisive)
+        conclude();
 }
 
 void server_reach::note_silent(std::string_view server, std::size_t servers)
 {
     insert_once(m_failed, server, servers_for_cut);
     const std::size_t decisive = std::clamp(servers, servers_for_connections, servers_for_cut);
-    if (m_cut_off || m_failed.size() < decisive)
-        return;
-    m_cut_off = true;
-    m_answered.clear();
+    m_suspected = m_suspected || m_failed.size() >= decisive;
+    m_suspected = m_suspected && !m_cut_off;
 }
 
 void server_reach::note_response(time_point now)
@@ -53,26 +65,27 @@
 
 void server_reach::note_others_cut_off()
 {
-    if (m_cut_off || m_failed.empty())
-        return;
-    m_cut_off = true;
-    m_answered.clear();
+    if (!m_cut_off && !m_failed.empty())
+        conclude();
 }
 
 void server_reach::note_probe(std::string_view server, bool answers, std::size_t servers)
 {
     if (!answers) {
         m_answered.clear();
+        if (m_suspected)
+            conclude();
         return;
     }
     insert_once(m_answered, server, servers_for_return);
-    if (m_answered.size() >= std::min(servers, servers_for_return))
+    if (!m_cut_off || m_answered.size() >= std::min(servers, servers_for_return))
         reset();
 }
 
 void server_reach::reset()
 {
     m_cut_off = false;
+    m_suspected = false;
     m_failed.clear();
     m_unreachable.clear();
     m_answered.clear();
