--- a/daemon/detour_test.cc
+++ b/daemon/detour_test.cc
@@ -53,13 +53,17 @@
         return served;
     }
 
-    result<http_response> ask(std::size_t node, const std::string& path)
+    result<http_response> ask(std::size_t node, const std::string& path,
+                              const std::string& key = "key-1",
+                              std::vector<http_header> extra_headers = {})
     {
         http_request request = caller_request({.id = "id-" + std::to_string(++m_last_id),
                                                .path = path,
-                                               .key = "key-1",
+                                               .key = key,
                                                .body = "body",
                                                .streams = path.starts_with("/chat/")});
+        for (http_header& header : extra_headers)
+            request.headers.push_back(std::move(header));
         std::optional<result<http_response>> answer;
         const std::string address = "127.0.0.1:" + std::to_string(daemons[node]->listen_port());
         http_client client{m_io.get_executor(), address, http_limits{}};
@@ -163,3 +167,66 @@
                       cut_off, count, others);
     }
 }
+
+// Guards against a request that loses its workspace, or shows its key or the marker to a server, on
+// the way through another node.
+Test(detour, a_server_receives_the_same_through_another_node)
+{
+    cut_fleet fleet{2};
+    fleet.cut(1);
+    cr_assert_eq(fleet.served(1, "/order/1?x=y", 1), 1U);
+    const auto ran = std::find_if(fleet.servers.begin(), fleet.servers.end(),
+                                  [](const auto& server) { return !server->ran.empty(); });
+    cr_assert(ran != fleet.servers.end());
+    const received_request& seen = (*ran)->ran.front();
+    cr_assert_eq(seen.target, "/order/1?x=y");
+    cr_assert_eq(seen.body, "body");
+    cr_assert_eq(seen.headers.at("Jaynotch-Tenant"), "farm");
+    cr_assert_eq(seen.headers.at("Jaynotch-Expect-Instance"), (*ran)->id());
+    cr_assert(!seen.headers.contains("Authorization"));
+    cr_assert(!seen.headers.contains("jaynotch-relayed"));
+    cr_assert_eq(fleet.executions(), 1U);
+}
+
+// Guards against a caller that passes for a node: neither its key check nor the server's view may
+// change.
+Test(detour, a_callers_marker_has_no_effect)
+{
+    cut_fleet fleet{1};
+    const std::vector<http_header> marker{{"jaynotch-relayed", "0,1,1"}};
+    const auto refused = fleet.ask(0, "/order/1", "nobody", marker);
+    cr_assert(refused.value().status == boost::beast::http::status::unauthorized);
+    const auto served = fleet.ask(0, "/order/1", "key-1", marker);
+    cr_assert(served.value().status == boost::beast::http::status::ok);
+    for (const auto& server : fleet.servers) {
+        for (const received_request& seen : server->ran)
+            cr_assert(!seen.headers.contains("jaynotch-relayed"));
+    }
+}
+
+// Guards against detours that go on after the cut has ended.
+Test(detour, a_node_that_reaches_servers_again_sends_to_them_itself)
+{
+    cut_fleet fleet{2};
+    fleet.cut(1);
+    cr_assert_eq(fleet.served(1, "/read/1", 12), 12U);
+    fleet.reconnect(1);
+    fleet.run(1s);
+    const std::uint64_t before = fleet.daemons[0]->counts().requests;
+    cr_assert_eq(fleet.served(1, "/read/1", 12), 12U);
+    cr_assert_eq(fleet.daemons[0]->counts().requests, before, "no request takes the detour");
+}
+
+// Guards against a node that is out of reach itself and holds back the callers of another.
+Test(detour, a_fleet_that_reaches_no_server_refuses_at_once)
+{
+    cut_fleet fleet{2};
+    fleet.cut(0);
+    fleet.cut(1);
+    for (int sent = 0; sent < 6; ++sent) {
+        const auto refused = fleet.ask(1, "/order/1");
+        cr_assert(refused.value().status == boost::beast::http::status::service_unavailable);
+        cr_assert_eq(refused.value().header("jaynotch-ran"), "no");
+    }
+    cr_assert_eq(fleet.executions(), 0U);
+}
--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -120,8 +120,8 @@
                            "Backend servers that limit the requests a second of all nodes");
     Gauge& refused_limited =
         gauge(registry, "jaynotch_refused_limited", "Requests refused for these limits");
-    Gauge& cut_off =
-        gauge(registry, "jaynotch_servers_unreachable", "1 if no backend server of some pool seems reachable");
+    Gauge& cut_off = gauge(registry, "jaynotch_servers_unreachable",
+                           "1 if no backend server of some pool seems reachable");
     Gauge& detours = gauge(registry, "jaynotch_detoured_requests",
                            "Requests sent through another node, since the start");
     Gauge& relayed = gauge(registry, "jaynotch_relayed_requests",
