--- a/daemon/registry_daemon_test.cc
+++ b/daemon/registry_daemon_test.cc
@@ -105,12 +105,23 @@
         while (!done() && runtime_clock::now() - begun < longest) {
             runtime_clock::advance(step);
             m_io.run_for(work);
+            run_ready_handlers();
         }
         const duration took = runtime_clock::now() - begun;
         runtime_clock::resume();
         return took;
     }
 
+    /// Runs the handlers that are ready, so that on a busy machine the clock doesn't run ahead of
+    /// the sockets' I/O.
+    void run_ready_handlers()
+    {
+        constexpr std::size_t limit = 10'000;
+        std::size_t total = 0;
+        for (std::size_t handled = 1; handled > 0 && total < limit; total += handled)
+            handled = m_io.poll();
+    }
+
     void run(duration time)
     {
         const time_point until = runtime_clock::now() + time;
