Logs, metrics: where a node has a configuration from, late pushes, backlog to peers

The logs could not tell apart whether a push was late on its sender's link, whether the node stood in for the followers, or whether the followers themselves were late.

Change: a message of the key relay carries the delay of its frame (membership estimates it already, for the ages of rumors). New lines config_received, push_late, peer_backlog, follows_store and follows_neighbours; gauges of the bytes queued to peers and of dropped frames. No decision changes.

--- a/daemon/daemon_setup.cc
+++ b/daemon/daemon_setup.cc
@@ -87,7 +87,10 @@
     now.in_flight = counts.in_flight;
     for (const member& one : peers.members())
         now.members += one.live() ? 1 : 0;
-    now.peer_bytes_sent = peers.counters().bytes_sent;
+    const peer_counters sent = peers.counters();
+    now.peer_bytes_sent = sent.bytes_sent;
+    now.peer_bytes_queued = sent.queued_bytes;
+    now.peer_frames_dropped = sent.frames_dropped;
     now.kv_calls = kv.counts();
     now.spans_dropped = spans.dropped();
     now.log_lines_dropped = log_lines_dropped();
--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -108,6 +108,11 @@
     Gauge& managed = gauge(registry, "jaynotch_managed_domains", "Fabric domains managed here");
     Gauge& members = gauge(registry, "jaynotch_live_members", "Daemons alive, this one included");
     Gauge& peer_bytes = gauge(registry, "jaynotch_peer_sent_bytes", "Bytes sent to daemons");
+    Gauge& peer_queued = gauge(registry, "jaynotch_peer_queued_bytes",
+                               "Bytes that wait to be sent to daemons");
+    Gauge& peer_dropped =
+        gauge(registry, "jaynotch_peer_frames_dropped",
+              "Frames to daemons dropped, the queue full or the peer unreachable, since the start");
     Gauge& kv_calls = gauge(registry, "jaynotch_kv_calls", "Calls on the key-value service");
     std::vector<Counter*> kv_by_kind = by_name<kv_call>(
         registry, "jaynotch_kv_calls_total", "Calls on the key-value service by kind", "call");
@@ -207,6 +212,8 @@
     all.managed.Set(static_cast<double>(now.managed_domains));
     all.members.Set(static_cast<double>(now.members));
     all.peer_bytes.Set(static_cast<double>(now.peer_bytes_sent));
+    all.peer_queued.Set(static_cast<double>(now.peer_bytes_queued));
+    all.peer_dropped.Set(static_cast<double>(now.peer_frames_dropped));
     all.kv_calls.Set(static_cast<double>(now.kv_calls.total()));
     for (std::size_t kind = 0; kind < all.kv_by_kind.size(); ++kind) {
         all.kv_by_kind[kind]->Increment(
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -37,6 +37,8 @@
     std::uint64_t managed_domains = 0;
     std::uint64_t members = 0;
     std::uint64_t peer_bytes_sent = 0;
+    std::uint64_t peer_bytes_queued = 0;
+    std::uint64_t peer_frames_dropped = 0;
     kv_call_counts kv_calls;
     double retries_left = 0.0; ///< in the pool that has the fewest
     std::uint64_t spans_dropped = 0;
--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -56,6 +56,11 @@
 constexpr duration max_watch_gap = std::chrono::seconds{3};
 /// Time for live runners to register again once the store has recovered.
 constexpr duration reregistration_grace = std::chrono::milliseconds{2'200};
+/// A push that took longer is logged, and a backlog above this size.
+constexpr duration late_push = std::chrono::milliseconds{500};
+constexpr std::uint64_t large_backlog_bytes = 1U << 20U;
+/// Between two log lines about late pushes, and about the backlog.
+constexpr duration delay_log_interval = std::chrono::seconds{1};
 /// No lease expires in a shorter outage, since runners renew about every second.
 constexpr duration min_outage = std::chrono::milliseconds{1'500};
 
@@ -75,9 +80,9 @@
 public:
     impl(net::io_context& context, const daemon_settings& chosen, kv_service& service,
          peer_service& others, registry_hooks given)
-        : io{context}, kv{service}, hooks{std::move(given)}, relay{chosen, others, "documents",
-                                                                   relay_hooks()},
-          m_pause{context}, m_shares_watches{chosen.mechanisms.has(mechanism::shared_watches)},
+        : io{context}, kv{service}, hooks{std::move(given)},
+          relay{chosen, others, "documents", relay_hooks()}, m_peers{others}, m_pause{context},
+          m_shares_watches{chosen.mechanisms.has(mechanism::shared_watches)},
           m_first_start{chosen.first_start}, m_followers{{.self = chosen.node, .name = "documents"}}
     {}
 
@@ -113,6 +118,16 @@
         end_batch();
         if (current && runtime_clock::now() - m_last_push_at >= push_interval)
             push();
+        log_backlog();
+    }
+
+    void message_received(const key_message& message)
+    {
+        log_late_push(message);
+        m_source = &message;
+        relay.message_received(message);
+        m_source = nullptr;
+        end_batch();
     }
 
     void end_batch()
@@ -159,7 +174,42 @@
 
     [[nodiscard]] bool should_watch()
     {
-        return !m_read_once || !m_shares_watches || m_followers.should_follow(runtime_clock::now());
+        const time_point now = runtime_clock::now();
+        const bool follows = m_followers.should_follow(now);
+        if (std::exchange(m_follows, follows) != follows)
+            log_event(log_level::info, follows ? "follows_store" : "follows_neighbours",
+                      {{"rank", m_followers.rank()},
+                       {"fresh_ms_ago", in_milliseconds(now - m_followers.last_fresh())}});
+        return !m_read_once || !m_shares_watches || follows;
+    }
+
+    void log_late_push(const key_message& message)
+    {
+        const auto* push = std::get_if<key_reply>(&message.body);
+        const time_point now = runtime_clock::now();
+        const bool late = push != nullptr && push->push_number && message.delay >= late_push;
+        if (!late || now - m_late_push_logged_at < delay_log_interval)
+            return;
+        m_late_push_logged_at = now;
+        log_event(log_level::info, "push_late",
+                  {{"from", message.from.value()},
+                   {"delay_ms", in_milliseconds(message.delay)},
+                   {"entries", push->entries.size()}});
+    }
+
+    void log_backlog()
+    {
+        const time_point now = runtime_clock::now();
+        const peer_counters sent = m_peers.counters();
+        const bool large = sent.queued_bytes >= large_backlog_bytes;
+        if (!large || now - m_backlog_logged_at < delay_log_interval)
+            return;
+        m_backlog_logged_at = now;
+        log_event(log_level::info, "peer_backlog",
+                  {{"queued_bytes", sent.queued_bytes},
+                   {"sent_bytes", sent.bytes_sent},
+                   {"dropped_frames", sent.frames_dropped},
+                   {"keys", relay.keys().size()}});
     }
 
     void push()
@@ -374,6 +424,12 @@
         if (m_installed && read.value().revision < *m_installed)
             return;
         m_installed = read.value().revision;
+        log_event(log_level::info, "config_received",
+                  {{"revision", read.value().revision.value()},
+                   {"from", m_source == nullptr ? std::string{"store"} : m_source->from.value()},
+                   {"delay_ms", m_source == nullptr ? 0 : in_milliseconds(m_source->delay)},
+                   {"bytes", entry.value.size()},
+                   {"keys", relay.keys().size()}});
         hooks.on_configuration(std::make_shared<const configuration>(std::move(read).value()));
     }
 
@@ -391,6 +447,7 @@
         }
     }
 
+    peer_service& m_peers;
     timer m_pause;
     bool m_shares_watches; ///< only followers watch the store
     bool m_first_start;    ///< the whole fleet starts for the first time
@@ -401,6 +458,10 @@
     std::int64_t m_revision = 0; ///< last one received; 0: everything has to be read
     bool m_read_once = false;
     bool m_changed = false;
+    bool m_follows = false;                ///< last result of should_follow()
+    const key_message* m_source = nullptr; ///< being processed; null: the store's answer
+    time_point m_late_push_logged_at;
+    time_point m_backlog_logged_at;
     std::optional<time_point> m_store_failed_since;
     time_point m_grace_until;
     std::map<vm_id, time_point> m_missing_runners; ///< deleted, but kept until this time
@@ -415,8 +476,7 @@
         const auto self = weak.lock();
         if (!self || self->stopped)
             return;
-        self->relay.message_received(message);
-        self->end_batch();
+        self->message_received(message);
     });
 }
 
--- a/peers/frame.h
+++ b/peers/frame.h
@@ -102,6 +102,8 @@
 struct key_message {
     node_id from;
     key_body body;
+    /// By how much the frame took longer than the fastest one from the same peer.
+    duration delay{0};
 };
 
 /// Asks whether a backend server responds to the receiver.
--- a/peers/membership.cc
+++ b/peers/membership.cc
@@ -145,7 +145,7 @@
     apply_members(now, frame, out);
     apply_rumors(now, delay, frame, out);
     handle_config(frame, out);
-    handle_keys(frame, out);
+    handle_keys(delay, frame, out);
     handle_server_messages(frame, out);
     respond(now, frame, out);
     push_urgent(now, out);
--- a/peers/membership.h
+++ b/peers/membership.h
@@ -158,7 +158,7 @@
     void apply_rumor(time_point now, duration delay, rumor item, membership_commands& out);
     void handle_config(const wire::frame& frame, membership_commands& out);
     void reply_to_sync(time_point now, const member& to, membership_commands& out);
-    static void handle_keys(const wire::frame& frame, membership_commands& out);
+    static void handle_keys(duration delay, const wire::frame& frame, membership_commands& out);
     static void handle_server_messages(const wire::frame& frame, membership_commands& out);
     void respond(time_point now, const wire::frame& frame, membership_commands& out);
     void publish_self(time_point now);
--- a/peers/membership_keys.cc
+++ b/peers/membership_keys.cc
@@ -69,12 +69,14 @@
 
 } // namespace
 
-void membership_core::handle_keys(const wire::frame& frame, membership_commands& out)
+void membership_core::handle_keys(duration delay, const wire::frame& frame,
+                                  membership_commands& out)
 {
+    const node_id sender{frame.sender};
     if (frame.__isset.keys_wanted)
-        out.emplace_back(key_message{node_id{frame.sender}, from_wire(frame.keys_wanted)});
+        out.emplace_back(key_message{sender, from_wire(frame.keys_wanted), delay});
     if (frame.__isset.keys)
-        out.emplace_back(key_message{node_id{frame.sender}, from_wire(frame.keys)});
+        out.emplace_back(key_message{sender, from_wire(frame.keys), delay});
 }
 
 membership_commands membership_core::send_keys(time_point now, const node_id& to,
--- a/peers/store_followers.h
+++ b/peers/store_followers.h
@@ -56,6 +56,8 @@
     [[nodiscard]] std::optional<duration> store_age(time_point now) const;
     /// Position among the nodes of the domain; the permanent followers come first.
     [[nodiscard]] std::size_t rank() const { return m_rank; }
+    /// Latest answer of the store to this node or to a sender of pushes.
+    [[nodiscard]] time_point last_fresh() const { return m_last_fresh; }
     /// Whether no node of lower rank is fresh, so that the others depend on this one.
     [[nodiscard]] bool is_first_fresh(time_point now) const
     {
--- a/peers/transport.cc
+++ b/peers/transport.cc
@@ -158,6 +158,7 @@
             return;
         }
         peer->queued_bytes += bytes.size();
+        m_counters.queued_bytes += bytes.size();
         peer->queue.push_back(std::move(bytes));
         peer->wake.cancel();
     }
@@ -291,6 +292,7 @@
             --m_counters.connections;
         }
         m_counters.frames_dropped += peer->queue.size();
+        m_counters.queued_bytes -= peer->queued_bytes;
         const auto found = m_outbound.find(key);
         if (found != m_outbound.end() && found->second == peer)
             m_outbound.erase(found);
@@ -319,6 +321,7 @@
             std::string bytes = std::move(peer.queue.front());
             peer.queue.pop_front();
             peer.queued_bytes -= bytes.size();
+            m_counters.queued_bytes -= bytes.size();
             std::string framed(length_prefix_bytes, '\0');
             for (std::size_t i = 0; i < length_prefix_bytes; ++i)
                 framed[i] = static_cast<char>(bytes.size() >> (8U * (length_prefix_bytes - 1 - i)));
--- a/peers/transport.h
+++ b/peers/transport.h
@@ -35,6 +35,7 @@
     std::uint64_t frames_refused = 0; ///< invalid, other deployment, wrong sender or target
     std::uint64_t peers_refused = 0;  ///< failed handshake, wrong name, too many connections
     std::uint64_t connections = 0;    ///< currently open
+    std::uint64_t queued_bytes = 0;   ///< currently, to all peers
 };
 
 /// Connections to peers, opened when first needed and reused.
