Key relay: the age of a push includes the delay of its frame

Callers saw: a 404 for a route that had been acknowledged seconds before, at nodes of a failure domain with about a hundred nodes.

Cause: a follower writes the time since the store's answer when it queues a push, and the receiver counted it from the arrival. A push that waits for seconds on a full link therefore looked fresh, and while all pushes were equally late, their receivers never asked the store.

Change: the delay of the frame, by which it took longer than the fastest one of its sender, is added to the age. Membership estimates it already for the ages of rumors.

--- a/peers/key_relay.cc
+++ b/peers/key_relay.cc
@@ -179,7 +179,7 @@
             m_unpushed.insert(entry.key);
     }
     if (reply.push_number)
-        handle_push(now, message.from, reply, out);
+        handle_push(now, message, reply, out);
     else if (reply.complete && m_push_sources.contains(message.from))
         m_push_sources[message.from].complete = true;
     // A large reply may have been truncated to the maximum size: request the rest soon.
@@ -194,9 +194,13 @@
 
 // The entries of a lost push are not repeated in later ones. So if the push numbers have a gap, the
 // neighbour counts as fresh again only after a comparison with it.
-void key_relay_core::handle_push(time_point now, const node_id& from, const key_reply& push,
+//
+// A push may wait for a long time on its sender's link. The time since the store's answer therefore
+// includes the delay of the frame: pushes that are all late must not make their sender look fresh.
+void key_relay_core::handle_push(time_point now, const key_message& message, const key_reply& push,
                                  key_relay_commands& out)
 {
+    const node_id& from = message.from;
     push_source& source = m_push_sources[from];
     const bool consecutive = source.number != 0 && *push.push_number == source.number + 1;
     source.number = *push.push_number;
@@ -206,7 +210,7 @@
         out.emplace_back(send_key_message{from, key_request{this->known(), {}}});
     }
     if (source.complete && push.store_age)
-        out.emplace_back(neighbour_fresh{from, *push.store_age});
+        out.emplace_back(neighbour_fresh{from, *push.store_age + message.delay});
 }
 
 bool key_relay_core::update_if_newer(const relayed_key& entry, key_relay_commands& out)
--- a/peers/key_relay.h
+++ b/peers/key_relay.h
@@ -112,7 +112,7 @@
     };
 
     bool update_if_newer(const relayed_key& entry, key_relay_commands& out);
-    void handle_push(time_point now, const node_id& from, const key_reply& push,
+    void handle_push(time_point now, const key_message& message, const key_reply& push,
                      key_relay_commands& out);
     void handle_request(time_point now, const node_id& to, const key_request& request,
                         key_relay_commands& out);
--- a/peers/test_network.h
+++ b/peers/test_network.h
@@ -1,11 +1,12 @@
 // For tests and benchmarks: membership cores connected by an in-memory network on a simulated
-// clock. Frames can be lost, duplicated, delayed (and thus reordered) or blocked by a partition.
-// Sent and received bytes are counted.
+// clock. Frames can be lost, duplicated, delayed (and thus reordered) or blocked by a partition,
+// and each node's link can have a limited bandwidth. Sent and received bytes are counted.
 #pragma once
 
 #include "base/base.h"
 #include "peers/membership.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -26,6 +27,15 @@
     std::uint64_t frames_sent = 0;
     std::uint64_t bytes_sent = 0;
     std::uint64_t bytes_received = 0;
+
+    /// Frames to one peer that wait for the link, as in the transport's queue.
+    struct link_queue {
+        std::deque<std::string> frames;
+        std::size_t bytes = 0;
+    };
+    std::map<std::string, link_queue> link_queues; ///< by address
+    std::string last_sent_to;                      ///< address; the link serves its peers in turn
+    bool link_busy = false;
 };
 
 class test_network {
@@ -38,6 +48,7 @@
     duration min_delay = std::chrono::microseconds{500};
     duration max_delay = std::chrono::microseconds{1500};
     std::function<bool(const test_node&, const test_node&)> cut; ///< true: no frames pass
+    double link_bytes_s = 0.0; ///< of each node for its sent frames; 0: unlimited
     std::vector<std::unique_ptr<test_node>> nodes;
     time_point now{std::chrono::hours{1}};
     std::map<std::string, test_node*> by_address;
@@ -144,6 +155,10 @@
     }
 
 private:
+    // Limits of the transport's queue to one peer.
+    static constexpr std::size_t max_queued_frames = 64;
+    static constexpr std::size_t max_queued_bytes = 4U << 20U;
+
     void tick(test_node& node)
     {
         if (node.crashed || node.paused)
@@ -161,8 +176,48 @@
         if (from.crashed || found == by_address.end() || random.chance(loss))
             return;
         const int copies = random.chance(duplication) ? 2 : 1;
-        for (int i = 0; i < copies; ++i)
-            deliver(from, *found->second, frame.bytes);
+        for (int i = 0; i < copies; ++i) {
+            if (link_bytes_s > 0.0)
+                queue_for_link(from, frame);
+            else
+                deliver(from, *found->second, frame.bytes);
+        }
+    }
+
+    void queue_for_link(test_node& from, const send_frame& frame)
+    {
+        test_node::link_queue& queue = from.link_queues[frame.address];
+        if (queue.frames.size() >= max_queued_frames ||
+            queue.bytes + frame.bytes.size() > max_queued_bytes)
+            return;
+        queue.bytes += frame.bytes.size();
+        queue.frames.push_back(frame.bytes);
+        if (!from.link_busy)
+            send_next(from);
+    }
+
+    /// Sends one frame of the next peer in turn.
+    void send_next(test_node& from)
+    {
+        auto next = from.link_queues.upper_bound(from.last_sent_to);
+        if (next == from.link_queues.end())
+            next = from.link_queues.begin();
+        from.link_busy = next != from.link_queues.end();
+        if (!from.link_busy)
+            return;
+        from.last_sent_to = next->first;
+        const std::string bytes = std::move(next->second.frames.front());
+        next->second.frames.pop_front();
+        next->second.bytes -= bytes.size();
+        if (next->second.frames.empty())
+            from.link_queues.erase(next);
+        const std::chrono::duration<double> sending{static_cast<double>(bytes.size()) /
+                                                    link_bytes_s};
+        after(std::chrono::duration_cast<duration>(sending),
+              [this, &from, to = from.last_sent_to, bytes] {
+                  deliver(from, *by_address.at(to), bytes);
+                  send_next(from);
+              });
     }
 
     void deliver(test_node& from, test_node& to, const std::string& bytes)
