Peers: a changed configuration does not wait behind entries of runners

Callers saw: a 404 for a route that had been acknowledged 6 to 7.5 s before, at 300 VMs.

Cause: all frames to a peer left in the order in which they were queued, and a change of the configuration was part of the next push. On a follower's full link it waited behind thousands of entries, and so did probes. A node that stood in for the followers pushed nothing of what it had read, so the others had to stand in themselves, the hundredth 6.4 s after the last answer.

No frame dropped there, 2,924 keys of 4,096: lost pushes and full tables are excluded.

Change: control frames are sent before bulk frames (key requests and replies) to the same peer, and the kernel's buffer of a connection is bounded, since nothing overtakes what is in it. An urgent key, which is the configuration, is sent at once as a control frame of its own, also by a stand-in that reads a newer one; the numbered push that contains it follows, so that a lost copy is noticed as before.

--- a/daemon/key_relay_driver.cc
+++ b/daemon/key_relay_driver.cc
@@ -5,7 +5,8 @@
 key_relay_driver::key_relay_driver(const daemon_settings& settings, peer_service& peers,
                                    std::string name, key_relay_hooks hooks)
     : m_settings{settings}, m_peers{peers}, m_hooks{std::move(hooks)},
-      m_core{key_relay_settings{.self = settings.node, .name = std::move(name)},
+      m_core{key_relay_settings{
+                 .self = settings.node, .name = std::move(name), .is_urgent = m_hooks.is_urgent},
              random_source{hash64(settings.node.value(), settings.seed)}}
 {}
 
@@ -72,7 +73,7 @@
 
 void key_relay_driver::execute(const send_key_message& cmd)
 {
-    m_peers.send_keys(cmd.to, cmd.body);
+    m_peers.send_keys(cmd.to, cmd.body, cmd.priority);
 }
 
 void key_relay_driver::execute(const announce_key& cmd)
--- a/daemon/key_relay_driver.h
+++ b/daemon/key_relay_driver.h
@@ -30,6 +30,8 @@
     /// A neighbour that watches the platform got an answer from it `store_age` ago, and this node
     /// has everything that the neighbour had then.
     std::function<void(const node_id&, duration store_age)> on_fresh = {};
+    /// Whether a change of the key must not wait for changes of other keys.
+    std::function<bool(std::string_view key)> is_urgent = {};
 };
 
 class key_relay_driver {
--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -154,6 +154,7 @@
             if (store_age < min_outage)
                 store_recovered();
         };
+        given.is_urgent = [](std::string_view key) { return platform::is_configuration(key); };
         given.on_neighbours = [this](const std::vector<node_id>& nodes) {
             m_followers.members_changed(nodes);
             hooks.on_current_changed(current, m_followers.rank());
--- a/peers/frame.h
+++ b/peers/frame.h
@@ -26,6 +26,10 @@
 /// Maximum size of a name in bytes.
 inline constexpr std::size_t max_frame_name = 256;
 
+/// The order in which frames to the same peer are sent. Bulk frames, which carry many entries of the
+/// store, wait while other frames are queued.
+enum class frame_priority { control, bulk };
+
 std::string encode_frame(const wire::frame& frame);
 
 /// Errors: protocol (truncated, oversized, not Thrift, a name or list above its maximum size, no
--- a/peers/key_relay.cc
+++ b/peers/key_relay.cc
@@ -92,7 +92,7 @@
     key_relay_commands out;
     m_synced = true;
     if (update_if_newer(entry, out)) {
-        m_unpushed.insert(entry.key);
+        add_to_push(entry, out);
         out.emplace_back(announce_key{{wire_key(entry.key), entry.revision, duration{0}}});
     }
     return out;
@@ -102,10 +102,37 @@
 {
     key_relay_commands out;
     m_synced = true;
-    update_if_newer(entry, out);
+    const bool known = m_keys.contains(entry.key);
+    if (update_if_newer(entry, out) && known)
+        send_if_urgent(entry, out);
     return out;
 }
 
+void key_relay_core::add_to_push(const relayed_key& entry, key_relay_commands& out)
+{
+    m_unpushed.insert(entry.key);
+    if (m_pushing)
+        send_if_urgent(entry, out);
+}
+
+// The copy sent at once has no push number, so it may overtake pushes and may be lost: the numbered
+// push that contains the entry follows.
+void key_relay_core::send_if_urgent(const relayed_key& entry, key_relay_commands& out) const
+{
+    if (!m_settings.is_urgent || !m_settings.is_urgent(entry.key))
+        return;
+    key_reply copy;
+    copy.entries.push_back(entry);
+    send_to_domain(copy, frame_priority::control, out);
+}
+
+void key_relay_core::send_to_domain(const key_reply& reply, frame_priority priority,
+                                    key_relay_commands& out) const
+{
+    for (const node_id& neighbour : m_neighbours)
+        out.emplace_back(send_key_message{neighbour, reply, priority});
+}
+
 key_relay_commands key_relay_core::push(duration store_age)
 {
     key_relay_commands out;
@@ -126,10 +153,8 @@
     for (key_reply& part : parts)
         part.push_number = ++m_push_number;
     parts.back().store_age = store_age;
-    for (const node_id& neighbour : m_neighbours) {
-        for (const key_reply& part : parts)
-            out.emplace_back(send_key_message{neighbour, part});
-    }
+    for (const key_reply& part : parts)
+        send_to_domain(part, frame_priority::bulk, out);
     return out;
 }
 
@@ -176,7 +201,7 @@
         // Neighbours may lack the entry, even if it came with a push, since its sender may not know
         // all of them. It must be pushed now, because it won't be new when the platform reports it.
         if (changed && m_pushing)
-            m_unpushed.insert(entry.key);
+            add_to_push(entry, out);
     }
     if (reply.push_number)
         handle_push(now, message, reply, out);
--- a/peers/key_relay.h
+++ b/peers/key_relay.h
@@ -22,10 +22,12 @@
 #include "peers/payload.h"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -42,6 +44,8 @@
     std::size_t max_reply_bytes = 256U << 10U; ///< of one reply
     double max_reply_bytes_s = 200'000.0;      ///< of all replies, per second
     std::size_t max_keys = 4096;
+    /// Whether a change of the key must not wait for changes of other keys; empty: none.
+    std::function<bool(std::string_view key)> is_urgent = {};
 };
 
 // Commands, to be executed by the caller.
@@ -54,6 +58,7 @@
 struct send_key_message {
     node_id to;
     key_body body;
+    frame_priority priority = frame_priority::bulk;
 };
 /// Publish a notice as a rumor.
 struct announce_key {
@@ -85,8 +90,8 @@
     /// This node has read, watched or written a value. A newer one is announced and pushed.
     key_relay_commands key_changed(time_point now, const relayed_key& entry);
     /// Adds an entry of a full read of the platform. It is neither announced nor pushed, since the
-    /// other nodes have most entries and get the rest by comparison. Call stop_pushing() after the
-    /// last one.
+    /// other nodes have most entries and get the rest by comparison; only a newer revision of an
+    /// urgent key is sent to them at once. Call stop_pushing() after the last one.
     key_relay_commands read(const relayed_key& entry);
     /// Pushes the entries that are new since the last push, if any, to all nodes of the own failure
     /// domain, with the time since the platform answered this node. Nodes that receive pushes need
@@ -112,6 +117,11 @@
     };
 
     bool update_if_newer(const relayed_key& entry, key_relay_commands& out);
+    /// Marks a changed entry for the next push. An urgent one is sent at once as well.
+    void add_to_push(const relayed_key& entry, key_relay_commands& out);
+    void send_if_urgent(const relayed_key& entry, key_relay_commands& out) const;
+    void send_to_domain(const key_reply& reply, frame_priority priority,
+                        key_relay_commands& out) const;
     void handle_push(time_point now, const key_message& message, const key_reply& push,
                      key_relay_commands& out);
     void handle_request(time_point now, const node_id& to, const key_request& request,
--- a/peers/key_spread_test.cc
+++ b/peers/key_spread_test.cc
@@ -56,7 +56,10 @@
 /// One node's relay and its watch of the store, as in the daemon's registry feed.
 struct feed {
     feed(test_node& member, random_source random)
-        : node{member}, relay{{.self = member.core.self().node, .name = "documents"}, random},
+        : node{member}, relay{{.self = member.core.self().node,
+                               .name = "documents",
+                               .is_urgent = [](std::string_view key) { return key == config_key; }},
+                              random},
           followers{{.self = member.core.self().node}}
     {}
 
@@ -220,7 +223,8 @@
         for (const key_relay_command& command : commands) {
             if (const auto* message = std::get_if<send_key_message>(&command))
                 m_network.run(each.node,
-                              each.node.core.send_keys(m_network.now, message->to, message->body));
+                              each.node.core.send_keys(m_network.now, message->to, message->body,
+                                                       message->priority));
             else if (const auto* announced = std::get_if<announce_key>(&command))
                 m_network.run(each.node, each.node.core.publish(m_network.now, announced->notice));
             else if (const auto* updated = std::get_if<key_updated>(&command)) {
@@ -259,3 +263,15 @@
         cr_expect_lt(domain.change_configuration(), max_change_delay, "%zu nodes", each.nodes);
     }
 }
+
+// A change of the configuration follows the changes of many entries. Guards against nodes that keep
+// outdated tables because it waits behind those entries on the followers' links.
+Test(key_spread, a_configuration_change_is_in_force_in_time_after_many_changed_entries)
+{
+    for (const std::size_t nodes : {4U, 36U, 100U}) {
+        domain_simulation domain{nodes, 1'000};
+        domain.change_entries(1'000);
+        domain.run_for(500ms);
+        cr_expect_lt(domain.change_configuration(), max_change_delay, "%zu nodes", nodes);
+    }
+}
--- a/peers/membership.cc
+++ b/peers/membership.cc
@@ -77,7 +77,7 @@
 }
 
 void membership_core::send(time_point now, const member& to, wire::frame& frame,
-                           membership_commands& out)
+                           membership_commands& out, frame_priority priority)
 {
     if (!to.node.value().empty())
         frame.__set_target(to.node.value());
@@ -102,7 +102,7 @@
     }
     if (carries_rumors)
         m_rumors.fill(frame, now);
-    out.emplace_back(send_frame{to.node, to.address, encode_frame(frame)});
+    out.emplace_back(send_frame{to.node, to.address, encode_frame(frame), priority});
 }
 
 void membership_core::send_simple_frame(time_point now, const member& to,
--- a/peers/membership.h
+++ b/peers/membership.h
@@ -66,6 +66,7 @@
     node_id to;          ///< empty: any node that answers at the address (a seed)
     std::string address; ///< "IP:port"
     std::string bytes;
+    frame_priority priority = frame_priority::control;
 };
 /// A member joined or changed its state, boot number or incarnation.
 struct member_changed {
@@ -100,7 +101,8 @@
                                          bool platform_lost);
     // Messages to one node. Nothing is sent to a node that is not in the member table.
     membership_commands send_config(time_point now, const node_id& to, const config_body& body);
-    membership_commands send_keys(time_point now, const node_id& to, const key_body& body);
+    membership_commands send_keys(time_point now, const node_id& to, const key_body& body,
+                                  frame_priority priority);
     membership_commands send_server_message(time_point now, const node_id& to,
                                             const server_body& body);
 
@@ -142,7 +144,8 @@
     // membership.cc
     [[nodiscard]] std::int64_t table_digest() const;
     wire::frame make_frame(time_point now, wire::frame_kind::type kind);
-    void send(time_point now, const member& to, wire::frame& frame, membership_commands& out);
+    void send(time_point now, const member& to, wire::frame& frame, membership_commands& out,
+              frame_priority priority = frame_priority::control);
     void send_simple_frame(time_point now, const member& to, wire::frame_kind::type kind,
                            membership_commands& out);
     /// Returns false for a frame of another deployment, a forged or outdated sender, or another
--- a/peers/membership_keys.cc
+++ b/peers/membership_keys.cc
@@ -80,7 +80,7 @@
 }
 
 membership_commands membership_core::send_keys(time_point now, const node_id& to,
-                                               const key_body& body)
+                                               const key_body& body, frame_priority priority)
 {
     membership_commands out;
     const member* known = m_members.find(to);
@@ -90,12 +90,12 @@
     if (const auto* request = std::get_if<key_request>(&body)) {
         wire::frame frame = make_frame(now, wire::frame_kind::key_request);
         frame.__set_keys_wanted(to_wire(*request));
-        send(now, peer, frame, out);
+        send(now, peer, frame, out, priority);
     }
     if (const auto* reply = std::get_if<key_reply>(&body)) {
         wire::frame frame = make_frame(now, wire::frame_kind::key_reply);
         frame.__set_keys(to_wire(*reply));
-        send(now, peer, frame, out);
+        send(now, peer, frame, out, priority);
     }
     return out;
 }
--- a/peers/peer_service.cc
+++ b/peers/peer_service.cc
@@ -104,7 +104,7 @@
 private:
     void execute(const send_frame& command)
     {
-        m_transport->send(command.to, command.address, command.bytes);
+        m_transport->send(command.to, command.address, command.bytes, command.priority);
     }
     void execute(const member_changed& command)
     {
@@ -275,9 +275,9 @@
     m_state->m_key_handler = std::move(handler);
 }
 
-void peer_service::send_keys(const node_id& to, const key_body& body)
+void peer_service::send_keys(const node_id& to, const key_body& body, frame_priority priority)
 {
-    m_state->run(m_state->m_core.send_keys(runtime_clock::now(), to, body));
+    m_state->run(m_state->m_core.send_keys(runtime_clock::now(), to, body, priority));
 }
 
 void peer_service::on_server_message(std::function<void(const server_message&)> handler)
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -90,7 +90,7 @@
 
     // Key relay (key_relay.h).
     void on_keys(std::function<void(const key_message&)> handler);
-    void send_keys(const node_id& to, const key_body& body);
+    void send_keys(const node_id& to, const key_body& body, frame_priority priority);
 
     // Messages about backend servers, runners and the store.
     void on_server_message(std::function<void(const server_message&)> handler);
--- a/peers/test_network.h
+++ b/peers/test_network.h
@@ -28,10 +28,11 @@
     std::uint64_t bytes_sent = 0;
     std::uint64_t bytes_received = 0;
 
-    /// Frames to one peer that wait for the link, as in the transport's queue.
+    /// Frames to one peer that wait for the link, as in the transport's queues.
     struct link_queue {
-        std::deque<std::string> frames;
-        std::size_t bytes = 0;
+        std::deque<std::string> control;
+        std::deque<std::string> bulk;
+        std::size_t bulk_bytes = 0;
     };
     std::map<std::string, link_queue> link_queues; ///< by address
     std::string last_sent_to;                      ///< address; the link serves its peers in turn
@@ -187,15 +188,28 @@
     void queue_for_link(test_node& from, const send_frame& frame)
     {
         test_node::link_queue& queue = from.link_queues[frame.address];
-        if (queue.frames.size() >= max_queued_frames ||
-            queue.bytes + frame.bytes.size() > max_queued_bytes)
-            return;
-        queue.bytes += frame.bytes.size();
-        queue.frames.push_back(frame.bytes);
+        if (frame.priority == frame_priority::control)
+            queue.control.push_back(frame.bytes);
+        else if (queue.bulk.size() < max_queued_frames &&
+                 queue.bulk_bytes + frame.bytes.size() <= max_queued_bytes)
+        {
+            queue.bulk_bytes += frame.bytes.size();
+            queue.bulk.push_back(frame.bytes);
+        }
         if (!from.link_busy)
             send_next(from);
     }
 
+    static std::string pop(test_node::link_queue& queue)
+    {
+        std::deque<std::string>& frames = queue.control.empty() ? queue.bulk : queue.control;
+        std::string bytes = std::move(frames.front());
+        if (queue.control.empty())
+            queue.bulk_bytes -= bytes.size();
+        frames.pop_front();
+        return bytes;
+    }
+
     /// Sends one frame of the next peer in turn.
     void send_next(test_node& from)
     {
@@ -206,10 +220,8 @@
         if (!from.link_busy)
             return;
         from.last_sent_to = next->first;
-        const std::string bytes = std::move(next->second.frames.front());
-        next->second.frames.pop_front();
-        next->second.bytes -= bytes.size();
-        if (next->second.frames.empty())
+        const std::string bytes = pop(next->second);
+        if (next->second.control.empty() && next->second.bulk.empty())
             from.link_queues.erase(next);
         const std::chrono::duration<double> sending{static_cast<double>(bytes.size()) /
                                                     link_bytes_s};
--- a/peers/transport.cc
+++ b/peers/transport.cc
@@ -43,9 +43,12 @@
 constexpr duration key_check_interval = std::chrono::seconds{1}; ///< of the TLS files
 /// After new TLS files, inbound connections made with the old ones are closed after this time.
 constexpr duration old_connection_grace = std::chrono::seconds{5};
-constexpr std::size_t max_queued_frames = 64;       ///< to one peer
-constexpr std::size_t max_queued_bytes = 4U << 20U; ///< to one peer
-constexpr std::size_t length_prefix_bytes = 4;      ///< of a frame; big-endian
+// Of each priority, to one peer.
+constexpr std::size_t max_queued_frames = 64;
+constexpr std::size_t max_queued_bytes = 4U << 20U;
+/// Of the kernel, for each connection. Control frames can't overtake what is in it.
+constexpr int send_buffer_bytes = 128 << 10;
+constexpr std::size_t length_prefix_bytes = 4; ///< of a frame; big-endian
 
 /// A TCP connection, encrypted with TLS if a TLS context is given.
 class channel {
@@ -109,11 +112,45 @@
     node_id m_verified_name;
 };
 
-/// The queue of frames to one peer.
+/// Frames that wait to be sent.
+struct frame_queue {
+    std::deque<std::string> frames;
+    std::size_t bytes = 0;
+
+    [[nodiscard]] bool has_room_for(std::size_t added) const
+    {
+        return frames.size() < max_queued_frames && bytes + added <= max_queued_bytes;
+    }
+    void push(std::string frame)
+    {
+        bytes += frame.size();
+        frames.push_back(std::move(frame));
+    }
+    std::string pop()
+    {
+        std::string frame = std::move(frames.front());
+        frames.pop_front();
+        bytes -= frame.size();
+        return frame;
+    }
+};
+
+/// The queues of frames to one peer.
 struct outbound_queue {
     explicit outbound_queue(asio::io_context& io) : wake{io} {}
-    std::deque<std::string> queue;
-    std::size_t queued_bytes = 0;
+
+    frame_queue& of(frame_priority priority)
+    {
+        return priority == frame_priority::control ? control : bulk;
+    }
+    /// The queue to send from; both may be empty.
+    frame_queue& next() { return control.frames.empty() ? bulk : control; }
+    [[nodiscard]] bool empty() const { return control.frames.empty() && bulk.frames.empty(); }
+    [[nodiscard]] std::size_t frames() const { return control.frames.size() + bulk.frames.size(); }
+    [[nodiscard]] std::size_t bytes() const { return control.bytes + bulk.bytes; }
+
+    frame_queue control;
+    frame_queue bulk;
     timer wake;           ///< cancelled when a frame is queued
     bool retired = false; ///< the connection is closed once the queue is empty
 };
@@ -141,7 +178,8 @@
             asio::co_spawn(m_io, refresh_loop(shared_from_this()), asio::detached);
     }
 
-    void send(const node_id& node, const std::string& address, std::string bytes)
+    void send(const node_id& node, const std::string& address, std::string bytes,
+              frame_priority priority)
     {
         if (m_stopped)
             return;
@@ -151,15 +189,13 @@
             peer = std::make_shared<outbound_queue>(m_io);
             asio::co_spawn(m_io, send_loop(shared_from_this(), key, peer), asio::detached);
         }
-        const bool full = peer->queue.size() >= max_queued_frames ||
-                          peer->queued_bytes + bytes.size() > max_queued_bytes;
-        if (full) {
+        frame_queue& queue = peer->of(priority);
+        if (!queue.has_room_for(bytes.size())) {
             ++m_counters.frames_dropped;
             return;
         }
-        peer->queued_bytes += bytes.size();
         m_counters.queued_bytes += bytes.size();
-        peer->queue.push_back(std::move(bytes));
+        queue.push(std::move(bytes));
         peer->wake.cancel();
     }
 
@@ -267,6 +303,8 @@
         tcp::socket socket{m_io};
         if (!co_await with_timeout(connect(socket, endpoint.value()), handshake_timeout))
             co_return nullptr;
+        error_code ignored;
+        socket.set_option(tcp::socket::send_buffer_size{send_buffer_bytes}, ignored);
         auto opened = std::make_shared<channel>(std::move(socket), context());
         if (!co_await with_timeout(opened->handshake(asio::ssl::stream_base::client),
                                    handshake_timeout)) {
@@ -291,8 +329,8 @@
             opened->close();
             --m_counters.connections;
         }
-        m_counters.frames_dropped += peer->queue.size();
-        m_counters.queued_bytes -= peer->queued_bytes;
+        m_counters.frames_dropped += peer->frames();
+        m_counters.queued_bytes -= peer->bytes();
         const auto found = m_outbound.find(key);
         if (found != m_outbound.end() && found->second == peer)
             m_outbound.erase(found);
@@ -309,18 +347,16 @@
     awaitable<void> send_queued(channel& opened, outbound_queue& peer)
     {
         while (!m_stopped) {
-            if (peer.queue.empty()) {
+            if (peer.empty()) {
                 if (peer.retired)
                     co_return;
                 peer.wake.expires_after(idle_timeout / 2);
                 const auto [woken] = co_await peer.wake.async_wait(use_result);
-                if (!woken && peer.queue.empty())
+                if (!woken && peer.empty())
                     co_return; // idle
                 continue;
             }
-            std::string bytes = std::move(peer.queue.front());
-            peer.queue.pop_front();
-            peer.queued_bytes -= bytes.size();
+            const std::string bytes = peer.next().pop();
             m_counters.queued_bytes -= bytes.size();
             std::string framed(length_prefix_bytes, '\0');
             for (std::size_t i = 0; i < length_prefix_bytes; ++i)
@@ -414,9 +450,10 @@
     m_state->m_handler = std::move(handler);
 }
 
-void peer_transport::send(const node_id& node, const std::string& address, std::string bytes)
+void peer_transport::send(const node_id& node, const std::string& address, std::string bytes,
+                          frame_priority priority)
 {
-    m_state->send(node, address, std::move(bytes));
+    m_state->send(node, address, std::move(bytes), priority);
 }
 
 void peer_transport::stop()
--- a/peers/transport.h
+++ b/peers/transport.h
@@ -1,13 +1,14 @@
 // Sends and receives frames between daemons over TCP or mutual TLS. Delivery is not guaranteed: a
 // frame that can't be sent at once is put in a short queue, and if that is full it is dropped and
-// counted.
+// counted. Control frames are sent before bulk frames to the same peer.
 //
 //   auto transport = peer_transport::create(io, {.listen = "10.0.0.1:7100", .tls = files}).value();
 //   transport->on_frame([&](const node_id& verified_name, std::string bytes) { ... });
-//   transport->send(node_id{"entry-2"}, "10.0.0.2:7100", bytes);
+//   transport->send(node_id{"entry-2"}, "10.0.0.2:7100", bytes, frame_priority::control);
 #pragma once
 
 #include "base/base.h"
+#include "peers/frame.h"
 #include "peers/peer_tls.h"
 
 #include <boost/asio/io_context.hpp>
@@ -53,7 +54,8 @@
     void on_frame(std::function<void(const node_id& verified_name, std::string bytes)> handler);
     /// Sends a frame to `node` at "IP:port". With an empty node name any node that answers at the
     /// address gets it (a seed).
-    void send(const node_id& node, const std::string& address, std::string bytes);
+    void send(const node_id& node, const std::string& address, std::string bytes,
+              frame_priority priority);
     void stop();
 
     [[nodiscard]] const std::string& address() const; ///< bound "IP:port"
--- a/peers/transport_test.cc
+++ b/peers/transport_test.cc
@@ -195,8 +195,47 @@
     auto transport = peer_transport::create(io, {"127.0.0.1:0", {}, 16}).value();
     const std::string address = "127.0.0.1:" + std::to_string(unread.local_endpoint().port());
     for (int i = 0; i < 400; ++i) {
-        transport->send(node_id{"deaf"}, address, std::string(200'000, 'x'));
+        transport->send(node_id{"deaf"}, address, std::string(200'000, 'x'), frame_priority::bulk);
         io.poll();
     }
     cr_assert_gt(transport->counters().frames_dropped, 300U);
 }
+
+// The link to a peer is full of bulk frames. Guards against a control frame, such as a changed
+// configuration, that waits until all of them are sent.
+Test(transport, a_control_frame_overtakes_queued_bulk_frames)
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor acceptor{io, {boost::asio::ip::address_v4::loopback(), 0}};
+    auto transport = peer_transport::create(io, {"127.0.0.1:0", {}, 16}).value();
+    const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    constexpr int bulk_frames = 20;
+    constexpr std::size_t bulk_bytes = 200'000;
+    for (int i = 0; i < bulk_frames; ++i)
+        transport->send(node_id{"peer"}, address, std::string(bulk_bytes, 'b'),
+                        frame_priority::bulk);
+    boost::asio::ip::tcp::socket peer{io};
+    acceptor.async_accept(peer, [](const boost::system::error_code&) {});
+    cr_assert(until(
+        io, [&] { return transport->counters().queued_bytes < bulk_frames * bulk_bytes; }, 5));
+    transport->send(node_id{"peer"}, address, "c", frame_priority::control);
+
+    std::string received;
+    std::array<char, 65'536> piece{};
+    std::function<void()> read_more = [&] {
+        peer.async_read_some(boost::asio::buffer(piece),
+                             [&](const boost::system::error_code& failed, std::size_t count) {
+                                 received.append(piece.data(), count);
+                                 if (!failed)
+                                     read_more();
+                             });
+    };
+    read_more();
+    constexpr std::size_t all = bulk_frames * (bulk_bytes + 4) + 1 + 4;
+    cr_assert(until(
+        io, [&] { return received.size() == all; }, 10));
+    cr_assert_lt(received.find('c'), 10 * bulk_bytes, "at %zu of %zu", received.find('c'), all);
+    peer.close();
+    transport->stop();
+    io.poll();
+}
