Membership: a large fleet that starts at once knows its failure domains within seconds

Cause: seeds answer three or four of 300 requests for the member table, then have no budget left and send nothing. A node that got no answer stays alone, and one that learned of anybody asks for a table once a minute. A node that knows a few of its failure domain ranks itself among the two followers of the store: it watches it and pushes every entry to all whom it knows.

Change: beyond the budget of whole tables a reply contains eight random members of the failure domain of the node that asks, which it can ask next; during startup a node asks each second for a table that differs; the budget for whole tables is ten of 410 nodes instead of three.

--- a/peers/membership.cc
+++ b/peers/membership.cc
@@ -25,6 +25,8 @@
 constexpr double max_clock_drift = 2e-4;
 /// Dead members and members that left are part of a sync reply for this long.
 constexpr duration sync_history = std::chrono::minutes{10};
+/// Members in a sync reply beyond the budget of whole tables.
+constexpr std::size_t sync_sample = 8;
 constexpr std::size_t max_seeds = 64;
 
 std::int64_t milliseconds_of(duration span)
@@ -319,18 +321,18 @@
 }
 
 // Replies are limited by a token bucket: a node with an outdated table may get requests from all
-// others at once, and the seeds from a whole fleet that starts. Nodes without a reply ask another
-// node later.
+// others at once, and the seeds from a whole fleet that starts. Once it is empty, replies contain
+// only a few members, which the requester asks next; their buckets are still full.
 void membership_core::reply_to_sync(time_point now, const member& to, membership_commands& out)
 {
     const double seconds = std::chrono::duration<double>(now - m_sync_refilled).count();
     m_sync_tokens =
         std::min(m_settings.sync_burst, m_sync_tokens + seconds * m_settings.sync_bytes_s);
     m_sync_refilled = now;
-    if (m_sync_tokens < 0.0)
+    if (m_sync_tokens < -m_settings.sync_burst)
         return;
     wire::frame reply = make_frame(now, wire::frame_kind::sync_reply);
-    for (const member& known : m_members.live_or_recent(now, sync_history))
+    for (const member& known : members_to_show(now, to))
         reply.members.push_back(to_wire(known));
     reply.members.push_back(to_wire(m_self));
     reply.__isset.members = true;
@@ -338,6 +340,19 @@
     m_sync_tokens -= static_cast<double>(std::get<send_frame>(out.back()).bytes.size());
 }
 
+std::vector<member> membership_core::members_to_show(time_point now, const member& to)
+{
+    if (m_sync_tokens >= 0.0)
+        return m_members.live_or_recent(now, sync_history);
+    std::vector<node_id> neighbours = m_members.select([&](const member& other) {
+        return other.live() && other.failure_domain == to.failure_domain && other.node != to.node;
+    });
+    std::vector<member> sample;
+    for (const node_id& node : pick(std::move(neighbours), sync_sample))
+        sample.push_back(*m_members.find(node));
+    return sample;
+}
+
 void membership_core::respond(time_point now, const wire::frame& frame, membership_commands& out)
 {
     const member* sender = m_members.find(node_id{frame.sender});
@@ -365,7 +380,9 @@
     }
     const bool differs = frame.__isset.member_digest && frame.member_digest != table_digest();
     if (differs && now >= m_next_sync) {
-        m_next_sync = now + m_settings.sync_interval;
+        const bool starting = now - m_started < startup_period;
+        m_next_sync =
+            now + (starting ? m_settings.initial_sync_interval : m_settings.sync_interval);
         wire::frame request = make_frame(now, wire::frame_kind::sync_request);
         request.members.push_back(to_wire(m_self));
         request.__isset.members = true;
--- a/peers/membership.h
+++ b/peers/membership.h
@@ -50,8 +50,11 @@
     duration suspicion_timeout = std::chrono::seconds{4};    ///< until a suspect is declared dead
     duration dead_member_retention = std::chrono::hours{6};  ///< also of members that left
     duration sync_interval = std::chrono::seconds{60};       ///< minimum time between table syncs
+    /// Used instead of sync_interval during startup, since the first peers asked may know few
+    /// members.
+    duration initial_sync_interval = std::chrono::seconds{1};
     double sync_bytes_s = 400.0;     ///< bytes per second of replies with the whole table
-    double sync_burst = 64'000.0;    ///< bytes; three tables of 410 nodes
+    double sync_burst = 256'000.0;   ///< bytes; ten tables of 410 nodes
     std::size_t indirect_probes = 3; ///< nodes that are asked to probe for this one
     std::size_t fan_out = 6;         ///< random peers that an urgent rumor is sent to
     std::size_t bridges = 2;         ///< nodes of a failure domain that probe each other domain
@@ -161,6 +164,9 @@
     void apply_rumor(time_point now, duration delay, rumor item, membership_commands& out);
     void handle_config(const wire::frame& frame, membership_commands& out);
     void reply_to_sync(time_point now, const member& to, membership_commands& out);
+    /// The members in a sync reply: all, or beyond the budget some live ones of the failure domain
+    /// of `to`.
+    std::vector<member> members_to_show(time_point now, const member& to);
     static void handle_keys(duration delay, const wire::frame& frame, membership_commands& out);
     static void handle_server_messages(const wire::frame& frame, membership_commands& out);
     void respond(time_point now, const wire::frame& frame, membership_commands& out);
--- a/peers/membership_test.cc
+++ b/peers/membership_test.cc
@@ -1,3 +1,4 @@
+#include "peers/store_followers.h"
 #include "peers/test_network.h"
 
 #include <criterion/criterion.h>
@@ -344,6 +345,39 @@
     cr_assert(digest_received);
 }
 
+// A large fleet starts at once, and each node is given the same three seeds. Guards against nodes
+// that know only a few of their failure domain for a minute: each of them takes itself for a
+// follower of the store, and pushes to the others what they get already.
+Test(membership, a_fleet_that_starts_at_once_knows_its_failure_domains_soon)
+{
+    constexpr std::size_t nodes = 300;
+    constexpr std::size_t domains = 3;
+    constexpr seconds recovery_time{12}; ///< allowed after a start of all nodes
+    test_network net{7};
+    for (std::size_t index = 0; index < nodes; ++index)
+        net.add(index, domains);
+    std::vector<std::string> seeds;
+    for (std::size_t index = 0; index < domains; ++index)
+        seeds.push_back(net.nodes[index]->core.self().address);
+    for (const auto& node : net.nodes)
+        node->core.add_seeds(seeds);
+    const auto is_follower = [](const auto& node) {
+        std::vector<node_id> own_domain{node->core.self().node};
+        for (const member& other : node->core.members().all()) {
+            if (other.live() && other.failure_domain == node->core.self().failure_domain)
+                own_domain.push_back(other.node);
+        }
+        const store_followers_settings settings{.self = node->core.self().node};
+        store_followers ranking{settings};
+        ranking.members_changed(own_domain);
+        return ranking.rank() < settings.followers;
+    };
+    net.run_for(recovery_time);
+    const auto followers = std::count_if(net.nodes.begin(), net.nodes.end(), is_follower);
+    cr_assert_leq(followers, 2 * 2 * static_cast<std::ptrdiff_t>(domains),
+                  "%ld nodes take themselves for followers", followers);
+}
+
 // Guards the budget of bytes per second (membership.h) with 410 nodes, 200 groups, 20 demand
 // reports from each node, and a configuration change every 28 s.
 Test(membership, bytes_a_second_at_410_nodes_stay_in_budget)
