Key relay: in a large failure domain a push goes to a few neighbours, which forward it

Cause of the load behind the CONFIG failure at 300 VMs: a follower sends every changed entry to each of a hundred neighbours over one link. When that is full, pushes come late, neighbours stand in, and each of them pushes to all as well.

Change: with more than 32 neighbours a push goes to about the square root of them (by rendezvous hashing, others for each node that pushes), with the names of those to which each of them sends it on. Numbers, completeness and comparisons stay with the node that pushed; each hop adds the delay of its frame to the age. Nodes need not agree about the live members for it. A node of an older build does not forward; its part stands in for the followers meanwhile.

Tests: key_spread/two_nodes_follow_the_store_while_many_entries_change (red when sent to all), key_relay/a_push_reaches_each_node_of_a_large_domain_once, a_forwarded_push_counts_as_its_origins_and_ages_on_the_way, an_urgent_key_is_sent_at_once_and_pushed_too.

--- a/peers/frame.cc
+++ b/peers/frame.cc
@@ -47,6 +47,8 @@
            std::all_of(frame.leavings.begin(), frame.leavings.end(), server_fits) &&
            std::all_of(frame.limits.begin(), frame.limits.end(), limit_fits) &&
            std::all_of(frame.keys.entries.begin(), frame.keys.entries.end(), key_fits) &&
+           std::all_of(frame.keys.forward_to.begin(), frame.keys.forward_to.end(), name_fits) &&
+           name_fits(frame.keys.origin) &&
            std::all_of(frame.request.digests.begin(), frame.request.digests.end(), name_fits);
 }
 
--- a/peers/frame.h
+++ b/peers/frame.h
@@ -26,8 +26,8 @@
 /// Maximum size of a name in bytes.
 inline constexpr std::size_t max_frame_name = 256;
 
-/// The order in which frames to the same peer are sent. Bulk frames, which carry many entries of the
-/// store, wait while other frames are queued.
+/// The order in which frames to the same peer are sent. Bulk frames, which carry many entries of
+/// the store, wait while other frames are queued.
 enum class frame_priority { control, bulk };
 
 std::string encode_frame(const wire::frame& frame);
@@ -98,6 +98,10 @@
     std::optional<std::int64_t> push_number;
     /// The reply to a request for all keys that contains every newer entry of the sender.
     bool complete = false;
+    /// Nodes to which the receiver sends it on.
+    std::vector<node_id> forward_to = {};
+    /// Node whose push this is, if the sender forwards it.
+    std::optional<node_id> origin = {};
 };
 
 using key_body = std::variant<key_request, key_reply>;
--- a/peers/gen/peers_types.cpp
+++ b/peers/gen/peers_types.cpp
@@ -1996,6 +1996,16 @@
   this->complete = val;
 __isset.complete = true;
 }
+
+void key_reply::__set_forward_to(const std::vector<std::string> & val) {
+  this->forward_to = val;
+__isset.forward_to = true;
+}
+
+void key_reply::__set_origin(const std::string& val) {
+  this->origin = val;
+__isset.origin = true;
+}
 std::ostream& operator<<(std::ostream& out, const key_reply& obj)
 {
   obj.printTo(out);
@@ -2068,6 +2078,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->forward_to.clear();
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->forward_to.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
+            {
+              xfer += iprot->readString(this->forward_to[_i54]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.forward_to = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->origin);
+          this->__isset.origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2088,10 +2126,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<key_value> ::const_iterator _iter50;
-    for (_iter50 = this->entries.begin(); _iter50 != this->entries.end(); ++_iter50)
+    std::vector<key_value> ::const_iterator _iter55;
+    for (_iter55 = this->entries.begin(); _iter55 != this->entries.end(); ++_iter55)
     {
-      xfer += (*_iter50).write(oprot);
+      xfer += (*_iter55).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2112,6 +2150,24 @@
     xfer += oprot->writeBool(this->complete);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.forward_to) {
+    xfer += oprot->writeFieldBegin("forward_to", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->forward_to.size()));
+      std::vector<std::string> ::const_iterator _iter56;
+      for (_iter56 = this->forward_to.begin(); _iter56 != this->forward_to.end(); ++_iter56)
+      {
+        xfer += oprot->writeString((*_iter56));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.origin) {
+    xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_STRING, 6);
+    xfer += oprot->writeString(this->origin);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2123,22 +2179,28 @@
   swap(a.store_age_ms, b.store_age_ms);
   swap(a.push_number, b.push_number);
   swap(a.complete, b.complete);
+  swap(a.forward_to, b.forward_to);
+  swap(a.origin, b.origin);
   swap(a.__isset, b.__isset);
 }
 
-key_reply::key_reply(const key_reply& other51) {
-  entries = other51.entries;
-  store_age_ms = other51.store_age_ms;
-  push_number = other51.push_number;
-  complete = other51.complete;
-  __isset = other51.__isset;
-}
-key_reply& key_reply::operator=(const key_reply& other52) {
-  entries = other52.entries;
-  store_age_ms = other52.store_age_ms;
-  push_number = other52.push_number;
-  complete = other52.complete;
-  __isset = other52.__isset;
+key_reply::key_reply(const key_reply& other57) {
+  entries = other57.entries;
+  store_age_ms = other57.store_age_ms;
+  push_number = other57.push_number;
+  complete = other57.complete;
+  forward_to = other57.forward_to;
+  origin = other57.origin;
+  __isset = other57.__isset;
+}
+key_reply& key_reply::operator=(const key_reply& other58) {
+  entries = other58.entries;
+  store_age_ms = other58.store_age_ms;
+  push_number = other58.push_number;
+  complete = other58.complete;
+  forward_to = other58.forward_to;
+  origin = other58.origin;
+  __isset = other58.__isset;
   return *this;
 }
 void key_reply::printTo(std::ostream& out) const {
@@ -2148,6 +2210,8 @@
   out << ", " << "store_age_ms="; (__isset.store_age_ms ? (out << to_string(store_age_ms)) : (out << "<null>"));
   out << ", " << "push_number="; (__isset.push_number ? (out << to_string(push_number)) : (out << "<null>"));
   out << ", " << "complete="; (__isset.complete ? (out << to_string(complete)) : (out << "<null>"));
+  out << ", " << "forward_to="; (__isset.forward_to ? (out << to_string(forward_to)) : (out << "<null>"));
+  out << ", " << "origin="; (__isset.origin ? (out << to_string(origin)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2222,14 +2286,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pages.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->pages.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->pages.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
             {
-              xfer += this->pages[_i57].read(iprot);
+              xfer += this->pages[_i63].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2276,10 +2340,10 @@
     xfer += oprot->writeFieldBegin("pages", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pages.size()));
-      std::vector<config_page> ::const_iterator _iter58;
-      for (_iter58 = this->pages.begin(); _iter58 != this->pages.end(); ++_iter58)
+      std::vector<config_page> ::const_iterator _iter64;
+      for (_iter64 = this->pages.begin(); _iter64 != this->pages.end(); ++_iter64)
       {
-        xfer += (*_iter58).write(oprot);
+        xfer += (*_iter64).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2304,19 +2368,19 @@
   swap(a.__isset, b.__isset);
 }
 
-config_reply::config_reply(const config_reply& other59) {
-  revision = other59.revision;
-  head = other59.head;
-  pages = other59.pages;
-  delta = other59.delta;
-  __isset = other59.__isset;
+config_reply::config_reply(const config_reply& other65) {
+  revision = other65.revision;
+  head = other65.head;
+  pages = other65.pages;
+  delta = other65.delta;
+  __isset = other65.__isset;
 }
-config_reply& config_reply::operator=(const config_reply& other60) {
-  revision = other60.revision;
-  head = other60.head;
-  pages = other60.pages;
-  delta = other60.delta;
-  __isset = other60.__isset;
+config_reply& config_reply::operator=(const config_reply& other66) {
+  revision = other66.revision;
+  head = other66.head;
+  pages = other66.pages;
+  delta = other66.delta;
+  __isset = other66.__isset;
   return *this;
 }
 void config_reply::printTo(std::ostream& out) const {
@@ -2422,15 +2486,15 @@
   swap(a.__isset, b.__isset);
 }
 
-server_question::server_question(const server_question& other61) {
-  vm = other61.vm;
-  address = other61.address;
-  __isset = other61.__isset;
+server_question::server_question(const server_question& other67) {
+  vm = other67.vm;
+  address = other67.address;
+  __isset = other67.__isset;
 }
-server_question& server_question::operator=(const server_question& other62) {
-  vm = other62.vm;
-  address = other62.address;
-  __isset = other62.__isset;
+server_question& server_question::operator=(const server_question& other68) {
+  vm = other68.vm;
+  address = other68.address;
+  __isset = other68.__isset;
   return *this;
 }
 void server_question::printTo(std::ostream& out) const {
@@ -2534,15 +2598,15 @@
   swap(a.__isset, b.__isset);
 }
 
-server_answer::server_answer(const server_answer& other63) {
-  vm = other63.vm;
-  answers = other63.answers;
-  __isset = other63.__isset;
+server_answer::server_answer(const server_answer& other69) {
+  vm = other69.vm;
+  answers = other69.answers;
+  __isset = other69.__isset;
 }
-server_answer& server_answer::operator=(const server_answer& other64) {
-  vm = other64.vm;
-  answers = other64.answers;
-  __isset = other64.__isset;
+server_answer& server_answer::operator=(const server_answer& other70) {
+  vm = other70.vm;
+  answers = other70.answers;
+  __isset = other70.__isset;
   return *this;
 }
 void server_answer::printTo(std::ostream& out) const {
@@ -2748,27 +2812,27 @@
   swap(a.__isset, b.__isset);
 }
 
-runner_word::runner_word(const runner_word& other65) {
-  vm = other65.vm;
-  born_ms = other65.born_ms;
-  grouped = other65.grouped;
-  group = other65.group;
-  epoch = other65.epoch;
-  rank = other65.rank;
-  phase = other65.phase;
-  model = other65.model;
-  __isset = other65.__isset;
+runner_word::runner_word(const runner_word& other71) {
+  vm = other71.vm;
+  born_ms = other71.born_ms;
+  grouped = other71.grouped;
+  group = other71.group;
+  epoch = other71.epoch;
+  rank = other71.rank;
+  phase = other71.phase;
+  model = other71.model;
+  __isset = other71.__isset;
 }
-runner_word& runner_word::operator=(const runner_word& other66) {
-  vm = other66.vm;
-  born_ms = other66.born_ms;
-  grouped = other66.grouped;
-  group = other66.group;
-  epoch = other66.epoch;
-  rank = other66.rank;
-  phase = other66.phase;
-  model = other66.model;
-  __isset = other66.__isset;
+runner_word& runner_word::operator=(const runner_word& other72) {
+  vm = other72.vm;
+  born_ms = other72.born_ms;
+  grouped = other72.grouped;
+  group = other72.group;
+  epoch = other72.epoch;
+  rank = other72.rank;
+  phase = other72.phase;
+  model = other72.model;
+  __isset = other72.__isset;
   return *this;
 }
 void runner_word::printTo(std::ostream& out) const {
@@ -2878,15 +2942,15 @@
   swap(a.__isset, b.__isset);
 }
 
-store_question::store_question(const store_question& other67) {
-  failure_domain = other67.failure_domain;
-  round = other67.round;
-  __isset = other67.__isset;
+store_question::store_question(const store_question& other73) {
+  failure_domain = other73.failure_domain;
+  round = other73.round;
+  __isset = other73.__isset;
 }
-store_question& store_question::operator=(const store_question& other68) {
-  failure_domain = other68.failure_domain;
-  round = other68.round;
-  __isset = other68.__isset;
+store_question& store_question::operator=(const store_question& other74) {
+  failure_domain = other74.failure_domain;
+  round = other74.round;
+  __isset = other74.__isset;
   return *this;
 }
 void store_question::printTo(std::ostream& out) const {
@@ -3007,17 +3071,17 @@
   swap(a.__isset, b.__isset);
 }
 
-store_answer::store_answer(const store_answer& other69) {
-  failure_domain = other69.failure_domain;
-  reached = other69.reached;
-  round = other69.round;
-  __isset = other69.__isset;
+store_answer::store_answer(const store_answer& other75) {
+  failure_domain = other75.failure_domain;
+  reached = other75.reached;
+  round = other75.round;
+  __isset = other75.__isset;
 }
-store_answer& store_answer::operator=(const store_answer& other70) {
-  failure_domain = other70.failure_domain;
-  reached = other70.reached;
-  round = other70.round;
-  __isset = other70.__isset;
+store_answer& store_answer::operator=(const store_answer& other76) {
+  failure_domain = other76.failure_domain;
+  reached = other76.reached;
+  round = other76.round;
+  __isset = other76.__isset;
   return *this;
 }
 void store_answer::printTo(std::ostream& out) const {
@@ -3105,13 +3169,13 @@
   swap(a.__isset, b.__isset);
 }
 
-unresponsive_head::unresponsive_head(const unresponsive_head& other71) {
-  vm = other71.vm;
-  __isset = other71.__isset;
+unresponsive_head::unresponsive_head(const unresponsive_head& other77) {
+  vm = other77.vm;
+  __isset = other77.__isset;
 }
-unresponsive_head& unresponsive_head::operator=(const unresponsive_head& other72) {
-  vm = other72.vm;
-  __isset = other72.__isset;
+unresponsive_head& unresponsive_head::operator=(const unresponsive_head& other78) {
+  vm = other78.vm;
+  __isset = other78.__isset;
   return *this;
 }
 void unresponsive_head::printTo(std::ostream& out) const {
@@ -3308,9 +3372,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast73;
-          xfer += iprot->readI32(ecast73);
-          this->kind = static_cast<frame_kind::type>(ecast73);
+          int32_t ecast79;
+          xfer += iprot->readI32(ecast79);
+          this->kind = static_cast<frame_kind::type>(ecast79);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3392,14 +3456,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->members.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->members.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += this->members[_i78].read(iprot);
+              xfer += this->members[_i84].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3412,14 +3476,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tickets.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->tickets.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->tickets.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
             {
-              xfer += this->tickets[_i83].read(iprot);
+              xfer += this->tickets[_i89].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3432,14 +3496,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->demands.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->demands.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->demands[_i88].read(iprot);
+              xfer += this->demands[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3452,14 +3516,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leavings.clear();
-            uint32_t _size89;
-            ::apache::thrift::protocol::TType _etype92;
-            xfer += iprot->readListBegin(_etype92, _size89);
-            this->leavings.resize(_size89);
-            uint32_t _i93;
-            for (_i93 = 0; _i93 < _size89; ++_i93)
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->leavings.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
             {
-              xfer += this->leavings[_i93].read(iprot);
+              xfer += this->leavings[_i99].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3472,14 +3536,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->confirmations.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->confirmations.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->confirmations.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += this->confirmations[_i98].read(iprot);
+              xfer += this->confirmations[_i104].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3508,14 +3572,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->notices.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->notices.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->notices.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
             {
-              xfer += this->notices[_i103].read(iprot);
+              xfer += this->notices[_i109].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3584,14 +3648,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->limits.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->limits.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += this->limits[_i108].read(iprot);
+              xfer += this->limits[_i114].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3681,10 +3745,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<member_update> ::const_iterator _iter109;
-      for (_iter109 = this->members.begin(); _iter109 != this->members.end(); ++_iter109)
+      std::vector<member_update> ::const_iterator _iter115;
+      for (_iter115 = this->members.begin(); _iter115 != this->members.end(); ++_iter115)
       {
-        xfer += (*_iter109).write(oprot);
+        xfer += (*_iter115).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3694,10 +3758,10 @@
     xfer += oprot->writeFieldBegin("tickets", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tickets.size()));
-      std::vector<ticket_digest> ::const_iterator _iter110;
-      for (_iter110 = this->tickets.begin(); _iter110 != this->tickets.end(); ++_iter110)
+      std::vector<ticket_digest> ::const_iterator _iter116;
+      for (_iter116 = this->tickets.begin(); _iter116 != this->tickets.end(); ++_iter116)
       {
-        xfer += (*_iter110).write(oprot);
+        xfer += (*_iter116).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3707,10 +3771,10 @@
     xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-      std::vector<demand> ::const_iterator _iter111;
-      for (_iter111 = this->demands.begin(); _iter111 != this->demands.end(); ++_iter111)
+      std::vector<demand> ::const_iterator _iter117;
+      for (_iter117 = this->demands.begin(); _iter117 != this->demands.end(); ++_iter117)
       {
-        xfer += (*_iter111).write(oprot);
+        xfer += (*_iter117).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3720,10 +3784,10 @@
     xfer += oprot->writeFieldBegin("leavings", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leavings.size()));
-      std::vector<leaving> ::const_iterator _iter112;
-      for (_iter112 = this->leavings.begin(); _iter112 != this->leavings.end(); ++_iter112)
+      std::vector<leaving> ::const_iterator _iter118;
+      for (_iter118 = this->leavings.begin(); _iter118 != this->leavings.end(); ++_iter118)
       {
-        xfer += (*_iter112).write(oprot);
+        xfer += (*_iter118).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3733,10 +3797,10 @@
     xfer += oprot->writeFieldBegin("confirmations", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->confirmations.size()));
-      std::vector<confirmation> ::const_iterator _iter113;
-      for (_iter113 = this->confirmations.begin(); _iter113 != this->confirmations.end(); ++_iter113)
+      std::vector<confirmation> ::const_iterator _iter119;
+      for (_iter119 = this->confirmations.begin(); _iter119 != this->confirmations.end(); ++_iter119)
       {
-        xfer += (*_iter113).write(oprot);
+        xfer += (*_iter119).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3756,10 +3820,10 @@
     xfer += oprot->writeFieldBegin("notices", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notices.size()));
-      std::vector<key_notice> ::const_iterator _iter114;
-      for (_iter114 = this->notices.begin(); _iter114 != this->notices.end(); ++_iter114)
+      std::vector<key_notice> ::const_iterator _iter120;
+      for (_iter120 = this->notices.begin(); _iter120 != this->notices.end(); ++_iter120)
       {
-        xfer += (*_iter114).write(oprot);
+        xfer += (*_iter120).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3804,10 +3868,10 @@
     xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 28);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-      std::vector<server_limit> ::const_iterator _iter115;
-      for (_iter115 = this->limits.begin(); _iter115 != this->limits.end(); ++_iter115)
+      std::vector<server_limit> ::const_iterator _iter121;
+      for (_iter121 = this->limits.begin(); _iter121 != this->limits.end(); ++_iter121)
       {
-        xfer += (*_iter115).write(oprot);
+        xfer += (*_iter121).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3857,69 +3921,69 @@
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other116) {
-  version = other116.version;
-  deployment = other116.deployment;
-  kind = other116.kind;
-  sender = other116.sender;
-  boot = other116.boot;
-  incarnation = other116.incarnation;
-  sequence = other116.sequence;
-  sent_ms = other116.sent_ms;
-  target = other116.target;
-  subject = other116.subject;
-  member_digest = other116.member_digest;
-  config = other116.config;
-  members = other116.members;
-  tickets = other116.tickets;
-  demands = other116.demands;
-  leavings = other116.leavings;
-  confirmations = other116.confirmations;
-  request = other116.request;
-  reply = other116.reply;
-  notices = other116.notices;
-  keys_wanted = other116.keys_wanted;
-  keys = other116.keys;
-  question = other116.question;
-  opinion = other116.opinion;
-  runner = other116.runner;
-  store_asked = other116.store_asked;
-  store_told = other116.store_told;
-  limits = other116.limits;
-  silent = other116.silent;
-  __isset = other116.__isset;
-}
-frame& frame::operator=(const frame& other117) {
-  version = other117.version;
-  deployment = other117.deployment;
-  kind = other117.kind;
-  sender = other117.sender;
-  boot = other117.boot;
-  incarnation = other117.incarnation;
-  sequence = other117.sequence;
-  sent_ms = other117.sent_ms;
-  target = other117.target;
-  subject = other117.subject;
-  member_digest = other117.member_digest;
-  config = other117.config;
-  members = other117.members;
-  tickets = other117.tickets;
-  demands = other117.demands;
-  leavings = other117.leavings;
-  confirmations = other117.confirmations;
-  request = other117.request;
-  reply = other117.reply;
-  notices = other117.notices;
-  keys_wanted = other117.keys_wanted;
-  keys = other117.keys;
-  question = other117.question;
-  opinion = other117.opinion;
-  runner = other117.runner;
-  store_asked = other117.store_asked;
-  store_told = other117.store_told;
-  limits = other117.limits;
-  silent = other117.silent;
-  __isset = other117.__isset;
+frame::frame(const frame& other122) {
+  version = other122.version;
+  deployment = other122.deployment;
+  kind = other122.kind;
+  sender = other122.sender;
+  boot = other122.boot;
+  incarnation = other122.incarnation;
+  sequence = other122.sequence;
+  sent_ms = other122.sent_ms;
+  target = other122.target;
+  subject = other122.subject;
+  member_digest = other122.member_digest;
+  config = other122.config;
+  members = other122.members;
+  tickets = other122.tickets;
+  demands = other122.demands;
+  leavings = other122.leavings;
+  confirmations = other122.confirmations;
+  request = other122.request;
+  reply = other122.reply;
+  notices = other122.notices;
+  keys_wanted = other122.keys_wanted;
+  keys = other122.keys;
+  question = other122.question;
+  opinion = other122.opinion;
+  runner = other122.runner;
+  store_asked = other122.store_asked;
+  store_told = other122.store_told;
+  limits = other122.limits;
+  silent = other122.silent;
+  __isset = other122.__isset;
+}
+frame& frame::operator=(const frame& other123) {
+  version = other123.version;
+  deployment = other123.deployment;
+  kind = other123.kind;
+  sender = other123.sender;
+  boot = other123.boot;
+  incarnation = other123.incarnation;
+  sequence = other123.sequence;
+  sent_ms = other123.sent_ms;
+  target = other123.target;
+  subject = other123.subject;
+  member_digest = other123.member_digest;
+  config = other123.config;
+  members = other123.members;
+  tickets = other123.tickets;
+  demands = other123.demands;
+  leavings = other123.leavings;
+  confirmations = other123.confirmations;
+  request = other123.request;
+  reply = other123.reply;
+  notices = other123.notices;
+  keys_wanted = other123.keys_wanted;
+  keys = other123.keys;
+  question = other123.question;
+  opinion = other123.opinion;
+  runner = other123.runner;
+  store_asked = other123.store_asked;
+  store_told = other123.store_told;
+  limits = other123.limits;
+  silent = other123.silent;
+  __isset = other123.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
--- a/peers/gen/peers_types.h
+++ b/peers/gen/peers_types.h
@@ -890,11 +890,13 @@
 std::ostream& operator<<(std::ostream& out, const key_value& obj);
 
 typedef struct _key_reply__isset {
-  _key_reply__isset() : entries(false), store_age_ms(false), push_number(false), complete(false) {}
+  _key_reply__isset() : entries(false), store_age_ms(false), push_number(false), complete(false), forward_to(false), origin(false) {}
   bool entries :1;
   bool store_age_ms :1;
   bool push_number :1;
   bool complete :1;
+  bool forward_to :1;
+  bool origin :1;
 } _key_reply__isset;
 
 class key_reply : public virtual ::apache::thrift::TBase {
@@ -905,7 +907,8 @@
   key_reply() noexcept
             : store_age_ms(0),
               push_number(0),
-              complete(0) {
+              complete(0),
+              origin() {
   }
 
   virtual ~key_reply() noexcept;
@@ -913,6 +916,8 @@
   int32_t store_age_ms;
   int64_t push_number;
   bool complete;
+  std::vector<std::string>  forward_to;
+  std::string origin;
 
   _key_reply__isset __isset;
 
@@ -924,6 +929,10 @@
 
   void __set_complete(const bool val);
 
+  void __set_forward_to(const std::vector<std::string> & val);
+
+  void __set_origin(const std::string& val);
+
   bool operator == (const key_reply & rhs) const
   {
     if (!(entries == rhs.entries))
@@ -940,6 +949,14 @@
       return false;
     else if (__isset.complete && !(complete == rhs.complete))
       return false;
+    if (__isset.forward_to != rhs.__isset.forward_to)
+      return false;
+    else if (__isset.forward_to && !(forward_to == rhs.forward_to))
+      return false;
+    if (__isset.origin != rhs.__isset.origin)
+      return false;
+    else if (__isset.origin && !(origin == rhs.origin))
+      return false;
     return true;
   }
   bool operator != (const key_reply &rhs) const {
--- a/peers/key_relay.cc
+++ b/peers/key_relay.cc
@@ -13,6 +13,7 @@
 #include "peers/key_relay.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace jaynotch {
 
@@ -55,6 +56,7 @@
             m_watchers.push_back(watcher);
     }
     m_neighbours = all_except(own_domain, m_settings.self);
+    plan_routes();
     m_peers = m_neighbours;
     if (m_peers.empty())
         m_peers = all_except(all, m_settings.self);
@@ -66,6 +68,37 @@
     return out;
 }
 
+// In a large domain the bytes of a push to every neighbour would fill this node's link. It is sent
+// to about as many neighbours as each of them forwards it to. The routes are part of the message,
+// so nodes need not agree about the live members. Each node that pushes has other routes, by
+// rendezvous hashing, so a node that doesn't forward rarely keeps both followers' pushes from the
+// same neighbours.
+void key_relay_core::plan_routes()
+{
+    m_routes.clear();
+    if (m_neighbours.size() <= m_settings.max_direct_neighbours) {
+        for (const node_id& neighbour : m_neighbours)
+            m_routes.push_back({neighbour, {}});
+        return;
+    }
+    std::vector<std::string> names;
+    for (const node_id& neighbour : m_neighbours)
+        names.push_back(neighbour.value());
+    std::sort(names.begin(), names.end());
+    const double root = std::sqrt(static_cast<double>(names.size()));
+    std::vector<std::string> forwarders;
+    for (const std::size_t index :
+         rendezvous(m_settings.self.value(), names, static_cast<std::size_t>(std::ceil(root))))
+    {
+        forwarders.push_back(names[index]);
+        m_routes.push_back({node_id{names[index]}, {}});
+    }
+    for (const std::string& name : names) {
+        if (std::find(forwarders.begin(), forwarders.end(), name) == forwarders.end())
+            m_routes[rendezvous(name, forwarders, 1).front()].forward_to.emplace_back(name);
+    }
+}
+
 key_relay_commands key_relay_core::tick(time_point now)
 {
     key_relay_commands out;
@@ -129,8 +162,25 @@
 void key_relay_core::send_to_domain(const key_reply& reply, frame_priority priority,
                                     key_relay_commands& out) const
 {
-    for (const node_id& neighbour : m_neighbours)
-        out.emplace_back(send_key_message{neighbour, reply, priority});
+    for (const push_route& route : m_routes) {
+        key_reply sent = reply;
+        sent.forward_to = route.forward_to;
+        out.emplace_back(send_key_message{route.to, std::move(sent), priority});
+    }
+}
+
+void key_relay_core::forward(const key_message& message, const key_reply& reply,
+                             key_relay_commands& out) const
+{
+    key_reply copy = reply;
+    copy.origin = message.from;
+    copy.forward_to.clear();
+    if (copy.store_age)
+        *copy.store_age += message.delay;
+    const frame_priority priority =
+        reply.push_number ? frame_priority::bulk : frame_priority::control;
+    for (const node_id& node : reply.forward_to)
+        out.emplace_back(send_key_message{node, copy, priority});
 }
 
 key_relay_commands key_relay_core::push(duration store_age)
@@ -194,6 +244,7 @@
     }
     m_synced = true;
     const auto& reply = std::get<key_reply>(message.body);
+    forward(message, reply, out);
     std::size_t bytes = 0;
     for (const relayed_key& entry : reply.entries) {
         bytes += entry.key.size() + entry.value.size() + entry_overhead;
@@ -204,7 +255,7 @@
             add_to_push(entry, out);
     }
     if (reply.push_number)
-        handle_push(now, message, reply, out);
+        handle_push(now, reply.origin.value_or(message.from), message.delay, reply, out);
     else if (reply.complete && m_push_sources.contains(message.from))
         m_push_sources[message.from].complete = true;
     // A large reply may have been truncated to the maximum size: request the rest soon.
@@ -222,20 +273,19 @@
 //
 // A push may wait for a long time on its sender's link. The time since the store's answer therefore
 // includes the delay of the frame: pushes that are all late must not make their sender look fresh.
-void key_relay_core::handle_push(time_point now, const key_message& message, const key_reply& push,
-                                 key_relay_commands& out)
+void key_relay_core::handle_push(time_point now, const node_id& origin, duration delay,
+                                 const key_reply& push, key_relay_commands& out)
 {
-    const node_id& from = message.from;
-    push_source& source = m_push_sources[from];
+    push_source& source = m_push_sources[origin];
     const bool consecutive = source.number != 0 && *push.push_number == source.number + 1;
     source.number = *push.push_number;
     source.complete = source.complete && consecutive;
     if (!source.complete && now - source.comparison_requested_at >= m_settings.request_timeout) {
         source.comparison_requested_at = now;
-        out.emplace_back(send_key_message{from, key_request{this->known(), {}}});
+        out.emplace_back(send_key_message{origin, key_request{this->known(), {}}});
     }
     if (source.complete && push.store_age)
-        out.emplace_back(neighbour_fresh{from, *push.store_age + message.delay});
+        out.emplace_back(neighbour_fresh{origin, *push.store_age + delay});
 }
 
 bool key_relay_core::update_if_newer(const relayed_key& entry, key_relay_commands& out)
--- a/peers/key_relay.h
+++ b/peers/key_relay.h
@@ -44,6 +44,8 @@
     std::size_t max_reply_bytes = 256U << 10U; ///< of one reply
     double max_reply_bytes_s = 200'000.0;      ///< of all replies, per second
     std::size_t max_keys = 4096;
+    /// With more neighbours, a push is sent to some of them, which forward it to the others.
+    std::size_t max_direct_neighbours = 32;
     /// Whether a change of the key must not wait for changes of other keys; empty: none.
     std::function<bool(std::string_view key)> is_urgent = {};
 };
@@ -109,6 +111,11 @@
     [[nodiscard]] const std::map<std::string, relayed_key>& keys() const { return m_keys; }
 
 private:
+    /// A neighbour that gets the pushes of this node directly.
+    struct push_route {
+        node_id to;
+        std::vector<node_id> forward_to; ///< neighbours that get them from it
+    };
     /// State of a neighbour that pushes to this node.
     struct push_source {
         std::int64_t number = 0; ///< of the last push received
@@ -122,7 +129,10 @@
     void send_if_urgent(const relayed_key& entry, key_relay_commands& out) const;
     void send_to_domain(const key_reply& reply, frame_priority priority,
                         key_relay_commands& out) const;
-    void handle_push(time_point now, const key_message& message, const key_reply& push,
+    void plan_routes();
+    void forward(const key_message& message, const key_reply& reply, key_relay_commands& out) const;
+    /// `origin`: node that pushed, which may have been forwarded; `delay`: of the last frame.
+    void handle_push(time_point now, const node_id& origin, duration delay, const key_reply& push,
                      key_relay_commands& out);
     void handle_request(time_point now, const node_id& to, const key_request& request,
                         key_relay_commands& out);
@@ -138,6 +148,7 @@
     std::map<std::uint32_t, std::int64_t> m_missing; ///< revisions announced, but not received yet
     std::vector<node_id> m_watchers;   ///< of the own failure domain, except this node
     std::vector<node_id> m_neighbours; ///< nodes of the own failure domain, except this node
+    std::vector<push_route> m_routes;  ///< to all neighbours
     std::set<std::string> m_unpushed;  ///< keys to be sent with the next push
     bool m_pushing = false;
     std::int64_t m_push_number = 0;
--- a/peers/key_relay_test.cc
+++ b/peers/key_relay_test.cc
@@ -477,3 +477,115 @@
     cr_assert(pushed_to(watcher.push({})) == std::pair(neighbours, std::size_t{2}));
     cr_assert(pushed_to(watcher.push({})) == std::pair(neighbours, std::size_t{0}));
 }
+
+namespace {
+
+std::vector<node_id> domain_of(std::size_t nodes)
+{
+    std::vector<node_id> names;
+    for (std::size_t index = 0; index < nodes; ++index)
+        names.emplace_back("n" + std::to_string(index));
+    return names;
+}
+
+key_relay_core make_core_in(const std::vector<node_id>& domain, const node_id& self)
+{
+    key_relay_settings settings;
+    settings.self = self;
+    key_relay_core made{settings, random_source{1}};
+    made.members_changed(domain, domain);
+    return made;
+}
+
+} // namespace
+
+// A push in a large domain goes to some neighbours, which forward it. Each neighbour must get it
+// exactly once, and no node may send it to more than a few.
+Test(key_relay, a_push_reaches_each_node_of_a_large_domain_once)
+{
+    const time_point now{std::chrono::hours{1}};
+    for (const std::size_t nodes : {2U, 33U, 34U, 100U, 137U}) {
+        const std::vector<node_id> domain = domain_of(nodes);
+        key_relay_core pusher = make_core_in(domain, domain.front());
+        pusher.key_changed(now, {"key", 5, "value"});
+        std::map<node_id, std::size_t> received;
+        const key_relay_commands pushed = pusher.push({});
+        std::size_t most_sent = pushed.size();
+        for (const key_relay_command& one : pushed) {
+            const auto& direct = std::get<send_key_message>(one);
+            ++received[direct.to];
+            key_relay_core neighbour = make_core_in(domain, direct.to);
+            std::size_t forwarded = 0;
+            for (const key_relay_command& next :
+                 neighbour.message_received(now, {domain.front(), direct.body})) {
+                const auto* message = std::get_if<send_key_message>(&next);
+                const auto* reply =
+                    message == nullptr ? nullptr : std::get_if<key_reply>(&message->body);
+                if (reply == nullptr)
+                    continue;
+                ++forwarded;
+                ++received[message->to];
+                cr_assert(reply->origin == domain.front());
+                cr_assert(reply->forward_to.empty());
+                cr_assert_eq(reply->entries.size(), 1U);
+            }
+            most_sent = std::max(most_sent, forwarded);
+        }
+        cr_assert_eq(received.size(), nodes - 1);
+        cr_assert(std::all_of(received.begin(), received.end(),
+                              [](const auto& each) { return each.second == 1; }));
+        cr_assert_leq(most_sent, 32U, "%zu of %zu", most_sent, nodes);
+    }
+}
+
+// Guards against a forwarded push that looks fresher than it is, or is taken for the forwarder's.
+Test(key_relay, a_forwarded_push_counts_as_its_origins_and_ages_on_the_way)
+{
+    const time_point now{std::chrono::hours{1}};
+    key_relay_core watcher = make_core("n0");
+    key_relay_core forwarder = make_core("n1");
+    key_relay_core receiver = make_core("n2");
+    const auto push_through = [&](duration store_age) {
+        key_reply pushed = std::get<key_reply>(bodies_sent_to("n2", watcher.push(store_age)).at(0));
+        pushed.forward_to = {node_id{"n2"}};
+        const std::vector<key_body> sent_on = bodies_sent_to(
+            "n2", forwarder.message_received(now, {node_id{"n0"}, pushed, duration{20}}));
+        return receiver.message_received(now, {node_id{"n1"}, sent_on.at(0), duration{3}});
+    };
+    const std::vector<key_body> asked = bodies_sent_to("n0", push_through(duration{0}));
+    cr_assert_eq(asked.size(), 1U, "it compares with the origin");
+    receiver.message_received(
+        now,
+        {node_id{"n0"},
+         bodies_sent_to("n2", watcher.message_received(now, {node_id{"n2"}, asked.at(0)})).at(0)});
+    const key_relay_commands after = push_through(duration{100});
+    const auto* fresh = std::get_if<neighbour_fresh>(&after.back());
+    cr_assert(fresh != nullptr);
+    cr_assert(fresh->neighbour == node_id{"n0"});
+    cr_assert(fresh->store_age == duration{123});
+}
+
+// Guards against a changed configuration that waits for the next push.
+Test(key_relay, an_urgent_key_is_sent_at_once_and_pushed_too)
+{
+    const time_point now{std::chrono::hours{1}};
+    key_relay_settings settings;
+    settings.self = node_id{"n0"};
+    settings.is_urgent = [](std::string_view key) { return key == "config"; };
+    key_relay_core watcher{settings, random_source{1}};
+    watcher.members_changed(domain_of(3), domain_of(3));
+    cr_assert(bodies_sent_to("n1", watcher.read({"config", 5, "v"})).empty(), "at its start");
+    watcher.push({});
+    cr_assert(bodies_sent_to("n1", watcher.key_changed(now, {"vm", 6, "v"})).empty());
+    for (const bool watched : {true, false}) {
+        const relayed_key changed{"config", watched ? 7 : 8, "v"};
+        const key_relay_commands sent =
+            watched ? watcher.key_changed(now, changed) : watcher.read(changed);
+        const std::vector<key_body> copies = bodies_sent_to("n1", sent);
+        cr_assert_eq(copies.size(), 1U);
+        cr_assert(std::get<key_reply>(copies.at(0)).entries.at(0) == changed);
+        cr_assert_not(std::get<key_reply>(copies.at(0)).push_number.has_value());
+    }
+    cr_assert_eq(std::get<key_reply>(bodies_sent_to("n1", watcher.push({})).at(0)).entries.size(),
+                 2U);
+}
--- a/peers/key_spread_test.cc
+++ b/peers/key_spread_test.cc
@@ -105,6 +105,20 @@
             m_store.write(entry_name(index), entry_bytes);
     }
 
+    /// Changes entries at a steady rate for `span`, each in turn.
+    void change_steadily(std::size_t entries, std::size_t changes_s, duration span)
+    {
+        constexpr std::size_t slices = 5; // of a second
+        constexpr duration slice_time = 200ms;
+        std::size_t next = 0;
+        for (const time_point end = m_network.now + span; m_network.now < end;) {
+            for (std::size_t change = 0; change < changes_s / slices; ++change, ++next)
+                m_store.write(entry_name(next % entries), entry_bytes);
+            m_network.run_for(slice_time);
+            m_most_following = std::max(m_most_following, following());
+        }
+    }
+
     void run_for(duration span) { m_network.run_for(span); }
 
     /// Changes the configuration. Returns the time until it is in force on all nodes.
@@ -121,7 +135,15 @@
         return m_network.now - begun;
     }
 
+    [[nodiscard]] std::size_t most_following() const { return m_most_following; }
+
 private:
+    [[nodiscard]] std::size_t following() const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            m_feeds.begin(), m_feeds.end(), [](const auto& each) { return each->follows; }));
+    }
+
     static constexpr duration step_interval = 20ms;
     static constexpr duration poll_wait = 1s;
     static constexpr duration push_interval = 400ms;
@@ -239,6 +261,7 @@
     test_network m_network;
     fake_store m_store;
     std::vector<std::unique_ptr<feed>> m_feeds;
+    std::size_t m_most_following = 0;
 };
 
 } // namespace
@@ -252,14 +275,10 @@
         std::size_t nodes;
         std::size_t changes_s; ///< changed entries per second
     };
-    constexpr std::size_t slices = 5; // of a second
-    constexpr duration slice_time = 200ms;
+    constexpr std::size_t entries = 1'000;
     for (const overload each : {overload{36, 500}, overload{100, 125}}) {
-        domain_simulation domain{each.nodes, 1'000};
-        for (std::size_t slice = 0; slice < 10 * slices; ++slice) {
-            domain.change_entries(each.changes_s / slices);
-            domain.run_for(slice_time);
-        }
+        domain_simulation domain{each.nodes, entries};
+        domain.change_steadily(entries, each.changes_s, 10s);
         cr_expect_lt(domain.change_configuration(), max_change_delay, "%zu nodes", each.nodes);
     }
 }
@@ -275,3 +294,14 @@
         cr_expect_lt(domain.change_configuration(), max_change_delay, "%zu nodes", nodes);
     }
 }
+
+// Entries change in a domain of a hundred nodes. Guards against followers that send each of them to
+// all neighbours over their own links: nodes without fresh pushes follow the store, and push too.
+Test(key_spread, two_nodes_follow_the_store_while_many_entries_change)
+{
+    constexpr std::size_t entries = 1'000;
+    constexpr std::size_t changes_s = 300;
+    domain_simulation domain{100, entries};
+    domain.change_steadily(entries, changes_s, 5s);
+    cr_assert_eq(domain.most_following(), 2U, "%zu nodes follow", domain.most_following());
+}
--- a/peers/membership_keys.cc
+++ b/peers/membership_keys.cc
@@ -46,6 +46,11 @@
         out.__set_push_number(*reply.push_number);
     if (reply.complete)
         out.__set_complete(true);
+    for (const node_id& node : reply.forward_to)
+        out.forward_to.push_back(node.value());
+    out.__isset.forward_to = !out.forward_to.empty();
+    if (reply.origin)
+        out.__set_origin(reply.origin->value());
     if (reply.store_age) {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(*reply.store_age);
         out.__set_store_age_ms(static_cast<std::int32_t>(
@@ -64,6 +69,10 @@
     if (received.__isset.push_number)
         reply.push_number = received.push_number;
     reply.complete = received.__isset.complete && received.complete;
+    for (const std::string& node : received.forward_to)
+        reply.forward_to.emplace_back(node);
+    if (received.__isset.origin)
+        reply.origin = node_id{received.origin};
     return reply;
 }
 
--- a/peers/peers.thrift
+++ b/peers/peers.thrift
@@ -121,6 +121,8 @@
   2: optional i32 store_age_ms  // time since the store answered the sender, which follows it
   3: optional i64 push_number   // sequence number of a push; a gap shows that one was lost
   4: optional bool complete     // replies to a request for all keys and contains all newer entries
+  5: optional list<string> forward_to  // nodes to which the receiver sends it on
+  6: optional string origin     // node whose push it is, if the sender forwards it
 }
 
 // `head` is the head record of `revision` as stored in the key-value service.
