Key relay: the first value of an urgent key is not sent to every neighbour

Cause: at the start of a fleet all nodes follow the store until they know one another, and each that saw the first configuration arrive sent a copy of 53 KB to all.

Change: only a value that replaces a known one is sent at once. Guarded by key_relay/an_urgent_key_is_sent_at_once_and_pushed_too.

--- a/peers/key_relay.cc
+++ b/peers/key_relay.cc
@@ -124,8 +124,9 @@
 {
     key_relay_commands out;
     m_synced = true;
-    if (update_if_newer(entry, out)) {
-        add_to_push(entry, out);
+    const update how = update_if_newer(entry, out);
+    if (how != update::none) {
+        add_to_push(entry, how, out);
         out.emplace_back(announce_key{{wire_key(entry.key), entry.revision, duration{0}}});
     }
     return out;
@@ -135,16 +136,16 @@
 {
     key_relay_commands out;
     m_synced = true;
-    const bool known = m_keys.contains(entry.key);
-    if (update_if_newer(entry, out) && known)
+    if (update_if_newer(entry, out) == update::replaced)
         send_if_urgent(entry, out);
     return out;
 }
 
-void key_relay_core::add_to_push(const relayed_key& entry, key_relay_commands& out)
+// The first value is not sent: when a fleet starts, every node gets it from the platform itself.
+void key_relay_core::add_to_push(const relayed_key& entry, update how, key_relay_commands& out)
 {
     m_unpushed.insert(entry.key);
-    if (m_pushing)
+    if (m_pushing && how == update::replaced)
         send_if_urgent(entry, out);
 }
 
@@ -248,11 +249,11 @@
     std::size_t bytes = 0;
     for (const relayed_key& entry : reply.entries) {
         bytes += entry.key.size() + entry.value.size() + entry_overhead;
-        const bool changed = update_if_newer(entry, out);
+        const update how = update_if_newer(entry, out);
         // Neighbours may lack the entry, even if it came with a push, since its sender may not know
         // all of them. It must be pushed now, because it won't be new when the platform reports it.
-        if (changed && m_pushing)
-            add_to_push(entry, out);
+        if (how != update::none && m_pushing)
+            add_to_push(entry, how, out);
     }
     if (reply.push_number)
         handle_push(now, reply.origin.value_or(message.from), message.delay, reply, out);
@@ -288,13 +289,15 @@
         out.emplace_back(neighbour_fresh{origin, *push.store_age + delay});
 }
 
-bool key_relay_core::update_if_newer(const relayed_key& entry, key_relay_commands& out)
+key_relay_core::update key_relay_core::update_if_newer(const relayed_key& entry,
+                                                       key_relay_commands& out)
 {
     const auto found = m_keys.find(entry.key);
-    if (found != m_keys.end() && found->second.revision >= entry.revision)
-        return false;
-    if (found == m_keys.end() && m_keys.size() >= m_settings.max_keys)
-        return false;
+    const bool known = found != m_keys.end();
+    if (known && found->second.revision >= entry.revision)
+        return update::none;
+    if (!known && m_keys.size() >= m_settings.max_keys)
+        return update::none;
     const std::uint32_t wire = wire_key(entry.key);
     m_keys[entry.key] = entry;
     m_names[wire] = entry.key;
@@ -302,7 +305,7 @@
     if (missing != m_missing.end() && missing->second <= entry.revision)
         m_missing.erase(missing);
     out.emplace_back(key_updated{entry});
-    return true;
+    return known ? update::replaced : update::added;
 }
 
 void key_relay_core::handle_request(time_point now, const node_id& to, const key_request& request,
--- a/peers/key_relay.h
+++ b/peers/key_relay.h
@@ -123,9 +123,11 @@
         time_point comparison_requested_at{};
     };
 
-    bool update_if_newer(const relayed_key& entry, key_relay_commands& out);
-    /// Marks a changed entry for the next push. An urgent one is sent at once as well.
-    void add_to_push(const relayed_key& entry, key_relay_commands& out);
+    enum class update { none, added, replaced };
+    update update_if_newer(const relayed_key& entry, key_relay_commands& out);
+    /// Marks a changed entry for the next push. A new value of an urgent key is sent at once as
+    /// well.
+    void add_to_push(const relayed_key& entry, update how, key_relay_commands& out);
     void send_if_urgent(const relayed_key& entry, key_relay_commands& out) const;
     void send_to_domain(const key_reply& reply, frame_priority priority,
                         key_relay_commands& out) const;
--- a/peers/key_relay_test.cc
+++ b/peers/key_relay_test.cc
@@ -574,7 +574,9 @@
     settings.is_urgent = [](std::string_view key) { return key == "config"; };
     key_relay_core watcher{settings, random_source{1}};
     watcher.members_changed(domain_of(3), domain_of(3));
-    cr_assert(bodies_sent_to("n1", watcher.read({"config", 5, "v"})).empty(), "at its start");
+    watcher.push({});
+    cr_assert(bodies_sent_to("n1", watcher.key_changed(now, {"config", 5, "v"})).empty(),
+              "the first value, which all nodes read when they start");
     watcher.push({});
     cr_assert(bodies_sent_to("n1", watcher.key_changed(now, {"vm", 6, "v"})).empty());
     for (const bool watched : {true, false}) {
