--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -108,8 +108,8 @@
     Gauge& managed = gauge(registry, "jaynotch_managed_domains", "Fabric domains managed here");
     Gauge& members = gauge(registry, "jaynotch_live_members", "Daemons alive, this one included");
     Gauge& peer_bytes = gauge(registry, "jaynotch_peer_sent_bytes", "Bytes sent to daemons");
-    Gauge& peer_queued = gauge(registry, "jaynotch_peer_queued_bytes",
-                               "Bytes that wait to be sent to daemons");
+    Gauge& peer_queued =
+        gauge(registry, "jaynotch_peer_queued_bytes", "Bytes that wait to be sent to daemons");
     Gauge& peer_dropped =
         gauge(registry, "jaynotch_peer_frames_dropped",
               "Frames to daemons dropped, the queue full or the peer unreachable, since the start");
--- a/peers/membership.cc
+++ b/peers/membership.cc
@@ -344,11 +344,11 @@
 {
     if (m_sync_tokens >= 0.0)
         return m_members.live_or_recent(now, sync_history);
-    std::vector<node_id> neighbours = m_members.select([&](const member& other) {
+    const std::vector<node_id> neighbours = m_members.select([&](const member& other) {
         return other.live() && other.failure_domain == to.failure_domain && other.node != to.node;
     });
     std::vector<member> sample;
-    for (const node_id& node : pick(std::move(neighbours), sync_sample))
+    for (const node_id& node : pick(neighbours, sync_sample))
         sample.push_back(*m_members.find(node));
     return sample;
 }
