Key relay: nodes that push take different forwarders

Cause: forwarders were drawn by hash for each node that pushes. Evidence: trial with logs at 292 VMs: front-forde-c-90 follows nobody's store and forwards for front-forde-c-94, -18 and others; its link carries 5.8 MB/s from 12 s before the traffic, 42 MB wait there after 9 s, and 20 to 100 of its neighbours get pushes 0.6 to 5 s late, while no other node has more than 4 MB queued.

Change: a node takes its forwarders from a part of the domain's ranking that its own rank gives, so that the first eight or nine nodes that push have different ones.

Test: key_relay/nodes_that_push_have_different_forwarders (100 nodes, eight that push: a node forwards for three before, two at most after).

--- a/peers/key_relay.cc
+++ b/peers/key_relay.cc
@@ -56,7 +56,7 @@
             m_watchers.push_back(watcher);
     }
     m_neighbours = all_except(own_domain, m_settings.self);
-    plan_routes();
+    plan_routes(names);
     m_peers = m_neighbours;
     if (m_peers.empty())
         m_peers = all_except(all, m_settings.self);
@@ -70,10 +70,10 @@
 
 // In a large domain the bytes of a push to every neighbour would fill this node's link. It is sent
 // to about as many neighbours as each of them forwards it to. The routes are part of the message,
-// so nodes need not agree about the live members. Each node that pushes has other routes, by
-// rendezvous hashing, so a node that doesn't forward rarely keeps both followers' pushes from the
-// same neighbours.
-void key_relay_core::plan_routes()
+// so nodes need not agree about the live members. Nodes that push take their forwarders from the
+// ranking of the domain, each from another part of it, so that no link carries the pushes of
+// several of them, and a node that doesn't forward keeps only one of them from its neighbours.
+void key_relay_core::plan_routes(const std::vector<std::string>& domain)
 {
     m_routes.clear();
     if (m_neighbours.size() <= m_settings.max_direct_neighbours) {
@@ -81,21 +81,27 @@
             m_routes.push_back({neighbour, {}});
         return;
     }
-    std::vector<std::string> names;
-    for (const node_id& neighbour : m_neighbours)
-        names.push_back(neighbour.value());
-    std::sort(names.begin(), names.end());
-    const double root = std::sqrt(static_cast<double>(names.size()));
-    std::vector<std::string> forwarders;
-    for (const std::size_t index :
-         rendezvous(m_settings.self.value(), names, static_cast<std::size_t>(std::ceil(root))))
-    {
-        forwarders.push_back(names[index]);
-        m_routes.push_back({node_id{names[index]}, {}});
+    std::vector<std::string> ranking; // without this node
+    std::size_t own_rank = 0;
+    for (const std::size_t index : rendezvous(m_settings.name, domain, domain.size())) {
+        if (domain[index] == m_settings.self.value())
+            own_rank = ranking.size();
+        else
+            ranking.push_back(domain[index]);
     }
-    for (const std::string& name : names) {
-        if (std::find(forwarders.begin(), forwarders.end(), name) == forwarders.end())
-            m_routes[rendezvous(name, forwarders, 1).front()].forward_to.emplace_back(name);
+    const double root = std::sqrt(static_cast<double>(ranking.size()));
+    const auto count = static_cast<std::size_t>(std::ceil(root));
+    const std::size_t first = m_settings.watchers + own_rank * count;
+    std::rotate(ranking.begin(),
+                ranking.begin() + static_cast<std::ptrdiff_t>(first % ranking.size()),
+                ranking.end());
+    const std::vector<std::string> forwarders{ranking.begin(),
+                                              ranking.begin() + static_cast<std::ptrdiff_t>(count)};
+    for (const std::string& forwarder : forwarders)
+        m_routes.push_back({node_id{forwarder}, {}});
+    for (std::size_t index = count; index < ranking.size(); ++index) {
+        const std::size_t route = rendezvous(ranking[index], forwarders, 1).front();
+        m_routes[route].forward_to.emplace_back(ranking[index]);
     }
 }
 
--- a/peers/key_relay.h
+++ b/peers/key_relay.h
@@ -131,7 +131,8 @@
     void send_if_urgent(const relayed_key& entry, key_relay_commands& out) const;
     void send_to_domain(const key_reply& reply, frame_priority priority,
                         key_relay_commands& out) const;
-    void plan_routes();
+    /// `domain`: the names of its live members, including this node.
+    void plan_routes(const std::vector<std::string>& domain);
     void forward(const key_message& message, const key_reply& reply, key_relay_commands& out) const;
     /// `origin`: node that pushed, which may have been forwarded; `delay`: of the last frame.
     void handle_push(time_point now, const node_id& origin, duration delay, const key_reply& push,
--- a/peers/key_relay_test.cc
+++ b/peers/key_relay_test.cc
@@ -538,6 +538,27 @@
     }
 }
 
+// Several nodes of a large domain push. Guards against a node whose link carries the pushes of all
+// of them to its neighbours.
+Test(key_relay, nodes_that_push_have_different_forwarders)
+{
+    constexpr std::size_t pushers = 8;
+    const std::vector<node_id> domain = domain_of(100);
+    std::map<node_id, std::size_t> forwarded; // pushes that the node forwards
+    std::vector<std::string> names;
+    for (const node_id& node : domain)
+        names.push_back(node.value());
+    std::sort(names.begin(), names.end());
+    for (const std::size_t index : rendezvous(key_relay_settings{}.name, names, pushers)) {
+        key_relay_core pusher = make_core_in(domain, node_id{names[index]});
+        for (const key_relay_command& one : pusher.push({}))
+            ++forwarded[std::get<send_key_message>(one).to];
+    }
+    for (const auto& [node, pushes] : forwarded)
+        cr_assert_leq(pushes, 2U, "%s forwards %zu", node.value().c_str(), pushes);
+    cr_assert_geq(forwarded.size(), 10 * (pushers - 1));
+}
+
 // Guards against a forwarded push that looks fresher than it is, or is taken for the forwarder's.
 Test(key_relay, a_forwarded_push_counts_as_its_origins_and_ages_on_the_way)
 {
