Key relay: a reply that a later push overtakes does not make its sender's pushes complete

Cause, found by reading the forwarding of pushes: pushes go through a forwarder, the reply to a comparison goes directly. If the push after the reply is lost and the next one arrives before the reply, the gap is seen first and the reply then covers it up; the neighbour counts as fresh and lacks the lost entries. On one connection, as before the forwarding, this could not happen.

Change: a reply tells the number of its sender's last push before it, and counts only if no later push is missing.

Test: key_relay/a_reply_that_a_later_push_overtakes_proves_nothing, red before.

--- a/peers/frame.h
+++ b/peers/frame.h
@@ -98,6 +98,8 @@
     std::optional<std::int64_t> push_number;
     /// The reply to a request for all keys that contains every newer entry of the sender.
     bool complete = false;
+    /// Of a reply: number of the sender's last push before it. Later pushes may arrive earlier.
+    std::optional<std::int64_t> last_push = {};
     /// Nodes to which the receiver sends it on.
     std::vector<node_id> forward_to = {};
     /// Node whose push this is, if the sender forwards it.
--- a/peers/gen/peers_types.cpp
+++ b/peers/gen/peers_types.cpp
@@ -2006,6 +2006,11 @@
   this->origin = val;
 __isset.origin = true;
 }
+
+void key_reply::__set_last_push(const int64_t val) {
+  this->last_push = val;
+__isset.last_push = true;
+}
 std::ostream& operator<<(std::ostream& out, const key_reply& obj)
 {
   obj.printTo(out);
@@ -2106,6 +2111,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last_push);
+          this->__isset.last_push = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2168,6 +2181,11 @@
     xfer += oprot->writeString(this->origin);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.last_push) {
+    xfer += oprot->writeFieldBegin("last_push", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->last_push);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2181,6 +2199,7 @@
   swap(a.complete, b.complete);
   swap(a.forward_to, b.forward_to);
   swap(a.origin, b.origin);
+  swap(a.last_push, b.last_push);
   swap(a.__isset, b.__isset);
 }
 
@@ -2191,6 +2210,7 @@
   complete = other57.complete;
   forward_to = other57.forward_to;
   origin = other57.origin;
+  last_push = other57.last_push;
   __isset = other57.__isset;
 }
 key_reply& key_reply::operator=(const key_reply& other58) {
@@ -2200,6 +2220,7 @@
   complete = other58.complete;
   forward_to = other58.forward_to;
   origin = other58.origin;
+  last_push = other58.last_push;
   __isset = other58.__isset;
   return *this;
 }
@@ -2212,6 +2233,7 @@
   out << ", " << "complete="; (__isset.complete ? (out << to_string(complete)) : (out << "<null>"));
   out << ", " << "forward_to="; (__isset.forward_to ? (out << to_string(forward_to)) : (out << "<null>"));
   out << ", " << "origin="; (__isset.origin ? (out << to_string(origin)) : (out << "<null>"));
+  out << ", " << "last_push="; (__isset.last_push ? (out << to_string(last_push)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/peers_types.h
+++ b/peers/gen/peers_types.h
@@ -890,13 +890,14 @@
 std::ostream& operator<<(std::ostream& out, const key_value& obj);
 
 typedef struct _key_reply__isset {
-  _key_reply__isset() : entries(false), store_age_ms(false), push_number(false), complete(false), forward_to(false), origin(false) {}
+  _key_reply__isset() : entries(false), store_age_ms(false), push_number(false), complete(false), forward_to(false), origin(false), last_push(false) {}
   bool entries :1;
   bool store_age_ms :1;
   bool push_number :1;
   bool complete :1;
   bool forward_to :1;
   bool origin :1;
+  bool last_push :1;
 } _key_reply__isset;
 
 class key_reply : public virtual ::apache::thrift::TBase {
@@ -908,7 +909,8 @@
             : store_age_ms(0),
               push_number(0),
               complete(0),
-              origin() {
+              origin(),
+              last_push(0) {
   }
 
   virtual ~key_reply() noexcept;
@@ -918,6 +920,7 @@
   bool complete;
   std::vector<std::string>  forward_to;
   std::string origin;
+  int64_t last_push;
 
   _key_reply__isset __isset;
 
@@ -933,6 +936,8 @@
 
   void __set_origin(const std::string& val);
 
+  void __set_last_push(const int64_t val);
+
   bool operator == (const key_reply & rhs) const
   {
     if (!(entries == rhs.entries))
@@ -957,6 +962,10 @@
       return false;
     else if (__isset.origin && !(origin == rhs.origin))
       return false;
+    if (__isset.last_push != rhs.__isset.last_push)
+      return false;
+    else if (__isset.last_push && !(last_push == rhs.last_push))
+      return false;
     return true;
   }
   bool operator != (const key_reply &rhs) const {
--- a/peers/key_relay.cc
+++ b/peers/key_relay.cc
@@ -263,8 +263,8 @@
     }
     if (reply.push_number)
         handle_push(now, reply.origin.value_or(message.from), message.delay, reply, out);
-    else if (reply.complete && m_push_sources.contains(message.from))
-        m_push_sources[message.from].complete = true;
+    else if (reply.complete)
+        handle_comparison(message.from, reply);
     // A large reply may have been truncated to the maximum size: request the rest soon.
     if (bytes > m_settings.max_reply_bytes / 2)
         m_next_sync = std::min(m_next_sync, now + m_settings.request_timeout);
@@ -275,6 +275,19 @@
     return out;
 }
 
+// Forwarded pushes and the reply take different ways. A push that was sent after the reply and got
+// lost may be followed by one that arrives before the reply; then the reply proves nothing.
+void key_relay_core::handle_comparison(const node_id& from, const key_reply& reply)
+{
+    const auto found = m_push_sources.find(from);
+    if (found == m_push_sources.end())
+        return;
+    push_source& source = found->second;
+    const std::int64_t last_push = reply.last_push.value_or(source.number);
+    const bool none_missing = source.number <= last_push || source.first_of_run <= last_push + 1;
+    source.complete = source.complete || none_missing;
+}
+
 // The entries of a lost push are not repeated in later ones. So if the push numbers have a gap, the
 // neighbour counts as fresh again only after a comparison with it.
 //
@@ -286,6 +299,8 @@
     push_source& source = m_push_sources[origin];
     const bool consecutive = source.number != 0 && *push.push_number == source.number + 1;
     source.number = *push.push_number;
+    if (!consecutive)
+        source.first_of_run = source.number;
     source.complete = source.complete && consecutive;
     if (!source.complete && now - source.comparison_requested_at >= m_settings.request_timeout) {
         source.comparison_requested_at = now;
@@ -323,6 +338,7 @@
     const std::set<std::uint32_t> wanted{request.wanted.begin(), request.wanted.end()};
     key_reply reply;
     reply.complete = request.wanted.empty();
+    reply.last_push = m_push_number;
     std::size_t bytes = 0;
     for (const auto& [name, entry] : m_keys) {
         const std::uint32_t wire = wire_key(name);
--- a/peers/key_relay.h
+++ b/peers/key_relay.h
@@ -118,8 +118,9 @@
     };
     /// State of a neighbour that pushes to this node.
     struct push_source {
-        std::int64_t number = 0; ///< of the last push received
-        bool complete = false;   ///< no push is missing since the last comparison
+        std::int64_t number = 0;       ///< of the last push received
+        std::int64_t first_of_run = 0; ///< no push is missing between it and `number`
+        bool complete = false;         ///< no push is missing since the last comparison
         time_point comparison_requested_at{};
     };
 
@@ -134,6 +135,7 @@
     /// `domain`: the names of its live members, including this node.
     void plan_routes(const std::vector<std::string>& domain);
     void forward(const key_message& message, const key_reply& reply, key_relay_commands& out) const;
+    void handle_comparison(const node_id& from, const key_reply& reply);
     /// `origin`: node that pushed, which may have been forwarded; `delay`: of the last frame.
     void handle_push(time_point now, const node_id& origin, duration delay, const key_reply& push,
                      key_relay_commands& out);
--- a/peers/key_relay_test.cc
+++ b/peers/key_relay_test.cc
@@ -452,6 +452,27 @@
               "entries may be missing from its pushes");
 }
 
+// A push gets lost after its sender replied to a comparison, and a later push overtakes the reply.
+// Guards against a neighbour that counts as fresh although it lacks the lost entries.
+Test(key_relay, a_reply_that_a_later_push_overtakes_proves_nothing)
+{
+    const time_point now{std::chrono::hours{1}};
+    key_relay_core watcher = make_core("n0");
+    key_relay_core other = make_core("n1");
+    const auto deliver = [&](const key_body& body) {
+        return other.message_received(now, {node_id{"n0"}, body});
+    };
+    const auto push = [&] { return bodies_sent_to("n1", watcher.push({})).at(0); };
+    const std::vector<key_body> asked = bodies_sent_to("n0", deliver(push()));
+    const key_body reply =
+        bodies_sent_to("n1", watcher.message_received(now, {node_id{"n1"}, asked.at(0)})).at(0);
+    watcher.key_changed(now, {"config", 7, "v"});
+    push(); // lost
+    deliver(push());
+    deliver(reply);
+    cr_assert_not(reports_fresh_neighbour(deliver(push())));
+}
+
 // Two nodes of a domain watch the platform. The others must get each change at once, and pushes
 // without entries when nothing changes, since without pushes they would watch the platform too.
 Test(key_relay, a_push_sends_each_change_to_the_domain_once)
--- a/peers/membership_keys.cc
+++ b/peers/membership_keys.cc
@@ -46,6 +46,8 @@
         out.__set_push_number(*reply.push_number);
     if (reply.complete)
         out.__set_complete(true);
+    if (reply.last_push)
+        out.__set_last_push(*reply.last_push);
     for (const node_id& node : reply.forward_to)
         out.forward_to.push_back(node.value());
     out.__isset.forward_to = !out.forward_to.empty();
@@ -69,6 +71,8 @@
     if (received.__isset.push_number)
         reply.push_number = received.push_number;
     reply.complete = received.__isset.complete && received.complete;
+    if (received.__isset.last_push)
+        reply.last_push = received.last_push;
     for (const std::string& node : received.forward_to)
         reply.forward_to.emplace_back(node);
     if (received.__isset.origin)
--- a/peers/peers.thrift
+++ b/peers/peers.thrift
@@ -123,6 +123,7 @@
   4: optional bool complete     // replies to a request for all keys and contains all newer entries
   5: optional list<string> forward_to  // nodes to which the receiver sends it on
   6: optional string origin     // node whose push it is, if the sender forwards it
+  7: optional i64 last_push     // of a reply: number of the sender's last push before it
 }
 
 // `head` is the head record of `revision` as stored in the key-value service.
