Registry feed: a node that has not read the store yet does not stand in for its followers

No test: the first case lasts until the next push (0.4 s), and no test distinguishes it from the start of a follower.

--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -175,13 +175,15 @@
 
     [[nodiscard]] bool should_watch()
     {
+        if (!m_read_once || !m_shares_watches)
+            return true;
         const time_point now = runtime_clock::now();
         const bool follows = m_followers.should_follow(now);
         if (std::exchange(m_follows, follows) != follows)
             log_event(log_level::info, follows ? "follows_store" : "follows_neighbours",
                       {{"rank", m_followers.rank()},
                        {"fresh_ms_ago", in_milliseconds(now - m_followers.last_fresh())}});
-        return !m_read_once || !m_shares_watches || follows;
+        return follows;
     }
 
     void log_late_push(const key_message& message)
