Logs: a cancelled attempt says for how long its server was silent, a cut stream why it went nowhere

The record of the cut streams can't tell whether they were ended by a timer, for want of a retry, or because the servers of the pool were silent together. attempt_cancelled gets silent_ms; request_cut gets servers_used, most_servers, retries_left, silent_servers and servers. No decision changes.

--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -104,14 +104,14 @@
     else if (const auto* cancel_command = std::get_if<cancel_attempt>(&cmd)) {
         const auto found = m_attempts.find(cancel_command->attempt);
         if (found != m_attempts.end())
-            cancel_on_command(*found->second, cancel_command->reason);
+            cancel_on_command(*found->second, *cancel_command);
     }
 }
 
-void relay_request::impl::cancel_on_command(attempt_state& attempt, cancel_reason why)
+void relay_request::impl::cancel_on_command(attempt_state& attempt, const cancel_attempt& cmd)
 {
-    m_log.attempt_cancelled(attempt.send_command, why, attempt.sent);
-    m_services.exported_metrics.attempt_cancelled(why);
+    m_log.attempt_cancelled(attempt.send_command, cmd, attempt.sent);
+    m_services.exported_metrics.attempt_cancelled(cmd.reason);
     cancel(attempt);
 }
 
@@ -224,7 +224,7 @@
 
 net::awaitable<void> relay_request::impl::truncate_answer(const end_truncated& cmd)
 {
-    m_log.cut(cmd.failure, m_event_count);
+    m_log.cut(cmd, m_event_count);
     if (m_write_turns.busy()) {
         m_exchange.abort();
     }
--- a/daemon/relay_way.h
+++ b/daemon/relay_way.h
@@ -61,7 +61,7 @@
     net::awaitable<bool> execute(const command& cmd);
     void start_attempt(const attempt_ptr& attempt);
     /// Cancels an attempt by the core's command: logs and counts it, which cancel() doesn't.
-    void cancel_on_command(attempt_state& attempt, cancel_reason why);
+    void cancel_on_command(attempt_state& attempt, const cancel_attempt& cmd);
     void cancel(attempt_state& attempt);
     net::awaitable<void> complete_answer();
     net::awaitable<void> refuse_caller(const refuse& cmd);
--- a/daemon/request_log.cc
+++ b/daemon/request_log.cc
@@ -72,13 +72,12 @@
                {"through_node", attempt.relayed.has_value()}});
 }
 
-void request_log::log_attempt_end(log_level level, std::string_view kind,
-                                  const send_attempt& attempt, std::string_view reason,
-                                  bool sent) const
+void request_log::attempt_failed(const send_attempt& attempt, std::string_view reason,
+                                 bool sent) const
 {
     if (m_request.empty())
         return;
-    log_event(level, kind,
+    log_event(log_level::warning, "attempt_failed",
               {{"request", m_request},
                {"sending", attempt.basis.sending},
                {"target", attempt.target.value()},
@@ -88,17 +87,21 @@
                {"age_ms", age_ms()}});
 }
 
-void request_log::attempt_failed(const send_attempt& attempt, std::string_view reason,
-                                 bool sent) const
-{
-    log_attempt_end(log_level::warning, "attempt_failed", attempt, reason, sent);
-}
-
-void request_log::attempt_cancelled(const send_attempt& attempt, cancel_reason why, bool sent) const
+void request_log::attempt_cancelled(const send_attempt& attempt, const cancel_attempt& cmd,
+                                    bool sent) const
 {
-    const bool routine = why == cancel_reason::caller_gone;
-    log_attempt_end(routine ? log_level::info : log_level::warning, "attempt_cancelled", attempt,
-                    to_name(why), sent);
+    if (m_request.empty())
+        return;
+    const bool routine = cmd.reason == cancel_reason::caller_gone;
+    log_event(routine ? log_level::info : log_level::warning, "attempt_cancelled",
+              {{"request", m_request},
+               {"sending", attempt.basis.sending},
+               {"target", attempt.target.value()},
+               {"server", attempt.instance.value()},
+               {"reason", to_name(cmd.reason)},
+               {"silent_ms", to_ms(cmd.silent_for)},
+               {"sent", sent},
+               {"age_ms", age_ms()}});
 }
 
 void request_log::log_resend(std::string_view kind, const send_attempt& attempt,
@@ -154,13 +157,18 @@
                {"age_ms", age_ms()}});
 }
 
-void request_log::cut(const error& why, std::uint64_t events) const
+void request_log::cut(const end_truncated& cmd, std::uint64_t events) const
 {
     if (m_request.empty())
         return;
     log_event(log_level::warning, "request_cut",
               {{"request", m_request},
-               {"message", why.message},
+               {"message", cmd.failure.message},
+               {"servers_used", cmd.servers_used},
+               {"most_servers", cmd.most_servers},
+               {"retries_left", whole(cmd.retries_left)},
+               {"silent_servers", cmd.silent_servers},
+               {"servers", cmd.servers},
                {"events", events},
                {"age_ms", age_ms()}});
 }
--- a/daemon/request_log.h
+++ b/daemon/request_log.h
@@ -24,7 +24,7 @@
     void sent(const send_attempt& attempt) const;
     void attempt_failed(const send_attempt& attempt, std::string_view reason, bool sent) const;
     /// The node has cancelled the attempt.
-    void attempt_cancelled(const send_attempt& attempt, cancel_reason why, bool sent) const;
+    void attempt_cancelled(const send_attempt& attempt, const cancel_attempt& cmd, bool sent) const;
     /// The HTTP client sends the request to the same server again, because the server has closed a
     /// kept-alive connection. `retries_left`: in the retry budget, after this one.
     void attempt_repeated(const send_attempt& attempt, double retries_left) const;
@@ -35,14 +35,12 @@
     /// `max_event_gap`: the longest time between two writes of events.
     void finished(unsigned status, std::uint64_t events, duration time_to_first_byte,
                   duration max_event_gap) const;
-    void cut(const error& why, std::uint64_t events) const;
+    void cut(const end_truncated& cmd, std::uint64_t events) const;
     void abandoned(bool sent, std::uint64_t events) const;
 
 private:
     [[nodiscard]] std::int64_t age_ms() const;
     void log_resend(std::string_view kind, const send_attempt& attempt, double retries_left) const;
-    void log_attempt_end(log_level level, std::string_view kind, const send_attempt& attempt,
-                         std::string_view reason, bool sent) const;
 
     std::string m_request;
     time_point m_arrived;
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -109,7 +109,7 @@
     const auto drop = [&](attempt_failure reason) {
         if (reason != attempt_failure::refused_did_not_run)
             ++counters.answers_dropped;
-        cancel(*row, cancel_reason::answer_unusable, out);
+        cancel(*row, cancel_reason::answer_unusable, now, out);
         end_attempt(*row, reason, attempt_end::failed, now, out);
     };
     if (head.echoed && *head.echoed != head.attempt)
@@ -346,10 +346,12 @@
     return settings.retry_budget && costs;
 }
 
-void request_core::state::cancel(request_row& row, cancel_reason why, command_list& out)
+void request_core::state::cancel(request_row& row, cancel_reason why, time_point now,
+                                 command_list& out)
 {
     const target& at = targets.at(row.attempt.target).info;
-    out.emplace_back(cancel_attempt{row.info.id, row.attempt.id, at.id, at.address, why});
+    out.emplace_back(cancel_attempt{row.info.id, row.attempt.id, at.id, at.address, why,
+                                    now - row.attempt.last_part});
 }
 
 void request_core::state::release_target(request_row& row)
@@ -386,7 +388,7 @@
     }
     if (row.has_attempt) {
         row.may_have_run = row.may_have_run || row.attempt.sent;
-        cancel(row, cancel_reason::caller_gone, out);
+        cancel(row, cancel_reason::caller_gone, now, out);
         release_target(row);
     }
     finish_forget(row, now, out);
--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -82,6 +82,7 @@
     target_id target;
     std::string address;
     cancel_reason reason = cancel_reason::answer_unusable;
+    duration silent_for{0}; ///< since the last byte of the attempt, or since it was sent
 };
 
 /// Final: the answer is complete; send its terminal marker.
@@ -110,6 +111,11 @@
 struct end_truncated {
     request_id request;
     error failure;
+    std::uint32_t servers_used = 0; ///< attempts that may have run
+    std::uint32_t most_servers = 0; ///< servers the route allows; 0: limited by its retries only
+    double retries_left = 0.0;      ///< in the retry budget
+    std::size_t silent_servers = 0; ///< of the pool
+    std::size_t servers = 0;        ///< in the pool
 };
 
 /// Final, the caller has disconnected: free the request's resources.
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -398,7 +398,7 @@
 void request_core::state::reroute_request(request_row& row, cancel_reason why, time_point now,
                                           command_list& out)
 {
-    cancel(row, why, out);
+    cancel(row, why, now, out);
     end_attempt(row, attempt_failure::cut, attempt_end::group_lost, now, out);
 }
 
--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -174,7 +174,7 @@
     std::sort(stranded.begin(), stranded.end());
     for (const request_id request : stranded) {
         request_row& row = requests.at(request);
-        cancel(row, cancel_reason::target_lost, out);
+        cancel(row, cancel_reason::target_lost, now, out);
         end_attempt(row, attempt_failure::cut, attempt_end::group_lost, now, out);
     }
 }
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -377,7 +377,7 @@
                 pools.at(row.terms.pool).limit.note_overload();
                 note_failure(targets.at(row.attempt.target).health);
             }
-            cancel(row, cancel_reason::out_of_time, out);
+            cancel(row, cancel_reason::out_of_time, now, out);
             finish_failed(row,
                           {error_kind::deadline_exceeded, "no answer before its deadline",
                            "send it again with more time"},
@@ -390,13 +390,13 @@
             set_wake(row, std::min(row.deadline, now + head_timeout(row)));
             return;
         }
-        cancel(row, cancel_reason::stalled, out);
+        cancel(row, cancel_reason::stalled, now, out);
         end_attempt(row, attempt_failure::stalled, attempt_end::failed, now, out);
         return;
     case request_phase::answering:
         cancel(row,
                now >= row.answer_deadline ? cancel_reason::out_of_time : cancel_reason::stalled,
-               out);
+               now, out);
         if (now >= row.answer_deadline) {
             row.may_have_run = true;
             finish_failed(row,
--- a/routing/request_finish.cc
+++ b/routing/request_finish.cc
@@ -5,6 +5,7 @@
 // ends and is never reset (see request_attempt.cc).
 #include "routing/request_state.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace jaynotch {
@@ -89,7 +90,16 @@
     }
     settle_claim_on_failure(row, now);
     ++counters.truncated;
-    out.emplace_back(end_truncated{row.info.id, std::move(failure)});
+    const pool_row& pool = pools.at(row.terms.pool);
+    const auto silent = [&](target_row_index at) { return targets.at(at).health.silent; };
+    end_truncated end{row.info.id, std::move(failure)};
+    end.servers_used = row.servers_used;
+    end.most_servers = row.terms.most_servers;
+    end.retries_left = pool.budget->left();
+    end.silent_servers = static_cast<std::size_t>(
+        std::count_if(pool.view.targets.begin(), pool.view.targets.end(), silent));
+    end.servers = pool.view.targets.size();
+    out.emplace_back(std::move(end));
     erase(row);
 }
 
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -208,7 +208,7 @@
     bool may_retry(const request_row& row, attempt_failure reason) const;
     void note_activity(request_row& row, time_point now);
     void clear_pending_tokens(request_row& row);
-    void cancel(request_row& row, cancel_reason why, command_list& out);
+    void cancel(request_row& row, cancel_reason why, time_point now, command_list& out);
     void release_target(request_row& row);
 
     // request_finish.cc: the final command, exactly one per request
