Stand-ins: a runner can be paused

A paused runner reads and writes nothing and keeps its connections; the group of a paused member stands still.

--- a/standins/runner_standin.cc
+++ b/standins/runner_standin.cc
@@ -88,10 +88,17 @@
     m_store->remove("servers/" + m_settings.id);
 }
 
+awaitable<void> runner_standin::wait_while_paused()
+{
+    while (paused())
+        co_await standin_sleep(m_executor, m_paused_until - runtime_clock::now());
+}
+
 awaitable<void> runner_standin::handle(standin_exchange& exchange)
 {
     const auto keep = shared_from_this();
     constexpr duration max_mute_time = 20s;
+    co_await wait_while_paused();
     if (faults.mute) {
         co_await standin_sleep(m_executor, max_mute_time);
         exchange.cut();
@@ -184,6 +191,7 @@
     std::size_t written = 0;
     for (std::size_t id = first; id <= m_settings.events; ++id) {
         co_await standin_sleep(m_executor, m_settings.gap);
+        co_await wait_while_paused();
         const bool cut = faults.cut_after > 0 && written == faults.cut_after;
         if (cut || !co_await wait_for_members()) {
             exchange.cut();
@@ -205,8 +213,8 @@
         const auto found = m_settings.fabric->runners.find(id);
         const auto other =
             found == m_settings.fabric->runners.end() ? nullptr : found->second.lock();
-        return other && other->m_alive && !other->faults.mute && other->m_group == m_group &&
-               other->m_epoch == m_epoch;
+        return other && other->m_alive && !other->faults.mute && !other->paused() &&
+               other->m_group == m_group && other->m_epoch == m_epoch;
     });
 }
 
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -121,6 +121,9 @@
     void advertise_address(std::string address);
     /// Changes its state in the registry to draining.
     void drain();
+    /// Simulates a process that is stopped for `time` and then goes on: connections stay open, and
+    /// nothing is read or written. The group of a paused member stands still.
+    void pause(duration time) { m_paused_until = runtime_clock::now() + time; }
     /// Simulates the end of its process: cuts all connections and removes its registry entry.
     void stop();
     /// Like stop(), but its registry entry stays.
@@ -136,6 +139,8 @@
 
     awaitable<void> handle(standin_exchange& exchange);
     awaitable<void> handle_order(standin_exchange& exchange);
+    [[nodiscard]] bool paused() const { return runtime_clock::now() < m_paused_until; }
+    awaitable<void> wait_while_paused();
     /// Loads the model and becomes ready, unless a newer order arrives meanwhile.
     awaitable<void> join(std::string group, std::int64_t epoch, std::string model);
     /// Sets the headers common to all responses; returns the attempt id.
@@ -166,6 +171,7 @@
     runner_standin_settings m_settings;
     std::shared_ptr<standin_server> m_server;
     std::string m_advertised_address; ///< empty: that of m_server
+    time_point m_paused_until;
     bool m_alive = true;
     std::int64_t m_highest_fence = 0;
     std::int64_t m_highest_epoch = 0;
