Silent servers: an attempt is given up only once its replacement is certain

Cause: a timer between two parts (0.8 to 1.6 s for a model whose engine is known) cancelled the attempt first, and only then asked whether the route allows another server, whether the retry budget has a retry and whether another server has a place. If not, the stream was cut. The same order stood in the timer of the first event, except for the budget, and in the move away from a silent group, which looked at the budget but not at whether the place found was for this request.

A move looks for its replacement first (route, budget, node or server with a place), then cancels, charges and sends, past the queue. Without a replacement the attempt is held, tried again after 100 ms, and ends with its connection or at the answer's deadline. A route whose answers may last longer than its timeout bounds each pause by that timeout (5 s at least), as before for want of a byte. Log line attempt_held, jaynotch_attempts_held_total{reason}.

--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -80,6 +80,10 @@
     std::vector<Counter*> cancellations =
         by_name<cancel_reason>(registry, "jaynotch_attempts_cancelled_total",
                                "Sendings that this node gave up, by reason", "reason");
+    std::vector<Counter*> holds = by_name<hold_reason>(
+        registry, "jaynotch_attempts_held_total",
+        "Sendings to a silent server that go on because no other can take over, by reason",
+        "reason");
     Counter& repeats =
         counter(registry, "jaynotch_attempts_repeated_total",
                 "Sendings repeated to the same server, a kept connection being shut");
@@ -180,6 +184,11 @@
     m_families->cancellations[static_cast<std::size_t>(why)]->Increment();
 }
 
+void metrics::attempt_held(hold_reason why)
+{
+    m_families->holds[static_cast<std::size_t>(why)]->Increment();
+}
+
 void metrics::attempt_repeated()
 {
     m_families->repeats.Increment();
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -69,6 +69,8 @@
     void attempt();
     void attempt_failed(attempt_failure why);
     void attempt_cancelled(cancel_reason why);
+    /// The attempt's server is silent, and no other can take over.
+    void attempt_held(hold_reason why);
     /// A request was sent to the same server again on a new connection.
     void attempt_repeated();
     /// Time from a request's arrival until it was first sent.
--- a/daemon/metrics_test.cc
+++ b/daemon/metrics_test.cc
@@ -23,6 +23,7 @@
     exported_metrics.refused(error_kind::overloaded);
     exported_metrics.attempt_failed(attempt_failure::stalled);
     exported_metrics.attempt_cancelled(cancel_reason::target_silent);
+    exported_metrics.attempt_held(hold_reason::retries_used);
     exported_metrics.attempt_repeated();
     exported_metrics.queued(30ms);
     exported_metrics.loop_delay(2ms);
@@ -35,6 +36,7 @@
     cr_assert(has(page, "jaynotch_refusals_total{kind=\"overloaded\"} 1"));
     cr_assert(has(page, "jaynotch_attempt_failures_total{reason=\"stalled\"} 1"));
     cr_assert(has(page, "jaynotch_attempts_cancelled_total{reason=\"target_silent\"} 1"));
+    cr_assert(has(page, "jaynotch_attempts_held_total{reason=\"retries_used\"} 1"));
     cr_assert(has(page, "jaynotch_attempts_repeated_total 1"));
     cr_assert(has(page, "jaynotch_queue_seconds_bucket{le=\"0.05\"} 1"));
     cr_assert(has(page, "jaynotch_queue_seconds_bucket{le=\"0.025\"} 0"));
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -106,6 +106,12 @@
         if (found != m_attempts.end())
             cancel_on_command(*found->second, *cancel_command);
     }
+    else if (const auto* held = std::get_if<attempt_held>(&cmd)) {
+        const auto found = m_attempts.find(held->attempt);
+        if (found != m_attempts.end())
+            m_log.attempt_held(found->second->send_command, *held);
+        m_services.exported_metrics.attempt_held(held->reason);
+    }
 }
 
 void relay_request::impl::cancel_on_command(attempt_state& attempt, const cancel_attempt& cmd)
--- a/daemon/request_log.cc
+++ b/daemon/request_log.cc
@@ -104,6 +104,20 @@
                {"age_ms", age_ms()}});
 }
 
+void request_log::attempt_held(const send_attempt& attempt, const jaynotch::attempt_held& cmd) const
+{
+    if (m_request.empty())
+        return;
+    log_event(log_level::info, "attempt_held",
+              {{"request", m_request},
+               {"sending", attempt.basis.sending},
+               {"target", attempt.target.value()},
+               {"server", attempt.instance.value()},
+               {"reason", to_name(cmd.reason)},
+               {"silent_ms", to_ms(cmd.silent_for)},
+               {"age_ms", age_ms()}});
+}
+
 void request_log::log_resend(std::string_view kind, const send_attempt& attempt,
                              double retries_left) const
 {
--- a/daemon/request_log.h
+++ b/daemon/request_log.h
@@ -25,6 +25,8 @@
     void attempt_failed(const send_attempt& attempt, std::string_view reason, bool sent) const;
     /// The node has cancelled the attempt.
     void attempt_cancelled(const send_attempt& attempt, const cancel_attempt& cmd, bool sent) const;
+    /// The attempt's server is silent, and the attempt continues.
+    void attempt_held(const send_attempt& attempt, const jaynotch::attempt_held& cmd) const;
     /// The HTTP client sends the request to the same server again, because the server has closed a
     /// kept-alive connection. `retries_left`: in the retry budget, after this one.
     void attempt_repeated(const send_attempt& attempt, double retries_left) const;
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -44,6 +44,12 @@
     return attempt.sent && (attempt.repeated || !reported_not_run);
 }
 
+/// Whether the failure shows that the target, a group, is incomplete.
+bool is_group_incomplete(attempt_failure reason, pool_kind kind)
+{
+    return reason == attempt_failure::refused_did_not_run && kind == pool_kind::model;
+}
+
 double seconds(duration span)
 {
     return std::chrono::duration<double>(span).count();
@@ -270,29 +276,37 @@
     return false;
 }
 
-void request_core::state::end_attempt(request_row& row, attempt_failure reason, attempt_end end,
-                                      time_point now, command_list& out)
+/// Records what the failure shows about the request, the target and this node's links, and frees
+/// the target's capacity.
+void request_core::state::record_failed_attempt(request_row& row, attempt_failure reason,
+                                                attempt_end end, time_point now)
 {
-    if (targets.at(row.attempt.target).other_node) {
-        end_detour(row, reason, now, out);
-        return;
-    }
     note_failed_attempt(row, reason);
-    const bool again = may_retry(row, reason);
     if (may_have_run_at_target(row.attempt, reason)) {
         ++row.servers_used;
         row.may_have_run = true;
     }
-    pool_row& pool = pools.at(row.terms.pool);
+    target_health& health = targets.at(row.attempt.target).health;
     if (end == attempt_end::failed && reason != attempt_failure::refused_did_not_run &&
         reason != attempt_failure::version_changed)
-        note_failure(targets.at(row.attempt.target).health);
-    const bool group_incomplete =
-        reason == attempt_failure::refused_did_not_run && pool.info.kind == pool_kind::model;
-    if (group_incomplete && settings.mechanisms.has(mechanism::refusal_pause))
-        note_refusal(targets.at(row.attempt.target).health, now);
+        note_failure(health);
+    if (is_group_incomplete(reason, pools.at(row.terms.pool).info.kind) &&
+        settings.mechanisms.has(mechanism::refusal_pause))
+        note_refusal(health, now);
     release_target(row);
+}
 
+void request_core::state::end_attempt(request_row& row, attempt_failure reason, attempt_end end,
+                                      time_point now, command_list& out)
+{
+    if (targets.at(row.attempt.target).other_node) {
+        end_detour(row, reason, now, out);
+        return;
+    }
+    const bool again = may_retry(row, reason);
+    record_failed_attempt(row, reason, end, now);
+    pool_row& pool = pools.at(row.terms.pool);
+    const bool group_incomplete = is_group_incomplete(reason, pool.info.kind);
     const bool in_time = row.head_delivered || now < row.deadline;
     const bool detour = may_detour(row) && (again || !row.may_have_run);
     if (detour && in_time && !row.caller_left &&
--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -85,6 +85,30 @@
     duration silent_for{0}; ///< since the last byte of the attempt, or since it was sent
 };
 
+/// Why the attempt of a silent server continues instead of being moved to another server.
+enum class hold_reason {
+    retries_used,   ///< the route allows no further server or retry
+    no_retry_left,  ///< the retry budget is empty
+    no_server_free, ///< no other server can take the request now
+};
+
+template <>
+struct enum_names<hold_reason> {
+    static constexpr std::array entries{
+        named{hold_reason::retries_used, "retries_used"},
+        named{hold_reason::no_retry_left, "no_retry_left"},
+        named{hold_reason::no_server_free, "no_server_free"},
+    };
+};
+
+/// The attempt's server is silent, and the attempt continues. Issued once per attempt.
+struct attempt_held {
+    request_id request;
+    attempt_id attempt;
+    hold_reason reason = hold_reason::retries_used;
+    duration silent_for{0};
+};
+
 /// Final: the answer is complete; send its terminal marker.
 struct complete {
     request_id request;
@@ -205,10 +229,10 @@
     std::vector<demand_row> rows;
 };
 
-using command =
-    std::variant<send_attempt, deliver, cancel_attempt, complete, refuse, replay, end_truncated,
-                 forget, report_key_status, call_kv, grant_lease, target_released, target_silent,
-                 share_limit, probe_server, reach_changed, group_reach_changed, share_demand>;
+using command = std::variant<send_attempt, deliver, cancel_attempt, attempt_held, complete, refuse,
+                             replay, end_truncated, forget, report_key_status, call_kv, grant_lease,
+                             target_released, target_silent, share_limit, probe_server,
+                             reach_changed, group_reach_changed, share_demand>;
 using command_list = std::vector<command>;
 
 } // namespace jaynotch
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -359,27 +359,10 @@
 /// connections: the target may still answer them.
 void request_core::state::reroute_requests(target_row_index from, time_point now, command_list& out)
 {
-    for (const request_id request : repeatable_requests_at(from))
-        reroute_request(requests.at(request), cancel_reason::target_lost, now, out);
-}
-
-/// Moves requests away from a silent target. It may still recover, so a request is moved only if
-/// another target can take it now and the retry budget allows it. The others wait for the silent
-/// target, until the timeout between two parts.
-void request_core::state::reroute_from_silent(const pool_row& pool, target_row_index from,
-                                              time_point now, command_list& out)
-{
-    const bool has_alternative =
-        std::any_of(pool.view.targets.begin(), pool.view.targets.end(), [&](target_row_index at) {
-            return at != from && targets.at(at).may_be_picked();
-        });
-    if (!has_alternative)
-        return;
     for (const request_id request : repeatable_requests_at(from)) {
         request_row& row = requests.at(request);
-        const bool within_budget = !is_charged_to_budget(row, false) || pool.budget->has_retry();
-        if (within_budget && may_retry(row, attempt_failure::cut))
-            reroute_request(row, cancel_reason::target_silent, now, out);
+        cancel(row, cancel_reason::target_lost, now, out);
+        end_attempt(row, attempt_failure::cut, attempt_end::group_lost, now, out);
     }
 }
 
@@ -395,13 +378,6 @@
     return found;
 }
 
-void request_core::state::reroute_request(request_row& row, cancel_reason why, time_point now,
-                                          command_list& out)
-{
-    cancel(row, why, now, out);
-    end_attempt(row, attempt_failure::cut, attempt_end::group_lost, now, out);
-}
-
 // A group that has lost a member accepts requests without making progress for seconds, until it
 // detects the loss itself. The symptom is that all its streams pause at once, for longer than the
 // longest step of a healthy engine. A silent group gets no new requests except a probe every
@@ -432,6 +408,8 @@
                               static_cast<double>(fleet_size) * row.pending_tokens);
             const duration silence_limit = std::min<duration>(
                 std::max<duration>({healthy_pause * 3 / 2, usual, min_silence}), max_silence);
+            if (row.health.silent && row.own > 0 && now >= row.health.next_move)
+                move_from_silent(at, now, out);
             if (row.own == 0 || row.health.silent || now - row.last_activity <= silence_limit)
                 continue;
             row.health.silent = true;
@@ -440,7 +418,7 @@
             ++counters.silences;
             pool.reach.note_silent(row.info.id.value(), pool.view.targets.size());
             out.emplace_back(target_silent{row.info.id, row.info.instance, row.streaming > 0});
-            reroute_from_silent(pool, at, now, out);
+            move_from_silent(at, now, out);
         }
     }
 }
--- a/routing/request_core.h
+++ b/routing/request_core.h
@@ -80,6 +80,7 @@
     std::uint64_t relayed = 0;         ///< of arrived: passed on by another node
     std::uint64_t retries_charged = 0; ///< to the retry budget
     std::uint64_t retries_denied = 0;  ///< by the retry budget
+    std::uint64_t attempts_held = 0;   ///< at a silent server, since no other could take over
     std::uint64_t answers_dropped = 0; ///< too late, for another attempt, or of another version
     std::uint64_t ejections = 0;
     std::uint64_t silences = 0; ///< times a group with requests in flight was found silent
--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -95,6 +95,13 @@
     const target_row_index node = choose_node(now);
     if (node == no_target)
         return false;
+    send_through_node(row, node, now, out);
+    return true;
+}
+
+void request_core::state::send_through_node(request_row& row, target_row_index node, time_point now,
+                                            command_list& out)
+{
     const bool first = row.attempt_count == 0;
     ++targets.at(node).own;
     row.phase = request_phase::sending;
@@ -105,7 +112,6 @@
     sent.relayed = relayed_request{row.servers_used, first};
     out.emplace_back(std::move(sent));
     set_wake(row, next_wake_time(row));
-    return true;
 }
 
 /// Ends an attempt at another node that brought no usable answer.
@@ -274,7 +280,8 @@
     for (const request_id request : waiting) {
         request_row& row = requests.at(request);
         if (row.has_attempt) {
-            reroute_request(row, cancel_reason::target_silent, now, out);
+            move_request(row, cancel_reason::target_silent, attempt_failure::cut,
+                         attempt_end::group_lost, now, out);
             continue;
         }
         pool_row& pool = pools.at(index);
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -86,11 +86,13 @@
 }
 
 /// Returns no_target if the request has to wait.
-target_row_index request_core::state::choose_target(request_row& row, time_point now)
+target_row_index request_core::state::choose_target(const request_row& row,
+                                                    std::span<const target_row_index> avoided,
+                                                    time_point now)
 {
     pool_row& pool = pools.at(row.terms.pool);
     if (pool.modelled()) {
-        modelled_request wanted{static_cast<double>(row.info.prompt_tokens), row.tried,
+        modelled_request wanted{static_cast<double>(row.info.prompt_tokens), avoided,
                                 settings.failure_domain, fleet_size};
         wanted.gives_way = gives_way(row);
         wanted.node_hash = node_hash;
@@ -100,10 +102,9 @@
     }
     const std::span<const std::uint64_t> blocks{
         row.info.prefix_blocks.data(), std::min(row.info.prefix_blocks.size(), max_prefix_blocks)};
-    const pick_request wanted{blocks, row.terms.adapter,
-                              row.head_delivered ? std::string_view{row.delivered_version}
-                                                 : std::string_view{},
-                              row.tried};
+    const pick_request wanted{
+        blocks, row.terms.adapter,
+        row.head_delivered ? std::string_view{row.delivered_version} : std::string_view{}, avoided};
     const pick_result chosen =
         pick(targets, pool.view, pool.prefixes, settings.pick, wanted, random, now);
     if (chosen.row == no_target)
@@ -118,11 +119,20 @@
 bool request_core::state::try_send(request_row& row, time_point now, command_list& out)
 {
     pool_row& pool = pools.at(row.terms.pool);
-    const target_row_index chosen = choose_target(row, now);
+    const target_row_index chosen = choose_target(row, row.tried, now);
     if (chosen == no_target) {
         pool.drop_if_unused(row.info.workspace);
         return false;
     }
+    send_to(row, chosen, now, out);
+    return true;
+}
+
+/// Sends the request to a server that has a place for it.
+void request_core::state::send_to(request_row& row, target_row_index chosen, time_point now,
+                                  command_list& out)
+{
+    pool_row& pool = pools.at(row.terms.pool);
     target_row& target = targets.at(chosen);
     if (target.own == 0)
         target.last_activity = now;
@@ -137,8 +147,9 @@
     row.attempt.pending_tokens = row.info.prompt_tokens;
     target.pending_tokens += row.attempt.pending_tokens;
     out.emplace_back(send_command_for(row, now));
+    if (row.head_delivered)
+        row.deadline = std::min(row.answer_deadline, now + longest_silence(row));
     set_wake(row, next_wake_time(row));
-    return true;
 }
 
 /// Counts an attempt and makes it the request's current one.
@@ -218,10 +229,15 @@
     return basis;
 }
 
-void request_core::state::requeue(request_row& row, time_point now)
+void request_core::state::note_tried(request_row& row)
 {
     if (row.tried.size() < max_tried_targets)
         row.tried.push_back(row.attempt.target);
+}
+
+void request_core::state::requeue(request_row& row, time_point now)
+{
+    note_tried(row);
     row.has_attempt = false;
     row.phase = request_phase::queued;
     if (row.head_delivered)
@@ -266,13 +282,13 @@
     return row.info.stream || row.info.kind == request_kind::plain;
 }
 
-/// Timeout between two parts of an answer.
+/// Silence of an attempt after which the request is moved, if another server can take it.
 duration request_core::state::part_timeout(const request_row& row) const
 {
     if (!pools.at(row.terms.pool).modelled())
         return settings.stall_timeout;
     // In a healthy engine a single stream doesn't pause: its connection has failed or its group has
-    // stopped. Callers disconnect after two seconds.
+    // stopped.
     constexpr double gap_multiple = 8.0;
     constexpr std::chrono::milliseconds min_timeout{800};
     constexpr std::chrono::milliseconds max_timeout{1'600};
@@ -281,6 +297,19 @@
                                 max_timeout);
 }
 
+/// For how long an answer that has begun may bring no further byte before it is given up, also if
+/// nothing better can be had. The route's timeout bounds the wait for each part as it does for the
+/// first one.
+duration request_core::state::longest_silence(const request_row& row) const
+{
+    return std::max<duration>(row.terms.timeout, settings.stall_timeout);
+}
+
+time_point request_core::state::silence_deadline(const request_row& row) const
+{
+    return std::min(row.answer_deadline, row.attempt.last_part + longest_silence(row));
+}
+
 duration request_core::state::head_timeout(const request_row& row) const
 {
     if (pools.at(row.terms.pool).modelled()) {
@@ -321,7 +350,10 @@
     case request_phase::answering:
         if (row.attempt.waits_for_caller)
             return row.answer_deadline;
-        return std::min(row.answer_deadline, row.attempt.last_part + part_timeout(row));
+        // Another node watches over its server itself.
+        if (targets.at(row.attempt.target).other_node || !may_retry(row, attempt_failure::stalled))
+            return silence_deadline(row);
+        return std::min(silence_deadline(row), row.attempt.last_part + part_timeout(row));
     case request_phase::claiming:
     case request_phase::querying_key:
         break;
@@ -384,20 +416,11 @@
                           now, out);
             return;
         }
-        // Without a retry in the budget, the current attempt is the only chance for an answer.
-        if (settings.retry_budget && !row.head_delivered &&
-            !pools.at(row.terms.pool).budget->has_retry()) {
-            set_wake(row, std::min(row.deadline, now + head_timeout(row)));
-            return;
-        }
-        cancel(row, cancel_reason::stalled, now, out);
-        end_attempt(row, attempt_failure::stalled, attempt_end::failed, now, out);
+        move_or_hold(row, row.deadline, now, out);
         return;
     case request_phase::answering:
-        cancel(row,
-               now >= row.answer_deadline ? cancel_reason::out_of_time : cancel_reason::stalled,
-               now, out);
         if (now >= row.answer_deadline) {
+            cancel(row, cancel_reason::out_of_time, now, out);
             row.may_have_run = true;
             finish_failed(row,
                           {error_kind::deadline_exceeded,
@@ -407,7 +430,12 @@
                           now, out);
             return;
         }
-        end_attempt(row, attempt_failure::stalled, attempt_end::failed, now, out);
+        if (now >= silence_deadline(row)) {
+            cancel(row, cancel_reason::stalled, now, out);
+            end_attempt(row, attempt_failure::stalled, attempt_end::failed, now, out);
+            return;
+        }
+        move_or_hold(row, silence_deadline(row), now, out);
         return;
     case request_phase::querying_key:
         finish_refuse(row,
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -12,7 +12,9 @@
 #include "routing/target_table.h"
 
 #include <set>
+#include <span>
 #include <unordered_map>
+#include <variant>
 
 namespace jaynotch {
 
@@ -38,6 +40,7 @@
     bool repeated = false; ///< resent to the same server: the first sending may have run
     bool first_part_received = false;
     bool waits_for_caller = false;    ///< a part of the answer is being written to the caller
+    bool held = false;                ///< attempt_held was issued
     std::uint32_t pending_tokens = 0; ///< prompt tokens counted at the target until it answers
     time_point started;
     time_point last_part; ///< when the last part of the answer was received; valid in `answering`
@@ -111,9 +114,6 @@
     void on_cache_events(const cache_events_received& received);
     void on_group_broken(const target_id& group, time_point now, command_list& out);
     void reroute_requests(target_row_index from, time_point now, command_list& out);
-    void reroute_request(request_row& row, cancel_reason why, time_point now, command_list& out);
-    void reroute_from_silent(const pool_row& pool, target_row_index from, time_point now,
-                             command_list& out);
     [[nodiscard]] std::vector<request_id> repeatable_requests_at(target_row_index from) const;
     void detect_silent_targets(time_point now, command_list& out);
 
@@ -136,6 +136,8 @@
                                           time_point now) const;
     [[nodiscard]] target_row_index choose_node(time_point now);
     bool send_through_node(request_row& row, time_point now, command_list& out);
+    void send_through_node(request_row& row, target_row_index node, time_point now,
+                           command_list& out);
     void end_detour(request_row& row, attempt_failure reason, time_point now, command_list& out);
     void on_relay_refusal(request_row& row, const relay_refusal& refusal, time_point now,
                           command_list& out);
@@ -170,15 +172,18 @@
     void dispatch(pool_index pool, queue_pass pass, time_point now, command_list& out);
     void dispatch_all(time_point now, command_list& out);
     bool try_send(request_row& row, time_point now, command_list& out);
+    void send_to(request_row& row, target_row_index chosen, time_point now, command_list& out);
     void begin_attempt(request_row& row, target_row_index chosen, time_point now);
     [[nodiscard]] send_attempt send_command_for(const request_row& row, time_point now) const;
     /// Whether the head is sent before the answer is generated, so that a missing head is a sign of
     /// a stalled target.
     [[nodiscard]] bool head_comes_early(const request_row& row) const;
-    target_row_index choose_target(request_row& row, time_point now);
+    target_row_index choose_target(const request_row& row,
+                                   std::span<const target_row_index> avoided, time_point now);
     [[nodiscard]] pick_basis basis_of(const request_row& row, const target_row& target,
                                       time_point now) const;
     void requeue(request_row& row, time_point now);
+    static void note_tried(request_row& row);
     void queue_as_late(request_row& row);
     [[nodiscard]] flow_key flow_of(const request_row& row) const;
     [[nodiscard]] bool gives_way(const request_row& row) const;
@@ -189,6 +194,18 @@
     [[nodiscard]] time_point next_wake_time(const request_row& row) const;
     [[nodiscard]] duration head_timeout(const request_row& row) const;
     [[nodiscard]] duration part_timeout(const request_row& row) const;
+    [[nodiscard]] duration longest_silence(const request_row& row) const;
+    [[nodiscard]] time_point silence_deadline(const request_row& row) const;
+
+    // request_move.cc: moves away from a silent server
+    using replacement = std::variant<target_row_index, hold_reason>;
+    [[nodiscard]] replacement find_replacement(request_row& row, attempt_failure reason,
+                                               attempt_end end, time_point now);
+    bool move_request(request_row& row, cancel_reason why, attempt_failure reason, attempt_end end,
+                      time_point now, command_list& out);
+    void move_or_hold(request_row& row, time_point deadline, time_point now, command_list& out);
+    void note_held(request_row& row, hold_reason why, time_point now, command_list& out);
+    void move_from_silent(target_row_index from, time_point now, command_list& out);
 
     // request_attempt.cc: progress and end of an attempt
     request_row* find_attempt(request_id request, attempt_id attempt);
@@ -205,6 +222,8 @@
     [[nodiscard]] bool is_charged_to_budget(const request_row& row, bool servers_fault) const;
     void end_attempt(request_row& row, attempt_failure reason, attempt_end end, time_point now,
                      command_list& out);
+    void record_failed_attempt(request_row& row, attempt_failure reason, attempt_end end,
+                               time_point now);
     bool may_retry(const request_row& row, attempt_failure reason) const;
     void note_activity(request_row& row, time_point now);
     void clear_pending_tokens(request_row& row);
--- /dev/null
+++ b/routing/silent_servers_test.cc
@@ -0,0 +1,147 @@
+// Servers that send nothing for a while and go on: paused, or busy for longer than usual.
+#include "routing/modelled_fixture.h"
+
+#include <criterion/criterion.h>
+
+#include <deque>
+
+using namespace jaynotch;
+using namespace jaynotch::testing;
+
+namespace {
+
+using world = modelled_world;
+
+/// A stream that has begun on the second of the two servers that its route allows.
+send_attempt begin_on_last_server(world& sim)
+{
+    const send_attempt first = *last_command<send_attempt>(sim.submit());
+    sim.begin(first);
+    const send_attempt second = *last_command<send_attempt>(sim.fail_attempt(first));
+    sim.begin(second);
+    return second;
+}
+
+/// Ends the stream and checks that its caller gets the whole answer.
+void expect_completes(world& sim, const send_attempt& order)
+{
+    sim.send(attempt_progress{order.request, order.attempt, 1});
+    cr_assert(last_command<complete>(
+        sim.send(attempt_finished{order.request, order.attempt, true, std::nullopt})));
+}
+
+/// Begins `count` streams; returns their attempts.
+std::vector<send_attempt> begin_streams(world& sim, int count)
+{
+    std::vector<send_attempt> begun;
+    for (int index = 0; index < count; ++index) {
+        begun.push_back(*last_command<send_attempt>(sim.submit()));
+        sim.begin(begun.back());
+    }
+    return begun;
+}
+
+} // namespace
+
+// Guards against cutting a stream that may go to no other server when its server pauses.
+Test(silent_servers, a_stream_on_its_last_server_waits_for_it)
+{
+    world sim{3};
+    const send_attempt last = begin_on_last_server(sim);
+    const command_list paused = sim.pass(2s);
+    cr_assert_eq(count<cancel_attempt>(paused), 0U);
+    cr_assert_eq(count<end_truncated>(paused), 0U);
+    cr_assert(last_command<attempt_held>(paused)->reason == hold_reason::retries_used);
+    expect_completes(sim, last);
+}
+
+// Guards against cutting a stream for want of a retry when its server pauses.
+Test(silent_servers, a_stream_without_a_retry_in_the_budget_waits_for_its_server)
+{
+    core_settings settings = modelled_settings();
+    settings.retry_extra = 0.0;
+    world sim{3, settings};
+    const send_attempt order = *last_command<send_attempt>(sim.submit());
+    sim.begin(order);
+    const command_list paused = sim.pass(2s);
+    cr_assert_eq(count<cancel_attempt>(paused), 0U);
+    cr_assert(last_command<attempt_held>(paused)->reason == hold_reason::no_retry_left);
+    expect_completes(sim, order);
+}
+
+// Guards against cutting a stream whose server pauses while all other servers are full.
+Test(silent_servers, a_stream_waits_for_its_server_while_no_other_has_a_place)
+{
+    world sim{2};
+    std::vector<send_attempt> streams = begin_streams(sim, 16);
+    cr_assert(!last_command<send_attempt>(sim.submit()), "both groups are full");
+    command_list out;
+    for (int step = 0; step < 200; ++step) {
+        for (const send_attempt& order : streams) {
+            if (order.target.value() == "g2")
+                sim.send(attempt_progress{order.request, order.attempt, 1});
+        }
+        const command_list next = sim.pass(10ms);
+        out.insert(out.end(), next.begin(), next.end());
+    }
+    cr_assert_eq(count<cancel_attempt>(out), 0U);
+    cr_assert_eq(count<end_truncated>(out), 0U);
+    for (const send_attempt& order : streams)
+        expect_completes(sim, order);
+}
+
+// Guards against a stream that stays on a silent server although a place elsewhere became free.
+Test(silent_servers, a_held_stream_moves_when_a_place_becomes_free)
+{
+    world sim{2};
+    std::vector<send_attempt> streams = begin_streams(sim, 16);
+    std::vector<send_attempt> responding;
+    for (const send_attempt& order : streams) {
+        if (order.target.value() == "g2")
+            responding.push_back(order);
+    }
+    const auto respond = [&] {
+        for (const send_attempt& order : responding)
+            sim.send(attempt_progress{order.request, order.attempt, 1});
+    };
+    for (int step = 0; step < 100; ++step) {
+        respond();
+        sim.pass(10ms);
+    }
+    const send_attempt ended = responding.back();
+    responding.pop_back();
+    sim.send(attempt_finished{ended.request, ended.attempt, true, std::nullopt});
+    command_list out;
+    for (int step = 0; step < 20; ++step) {
+        respond();
+        const command_list next = sim.pass(10ms);
+        out.insert(out.end(), next.begin(), next.end());
+    }
+    const auto moved = last_command<send_attempt>(out);
+    cr_assert(moved);
+    cr_assert(moved->resume && moved->target.value() == "g2");
+}
+
+// Guards against a caller that waits for a lost server for longer than its route allows.
+Test(silent_servers, a_stream_of_a_lost_server_ends_at_its_deadline)
+{
+    world sim{3};
+    begin_on_last_server(sim);
+    cr_assert_eq(count<end_truncated>(sim.pass(7s)), 0U);
+    const command_list end = sim.pass(2s);
+    cr_assert_eq(count<end_truncated>(end), 1U);
+    cr_assert(last_command<cancel_attempt>(end)->reason == cancel_reason::out_of_time);
+}
+
+// Guards against giving up the only server of a pool while it prepares its answer.
+Test(silent_servers, a_request_stays_with_the_only_server)
+{
+    world sim{0};
+    const send_attempt order = *last_command<send_attempt>(sim.submit("/chat/deep/x"));
+    sim.send(attempt_sent{order.request, order.attempt});
+    const command_list paused = sim.pass(7s);
+    cr_assert_eq(count<cancel_attempt>(paused), 0U);
+    sim.send(head_of(order, 200));
+    cr_assert(last_command<complete>(
+        sim.send(attempt_finished{order.request, order.attempt, true, std::nullopt})));
+}
--- a/routing/target_table.h
+++ b/routing/target_table.h
@@ -79,6 +79,7 @@
     bool silent = false;   ///< produced nothing for its requests; gets trials only
     time_point silent_since;
     time_point next_trial; ///< when a silent target may get its next trial request
+    time_point next_move;  ///< when its requests are next tried to be moved to other targets
     double gap_ms = 0.0;   ///< gap between two events of its streams, moving average
 };
 
