Silent servers: requests are not moved to servers that fell silent with theirs

Seen by callers: with all or most servers paused, a stream was moved within 0.3 s to a server that was paused too.

Cause: a target counts as usable until it has itself been found silent, which takes 0.3 s or more, later for one with little traffic. Servers that stop together are not all found at the same moment.

Change: a request moves to a target that has responded in the second half of the silence. Targets that this node has no requests at may take it only if no other target is silent. Hold reason servers_silent.

--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -89,6 +89,7 @@
 enum class hold_reason {
     retries_used,   ///< the route allows no further server or retry
     no_retry_left,  ///< the retry budget is empty
+    servers_silent, ///< other servers are silent as well
     no_server_free, ///< no other server can take the request now
 };
 
@@ -97,6 +98,7 @@
     static constexpr std::array entries{
         named{hold_reason::retries_used, "retries_used"},
         named{hold_reason::no_retry_left, "no_retry_left"},
+        named{hold_reason::servers_silent, "servers_silent"},
         named{hold_reason::no_server_free, "no_server_free"},
     };
 };
--- a/routing/request_move.cc
+++ b/routing/request_move.cc
@@ -5,6 +5,11 @@
 // allows another attempt, the retry budget has a retry left, and a server or node can take the
 // request now. Otherwise the attempt is held until its connection ends or the answer's deadline
 // passes, and the move is tried again.
+//
+// Servers may fall silent together, for example if their VMs pause or the network does. Another
+// server is then no better, and the move would use up a server of the route's limit. So a request
+// is moved to a server that has responded during the silence; to one that had nothing to respond to
+// only if no other server is silent.
 #include "routing/request_state.h"
 
 namespace jaynotch {
@@ -33,15 +38,41 @@
         return node;
     if (pool.reach.cut_off())
         return hold_reason::no_server_free;
+    const doubtful_targets doubtful = find_doubtful_targets(row, now);
     std::vector<target_row_index> avoided = row.tried;
     avoided.push_back(row.attempt.target);
+    avoided.insert(avoided.end(), doubtful.rows.begin(), doubtful.rows.end());
     const target_row_index chosen = choose_target(row, avoided, now);
     // Some policies fall back on a target to be avoided.
-    if (std::find(avoided.begin(), avoided.end(), chosen) != avoided.end())
-        return hold_reason::no_server_free;
-    if (chosen == no_target)
-        return hold_reason::no_server_free;
-    return chosen;
+    const bool usable =
+        chosen != no_target && std::find(avoided.begin(), avoided.end(), chosen) == avoided.end();
+    if (usable)
+        return chosen;
+    return doubtful.any_silent ? hold_reason::servers_silent : hold_reason::no_server_free;
+}
+
+/// The pool's targets that may have fallen silent together with the request's. A target is silent
+/// if it has requests and sent nothing in the second half of this request's silence. If there is
+/// one, targets without requests are doubtful too, since they may have stopped for the same reason.
+request_core::state::doubtful_targets
+request_core::state::find_doubtful_targets(const request_row& row, time_point now) const
+{
+    const time_point recent = now - (now - row.attempt.last_part) / 2;
+    doubtful_targets found;
+    std::vector<target_row_index> unknown;
+    for (const target_row_index at : pools.at(row.terms.pool).view.targets) {
+        const target_row& other = targets.at(at);
+        if (at == row.attempt.target || other.last_response >= recent)
+            continue;
+        if (other.own > 0 && other.last_activity < recent)
+            found.rows.push_back(at);
+        else
+            unknown.push_back(at);
+    }
+    found.any_silent = !found.rows.empty();
+    if (found.any_silent)
+        found.rows.insert(found.rows.end(), unknown.begin(), unknown.end());
+    return found;
 }
 
 /// Moves the request if that is certain to succeed; otherwise its attempt is held.
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -199,6 +199,12 @@
 
     // request_move.cc: moves away from a silent server
     using replacement = std::variant<target_row_index, hold_reason>;
+    struct doubtful_targets {
+        std::vector<target_row_index> rows;
+        bool any_silent = false;
+    };
+    [[nodiscard]] doubtful_targets find_doubtful_targets(const request_row& row,
+                                                         time_point now) const;
     [[nodiscard]] replacement find_replacement(request_row& row, attempt_failure reason,
                                                attempt_end end, time_point now);
     bool move_request(request_row& row, cancel_reason why, attempt_failure reason, attempt_end end,
--- a/routing/silent_servers_test.cc
+++ b/routing/silent_servers_test.cc
@@ -3,7 +3,7 @@
 
 #include <criterion/criterion.h>
 
-#include <deque>
+#include <set>
 
 using namespace jaynotch;
 using namespace jaynotch::testing;
@@ -41,6 +41,43 @@
     return begun;
 }
 
+/// Streams at each of three groups, of which those at the groups in `silent` get no more events.
+class three_groups {
+public:
+    explicit three_groups(std::set<std::string> silent)
+        : m_streams{begin_streams(sim, 12)}, m_silent{std::move(silent)}
+    {}
+
+    /// Lets the time pass; the groups that are not silent go on to respond.
+    command_list pass(duration time)
+    {
+        command_list all;
+        for (duration done{0}; done < time; done += 20ms) {
+            for (const send_attempt& order : m_streams) {
+                if (!m_silent.contains(order.target.value()))
+                    sim.send(attempt_progress{order.request, order.attempt, 1});
+            }
+            const command_list out = sim.pass(20ms);
+            all.insert(all.end(), out.begin(), out.end());
+        }
+        return all;
+    }
+
+    [[nodiscard]] std::size_t streams_at(const std::string& group) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_streams.begin(), m_streams.end(), [&](const send_attempt& order) {
+                return order.target.value() == group;
+            }));
+    }
+
+    world sim{3};
+
+private:
+    std::vector<send_attempt> m_streams;
+    std::set<std::string> m_silent;
+};
+
 } // namespace
 
 // Guards against cutting a stream that may go to no other server when its server pauses.
@@ -145,3 +182,41 @@
     cr_assert(last_command<complete>(
         sim.send(attempt_finished{order.request, order.attempt, true, std::nullopt})));
 }
+
+// Guards against moving streams among servers that have all paused, which uses up the servers that
+// their routes allow.
+Test(silent_servers, streams_stay_when_all_servers_fall_silent_together)
+{
+    three_groups fleet{{"g1", "g2", "g3"}};
+    for (const char* group : {"g1", "g2", "g3"})
+        cr_assert_gt(fleet.streams_at(group), 0U);
+    const command_list out = fleet.pass(1'500ms);
+    cr_assert_eq(count<cancel_attempt>(out), 0U);
+    cr_assert(last_command<attempt_held>(out)->reason == hold_reason::servers_silent);
+}
+
+// Guards against moving streams from one paused server to another while a third one responds.
+Test(silent_servers, streams_move_only_to_a_server_that_responds)
+{
+    three_groups fleet{{"g1", "g2"}};
+    const std::size_t silent = fleet.streams_at("g1") + fleet.streams_at("g2");
+    const command_list out = fleet.pass(1'500ms);
+    cr_assert_gt(count<send_attempt>(out), 0U);
+    cr_assert_leq(count<send_attempt>(out), silent);
+    for (const command& one : out) {
+        if (const auto* moved = std::get_if<send_attempt>(&one))
+            cr_assert_eq(moved->target.value(), "g3");
+    }
+    cr_assert_eq(count<end_truncated>(out), 0U);
+}
+
+// Guards against streams that stay with a lost server because an idle one has not responded lately.
+Test(silent_servers, a_stream_moves_to_an_idle_server)
+{
+    world sim{2};
+    const send_attempt order = *last_command<send_attempt>(sim.submit());
+    sim.begin(order);
+    const auto moved = last_command<send_attempt>(sim.pass(700ms));
+    cr_assert(moved);
+    cr_assert_neq(moved->target, order.target);
+}
