Retries: a cut stream waits for the retry budget instead of ending

Cause: a request that has not begun can be refused truthfully when the budget is empty, a stream that has begun can't; both were ended in the same way, though the budget refills with every fifth request.

While one waits, requests that have not begun take no retry. No more repeats than before are sent.

Evidence: a_cut_stream_waits_for_a_retry_in_the_budget, a_request_that_has_not_begun_leaves_the_retry_to_a_ waiting_stream and a_cut_stream_that_gets_no_retry_ends fail on the commit before and pass now; the tests of the budget's bounds pass unchanged.

--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -31,6 +31,9 @@
 /// Attempts that certainly did not run may be retried at least this often on any route.
 constexpr std::uint32_t min_safe_retries = 2;
 
+/// Interval between two looks at an empty retry budget.
+constexpr std::chrono::milliseconds retry_poll_interval{50};
+
 /// Retries of a request whose route limits the servers that it may run on. Attempts that did not
 /// run don't use up servers, so this limit ends the retries if all servers fail that way.
 constexpr std::uint32_t max_retries_across_servers = 4;
@@ -141,8 +144,7 @@
     }
     constexpr std::uint32_t server_error = 500;
     if (at_server && head.status == server_error && row->terms.retry_server_errors &&
-        !row->head_delivered && may_retry(*row, attempt_failure::cut) &&
-        pools.at(row->terms.pool).budget->has_retry())
+        !row->head_delivered && may_retry(*row, attempt_failure::cut) && has_retry(*row))
         return drop(attempt_failure::cut);
     note_success(targets.at(row->attempt.target).health);
     note_activity(*row, now);
@@ -310,15 +312,27 @@
     const bool in_time = row.head_delivered || now < row.deadline;
     const bool detour = may_detour(row) && (again || !row.may_have_run);
     if (detour && in_time && !row.caller_left &&
-        (!is_charged_to_budget(row, true) || take_retry(pool)) && send_through_node(row, now, out))
+        (!is_charged_to_budget(row, true) || take_retry(row)) && send_through_node(row, now, out))
         return;
     if (!again || !in_time || row.caller_left) {
         finish_failed(row, error_for(reason), now, out);
         return;
     }
     const bool charged = is_charged_to_budget(row, end == attempt_end::failed && !group_incomplete);
-    if (charged && !take_retry(pool)) {
-        finish_failed(row, error_for(reason), now, out);
+    retry(row, charged, error_for(reason), now, out);
+}
+
+/// Queues the request for another server. A stream that has begun can't be refused truthfully, so
+/// it waits if the budget is empty.
+void request_core::state::retry(request_row& row, bool charged, const error& failure,
+                                time_point now, command_list& out)
+{
+    if (charged && row.head_delivered && !has_retry(row)) {
+        await_retry(row, now);
+        return;
+    }
+    if (charged && !take_retry(row)) {
+        finish_failed(row, failure, now, out);
         return;
     }
     ++row.retries_used;
@@ -327,10 +341,49 @@
     dispatch(index, now, out);
 }
 
+void request_core::state::await_retry(request_row& row, time_point now)
+{
+    row.phase = request_phase::awaiting_retry;
+    row.awaited = pools.at(row.terms.pool).budget;
+    row.awaited->begin_wait();
+    row.deadline = std::min(row.answer_deadline, now + settings.stall_timeout);
+    set_wake(row, std::min(row.deadline, now + retry_poll_interval));
+}
+
+void request_core::state::on_retry_due(request_row& row, time_point now, command_list& out)
+{
+    const error failure{error_kind::unavailable,
+                        "its backend server was lost and no retry was left in time",
+                        "send it again"};
+    if (now >= row.deadline) {
+        finish_failed(row, failure, now, out);
+        return;
+    }
+    if (!has_retry(row)) {
+        set_wake(row, std::min(row.deadline, now + retry_poll_interval));
+        return;
+    }
+    stop_awaiting(row);
+    retry(row, true, failure, now, out);
+}
+
+void request_core::state::stop_awaiting(request_row& row)
+{
+    if (row.awaited)
+        row.awaited->end_wait();
+    row.awaited.reset();
+}
+
+bool request_core::state::has_retry(const request_row& row) const
+{
+    const retry_budget& budget = *pools.at(row.terms.pool).budget;
+    return row.head_delivered ? budget.has_retry() : budget.has_spare_retry();
+}
+
 /// Charges a retry to the pool's budget; false if there is none left.
-bool request_core::state::take_retry(pool_row& pool)
+bool request_core::state::take_retry(const request_row& row)
 {
-    const bool taken = pool.budget->take();
+    const bool taken = has_retry(row) && pools.at(row.terms.pool).budget->take();
     ++(taken ? counters.retries_charged : counters.retries_denied);
     return taken;
 }
@@ -346,7 +399,7 @@
     const bool at_server = !targets.at(row->attempt.target).other_node;
     if (at_server && may_retry(*row, attempt_failure::cut))
         return false;
-    return !is_charged_to_budget(*row, false) || take_retry(pools.at(row->terms.pool));
+    return !is_charged_to_budget(*row, false) || take_retry(*row);
 }
 
 /// Whether a retry is charged to the budget that prevents retry storms. Three kinds are free unless
--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -131,7 +131,7 @@
     const bool again = !may_have_run && in_time && !row.caller_left && row.detours < max_detours;
     // What reaches a server after that of the first node is a retry, which no node has charged.
     const bool charged = row.reached_server && settings.retry_budget && settings.charge_every_retry;
-    if (again && (!charged || take_retry(pools.at(row.terms.pool))) &&
+    if (again && (!charged || take_retry(row)) &&
         send_through_node(row, now, out))
         return;
     finish_failed(row, relay_failure(), now, out);
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -354,6 +354,8 @@
         if (targets.at(row.attempt.target).other_node || !may_retry(row, attempt_failure::stalled))
             return silence_deadline(row);
         return std::min(silence_deadline(row), row.attempt.last_part + part_timeout(row));
+    case request_phase::awaiting_retry:
+        return row.wake;
     case request_phase::claiming:
     case request_phase::querying_key:
         break;
@@ -437,6 +439,9 @@
         }
         move_or_hold(row, silence_deadline(row), now, out);
         return;
+    case request_phase::awaiting_retry:
+        on_retry_due(row, now, out);
+        return;
     case request_phase::querying_key:
         finish_refuse(row,
                       {error_kind::unavailable, "the record can't be read now",
--- a/routing/request_move.cc
+++ b/routing/request_move.cc
@@ -32,7 +32,7 @@
     pool_row& pool = pools.at(row.terms.pool);
     const target_row_index node = may_detour(row) ? choose_node(now) : no_target;
     const bool servers_fault = end == attempt_end::failed || node != no_target;
-    if (is_charged_to_budget(row, servers_fault) && !pool.budget->has_retry())
+    if (is_charged_to_budget(row, servers_fault) && !has_retry(row))
         return hold_reason::no_retry_left;
     if (node != no_target)
         return node;
@@ -90,7 +90,7 @@
     cancel(row, why, now, out);
     record_failed_attempt(row, reason, end, now);
     if (charged)
-        take_retry(pools.at(row.terms.pool));
+        take_retry(row);
     if (through_node) {
         send_through_node(row, chosen, now, out);
         return true;
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -25,11 +25,12 @@
 
 /// Phase of a request.
 enum class request_phase {
-    claiming,     ///< keyed: waits for its claim to be resolved
-    queued,       ///< waits in its pool's queue
-    sending,      ///< an attempt is in flight; no head received
-    answering,    ///< the attempt's answer is being delivered
-    querying_key, ///< not a call but a status query for an idempotency key
+    claiming,       ///< keyed: waits for its claim to be resolved
+    queued,         ///< waits in its pool's queue
+    sending,        ///< an attempt is in flight; no head received
+    answering,      ///< the attempt's answer is being delivered
+    awaiting_retry, ///< a stream that has begun was cut, and the retry budget is empty
+    querying_key,   ///< not a call but a status query for an idempotency key
 };
 
 /// The current attempt of a request.
@@ -84,6 +85,7 @@
     std::uint32_t detours = 0; ///< times it was passed on to another node
     std::vector<target_row_index> tried;
     attempt_row attempt;
+    std::shared_ptr<retry_budget> awaited; ///< in `awaiting_retry`: the budget it waits for
     time_point arrived;
     time_point deadline;    ///< for the first byte, or for the resumption of a stream
     time_point queue_until; ///< modelled pools: refused if still queued then
@@ -223,7 +225,13 @@
     void on_failed(const attempt_failed& failed, time_point now, command_list& out);
     void on_caller_gone(request_id request, time_point now, command_list& out);
     void note_first_part(request_row& row, time_point now);
-    bool take_retry(pool_row& pool);
+    [[nodiscard]] bool has_retry(const request_row& row) const;
+    bool take_retry(const request_row& row);
+    void retry(request_row& row, bool charged, const error& failure, time_point now,
+               command_list& out);
+    void await_retry(request_row& row, time_point now);
+    void on_retry_due(request_row& row, time_point now, command_list& out);
+    static void stop_awaiting(request_row& row);
     bool take_resend(request_id request, attempt_id attempt);
     [[nodiscard]] bool is_charged_to_budget(const request_row& row, bool servers_fault) const;
     void end_attempt(request_row& row, attempt_failure reason, attempt_end end, time_point now,
--- a/routing/retry_budget.h
+++ b/routing/retry_budget.h
@@ -15,6 +15,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstddef>
 
 namespace jaynotch {
 
@@ -38,6 +39,11 @@
     }
     void note_first_attempt() { m_saved = std::min(m_capacity, m_saved + m_share); }
     [[nodiscard]] bool has_retry() const { return m_saved >= 1.0; }
+    /// Whether a retry is left that no stream waits for.
+    [[nodiscard]] bool has_spare_retry() const { return m_waiting == 0 && has_retry(); }
+    /// A stream that has begun waits for a retry. Until its wait ends, has_spare_retry() is false.
+    void begin_wait() { ++m_waiting; }
+    void end_wait() { --m_waiting; }
     [[nodiscard]] double left() const { return m_saved; }
     /// Takes a retry from the budget; false if there is none.
     bool take()
@@ -59,6 +65,7 @@
     double m_capacity = 0.0; ///< 0 before set()
     double m_saved = 0.0;
     retry_history m_history = retry_history::unknown;
+    std::size_t m_waiting = 0; ///< streams between begin_wait() and end_wait()
 };
 
 } // namespace jaynotch
--- a/routing/silent_servers_test.cc
+++ b/routing/silent_servers_test.cc
@@ -41,6 +41,17 @@
     return begun;
 }
 
+/// The first attempt that resumes a stream, if there is one.
+std::optional<send_attempt> resumed_stream(const command_list& list)
+{
+    for (const command& one : list) {
+        const auto* sent = std::get_if<send_attempt>(&one);
+        if (sent != nullptr && sent->resume)
+            return *sent;
+    }
+    return std::nullopt;
+}
+
 /// Streams at each of three groups, of which those at the groups in `silent` get no more events.
 class three_groups {
 public:
@@ -220,3 +231,62 @@
     cr_assert(moved);
     cr_assert_neq(moved->target, order.target);
 }
+
+// Guards against cutting a stream whose server was lost while the retry budget is empty.
+Test(silent_servers, a_cut_stream_waits_for_a_retry_in_the_budget)
+{
+    core_settings settings = modelled_settings();
+    settings.retry_extra = 1.0;
+    world sim{3, settings};
+    const send_attempt first = *last_command<send_attempt>(sim.submit());
+    const send_attempt second = *last_command<send_attempt>(sim.submit());
+    sim.begin(first);
+    sim.begin(second);
+    cr_assert(last_command<send_attempt>(sim.fail_attempt(first)), "takes the only retry");
+    command_list out = sim.fail_attempt(second);
+    const command_list waited = sim.pass(200ms);
+    out.insert(out.end(), waited.begin(), waited.end());
+    cr_assert_eq(count<send_attempt>(out), 0U);
+    cr_assert_eq(count<end_truncated>(out), 0U);
+    // Five requests earn a retry.
+    for (int index = 0; index < 5; ++index)
+        sim.submit();
+    const auto resumed = resumed_stream(sim.pass(200ms));
+    cr_assert(resumed);
+    cr_assert_eq(resumed->request, second.request);
+}
+
+// Guards against requests that take the retries for which cut streams wait.
+Test(silent_servers, a_request_that_has_not_begun_leaves_the_retry_to_a_waiting_stream)
+{
+    core_settings settings = modelled_settings();
+    settings.retry_extra = 1.0;
+    world sim{3, settings};
+    const send_attempt taker = *last_command<send_attempt>(sim.submit());
+    const send_attempt stream = *last_command<send_attempt>(sim.submit());
+    const send_attempt waiting = *last_command<send_attempt>(sim.submit());
+    sim.begin(taker);
+    sim.begin(stream);
+    sim.send(attempt_sent{waiting.request, waiting.attempt});
+    sim.fail_attempt(taker);
+    sim.fail_attempt(stream);
+    for (int index = 0; index < 5; ++index)
+        sim.submit();
+    const command_list refused = sim.fail_attempt(waiting);
+    cr_assert_eq(count<send_attempt>(refused), 0U);
+    cr_assert(last_command<refuse>(refused));
+    cr_assert_eq(resumed_stream(sim.pass(200ms))->request, stream.request);
+}
+
+// Guards against a stream that waits for a retry for ever.
+Test(silent_servers, a_cut_stream_that_gets_no_retry_ends)
+{
+    core_settings settings = modelled_settings();
+    settings.retry_extra = 0.0;
+    world sim{3, settings};
+    const send_attempt order = *last_command<send_attempt>(sim.submit());
+    sim.begin(order);
+    sim.fail_attempt(order);
+    cr_assert_eq(count<end_truncated>(sim.pass(10s)), 1U);
+    cr_assert_eq(sim.core.open_requests(), 0U);
+}
