Detours: a stream is not cut because another node refuses it

Cause, three steps of one path: a refusal by the other node ended a stream that had begun, although it had not run there and its own servers might go on; the detour kept the deadline of the first byte, which an older stream has passed; and a retry was charged before it was known whether any node would take the request.

Change: a begun stream that a node refuses returns to the queue of this node's own servers, if its route allows another attempt; each attempt of a begun stream gets the time until the answer's deadline; a node is chosen before the retry is charged.

Evidence: a_stream_refused_by_the_other_nodes_returns_to_its_own_servers fails on the commit before and passes now, a_silent_stream_through_another_node_is_not_cut fails without the deadline (below); the other detour tests pass unchanged.

--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -311,9 +311,12 @@
     const bool group_incomplete = is_group_incomplete(reason, pool.info.kind);
     const bool in_time = row.head_delivered || now < row.deadline;
     const bool detour = may_detour(row) && (again || !row.may_have_run);
-    if (detour && in_time && !row.caller_left &&
-        (!is_charged_to_budget(row, true) || take_retry(row)) && send_through_node(row, now, out))
+    const target_row_index node =
+        detour && in_time && !row.caller_left ? choose_node(now) : no_target;
+    if (node != no_target && (!is_charged_to_budget(row, true) || take_retry(row))) {
+        send_through_node(row, node, now, out);
         return;
+    }
     if (!again || !in_time || row.caller_left) {
         finish_failed(row, error_for(reason), now, out);
         return;
--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -131,10 +131,26 @@
     const bool again = !may_have_run && in_time && !row.caller_left && row.detours < max_detours;
     // What reaches a server after that of the first node is a retry, which no node has charged.
     const bool charged = row.reached_server && settings.retry_budget && settings.charge_every_retry;
-    if (again && (!charged || take_retry(row)) &&
-        send_through_node(row, now, out))
+    const target_row_index node = again ? choose_node(now) : no_target;
+    if (node != no_target && (!charged || take_retry(row))) {
+        send_through_node(row, node, now, out);
         return;
-    finish_failed(row, relay_failure(), now, out);
+    }
+    if (!may_have_run && row.head_delivered)
+        return_to_own_servers(row, relay_failure(), now, out);
+    else
+        finish_failed(row, relay_failure(), now, out);
+}
+
+/// A stream that has begun and that another node refused waits for this node's own servers, which
+/// may have been silent together or be within reach again.
+void request_core::state::return_to_own_servers(request_row& row, const error& failure,
+                                                time_point now, command_list& out)
+{
+    if (may_retry(row, attempt_failure::refused_did_not_run))
+        retry(row, is_charged_to_budget(row, true), failure, now, out);
+    else
+        finish_failed(row, failure, now, out);
 }
 
 /// The other node has refused the request itself. If it reaches no server either, or stops, another
@@ -150,7 +166,11 @@
     }
     release_target(row);
     row.may_have_run = row.may_have_run || !not_run;
-    if (row.may_have_run || row.head_delivered) {
+    if (not_run && row.head_delivered) {
+        return_to_own_servers(row, refusal.failure, now, out);
+        return;
+    }
+    if (row.may_have_run) {
         finish_failed(row, refusal.failure, now, out);
         return;
     }
--- a/routing/request_detour_test.cc
+++ b/routing/request_detour_test.cc
@@ -357,3 +357,65 @@
     cr_assert_neq(first<cancel_attempt>(end), nullptr);
     cr_assert_eq(first<refuse>(end)->ran, ran_state::unknown);
 }
+
+namespace {
+
+/// A world that is cut off from its servers, with a stream that had begun before; its attempt at
+/// another node.
+send_attempt detoured_stream(fixture& world)
+{
+    world.send(groups_changed{make_groups(4)});
+    const send_attempt order = *first<send_attempt>(world.chat(1));
+    world.send(attempt_sent{order.request, order.attempt});
+    world.send(attempt_head{order.request, order.attempt, 200, order.attempt, false, "v1"});
+    // Longer than the timeout of the first byte.
+    for (int part = 0; part < 30; ++part) {
+        world.send(attempt_progress{order.request, order.attempt, 1});
+        world.pass(100ms);
+    }
+    for (std::uint64_t id = 10; id < 30; ++id)
+        (void)fail_connections(world, world.chat(id));
+    world.pass(20ms);
+    cr_assert(world.core.cut_off());
+    const command_list moved = fail(world, order, attempt_failure::cut);
+    const auto* detour = first<send_attempt>(moved);
+    cr_assert(detour != nullptr && detour->relayed && detour->resume);
+    world.send(attempt_sent{detour->request, detour->attempt});
+    return *detour;
+}
+
+} // namespace
+
+// Guards against cutting a stream that goes through another node when its server pauses there.
+Test(detour_core, a_silent_stream_through_another_node_is_not_cut)
+{
+    fixture world = make_world();
+    const send_attempt detour = detoured_stream(world);
+    cr_assert_eq(count<end_truncated>(world.pass(1s)), 0U);
+    world.send(attempt_head{detour.request, detour.attempt, 200, detour.attempt, false, ""});
+    world.send(attempt_progress{detour.request, detour.attempt, 1});
+    const command_list paused = world.pass(3s);
+    cr_assert_eq(count<end_truncated>(paused), 0U);
+    cr_assert_eq(
+        count<complete>(world.send(attempt_finished{detour.request, detour.attempt, true, {}})),
+        1U);
+}
+
+// Guards against cutting a stream because the nodes that it was passed on to refused it.
+Test(detour_core, a_stream_refused_by_the_other_nodes_returns_to_its_own_servers)
+{
+    for (const error_kind kind : {error_kind::unavailable, error_kind::overloaded}) {
+        fixture world = make_world();
+        send_attempt detour = detoured_stream(world);
+        command_list out;
+        for (int refusals = 0; refusals < 4 && detour.relayed; ++refusals) {
+            out = world.send(refusal_of(detour, kind, ran_state::no));
+            const command_list waited = world.pass(100ms);
+            out.insert(out.end(), waited.begin(), waited.end());
+            if (const auto* next = first<send_attempt>(out))
+                detour = *next;
+            cr_assert_eq(count<end_truncated>(out), 0U);
+        }
+        cr_assert(!detour.relayed && detour.resume);
+    }
+}
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -147,8 +147,6 @@
     row.attempt.pending_tokens = row.info.prompt_tokens;
     target.pending_tokens += row.attempt.pending_tokens;
     out.emplace_back(send_command_for(row, now));
-    if (row.head_delivered)
-        row.deadline = std::min(row.answer_deadline, now + longest_silence(row));
     set_wake(row, next_wake_time(row));
 }
 
@@ -170,6 +168,8 @@
     row.attempt.started = now;
     row.attempt.last_part = now;
     row.attempt.version = targets.at(chosen).info.version;
+    if (row.head_delivered)
+        row.deadline = std::min(row.answer_deadline, now + longest_silence(row));
 }
 
 send_attempt request_core::state::send_command_for(const request_row& row, time_point now) const
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -141,6 +141,8 @@
     void send_through_node(request_row& row, target_row_index node, time_point now,
                            command_list& out);
     void end_detour(request_row& row, attempt_failure reason, time_point now, command_list& out);
+    void return_to_own_servers(request_row& row, const error& failure, time_point now,
+                               command_list& out);
     void on_relay_refusal(request_row& row, const relay_refusal& refusal, time_point now,
                           command_list& out);
     void on_relay_nodes(const std::vector<relay_node>& nodes, time_point now, command_list& out);
