Reach: servers that are all paused at once are no cut of the node's links

Callers of a node whose servers were all silent for a second or two lost their streams, or were passed on to other nodes, where the same servers are silent: the node took itself for cut off (`servers_unreachable`).

Cause: silent servers make a node doubt its links, and a probe that must be answered decides. A paused process answers no probe, so one probe made the doubt a belief. Its kernel opens connections, though; a cut link doesn't, in whichever direction the packets are lost.

Change: the probe succeeds once a new connection has opened (http_client::can_connect), and sends nothing on it. What a failed or refused connection means, and that two probes in a row end a cut, stays.

Evidence: detour/servers_that_are_all_paused_are_no_cut failed three times of three on the code before (requests at the other node; log `servers_unreachable` 0.5 s into the pause) and passes three of three. Its counterpart silent_servers_that_open_no_connection_are_a_cut passes before and after. http_client: a stopped process can be connected and gets no request; a full backlog, which drops SYNs, and refused connections fail. All tests of daemon (57), routing (108) and http (15) pass, these four among them.

A proxy that accepts connections in front of a cut link now hides that cut from the probe.

--- a/daemon/detour_test.cc
+++ b/daemon/detour_test.cc
@@ -9,6 +9,35 @@
 using namespace jaynotch;
 using namespace std::chrono_literals;
 
+namespace {
+
+/// Pauses all servers and sends requests to a node meanwhile, which loses its links to them if
+/// `cut_off`. Returns how many requests the other node has received at the end.
+std::uint64_t detours_while_servers_pause(registry_fixture& fleet, bool cut_off)
+{
+    constexpr duration pause_time = 2s; // longer than it takes to find a server silent
+    const std::uint64_t before = fleet.daemons[0]->counts().requests;
+    for (const auto& server : fleet.servers)
+        server->pause(pause_time);
+    std::vector<registry_fixture::answer_list> rounds(15);
+    for (registry_fixture::answer_list& answers : rounds) {
+        answers.resize(2);
+        fleet.start_requests(1, "/chat/1", answers);
+        fleet.run(100ms);
+        if (cut_off)
+            fleet.cut(1);
+    }
+    const auto arrived = [](const auto& answer) { return answer.has_value(); };
+    cr_assert(fleet.run_until([&] {
+        return std::all_of(rounds.begin(), rounds.end(), [&](const auto& answers) {
+            return std::all_of(answers.begin(), answers.end(), arrived);
+        });
+    }));
+    return fleet.daemons[0]->counts().requests - before;
+}
+
+} // namespace
+
 // Guards against refusing callers of a node that reaches no server while its peers reach them.
 Test(detour, callers_of_a_node_cut_off_from_all_servers_are_served)
 {
@@ -85,3 +114,17 @@
     }
     cr_assert_eq(fleet.executions(), 0U);
 }
+
+// Guards against a node that takes itself for cut off because all servers are silent for a while.
+Test(detour, servers_that_are_all_paused_are_no_cut)
+{
+    registry_fixture fleet{{.nodes = 2}};
+    cr_assert_eq(detours_while_servers_pause(fleet, false), 0U);
+}
+
+// Guards against a node that is cut off and waits for silent servers.
+Test(detour, silent_servers_that_open_no_connection_are_a_cut)
+{
+    registry_fixture fleet{{.nodes = 2}};
+    cr_assert_gt(detours_while_servers_pause(fleet, true), 0U);
+}
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -32,7 +32,7 @@
 
 constexpr duration tick_interval = std::chrono::milliseconds{50}; ///< of managers and feed
 constexpr duration second = std::chrono::seconds{1};
-/// A reachable server answers within a few milliseconds.
+/// A connection to a server in reach opens within a few milliseconds.
 constexpr duration reach_probe_timeout = std::chrono::milliseconds{200};
 constexpr duration call_report_interval = std::chrono::seconds{10};
 
@@ -341,21 +341,17 @@
                   {{"pool", seen.pool.value()}, {"detours", requests->core().counters().detours}});
     }
 
+    /// Finds out whether the server is in reach. It doesn't have to answer: a process that is
+    /// stopped for a while answers nothing, and says nothing about this node's links.
     net::awaitable<void> probe(probe_server wanted)
     {
         const auto self = shared_from_this();
-        const bool answers = co_await probe_connection(wanted.address);
-        if (!m_stopped)
-            requests->handle(server_probed{wanted.target, answers});
-    }
-
-    /// Whether a new connection to a backend server can be opened and brings an answer.
-    net::awaitable<bool> probe_connection(std::string address)
-    {
         http_limits limits;
         limits.before_connect = settings.before_connect;
-        platform::order_client prober{io.get_executor(), limits};
-        co_return co_await prober.answers(std::move(address), reach_probe_timeout);
+        http_client prober{io.get_executor(), wanted.address, limits};
+        const bool connected = co_await prober.can_connect(reach_probe_timeout);
+        if (!m_stopped)
+            requests->handle(server_probed{wanted.target, connected});
     }
 
     /// Tells the request core which nodes accept requests passed on to them, when that changes.
--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -63,6 +63,25 @@
             "check that the address is that of the right service"};
 }
 
+/// Opens a connection. The caller holds `connection` and `pool` meanwhile.
+awaitable<error_code> connect(http_connection& connection, const http_pool& pool,
+                              tcp::endpoint remote, duration timeout)
+{
+    connection.arm(timeout);
+    error_code refused;
+    if (pool.limits.before_connect)
+        refused = pool.limits.before_connect(pool.address);
+    if (refused) {
+        // Like a refusal by the network, it never arrives before the caller has suspended.
+        co_await asio::post(pool.executor, asio::use_awaitable);
+    }
+    else {
+        refused = co_await connection.connect(remote);
+    }
+    connection.disarm();
+    co_return refused;
+}
+
 bool is_parse_error(const error_code& ec)
 {
     return ec.category() == http::make_error_code(http::error::bad_version).category() &&
@@ -413,6 +432,18 @@
     return m_pool->address;
 }
 
+awaitable<bool> http_client::can_connect(duration timeout)
+{
+    const auto pool = m_pool;
+    const result<tcp::endpoint> remote = parse_endpoint(pool->address);
+    if (!remote)
+        co_return false;
+    const auto connection = std::make_shared<http_connection>(pool->executor);
+    const error_code refused = co_await connect(*connection, *pool, remote.value(), timeout);
+    connection->close();
+    co_return !refused;
+}
+
 awaitable<result<http_stream>> http_client::open(http_request request, duration timeout)
 {
     const auto pool = m_pool;
@@ -425,25 +456,14 @@
     for (;;) {
         if (!connection) {
             connection = std::make_shared<http_connection>(pool->executor);
-            connection->arm(
+            const error_code refused = co_await connect(
+                *connection, *pool, remote.value(),
                 std::min(deadline - runtime_clock::now(), pool->limits.connect_timeout));
-            error_code refused;
-            if (pool->limits.before_connect)
-                refused = pool->limits.before_connect(pool->address);
-            if (refused) {
-                // Like a refusal by the network, it never arrives before open() has suspended.
-                co_await asio::post(pool->executor, asio::use_awaitable);
-            }
-            else {
-                refused = co_await connection->connect(remote.value());
-            }
-            if (refused) {
-                connection->disarm();
+            if (refused)
                 co_return error{error_kind::unavailable,
                                 pool->address + " can't be reached: " +
                                     (connection->timed_out() ? "timed out" : refused.message()),
                                 "check that the service is up and the address is right"};
-            }
             if (request.on_connected)
                 request.on_connected();
         }
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -139,6 +139,9 @@
     /// Sends a request and reads the response's header. `timeout` covers connecting, sending and
     /// the header.
     awaitable<result<http_stream>> open(http_request request, duration timeout);
+    /// Whether a new connection to the server can be opened within `timeout`. It is closed again
+    /// without a request. The server's process may be stopped: its kernel opens the connection.
+    awaitable<bool> can_connect(duration timeout);
     [[nodiscard]] const std::string& address() const;
 
 private:
--- a/http/http_client_test.cc
+++ b/http/http_client_test.cc
@@ -96,6 +96,26 @@
     int m_requests = 0;
 };
 
+/// Whether a client can connect to the address; `io` runs meanwhile.
+bool can_connect(net::io_context& io, const std::string& address, http_limits limits = {})
+{
+    std::optional<bool> connected;
+    const auto probe = [&]() -> net::awaitable<void> {
+        http_client client{io.get_executor(), address, limits};
+        connected = co_await client.can_connect(200ms);
+        io.stop();
+    };
+    net::co_spawn(io, probe(), net::detached);
+    io.run();
+    io.restart();
+    return *connected;
+}
+
+std::string address_of(const tcp::acceptor& acceptor)
+{
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
 } // namespace
 
 // Guards against a read that fails only because the server was closing the idle connection.
@@ -124,3 +144,41 @@
     cr_assert_eq(second.error().kind, error_kind::unavailable);
     cr_assert_eq(server.requests(), 2);
 }
+
+// Guards against a server that counts as out of reach because its process is stopped, and against a
+// request left behind there.
+Test(http_client, a_process_that_is_stopped_can_be_connected)
+{
+    net::io_context io;
+    tcp::acceptor stopped{io, {net::ip::make_address("127.0.0.1"), 0}};
+    cr_assert(can_connect(io, address_of(stopped)));
+    tcp::socket left_behind = stopped.accept();
+    char byte = 0;
+    boost::system::error_code ended;
+    cr_assert_eq(left_behind.receive(net::buffer(&byte, 1), 0, ended), 0U);
+    cr_assert(ended == net::error::eof);
+}
+
+// Guards against a server that counts as in reach though connections to it are refused, or hang.
+Test(http_client, a_server_out_of_reach_can_not_be_connected)
+{
+    net::io_context io;
+    tcp::acceptor full{io};
+    full.open(tcp::v4());
+    full.bind({net::ip::make_address("127.0.0.1"), 0});
+    full.listen(0);
+    std::vector<tcp::socket> waiting; // with these the kernel drops further attempts to connect
+    for (int sockets = 0; sockets < 4; ++sockets) {
+        tcp::socket& one = waiting.emplace_back(io, tcp::v4());
+        one.async_connect(full.local_endpoint(), [](boost::system::error_code) {});
+    }
+    cr_assert_not(can_connect(io, address_of(full)), "it hangs");
+
+    http_limits cut;
+    cut.before_connect = [](const std::string&) {
+        return make_error_code(net::error::connection_refused);
+    };
+    tcp::acceptor open{io, {net::ip::make_address("127.0.0.1"), 0}};
+    cr_assert_not(can_connect(io, address_of(open), cut), "it is refused");
+    cr_assert(can_connect(io, address_of(open)));
+}
--- a/routing/server_reach.cc
+++ b/routing/server_reach.cc
@@ -1,12 +1,13 @@
 // A failure of one server says nothing about the node's links. Several different servers to which
 // no connection can be opened, without a response from any server in between, are evidence of a
-// cut. Silent servers may only be busy, so a probe of one of them has to fail as well; what other
+// cut. Silent servers may only be busy, or their processes stopped for a while, so a new connection
+// to one of them has to fail as well: a server's kernel opens it in all these cases. What other
 // servers send meanwhile doesn't matter, since a cut may spare a few.
 //
 // Once a cut is found, requests take another way, and only probes can tell that it has ended. They
-// have to be answered by two servers in a row: where a few servers of many are in reach, a single
-// answer would send the requests back into the cut. All lists are bounded by the number of servers
-// that decides.
+// have to connect to two servers in a row: where a few servers of many are in reach, a single
+// connection would send the requests back into the cut. All lists are bounded by the number of
+// servers that decides.
 //
 // A cut may leave open connections intact while new ones fail. Responses then contradict cut_off()
 // but not connections_fail(), which a new connection contradicts.
@@ -32,7 +33,7 @@
 {
     m_cut_off = true;
     m_suspected = false;
-    m_answered.clear();
+    m_connected.clear();
 }
 
 void server_reach::note_unreachable(std::string_view server, std::size_t servers)
@@ -69,16 +70,16 @@
         conclude();
 }
 
-void server_reach::note_probe(std::string_view server, bool answers, std::size_t servers)
+void server_reach::note_probe(std::string_view server, bool connected, std::size_t servers)
 {
-    if (!answers) {
-        m_answered.clear();
+    if (!connected) {
+        m_connected.clear();
         if (m_suspected)
             conclude();
         return;
     }
-    insert_once(m_answered, server, servers_for_return);
-    if (!m_cut_off || m_answered.size() >= std::min(servers, servers_for_return))
+    insert_once(m_connected, server, servers_for_return);
+    if (!m_cut_off || m_connected.size() >= std::min(servers, servers_for_return))
         reset();
 }
 
@@ -88,7 +89,7 @@
     m_suspected = false;
     m_failed.clear();
     m_unreachable.clear();
-    m_answered.clear();
+    m_connected.clear();
 }
 
 } // namespace jaynotch
--- a/routing/server_reach.h
+++ b/routing/server_reach.h
@@ -29,13 +29,13 @@
     void note_connected();
     /// The node reaches no server of other pools: a single failure here is no server's own.
     void note_others_cut_off();
-    /// Result of a probe on a new connection. `servers`: number of servers of the pool.
-    void note_probe(std::string_view server, bool answers, std::size_t servers);
+    /// Whether a probe could open a new connection. `servers`: number of servers of the pool.
+    void note_probe(std::string_view server, bool connected, std::size_t servers);
     /// No server is known any more.
     void reset();
 
-    /// Several different servers can't be connected, or are silent and a probe failed as well,
-    /// without a response in between.
+    /// Several different servers can't be connected, or are silent and a probe could not connect
+    /// either, without a response in between.
     [[nodiscard]] bool cut_off() const { return m_cut_off; }
     /// No connection could be opened since those to different servers failed.
     [[nodiscard]] bool connections_fail() const
@@ -55,14 +55,14 @@
     static constexpr std::size_t servers_for_cut = 3;
     /// Enough to try another node for a request that would be refused otherwise.
     static constexpr std::size_t servers_for_connections = 2;
-    /// Servers that must answer probes in a row before requests return to them.
+    /// Servers that probes must connect to in a row before requests return to them.
     static constexpr std::size_t servers_for_return = 2;
 
     void conclude();
 
     std::vector<std::uint64_t> m_failed;      ///< hashes of servers, since the last response
     std::vector<std::uint64_t> m_unreachable; ///< since the last new connection
-    std::vector<std::uint64_t> m_answered;    ///< that answered probes since one didn't
+    std::vector<std::uint64_t> m_connected;   ///< that probes connected to since one failed
     bool m_suspected = false;                 ///< several servers are silent; a probe decides
     bool m_cut_off = false;
     time_point m_last_response;
