Groups: a member that only stopped answering is waited for while its group serves

Callers saw: streams that stayed with a paused server never went on when it did.

Cause: a probe without an answer within 200 ms stood for a lost runner. That the host accepts the connection, as the kernel of a stopped process does (the log says "no answer from", which the HTTP client only reports after connecting), was known and not used.

Change: a probe has three outcomes. A member that is reached but does not answer is waited for and probed each 500 ms while its group serves and no other member is lost. It counts as lost once its entry has expired (three heartbeats), or after 5 s if entries don't expire because the store is down. A member that can't be reached, and a group that serves nothing yet, are handled as before. The probes of waiting members run in the loop over the runners that each tick has already.

Price: a runner that hangs for good, with its host alive, is replaced after its entry has expired instead of after 0.7 s.

--- a/daemon/formation_driver.cc
+++ b/daemon/formation_driver.cc
@@ -329,10 +329,27 @@
     net::awaitable<void> probe(failure_domain_id domain, groups::probe_member command)
     {
         const auto self = shared_from_this();
+        const groups::probe_outcome outcome = co_await outcome_of_probe(command);
+        if (outcome != groups::probe_outcome::answered)
+            log_event(log_level::warning, "runner_silent",
+                      {{"vm", command.vm.value()},
+                       {"connected", outcome == groups::probe_outcome::accepted}});
+        dispatch_to_domain(domain, groups::member_probed{command.vm, outcome});
+    }
+
+    net::awaitable<groups::probe_outcome> outcome_of_probe(groups::probe_member command)
+    {
+        const result<runner_report> report =
+            co_await orders.report(command.vm, command.address, probe_timeout);
+        if (report)
+            co_return groups::probe_outcome::answered;
+        if (report.error().kind == error_kind::unavailable)
+            co_return groups::probe_outcome::unreachable;
+        if (report.error().kind == error_kind::deadline_exceeded)
+            co_return groups::probe_outcome::accepted; // a failure to connect is `unavailable`
+        // Any response will do, not only a valid report.
         const bool answers = co_await orders.answers(command.address, probe_timeout);
-        if (!answers)
-            log_event(log_level::warning, "runner_silent", {{"vm", command.vm.value()}});
-        dispatch_to_domain(domain, groups::member_probed{command.vm, answers});
+        co_return answers ? groups::probe_outcome::answered : groups::probe_outcome::unreachable;
     }
 
     std::map<vm_id, std::set<node_id>> m_awaited_answers; ///< nodes asked about a runner
--- a/daemon/registry_daemon_test.cc
+++ b/daemon/registry_daemon_test.cc
@@ -1,6 +1,7 @@
 #include "daemon/fleet_fixture.h"
 #include "daemon/registry_daemon.h"
 #include "daemon/registry_testing.h"
+#include "groups/groups.h"
 #include "standins/store_standin.h"
 
 #include <criterion/criterion.h>
@@ -515,3 +516,32 @@
     for (const registry_fleet::pending_request& one : streams)
         cr_assert_eq(one.answer->body, complete_stream);
 }
+
+// Guards against ending a group, and the streams in it, because its head was silent for a second.
+Test(registry_daemon, a_group_whose_head_pauses_is_kept)
+{
+    registry_fleet fleet{2, 5};
+    fleet.settle();
+    fleet.run(groups::formation_settings{}.adopted_group_timeout); // young groups are kept anyway
+    const auto head = *std::find_if(fleet.models.begin(), fleet.models.end(),
+                                    [](const auto& one) { return one->open(); });
+    const std::string& opened = head->orders.back();
+    const std::size_t name = opened.find("\"group\"");
+    const std::string left = "\"leave\"," + opened.substr(name, opened.find(',', name) - name);
+    head->pause(1500ms);
+    std::vector<registry_fleet::pending_request> streams;
+    for (std::size_t index = 0; index < 6; ++index)
+        streams.push_back(fleet.begin("/chat/1", {}, index % 2));
+    cr_assert(fleet.run_until([&] {
+        return std::all_of(streams.begin(), streams.end(),
+                           [](const auto& one) { return *one.ended; });
+    }));
+    fleet.run(2s);
+    cr_assert(head->open());
+    for (const auto& one : fleet.models) {
+        for (const std::string& order : one->orders)
+            cr_assert_eq(order.find(left), std::string::npos, "%s", order.c_str());
+    }
+    for (const registry_fleet::pending_request& one : streams)
+        cr_assert_eq(one.answer->body, complete_stream);
+}
--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -120,6 +120,22 @@
     isolated.unlist_at = m_now + three_heartbeats;
 }
 
+void fake_registry::pause(const std::string& id)
+{
+    fake_runner& stopped = *find(id);
+    stopped.paused = true;
+    stopped.unlist_at = m_now + three_heartbeats;
+}
+
+void fake_registry::resume(const std::string& id)
+{
+    fake_runner& continued = *find(id);
+    continued.paused = false;
+    continued.unlist_at = time_point::max();
+    if (!continued.listed)
+        continued.list_at = m_now;
+}
+
 void fake_registry::expire_entry(const std::string& id, duration away)
 {
     fake_runner& lost = *find(id);
@@ -224,7 +240,11 @@
         fake_runner* target = find(due.order.vm.value());
         const bool delivered =
             due.carried_out && target != nullptr && target->alive && target->reachable;
-        const order_reply reply = delivered ? execute(*target, due.order) : order_reply::lost;
+        const bool held_back = delivered && target->paused;
+        if (held_back)
+            m_due.push_back({m_now + step_time, due.manager, due.order, false, true});
+        const order_reply reply =
+            delivered && !held_back ? execute(*target, due.order) : order_reply::lost;
         if (due.answered)
             deliver(due.manager, order_answered{due.order.token, due.order.vm, reply});
     }
@@ -273,7 +293,7 @@
     else if (const auto* asked = std::get_if<request_runner_report>(&command)) {
         const fake_runner* target = find(asked->vm.value());
         const bool cut = m_cut_managers.contains(manager);
-        if (!cut && target != nullptr && target->alive && target->reachable)
+        if (!cut && target != nullptr && target->alive && target->reachable && !target->paused)
             deliver(manager, runner_reported{report_of(*target)});
     }
     else if (const auto* shared = std::get_if<broadcast_runner>(&command)) {
@@ -318,7 +338,9 @@
         const fake_runner* target = find(asked->vm.value());
         const bool reached = !m_cut_managers.contains(manager) && target != nullptr &&
                              target->alive && target->reachable;
-        deliver(manager, member_probed{asked->vm, reached});
+        const probe_outcome answer =
+            target != nullptr && target->paused ? probe_outcome::accepted : probe_outcome::answered;
+        deliver(manager, member_probed{asked->vm, reached ? answer : probe_outcome::unreachable});
     }
     else if (const auto* doubted = std::get_if<probe_through_peers>(&command)) {
         deliver(manager, peer_probe_result{doubted->vm, peers_reach_runner});
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -53,6 +53,11 @@
     /// Cuts the runner off from the managers and the store; it continues to work, but its entry
     /// expires.
     void disconnect(const std::string& id);
+    /// The runner's process stops, while its host still accepts connections: it answers nothing and
+    /// sends no heartbeats until resume().
+    void pause(const std::string& id);
+    /// The runner continues, and executes the orders that have arrived meanwhile.
+    void resume(const std::string& id);
     /// Removes the entry of a running runner; the runner writes it again after `away`.
     void expire_entry(const std::string& id, duration away);
     /// Announces in the runner's entry that it is about to leave.
@@ -119,6 +124,7 @@
         runner row;
         bool alive = true;
         bool reachable = true;
+        bool paused = false;
         bool listed = true;
         time_point unlist_at = time_point::max();
         time_point list_at = time_point::max();
--- a/groups/fake_runner.cc
+++ b/groups/fake_runner.cc
@@ -23,7 +23,7 @@
 {
     if (target.listed && !m_store_down && m_now >= target.unlist_at)
         unlist(target);
-    if (!target.alive)
+    if (!target.alive || target.paused)
         return;
     if (m_now >= target.list_at) {
         target.list_at = time_point::max();
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -370,6 +370,17 @@
     });
 }
 
+/// Whether a member that did not answer, though its host accepted the connection, is waited for. A
+/// group that serves nothing is formed anew instead.
+bool formation_manager::state::wait_for_silent_member(runner_view& view, time_point now)
+{
+    if (!is_in_serving_group(view))
+        return false;
+    if (!view.silent_since)
+        view.silent_since = now;
+    return now - *view.silent_since < settings.max_silence;
+}
+
 /// A probe without an answer shows that the runner is lost only if this node's links work, that is,
 /// if another member of its group has answered since. Otherwise the peers are asked first.
 void formation_manager::state::handle_probe_answer(const member_probed& probed, time_point now)
@@ -377,7 +388,13 @@
     runner_view* view = find(probed.vm);
     if (view == nullptr)
         return;
-    if (!probed.answers && !view->unresponsive) {
+    if (probed.outcome == probe_outcome::accepted && wait_for_silent_member(*view, now)) {
+        view->next_silence_probe = now + settings.silence_probe_interval;
+        return;
+    }
+    const bool answers = probed.outcome == probe_outcome::answered;
+    view->silent_since.reset();
+    if (!answers && !view->unresponsive) {
         view->unresponsive_since = now;
         const bool head = view->row.group && view->row.group->rank == 0;
         const bool doubted = view->row.group && !group_answered_since(*view, view->probed_at);
@@ -386,9 +403,9 @@
         if (head || doubted)
             out.emplace_back(probe_through_peers{probed.vm, view->row.address});
     }
-    if (probed.answers)
+    if (answers)
         view->probe_answered_at = now;
-    view->unresponsive = !probed.answers;
+    view->unresponsive = !answers;
     view->unresponsive_until = now + settings.unresponsive_hold_time;
     view->dead = view->dead && view->unresponsive;
 }
@@ -440,7 +457,7 @@
                std::string{to_name(seen.evidence)});
     const group_key key = key_of(*view->row.group);
     for (auto& [vm, other] : runners) {
-        if (is_in(other, key) && !other.unresponsive)
+        if (is_in(other, key) && !other.unresponsive && !other.silent_since)
             probe(other, now);
     }
 }
@@ -515,6 +532,10 @@
     for (auto& [vm, view] : runners) {
         if (view.unresponsive && now >= view.unresponsive_until)
             recheck_unresponsive(view, now);
+        if (view.silent_since && now >= view.next_silence_probe) {
+            view.next_silence_probe = now + settings.silence_probe_interval;
+            probe(view, now);
+        }
         if (!view.staging.empty() && now >= view.staging_until)
             view.staging.clear();
         if (view.pending && now - view.pending_since > 2 * settings.order_timeout)
--- a/groups/formation.h
+++ b/groups/formation.h
@@ -74,10 +74,18 @@
     vm_id head;
     silence_evidence evidence = silence_evidence::stopped_streams;
 };
+/// What a probe shows of a runner.
+enum class probe_outcome {
+    answered,
+    /// Its host accepted the connection, but no response came in time: its process has stopped, and
+    /// may continue.
+    accepted,
+    unreachable,
+};
 /// Answer to probe_member.
 struct member_probed {
     vm_id vm;
-    bool answers = false;
+    probe_outcome outcome = probe_outcome::unreachable;
 };
 /// Answer to probe_through_peers: whether the runner answered any other node.
 struct peer_probe_result {
@@ -169,6 +177,12 @@
     /// which the registry drops a dead runner's entry (three heartbeats); otherwise a dead runner
     /// would be used once more in between.
     duration unresponsive_hold_time = 5s;
+    /// Interval between two probes of a member whose host accepts connections but which does not
+    /// answer.
+    duration silence_probe_interval = 500ms;
+    /// Such a member counts as lost after this time at the latest. Must exceed the time after which
+    /// the registry drops a dead runner's entry; it matters only while entries don't expire.
+    duration max_silence = 5s;
     duration outage_query_interval = 300ms; ///< between two queries about an outage of the store
     duration report_query_interval = 150ms; ///< between two report requests to one runner
     /// Upper bound on the age of a report: a report requested this long after an order includes
--- a/groups/formation_groups.cc
+++ b/groups/formation_groups.cc
@@ -5,7 +5,9 @@
 // Rules for dissolving a group. A head that is open or closing, or blocked because a member is
 // missing, still holds requests, so the head is ordered to leave first, which ends the group at
 // once. An unreachable head may be dead, or alive behind a partition that affects only this node:
-// if it answers any other node, the group is kept. In every case each member leaves before it joins
+// if it answers any other node, the group is kept. A member whose host still accepts connections is
+// not lost, only stopped: its group is kept, because the requests there go on when it does. It
+// counts as lost once its entry has expired. In every case each member leaves before it joins
 // another group, so that no member is in two groups whatever state the head is in: an open order
 // whose reply was lost may be executed seconds later, after the group was dissolved.
 #include "groups/formation_state.h"
@@ -54,6 +56,23 @@
     return found == observed.members.end() ? nullptr : find(found->second);
 }
 
+/// Whether the runner's group serves requests and no member of it is known to be unresponsive.
+bool formation_manager::state::is_in_serving_group(const runner_view& member) const
+{
+    if (!member.row.group)
+        return false;
+    const group_key key = key_of(*member.row.group);
+    bool serving = false;
+    for (const auto& [vm, other] : runners) {
+        if (!is_in(other, key))
+            continue;
+        if (other.unresponsive)
+            return false;
+        serving = serving || (other.row.group->rank == 0 && holds_requests(other));
+    }
+    return serving;
+}
+
 bool formation_manager::state::is_complete(const observed_group& observed,
                                            const pool& model_pool) const
 {
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -29,6 +29,9 @@
     /// Epoch of the newest composition that the runner has confirmed leaving. Entries and reports
     /// with this epoch or a lower one are stale.
     std::int64_t left_epoch = 0;
+    /// Since when probes were accepted but not answered; set only while its group is kept for it.
+    std::optional<time_point> silent_since;
+    time_point next_silence_probe;
     bool unresponsive = false; ///< did not answer a probe
     time_point unresponsive_since;
     bool dead = false; ///< unresponsive, and it did not answer any other node either
@@ -105,6 +108,7 @@
     [[nodiscard]] bool take_peer_probe_token(time_point now);
     void probe(runner_view& view, time_point now);
     void handle_probe_answer(const member_probed& probed, time_point now);
+    [[nodiscard]] bool wait_for_silent_member(runner_view& view, time_point now);
     [[nodiscard]] bool group_answered_since(const runner_view& member, time_point since) const;
     void handle_reach(const server_reach_changed& changed);
     void run_tick(time_point now);
@@ -141,6 +145,7 @@
     [[nodiscard]] bool entries_may_return(const observed_group& observed, time_point now);
     [[nodiscard]] bool entry_may_return(runner_view& view, time_point now);
     [[nodiscard]] runner_view* head_of(const observed_group& observed);
+    [[nodiscard]] bool is_in_serving_group(const runner_view& member) const;
     [[nodiscard]] const pool* pool_of(const observed_group& observed) const;
     [[nodiscard]] bool is_reachable(const runner_view& view) const;
     [[nodiscard]] bool is_complete(const observed_group& observed, const pool& model_pool) const;
