Detours: a node that leaves keeps the requests passed on to it

A request that had been passed on to another node ended as of unknown outcome, or its stream was cut, when that node announced that it leaves, though the rest of the answer was still on its way.

Cause: only live members were listed as nodes, and the requests at a node that is no longer listed are cancelled. A member that has left was treated like a dead one.

Change: relay_node says whether the node accepts new requests. Members that have left are listed as not accepting: none of them is chosen, and what they have goes on until its connection ends. Dead members still end their detours.

Evidence: detour_core/a_node_that_leaves_keeps_its_detours failed with the field alone ("it takes no new requests") and passes. That an unlisted node's requests are cancelled is what a_lost_node_ends_its_detours shows, unchanged. All tests of routing (109) and daemon (57) pass. No test with real daemons: a node announces that it leaves only after it has drained, so the fixture's short answers have been read by then.

--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -354,7 +354,8 @@
             requests->handle(server_probed{wanted.target, connected});
     }
 
-    /// Tells the request core which nodes accept requests passed on to them, when that changes.
+    /// Tells the request core which nodes accept requests passed on to them, and which leave and
+    /// only finish those they have, when that changes.
     void update_relay_nodes()
     {
         if (m_relay_nodes_version == peers->members_version())
@@ -363,11 +364,13 @@
         relay_nodes_changed seen;
         for (const member& one : peers->members()) {
             const result<net::ip::tcp::endpoint> address = parse_endpoint(one.address);
-            if (one.node == settings.node || !one.live() || one.relay_port == 0 || !address)
+            const bool lost = one.state == member_state::dead;
+            if (one.node == settings.node || lost || one.relay_port == 0 || !address)
                 continue;
             seen.nodes.push_back(
                 {one.node, one.failure_domain,
-                 address.value().address().to_string() + ":" + std::to_string(one.relay_port)});
+                 address.value().address().to_string() + ":" + std::to_string(one.relay_port),
+                 one.live()});
         }
         requests->handle(std::move(seen));
     }
--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -181,10 +181,16 @@
                                          command_list& out)
 {
     std::vector<target> rows;
+    std::vector<target_id> leaving; // not among the rows, so that none of them is chosen
     rows.reserve(nodes.size());
     for (const relay_node& node : nodes) {
+        target_id id{"node/" + node.node.value()};
+        if (!node.accepts) {
+            leaving.push_back(std::move(id));
+            continue;
+        }
         target& made = rows.emplace_back();
-        made.id = target_id{"node/" + node.node.value()};
+        made.id = std::move(id);
         made.address = node.address;
         made.failure_domain = node.failure_domain;
     }
@@ -194,7 +200,9 @@
         if (!row.has_attempt)
             continue;
         const target_row& at = targets.at(row.attempt.target);
-        if (at.other_node && !at.present)
+        const bool finishes =
+            std::find(leaving.begin(), leaving.end(), at.info.id) != leaving.end();
+        if (at.other_node && !at.present && !finishes)
             stranded.push_back(request);
     }
     std::sort(stranded.begin(), stranded.end());
--- a/routing/request_detour_test.cc
+++ b/routing/request_detour_test.cc
@@ -346,6 +346,34 @@
     cr_assert_eq(queued, 0U);
 }
 
+// Guards against ending a request while the node that it was passed on to drains, and against
+// passing on another one to that node.
+Test(detour_core, a_node_that_leaves_keeps_its_detours)
+{
+    fixture world = make_world(1);
+    const auto detour = fail_connections(world, world.plain(1, "/once"));
+    cr_assert(detour);
+    world.send(attempt_sent{detour->request, detour->attempt});
+    const relay_node leaving{node_id{"entry-2"}, failure_domain_id{"a"}, detour->address, false};
+    const command_list left = world.send(relay_nodes_changed{{leaving}});
+    cr_assert_eq(first<cancel_attempt>(left), nullptr);
+    cr_assert_eq(first<refuse>(left), nullptr);
+    cr_assert_not(fail_connections(world, world.plain(2, "/once")), "it takes no new requests");
+
+    const relay_node restarted{node_id{"entry-2"}, failure_domain_id{"a"}, "10.2.0.9:7340", true};
+    world.send(relay_nodes_changed{{restarted}});
+    const auto next = fail_connections(world, world.plain(3, "/once"));
+    cr_assert(next && next->address == restarted.address);
+    attempt_head head;
+    head.request = detour->request;
+    head.attempt = detour->attempt;
+    head.status = 200;
+    world.send(head);
+    const command_list end =
+        world.send(attempt_finished{detour->request, detour->attempt, true, std::nullopt});
+    cr_assert_neq(first<complete>(end), nullptr, "the answer of the old process is whole");
+}
+
 // Guards against a caller that is left without an answer because the other node was lost.
 Test(detour_core, a_lost_node_ends_its_detours)
 {
--- a/routing/request_events.h
+++ b/routing/request_events.h
@@ -55,11 +55,12 @@
     bool first_attempt = true;      ///< it has been sent neither to a server nor to a node before
 };
 
-/// Another node that accepts requests from nodes that reach no backend server.
+/// Another node to which requests can be passed on when this one reaches no backend server.
 struct relay_node {
     node_id node;
     failure_domain_id failure_domain;
     std::string address; ///< "ip:port"
+    bool accepts = true; ///< new requests; a node that leaves still finishes those it has
 };
 
 /// The caller's request.
