HTTP server: a stop closes idle connections without a reset

Callers would see: beside a SIGTERM, a complete answer that ends with "connection reset by peer" in its middle, if the caller had not read all of it (paused, or behind a slow link) and its connection is kept open.

Cause: a connection counts as idle once its answer is in the kernel's send buffer. Closing the idle connections at the stop used abort(), with a linger time of 0, which discards that buffer.

Change: close_idle() closes the socket normally. The kernel delivers what is left and still resets the connection if the peer sends a request that crosses the close.

--- /dev/null
+++ b/daemon/planned_stop_test.cc
@@ -0,0 +1,61 @@
+#include "daemon/registry_fixture.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+
+using namespace jaynotch;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t long_answer_bytes = 200 * 1024;
+
+/// A client that reads nothing for now, as if its process were paused, with little room for unread
+/// bytes.
+boost::asio::ip::tcp::socket send_without_reading(registry_fixture& fleet, std::uint16_t port,
+                                                  const std::string& extra_headers)
+{
+    constexpr int small_buffer = 4 * 1024;
+    boost::asio::ip::tcp::socket client{fleet.io(), boost::asio::ip::tcp::v4()};
+    client.set_option(boost::asio::socket_base::receive_buffer_size{small_buffer});
+    client.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    const std::string request = "GET /read/1 HTTP/1.1\r\nHost: a.example\r\n"
+                                "Jaynotch-Attempt-Id: id-1\r\nJaynotch-Deadline-Ms: 4000\r\n"
+                                "Authorization: Bearer key-1\r\n" +
+                                extra_headers + "\r\n";
+    boost::asio::write(client, boost::asio::buffer(request));
+    return client;
+}
+
+void stop_first_node(registry_fixture& fleet)
+{
+    bool stopped = false;
+    boost::asio::co_spawn(fleet.io(), fleet.daemons.front()->stop(),
+                          [&](const std::exception_ptr&) { stopped = true; });
+    cr_assert(fleet.run_until([&] { return stopped; }));
+}
+
+void assert_reads_long_answer(boost::asio::ip::tcp::socket& client)
+{
+    std::string answer;
+    boost::system::error_code ended;
+    boost::asio::read(client, boost::asio::dynamic_buffer(answer), ended);
+    cr_assert_eq(ended, boost::asio::error::eof, "%s", ended.message().c_str());
+    cr_assert_gt(answer.size(), long_answer_bytes);
+}
+
+} // namespace
+
+// Guards against a stop that resets kept connections and discards answers which their callers have
+// not read yet.
+Test(planned_stop, an_answer_that_its_caller_has_not_read_is_not_discarded)
+{
+    registry_fixture fleet{{.nodes = 1, .balancer_wait = 100ms}};
+    for (const auto& server : fleet.servers)
+        server->faults.padding = long_answer_bytes;
+    auto caller = send_without_reading(fleet, fleet.daemons.front()->listen_port(), "");
+    cr_assert(fleet.run_until([&] { return fleet.daemons.front()->counts().answered == 1; }));
+    stop_first_node(fleet);
+    assert_reads_long_answer(caller);
+}
--- a/daemon/registry_fixture.h
+++ b/daemon/registry_fixture.h
@@ -25,6 +25,7 @@
 struct registry_fixture_settings {
     std::size_t nodes = 1;
     double retry_extra = 100.0; ///< of all nodes together
+    std::chrono::milliseconds balancer_wait = daemon_timeouts{}.balancer_wait;
 };
 
 /// Stand-ins of the platform and some daemons, each of which can be cut off from all servers.
@@ -35,7 +36,8 @@
     using answer_list = std::vector<std::optional<result<http_response>>>;
 
     explicit registry_fixture(registry_fixture_settings chosen)
-        : daemons(chosen.nodes), m_retry_extra{chosen.retry_extra}
+        : daemons(chosen.nodes), m_retry_extra{chosen.retry_extra}, m_balancer_wait{
+                                                                        chosen.balancer_wait}
     {
         m_store = store_standin::start(m_io.get_executor()).value();
         put_config_version(*m_store, 1);
@@ -112,6 +114,8 @@
         run_until([&] { return runtime_clock::now() >= until; }, time + 1s);
     }
 
+    boost::asio::io_context& io() { return m_io; }
+
     std::vector<std::shared_ptr<runner_standin>> servers;
     std::vector<std::unique_ptr<registry_daemon>> daemons;
 
@@ -163,6 +167,7 @@
         daemon_settings chosen = registry_settings(node, m_store->address());
         chosen.relay_listen = "127.0.0.1:0";
         chosen.site.retry_extra = m_retry_extra;
+        chosen.timeouts.balancer_wait = m_balancer_wait;
         chosen.before_connect = [this, node](const std::string& address) {
             const bool refused = m_cut.contains(node) && is_server(address);
             return refused ? make_error_code(boost::asio::error::connection_refused)
@@ -175,6 +180,7 @@
     }
 
     double m_retry_extra;
+    std::chrono::milliseconds m_balancer_wait;
     std::shared_ptr<store_standin> m_store;
     std::set<std::size_t> m_cut;
     int m_last_id = 0;
--- a/http/connection.cc
+++ b/http/connection.cc
@@ -217,6 +217,16 @@
     m_input_timer.cancel();
 }
 
+void connection::close_idle()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    boost::system::error_code ignored;
+    socket().close(ignored);
+    m_input_timer.cancel();
+}
+
 net::awaitable<void> connection::close(duration linger)
 {
     if (m_closed)
--- a/http/connection.h
+++ b/http/connection.h
@@ -66,8 +66,11 @@
     net::awaitable<bool> write(duration stall, net::const_buffer first,
                                net::const_buffer second = {}, net::const_buffer third = {});
 
-    /// Closes the connection at once with a TCP reset.
+    /// Closes the connection at once with a TCP reset. The peer may lose what it has not read yet.
     void abort();
+    /// Closes an idle connection at once, without a reset unless the peer sends more. What the peer
+    /// has not read yet is still delivered by the kernel.
+    void close_idle();
     /// Closes the connection gracefully: closes the sending half, then discards input for up to
     /// `linger` so that the peer can read what was sent.
     net::awaitable<void> close(duration linger);
--- a/http/http_server.cc
+++ b/http/http_server.cc
@@ -177,7 +177,7 @@
     {
         for (const auto& current : m_sessions) {
             if (current->idle && !current->accepted_at_close && !current->caller->has_input())
-                current->caller->abort();
+                current->caller->close_idle();
         }
     }
 
--- a/standins/runner_standin.cc
+++ b/standins/runner_standin.cc
@@ -178,6 +178,7 @@
         co_await exchange.write_raw(other);
     }
     std::string body = "answer of " + m_settings.id + " to " + attempt;
+    body.append(faults.padding, ' ');
     co_await exchange.answer(http::status::ok, std::move(body), "text/plain");
 }
 
