Fault soak: sound servers are paused too

The soak stopped daemons, never servers, so it could not show streams that are cut while their servers are silent and sound. Now one, several or all servers are paused for 0.6 to 1.8 s, in seeds with failures and in those with planned work only. A pause is no fault for promise_checker: check_planned_stop goes on checking, and its line says how long the request took and which of its servers were paused. One pause begins 1.5 s or more after the last has ended, so the request deadline of 4 s excuses nothing. Groups break after 5 s without a member, as on the platform, instead of 1 s, and streams take 300 ms instead of 120, so that some are open at any time.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -2,14 +2,22 @@
 
 #include "base/random.h"
 
+#include <algorithm>
+
 // The intervals between faults are exponentially distributed, so some faults overlap and others
 // occur alone. Every third seed has planned maintenance only (graceful stops, reloads, drains and
 // configuration changes): guarantees for operation without failures can be checked only there.
+//
+// Pauses of servers come on top in both kinds of seeds, from a random stream of their own. One
+// begins only some time after the last has ended, so that a request can be answered within its
+// deadline whatever pauses meet it.
 
 namespace jaynotch {
 
 namespace {
 
+using std::chrono::milliseconds;
+
 template <class Enum>
 Enum draw(random_source& random)
 {
@@ -95,6 +103,71 @@
     }
 }
 
+planned_fault draw_pause(random_source& random, milliseconds at, double min_share)
+{
+    constexpr std::int64_t min_pause_ms = 600;
+    constexpr std::int64_t max_pause_ms = 1'800;
+    constexpr std::size_t max_first = 1'000;
+    planned_fault drawn;
+    drawn.at = at;
+    drawn.active_for = milliseconds{random.between(min_pause_ms, max_pause_ms)};
+    planned_pause pause;
+    pause.first = random.index(max_first);
+    switch (random.index(3)) {
+    case 0:
+        pause.share = min_share;
+        break;
+    case 1:
+        pause.share = min_share + (1.0 - min_share) * random.unit();
+        break;
+    default:
+        pause.share = 1.0;
+    }
+    drawn.action = pause;
+    return drawn;
+}
+
+void add_pauses(std::vector<planned_fault>& plan, const fault_plan_settings& settings)
+{
+    constexpr std::uint64_t stream = 0xba05eULL;
+    constexpr std::int64_t min_interval_ms = 1'500;
+    constexpr std::int64_t max_interval_ms = 3'500;
+    random_source random{settings.seed ^ stream};
+    milliseconds at{0};
+    for (;;) {
+        at += milliseconds{random.between(min_interval_ms, max_interval_ms)};
+        if (at >= settings.length)
+            return;
+        plan.push_back(draw_pause(random, at, 0.0));
+        at += plan.back().active_for;
+    }
+}
+
+/// Kinds of planned work in turn, each followed by a pause of most servers.
+std::vector<planned_fault> paused_maintenance_plan(const fault_plan_settings& settings)
+{
+    constexpr milliseconds interval{4'000};
+    constexpr milliseconds pause_delay{600};
+    constexpr double min_share = 0.6;
+    random_source random{settings.seed};
+    std::vector<planned_fault> plan;
+    std::size_t kind = settings.seed % 3;
+    for (milliseconds at{1'000}; at < settings.length; at += interval) {
+        planned_fault work;
+        work.at = at;
+        const std::size_t daemon = random.index(settings.daemons);
+        if (kind == 0)
+            work.action = configuration_change{};
+        else
+            work.action =
+                planned_daemon_fault{kind == 1 ? daemon_fault::stop : daemon_fault::reload, daemon};
+        plan.push_back(work);
+        plan.push_back(draw_pause(random, at + pause_delay, min_share));
+        kind = (kind + 1) % 3;
+    }
+    return plan;
+}
+
 struct fault_formatter {
     std::string operator()(const planned_daemon_fault& planned) const
     {
@@ -120,12 +193,19 @@
     {
         return "configuration changes";
     }
+    std::string operator()(const planned_pause& planned) const
+    {
+        return "pause of servers from " + std::to_string(planned.first) + ", share " +
+               std::to_string(planned.share);
+    }
 };
 
 } // namespace
 
 std::vector<planned_fault> draw_plan(const fault_plan_settings& settings)
 {
+    if (settings.pause_after_maintenance)
+        return paused_maintenance_plan(settings);
     constexpr std::uint64_t maintenance_only_divisor = 3;
     constexpr double ms_in_second = 1000.0;
     random_source random{settings.seed};
@@ -135,13 +215,18 @@
     for (;;) {
         at_ms += random.exponential(ms_in_second / settings.faults_per_s);
         if (at_ms >= static_cast<double>(settings.length.count()))
-            return plan;
+            break;
         planned_fault planned;
         planned.at = std::chrono::milliseconds{static_cast<std::int64_t>(at_ms)};
         planned.active_for = std::chrono::milliseconds{random.between(200, 4'000)};
         (maintenance_only ? draw_maintenance : draw_any)(planned, random, settings);
         plan.push_back(planned);
     }
+    if (settings.pauses)
+        add_pauses(plan, settings);
+    std::stable_sort(plan.begin(), plan.end(),
+                     [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
+    return plan;
 }
 
 std::string to_string(const planned_fault& planned)
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -4,7 +4,7 @@
 //   for (const planned_fault& planned : draw_plan({.seed = 7, .daemons = 4, .runners = 13}))
 //       std::printf("%s\n", to_string(planned).c_str());
 //
-// draw_plan() is deterministic: equal settings give equal plans.
+// draw_plan() is deterministic: equal settings give equal plans, in order of time.
 #pragma once
 
 #include "base/base.h"
@@ -78,12 +78,17 @@
 };
 /// An operator publishes a new configuration version.
 struct configuration_change {};
+/// Sound servers that read and write nothing for a while, keep their connections and go on.
+struct planned_pause {
+    std::size_t first = 0; ///< counted among the servers that are alive then
+    double share = 0.0;    ///< of the servers that are alive then; at least one is paused
+};
 
 struct planned_fault {
     std::chrono::milliseconds at{0};
     std::chrono::milliseconds active_for{0};
     std::variant<planned_daemon_fault, planned_runner_fault, planned_link_fault,
-                 planned_store_fault, configuration_change>
+                 planned_store_fault, configuration_change, planned_pause>
         action;
 };
 
@@ -93,6 +98,9 @@
     std::size_t runners = 13;
     std::chrono::milliseconds length{10'000};
     double faults_per_s = 1.2;
+    bool pauses = true; ///< servers are paused too; the other faults are the same without
+    bool pause_after_maintenance =
+        false; ///< only planned work, each time followed by a pause of most servers
 };
 
 std::vector<planned_fault> draw_plan(const fault_plan_settings& settings);
--- a/soak/promise_book.cc
+++ b/soak/promise_book.cc
@@ -146,7 +146,25 @@
                       " servers, " + std::to_string(history.request.max_servers) + " are allowed");
 }
 
-/// A planned stop truncates no answer: a request that has reached a server is answered.
+std::string promise_checker::describe_wait(const request_history& history) const
+{
+    std::string text =
+        "after " +
+        std::to_string((history.ended_at - history.request.sent) / std::chrono::milliseconds{1}) +
+        " ms";
+    for (const run& each : history.runs) {
+        const auto pauses = m_pauses.find(each.runner);
+        if (pauses != m_pauses.end() &&
+            std::any_of(pauses->second.begin(), pauses->second.end(), [&](const time_range& pause) {
+                return pause.from <= history.ended_at && pause.until >= history.request.sent;
+            }))
+            text += ", " + each.runner + " paused";
+    }
+    return text;
+}
+
+/// A planned stop truncates no answer: a request that has reached a server is answered. Neither
+/// does a pause of its server, as it ends long before the request's deadline.
 void promise_checker::check_planned_stop(const request_history& history,
                                          std::vector<std::string>& out) const
 {
@@ -154,7 +172,8 @@
         return;
     if (undisturbed(history.request.node, history.request.sent, history.ended_at, false))
         out.push_back(describe(history.request) +
-                      ": connection cut off, though only planned maintenance was under way");
+                      ": connection cut off, though only planned maintenance was under way (" +
+                      describe_wait(history) + ")");
 }
 
 void promise_checker::check_drain(const request_history& history,
--- a/soak/promise_book.h
+++ b/soak/promise_book.h
@@ -82,6 +82,11 @@
     void record_drain(const std::string& runner, time_point now) { m_draining[runner] = now; }
     /// A node's process started, without the state of its previous process.
     void record_start(const std::string& node, time_point now) { m_starts[node].push_back(now); }
+    /// A sound server sends nothing for a while and then goes on. That excuses no violation.
+    void record_pause(const std::string& runner, time_point from, time_point until)
+    {
+        m_pauses[runner].push_back({from, until});
+    }
     /// Returns the index of the fault, for record_fault_end().
     std::size_t record_fault(fault_period period);
     void record_fault_end(std::size_t fault_index, time_point now)
@@ -99,6 +104,10 @@
         std::string runner;
         time_point at;
     };
+    struct time_range {
+        time_point from;
+        time_point until;
+    };
     struct request_history {
         request_record request;
         std::vector<run> runs;
@@ -118,6 +127,8 @@
     void check_versions(std::vector<std::string>& out) const;
     void check_retries(std::vector<std::string>& out) const;
     [[nodiscard]] std::string expected_body(const request_history& history) const;
+    /// How long the request took, and which of its servers were paused meanwhile.
+    [[nodiscard]] std::string describe_wait(const request_history& history) const;
     /// Whether no fault that affects the node was active or within its recovery time.
     [[nodiscard]] bool undisturbed(const std::string& node, time_point from, time_point until,
                                    bool include_planned) const;
@@ -129,6 +140,7 @@
     std::map<std::string, time_point> m_draining;  ///< start of the drain, by runner
     std::map<std::string, std::vector<time_point>> m_starts;
     std::vector<fault_period> m_fault_periods;
+    std::map<std::string, std::vector<time_range>> m_pauses; ///< by runner
 };
 
 } // namespace jaynotch
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -5,6 +5,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+#include <cmath>
 #include <csignal>
 
 // A run starts the site, waits until groups have formed, starts the callers, injects the planned
@@ -88,6 +90,8 @@
         drawn.runners = m_settings.site.runners + m_settings.site.servers;
         drawn.length = m_settings.length;
         drawn.faults_per_s = m_settings.faults_per_s;
+        drawn.pauses = m_settings.pauses;
+        drawn.pause_after_maintenance = m_settings.pause_after_maintenance;
         return draw_plan(drawn);
     }
 
@@ -291,6 +295,26 @@
         co_return;
     }
 
+    asio::awaitable<void> inject(planned_pause spec, duration active_for)
+    {
+        std::vector<std::shared_ptr<runner_standin>> alive;
+        for (const soak_runner& runner : m_site.runners()) {
+            if (runner.server->alive())
+                alive.push_back(runner.server);
+        }
+        if (alive.empty())
+            co_return;
+        const auto wanted =
+            static_cast<std::size_t>(std::ceil(spec.share * static_cast<double>(alive.size())));
+        const time_point now = runtime_clock::now();
+        for (std::size_t i = 0; i < std::max<std::size_t>(1, wanted); ++i) {
+            runner_standin& server = *alive[(spec.first + i) % alive.size()];
+            server.pause(active_for);
+            m_checker.record_pause(server.id(), now, now + active_for);
+        }
+        co_await pause(active_for);
+    }
+
     const soak_settings& m_settings;
     asio::io_context m_io;
     promise_checker m_checker;
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -18,6 +18,8 @@
     std::size_t callers = 12;
     std::chrono::milliseconds length{10'000};
     double faults_per_s = 1.2;
+    bool pauses = true;                   ///< see fault_plan_settings
+    bool pause_after_maintenance = false; ///< see fault_plan_settings
     soak_site_settings site;
 };
 
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -32,6 +32,7 @@
 void soak_site::start()
 {
     std::filesystem::create_directories(m_settings.folder);
+    m_fabric->stall = group_stall;
     m_store = store_standin::start(m_io.get_executor()).value();
     publish_version();
     for (std::size_t index = 0; index < m_settings.runners; ++index) {
@@ -98,6 +99,7 @@
     chosen.zone = zone;
     chosen.domain = domain;
     chosen.events = m_settings.stream_events;
+    chosen.gap = m_settings.stream_gap;
     chosen.fabric = m_fabric;
     soak_runner runner;
     runner.server = runner_standin::start(m_io.get_executor(), m_store, chosen).value();
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -28,6 +28,8 @@
     std::size_t runners = 10; ///< model runners, in two fabric domains
     std::size_t servers = 3;  ///< plain backend servers
     std::size_t stream_events = 12;
+    /// Long enough for streams to be open whenever servers are paused.
+    std::chrono::milliseconds stream_gap{25};
     promise_bounds bounds; ///< that the daemons are given and the checker checks
 };
 
--- a/soak/soak_test.cc
+++ b/soak/soak_test.cc
@@ -1,8 +1,11 @@
 #include "soak/fault_plan.h"
 #include "soak/promise_book.h"
+#include "standins/platform_forms.h"
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace jaynotch;
 using namespace std::chrono_literals;
 
@@ -31,6 +34,11 @@
     checker.record_answer(id, {status, id, "answer of a-1 to " + id}, at(sent + 10ms));
 }
 
+bool is_pause(const planned_fault& fault)
+{
+    return std::holds_alternative<planned_pause>(fault.action);
+}
+
 void assert_one(const promise_checker& checker, const std::string& part)
 {
     const std::vector<std::string> violations = checker.violations();
@@ -144,6 +152,17 @@
     }
 }
 
+// Guards against an excuse for answers that are cut because their server is silent for a while.
+Test(promise_checker, a_cut_while_its_server_is_paused_is_reported)
+{
+    promise_checker checker{events};
+    checker.record_pause("m-1", at(1s), at(2s));
+    checker.record_request({"1", caller_request_kind::stream, "entry-1", 0, at(500ms), 2});
+    checker.record_run("1", "m-1", at(501ms));
+    checker.record_answer("1", {0, "", ""}, at(1800ms));
+    assert_one(checker, "after 1300 ms, m-1 paused");
+}
+
 Test(promise_checker, a_drained_server_that_gets_new_requests_is_reported)
 {
     promise_checker checker{events};
@@ -202,6 +221,53 @@
                              (daemon != nullptr && (daemon->fault == daemon_fault::stop ||
                                                     daemon->fault == daemon_fault::reload)) ||
                              (runner != nullptr && runner->fault == runner_fault::drain);
-        cr_assert(planned, "%s", to_string(fault).c_str());
+        cr_assert(planned || is_pause(fault), "%s", to_string(fault).c_str());
+    }
+}
+
+// Guards against plans without silent servers, with failures only or beside planned work.
+Test(fault_plan, servers_are_paused_in_both_kinds_of_seeds)
+{
+    for (const std::uint64_t seed : {8U, 9U}) {
+        std::size_t single = 0;
+        std::size_t several = 0;
+        std::size_t all = 0;
+        std::chrono::milliseconds last_end{0};
+        for (const planned_fault& fault : draw_plan({.seed = seed, .length = 300s})) {
+            if (!is_pause(fault))
+                continue;
+            const double share = std::get<planned_pause>(fault.action).share;
+            ++(share == 0.0 ? single : share == 1.0 ? all : several);
+            cr_assert(fault.at > last_end, "a request could meet one pause after the other");
+            cr_assert(fault.active_for < group_stall, "a group would break");
+            last_end = fault.at + fault.active_for;
+        }
+        cr_assert(single > 0 && several > 0 && all > 0, "%zu, %zu, %zu", single, several, all);
+    }
+}
+
+// Guards against seeds whose other faults change with the pauses.
+Test(fault_plan, pauses_leave_the_other_faults_as_they_are)
+{
+    for (const std::uint64_t seed : {2U, 3U}) {
+        std::vector<planned_fault> with = draw_plan({.seed = seed});
+        const std::vector<planned_fault> without = draw_plan({.seed = seed, .pauses = false});
+        with.erase(std::remove_if(with.begin(), with.end(), is_pause), with.end());
+        cr_assert_eq(with.size(), without.size());
+        for (std::size_t i = 0; i < with.size(); ++i)
+            cr_assert_eq(to_string(with[i]), to_string(without[i]));
+    }
+}
+
+// Guards against planned work that no pause follows, as in the incident.
+Test(fault_plan, each_planned_work_is_followed_by_a_pause_of_most_servers)
+{
+    const std::vector<planned_fault> plan =
+        draw_plan({.seed = 1, .length = 60s, .pause_after_maintenance = true});
+    cr_assert(plan.size() >= 6U && plan.size() % 2 == 0);
+    for (std::size_t i = 0; i < plan.size(); i += 2) {
+        cr_assert(!is_pause(plan[i]) && is_pause(plan[i + 1]));
+        cr_assert(std::get<planned_pause>(plan[i + 1].action).share > 0.5);
+        cr_assert(plan[i + 1].at - plan[i].at < 1s);
     }
 }
--- a/standins/platform_forms.cc
+++ b/standins/platform_forms.cc
@@ -88,8 +88,9 @@
         text << '"' << seed << "\", ";
     text << "]\n[listen]\nfront = \"" << site.listen << "\"\nready = \"" << site.ready_listen
          << "\"\ncontrol = \"" << site.peer_listen << "\"\n[limits]\nmemory_mb = 390\n"
-         << "[bounds]\ndrain_ms = 2000\ngrace_s = 8\nconfig_apply_ms = 2000\nstall_ms = 1000\n"
-         << "retry_ratio = 0.2\nretry_window_s = 10\nretry_extra = " << site.retry_extra
+         << "[bounds]\ndrain_ms = 2000\ngrace_s = 8\nconfig_apply_ms = 2000\nstall_ms = "
+         << group_stall.count()
+         << "\nretry_ratio = 0.2\nretry_window_s = 10\nretry_extra = " << site.retry_extra
          << "\nrequire_fencing = true\n"
          << "[platform]\naddr = \"" << site.store << "\"\n";
     return text.str();
--- a/standins/platform_forms.h
+++ b/standins/platform_forms.h
@@ -22,6 +22,9 @@
 /// Maximum number of servers that a stream or a read may run on under this configuration.
 constexpr int repeatable_attempts = 2;
 
+/// Time after which a group with a missing member breaks, as the platform's settings state it.
+constexpr std::chrono::milliseconds group_stall{5'000};
+
 /// Writes a version of the operators' configuration. The API keys "key-N" of this version and the
 /// previous one are valid.
 void put_config_version(store_standin& store, std::int64_t version);
