Fault soak: a bad gateway beside planned work is reported too

A request that its server ran and that ends with 502 has been given up on, as much as one whose connection is cut, but check_planned_stop looked at cut connections only.

--- a/soak/promise_book.cc
+++ b/soak/promise_book.cc
@@ -16,6 +16,7 @@
 
 constexpr std::uint32_t ok = 200;
 constexpr std::uint32_t unauthorized = 401;
+constexpr std::uint32_t bad_gateway = 502;
 
 /// Whether the status guarantees that the request has not run and never will.
 bool promises_not_run(std::uint32_t status)
@@ -164,16 +165,18 @@
 }
 
 /// A planned stop truncates no answer: a request that has reached a server is answered. Neither
-/// does a pause of its server, as it ends long before the request's deadline.
+/// does a pause of its server, as it ends long before the request's deadline. A bad gateway says
+/// that the server was given up on.
 void promise_checker::check_planned_stop(const request_history& history,
                                          std::vector<std::string>& out) const
 {
-    if (!history.ended || history.answer.status != 0 || history.runs.empty())
+    const bool cut = history.answer.status == 0;
+    if (!history.ended || history.runs.empty() || (!cut && history.answer.status != bad_gateway))
         return;
     if (undisturbed(history.request.node, history.request.sent, history.ended_at, false))
-        out.push_back(describe(history.request) +
-                      ": connection cut off, though only planned maintenance was under way (" +
-                      describe_wait(history) + ")");
+        out.push_back(
+            describe(history.request) + (cut ? ": connection cut off" : ": answered 502") +
+            ", though only planned maintenance was under way (" + describe_wait(history) + ")");
 }
 
 void promise_checker::check_drain(const request_history& history,
--- a/soak/soak_test.cc
+++ b/soak/soak_test.cc
@@ -163,6 +163,23 @@
     assert_one(checker, "after 1300 ms, m-1 paused");
 }
 
+// Guards against a request that ran and is given up on with an error instead of being cut.
+Test(promise_checker, a_bad_gateway_beside_planned_work_is_reported)
+{
+    for (const bool failure : {false, true}) {
+        promise_checker checker{events};
+        if (failure)
+            checker.record_fault({"entry-1", at(1s), at(2s), false});
+        checker.record_request(order("1", 1s));
+        checker.record_run("1", "a-1", at(1001ms));
+        checker.record_answer("1", {502, "1", ""}, at(1500ms));
+        if (failure)
+            cr_assert(checker.violations().empty());
+        else
+            assert_one(checker, "answered 502");
+    }
+}
+
 Test(promise_checker, a_drained_server_that_gets_new_requests_is_reported)
 {
     promise_checker checker{events};
