Fault soak: settings files are written beside the event loop

At the moment the servers and the store fell silent to all daemons the soak had rewritten a settings file for a SIGHUP (time of the file 07:20:57.133, group_silent 0.3 s later): the write waited for a busy disk, and with it the loop of all stand-ins. Files are now written by a thread of their own, and a failed seed says if the soak's own loop stood still for 2 s or more. That excuses nothing.

--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -26,6 +26,7 @@
 constexpr duration restart_delay = std::chrono::milliseconds{150};
 constexpr duration recovery_time = std::chrono::seconds{6};
 constexpr duration final_load_time = std::chrono::seconds{2};
+constexpr duration max_loop_stall = std::chrono::seconds{2};
 constexpr duration poll_interval = std::chrono::milliseconds{20};
 
 class soak_driver {
@@ -76,6 +77,11 @@
             outcome.problems.push_back(std::move(end));
         for (const auto& list : {m_site.fabric().broken, m_checker.violations(), m_problems})
             outcome.problems.insert(outcome.problems.end(), list.begin(), list.end());
+        if (!outcome.problems.empty() && m_longest_stall >= max_loop_stall)
+            outcome.problems.push_back(
+                "the soak's event loop stood still for " +
+                std::to_string(m_longest_stall / std::chrono::milliseconds{1}) +
+                " ms, and with it the store and all servers");
         outcome.requests = m_checker.requests();
         outcome.successes = m_checker.successes();
         return outcome;
@@ -100,8 +106,11 @@
     {
         const time_point until = runtime_clock::now() + timeout;
         m_io.restart();
-        while (!done() && runtime_clock::now() < until)
+        while (!done() && runtime_clock::now() < until) {
+            const time_point began = runtime_clock::now();
             m_io.run_one_for(std::chrono::milliseconds{20});
+            m_longest_stall = std::max(m_longest_stall, runtime_clock::now() - began);
+        }
         return done();
     }
     void run_for(duration time)
@@ -166,8 +175,9 @@
             co_await end_and_restart(spec.daemon, true);
             break;
         case daemon_fault::reload:
-            m_site.write_settings(daemon);
-            daemon.process->signal(SIGHUP);
+            co_await m_site.write_settings(daemon);
+            if (daemon.process && !daemon.stopping)
+                daemon.process->signal(SIGHUP);
             break;
         }
         end_fault(fault_index);
@@ -191,6 +201,7 @@
             m_problems.push_back(daemon.name + " exited from a planned stop with code " +
                                  std::to_string(*code));
         co_await pause(restart_delay);
+        co_await m_site.write_settings(daemon);
         m_site.launch(index);
     }
 
@@ -321,6 +332,7 @@
     soak_site m_site;
     soak_callers m_callers;
     std::size_t m_active_faults = 0;
+    duration m_longest_stall{};
     std::vector<std::string> m_problems;
 };
 
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -3,6 +3,9 @@
 #include "scenarios/free_address.h"
 #include "standins/platform_forms.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <filesystem>
 #include <fstream>
 
@@ -23,6 +26,17 @@
     return index % 2 == 0 ? "zone-a" : "zone-b";
 }
 
+void write_file(const std::string& path, const std::string& text)
+{
+    std::ofstream{path} << text;
+}
+
+asio::awaitable<void> write_file_async(std::string path, std::string text)
+{
+    write_file(path, text);
+    co_return;
+}
+
 } // namespace
 
 soak_site::soak_site(asio::io_context& io, soak_site_settings settings, promise_checker& checker)
@@ -44,8 +58,10 @@
     m_daemons.reserve(m_settings.daemons);
     for (std::size_t index = 0; index < m_settings.daemons; ++index)
         add_daemon(index);
-    for (std::size_t index = 0; index < m_settings.daemons; ++index)
+    for (std::size_t index = 0; index < m_settings.daemons; ++index) {
+        write_file(m_daemons[index].settings_file, settings_of(m_daemons[index]));
         launch(index);
+    }
 }
 
 void soak_site::add_daemon(std::size_t index)
@@ -62,23 +78,28 @@
     daemon.peer_link = fault_proxy::open(m_io.get_executor(), daemon.peer_listen).value();
 }
 
-void soak_site::write_settings(const soak_daemon& daemon) const
+std::string soak_site::settings_of(const soak_daemon& daemon) const
 {
     std::vector<std::string> seeds;
     for (const soak_daemon& seed : m_daemons) {
         if (seeds.size() < max_seeds)
             seeds.push_back(seed.peer_link->address());
     }
-    std::ofstream file{daemon.settings_file};
-    file << render_settings({daemon.name, daemon.domain, daemon.first_start, seeds, daemon.listen,
-                             daemon.ready_listen, daemon.peer_listen, daemon.store_link->address(),
-                             m_settings.bounds.retry_extra});
+    return render_settings({daemon.name, daemon.domain, daemon.first_start, seeds, daemon.listen,
+                            daemon.ready_listen, daemon.peer_listen, daemon.store_link->address(),
+                            m_settings.bounds.retry_extra});
+}
+
+asio::awaitable<void> soak_site::write_settings(const soak_daemon& daemon)
+{
+    co_await asio::co_spawn(m_file_writer,
+                            write_file_async(daemon.settings_file, settings_of(daemon)),
+                            asio::use_awaitable);
 }
 
 void soak_site::launch(std::size_t index)
 {
     soak_daemon& daemon = m_daemons[index];
-    write_settings(daemon);
     daemon.process =
         child_process::start({m_settings.program, "--settings=" + daemon.settings_file,
                               "--peer_advertise=" + daemon.peer_link->address(),
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -12,7 +12,9 @@
 #include "soak/promise_book.h"
 #include "standins/store_standin.h"
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/thread_pool.hpp>
 
 #include <memory>
 #include <optional>
@@ -63,10 +65,11 @@
 
     /// Starts the store, the runners and all daemons, each daemon with first_start set.
     void start();
-    /// Starts a daemon's process with a new settings file.
+    /// Starts a daemon's process. Its settings file must have been written.
     void launch(std::size_t index);
-    /// Rewrites a daemon's settings file, as the platform does. The caller then sends SIGHUP.
-    void write_settings(const soak_daemon& daemon) const;
+    /// Rewrites a daemon's settings file, as the platform does. The caller then sends SIGHUP. The
+    /// event loop goes on meanwhile: a write may wait for the disk for seconds.
+    boost::asio::awaitable<void> write_settings(const soak_daemon& daemon);
     /// Starts a runner and the proxy before it.
     void add_runner(const std::string& service, const std::string& zone, const std::string& domain);
     /// Publishes the next configuration version. It revokes the key of two versions ago.
@@ -85,6 +88,7 @@
 
 private:
     void add_daemon(std::size_t index);
+    [[nodiscard]] std::string settings_of(const soak_daemon& daemon) const;
 
     boost::asio::io_context& m_io;
     soak_site_settings m_settings;
@@ -95,6 +99,7 @@
     std::vector<soak_runner> m_runners;
     std::size_t m_last_runner = 0;
     std::int64_t m_version = 0;
+    boost::asio::thread_pool m_file_writer{1};
 };
 
 } // namespace jaynotch
