Groups: warm spares are used however short their model's warm-up is

A warm runner now takes at most the warm-up time. The users' models warm up in more than 1 s, so for them nothing changes.

--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -76,7 +76,10 @@
 
 void fake_registry::deliver_initial_state(std::size_t manager)
 {
-    deliver(manager, model_pools_updated{pools()});
+    std::vector<pool> configured = pools();
+    for (pool& model_pool : configured)
+        model_pool.forming.warm_up = m_settings.warm_up;
+    deliver(manager, model_pools_updated{std::move(configured)});
     deliver(manager, registry_status{true, manager});
     deliver(manager, peers_seen{m_peers});
     const kv_entry* key = m_store.find(formation_key("test", failure_domain_id{"f"}));
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -36,6 +36,7 @@
     std::uint64_t seed = 1;
     bool traffic = false; ///< whether there is traffic from the start, which slows loads
     std::int64_t max_groups_per_term = formation_settings{}.max_groups_per_term;
+    std::chrono::milliseconds warm_up{1'100}; ///< of all models
 };
 
 class fake_registry {
--- a/groups/formation_plan.cc
+++ b/groups/formation_plan.cc
@@ -41,7 +41,7 @@
                                                  const pool& model_pool) const
 {
     if (view.warm_model == model_pool.model)
-        return warm_join;
+        return std::min<duration>(warm_join, model_pool.forming.warm_up);
     if (has_staged(view, model_pool.model))
         return model_pool.forming.warm_up;
     return model_pool.forming.load;
--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -127,6 +127,19 @@
     assert_no_violations(world);
 }
 
+// Guards against warm spares that are never used, for models that warm up faster than they join.
+Test(formation, warm_spares_are_used_however_short_the_warm_up)
+{
+    fake_registry world = serving_fleet({.domains = 2, .runners = 9, .warm_up = 40ms});
+    const std::size_t groups = world.open_groups("big");
+    const std::string head = world.head_of("big", 0);
+    world.kill(world.members_of(head)[2]);
+    world.report_unresponsive_group(head);
+    world.run(2s);
+    cr_assert_eq(world.open_groups("big"), groups);
+    assert_no_violations(world);
+}
+
 // A group loses a member while its failure domain has no manager. The next manager knows from the
 // registry that the group was complete before, so it must not treat the survivors as a group that
 // is still forming and wait for further members.
