--- a/daemon/registry_fixture.h
+++ b/daemon/registry_fixture.h
@@ -5,6 +5,9 @@
 //   registry_fixture fleet{{.nodes = 2}};
 //   fleet.cut(1);
 //   cr_assert_eq(fleet.served(1, "/read/1", 10), 10U);
+//
+//   const auto stream = fleet.begin(0, "/chat/1");   // returns at once
+//   cr_assert(fleet.run_until([&] { return stream.answer->ended; }));
 #pragma once
 
 #include "daemon/registry_daemon.h"
@@ -25,7 +28,28 @@
 struct registry_fixture_settings {
     std::size_t nodes = 1;
     double retry_extra = 100.0; ///< of all nodes together
-    std::chrono::milliseconds balancer_wait = daemon_timeouts{}.balancer_wait;
+    /// Repeats that a predecessor of a node may have sent count for this long.
+    std::chrono::milliseconds retry_window{10'000};
+    std::size_t events = 6;                            ///< events in a stream
+    std::chrono::milliseconds gap{10};                 ///< time between the events of a stream
+    std::chrono::milliseconds timeout = usual_timeout; ///< of routes and of callers' requests
+    std::chrono::milliseconds balancer_wait = daemon_timeouts{}.balancer_wait; ///< on a stop
+    /// Heads notice members that are silent, leave or join another group; null: they don't.
+    std::shared_ptr<runner_fabric> fabric;
+};
+
+/// What a caller has received so far.
+struct received_answer {
+    boost::beast::http::status status = boost::beast::http::status::unknown; ///< unknown: no head
+    std::string body;
+    bool complete = false; ///< the end of the answer was received
+    bool ended = false;    ///< complete or cut
+    duration took{0};      ///< until the end
+};
+
+struct begun_request {
+    std::string id; ///< as in the log
+    std::shared_ptr<received_answer> answer;
 };
 
 /// Stand-ins of the platform and some daemons, each of which can be cut off from all servers.
@@ -36,13 +60,16 @@
     using answer_list = std::vector<std::optional<result<http_response>>>;
 
     explicit registry_fixture(registry_fixture_settings chosen)
-        : daemons(chosen.nodes), m_retry_extra{chosen.retry_extra}, m_balancer_wait{
-                                                                        chosen.balancer_wait}
+        : daemons(chosen.nodes), m_settings{chosen}
     {
         m_store = store_standin::start(m_io.get_executor()).value();
-        put_config_version(*m_store, 1);
+        change_configuration();
         for (const char* id : {"m-0", "m-1", "m-2", "m-3"})
-            servers.push_back(add({.id = id, .domain = "d0"}));
+            servers.push_back(add({.id = id,
+                                   .domain = "d0",
+                                   .events = chosen.events,
+                                   .gap = chosen.gap,
+                                   .fabric = chosen.fabric}));
         for (const char* id : {"a-0", "a-1", "a-2"})
             servers.push_back(add({.id = id, .service = "app"}));
         for (std::size_t node = 0; node < daemons.size(); ++node)
@@ -54,6 +81,19 @@
     void cut(std::size_t node) { m_cut.insert(node); }
     void reconnect(std::size_t node) { m_cut.erase(node); }
 
+    /// Writes the next version of the configuration. The callers' "key-1" stays valid for one
+    /// change.
+    void change_configuration() { put_config_version(*m_store, ++m_version, m_settings.timeout); }
+
+    /// Begins a graceful stop of a node.
+    void begin_stop(std::size_t node)
+    {
+        boost::asio::co_spawn(m_io, daemons[node]->stop(), boost::asio::detached);
+    }
+
+    /// Applies a node's settings again, as on SIGHUP.
+    void reload(std::size_t node) { daemons[node]->reload(settings_of(node)); }
+
     /// Kills all daemons at once, starts them again and waits until they serve.
     void restart_all()
     {
@@ -93,6 +133,27 @@
             start_request(node, path, "key-1", {}, answer);
     }
 
+    /// Sends a request without waiting for its answer.
+    begun_request begin(std::size_t node, const std::string& path)
+    {
+        http_request request = next_request(path, "key-1");
+        begun_request made{"id-" + std::to_string(m_last_id), std::make_shared<received_answer>()};
+        auto client =
+            std::make_shared<http_client>(m_io.get_executor(), caller_address(node), http_limits{});
+        boost::asio::co_spawn(m_io, collect(std::move(client), std::move(request), made.answer),
+                              boost::asio::detached);
+        return made;
+    }
+
+    /// The heads of the groups that serve the model.
+    [[nodiscard]] std::vector<std::shared_ptr<runner_standin>> heads() const
+    {
+        std::vector<std::shared_ptr<runner_standin>> found;
+        std::copy_if(servers.begin(), servers.end(), std::back_inserter(found),
+                     [](const auto& server) { return server->open(); });
+        return found;
+    }
+
     /// Number of requests that servers ran.
     [[nodiscard]] std::size_t executions() const
     {
@@ -130,18 +191,13 @@
                        std::vector<http_header> extra_headers,
                        std::optional<result<http_response>>& answer)
     {
-        http_request request = caller_request({.id = "id-" + std::to_string(++m_last_id),
-                                               .path = path,
-                                               .key = key,
-                                               .body = "body",
-                                               .streams = path.starts_with("/chat/")});
+        http_request request = next_request(path, key);
         for (http_header& header : extra_headers)
             request.headers.push_back(std::move(header));
-        const std::string address = "127.0.0.1:" + std::to_string(daemons[node]->listen_port());
-        boost::asio::co_spawn(
-            m_io,
-            receive(http_client{m_io.get_executor(), address, {}}, std::move(request), answer),
-            boost::asio::detached);
+        boost::asio::co_spawn(m_io,
+                              receive(http_client{m_io.get_executor(), caller_address(node), {}},
+                                      std::move(request), answer),
+                              boost::asio::detached);
     }
 
     static boost::asio::awaitable<void> receive(http_client client, http_request request,
@@ -151,6 +207,42 @@
         answer.emplace(std::move(received));
     }
 
+    static boost::asio::awaitable<void> collect(std::shared_ptr<http_client> client,
+                                                http_request request,
+                                                std::shared_ptr<received_answer> answer)
+    {
+        constexpr duration longest_wait = 30s;
+        const time_point sent_at = runtime_clock::now();
+        result<http_stream> opened = co_await client->open(std::move(request), longest_wait);
+        if (opened) {
+            answer->status = opened.value().status();
+            for (;;) {
+                const result<std::string> piece = co_await opened.value().read(longest_wait);
+                answer->complete = piece && piece.value().empty();
+                if (!piece || answer->complete)
+                    break;
+                answer->body += piece.value();
+            }
+        }
+        answer->took = runtime_clock::now() - sent_at;
+        answer->ended = true;
+    }
+
+    http_request next_request(const std::string& path, const std::string& key)
+    {
+        return caller_request({.id = "id-" + std::to_string(++m_last_id),
+                               .path = path,
+                               .key = key,
+                               .body = "body",
+                               .streams = path.starts_with("/chat/"),
+                               .deadline = m_settings.timeout});
+    }
+
+    [[nodiscard]] std::string caller_address(std::size_t node) const
+    {
+        return "127.0.0.1:" + std::to_string(daemons[node]->listen_port());
+    }
+
     std::shared_ptr<runner_standin> add(runner_standin_settings settings)
     {
         return runner_standin::start(m_io.get_executor(), m_store, std::move(settings)).value();
@@ -162,12 +254,13 @@
                            [&](const auto& server) { return server->address() == address; });
     }
 
-    void start_daemon(std::size_t node)
+    daemon_settings settings_of(std::size_t node)
     {
         daemon_settings chosen = registry_settings(node, m_store->address());
         chosen.relay_listen = "127.0.0.1:0";
-        chosen.site.retry_extra = m_retry_extra;
-        chosen.timeouts.balancer_wait = m_balancer_wait;
+        chosen.site.retry_extra = m_settings.retry_extra;
+        chosen.site.retry_window = m_settings.retry_window;
+        chosen.timeouts.balancer_wait = m_settings.balancer_wait;
         chosen.before_connect = [this, node](const std::string& address) {
             const bool refused = m_cut.contains(node) && is_server(address);
             return refused ? make_error_code(boost::asio::error::connection_refused)
@@ -175,12 +268,17 @@
         };
         if (node > 0)
             chosen.seed_peers = {daemons.front()->peer_address()};
-        daemons[node] = registry_daemon::create(m_io, chosen).value();
+        return chosen;
+    }
+
+    void start_daemon(std::size_t node)
+    {
+        daemons[node] = registry_daemon::create(m_io, settings_of(node)).value();
         daemons[node]->start();
     }
 
-    double m_retry_extra;
-    std::chrono::milliseconds m_balancer_wait;
+    registry_fixture_settings m_settings;
+    std::int64_t m_version = 0; ///< of the configuration
     std::shared_ptr<store_standin> m_store;
     std::set<std::size_t> m_cut;
     int m_last_id = 0;
--- a/standins/platform_forms.cc
+++ b/standins/platform_forms.cc
@@ -11,13 +11,18 @@
 namespace {
 
 json::object route(std::string_view name, std::string_view kind, std::string_view service,
-                   int attempts, bool open)
+                   int attempts, bool open, std::chrono::milliseconds timeout)
 {
-    json::object row{
-        {"name", name},       {"host", "a.example"}, {"prefix", "/" + std::string{name} + "/"},
-        {"route_kind", kind}, {"timeout_ms", 4000},  {"latency_target_ms", 300},
-        {"priority", 1},      {"service", service},  {"max_attempts", attempts},
-        {"public", open}};
+    json::object row{{"name", name},
+                     {"host", "a.example"},
+                     {"prefix", "/" + std::string{name} + "/"},
+                     {"route_kind", kind},
+                     {"timeout_ms", timeout.count()},
+                     {"latency_target_ms", 300},
+                     {"priority", 1},
+                     {"service", service},
+                     {"max_attempts", attempts},
+                     {"public", open}};
     if (kind == "streaming") {
         row["session_affinity"] = true;
         row["resumable"] = true;
@@ -50,7 +55,7 @@
                                     {"form_ms", 0}}}};
 }
 
-std::string document(std::int64_t version)
+std::string document(std::int64_t version, std::chrono::milliseconds timeout)
 {
     const json::object limits{{"max_header_bytes", 16384},
                               {"max_body_bytes", 65536},
@@ -61,9 +66,10 @@
     const json::object tenant{{"name", "farm"}, {"api_keys", keys}, {"priority", 1}};
     return json::serialize(json::object{
         {"version", version},
-        {"routes", json::array{route("chat", "streaming", "llm", repeatable_attempts, false),
-                               route("order", "non_idempotent", "app", 1, false),
-                               route("read", "idempotent", "app", repeatable_attempts, false)}},
+        {"routes",
+         json::array{route("chat", "streaming", "llm", repeatable_attempts, false, timeout),
+                     route("order", "non_idempotent", "app", 1, false, timeout),
+                     route("read", "idempotent", "app", repeatable_attempts, false, timeout)}},
         {"services", json::array{model_service(), json::object{{"name", "app"},
                                                                {"health_path", "/health"},
                                                                {"max_conns", 200}}}},
@@ -73,9 +79,10 @@
 
 } // namespace
 
-void put_config_version(store_standin& store, std::int64_t version)
+void put_config_version(store_standin& store, std::int64_t version,
+                        std::chrono::milliseconds route_timeout)
 {
-    store.put("op/config", document(version));
+    store.put("op/config", document(version, route_timeout));
 }
 
 std::string render_settings(const daemon_site& site)
@@ -105,7 +112,7 @@
     request.body = form.body;
     request.headers = {{"Host", "a.example"},
                        {"Jaynotch-Attempt-Id", form.id},
-                       {"Jaynotch-Deadline-Ms", "4000"},
+                       {"Jaynotch-Deadline-Ms", std::to_string(form.deadline.count())},
                        {"Authorization", "Bearer " + form.key}};
     if (form.streams) {
         request.headers.push_back({"Jaynotch-Model", "m"});
--- a/standins/platform_forms.h
+++ b/standins/platform_forms.h
@@ -13,6 +13,7 @@
 #include "http/http_client.h"
 #include "standins/store_standin.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -25,9 +26,13 @@
 /// Time after which a group with a missing member breaks, as the platform's settings state it.
 constexpr std::chrono::milliseconds group_stall{5'000};
 
+/// Timeout of each route, and of a caller's request, unless a test chooses another.
+constexpr std::chrono::milliseconds usual_timeout{4'000};
+
 /// Writes a version of the operators' configuration. The API keys "key-N" of this version and the
 /// previous one are valid.
-void put_config_version(store_standin& store, std::int64_t version);
+void put_config_version(store_standin& store, std::int64_t version,
+                        std::chrono::milliseconds route_timeout = usual_timeout);
 
 /// Settings of one daemon that differ between daemons.
 struct daemon_site {
@@ -51,6 +56,7 @@
     std::string key;      ///< API key
     std::string body;     ///< empty: a GET request
     bool streams = false; ///< for the model service
+    std::chrono::milliseconds deadline = usual_timeout;
 };
 http_request caller_request(const caller_parameters& form);
 /// The attempt id that the response names.
