Stop: answers on the relay port are left to be read, like those of callers

Callers would see: beside a SIGTERM of a node that others pass requests on to, a stream through it that breaks off although it was complete.

Cause: a stop waited for the connections of callers to close, not for those of other nodes. An answer to a passed-on request counts as done once it is in the kernel's send buffer, and abort() at the end of the stop resets its connection, which discards what the other node has not read yet.

Change: the stop drains the relay port as well, within the same limit. The other node closes such a connection as soon as it has read the answer, since it is marked as the last one, so a stop takes no longer if it reads.

--- a/daemon/planned_stop_test.cc
+++ b/daemon/planned_stop_test.cc
@@ -59,3 +59,19 @@
     stop_first_node(fleet);
     assert_reads_long_answer(caller);
 }
+
+// Guards against a stop that resets answers to requests which another node has passed on, before
+// that node has read them.
+Test(planned_stop, a_relayed_answer_that_the_node_has_not_read_is_not_discarded)
+{
+    registry_fixture fleet{{.nodes = 1, .balancer_wait = 100ms}};
+    for (const auto& server : fleet.servers) {
+        server->faults.padding = long_answer_bytes;
+        server->pause(1s);
+    }
+    auto node = send_without_reading(fleet, fleet.daemons.front()->relay_port(),
+                                     "jaynotch-relayed: 0,1,1\r\n");
+    cr_assert(fleet.run_until([&] { return fleet.daemons.front()->counts().in_flight == 1; }));
+    stop_first_node(fleet);
+    assert_reads_long_answer(node);
+}
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -165,6 +165,9 @@
         if (relay_server)
             relay_server->stop_accepting();
         co_await drain_callers(io, *caller_server, counts, until);
+        if (relay_server) {
+            co_await drain_callers(io, *relay_server, counts, until);
+        }
         co_await managers->resign(resignation::all);
         const std::uint64_t unfinished = counts.in_flight;
         co_await peers->leave();
@@ -560,6 +563,11 @@
     return m_impl->caller_server->port();
 }
 
+std::uint16_t registry_daemon::relay_port() const
+{
+    return m_impl->relay_server ? m_impl->relay_server->port() : std::uint16_t{0};
+}
+
 std::string registry_daemon::peer_address() const
 {
     return m_impl->peers->address();
--- a/daemon/registry_daemon.h
+++ b/daemon/registry_daemon.h
@@ -45,6 +45,8 @@
     /// Whether the load balancer may send callers here: tables are installed and no stop has begun.
     [[nodiscard]] bool ready() const;
     [[nodiscard]] std::uint16_t listen_port() const;
+    /// 0 if requests of other nodes are not accepted.
+    [[nodiscard]] std::uint16_t relay_port() const;
     [[nodiscard]] std::string peer_address() const; ///< "IP:port" that is bound
     [[nodiscard]] daemon_counts counts() const;
     /// Number of groups that may receive requests now.
