Silent servers: a target on trial is silent until it responds

With all servers paused, each silent group became a candidate again after 1.0 s, when its next trial was due: it counted as one without evidence, no target as silent, and at 1.4 s all streams moved to an idle group that was paused as well. That used up the second server of their route.

streams_stay_when_all_servers_fall_silent_and_one_is_idle fails before (all streams cancelled) and passes now.

--- a/routing/request_move.cc
+++ b/routing/request_move.cc
@@ -64,7 +64,9 @@
         const target_row& other = targets.at(at);
         if (at == row.attempt.target || other.last_response >= recent)
             continue;
-        if (other.own > 0 && other.last_activity < recent)
+        // A silent target that is on trial is silent until it responds.
+        const bool was_silent = other.health.silent_since > other.last_response;
+        if (other.own > 0 && (was_silent || other.last_activity < recent))
             found.rows.push_back(at);
         else
             unknown.push_back(at);
--- a/routing/silent_servers_test.cc
+++ b/routing/silent_servers_test.cc
@@ -290,3 +290,11 @@
     cr_assert_eq(count<end_truncated>(sim.pass(10s)), 1U);
     cr_assert_eq(sim.core.open_requests(), 0U);
 }
+
+// Guards against moving streams to an idle server that has paused with all others.
+Test(silent_servers, streams_stay_when_all_servers_fall_silent_and_one_is_idle)
+{
+    world sim{4};
+    begin_streams(sim, 3);
+    cr_assert_eq(count<cancel_attempt>(sim.pass(1'800ms)), 0U);
+}
