Silent servers: an idle server is doubted for two seconds at most

Found by the review, a regression of the rule that requests move to servers that have responded: with two dead servers and a third that is idle and sound, an idempotent request to a plain service stayed with the dead one until its deadline, since nothing made the third respond.

requests_of_two_dead_servers_move_to_an_idle_one fails before (no move within 15 s) and passes now; the tests with pauses up to 1.8 s pass unchanged.

--- a/routing/request_move.cc
+++ b/routing/request_move.cc
@@ -8,8 +8,8 @@
 //
 // Servers may fall silent together, for example if their VMs pause or the network does. Another
 // server is then no better, and the move would use up a server of the route's limit. So a request
-// is moved to a server that has responded during the silence; to one that had nothing to respond to
-// only if no other server is silent.
+// is moved to a server that has responded during the silence. To one that had nothing to respond to
+// it is moved if no other server is silent, or if the silence lasts for long.
 #include "routing/request_state.h"
 
 namespace jaynotch {
@@ -18,6 +18,9 @@
 
 /// Interval between two tries to move a request whose attempt is held.
 constexpr std::chrono::milliseconds move_interval{100};
+/// For how long a silence makes targets without requests doubtful. Callers of streams leave after
+/// about two seconds without an event.
+constexpr std::chrono::seconds longest_doubt{2};
 
 } // namespace
 
@@ -72,7 +75,7 @@
             unknown.push_back(at);
     }
     found.any_silent = !found.rows.empty();
-    if (found.any_silent)
+    if (found.any_silent && now - row.attempt.last_part < longest_doubt)
         found.rows.insert(found.rows.end(), unknown.begin(), unknown.end());
     return found;
 }
@@ -108,9 +111,10 @@
 void request_core::state::move_or_hold(request_row& row, time_point deadline, time_point now,
                                        command_list& out)
 {
-    if (!move_request(row, cancel_reason::stalled, attempt_failure::stalled, attempt_end::failed,
-                      now, out))
-        set_wake(row, std::min(deadline, now + move_interval));
+    if (move_request(row, cancel_reason::stalled, attempt_failure::stalled, attempt_end::failed,
+                     now, out))
+        return;
+    set_wake(row, std::min(deadline, now + move_interval));
 }
 
 /// Tells the shell once per attempt that it is held, for the log and the metrics.
--- a/routing/silent_servers_test.cc
+++ b/routing/silent_servers_test.cc
@@ -298,3 +298,38 @@
     begin_streams(sim, 3);
     cr_assert_eq(count<cancel_attempt>(sim.pass(1'800ms)), 0U);
 }
+
+namespace {
+
+/// Plain servers of which each request may wait for long.
+fixture plain_servers(const std::vector<relay_node>& nodes)
+{
+    configuration tables = make_tables();
+    for (route& one : tables.routes)
+        one.timeout = 20s;
+    fixture made{fixture::default_settings(), 0, 1, tables};
+    made.send(relay_nodes_changed{nodes});
+    return made;
+}
+
+/// Sends a request to each of `count` servers.
+void send_to_servers(fixture& sim, std::uint64_t count)
+{
+    std::set<target_id> used;
+    for (std::uint64_t id = 1; id <= count; ++id) {
+        const send_attempt sent = *first<send_attempt>(sim.plain(id, "/read"));
+        used.insert(sent.target);
+        sim.send(attempt_sent{sent.request, sent.attempt});
+    }
+    cr_assert_eq(used.size(), count);
+}
+
+} // namespace
+
+// Guards against requests that stay with dead servers while an idle one is sound.
+Test(silent_servers, requests_of_two_dead_servers_move_to_an_idle_one)
+{
+    fixture sim = plain_servers({});
+    send_to_servers(sim, 2);
+    cr_assert_gt(count<send_attempt>(sim.pass(15s)), 0U);
+}
