Reach: servers whose requests are held count as silent

Found by the review, a regression of the held attempts: a node of which open connections go dead never suspected a cut for a plain service, because only a failed attempt reported its server as silent, and a held attempt doesn't fail.

servers_that_are_all_silent_are_probed fails before (no probe within 15 s) and passes now.

--- a/routing/request_move.cc
+++ b/routing/request_move.cc
@@ -114,6 +114,8 @@
     if (move_request(row, cancel_reason::stalled, attempt_failure::stalled, attempt_end::failed,
                      now, out))
         return;
+    // Silent servers make this node doubt its links.
+    note_failed_attempt(row, attempt_failure::stalled);
     set_wake(row, std::min(deadline, now + move_interval));
 }
 
--- a/routing/silent_servers_test.cc
+++ b/routing/silent_servers_test.cc
@@ -333,3 +333,11 @@
     send_to_servers(sim, 2);
     cr_assert_gt(count<send_attempt>(sim.pass(15s)), 0U);
 }
+
+// Guards against a cut of the node's links that is never suspected because connections stay open.
+Test(silent_servers, servers_that_are_all_silent_are_probed)
+{
+    fixture sim = plain_servers({{node_id{"entry-2"}, failure_domain_id{"a"}, "10.2.0.2:7340"}});
+    send_to_servers(sim, 3);
+    cr_assert_gt(count<probe_server>(sim.pass(15s)), 0U);
+}
