Detours: a stream outlives the news that its node is dead

It ends with its connection now, or at its deadline. Requests without an answer so far end as before.

a_stream_outlives_the_news_that_its_node_is_dead fails before and passes now; a_lost_node_ends_its_detours passes unchanged.

--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -202,7 +202,8 @@
         const target_row& at = targets.at(row.attempt.target);
         const bool finishes =
             std::find(leaving.begin(), leaving.end(), at.info.id) != leaving.end();
-        if (at.other_node && !at.present && !finishes)
+        // The connection of an answer that has begun tells better whether its node is dead.
+        if (at.other_node && !at.present && !finishes && !row.head_delivered)
             stranded.push_back(request);
     }
     std::sort(stranded.begin(), stranded.end());
--- a/routing/request_detour_test.cc
+++ b/routing/request_detour_test.cc
@@ -447,3 +447,15 @@
         cr_assert(!detour.relayed && detour.resume);
     }
 }
+
+// Guards against cutting a stream that goes on through a node which others take for dead.
+Test(detour_core, a_stream_outlives_the_news_that_its_node_is_dead)
+{
+    fixture world = make_world();
+    const send_attempt detour = detoured_stream(world);
+    world.send(attempt_head{detour.request, detour.attempt, 200, detour.attempt, false, ""});
+    cr_assert_eq(count<end_truncated>(world.send(relay_nodes_changed{})), 0U);
+    cr_assert_eq(
+        count<complete>(world.send(attempt_finished{detour.request, detour.attempt, true, {}})),
+        1U);
+}
