--- a/routing/silent_servers_test.cc
+++ b/routing/silent_servers_test.cc
@@ -17,7 +17,7 @@
 {
     const send_attempt first = *last_command<send_attempt>(sim.submit());
     sim.begin(first);
-    const send_attempt second = *last_command<send_attempt>(sim.fail_attempt(first));
+    send_attempt second = *last_command<send_attempt>(sim.fail_attempt(first));
     sim.begin(second);
     return second;
 }
