--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -209,7 +209,7 @@
     double own_share = 0.0; ///< this node's part of it, requests per second
 };
 
-/// Find out whether a backend server answers this node; answered by server_probed.
+/// Find out whether a connection to a backend server can be opened; answered by server_probed.
 struct probe_server {
     target_id target;
     std::string address;
--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -247,7 +247,7 @@
         return;
     pool_row& pool = pools.at(index);
     pool.probe_pending = false;
-    pool.reach.note_probe(probed.target.value(), probed.answers, pool.view.targets.size());
+    pool.reach.note_probe(probed.target.value(), probed.connected, pool.view.targets.size());
 }
 
 void request_core::state::review_reach(time_point now, command_list& out)
--- a/routing/request_events.h
+++ b/routing/request_events.h
@@ -238,7 +238,7 @@
 /// Result of a `probe_server`.
 struct server_probed {
     target_id target;
-    bool answers = false;
+    bool connected = false; ///< a new connection to the server was opened
 };
 
 /// Number of entry VMs that share the retry budgets.
