Detours: the list of leaving nodes is searched only for attempts at nodes that are gone

A change of the members compared every open request with every node that has left, although most requests are at servers. The conditions are the same, the cheap ones come first. No behaviour changes; routing_test 127 of 127.

--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -200,10 +200,10 @@
         if (!row.has_attempt)
             continue;
         const target_row& at = targets.at(row.attempt.target);
-        const bool finishes =
-            std::find(leaving.begin(), leaving.end(), at.info.id) != leaving.end();
         // The connection of an answer that has begun tells better whether its node is dead.
-        if (at.other_node && !at.present && !finishes && !row.head_delivered)
+        if (!at.other_node || at.present || row.head_delivered)
+            continue;
+        if (std::find(leaving.begin(), leaving.end(), at.info.id) == leaving.end())
             stranded.push_back(request);
     }
     std::sort(stranded.begin(), stranded.end());
