Tests: one way to begin requests in the registry fixture, one body for tests that differ in a step

registry_fixture had two ways to send without waiting, written side by side: start_requests with a list that must outlive the answers, and begin(). Only begin() stays, the detour tests use it. The tests of a paused head and member, and those of a crashed and a silent server, share their bodies.

--- a/daemon/detour_test.cc
+++ b/daemon/detour_test.cc
@@ -19,19 +19,18 @@
     const std::uint64_t before = fleet.daemons[0]->counts().requests;
     for (const auto& server : fleet.servers)
         server->pause(pause_time);
-    std::vector<registry_fixture::answer_list> rounds(15);
-    for (registry_fixture::answer_list& answers : rounds) {
-        answers.resize(2);
-        fleet.start_requests(1, "/chat/1", answers);
+    constexpr int rounds = 15;
+    std::vector<begun_request> begun;
+    for (int round = 0; round < rounds; ++round) {
+        begun.push_back(fleet.begin(1, "/chat/1"));
+        begun.push_back(fleet.begin(1, "/chat/1"));
         fleet.run(100ms);
         if (cut_off)
             fleet.cut(1);
     }
-    const auto arrived = [](const auto& answer) { return answer.has_value(); };
     cr_assert(fleet.run_until([&] {
-        return std::all_of(rounds.begin(), rounds.end(), [&](const auto& answers) {
-            return std::all_of(answers.begin(), answers.end(), arrived);
-        });
+        return std::all_of(begun.begin(), begun.end(),
+                           [](const auto& one) { return one.answer->ended; });
     }));
     return fleet.daemons[0]->counts().requests - before;
 }
--- a/daemon/registry_fixture.h
+++ b/daemon/registry_fixture.h
@@ -57,8 +57,6 @@
     boost::asio::io_context m_io; // first member, since all others use it until they are destroyed
 
 public:
-    using answer_list = std::vector<std::optional<result<http_response>>>;
-
     explicit registry_fixture(registry_fixture_settings chosen)
         : daemons(chosen.nodes), m_settings{chosen}
     {
@@ -119,18 +117,15 @@
                               const std::string& key = "key-1",
                               std::vector<http_header> extra_headers = {})
     {
-        answer_list answers(1);
-        start_request(node, path, key, std::move(extra_headers), answers.front());
-        cr_assert(run_until([&] { return answers.front().has_value(); }));
-        return std::move(*answers.front());
-    }
-
-    /// Sends a request to a node for each element of `answers`, all at once. The answers arrive
-    /// while run() or run_until() runs; the list must exist until then.
-    void start_requests(std::size_t node, const std::string& path, answer_list& answers)
-    {
-        for (std::optional<result<http_response>>& answer : answers)
-            start_request(node, path, "key-1", {}, answer);
+        http_request request = next_request(path, key);
+        for (http_header& header : extra_headers)
+            request.headers.push_back(std::move(header));
+        std::optional<result<http_response>> answer;
+        http_client client{m_io.get_executor(), caller_address(node), http_limits{}};
+        boost::asio::co_spawn(m_io, receive(client, std::move(request), answer),
+                              boost::asio::detached);
+        cr_assert(run_until([&] { return answer.has_value(); }));
+        return std::move(*answer);
     }
 
     /// Sends a request without waiting for its answer.
@@ -187,20 +182,7 @@
                            [](const auto& one) { return one->complete_groups() >= 2; });
     }
 
-    void start_request(std::size_t node, const std::string& path, const std::string& key,
-                       std::vector<http_header> extra_headers,
-                       std::optional<result<http_response>>& answer)
-    {
-        http_request request = next_request(path, key);
-        for (http_header& header : extra_headers)
-            request.headers.push_back(std::move(header));
-        boost::asio::co_spawn(m_io,
-                              receive(http_client{m_io.get_executor(), caller_address(node), {}},
-                                      std::move(request), answer),
-                              boost::asio::detached);
-    }
-
-    static boost::asio::awaitable<void> receive(http_client client, http_request request,
+    static boost::asio::awaitable<void> receive(http_client& client, http_request request,
                                                 std::optional<result<http_response>>& answer)
     {
         result<http_response> received = co_await client.call(std::move(request), 5s);
--- a/daemon/silent_servers_test.cc
+++ b/daemon/silent_servers_test.cc
@@ -287,30 +287,33 @@
     }
 }
 
-// Guards against waiting for a crashed server until the deadline while another one is sound.
-Test(silent_servers, streams_of_a_crashed_server_resume_on_a_sound_one)
+namespace {
+
+/// Loses the head of a group by `lose(head)` and checks that its streams go on at the other one.
+template <class Lose>
+void expect_resumed_elsewhere(Lose lose)
 {
     constexpr std::size_t streams_wanted = 6;
     registry_fixture fleet{fleet_settings(1, retries::plenty)};
     const auto streams = begin_streams(fleet, streams_wanted);
     const auto lost = fleet.heads().front();
     cr_assert(!lost->ran.empty());
-    lost->crash();
+    lose(*lost);
     expect_whole(fleet, streams);
     for (const begun_request& one : streams)
         cr_expect_lt(one.answer->took, caller_timeout / 4, "%s", one.id.c_str());
 }
 
+} // namespace
+
+// Guards against waiting for a crashed server until the deadline while another one is sound.
+Test(silent_servers, streams_of_a_crashed_server_resume_on_a_sound_one)
+{
+    expect_resumed_elsewhere([](runner_standin& head) { head.crash(); });
+}
+
 // Guards against waiting for a server that never goes on until the deadline while another is sound.
 Test(silent_servers, streams_of_a_server_that_stays_silent_resume_on_a_sound_one)
 {
-    constexpr std::size_t streams_wanted = 6;
-    registry_fixture fleet{fleet_settings(1, retries::plenty)};
-    const auto streams = begin_streams(fleet, streams_wanted);
-    const auto lost = fleet.heads().front();
-    cr_assert(!lost->ran.empty());
-    lost->pause(4 * caller_timeout);
-    expect_whole(fleet, streams);
-    for (const begun_request& one : streams)
-        cr_expect_lt(one.answer->took, caller_timeout / 4, "%s", one.id.c_str());
+    expect_resumed_elsewhere([](runner_standin& head) { head.pause(4 * caller_timeout); });
 }
--- a/groups/formation_silence_test.cc
+++ b/groups/formation_silence_test.cc
@@ -16,34 +16,35 @@
     world.resume(id);
 }
 
-} // namespace
-
-// Guards against ending a group, and the streams in it, because its head was silent for a while.
-Test(formation, a_group_whose_head_pauses_is_kept)
+/// Pauses the runner that `choose(world, head)` returns and checks that its group is kept.
+template <class Choose>
+void expect_kept_while_pausing(Choose choose)
 {
     fake_registry world = serving_fleet({.managers = 2, .domains = 2, .runners = 9});
     const std::size_t groups = world.open_groups("big");
     const std::string head = world.head_of("big", 0);
     const std::size_t orders = world.orders();
-    pause_for(world, head, head, 2s);
+    pause_for(world, choose(world, head), head, 2s);
     world.run(6s);
     cr_assert_eq(world.orders(), orders, "no order is due");
     cr_assert_eq(world.open_groups("big"), groups);
     assert_no_violations(world);
 }
 
+} // namespace
+
+// Guards against ending a group, and the streams in it, because its head was silent for a while.
+Test(formation, a_group_whose_head_pauses_is_kept)
+{
+    expect_kept_while_pausing([](fake_registry&, const std::string& head) { return head; });
+}
+
 // Guards against ending a group, and the streams in it, because a member was silent for a while.
 Test(formation, a_group_whose_member_pauses_is_kept)
 {
-    fake_registry world = serving_fleet({.managers = 2, .domains = 2, .runners = 9});
-    const std::size_t groups = world.open_groups("big");
-    const std::string head = world.head_of("big", 0);
-    const std::size_t orders = world.orders();
-    pause_for(world, world.members_of(head).back(), head, 2s);
-    world.run(6s);
-    cr_assert_eq(world.orders(), orders, "no order is due");
-    cr_assert_eq(world.open_groups("big"), groups);
-    assert_no_violations(world);
+    expect_kept_while_pausing([](fake_registry& world, const std::string& head) {
+        return world.members_of(head).back();
+    });
 }
 
 // Guards against ending all groups of a domain whose runners pause together.
