--- a/daemon/registry_fixture.h
+++ b/daemon/registry_fixture.h
@@ -27,7 +27,8 @@
 
 struct registry_fixture_settings {
     std::size_t nodes = 1;
-    double retry_extra = 100.0; ///< of all nodes together
+    std::size_t model_servers = 4; ///< in groups of two
+    double retry_extra = 100.0;    ///< of all nodes together
     /// Repeats that a predecessor of a node may have sent count for this long.
     std::chrono::milliseconds retry_window{10'000};
     std::size_t events = 6;                            ///< events in a stream
@@ -62,8 +63,8 @@
     {
         m_store = store_standin::start(m_io.get_executor()).value();
         change_configuration();
-        for (const char* id : {"m-0", "m-1", "m-2", "m-3"})
-            servers.push_back(add({.id = id,
+        for (std::size_t number = 0; number < chosen.model_servers; ++number)
+            servers.push_back(add({.id = "m-" + std::to_string(number),
                                    .domain = "d0",
                                    .events = chosen.events,
                                    .gap = chosen.gap,
@@ -172,14 +173,16 @@
 
     boost::asio::io_context& io() { return m_io; }
 
+    std::string body = "body"; ///< of the requests sent from now on
     std::vector<std::shared_ptr<runner_standin>> servers;
     std::vector<std::unique_ptr<registry_daemon>> daemons;
 
 private:
     [[nodiscard]] bool all_serve() const
     {
-        return std::all_of(daemons.begin(), daemons.end(),
-                           [](const auto& one) { return one->complete_groups() >= 2; });
+        return std::all_of(daemons.begin(), daemons.end(), [&](const auto& one) {
+            return one->complete_groups() >= m_settings.model_servers / 2;
+        });
     }
 
     static boost::asio::awaitable<void> receive(http_client& client, http_request request,
@@ -215,7 +218,7 @@
         return caller_request({.id = "id-" + std::to_string(++m_last_id),
                                .path = path,
                                .key = key,
-                               .body = "body",
+                               .body = body,
                                .streams = path.starts_with("/chat/"),
                                .deadline = m_settings.timeout});
     }
--- a/standins/runner_standin.cc
+++ b/standins/runner_standin.cc
@@ -136,6 +136,11 @@
     }
     ran.push_back(received);
     check_serving();
+    if (crashes_on(exchange)) {
+        co_await exchange.begin_chunks(http::status::ok, "text/event-stream");
+        crash();
+        co_return;
+    }
     if (faults.cut || (faults.cut_every > 0 && ran.size() % faults.cut_every == 0)) {
         exchange.cut();
         co_return;
@@ -152,6 +157,15 @@
     }
 }
 
+bool runner_standin::crashes_on(const standin_exchange& exchange) const
+{
+    const auto contains = [&](std::string_view text) {
+        return text.find(faults.crash_on) != std::string_view::npos;
+    };
+    return !faults.crash_on.empty() &&
+           (contains(exchange.body()) || contains(exchange.header("Jaynotch-Prompt-Prefix")));
+}
+
 std::string runner_standin::set_answer_headers(standin_exchange& exchange) const
 {
     std::string attempt{exchange.header("Jaynotch-Attempt-Id")};
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -91,7 +91,10 @@
     bool foreign = false;      ///< send the response to another request first
     std::size_t padding = 0;   ///< additional bytes in the answer of a plain server
     std::size_t cut_after = 0; ///< events after which a stream is cut; 0: off
-    std::string limit;         ///< header Server-Limit: requests per second from all nodes together
+    /// Text in the body or the list of prompt parts of requests under which the process ends, as it
+    /// begins to answer; empty: off.
+    std::string crash_on;
+    std::string limit; ///< header Server-Limit: requests per second from all nodes together
 };
 
 /// A request as received by a runner.
@@ -162,6 +165,8 @@
     void check_join(const std::string& group) const;
     /// Records a violation if the group has the wrong size or a live member was never ready in it.
     void check_serving() const;
+    /// Whether the request is one of those under which the process ends.
+    [[nodiscard]] bool crashes_on(const standin_exchange& exchange) const;
     /// Its registry entry.
     [[nodiscard]] boost::json::object description() const;
     /// Writes its registry entry.
