--- a/daemon/forward_front.cc
+++ b/daemon/forward_front.cc
@@ -15,6 +15,18 @@
 /// Retry-After of a node that is overloaded or has no configuration yet.
 constexpr std::chrono::milliseconds default_retry_after{200};
 
+/// The same for each repetition of a request, whatever connection and attempt it comes with.
+content_id content_of(const http_exchange& exchange, std::string_view body)
+{
+    std::string whole;
+    for (const std::string_view part :
+         {std::string_view{exchange.request().method_string()}, exchange.header("Host"),
+          std::string_view{exchange.request().target()}})
+        whole.append(part).push_back('\n');
+    whole.append(body);
+    return content_id{hash64(whole)};
+}
+
 /// A Host header in the form used in the tables: lower case, without the port.
 std::string normalize_host(std::string_view header)
 {
@@ -106,6 +118,7 @@
     info.credential = metadata.value().credential;
     info.prompt_tokens = metadata.value().prompt_tokens;
     info.answer_tokens = metadata.value().answer_tokens;
+    info.contents = {content_of(exchange, incoming.body)};
     if (metadata.value().caller_timeout)
         info.deadline = incoming.arrived + *metadata.value().caller_timeout;
     incoming.metadata = std::move(metadata).value();
--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -132,6 +132,12 @@
                                   "Retries that the budgets did not allow, since the start");
     Gauge& limited = gauge(registry, "jaynotch_limited_servers",
                            "Backend servers that limit the requests a second of all nodes");
+    Gauge& servers_ended = gauge(registry, "jaynotch_servers_ended",
+                                 "Backend servers that ended as they began to answer");
+    Gauge& contents_blocked = gauge(registry, "jaynotch_contents_blocked",
+                                    "Contents of requests under which servers ended");
+    Gauge& refused_blocked =
+        gauge(registry, "jaynotch_refused_blocked", "Requests refused for such a content");
     Gauge& refused_limited =
         gauge(registry, "jaynotch_refused_limited", "Requests refused for these limits");
     Gauge& cut_off = gauge(registry, "jaynotch_servers_unreachable",
@@ -240,6 +246,9 @@
     all.retries_charged.Set(static_cast<double>(now.retries_charged));
     all.retries_denied.Set(static_cast<double>(now.retries_denied));
     all.limited.Set(static_cast<double>(now.limited_servers));
+    all.servers_ended.Set(static_cast<double>(now.servers_ended));
+    all.contents_blocked.Set(static_cast<double>(now.contents_blocked));
+    all.refused_blocked.Set(static_cast<double>(now.refused_blocked));
     all.refused_limited.Set(static_cast<double>(now.refused_limited));
     all.cut_off.Set(now.cut_off ? 1.0 : 0.0);
     all.detours.Set(static_cast<double>(now.detours));
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -45,14 +45,17 @@
     std::uint64_t retries_denied = 0;  ///< by the retry budgets
     std::uint64_t spans_dropped = 0;
     std::uint64_t log_lines_dropped = 0;
-    std::uint64_t groups_forming = 0;  ///< in the failure domains that this node manages
-    std::uint64_t spare_runners = 0;   ///< in the same failure domains
-    std::uint64_t limited_servers = 0; ///< servers with a rate limit for all nodes together
-    std::uint64_t refused_limited = 0; ///< requests refused because of these limits
-    bool cut_off = false;              ///< this node seems to reach no server of some pool
-    std::uint64_t detours = 0;         ///< requests sent through another node
-    std::uint64_t relayed = 0;         ///< requests that another node passed on to this one
-    duration config_age{0};            ///< since the tables in force were installed
+    std::uint64_t groups_forming = 0;   ///< in the failure domains that this node manages
+    std::uint64_t spare_runners = 0;    ///< in the same failure domains
+    std::uint64_t limited_servers = 0;  ///< servers with a rate limit for all nodes together
+    std::uint64_t servers_ended = 0;    ///< seen to end as they began to answer
+    std::uint64_t contents_blocked = 0; ///< contents of requests under which servers ended
+    std::uint64_t refused_blocked = 0;  ///< requests refused for such a content
+    std::uint64_t refused_limited = 0;  ///< requests refused because of these limits
+    bool cut_off = false;               ///< this node seems to reach no server of some pool
+    std::uint64_t detours = 0;          ///< requests sent through another node
+    std::uint64_t relayed = 0;          ///< requests that another node passed on to this one
+    duration config_age{0};             ///< since the tables in force were installed
 };
 
 class metrics {
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -20,6 +20,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <array>
+#include <charconv>
 #include <numeric>
 
 // Everything runs on one thread. Changes of the registry are passed to the group managers and, as
@@ -34,8 +36,30 @@
 constexpr duration second = std::chrono::seconds{1};
 /// A connection to a server in reach opens within a few milliseconds.
 constexpr duration reach_probe_timeout = std::chrono::milliseconds{200};
+/// Between a cut connection and the check whether its server has ended.
+constexpr duration end_check_delay = std::chrono::milliseconds{20};
 constexpr duration call_report_interval = std::chrono::seconds{10};
 
+std::string to_hex(std::uint64_t value)
+{
+    constexpr int base = 16;
+    std::array<char, 16> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), value, base).ptr;
+    return {digits.data(), end};
+}
+
+content_notice notice_of(const crash_evidence& seen)
+{
+    return {seen.content.value(), static_cast<content_notice::fact>(seen.kind), seen.server,
+            seen.since_end, seen.age};
+}
+
+crash_evidence evidence_of(const content_notice& heard)
+{
+    return {content_id{heard.content}, static_cast<evidence_kind>(heard.what), heard.server,
+            heard.since_end, heard.age};
+}
+
 platform::store_settings store_settings_of(const daemon_settings& settings)
 {
     platform::store_settings made;
@@ -87,6 +111,16 @@
         hooks.on_probe_server = [this](const probe_server& wanted) {
             net::co_spawn(io, probe(wanted), net::detached);
         };
+        hooks.on_check_server_ended = [this](const check_server_ended& wanted) {
+            net::co_spawn(io, check_ended(wanted), net::detached);
+        };
+        hooks.on_share_evidence = [this](const share_evidence& seen) {
+            publish_evidence(seen.evidence);
+        };
+        hooks.on_content_blocked = [](const content_blocked& seen) {
+            log_event(log_level::warning, "content_blocked",
+                      {{"content", to_hex(seen.content.value())}});
+        };
         hooks.on_reach_changed = [this](const reach_changed& seen) { handle_reach(seen); };
         hooks.on_group_reach_changed = [this](const group_reach_changed& seen) {
             managers->set_cut_off(seen.reaches_none);
@@ -124,6 +158,12 @@
             if (const auto* limit = std::get_if<server_limit>(&heard))
                 requests->handle(
                     peer_limit_received{vm_id{limit->server}, limit->per_second, limit->age});
+            if (const auto* notice = std::get_if<content_notice>(&heard))
+                requests->handle(peer_evidence_received{evidence_of(*notice)});
+        });
+        peers->on_member([this](const member& changed) {
+            if (changed.live() && changed.node != settings.node)
+                requests->handle(peer_started{});
         });
         peers->on_superseded([this] {
             if (superseded)
@@ -357,6 +397,39 @@
             requests->handle(server_probed{wanted.target, connected});
     }
 
+    /// Finds out whether a server that cut a connection has ended. A process that ends closes its
+    /// connections and its listening socket in no certain order.
+    net::awaitable<void> check_ended(check_server_ended wanted)
+    {
+        const auto self = shared_from_this();
+        co_await wait_for(end_check_delay);
+        http_limits limits;
+        limits.before_connect = settings.before_connect;
+        http_client prober{io.get_executor(), wanted.address, limits};
+        const bool connected = co_await prober.can_connect(reach_probe_timeout);
+        if (m_stopped)
+            co_return;
+        if (!connected)
+            log_event(log_level::warning, "server_ended",
+                      {{"server", wanted.server.value()}, {"target", wanted.target.value()}});
+        requests->handle(server_checked{wanted.target, wanted.server, !connected});
+    }
+
+    void publish_evidence(const crash_evidence& seen)
+    {
+        log_event(log_level::info, "content_evidence",
+                  {{"content", to_hex(seen.content.value())}, {"evidence", to_name(seen.kind)}});
+        peers->publish(notice_of(seen));
+    }
+
+    net::awaitable<void> wait_for(duration time)
+    {
+        timer waiting{io};
+        boost::system::error_code ignored;
+        waiting.expires_after(time);
+        co_await waiting.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    }
+
     /// Tells the request core which nodes accept requests passed on to them, and which leave and
     /// only finish those they have, when that changes.
     void update_relay_nodes()
@@ -491,6 +564,9 @@
         now.relayed = requests->core().counters().relayed;
         now.limited_servers = requests->core().limited_servers();
         now.refused_limited = requests->core().counters().refused_limited;
+        now.servers_ended = requests->core().counters().servers_ended;
+        now.contents_blocked = requests->core().counters().contents_blocked;
+        now.refused_blocked = requests->core().counters().refused_blocked;
         for (const groups::formation_status& one : managers->status()) {
             now.groups_forming += one.leading ? one.groups_forming : 0;
             now.spare_runners += one.leading ? one.spare_runners : 0;
--- a/daemon/request_driver.cc
+++ b/daemon/request_driver.cc
@@ -124,6 +124,21 @@
             m_hooks.on_share_demand(cmd);
     }
 
+    void execute_global(const check_server_ended& cmd)
+    {
+        if (m_hooks.on_check_server_ended)
+            m_hooks.on_check_server_ended(cmd);
+    }
+    void execute_global(const share_evidence& cmd)
+    {
+        if (m_hooks.on_share_evidence)
+            m_hooks.on_share_evidence(cmd);
+    }
+    void execute_global(const content_blocked& cmd)
+    {
+        if (m_hooks.on_content_blocked)
+            m_hooks.on_content_blocked(cmd);
+    }
     void execute_global(const probe_server& cmd)
     {
         if (m_hooks.on_probe_server)
--- a/daemon/request_driver.h
+++ b/daemon/request_driver.h
@@ -47,6 +47,9 @@
     std::function<void(const share_demand&)> on_share_demand;
     std::function<void(const target_silent&)> on_silent;
     std::function<void(const share_limit&)> on_share_limit;
+    std::function<void(const check_server_ended&)> on_check_server_ended;
+    std::function<void(const share_evidence&)> on_share_evidence;
+    std::function<void(const content_blocked&)> on_content_blocked;
     std::function<void(const probe_server&)> on_probe_server;
     std::function<void(const reach_changed&)> on_reach_changed;
     std::function<void(const group_reach_changed&)> on_group_reach_changed;
--- a/peers/gen/peers_types.cpp
+++ b/peers/gen/peers_types.cpp
@@ -103,6 +103,37 @@
   }
 }
 
+int _kcontent_factValues[] = {
+  content_fact::server_ended,
+  content_fact::served,
+  content_fact::blocked
+};
+const char* _kcontent_factNames[] = {
+  "server_ended",
+  "served",
+  "blocked"
+};
+const std::map<int, const char*> _content_fact_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kcontent_factValues, _kcontent_factNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const content_fact::type& val) {
+  std::map<int, const char*>::const_iterator it = _content_fact_VALUES_TO_NAMES.find(val);
+  if (it != _content_fact_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const content_fact::type& val) {
+  std::map<int, const char*>::const_iterator it = _content_fact_VALUES_TO_NAMES.find(val);
+  if (it != _content_fact_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 member_update::~member_update() noexcept {
 }
@@ -1198,6 +1229,184 @@
 }
 
 
+content_notice::~content_notice() noexcept {
+}
+
+
+void content_notice::__set_content(const int64_t val) {
+  this->content = val;
+}
+
+void content_notice::__set_fact(const content_fact::type val) {
+  this->fact = val;
+}
+
+void content_notice::__set_server(const int32_t val) {
+  this->server = val;
+__isset.server = true;
+}
+
+void content_notice::__set_since_end(const int32_t val) {
+  this->since_end = val;
+__isset.since_end = true;
+}
+
+void content_notice::__set_age(const int16_t val) {
+  this->age = val;
+}
+std::ostream& operator<<(std::ostream& out, const content_notice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t content_notice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->content);
+          this->__isset.content = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast15;
+          xfer += iprot->readI32(ecast15);
+          this->fact = static_cast<content_fact::type>(ecast15);
+          this->__isset.fact = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->since_end);
+          this->__isset.since_end = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->age);
+          this->__isset.age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t content_notice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("content_notice");
+
+  xfer += oprot->writeFieldBegin("content", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->content);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fact", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->fact));
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.server) {
+    xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->server);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.since_end) {
+    xfer += oprot->writeFieldBegin("since_end", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->since_end);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("age", ::apache::thrift::protocol::T_I16, 5);
+  xfer += oprot->writeI16(this->age);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(content_notice &a, content_notice &b) {
+  using ::std::swap;
+  swap(a.content, b.content);
+  swap(a.fact, b.fact);
+  swap(a.server, b.server);
+  swap(a.since_end, b.since_end);
+  swap(a.age, b.age);
+  swap(a.__isset, b.__isset);
+}
+
+content_notice::content_notice(const content_notice& other16) noexcept {
+  content = other16.content;
+  fact = other16.fact;
+  server = other16.server;
+  since_end = other16.since_end;
+  age = other16.age;
+  __isset = other16.__isset;
+}
+content_notice& content_notice::operator=(const content_notice& other17) noexcept {
+  content = other17.content;
+  fact = other17.fact;
+  server = other17.server;
+  since_end = other17.since_end;
+  age = other17.age;
+  __isset = other17.__isset;
+  return *this;
+}
+void content_notice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "content_notice(";
+  out << "content=" << to_string(content);
+  out << ", " << "fact=" << to_string(fact);
+  out << ", " << "server="; (__isset.server ? (out << to_string(server)) : (out << "<null>"));
+  out << ", " << "since_end="; (__isset.since_end ? (out << to_string(since_end)) : (out << "<null>"));
+  out << ", " << "age=" << to_string(age);
+  out << ")";
+}
+
+
 config_request::~config_request() noexcept {
 }
 
@@ -1250,14 +1459,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->digests.clear();
-            uint32_t _size15;
-            ::apache::thrift::protocol::TType _etype18;
-            xfer += iprot->readListBegin(_etype18, _size15);
-            this->digests.resize(_size15);
-            uint32_t _i19;
-            for (_i19 = 0; _i19 < _size15; ++_i19)
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->digests.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
             {
-              xfer += iprot->readString(this->digests[_i19]);
+              xfer += iprot->readString(this->digests[_i22]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1291,10 +1500,10 @@
     xfer += oprot->writeFieldBegin("digests", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->digests.size()));
-      std::vector<std::string> ::const_iterator _iter20;
-      for (_iter20 = this->digests.begin(); _iter20 != this->digests.end(); ++_iter20)
+      std::vector<std::string> ::const_iterator _iter23;
+      for (_iter23 = this->digests.begin(); _iter23 != this->digests.end(); ++_iter23)
       {
-        xfer += oprot->writeString((*_iter20));
+        xfer += oprot->writeString((*_iter23));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1312,15 +1521,15 @@
   swap(a.__isset, b.__isset);
 }
 
-config_request::config_request(const config_request& other21) {
-  base = other21.base;
-  digests = other21.digests;
-  __isset = other21.__isset;
+config_request::config_request(const config_request& other24) {
+  base = other24.base;
+  digests = other24.digests;
+  __isset = other24.__isset;
 }
-config_request& config_request::operator=(const config_request& other22) {
-  base = other22.base;
-  digests = other22.digests;
-  __isset = other22.__isset;
+config_request& config_request::operator=(const config_request& other25) {
+  base = other25.base;
+  digests = other25.digests;
+  __isset = other25.__isset;
   return *this;
 }
 void config_request::printTo(std::ostream& out) const {
@@ -1424,15 +1633,15 @@
   swap(a.__isset, b.__isset);
 }
 
-config_page::config_page(const config_page& other23) {
-  digest = other23.digest;
-  bytes = other23.bytes;
-  __isset = other23.__isset;
+config_page::config_page(const config_page& other26) {
+  digest = other26.digest;
+  bytes = other26.bytes;
+  __isset = other26.__isset;
 }
-config_page& config_page::operator=(const config_page& other24) {
-  digest = other24.digest;
-  bytes = other24.bytes;
-  __isset = other24.__isset;
+config_page& config_page::operator=(const config_page& other27) {
+  digest = other27.digest;
+  bytes = other27.bytes;
+  __isset = other27.__isset;
   return *this;
 }
 void config_page::printTo(std::ostream& out) const {
@@ -1553,17 +1762,17 @@
   swap(a.__isset, b.__isset);
 }
 
-key_notice::key_notice(const key_notice& other25) noexcept {
-  key = other25.key;
-  revision = other25.revision;
-  age = other25.age;
-  __isset = other25.__isset;
+key_notice::key_notice(const key_notice& other28) noexcept {
+  key = other28.key;
+  revision = other28.revision;
+  age = other28.age;
+  __isset = other28.__isset;
 }
-key_notice& key_notice::operator=(const key_notice& other26) noexcept {
-  key = other26.key;
-  revision = other26.revision;
-  age = other26.age;
-  __isset = other26.__isset;
+key_notice& key_notice::operator=(const key_notice& other29) noexcept {
+  key = other29.key;
+  revision = other29.revision;
+  age = other29.age;
+  __isset = other29.__isset;
   return *this;
 }
 void key_notice::printTo(std::ostream& out) const {
@@ -1668,15 +1877,15 @@
   swap(a.__isset, b.__isset);
 }
 
-known_key::known_key(const known_key& other27) noexcept {
-  key = other27.key;
-  revision = other27.revision;
-  __isset = other27.__isset;
+known_key::known_key(const known_key& other30) noexcept {
+  key = other30.key;
+  revision = other30.revision;
+  __isset = other30.__isset;
 }
-known_key& known_key::operator=(const known_key& other28) noexcept {
-  key = other28.key;
-  revision = other28.revision;
-  __isset = other28.__isset;
+known_key& known_key::operator=(const known_key& other31) noexcept {
+  key = other31.key;
+  revision = other31.revision;
+  __isset = other31.__isset;
   return *this;
 }
 void known_key::printTo(std::ostream& out) const {
@@ -1732,14 +1941,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size29;
-            ::apache::thrift::protocol::TType _etype32;
-            xfer += iprot->readListBegin(_etype32, _size29);
-            this->known.resize(_size29);
-            uint32_t _i33;
-            for (_i33 = 0; _i33 < _size29; ++_i33)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->known.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->known[_i33].read(iprot);
+              xfer += this->known[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1752,14 +1961,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->wanted.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->wanted.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
             {
-              xfer += iprot->readI32(this->wanted[_i38]);
+              xfer += iprot->readI32(this->wanted[_i41]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1788,10 +1997,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known.size()));
-    std::vector<known_key> ::const_iterator _iter39;
-    for (_iter39 = this->known.begin(); _iter39 != this->known.end(); ++_iter39)
+    std::vector<known_key> ::const_iterator _iter42;
+    for (_iter42 = this->known.begin(); _iter42 != this->known.end(); ++_iter42)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter42).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1801,10 +2010,10 @@
     xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->wanted.size()));
-      std::vector<int32_t> ::const_iterator _iter40;
-      for (_iter40 = this->wanted.begin(); _iter40 != this->wanted.end(); ++_iter40)
+      std::vector<int32_t> ::const_iterator _iter43;
+      for (_iter43 = this->wanted.begin(); _iter43 != this->wanted.end(); ++_iter43)
       {
-        xfer += oprot->writeI32((*_iter40));
+        xfer += oprot->writeI32((*_iter43));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1822,15 +2031,15 @@
   swap(a.__isset, b.__isset);
 }
 
-key_request::key_request(const key_request& other41) {
-  known = other41.known;
-  wanted = other41.wanted;
-  __isset = other41.__isset;
+key_request::key_request(const key_request& other44) {
+  known = other44.known;
+  wanted = other44.wanted;
+  __isset = other44.__isset;
 }
-key_request& key_request::operator=(const key_request& other42) {
-  known = other42.known;
-  wanted = other42.wanted;
-  __isset = other42.__isset;
+key_request& key_request::operator=(const key_request& other45) {
+  known = other45.known;
+  wanted = other45.wanted;
+  __isset = other45.__isset;
   return *this;
 }
 void key_request::printTo(std::ostream& out) const {
@@ -1951,17 +2160,17 @@
   swap(a.__isset, b.__isset);
 }
 
-key_value::key_value(const key_value& other43) {
-  key = other43.key;
-  revision = other43.revision;
-  value = other43.value;
-  __isset = other43.__isset;
+key_value::key_value(const key_value& other46) {
+  key = other46.key;
+  revision = other46.revision;
+  value = other46.value;
+  __isset = other46.__isset;
 }
-key_value& key_value::operator=(const key_value& other44) {
-  key = other44.key;
-  revision = other44.revision;
-  value = other44.value;
-  __isset = other44.__isset;
+key_value& key_value::operator=(const key_value& other47) {
+  key = other47.key;
+  revision = other47.revision;
+  value = other47.value;
+  __isset = other47.__isset;
   return *this;
 }
 void key_value::printTo(std::ostream& out) const {
@@ -2043,14 +2252,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size45;
-            ::apache::thrift::protocol::TType _etype48;
-            xfer += iprot->readListBegin(_etype48, _size45);
-            this->entries.resize(_size45);
-            uint32_t _i49;
-            for (_i49 = 0; _i49 < _size45; ++_i49)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->entries.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->entries[_i49].read(iprot);
+              xfer += this->entries[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2087,14 +2296,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->forward_to.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->forward_to.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->forward_to.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              xfer += iprot->readString(this->forward_to[_i54]);
+              xfer += iprot->readString(this->forward_to[_i57]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2139,10 +2348,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<key_value> ::const_iterator _iter55;
-    for (_iter55 = this->entries.begin(); _iter55 != this->entries.end(); ++_iter55)
+    std::vector<key_value> ::const_iterator _iter58;
+    for (_iter58 = this->entries.begin(); _iter58 != this->entries.end(); ++_iter58)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter58).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2167,10 +2376,10 @@
     xfer += oprot->writeFieldBegin("forward_to", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->forward_to.size()));
-      std::vector<std::string> ::const_iterator _iter56;
-      for (_iter56 = this->forward_to.begin(); _iter56 != this->forward_to.end(); ++_iter56)
+      std::vector<std::string> ::const_iterator _iter59;
+      for (_iter59 = this->forward_to.begin(); _iter59 != this->forward_to.end(); ++_iter59)
       {
-        xfer += oprot->writeString((*_iter56));
+        xfer += oprot->writeString((*_iter59));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2203,25 +2412,25 @@
   swap(a.__isset, b.__isset);
 }
 
-key_reply::key_reply(const key_reply& other57) {
-  entries = other57.entries;
-  store_age_ms = other57.store_age_ms;
-  push_number = other57.push_number;
-  complete = other57.complete;
-  forward_to = other57.forward_to;
-  origin = other57.origin;
-  last_push = other57.last_push;
-  __isset = other57.__isset;
-}
-key_reply& key_reply::operator=(const key_reply& other58) {
-  entries = other58.entries;
-  store_age_ms = other58.store_age_ms;
-  push_number = other58.push_number;
-  complete = other58.complete;
-  forward_to = other58.forward_to;
-  origin = other58.origin;
-  last_push = other58.last_push;
-  __isset = other58.__isset;
+key_reply::key_reply(const key_reply& other60) {
+  entries = other60.entries;
+  store_age_ms = other60.store_age_ms;
+  push_number = other60.push_number;
+  complete = other60.complete;
+  forward_to = other60.forward_to;
+  origin = other60.origin;
+  last_push = other60.last_push;
+  __isset = other60.__isset;
+}
+key_reply& key_reply::operator=(const key_reply& other61) {
+  entries = other61.entries;
+  store_age_ms = other61.store_age_ms;
+  push_number = other61.push_number;
+  complete = other61.complete;
+  forward_to = other61.forward_to;
+  origin = other61.origin;
+  last_push = other61.last_push;
+  __isset = other61.__isset;
   return *this;
 }
 void key_reply::printTo(std::ostream& out) const {
@@ -2308,14 +2517,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pages.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->pages.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->pages.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->pages[_i63].read(iprot);
+              xfer += this->pages[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2362,10 +2571,10 @@
     xfer += oprot->writeFieldBegin("pages", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pages.size()));
-      std::vector<config_page> ::const_iterator _iter64;
-      for (_iter64 = this->pages.begin(); _iter64 != this->pages.end(); ++_iter64)
+      std::vector<config_page> ::const_iterator _iter67;
+      for (_iter67 = this->pages.begin(); _iter67 != this->pages.end(); ++_iter67)
       {
-        xfer += (*_iter64).write(oprot);
+        xfer += (*_iter67).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2390,19 +2599,19 @@
   swap(a.__isset, b.__isset);
 }
 
-config_reply::config_reply(const config_reply& other65) {
-  revision = other65.revision;
-  head = other65.head;
-  pages = other65.pages;
-  delta = other65.delta;
-  __isset = other65.__isset;
+config_reply::config_reply(const config_reply& other68) {
+  revision = other68.revision;
+  head = other68.head;
+  pages = other68.pages;
+  delta = other68.delta;
+  __isset = other68.__isset;
 }
-config_reply& config_reply::operator=(const config_reply& other66) {
-  revision = other66.revision;
-  head = other66.head;
-  pages = other66.pages;
-  delta = other66.delta;
-  __isset = other66.__isset;
+config_reply& config_reply::operator=(const config_reply& other69) {
+  revision = other69.revision;
+  head = other69.head;
+  pages = other69.pages;
+  delta = other69.delta;
+  __isset = other69.__isset;
   return *this;
 }
 void config_reply::printTo(std::ostream& out) const {
@@ -2508,15 +2717,15 @@
   swap(a.__isset, b.__isset);
 }
 
-server_question::server_question(const server_question& other67) {
-  vm = other67.vm;
-  address = other67.address;
-  __isset = other67.__isset;
+server_question::server_question(const server_question& other70) {
+  vm = other70.vm;
+  address = other70.address;
+  __isset = other70.__isset;
 }
-server_question& server_question::operator=(const server_question& other68) {
-  vm = other68.vm;
-  address = other68.address;
-  __isset = other68.__isset;
+server_question& server_question::operator=(const server_question& other71) {
+  vm = other71.vm;
+  address = other71.address;
+  __isset = other71.__isset;
   return *this;
 }
 void server_question::printTo(std::ostream& out) const {
@@ -2620,15 +2829,15 @@
   swap(a.__isset, b.__isset);
 }
 
-server_answer::server_answer(const server_answer& other69) {
-  vm = other69.vm;
-  answers = other69.answers;
-  __isset = other69.__isset;
+server_answer::server_answer(const server_answer& other72) {
+  vm = other72.vm;
+  answers = other72.answers;
+  __isset = other72.__isset;
 }
-server_answer& server_answer::operator=(const server_answer& other70) {
-  vm = other70.vm;
-  answers = other70.answers;
-  __isset = other70.__isset;
+server_answer& server_answer::operator=(const server_answer& other73) {
+  vm = other73.vm;
+  answers = other73.answers;
+  __isset = other73.__isset;
   return *this;
 }
 void server_answer::printTo(std::ostream& out) const {
@@ -2834,27 +3043,27 @@
   swap(a.__isset, b.__isset);
 }
 
-runner_word::runner_word(const runner_word& other71) {
-  vm = other71.vm;
-  born_ms = other71.born_ms;
-  grouped = other71.grouped;
-  group = other71.group;
-  epoch = other71.epoch;
-  rank = other71.rank;
-  phase = other71.phase;
-  model = other71.model;
-  __isset = other71.__isset;
+runner_word::runner_word(const runner_word& other74) {
+  vm = other74.vm;
+  born_ms = other74.born_ms;
+  grouped = other74.grouped;
+  group = other74.group;
+  epoch = other74.epoch;
+  rank = other74.rank;
+  phase = other74.phase;
+  model = other74.model;
+  __isset = other74.__isset;
 }
-runner_word& runner_word::operator=(const runner_word& other72) {
-  vm = other72.vm;
-  born_ms = other72.born_ms;
-  grouped = other72.grouped;
-  group = other72.group;
-  epoch = other72.epoch;
-  rank = other72.rank;
-  phase = other72.phase;
-  model = other72.model;
-  __isset = other72.__isset;
+runner_word& runner_word::operator=(const runner_word& other75) {
+  vm = other75.vm;
+  born_ms = other75.born_ms;
+  grouped = other75.grouped;
+  group = other75.group;
+  epoch = other75.epoch;
+  rank = other75.rank;
+  phase = other75.phase;
+  model = other75.model;
+  __isset = other75.__isset;
   return *this;
 }
 void runner_word::printTo(std::ostream& out) const {
@@ -2964,15 +3173,15 @@
   swap(a.__isset, b.__isset);
 }
 
-store_question::store_question(const store_question& other73) {
-  failure_domain = other73.failure_domain;
-  round = other73.round;
-  __isset = other73.__isset;
+store_question::store_question(const store_question& other76) {
+  failure_domain = other76.failure_domain;
+  round = other76.round;
+  __isset = other76.__isset;
 }
-store_question& store_question::operator=(const store_question& other74) {
-  failure_domain = other74.failure_domain;
-  round = other74.round;
-  __isset = other74.__isset;
+store_question& store_question::operator=(const store_question& other77) {
+  failure_domain = other77.failure_domain;
+  round = other77.round;
+  __isset = other77.__isset;
   return *this;
 }
 void store_question::printTo(std::ostream& out) const {
@@ -3093,17 +3302,17 @@
   swap(a.__isset, b.__isset);
 }
 
-store_answer::store_answer(const store_answer& other75) {
-  failure_domain = other75.failure_domain;
-  reached = other75.reached;
-  round = other75.round;
-  __isset = other75.__isset;
+store_answer::store_answer(const store_answer& other78) {
+  failure_domain = other78.failure_domain;
+  reached = other78.reached;
+  round = other78.round;
+  __isset = other78.__isset;
 }
-store_answer& store_answer::operator=(const store_answer& other76) {
-  failure_domain = other76.failure_domain;
-  reached = other76.reached;
-  round = other76.round;
-  __isset = other76.__isset;
+store_answer& store_answer::operator=(const store_answer& other79) {
+  failure_domain = other79.failure_domain;
+  reached = other79.reached;
+  round = other79.round;
+  __isset = other79.__isset;
   return *this;
 }
 void store_answer::printTo(std::ostream& out) const {
@@ -3191,13 +3400,13 @@
   swap(a.__isset, b.__isset);
 }
 
-unresponsive_head::unresponsive_head(const unresponsive_head& other77) {
-  vm = other77.vm;
-  __isset = other77.__isset;
+unresponsive_head::unresponsive_head(const unresponsive_head& other80) {
+  vm = other80.vm;
+  __isset = other80.__isset;
 }
-unresponsive_head& unresponsive_head::operator=(const unresponsive_head& other78) {
-  vm = other78.vm;
-  __isset = other78.__isset;
+unresponsive_head& unresponsive_head::operator=(const unresponsive_head& other81) {
+  vm = other81.vm;
+  __isset = other81.__isset;
   return *this;
 }
 void unresponsive_head::printTo(std::ostream& out) const {
@@ -3348,6 +3557,11 @@
   this->silent = val;
 __isset.silent = true;
 }
+
+void frame::__set_contents(const std::vector<content_notice> & val) {
+  this->contents = val;
+__isset.contents = true;
+}
 std::ostream& operator<<(std::ostream& out, const frame& obj)
 {
   obj.printTo(out);
@@ -3394,9 +3608,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast79;
-          xfer += iprot->readI32(ecast79);
-          this->kind = static_cast<frame_kind::type>(ecast79);
+          int32_t ecast82;
+          xfer += iprot->readI32(ecast82);
+          this->kind = static_cast<frame_kind::type>(ecast82);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3478,14 +3692,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->members.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->members.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
             {
-              xfer += this->members[_i84].read(iprot);
+              xfer += this->members[_i87].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3498,14 +3712,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tickets.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->tickets.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->tickets.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += this->tickets[_i89].read(iprot);
+              xfer += this->tickets[_i92].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3518,14 +3732,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->demands.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->demands.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
             {
-              xfer += this->demands[_i94].read(iprot);
+              xfer += this->demands[_i97].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3538,14 +3752,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leavings.clear();
-            uint32_t _size95;
-            ::apache::thrift::protocol::TType _etype98;
-            xfer += iprot->readListBegin(_etype98, _size95);
-            this->leavings.resize(_size95);
-            uint32_t _i99;
-            for (_i99 = 0; _i99 < _size95; ++_i99)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->leavings.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += this->leavings[_i99].read(iprot);
+              xfer += this->leavings[_i102].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3558,14 +3772,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->confirmations.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->confirmations.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size103;
+            ::apache::thrift::protocol::TType _etype106;
+            xfer += iprot->readListBegin(_etype106, _size103);
+            this->confirmations.resize(_size103);
+            uint32_t _i107;
+            for (_i107 = 0; _i107 < _size103; ++_i107)
             {
-              xfer += this->confirmations[_i104].read(iprot);
+              xfer += this->confirmations[_i107].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3594,14 +3808,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->notices.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->notices.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->notices.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += this->notices[_i109].read(iprot);
+              xfer += this->notices[_i112].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3670,14 +3884,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->limits.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->limits.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += this->limits[_i114].read(iprot);
+              xfer += this->limits[_i117].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3694,6 +3908,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->contents.clear();
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->contents.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
+            {
+              xfer += this->contents[_i122].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.contents = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3767,10 +4001,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<member_update> ::const_iterator _iter115;
-      for (_iter115 = this->members.begin(); _iter115 != this->members.end(); ++_iter115)
+      std::vector<member_update> ::const_iterator _iter123;
+      for (_iter123 = this->members.begin(); _iter123 != this->members.end(); ++_iter123)
       {
-        xfer += (*_iter115).write(oprot);
+        xfer += (*_iter123).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3780,10 +4014,10 @@
     xfer += oprot->writeFieldBegin("tickets", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tickets.size()));
-      std::vector<ticket_digest> ::const_iterator _iter116;
-      for (_iter116 = this->tickets.begin(); _iter116 != this->tickets.end(); ++_iter116)
+      std::vector<ticket_digest> ::const_iterator _iter124;
+      for (_iter124 = this->tickets.begin(); _iter124 != this->tickets.end(); ++_iter124)
       {
-        xfer += (*_iter116).write(oprot);
+        xfer += (*_iter124).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3793,10 +4027,10 @@
     xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-      std::vector<demand> ::const_iterator _iter117;
-      for (_iter117 = this->demands.begin(); _iter117 != this->demands.end(); ++_iter117)
+      std::vector<demand> ::const_iterator _iter125;
+      for (_iter125 = this->demands.begin(); _iter125 != this->demands.end(); ++_iter125)
       {
-        xfer += (*_iter117).write(oprot);
+        xfer += (*_iter125).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3806,10 +4040,10 @@
     xfer += oprot->writeFieldBegin("leavings", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leavings.size()));
-      std::vector<leaving> ::const_iterator _iter118;
-      for (_iter118 = this->leavings.begin(); _iter118 != this->leavings.end(); ++_iter118)
+      std::vector<leaving> ::const_iterator _iter126;
+      for (_iter126 = this->leavings.begin(); _iter126 != this->leavings.end(); ++_iter126)
       {
-        xfer += (*_iter118).write(oprot);
+        xfer += (*_iter126).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3819,10 +4053,10 @@
     xfer += oprot->writeFieldBegin("confirmations", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->confirmations.size()));
-      std::vector<confirmation> ::const_iterator _iter119;
-      for (_iter119 = this->confirmations.begin(); _iter119 != this->confirmations.end(); ++_iter119)
+      std::vector<confirmation> ::const_iterator _iter127;
+      for (_iter127 = this->confirmations.begin(); _iter127 != this->confirmations.end(); ++_iter127)
       {
-        xfer += (*_iter119).write(oprot);
+        xfer += (*_iter127).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3842,10 +4076,10 @@
     xfer += oprot->writeFieldBegin("notices", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notices.size()));
-      std::vector<key_notice> ::const_iterator _iter120;
-      for (_iter120 = this->notices.begin(); _iter120 != this->notices.end(); ++_iter120)
+      std::vector<key_notice> ::const_iterator _iter128;
+      for (_iter128 = this->notices.begin(); _iter128 != this->notices.end(); ++_iter128)
       {
-        xfer += (*_iter120).write(oprot);
+        xfer += (*_iter128).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3890,10 +4124,10 @@
     xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 28);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-      std::vector<server_limit> ::const_iterator _iter121;
-      for (_iter121 = this->limits.begin(); _iter121 != this->limits.end(); ++_iter121)
+      std::vector<server_limit> ::const_iterator _iter129;
+      for (_iter129 = this->limits.begin(); _iter129 != this->limits.end(); ++_iter129)
       {
-        xfer += (*_iter121).write(oprot);
+        xfer += (*_iter129).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3904,6 +4138,19 @@
     xfer += this->silent.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.contents) {
+    xfer += oprot->writeFieldBegin("contents", ::apache::thrift::protocol::T_LIST, 30);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contents.size()));
+      std::vector<content_notice> ::const_iterator _iter130;
+      for (_iter130 = this->contents.begin(); _iter130 != this->contents.end(); ++_iter130)
+      {
+        xfer += (*_iter130).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3940,72 +4187,75 @@
   swap(a.store_told, b.store_told);
   swap(a.limits, b.limits);
   swap(a.silent, b.silent);
+  swap(a.contents, b.contents);
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other122) {
-  version = other122.version;
-  deployment = other122.deployment;
-  kind = other122.kind;
-  sender = other122.sender;
-  boot = other122.boot;
-  incarnation = other122.incarnation;
-  sequence = other122.sequence;
-  sent_ms = other122.sent_ms;
-  target = other122.target;
-  subject = other122.subject;
-  member_digest = other122.member_digest;
-  config = other122.config;
-  members = other122.members;
-  tickets = other122.tickets;
-  demands = other122.demands;
-  leavings = other122.leavings;
-  confirmations = other122.confirmations;
-  request = other122.request;
-  reply = other122.reply;
-  notices = other122.notices;
-  keys_wanted = other122.keys_wanted;
-  keys = other122.keys;
-  question = other122.question;
-  opinion = other122.opinion;
-  runner = other122.runner;
-  store_asked = other122.store_asked;
-  store_told = other122.store_told;
-  limits = other122.limits;
-  silent = other122.silent;
-  __isset = other122.__isset;
-}
-frame& frame::operator=(const frame& other123) {
-  version = other123.version;
-  deployment = other123.deployment;
-  kind = other123.kind;
-  sender = other123.sender;
-  boot = other123.boot;
-  incarnation = other123.incarnation;
-  sequence = other123.sequence;
-  sent_ms = other123.sent_ms;
-  target = other123.target;
-  subject = other123.subject;
-  member_digest = other123.member_digest;
-  config = other123.config;
-  members = other123.members;
-  tickets = other123.tickets;
-  demands = other123.demands;
-  leavings = other123.leavings;
-  confirmations = other123.confirmations;
-  request = other123.request;
-  reply = other123.reply;
-  notices = other123.notices;
-  keys_wanted = other123.keys_wanted;
-  keys = other123.keys;
-  question = other123.question;
-  opinion = other123.opinion;
-  runner = other123.runner;
-  store_asked = other123.store_asked;
-  store_told = other123.store_told;
-  limits = other123.limits;
-  silent = other123.silent;
-  __isset = other123.__isset;
+frame::frame(const frame& other131) {
+  version = other131.version;
+  deployment = other131.deployment;
+  kind = other131.kind;
+  sender = other131.sender;
+  boot = other131.boot;
+  incarnation = other131.incarnation;
+  sequence = other131.sequence;
+  sent_ms = other131.sent_ms;
+  target = other131.target;
+  subject = other131.subject;
+  member_digest = other131.member_digest;
+  config = other131.config;
+  members = other131.members;
+  tickets = other131.tickets;
+  demands = other131.demands;
+  leavings = other131.leavings;
+  confirmations = other131.confirmations;
+  request = other131.request;
+  reply = other131.reply;
+  notices = other131.notices;
+  keys_wanted = other131.keys_wanted;
+  keys = other131.keys;
+  question = other131.question;
+  opinion = other131.opinion;
+  runner = other131.runner;
+  store_asked = other131.store_asked;
+  store_told = other131.store_told;
+  limits = other131.limits;
+  silent = other131.silent;
+  contents = other131.contents;
+  __isset = other131.__isset;
+}
+frame& frame::operator=(const frame& other132) {
+  version = other132.version;
+  deployment = other132.deployment;
+  kind = other132.kind;
+  sender = other132.sender;
+  boot = other132.boot;
+  incarnation = other132.incarnation;
+  sequence = other132.sequence;
+  sent_ms = other132.sent_ms;
+  target = other132.target;
+  subject = other132.subject;
+  member_digest = other132.member_digest;
+  config = other132.config;
+  members = other132.members;
+  tickets = other132.tickets;
+  demands = other132.demands;
+  leavings = other132.leavings;
+  confirmations = other132.confirmations;
+  request = other132.request;
+  reply = other132.reply;
+  notices = other132.notices;
+  keys_wanted = other132.keys_wanted;
+  keys = other132.keys;
+  question = other132.question;
+  opinion = other132.opinion;
+  runner = other132.runner;
+  store_asked = other132.store_asked;
+  store_told = other132.store_told;
+  limits = other132.limits;
+  silent = other132.silent;
+  contents = other132.contents;
+  __isset = other132.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -4040,6 +4290,7 @@
   out << ", " << "store_told="; (__isset.store_told ? (out << to_string(store_told)) : (out << "<null>"));
   out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
   out << ", " << "silent="; (__isset.silent ? (out << to_string(silent)) : (out << "<null>"));
+  out << ", " << "contents="; (__isset.contents ? (out << to_string(contents)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/peers_types.h
+++ b/peers/gen/peers_types.h
@@ -63,6 +63,20 @@
 
 std::string to_string(const member_state::type& val);
 
+struct content_fact {
+  enum type {
+    server_ended = 1,
+    served = 2,
+    blocked = 3
+  };
+};
+
+extern const std::map<int, const char*> _content_fact_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const content_fact::type& val);
+
+std::string to_string(const content_fact::type& val);
+
 class member_update;
 
 class config_digest;
@@ -77,6 +91,8 @@
 
 class server_limit;
 
+class content_notice;
+
 class config_request;
 
 class config_page;
@@ -574,6 +590,85 @@
 
 std::ostream& operator<<(std::ostream& out, const server_limit& obj);
 
+typedef struct _content_notice__isset {
+  _content_notice__isset() : content(false), fact(false), server(false), since_end(false), age(false) {}
+  bool content :1;
+  bool fact :1;
+  bool server :1;
+  bool since_end :1;
+  bool age :1;
+} _content_notice__isset;
+
+class content_notice : public virtual ::apache::thrift::TBase {
+ public:
+
+  content_notice(const content_notice&) noexcept;
+  content_notice& operator=(const content_notice&) noexcept;
+  content_notice() noexcept
+                 : content(0),
+                   fact(static_cast<content_fact::type>(0)),
+                   server(0),
+                   since_end(0),
+                   age(0) {
+  }
+
+  virtual ~content_notice() noexcept;
+  int64_t content;
+  /**
+   * 
+   * @see content_fact
+   */
+  content_fact::type fact;
+  int32_t server;
+  int32_t since_end;
+  int16_t age;
+
+  _content_notice__isset __isset;
+
+  void __set_content(const int64_t val);
+
+  void __set_fact(const content_fact::type val);
+
+  void __set_server(const int32_t val);
+
+  void __set_since_end(const int32_t val);
+
+  void __set_age(const int16_t val);
+
+  bool operator == (const content_notice & rhs) const
+  {
+    if (!(content == rhs.content))
+      return false;
+    if (!(fact == rhs.fact))
+      return false;
+    if (__isset.server != rhs.__isset.server)
+      return false;
+    else if (__isset.server && !(server == rhs.server))
+      return false;
+    if (__isset.since_end != rhs.__isset.since_end)
+      return false;
+    else if (__isset.since_end && !(since_end == rhs.since_end))
+      return false;
+    if (!(age == rhs.age))
+      return false;
+    return true;
+  }
+  bool operator != (const content_notice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const content_notice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(content_notice &a, content_notice &b);
+
+std::ostream& operator<<(std::ostream& out, const content_notice& obj);
+
 typedef struct _config_request__isset {
   _config_request__isset() : base(false), digests(false) {}
   bool base :1;
@@ -1396,7 +1491,7 @@
 std::ostream& operator<<(std::ostream& out, const unresponsive_head& obj);
 
 typedef struct _frame__isset {
-  _frame__isset() : version(false), deployment(false), kind(false), sender(false), boot(false), incarnation(false), sequence(false), sent_ms(false), target(false), subject(false), member_digest(false), config(false), members(false), tickets(false), demands(false), leavings(false), confirmations(false), request(false), reply(false), notices(false), keys_wanted(false), keys(false), question(false), opinion(false), runner(false), store_asked(false), store_told(false), limits(false), silent(false) {}
+  _frame__isset() : version(false), deployment(false), kind(false), sender(false), boot(false), incarnation(false), sequence(false), sent_ms(false), target(false), subject(false), member_digest(false), config(false), members(false), tickets(false), demands(false), leavings(false), confirmations(false), request(false), reply(false), notices(false), keys_wanted(false), keys(false), question(false), opinion(false), runner(false), store_asked(false), store_told(false), limits(false), silent(false), contents(false) {}
   bool version :1;
   bool deployment :1;
   bool kind :1;
@@ -1426,6 +1521,7 @@
   bool store_told :1;
   bool limits :1;
   bool silent :1;
+  bool contents :1;
 } _frame__isset;
 
 class frame : public virtual ::apache::thrift::TBase {
@@ -1481,6 +1577,7 @@
   store_answer store_told;
   std::vector<server_limit>  limits;
   unresponsive_head silent;
+  std::vector<content_notice>  contents;
 
   _frame__isset __isset;
 
@@ -1542,6 +1639,8 @@
 
   void __set_silent(const unresponsive_head& val);
 
+  void __set_contents(const std::vector<content_notice> & val);
+
   bool operator == (const frame & rhs) const
   {
     if (!(version == rhs.version))
@@ -1644,6 +1743,10 @@
       return false;
     else if (__isset.silent && !(silent == rhs.silent))
       return false;
+    if (__isset.contents != rhs.__isset.contents)
+      return false;
+    else if (__isset.contents && !(contents == rhs.contents))
+      return false;
     return true;
   }
   bool operator != (const frame &rhs) const {
--- a/peers/membership.cc
+++ b/peers/membership.cc
@@ -269,6 +269,18 @@
             limit.per_second = limit_from_wire(received.per_second_milli);
         apply_rumor(now, delay, std::move(limit), out);
     }
+    for (const wire::content_notice& received : frame.contents) {
+        using fact = content_notice::fact;
+        const int what = static_cast<int>(received.fact) - 1;
+        if (what < 0 || what > static_cast<int>(fact::blocked))
+            continue; // of a newer version
+        apply_rumor(now, delay,
+                    content_notice{static_cast<std::uint64_t>(received.content),
+                                   static_cast<fact>(what),
+                                   static_cast<std::uint32_t>(received.server),
+                                   from_tenths(received.since_end), from_wire_age(received.age)},
+                    out);
+    }
     for (const wire::confirmation& received : frame.confirmations) {
         apply_rumor(now, delay,
                     confirmation{static_cast<std::uint32_t>(received.node),
@@ -287,8 +299,9 @@
     if (!m_rumors.insert_if_newer(gossip, now - age, now, m_members.size()))
         return;
     const auto* ticket = std::get_if<ticket_digest>(&item);
-    const bool urgent =
-        std::holds_alternative<leaving>(item) || (ticket != nullptr && !ticket->complete);
+    const bool urgent = std::holds_alternative<leaving>(item) ||
+                        std::holds_alternative<content_notice>(item) ||
+                        (ticket != nullptr && !ticket->complete);
     m_urgent_pending = m_urgent_pending || urgent;
     out.emplace_back(rumor_received{std::move(item)});
 }
@@ -400,7 +413,9 @@
     // A node's own rumors are not reported to it.
     std::erase_if(
         out, [](const auto& command) { return std::holds_alternative<rumor_received>(command); });
-    push_urgent(now, out);
+    // One end of a server brings many notices, which leave together at the next tick.
+    if (!std::holds_alternative<content_notice>(item))
+        push_urgent(now, out);
     return out;
 }
 
--- a/peers/membership_test.cc
+++ b/peers/membership_test.cc
@@ -219,6 +219,47 @@
     cr_assert(all_know(std::nullopt)(), "an outdated limit was accepted");
 }
 
+// Guards against nodes that go on sending what other nodes have seen servers end under.
+Test(membership, content_notices_reach_all_nodes_in_two_seconds)
+{
+    test_network net{17};
+    net.loss = 0.02;
+    constexpr std::size_t nodes = 30;
+    for (std::size_t i = 0; i < nodes; ++i)
+        net.add(i, 3);
+    cr_assert(net.until([&] { return net.views_converged(); }, minutes{3}));
+    using fact = content_notice::fact;
+    const std::vector<content_notice> published{
+        {0xfedcba9876543210, fact::server_ended, 0xfffffff0, {}, {}},
+        {0xfedcba9876543210, fact::server_ended, 7, {}, {}},
+        {0xfedcba9876543210, fact::blocked, 0, seconds{3}, {}},
+        {5, fact::served, 0, {}, {}}};
+    std::vector<std::size_t> known(nodes);
+    for (std::size_t i = 0; i < nodes; ++i) {
+        net.nodes[i]->on_command = [&, i](const membership_command& command) {
+            const auto* received = std::get_if<rumor_received>(&command);
+            const auto* notice =
+                received == nullptr ? nullptr : std::get_if<content_notice>(&received->item);
+            if (notice == nullptr)
+                return;
+            const auto same = [&](const content_notice& each) {
+                return each.content == notice->content && each.what == notice->what &&
+                       each.server == notice->server && each.since_end == notice->since_end;
+            };
+            known[i] += std::any_of(published.begin(), published.end(), same) ? 1 : 0;
+        };
+    }
+    test_node& first = *net.nodes[0];
+    for (const content_notice& each : published)
+        net.run(first, first.core.publish(net.now, each));
+    const auto all_know = [&] {
+        const auto others = known.begin() + 1; // the first one published them
+        return std::all_of(others, known.end(),
+                           [&](std::size_t count) { return count == published.size(); });
+    };
+    cr_assert(net.until(all_know, seconds{2}));
+}
+
 // Guards against a report of a silent group that gets lost in the frame: it must reach the
 // manager's node with the head's name.
 Test(membership, a_report_of_an_unresponsive_head_reaches_its_receiver)
--- a/peers/payload.h
+++ b/peers/payload.h
@@ -79,7 +79,24 @@
     friend bool operator==(const server_limit&, const server_limit&) = default;
 };
 
+/// What a node has learned about one content of requests, identified by a hash.
+struct content_notice {
+    enum class fact {
+        server_ended, ///< as it began to answer a request with the content
+        served,       ///< a server answered a request with the content and lived on
+        blocked,      ///< requests with the content are refused
+    };
+    std::uint64_t content = 0;
+    fact what = fact::server_ended;
+    std::uint32_t server = 0; ///< server_ended: hash of the server's id
+    duration since_end{0};    ///< blocked: time from the last end of a server to the notice
+    duration age{0};
+
+    friend bool operator==(const content_notice&, const content_notice&) = default;
+};
+
 /// An item that is forwarded from node to node.
-using rumor = std::variant<ticket_digest, demand, leaving, confirmation, key_notice, server_limit>;
+using rumor = std::variant<ticket_digest, demand, leaving, confirmation, key_notice, server_limit,
+                           content_notice>;
 
 } // namespace jaynotch
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -61,7 +61,7 @@
     void stop();
 
     /// Spreads a rumor to all nodes. Urgent ones (leaving servers, incomplete tickets) are sent at
-    /// once.
+    /// once, content notices at the next tick.
     void publish(const rumor& item);
     /// Adds addresses of peers from other sources (node keys of the key-value service).
     void add_seeds(const std::vector<std::string>& addresses);
--- a/peers/peers.thrift
+++ b/peers/peers.thrift
@@ -81,6 +81,21 @@
   3: i16 age
 }
 
+// Of what in requests servers end. `content` is a hash that all nodes compute alike.
+enum content_fact {
+  server_ended = 1     // `server` ended as it began to answer a request with the content
+  served = 2           // a server answered a request with the content and lived on
+  blocked = 3          // requests with the content are refused; a server ended `since_end` before
+}
+
+struct content_notice {
+  1: i64 content
+  2: content_fact fact
+  3: optional i32 server       // hash of the server's id
+  4: optional i32 since_end    // tenths of a second
+  5: i16 age
+}
+
 // Requests the head if it is newer than `base`, or pages by digest.
 struct config_request {
   1: i64 base
@@ -205,4 +220,5 @@
   27: optional store_answer store_told
   28: optional list<server_limit> limits
   29: optional unresponsive_head silent
+  30: optional list<content_notice> contents
 }
--- a/peers/rumor_table.cc
+++ b/peers/rumor_table.cc
@@ -1,6 +1,7 @@
 // Epidemic dissemination (Demers et al. 1987), piggybacked on the frames of the failure detector as
 // in SWIM. Each node sends each item a bounded number of times. Items of high and middle priority
-// (leaving servers, incomplete tickets, members, key notices and server limits) are sent 3 log2(n)
+// (leaving servers, incomplete tickets, contents that end servers, members, key notices and server
+// limits) are sent 3 log2(n)
 // times, which reaches all nodes with high probability. Complete tickets, demand and confirmations
 // are sent two or three times, since newer ones follow or they can be requested.
 //
@@ -62,6 +63,7 @@
                           [](const confirmation&) { return lowest_priority; },
                           [](const key_notice&) { return middle_priority; },
                           [](const server_limit&) { return middle_priority; },
+                          [](const content_notice&) { return highest_priority; },
                       },
                       item);
 }
@@ -76,9 +78,9 @@
 
 duration ttl_of(const gossip_item& item)
 {
-    const bool status = std::holds_alternative<ticket_digest>(item) ||
-                        std::holds_alternative<demand>(item) ||
-                        std::holds_alternative<server_limit>(item);
+    const bool status =
+        std::holds_alternative<ticket_digest>(item) || std::holds_alternative<demand>(item) ||
+        std::holds_alternative<server_limit>(item) || std::holds_alternative<content_notice>(item);
     return status ? status_ttl : default_ttl;
 }
 
@@ -90,6 +92,7 @@
     constexpr std::size_t demand_bytes = 28;
     constexpr std::size_t confirmation_bytes = 14;
     constexpr std::size_t notice_bytes = 14;
+    constexpr std::size_t content_bytes = 20;
     constexpr std::size_t name_overhead = 8;
     constexpr std::size_t member_overhead = 24;
     return std::visit(
@@ -104,6 +107,7 @@
             [](const confirmation&) { return confirmation_bytes; },
             [](const key_notice&) { return notice_bytes; },
             [](const server_limit& limit) { return name_overhead + limit.server.size(); },
+            [](const content_notice&) { return content_bytes; },
         },
         item);
 }
@@ -178,6 +182,19 @@
                        frame.limits.push_back(out);
                        frame.__isset.limits = true;
                    },
+                   [&](const content_notice& notice) {
+                       wire::content_notice out;
+                       out.content = static_cast<std::int64_t>(notice.content);
+                       out.fact =
+                           static_cast<wire::content_fact::type>(static_cast<int>(notice.what) + 1);
+                       if (notice.server != 0)
+                           out.__set_server(static_cast<std::int32_t>(notice.server));
+                       if (notice.since_end > duration{0})
+                           out.__set_since_end(tenths(notice.since_end));
+                       out.age = wire_age(age);
+                       frame.contents.push_back(out);
+                       frame.__isset.contents = true;
+                   },
                    [&](const key_notice& notice) {
                        wire::key_notice out;
                        out.key = static_cast<std::int32_t>(notice.key);
@@ -214,6 +231,18 @@
     return std::max<int>(age, 0) * age_unit;
 }
 
+std::int32_t tenths(duration time) noexcept
+{
+    constexpr std::int64_t max_units = std::numeric_limits<std::int32_t>::max();
+    return static_cast<std::int32_t>(
+        std::clamp<std::int64_t>(time / age_unit, std::int64_t{0}, max_units));
+}
+
+duration from_tenths(std::int32_t units) noexcept
+{
+    return std::max(units, 0) * age_unit;
+}
+
 std::int32_t limit_to_wire(double per_second) noexcept
 {
     constexpr double max_value = 2e9;
@@ -269,6 +298,10 @@
                        [](const confirmation& confirmed) { return std::uint64_t{confirmed.node}; },
                        [](const key_notice& notice) { return std::uint64_t{notice.key}; },
                        [](const server_limit& limit) { return hash64(limit.server); },
+                       [](const content_notice& notice) {
+                           const std::uint32_t fact = static_cast<std::uint32_t>(notice.what);
+                           return notice.content ^ hash_parts(fact, notice.server, 0);
+                       },
                    },
                    item);
     return {item.index(), id};
--- a/peers/rumor_table.h
+++ b/peers/rumor_table.h
@@ -20,8 +20,8 @@
 namespace jaynotch {
 
 /// Every kind of item that is forwarded from node to node.
-using gossip_item =
-    std::variant<member, ticket_digest, demand, leaving, confirmation, key_notice, server_limit>;
+using gossip_item = std::variant<member, ticket_digest, demand, leaving, confirmation, key_notice,
+                                 server_limit, content_notice>;
 
 /// Maximum number of items in a table. A fleet of 410 nodes and 200 groups needs about 3,000.
 inline constexpr std::size_t max_rumors = 8192;
@@ -88,6 +88,10 @@
 std::int32_t limit_to_wire(double per_second) noexcept;
 double limit_from_wire(std::int32_t milli_per_second) noexcept;
 
+/// Converts a duration to and from tenths of a second, without the limit of an age.
+std::int32_t tenths(duration time) noexcept;
+duration from_tenths(std::int32_t units) noexcept;
+
 /// Converts a member to and from its representation in frames.
 wire::member_update to_wire(const member& known);
 member from_wire(const wire::member_update& received);
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -193,6 +193,8 @@
     row.wake = row.deadline;
     row.keyed = taken->repeat == repeat_policy::keyed && !row.info.idempotency_key.empty();
 
+    if (refuse_blocked(row, now, out))
+        return;
     if (detours_on_arrival(row.info, pools.at(index), now) && send_through_node(row, now, out))
         return;
     if (refuse_limited(row, now, out) || refuse_early(row, now, out))
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -182,6 +182,7 @@
     if (row.attempt.first_part_received || !head_comes_early(row))
         return;
     row.attempt.first_part_received = true;
+    row.attempt.first_part = now;
     ++targets.at(row.attempt.target).streaming;
     const double took_s = seconds(now - row.attempt.started);
     if (targets.at(row.attempt.target).other_node)
@@ -211,6 +212,7 @@
             set_wake(*row, next_wake_time(*row));
     }
     note_first_part(*row, now);
+    note_served_if_due(*row, now);
 }
 
 void request_core::state::on_writing_to_caller(const attempt_writing_to_caller& writing)
@@ -234,6 +236,8 @@
         return;
     }
     pools.at(row->terms.pool).note_service(seconds(now - row->attempt.started));
+    const attempt_row& answered = row->attempt;
+    note_served(*row, answered.first_part_received ? answered.first_part : answered.started, now);
     release_target(*row);
     if (row->keyed)
         claims.record_ran(row->info.id, finished.answer, now);
@@ -250,6 +254,8 @@
 {
     const bool ran = may_have_run_at_target(row.attempt, reason);
     const bool may_have_run_now = row.may_have_run || ran;
+    if (!row.head_delivered && suspects.is_suspected(row.info.contents))
+        return false;
     if (row.terms.most_servers > 0) {
         // Attempts that did not run don't count against the servers that it may run on.
         const std::uint32_t used = row.servers_used + (ran ? 1 : 0);
@@ -281,9 +287,12 @@
 /// Records what the failure shows about the request, the target and this node's links, and frees
 /// the target's capacity.
 void request_core::state::record_failed_attempt(request_row& row, attempt_failure reason,
-                                                attempt_end end, time_point now)
+                                                attempt_end end, time_point now, command_list& out)
 {
     note_failed_attempt(row, reason);
+    const bool interrupted = reason == attempt_failure::cut || reason == attempt_failure::protocol;
+    if (interrupted && end == attempt_end::failed)
+        note_interrupted(row, now, out);
     if (may_have_run_at_target(row.attempt, reason)) {
         ++row.servers_used;
         row.may_have_run = true;
@@ -306,7 +315,7 @@
         return;
     }
     const bool again = may_retry(row, reason);
-    record_failed_attempt(row, reason, end, now);
+    record_failed_attempt(row, reason, end, now, out);
     pool_row& pool = pools.at(row.terms.pool);
     const bool group_incomplete = is_group_incomplete(reason, pool.info.kind);
     const bool in_time = row.head_delivered || now < row.deadline;
@@ -400,7 +409,8 @@
     if (row == nullptr)
         return false;
     const bool at_server = !targets.at(row->attempt.target).other_node;
-    if (at_server && may_retry(*row, attempt_failure::cut))
+    if (suspects.is_suspected(row->info.contents) ||
+        (at_server && may_retry(*row, attempt_failure::cut)))
         return false;
     return !is_charged_to_budget(*row, false) || take_retry(*row);
 }
--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -215,6 +215,24 @@
     std::string address;
 };
 
+/// Find out, in a moment, whether a server has ended that cut a connection; answered by
+/// server_checked.
+struct check_server_ended {
+    target_id target;
+    vm_id server;
+    std::string address;
+};
+
+/// Send what this node has learned about a content to the other entry VMs.
+struct share_evidence {
+    crash_evidence evidence;
+};
+
+/// Requests with the content are refused from now on, on all nodes.
+struct content_blocked {
+    content_id content;
+};
+
 /// This node's belief whether it reaches the backend servers of a pool has changed.
 struct reach_changed {
     pool_id pool;
@@ -231,10 +249,11 @@
     std::vector<demand_row> rows;
 };
 
-using command = std::variant<send_attempt, deliver, cancel_attempt, attempt_held, complete, refuse,
-                             replay, end_truncated, forget, report_key_status, call_kv, grant_lease,
-                             target_released, target_silent, share_limit, probe_server,
-                             reach_changed, group_reach_changed, share_demand>;
+using command =
+    std::variant<send_attempt, deliver, cancel_attempt, attempt_held, complete, refuse, replay,
+                 end_truncated, forget, report_key_status, call_kv, grant_lease, target_released,
+                 target_silent, share_limit, probe_server, check_server_ended, share_evidence,
+                 content_blocked, reach_changed, group_reach_changed, share_demand>;
 using command_list = std::vector<command>;
 
 } // namespace jaynotch
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -171,6 +171,12 @@
             core.on_relay_nodes(e.nodes, now, out);
         }
         void operator()(const server_probed& e) const { core.on_server_probed(e); }
+        void operator()(const server_checked& e) const { core.on_server_checked(e, now); }
+        void operator()(const peer_evidence_received& e) const
+        {
+            core.suspects.note_evidence(e.evidence, now);
+        }
+        void operator()(const peer_started& /*e*/) const { core.suspects.note_peer_started(now); }
         void operator()(const fleet_size_updated& e) const
         {
             core.fleet_size = std::max<std::size_t>(1, e.nodes);
@@ -230,6 +236,7 @@
         std::holds_alternative<groups_changed>(happened) ||
         std::holds_alternative<servers_changed>(happened))
         emit_released(out);
+    emit_evidence(out);
     // Claims are processed after every event, not only at ticks, to keep their latency low.
     run_claims(now, out);
 }
@@ -281,6 +288,7 @@
     peers.expire(now);
     budgets.tick(now);
     refresh_limits(now);
+    suspects.tick(now);
     for (std::size_t row = 0; row < targets.size(); ++row) {
         target_row& sampled = targets.at(static_cast<target_row_index>(row));
         sampled.load.sample_own(sampled.own, now);
--- a/routing/request_core.h
+++ b/routing/request_core.h
@@ -72,6 +72,9 @@
     std::uint64_t caller_disconnects = 0; ///< requests whose caller disconnected before the end
     std::uint64_t refused_early = 0;      ///< of refused: on arrival, by the estimated wait
     std::uint64_t refused_late = 0;       ///< of refused: deadline reached while queued
+    std::uint64_t servers_ended = 0;      ///< seen to end as they began to answer
+    std::uint64_t contents_blocked = 0;   ///< since servers ended under them
+    std::uint64_t refused_blocked = 0;    ///< of refused: for such a content
     std::uint64_t refused_limited = 0;    ///< of refused: by the servers' own rate limits
     std::uint64_t attempts = 0;
     std::uint64_t retries = 0;
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -53,7 +53,7 @@
         const flow_key flow = flow_of(row);
         row.phase = request_phase::sending;
         --pool.use_of(row.info.workspace, peers).queued;
-        if (try_send(row, now, out))
+        if (refuse_blocked(row, now, out) || try_send(row, now, out))
             continue;
         row.phase = request_phase::queued;
         ++pool.use_of(row.info.workspace, peers).queued;
--- a/routing/request_events.h
+++ b/routing/request_events.h
@@ -4,6 +4,7 @@
 
 #include "base/base.h"
 #include "outside/kv_types.h"
+#include "routing/crash_suspects.h"
 #include "routing/rate_limits.h"
 #include "tables/tables.h"
 
@@ -79,6 +80,8 @@
     /// Chained hashes of the prompt's blocks: element i covers blocks 0..i. Only the first 64 are
     /// used.
     std::vector<std::uint64_t> prefix_blocks;
+    /// What a server may end under: the request itself, and what it shares with others.
+    std::vector<content_id> contents;
     std::uint32_t prompt_tokens = 0; ///< estimate
     std::uint32_t answer_tokens = 0; ///< estimate, for example max_tokens
     /// When the caller stops waiting for the first byte. The route's timeout applies as well.
@@ -281,6 +284,21 @@
     duration age{0};
 };
 
+/// Result of a `check_server_ended`.
+struct server_checked {
+    target_id target;
+    vm_id server;
+    bool ended = false; ///< it accepts no connection any more
+};
+
+/// What another entry VM has learned about a content.
+struct peer_evidence_received {
+    crash_evidence evidence;
+};
+
+/// Another entry VM has started and knows nothing yet.
+struct peer_started {};
+
 /// The entry VMs that share the servers' rate limits. Sent about once a second, changed or not.
 struct fleet_updated {
     std::vector<fleet_member> members;
@@ -332,9 +350,9 @@
     std::variant<request_arrived, attempt_sent, attempt_connected, attempt_head, attempt_progress,
                  attempt_writing_to_caller, attempt_finished, attempt_failed, caller_gone,
                  key_status_requested, kv_result, lease_result, groups_changed, servers_changed,
-                 relay_nodes_changed, server_probed, fleet_size_updated, fleet_updated,
-                 group_broken, target_leaving, load_reported, response_limit_received,
-                 peer_limit_received, cache_events_received, tables_installed, peer_demand_received,
-                 peer_left, tick>;
+                 relay_nodes_changed, server_probed, server_checked, peer_evidence_received,
+                 peer_started, fleet_size_updated, fleet_updated, group_broken, target_leaving,
+                 load_reported, response_limit_received, peer_limit_received, cache_events_received,
+                 tables_installed, peer_demand_received, peer_left, tick>;
 
 } // namespace jaynotch
--- a/routing/request_move.cc
+++ b/routing/request_move.cc
@@ -93,7 +93,7 @@
     const bool through_node = targets.at(chosen).other_node;
     const bool charged = is_charged_to_budget(row, end == attempt_end::failed || through_node);
     cancel(row, why, now, out);
-    record_failed_attempt(row, reason, end, now);
+    record_failed_attempt(row, reason, end, now, out);
     if (charged)
         take_retry(row);
     if (through_node) {
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -44,6 +44,8 @@
     bool held = false;                ///< attempt_held was issued
     std::uint32_t pending_tokens = 0; ///< prompt tokens counted at the target until it answers
     time_point started;
+    time_point first_part; ///< when the answer began; valid if first_part_received
+    bool noted_served = false;
     time_point last_part; ///< when the last part of the answer was received; valid in `answering`
     std::string version;
 };
@@ -154,6 +156,14 @@
     bool refuse_relayed(const request_info& info, const pool_row& pool, command_list& out);
     [[nodiscard]] bool reaches_no_group(time_point now) const;
 
+    // request_crashes.cc: requests under which servers end
+    void note_interrupted(const request_row& row, time_point now, command_list& out);
+    void on_server_checked(const server_checked& checked, time_point now);
+    void note_served(request_row& row, time_point begun, time_point now);
+    void note_served_if_due(request_row& row, time_point now);
+    bool refuse_blocked(request_row& row, time_point now, command_list& out);
+    void emit_evidence(command_list& out);
+
     // request_arrival.cc: from arrival to the queue
     void arrive(const request_info& info, time_point now, command_list& out);
     bool refuse_unroutable(const request_info& info, const route* taken, pool_index index,
@@ -239,7 +249,7 @@
     void end_attempt(request_row& row, attempt_failure reason, attempt_end end, time_point now,
                      command_list& out);
     void record_failed_attempt(request_row& row, attempt_failure reason, attempt_end end,
-                               time_point now);
+                               time_point now, command_list& out);
     bool may_retry(const request_row& row, attempt_failure reason) const;
     void note_activity(request_row& row, time_point now);
     void clear_pending_tokens(request_row& row);
@@ -271,6 +281,7 @@
     demand_table peers;
     claim_manager claims;
     rate_limits limits;
+    crash_suspects suspects;
     bool reached_no_group = false; ///< as last reported
     std::size_t relayed_open = 0;  ///< open requests that other nodes have passed on
     bool limits_in_use = false;    ///< some target_row::rate_limit_reached may be set
--- a/routing/target_table.h
+++ b/routing/target_table.h
@@ -93,7 +93,11 @@
     bool present = false;         ///< in the current list of groups or servers
     bool marked_leaving = false;  ///< by a target_leaving event
     bool release_due = false;     ///< a `target_released` command is due once nothing is in flight
-    bool rate_limit_reached = false;  ///< this node's share of the server's rate limit is used up
+    bool rate_limit_reached = false; ///< this node's share of the server's rate limit is used up
+    /// Contents of the requests that were interrupted as they began, until it is known whether the
+    /// server has ended.
+    std::vector<content_id> interrupted;
+    bool end_check_pending = false;
     std::uint32_t own = 0;            ///< this node's attempts in flight
     std::uint32_t streaming = 0;      ///< of those: attempts whose first event has come
     std::uint32_t pending_tokens = 0; ///< of the prompts of attempts without a first event
--- a/standins/runner_standin.cc
+++ b/standins/runner_standin.cc
@@ -137,6 +137,7 @@
     ran.push_back(received);
     check_serving();
     if (crashes_on(exchange)) {
+        set_answer_headers(exchange);
         co_await exchange.begin_chunks(http::status::ok, "text/event-stream");
         crash();
         co_return;
