Crash suspects: the shared parts of prompts are suspected too

Callers saw: requests with one part in their prompts crashed one server after the other (41 and 44 of them in 50 s, 26 and 28 after five had ended), and sound requests of the same route failed beside them.

Cause: the list of a prompt's parts was passed on and never read, so each request counted as new.

A part that sound requests share is cleared by their answers.

--- a/daemon/forward_front.cc
+++ b/daemon/forward_front.cc
@@ -27,6 +27,18 @@
     return content_id{hash64(whole)};
 }
 
+/// What servers may end under: the request itself, and the parts of its prompt that others share.
+/// A part is the same for all requests to one model.
+std::vector<content_id> contents_of(const http_exchange& exchange, std::string_view body,
+                                    const call_metadata& metadata)
+{
+    std::vector<content_id> contents{content_of(exchange, body)};
+    const std::uint64_t model = hash64(metadata.model);
+    for (const std::string& part : metadata.shared_parts)
+        contents.emplace_back(hash64(part, model));
+    return contents;
+}
+
 /// A Host header in the form used in the tables: lower case, without the port.
 std::string normalize_host(std::string_view header)
 {
@@ -118,7 +130,7 @@
     info.credential = metadata.value().credential;
     info.prompt_tokens = metadata.value().prompt_tokens;
     info.answer_tokens = metadata.value().answer_tokens;
-    info.contents = {content_of(exchange, incoming.body)};
+    info.contents = contents_of(exchange, incoming.body, metadata.value());
     if (metadata.value().caller_timeout)
         info.deadline = incoming.arrived + *metadata.value().caller_timeout;
     incoming.metadata = std::move(metadata).value();
--- a/outside/call_facts.h
+++ b/outside/call_facts.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace jaynotch {
 
@@ -15,8 +16,9 @@
 struct call_metadata {
     std::string attempt; ///< the caller's identifier of this attempt
     std::optional<std::chrono::milliseconds> caller_timeout; ///< how long the caller waits
-    std::string credential; ///< key that identifies the caller's workspace
-    std::string model;      ///< empty for plain calls
+    std::string credential;                ///< key that identifies the caller's workspace
+    std::string model;                     ///< empty for plain calls
+    std::vector<std::string> shared_parts; ///< of the prompt, which other requests may share
     std::uint32_t prompt_tokens = 0;
     std::uint32_t answer_tokens = 0;          ///< upper bound of generated tokens
     std::optional<std::uint64_t> after_event; ///< resume a stream after this event
