Unframed answers: an answer that ends with its connection is delivered

Callers saw: calls ended with 502 though a server had answered them whole (an order was placed and its caller told nothing), and were repeated. An answer may have neither a length nor chunks and end with its connection; the HTTP client took each for a broken one.

Change: for the platform's servers the end of the connection ends such an answer. A reset doesn't, and a stream that ends inside an event is resumed elsewhere.

The tests of crashing requests get retries from the start, which makes them harder.

--- a/daemon/crashing_requests_test.cc
+++ b/daemon/crashing_requests_test.cc
@@ -27,7 +27,7 @@
 // Guards against a request that ends one server after the other as its caller repeats it.
 Test(crashing_requests, a_request_that_ends_servers_is_not_sent_on)
 {
-    registry_fixture fleet{{.nodes = 2, .model_servers = 16}};
+    registry_fixture fleet{{.nodes = 2, .model_servers = 16, .retry_window = 100ms}};
     crash_on(fleet, "poison");
     fleet.body = "poison";
     for (std::size_t repeat = 0; repeat < 6; ++repeat) {
@@ -45,7 +45,7 @@
 Test(crashing_requests, requests_with_a_part_that_ends_servers_are_not_sent_on)
 {
     constexpr std::size_t ends_before_a_block = 5;
-    registry_fixture fleet{{.nodes = 3, .model_servers = 24}};
+    registry_fixture fleet{{.nodes = 3, .model_servers = 24, .retry_window = 100ms}};
     crash_on(fleet, "bad0bad0");
     std::size_t served = 0;
     std::size_t sound = 0;
--- a/daemon/upstreams.cc
+++ b/daemon/upstreams.cc
@@ -27,6 +27,9 @@
         limits.idle_connections = m_settings.limits.idle_upstream;
         limits.idle_connection_timeout = m_settings.timeouts.upstream_idle;
         limits.before_connect = m_settings.before_connect;
+        // The platform's servers may end an answer with its connection. One that is reset fails,
+        // and a stream that ends inside an event counts as cut.
+        limits.allow_unframed_answers = m_settings.source == source_kind::registry;
         found.client = std::make_shared<http_client>(m_io.get_executor(), address, limits);
     }
     return found.client;
--- a/standins/runner_standin.cc
+++ b/standins/runner_standin.cc
@@ -135,6 +135,8 @@
         co_return;
     }
     ran.push_back(received);
+    if (faults.unframed)
+        exchange.set_unframed();
     check_serving();
     if (crashes_on(exchange)) {
         set_answer_headers(exchange);
@@ -213,6 +215,10 @@
             exchange.cut();
             co_return;
         }
+        if (faults.partial_after > 0 && written == faults.partial_after) {
+            co_await exchange.write_chunk("id: " + std::to_string(id) + "\nda");
+            break;
+        }
         std::string event = "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
         if (!co_await exchange.write_chunk(std::move(event)))
             co_return;
--- a/standins/standin_server.cc
+++ b/standins/standin_server.cc
@@ -78,6 +78,12 @@
 awaitable<void> standin_exchange::answer(http::status status, std::string body,
                                          std::string content_type)
 {
+    if (m_unframed) {
+        if (co_await begin_chunks(status, std::move(content_type)) &&
+            co_await write_chunk(std::move(body)))
+            co_await finish_chunks();
+        co_return;
+    }
     http::response<http::string_body> message{status, 11, std::move(body)};
     message.set(http::field::content_type, content_type);
     for (const auto& header : m_headers)
@@ -107,7 +113,8 @@
     message.set(http::field::cache_control, "no-store");
     for (const auto& header : m_headers)
         message.set(header.name, header.value);
-    message.chunked(true);
+    message.chunked(!m_unframed);
+    message.keep_alive(!m_unframed);
     http::response_serializer<http::empty_body> serializer{message};
     error_code ec;
     co_await http::async_write_header(m_socket, serializer,
@@ -119,6 +126,8 @@
 
 awaitable<bool> standin_exchange::write_chunk(std::string bytes)
 {
+    if (m_unframed)
+        co_return co_await write_raw(std::move(bytes));
     error_code ec;
     co_await asio::async_write(m_socket, http::make_chunk(asio::buffer(bytes)),
                                asio::redirect_error(asio::use_awaitable, ec));
@@ -130,6 +139,11 @@
 awaitable<bool> standin_exchange::finish_chunks()
 {
     error_code ec;
+    if (m_unframed) {
+        m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+        cut();
+        co_return !ec;
+    }
     co_await asio::async_write(m_socket, http::make_chunk_last(),
                                asio::redirect_error(asio::use_awaitable, ec));
     if (ec)
--- a/standins/standin_server.h
+++ b/standins/standin_server.h
@@ -55,6 +55,8 @@
     awaitable<bool> begin_chunks(boost::beast::http::status status, std::string content_type);
     awaitable<bool> write_chunk(std::string bytes);
     awaitable<bool> finish_chunks();
+    /// From now on the response has neither a length nor chunks and ends with its connection.
+    void set_unframed() { m_unframed = true; }
     /// Closes the connection without completing the response.
     void cut();
     /// Whether the client has closed the connection.
@@ -66,6 +68,7 @@
     request_type m_request;
     std::vector<http_header> m_headers;
     bool m_cut = false;
+    bool m_unframed = false;
 };
 
 using standin_handler = std::function<awaitable<void>(standin_exchange&)>;
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -94,6 +94,10 @@
     /// Text in the body or the list of prompt parts of requests under which the process ends, as it
     /// begins to answer; empty: off.
     std::string crash_on;
+    /// Responses have neither a length nor chunks and end with their connection.
+    bool unframed = false;
+    /// Events after which an unframed stream ends inside an event; 0: off.
+    std::size_t partial_after = 0;
     std::string limit; ///< header Server-Limit: requests per second from all nodes together
 };
 
