HTTP client: bytes that are not parsed yet are bounded

Servers in trouble may send bytes without end that are no answer. Headers and buffered bodies had limits; a chunk header and a trailer did not, and were collected until the server stopped. Now what is received and not parsed is at most 64 KB.

--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -438,7 +438,8 @@
     const result<tcp::endpoint> remote = parse_endpoint(pool->address);
     if (!remote)
         co_return false;
-    const auto connection = std::make_shared<http_connection>(pool->executor);
+    const auto connection =
+        std::make_shared<http_connection>(pool->executor, pool->limits.unparsed_bytes);
     const error_code refused = co_await connect(*connection, *pool, remote.value(), timeout);
     connection->close();
     co_return !refused;
@@ -455,7 +456,8 @@
     bool reused = connection != nullptr;
     for (;;) {
         if (!connection) {
-            connection = std::make_shared<http_connection>(pool->executor);
+            connection =
+                std::make_shared<http_connection>(pool->executor, pool->limits.unparsed_bytes);
             const error_code refused = co_await connect(
                 *connection, *pool, remote.value(),
                 std::min(deadline - runtime_clock::now(), pool->limits.connect_timeout));
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -43,6 +43,8 @@
     /// connection closes. If the server closes such a connection early, the response looks
     /// complete, so the caller needs another proof that it is, such as a header.
     bool allow_unframed_answers = false;
+    /// Received and not parsed yet: the longest header, chunk header or trailer.
+    std::size_t unparsed_bytes = 64 * 1024;
     /// Called before a connection is opened; an error fails the connection. Tests use it to cut a
     /// client off from a server.
     std::function<boost::system::error_code(const std::string& address)> before_connect;
--- a/http/http_connection.h
+++ b/http/http_connection.h
@@ -20,8 +20,8 @@
 public:
     using response_parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-    explicit http_connection(const boost::asio::any_io_executor& executor)
-        : m_socket{executor}, m_deadline_timer{executor}
+    http_connection(const boost::asio::any_io_executor& executor, std::size_t unparsed_bytes)
+        : m_socket{executor}, m_deadline_timer{executor}, m_buffer{unparsed_bytes}
     {}
 
     /// Closes the socket after `timeout` unless `disarm` is called first.
