Logs: an attempt that a server says it did not run has a line

The line attempt_refused tells the server, the status and the time since it was sent, so that a refusal that follows a run can be told from a move of this node's own.

--- a/daemon/relay_attempt.cc
+++ b/daemon/relay_attempt.cc
@@ -139,6 +139,7 @@
     const std::shared_ptr<http_client> client = m_services.servers.at(attempt.send_command.address);
     request.before_send = [this, &attempt] {
         attempt.sent = true;
+        attempt.sent_at = runtime_clock::now();
         m_any_attempt_sent = true;
         m_services.driver.handle(attempt_sent{m_inbox->id(), attempt.send_command.attempt});
     };
--- a/daemon/relay_forward.cc
+++ b/daemon/relay_forward.cc
@@ -164,6 +164,9 @@
     attempt_head head = make_head(attempt, answer, mode);
     head.reported_not_run = metadata.did_not_run;
     head.wrong_instance = metadata.wrong_instance;
+    if (metadata.did_not_run)
+        m_log.attempt_refused(attempt.send_command, head.status,
+                              runtime_clock::now() - attempt.sent_at);
     if (!metadata.attempt.empty() && metadata.attempt != m_incoming.metadata->attempt)
         head.echoed = attempt_id{0}; // an id that no attempt has
     return report_head(attempt, head);
--- a/daemon/relay_way.h
+++ b/daemon/relay_way.h
@@ -31,6 +31,7 @@
     boost::asio::cancellation_signal cancel_signal; ///< cancels it while `stream` is null
     http_stream* stream = nullptr;                  ///< the answer, while its body is read
     bool sent = false;                              ///< a byte of it may have left
+    time_point sent_at;                             ///< valid if `sent`
     bool cancelled = false;
     bool delivering = false; ///< the core has chosen its answer for the caller
 };
--- a/daemon/request_log.cc
+++ b/daemon/request_log.cc
@@ -104,6 +104,21 @@
                {"age_ms", age_ms()}});
 }
 
+void request_log::attempt_refused(const send_attempt& attempt, unsigned status,
+                                  duration since_sent) const
+{
+    if (m_request.empty())
+        return;
+    log_event(log_level::info, "attempt_refused",
+              {{"request", m_request},
+               {"sending", attempt.basis.sending},
+               {"target", attempt.target.value()},
+               {"server", attempt.instance.value()},
+               {"status", status},
+               {"since_sent_ms", to_ms(since_sent)},
+               {"age_ms", age_ms()}});
+}
+
 void request_log::attempt_held(const send_attempt& attempt, const jaynotch::attempt_held& cmd) const
 {
     if (m_request.empty())
--- a/daemon/request_log.h
+++ b/daemon/request_log.h
@@ -26,6 +26,8 @@
     /// The node has cancelled the attempt.
     void attempt_cancelled(const send_attempt& attempt, const cancel_attempt& cmd, bool sent) const;
     /// The attempt's server is silent, and the attempt continues.
+    /// The server stated that it did not run the attempt, `since_sent` after it was sent.
+    void attempt_refused(const send_attempt& attempt, unsigned status, duration since_sent) const;
     void attempt_held(const send_attempt& attempt, const jaynotch::attempt_held& cmd) const;
     /// The HTTP client sends the request to the same server again, because the server has closed a
     /// kept-alive connection. `retries_left`: in the retry budget, after this one.
