--- a/routing/crash_suspects.cc
+++ b/routing/crash_suspects.cc
@@ -8,6 +8,9 @@
 // answer can be known to go well; a content that only turns bad at some time is therefore found
 // that much later.
 //
+// A block can be a mistake, for example if all servers are down for another reason and nothing is
+// answered. So it ends by itself; the next end of a server renews it, an answer clears it.
+//
 // Evidence is exchanged as single facts ("this server ended under this content", "this content was
 // answered"), so nodes need no agreement, and facts may arrive twice or in any order. A blocked
 // content is announced again from time to time, so that nodes that start later learn of it.
@@ -26,13 +29,11 @@
 
 namespace {
 
-/// How long a content counts as harmless after an answer that went well.
-constexpr std::chrono::seconds answer_memory{2};
 /// After this time without another end of a server, a suspect is forgotten.
 constexpr std::chrono::seconds suspicion_time{60};
-/// A blocked content is tried again after this time, at the price of another `ends_to_block`
-/// servers if it still ends them.
-constexpr std::chrono::hours block_time{1};
+/// A blocked content is tried again after this time; one more end of a server blocks it anew. The
+/// time bounds what a mistake costs.
+constexpr std::chrono::minutes block_time{2};
 /// Interval of the announcements of a blocked content, of all nodes together.
 constexpr std::chrono::seconds announce_interval{10};
 /// The same for `start_time` after a node has started, which may not receive the first one.
@@ -94,9 +95,9 @@
     if (known)
         return;
     row.last_end = std::max(row.last_end, ended.at);
-    if (row.ends.size() < ends_to_block)
+    if (row.ends.size() < m_limits.ends_to_block)
         row.ends.push_back(ended);
-    if (row.ends.size() >= ends_to_block && !row.blocked)
+    if (row.ends.size() >= m_limits.ends_to_block && !row.blocked)
         block(content, row, now);
 }
 
@@ -147,7 +148,7 @@
 bool crash_suspects::was_served(content_id content, time_point ended) const
 {
     const auto found = m_served.find(content);
-    return found != m_served.end() && ended - found->second <= answer_memory;
+    return found != m_served.end() && ended - found->second <= m_limits.answer_memory;
 }
 
 /// Removes the ends that an answer, begun at `served_at`, excuses.
@@ -157,12 +158,13 @@
     if (found == m_suspects.end())
         return;
     suspect& row = found->second;
-    std::erase_if(row.ends,
-                  [&](const server_end& each) { return each.at - served_at <= answer_memory; });
+    std::erase_if(row.ends, [&](const server_end& each) {
+        return each.at - served_at <= m_limits.answer_memory;
+    });
     if (row.ends.empty())
         m_suspects.erase(found);
     else
-        row.blocked = row.blocked && row.ends.size() >= ends_to_block;
+        row.blocked = row.blocked && row.ends.size() >= m_limits.ends_to_block;
 }
 
 void crash_suspects::note_evidence(const crash_evidence& received, time_point now)
@@ -209,11 +211,23 @@
     if (now < m_next_cleanup)
         return;
     m_next_cleanup = now + cleanup_interval;
+    for (auto& [content, row] : m_suspects) {
+        if (row.blocked && now - row.last_end >= block_time)
+            lift_block(row, now);
+    }
     std::erase_if(m_suspects, [&](const auto& entry) {
-        const duration longest = entry.second.blocked ? duration{block_time} : suspicion_time;
-        return now - entry.second.last_end >= longest;
+        return !entry.second.blocked && now - entry.second.last_end >= suspicion_time;
     });
-    std::erase_if(m_served, [&](const auto& entry) { return now - entry.second > answer_memory; });
+    std::erase_if(m_served,
+                  [&](const auto& entry) { return now - entry.second > m_limits.answer_memory; });
+}
+
+/// Lets requests with the content be sent again, though not be retried.
+void crash_suspects::lift_block(suspect& row, time_point now) const
+{
+    row.blocked = false;
+    row.last_end = now;
+    row.ends.assign(m_limits.ends_to_block - 1, {0, now});
 }
 
 const crash_suspects::suspect* crash_suspects::find(content_id content) const
@@ -236,7 +250,8 @@
     return !m_suspects.empty() &&
            std::any_of(contents.begin(), contents.end(), [&](content_id content) {
                const suspect* row = find(content);
-               return row != nullptr && (row->blocked || row->ends.size() >= ends_to_stop_retries);
+               return row != nullptr &&
+                      (row->blocked || row->ends.size() >= m_limits.ends_to_stop_retries);
            });
 }
 
--- a/routing/crash_suspects.h
+++ b/routing/crash_suspects.h
@@ -38,12 +38,19 @@
     duration age{0};
 };
 
-class crash_suspects {
-public:
+struct crash_limits {
     /// Servers that end before a content is blocked.
-    static constexpr std::size_t ends_to_block = 3;
+    std::size_t ends_to_block = 3;
     /// Servers that end before a request is no longer retried, though others may still be sent.
-    static constexpr std::size_t ends_to_stop_retries = 2;
+    std::size_t ends_to_stop_retries = 2;
+    /// How long a content counts as harmless after an answer that went well. Must be longer than
+    /// it takes to know that it does.
+    std::chrono::milliseconds answer_memory{2'000};
+};
+
+class crash_suspects {
+public:
+    explicit crash_suspects(crash_limits limits = {}) : m_limits{limits} {}
 
     /// A server ended while requests with these contents had just begun or were about to. Repeated
     /// contents count once.
@@ -85,12 +92,14 @@
     void remember_answer(content_id content, time_point begun);
     /// Whether a server answered the content near the time at which another one ended.
     [[nodiscard]] bool was_served(content_id content, time_point ended) const;
+    void lift_block(suspect& row, time_point now) const;
     void share(const crash_evidence& evidence);
     void share_blocked(content_id content, suspect& row, time_point now);
     /// The content's row, made if there is room; null if there is none.
     suspect* find_or_add(content_id content);
     [[nodiscard]] const suspect* find(content_id content) const;
 
+    crash_limits m_limits;
     std::unordered_map<content_id, suspect> m_suspects;
     /// When a server last began to answer a request with the content and lived on.
     std::unordered_map<content_id, time_point> m_served;
--- a/routing/crash_suspects_test.cc
+++ b/routing/crash_suspects_test.cc
@@ -155,6 +155,20 @@
     cr_assert_eq(all.blocking(culprit), 3U);
 }
 
+// Guards against a mistaken block that never ends, and against a new series of ends after each
+// block.
+Test(crash_suspects, a_block_ends_and_one_more_end_renews_it)
+{
+    fleet all{2};
+    for (int end = 0; end < 3; ++end)
+        all.end_server(0, {culprit});
+    for (int second = 0; second < 125; ++second)
+        all.pass(1s);
+    cr_assert_eq(all.blocking(culprit), 0U);
+    all.end_server(1, {culprit});
+    cr_assert_eq(all.blocking(culprit), 2U);
+}
+
 // Guards against callers that fill the memory of a node with contents.
 Test(crash_suspects, the_number_of_contents_is_bounded)
 {
