--- a/routing/crash_suspects.cc
+++ b/routing/crash_suspects.cc
@@ -16,7 +16,7 @@
 // content is announced again from time to time, so that nodes that start later learn of it.
 //
 // Bounds: callers choose contents, so both tables have a maximum size. A full table takes no new
-// content; entries leave it within `suspicion_time`, unless they are blocked.
+// content; suspects that are not blocked leave it within `suspicion_time`.
 #include "routing/crash_suspects.h"
 
 #include "base/hash.h"
@@ -44,7 +44,7 @@
 constexpr std::size_t max_suspects = 2'048;
 constexpr std::size_t max_answers_remembered = 16'384;
 /// Contents reported to the other nodes when a server ends.
-constexpr std::size_t max_contents_per_end = 32;
+constexpr std::size_t max_reports_per_end = 64;
 
 std::uint32_t short_hash(const vm_id& server)
 {
@@ -65,17 +65,19 @@
     std::vector<content_id> distinct(contents.begin(), contents.end());
     std::sort(distinct.begin(), distinct.end());
     distinct.erase(std::unique(distinct.begin(), distinct.end()), distinct.end());
-    // The most suspicious ones first, since the number of reports is limited.
+    // Harmless contents need no report, and the most suspicious ones come first.
+    std::erase_if(distinct, [&](content_id content) { return was_served(content, now); });
     const auto ends_of = [&](content_id content) {
         const suspect* row = find(content);
         return row == nullptr ? std::size_t{0} : row->ends.size();
     };
     std::stable_sort(distinct.begin(), distinct.end(),
                      [&](content_id a, content_id b) { return ends_of(a) > ends_of(b); });
-    distinct.resize(std::min(distinct.size(), max_contents_per_end));
-    for (const content_id content : distinct) {
-        share({content, evidence_kind::server_ended, short_hash(server), {}, {}});
-        add_end(content, {short_hash(server), now}, now);
+    const std::uint32_t ended = short_hash(server);
+    for (std::size_t at = 0; at < distinct.size(); ++at) {
+        if (at < max_reports_per_end)
+            share({distinct[at], evidence_kind::server_ended, ended, {}, {}});
+        add_end(distinct[at], {ended, now}, now);
     }
 }
 
