--- a/routing/servers_limit_test.cc
+++ b/routing/servers_limit_test.cc
@@ -227,8 +227,8 @@
     world& m_world;
     std::vector<observed_sending> m_sendings;
     random_source m_random;
-    std::uint64_t m_epoch = 0;
-    std::uint64_t m_revision = 1;
+    std::int64_t m_epoch = 0;
+    std::int64_t m_revision = 1;
     bool m_finished = false;
     bool m_violated = false;
 };
