--- a/standins/standin_server.cc
+++ b/standins/standin_server.cc
@@ -79,8 +79,8 @@
                                          std::string content_type)
 {
     if (m_unframed) {
-        if (co_await begin_chunks(status, std::move(content_type)) &&
-            co_await write_chunk(std::move(body)))
+        const bool begun = co_await begin_chunks(status, content_type);
+        if (begun && co_await write_chunk(body))
             co_await finish_chunks();
         co_return;
     }
