Registry daemon: one way to try a connection, and the daemon's own sleep

Cause: the check whether a server has ended wrote again the probe of a node's links and a timer that daemon_setup.h has as sleep_for; the comment of attempt_held stood above attempt_refused. Change: both probes call accepts_connections; sleep_for is called; the comment is where it belongs. Conclusion: no change of behaviour.

--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -389,24 +389,26 @@
     net::awaitable<void> probe(probe_server wanted)
     {
         const auto self = shared_from_this();
-        http_limits limits;
-        limits.before_connect = settings.before_connect;
-        http_client prober{io.get_executor(), wanted.address, limits};
-        const bool connected = co_await prober.can_connect(reach_probe_timeout);
+        const bool connected = co_await accepts_connections(wanted.address);
         if (!m_stopped)
             requests->handle(server_probed{wanted.target, connected});
     }
 
+    net::awaitable<bool> accepts_connections(std::string address)
+    {
+        http_limits limits;
+        limits.before_connect = settings.before_connect;
+        http_client prober{io.get_executor(), std::move(address), limits};
+        co_return co_await prober.can_connect(reach_probe_timeout);
+    }
+
     /// Finds out whether a server that cut a connection has ended. A process that ends closes its
     /// connections and its listening socket in no certain order.
     net::awaitable<void> check_ended(check_server_ended wanted)
     {
         const auto self = shared_from_this();
-        co_await wait_for(end_check_delay);
-        http_limits limits;
-        limits.before_connect = settings.before_connect;
-        http_client prober{io.get_executor(), wanted.address, limits};
-        const bool connected = co_await prober.can_connect(reach_probe_timeout);
+        co_await sleep_for(io, end_check_delay);
+        const bool connected = co_await accepts_connections(wanted.address);
         if (m_stopped)
             co_return;
         if (!connected)
@@ -422,14 +424,6 @@
         peers->publish(notice_of(seen));
     }
 
-    net::awaitable<void> wait_for(duration time)
-    {
-        timer waiting{io};
-        boost::system::error_code ignored;
-        waiting.expires_after(time);
-        co_await waiting.async_wait(net::redirect_error(net::use_awaitable, ignored));
-    }
-
     /// Tells the request core which nodes accept requests passed on to them, and which leave and
     /// only finish those they have, when that changes.
     void update_relay_nodes()
--- a/daemon/request_log.h
+++ b/daemon/request_log.h
@@ -25,9 +25,9 @@
     void attempt_failed(const send_attempt& attempt, std::string_view reason, bool sent) const;
     /// The node has cancelled the attempt.
     void attempt_cancelled(const send_attempt& attempt, const cancel_attempt& cmd, bool sent) const;
-    /// The attempt's server is silent, and the attempt continues.
     /// The server stated that it did not run the attempt, `since_sent` after it was sent.
     void attempt_refused(const send_attempt& attempt, unsigned status, duration since_sent) const;
+    /// The attempt's server is silent, and the attempt continues.
     void attempt_held(const send_attempt& attempt, const jaynotch::attempt_held& cmd) const;
     /// The HTTP client sends the request to the same server again, because the server has closed a
     /// kept-alive connection. `retries_left`: in the retry budget, after this one.
