--- a/outside/runner.h
+++ b/outside/runner.h
@@ -51,10 +51,12 @@
     std::string service; ///< service it belongs to; it serves pools of that service only
     std::string address; ///< "IP:port"
     failure_domain_id failure_domain;
-    fabric_domain_id fabric_domain;  ///< empty for plain servers
-    std::int64_t born_ms = 0;        ///< wall-clock time of its start, by its own clock
-    std::uint32_t places = 0;        ///< requests that it serves concurrently
-    bool leaving = false;            ///< draining: accepts no new requests
+    fabric_domain_id fabric_domain; ///< empty for plain servers
+    std::int64_t born_ms = 0;       ///< wall-clock time of its start, by its own clock
+    std::uint32_t places = 0;       ///< requests that it serves concurrently
+    bool leaving = false;           ///< draining: accepts no new requests
+    /// How much longer it stays cold, when its entry was written; see pool::cold_per_s.
+    std::chrono::milliseconds cold_left{0};
     std::vector<std::string> staged; ///< models whose weights are on its host
     std::string model;               ///< loaded model; empty if none
     std::optional<membership> group;
--- a/outside/site.h
+++ b/outside/site.h
@@ -25,6 +25,10 @@
     double loads_excess = 1.0; ///< factor up to which the weight store's rate may be exceeded
     /// Window over which loads from the weight store are counted.
     std::chrono::milliseconds loads_window{5'000};
+    /// From the request to evacuate a failure domain until its servers get no new requests.
+    std::chrono::milliseconds evacuate{5'000};
+    double cold_excess = 1.0; ///< factor up to which pool::cold_per_s may be exceeded in a second
+    double cold_slack = 0.0;  ///< requests in a second that a cold server gets besides
     bool fencing_checked = false; ///< runners refuse orders with an old fencing number
 };
 
--- a/tables/tables.h
+++ b/tables/tables.h
@@ -178,6 +178,11 @@
     // Set only by a configuration from the platform's store, not by pools.toml.
     std::string service; ///< service of the pool; pools of one service differ in model
     std::uint32_t max_connections = 0; ///< to one server from all nodes; 0: unlimited
+    std::chrono::milliseconds cold{0}; ///< a server is cold for this long after its start
+    /// Requests per second that a cold server bears from all nodes together; 0: any number.
+    double cold_per_s = 0.0;
+    /// Tokens that the requests at one replica may hold together; 0: unknown.
+    std::uint64_t memory_tokens = 0;
     engine_figures engine;
     forming_figures forming;
 
