Evacuations: an evacuated failure domain gets neither requests nor orders

Change: the key reaches every node like the configuration, at once; the domain's heads and plain servers count as leaving, its manager sends nothing, the other domains' managers don't count its groups.

--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -132,6 +132,8 @@
                                   "Retries that the budgets did not allow, since the start");
     Gauge& limited = gauge(registry, "jaynotch_limited_servers",
                            "Backend servers that limit the requests a second of all nodes");
+    Gauge& evacuated = gauge(registry, "jaynotch_evacuated_domains",
+                             "Failure domains whose backend servers get no new requests");
     Gauge& servers_ended = gauge(registry, "jaynotch_servers_ended",
                                  "Backend servers that ended as they began to answer");
     Gauge& contents_blocked = gauge(registry, "jaynotch_contents_blocked",
@@ -246,6 +248,7 @@
     all.retries_charged.Set(static_cast<double>(now.retries_charged));
     all.retries_denied.Set(static_cast<double>(now.retries_denied));
     all.limited.Set(static_cast<double>(now.limited_servers));
+    all.evacuated.Set(static_cast<double>(now.evacuated_domains));
     all.servers_ended.Set(static_cast<double>(now.servers_ended));
     all.contents_blocked.Set(static_cast<double>(now.contents_blocked));
     all.refused_blocked.Set(static_cast<double>(now.refused_blocked));
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -35,6 +35,7 @@
     std::uint64_t in_flight = 0;
     std::uint64_t complete_groups = 0;
     std::uint64_t managed_domains = 0;
+    std::uint64_t evacuated_domains = 0; ///< failure domains whose servers get no new requests
     std::uint64_t members = 0;
     std::uint64_t peer_bytes_sent = 0;
     std::uint64_t peer_bytes_queued = 0;
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -315,6 +315,9 @@
             m_registry.remove(id, runtime_clock::now());
             managers->runner_removed(id);
         };
+        hooks.on_evacuation = [this](const failure_domain_id& domain, bool evacuated) {
+            handle_evacuation(domain, evacuated);
+        };
         hooks.on_key = [this](const kv_entry& entry, bool exists) {
             managers->store_key_updated(entry, exists);
         };
@@ -328,6 +331,15 @@
         return hooks;
     }
 
+    /// The targets and the managers follow the registry at the end of the batch.
+    void handle_evacuation(const failure_domain_id& domain, bool evacuated)
+    {
+        if (!m_registry.set_evacuated(domain, evacuated))
+            return;
+        log_event(log_level::warning, evacuated ? "domain_evacuated" : "domain_returned",
+                  {{"domain", domain.value()}});
+    }
+
     void install(std::shared_ptr<const configuration> next)
     {
         tables = std::move(next);
@@ -544,6 +556,7 @@
         now.platform_lost = !feed->current();
         now.complete_groups = m_pushed.groups.size();
         now.managed_domains = managers->managed().size();
+        now.evacuated_domains = m_registry.evacuated_domains().size();
         if (tables)
             now.config_age = runtime_clock::now() - m_installed;
         const std::vector<pool_status> pools = requests->core().pools();
--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -154,7 +154,9 @@
             if (store_age < min_outage)
                 store_recovered();
         };
-        given.is_urgent = [](std::string_view key) { return platform::is_configuration(key); };
+        given.is_urgent = [](std::string_view key) {
+            return platform::is_configuration(key) || platform::is_evacuation(key);
+        };
         given.on_neighbours = [this](const std::vector<node_id>& nodes) {
             m_followers.members_changed(nodes);
             hooks.on_current_changed(current, m_followers.rank());
@@ -388,6 +390,8 @@
             handle_runner_entry(entry, exists);
         else if (platform::is_configuration(entry.key))
             handle_configuration_entry(entry, exists);
+        else if (platform::is_evacuation(entry.key))
+            hooks.on_evacuation(platform::evacuated_domain(entry.key), exists);
         else
             hooks.on_key(entry, exists);
     }
--- a/daemon/registry_feed.h
+++ b/daemon/registry_feed.h
@@ -29,6 +29,8 @@
     std::function<void(std::shared_ptr<const configuration>)> on_configuration;
     std::function<void(const runner&)> on_runner;
     std::function<void(const vm_id&)> on_runner_removed;
+    /// Operators have asked to evacuate a failure domain, or withdrawn it.
+    std::function<void(const failure_domain_id&, bool evacuated)> on_evacuation;
     /// Any other key was written (`exists`) or deleted.
     std::function<void(const kv_entry&, bool exists)> on_key;
     /// `current`: the store answers this node and all its documents have been read. `rank`: the
--- a/daemon/registry_pages.cc
+++ b/daemon/registry_pages.cc
@@ -107,6 +107,9 @@
     boost::json::array managing;
     for (const failure_domain_id& domain : m_sources.managed())
         managing.push_back(boost::json::string{domain.value()});
+    boost::json::array evacuated;
+    for (const failure_domain_id& domain : m_sources.registry.evacuated_domains())
+        evacuated.push_back(boost::json::string{domain.value()});
     const auto uptime =
         std::chrono::duration_cast<std::chrono::seconds>(runtime_clock::now() - m_sources.started);
     return {{"node", m_sources.settings.node.value()},
@@ -117,6 +120,7 @@
             {"platform", m_sources.store_reached() ? "reachable" : "told by peers"},
             {"servers", m_sources.requests.core().cut_off() ? "unreachable" : "reachable"},
             {"managing", std::move(managing)},
+            {"evacuated", std::move(evacuated)},
             {"runners", m_sources.registry.listed()},
             {"uptime_s", uptime.count()},
             {"in_flight", m_sources.in_flight()}};
--- a/daemon/target_view.cc
+++ b/daemon/target_view.cc
@@ -60,8 +60,11 @@
     target_lists made;
     for (const vm_id& id : registry.plain_servers()) {
         const runner& row = registry.find(id)->row;
-        if (const pool* source = find_pool(tables, row))
-            made.servers.push_back(to_target(row, *source));
+        const pool* source = find_pool(tables, row);
+        if (source == nullptr)
+            continue;
+        made.servers.push_back(to_target(row, *source));
+        made.servers.back().leaving |= registry.is_evacuated(row.failure_domain);
     }
     for (const vm_id& id : registry.heads()) {
         const runner& row = registry.find(id)->row;
@@ -75,6 +78,7 @@
         group.group = key.first;
         group.fencing = fencing_number{key.second};
         group.version = source->model;
+        group.leaving = group.leaving || registry.is_evacuated(row.failure_domain);
         const std::size_t listed = registry.members_of(key);
         if (listed < source->replica_vms) {
             const auto missing = registry.missing_from(key, now);
--- a/daemon/target_view.h
+++ b/daemon/target_view.h
@@ -23,7 +23,8 @@
 
 /// The heads of open groups, and the plain servers. A group with fewer members in the registry than
 /// its pool requires has stopped or soon will; it is marked as leaving, so it gets no new requests.
-/// Members whose entries may still return count as present.
+/// Members whose entries may still return count as present. Servers of an evacuated failure domain
+/// are marked as leaving too. A group lies in one failure domain, that of its head.
 target_lists targets_of(const groups::runner_registry& registry, const configuration& tables,
                         time_point now);
 
--- a/daemon/target_view_test.cc
+++ b/daemon/target_view_test.cc
@@ -72,6 +72,33 @@
     cr_assert(!world.gets_requests(), "the second entry is overdue");
 }
 
+// Guards against requests to the servers of an evacuated failure domain, and against a domain that
+// stays unused after the evacuation was withdrawn.
+Test(target_view, an_evacuated_domain_gets_no_requests_until_it_returns)
+{
+    open_group_world world;
+    runner app;
+    app.id = vm_id{"a-1"};
+    app.service = "app";
+    app.failure_domain = failure_domain_id{"f"};
+    world.registry.update(app, world.now);
+    pool plain;
+    plain.name = pool_id{"app"};
+    plain.service = "app";
+    plain.kind = pool_kind::plain;
+    world.tables.pools.push_back(plain);
+    const auto app_leaves = [&] {
+        return targets_of(world.registry, world.tables, world.now).servers.at(0).leaving;
+    };
+    const std::uint64_t version = world.registry.serving_version();
+    cr_assert(world.registry.set_evacuated(failure_domain_id{"f"}, true));
+    cr_assert_neq(world.registry.serving_version(), version, "the lists have to be made anew");
+    cr_assert(!world.gets_requests() && app_leaves());
+    cr_assert(!world.registry.set_evacuated(failure_domain_id{"f"}, true));
+    cr_assert(world.registry.set_evacuated(failure_domain_id{"f"}, false));
+    cr_assert(world.gets_requests() && !app_leaves());
+}
+
 // Guards against requests to a group that has lost a member: one whose entry returned without the
 // group has started again, and a head without an entry may be gone.
 Test(target_view, a_group_is_not_used_after_a_member_left_it)
--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -94,6 +94,7 @@
 void fake_registry::start_manager(std::size_t index)
 {
     m_managers[index] = make_manager(index);
+    m_managers[index].registry->set_evacuated(failure_domain_id{"f"}, m_evacuated);
     deliver_initial_state(index);
 }
 
@@ -194,6 +195,13 @@
     broadcast(traffic_started{});
 }
 
+void fake_registry::set_evacuated(bool evacuated)
+{
+    m_evacuated = evacuated;
+    for (fake_manager& one : m_managers)
+        one.registry->set_evacuated(failure_domain_id{"f"}, evacuated);
+}
+
 void fake_registry::kill_manager(std::size_t index)
 {
     m_managers[index].alive = false;
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -65,6 +65,8 @@
     void drain(const std::string& id);
     void add(const std::string& id, std::size_t domain);
     void begin_traffic();
+    /// Operators evacuate the failure domain or withdraw that, and every manager's node knows.
+    void set_evacuated(bool evacuated);
     /// Stops the manager's process at once; its lease expires.
     void kill_manager(std::size_t index);
     /// Starts a new manager process in its place, which knows only what the registry shows.
@@ -198,6 +200,7 @@
     double m_lost_answers = 0.0;
     bool m_traffic = false;
     bool m_store_down = false;
+    bool m_evacuated = false;
     std::size_t m_orders = 0;
     std::size_t m_probes = 0;
     std::string m_violation;
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -344,6 +344,8 @@
 
 void formation_manager::state::probe(runner_view& view, time_point now)
 {
+    if (evacuated())
+        return;
     view.probed_at = now;
     out.emplace_back(probe_member{view.row.id, view.row.address});
 }
@@ -548,7 +550,7 @@
     run_election(now);
     query_store_outage(now);
     expire_runners(now);
-    if (!lease_election.leading(now) || pools.empty())
+    if (!lease_election.leading(now) || pools.empty() || evacuated())
         return;
     query_members(now);
     review_groups(now);
@@ -595,7 +597,7 @@
 
 bool formation_manager::state::order(runner_view& view, member_order wanted, time_point now)
 {
-    if (view.pending || now < view.next_order_at || !view.listed)
+    if (view.pending || now < view.next_order_at || !view.listed || evacuated())
         return false;
     view.pending = call_token{++last_token};
     view.pending_since = now;
--- a/groups/formation_outage.cc
+++ b/groups/formation_outage.cc
@@ -70,7 +70,7 @@
 
 void formation_manager::state::query_runner(runner_view& view, time_point now)
 {
-    if (now < view.next_report_query || !is_reachable(view))
+    if (now < view.next_report_query || !is_reachable(view) || evacuated())
         return;
     view.next_report_query = now + settings.report_query_interval;
     out.emplace_back(request_runner_report{view.row.id, view.row.address});
--- a/groups/formation_plan.cc
+++ b/groups/formation_plan.cc
@@ -80,7 +80,7 @@
 {
     std::map<std::string, double> groups;
     for (const auto& [domain, heads] : registry.heads_by_domain()) {
-        if (domain == settings.domain)
+        if (domain == settings.domain || registry.is_evacuated(domain))
             continue;
         for (const auto& [model, count] : heads)
             groups[model] += static_cast<double>(count);
@@ -195,9 +195,16 @@
                          now - registry.first_joined() >= settings.max_settle_time;
     if (!settled)
         return;
-    if (!initial_allocation || registry.last_joined() != allocated_at_join) {
-        initial_allocation = allocate_groups(pools, registry.capacities());
+    const bool outdated = registry.last_joined() != allocated_at_join ||
+                          registry.evacuated_domains() != evacuated_at_allocation;
+    if (!initial_allocation || outdated) {
+        std::map<fabric_domain_id, domain_capacity> usable = registry.capacities();
+        std::erase_if(usable, [&](const auto& entry) {
+            return registry.is_evacuated(entry.second.failure_domain);
+        });
+        initial_allocation = allocate_groups(pools, usable);
         allocated_at_join = registry.last_joined();
+        evacuated_at_allocation = registry.evacuated_domains();
     }
     std::map<fabric_domain_id, std::map<std::string, std::uint32_t>> formed;
     for (const auto& [key, plan] : planned) {
--- a/groups/runner_registry.cc
+++ b/groups/runner_registry.cc
@@ -69,6 +69,14 @@
     m_unlisted.emplace_back(now, vm);
 }
 
+bool runner_registry::set_evacuated(const failure_domain_id& domain, bool evacuated)
+{
+    const bool changed = evacuated ? m_evacuated.insert(domain).second : m_evacuated.erase(domain);
+    if (changed)
+        ++m_serving_version;
+    return changed;
+}
+
 bool runner_registry::tell(const runner_word& word, time_point now)
 {
     const auto found = m_runners.find(word.vm);
--- a/groups/runner_registry.h
+++ b/groups/runner_registry.h
@@ -63,6 +63,18 @@
     /// the runner is not listed or the report is from another start of it.
     bool tell(const runner_word& word, time_point now);
 
+    /// Sets whether the failure domain is evacuated; false if that does not change it.
+    bool set_evacuated(const failure_domain_id& domain, bool evacuated);
+    /// Failure domains to whose runners operators have asked to send nothing.
+    [[nodiscard]] const std::set<failure_domain_id>& evacuated_domains() const
+    {
+        return m_evacuated;
+    }
+    [[nodiscard]] bool is_evacuated(const failure_domain_id& domain) const
+    {
+        return m_evacuated.contains(domain);
+    }
+
     /// Null if the runner is not listed and was not within `unlisted_retention`.
     [[nodiscard]] const registered_runner* find(const vm_id& vm) const;
     /// All runners that are listed or were within `unlisted_retention`.
@@ -96,7 +108,8 @@
     /// When the first runner was listed, and when one was last listed that was not listed before.
     [[nodiscard]] time_point first_joined() const { return m_first_joined; }
     [[nodiscard]] time_point last_joined() const { return m_last_joined; }
-    /// Incremented by each change of an open head, a plain server or the members of an open group.
+    /// Incremented by each change of an open head, a plain server, the members of an open group or
+    /// the evacuated failure domains.
     [[nodiscard]] std::uint64_t serving_version() const { return m_serving_version; }
 
 private:
@@ -118,6 +131,7 @@
     std::map<group_key, composition> m_compositions;
     std::set<vm_id> m_heads;
     std::set<vm_id> m_plain;
+    std::set<failure_domain_id> m_evacuated;
     std::map<failure_domain_id, model_counts> m_heads_by_domain;
     std::map<fabric_domain_id, domain_capacity> m_capacities;
     std::deque<std::pair<time_point, vm_id>> m_unlisted; ///< in order of removal
