Fault soak: failure domains are evacuated and taken back

Cause: the soak knew no evacuation, so nothing showed whether real daemons keep its bound beside other faults. Change: half of the seeds draw one evacuation from a random stream of their own; the checker reports a run in the domain after the bound. The other faults of a seed stay as they are.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -143,6 +143,22 @@
     }
 }
 
+void add_evacuations(std::vector<planned_fault>& plan, const fault_plan_settings& settings)
+{
+    constexpr std::uint64_t stream = 0xe7ac0aULL;
+    constexpr double share_of_seeds = 0.5;
+    constexpr std::int64_t min_ms = 4'500;
+    constexpr std::int64_t max_ms = 7'000;
+    random_source random{settings.seed ^ stream};
+    if (!random.chance(share_of_seeds))
+        return;
+    planned_fault drawn;
+    drawn.at = milliseconds{random.between(0, settings.length.count() / 3)};
+    drawn.active_for = milliseconds{random.between(min_ms, max_ms)};
+    drawn.action = planned_evacuation{random.index(2)};
+    plan.push_back(drawn);
+}
+
 /// Kinds of planned work in turn, each followed by a pause of most servers.
 std::vector<planned_fault> paused_maintenance_plan(const fault_plan_settings& settings)
 {
@@ -193,6 +209,10 @@
     {
         return "configuration changes";
     }
+    std::string operator()(const planned_evacuation& planned) const
+    {
+        return "evacuation of domain " + std::to_string(planned.domain);
+    }
     std::string operator()(const planned_pause& planned) const
     {
         return "pause of servers from " + std::to_string(planned.first) + ", share " +
@@ -224,6 +244,8 @@
     }
     if (settings.pauses)
         add_pauses(plan, settings);
+    if (settings.evacuations)
+        add_evacuations(plan, settings);
     std::stable_sort(plan.begin(), plan.end(),
                      [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
     return plan;
--- a/soak/promise_book.cc
+++ b/soak/promise_book.cc
@@ -194,6 +194,23 @@
     }
 }
 
+void promise_checker::check_evacuation(const request_history& history,
+                                       std::vector<std::string>& out) const
+{
+    for (const run& each : history.runs) {
+        const auto domain = m_domains.find(each.runner);
+        if (domain == m_domains.end() || !m_evacuations.contains(domain->second))
+            continue;
+        for (const time_range& evacuated : m_evacuations.at(domain->second)) {
+            const time_point deadline = evacuated.from + m_bounds.evacuate + m_bounds.slack;
+            if (each.at > deadline && each.at < evacuated.until &&
+                undisturbed(history.request.node, evacuated.from, each.at, true))
+                out.push_back(describe(history.request) + ": sent to " + each.runner +
+                              " after the time allowed for the evacuation of " + domain->second);
+        }
+    }
+}
+
 /// The keys of the last two versions are valid: older ones must be refused and these accepted, each
 /// once the time allowed for applying a version has passed.
 void promise_checker::check_key(const request_history& history, std::vector<std::string>& out) const
@@ -290,6 +307,7 @@
         check_answer(history, out);
         check_planned_stop(history, out);
         check_drain(history, out);
+        check_evacuation(history, out);
         check_key(history, out);
     }
     check_versions(out);
--- a/soak/promise_book.h
+++ b/soak/promise_book.h
@@ -52,6 +52,7 @@
 struct promise_bounds {
     duration config_apply = std::chrono::milliseconds{2'000};
     duration drain = std::chrono::milliseconds{2'000};
+    duration evacuate = std::chrono::milliseconds{2'000};
     /// From the end of a fault until the bounds hold again.
     duration recovery = std::chrono::milliseconds{3'000};
     /// Added to the bounds: on a machine that also runs other busy processes, scheduling delays
@@ -80,6 +81,19 @@
     /// it are then valid.
     void record_version(std::int64_t version, time_point now) { m_accepted[version] = now; }
     void record_drain(const std::string& runner, time_point now) { m_draining[runner] = now; }
+    void record_domain(const std::string& runner, const std::string& domain)
+    {
+        m_domains[runner] = domain;
+    }
+    /// The store accepted the request to evacuate a failure domain, or its withdrawal.
+    void record_evacuation(const std::string& domain, time_point now)
+    {
+        m_evacuations[domain].push_back({now, time_point::max()});
+    }
+    void record_return(const std::string& domain, time_point now)
+    {
+        m_evacuations[domain].back().until = now;
+    }
     /// A node's process started, without the state of its previous process.
     void record_start(const std::string& node, time_point now) { m_starts[node].push_back(now); }
     /// A sound server sends nothing for a while and then goes on. That excuses no violation.
@@ -123,6 +137,7 @@
     static void check_servers(const request_history& history, std::vector<std::string>& out);
     void check_planned_stop(const request_history& history, std::vector<std::string>& out) const;
     void check_drain(const request_history& history, std::vector<std::string>& out) const;
+    void check_evacuation(const request_history& history, std::vector<std::string>& out) const;
     void check_key(const request_history& history, std::vector<std::string>& out) const;
     void check_versions(std::vector<std::string>& out) const;
     void check_retries(std::vector<std::string>& out) const;
@@ -138,6 +153,8 @@
     std::map<std::string, request_history> m_requests;
     std::map<std::int64_t, time_point> m_accepted; ///< by configuration version
     std::map<std::string, time_point> m_draining;  ///< start of the drain, by runner
+    std::map<std::string, std::string> m_domains;  ///< failure domains of the runners
+    std::map<std::string, std::vector<time_range>> m_evacuations; ///< by failure domain
     std::map<std::string, std::vector<time_point>> m_starts;
     std::vector<fault_period> m_fault_periods;
     std::map<std::string, std::vector<time_range>> m_pauses; ///< by runner
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -97,6 +97,7 @@
         drawn.length = m_settings.length;
         drawn.faults_per_s = m_settings.faults_per_s;
         drawn.pauses = m_settings.pauses;
+        drawn.evacuations = m_settings.evacuations;
         drawn.pause_after_maintenance = m_settings.pause_after_maintenance;
         return draw_plan(drawn);
     }
@@ -306,6 +307,17 @@
         co_return;
     }
 
+    asio::awaitable<void> inject(planned_evacuation spec, duration active_for)
+    {
+        const std::string domain = soak_site::domain_name(spec.domain);
+        const std::string key = "op/evacuate/" + domain;
+        m_site.store().put(key, "{}");
+        m_checker.record_evacuation(domain, runtime_clock::now());
+        co_await pause(active_for);
+        m_checker.record_return(domain, runtime_clock::now());
+        m_site.store().remove(key);
+    }
+
     asio::awaitable<void> inject(planned_pause spec, duration active_for)
     {
         std::vector<std::shared_ptr<runner_standin>> alive;
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -19,6 +19,7 @@
     std::chrono::milliseconds length{10'000};
     double faults_per_s = 1.2;
     bool pauses = true;                   ///< see fault_plan_settings
+    bool evacuations = true;              ///< the same
     bool pause_after_maintenance = false; ///< see fault_plan_settings
     soak_site_settings site;
 };
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -21,11 +21,6 @@
 
 constexpr std::size_t max_seeds = 3; ///< as many as the platform gives
 
-std::string zone_of(std::size_t index)
-{
-    return index % 2 == 0 ? "zone-a" : "zone-b";
-}
-
 void write_file(const std::string& path, const std::string& text)
 {
     std::ofstream{path} << text;
@@ -43,6 +38,11 @@
     : m_io{io}, m_settings{std::move(settings)}, m_checker{checker}
 {}
 
+std::string soak_site::domain_name(std::size_t index)
+{
+    return index % 2 == 0 ? "zone-a" : "zone-b";
+}
+
 void soak_site::start()
 {
     std::filesystem::create_directories(m_settings.folder);
@@ -50,11 +50,11 @@
     m_store = store_standin::start(m_io.get_executor()).value();
     publish_version();
     for (std::size_t index = 0; index < m_settings.runners; ++index) {
-        const std::string zone = zone_of(index);
+        const std::string zone = domain_name(index);
         add_runner("llm", zone, "d-" + zone);
     }
     for (std::size_t index = 0; index < m_settings.servers; ++index)
-        add_runner("app", zone_of(index), "");
+        add_runner("app", domain_name(index), "");
     m_daemons.reserve(m_settings.daemons);
     for (std::size_t index = 0; index < m_settings.daemons; ++index)
         add_daemon(index);
@@ -68,7 +68,7 @@
 {
     soak_daemon& daemon = m_daemons.emplace_back();
     daemon.name = "entry-" + std::to_string(index);
-    daemon.domain = zone_of(index);
+    daemon.domain = domain_name(index);
     daemon.listen = free_address();
     daemon.ready_listen = free_address();
     daemon.peer_listen = free_address();
@@ -126,6 +126,7 @@
     runner.server = runner_standin::start(m_io.get_executor(), m_store, chosen).value();
     runner.link = fault_proxy::open(m_io.get_executor(), runner.server->address()).value();
     runner.server->advertise_address(runner.link->address());
+    m_checker.record_domain(chosen.id, zone);
     m_runners.push_back(std::move(runner));
 }
 
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -72,6 +72,8 @@
     boost::asio::awaitable<void> write_settings(const soak_daemon& daemon);
     /// Starts a runner and the proxy before it.
     void add_runner(const std::string& service, const std::string& zone, const std::string& domain);
+    /// Name of the failure domain that the daemon or runner with this number is in.
+    static std::string domain_name(std::size_t index);
     /// Publishes the next configuration version. It revokes the key of two versions ago.
     void publish_version();
     [[nodiscard]] std::int64_t version() const { return m_version; }
--- a/soak/soak_test.cc
+++ b/soak/soak_test.cc
@@ -104,6 +104,27 @@
     assert_one(checker, "app: 1.0");
 }
 
+// Guards against a check that takes a run in an evacuated failure domain for allowed, or one before
+// the bound or after the return for a violation.
+Test(promise_checker, a_run_in_an_evacuated_domain_is_reported)
+{
+    promise_bounds bounds;
+    bounds.evacuate = 2s;
+    bounds.slack = 0s;
+    promise_checker checker{events, bounds};
+    checker.record_domain("a-1", "zone-a");
+    checker.record_evacuation("zone-a", at(1s));
+    checker.record_return("zone-a", at(9s));
+    for (const auto& [id, ran] : {std::pair{"1", at(2s)}, {"2", at(10s)}}) {
+        checker.record_request({id, caller_request_kind::read, "entry-1", 0, ran, 2});
+        checker.record_run(id, "a-1", ran);
+    }
+    cr_assert(checker.violations().empty());
+    checker.record_request({"3", caller_request_kind::read, "entry-1", 0, at(5s), 2});
+    checker.record_run("3", "a-1", at(5s));
+    assert_one(checker, "evacuation of zone-a");
+}
+
 Test(promise_checker, a_run_after_a_not_run_answer_is_reported)
 {
     promise_checker checker{events};
