--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -153,8 +153,8 @@
     [[nodiscard]] std::optional<time_point> first_seen(const group_key& key) const;
     void resend_joins(time_point now);
 
-    /// Whether operators have asked to send nothing to the runners of the domain. The groups stay as
-    /// they are meanwhile, so that they serve again as soon as the evacuation is withdrawn.
+    /// Whether operators have asked to send nothing to the runners of the domain. The groups stay
+    /// as they are meanwhile, so that they serve again as soon as the evacuation is withdrawn.
     [[nodiscard]] bool evacuated() const { return registry.is_evacuated(settings.domain); }
 
     // formation_plan.cc: use of free runners
@@ -199,9 +199,9 @@
     bool cut_off = false; ///< this node seems to reach no backend server
     bool was_leading = false;
     std::optional<group_allocation> initial_allocation; ///< computed once registration has settled
-    time_point allocated_at_join;       ///< registry.last_joined() when it was computed
+    time_point allocated_at_join; ///< registry.last_joined() when it was computed
     std::set<failure_domain_id> evacuated_at_allocation; ///< registry.evacuated_domains() then
-    std::int64_t last_group_number = 0; ///< within `group_number_term`
+    std::int64_t last_group_number = 0;                  ///< within `group_number_term`
     std::int64_t group_number_term = 0;
     std::uint64_t last_token = 0;
     std::uint64_t orders = 0;
--- a/soak/soak_test.cc
+++ b/soak/soak_test.cc
@@ -256,6 +256,7 @@
         const auto* daemon = std::get_if<planned_daemon_fault>(&fault.action);
         const auto* runner = std::get_if<planned_runner_fault>(&fault.action);
         const bool planned = std::holds_alternative<configuration_change>(fault.action) ||
+                             std::holds_alternative<planned_evacuation>(fault.action) ||
                              (daemon != nullptr && (daemon->fault == daemon_fault::stop ||
                                                     daemon->fault == daemon_fault::reload)) ||
                              (runner != nullptr && runner->fault == runner_fault::drain);
