Cold servers: all nodes together send one no more than it bears

Cause: nothing decided by a server's cold state. Change: the entry's cold state reaches the request core with the targets. A server that is cold gets whole requests a second from as many nodes as it bears requests, by rendezvous rank (routing/cold_servers, routing/fleet_ranking, which rate_limits now shares). The parts add up to half of the bound, count what was sent before the word, stay with members that fall silent, and are not used by a process that has just started. What can't be sent goes elsewhere, waits, or is refused with the time to return. A new group's head is a member that is not cold. Log lines, gauges, stand-ins. fleet_ranking differs from what rate_limits did in one point: a member that is first heard of as not live keeps its part too, as at the nodes that knew it before.

--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -132,6 +132,10 @@
                                   "Retries that the budgets did not allow, since the start");
     Gauge& limited = gauge(registry, "jaynotch_limited_servers",
                            "Backend servers that limit the requests a second of all nodes");
+    Gauge& cold_servers = gauge(registry, "jaynotch_cold_servers",
+                                "Backend servers that are cold and get few requests");
+    Gauge& held_from_cold = gauge(registry, "jaynotch_held_from_cold",
+                                  "Requests that waited while cold servers got no more");
     Gauge& servers_ended = gauge(registry, "jaynotch_servers_ended",
                                  "Backend servers that ended as they began to answer");
     Gauge& contents_blocked = gauge(registry, "jaynotch_contents_blocked",
@@ -246,6 +250,8 @@
     all.retries_charged.Set(static_cast<double>(now.retries_charged));
     all.retries_denied.Set(static_cast<double>(now.retries_denied));
     all.limited.Set(static_cast<double>(now.limited_servers));
+    all.cold_servers.Set(static_cast<double>(now.cold_servers));
+    all.held_from_cold.Set(static_cast<double>(now.held_from_cold));
     all.servers_ended.Set(static_cast<double>(now.servers_ended));
     all.contents_blocked.Set(static_cast<double>(now.contents_blocked));
     all.refused_blocked.Set(static_cast<double>(now.refused_blocked));
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -79,6 +79,8 @@
     made.retry_window = settings.site.retry_window;
     made.charge_every_retry = true;
     made.min_retry_after = std::chrono::milliseconds{100};
+    made.cold_excess = settings.site.cold_excess;
+    made.cold_slack = settings.site.cold_slack;
     return made;
 }
 
@@ -108,6 +110,15 @@
         driver_hooks hooks;
         hooks.on_silent = [this](const target_silent& seen) { handle_silent_target(seen); };
         hooks.on_share_limit = [this](const share_limit& seen) { publish_limit(seen); };
+        hooks.on_cold_servers = [](const cold_servers_changed& seen) {
+            if (seen.cold == 0)
+                log_event(log_level::info, "server_warm", {});
+            else
+                log_event(log_level::info, "server_cold",
+                          {{"servers", seen.cold},
+                           {"first", seen.example.value()},
+                           {"own_requests_per_second", seen.own_parts}});
+        };
         hooks.on_probe_server = [this](const probe_server& wanted) {
             net::co_spawn(io, probe(wanted), net::detached);
         };
@@ -557,6 +568,8 @@
         now.detours = requests->core().counters().detours;
         now.relayed = requests->core().counters().relayed;
         now.limited_servers = requests->core().limited_servers();
+        now.cold_servers = requests->core().known_cold_servers();
+        now.held_from_cold = requests->core().counters().held_from_cold;
         now.refused_limited = requests->core().counters().refused_limited;
         now.servers_ended = requests->core().counters().servers_ended;
         now.contents_blocked = requests->core().counters().contents_blocked;
--- a/daemon/request_driver.cc
+++ b/daemon/request_driver.cc
@@ -118,6 +118,11 @@
         if (m_hooks.on_share_limit)
             m_hooks.on_share_limit(cmd);
     }
+    void execute_global(const cold_servers_changed& cmd)
+    {
+        if (m_hooks.on_cold_servers)
+            m_hooks.on_cold_servers(cmd);
+    }
     void execute_global(const share_demand& cmd)
     {
         if (m_hooks.on_share_demand)
--- a/daemon/request_driver.h
+++ b/daemon/request_driver.h
@@ -47,6 +47,7 @@
     std::function<void(const share_demand&)> on_share_demand;
     std::function<void(const target_silent&)> on_silent;
     std::function<void(const share_limit&)> on_share_limit;
+    std::function<void(const cold_servers_changed&)> on_cold_servers;
     std::function<void(const check_server_ended&)> on_check_server_ended;
     std::function<void(const share_evidence&)> on_share_evidence;
     std::function<void(const content_blocked&)> on_content_blocked;
--- a/daemon/target_view.cc
+++ b/daemon/target_view.cc
@@ -26,8 +26,9 @@
     return nullptr;
 }
 
-target to_target(const runner& row, const pool& source)
+target to_target(const groups::registered_runner& entry, const pool& source)
 {
+    const runner& row = entry.row;
     target made;
     made.id = target_id{row.id.value() + "@" + std::to_string(row.born_ms)};
     made.pool = source.name;
@@ -36,6 +37,7 @@
     made.failure_domain = row.failure_domain;
     made.places = row.places;
     made.leaving = row.leaving;
+    made.cold_until = entry.cold_until;
     return made;
 }
 
@@ -43,7 +45,8 @@
 {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](const target& x, const target& y) {
         return x.id == y.id && x.pool == y.pool && x.address == y.address &&
-               x.leaving == y.leaving && x.places == y.places && x.fencing == y.fencing;
+               x.leaving == y.leaving && x.places == y.places && x.fencing == y.fencing &&
+               x.cold_until == y.cold_until;
     });
 }
 
@@ -59,18 +62,19 @@
 {
     target_lists made;
     for (const vm_id& id : registry.plain_servers()) {
-        const runner& row = registry.find(id)->row;
-        if (const pool* source = find_pool(tables, row))
-            made.servers.push_back(to_target(row, *source));
+        const groups::registered_runner& entry = *registry.find(id);
+        if (const pool* source = find_pool(tables, entry.row))
+            made.servers.push_back(to_target(entry, *source));
     }
     for (const vm_id& id : registry.heads()) {
-        const runner& row = registry.find(id)->row;
+        const groups::registered_runner& entry = *registry.find(id);
+        const runner& row = entry.row;
         const pool* source =
             row.group->phase == member_phase::open ? find_pool(tables, row) : nullptr;
         if (source == nullptr)
             continue;
         const groups::group_key key = groups::key_of(*row.group);
-        target group = to_target(row, *source);
+        target group = to_target(entry, *source);
         group.id = target_id{key.first.value() + "/" + std::to_string(key.second)};
         group.group = key.first;
         group.fencing = fencing_number{key.second};
--- a/daemon/target_view_test.cc
+++ b/daemon/target_view_test.cc
@@ -84,3 +84,26 @@
     other.registry.remove(other.member(0), other.now);
     cr_assert(!other.gets_requests());
 }
+
+// Guards against requests that overrun a cold server because its state is taken for an old one: a
+// change from warm to cold or back must reach the router, counted from when the entry was read.
+Test(target_view, a_head_that_becomes_cold_changes_the_lists)
+{
+    open_group_world world;
+    const auto lists = [&] { return targets_of(world.registry, world.tables, world.now); };
+    const target_lists warm = lists();
+    runner head = world.registry.find(world.member(0))->row;
+    head.cold_left = 2s;
+    world.registry.update(head, world.now);
+    const target_lists cold = lists();
+    cr_assert(!cold.same(warm));
+    cr_assert(cold.groups.front().cold_until == world.now + 2s);
+    world.now += 1s;
+    head.places = 4; // another field of the entry changes
+    world.registry.update(head, world.now);
+    cr_assert(lists().groups.front().cold_until == world.now + 1s);
+    head.cold_left = 0s;
+    world.registry.update(head, world.now);
+    cr_assert(!lists().same(cold));
+    cr_assert(lists().groups.front().cold_until <= world.now);
+}
--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -164,6 +164,12 @@
     publish(*find(id));
 }
 
+void fake_registry::set_cold(const std::string& id, std::chrono::milliseconds left)
+{
+    find(id)->row.cold_left = left;
+    publish(*find(id));
+}
+
 void fake_registry::store_down()
 {
     m_store_down = true;
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -63,6 +63,8 @@
     void expire_entry(const std::string& id, duration away);
     /// Announces in the runner's entry that it is about to leave.
     void drain(const std::string& id);
+    /// The runner's entry says that it stays cold for `left`.
+    void set_cold(const std::string& id, std::chrono::milliseconds left);
     void add(const std::string& id, std::size_t domain);
     void begin_traffic();
     /// Stops the manager's process at once; its lease expires.
--- a/groups/formation_plan.cc
+++ b/groups/formation_plan.cc
@@ -185,6 +185,9 @@
         return left != right ? left < right : a->row.id < b->row.id;
     });
     free.resize(model_pool.replica_vms);
+    // Only the head gets requests, and a cold one bears few.
+    std::stable_partition(free.begin(), free.end(),
+                          [](const runner_view* view) { return view->row.cold_left.count() == 0; });
     return start_group(model_pool, std::move(free), group_purpose::serve, now);
 }
 
--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -52,6 +52,29 @@
     assert_no_violations(world);
 }
 
+// Guards against a new group that serves a few requests a second because its head is cold, while
+// another member is not.
+Test(formation, a_new_group_has_a_head_that_is_not_cold)
+{
+    fake_registry world = serving_fleet({.domains = 1, .runners = 9});
+    const std::string old_head = world.head_of("big", 0);
+    const std::vector<std::string> members = world.members_of(old_head);
+    const std::string& warm = members.back();
+    for (const std::string& member : members) {
+        if (member != warm)
+            world.set_cold(member, 30s);
+    }
+    for (const std::string& spare : world.spare())
+        world.set_cold(spare, 30s);
+    world.run(300ms);
+    world.kill(members[1]);
+    world.report_unresponsive_group(old_head);
+    world.run(2s);
+    cr_assert_eq(world.open_groups("big"), 1U);
+    cr_assert_eq(world.head_of("big", 0), warm);
+    assert_no_violations(world);
+}
+
 // Guards against a group that stands still for three heartbeats because its manager has no requests
 // there: the nodes whose requests wait must tell the manager.
 Test(formation, a_loss_that_only_another_node_observes_is_repaired_at_once)
--- a/groups/runner_registry.cc
+++ b/groups/runner_registry.cc
@@ -49,6 +49,9 @@
             entry = registered_runner{};
         if (row.leaving && !entry.row.leaving)
             entry.leaving_since = now;
+        // An entry that is read again, or changed in other fields, is from the same time as before.
+        if (row.cold_left != entry.row.cold_left || entry.cold_until <= now)
+            entry.cold_until = row.cold_left.count() > 0 ? now + row.cold_left : time_point{};
         entry.row = row;
         entry.listed = true;
         if (!row.model.empty())
--- a/groups/runner_registry.h
+++ b/groups/runner_registry.h
@@ -46,6 +46,7 @@
     time_point unlisted_at;   ///< if not listed
     time_point leaving_since; ///< if leaving
     time_point reported_at;   ///< when its report last differed from its entry
+    time_point cold_until;    ///< by its entry, which may be about a second old
     std::string warm_model;   ///< model of its last group since it started; joins for it are fast
 };
 
--- a/routing/rate_limits.cc
+++ b/routing/rate_limits.cc
@@ -49,38 +49,14 @@
     return std::max(per_second, min_per_second);
 }
 
-/// Rank of `self` among `names` for `key`; names.size() if it is not among them.
-std::size_t rendezvous_rank(const std::string& self, std::string_view key,
-                            std::vector<std::string> names)
-{
-    const std::vector<std::size_t> order = rendezvous(key, names, names.size());
-    const auto found = std::find_if(order.begin(), order.end(),
-                                    [&](std::size_t index) { return names[index] == self; });
-    return static_cast<std::size_t>(found - order.begin());
-}
-
 } // namespace
 
-rate_limits::rate_limits(node_id self) : m_self{std::move(self)}
-{
-    m_sharers.try_emplace(m_self);
-}
+rate_limits::rate_limits(node_id self) : m_fleet{std::move(self), silent_member_retention} {}
 
 void rate_limits::fleet_updated(const std::vector<fleet_member>& members, time_point now)
 {
-    std::map<node_id, failure_domain_id> sharers;
-    sharers.try_emplace(m_self); // its failure domain comes with the list of members
-    for (const fleet_member& one : members) {
-        if (one.live)
-            m_last_live[one.node] = now;
-        const auto last = m_last_live.find(one.node);
-        if (last != m_last_live.end() && now - last->second <= silent_member_retention)
-            sharers[one.node] = one.failure_domain;
-    }
-    std::erase_if(m_last_live, [&](const auto& entry) { return !sharers.contains(entry.first); });
-    if (sharers == m_sharers)
+    if (!m_fleet.update(members, now))
         return;
-    m_sharers = std::move(sharers);
     for (auto& [server, row] : m_servers) {
         refill(row, now);
         update_share(server, row);
@@ -147,26 +123,14 @@
 void rate_limits::update_share(const vm_id& server, server_row& row) const
 {
     const double limit = effective_limit(row.per_second);
-    const auto nodes = static_cast<double>(m_sharers.size());
+    const auto nodes = static_cast<double>(m_fleet.size());
     const double parts = std::min(nodes, base_parts + std::floor(limit));
-    row.rank = rank_for(server, row.server_domain);
+    row.rank = m_fleet.rank(server, row.server_domain);
     row.share = static_cast<double>(row.rank) < parts ? limit / parts : 0.0;
     row.bucket_size = std::max(1.0, (base_parts + limit) / parts);
     row.tokens = std::min(row.tokens, row.share > 0.0 ? row.bucket_size : 0.0);
 }
 
-std::size_t rate_limits::rank_for(const vm_id& server, const failure_domain_id& server_domain) const
-{
-    std::vector<std::string> same_domain;
-    std::vector<std::string> other_domains;
-    for (const auto& [node, domain] : m_sharers)
-        (domain == server_domain ? same_domain : other_domains).push_back(node.value());
-    const std::size_t place = rendezvous_rank(m_self.value(), server.value(), same_domain);
-    if (place < same_domain.size())
-        return place;
-    return same_domain.size() + rendezvous_rank(m_self.value(), server.value(), other_domains);
-}
-
 double rate_limits::load_tokens_at(const server_row& row, time_point now)
 {
     return std::min(row.bucket_size, row.tokens + row.share * seconds(now - row.refilled_at));
--- a/routing/rate_limits.h
+++ b/routing/rate_limits.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "base/base.h"
+#include "routing/fleet_ranking.h"
 
 #include <chrono>
 #include <cstddef>
@@ -20,13 +21,6 @@
 
 namespace jaynotch {
 
-/// An entry VM in the membership list. VMs that have left by themselves are not listed.
-struct fleet_member {
-    node_id node;
-    failure_domain_id failure_domain;
-    bool live = true;
-};
-
 class rate_limits {
 public:
     explicit rate_limits(node_id self);
@@ -85,14 +79,10 @@
     server_row* install(const vm_id& server, const failure_domain_id& server_domain,
                         double per_second, time_point now);
     void update_share(const vm_id& server, server_row& row) const;
-    [[nodiscard]] std::size_t rank_for(const vm_id& server,
-                                       const failure_domain_id& server_domain) const;
     [[nodiscard]] static double load_tokens_at(const server_row& row, time_point now);
     static void refill(server_row& row, time_point now);
 
-    node_id m_self;
-    std::map<node_id, failure_domain_id> m_sharers;
-    std::map<node_id, time_point> m_last_live;
+    fleet_ranking m_fleet;
     std::map<vm_id, server_row> m_servers;
 };
 
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -302,8 +302,10 @@
     const request_id request = row.info.id;
     dispatch(index, now, out);
     const auto still = requests.find(request);
-    if (still != requests.end() && still->second.phase == request_phase::queued)
-        set_wake(still->second, next_wake_time(still->second));
+    if (still == requests.end() || still->second.phase != request_phase::queued)
+        return;
+    counters.held_from_cold += withholds_from_cold(pools.at(index)) ? 1 : 0;
+    set_wake(still->second, next_wake_time(still->second));
 }
 
 void request_core::state::on_key_status_requested(const key_status_requested& requested,
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -99,7 +99,7 @@
     row->attempt.sent = true;
     row->reached_server = row->reached_server || !targets.at(row->attempt.target).other_node;
     if (row->attempt.repeated)
-        consume_limit(targets.at(row->attempt.target), now);
+        note_sent_to_server(targets.at(row->attempt.target), pools.at(row->terms.pool), now);
 }
 
 void request_core::state::on_head(const attempt_head& head, time_point now, command_list& out)
@@ -408,7 +408,10 @@
     const request_row* row = find_attempt(request, attempt);
     if (row == nullptr)
         return false;
-    const bool at_server = !targets.at(row->attempt.target).other_node;
+    const target_row& target = targets.at(row->attempt.target);
+    const bool at_server = !target.other_node;
+    if (at_server && target.cold_part_used)
+        return false;
     if (suspects.is_suspected(row->info.contents) ||
         (at_server && may_retry(*row, attempt_failure::cut)))
         return false;
--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -209,6 +209,13 @@
     double own_share = 0.0; ///< this node's part of it, requests per second
 };
 
+/// The number of cold servers that this node sees has changed. At most one a second.
+struct cold_servers_changed {
+    std::size_t cold = 0;
+    std::uint32_t own_parts = 0; ///< requests a second that this node may send to all of them
+    vm_id example;               ///< one of them
+};
+
 /// Find out whether a connection to a backend server can be opened; answered by server_probed.
 struct probe_server {
     target_id target;
@@ -252,8 +259,8 @@
 using command =
     std::variant<send_attempt, deliver, cancel_attempt, attempt_held, complete, refuse, replay,
                  end_truncated, forget, report_key_status, call_kv, grant_lease, target_released,
-                 target_silent, share_limit, probe_server, check_server_ended, share_evidence,
-                 content_blocked, reach_changed, group_reach_changed, share_demand>;
+                 target_silent, share_limit, cold_servers_changed, probe_server, check_server_ended,
+                 share_evidence, content_blocked, reach_changed, group_reach_changed, share_demand>;
 using command_list = std::vector<command>;
 
 } // namespace jaynotch
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -20,7 +20,7 @@
 request_core::state::state(core_settings given, random_source source, time_point now)
     : settings{std::move(given)}, node_hash{hash64(settings.node.value())}, random{source},
       peers{settings.max_peers, settings.demand_ttl}, claims{settings}, limits{settings.node},
-      budgets{settings, now}, next_share{now}
+      cold{settings.node, now}, budgets{settings, now}, next_share{now}
 {
     // Attempt ids must be unique across nodes and processes, since engines cancel attempts by id.
     next_attempt = random.bits() << attempt_space_bits;
@@ -89,6 +89,11 @@
     return m_state->limits.size();
 }
 
+std::size_t request_core::known_cold_servers() const
+{
+    return m_state->cold.cold_count();
+}
+
 bool request_core::responded_since(const vm_id& instance, time_point since) const
 {
     const target_table& targets = m_state->targets;
@@ -157,12 +162,14 @@
         void operator()(const groups_changed& e) const
         {
             core.targets.replace_groups(e.groups, now);
+            core.update_cold_servers(now);
             core.refresh_pools(now);
             core.dispatch_all(now, out);
         }
         void operator()(const servers_changed& e) const
         {
             core.targets.set_discovered_servers(e.servers, now);
+            core.update_cold_servers(now);
             core.refresh_pools(now);
             core.dispatch_all(now, out);
         }
@@ -259,6 +266,7 @@
             workspaces_by_key[key] = workspace;
     }
     targets.set_configured_servers(tables, now);
+    update_cold_servers(now);
     refresh_pools(now);
     std::vector<request_id> orphans;
     for (const auto& [request, row] : requests) {
@@ -288,6 +296,7 @@
     peers.expire(now);
     budgets.tick(now);
     refresh_limits(now);
+    refresh_cold(now, out);
     suspects.tick(now);
     for (std::size_t row = 0; row < targets.size(); ++row) {
         target_row& sampled = targets.at(static_cast<target_row_index>(row));
--- a/routing/request_core.h
+++ b/routing/request_core.h
@@ -60,6 +60,10 @@
     /// Charge the budget for every retry of an attempt of which a byte may have been sent,
     /// including retries that are otherwise free (see request_core::state::is_charged_to_budget).
     bool charge_every_retry = false;
+    /// In a second, a cold server may get pool::cold_per_s requests times this from all nodes
+    /// together, and `cold_slack` more.
+    double cold_excess = 1.0;
+    double cold_slack = 0.0;
 };
 
 /// Counters since the start of the process.
@@ -76,6 +80,7 @@
     std::uint64_t contents_blocked = 0;   ///< since servers ended under them
     std::uint64_t refused_blocked = 0;    ///< of refused: for such a content
     std::uint64_t refused_limited = 0;    ///< of refused: by the servers' own rate limits
+    std::uint64_t held_from_cold = 0;     ///< queued while a part of a cold server was used up
     std::uint64_t attempts = 0;
     std::uint64_t retries = 0;
     std::uint64_t resumes = 0;
@@ -135,6 +140,8 @@
     [[nodiscard]] std::vector<pool_status> pools() const;
     /// Number of servers with a limit on the requests per second of all nodes together.
     [[nodiscard]] std::size_t limited_servers() const;
+    /// Number of servers known to be cold.
+    [[nodiscard]] std::size_t known_cold_servers() const;
     /// Retries left in the budget that the request draws on; 0 if there is no such request.
     [[nodiscard]] double retries_left(request_id request) const;
     /// Whether this node seems to reach no server of some pool.
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -136,7 +136,7 @@
     target_row& target = targets.at(chosen);
     if (target.own == 0)
         target.last_activity = now;
-    consume_limit(target, now);
+    note_sent_to_server(target, pool, now);
     ++target.own;
     ++pool.view.own;
     ++pool.in_flight;
--- a/routing/request_events.h
+++ b/routing/request_events.h
@@ -46,6 +46,7 @@
     vm_id instance;                        ///< the only server that may run the requests, or empty
     failure_domain_id failure_domain;      ///< empty if unknown
     std::uint32_t places = 0;              ///< max concurrent requests; 0: the pool's setting
+    time_point cold_until;                 ///< its server is cold until then; see pool::cold_per_s
 
     friend bool operator==(const target& a, const target& b) { return a.id == b.id; }
 };
--- a/routing/request_limits.cc
+++ b/routing/request_limits.cc
@@ -11,6 +11,9 @@
 /// Retry-After base if this node has no share of any limit, seconds.
 constexpr double no_share_retry_s = 0.5;
 
+/// Requests a second; above any limit of a server.
+constexpr std::uint32_t no_limit = 1'000'000;
+
 double seconds(duration span)
 {
     return std::chrono::duration<double>(span).count();
@@ -54,6 +57,9 @@
 void request_core::state::on_fleet_updated(const fleet_updated& updated, time_point now)
 {
     limits.fleet_updated(updated.members, now);
+    cold.fleet_updated(updated.members, now);
+    if (cold.cold_count() == 0)
+        cold.forget(now); // otherwise refresh_cold() does, and updates the targets
     const auto known = [&](const vm_id& server) {
         return targets.find_instance(server) != no_target;
     };
@@ -76,24 +82,29 @@
 
 duration request_core::state::limit_wait(const pool_row& pool, time_point now) const
 {
-    if (limits.empty())
+    if (limits.empty() && cold.cold_count() == 0)
         return duration{0};
     duration shortest = duration::max();
+    duration first_warm = duration::max();
     double share = 0.0;
     for (const target_row_index at : pool.view.targets) {
         const target_row& row = targets.at(at);
         if (row.leaving() || row.health.ejected)
             continue;
-        const std::optional<double> part = limits.share(row.info.instance);
-        if (!part)
+        const vm_id& server = row.info.instance;
+        const std::optional<double> limit = limits.share(server);
+        const std::optional<std::uint32_t> cold_part = cold.part(server);
+        if (!limit && !cold_part)
             return duration{0};
-        shortest = std::min(shortest, limits.wait(row.info.instance, now));
-        share += *part;
+        shortest = std::min(shortest, std::max(limits.wait(server, now), cold.wait(server, now)));
+        if (!limit)
+            first_warm = std::min(first_warm, cold.left(server, now));
+        share += std::min<double>(limit.value_or(no_limit), cold_part.value_or(no_limit));
     }
     if (shortest == duration::max() || share == 0.0)
         return shortest;
     const std::chrono::duration<double> ahead{static_cast<double>(pool.queue.size()) / share};
-    return shortest + std::chrono::duration_cast<duration>(ahead);
+    return std::min(first_warm, shortest + std::chrono::duration_cast<duration>(ahead));
 }
 
 bool request_core::state::refuse_limited(request_row& row, time_point now, command_list& out)
@@ -106,7 +117,7 @@
     const double back_s = wait == duration::max() ? no_share_retry_s : seconds(wait);
     finish_refuse(row,
                   {error_kind::overloaded,
-                   "all its backend servers limit the requests a second that they take",
+                   "all its backend servers limit the requests a second that they take now",
                    "come back after the time in Retry-After"},
                   ran_state::no, retry_after(back_s), now, out);
     return true;
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -4,6 +4,7 @@
 
 #include "routing/caller_timeout_estimate.h"
 #include "routing/claim_manager.h"
+#include "routing/cold_servers.h"
 #include "routing/outliers.h"
 #include "routing/pool_table.h"
 #include "routing/request_core.h"
@@ -129,10 +130,17 @@
     void consume_limit(target_row& target, time_point now);
     void refresh_limits(time_point now);
     bool refuse_limited(request_row& row, time_point now, command_list& out);
-    /// How long the targets' rate limits would delay one more request of the pool; 0 if some target
-    /// has no limit, max() if this node has no share of any limit.
+    /// How long the targets' rate limits, and servers being cold, would delay one more request of
+    /// the pool; 0 if some target has no limit, max() if this node has no share of any limit.
     [[nodiscard]] duration limit_wait(const pool_row& pool, time_point now) const;
 
+    // request_cold.cc: servers that are cold
+    void update_cold_servers(time_point now);
+    /// Accounts for a request that is sent to a server, for its limits.
+    void note_sent_to_server(target_row& target, const pool_row& pool, time_point now);
+    void refresh_cold(time_point now, command_list& out);
+    [[nodiscard]] bool withholds_from_cold(const pool_row& pool) const;
+
     // request_detour.cc: requests sent through other nodes while this one reaches no server
     void note_failed_attempt(const request_row& row, attempt_failure reason);
     [[nodiscard]] bool may_detour(const request_row& row) const;
@@ -281,6 +289,9 @@
     demand_table peers;
     claim_manager claims;
     rate_limits limits;
+    cold_servers cold;
+    std::size_t cold_reported = 0; ///< cold servers in the last cold_servers_changed
+    time_point next_cold_report;
     crash_suspects suspects;
     bool reached_no_group = false; ///< as last reported
     std::size_t relayed_open = 0;  ///< open requests that other nodes have passed on
--- a/standins/platform_forms.cc
+++ b/standins/platform_forms.cc
@@ -38,6 +38,8 @@
     return {{"name", "llm"},
             {"health_path", "/health"},
             {"max_conns", 200},
+            {"cold_s", 2.0},
+            {"cold_per_s", cold_requests_per_s},
             {"engine", json::object{{"slot_count", 8},
                                     {"kv_tokens", 100000},
                                     {"stride", 7},
@@ -98,7 +100,7 @@
          << "[bounds]\ndrain_ms = 2000\ngrace_s = 8\nconfig_apply_ms = 2000\nstall_ms = "
          << group_stall.count()
          << "\nretry_ratio = 0.2\nretry_window_s = 10\nretry_extra = " << site.retry_extra
-         << "\nrequire_fencing = true\n"
+         << "\ncold_excess = 1.5\ncold_slack = 5\nrequire_fencing = true\n"
          << "[platform]\naddr = \"" << site.store << "\"\n";
     return text.str();
 }
--- a/standins/platform_forms.h
+++ b/standins/platform_forms.h
@@ -29,6 +29,11 @@
 /// Timeout of each route, and of a caller's request, unless a test chooses another.
 constexpr std::chrono::milliseconds usual_timeout{4'000};
 
+/// Requests a second that a cold model server bears from all daemons, and the most that it may get
+/// by the settings.
+constexpr double cold_requests_per_s = 6.0;
+constexpr double allowed_cold_requests = cold_requests_per_s * 1.5 + 5.0;
+
 /// Writes a version of the operators' configuration. The API keys "key-N" of this version and the
 /// previous one are valid.
 void put_config_version(store_standin& store, std::int64_t version,
--- a/standins/runner_standin.cc
+++ b/standins/runner_standin.cc
@@ -44,6 +44,10 @@
         {"zone", m_settings.zone},
         {"slot_count", 8},
         {"state", m_state},
+        {"cold_remaining_ms",
+         std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(
+                                       m_cold_until - runtime_clock::now())
+                                       .count())},
         {"born", 1}};
     if (!m_settings.domain.empty()) {
         entry["domain"] = m_settings.domain;
@@ -70,6 +74,12 @@
         m_store->put("servers/" + m_settings.id, json::serialize(description()));
 }
 
+void runner_standin::set_cold(duration left)
+{
+    m_cold_until = runtime_clock::now() + left;
+    publish();
+}
+
 void runner_standin::drain()
 {
     m_state = "draining";
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -129,6 +129,8 @@
     void advertise_address(std::string address);
     /// Changes its state in the registry to draining.
     void drain();
+    /// Is cold for `left` from now on, by its entry; its heartbeats keep that up to date.
+    void set_cold(duration left);
     /// Simulates a process that is stopped for `time` and then goes on: connections stay open, and
     /// nothing is read or written. The group of a paused member stands still.
     void pause(duration time) { m_paused_until = runtime_clock::now() + time; }
@@ -190,6 +192,7 @@
     /// Groups and epochs in which this runner became ready.
     std::set<std::pair<std::string, std::int64_t>> m_ready_groups;
     std::string m_state = "ready";
+    time_point m_cold_until;
     std::string m_group;
     std::int64_t m_epoch = 0;
     std::int64_t m_rank = 0;
