--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -134,6 +134,10 @@
                            "Backend servers that limit the requests a second of all nodes");
     Gauge& evacuated = gauge(registry, "jaynotch_evacuated_domains",
                              "Failure domains whose backend servers get no new requests");
+    Gauge& cold_servers = gauge(registry, "jaynotch_cold_servers",
+                                "Backend servers that are cold and get few requests");
+    Gauge& held_from_cold = gauge(registry, "jaynotch_held_from_cold",
+                                  "Requests that waited while cold servers got no more");
     Gauge& servers_ended = gauge(registry, "jaynotch_servers_ended",
                                  "Backend servers that ended as they began to answer");
     Gauge& contents_blocked = gauge(registry, "jaynotch_contents_blocked",
@@ -249,6 +253,8 @@
     all.retries_denied.Set(static_cast<double>(now.retries_denied));
     all.limited.Set(static_cast<double>(now.limited_servers));
     all.evacuated.Set(static_cast<double>(now.evacuated_domains));
+    all.cold_servers.Set(static_cast<double>(now.cold_servers));
+    all.held_from_cold.Set(static_cast<double>(now.held_from_cold));
     all.servers_ended.Set(static_cast<double>(now.servers_ended));
     all.contents_blocked.Set(static_cast<double>(now.contents_blocked));
     all.refused_blocked.Set(static_cast<double>(now.refused_blocked));
