Formation: of equally ready runners, one that is not cold is taken, and becomes the head

Cause: form_group put a warm member first only if the order of ids had brought one into the group; its test showed that. It also waited on a survivor that was not free yet, which was the test's fault. Change: of runners that are ready equally soon, those that are not cold come first.

--- a/groups/formation_plan.cc
+++ b/groups/formation_plan.cc
@@ -179,15 +179,17 @@
         free, [&](const runner_view* view) { return time_to_ready(*view, model_pool) > longest; });
     if (free.size() < model_pool.replica_vms)
         return false;
+    // Only the head gets requests, and a cold one bears few of them.
+    const auto warm = [](const runner_view* view) { return view->row.cold_left.count() == 0; };
     std::sort(free.begin(), free.end(), [&](const runner_view* a, const runner_view* b) {
         const duration left = time_to_ready(*a, model_pool);
         const duration right = time_to_ready(*b, model_pool);
-        return left != right ? left < right : a->row.id < b->row.id;
+        if (left != right)
+            return left < right;
+        return warm(a) != warm(b) ? warm(a) : a->row.id < b->row.id;
     });
     free.resize(model_pool.replica_vms);
-    // Only the head gets requests, and a cold one bears few.
-    std::stable_partition(free.begin(), free.end(),
-                          [](const runner_view* view) { return view->row.cold_left.count() == 0; });
+    std::stable_partition(free.begin(), free.end(), warm);
     return start_group(model_pool, std::move(free), group_purpose::serve, now);
 }
 
--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -59,17 +59,20 @@
     fake_registry world = serving_fleet({.domains = 1, .runners = 9});
     const std::string old_head = world.head_of("big", 0);
     const std::vector<std::string> members = world.members_of(old_head);
-    const std::string& warm = members.back();
-    for (const std::string& member : members) {
-        if (member != warm)
-            world.set_cold(member, 30s);
+    const std::vector<std::string> spares = world.spare();
+    const std::string& warm = spares.back();
+    for (const auto& list : {members, spares}) {
+        for (const std::string& member : list) {
+            if (member != warm)
+                world.set_cold(member, 30s);
+        }
     }
-    for (const std::string& spare : world.spare())
-        world.set_cold(spare, 30s);
     world.run(300ms);
     world.kill(members[1]);
+    world.run(300ms);
     world.report_unresponsive_group(old_head);
-    world.run(2s);
+    cr_assert(world.run_until([&] { return world.open_groups("big") == 0; }, 2s));
+    cr_assert(world.run_until([&] { return world.open_groups("big") == 1; }, 3s));
     cr_assert_eq(world.open_groups("big"), 1U);
     cr_assert_eq(world.head_of("big", 0), warm);
     assert_no_violations(world);
