Held memory: a node's bodies, whole answers and read-ahead have a budget

A stream was read only as fast as its caller took it, so a server could cut off an answer that was ready.

Bodies and read-ahead may take a fraction of what the others leave free, so the largest are refused first (503 with Retry-After, did not run) and small requests always get on; answers wait, and one of them may go beyond.

--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -140,6 +140,16 @@
         gauge(registry, "jaynotch_refused_blocked", "Requests refused for such a content");
     Gauge& refused_limited =
         gauge(registry, "jaynotch_refused_limited", "Requests refused for these limits");
+    Gauge& held = gauge(registry, "jaynotch_held_bytes",
+                        "Bytes of bodies and answers held for callers and backend servers");
+    Gauge& held_peak = gauge(registry, "jaynotch_held_peak_bytes", "The most of these so far");
+    Gauge& held_budget =
+        gauge(registry, "jaynotch_held_budget_bytes", "The most that may be held; 0: unlimited");
+    Gauge& refused_memory = gauge(registry, "jaynotch_refused_memory",
+                                  "Requests refused for lack of this node's memory");
+    Gauge& paused_reads =
+        gauge(registry, "jaynotch_paused_reads",
+              "Times that an answer was read no further for lack of this node's memory");
     Gauge& cut_off = gauge(registry, "jaynotch_servers_unreachable",
                            "1 if no backend server of some pool seems reachable");
     Gauge& detours = gauge(registry, "jaynotch_detoured_requests",
@@ -250,6 +260,11 @@
     all.contents_blocked.Set(static_cast<double>(now.contents_blocked));
     all.refused_blocked.Set(static_cast<double>(now.refused_blocked));
     all.refused_limited.Set(static_cast<double>(now.refused_limited));
+    all.held.Set(static_cast<double>(now.held.bytes));
+    all.held_peak.Set(static_cast<double>(now.held.peak));
+    all.held_budget.Set(static_cast<double>(now.held.budget));
+    all.refused_memory.Set(static_cast<double>(now.held.refused));
+    all.paused_reads.Set(static_cast<double>(now.held.paused));
     all.cut_off.Set(now.cut_off ? 1.0 : 0.0);
     all.detours.Set(static_cast<double>(now.detours));
     all.relayed.Set(static_cast<double>(now.relayed));
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "base/base.h"
+#include "daemon/held_memory.h"
 #include "routing/routing.h"
 #include "services/services.h"
 
@@ -56,6 +57,7 @@
     std::uint64_t detours = 0;          ///< requests sent through another node
     std::uint64_t relayed = 0;          ///< requests that another node passed on to this one
     duration config_age{0};             ///< since the tables in force were installed
+    held_memory_counts held;            ///< for callers and servers that read slowly
 };
 
 class metrics {
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -144,6 +144,7 @@
                                {},
                                [this] { return tables ? tables->revision : config_revision{0}; },
                                {}});
+        services->memory->set_budget(settings.limits.held_bytes);
         caller_front = std::make_unique<forward_front>(*services, [this] {
             return front_state{tables, m_stopping, false};
         });
@@ -561,6 +562,7 @@
         now.servers_ended = requests->core().counters().servers_ended;
         now.contents_blocked = requests->core().counters().contents_blocked;
         now.refused_blocked = requests->core().counters().refused_blocked;
+        now.held = services->memory->counts();
         for (const groups::formation_status& one : managers->status()) {
             now.groups_forming += one.leading ? one.groups_forming : 0;
             now.spare_runners += one.leading ? one.spare_runners : 0;
@@ -658,4 +660,9 @@
     return m_impl->counts;
 }
 
+const held_memory_counts& registry_daemon::held() const
+{
+    return m_impl->services->memory->counts();
+}
+
 } // namespace jaynotch
--- a/daemon/registry_daemon.h
+++ b/daemon/registry_daemon.h
@@ -9,6 +9,7 @@
 
 #include "base/base.h"
 #include "daemon/daemon.h"
+#include "daemon/held_memory.h"
 #include "daemon/settings.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -49,6 +50,8 @@
     [[nodiscard]] std::uint16_t relay_port() const;
     [[nodiscard]] std::string peer_address() const; ///< "IP:port" that is bound
     [[nodiscard]] daemon_counts counts() const;
+    /// What it holds for callers and backend servers that read slowly.
+    [[nodiscard]] const held_memory_counts& held() const;
     /// Number of groups that may receive requests now.
     [[nodiscard]] std::size_t complete_groups() const;
     /// Revision of the installed tables; 0 before the first were installed.
--- a/daemon/registry_fixture.h
+++ b/daemon/registry_fixture.h
@@ -35,6 +35,7 @@
     std::chrono::milliseconds gap{10};                 ///< time between the events of a stream
     std::chrono::milliseconds timeout = usual_timeout; ///< of routes and of callers' requests
     std::chrono::milliseconds balancer_wait = daemon_timeouts{}.balancer_wait; ///< on a stop
+    std::size_t held_bytes = 0; ///< that a node may hold for requests; 0: unlimited
     /// Heads notice members that are silent, leave or join another group; null: they don't.
     std::shared_ptr<runner_fabric> fabric;
 };
@@ -246,6 +247,7 @@
         chosen.site.retry_extra = m_settings.retry_extra;
         chosen.site.retry_window = m_settings.retry_window;
         chosen.timeouts.balancer_wait = m_settings.balancer_wait;
+        chosen.limits.held_bytes = m_settings.held_bytes;
         chosen.before_connect = [this, node](const std::string& address) {
             const bool refused = m_cut.contains(node) && is_server(address);
             return refused ? make_error_code(boost::asio::error::connection_refused)
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -301,8 +301,10 @@
     if (!m_write_turns.busy())
         return;
     for (const auto& [id, attempt] : m_attempts) {
-        if (attempt->delivering && !attempt->cancelled)
-            m_services.driver.handle(attempt_progress{m_inbox->id(), id, 0});
+        if (!attempt->delivering || attempt->cancelled)
+            continue;
+        m_services.driver.handle(attempt_progress{m_inbox->id(), id, 0});
+        start_reading_ahead(attempt);
     }
 }
 
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -7,6 +7,7 @@
 
 #include "base/base.h"
 #include "daemon/daemon.h"
+#include "daemon/held_memory.h"
 #include "daemon/metrics.h"
 #include "daemon/model_request.h"
 #include "daemon/request_driver.h"
@@ -45,6 +46,8 @@
     /// One function per running request, by the request's address; all are called every second.
     /// Each tells the core if the request is waiting for its caller to read.
     std::unordered_map<const void*, std::function<void()>> slow_caller_checks;
+    /// What all requests hold for callers and servers that read slowly.
+    std::shared_ptr<held_memory> memory = std::make_shared<held_memory>();
 };
 
 /// A caller's request as the front has read it.
@@ -53,12 +56,18 @@
     std::optional<model_request> model; ///< set for chat and completion requests
     /// Set if the request is passed on unchanged: what its headers state.
     std::optional<call_metadata> metadata;
-    std::string body;         ///< plain services: as received, if it was buffered
-    bool stream_body = false; ///< plain services: the relay reads the body while sending
-    span server_span;         ///< of this node serving the request
+    std::string body;          ///< plain services: as received, if it was buffered
+    bool stream_body = false;  ///< plain services: the relay reads the body while sending
+    held_memory::account held; ///< what this request holds
+    span server_span;          ///< of this node serving the request
     time_point arrived;
 };
 
+/// Reads the body of a request as long as the memory for it is granted. `overloaded` if it isn't.
+net::awaitable<result<std::string>> read_held_body(relay_services& services,
+                                                   http_exchange& exchange,
+                                                   held_memory::account& held, std::size_t limit);
+
 class relay_request {
 public:
     relay_request(relay_services& services, http_exchange& exchange, incoming_request incoming);
--- a/daemon/relay_attempt.cc
+++ b/daemon/relay_attempt.cc
@@ -434,20 +434,25 @@
     std::string body;
     for (;;) {
         const result<std::string> piece = co_await answer.read(max_read_wait);
+        if (piece && piece.value().empty() && !attempt.cancelled)
+            co_return body;
+        if (piece && !attempt.cancelled) {
+            const bool held = co_await hold_answer(attempt, piece.value().size());
+            if (held)
+                body += piece.value();
+            if (held && body.size() <= limit)
+                continue;
+        }
+        m_incoming.held.release(body.size());
         if (attempt.cancelled)
             co_return std::nullopt;
-        if (!piece) {
-            report_read_failure(attempt, piece.error());
-            co_return std::nullopt;
-        }
-        if (piece.value().empty())
-            co_return body;
-        body += piece.value();
-        if (body.size() > limit) {
+        if (piece)
             answer.cancel();
+        if (piece)
             report_failure(attempt, attempt_failure::protocol);
-            co_return std::nullopt;
-        }
+        else
+            report_read_failure(attempt, piece.error());
+        co_return std::nullopt;
     }
 }
 
--- a/daemon/relay_forward.cc
+++ b/daemon/relay_forward.cc
@@ -191,8 +191,9 @@
 {
     sse_splitter events{max_event_bytes};
     bool begun = false;
+    attempt.may_read_ahead = true;
     for (;;) {
-        const result<std::string> piece = co_await answer.read(max_read_wait);
+        const result<std::string> piece = co_await next_part(attempt, answer);
         if (attempt.cancelled)
             co_return;
         if (!piece) {
--- a/daemon/relay_way.h
+++ b/daemon/relay_way.h
@@ -8,6 +8,7 @@
 #include "daemon/request_log.h"
 #include "daemon/write_turns.h"
 
+#include <deque>
 #include <optional>
 
 namespace jaynotch {
@@ -24,6 +25,15 @@
     buffered, ///< only after it has been read completely
 };
 
+/// Parts of an answer that were read while its caller did not take them.
+struct parts_ahead {
+    std::deque<result<std::string>> parts; ///< an error or an empty part is the last one
+    std::size_t bytes = 0;
+    bool reading = false;         ///< a coroutine reads ahead; nobody else may read the answer
+    bool ended = false;           ///< the last part has been read
+    std::optional<timer> changed; ///< never expires; cancelled on each change
+};
+
 /// One attempt: the request sent to one backend server.
 struct attempt_state {
     send_attempt send_command;
@@ -33,7 +43,9 @@
     bool sent = false;                              ///< a byte of it may have left
     time_point sent_at;                             ///< valid if `sent`
     bool cancelled = false;
-    bool delivering = false; ///< the core has chosen its answer for the caller
+    bool delivering = false;     ///< the core has chosen its answer for the caller
+    bool may_read_ahead = false; ///< its answer is read with next_part()
+    parts_ahead ahead;
 };
 
 /// A complete answer, kept until the core decides that the caller gets it.
@@ -109,6 +121,15 @@
     net::awaitable<bool> begin_answer(attempt_state& attempt, http::status status,
                                       http::fields headers, std::optional<std::uint64_t> length);
 
+    // relay_read_ahead.cc
+    /// The next part of an answer, from those read ahead or else from the server.
+    net::awaitable<result<std::string>> next_part(attempt_state& attempt, http_stream& answer);
+    /// Reads on while a write to the caller is pending, up to the bound of read-ahead.
+    void start_reading_ahead(const attempt_ptr& attempt);
+    net::awaitable<void> read_ahead(attempt_ptr attempt);
+    /// Waits until memory for more of an answer is granted; false if the attempt was cancelled.
+    net::awaitable<bool> hold_answer(attempt_state& attempt, std::size_t bytes);
+
     // relay_forward.cc
     net::awaitable<void> forward(attempt_state& attempt);
     http_request build_forwarded_request(const attempt_state& attempt) const;
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -41,6 +41,7 @@
     std::size_t keyed_body_bytes = 512 * 1024;      ///< of a keyed call and of its stored answer
     std::size_t requests = 4'096;                   ///< in flight and queued
     std::size_t idle_upstream = 64;                 ///< pooled connections to each target
+    std::size_t held_bytes = 0; ///< of bodies and answers that are held; 0: unlimited
 };
 
 /// Where the daemon's tables, backend servers and groups come from.
--- a/http/http_exchange.cc
+++ b/http/http_exchange.cc
@@ -208,7 +208,8 @@
     }
 }
 
-net::awaitable<result<std::string>> http_exchange::read_body(std::size_t limit)
+net::awaitable<result<std::string>>
+http_exchange::read_body(std::size_t limit, std::function<bool(std::size_t bytes)> admit)
 {
     std::string content;
     if (content_length().value_or(0) > limit) {
@@ -227,6 +228,11 @@
                             "the request's body is over " + std::to_string(limit) + " bytes",
                             "send a smaller body"};
         }
+        if (admit && !admit(piece.value().size())) {
+            m_keep_alive = false;
+            co_return error{error_kind::overloaded, "no memory is left here for the request's body",
+                            "come back after the time in Retry-After"};
+        }
         content += piece.value();
     }
     co_return content;
--- a/http/http_exchange.h
+++ b/http/http_exchange.h
@@ -14,6 +14,7 @@
 
 #include <boost/beast/http.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -60,8 +61,10 @@
     /// The next bytes of the body; empty at its end. Sends 100 Continue first if the caller expects
     /// it.
     net::awaitable<result<std::string>> read_some();
-    /// The whole body; too_large if it is longer than `limit` bytes.
-    net::awaitable<result<std::string>> read_body(std::size_t limit);
+    /// The whole body; too_large if it is longer than `limit` bytes. `admit` is asked before each
+    /// piece is kept; if it returns false, the error is `overloaded`. Empty: all are admitted.
+    net::awaitable<result<std::string>>
+    read_body(std::size_t limit, std::function<bool(std::size_t bytes)> admit = {});
 
     /// Sets a header of the response, whichever call sends it.
     void set(std::string_view name, std::string_view value);
--- a/standins/runner_standin.cc
+++ b/standins/runner_standin.cc
@@ -219,7 +219,8 @@
             co_await exchange.write_chunk("id: " + std::to_string(id) + "\nda");
             break;
         }
-        std::string event = "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+        std::string event = "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) +
+                            std::string(faults.padding, ' ') + "\n\n";
         if (!co_await exchange.write_chunk(std::move(event)))
             co_return;
         ++written;
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -89,7 +89,7 @@
     bool cut = false;          ///< close the connection after running the request
     std::size_t cut_every = 0; ///< cut each request with this number or a multiple of it; 0: off
     bool foreign = false;      ///< send the response to another request first
-    std::size_t padding = 0;   ///< additional bytes in the answer of a plain server
+    std::size_t padding = 0;   ///< additional bytes in each answer or event
     std::size_t cut_after = 0; ///< events after which a stream is cut; 0: off
     /// Text in the body or the list of prompt parts of requests under which the process ends, as it
     /// begins to answer; empty: off.
