Server memory: requests wait for a replica's memory, and those beyond it are refused at once

Cause: nothing bounded the tokens that the requests of all nodes hold at a replica, which ends when they exceed its memory; a prompt larger than that waited until its deadline.

Change, where memory_tokens is known: a node counts its own requests by their stated sizes and the others' by the reported number at the usual size plus two deviations. A group without room for a request is not picked; a large one is passed over in the queue and goes only to the two groups that its node prefers. A prompt beyond each replica gets 503 without Retry-After: a server's own status for it, and no 4xx for a proper request.

Not bounded: several nodes' large requests to one replica within the age of their load reports.

--- a/routing/modelled_pick.cc
+++ b/routing/modelled_pick.cc
@@ -4,6 +4,8 @@
 // measured slowness of the target.
 #include "routing/modelled_pick.h"
 
+#include "routing/server_memory.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -112,6 +114,31 @@
     return static_cast<double>(mix_hashes(node_hash, target_hash) >> 11U) * 0x1.0p-53;
 }
 
+bool may_try(const target_table& targets, target_row_index at, const modelled_request& wanted)
+{
+    return targets.at(at).may_be_picked() &&
+           std::find(wanted.tried.begin(), wanted.tried.end(), at) == wanted.tried.end();
+}
+
+/// The highest preference rank at which a large request is sent: that of the second of the targets
+/// in the node's order of preference.
+double highest_rank(const target_table& targets, const pool_view& view, const pool& pool_info,
+                    const modelled_request& wanted)
+{
+    if (!is_large(pool_info, wanted.tokens, wanted.nodes))
+        return 1.0;
+    double first = 1.0;
+    double second = 1.0;
+    for (std::size_t position = 0; position < view.targets.size(); ++position) {
+        if (!may_try(targets, view.targets[position], wanted))
+            continue;
+        const double rank = preference_rank(wanted.node_hash, view.id_hashes[position]);
+        second = std::min(second, std::max(first, rank));
+        first = std::min(first, rank);
+    }
+    return second;
+}
+
 } // namespace
 
 target_row_index pick_modelled(const target_table& targets, const pool_view& view,
@@ -120,22 +147,24 @@
 {
     const double guaranteed_in_pool =
         guaranteed_places_of_pool(targets, view, pool_info, wanted.nodes);
+    const double highest = highest_rank(targets, view, pool_info, wanted);
     target_row_index best = no_target;
     double best_ms = 0.0;
     for (std::size_t step = 0; step < view.targets.size(); ++step) {
         const std::size_t position = (wanted.first + step) % view.targets.size();
         const target_row_index at = view.targets[position];
         const target_row& row = targets.at(at);
-        const bool tried =
-            std::find(wanted.tried.begin(), wanted.tried.end(), at) != wanted.tried.end();
-        if (tried || !row.may_be_picked())
+        if (!may_try(targets, at, wanted))
+            continue;
+        const double others = others_at(targets, view, position, now);
+        const engine_work work = work_at(row, others, pool_info, now);
+        if (!has_memory_for(pool_info, {row.held_tokens, others, work.deviation}, wanted.tokens))
             continue;
-        const engine_work work =
-            work_at(row, others_at(targets, view, position, now), pool_info, now);
         const bool guaranteed =
             !wanted.gives_way && wanted.mechanisms.has(mechanism::sure_places) &&
             has_guaranteed_place(row, pool_info, wanted.nodes, view.own, guaranteed_in_pool);
-        if (!has_room(row, pool_info, work, wanted, guaranteed))
+        const double rank = preference_rank(wanted.node_hash, view.id_hashes[position]);
+        if (rank > highest || !has_room(row, pool_info, work, wanted, guaranteed))
             continue;
         double ms =
             first_event_ms(pool_info.engine, places_of(row, pool_info), work, wanted.prompt_tokens);
@@ -144,7 +173,7 @@
         if (remote && wanted.mechanisms.has(mechanism::far_penalty))
             ms += remote_penalty_ms;
         if (wanted.mechanisms.has(mechanism::target_preference))
-            ms += preference_ms * preference_rank(wanted.node_hash, view.id_hashes[position]);
+            ms += preference_ms * rank;
         if (best == no_target || ms < best_ms) {
             best = at;
             best_ms = ms;
--- a/routing/modelled_pick.h
+++ b/routing/modelled_pick.h
@@ -12,6 +12,9 @@
 // places of a group free. It would otherwise occupy a place during the next few arrivals, and each
 // of these would be late in turn.
 //
+// A group whose memory is short has no room. A large request goes only to the groups that the node
+// prefers most, since the nodes don't know of each other's large requests.
+//
 // Each node is guaranteed an equal share of every group's places, even if the other nodes seem to
 // fill them. A node limited to what the others leave free would get nothing from a full fleet,
 // since the nodes whose requests end at a group learn first of the places that become free.
@@ -33,6 +36,7 @@
     std::size_t nodes = 1;          ///< entry VMs that share the groups
     mechanism_set mechanisms;
     std::uint64_t node_hash = 0; ///< of this node's id
+    double tokens = 0.0;         ///< that it holds at a replica, see server_memory.h
     bool gives_way = false;      ///< will be late: must leave a part of the places free
     /// Position of the target that is examined first, and so wins a tie. Nodes with the same
     /// information must not all choose the same target.
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -5,6 +5,7 @@
 // precedes the queue, so a repeat is answered from its record without using the pool's capacity.
 #include "routing/modelled_pick.h"
 #include "routing/request_state.h"
+#include "routing/server_memory.h"
 
 namespace jaynotch {
 
@@ -122,6 +123,11 @@
         return refuse_with(error_kind::not_found,
                            "route " + taken->name.value() + " names a pool that does not exist",
                            "add pool " + taken->pool.value() + " to pools.toml");
+    if (exceeds_any_replica(pools.at(index).info, info.prompt_tokens))
+        return refuse_with(error_kind::unavailable,
+                           "its prompt exceeds the memory of each backend server, " +
+                               std::to_string(pools.at(index).info.memory_tokens) + " tokens",
+                           "send a shorter prompt");
     if (info.deadline && *info.deadline <= now)
         return refuse_with(error_kind::deadline_exceeded, "the deadline had passed on arrival",
                            "send it with a later deadline");
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -442,6 +442,7 @@
     clear_pending_tokens(row);
     target_row& target = targets.at(row.attempt.target);
     --target.own;
+    target.held_tokens = target.own == 0 ? 0.0 : target.held_tokens - row.attempt.held_tokens;
     target.streaming -= row.attempt.first_part_received ? 1 : 0;
     if (target.other_node)
         return;
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -5,6 +5,7 @@
 // yet. So a received token does not change the ordered set of wake-ups.
 #include "routing/modelled_pick.h"
 #include "routing/request_state.h"
+#include "routing/server_memory.h"
 
 #include <cmath>
 
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr std::size_t max_tried_targets = 4;
+/// Requests that wait for a replica's memory and are passed over in one dispatch.
+constexpr std::size_t max_passed_over = 4;
 /// A queued request is refused when the time left before its deadline falls below this many typical
 /// times to the first token: its answer would probably come too late, and the engine's work would
 /// be wasted.
@@ -38,28 +41,45 @@
         return flow.late == (pass == queue_pass::late) &&
                pools.at(index).below_limit(flow.workspace, settings.node);
     };
+    std::vector<queued_request> passed_over;
     while (pools.at(index).queue.size() > 0) {
         pool_row& pool = pools.at(index);
         if (settings.admission && !pool.modelled() &&
             pool.in_flight - pool.in_flight_leaving >= pool.allowed_in_flight())
         {
             pool.limit_reached = true;
-            return;
+            break;
         }
         const std::optional<queued_request> next = pool.queue.pop(eligible, now);
         if (!next)
-            return;
+            break;
         request_row& row = requests.at(next->request);
-        const flow_key flow = flow_of(row);
         row.phase = request_phase::sending;
         --pool.use_of(row.info.workspace, peers).queued;
         if (refuse_blocked(row, now, out) || try_send(row, now, out))
             continue;
         row.phase = request_phase::queued;
         ++pool.use_of(row.info.workspace, peers).queued;
-        pool.queue.push_front(flow, queue_weight(row), *next);
-        return;
+        passed_over.push_back(*next);
+        if (!waits_for_memory(row) || passed_over.size() > max_passed_over)
+            break;
     }
+    for (auto waiting = passed_over.rbegin(); waiting != passed_over.rend(); ++waiting) {
+        const request_row& row = requests.at(waiting->request);
+        pools.at(index).queue.push_front(flow_of(row), queue_weight(row), *waiting);
+    }
+}
+
+double request_core::state::tokens_of(const request_row& row) const
+{
+    return request_tokens(row.info.prompt_tokens, row.info.answer_tokens,
+                          pools.at(row.terms.pool).info.engine);
+}
+
+/// Whether smaller requests behind a waiting one may find room now although it doesn't.
+bool request_core::state::waits_for_memory(const request_row& row) const
+{
+    return is_large(pools.at(row.terms.pool).info, tokens_of(row), fleet_size);
 }
 
 void request_core::state::dispatch_all(time_point now, command_list& out)
@@ -98,6 +118,7 @@
         wanted.node_hash = node_hash;
         wanted.first = random.index(std::max<std::size_t>(1, pool.view.targets.size()));
         wanted.mechanisms = settings.mechanisms;
+        wanted.tokens = tokens_of(row);
         return pick_modelled(targets, pool.view, pool.info, wanted, now);
     }
     const std::span<const std::uint64_t> blocks{
@@ -146,6 +167,8 @@
     begin_attempt(row, chosen, now);
     row.attempt.pending_tokens = row.info.prompt_tokens;
     target.pending_tokens += row.attempt.pending_tokens;
+    row.attempt.held_tokens = tokens_of(row);
+    target.held_tokens += row.attempt.held_tokens;
     out.emplace_back(send_command_for(row, now));
     set_wake(row, next_wake_time(row));
 }
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -43,6 +43,7 @@
     bool waits_for_caller = false;    ///< a part of the answer is being written to the caller
     bool held = false;                ///< attempt_held was issued
     std::uint32_t pending_tokens = 0; ///< prompt tokens counted at the target until it answers
+    double held_tokens = 0.0;         ///< tokens counted at the target until the attempt ends
     time_point started;
     time_point first_part; ///< when the answer began; valid if first_part_received
     bool noted_served = false;
@@ -194,6 +195,8 @@
     [[nodiscard]] bool head_comes_early(const request_row& row) const;
     target_row_index choose_target(const request_row& row,
                                    std::span<const target_row_index> avoided, time_point now);
+    [[nodiscard]] double tokens_of(const request_row& row) const;
+    [[nodiscard]] bool waits_for_memory(const request_row& row) const;
     [[nodiscard]] pick_basis basis_of(const request_row& row, const target_row& target,
                                       time_point now) const;
     void requeue(request_row& row, time_point now);
--- a/routing/target_table.h
+++ b/routing/target_table.h
@@ -101,6 +101,7 @@
     std::uint32_t own = 0;            ///< this node's attempts in flight
     std::uint32_t streaming = 0;      ///< of those: attempts whose first event has come
     std::uint32_t pending_tokens = 0; ///< of the prompts of attempts without a first event
+    double held_tokens = 0.0;         ///< of this node's attempts, see server_memory.h
     time_point last_response;         ///< last byte of any attempt
     time_point last_activity;         ///< last byte of any attempt, or when the first was sent
     load_estimate load;
