--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -64,12 +64,15 @@
     counts.store_unreachable = counts.leading && core.store_unreachable(now);
     counts.term = core.lease_election.term();
     counts.orders = core.orders;
+    counts.model_loads = core.model_loads;
     for (const auto& [vm, view] : core.runners) {
         if (!view.listed)
             continue;
         const bool spare = !view.row.group || core.is_warm_up(key_of(*view.row.group));
-        if (spare)
+        if (spare) {
             ++counts.spare_runners;
+            counts.two_model_spares += core.holds_two_models(view) ? 1 : 0;
+        }
         else if (view.row.group->rank == 0 && view.row.group->phase == member_phase::open)
             ++counts.groups_open;
         else if (view.row.group->rank == 0)
@@ -335,6 +338,7 @@
     if (view.membership_confirmed)
         ++view.begun_orders;
     view.left_epoch = std::max(view.left_epoch, left.epoch);
+    view.left_at = now;
     if (was_in) {
         view.row.group.reset();
         view.joined_before_entry.reset();
@@ -587,12 +591,15 @@
             return leaving + "warming";
         return leaving + std::string{to_name(view.row.group->phase)} + " " + view.row.model;
     }
+    const bool warm = index_of_model(view.warm_model).has_value();
+    std::string held = warm ? "warm " + view.warm_model : std::string{};
+    for (const std::string& model : view.row.staged) {
+        if (model != view.warm_model)
+            held += (held.empty() ? "staged " : " + staged ") + model;
+    }
     if (!view.staging.empty())
-        return leaving + "staging " + view.staging;
-    if (view.row.staged.empty())
-        return leaving + "bare";
-    return leaving + (view.warm_model == view.row.staged.front() ? "warm " : "staged ") +
-           view.row.staged.front();
+        held += (held.empty() ? "staging " : " + staging ") + view.staging;
+    return leaving + (held.empty() ? "bare" : held);
 }
 
 bool formation_manager::state::order(runner_view& view, member_order wanted, time_point now)
