Formation: a group that no probe reaches is doubted until somebody's word, not ended after half a second

Cause: a manager's node whose own link is full (a large configuration is pushed, a burst) gets no answer to any probe within 200 ms; its peers are as busy. Change: if no member has answered since the probe, the group is kept and probed again every 500 ms until a member answers, the peers all say that they can't reach it either, or the entries have expired. Ending such a group would save no member. A member that stays silent while another answers is lost as before. Tests: two new; the first fails on the code before.

--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -360,7 +360,8 @@
         deliver(manager, member_probed{asked->vm, reached ? answer : probe_outcome::unreachable});
     }
     else if (const auto* doubted = std::get_if<probe_through_peers>(&command)) {
-        deliver(manager, peer_probe_result{doubted->vm, peers_reach_runner});
+        if (peers_answer)
+            deliver(manager, peer_probe_result{doubted->vm, peers_reach_runner});
     }
 }
 
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -99,6 +99,8 @@
     void reconnect_manager(std::size_t index) { m_cut_managers.erase(index); }
     /// Tells the manager what its node believes about its reach of backend servers.
     void report_reach(std::size_t manager, bool cut_off);
+    /// Whether other nodes answer a manager's questions about a runner.
+    bool peers_answer = true;
     /// Whether other nodes reach a runner that a manager does not reach.
     bool peers_reach_runner = false;
     /// Whether another node reaches the store while these managers don't.
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -388,7 +388,43 @@
 }
 
 /// A probe without an answer shows that the runner is lost only if this node's links work, that is,
-/// if another member of its group has answered since. Otherwise the peers are asked first.
+/// if another member of its group has answered since. If none has, the node's own link may be full
+/// or cut, and ending the group would save nobody. Then the peers are asked, and the group is
+/// probed again until a member answers, the peers have answered, or the entries have expired.
+void formation_manager::state::note_failed_probe(runner_view& view, time_point now)
+{
+    const bool unheard = view.row.group && !group_answered_since(view, view.probed_at);
+    if (view.unresponsive) {
+        if (!unheard)
+            view.doubted_until = now;
+        return;
+    }
+    view.unresponsive_since = now;
+    if (unheard) {
+        view.doubted_until = now + settings.max_silence;
+        view.next_silence_probe = now + settings.silence_probe_interval;
+    }
+    const bool head = view.row.group && view.row.group->rank == 0;
+    if (head || unheard)
+        out.emplace_back(probe_through_peers{view.row.id, view.row.address});
+}
+
+bool formation_manager::state::is_doubted(const runner_view& view, time_point now)
+{
+    return view.unresponsive && !view.dead && now < view.doubted_until;
+}
+
+/// Probes all members at once, so that those that answer show whether the others are lost.
+void formation_manager::state::probe_members(const group_key& key, time_point now)
+{
+    for (auto& [vm, view] : runners) {
+        if (!is_in(view, key))
+            continue;
+        view.next_silence_probe = now + settings.silence_probe_interval;
+        probe(view, now);
+    }
+}
+
 void formation_manager::state::handle_probe_answer(const member_probed& probed, time_point now)
 {
     runner_view* view = find(probed.vm);
@@ -400,17 +436,10 @@
     }
     const bool answers = probed.outcome == probe_outcome::answered;
     view->silent_since.reset();
-    if (!answers && !view->unresponsive) {
-        view->unresponsive_since = now;
-        const bool head = view->row.group && view->row.group->rank == 0;
-        const bool doubted = view->row.group && !group_answered_since(*view, view->probed_at);
-        if (doubted)
-            view->doubted_until = now + settings.peer_probe_timeout;
-        if (head || doubted)
-            out.emplace_back(probe_through_peers{probed.vm, view->row.address});
-    }
     if (answers)
         view->probe_answered_at = now;
+    else
+        note_failed_probe(*view, now);
     view->unresponsive = !answers;
     view->unresponsive_until = now + settings.unresponsive_hold_time;
     view->dead = view->dead && view->unresponsive;
@@ -538,6 +567,8 @@
     for (auto& [vm, view] : runners) {
         if (view.unresponsive && now >= view.unresponsive_until)
             recheck_unresponsive(view, now);
+        if (is_doubted(view, now) && view.row.group && now >= view.next_silence_probe)
+            probe_members(key_of(*view.row.group), now);
         if (view.silent_since && now >= view.next_silence_probe) {
             view.next_silence_probe = now + settings.silence_probe_interval;
             probe(view, now);
--- a/groups/formation_groups.cc
+++ b/groups/formation_groups.cc
@@ -169,7 +169,7 @@
 {
     return std::any_of(observed.members.begin(), observed.members.end(), [&](const auto& entry) {
         const runner_view* view = find(entry.second);
-        return view != nullptr && view->unresponsive && !view->dead && now < view->doubted_until;
+        return view != nullptr && is_doubted(*view, now);
     });
 }
 
--- a/groups/formation_reach_test.cc
+++ b/groups/formation_reach_test.cc
@@ -34,6 +34,40 @@
     assert_no_violations(world);
 }
 
+// Guards against a manager that ends groups whose members all serve, because its own link is full
+// for a while and its peers are too busy to answer.
+Test(formation, a_manager_that_hears_nobody_for_a_while_ends_no_group)
+{
+    fake_registry world = serving_fleet({.managers = 2, .domains = 2, .runners = 9});
+    const std::size_t groups = world.open_groups("big");
+    const std::size_t orders = world.orders();
+    world.peers_answer = false;
+    const std::size_t leader = cut_leader(world);
+    world.run(2s);
+    cr_assert_eq(world.orders(), orders, "no order is due");
+    world.reconnect_manager(leader);
+    world.run(4s);
+    cr_assert_eq(world.open_groups("big"), groups);
+    cr_assert_eq(world.orders(), orders, "no order is due");
+    assert_no_violations(world);
+}
+
+// Guards against a lost member that is not replaced because the manager's link was full when it was
+// probed first.
+Test(formation, a_member_lost_while_the_manager_hears_nobody_is_replaced_afterwards)
+{
+    fake_registry world = serving_fleet({.managers = 2, .domains = 2, .runners = 9});
+    const std::size_t groups = world.open_groups("big");
+    world.peers_answer = false;
+    world.kill(world.members_of(world.head_of("big", 0)).back());
+    const std::size_t leader = cut_leader(world);
+    world.run(1s);
+    world.reconnect_manager(leader);
+    cr_assert(world.run_until([&] { return world.open_groups("big") + 1 == groups; }, 1s));
+    cr_assert(world.run_until([&] { return world.open_groups("big") == groups; }, 2s));
+    assert_no_violations(world);
+}
+
 // Guards against a failure domain that stays without a working manager while its manager's node is
 // cut off, and against two managers when that node returns.
 Test(formation, a_node_that_reaches_no_runner_hands_its_domain_over)
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -110,6 +110,10 @@
     void probe_group(const group_unresponsive& seen, time_point now);
     [[nodiscard]] bool take_peer_probe_token(time_point now);
     void probe(runner_view& view, time_point now);
+    void note_failed_probe(runner_view& view, time_point now);
+    /// Whether it is not known yet if a runner that did not answer is lost.
+    [[nodiscard]] static bool is_doubted(const runner_view& view, time_point now);
+    void probe_members(const group_key& key, time_point now);
     void handle_probe_answer(const member_probed& probed, time_point now);
     [[nodiscard]] bool wait_for_silent_member(runner_view& view, time_point now);
     [[nodiscard]] bool group_answered_since(const runner_view& member, time_point since) const;
