Lost groups are told from a cut of the node's own links; fewer stand-ins after a failure of the store

Cause: three silent servers and one failed probe of a silent server were a cut, and a probe of a lost server always fails; a node whose own link was full failed all its probes as well.

Change: an inquiry of three servers that have not failed, with another node as control; two nodes of other failure domains that reach none either end the detours (servers_lost_for_all); a request that no node takes returns to own servers that are left; a lost server's end is no evidence. Stand-ins start in rounds of 1, 2, 4, 8; a comparison makes the push before it count.

--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -146,6 +146,11 @@
                            "Requests sent through another node, since the start");
     Gauge& relayed = gauge(registry, "jaynotch_relayed_requests",
                            "Requests that other nodes passed on to this one, since the start");
+    Gauge& losses = gauge(registry, "jaynotch_losses_told_from_cuts",
+                          "Suspected cuts from a pool's servers that probes did not confirm");
+    Gauge& detours_returned =
+        gauge(registry, "jaynotch_detours_returned",
+              "Requests that no other node could take, sent to this node's servers again");
     Gauge& log_dropped =
         gauge(registry, "jaynotch_log_lines_dropped", "Log lines dropped, over budget or unread");
     Gauge& dropped = gauge(registry, "jaynotch_spans_dropped", "Spans dropped, the buffer full");
@@ -253,6 +258,8 @@
     all.cut_off.Set(now.cut_off ? 1.0 : 0.0);
     all.detours.Set(static_cast<double>(now.detours));
     all.relayed.Set(static_cast<double>(now.relayed));
+    all.losses.Set(static_cast<double>(now.losses_told_from_cuts));
+    all.detours_returned.Set(static_cast<double>(now.detours_returned));
     all.log_dropped.Set(static_cast<double>(now.log_lines_dropped));
     all.forming.Set(static_cast<double>(now.groups_forming));
     all.spares.Set(static_cast<double>(now.spare_runners));
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -55,7 +55,11 @@
     bool cut_off = false;               ///< this node seems to reach no server of some pool
     std::uint64_t detours = 0;          ///< requests sent through another node
     std::uint64_t relayed = 0;          ///< requests that another node passed on to this one
-    duration config_age{0};             ///< since the tables in force were installed
+    /// Suspected cuts from a pool's servers that probes did not confirm.
+    std::uint64_t losses_told_from_cuts = 0;
+    /// Requests that no other node could take.
+    std::uint64_t detours_returned = 0;
+    duration config_age{0}; ///< since the tables in force were installed
 };
 
 class metrics {
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -379,9 +379,16 @@
 
     void handle_reach(const reach_changed& seen)
     {
-        log_event(seen.cut_off ? log_level::warning : log_level::info,
-                  seen.cut_off ? "servers_unreachable" : "servers_reached_again",
-                  {{"pool", seen.pool.value()}, {"detours", requests->core().counters().detours}});
+        const bool reached = seen.state == reach_state::reached;
+        const bool lost = seen.state == reach_state::lost_for_all;
+        const routing_counters& counters = requests->core().counters();
+        log_event(reached ? log_level::info : log_level::warning,
+                  reached ? "servers_reached_again"
+                  : lost  ? "servers_lost_for_all"
+                          : "servers_unreachable",
+                  {{"pool", seen.pool.value()},
+                   {"detours", counters.detours},
+                   {"returned", counters.detours_returned}});
     }
 
     /// Finds out whether the server is in reach. It doesn't have to answer: a process that is
@@ -556,6 +563,8 @@
         now.cut_off = requests->core().cut_off();
         now.detours = requests->core().counters().detours;
         now.relayed = requests->core().counters().relayed;
+        now.losses_told_from_cuts = requests->core().counters().losses_told_from_cuts;
+        now.detours_returned = requests->core().counters().detours_returned;
         now.limited_servers = requests->core().limited_servers();
         now.refused_limited = requests->core().counters().refused_limited;
         now.servers_ended = requests->core().counters().servers_ended;
--- a/peers/key_relay.cc
+++ b/peers/key_relay.cc
@@ -264,7 +264,7 @@
     if (reply.push_number)
         handle_push(now, reply.origin.value_or(message.from), message.delay, reply, out);
     else if (reply.complete)
-        handle_comparison(message.from, reply);
+        handle_comparison(now, message.from, reply, out);
     // A large reply may have been truncated to the maximum size: request the rest soon.
     if (bytes > m_settings.max_reply_bytes / 2)
         m_next_sync = std::min(m_next_sync, now + m_settings.request_timeout);
@@ -276,8 +276,11 @@
 }
 
 // Forwarded pushes and the reply take different ways. A push that was sent after the reply and got
-// lost may be followed by one that arrives before the reply; then the reply proves nothing.
-void key_relay_core::handle_comparison(const node_id& from, const key_reply& reply)
+// lost may be followed by one that arrives before the reply; then the reply proves nothing. A reply
+// that proves that nothing is missing makes the last push count at once: the next one may be half a
+// second away, in which the neighbours would take over from a node that is fresh.
+void key_relay_core::handle_comparison(time_point now, const node_id& from, const key_reply& reply,
+                                       key_relay_commands& out)
 {
     const auto found = m_push_sources.find(from);
     if (found == m_push_sources.end())
@@ -285,6 +288,8 @@
     push_source& source = found->second;
     const std::int64_t last_push = reply.last_push.value_or(source.number);
     const bool none_missing = source.number <= last_push || source.first_of_run <= last_push + 1;
+    if (!source.complete && none_missing && source.store_answered)
+        out.emplace_back(neighbour_fresh{from, now - *source.store_answered});
     source.complete = source.complete || none_missing;
 }
 
@@ -306,6 +311,8 @@
         source.comparison_requested_at = now;
         out.emplace_back(send_key_message{origin, key_request{this->known(), {}}});
     }
+    if (push.store_age)
+        source.store_answered = now - (*push.store_age + delay);
     if (source.complete && push.store_age)
         out.emplace_back(neighbour_fresh{origin, *push.store_age + delay});
 }
--- a/peers/key_relay.h
+++ b/peers/key_relay.h
@@ -118,9 +118,10 @@
     };
     /// State of a neighbour that pushes to this node.
     struct push_source {
-        std::int64_t number = 0;       ///< of the last push received
-        std::int64_t first_of_run = 0; ///< no push is missing between it and `number`
-        bool complete = false;         ///< no push is missing since the last comparison
+        std::int64_t number = 0;                  ///< of the last push received
+        std::int64_t first_of_run = 0;            ///< no push is missing between it and `number`
+        bool complete = false;                    ///< no push is missing since the last comparison
+        std::optional<time_point> store_answered; ///< of the last push: when the store answered
         time_point comparison_requested_at{};
     };
 
@@ -135,7 +136,8 @@
     /// `ranking`: the live members of the domain, as all of them rank them.
     void plan_routes(std::vector<std::string> ranking);
     void forward(const key_message& message, const key_reply& reply, key_relay_commands& out) const;
-    void handle_comparison(const node_id& from, const key_reply& reply);
+    void handle_comparison(time_point now, const node_id& from, const key_reply& reply,
+                           key_relay_commands& out);
     /// `origin`: node that pushed, which may have been forwarded; `delay`: of the last frame.
     void handle_push(time_point now, const node_id& origin, duration delay, const key_reply& push,
                      key_relay_commands& out);
--- a/peers/key_relay_test.cc
+++ b/peers/key_relay_test.cc
@@ -607,6 +607,30 @@
     cr_assert(fresh->store_age == duration{123});
 }
 
+// Load: after a failure of the store a stand-in pushes for the first time, and each neighbour that
+// does not rely on it soon reads everything itself. Guards against a comparison that counts only
+// with the next push.
+Test(key_relay, a_comparison_makes_the_push_before_it_count)
+{
+    const time_point now{std::chrono::hours{1}};
+    key_relay_core stand_in = make_core("n0");
+    key_relay_core receiver = make_core("n1");
+    stand_in.members_changed({node_id{"n0"}, node_id{"n1"}}, {node_id{"n0"}, node_id{"n1"}});
+    const std::vector<key_body> pushed = bodies_sent_to("n1", stand_in.push(duration{100}));
+    const key_relay_commands first =
+        receiver.message_received(now, {node_id{"n0"}, pushed.at(0), duration{5}});
+    cr_assert_not(reports_fresh_neighbour(first));
+    const std::vector<key_body> asked = bodies_sent_to("n0", first);
+    const std::vector<key_body> compared =
+        bodies_sent_to("n1", stand_in.message_received(now, {node_id{"n1"}, asked.at(0)}));
+    const duration later{20};
+    const key_relay_commands after =
+        receiver.message_received(now + later, {node_id{"n0"}, compared.at(0), duration{1}});
+    cr_assert(reports_fresh_neighbour(after));
+    const auto* fresh = std::get_if<neighbour_fresh>(&after.back());
+    cr_assert(fresh != nullptr && fresh->store_age == duration{105} + later);
+}
+
 // Guards against a changed configuration that waits for the next push.
 Test(key_relay, an_urgent_key_is_sent_at_once_and_pushed_too)
 {
--- a/peers/store_followers.cc
+++ b/peers/store_followers.cc
@@ -4,14 +4,19 @@
 // sender is fresh.
 //
 // All nodes calculate the same ranks, by rendezvous hashing over the live members. A stand-in
-// starts when no push has been fresh for the freshness period plus a delay proportional to its
+// starts when no push has been fresh for the freshness period plus a delay that grows with its
 // rank, and stops when a node of lower rank is fresh again. So of several stand-ins the one of
-// lowest rank remains. The delay between two ranks is short compared to the time within which a
-// change must be in force, and long compared to a call to the store, so that few nodes call it at
-// the same time.
+// lowest rank remains.
+//
+// Stand-ins start in rounds of 1, 2, 4, 8 and so on. A round is longer than one stand-in takes
+// until its neighbours rely on it: if the store answers again, as it does after a short failure,
+// the first one keeps all others from reading everything as well. If the store turns machines away,
+// the rounds reach one that it answers in a time that grows with the logarithm of the domain's
+// size, short compared to the time within which a change must be in force.
 #include "peers/store_followers.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace jaynotch {
 
@@ -56,19 +61,24 @@
     m_stand_in_after = now + m_settings.stand_in_retry_delay;
 }
 
+duration store_followers::stand_in_delay() const
+{
+    const std::size_t position = m_rank - m_settings.followers;
+    const auto round = static_cast<duration::rep>(std::bit_width(position + 1) - 1);
+    return round * m_settings.stand_in_stagger;
+}
+
 bool store_followers::should_follow(time_point now)
 {
     if (m_rank < m_settings.followers) {
         m_standing_in = false;
         return true;
     }
-    const auto stand_in_position = static_cast<duration::rep>(m_rank - m_settings.followers);
     if (m_standing_in)
         m_standing_in = now - m_lower_rank_fresh > m_settings.freshness_period;
     else
         m_standing_in = now >= m_stand_in_after &&
-                        now - m_last_fresh > m_settings.freshness_period +
-                                                 stand_in_position * m_settings.stand_in_stagger;
+                        now - m_last_fresh > m_settings.freshness_period + stand_in_delay();
     if (!m_standing_in)
         m_last_answer.reset();
     return m_standing_in;
--- a/peers/store_followers.h
+++ b/peers/store_followers.h
@@ -10,7 +10,7 @@
 //
 // Two nodes always follow and push what they learn to the others. The others rely on a push only if
 // the store answered its sender recently. If no node is fresh in this sense, the others stand in,
-// one after the other.
+// one first, then in rounds of twice as many.
 #pragma once
 
 #include "base/base.h"
@@ -31,8 +31,9 @@
     /// waits for the store's answer, and much shorter than the time within which a change must be
     /// in force.
     duration freshness_period = std::chrono::milliseconds{1'500};
-    /// Delay between the starts of two stand-ins that follow each other in rank.
-    duration stand_in_stagger = std::chrono::milliseconds{50};
+    /// Delay between the starts of two rounds of stand-ins. Must be longer than a stand-in takes to
+    /// read everything and to push until its neighbours rely on it.
+    duration stand_in_stagger = std::chrono::milliseconds{250};
     /// A node whose call to the store failed does not stand in again before this time.
     duration stand_in_retry_delay = std::chrono::seconds{2};
 };
@@ -67,6 +68,8 @@
     [[nodiscard]] bool has_dependents() const { return m_ranks.size() > m_settings.followers; }
 
 private:
+    [[nodiscard]] duration stand_in_delay() const;
+
     store_followers_settings m_settings;
     std::map<node_id, std::size_t> m_ranks;
     std::size_t m_rank = 0;
--- /dev/null
+++ b/routing/lost_groups_test.cc
@@ -0,0 +1,267 @@
+// Groups that are lost under load, and cuts of this node's links, told apart.
+#include "routing/core_fixture.h"
+
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <set>
+
+using namespace jaynotch;
+using namespace jaynotch::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int groups = 6;
+
+/// Six groups in three failure domains, and other nodes in domains a (the own one), b and c.
+fixture make_world()
+{
+    core_settings settings = fixture::default_settings();
+    settings.failure_domain = failure_domain_id{"a"};
+    fixture world{settings, 0, 1};
+    std::vector<target> formed = make_groups(groups);
+    for (std::size_t at = 0; at < formed.size(); ++at)
+        formed[at].failure_domain =
+            failure_domain_id{std::string(1, static_cast<char>('a' + at % 3))};
+    world.send(groups_changed{formed});
+    relay_nodes_changed seen;
+    for (const std::string name : {"a-2", "a-3", "b-1", "b-2", "c-1"})
+        seen.nodes.push_back({node_id{name}, failure_domain_id{name.substr(0, 1)}, name + ":7340"});
+    world.send(seen);
+    return world;
+}
+
+bool is_dark(const std::set<std::string>& dark, const target_id& target)
+{
+    return dark.contains(target.value());
+}
+
+/// In a set of dark targets: no host can be connected, as if this node's own link were full.
+const std::string everything = "everything";
+
+/// Passes `span`; requests at dark groups bring nothing, probes of them fail, others open at once.
+command_list pass_with_dark(fixture& world, duration span, const std::set<std::string>& dark)
+{
+    command_list all;
+    for (duration passed{0}; passed < span; passed += 10ms) {
+        const command_list out = world.pass(10ms);
+        for (const command& each : out) {
+            if (const auto* probe = std::get_if<probe_server>(&each); probe != nullptr)
+                world.send(server_probed{probe->target, !is_dark(dark, probe->target) &&
+                                                            !dark.contains(everything)});
+        }
+        all.insert(all.end(), out.begin(), out.end());
+    }
+    return all;
+}
+
+/// Starts `count` requests; those at dark groups stall, also when they are sent again.
+void send_requests(fixture& world, std::uint64_t count, const std::set<std::string>& dark)
+{
+    std::vector<send_attempt> stalled;
+    const auto take = [&](const command_list& out) {
+        const auto* sent = first<send_attempt>(out);
+        if (sent != nullptr && !sent->relayed && is_dark(dark, sent->target))
+            stalled.push_back(*sent);
+    };
+    for (std::uint64_t id = 1; id <= count; ++id)
+        take(world.chat(id));
+    for (std::size_t at = 0; at < stalled.size(); ++at) {
+        const send_attempt failed = stalled[at];
+        world.send(attempt_sent{failed.request, failed.attempt});
+        take(world.send(attempt_failed{failed.request, failed.attempt, attempt_failure::stalled}));
+    }
+}
+
+attempt_head no_server_either(const send_attempt& attempt)
+{
+    attempt_head head;
+    head.request = attempt.request;
+    head.attempt = attempt.attempt;
+    head.status = 503;
+    head.refusal = relay_refusal{{error_kind::unavailable, "none either", ""}, ran_state::no, 0ms};
+    return head;
+}
+
+const std::set<std::string> all_groups{"group-1", "group-2", "group-3",
+                                       "group-4", "group-5", "group-6"};
+
+/// A world whose groups are all out of reach and whose node has found that.
+fixture make_cut_world()
+{
+    fixture world = make_world();
+    send_requests(world, 30, all_groups);
+    pass_with_dark(world, 4s, all_groups);
+    cr_assert(world.core.cut_off());
+    return world;
+}
+
+/// Has the nodes that `agrees` names answer detours of one request with "none either"; the command
+/// list after the last one.
+command_list refuse_detours(fixture& world, std::uint64_t id,
+                            const std::function<bool(const std::string&)>& agrees)
+{
+    command_list out = world.chat(id);
+    for (int asked = 0; asked < 4; ++asked) {
+        const auto* sent = first<send_attempt>(out);
+        if (sent == nullptr || !sent->relayed || !agrees(sent->address))
+            break;
+        out = world.send(no_server_either(*sent));
+    }
+    return out;
+}
+
+} // namespace
+
+// Failure: several groups are lost within two seconds. Guards against taking that for a cut of the
+// node's own links, and sending requests of the remaining groups' pool through other nodes.
+Test(lost_groups, half_of_the_groups_lost_at_once_are_no_cut)
+{
+    fixture world = make_world();
+    const std::set<std::string> dark{"group-1", "group-2", "group-4"};
+    send_requests(world, 30, dark);
+    const command_list out = pass_with_dark(world, 4s, dark);
+    cr_assert_gt(count<probe_server>(out), 0U, "the losses raise a suspicion");
+    cr_assert_eq(count<reach_changed>(out), 0U);
+    cr_assert_eq(world.core.counters().detours, 0U);
+    cr_assert_gt(world.core.counters().losses_told_from_cuts, 0U);
+}
+
+// Failure: one node loses its links to all servers, which hang. Guards against missing a real cut.
+Test(lost_groups, a_real_cut_of_the_node_is_found)
+{
+    fixture world = make_cut_world();
+    const command_list next = world.chat(100);
+    const auto* sent = first<send_attempt>(next);
+    cr_assert(sent != nullptr && sent->relayed);
+}
+
+// Failure: a failure domain loses its links, and its nodes ask one another. Guards against taking
+// their agreement for a loss of all servers.
+Test(lost_groups, nodes_of_the_own_failure_domain_are_cut_off_alike)
+{
+    fixture world = make_cut_world();
+    const auto own_domain = [](const std::string& node) { return node.starts_with("a-"); };
+    for (std::uint64_t id = 100; id < 104; ++id) {
+        const command_list out = refuse_detours(world, id, own_domain);
+        const auto* sent = first<send_attempt>(out);
+        cr_assert(sent != nullptr && sent->relayed, "a node of another domain is asked");
+        cr_assert_not(own_domain(sent->address));
+        world.send(caller_gone{sent->request});
+    }
+    cr_assert(world.core.cut_off());
+}
+
+// Failure: all groups of a pool are lost on all nodes. Guards against requests that are passed
+// around among nodes none of which reaches a server.
+Test(lost_groups, a_loss_for_all_nodes_ends_the_detours)
+{
+    fixture world = make_cut_world();
+    const command_list end = refuse_detours(world, 100, [](const std::string&) { return true; });
+    cr_assert_neq(first<refuse>(end), nullptr);
+    const command_list told = world.pass(10ms);
+    cr_assert(first<reach_changed>(told)->state == reach_state::lost_for_all);
+    const std::uint64_t before = world.core.counters().detours;
+    world.chat(101);
+    world.pass(100ms);
+    cr_assert_eq(world.core.counters().detours, before);
+    request_info relayed;
+    relayed.id = request_id{102};
+    relayed.kind = request_kind::chat;
+    relayed.model = "summary";
+    relayed.workspace = workspace_id{"dealers"};
+    relayed.relayed = relayed_request{};
+    const command_list refused = world.send(request_arrived{relayed});
+    cr_assert_neq(first<refuse>(refused), nullptr, "nor can it help others");
+}
+
+// Failure: the same. Guards against a refusal that sends its caller back before any group can be.
+Test(lost_groups, a_refusal_names_the_time_that_groups_need)
+{
+    fixture world = make_cut_world();
+    const command_list end = refuse_detours(world, 100, [](const std::string&) { return true; });
+    const auto* refused = first<refuse>(end);
+    cr_assert(refused != nullptr && refused->ran == ran_state::no);
+    cr_assert_geq(refused->retry_after->count(), 2'000);
+}
+
+// Failure: the same, until one server is back. Guards against a loss that outlasts the servers.
+Test(lost_groups, one_server_in_reach_ends_a_loss_for_all)
+{
+    fixture world = make_cut_world();
+    refuse_detours(world, 100, [](const std::string&) { return true; });
+    std::set<std::string> dark = all_groups;
+    dark.erase("group-5");
+    const command_list out = pass_with_dark(world, 3s, dark);
+    bool reached = false;
+    for (const command& each : out) {
+        if (const auto* changed = std::get_if<reach_changed>(&each); changed != nullptr)
+            reached = changed->state == reach_state::reached;
+    }
+    cr_assert(reached);
+}
+
+// Failure: groups are lost while this node's connections fail. Guards against refusing a request
+// that no other node takes although a server of this node is left.
+Test(lost_groups, a_request_that_no_node_takes_returns_to_a_sound_server)
+{
+    fixture world = make_world();
+    command_list out = world.chat(1);
+    for (int failures = 0; failures < 2; ++failures) {
+        const send_attempt sent = *first<send_attempt>(out);
+        cr_assert(!sent.relayed);
+        out =
+            world.send(attempt_failed{sent.request, sent.attempt, attempt_failure::not_connected});
+    }
+    for (int asked = 0; asked < 3; ++asked) {
+        const send_attempt sent = *first<send_attempt>(out);
+        cr_assert(sent.relayed.has_value());
+        out = world.send(no_server_either(sent));
+    }
+    const auto* sent = first<send_attempt>(out);
+    cr_assert(sent != nullptr && !sent->relayed, "three groups have not failed");
+    cr_assert_eq(world.core.counters().detours_returned, 1U);
+}
+
+// Failure: some groups are lost and this node is cut off from the others. Guards against a cut that
+// is missed, or that never ends, because of the losses.
+Test(lost_groups, a_cut_among_losses_is_found_and_its_end_too)
+{
+    fixture world = make_cut_world();
+    const std::set<std::string> dark{"group-1", "group-2", "group-4"};
+    pass_with_dark(world, 4s, dark);
+    cr_assert_not(world.core.cut_off());
+}
+
+// Failure: silent groups whose manager has ended them. Guards against evidence from servers that
+// are known to be lost.
+Test(lost_groups, ended_groups_prove_nothing_about_the_links)
+{
+    server_reach reach;
+    const auto hash = [](const std::string& name) { return hash64(name); };
+    const std::vector<std::uint64_t> before{hash("1"), hash("2"), hash("3"), hash("4")};
+    const std::vector<std::uint64_t> after{hash("3"), hash("4")};
+    reach.note_servers(before);
+    reach.note_silent("1", before.size());
+    reach.note_silent("2", before.size());
+    reach.note_servers(after);
+    reach.note_silent("3", after.size());
+    cr_assert_not(reach.in_doubt());
+}
+
+// Load: the node's own link is full, as while it passes a large configuration on to its neighbours,
+// and no connection opens in time. Guards against taking that for a cut from the servers.
+Test(lost_groups, a_node_whose_link_is_full_is_not_cut_off)
+{
+    fixture world = make_world();
+    send_requests(world, 30, all_groups);
+    std::set<std::string> full = all_groups;
+    full.insert(everything);
+    const command_list out = pass_with_dark(world, 500ms, full);
+    cr_assert_gt(count<probe_server>(out), 0U);
+    cr_assert_not(world.core.cut_off());
+    cr_assert_eq(world.core.counters().detours, 0U);
+    pass_with_dark(world, 3s, full);
+    cr_assert(world.core.cut_off(), "others take its duties over if it lasts");
+}
--- a/routing/pool_table.cc
+++ b/routing/pool_table.cc
@@ -152,6 +152,7 @@
     if (view_version != targets.version()) {
         view_version = targets.version();
         rebuild_targets(view, targets, info.name);
+        reach.note_servers(view.id_hashes);
     }
     view.max_per_target =
         std::max(1U, info.kind == pool_kind::model ? info.max_in_flight_per_replica
--- a/routing/pool_table.h
+++ b/routing/pool_table.h
@@ -38,9 +38,10 @@
     adaptive_limit limit;
     std::shared_ptr<retry_budget> budget; ///< see retry_budgets.h; null before it is assigned
     server_reach reach;                   ///< of the pool's servers from this node
-    bool was_cut_off = false;             ///< reach.cut_off() when it was last reviewed
-    bool probe_pending = false;           ///< a server is being probed
-    time_point next_probe;                ///< earliest time of the next probe
+    reach_state last_reach = reach_state::reached; ///< when it was last reviewed
+    std::uint32_t probes_pending = 0;              ///< servers that are being probed
+    target_row_index control = no_target;          ///< node that is probed with them
+    time_point next_probe;                         ///< earliest time of the next probe
     prefix_index prefixes;
     std::map<workspace_id, workspace_use> uses; ///< workspaces with requests in flight or queued
     std::uint32_t requests = 0;                 ///< requests in any phase that refer to this row
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -289,7 +289,7 @@
 void request_core::state::record_failed_attempt(request_row& row, attempt_failure reason,
                                                 attempt_end end, time_point now, command_list& out)
 {
-    note_failed_attempt(row, reason);
+    note_failed_attempt(row, reason, now);
     const bool interrupted = reason == attempt_failure::cut || reason == attempt_failure::protocol;
     if (interrupted && end == attempt_end::failed)
         note_interrupted(row, now, out);
--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "routing/request_events.h"
+#include "routing/server_reach.h"
 
 namespace jaynotch {
 
@@ -236,7 +237,7 @@
 /// This node's belief whether it reaches the backend servers of a pool has changed.
 struct reach_changed {
     pool_id pool;
-    bool cut_off = false; ///< it seems to reach no server of the pool
+    reach_state state = reach_state::reached;
 };
 
 /// This node's belief whether it reaches any group of any model has changed.
--- a/routing/request_core.h
+++ b/routing/request_core.h
@@ -79,8 +79,12 @@
     std::uint64_t attempts = 0;
     std::uint64_t retries = 0;
     std::uint64_t resumes = 0;
-    std::uint64_t detours = 0;         ///< requests sent through another node
-    std::uint64_t relayed = 0;         ///< of arrived: passed on by another node
+    std::uint64_t detours = 0; ///< requests sent through another node
+    std::uint64_t relayed = 0; ///< of arrived: passed on by another node
+    /// Suspected cuts from a pool's servers that an inquiry did not confirm.
+    std::uint64_t losses_told_from_cuts = 0;
+    /// Requests that no other node took, sent to this node's servers again.
+    std::uint64_t detours_returned = 0;
     std::uint64_t retries_charged = 0; ///< to the retry budget
     std::uint64_t retries_denied = 0;  ///< by the retry budget
     std::uint64_t attempts_held = 0;   ///< at a silent server, since no other could take over
--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -25,6 +25,9 @@
 /// preferred.
 constexpr double other_domain_cost = 4.0;
 constexpr std::chrono::milliseconds probe_interval{100}; ///< between two probes of a pool's servers
+/// A connection that fails within this time was refused or reset.
+constexpr std::chrono::milliseconds quick_refusal{100};
+constexpr std::size_t inquiry_size = 3; ///< servers that one inquiry probes
 /// A probe without a result for this long was lost with its server.
 constexpr std::chrono::milliseconds probe_timeout{1'000};
 /// A response of a group within this time shows that the node reaches groups.
@@ -39,13 +42,17 @@
 } // namespace
 
 /// Records what an attempt's failure tells about this node's links.
-void request_core::state::note_failed_attempt(const request_row& row, attempt_failure reason)
+void request_core::state::note_failed_attempt(const request_row& row, attempt_failure reason,
+                                              time_point now)
 {
     const std::string& server = targets.at(row.attempt.target).info.id.value();
     pool_row& pool = pools.at(row.terms.pool);
     const std::size_t servers = pool.view.targets.size();
     if (reason == attempt_failure::not_connected)
-        pool.reach.note_unreachable(server, servers);
+        pool.reach.note_unreachable(server, servers,
+                                    now - row.attempt.started < quick_refusal
+                                        ? server_reach::connection_failure::refused
+                                        : server_reach::connection_failure::timed_out);
     else if (reason == attempt_failure::cut || reason == attempt_failure::stalled)
         pool.reach.note_silent(server, servers);
 }
@@ -68,8 +75,9 @@
 }
 
 /// The node with the fewest requests of this node, preferably in the own failure domain; no_target
-/// if there is none.
-target_row_index request_core::state::choose_node(time_point now)
+/// if there is none. Once a node could not help, the cause may be the failure domain's, so that
+/// another one is preferred.
+target_row_index request_core::state::choose_node(time_point now, bool after_refusal)
 {
     const std::vector<target_row_index>& nodes = targets.nodes();
     const std::size_t first = random.index(std::max<std::size_t>(1, nodes.size()));
@@ -81,7 +89,7 @@
         if (now < node.avoided_until)
             continue;
         const bool far = node.info.failure_domain != settings.failure_domain;
-        const double cost = node.own + (far ? other_domain_cost : 0.0);
+        const double cost = node.own + (far != after_refusal ? other_domain_cost : 0.0);
         if (best == no_target || cost < lowest) {
             best = at;
             lowest = cost;
@@ -131,24 +139,63 @@
     const bool again = !may_have_run && in_time && !row.caller_left && row.detours < max_detours;
     // What reaches a server after that of the first node is a retry, which no node has charged.
     const bool charged = row.reached_server && settings.retry_budget && settings.charge_every_retry;
-    const target_row_index node = again ? choose_node(now) : no_target;
+    const target_row_index node = again ? choose_node(now, true) : no_target;
     if (node != no_target && (!charged || take_retry(row))) {
         send_through_node(row, node, now, out);
         return;
     }
-    if (!may_have_run && row.head_delivered)
+    const bool waits = row.head_delivered || (in_time && has_sound_server(row));
+    if (!may_have_run && !row.caller_left && waits)
         return_to_own_servers(row, relay_failure(), now, out);
     else
         finish_failed(row, relay_failure(), now, out);
 }
 
+/// Whether a server of the request's pool has not failed, so that the request may wait for it.
+bool request_core::state::has_sound_server(const request_row& row) const
+{
+    const pool_row& pool = pools.at(row.terms.pool);
+    if (pool.reach.reaches_none())
+        return false;
+    for (std::size_t position = 0; position < pool.view.targets.size(); ++position) {
+        const target_row_index at = pool.view.targets[position];
+        if (targets.at(at).may_be_picked() && !pool.reach.has_failed(pool.view.id_hashes[position]))
+            return true;
+    }
+    return false;
+}
+
+/// Records that another node reaches no server of the pool either. Nodes of the own failure domain
+/// may be cut off together with this one, so they count only if there are no others.
+void request_core::state::note_agreement(const request_row& row)
+{
+    constexpr std::size_t decisive = 2;
+    const auto far = [&](target_row_index at) {
+        return targets.at(at).info.failure_domain != settings.failure_domain;
+    };
+    const std::vector<target_row_index>& nodes = targets.nodes();
+    const auto others = static_cast<std::size_t>(std::count_if(nodes.begin(), nodes.end(), far));
+    if (others > 0 && !far(row.attempt.target))
+        return;
+    const std::size_t asked = others > 0 ? others : nodes.size();
+    const std::uint64_t node = hash64(targets.at(row.attempt.target).info.id.value());
+    pools.at(row.terms.pool).reach.note_agreement(node, std::min(decisive, asked));
+}
+
 /// A stream that has begun and that another node refused waits for this node's own servers, which
-/// may have been silent together or be within reach again.
+/// may have been silent together or be within reach again. So does a request that has not begun
+/// while one of them is sound.
 void request_core::state::return_to_own_servers(request_row& row, const error& failure,
                                                 time_point now, command_list& out)
 {
-    if (may_retry(row, attempt_failure::refused_did_not_run))
-        retry(row, is_charged_to_budget(row, true), failure, now, out);
+    // Refusals of nodes have reached no server and are not charged.
+    const bool charged = row.head_delivered ? is_charged_to_budget(row, true)
+                                            : row.reached_server && settings.retry_budget &&
+                                                  settings.charge_every_retry;
+    if (may_retry(row, attempt_failure::refused_did_not_run)) {
+        ++counters.detours_returned;
+        retry(row, charged, failure, now, out);
+    }
     else
         finish_failed(row, failure, now, out);
 }
@@ -161,6 +208,7 @@
     const bool not_run = refusal.ran == ran_state::no;
     row.reached_server = row.reached_server || refusal.reached_server;
     if (not_run && refusal.failure.kind == error_kind::unavailable) {
+        note_agreement(row);
         end_detour(row, attempt_failure::refused_did_not_run, now, out);
         return;
     }
@@ -219,7 +267,7 @@
 bool request_core::state::refuse_relayed(const request_info& info, const pool_row& pool,
                                          command_list& out)
 {
-    if (pool.reach.cut_off()) {
+    if (pool.reach.reaches_none()) {
         refuse_untracked(info.id,
                          {error_kind::unavailable, "this node reaches no backend server either",
                           "pass it on to another node"},
@@ -242,12 +290,22 @@
     const target_row_index at = targets.find(probed.target);
     if (at == no_target)
         return;
+    if (targets.at(at).other_node) {
+        for (pool_index index = 0; index < pools.size(); ++index) {
+            if (pools.at(index).control == at)
+                pools.at(index).reach.note_control(probed.connected);
+        }
+        return;
+    }
     const pool_index index = pools.find(targets.at(at).info.pool);
     if (index == pools.size())
         return;
     pool_row& pool = pools.at(index);
-    pool.probe_pending = false;
+    pool.probes_pending -= pool.probes_pending > 0 ? 1 : 0;
+    const bool inquiry = pool.reach.inquiry_due();
     pool.reach.note_probe(probed.target.value(), probed.connected, pool.view.targets.size());
+    if (inquiry && probed.connected)
+        ++counters.losses_told_from_cuts;
 }
 
 void request_core::state::review_reach(time_point now, command_list& out)
@@ -256,15 +314,15 @@
         pool_row& pool = pools.at(index);
         if (reached_no_group && pool.present && pool.info.kind == pool_kind::model)
             pool.reach.note_others_cut_off();
-        if (!pool.reach.in_doubt() && !pool.was_cut_off)
+        const reach_state believed = pool.reach.state();
+        if (!pool.reach.in_doubt() && pool.last_reach == believed)
             continue;
-        const bool cut_off = pool.reach.cut_off();
-        if (cut_off != std::exchange(pool.was_cut_off, cut_off)) {
-            out.emplace_back(reach_changed{pool.info.name, cut_off});
-            if (!cut_off)
+        if (believed != std::exchange(pool.last_reach, believed)) {
+            out.emplace_back(reach_changed{pool.info.name, believed});
+            if (believed != reach_state::cut_off)
                 return_to_servers(pool, now);
         }
-        if (cut_off)
+        if (believed == reach_state::cut_off)
             leave_servers(index, now, out);
         if (pool.reach.in_doubt())
             probe_if_due(pool, now, out);
@@ -341,20 +399,59 @@
         pool.reach.reset(); // all servers that failed are gone
         return;
     }
-    if (pool.probe_pending && now < pool.next_probe + probe_timeout)
+    if (pool.probes_pending > 0 && now < pool.next_probe + probe_timeout)
         return;
     if (now < pool.next_probe)
         return;
-    target_row_index at = candidates[random.index(candidates.size())];
-    if (pool.reach.suspected()) {
-        const auto silent = [&](target_row_index one) { return targets.at(one).health.silent; };
-        const auto found = std::find_if(candidates.begin(), candidates.end(), silent);
-        at = found == candidates.end() ? at : *found;
+    const bool inquiry = pool.reach.inquiry_due();
+    const std::vector<target_row_index> chosen = choose_probes(pool, inquiry ? inquiry_size : 1);
+    pool.control = inquiry ? choose_node(now) : no_target;
+    if (inquiry)
+        pool.reach.begin_inquiry(chosen.size(), pool.control != no_target);
+    if (pool.control != no_target) {
+        const target& node = targets.at(pool.control).info;
+        out.emplace_back(probe_server{node.id, node.address});
     }
-    const target& chosen = targets.at(at).info;
     pool.next_probe = now + probe_interval;
-    pool.probe_pending = true;
-    out.emplace_back(probe_server{chosen.id, chosen.address});
+    pool.probes_pending = static_cast<std::uint32_t>(chosen.size());
+    for (const target_row_index at : chosen) {
+        const target& probed = targets.at(at).info;
+        out.emplace_back(probe_server{probed.id, probed.address});
+    }
+}
+
+/// Servers whose connections tell most: one at random, or several, those that have not failed
+/// first, each in another failure domain as far as there are.
+std::vector<target_row_index> request_core::state::choose_probes(const pool_row& pool,
+                                                                 std::size_t most)
+{
+    const pool_view& view = pool.view;
+    const std::size_t first = random.index(view.targets.size());
+    if (most == 1)
+        return {view.targets[first]};
+    std::vector<std::size_t> asked_in_domain(view.mean_others_by_domain.size(), 0);
+    std::vector<target_row_index> chosen;
+    while (chosen.size() < std::min(most, view.targets.size())) {
+        std::size_t best = view.targets.size();
+        std::pair<bool, std::size_t> lowest;
+        for (std::size_t step = 0; step < view.targets.size(); ++step) {
+            const std::size_t position = (first + step) % view.targets.size();
+            const target_row_index at = view.targets[position];
+            if (std::find(chosen.begin(), chosen.end(), at) != chosen.end())
+                continue;
+            const target_health& health = targets.at(at).health;
+            const bool failed = health.silent || health.ejected || targets.at(at).leaving() ||
+                                pool.reach.has_failed(view.id_hashes[position]);
+            const std::pair cost{failed, asked_in_domain[view.domain_indexes[position]]};
+            if (best == view.targets.size() || cost < lowest) {
+                best = position;
+                lowest = cost;
+            }
+        }
+        chosen.push_back(view.targets[best]);
+        ++asked_in_domain[view.domain_indexes[best]];
+    }
+    return chosen;
 }
 
 } // namespace jaynotch
--- a/routing/request_finish.cc
+++ b/routing/request_finish.cc
@@ -10,6 +10,14 @@
 
 namespace jaynotch {
 
+namespace {
+
+/// When lost servers may be back: a group that is formed anew on VMs that hold the weights takes
+/// about as long.
+constexpr double return_s = 2.0;
+
+} // namespace
+
 void request_core::state::erase(request_row& row)
 {
     const request_id request = row.info.id;
@@ -84,8 +92,11 @@
         }
         // A request that did not run may be retried when a server is likely to have capacity.
         std::optional<std::chrono::milliseconds> after;
-        if (ran == ran_state::no)
-            after = retry_after(pools.at(row.terms.pool).service_s);
+        if (ran == ran_state::no) {
+            const pool_row& pool = pools.at(row.terms.pool);
+            after = retry_after(pool.reach.lost_for_all() ? std::max(pool.service_s, return_s)
+                                                          : pool.service_s);
+        }
         finish_refuse(row, std::move(failure), ran, after, now, out);
         return;
     }
--- a/routing/request_move.cc
+++ b/routing/request_move.cc
@@ -39,7 +39,7 @@
         return hold_reason::no_retry_left;
     if (node != no_target)
         return node;
-    if (pool.reach.cut_off())
+    if (pool.reach.reaches_none())
         return hold_reason::no_server_free;
     const doubtful_targets doubtful = find_doubtful_targets(row, now);
     std::vector<target_row_index> avoided = row.tried;
@@ -115,7 +115,7 @@
                      now, out))
         return;
     // Silent servers make this node doubt its links.
-    note_failed_attempt(row, attempt_failure::stalled);
+    note_failed_attempt(row, attempt_failure::stalled, now);
     set_wake(row, std::min(deadline, now + move_interval));
 }
 
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -134,14 +134,16 @@
     [[nodiscard]] duration limit_wait(const pool_row& pool, time_point now) const;
 
     // request_detour.cc: requests sent through other nodes while this one reaches no server
-    void note_failed_attempt(const request_row& row, attempt_failure reason);
+    void note_failed_attempt(const request_row& row, attempt_failure reason, time_point now);
     [[nodiscard]] bool may_detour(const request_row& row) const;
     [[nodiscard]] bool detours_on_arrival(const request_info& info, const pool_row& pool,
                                           time_point now) const;
-    [[nodiscard]] target_row_index choose_node(time_point now);
+    [[nodiscard]] target_row_index choose_node(time_point now, bool after_refusal = false);
     bool send_through_node(request_row& row, time_point now, command_list& out);
     void send_through_node(request_row& row, target_row_index node, time_point now,
                            command_list& out);
+    [[nodiscard]] bool has_sound_server(const request_row& row) const;
+    void note_agreement(const request_row& row);
     void end_detour(request_row& row, attempt_failure reason, time_point now, command_list& out);
     void return_to_own_servers(request_row& row, const error& failure, time_point now,
                                command_list& out);
@@ -153,6 +155,8 @@
     void leave_servers(pool_index index, time_point now, command_list& out);
     void return_to_servers(const pool_row& pool, time_point now);
     void probe_if_due(pool_row& pool, time_point now, command_list& out);
+    [[nodiscard]] std::vector<target_row_index> choose_probes(const pool_row& pool,
+                                                              std::size_t most);
     bool refuse_relayed(const request_info& info, const pool_row& pool, command_list& out);
     [[nodiscard]] bool reaches_no_group(time_point now) const;
 
