Questions about an outage of the store: a successful check answers those of 600 ms

Change: the result of a successful check is remembered for 600 ms, as that of a failed one is for 1.5 s.

--- a/daemon/outage_inquiry.cc
+++ b/daemon/outage_inquiry.cc
@@ -13,8 +13,8 @@
 //
 // A node that answers "not reached" neither claims a manager's key nor manages for a while, so it
 // is safe to act on its answer even if the check was wrong or is some time old. One check may
-// therefore answer many questions, and a failed check stays valid for some time. That saves calls
-// to the store, which cost money also while it is down.
+// therefore answer many questions, and its result stays valid for some time (peers/store_checks.h).
+// That saves calls to the store, which cost money also while it is down.
 
 namespace jaynotch {
 
@@ -24,8 +24,6 @@
 
 /// The store usually answers within milliseconds, and within a few tenths of a second when slow.
 constexpr duration check_timeout = std::chrono::milliseconds{400};
-/// How long the result of a failed check is used to answer further questions.
-constexpr duration failure_validity = std::chrono::milliseconds{1'500};
 /// How long the answer of a dead node is still required. Longer than nodes are partitioned from
 /// each other without either of them being restarted.
 constexpr duration dead_node_retention = std::chrono::seconds{10};
@@ -101,8 +99,8 @@
     const requester to{from, asked};
     if (m_hooks.manages(asked.domain))
         return answer(to, true);
-    if (runtime_clock::now() - m_failed_at < failure_validity)
-        return answer(to, false);
+    if (const std::optional<bool> reached = m_checks.known(runtime_clock::now()))
+        return answer(to, *reached);
     m_waiting_requesters.push_back(to);
     if (!m_checking)
         begin_check();
@@ -146,8 +144,7 @@
     if (!m_checking || check != m_check)
         return;
     m_checking = false;
-    if (!reached)
-        m_failed_at = runtime_clock::now();
+    m_checks.note(reached, runtime_clock::now());
     for (const requester& waiting : std::exchange(m_waiting_requesters, {}))
         answer(waiting, reached);
 }
--- a/daemon/outage_inquiry.h
+++ b/daemon/outage_inquiry.h
@@ -11,6 +11,7 @@
 #include "base/base.h"
 #include "daemon/settings.h"
 #include "peers/peers.h"
+#include "peers/store_checks.h"
 #include "services/services.h"
 
 #include <boost/asio/io_context.hpp>
@@ -87,7 +88,7 @@
     std::vector<requester> m_waiting_requesters;    ///< waiting for the result of the current check
     std::uint64_t m_check = 0;                      ///< number of the latest check
     bool m_checking = false;
-    time_point m_failed_at;          ///< when a check last failed
+    store_checks m_checks;
     time_point m_outage_reported_at; ///< when another node was last told of an outage
 };
 
