Large pushes are forwarded in domains of more than 13 nodes: a follower's link stays free

Change: a push goes directly to at most 12 neighbours; with more, the existing forwarding is used (5 copies instead of 24). Domains of up to 13 nodes are served as before.

--- a/peers/key_relay.h
+++ b/peers/key_relay.h
@@ -44,8 +44,10 @@
     std::size_t max_reply_bytes = 256U << 10U; ///< of one reply
     double max_reply_bytes_s = 200'000.0;      ///< of all replies, per second
     std::size_t max_keys = 4096;
-    /// With more neighbours, a push is sent to some of them, which forward it to the others.
-    std::size_t max_direct_neighbours = 32;
+    /// With more neighbours, a push is sent to some of them, which forward it to the others. A
+    /// configuration of many routes takes 0.25 MB, twice, for each neighbour, and everything else
+    /// on a link of 20 Mbit/s waits behind it.
+    std::size_t max_direct_neighbours = 12;
     /// Whether a change of the key must not wait for changes of other keys; empty: none.
     std::function<bool(std::string_view key)> is_urgent = {};
 };
--- a/peers/key_relay_test.cc
+++ b/peers/key_relay_test.cc
@@ -631,6 +631,37 @@
     cr_assert(fresh != nullptr && fresh->store_age == duration{105} + later);
 }
 
+// Load: a configuration of 840 routes (0.24 MB) in a domain of 25 nodes with links of 20 Mbit/s.
+// Guards against a follower whose requests and connections wait for seconds behind its pushes.
+Test(key_relay, a_large_push_does_not_fill_the_link_of_a_follower)
+{
+    constexpr std::size_t nodes = 25;
+    constexpr std::size_t config_bytes = 240'000;
+    std::vector<node_id> domain;
+    for (std::size_t index = 0; index < nodes; ++index)
+        domain.emplace_back("n" + std::to_string(index));
+    const time_point now{std::chrono::hours{1}};
+    key_relay_core follower = make_core("n0");
+    follower.members_changed(domain, domain);
+    follower.push({});
+    follower.key_changed(now, {"config", 5, std::string(config_bytes, 'x')});
+    std::size_t sent = 0;
+    std::set<node_id> reached;
+    for (const key_relay_command& one : follower.push({})) {
+        const auto* message = std::get_if<send_key_message>(&one);
+        if (message == nullptr)
+            continue;
+        const auto& push = std::get<key_reply>(message->body);
+        for (const relayed_key& entry : push.entries)
+            sent += entry.value.size();
+        reached.insert(message->to);
+        reached.insert(push.forward_to.begin(), push.forward_to.end());
+    }
+    cr_assert_eq(reached.size(), nodes - 1);
+    constexpr std::size_t bytes_of_half_a_second = 20'000'000 / 8 / 2;
+    cr_assert_leq(sent, bytes_of_half_a_second);
+}
+
 // Guards against a changed configuration that waits for the next push.
 Test(key_relay, an_urgent_key_is_sent_at_once_and_pushed_too)
 {
