Read-ahead: no second reader while the answer is being read

Cause: that the coroutine which passes an answer on is never in a read when reading ahead starts was shown by reading the code only. Change: a flag says so, and reading ahead doesn't start while it is set.

--- a/daemon/relay_read_ahead.cc
+++ b/daemon/relay_read_ahead.cc
@@ -88,8 +88,12 @@
         boost::system::error_code ignored;
         co_await ahead.changed->async_wait(net::redirect_error(net::use_awaitable, ignored));
     }
-    if (ahead.parts.empty())
-        co_return co_await answer.read(max_read_wait);
+    if (ahead.parts.empty()) {
+        ahead.reading_directly = true;
+        result<std::string> read = co_await answer.read(max_read_wait);
+        ahead.reading_directly = false;
+        co_return read;
+    }
     result<std::string> part = std::move(ahead.parts.front());
     ahead.parts.pop_front();
     if (part) {
@@ -102,7 +106,8 @@
 void relay_request::impl::start_reading_ahead(const attempt_ptr& attempt)
 {
     parts_ahead& ahead = attempt->ahead;
-    if (!attempt->may_read_ahead || attempt->stream == nullptr || ahead.reading || ahead.ended)
+    const bool being_read = ahead.reading || ahead.reading_directly;
+    if (!attempt->may_read_ahead || attempt->stream == nullptr || being_read || ahead.ended)
         return;
     if (!ahead.changed)
         ahead.changed.emplace(m_services.io, time_point::max());
--- a/daemon/relay_way.h
+++ b/daemon/relay_way.h
@@ -29,9 +29,10 @@
 struct parts_ahead {
     std::deque<result<std::string>> parts; ///< an error or an empty part is the last one
     std::size_t bytes = 0;
-    bool reading = false;         ///< a coroutine reads ahead; nobody else may read the answer
-    bool ended = false;           ///< the last part has been read
-    std::optional<timer> changed; ///< never expires; cancelled on each change
+    bool reading = false;          ///< a coroutine reads ahead; nobody else may read the answer
+    bool reading_directly = false; ///< the coroutine that passes the answer on reads it itself
+    bool ended = false;            ///< the last part has been read
+    std::optional<timer> changed;  ///< never expires; cancelled on each change
 };
 
 /// One attempt: the request sent to one backend server.
