Late requests wait while their pool serves and an answer still finds its caller

Cause: a request that missed its latency target was refused 250 ms later, whatever its caller's time. Of 75 nodes that share 290 places each sees one become free every 0.4 s, so most were refused although the pool served, and their callers came back into the same crowd.

Change: routing/late_queue decides how long one waits (until its caller would have left, or until no place of this node became free for four expected intervals), in order of arrival, and whether it would wait in vain: then it is refused at once with the expected wait as Retry-After. routing/first_event_delay.h learns what first events take beyond the published figures, so that a request counts as late when it is.

--- a/routing/pool_table.h
+++ b/routing/pool_table.h
@@ -5,6 +5,7 @@
 #include "routing/adaptive_limit.h"
 #include "routing/demand.h"
 #include "routing/fair_queue.h"
+#include "routing/first_event_delay.h"
 #include "routing/picker.h"
 #include "routing/prefix_index.h"
 #include "routing/retry_budget.h"
@@ -41,12 +42,14 @@
     bool was_cut_off = false;             ///< reach.cut_off() when it was last reviewed
     bool probe_pending = false;           ///< a server is being probed
     time_point next_probe;                ///< earliest time of the next probe
+    first_event_delay unmodelled;         ///< of first events, beyond the engine model
     prefix_index prefixes;
     std::map<workspace_id, workspace_use> uses; ///< workspaces with requests in flight or queued
     std::uint32_t requests = 0;                 ///< requests in any phase that refer to this row
     std::uint32_t in_flight = 0;
     std::uint32_t in_flight_leaving = 0; ///< part of in_flight at targets that get no new requests
     double service_s = 0.0;              ///< service time, moving average
+    time_point place_freed;              ///< when a request of this node ended last
     std::uint32_t peer_demand = 0;       ///< demand of the other entry VMs, requests
     double rounding_draw = 0.0; ///< 0..1, drawn at each tick, for randomised rounding of the share
     std::uint32_t usable_targets = 0;
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -4,6 +4,7 @@
 
 #include "routing/caller_timeout_estimate.h"
 #include "routing/claim_manager.h"
+#include "routing/late_queue.h"
 #include "routing/outliers.h"
 #include "routing/pool_table.h"
 #include "routing/request_core.h"
@@ -40,9 +41,10 @@
     bool sent = false;     ///< a byte may have been sent
     bool repeated = false; ///< resent to the same server: the first sending may have run
     bool first_part_received = false;
-    bool waits_for_caller = false;    ///< a part of the answer is being written to the caller
-    bool held = false;                ///< attempt_held was issued
-    std::uint32_t pending_tokens = 0; ///< prompt tokens counted at the target until it answers
+    bool waits_for_caller = false;      ///< a part of the answer is being written to the caller
+    bool held = false;                  ///< attempt_held was issued
+    std::uint32_t pending_tokens = 0;   ///< prompt tokens counted at the target until it answers
+    std::optional<double> predicted_ms; ///< time to the first event, by the engine model
     time_point started;
     time_point first_part; ///< when the answer began; valid if first_part_received
     bool noted_served = false;
@@ -91,6 +93,7 @@
     time_point arrived;
     time_point deadline;    ///< for the first byte, or for the resumption of a stream
     time_point queue_until; ///< modelled pools: refused if still queued then
+    time_point late_since;  ///< valid if `late`
     /// Latest dispatch at which the answer is expected to begin within the route's first target;
     /// time_point::max() if the route has none.
     time_point start_by;
@@ -171,6 +174,7 @@
     bool authenticate(request_info& info, const route& taken,
                       std::optional<priority_class>& priority, command_list& out);
     [[nodiscard]] pool_index choose_pool(const route& taken, const request_info& info);
+    [[nodiscard]] duration predicted_first_event(const request_row& row) const;
     [[nodiscard]] time_point latest_start(const request_row& row, time_point now) const;
     bool is_returning_caller(const request_row& row, time_point now);
     bool refuse_early(request_row& row, time_point now, command_list& out);
@@ -199,6 +203,11 @@
     void requeue(request_row& row, time_point now);
     static void note_tried(request_row& row);
     void queue_as_late(request_row& row);
+    [[nodiscard]] bool waits_late(const request_row& row) const;
+    [[nodiscard]] late_queue::service late_service(const request_row& row, double ahead) const;
+    [[nodiscard]] late_queue::terms late_terms(const request_row& row) const;
+    bool refuse_vain_wait(request_row& row, std::size_t requests_ahead, time_point now,
+                          command_list& out);
     [[nodiscard]] flow_key flow_of(const request_row& row) const;
     [[nodiscard]] bool gives_way(const request_row& row) const;
     [[nodiscard]] double queue_weight(const request_row& row) const;
