--- a/base/mechanisms.h
+++ b/base/mechanisms.h
@@ -21,8 +21,6 @@
 enum class mechanism {
     // Requests.
     late_gives_way,      ///< late requests leave some places free for those that can be in time
-    late_waits,          ///< late requests wait for as long as an answer still finds its caller
-    reserve_by_arrivals, ///< late requests leave the places that others may fill meanwhile
     learned_delay,       ///< adds to predicted first events what they usually take longer
     returning_gives_way, ///< requests sent again after a refusal count as late
     newest_first,        ///< newest waiting request first, where the engines' speed is known
@@ -50,8 +48,6 @@
 struct enum_names<mechanism> {
     static constexpr std::array entries{
         named{mechanism::late_gives_way, "late_gives_way"},
-        named{mechanism::late_waits, "late_waits"},
-        named{mechanism::reserve_by_arrivals, "reserve_by_arrivals"},
         named{mechanism::learned_delay, "learned_delay"},
         named{mechanism::returning_gives_way, "returning_gives_way"},
         named{mechanism::newest_first, "newest_first"},
--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -140,13 +140,6 @@
         gauge(registry, "jaynotch_refused_blocked", "Requests refused for such a content");
     Gauge& refused_limited =
         gauge(registry, "jaynotch_refused_limited", "Requests refused for these limits");
-    Gauge& refused_in_vain =
-        gauge(registry, "jaynotch_refused_in_vain",
-              "Requests refused as they would be served only after their callers have left");
-    Gauge& late_waits = gauge(registry, "jaynotch_late_waits",
-                              "Requests that missed their latency target while they waited");
-    Gauge& late_sent = gauge(registry, "jaynotch_late_sent",
-                             "Requests sent although they miss their latency target");
     Gauge& cut_off = gauge(registry, "jaynotch_servers_unreachable",
                            "1 if no backend server of some pool seems reachable");
     Gauge& detours = gauge(registry, "jaynotch_detoured_requests",
@@ -257,9 +250,6 @@
     all.contents_blocked.Set(static_cast<double>(now.contents_blocked));
     all.refused_blocked.Set(static_cast<double>(now.refused_blocked));
     all.refused_limited.Set(static_cast<double>(now.refused_limited));
-    all.refused_in_vain.Set(static_cast<double>(now.refused_in_vain));
-    all.late_waits.Set(static_cast<double>(now.late_waits));
-    all.late_sent.Set(static_cast<double>(now.late_sent));
     all.cut_off.Set(now.cut_off ? 1.0 : 0.0);
     all.detours.Set(static_cast<double>(now.detours));
     all.relayed.Set(static_cast<double>(now.relayed));
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -52,13 +52,10 @@
     std::uint64_t contents_blocked = 0; ///< contents of requests under which servers ended
     std::uint64_t refused_blocked = 0;  ///< requests refused for such a content
     std::uint64_t refused_limited = 0;  ///< requests refused because of these limits
-    std::uint64_t refused_in_vain = 0;  ///< requests that would be served after the caller has left
-    std::uint64_t late_waits = 0; ///< requests that missed their latency target as they waited
-    std::uint64_t late_sent = 0;  ///< requests sent although they miss their latency target
-    bool cut_off = false;         ///< this node seems to reach no server of some pool
-    std::uint64_t detours = 0;    ///< requests sent through another node
-    std::uint64_t relayed = 0;    ///< requests that another node passed on to this one
-    duration config_age{0};       ///< since the tables in force were installed
+    bool cut_off = false;               ///< this node seems to reach no server of some pool
+    std::uint64_t detours = 0;          ///< requests sent through another node
+    std::uint64_t relayed = 0;          ///< requests that another node passed on to this one
+    duration config_age{0};             ///< since the tables in force were installed
 };
 
 class metrics {
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -558,9 +558,6 @@
         now.relayed = requests->core().counters().relayed;
         now.limited_servers = requests->core().limited_servers();
         now.refused_limited = requests->core().counters().refused_limited;
-        now.refused_in_vain = requests->core().counters().refused_in_vain;
-        now.late_waits = requests->core().counters().late_waits;
-        now.late_sent = requests->core().counters().late_sent;
         now.servers_ended = requests->core().counters().servers_ended;
         now.contents_blocked = requests->core().counters().contents_blocked;
         now.refused_blocked = requests->core().counters().refused_blocked;
--- a/routing/fair_queue.cc
+++ b/routing/fair_queue.cc
@@ -143,14 +143,6 @@
     return static_cast<double>(own->waiting.size()) * own->interval_s;
 }
 
-std::size_t fair_queue::size_of(bool late) const
-{
-    std::size_t count = 0;
-    for (const flow_row& row : m_flows)
-        count += row.key.late == late ? row.waiting.size() : 0;
-    return count;
-}
-
 std::size_t fair_queue::size_of(const workspace_id& workspace) const
 {
     std::size_t count = 0;
--- a/routing/fair_queue.h
+++ b/routing/fair_queue.h
@@ -62,8 +62,6 @@
     /// Unlike requests_ahead() this accounts for further arrivals in other flows.
     [[nodiscard]] double backlog_wait_s(const flow_key& flow) const;
     [[nodiscard]] std::size_t size() const { return m_size; }
-    /// Number of the late requests, or of the others.
-    [[nodiscard]] std::size_t size_of(bool late) const;
     [[nodiscard]] std::size_t size_of(const workspace_id& workspace) const;
 
 private:
--- a/routing/pool_table.h
+++ b/routing/pool_table.h
@@ -49,7 +49,6 @@
     std::uint32_t in_flight = 0;
     std::uint32_t in_flight_leaving = 0; ///< part of in_flight at targets that get no new requests
     double service_s = 0.0;              ///< service time, moving average
-    time_point place_freed;              ///< when a request of this node ended last
     std::uint32_t peer_demand = 0;       ///< demand of the other entry VMs, requests
     double rounding_draw = 0.0; ///< 0..1, drawn at each tick, for randomised rounding of the share
     std::uint32_t usable_targets = 0;
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -189,10 +189,7 @@
     if (taken->streaming)
         row.deadline = std::min(row.deadline, now + first_event_timeout(*taken));
     row.late = is_returning_caller(row, now);
-    row.late_since = now;
     row.queue_until = now + (row.deadline - now) / 2;
-    if (pools.at(index).modelled() && settings.mechanisms.has(mechanism::late_waits))
-        row.queue_until = late_queue::latest_start(late_terms(row));
     row.wake = row.deadline;
     row.keyed = taken->repeat == repeat_policy::keyed && !row.info.idempotency_key.empty();
 
@@ -218,19 +215,12 @@
     const pool_row& pool = pools.at(row.terms.pool);
     if (!pool.modelled())
         return now + first_target;
-    return now + first_target - predicted_first_event(row);
-}
-
-/// Predicted time from dispatch to the first event, for modelled pools whose groups are full.
-duration request_core::state::predicted_first_event(const request_row& row) const
-{
-    const pool_row& pool = pools.at(row.terms.pool);
     double first_ms =
         first_event_ms_when_full(targets, pool.view, pool.info, row.info.prompt_tokens);
     if (settings.mechanisms.has(mechanism::learned_delay))
         first_ms += pool.unmodelled.usual_ms();
     const std::chrono::duration<double, std::milli> first{first_ms};
-    return std::chrono::duration_cast<duration>(first);
+    return now + first_target - std::chrono::duration_cast<duration>(first);
 }
 
 /// Whether the caller is likely to have been refused before, in which case the latency target for
@@ -255,12 +245,6 @@
     if (!settings.admission)
         return false;
     const pool_row& pool = pools.at(row.terms.pool);
-    if (pool.modelled() && settings.mechanisms.has(mechanism::late_waits)) {
-        if (pool.available_places > static_cast<double>(pool.queue.size()))
-            return false;
-        // Requests that can be in time are served newest first: those that wait aren't ahead of it.
-        return refuse_vain_wait(row, row.late ? pool.queue.size() : 0, now, out);
-    }
     const flow_key flow = flow_of(row);
     const double weight = pool.weight_of(row.info.workspace, row.terms.priority);
     const double wait_s = pool.estimated_wait_s(flow, weight);
@@ -306,7 +290,7 @@
     // its latency target allows and then begin too late. With newest first, the requests that are
     // served are in time.
     const bool newest_first = pool.modelled() && settings.mechanisms.has(mechanism::newest_first);
-    const queue_end end = newest_first && !waits_late(row) ? queue_end::front : queue_end::back;
+    const queue_end end = newest_first ? queue_end::front : queue_end::back;
     if (!pool.queue.push(flow_of(row), weight, {row.info.id, cost_of(row.info)}, end)) {
         finish_refuse(row,
                       {error_kind::overloaded, "the queue of this workspace is full",
--- a/routing/request_core.h
+++ b/routing/request_core.h
@@ -72,9 +72,6 @@
     std::uint64_t caller_disconnects = 0; ///< requests whose caller disconnected before the end
     std::uint64_t refused_early = 0;      ///< of refused: on arrival, by the estimated wait
     std::uint64_t refused_late = 0;       ///< of refused: deadline reached while queued
-    std::uint64_t refused_in_vain = 0;    ///< of refused: would be served after the caller has left
-    std::uint64_t late_waits = 0;         ///< requests that became late while they waited
-    std::uint64_t late_sent = 0;          ///< sent after that, or sent by callers who came back
     std::uint64_t servers_ended = 0;      ///< seen to end as they began to answer
     std::uint64_t contents_blocked = 0;   ///< since servers ended under them
     std::uint64_t refused_blocked = 0;    ///< of refused: for such a content
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -23,13 +23,6 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(span));
 }
 
-/// Time of a usual answer in a full batch, by the engine's figures.
-double full_answer_s(const pool_row& pool)
-{
-    constexpr double ms_in_second = 1000.0;
-    return answer_ms(pool.info.engine, pool.view.max_per_target) / ms_in_second;
-}
-
 } // namespace
 
 void request_core::state::dispatch(pool_index index, time_point now, command_list& out)
@@ -151,7 +144,6 @@
     pool.available_places = std::max(0.0, pool.available_places - 1.0);
 
     begin_attempt(row, chosen, now);
-    counters.late_sent += gives_way(row) ? 1 : 0;
     row.attempt.pending_tokens = row.info.prompt_tokens;
     target.pending_tokens += row.attempt.pending_tokens;
     send_attempt sent = send_command_for(row, now);
@@ -271,60 +263,15 @@
         return;
     constexpr std::chrono::milliseconds late_wait{250};
     row.late = true;
-    const bool waits = waits_late(row);
-    if (!waits)
-        row.queue_until = std::min<time_point>(row.queue_until, row.start_by + late_wait);
+    row.queue_until = std::min<time_point>(row.queue_until, row.start_by + late_wait);
     // push_front() is for requests that were popped before: used here, each request that becomes
     // late would get its flow another turn at once. It only serves as a fallback for a full queue.
-    ++counters.late_waits;
     const queued_request waiting{row.info.id, 1.0};
-    const queue_end end = waits ? queue_end::back : queue_end::front;
-    if (!pool.queue.push(flow_of(row), queue_weight(row), waiting, end))
+    if (!pool.queue.push(flow_of(row), queue_weight(row), waiting, queue_end::front))
         pool.queue.push_front(flow_of(row), queue_weight(row), waiting);
     set_wake(row, next_wake_time(row));
 }
 
-/// Whether the request waits as long as late_queue says.
-bool request_core::state::waits_late(const request_row& row) const
-{
-    return gives_way(row) && pools.at(row.terms.pool).modelled() &&
-           settings.mechanisms.has(mechanism::late_waits);
-}
-
-late_queue::service request_core::state::late_service(const request_row& row, double ahead) const
-{
-    const pool_row& pool = pools.at(row.terms.pool);
-    late_queue::service made;
-    made.places = pool.in_flight + pool.available_places;
-    made.answer_s = pool.service_s > 0.0 ? pool.service_s : full_answer_s(pool);
-    made.ahead = ahead;
-    return made;
-}
-
-late_queue::terms request_core::state::late_terms(const request_row& row) const
-{
-    return {row.late_since, row.deadline, predicted_first_event(row)};
-}
-
-/// Refuses a request that is expected to get no place while its caller waits, with the time in
-/// which those ahead of it will have got theirs.
-bool request_core::state::refuse_vain_wait(request_row& row, std::size_t requests_ahead,
-                                           time_point now, command_list& out)
-{
-    const auto ahead = static_cast<double>(requests_ahead);
-    const late_queue::service service = late_service(row, ahead);
-    if (!late_queue::waits_in_vain(late_terms(row), service, now))
-        return false;
-    ++counters.refused_in_vain;
-    if (row.phase == request_phase::claiming)
-        row.keyed = false; // no claim has been made yet
-    finish_refuse(row,
-                  {error_kind::overloaded, "it would be served only after its caller has left",
-                   "come back after the time in Retry-After"},
-                  ran_state::no, retry_after(late_queue::expected_wait_s(service)), now, out);
-    return true;
-}
-
 void request_core::state::set_wake(request_row& row, time_point at)
 {
     wakes.erase({row.wake, row.info.id});
@@ -392,17 +339,9 @@
         const double reserve_s =
             reserved_first_token_times * pools.at(row.terms.pool).limit.first_token_s();
         const bool modelled = pools.at(row.terms.pool).modelled();
-        time_point last_chance = modelled && !row.may_have_run
-                                     ? row.queue_until
-                                     : row.deadline - from_seconds(reserve_s);
-        if (waits_late(row) && !row.may_have_run) {
-            const pool_row& pool = pools.at(row.terms.pool);
-            late_queue::service service = late_service(row, 0.0);
-            // The first answers to end are the short ones.
-            service.answer_s = std::max(service.answer_s, full_answer_s(pool));
-            last_chance = std::min(
-                last_chance, late_queue::wait_until(late_terms(row), service, pool.place_freed));
-        }
+        const time_point last_chance = modelled && !row.may_have_run
+                                           ? row.queue_until
+                                           : row.deadline - from_seconds(reserve_s);
         return row.late ? last_chance : std::min(last_chance, row.start_by);
     }
     case request_phase::sending:
@@ -448,12 +387,7 @@
     switch (row.phase) {
     case request_phase::queued: {
         if (!row.late && !row.head_delivered && now >= row.start_by && now < row.queue_until) {
-            row.late_since = now;
-            const pool_row& pool = pools.at(row.terms.pool);
-            const bool may_be_in_vain = pool.modelled() && !row.may_have_run &&
-                                        settings.mechanisms.has(mechanism::late_waits);
-            if (!may_be_in_vain || !refuse_vain_wait(row, pool.queue.size_of(true), now, out))
-                queue_as_late(row);
+            queue_as_late(row);
             return;
         }
         if (row.head_delivered || row.may_have_run) {
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -4,7 +4,6 @@
 
 #include "routing/caller_timeout_estimate.h"
 #include "routing/claim_manager.h"
-#include "routing/late_queue.h"
 #include "routing/outliers.h"
 #include "routing/pool_table.h"
 #include "routing/request_core.h"
@@ -93,7 +92,6 @@
     time_point arrived;
     time_point deadline;    ///< for the first byte, or for the resumption of a stream
     time_point queue_until; ///< modelled pools: refused if still queued then
-    time_point late_since;  ///< valid if `late`
     /// Latest dispatch at which the answer is expected to begin within the route's first target;
     /// time_point::max() if the route has none.
     time_point start_by;
@@ -174,7 +172,6 @@
     bool authenticate(request_info& info, const route& taken,
                       std::optional<priority_class>& priority, command_list& out);
     [[nodiscard]] pool_index choose_pool(const route& taken, const request_info& info);
-    [[nodiscard]] duration predicted_first_event(const request_row& row) const;
     [[nodiscard]] time_point latest_start(const request_row& row, time_point now) const;
     bool is_returning_caller(const request_row& row, time_point now);
     bool refuse_early(request_row& row, time_point now, command_list& out);
@@ -203,11 +200,6 @@
     void requeue(request_row& row, time_point now);
     static void note_tried(request_row& row);
     void queue_as_late(request_row& row);
-    [[nodiscard]] bool waits_late(const request_row& row) const;
-    [[nodiscard]] late_queue::service late_service(const request_row& row, double ahead) const;
-    [[nodiscard]] late_queue::terms late_terms(const request_row& row) const;
-    bool refuse_vain_wait(request_row& row, std::size_t requests_ahead, time_point now,
-                          command_list& out);
     [[nodiscard]] flow_key flow_of(const request_row& row) const;
     [[nodiscard]] bool gives_way(const request_row& row) const;
     [[nodiscard]] double queue_weight(const request_row& row) const;
