--- a/base/mechanisms.h
+++ b/base/mechanisms.h
@@ -21,7 +21,6 @@
 enum class mechanism {
     // Requests.
     late_gives_way,      ///< late requests leave some places free for those that can be in time
-    learned_delay,       ///< adds to predicted first events what they usually take longer
     returning_gives_way, ///< requests sent again after a refusal count as late
     newest_first,        ///< newest waiting request first, where the engines' speed is known
     sure_places,         ///< guarantees each node places, even in a group that seems full
@@ -48,7 +47,6 @@
 struct enum_names<mechanism> {
     static constexpr std::array entries{
         named{mechanism::late_gives_way, "late_gives_way"},
-        named{mechanism::learned_delay, "learned_delay"},
         named{mechanism::returning_gives_way, "returning_gives_way"},
         named{mechanism::newest_first, "newest_first"},
         named{mechanism::sure_places, "sure_places"},
--- a/routing/pool_table.h
+++ b/routing/pool_table.h
@@ -5,7 +5,6 @@
 #include "routing/adaptive_limit.h"
 #include "routing/demand.h"
 #include "routing/fair_queue.h"
-#include "routing/first_event_delay.h"
 #include "routing/picker.h"
 #include "routing/prefix_index.h"
 #include "routing/retry_budget.h"
@@ -42,7 +41,6 @@
     bool was_cut_off = false;             ///< reach.cut_off() when it was last reviewed
     bool probe_pending = false;           ///< a server is being probed
     time_point next_probe;                ///< earliest time of the next probe
-    first_event_delay unmodelled;         ///< of first events, beyond the engine model
     prefix_index prefixes;
     std::map<workspace_id, workspace_use> uses; ///< workspaces with requests in flight or queued
     std::uint32_t requests = 0;                 ///< requests in any phase that refer to this row
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -215,10 +215,8 @@
     const pool_row& pool = pools.at(row.terms.pool);
     if (!pool.modelled())
         return now + first_target;
-    double first_ms =
+    const double first_ms =
         first_event_ms_when_full(targets, pool.view, pool.info, row.info.prompt_tokens);
-    if (settings.mechanisms.has(mechanism::learned_delay))
-        first_ms += pool.unmodelled.usual_ms();
     const std::chrono::duration<double, std::milli> first{first_ms};
     return now + first_target - std::chrono::duration_cast<duration>(first);
 }
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -189,9 +189,6 @@
         return; // the time depends on the other node as well
     pools.at(row.terms.pool).limit.note_first_token(took_s, seconds(row.terms.timeout));
     note_first_token(targets.at(row.attempt.target).health, took_s);
-    constexpr double ms_in_second = 1000.0;
-    if (row.attempt.predicted_ms)
-        pools.at(row.terms.pool).unmodelled.note(ms_in_second * took_s - *row.attempt.predicted_ms);
 }
 
 void request_core::state::on_progress(const attempt_progress& part, time_point now)
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -146,10 +146,7 @@
     begin_attempt(row, chosen, now);
     row.attempt.pending_tokens = row.info.prompt_tokens;
     target.pending_tokens += row.attempt.pending_tokens;
-    send_attempt sent = send_command_for(row, now);
-    if (sent.basis.predicted_ms > 0.0)
-        row.attempt.predicted_ms = sent.basis.predicted_ms;
-    out.emplace_back(std::move(sent));
+    out.emplace_back(send_command_for(row, now));
     set_wake(row, next_wake_time(row));
 }
 
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -40,10 +40,9 @@
     bool sent = false;     ///< a byte may have been sent
     bool repeated = false; ///< resent to the same server: the first sending may have run
     bool first_part_received = false;
-    bool waits_for_caller = false;      ///< a part of the answer is being written to the caller
-    bool held = false;                  ///< attempt_held was issued
-    std::uint32_t pending_tokens = 0;   ///< prompt tokens counted at the target until it answers
-    std::optional<double> predicted_ms; ///< time to the first event, by the engine model
+    bool waits_for_caller = false;    ///< a part of the answer is being written to the caller
+    bool held = false;                ///< attempt_held was issued
+    std::uint32_t pending_tokens = 0; ///< prompt tokens counted at the target until it answers
     time_point started;
     time_point first_part; ///< when the answer began; valid if first_part_received
     bool noted_served = false;
