--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -91,11 +91,6 @@
                            "Groups that come together in failure domains managed here");
     Gauge& spares =
         gauge(registry, "jaynotch_spare_runners", "Runners in no group, in domains managed here");
-    Gauge& two_model_spares =
-        gauge(registry, "jaynotch_spares_of_two_models",
-              "Runners in no group that can join groups of two models, in domains managed here");
-    Gauge& model_loads = gauge(registry, "jaynotch_model_loads",
-                               "Loads ordered for idle runners, in domains managed here");
     Gauge& config_age =
         gauge(registry, "jaynotch_config_age_seconds", "Since the tables in force were installed");
     Counter& tokens = counter(registry, "jaynotch_stream_events_total",
@@ -292,8 +287,6 @@
     all.log_dropped.Set(static_cast<double>(now.log_lines_dropped));
     all.forming.Set(static_cast<double>(now.groups_forming));
     all.spares.Set(static_cast<double>(now.spare_runners));
-    all.two_model_spares.Set(static_cast<double>(now.two_model_spares));
-    all.model_loads.Set(static_cast<double>(now.model_loads));
     all.config_age.Set(seconds(now.config_age));
     all.dropped.Set(static_cast<double>(now.spans_dropped));
     return prometheus::TextSerializer{}.Serialize(all.registry.Collect());
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -49,8 +49,6 @@
     std::uint64_t log_lines_dropped = 0;
     std::uint64_t groups_forming = 0;   ///< in the failure domains that this node manages
     std::uint64_t spare_runners = 0;    ///< in the same failure domains
-    std::uint64_t two_model_spares = 0; ///< spare runners that hold two models, in the same domains
-    std::uint64_t model_loads = 0;      ///< loads ordered for idle runners, in the same domains
     std::uint64_t limited_servers = 0;  ///< servers with a rate limit for all nodes together
     std::uint64_t cold_servers = 0;     ///< servers known to be cold
     std::uint64_t held_from_cold = 0;   ///< requests queued while cold servers got no more
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -601,8 +601,6 @@
         for (const groups::formation_status& one : managers->status()) {
             now.groups_forming += one.leading ? one.groups_forming : 0;
             now.spare_runners += one.leading ? one.spare_runners : 0;
-            now.two_model_spares += one.leading ? one.two_model_spares : 0;
-            now.model_loads += one.leading ? one.model_loads : 0;
         }
         return exported_metrics.render(now);
     }
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -64,15 +64,12 @@
     counts.store_unreachable = counts.leading && core.store_unreachable(now);
     counts.term = core.lease_election.term();
     counts.orders = core.orders;
-    counts.model_loads = core.model_loads;
     for (const auto& [vm, view] : core.runners) {
         if (!view.listed)
             continue;
         const bool spare = !view.row.group || core.is_warm_up(key_of(*view.row.group));
-        if (spare) {
+        if (spare)
             ++counts.spare_runners;
-            counts.two_model_spares += core.holds_two_models(view) ? 1 : 0;
-        }
         else if (view.row.group->rank == 0 && view.row.group->phase == member_phase::open)
             ++counts.groups_open;
         else if (view.row.group->rank == 0)
--- a/groups/formation.h
+++ b/groups/formation.h
@@ -210,8 +210,6 @@
     std::size_t groups_open = 0;
     std::size_t groups_forming = 0;
     std::size_t spare_runners = 0;
-    std::size_t two_model_spares = 0; ///< spare runners that can join groups of two models
-    std::uint64_t model_loads = 0;    ///< loads ordered for idle runners
     std::uint64_t orders = 0;
 };
 
--- a/groups/formation_plan.cc
+++ b/groups/formation_plan.cc
@@ -182,31 +182,6 @@
     });
 }
 
-/// Whether a needier model has enough free runners for a group, some of which are still loading it,
-/// and would lack some without `members`. Such a group comes within the time of a load and uses
-/// runners that would be spread over both models otherwise.
-bool formation_manager::state::spoils_coming_group(const fabric_domain_id& domain,
-                                                   const pool& model_pool,
-                                                   const std::vector<runner_view*>& members,
-                                                   time_point now)
-{
-    const auto holding = [](const std::vector<runner_view*>& views, const std::string& model) {
-        return std::count_if(views.begin(), views.end(), [&](const runner_view* view) {
-            return view->warm_model == model || view->staging == model || has_staged(*view, model);
-        });
-    };
-    const std::vector<runner_view*> free = free_runners(domain, now);
-    for (const auto& [groups_per_share, needier] : models_by_need()) {
-        if (needier->model == model_pool.model)
-            return false;
-        const auto held = holding(free, needier->model);
-        if (held >= needier->replica_vms &&
-            held - holding(members, needier->model) < needier->replica_vms)
-            return true;
-    }
-    return false;
-}
-
 /// Starts one group of `model_pool` from free runners that can be ready within `longest`; false if
 /// there are too few, or if start_group() failed.
 bool formation_manager::state::form_group(const fabric_domain_id& domain, const pool& model_pool,
@@ -232,8 +207,7 @@
         std::any_of(free.begin(), free.end(), [&](const runner_view* view) {
             return view->warm_model != model_pool.model && index_of_model(view->warm_model);
         });
-    if (uses_spare_of_others && (has_leaving_survivors(domain, model_pool, now) ||
-                                 spoils_coming_group(domain, model_pool, free, now)))
+    if (uses_spare_of_others && has_leaving_survivors(domain, model_pool, now))
         return false;
     return start_group(model_pool, std::move(free), group_purpose::serve, now);
 }
@@ -328,14 +302,6 @@
     return room;
 }
 
-bool formation_manager::state::holds_two_models(const runner_view& view) const
-{
-    const auto held = std::count_if(pools.begin(), pools.end(), [&](const pool& one) {
-        return view.warm_model == one.model || has_staged(view, one.model);
-    });
-    return held >= 2;
-}
-
 /// Whether a load that no group waits for may start: it must not slow the others down.
 bool formation_manager::state::has_spare_load(const pool& model_pool) const
 {
@@ -370,7 +336,6 @@
         runner_view& view = *free[choice.runner];
         if (!order(view, stage_model{model_pool.model}, now))
             continue;
-        ++model_loads;
         view.staging = model_pool.model;
         view.staging_until = now + 2 * model_pool.forming.load + formation_slack;
         add_notice(log_level::info, "model_staged", view.row.id.value(),
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -170,9 +170,6 @@
                     time_point now);
     [[nodiscard]] bool has_leaving_survivors(const fabric_domain_id& domain, const pool& model_pool,
                                              time_point now) const;
-    [[nodiscard]] bool spoils_coming_group(const fabric_domain_id& domain, const pool& model_pool,
-                                           const std::vector<runner_view*>& members,
-                                           time_point now);
     void form_initial_groups(time_point now);
     void stage_spares(const fabric_domain_id& domain, const std::vector<model_need>& ranked,
                       time_point now);
@@ -181,7 +178,6 @@
     [[nodiscard]] domain_room room_of(const fabric_domain_id& domain,
                                       const std::vector<runner_view*>& free,
                                       const std::vector<model_need>& ranked, time_point now) const;
-    [[nodiscard]] bool holds_two_models(const runner_view& view) const;
     [[nodiscard]] bool has_spare_load(const pool& model_pool) const;
     [[nodiscard]] std::vector<runner_view*> free_runners(const fabric_domain_id& domain,
                                                          time_point now);
@@ -220,8 +216,7 @@
     std::int64_t group_number_term = 0;
     std::uint64_t last_token = 0;
     std::uint64_t orders = 0;
-    std::uint64_t model_loads = 0; ///< ordered for idle runners
-    double load_tokens = 0.0;      ///< token bucket: loads that may start now
+    double load_tokens = 0.0; ///< token bucket: loads that may start now
     time_point load_tokens_at;
     double peer_probe_tokens = 0.0; ///< token bucket: probes because of other nodes' reports
     time_point peer_probe_tokens_at;
