--- a/base/mechanisms.h
+++ b/base/mechanisms.h
@@ -37,7 +37,6 @@
     // Groups.
     warm_spares,          ///< spare runners warm up staged weights in groups of their own
     guard_largest,        ///< spare runners are staged for the largest groups first
-    second_models,        ///< idle runners load a second model beside the one they hold
     probes_before_ending, ///< probes members with expired entries before a group ends
     outage_inquiry,       ///< managers continue while no node reaches the store
     // The registry.
@@ -63,7 +62,6 @@
         named{mechanism::detours, "detours"},
         named{mechanism::warm_spares, "warm_spares"},
         named{mechanism::guard_largest, "guard_largest"},
-        named{mechanism::second_models, "second_models"},
         named{mechanism::probes_before_ending, "probes_before_ending"},
         named{mechanism::outage_inquiry, "outage_inquiry"},
         named{mechanism::shared_watches, "shared_watches"}};
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -335,7 +335,6 @@
     if (view.membership_confirmed)
         ++view.begun_orders;
     view.left_epoch = std::max(view.left_epoch, left.epoch);
-    view.left_at = now;
     if (was_in) {
         view.row.group.reset();
         view.joined_before_entry.reset();
@@ -619,15 +618,12 @@
             return leaving + "warming";
         return leaving + std::string{to_name(view.row.group->phase)} + " " + view.row.model;
     }
-    const bool warm = index_of_model(view.warm_model).has_value();
-    std::string held = warm ? "warm " + view.warm_model : std::string{};
-    for (const std::string& model : view.row.staged) {
-        if (model != view.warm_model)
-            held += (held.empty() ? "staged " : " + staged ") + model;
-    }
     if (!view.staging.empty())
-        held += (held.empty() ? "staging " : " + staging ") + view.staging;
-    return leaving + (held.empty() ? "bare" : held);
+        return leaving + "staging " + view.staging;
+    if (view.row.staged.empty())
+        return leaving + "bare";
+    return leaving + (view.warm_model == view.row.staged.front() ? "warm " : "staged ") +
+           view.row.staged.front();
 }
 
 bool formation_manager::state::order(runner_view& view, member_order wanted, time_point now)
--- a/groups/formation_plan.cc
+++ b/groups/formation_plan.cc
@@ -17,10 +17,8 @@
 
 constexpr duration warm_join = 200ms;     ///< join of a runner whose last group had the model
 constexpr duration formation_slack = 10s; ///< added to the expected time of joins and loads
-/// A runner that was free for this long is not about to join a group. An order would make it
-/// unusable until its next report.
-constexpr duration idle_time = 1s;
-constexpr double load_burst = 3.0; ///< capacity of the token bucket for loads
+constexpr double load_burst = 3.0;        ///< capacity of the token bucket for loads
+constexpr double need_tolerance = 1.3;    ///< needs within this factor count as equal
 constexpr std::int64_t epochs_in_term = 4096;
 
 bool has_staged(const runner_view& view, const std::string& model)
@@ -29,6 +27,14 @@
            view.row.staged.end();
 }
 
+/// Whether weights of any model of `pools` are staged on the runner's host, or being staged.
+bool is_prepared(const runner_view& view, const std::vector<pool>& pools)
+{
+    return !view.staging.empty() ||
+           std::any_of(pools.begin(), pools.end(),
+                       [&](const pool& model_pool) { return has_staged(view, model_pool.model); });
+}
+
 } // namespace
 
 duration formation_manager::state::time_to_ready(const runner_view& view,
@@ -163,25 +169,6 @@
     return true;
 }
 
-/// Whether runners that hold the model in their accelerators have just been ordered to leave a
-/// broken group. A group formed before their replies would use spares of other models and leave
-/// them idle.
-bool formation_manager::state::has_leaving_survivors(const fabric_domain_id& domain,
-                                                     const pool& model_pool, time_point now) const
-{
-    const std::vector<runner_view*>& local = by_fabric.at(domain);
-    return std::any_of(local.begin(), local.end(), [&](const runner_view* view) {
-        if (!is_reachable(*view) || view->warm_model != model_pool.model)
-            return false;
-        const bool leaving =
-            view->pending && std::holds_alternative<leave_group>(view->pending_order);
-        if (leaving)
-            return now - view->pending_since < settings.order_retry_delay;
-        return !view->row.group && !view->membership_confirmed &&
-               now - view->left_at < settings.max_report_age + settings.order_retry_delay;
-    });
-}
-
 /// Starts one group of `model_pool` from free runners that can be ready within `longest`; false if
 /// there are too few, or if start_group() failed.
 bool formation_manager::state::form_group(const fabric_domain_id& domain, const pool& model_pool,
@@ -203,12 +190,6 @@
     });
     free.resize(model_pool.replica_vms);
     std::stable_partition(free.begin(), free.end(), warm);
-    const bool uses_spare_of_others =
-        std::any_of(free.begin(), free.end(), [&](const runner_view* view) {
-            return view->warm_model != model_pool.model && index_of_model(view->warm_model);
-        });
-    if (uses_spare_of_others && has_leaving_survivors(domain, model_pool, now))
-        return false;
     return start_group(model_pool, std::move(free), group_purpose::serve, now);
 }
 
@@ -248,99 +229,87 @@
     }
 }
 
-/// Groups of each pool in the domain, by head; single spares that warm up are not counted.
-std::vector<std::uint32_t> formation_manager::state::groups_in(const fabric_domain_id& domain) const
+/// The model with the largest groups among those that have a group in the domain; null if none has.
+const pool* formation_manager::state::largest_model(const fabric_domain_id& domain) const
 {
-    std::vector<std::uint32_t> counts(pools.size(), 0);
-    for (const runner_view* view : by_fabric.at(domain)) {
-        const bool head = view->listed && view->row.group && view->row.group->rank == 0;
-        if (!head || is_warm_up(key_of(*view->row.group)))
-            continue;
-        const auto plan = planned.find(key_of(*view->row.group));
-        const auto model =
-            index_of_model(plan == planned.end() ? view->row.model : plan->second.model);
-        if (model)
-            ++counts[*model];
+    const pool* largest = nullptr;
+    for (const pool& model_pool : pools) {
+        const std::vector<runner_view*>& local_runners = by_fabric.at(domain);
+        const bool has_group =
+            std::any_of(local_runners.begin(), local_runners.end(), [&](const runner_view* view) {
+                return view->listed && view->row.group && view->row.group->rank == 0 &&
+                       view->row.model == model_pool.model && !is_warm_up(key_of(*view->row.group));
+            });
+        if (has_group && (largest == nullptr || model_pool.replica_vms > largest->replica_vms))
+            largest = &model_pool;
     }
-    return counts;
+    return largest;
 }
 
-std::optional<std::size_t> formation_manager::state::index_of_model(const std::string& model) const
+/// Chooses the model to stage on spares. First the model with the largest groups of the domain,
+/// until it has `tolerated_losses` spares, because a large group without a spare idles the most
+/// runners. Then a model whose next group the runners without weights can complete, or that has
+/// clearly too few groups. Otherwise the largest again: a few runners with another model would idle
+/// next to an incomplete group that they could complete.
+const pool* formation_manager::state::model_to_stage(const fabric_domain_id& domain,
+                                                     const std::vector<runner_view*>& spare,
+                                                     const std::vector<model_need>& ranked) const
 {
-    const auto found = std::find_if(pools.begin(), pools.end(),
-                                    [&](const pool& one) { return one.model == model; });
-    if (found == pools.end())
-        return std::nullopt;
-    return static_cast<std::size_t>(found - pools.begin());
-}
-
-domain_room formation_manager::state::room_of(const fabric_domain_id& domain,
-                                              const std::vector<runner_view*>& free,
-                                              const std::vector<model_need>& ranked,
-                                              time_point now) const
-{
-    domain_room room;
-    room.guard_largest = settings.mechanisms.has(mechanism::guard_largest);
-    room.second_models = settings.mechanisms.has(mechanism::second_models);
-    const std::vector<std::uint32_t> groups = groups_in(domain);
-    for (std::size_t index = 0; index < pools.size(); ++index) {
-        room.models.push_back({pools[index].replica_vms, groups[index], 0.0});
-        room.host_keeps = std::max<std::size_t>(1, pools[index].forming.staged_models);
-    }
-    for (const auto& [groups_per_share, model_pool] : ranked)
-        room.models[static_cast<std::size_t>(model_pool - pools.data())].need = groups_per_share;
-    for (const runner_view* view : free) {
-        room_runner& runner = room.free.emplace_back();
-        runner.warm = index_of_model(view->warm_model);
-        runner.staging = index_of_model(view->staging);
-        runner.idle = view->idle_since && now - *view->idle_since >= idle_time;
-        for (const std::string& model : view->row.staged) {
-            if (const auto index = index_of_model(model))
-                runner.staged.push_back(*index);
+    const pool* const largest = largest_model(domain);
+    const auto standbys = std::count_if(spare.begin(), spare.end(), [&](const runner_view* view) {
+        return largest != nullptr &&
+               (view->staging == largest->model || has_staged(*view, largest->model));
+    });
+    const bool guard_enabled = settings.mechanisms.has(mechanism::guard_largest);
+    if (guard_enabled && largest != nullptr && standbys < tolerated_losses)
+        return largest;
+    const auto unprepared = static_cast<std::size_t>(
+        std::count_if(spare.begin(), spare.end(),
+                      [&](const runner_view* view) { return !is_prepared(*view, pools); }));
+    const pool* best = nullptr;
+    std::size_t fewest_missing = 0;
+    double best_need = 0.0;
+    double largest_need = 0.0;
+    for (const auto& [groups_per_share, model_pool] : ranked) {
+        if (model_pool == largest)
+            largest_need = groups_per_share;
+        const auto staged_runners = static_cast<std::size_t>(std::count_if(
+            spare.begin(), spare.end(), [model = model_pool->model](const runner_view* view) {
+                return view->staging == model || has_staged(*view, model);
+            }));
+        const std::size_t runners_missing =
+            model_pool->replica_vms - staged_runners % model_pool->replica_vms;
+        // A model with clearly fewer groups for its share comes first, however many runners its
+        // next group lacks. Among models of similar need, the one whose next group lacks the
+        // fewest.
+        const bool clearly_needier =
+            best != nullptr && groups_per_share > need_tolerance * best_need;
+        const bool closer = runners_missing <= unprepared &&
+                            (fewest_missing > unprepared || runners_missing < fewest_missing);
+        if (best == nullptr || (!clearly_needier && closer)) {
+            best_need = best == nullptr ? groups_per_share : best_need;
+            best = model_pool;
+            fewest_missing = runners_missing;
         }
     }
-    return room;
-}
-
-/// Whether a load that no group waits for may start: it must not slow the others down.
-bool formation_manager::state::has_spare_load(const pool& model_pool) const
-{
-    if (!traffic || model_pool.forming.loads_at_once == 0)
-        return true;
-    const std::size_t parts = std::max<std::size_t>(1, registry.heads_by_domain().size());
-    const auto loading = static_cast<std::size_t>(
-        std::count_if(runners.begin(), runners.end(),
-                      [](const auto& entry) { return !entry.second.staging.empty(); }));
-    return loading * parts < model_pool.forming.loads_at_once;
+    const bool clearly_needed = best_need * need_tolerance < largest_need;
+    return fewest_missing > unprepared && largest != nullptr && !clearly_needed ? largest : best;
 }
 
 void formation_manager::state::stage_spares(const fabric_domain_id& domain,
                                             const std::vector<model_need>& ranked, time_point now)
 {
-    const std::vector<runner_view*> free = free_runners(domain, now);
-    for (runner_view* view : by_fabric.at(domain)) {
-        if (std::find(free.begin(), free.end(), view) == free.end())
-            view->idle_since.reset();
-        else if (!view->idle_since)
-            view->idle_since = now;
-    }
-    if (free.empty())
-        return;
-    for (const stage_choice& choice : choose_stages(room_of(domain, free, ranked, now))) {
-        const pool& model_pool = pools[choice.model];
-        const bool awaited = choice.why == stage_reason::completes_group || !choice.kept;
-        if (!awaited && !has_spare_load(model_pool))
+    const std::vector<runner_view*> spare = free_runners(domain, now);
+    for (runner_view* view : spare) {
+        if (is_prepared(*view, pools))
             continue;
-        if (!take_load_token(model_pool, now))
+        const pool* model_pool = model_to_stage(domain, spare, ranked);
+        if (model_pool == nullptr || !take_load_token(*model_pool, now))
             return;
-        runner_view& view = *free[choice.runner];
-        if (!order(view, stage_model{model_pool.model}, now))
-            continue;
-        view.staging = model_pool.model;
-        view.staging_until = now + 2 * model_pool.forming.load + formation_slack;
-        add_notice(log_level::info, "model_staged", view.row.id.value(),
-                   (choice.kept ? "beside " + pools[*choice.kept].name.value() + ": " : "") +
-                       model_pool.name.value() + ", " + std::string{to_name(choice.why)});
+        if (order(*view, stage_model{model_pool->model}, now)) {
+            view->staging = model_pool->model;
+            view->staging_until = now + 2 * model_pool->forming.load + formation_slack;
+        }
     }
 }
 
@@ -352,9 +321,8 @@
     for (runner_view* view : free_runners(domain, now)) {
         for (const pool& model_pool : pools) {
             const bool single_runner_groups = model_pool.replica_vms < 2;
-            // Warming up would take the place of another model in the accelerators.
-            const bool holds_another = index_of_model(view->warm_model).has_value();
-            if (single_runner_groups || holds_another || !has_staged(*view, model_pool.model))
+            if (single_runner_groups || view->warm_model == model_pool.model ||
+                !has_staged(*view, model_pool.model))
                 continue;
             if (!start_group(model_pool, {view}, group_purpose::warm_up, now))
                 return;
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -3,7 +3,6 @@
 
 #include "groups/formation.h"
 #include "groups/group_allocation.h"
-#include "groups/model_room.h"
 
 namespace jaynotch::groups {
 
@@ -49,8 +48,6 @@
     time_point next_report_query;                 ///< earliest time of the next report request
     std::string staging;                          ///< model that is being staged on its host
     time_point staging_until;                     ///< staging is given up at this time
-    time_point left_at;                           ///< last confirmed leave
-    std::optional<time_point> idle_since; ///< since when it could be used and was in no group
 };
 
 /// Purpose of a composition.
@@ -168,17 +165,13 @@
     void form_groups(time_point now);
     bool form_group(const fabric_domain_id& domain, const pool& model_pool, duration longest,
                     time_point now);
-    [[nodiscard]] bool has_leaving_survivors(const fabric_domain_id& domain, const pool& model_pool,
-                                             time_point now) const;
     void form_initial_groups(time_point now);
     void stage_spares(const fabric_domain_id& domain, const std::vector<model_need>& ranked,
                       time_point now);
-    [[nodiscard]] std::vector<std::uint32_t> groups_in(const fabric_domain_id& domain) const;
-    [[nodiscard]] std::optional<std::size_t> index_of_model(const std::string& model) const;
-    [[nodiscard]] domain_room room_of(const fabric_domain_id& domain,
-                                      const std::vector<runner_view*>& free,
-                                      const std::vector<model_need>& ranked, time_point now) const;
-    [[nodiscard]] bool has_spare_load(const pool& model_pool) const;
+    [[nodiscard]] const pool* largest_model(const fabric_domain_id& domain) const;
+    [[nodiscard]] const pool* model_to_stage(const fabric_domain_id& domain,
+                                             const std::vector<runner_view*>& spare,
+                                             const std::vector<model_need>& ranked) const;
     [[nodiscard]] std::vector<runner_view*> free_runners(const fabric_domain_id& domain,
                                                          time_point now);
     [[nodiscard]] std::vector<model_need> models_by_need() const;
