--- a/review/standins_test.cc
+++ b/review/standins_test.cc
@@ -1151,12 +1151,71 @@
     return broken > 0 ? 1 : 0;
 }
 
+/// A caller's request has a body in a transfer coding that is not chunked; the body looks like
+/// another request. RFC 9112, 6.1 and 6.3: such a request is answered with 400 or 501, and its
+/// connection is closed. Without trouble the same body has a length.
+int smuggled_request(const case_settings& settings)
+{
+    store platform{loopback(1)};
+    platform.put("op/config",
+                 configuration(100,
+                               json::array{route("archive", "idempotent", "subscriber-app"),
+                                           route("order", "non_idempotent", "subscriber-app")},
+                               {"subscriber-app"}, json::array{tenant("hule930", {"key-1"})}));
+    plain_runner server{platform, loopback(2), {"i-a", "subscriber-app", "bergen-a", 2}};
+    daemon_list daemons;
+    daemons.push_back(std::make_unique<daemon_process>(
+        settings.program, settings.folder,
+        make_site("front-bergen-a-1", "bergen-a", 11, platform.address())));
+    const end_of_case end;
+    await_ready(daemons);
+    sleep_ms(2'000);
+    const std::string& front = daemons.front()->site().front;
+    std::size_t broken = 0;
+    std::size_t outer_runs = 0;
+    for (const std::string coding : {"xchunked", "gzip", "chunked, identity"}) {
+        for (int repeat = 0; repeat < 3; ++repeat) {
+            const std::string outer = "outer-" + std::to_string(++last_attempt);
+            const std::string inner = "inner-" + std::to_string(last_attempt);
+            const std::string body = "POST /order/2 HTTP/1.1\r\nHost: ficu95.example\r\n"
+                                     "Jaynotch-Attempt-Id: " +
+                                     inner +
+                                     "\r\nJaynotch-Deadline-Ms: 4000\r\n"
+                                     "Authorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n";
+            const std::string framing = settings.trouble
+                                            ? "Transfer-Encoding: " + coding
+                                            : "Content-Length: " + std::to_string(body.size());
+            const std::string text = "POST /archive/1 HTTP/1.1\r\nHost: ficu95.example\r\n"
+                                     "Jaynotch-Attempt-Id: " +
+                                     outer +
+                                     "\r\nJaynotch-Deadline-Ms: 4000\r\n"
+                                     "Authorization: Bearer key-1\r\n" +
+                                     framing + "\r\n\r\n" + body;
+            const int connection = connect_to(front, 1000);
+            write_all(connection, text);
+            std::string answers;
+            const std::int64_t until = now_ms() + 700;
+            while (read_some(connection, answers, until)) {
+            }
+            ::close(connection);
+            record("%s, %s: %zu runs; %s, which no caller sent: %zu runs", outer.c_str(),
+                   framing.c_str(), runs_of(outer), inner.c_str(), runs_of(inner));
+            outer_runs += runs_of(outer);
+            broken += runs_of(inner);
+        }
+    }
+    if (!settings.trouble && outer_runs == 0)
+        cannot_run("no request was run");
+    return broken > 0 ? 1 : 0;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     const std::map<std::string, std::function<int(const case_settings&)>> cases{
         {"large_registry", large_registry},
+        {"smuggled_request", smuggled_request},
         {"silent_connections", silent_connections},
     };
     if (argc != 4 || !cases.contains(argv[1])) {
