Review, case 4: with the last tenant removed, every key is accepted

Cause: keys are checked only if the configuration has a tenant; an empty list counts as a deployment without keys.

Done: a script with two daemons and one change of the configuration.

--- a/review/standins_test.cc
+++ b/review/standins_test.cc
@@ -1209,12 +1209,69 @@
     return broken > 0 ? 1 : 0;
 }
 
+/// The only tenant of a deployment is removed, and with it the only key. Without trouble the
+/// tenant gets another key instead.
+int last_tenant(const case_settings& settings)
+{
+    constexpr int requests = 20;
+    store platform{loopback(1)};
+    const json::array routes{route("archive", "idempotent", "subscriber-app"),
+                             route("order", "non_idempotent", "subscriber-app")};
+    platform.put("op/config", configuration(100, routes, {"subscriber-app"},
+                                            json::array{tenant("hule930", {"key-1"})}));
+    plain_runner server{platform, loopback(2), {"i-a", "subscriber-app", "bergen-a", 2}};
+    daemon_list daemons;
+    for (int number = 1; number <= 2; ++number) {
+        const std::string zone = number == 1 ? "bergen-a" : "bergen-b";
+        daemons.push_back(std::make_unique<daemon_process>(
+            settings.program, settings.folder,
+            make_site("front-" + zone + "-1", zone, 10 + number, platform.address())));
+    }
+    const end_of_case end;
+    await_ready(daemons);
+    sleep_ms(4'000);
+    std::size_t before = 0;
+    for (const auto& each : daemons) {
+        before += served_of(each->site().front, "/archive/1", "key-1", 5);
+        const reply unknown = call(each->site().front, "POST", "/order/1", "never-held");
+        record("%s: a key that no version held, before: %d", each->site().name.c_str(),
+               unknown.status);
+    }
+    if (before == 0)
+        cannot_run("no request was served at the start");
+    platform.put("op/config",
+                 configuration(103, routes, {"subscriber-app"},
+                               settings.trouble ? json::array{}
+                                                : json::array{tenant("hule930", {"key-2"})}));
+    record(settings.trouble ? "version 103 acknowledged: tenants is an empty list"
+                            : "version 103 acknowledged: the tenant has another key");
+    sleep_ms(2'000 + 3'000); // config_apply_ms, stable_ms
+    std::size_t broken = 0;
+    for (const auto& each : daemons) {
+        for (const std::string key : {"key-1", "never-held"}) {
+            std::size_t ran = 0;
+            std::map<int, int> statuses;
+            for (int sent = 0; sent < requests; ++sent) {
+                const reply got = call(each->site().front, "POST", "/order/1", key);
+                ++statuses[got.status];
+                ran += runs_of(got.attempt);
+            }
+            for (const auto& [status, times] : statuses)
+                record("%s, %s: %d of %d requests answered with %d, %zu run",
+                       each->site().name.c_str(), key.c_str(), times, requests, status, ran);
+            broken += ran;
+        }
+    }
+    return broken > 0 ? 1 : 0;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     const std::map<std::string, std::function<int(const case_settings&)>> cases{
         {"large_registry", large_registry},
+        {"last_tenant", last_tenant},
         {"smuggled_request", smuggled_request},
         {"silent_connections", silent_connections},
     };
