--- a/review/standins_test.cc
+++ b/review/standins_test.cc
@@ -641,6 +641,11 @@
                                                     {"born", 1'764'860'000'000 + now_ms()}}));
     }
 
+    /// The status of its answers.
+    std::atomic<int> status = 200;
+    /// Takes the entry of the first server away; the server goes on serving.
+    void remove_first_entry() { m_registry.remove("servers/" + m_chosen.id + "-1"); }
+
 private:
     std::string answer(const message& asked)
     {
@@ -659,7 +664,7 @@
         }
         sleep_ms(m_chosen.work_ms);
         headers.emplace_back("Jaynotch-Response-Seal", "seal." + expected);
-        return render_answer(200, "answer to " + attempt, headers, "text/plain");
+        return render_answer(status, "answer to " + attempt, headers, "text/plain");
     }
 
     store& m_registry;
@@ -895,8 +900,8 @@
 
 struct reply {
     int status = 0; ///< 0: no answer
-    std::string ran;
-    std::string body;
+    std::string first_line;
+    std::string seal;
     std::string attempt;
     std::int64_t sent = 0;
     std::int64_t ended = 0;
@@ -926,7 +931,8 @@
             if (const auto answer = read_message(connection, buffer, now_ms() + deadline_ms + 1000))
             {
                 made.status = answer->status();
-                made.body = answer->body;
+                made.first_line = answer->first_line;
+                made.seal = answer->header("jaynotch-response-seal");
             }
         }
         ::close(connection);
@@ -1073,12 +1079,51 @@
     return served_later * 4 < served_first ? 1 : 0;
 }
 
-/// All open connections between machines and to the store go silent for good; new ones work.
+/// Three machines in one zone and one in another, whose links to each other and to the store lead
+/// through proxies.
+struct linked_fleet {
+    linked_fleet(const case_settings& settings, const store& platform)
+    {
+        std::vector<std::string> seeds;
+        for (int number = 1; number <= 4; ++number) {
+            const std::string zone = number <= 3 ? "bergen-a" : "bergen-b";
+            links.push_back(std::make_unique<proxy>(loopback(1), platform.address()));
+            daemon_site site = make_site("front-" + zone + "-" + std::to_string(number), zone,
+                                         10 + number, links.back()->address());
+            links.push_back(std::make_unique<proxy>(loopback(1), site.control));
+            site.advertise = links.back()->address();
+            seeds.push_back(site.advertise);
+            if (seeds.size() > 3)
+                seeds.erase(seeds.begin());
+            site.seeds = seeds;
+            daemons.push_back(
+                std::make_unique<daemon_process>(settings.program, settings.folder, site));
+        }
+    }
+    /// Silences the open connections; returns the time.
+    std::int64_t silence(bool trouble)
+    {
+        const std::int64_t at = now_ms();
+        std::size_t silenced = 0;
+        for (const auto& link : links)
+            silenced += trouble ? link->silence_open() : 0;
+        record("%zu open connections between machines and to the store go silent", silenced);
+        return at;
+    }
+
+    std::vector<std::unique_ptr<proxy>> links;
+    daemon_list daemons;
+};
+
+constexpr std::int64_t stable_ms = 3'000;
+constexpr std::int64_t config_apply_ms = 2'000;
+constexpr std::int64_t drain_ms = 2'000;
+constexpr std::int64_t margin_ms = 100;
+
+/// All open connections between machines and to the store go silent for good; new ones work. Then
+/// a key is taken away and another one added.
 int silent_connections(const case_settings& settings)
 {
-    constexpr std::int64_t stable_ms = 3000;
-    constexpr std::int64_t config_apply_ms = 2000;
-    constexpr std::int64_t margin_ms = 100;
     store platform{loopback(1)};
     const json::array routes{route("archive", "idempotent", "subscriber-app")};
     const auto write_version = [&](std::int64_t version, const std::string& key) {
@@ -1089,35 +1134,13 @@
     write_version(100, "key-old");
     plain_runner server_a{platform, loopback(2), {"i-a", "subscriber-app", "bergen-a"}};
     plain_runner server_b{platform, loopback(2), {"i-b", "subscriber-app", "bergen-b"}};
-    std::vector<std::unique_ptr<proxy>> links;
-    daemon_list daemons;
-    std::vector<std::string> seeds;
-    for (int number = 1; number <= 4; ++number) {
-        const std::string zone = number <= 3 ? "bergen-a" : "bergen-b";
-        links.push_back(std::make_unique<proxy>(loopback(1), platform.address()));
-        daemon_site site = make_site("front-" + zone + "-" + std::to_string(number), zone,
-                                     10 + number, links.back()->address());
-        links.push_back(std::make_unique<proxy>(loopback(1), site.control));
-        site.advertise = links.back()->address();
-        seeds.push_back(site.advertise);
-        if (seeds.size() > 3)
-            seeds.erase(seeds.begin());
-        site.seeds = seeds;
-        daemons.push_back(
-            std::make_unique<daemon_process>(settings.program, settings.folder, site));
-    }
+    linked_fleet fleet{settings, platform};
     const end_of_case end;
-    await_ready(daemons);
-    sleep_ms(8000);
-    for (const auto& each : daemons)
+    await_ready(fleet.daemons);
+    sleep_ms(8'000);
+    for (const auto& each : fleet.daemons)
         served_of(each->site().front, "/archive/1", "key-old", 5);
-    const std::int64_t silent_at = now_ms();
-    if (settings.trouble) {
-        std::size_t silenced = 0;
-        for (const auto& link : links)
-            silenced += link->silence_open();
-        record("%zu open connections between machines and to the store go silent", silenced);
-    }
+    const std::int64_t silent_at = fleet.silence(settings.trouble);
     sleep_ms(300);
     write_version(103, "key-new");
     const std::int64_t acknowledged = now_ms();
@@ -1129,8 +1152,8 @@
     record("all machines are in touch again, config_apply_ms has passed");
     std::size_t broken = 0;
     std::size_t sent = 0;
-    while (now_ms() < from + 6000) {
-        for (const auto& each : daemons) {
+    while (now_ms() < from + 6'000) {
+        for (const auto& each : fleet.daemons) {
             const reply with_old = call(each->site().front, "GET", "/archive/1", "key-old");
             const reply with_new = call(each->site().front, "GET", "/archive/1", "key-new");
             sent += 2;
@@ -1151,6 +1174,52 @@
     return broken > 0 ? 1 : 0;
 }
 
+/// All open connections between machines and to the store go silent for good; new ones work. Then
+/// a server leaves without a word: its entry is removed, and it goes on serving.
+int silent_then_leaving(const case_settings& settings)
+{
+    store platform{loopback(1)};
+    platform.put("op/config",
+                 configuration(100, json::array{route("archive", "idempotent", "subscriber-app")},
+                               {"subscriber-app"}, json::array{tenant("hule930", {"key-1"})}));
+    plain_runner server_a{platform, loopback(2), {"i-a", "subscriber-app", "bergen-a"}};
+    plain_runner server_b{platform, loopback(2), {"i-b", "subscriber-app", "bergen-b"}};
+    plain_runner leaving{platform, loopback(2), {"i-leaving", "subscriber-app", "bergen-a"}};
+    linked_fleet fleet{settings, platform};
+    const end_of_case end;
+    await_ready(fleet.daemons);
+    sleep_ms(8'000);
+    const std::int64_t silent_at = fleet.silence(settings.trouble);
+    sleep_ms(2'500);
+    leaving.remove_first_entry();
+    const std::int64_t acknowledged = now_ms();
+    record("the store acknowledges that i-leaving-1 is gone; it goes on serving");
+    const std::int64_t from = std::max(silent_at + stable_ms, acknowledged + drain_ms) + margin_ms;
+    std::map<std::string, std::string> senders;
+    std::size_t sent = 0;
+    while (now_ms() < from + 4'000) {
+        for (const auto& each : fleet.daemons) {
+            const reply got = call(each->site().front, "GET", "/archive/1", "key-1");
+            senders[got.attempt] = each->site().name;
+            ++sent;
+        }
+        sleep_ms(10);
+    }
+    std::size_t broken = 0;
+    const std::scoped_lock guard{runs_lock};
+    for (const run_row& each : runs) {
+        const bool late = each.server == "i-leaving-1" && each.at > from;
+        if (late)
+            record("%s reached i-leaving-1 %lld ms after the acknowledgement, %lld ms after the "
+                   "silence, from %s",
+                   each.attempt.c_str(), static_cast<long long>(each.at - acknowledged),
+                   static_cast<long long>(each.at - silent_at), senders[each.attempt].c_str());
+        broken += late ? 1 : 0;
+    }
+    record("%zu requests sent, %zu reached the server that is gone too late", sent, broken);
+    return broken > 0 ? 1 : 0;
+}
+
 /// A caller's request has a body in a transfer coding that is not chunked; the body looks like
 /// another request. RFC 9112, 6.1 and 6.3: such a request is answered with 400 or 501, and its
 /// connection is closed. Without trouble the same body has a length.
@@ -1265,15 +1334,55 @@
     return broken > 0 ? 1 : 0;
 }
 
+/// A server answers with a final status that Beast's enumeration doesn't have: 425 (RFC 8470) and
+/// 418 of the IANA registry, and 529, which overloaded model servers use. Without trouble it uses
+/// statuses that the enumeration has.
+int unusual_status(const case_settings& settings)
+{
+    store platform{loopback(1)};
+    platform.put("op/config",
+                 configuration(100, json::array{route("order", "non_idempotent", "subscriber-app")},
+                               {"subscriber-app"}, json::array{tenant("hule930", {"key-1"})}));
+    plain_runner server{platform, loopback(2), {"i-a", "subscriber-app", "bergen-a"}};
+    daemon_list daemons;
+    daemons.push_back(std::make_unique<daemon_process>(
+        settings.program, settings.folder,
+        make_site("front-bergen-a-1", "bergen-a", 11, platform.address())));
+    const end_of_case end;
+    await_ready(daemons);
+    sleep_ms(4'000);
+    std::size_t broken = 0;
+    std::size_t sealed = 0;
+    const std::vector<int> statuses =
+        settings.trouble ? std::vector<int>{425, 418, 529} : std::vector<int>{409, 422, 500};
+    for (const int status : statuses) {
+        server.status = status;
+        for (int repeat = 0; repeat < 3; ++repeat) {
+            const reply got = call(daemons.front()->site().front, "POST", "/order/1", "key-1");
+            record("%s: %zu runs, the server answered with %d, the caller got \"%s\" with the "
+                   "seal \"%s\"",
+                   got.attempt.c_str(), runs_of(got.attempt), status, got.first_line.c_str(),
+                   got.seal.c_str());
+            sealed += got.seal.empty() ? 0 : 1;
+            broken += !got.seal.empty() && got.status != status ? 1 : 0;
+        }
+    }
+    if (!settings.trouble && sealed == 0)
+        cannot_run("no answer of the server came back");
+    return broken > 0 ? 1 : 0;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     const std::map<std::string, std::function<int(const case_settings&)>> cases{
         {"large_registry", large_registry},
+        {"unusual_status", unusual_status},
         {"last_tenant", last_tenant},
         {"smuggled_request", smuggled_request},
         {"silent_connections", silent_connections},
+        {"silent_then_leaving", silent_then_leaving},
     };
     if (argc != 4 || !cases.contains(argv[1])) {
         std::cerr << "standins CASE DAEMON FOLDER\n";
