--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Exit code: 0 the rule held, 1 it was broken, 2 the case could not run. TROUBLE=0 leaves the
 # disruption out.
-cd "$(dirname "$0")/../.." || exit 2
-exec review/out/standins smuggled_request target/jaynotchd "$PWD/review/3"
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$folder/../.." || exit 2
+exec review/out/standins silent_then_leaving target/jaynotchd "$folder"
