--- a/review/standins_test.cc
+++ b/review/standins_test.cc
@@ -242,7 +242,9 @@
             return static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
         });
         const std::size_t value = line.find_first_not_of(' ', colon + 1);
-        made.headers[name] = value == std::string::npos ? "" : line.substr(value);
+        std::string& known = made.headers[name];
+        known += known.empty() ? "" : ", "; // lines of one name form a list (RFC 9110, 5.2)
+        known += value == std::string::npos ? "" : line.substr(value);
     }
     if (made.header("transfer-encoding") == "chunked") {
         for (;;) {
@@ -595,6 +597,7 @@
     std::string server;
     std::string tenant;
     std::int64_t at = 0;
+    std::string prompt_prefix = {};
 };
 std::mutex runs_lock;
 std::vector<run_row> runs;
@@ -660,7 +663,8 @@
         }
         {
             const std::scoped_lock guard{runs_lock};
-            runs.push_back({attempt, expected, asked.header("jaynotch-tenant"), now_ms()});
+            runs.push_back({attempt, expected, asked.header("jaynotch-tenant"), now_ms(),
+                            asked.header("jaynotch-prompt-prefix")});
         }
         sleep_ms(m_chosen.work_ms);
         headers.emplace_back("Jaynotch-Response-Seal", "seal." + expected);
@@ -911,9 +915,10 @@
 
 /// Sends one request on a connection of its own.
 reply call(const std::string& front, const std::string& method, const std::string& path,
-           const std::string& key, int deadline_ms = 4000)
+           const std::string& key, const std::string& more_headers = {})
 {
     reply made;
+    constexpr int deadline_ms = 4'000;
     made.attempt = "a" + std::to_string(++last_attempt);
     const int connection = connect_to(front, 1000);
     made.sent = now_ms();
@@ -922,7 +927,7 @@
         std::string text = method + " " + path + " HTTP/1.1\r\nHost: ficu95.example\r\n" +
                            "Jaynotch-Attempt-Id: " + made.attempt +
                            "\r\nJaynotch-Deadline-Ms: " + std::to_string(deadline_ms) +
-                           "\r\nAuthorization: Bearer " + key + "\r\n";
+                           "\r\nAuthorization: Bearer " + key + "\r\n" + more_headers;
         if (!content.empty())
             text += "Content-Length: " + std::to_string(content.size()) + "\r\n";
         text += "\r\n" + content;
@@ -1372,16 +1377,56 @@
     return broken > 0 ? 1 : 0;
 }
 
+/// A caller sends the list of its prompt's parts on two header lines, which means the same as one
+/// line (RFC 9110, 5.2 and 5.3). Without trouble it sends one line.
+int list_on_two_lines(const case_settings& settings)
+{
+    store platform{loopback(1)};
+    platform.put("op/config",
+                 configuration(100, json::array{route("order", "non_idempotent", "subscriber-app")},
+                               {"subscriber-app"}, json::array{tenant("hule930", {"key-1"})}));
+    plain_runner server{platform, loopback(2), {"i-a", "subscriber-app", "bergen-a"}};
+    daemon_list daemons;
+    daemons.push_back(std::make_unique<daemon_process>(
+        settings.program, settings.folder,
+        make_site("front-bergen-a-1", "bergen-a", 11, platform.address())));
+    const end_of_case end;
+    await_ready(daemons);
+    sleep_ms(4'000);
+    const std::string first = "5c1e07a2:800,91bd3f06:410";
+    const std::string second = "e4402b7d:250";
+    const std::string name = "Jaynotch-Prompt-Prefix: ";
+    const std::string lines = settings.trouble ? name + first + "\r\n" + name + second + "\r\n"
+                                               : name + first + "," + second + "\r\n";
+    std::size_t broken = 0;
+    std::size_t whole = 0;
+    for (int repeat = 0; repeat < 10; ++repeat) {
+        const reply got = call(daemons.front()->site().front, "POST", "/order/1", "key-1", lines);
+        const std::scoped_lock guard{runs_lock};
+        for (const run_row& each : runs) {
+            if (each.attempt != got.attempt)
+                continue;
+            std::string received = each.prompt_prefix;
+            std::erase(received, ' ');
+            record("%s answered with %d: the caller sent %s,%s, the server ran it with %s",
+                   got.attempt.c_str(), got.status, first.c_str(), second.c_str(),
+                   received.c_str());
+            (received == first + "," + second ? whole : broken) += 1;
+        }
+    }
+    if (whole + broken == 0)
+        cannot_run("no request was run");
+    return broken > 0 ? 1 : 0;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     const std::map<std::string, std::function<int(const case_settings&)>> cases{
-        {"large_registry", large_registry},
-        {"unusual_status", unusual_status},
-        {"last_tenant", last_tenant},
-        {"smuggled_request", smuggled_request},
-        {"silent_connections", silent_connections},
+        {"large_registry", large_registry},           {"list_on_two_lines", list_on_two_lines},
+        {"unusual_status", unusual_status},           {"last_tenant", last_tenant},
+        {"smuggled_request", smuggled_request},       {"silent_connections", silent_connections},
         {"silent_then_leaving", silent_then_leaving},
     };
     if (argc != 4 || !cases.contains(argv[1])) {
