--- a/review/standins_test.cc
+++ b/review/standins_test.cc
@@ -10,6 +10,7 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -865,6 +866,7 @@
         std::vector<char*> arguments{m_program.data(), nullptr};
         m_pid = ::fork();
         if (m_pid == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // it ends with the case, however that ends
             const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
@@ -1089,20 +1091,23 @@
 struct linked_fleet {
     linked_fleet(const case_settings& settings, const store& platform)
     {
+        std::vector<daemon_site> sites;
         std::vector<std::string> seeds;
         for (int number = 1; number <= 4; ++number) {
             const std::string zone = number <= 3 ? "bergen-a" : "bergen-b";
             links.push_back(std::make_unique<proxy>(loopback(1), platform.address()));
-            daemon_site site = make_site("front-" + zone + "-" + std::to_string(number), zone,
-                                         10 + number, links.back()->address());
-            links.push_back(std::make_unique<proxy>(loopback(1), site.control));
-            site.advertise = links.back()->address();
-            seeds.push_back(site.advertise);
-            if (seeds.size() > 3)
-                seeds.erase(seeds.begin());
+            sites.push_back(make_site("front-" + zone + "-" + std::to_string(number), zone,
+                                      10 + number, links.back()->address()));
+            links.push_back(std::make_unique<proxy>(loopback(1), sites.back().control));
+            sites.back().advertise = links.back()->address();
+            if (number != 2)
+                seeds.push_back(sites.back().advertise);
+        }
+        for (daemon_site& site : sites) {
             site.seeds = seeds;
             daemons.push_back(
                 std::make_unique<daemon_process>(settings.program, settings.folder, site));
+            sleep_ms(70); // all machines start within 0.3 s
         }
     }
     /// Silences the open connections; returns the time.
@@ -1142,7 +1147,7 @@
     linked_fleet fleet{settings, platform};
     const end_of_case end;
     await_ready(fleet.daemons);
-    sleep_ms(8'000);
+    sleep_ms(12'000);
     for (const auto& each : fleet.daemons)
         served_of(each->site().front, "/archive/1", "key-old", 5);
     const std::int64_t silent_at = fleet.silence(settings.trouble);
@@ -1193,7 +1198,7 @@
     linked_fleet fleet{settings, platform};
     const end_of_case end;
     await_ready(fleet.daemons);
-    sleep_ms(8'000);
+    sleep_ms(12'000);
     const std::int64_t silent_at = fleet.silence(settings.trouble);
     sleep_ms(2'500);
     leaving.remove_first_entry();
