Review: the daemons' settings have the ports for other nodes, as the platform gives them

Cause: without port_range the daemons had no port for requests passed on by others, unlike those of a deployment.

--- a/review/standins_test.cc
+++ b/review/standins_test.cc
@@ -881,7 +881,8 @@
              << "\nserves = [\"front\",\"control\"]\nbind_ip = \"" << m_site.ip << "\"\nzone = \""
              << m_site.zone
              << "\"\nregion = \"vestland\"\nbootstrap = " << (m_site.first_start ? "true" : "false")
-             << "\nheartbeat_ms = 1200\nseed_nodes = [";
+             << "\nport_range = [7340,7355]\nheartbeat_ms = 1200\nin_fault_budget = false\n"
+             << "discovery_source = \"platform\"\nentry_kind = \"vip\"\nseed_nodes = [";
         for (const std::string& seed : m_site.seeds)
             text << '"' << seed << "\",";
         text << "]\n[listen]\nfront = \"" << m_site.front << "\"\nready = \"" << m_site.ready
