--- a/soak/fault_soak_main.cc
+++ b/soak/fault_soak_main.cc
@@ -30,6 +30,8 @@
 ABSL_FLAG(bool, pauses, true, "sound servers are paused too");
 ABSL_FLAG(bool, pause_after_maintenance, false,
           "only planned work, each time followed by a pause of most servers");
+ABSL_FLAG(std::string, final_outage, "none",
+          "how all daemons are lost at once at the end: none, kill or power");
 ABSL_FLAG(bool, story, false, "print each seed's faults, also without a violation");
 
 namespace jaynotch {
@@ -46,6 +48,7 @@
     settings.store_returns = absl::GetFlag(FLAGS_store_returns);
     settings.pauses = absl::GetFlag(FLAGS_pauses);
     settings.pause_after_maintenance = absl::GetFlag(FLAGS_pause_after_maintenance);
+    settings.final_outage = *from_name<fleet_outage>(absl::GetFlag(FLAGS_final_outage));
     settings.site.program = absl::GetFlag(FLAGS_programs) + "/jaynotchd";
     settings.site.folder = absl::GetFlag(FLAGS_logs) + "/" + std::to_string(seed);
     settings.site.daemons = absl::GetFlag(FLAGS_daemons);
--- a/soak/promise_book.cc
+++ b/soak/promise_book.cc
@@ -324,6 +324,38 @@
     }
 }
 
+/// Of the requests sent after all nodes have returned and had the time to recover, a quarter is
+/// served if a quarter was before.
+void promise_checker::check_fleet_recovery(std::vector<std::string>& out) const
+{
+    constexpr double required = 0.25;
+    if (!m_fleet_outage)
+        return;
+    struct served_requests {
+        std::size_t served = 0;
+        std::size_t all = 0;
+        [[nodiscard]] double share() const
+        {
+            return all == 0 ? 0.0 : static_cast<double>(served) / static_cast<double>(all);
+        }
+    };
+    served_requests before;
+    served_requests after;
+    const time_point recovered = m_fleet_outage->until + m_bounds.fleet_recovery;
+    for (const auto& [id, history] : m_requests) {
+        const bool is_before = history.ended && history.ended_at < m_fleet_outage->from;
+        if (!is_before && history.request.sent < recovered)
+            continue;
+        served_requests& counted = is_before ? before : after;
+        ++counted.all;
+        counted.served += history.answer.status == ok ? 1 : 0;
+    }
+    if (before.share() >= required && after.share() < required)
+        out.push_back("after the loss of all nodes " + std::to_string(after.served) + " of " +
+                      std::to_string(after.all) + " requests were served, before it " +
+                      std::to_string(before.served) + " of " + std::to_string(before.all));
+}
+
 bool promise_checker::process_ran(const std::string& node, time_point from, time_point until,
                                   bool links) const
 {
@@ -378,6 +410,7 @@
     check_retries(out);
     check_refusals(out);
     check_leaving(out);
+    check_fleet_recovery(out);
     return out;
 }
 
--- a/soak/promise_book.h
+++ b/soak/promise_book.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,8 @@
     std::size_t requests_in_pause = 2;
     /// From the end of a fault until the bounds hold again.
     duration recovery = std::chrono::milliseconds{3'000};
+    /// From the return of all nodes that were lost at once until requests must be served again.
+    duration fleet_recovery = std::chrono::seconds{12};
     /// Added to the bounds: on a machine that also runs other busy processes, scheduling delays
     /// are not the daemons' fault.
     duration slack = std::chrono::milliseconds{1'500};
@@ -111,6 +114,11 @@
     {
         m_pauses[runner].push_back({from, until});
     }
+    /// All nodes were lost at once and have returned.
+    void record_fleet_outage(time_point from, time_point returned)
+    {
+        m_fleet_outage = {from, returned};
+    }
     /// Returns the index of the fault, for record_fault_end().
     std::size_t record_fault(fault_period period);
     void record_fault_end(std::size_t fault_index, time_point now)
@@ -152,6 +160,7 @@
     void check_versions(std::vector<std::string>& out) const;
     void check_refusals(std::vector<std::string>& out) const;
     void check_leaving(std::vector<std::string>& out) const;
+    void check_fleet_recovery(std::vector<std::string>& out) const;
     /// Whether the node's process ran all the while; with `links`, whether none of its links was
     /// disturbed either.
     [[nodiscard]] bool process_ran(const std::string& node, time_point from, time_point until,
@@ -187,6 +196,7 @@
     std::map<std::string, std::vector<time_point>> m_starts;
     std::vector<fault_period> m_fault_periods;
     std::map<std::string, std::vector<time_range>> m_pauses; ///< by runner
+    std::optional<time_range> m_fleet_outage;
 };
 
 } // namespace jaynotch
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -26,6 +26,7 @@
 constexpr duration restart_delay = std::chrono::milliseconds{150};
 constexpr duration recovery_time = std::chrono::seconds{6};
 constexpr duration final_load_time = std::chrono::seconds{2};
+constexpr duration outage_time = std::chrono::milliseconds{1'300};
 constexpr duration max_loop_stall = std::chrono::seconds{2};
 constexpr duration poll_interval = std::chrono::milliseconds{20};
 
@@ -64,7 +65,10 @@
         if (m_active_faults != 0)
             outcome.problems.push_back(
                 "a fault did not end in time: a process may not have stopped");
-        run_for(recovery_time);
+        if (m_settings.final_outage != fleet_outage::none)
+            lose_fleet();
+        else
+            run_for(recovery_time);
         const std::size_t before = m_checker.successes();
         run_for(final_load_time);
         if (m_checker.successes() == before)
@@ -103,6 +107,35 @@
         return draw_plan(drawn);
     }
 
+    /// All daemons are lost at once and started again. Callers go on meanwhile.
+    void lose_fleet()
+    {
+        m_site.publish_version();
+        const std::size_t fault_index = begin_fault({.stops_process = true, .cuts_links = true});
+        const time_point lost_at = runtime_clock::now();
+        if (m_settings.final_outage == fleet_outage::power)
+            m_site.set_all_links(link_fault::drop_quiet);
+        for (soak_daemon& daemon : m_site.daemons()) {
+            daemon.stopping = true;
+            daemon.process->signal(SIGKILL);
+        }
+        run_for(outage_time);
+        if (m_settings.final_outage == fleet_outage::power)
+            m_site.set_all_links(link_fault::none);
+        for (std::size_t index = 0; index < m_site.daemons().size(); ++index)
+            asio::co_spawn(m_io, start_again(index), asio::detached);
+        run_until([&] { return m_site.all_running(); }, max_start_time);
+        end_fault(fault_index);
+        m_checker.record_fleet_outage(lost_at, runtime_clock::now());
+        run_for(m_settings.site.bounds.fleet_recovery);
+    }
+
+    asio::awaitable<void> start_again(std::size_t index)
+    {
+        co_await m_site.write_settings(m_site.daemons()[index]);
+        m_site.launch(index);
+    }
+
     template <class Done>
     bool run_until(Done done, duration timeout)
     {
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -13,6 +13,19 @@
 
 namespace jaynotch {
 
+/// How all daemons are lost at once at the end of a run.
+enum class fleet_outage {
+    none,
+    kill,  ///< their processes are killed, which closes their connections
+    power, ///< they lose power: no connection is closed, and the other ends hear nothing
+};
+template <>
+struct enum_names<fleet_outage> {
+    static constexpr std::array entries{named{fleet_outage::none, "none"},
+                                        named{fleet_outage::kill, "kill"},
+                                        named{fleet_outage::power, "power"}};
+};
+
 struct soak_settings {
     std::uint64_t seed = 1;
     std::size_t callers = 12;
@@ -22,6 +35,8 @@
     bool evacuations = true;              ///< the same
     bool store_returns = true;            ///< the same
     bool pause_after_maintenance = false; ///< see fault_plan_settings
+    /// Follows a last change of the configuration. All daemons are started again a while later.
+    fleet_outage final_outage = fleet_outage::none;
     soak_site_settings site;
 };
 
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -90,6 +90,22 @@
                             m_settings.bounds.retry_extra});
 }
 
+void soak_site::set_all_links(link_fault fault)
+{
+    for (const soak_daemon& daemon : m_daemons) {
+        daemon.store_link->set(fault);
+        daemon.peer_link->set(fault);
+    }
+    for (const soak_runner& runner : m_runners)
+        runner.link->set(fault);
+}
+
+bool soak_site::all_running() const
+{
+    return std::none_of(m_daemons.begin(), m_daemons.end(),
+                        [](const soak_daemon& daemon) { return daemon.stopping; });
+}
+
 asio::awaitable<void> soak_site::write_settings(const soak_daemon& daemon)
 {
     co_await asio::co_spawn(m_file_writer,
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -68,6 +68,10 @@
     void start();
     /// Starts a daemon's process. Its settings file must have been written.
     void launch(std::size_t index);
+    /// Sets a fault on the links of all daemons to the store, to each other and to the runners.
+    void set_all_links(link_fault fault);
+    /// Whether no daemon is stopped.
+    [[nodiscard]] bool all_running() const;
     /// Rewrites a daemon's settings file, as the platform does. The caller then sends SIGHUP. The
     /// event loop goes on meanwhile: a write may wait for the disk for seconds.
     boost::asio::awaitable<void> write_settings(const soak_daemon& daemon);
