Logs and metrics: how long after its start a node knows servers, and each reading of the store that failed

Cause: of the hypotheses on the return of all entry VMs, "they know nothing" could not be told from "they refuse": only the first failure of the store was logged, and nothing said when a process first knew servers.

Done: store_read_failed (reason, time taken, failures in a row), first_targets (time since the start, groups, servers, members), jaynotch_start_to_servers_seconds.

--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -134,6 +134,9 @@
                            "Backend servers that limit the requests a second of all nodes");
     Gauge& evacuated = gauge(registry, "jaynotch_evacuated_domains",
                              "Failure domains whose backend servers get no new requests");
+    Gauge& start_to_targets =
+        gauge(registry, "jaynotch_start_to_servers_seconds",
+              "From the start until the first backend servers were known; 0 before");
     Gauge& store_era = gauge(registry, "jaynotch_store_era",
                              "Rises by one when the platform's store comes back from a copy");
     Gauge& paused_servers = gauge(registry, "jaynotch_paused_servers",
@@ -273,6 +276,7 @@
     all.retries_denied.Set(static_cast<double>(now.retries_denied));
     all.limited.Set(static_cast<double>(now.limited_servers));
     all.evacuated.Set(static_cast<double>(now.evacuated_domains));
+    all.start_to_targets.Set(seconds(now.start_to_targets));
     all.store_era.Set(static_cast<double>(now.store_era));
     all.paused_servers.Set(static_cast<double>(now.paused_servers));
     all.cold_servers.Set(static_cast<double>(now.cold_servers));
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -65,6 +65,8 @@
     std::uint64_t losses_told_from_cuts = 0;
     /// Requests that no other node could take.
     std::uint64_t detours_returned = 0;
+    /// From the start until the first backend servers were known; 0 before.
+    duration start_to_targets{0};
     duration config_age{0};  ///< since the tables in force were installed
     held_memory_counts held; ///< for callers and servers that read slowly
 };
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -435,6 +435,20 @@
             return;
         requests->handle(groups_changed{m_pushed.groups});
         requests->handle(servers_changed{m_pushed.servers});
+        if (!m_first_targets_after)
+            note_first_targets(now);
+    }
+
+    void note_first_targets(time_point now)
+    {
+        m_first_targets_after = now - m_started;
+        log_event(log_level::info, "first_targets",
+                  {{"after_ms",
+                    std::chrono::duration_cast<std::chrono::milliseconds>(*m_first_targets_after)
+                        .count()},
+                   {"groups", m_pushed.groups.size()},
+                   {"servers", m_pushed.servers.size()},
+                   {"members", peers->members().size()}});
     }
 
     void handle_silent_target(const target_silent& seen)
@@ -621,6 +635,7 @@
         now.complete_groups = m_pushed.groups.size();
         now.managed_domains = managers->managed().size();
         now.evacuated_domains = m_registry.evacuated_domains().size();
+        now.start_to_targets = m_first_targets_after.value_or(duration{0});
         if (tables)
             now.config_age = runtime_clock::now() - m_installed;
         const std::vector<pool_status> pools = requests->core().pools();
@@ -659,6 +674,8 @@
     groups::runner_registry m_registry;
     target_lists m_pushed;
     std::optional<std::uint64_t> m_pushed_version; ///< of the registry; nullopt forces a push
+    time_point m_started = runtime_clock::now();
+    std::optional<duration> m_first_targets_after; ///< since the start; nullopt: no targets yet
     time_point m_installed;                        ///< when the current tables were installed
     std::size_t m_fleet_size = 0;
     std::optional<std::uint64_t> m_relay_nodes_version; ///< of the members; nullopt: none so far
--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -260,9 +260,15 @@
         if (stopped)
             co_return false;
         if (!read) {
+            ++m_failed_reads;
+            log_event(log_level::warning, "store_read_failed",
+                      {{"reason", read.error().message},
+                       {"took_ms", milliseconds_since(asked)},
+                       {"failures", m_failed_reads}});
             store_failed(read.error());
             co_return false;
         }
+        m_failed_reads = 0;
         const bool restored = m_era && kv.era() != m_era;
         m_era = kv.era();
         log_event(log_level::info, "store_read",
@@ -526,6 +532,7 @@
     store_followers m_followers;
     time_point m_last_push_at;
     time_point m_last_answer_at;               ///< when the store last answered this node
+    std::uint64_t m_failed_reads = 0;          ///< since everything was last read
     std::int64_t m_revision = 0;               ///< last one received; 0: everything has to be read
     std::optional<std::int64_t> m_era;         ///< of the store at the last reading
     std::optional<time_point> m_read_again_at; ///< since the store has come back from a copy
