Return of all entry VMs, red: nodes that read everything at once give up together, for ever

Cause: shown, not mended. Each call on the store is given 1 s in all. After a loss of all nodes every one reads all entries and the whole configuration at once; if the store's link needs longer than 1 s for all of them together, all give up at the same time, drop what has arrived, pause for the same time and begin again. Nobody ever knows a server or a route.

The stand-in of the store can share a link among its answers; the soak tells what was served by the second.

--- a/daemon/registry_fixture.h
+++ b/daemon/registry_fixture.h
@@ -38,6 +38,7 @@
     std::size_t held_bytes = 0; ///< that a node may hold for requests; 0: unlimited
     /// Heads notice members that are silent, leave or join another group; null: they don't.
     std::shared_ptr<runner_fabric> fabric;
+    std::size_t other_routes = 0; ///< in the configuration, beside those of the callers
 };
 
 /// What a caller has received so far.
@@ -83,13 +84,17 @@
 
     /// Writes the next version of the configuration. The callers' "key-1" stays valid for one
     /// change.
-    void change_configuration() { put_config_version(*m_store, ++m_version, m_settings.timeout); }
+    void change_configuration()
+    {
+        ++m_version;
+        write_configuration_again();
+    }
 
     /// Writes the newest version of the configuration again, as the operators do after the store
     /// has come back from a copy.
     void write_configuration_again()
     {
-        put_config_version(*m_store, m_version, m_settings.timeout);
+        put_config_version(*m_store, m_version, m_settings.timeout, m_settings.other_routes);
     }
     [[nodiscard]] std::int64_t version() const { return m_version; }
     store_standin& store() { return *m_store; }
--- a/soak/fault_soak_main.cc
+++ b/soak/fault_soak_main.cc
@@ -32,6 +32,10 @@
           "only planned work, each time followed by a pause of most servers");
 ABSL_FLAG(std::string, final_outage, "none",
           "how all daemons are lost at once at the end: none, kill or power");
+ABSL_FLAG(std::uint32_t, other_routes, 0,
+          "routes in the configuration beside those of the callers");
+ABSL_FLAG(double, store_link_mbps, 0.0,
+          "megabits a second that all answers of the store share; 0: unlimited");
 ABSL_FLAG(bool, story, false, "print each seed's faults, also without a violation");
 
 namespace jaynotch {
@@ -53,6 +57,9 @@
     settings.site.folder = absl::GetFlag(FLAGS_logs) + "/" + std::to_string(seed);
     settings.site.daemons = absl::GetFlag(FLAGS_daemons);
     settings.site.runners = absl::GetFlag(FLAGS_runners);
+    settings.site.other_routes = absl::GetFlag(FLAGS_other_routes);
+    constexpr double bytes_in_megabit = 125'000.0;
+    settings.site.store_link_bytes_per_s = absl::GetFlag(FLAGS_store_link_mbps) * bytes_in_megabit;
     settings.site.bounds.retry_extra = absl::GetFlag(FLAGS_retry_extra);
     const soak_outcome outcome = run_soak(settings);
     std::printf("%s seed %llu: %zu requests, %zu served, %zu faults\n",
@@ -61,6 +68,10 @@
     if (!outcome.problems.empty() || absl::GetFlag(FLAGS_story)) {
         for (const std::string& fault : outcome.faults)
             std::printf("     %s\n", fault.c_str());
+        std::printf("     served of sent by second:");
+        for (const promise_checker::second_counts& second : outcome.by_second)
+            std::printf(" %zu/%zu", second.served, second.sent);
+        std::printf("\n");
     }
     for (const std::string& problem : outcome.problems)
         std::printf("  !! %s\n", problem.c_str());
--- a/soak/promise_book.cc
+++ b/soak/promise_book.cc
@@ -79,6 +79,23 @@
                       [](const auto& entry) { return entry.second.answer.status == ok; }));
 }
 
+std::vector<promise_checker::second_counts> promise_checker::counts_by_second() const
+{
+    time_point first = time_point::max();
+    for (const auto& [id, history] : m_requests)
+        first = std::min(first, history.request.sent);
+    std::vector<second_counts> counts;
+    for (const auto& [id, history] : m_requests) {
+        const auto second =
+            static_cast<std::size_t>((history.request.sent - first) / std::chrono::seconds{1});
+        if (counts.size() <= second)
+            counts.resize(second + 1);
+        ++counts[second].sent;
+        counts[second].served += history.answer.status == ok ? 1 : 0;
+    }
+    return counts;
+}
+
 bool promise_checker::undisturbed(const std::string& node, time_point from, time_point until,
                                   bool include_planned) const
 {
--- a/soak/promise_book.h
+++ b/soak/promise_book.h
@@ -130,6 +130,13 @@
     [[nodiscard]] std::vector<std::string> violations() const;
     [[nodiscard]] std::size_t requests() const { return m_requests.size(); }
     [[nodiscard]] std::size_t successes() const;
+    /// Requests sent and served in each second from the first request on, by the second in which
+    /// they were sent.
+    struct second_counts {
+        std::size_t sent = 0;
+        std::size_t served = 0;
+    };
+    [[nodiscard]] std::vector<second_counts> counts_by_second() const;
 
 private:
     struct run {
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -49,6 +49,8 @@
                     {},
                     0,
                     0};
+        // Not before: a fleet that starts for the first time finds a small registry.
+        m_site.store().link.set_rate(m_settings.site.store_link_bytes_per_s);
         m_callers.start(m_settings.callers);
         soak_outcome outcome;
         for (const planned_fault& fault : plan()) {
@@ -88,6 +90,7 @@
                 " ms, and with it the store and all servers");
         outcome.requests = m_checker.requests();
         outcome.successes = m_checker.successes();
+        outcome.by_second = m_checker.counts_by_second();
         return outcome;
     }
 
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -45,6 +45,7 @@
     std::vector<std::string> faults; ///< descriptions of the injected faults, in order of time
     std::size_t requests = 0;
     std::size_t successes = 0; ///< requests answered with success
+    std::vector<promise_checker::second_counts> by_second;
 };
 
 soak_outcome run_soak(const soak_settings& settings);
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -149,7 +149,7 @@
 void soak_site::publish_version()
 {
     ++m_version;
-    put_config_version(*m_store, m_version);
+    put_config_version(*m_store, m_version, usual_timeout, m_settings.other_routes);
     m_checker.record_version(m_version, runtime_clock::now());
 }
 
@@ -164,7 +164,7 @@
 
 void soak_site::write_again()
 {
-    put_config_version(*m_store, m_version);
+    put_config_version(*m_store, m_version, usual_timeout, m_settings.other_routes);
     for (const auto& [key, evacuated] : m_evacuations)
         set_evacuated(key, evacuated);
 }
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -33,7 +33,9 @@
     std::size_t stream_events = 12;
     /// Long enough for streams to be open whenever servers are paused.
     std::chrono::milliseconds stream_gap{25};
-    promise_bounds bounds; ///< that the daemons are given and the checker checks
+    std::size_t other_routes = 0;        ///< in the configuration, beside those of the callers
+    double store_link_bytes_per_s = 0.0; ///< all answers of the store share it; 0: unlimited
+    promise_bounds bounds;               ///< that the daemons are given and the checker checks
 };
 
 /// One entry VM: its addresses and its current process.
--- a/standins/platform_forms.cc
+++ b/standins/platform_forms.cc
@@ -57,7 +57,8 @@
                                     {"form_ms", 0}}}};
 }
 
-std::string document(std::int64_t version, std::chrono::milliseconds timeout)
+std::string document(std::int64_t version, std::chrono::milliseconds timeout,
+                     std::size_t other_routes)
 {
     const json::object limits{{"max_header_bytes", 16384},
                               {"max_body_bytes", 65536},
@@ -66,12 +67,15 @@
     const json::array keys{json::string("key-" + std::to_string(version)),
                            json::string("key-" + std::to_string(version - 1))};
     const json::object tenant{{"name", "farm"}, {"api_keys", keys}, {"priority", 1}};
+    json::array routes{route("chat", "streaming", "llm", repeatable_attempts, false, timeout),
+                       route("order", "non_idempotent", "app", 1, false, timeout),
+                       route("read", "idempotent", "app", repeatable_attempts, false, timeout)};
+    for (std::size_t number = 0; number < other_routes; ++number)
+        routes.push_back(route("other" + std::to_string(number), "idempotent", "app",
+                               repeatable_attempts, false, timeout));
     return json::serialize(json::object{
         {"version", version},
-        {"routes",
-         json::array{route("chat", "streaming", "llm", repeatable_attempts, false, timeout),
-                     route("order", "non_idempotent", "app", 1, false, timeout),
-                     route("read", "idempotent", "app", repeatable_attempts, false, timeout)}},
+        {"routes", std::move(routes)},
         {"services", json::array{model_service(), json::object{{"name", "app"},
                                                                {"health_path", "/health"},
                                                                {"max_conns", 200}}}},
@@ -82,9 +86,9 @@
 } // namespace
 
 void put_config_version(store_standin& store, std::int64_t version,
-                        std::chrono::milliseconds route_timeout)
+                        std::chrono::milliseconds route_timeout, std::size_t other_routes)
 {
-    store.put("op/config", document(version, route_timeout));
+    store.put("op/config", document(version, route_timeout, other_routes));
 }
 
 std::string render_settings(const daemon_site& site)
--- a/standins/platform_forms.h
+++ b/standins/platform_forms.h
@@ -35,9 +35,10 @@
 constexpr double allowed_cold_requests = cold_requests_per_s * 1.5 + 5.0;
 
 /// Writes a version of the operators' configuration. The API keys "key-N" of this version and the
-/// previous one are valid.
+/// previous one are valid. `other_routes`: routes that no caller uses, beside the three.
 void put_config_version(store_standin& store, std::int64_t version,
-                        std::chrono::milliseconds route_timeout = usual_timeout);
+                        std::chrono::milliseconds route_timeout = usual_timeout,
+                        std::size_t other_routes = 0);
 
 /// Settings of one daemon that differ between daemons.
 struct daemon_site {
--- a/standins/standin_server.cc
+++ b/standins/standin_server.cc
@@ -38,6 +38,14 @@
     co_await wait.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+awaitable<void> shared_link::pass(asio::any_io_executor executor, std::size_t bytes)
+{
+    const std::chrono::duration<double> taken{static_cast<double>(bytes) / m_bytes_per_s};
+    m_free_at =
+        std::max(m_free_at, runtime_clock::now()) + std::chrono::duration_cast<duration>(taken);
+    co_await standin_sleep(std::move(executor), m_free_at - runtime_clock::now());
+}
+
 standin_exchange::standin_exchange(socket_type& socket, request_type request)
     : m_socket{socket}, m_request{std::move(request)}
 {}
@@ -90,8 +98,16 @@
         message.set(header.name, header.value);
     message.keep_alive(m_request.keep_alive());
     message.prepare_payload();
+    http::response_serializer<http::string_body> serializer{message};
+    if (m_link != nullptr && m_link->limited())
+        serializer.limit(shared_link::chunk_bytes);
     error_code ec;
-    co_await http::async_write(m_socket, message, asio::redirect_error(asio::use_awaitable, ec));
+    while (!ec && !serializer.is_done()) {
+        const std::size_t written = co_await http::async_write_some(
+            m_socket, serializer, asio::redirect_error(asio::use_awaitable, ec));
+        if (m_link != nullptr && m_link->limited())
+            co_await m_link->pass(m_socket.get_executor(), written);
+    }
     if (ec)
         cut();
 }
--- a/standins/standin_server.h
+++ b/standins/standin_server.h
@@ -27,6 +27,22 @@
 /// Waits for `step` on the runtime clock.
 awaitable<void> standin_sleep(boost::asio::any_io_executor executor, duration step);
 
+/// The link of a stand-in, which all its answers share chunk by chunk.
+class shared_link {
+public:
+    static constexpr std::size_t chunk_bytes = 16 * 1024;
+
+    /// 0: unlimited.
+    void set_rate(double bytes_per_s) { m_bytes_per_s = bytes_per_s; }
+    [[nodiscard]] bool limited() const { return m_bytes_per_s > 0.0; }
+    /// Waits until `bytes` have passed.
+    awaitable<void> pass(boost::asio::any_io_executor executor, std::size_t bytes);
+
+private:
+    double m_bytes_per_s = 0.0;
+    time_point m_free_at;
+};
+
 /// A request and its response.
 class standin_exchange {
 public:
@@ -46,6 +62,8 @@
 
     /// Adds a header to the response.
     void set(std::string name, std::string value);
+    /// From now on answer() shares this link with other exchanges. It must outlive the exchange.
+    void set_link(shared_link& link) { m_link = &link; }
     /// Sends a complete response.
     awaitable<void> answer(boost::beast::http::status status, std::string body,
                            std::string content_type = "application/json");
@@ -67,6 +85,7 @@
     socket_type& m_socket;
     request_type m_request;
     std::vector<http_header> m_headers;
+    shared_link* m_link = nullptr;
     bool m_cut = false;
     bool m_unframed = false;
 };
--- a/standins/store_standin.cc
+++ b/standins/store_standin.cc
@@ -82,6 +82,7 @@
 {
     const auto keep = shared_from_this();
     ++calls;
+    exchange.set_link(link);
     if (era != 0)
         exchange.set("Store-Era", std::to_string(era));
     store.expire(runtime_clock::now());
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -46,6 +46,7 @@
     bool is_unavailable = false;    ///< answer each call with 503 without executing it
     bool withholds_changes = false; ///< report no changes to watches
     std::size_t calls = 0;          ///< calls received, of any kind
+    shared_link link;               ///< all answers share it
     kv_store store;
 
 private:
