Store: an answer is waited for as long as it keeps arriving

Callers saw: after all entry VMs had returned, every request was refused for as long as anybody looked.

Cause: a call on the store had 1 s in all, header and body. When all start at once they share the store's link; if everything takes longer than 1 s for all of them together, all give up at the same moment, throw away what has arrived, pause alike and begin again. The first start never shows it, since the registry is still empty then.

Weighed: readers in a ranking, two a failure domain, and copies from neighbours: fewer bytes from the store, but a neighbour's link (49 Mbit/s) is a twentieth of the store's, and a node that starts alone would wait for its neighbours. At 410 nodes and 1.7 MB the store's 1,000 Mbit/s takes 5.6 s, within recovery_s.

Also: the soak's store can answer in turns (--store_in_turns); what that shows is not mended here.

--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -508,17 +508,23 @@
 
 awaitable<result<http_response>> http_client::call(http_request request, duration timeout)
 {
-    const time_point deadline = runtime_clock::now() + timeout;
+    return call(std::move(request), call_timeouts{timeout, timeout, timeout});
+}
+
+awaitable<result<http_response>> http_client::call(http_request request, call_timeouts timeouts)
+{
+    const time_point deadline = runtime_clock::now() + timeouts.total;
     const std::size_t limit = m_pool->limits.body_bytes;
     const std::string address = m_pool->address;
     const bool repeatable = request.repeatable;
-    result<http_stream> opened = co_await open(std::move(request), timeout);
+    result<http_stream> opened = co_await open(std::move(request), timeouts.header);
     if (!opened)
         co_return opened.error();
     http_stream stream = std::move(opened).value();
     http_response response{.status = stream.status(), .headers = stream.headers(), .body = {}};
     for (;;) {
-        result<std::string> piece = co_await stream.read(deadline - runtime_clock::now());
+        result<std::string> piece =
+            co_await stream.read(std::min(timeouts.stall, deadline - runtime_clock::now()));
         if (!piece)
             co_return piece.error();
         if (piece.value().empty())
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -91,6 +91,14 @@
     [[nodiscard]] std::string_view header(std::string_view name) const;
 };
 
+/// Timeouts of a call whose response may be large. As long as its bytes arrive, the time until it
+/// is complete depends on its size and on how many clients share the server's link.
+struct call_timeouts {
+    duration header; ///< for connecting, sending and the response's header
+    duration stall;  ///< without a byte of the body
+    duration total;  ///< for the whole exchange
+};
+
 class http_connection;
 struct http_pool;
 
@@ -141,6 +149,7 @@
     /// Sends a request and reads the whole response, whatever its status. `timeout` covers the
     /// whole exchange.
     awaitable<result<http_response>> call(http_request request, duration timeout);
+    awaitable<result<http_response>> call(http_request request, call_timeouts timeouts);
     /// Sends a request and reads the response's header. `timeout` covers connecting, sending and
     /// the header.
     awaitable<result<http_stream>> open(http_request request, duration timeout);
--- a/soak/fault_soak_main.cc
+++ b/soak/fault_soak_main.cc
@@ -36,6 +36,8 @@
           "routes in the configuration beside those of the callers");
 ABSL_FLAG(double, store_link_mbps, 0.0,
           "megabits a second that all answers of the store share; 0: unlimited");
+ABSL_FLAG(bool, store_in_turns, false,
+          "the store sends one answer after the other, also those that nobody waits for any more");
 ABSL_FLAG(bool, story, false, "print each seed's faults, also without a violation");
 
 namespace jaynotch {
@@ -60,6 +62,8 @@
     settings.site.other_routes = absl::GetFlag(FLAGS_other_routes);
     constexpr double bytes_in_megabit = 125'000.0;
     settings.site.store_link_bytes_per_s = absl::GetFlag(FLAGS_store_link_mbps) * bytes_in_megabit;
+    if (absl::GetFlag(FLAGS_store_in_turns))
+        settings.site.store_link_sharing = link_sharing::turns;
     settings.site.bounds.retry_extra = absl::GetFlag(FLAGS_retry_extra);
     const soak_outcome outcome = run_soak(settings);
     std::printf("%s seed %llu: %zu requests, %zu served, %zu faults\n",
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -50,7 +50,8 @@
                     0,
                     0};
         // Not before: a fleet that starts for the first time finds a small registry.
-        m_site.store().link.set_rate(m_settings.site.store_link_bytes_per_s);
+        m_site.store().link.set_rate(m_settings.site.store_link_bytes_per_s,
+                                     m_settings.site.store_link_sharing);
         m_callers.start(m_settings.callers);
         soak_outcome outcome;
         for (const planned_fault& fault : plan()) {
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -35,7 +35,8 @@
     std::chrono::milliseconds stream_gap{25};
     std::size_t other_routes = 0;        ///< in the configuration, beside those of the callers
     double store_link_bytes_per_s = 0.0; ///< all answers of the store share it; 0: unlimited
-    promise_bounds bounds;               ///< that the daemons are given and the checker checks
+    link_sharing store_link_sharing = link_sharing::chunks;
+    promise_bounds bounds; ///< that the daemons are given and the checker checks
 };
 
 /// One entry VM: its addresses and its current process.
--- a/standins/standin_server.h
+++ b/standins/standin_server.h
@@ -27,19 +27,31 @@
 /// Waits for `step` on the runtime clock.
 awaitable<void> standin_sleep(boost::asio::any_io_executor executor, duration step);
 
-/// The link of a stand-in, which all its answers share chunk by chunk.
+/// How answers that are sent at the same time share a link.
+enum class link_sharing {
+    chunks, ///< chunk by chunk, so that all take longer
+    turns,  ///< one after the other, also those that nobody waits for any more
+};
+
+/// The link of a stand-in, which all its answers share.
 class shared_link {
 public:
     static constexpr std::size_t chunk_bytes = 16 * 1024;
 
     /// 0: unlimited.
-    void set_rate(double bytes_per_s) { m_bytes_per_s = bytes_per_s; }
+    void set_rate(double bytes_per_s, link_sharing sharing = link_sharing::chunks)
+    {
+        m_bytes_per_s = bytes_per_s;
+        m_sharing = sharing;
+    }
+    [[nodiscard]] bool in_turns() const { return limited() && m_sharing == link_sharing::turns; }
     [[nodiscard]] bool limited() const { return m_bytes_per_s > 0.0; }
     /// Waits until `bytes` have passed.
     awaitable<void> pass(boost::asio::any_io_executor executor, std::size_t bytes);
 
 private:
     double m_bytes_per_s = 0.0;
+    link_sharing m_sharing = link_sharing::chunks;
     time_point m_free_at;
 };
 
