Key relay: an answer of a peer that knows nothing is no comparison

Cause: a node compares with a peer each half second until the first reply, then each 10 to 30 s. After a start of all at once the first reply comes from a peer that knows as little. It was taken for a comparison.

Change: a reply says that it contains everything only if its sender has read the platform or been told so by a node that has; until such a reply a node asks each half second.

Test: key_relay/a_node_answered_by_peers_without_values_asks_again_soon, red before. A node of the code before, beside such nodes, still says so of an empty answer.

--- a/daemon/key_relay_driver.h
+++ b/daemon/key_relay_driver.h
@@ -48,6 +48,8 @@
     /// One entry of a complete read of the platform's keys. It isn't announced or pushed, as most
     /// other nodes have it already.
     void read(const kv_entry& entry);
+    /// All keys of the platform have been read.
+    void platform_read() { m_core.platform_read(); }
     /// Sends the keys that changed since the last push, if any, to all nodes of this failure domain
     /// at once, with the time since the platform answered.
     void push(duration store_age);
--- a/daemon/record_feed.cc
+++ b/daemon/record_feed.cc
@@ -80,6 +80,7 @@
             co_return;
         for (const kv_entry& record : read.value().entries)
             pass_to_relay(record);
+        relay.platform_read();
         result<kv_watch> watch = co_await kv.watch(prefix, read.value().revision + 1);
         while (watch && !stopped && relay.watching()) {
             const result<kv_watch_batch> batch = co_await watch.value().next(max_watch_wait);
--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -278,6 +278,7 @@
                    {"took_ms", milliseconds_since(asked)}});
         store_recovered();
         apply_read(read.value(), restored);
+        relay.platform_read();
         // Documents from a full read are not pushed. Neighbours must compare their documents with
         // this node's before they rely on its next push.
         relay.stop_pushing();
--- a/peers/key_relay.cc
+++ b/peers/key_relay.cc
@@ -129,7 +129,6 @@
 key_relay_commands key_relay_core::key_changed(time_point /*now*/, const relayed_key& entry)
 {
     key_relay_commands out;
-    m_synced = true;
     const update how = update_if_newer(entry, out);
     if (how != update::none) {
         add_to_push(entry, how, out);
@@ -141,7 +140,6 @@
 key_relay_commands key_relay_core::read(const relayed_key& entry)
 {
     key_relay_commands out;
-    m_synced = true;
     if (update_if_newer(entry, out) == update::replaced)
         send_if_urgent(entry, out);
     return out;
@@ -193,6 +191,7 @@
 key_relay_commands key_relay_core::push(duration store_age)
 {
     key_relay_commands out;
+    m_synced = true;
     m_pushing = true;
     // Split by size, so that any number of entries fits into frames.
     std::vector<key_reply> parts(1);
@@ -249,7 +248,6 @@
         handle_request(now, message.from, *request, out);
         return out;
     }
-    m_synced = true;
     const auto& reply = std::get<key_reply>(message.body);
     forward(message, reply, out);
     std::size_t bytes = 0;
@@ -261,6 +259,7 @@
         if (how != update::none && m_pushing)
             add_to_push(entry, how, out);
     }
+    m_synced = m_synced || reply.complete;
     if (reply.push_number)
         handle_push(now, reply.origin.value_or(message.from), message.delay, reply, out);
     else if (reply.complete)
@@ -344,7 +343,8 @@
         known_revisions[item.key] = item.revision;
     const std::set<std::uint32_t> wanted{request.wanted.begin(), request.wanted.end()};
     key_reply reply;
-    reply.complete = request.wanted.empty();
+    // A node that has itself not seen all entries proves nothing to another one.
+    reply.complete = request.wanted.empty() && m_synced;
     reply.last_push = m_push_number;
     std::size_t bytes = 0;
     for (const auto& [name, entry] : m_keys) {
--- a/peers/key_relay.h
+++ b/peers/key_relay.h
@@ -4,7 +4,8 @@
 //   key_relay_core relay{{.self = node}, random_source{seed}};
 //   run(relay.tick(now));                          // a few times a second
 //   run(relay.members_changed(own_domain, all));
-//   run(relay.key_changed(now, entry));            // read, watched or written by this node
+//   run(relay.key_changed(now, entry));            // watched or written by this node
+//   run(relay.read(entry)); relay.platform_read(); // everything was read
 //   run(relay.notice_received(now, notice));       // rumor of a peer
 //   run(relay.message_received(now, message));     // request, reply or push of a peer
 //
@@ -101,6 +102,8 @@
     /// domain, with the time since the platform answered this node. Nodes that receive pushes need
     /// not watch the platform.
     key_relay_commands push(duration store_age);
+    /// The platform has answered with all entries that it has, even if there are none.
+    void platform_read() { m_synced = true; }
     /// Stops pushing. The other nodes must compare with this one after its next push.
     void stop_pushing();
     /// A notice arrived. If this node lacks the revision, it requests it from a peer in a later
@@ -164,7 +167,8 @@
     std::map<node_id, push_source> m_push_sources;
     std::vector<node_id> m_peers; ///< to send requests to: m_neighbours, or all nodes if empty
     bool m_watching = false;
-    bool m_synced = false; ///< a peer or the platform has answered at least once
+    /// The platform, or a peer that was itself synced, has once shown all entries that it has.
+    bool m_synced = false;
     std::size_t m_failed_requests = 0;
     time_point m_next_request{};
     time_point m_next_sync{};
--- a/peers/key_relay_test.cc
+++ b/peers/key_relay_test.cc
@@ -28,7 +28,9 @@
 /// The nodes, the messages between them, and the platform's keys.
 class network {
 public:
-    network(std::size_t nodes, std::size_t domains, std::uint64_t seed) : m_random{seed}
+    network(std::size_t nodes, std::size_t domains, std::uint64_t seed,
+            bool platform_reachable = true)
+        : platform_unreachable{!platform_reachable}, m_random{seed}
     {
         for (std::size_t i = 0; i < nodes; ++i)
             add("n" + std::to_string(i), "d" + std::to_string(i % domains));
@@ -72,6 +74,15 @@
         }
     }
 
+    /// A node reads the whole platform, as it does at its start.
+    void read_platform(std::size_t index)
+    {
+        node& reader = m_nodes[index];
+        for (const auto& [key, entry] : m_platform)
+            run(reader, reader.core.read(entry));
+        reader.core.platform_read();
+    }
+
     void step(duration by = std::chrono::milliseconds{100})
     {
         m_now += by;
@@ -100,7 +111,7 @@
     std::vector<node>& nodes() { return m_nodes; }
 
     double loss = 0.0;
-    bool platform_unreachable = false;
+    bool platform_unreachable;
     std::string partitioned_domain; ///< its messages to and from other domains are lost
     bool revision_decreased = false;
 
@@ -124,6 +135,8 @@
                     if (change->on && !platform_unreachable)
                         run(from, from.core.key_changed(m_now, entry));
                 }
+                if (change->on && !platform_unreachable)
+                    from.core.platform_read();
             }
         }
     }
@@ -688,3 +701,15 @@
     cr_assert_eq(std::get<key_reply>(bodies_sent_to("n1", watcher.push({})).at(0)).entries.size(),
                  2U);
 }
+
+// Guards against a node that takes the answer of a peer without any values for a comparison: when
+// all nodes start at once, it would not ask again for many seconds.
+Test(key_relay, a_node_answered_by_peers_without_values_asks_again_soon)
+{
+    network net{4, 1, 1, false};
+    net.write("a", 7);
+    net.steps(20);
+    net.read_platform(2);
+    net.steps(20);
+    cr_assert(net.all_nodes_have("a", 7));
+}
