Key relay: a value larger than the reply budget is sent and paid for afterwards

Cause, found by reading beside the fault before: replies to comparisons may take 200 kB a second, with a burst of 462 kB. A single value above the burst was never sent: a node that depends on its neighbours could not get a configuration of that size from a comparison, whose lack also kept it from counting its neighbours as fresh.

Change: a value may exceed the budget, whose bucket then goes below zero; the mean stays what it was.

Test: key_relay/a_value_larger_than_the_reply_budget_is_handed_over, red before.

--- a/peers/key_relay.cc
+++ b/peers/key_relay.cc
@@ -414,8 +414,8 @@
     }
     m_refilled = now;
     // Without a reply the requester tries another peer. The limit keeps many new nodes from using
-    // up the bandwidth of this one.
-    if (m_reply_tokens < static_cast<double>(bytes))
+    // up the bandwidth of this one. A single value may exceed it, and is then paid for afterwards.
+    if (m_reply_tokens < static_cast<double>(std::min(bytes, m_settings.max_reply_bytes)))
         return false;
     m_reply_tokens -= static_cast<double>(bytes);
     return true;
--- a/peers/key_relay_test.cc
+++ b/peers/key_relay_test.cc
@@ -713,3 +713,17 @@
     net.steps(20);
     cr_assert(net.all_nodes_have("a", 7));
 }
+
+// Guards against a value that is too large for the budget of replies and therefore never sent.
+Test(key_relay, a_value_larger_than_the_reply_budget_is_handed_over)
+{
+    network net{2, 1, 1, false};
+    const key_relay_settings limits;
+    net.write(
+        "a", 7,
+        std::string(2 * limits.max_reply_bytes + static_cast<std::size_t>(limits.max_reply_bytes_s),
+                    'x'));
+    net.read_platform(0);
+    net.steps(50);
+    cr_assert(net.all_nodes_have("a", 7));
+}
