Feed: a node without any tables waits longer each time for the store; retries are spread

Cause: a reading of everything was given up if its answer did not begin within 1 s. A store that sends one answer after the other begins late when all nodes ask at once; what is given up is work for nothing, and the retries of nodes that failed together came together.

Change: until it has read everything once, a node waits 1, 2, then 4 s for an answer to begin; a node that serves still notices a hung call after 1 s, since its tables must not age. Pauses between tries have a random factor of 0.5 to 1.

Test: fleet_return/a_node_without_any_tables_waits_longer_each_time_for_the_store, red before.

--- a/daemon/fleet_return_test.cc
+++ b/daemon/fleet_return_test.cc
@@ -42,3 +42,14 @@
     fleet.restart_all();
     cr_assert_eq(fleet.served(0, "/read/1", 3), 3U);
 }
+
+// Guards against a store that begins each answer late and is never waited for long enough.
+Test(fleet_return, a_node_without_any_tables_waits_longer_each_time_for_the_store)
+{
+    registry_fixture fleet{{.nodes = 1, .other_routes = many_routes}};
+    constexpr double seconds_for_one = 1.5;
+    fleet.store().link.set_rate(static_cast<double>(bytes_of_everything(fleet)) / seconds_for_one,
+                                link_sharing::turns);
+    fleet.restart_all();
+    cr_assert_eq(fleet.served(0, "/read/1", 3), 3U);
+}
--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -42,6 +42,12 @@
 
 constexpr duration min_retry_interval = std::chrono::milliseconds{50};
 constexpr duration max_retry_interval = std::chrono::milliseconds{800};
+constexpr double min_jitter = 0.5; ///< least fraction of a retry interval that is waited
+/// How long a reading of everything waits for an answer to begin. A node that knows nothing yet
+/// waits longer each time: the store may be slow because all nodes read at once, and a reading that
+/// is given up is work for nothing. A node that serves must notice soon that a call hangs.
+constexpr duration min_read_timeout = std::chrono::seconds{1};
+constexpr duration max_read_timeout = std::chrono::seconds{4};
 constexpr duration watch_wait = std::chrono::seconds{10};
 /// Time between two pushes of a follower that has no changes to send.
 constexpr duration push_interval = std::chrono::milliseconds{400};
@@ -76,6 +82,11 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
 
+duration scaled(duration span, double factor)
+{
+    return std::chrono::duration_cast<duration>(factor * span);
+}
+
 std::int64_t milliseconds_since(time_point then)
 {
     return in_milliseconds(runtime_clock::now() - then);
@@ -90,7 +101,8 @@
         : io{context}, kv{service}, hooks{std::move(given)},
           relay{chosen, others, "documents", relay_hooks()}, m_peers{others}, m_pause{context},
           m_shares_watches{chosen.mechanisms.has(mechanism::shared_watches)},
-          m_first_start{chosen.first_start}, m_followers{{.self = chosen.node, .name = "documents"}}
+          m_first_start{chosen.first_start}, m_random{hash64(chosen.node.value(), chosen.seed)},
+          m_followers{{.self = chosen.node, .name = "documents"}}
     {}
 
     net::awaitable<void> run()
@@ -106,7 +118,8 @@
                 break;
             pause = succeeded ? min_retry_interval : std::min(pause * 2, max_retry_interval);
             boost::system::error_code woken;
-            m_pause.expires_after(pause);
+            // Nodes that failed together must not all come back together.
+            m_pause.expires_after(scaled(pause, min_jitter + (1.0 - min_jitter) * m_random.unit()));
             co_await m_pause.async_wait(net::redirect_error(net::use_awaitable, woken));
         }
     }
@@ -255,12 +268,15 @@
     net::awaitable<bool> read_all()
     {
         const time_point asked = runtime_clock::now();
+        kv.set_read_timeout(m_read_timeout);
         const result<kv_range> read =
             co_await kv.get_prefix(std::string{platform::watched_prefix()});
         if (stopped)
             co_return false;
         if (!read) {
             ++m_failed_reads;
+            if (!m_read_once && read.error().kind == error_kind::deadline_exceeded)
+                m_read_timeout = std::min(2 * m_read_timeout, max_read_timeout);
             log_event(log_level::warning, "store_read_failed",
                       {{"reason", read.error().message},
                        {"took_ms", milliseconds_since(asked)},
@@ -269,6 +285,7 @@
             co_return false;
         }
         m_failed_reads = 0;
+        m_read_timeout = min_read_timeout;
         const bool restored = m_era && kv.era() != m_era;
         m_era = kv.era();
         log_event(log_level::info, "store_read",
@@ -529,10 +546,12 @@
     timer m_pause;
     bool m_shares_watches; ///< only followers watch the store
     bool m_first_start;    ///< the whole fleet starts for the first time
+    random_source m_random;
     time_point m_started = runtime_clock::now();
     store_followers m_followers;
     time_point m_last_push_at;
-    time_point m_last_answer_at;               ///< when the store last answered this node
+    time_point m_last_answer_at; ///< when the store last answered this node
+    duration m_read_timeout = min_read_timeout;
     std::uint64_t m_failed_reads = 0;          ///< since everything was last read
     std::int64_t m_revision = 0;               ///< last one received; 0: everything has to be read
     std::optional<std::int64_t> m_era;         ///< of the store at the last reading
--- a/services/kv.cc
+++ b/services/kv.cc
@@ -82,6 +82,12 @@
         store->set_watch_pace(pace);
 }
 
+void kv_service::set_read_timeout(duration timeout)
+{
+    if (auto* store = std::get_if<platform::store_kv>(&m_adapter))
+        store->set_read_timeout(timeout);
+}
+
 std::optional<std::int64_t> kv_service::era() const
 {
     const auto* store = std::get_if<platform::store_kv>(&m_adapter);
--- a/services/kv.h
+++ b/services/kv.h
@@ -187,6 +187,8 @@
     /// Sets how often watches poll. Affects only the platform's store, whose watches are long
     /// polls; other adapters receive changes as they happen.
     void set_watch_pace(const watch_pace& pace);
+    /// Sets how long get_prefix() waits for each answer to begin. Affects only the platform's store.
+    void set_read_timeout(duration timeout);
     /// Rises each time that the platform's store comes back from a copy of itself, without what was
     /// written since the copy was made. nullopt if the service states no era.
     [[nodiscard]] std::optional<std::int64_t> era() const;
