etcd adapter: an answer is waited for as long as it keeps arriving

Cause: the same as in the adapter of the platform's store, found by looking for it elsewhere: 2 s for a whole answer, so that records and tables that nodes read all at once are given up and asked for again.

Change: the same timeouts as there.

Test: etcd_gateway/a_prefix_is_read_through_a_slow_link, red before.

--- a/services/etcd_gateway_kv.cc
+++ b/services/etcd_gateway_kv.cc
@@ -137,7 +137,8 @@
                                                      bool repeatable)
 {
     http_request request = post_request(std::move(target), std::move(body), repeatable);
-    result<http_response> answer = co_await m_client->call(std::move(request), m_settings.timeout);
+    const call_timeouts timeouts{m_settings.timeout, m_settings.timeout, m_settings.answer_timeout};
+    result<http_response> answer = co_await m_client->call(std::move(request), timeouts);
     if (!answer)
         co_return answer.error();
     if (answer.value().status != http::status::ok)
--- a/services/kv.h
+++ b/services/kv.h
@@ -65,7 +65,8 @@
 
 struct etcd_settings {
     std::string address; ///< "IP:port" of the JSON gateway
-    duration timeout = std::chrono::seconds{2};
+    duration timeout = std::chrono::seconds{2}; ///< until an answer begins, and without a byte
+    duration answer_timeout = std::chrono::seconds{15}; ///< for a whole answer
     std::size_t answer_bytes = 16 * 1024 * 1024; ///< maximum size of a response
 };
 
--- a/standins/kv_adapters_test.cc
+++ b/standins/kv_adapters_test.cc
@@ -55,6 +55,20 @@
     cr_assert_eq(read.value().mod_revision(), first.value().revision);
 }
 
+// Guards against a reading that is given up although its answer keeps arriving, as when all nodes
+// start at once.
+Test(etcd_gateway, a_prefix_is_read_through_a_slow_link)
+{
+    served_kv served;
+    constexpr std::size_t value_bytes = 200'000;
+    constexpr double seconds = 0.5;
+    cr_assert(served.put("big/1", std::string(value_bytes, 'x')).value().succeeded);
+    served.standin->link.set_rate(static_cast<double>(value_bytes) / seconds);
+    const auto read = served.runtime.run(served.kv.get_prefix("big/"));
+    cr_assert(read, "%s", read ? "" : read.error().message.c_str());
+    cr_assert_eq(read.value().entries.size(), 1U);
+}
+
 Test(etcd_gateway, a_prefix_read_returns_only_keys_with_the_prefix)
 {
     served_kv served;
--- a/standins/kv_standin.cc
+++ b/standins/kv_standin.cc
@@ -131,6 +131,7 @@
 awaitable<void> kv_standin::handle(standin_exchange& exchange)
 {
     const auto keep = shared_from_this();
+    exchange.set_link(link);
     const auto change_faults = [this](const fault_change& change) { apply(change); };
     const bool taken = co_await handle_fault_request(exchange, change_faults);
     if (taken)
--- a/standins/kv_standin.h
+++ b/standins/kv_standin.h
@@ -54,6 +54,8 @@
     /// well, so that the watches report them at once.
     void expire_lease(lease_id lease);
 
+    shared_link link; ///< all answers but those of watches share it
+
 private:
     struct call_answer {
         boost::beast::http::status status = boost::beast::http::status::ok;
