--- a/standins/runner_standin.cc
+++ b/standins/runner_standin.cc
@@ -155,8 +155,10 @@
         co_return;
     }
     ran.push_back(received);
-    if (faults.unframed)
+    if (faults.unframed || (faults.cut_by_query && !exchange.query("unframed").empty()))
         exchange.set_unframed();
+    if (const std::string bytes = exchange.query("cut"); faults.cut_by_query && !bytes.empty())
+        exchange.end_after(std::stoul(bytes), !exchange.query("reset").empty());
     check_serving();
     if (crashes_on(exchange)) {
         set_answer_headers(exchange);
@@ -178,6 +180,7 @@
     else {
         co_await stream(exchange);
     }
+    head_bytes = exchange.head_bytes();
 }
 
 bool runner_standin::crashes_on(const standin_exchange& exchange) const
--- a/standins/standin_server.cc
+++ b/standins/standin_server.cc
@@ -12,6 +12,8 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <sstream>
+
 namespace jaynotch {
 
 namespace asio = boost::asio;
@@ -24,11 +26,26 @@
 constexpr std::uint32_t max_header_bytes = 64 * 1024;
 constexpr std::uint64_t max_body_bytes = 64 * 1024 * 1024;
 
+constexpr std::string_view end_of_head = "\r\n\r\n";
+
 std::string_view view(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
 }
 
+std::size_t head_size(const std::string& text)
+{
+    return text.find(end_of_head) + end_of_head.size();
+}
+
+template <class Message>
+std::string text_of(const Message& message)
+{
+    std::ostringstream text;
+    text << message;
+    return text.str();
+}
+
 } // namespace
 
 awaitable<void> standin_sleep(asio::any_io_executor executor, duration step)
@@ -98,6 +115,12 @@
         message.set(header.name, header.value);
     message.keep_alive(m_request.keep_alive());
     message.prepare_payload();
+    if (m_bytes_left) {
+        std::string text = text_of(message);
+        m_head_bytes = head_size(text);
+        co_await write_part(std::move(text));
+        co_return;
+    }
     http::response_serializer<http::string_body> serializer{message};
     const bool in_turns = m_link != nullptr && m_link->in_turns();
     const bool in_chunks = m_link != nullptr && m_link->limited() && !in_turns;
@@ -116,8 +139,26 @@
         cut();
 }
 
+awaitable<bool> standin_exchange::write_part(std::string bytes)
+{
+    const bool ends = bytes.size() >= *m_bytes_left;
+    bytes.resize(std::min(bytes.size(), *m_bytes_left));
+    *m_bytes_left -= bytes.size();
+    error_code ec;
+    co_await asio::async_write(m_socket, asio::buffer(bytes),
+                               asio::redirect_error(asio::use_awaitable, ec));
+    if (ends && m_reset_at_end)
+        m_socket.set_option(asio::socket_base::linger{true, 0}, ec);
+    if (ec || ends)
+        cut();
+    co_return !ec && !ends;
+}
+
 awaitable<bool> standin_exchange::write_raw(std::string bytes)
 {
+    if (m_bytes_left) {
+        co_return co_await write_part(std::move(bytes));
+    }
     error_code ec;
     co_await asio::async_write(m_socket, asio::buffer(bytes),
                                asio::redirect_error(asio::use_awaitable, ec));
@@ -135,6 +176,12 @@
         message.set(header.name, header.value);
     message.chunked(!m_unframed);
     message.keep_alive(!m_unframed);
+    if (m_bytes_left) {
+        std::string text = text_of(message);
+        m_head_bytes = head_size(text);
+        text.resize(m_head_bytes);
+        co_return co_await write_part(std::move(text));
+    }
     http::response_serializer<http::empty_body> serializer{message};
     error_code ec;
     co_await http::async_write_header(m_socket, serializer,
@@ -148,6 +195,11 @@
 {
     if (m_unframed)
         co_return co_await write_raw(std::move(bytes));
+    if (m_bytes_left) {
+        std::ostringstream size;
+        size << std::hex << bytes.size() << "\r\n";
+        co_return co_await write_part(size.str() + bytes + "\r\n");
+    }
     error_code ec;
     co_await asio::async_write(m_socket, http::make_chunk(asio::buffer(bytes)),
                                asio::redirect_error(asio::use_awaitable, ec));
@@ -158,6 +210,9 @@
 
 awaitable<bool> standin_exchange::finish_chunks()
 {
+    if (m_bytes_left && !m_unframed) {
+        co_return co_await write_part("0\r\n\r\n");
+    }
     error_code ec;
     if (m_unframed) {
         m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
--- a/standins/standin_server.h
+++ b/standins/standin_server.h
@@ -17,6 +17,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -87,6 +88,15 @@
     awaitable<bool> finish_chunks();
     /// From now on the response has neither a length nor chunks and ends with its connection.
     void set_unframed() { m_unframed = true; }
+    /// The response ends after this many bytes, head included, and its connection is closed or
+    /// reset.
+    void end_after(std::size_t bytes, bool reset)
+    {
+        m_bytes_left = bytes;
+        m_reset_at_end = reset;
+    }
+    /// Bytes of the head of a response for which end_after() was called.
+    [[nodiscard]] std::size_t head_bytes() const { return m_head_bytes; }
     /// Closes the connection without completing the response.
     void cut();
     /// Whether the client has closed the connection.
@@ -94,10 +104,16 @@
     [[nodiscard]] bool is_cut() const { return m_cut; }
 
 private:
+    /// Writes as many of the bytes as the response may still have; false if it has ended.
+    awaitable<bool> write_part(std::string bytes);
+
     socket_type& m_socket;
     request_type m_request;
     std::vector<http_header> m_headers;
     shared_link* m_link = nullptr;
+    std::optional<std::size_t> m_bytes_left; ///< of the response; nullopt: unlimited
+    std::size_t m_head_bytes = 0;
+    bool m_reset_at_end = false;
     bool m_cut = false;
     bool m_unframed = false;
 };
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -104,6 +104,10 @@
     bool unframed = false;
     /// Events after which an unframed stream ends inside an event; 0: off.
     std::size_t partial_after = 0;
+    /// The request says in its query how its answer is broken off: `cut` bytes, head included, are
+    /// sent, then the connection is closed, or with `reset` reset; `unframed` as above. Without
+    /// `cut` the answer is whole.
+    bool cut_by_query = false;
     std::string limit; ///< header Server-Limit: requests per second from all nodes together
     std::string pause; ///< header Retry-After of refused requests, seconds; empty: none
 };
@@ -128,6 +132,7 @@
     runner_faults faults;
     std::vector<received_request> arrived; ///< all requests, also those refused
     std::vector<received_request> ran;     ///< requests run, whatever response was sent
+    std::size_t head_bytes = 0;            ///< of its last answer that was broken off by query
     std::vector<std::string> orders;       ///< bodies of the orders received
     [[nodiscard]] bool open() const { return m_phase == member_phase::open; }
     [[nodiscard]] const std::string& id() const { return m_settings.id; }
