Soak: all daemons are lost at once, by seed, and must serve a quarter after their return

Cause: each fault of the soak hit one daemon, and its check of recovery was satisfied by one request.

A quarter of what is sent after recovery must be served if a quarter was before.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -276,6 +276,36 @@
     return plan;
 }
 
+planned_fleet_outage draw_fleet_outage(std::uint64_t seed)
+{
+    constexpr std::uint64_t stream = 0xa11007ULL;
+    constexpr double share_of_seeds = 0.5;
+    constexpr double rare_share = 0.25;
+    random_source random{seed ^ stream};
+    planned_fleet_outage drawn;
+    drawn.how = draw<fleet_loss>(random);
+    drawn.down = milliseconds{random.between(300, 4'000)};
+    if (random.chance(share_of_seeds))
+        drawn.start_interval = milliseconds{random.between(5, 200)};
+    drawn.times = random.chance(rare_share) ? 2 : 1;
+    drawn.first_start = random.chance(rare_share);
+    if (random.chance(share_of_seeds)) {
+        drawn.store_fault = draw_link_fault(random);
+        drawn.store_fault_for = drawn.down + milliseconds{random.between(0, 3'000)};
+    }
+    return drawn;
+}
+
+std::string to_string(const planned_fleet_outage& planned)
+{
+    return "all daemons lost by " + std::string{to_name(planned.how)} + " for " +
+           std::to_string(planned.down.count()) + " ms, " + std::to_string(planned.times) +
+           " times, " + std::to_string(planned.start_interval.count()) + " ms between starts" +
+           (planned.first_start ? ", as at a first start" : "") + "; links to the store " +
+           std::string{to_name(planned.store_fault)} + " for " +
+           std::to_string(planned.store_fault_for.count()) + " ms";
+}
+
 std::string to_string(const planned_fault& planned)
 {
     return std::to_string(planned.at.count()) + " ms for " +
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -84,6 +84,27 @@
     double share = 0.0;    ///< of the servers that are alive then; at least one is paused
 };
 
+enum class fleet_loss {
+    kill,  ///< the processes are killed, which closes their connections
+    power, ///< they lose power: no connection is closed, and the other ends hear nothing
+};
+template <>
+struct enum_names<fleet_loss> {
+    static constexpr std::array entries{named{fleet_loss::kill, "kill"},
+                                        named{fleet_loss::power, "power"}};
+};
+
+/// All daemons are lost at once and started again, in any order.
+struct planned_fleet_outage {
+    fleet_loss how = fleet_loss::kill;
+    std::chrono::milliseconds down{1'300};
+    std::chrono::milliseconds start_interval{0}; ///< between two starts
+    std::size_t times = 1;                       ///< in a row
+    bool first_start = false; ///< the settings say that the whole system starts for the first time
+    link_fault store_fault = link_fault::none;    ///< of the daemons' links to the store
+    std::chrono::milliseconds store_fault_for{0}; ///< from the loss on
+};
+
 /// Operators evacuate one of the two failure domains and take it back.
 struct planned_evacuation {
     std::size_t domain = 0;
@@ -115,6 +136,9 @@
 };
 
 std::vector<planned_fault> draw_plan(const fault_plan_settings& settings);
+/// The loss of all daemons that ends the run of a seed.
+planned_fleet_outage draw_fleet_outage(std::uint64_t seed);
 std::string to_string(const planned_fault& planned);
+std::string to_string(const planned_fleet_outage& planned);
 
 } // namespace jaynotch
--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -58,6 +58,12 @@
     }
 }
 
+void fault_proxy::drop_open()
+{
+    for (const auto& connection : m_tunnels)
+        connection->blackholed = true;
+}
+
 void fault_proxy::close()
 {
     error_code ignored;
--- a/soak/fault_soak_main.cc
+++ b/soak/fault_soak_main.cc
@@ -30,8 +30,9 @@
 ABSL_FLAG(bool, pauses, true, "sound servers are paused too");
 ABSL_FLAG(bool, pause_after_maintenance, false,
           "only planned work, each time followed by a pause of most servers");
-ABSL_FLAG(std::string, final_outage, "none",
-          "how all daemons are lost at once at the end: none, kill or power");
+ABSL_FLAG(
+    std::string, final_outage, "none",
+    "all daemons are lost at once at the end: none, kill or power for 1.3 s, or drawn by seed");
 ABSL_FLAG(std::uint32_t, other_routes, 0,
           "routes in the configuration beside those of the callers");
 ABSL_FLAG(double, store_link_mbps, 0.0,
@@ -43,6 +44,20 @@
 namespace jaynotch {
 namespace {
 
+result<std::optional<planned_fleet_outage>> final_outage(std::uint64_t seed)
+{
+    const std::string given = absl::GetFlag(FLAGS_final_outage);
+    if (given == "none")
+        return std::optional<planned_fleet_outage>{};
+    if (given == "drawn")
+        return std::optional{draw_fleet_outage(seed)};
+    const std::optional<fleet_loss> how = from_name<fleet_loss>(given);
+    if (!how)
+        return error{error_kind::invalid_argument, "--final_outage: \"" + given + "\" is unknown",
+                     "give none, drawn, " + list_names<fleet_loss>()};
+    return std::optional{planned_fleet_outage{.how = *how}};
+}
+
 bool run_seed(std::uint64_t seed)
 {
     soak_settings settings;
@@ -54,7 +69,7 @@
     settings.store_returns = absl::GetFlag(FLAGS_store_returns);
     settings.pauses = absl::GetFlag(FLAGS_pauses);
     settings.pause_after_maintenance = absl::GetFlag(FLAGS_pause_after_maintenance);
-    settings.final_outage = *from_name<fleet_outage>(absl::GetFlag(FLAGS_final_outage));
+    settings.final_outage = final_outage(seed).value();
     settings.site.program = absl::GetFlag(FLAGS_programs) + "/jaynotchd";
     settings.site.folder = absl::GetFlag(FLAGS_logs) + "/" + std::to_string(seed);
     settings.site.daemons = absl::GetFlag(FLAGS_daemons);
@@ -109,6 +124,10 @@
     const std::vector<std::uint64_t> seeds = parse_seeds();
     if (seeds.empty())
         return 2;
+    if (const auto known = final_outage(seeds.front()); !known) {
+        std::fprintf(stderr, "jaynotch-fault-soak: %s\n", to_string(known.error()).c_str());
+        return 2;
+    }
     std::size_t failed = 0;
     for (const std::uint64_t seed : seeds)
         failed += run_seed(seed) ? 0 : 1;
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cmath>
 #include <csignal>
+#include <numeric>
 
 // A run starts the site, waits until groups have formed, starts the callers, injects the planned
 // faults, waits for recovery, checks that requests succeed again, and stops. Each fault is a
@@ -26,7 +27,7 @@
 constexpr duration restart_delay = std::chrono::milliseconds{150};
 constexpr duration recovery_time = std::chrono::seconds{6};
 constexpr duration final_load_time = std::chrono::seconds{2};
-constexpr duration outage_time = std::chrono::milliseconds{1'300};
+constexpr duration store_delay = std::chrono::milliseconds{300};
 constexpr duration max_loop_stall = std::chrono::seconds{2};
 constexpr duration poll_interval = std::chrono::milliseconds{20};
 
@@ -68,8 +69,10 @@
         if (m_active_faults != 0)
             outcome.problems.push_back(
                 "a fault did not end in time: a process may not have stopped");
-        if (m_settings.final_outage != fleet_outage::none)
-            lose_fleet();
+        if (m_settings.final_outage) {
+            outcome.faults.push_back(to_string(*m_settings.final_outage));
+            lose_fleet(*m_settings.final_outage);
+        }
         else
             run_for(recovery_time);
         const std::size_t before = m_checker.successes();
@@ -111,27 +114,47 @@
         return draw_plan(drawn);
     }
 
-    /// All daemons are lost at once and started again. Callers go on meanwhile.
-    void lose_fleet()
+    /// Loses all daemons at once and starts them again. Callers go on meanwhile.
+    void lose_fleet(const planned_fleet_outage& planned)
     {
         m_site.publish_version();
         const std::size_t fault_index = begin_fault({.stops_process = true, .cuts_links = true});
         const time_point lost_at = runtime_clock::now();
-        if (m_settings.final_outage == fleet_outage::power)
-            m_site.set_all_links(link_fault::drop_quiet);
+        asio::co_spawn(m_io, disturb_store(planned), asio::detached);
+        for (std::size_t time = 0; time < planned.times; ++time) {
+            stop_all(planned);
+            run_for(planned.down);
+            start_all(planned);
+        }
+        run_until([&] { return !m_store_disturbed; }, max_start_time);
+        end_fault(fault_index);
+        m_checker.record_fleet_outage(lost_at, runtime_clock::now());
+        run_for(m_settings.site.bounds.fleet_recovery);
+    }
+
+    void stop_all(const planned_fleet_outage& planned)
+    {
+        if (planned.how == fleet_loss::power)
+            m_site.drop_connections();
         for (soak_daemon& daemon : m_site.daemons()) {
             daemon.stopping = true;
             daemon.process->signal(SIGKILL);
         }
-        run_for(outage_time);
-        if (m_settings.final_outage == fleet_outage::power)
-            m_site.set_all_links(link_fault::none);
-        for (std::size_t index = 0; index < m_site.daemons().size(); ++index)
+    }
+
+    void start_all(const planned_fleet_outage& planned)
+    {
+        std::vector<std::size_t> order(m_site.daemons().size());
+        std::iota(order.begin(), order.end(), 0);
+        random_source random{m_settings.seed};
+        for (std::size_t left = order.size(); left > 1; --left)
+            std::swap(order[left - 1], order[random.index(left)]);
+        for (const std::size_t index : order) {
+            m_site.daemons()[index].first_start = planned.first_start;
             asio::co_spawn(m_io, start_again(index), asio::detached);
+            run_for(planned.start_interval);
+        }
         run_until([&] { return m_site.all_running(); }, max_start_time);
-        end_fault(fault_index);
-        m_checker.record_fleet_outage(lost_at, runtime_clock::now());
-        run_for(m_settings.site.bounds.fleet_recovery);
     }
 
     asio::awaitable<void> start_again(std::size_t index)
@@ -140,6 +163,19 @@
         m_site.launch(index);
     }
 
+    asio::awaitable<void> disturb_store(planned_fleet_outage planned)
+    {
+        if (planned.store_fault == link_fault::none)
+            co_return;
+        m_store_disturbed = true;
+        for (soak_daemon& daemon : m_site.daemons())
+            daemon.store_link->set(planned.store_fault, store_delay);
+        co_await pause(planned.store_fault_for);
+        for (soak_daemon& daemon : m_site.daemons())
+            daemon.store_link->set(link_fault::none);
+        m_store_disturbed = false;
+    }
+
     template <class Done>
     bool run_until(Done done, duration timeout)
     {
@@ -338,7 +374,7 @@
         if (spec.fault == link_fault::none)
             m_site.store().is_unavailable = true;
         for (soak_daemon& daemon : m_site.daemons())
-            daemon.store_link->set(spec.fault, std::chrono::milliseconds{300});
+            daemon.store_link->set(spec.fault, store_delay);
         co_await pause(active_for);
         m_site.store().is_unavailable = false;
         for (soak_daemon& daemon : m_site.daemons())
@@ -422,6 +458,7 @@
     soak_site m_site;
     soak_callers m_callers;
     std::size_t m_active_faults = 0;
+    bool m_store_disturbed = false;
     duration m_longest_stall{};
     std::vector<std::string> m_problems;
 };
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -8,24 +8,12 @@
 #include "soak/fault_plan.h"
 #include "soak/soak_site.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace jaynotch {
 
-/// How all daemons are lost at once at the end of a run.
-enum class fleet_outage {
-    none,
-    kill,  ///< their processes are killed, which closes their connections
-    power, ///< they lose power: no connection is closed, and the other ends hear nothing
-};
-template <>
-struct enum_names<fleet_outage> {
-    static constexpr std::array entries{named{fleet_outage::none, "none"},
-                                        named{fleet_outage::kill, "kill"},
-                                        named{fleet_outage::power, "power"}};
-};
-
 struct soak_settings {
     std::uint64_t seed = 1;
     std::size_t callers = 12;
@@ -35,8 +23,8 @@
     bool evacuations = true;              ///< the same
     bool store_returns = true;            ///< the same
     bool pause_after_maintenance = false; ///< see fault_plan_settings
-    /// Follows a last change of the configuration. All daemons are started again a while later.
-    fleet_outage final_outage = fleet_outage::none;
+    /// Ends the run: all daemons are lost at once right after a last change of the configuration.
+    std::optional<planned_fleet_outage> final_outage;
     soak_site_settings site;
 };
 
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -90,14 +90,14 @@
                             m_settings.bounds.retry_extra});
 }
 
-void soak_site::set_all_links(link_fault fault)
+void soak_site::drop_connections()
 {
     for (const soak_daemon& daemon : m_daemons) {
-        daemon.store_link->set(fault);
-        daemon.peer_link->set(fault);
+        daemon.store_link->drop_open();
+        daemon.peer_link->drop_open();
     }
     for (const soak_runner& runner : m_runners)
-        runner.link->set(fault);
+        runner.link->drop_open();
 }
 
 bool soak_site::all_running() const
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -71,8 +71,9 @@
     void start();
     /// Starts a daemon's process. Its settings file must have been written.
     void launch(std::size_t index);
-    /// Sets a fault on the links of all daemons to the store, to each other and to the runners.
-    void set_all_links(link_fault fault);
+    /// The open connections of all daemons to the store, to each other and to the runners stay open
+    /// at the other end and pass nothing from now on; later ones work.
+    void drop_connections();
     /// Whether no daemon is stopped.
     [[nodiscard]] bool all_running() const;
     /// Rewrites a daemon's settings file, as the platform does. The caller then sends SIGHUP. The
--- a/soak/soak_test.cc
+++ b/soak/soak_test.cc
@@ -353,3 +353,46 @@
             assert_one(checker, "had said in an answer that it leaves");
     }
 }
+
+namespace {
+
+/// Ten requests sent in a second from `from` on, `served` of them with success.
+void record_ten(promise_checker& checker, const std::string& name, duration from,
+                std::size_t served)
+{
+    for (std::size_t number = 0; number < 10; ++number) {
+        const std::string id = name + std::to_string(number);
+        checker.record_request({id, caller_request_kind::read, "entry-1", 0, at(from), 1});
+        if (number < served)
+            checker.record_run(id, "a-1", at(from));
+        checker.record_answer(id,
+                              number < served
+                                  ? received_answer{200, id, "answer of a-1 to " + id, {}}
+                                  : received_answer{503, id, {}, {}},
+                              at(from + 10ms));
+    }
+}
+
+} // namespace
+
+// Guards against a fleet that returns and serves hardly anybody, unnoticed since one is served.
+Test(promise_checker, too_few_served_after_the_return_of_all_nodes_are_reported)
+{
+    promise_checker checker{events};
+    const duration recovery = promise_bounds{}.fleet_recovery;
+    record_ten(checker, "before", 0s, 9);
+    checker.record_fleet_outage(at(1s), at(2s));
+    record_ten(checker, "early", 3s, 0);
+    record_ten(checker, "late", 3s + recovery, 2);
+    assert_one(checker, "after the loss of all nodes 2 of 10 requests were served");
+}
+
+Test(promise_checker, a_quarter_served_after_the_return_of_all_nodes_is_enough)
+{
+    promise_checker checker{events};
+    const duration recovery = promise_bounds{}.fleet_recovery;
+    record_ten(checker, "before", 0s, 9);
+    checker.record_fleet_outage(at(1s), at(2s));
+    record_ten(checker, "late", 3s + recovery, 3);
+    cr_assert(checker.violations().empty());
+}
