Daemon: callers' connections leave descriptors for servers, peers and the store

Seen, with real daemons that may open 256 descriptors and 300 callers that keep their connections: from 1,440 served a second to 12 within ten seconds, without any fault. Callers waited in the listen backlog for 7 s.

Cause: callers' connections were bounded by a setting of 10,000, whatever the process may open. Kept connections took all descriptors; then neither a new caller could be accepted or refused nor a server or the store be reached. On a return of all nodes callers come before the store has been read.

Change: the process raises its limit as far as it may, and callers' connections take half of it. Beyond that a connection is refused at once, as before with 503.

Test: descriptors/*.

--- a/daemon/jaynotchd_main.cc
+++ b/daemon/jaynotchd_main.cc
@@ -1,6 +1,7 @@
 // The daemon of one entry VM. Exit codes: 0 stopped gracefully, 1 internal error, 2 invalid
 // setting, 3 a port can't be opened.
 #include "daemon/daemon.h"
+#include "daemon/descriptors.h"
 #include "daemon/registry_daemon.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -77,7 +78,11 @@
     const result<startup_settings> started = settings_from_flags(argc, argv);
     if (!started)
         return report_startup_error(started.error());
-    const daemon_settings& settings = started.value().settings;
+    daemon_settings settings = started.value().settings;
+    if (const std::optional<std::size_t> descriptors = raise_descriptor_limit()) {
+        std::size_t& connections = settings.limits.http.connections;
+        connections = std::min(connections, caller_connections(*descriptors));
+    }
     const result<void> checked = check(settings);
     if (!checked)
         return report_startup_error(checked.error());
