--- a/services/kv.h
+++ b/services/kv.h
@@ -64,10 +64,10 @@
 };
 
 struct etcd_settings {
-    std::string address; ///< "IP:port" of the JSON gateway
+    std::string address;                        ///< "IP:port" of the JSON gateway
     duration timeout = std::chrono::seconds{2}; ///< until an answer begins, and without a byte
     duration answer_timeout = std::chrono::seconds{15}; ///< for a whole answer
-    std::size_t answer_bytes = 16 * 1024 * 1024; ///< maximum size of a response
+    std::size_t answer_bytes = 16 * 1024 * 1024;        ///< maximum size of a response
 };
 
 /// Adapter for the JSON gateway of etcd v3.
@@ -188,7 +188,8 @@
     /// Sets how often watches poll. Affects only the platform's store, whose watches are long
     /// polls; other adapters receive changes as they happen.
     void set_watch_pace(const watch_pace& pace);
-    /// Sets how long get_prefix() waits for each answer to begin. Affects only the platform's store.
+    /// Sets how long get_prefix() waits for each answer to begin. Affects only the platform's
+    /// store.
     void set_read_timeout(duration timeout);
     /// Rises each time that the platform's store comes back from a copy of itself, without what was
     /// written since the copy was made. nullopt if the service states no era.
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -298,12 +298,14 @@
 
 std::string to_string(const planned_fleet_outage& planned)
 {
-    return "all daemons lost by " + std::string{to_name(planned.how)} + " for " +
-           std::to_string(planned.down.count()) + " ms, " + std::to_string(planned.times) +
-           " times, " + std::to_string(planned.start_interval.count()) + " ms between starts" +
-           (planned.first_start ? ", as at a first start" : "") + "; links to the store " +
-           std::string{to_name(planned.store_fault)} + " for " +
-           std::to_string(planned.store_fault_for.count()) + " ms";
+    std::string text = "all daemons lost by " + std::string{to_name(planned.how)};
+    text += " for " + std::to_string(planned.down.count()) + " ms, ";
+    text += std::to_string(planned.times) + " times, ";
+    text += std::to_string(planned.start_interval.count()) + " ms between starts";
+    text += planned.first_start ? ", as at a first start" : "";
+    text += "; links to the store " + std::string{to_name(planned.store_fault)};
+    text += " for " + std::to_string(planned.store_fault_for.count()) + " ms";
+    return text;
 }
 
 std::string to_string(const planned_fault& planned)
