Stand-ins: the fault proxy serves the tests of daemons too

Cause: tests of daemons could cut a node off from servers only; whether its connections to the store and to the other nodes pass anything could be changed by the soak alone.

Change: fault_proxy moves from soak/ to standins/ and can be given another target; with `proxied` the registry fixture leads each node's link to the store, and the link from its peers, through a proxy of its own.

No decision changes.

--- a/daemon/registry_fixture.h
+++ b/daemon/registry_fixture.h
@@ -12,6 +12,7 @@
 
 #include "daemon/registry_daemon.h"
 #include "daemon/registry_testing.h"
+#include "standins/fault_proxy.h"
 #include "standins/platform_forms.h"
 #include "standins/store_standin.h"
 
@@ -39,6 +40,13 @@
     /// Heads notice members that are silent, leave or join another group; null: they don't.
     std::shared_ptr<runner_fabric> fabric;
     std::size_t other_routes = 0; ///< in the configuration, beside those of the callers
+    bool proxied = false; ///< nodes reach the store and each other through proxies of their own
+};
+
+/// The proxies of one node; null if the fixture has none.
+struct node_links {
+    std::shared_ptr<fault_proxy> store; ///< to the store
+    std::shared_ptr<fault_proxy> peers; ///< from the other nodes
 };
 
 /// What a caller has received so far.
@@ -61,9 +69,13 @@
 
 public:
     explicit registry_fixture(registry_fixture_settings chosen)
-        : daemons(chosen.nodes), m_settings{chosen}
+        : daemons(chosen.nodes), links(chosen.nodes), m_settings{chosen}
     {
         m_store = store_standin::start(m_io.get_executor()).value();
+        for (node_links& one : links) {
+            if (chosen.proxied)
+                one = {open_proxy(), open_proxy()};
+        }
         change_configuration();
         for (std::size_t number = 0; number < chosen.model_servers; ++number)
             servers.push_back(add({.id = "m-" + std::to_string(number),
@@ -82,6 +94,16 @@
     void cut(std::size_t node) { m_cut.insert(node); }
     void reconnect(std::size_t node) { m_cut.erase(node); }
 
+    /// The open connections between nodes and to the store pass nothing from now on and stay open;
+    /// later ones work.
+    void silence_open_connections()
+    {
+        for (const node_links& one : links) {
+            one.store->drop_open();
+            one.peers->drop_open();
+        }
+    }
+
     /// Writes the next version of the configuration. The callers' "key-1" stays valid for one
     /// change.
     void change_configuration()
@@ -198,8 +220,14 @@
     std::string body = "body"; ///< of the requests sent from now on
     std::vector<std::shared_ptr<runner_standin>> servers;
     std::vector<std::unique_ptr<registry_daemon>> daemons;
+    std::vector<node_links> links; ///< of the nodes
 
 private:
+    [[nodiscard]] std::shared_ptr<fault_proxy> open_proxy()
+    {
+        return fault_proxy::open(m_io.get_executor(), m_store->address()).value();
+    }
+
     [[nodiscard]] bool all_serve() const
     {
         return std::all_of(daemons.begin(), daemons.end(), [&](const auto& one) {
@@ -264,6 +292,10 @@
     daemon_settings settings_of(std::size_t node)
     {
         daemon_settings chosen = registry_settings(node, m_store->address());
+        if (m_settings.proxied) {
+            chosen.key_value = {links[node].store->address()};
+            chosen.peer_advertise = links[node].peers->address();
+        }
         chosen.relay_listen = "127.0.0.1:0";
         chosen.site.retry_extra = m_settings.retry_extra;
         chosen.site.retry_window = m_settings.retry_window;
@@ -275,13 +307,16 @@
                            : boost::system::error_code{};
         };
         if (node > 0)
-            chosen.seed_peers = {daemons.front()->peer_address()};
+            chosen.seed_peers = {m_settings.proxied ? links.front().peers->address()
+                                                    : daemons.front()->peer_address()};
         return chosen;
     }
 
     void start_daemon(std::size_t node)
     {
         daemons[node] = registry_daemon::create(m_io, settings_of(node)).value();
+        if (m_settings.proxied)
+            cr_assert(links[node].peers->set_target(daemons[node]->peer_address()).has_value());
         daemons[node]->start();
     }
 
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -8,7 +8,7 @@
 #pragma once
 
 #include "base/base.h"
-#include "soak/fault_proxy.h"
+#include "standins/fault_proxy.h"
 
 #include <string>
 #include <variant>
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -8,7 +8,7 @@
 #pragma once
 
 #include "scenarios/child_process.h"
-#include "soak/fault_proxy.h"
+#include "standins/fault_proxy.h"
 #include "soak/promise_book.h"
 #include "standins/store_standin.h"
 
--- a/soak/fault_proxy.cc
+++ b/standins/fault_proxy.cc
@@ -1,4 +1,4 @@
-#include "soak/fault_proxy.h"
+#include "standins/fault_proxy.h"
 
 #include "http/http_client.h"
 #include "standins/standin_server.h"
@@ -32,7 +32,7 @@
                                                        const std::string& target)
 {
     std::shared_ptr<fault_proxy> proxy{new fault_proxy{executor}};
-    BOOST_OUTCOME_TRY(proxy->m_target, parse_endpoint(target));
+    BOOST_OUTCOME_TRY(proxy->set_target(target));
     error_code ec;
     const tcp::endpoint listen_endpoint{asio::ip::address_v4::loopback(), 0};
     proxy->m_acceptor.open(listen_endpoint.protocol(), ec);
@@ -46,6 +46,12 @@
     return proxy;
 }
 
+result<void> fault_proxy::set_target(const std::string& target)
+{
+    BOOST_OUTCOME_TRY(m_target, parse_endpoint(target));
+    return success();
+}
+
 void fault_proxy::set(link_fault fault, duration delay)
 {
     m_fault = fault;
--- a/soak/fault_proxy.h
+++ b/standins/fault_proxy.h
@@ -52,6 +52,8 @@
 
     [[nodiscard]] const std::string& address() const { return m_address; }
     void set(link_fault fault, duration delay = duration{0});
+    /// Forwards later connections to `target` ("host:port").
+    result<void> set_target(const std::string& target);
     /// Passes nothing more on the open connections, as drop_quiet does, without changing the fault.
     void drop_open();
     void close();
