Registry: a node's own failed calls are no outage of the store

Cause: entries that vanish are kept for 2.2 s after an outage, since servers could not renew their leases. A node took the time in which its own calls failed for that outage, though the store answered all others. Evidence: store_lost 2.5 s after the silence, store_regained with away_ms 2022, and requests to the server until 2.2 s after that; the other three nodes, whose polls failed too but for 150 ms, stop in time. Ruled out: a late reading alone, since the reading at 4.5 s has the entry no more.

Found by the reverse test: after an outage of all, nodes that depend on pushes removed every server at once, since the entries of a push are processed before its word that the store has returned (503 for the first request after an outage of 4 s).

Change: peers/store_outage decides. An outage is a gap of two heartbeats between answers (no entry expires in a shorter one) with two failures in a row, the second of which is that of a new connection. Nodes send with entries from when until when they know the store to have been steady; that disproves an outage or tells of one, before the entries are processed. Instead of a fixed 1.5 s since the first failure.

Cost: two numbers in a push or reply; nothing is visited per beat.

Conclusion: who could not read asks those who could.

--- a/daemon/key_relay_driver.cc
+++ b/daemon/key_relay_driver.cc
@@ -27,9 +27,9 @@
     execute(m_core.read({entry.key, entry.mod_revision, entry.value}));
 }
 
-void key_relay_driver::push(duration store_age)
+void key_relay_driver::push(duration store_age, const store_record& store)
 {
-    execute(m_core.push(store_age));
+    execute(m_core.push(store_age, store));
 }
 
 void key_relay_driver::notice_received(const key_notice& notice)
--- a/daemon/key_relay_driver.h
+++ b/daemon/key_relay_driver.h
@@ -51,8 +51,14 @@
     /// All keys of the platform have been read.
     void platform_read() { m_core.platform_read(); }
     /// Sends the keys that changed since the last push, if any, to all nodes of this failure domain
-    /// at once, with the time since the platform answered.
-    void push(duration store_age);
+    /// at once, with the time since the platform answered, and what this node knows
+    /// of its outages.
+    void push(duration store_age, const store_record& store);
+    /// The same knowledge, to be sent with replies to peers.
+    void set_store_record(time_point steady_since, time_point heard_at)
+    {
+        m_core.set_store_record(steady_since, heard_at);
+    }
     void stop_pushing() { m_core.stop_pushing(); }
     void notice_received(const key_notice& notice);
     void message_received(const key_message& message);
--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -25,7 +25,8 @@
 // Runners can't renew the leases of their entries while the store is down, so entries expire.
 // Runners that are alive register again within about two seconds after the store recovers. Entries
 // that are deleted in that time are therefore kept a little longer; otherwise the whole fleet would
-// be removed although it works.
+// be removed although it works. Calls of this node that fail while the store answers others are no
+// outage (peers/store_outage.h): a runner whose entry is gone then has left.
 //
 // The store may also come back from a copy that is some seconds old. Operators and runners then
 // write again what the copy lacks. Until they had the time to, a document in the copy that differs
@@ -69,13 +70,15 @@
 constexpr duration max_watch_gap = std::chrono::seconds{3};
 /// Time for live runners to register again once the store has recovered.
 constexpr duration reregistration_grace = std::chrono::milliseconds{2'200};
+/// An entry expires after three of its runner's heartbeats, so none does in an outage of two.
+constexpr int min_outage_heartbeats = 2;
 /// A push that took longer is logged, and a backlog above this size.
 constexpr duration late_push = std::chrono::milliseconds{500};
 constexpr std::uint64_t large_backlog_bytes = 1U << 20U;
 /// Between two log lines about late pushes, and about the backlog.
 constexpr duration delay_log_interval = std::chrono::seconds{1};
-/// No lease expires in a shorter outage, since runners renew about every second.
-constexpr duration min_outage = std::chrono::milliseconds{1'500};
+/// A push with an older answer of the store does not end an outage.
+constexpr duration max_answer_age = std::chrono::milliseconds{1'500};
 
 std::int64_t in_milliseconds(duration span)
 {
@@ -102,7 +105,9 @@
           relay{chosen, others, "documents", relay_hooks()}, m_peers{others}, m_pause{context},
           m_shares_watches{chosen.mechanisms.has(mechanism::shared_watches)},
           m_first_start{chosen.first_start}, m_random{hash64(chosen.node.value(), chosen.seed)},
-          m_followers{{.self = chosen.node, .name = "documents"}}
+          m_followers{{.self = chosen.node, .name = "documents"}},
+          m_outage{{.min_outage = min_outage_heartbeats * chosen.site.heartbeat,
+                    .grace = reregistration_grace}}
     {}
 
     net::awaitable<void> run()
@@ -132,6 +137,8 @@
 
     void tick()
     {
+        if (m_read_once)
+            relay.set_store_record(m_outage.steady_since(), m_outage.last_answer());
         relay.tick();
         kv.set_watch_pace(pace());
         remove_overdue_runners();
@@ -144,6 +151,7 @@
     void message_received(const key_message& message)
     {
         log_late_push(message);
+        note_store_record(message);
         m_source = &message;
         relay.message_received(message);
         m_source = nullptr;
@@ -170,8 +178,10 @@
         given.on_key = [this](const kv_entry& entry) { handle_entry(entry); };
         given.on_watch = [this] { m_pause.cancel(); };
         given.on_fresh = [this](const node_id& from, duration store_age) {
-            m_followers.push_received(from, store_age, runtime_clock::now());
-            if (store_age < min_outage)
+            const time_point now = runtime_clock::now();
+            m_followers.push_received(from, store_age, now);
+            m_outage.neighbour_answered(now - store_age);
+            if (store_age < max_answer_age)
                 store_recovered();
         };
         given.is_urgent = [](std::string_view key) {
@@ -208,6 +218,16 @@
         return follows;
     }
 
+    /// Entries that are missing after an outage are kept, so this comes before the entries.
+    void note_store_record(const key_message& message)
+    {
+        const auto* reply = std::get_if<key_reply>(&message.body);
+        if (reply == nullptr || !reply->store)
+            return;
+        const time_point sent_at = runtime_clock::now() - message.delay;
+        m_outage.neighbour_knows(sent_at - reply->store->steady, sent_at - reply->store->heard);
+    }
+
     void log_late_push(const key_message& message)
     {
         const auto* push = std::get_if<key_reply>(&message.body);
@@ -241,7 +261,8 @@
     {
         m_last_push_at = runtime_clock::now();
         if (const std::optional<duration> age = m_followers.store_age(m_last_push_at))
-            relay.push(*age);
+            relay.push(*age, {m_last_push_at - m_outage.steady_since(),
+                              m_last_push_at - m_outage.last_answer()});
     }
 
     /// The store has answered and the changes in its answer were applied.
@@ -249,6 +270,8 @@
     {
         m_last_answer_at = runtime_clock::now();
         m_followers.store_answered(m_last_answer_at);
+        m_outage.store_answered(m_last_answer_at);
+        store_recovered();
     }
 
     /// Returns true if the store answered.
@@ -293,7 +316,7 @@
                    {"revision", read.value().revision},
                    {"era", m_era.value_or(0)},
                    {"took_ms", milliseconds_since(asked)}});
-        store_recovered();
+        m_outage.store_answered(runtime_clock::now());
         apply_read(read.value(), restored);
         relay.platform_read();
         // Documents from a full read are not pushed. Neighbours must compare their documents with
@@ -335,7 +358,7 @@
             return;
         const time_point now = runtime_clock::now();
         m_read_again_at = now + reregistration_grace;
-        m_grace_until = now + 2 * reregistration_grace;
+        m_copy_grace_until = now + 2 * reregistration_grace;
         log_event(log_level::warning, "store_restored",
                   {{"era", m_era.value_or(0)}, {"withheld", withheld}});
     }
@@ -402,7 +425,7 @@
             if (batch.value().revision == 0)
                 continue; // the store has sent nothing yet
             last_answer_at = runtime_clock::now();
-            store_recovered();
+            m_outage.store_answered(last_answer_at);
             for (const kv_event& event : batch.value().events) {
                 if (event.deleted)
                     relay.key_changed(deleted_entry(event.entry.key, event.entry.mod_revision));
@@ -446,6 +469,7 @@
                       {{"reason", why.message}, {"revision", m_revision}});
         }
         m_followers.store_failed(runtime_clock::now());
+        m_outage.store_failed();
         set_current(false);
     }
 
@@ -456,10 +480,16 @@
         const time_point now = runtime_clock::now();
         const duration away = now - *m_store_failed_since;
         m_store_failed_since.reset();
-        if (away >= min_outage)
-            m_grace_until = now + reregistration_grace;
         log_event(log_level::info, "store_regained",
-                  {{"away_ms", in_milliseconds(away)}, {"revision", m_revision}});
+                  {{"away_ms", in_milliseconds(away)},
+                   {"revision", m_revision},
+                   {"steady_ms", in_milliseconds(now - m_outage.steady_since())}});
+    }
+
+    /// Missing entries of runners may return until then.
+    [[nodiscard]] time_point grace_until() const
+    {
+        return std::max(m_outage.grace_until(), m_copy_grace_until);
     }
 
     void set_current(bool now)
@@ -489,9 +519,8 @@
         const vm_id id = platform::runner_id(entry.key);
         m_missing_runners.erase(id);
         if (!exists) {
-            const time_point now = runtime_clock::now();
-            if (now < m_grace_until)
-                m_missing_runners[id] = m_grace_until;
+            if (runtime_clock::now() < grace_until())
+                m_missing_runners.insert(id);
             else
                 hooks.on_runner_removed(id);
             return;
@@ -530,16 +559,11 @@
 
     void remove_overdue_runners()
     {
-        const time_point now = runtime_clock::now();
-        for (auto row = m_missing_runners.begin(); row != m_missing_runners.end();) {
-            if (now < row->second) {
-                ++row;
-                continue;
-            }
-            hooks.on_runner_removed(row->first);
-            m_changed = true;
-            row = m_missing_runners.erase(row);
-        }
+        if (m_missing_runners.empty() || runtime_clock::now() < grace_until())
+            return;
+        for (const vm_id& id : std::exchange(m_missing_runners, {}))
+            hooks.on_runner_removed(id);
+        m_changed = true;
     }
 
     peer_service& m_peers;
@@ -549,6 +573,7 @@
     random_source m_random;
     time_point m_started = runtime_clock::now();
     store_followers m_followers;
+    store_outage m_outage;
     time_point m_last_push_at;
     time_point m_last_answer_at; ///< when the store last answered this node
     duration m_read_timeout = min_read_timeout;
@@ -563,8 +588,8 @@
     time_point m_late_push_logged_at;
     time_point m_backlog_logged_at;
     std::optional<time_point> m_store_failed_since;
-    time_point m_grace_until;
-    std::map<vm_id, time_point> m_missing_runners; ///< deleted, but kept until this time
+    time_point m_copy_grace_until;     ///< after the store has come back from a copy
+    std::set<vm_id> m_missing_runners; ///< deleted, but kept until grace_until()
     std::optional<config_revision> m_installed;
 };
 
--- a/peers/frame.h
+++ b/peers/frame.h
@@ -90,6 +90,13 @@
     std::vector<std::uint32_t> wanted;
 };
 
+/// The platform's store has had no outage from `steady` ago until `heard` ago, when it last
+/// answered the sender or one of its neighbours.
+struct store_record {
+    duration steady{0};
+    duration heard{0};
+};
+
 struct key_reply {
     std::vector<relayed_key> entries;
     /// Time since the platform answered the sender; set in the last part of a push.
@@ -104,6 +111,7 @@
     std::vector<node_id> forward_to = {};
     /// Node whose push this is, if the sender forwards it.
     std::optional<node_id> origin = {};
+    std::optional<store_record> store = {};
 };
 
 using key_body = std::variant<key_request, key_reply>;
--- a/peers/gen/peers_types.cpp
+++ b/peers/gen/peers_types.cpp
@@ -2220,6 +2220,16 @@
   this->last_push = val;
 __isset.last_push = true;
 }
+
+void key_reply::__set_store_steady_ms(const int64_t val) {
+  this->store_steady_ms = val;
+__isset.store_steady_ms = true;
+}
+
+void key_reply::__set_store_heard_ms(const int64_t val) {
+  this->store_heard_ms = val;
+__isset.store_heard_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const key_reply& obj)
 {
   obj.printTo(out);
@@ -2328,6 +2338,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->store_steady_ms);
+          this->__isset.store_steady_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->store_heard_ms);
+          this->__isset.store_heard_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2395,6 +2421,16 @@
     xfer += oprot->writeI64(this->last_push);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.store_steady_ms) {
+    xfer += oprot->writeFieldBegin("store_steady_ms", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->store_steady_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.store_heard_ms) {
+    xfer += oprot->writeFieldBegin("store_heard_ms", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->store_heard_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2409,6 +2445,8 @@
   swap(a.forward_to, b.forward_to);
   swap(a.origin, b.origin);
   swap(a.last_push, b.last_push);
+  swap(a.store_steady_ms, b.store_steady_ms);
+  swap(a.store_heard_ms, b.store_heard_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -2420,6 +2458,8 @@
   forward_to = other60.forward_to;
   origin = other60.origin;
   last_push = other60.last_push;
+  store_steady_ms = other60.store_steady_ms;
+  store_heard_ms = other60.store_heard_ms;
   __isset = other60.__isset;
 }
 key_reply& key_reply::operator=(const key_reply& other61) {
@@ -2430,6 +2470,8 @@
   forward_to = other61.forward_to;
   origin = other61.origin;
   last_push = other61.last_push;
+  store_steady_ms = other61.store_steady_ms;
+  store_heard_ms = other61.store_heard_ms;
   __isset = other61.__isset;
   return *this;
 }
@@ -2443,6 +2485,8 @@
   out << ", " << "forward_to="; (__isset.forward_to ? (out << to_string(forward_to)) : (out << "<null>"));
   out << ", " << "origin="; (__isset.origin ? (out << to_string(origin)) : (out << "<null>"));
   out << ", " << "last_push="; (__isset.last_push ? (out << to_string(last_push)) : (out << "<null>"));
+  out << ", " << "store_steady_ms="; (__isset.store_steady_ms ? (out << to_string(store_steady_ms)) : (out << "<null>"));
+  out << ", " << "store_heard_ms="; (__isset.store_heard_ms ? (out << to_string(store_heard_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/peers_types.h
+++ b/peers/gen/peers_types.h
@@ -985,7 +985,7 @@
 std::ostream& operator<<(std::ostream& out, const key_value& obj);
 
 typedef struct _key_reply__isset {
-  _key_reply__isset() : entries(false), store_age_ms(false), push_number(false), complete(false), forward_to(false), origin(false), last_push(false) {}
+  _key_reply__isset() : entries(false), store_age_ms(false), push_number(false), complete(false), forward_to(false), origin(false), last_push(false), store_steady_ms(false), store_heard_ms(false) {}
   bool entries :1;
   bool store_age_ms :1;
   bool push_number :1;
@@ -993,6 +993,8 @@
   bool forward_to :1;
   bool origin :1;
   bool last_push :1;
+  bool store_steady_ms :1;
+  bool store_heard_ms :1;
 } _key_reply__isset;
 
 class key_reply : public virtual ::apache::thrift::TBase {
@@ -1005,7 +1007,9 @@
               push_number(0),
               complete(0),
               origin(),
-              last_push(0) {
+              last_push(0),
+              store_steady_ms(0),
+              store_heard_ms(0) {
   }
 
   virtual ~key_reply() noexcept;
@@ -1016,6 +1020,8 @@
   std::vector<std::string>  forward_to;
   std::string origin;
   int64_t last_push;
+  int64_t store_steady_ms;
+  int64_t store_heard_ms;
 
   _key_reply__isset __isset;
 
@@ -1033,6 +1039,10 @@
 
   void __set_last_push(const int64_t val);
 
+  void __set_store_steady_ms(const int64_t val);
+
+  void __set_store_heard_ms(const int64_t val);
+
   bool operator == (const key_reply & rhs) const
   {
     if (!(entries == rhs.entries))
@@ -1061,6 +1071,14 @@
       return false;
     else if (__isset.last_push && !(last_push == rhs.last_push))
       return false;
+    if (__isset.store_steady_ms != rhs.__isset.store_steady_ms)
+      return false;
+    else if (__isset.store_steady_ms && !(store_steady_ms == rhs.store_steady_ms))
+      return false;
+    if (__isset.store_heard_ms != rhs.__isset.store_heard_ms)
+      return false;
+    else if (__isset.store_heard_ms && !(store_heard_ms == rhs.store_heard_ms))
+      return false;
     return true;
   }
   bool operator != (const key_reply &rhs) const {
--- a/peers/key_relay.cc
+++ b/peers/key_relay.cc
@@ -182,13 +182,16 @@
     copy.forward_to.clear();
     if (copy.store_age)
         *copy.store_age += message.delay;
+    if (copy.store)
+        copy.store =
+            store_record{copy.store->steady + message.delay, copy.store->heard + message.delay};
     const frame_priority priority =
         reply.push_number ? frame_priority::bulk : frame_priority::control;
     for (const node_id& node : reply.forward_to)
         out.emplace_back(send_key_message{node, copy, priority});
 }
 
-key_relay_commands key_relay_core::push(duration store_age)
+key_relay_commands key_relay_core::push(duration store_age, std::optional<store_record> store)
 {
     key_relay_commands out;
     m_synced = true;
@@ -206,8 +209,10 @@
         bytes += size;
         parts.back().entries.push_back(entry);
     }
-    for (key_reply& part : parts)
+    for (key_reply& part : parts) {
         part.push_number = ++m_push_number;
+        part.store = store;
+    }
     parts.back().store_age = store_age;
     for (const key_reply& part : parts)
         send_to_domain(part, frame_priority::bulk, out);
@@ -346,6 +351,8 @@
     // A node that has itself not seen all entries proves nothing to another one.
     reply.complete = request.wanted.empty() && m_synced;
     reply.last_push = m_push_number;
+    if (m_steady_since)
+        reply.store = store_record{now - *m_steady_since, now - m_heard_at};
     std::size_t bytes = 0;
     for (const auto& [name, entry] : m_keys) {
         const std::uint32_t wire = wire_key(name);
--- a/peers/key_relay.h
+++ b/peers/key_relay.h
@@ -99,9 +99,16 @@
     /// urgent key is sent to them at once. Call stop_pushing() after the last one.
     key_relay_commands read(const relayed_key& entry);
     /// Pushes the entries that are new since the last push, if any, to all nodes of the own failure
-    /// domain, with the time since the platform answered this node. Nodes that receive pushes need
-    /// not watch the platform.
-    key_relay_commands push(duration store_age);
+    /// domain, with the time since the platform answered this node, and what it knows of
+    /// outages. Nodes that receive pushes need not watch the platform.
+    key_relay_commands push(duration store_age, std::optional<store_record> store = {});
+    /// To be sent with replies: the platform has had no outage since `steady_since` until
+    /// `heard_at`.
+    void set_store_record(time_point steady_since, time_point heard_at)
+    {
+        m_steady_since = steady_since;
+        m_heard_at = heard_at;
+    }
     /// The platform has answered with all entries that it has, even if there are none.
     void platform_read() { m_synced = true; }
     /// Stops pushing. The other nodes must compare with this one after its next push.
@@ -169,6 +176,8 @@
     bool m_watching = false;
     /// The platform, or a peer that was itself synced, has once shown all entries that it has.
     bool m_synced = false;
+    std::optional<time_point> m_steady_since; ///< nullopt: not sent with replies
+    time_point m_heard_at;
     std::size_t m_failed_requests = 0;
     time_point m_next_request{};
     time_point m_next_sync{};
--- a/peers/membership_keys.cc
+++ b/peers/membership_keys.cc
@@ -5,6 +5,24 @@
 
 namespace {
 
+/// Longer times without an outage are not believed.
+constexpr std::chrono::milliseconds max_store_steady = std::chrono::hours{24 * 365};
+
+std::int64_t in_milliseconds(duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+std::optional<store_record> store_from_wire(const wire::key_reply& received)
+{
+    const std::chrono::milliseconds steady{received.store_steady_ms};
+    const std::chrono::milliseconds heard{received.store_heard_ms};
+    const bool known = received.__isset.store_steady_ms && received.__isset.store_heard_ms;
+    if (!known || heard.count() < 0 || steady < heard || steady > max_store_steady)
+        return std::nullopt;
+    return store_record{steady, heard};
+}
+
 wire::key_request to_wire(const key_request& request)
 {
     wire::key_request out;
@@ -54,9 +72,12 @@
     if (reply.origin)
         out.__set_origin(reply.origin->value());
     if (reply.store_age) {
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(*reply.store_age);
-        out.__set_store_age_ms(static_cast<std::int32_t>(
-            std::min<std::int64_t>(age.count(), std::numeric_limits<std::int32_t>::max())));
+        out.__set_store_age_ms(static_cast<std::int32_t>(std::min<std::int64_t>(
+            in_milliseconds(*reply.store_age), std::numeric_limits<std::int32_t>::max())));
+    }
+    if (reply.store) {
+        out.__set_store_steady_ms(in_milliseconds(reply.store->steady));
+        out.__set_store_heard_ms(in_milliseconds(reply.store->heard));
     }
     return out;
 }
@@ -68,6 +89,7 @@
         reply.entries.push_back({item.key, item.revision, item.value});
     if (received.__isset.store_age_ms && received.store_age_ms >= 0)
         reply.store_age = std::chrono::milliseconds{received.store_age_ms};
+    reply.store = store_from_wire(received);
     if (received.__isset.push_number)
         reply.push_number = received.push_number;
     reply.complete = received.__isset.complete && received.complete;
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -9,7 +9,8 @@
 //
 // Parts: payload.h (rumors), frame.h (encoding), membership.h (the decision core), transport.h (TCP
 // and mutual TLS), key_relay.h (distribution of platform keys that only a few nodes watch),
-// store_followers.h (choice of the nodes that watch).
+// store_followers.h (choice of the nodes that watch), store_outage.h (whether the platform's store
+// was away).
 #pragma once
 
 #include "base/base.h"
@@ -17,6 +18,7 @@
 #include "peers/membership.h"
 #include "peers/payload.h"
 #include "peers/store_followers.h"
+#include "peers/store_outage.h"
 #include "peers/transport.h"
 
 #include <boost/asio/awaitable.hpp>
--- a/peers/peers.thrift
+++ b/peers/peers.thrift
@@ -139,6 +139,10 @@
   5: optional list<string> forward_to  // nodes to which the receiver sends it on
   6: optional string origin     // node whose push it is, if the sender forwards it
   7: optional i64 last_push     // of a reply: number of the sender's last push before it
+  // The store answered the sender or its neighbours `store_heard_ms` ago, and has had no outage from
+  // `store_steady_ms` ago until then.
+  8: optional i64 store_steady_ms
+  9: optional i64 store_heard_ms
 }
 
 // `head` is the head record of `revision` as stored in the key-value service.
