Peers: frames are acknowledged, and a silent connection is replaced

Cause, first part: frames go one way and nothing comes back on the connection. What was written counted as sent, and a silent connection was found when it had been idle for minutes. The followers were up to date 1.95 s after the silence, and their pushes were lost. Evidence: no config_received from a peer after the silence, and all nodes take each other for dead within 7 s, for which no case looked.

Change: the receiver acknowledges each 16 KB of a frame, and its end, with a byte. A connection without an acknowledgement for 0.7 s is closed, and the frames are sent again once on a new one. Progress counts, not the time of a frame, so that a slow link is not taken for a silent one. A peer that never acknowledged (an older build) has 4 s and gets no frame twice. New: jaynotch_peer_connections_silent and peer_connection_silent.

Cost: a byte and two wake-ups for each frame; nothing while nothing is sent. No walk over peers.

Tests: transport/frames_on_a_silent_connection_are_sent_again_on_a_new_one (before, nothing was sent again), sent_frames/*.

--- a/daemon/daemon_setup.cc
+++ b/daemon/daemon_setup.cc
@@ -91,6 +91,7 @@
     now.peer_bytes_sent = sent.bytes_sent;
     now.peer_bytes_queued = sent.queued_bytes;
     now.peer_frames_dropped = sent.frames_dropped;
+    now.peer_connections_silent = sent.connections_silent;
     now.kv_calls = kv.counts();
     now.spans_dropped = spans.dropped();
     now.log_lines_dropped = log_lines_dropped();
--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -117,6 +117,9 @@
     Gauge& peer_dropped =
         gauge(registry, "jaynotch_peer_frames_dropped",
               "Frames to daemons dropped, the queue full or the peer unreachable, since the start");
+    Gauge& peer_silent =
+        gauge(registry, "jaynotch_peer_connections_silent",
+              "Connections to daemons closed for want of acknowledgements, since the start");
     Gauge& kv_calls = gauge(registry, "jaynotch_kv_calls", "Calls on the key-value service");
     std::vector<Counter*> kv_by_kind = by_name<kv_call>(
         registry, "jaynotch_kv_calls_total", "Calls on the key-value service by kind", "call");
@@ -263,6 +266,7 @@
     all.peer_bytes.Set(static_cast<double>(now.peer_bytes_sent));
     all.peer_queued.Set(static_cast<double>(now.peer_bytes_queued));
     all.peer_dropped.Set(static_cast<double>(now.peer_frames_dropped));
+    all.peer_silent.Set(static_cast<double>(now.peer_connections_silent));
     all.kv_calls.Set(static_cast<double>(now.kv_calls.total()));
     for (std::size_t kind = 0; kind < all.kv_by_kind.size(); ++kind) {
         all.kv_by_kind[kind]->Increment(
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -41,6 +41,7 @@
     std::uint64_t peer_bytes_sent = 0;
     std::uint64_t peer_bytes_queued = 0;
     std::uint64_t peer_frames_dropped = 0;
+    std::uint64_t peer_connections_silent = 0;
     kv_call_counts kv_calls;
     double retries_left = 0.0;         ///< for the service that has the fewest
     std::uint64_t retries_charged = 0; ///< to the retry budgets
--- a/peers/transport.cc
+++ b/peers/transport.cc
@@ -2,6 +2,12 @@
 // connection carries frames in one direction only, and a peer that stops reading blocks only the
 // queue of frames to itself.
 //
+// In the other direction the receiver sends one byte for each unit of a frame that it has read
+// (peers/sent_frames.h). A connection may pass nothing more without being closed, and the kernel at
+// the other end, or something in between, may still confirm what is written to it. Only an answer
+// of the process shows that it works. If that is missing, the connection is closed and the frames
+// are sent again on a new one. So a frame may arrive twice.
+//
 // Protection against faulty or malicious peers: queues are bounded in frames and bytes; handshakes
 // and idle connections time out; the number of inbound connections is limited to `max_inbound`; a
 // connection that announces a frame larger than max_frame_bytes is closed before memory is
@@ -11,6 +17,7 @@
 
 #include "peers/frame.h"
 #include "peers/frame_queue.h"
+#include "peers/sent_frames.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -23,7 +30,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -46,6 +55,18 @@
 /// Of the kernel, for each connection. Control frames can't overtake what is in it.
 constexpr int send_buffer_bytes = 128 << 10;
 constexpr std::size_t length_prefix_bytes = 4; ///< of a frame; big-endian
+/// A peer that has acknowledged nothing on this many connections in a row loses its frames.
+constexpr std::size_t max_unproven_connections = 2;
+/// Between two log lines about silent connections.
+constexpr duration silence_log_interval = std::chrono::seconds{1};
+
+std::string length_prefix(std::size_t length)
+{
+    std::string prefix(length_prefix_bytes, '\0');
+    for (std::size_t i = 0; i < length_prefix_bytes; ++i)
+        prefix[i] = static_cast<char>(length >> (8U * (length_prefix_bytes - 1 - i)));
+    return prefix;
+}
 
 /// A TCP connection, encrypted with TLS if a TLS context is given.
 class channel {
@@ -84,14 +105,26 @@
         co_return !failed && count == into.size();
     }
 
-    awaitable<bool> write(asio::const_buffer from)
+    /// Returns the number of bytes, at least 1, or 0 after the end of the connection.
+    awaitable<std::size_t> read_some(asio::mutable_buffer into)
+    {
+        if (m_secure) {
+            const auto [failed, count] = co_await m_secure->async_read_some(into, use_result);
+            co_return failed ? 0 : count;
+        }
+        const auto [failed, count] = co_await m_plain->async_read_some(into, use_result);
+        co_return failed ? 0 : count;
+    }
+
+    template <class Buffers>
+    awaitable<bool> write(Buffers from)
     {
         if (m_secure) {
             const auto [failed, count] = co_await asio::async_write(*m_secure, from, use_result);
-            co_return !failed && count == from.size();
+            co_return !failed && count == asio::buffer_size(from);
         }
         const auto [failed, count] = co_await asio::async_write(*m_plain, from, use_result);
-        co_return !failed && count == from.size();
+        co_return !failed && count == asio::buffer_size(from);
     }
 
     void close()
@@ -113,8 +146,16 @@
 struct outbound_queue {
     explicit outbound_queue(asio::io_context& io) : wake{io} {}
     frame_queue queue;
-    timer wake;           ///< cancelled when a frame is queued
-    bool retired = false; ///< the connection is closed once the queue is empty
+    sent_frames sent;
+    std::deque<sent_frames::frame_ptr> resend; ///< sent before those in `queue`
+    timer wake;                                ///< cancelled when a frame is queued or may be sent
+    bool retired = false;                      ///< the connection is closed once the queue is empty
+    std::size_t unproven = 0; ///< connections in a row on which nothing was acknowledged
+
+    [[nodiscard]] bool may_send() const
+    {
+        return !sent.full() && (!resend.empty() || !queue.empty());
+    }
 };
 
 struct peer_key {
@@ -241,8 +282,12 @@
             co_return false;
         }
         std::string bytes(length, '\0');
-        if (!co_await with_timeout(from.read(asio::buffer(bytes)), idle_timeout))
-            co_return false;
+        for (std::size_t begin = 0; begin < length; begin += ack_unit_bytes) {
+            const auto unit =
+                asio::buffer(bytes.data() + begin, std::min(ack_unit_bytes, length - begin));
+            if (!co_await with_timeout(receive_unit(from, unit), idle_timeout))
+                co_return false;
+        }
         ++m_counters.frames_received;
         m_counters.bytes_received += length + length_prefix_bytes;
         if (m_handler)
@@ -250,6 +295,14 @@
         co_return true;
     }
 
+    /// Reads a unit of a frame and acknowledges it.
+    static awaitable<bool> receive_unit(channel& from, asio::mutable_buffer unit)
+    {
+        static constexpr char acknowledgement = '\0';
+        co_return co_await from.read(unit) &&
+            co_await from.write(asio::const_buffer{&acknowledgement, sizeof acknowledgement});
+    }
+
     awaitable<bool> connect(tcp::socket& socket, tcp::endpoint endpoint)
     {
         const auto [failed] = co_await socket.async_connect(endpoint, use_result);
@@ -283,50 +336,115 @@
     awaitable<void> send_loop([[maybe_unused]] std::shared_ptr<state> keep_alive, peer_key key,
                               std::shared_ptr<outbound_queue> peer)
     {
-        const std::shared_ptr<channel> opened = co_await open(key);
-        if (opened != nullptr) {
+        while (const std::shared_ptr<channel> opened = co_await open(key)) {
             ++m_counters.connections;
-            co_await (send_queued(*opened, *peer) || wait_for_close(*opened));
+            ++peer->unproven;
+            co_await (send_queued(*opened, *peer) || receive_acknowledgements(*opened, *peer));
             opened->close();
             --m_counters.connections;
+            if (peer->sent.is_overdue(runtime_clock::now()))
+                note_silence(key);
+            m_counters.frames_dropped += peer->resend.size();
+            peer->resend = peer->sent.take_for_resend();
+            const bool again = peer->may_send() && peer->unproven < max_unproven_connections;
+            if (m_stopped || peer->retired || !again)
+                break;
+            m_counters.frames_resent += peer->resend.size();
         }
-        m_counters.frames_dropped += peer->queue.frames();
+        m_counters.frames_dropped += peer->queue.frames() + peer->resend.size();
         m_counters.queued_bytes -= peer->queue.bytes();
         const auto found = m_outbound.find(key);
         if (found != m_outbound.end() && found->second == peer)
             m_outbound.erase(found);
     }
 
-    /// Completes when the peer closes the connection, or sends data, which it must not do on a
-    /// connection opened by this node.
-    awaitable<void> wait_for_close(channel& opened)
+    void note_silence(const peer_key& key)
+    {
+        ++m_counters.connections_silent;
+        const time_point now = runtime_clock::now();
+        if (now - m_silence_logged_at < silence_log_interval)
+            return;
+        m_silence_logged_at = now;
+        log_event(log_level::info, "peer_connection_silent",
+                  {{"node", key.node.value()},
+                   {"address", key.address},
+                   {"count", m_counters.connections_silent}});
+    }
+
+    /// Completes when the peer closes the connection.
+    awaitable<void> receive_acknowledgements(channel& opened, outbound_queue& peer)
     {
-        std::array<char, 1> unexpected{};
-        co_await opened.read(asio::buffer(unexpected));
+        std::array<char, 64> units{};
+        for (;;) {
+            const std::size_t count = co_await opened.read_some(asio::buffer(units));
+            if (count == 0)
+                co_return;
+            const bool was_full = peer.sent.full();
+            peer.sent.acknowledge(count, runtime_clock::now());
+            peer.unproven = 0;
+            if (was_full)
+                peer.wake.cancel();
+        }
     }
 
+    /// Completes when the connection is idle or silent, or must be closed.
     awaitable<void> send_queued(channel& opened, outbound_queue& peer)
     {
         while (!m_stopped) {
-            if (peer.queue.empty()) {
-                if (peer.retired)
+            if (!peer.may_send()) {
+                if (peer.retired || !co_await wait_until_sendable(peer))
                     co_return;
-                peer.wake.expires_after(idle_timeout / 2);
-                const auto [woken] = co_await peer.wake.async_wait(use_result);
-                if (!woken && peer.queue.empty())
-                    co_return; // idle
                 continue;
             }
-            const std::string bytes = peer.queue.pop();
-            m_counters.queued_bytes -= bytes.size();
-            std::string framed(length_prefix_bytes, '\0');
-            for (std::size_t i = 0; i < length_prefix_bytes; ++i)
-                framed[i] = static_cast<char>(bytes.size() >> (8U * (length_prefix_bytes - 1 - i)));
-            framed += bytes;
-            if (!co_await with_timeout(opened.write(asio::buffer(framed)), idle_timeout))
+            const sent_frames::frame_ptr frame = next_frame(peer);
+            peer.sent.add(frame, runtime_clock::now());
+            const std::string prefix = length_prefix(frame->size());
+            const std::array buffers{asio::buffer(prefix), asio::buffer(*frame)};
+            const auto written = co_await (opened.write(buffers) || until_overdue(peer));
+            if (written.index() != 0 || !std::get<0>(written))
                 co_return;
             ++m_counters.frames_sent;
-            m_counters.bytes_sent += framed.size();
+            m_counters.bytes_sent += prefix.size() + frame->size();
+        }
+    }
+
+    sent_frames::frame_ptr next_frame(outbound_queue& peer)
+    {
+        if (!peer.resend.empty()) {
+            sent_frames::frame_ptr frame = std::move(peer.resend.front());
+            peer.resend.pop_front();
+            return frame;
+        }
+        auto frame = std::make_shared<const std::string>(peer.queue.pop());
+        m_counters.queued_bytes -= frame->size();
+        return frame;
+    }
+
+    /// False if the connection is idle or silent.
+    static awaitable<bool> wait_until_sendable(outbound_queue& peer)
+    {
+        const time_point idle_at = runtime_clock::now() + idle_timeout / 2;
+        while (!peer.may_send()) {
+            peer.wake.expires_at(std::min(peer.sent.overdue_at(), idle_at));
+            const auto [cancelled] = co_await peer.wake.async_wait(use_result);
+            if (cancelled)
+                co_return true;
+            const time_point now = runtime_clock::now();
+            if (peer.sent.is_overdue(now) || now >= idle_at)
+                co_return false;
+        }
+        co_return true;
+    }
+
+    /// Completes when the peer has acknowledged nothing for too long.
+    awaitable<void> until_overdue(const outbound_queue& peer)
+    {
+        timer check{m_io};
+        while (!peer.sent.is_overdue(runtime_clock::now())) {
+            check.expires_at(peer.sent.overdue_at());
+            const auto [cancelled] = co_await check.async_wait(use_result);
+            if (cancelled)
+                co_return;
         }
     }
 
@@ -361,6 +479,7 @@
     std::map<peer_key, std::shared_ptr<outbound_queue>> m_outbound;
     std::set<std::shared_ptr<channel>> m_inbound;
     peer_counters m_counters;
+    time_point m_silence_logged_at{};
     bool m_stopped = false;
 };
 
--- a/peers/transport.h
+++ b/peers/transport.h
@@ -1,6 +1,7 @@
 // Sends and receives frames between daemons over TCP or mutual TLS. Delivery is not guaranteed: a
 // frame that can't be sent at once is put in a short queue, and if that is full it is dropped and
-// counted. Control frames are sent before bulk frames to the same peer.
+// counted. Control frames are sent before bulk frames to the same peer. Frames that the peer does
+// not acknowledge are sent again once on a new connection, so a frame may arrive twice.
 //
 //   auto transport = peer_transport::create(io, {.listen = "10.0.0.1:7100", .tls = files}).value();
 //   transport->on_frame([&](const node_id& verified_name, std::string bytes) { ... });
@@ -32,11 +33,13 @@
     std::uint64_t bytes_sent = 0; ///< with length prefixes, without TLS and TCP headers
     std::uint64_t frames_received = 0;
     std::uint64_t bytes_received = 0;
-    std::uint64_t frames_dropped = 0; ///< queue full or no connection
-    std::uint64_t frames_refused = 0; ///< invalid, other deployment, wrong sender or target
-    std::uint64_t peers_refused = 0;  ///< failed handshake, wrong name, too many connections
-    std::uint64_t connections = 0;    ///< currently open
-    std::uint64_t queued_bytes = 0;   ///< currently, to all peers
+    std::uint64_t frames_dropped = 0;     ///< queue full or no connection
+    std::uint64_t frames_resent = 0;      ///< since they were not acknowledged
+    std::uint64_t connections_silent = 0; ///< closed, since nothing was acknowledged for too long
+    std::uint64_t frames_refused = 0;     ///< invalid, other deployment, wrong sender or target
+    std::uint64_t peers_refused = 0;      ///< failed handshake, wrong name, too many connections
+    std::uint64_t connections = 0;        ///< currently open
+    std::uint64_t queued_bytes = 0;       ///< currently, to all peers
 };
 
 /// Connections to peers, opened when first needed and reused.
--- a/peers/transport_test.cc
+++ b/peers/transport_test.cc
@@ -3,6 +3,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 #include <openssl/pem.h>
 #include <openssl/x509v3.h>
@@ -239,3 +242,93 @@
     transport->stop();
     io.poll();
 }
+
+namespace {
+
+/// A peer that reads frames and acknowledges them until it falls silent: the connections that are
+/// open then stay open, and it reads and acknowledges nothing more on them.
+class raw_peer {
+public:
+    explicit raw_peer(boost::asio::io_context& io)
+        : m_acceptor{io, {boost::asio::ip::address_v4::loopback(), 0}}
+    {
+        co_spawn(io, accept(), boost::asio::detached);
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+    void fall_silent() { m_silent_connections = connections; }
+
+    int connections = 0;
+    std::vector<std::string> frames; ///< received
+
+private:
+    boost::asio::awaitable<void> accept()
+    {
+        for (;;) {
+            auto socket = co_await m_acceptor.async_accept(boost::asio::use_awaitable);
+            co_spawn(m_acceptor.get_executor(), serve(std::move(socket), ++connections),
+                     boost::asio::detached);
+        }
+    }
+
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket, int number)
+    {
+        constexpr std::size_t prefix_bytes = 4;
+        std::string received;
+        for (;;) {
+            std::array<char, 1'024> piece{};
+            boost::system::error_code ended;
+            const std::size_t count = co_await socket.async_read_some(
+                boost::asio::buffer(piece),
+                boost::asio::redirect_error(boost::asio::use_awaitable, ended));
+            if (ended)
+                co_return;
+            if (number <= m_silent_connections)
+                continue;
+            received.append(piece.data(), count);
+            for (; received.size() >= prefix_bytes;) {
+                const auto length = static_cast<unsigned char>(received[prefix_bytes - 1]);
+                if (received.size() < prefix_bytes + length)
+                    break;
+                frames.push_back(received.substr(prefix_bytes, length));
+                received.erase(0, prefix_bytes + length);
+                co_await boost::asio::async_write(socket, boost::asio::buffer("\0", 1),
+                                                  boost::asio::use_awaitable);
+            }
+        }
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    int m_silent_connections = 0;
+};
+
+} // namespace
+
+// Guards against believing in a connection that passes nothing more and is not closed, and against
+// the loss of what was sent on it.
+Test(transport, frames_on_a_silent_connection_are_sent_again_on_a_new_one)
+{
+    boost::asio::io_context io;
+    raw_peer peer{io};
+    const auto transport = peer_transport::create(io, {"127.0.0.1:0", {}, 16}).value();
+    const auto send = [&](const std::string& frame) {
+        transport->send(node_id{"peer"}, peer.address(), frame, frame_priority::control);
+    };
+    send("first");
+    cr_assert(until(
+        io, [&] { return peer.frames.size() == 1; }, 5));
+    peer.fall_silent();
+    send("second");
+    send("third");
+    cr_assert(until(
+        io, [&] { return peer.frames.size() == 3; }, 2));
+    cr_assert_eq(peer.frames[1], "second");
+    cr_assert_eq(peer.frames[2], "third");
+    cr_assert_eq(peer.connections, 2);
+    cr_assert_eq(transport->counters().connections_silent, 1U);
+    transport->stop();
+    io.poll();
+}
