HTTP client: after a silent connection the older idle ones are not used

Cause, second part: after a timeout on a kept connection only that one was closed. The others of the pool had fallen silent at the same moment, and each cost the next call its whole timeout.

Change: a request on a kept connection that ends by timeout closes the idle connections that were last used before it was sent; those used since have proved that they work.

Test, red without the change: http_client/connections_kept_beside_a_silent_one_are_not_used.

Not on a new connection: a slow server would lose its kept ones.

--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -23,6 +23,10 @@
 // connection, if the caller allows it. That failure arrives within a round trip, but a server that
 // reads a request and closes at once causes it as well. A server that closes later may have worked
 // on the request, so the decision to retry is left to the caller.
+//
+// A connection may pass nothing more without being closed, and often all of a time do. If a request
+// on a kept connection gets no answer in time, the idle ones that were last used before it was sent
+// are closed as well, so that the next request is sent on one that has worked since, or a new one.
 
 namespace jaynotch {
 
@@ -325,6 +329,15 @@
     idle.push_back({std::move(connection), runtime_clock::now()});
 }
 
+void http_pool::close_idle_since_before(time_point time)
+{
+    std::erase_if(idle, [time](const idle_connection& each) {
+        if (each.since < time)
+            each.connection->close();
+        return each.since < time;
+    });
+}
+
 http_stream::http_stream(std::shared_ptr<http_connection> connection,
                          std::shared_ptr<http_pool> pool, bool repeatable)
     : m_connection{std::move(connection)}, m_pool{std::move(pool)}, m_repeatable{repeatable}
@@ -497,6 +510,8 @@
             continue;
         }
         connection->close();
+        if (reused && connection->timed_out())
+            pool->close_idle_since_before(sent);
         if (is_parse_error(ec) && request.repeatable)
             co_return malformed_answer(pool->address, ec);
         co_return exchange_error(*connection, pool->address, ec, request.repeatable);
--- a/http/http_client_test.cc
+++ b/http/http_client_test.cc
@@ -182,3 +182,87 @@
     cr_assert_not(can_connect(io, address_of(open), cut), "it is refused");
     cr_assert(can_connect(io, address_of(open)));
 }
+
+namespace {
+
+/// A server whose connections that are open at some time pass nothing more from then on and stay
+/// open; it answers on later ones.
+class silent_server {
+public:
+    explicit silent_server(net::io_context& io)
+        : m_acceptor{io, {net::ip::make_address("127.0.0.1"), 0}}
+    {
+        net::co_spawn(io, accept(), net::detached);
+    }
+    [[nodiscard]] std::string address() const { return address_of(m_acceptor); }
+    void fall_silent() { m_silent_connections = connections; }
+    int connections = 0;
+
+private:
+    net::awaitable<void> accept()
+    {
+        for (;;) {
+            tcp::socket socket = co_await m_acceptor.async_accept(net::use_awaitable);
+            net::co_spawn(m_acceptor.get_executor(), serve(std::move(socket), ++connections),
+                          net::detached);
+        }
+    }
+
+    net::awaitable<void> serve(tcp::socket socket, int number)
+    {
+        std::string received;
+        for (;;) {
+            boost::system::error_code failed;
+            const std::size_t length =
+                co_await net::async_read_until(socket, net::dynamic_buffer(received), "\r\n\r\n",
+                                               net::redirect_error(net::use_awaitable, failed));
+            if (failed)
+                co_return;
+            received.erase(0, length);
+            if (number <= m_silent_connections)
+                continue;
+            constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            co_await net::async_write(socket, net::buffer(answer), net::use_awaitable);
+        }
+    }
+
+    tcp::acceptor m_acceptor;
+    int m_silent_connections = 0;
+};
+
+net::awaitable<void> count_answered(http_client& client, duration timeout, int& answered)
+{
+    http_request request;
+    request.repeatable = true;
+    const result<http_response> answer = co_await client.call(std::move(request), timeout);
+    answered += answer ? 1 : 0;
+}
+
+/// Makes calls at once; returns how many were answered.
+int answered_calls(net::io_context& io, http_client& client, int calls, duration timeout)
+{
+    int answered = 0;
+    for (int number = 0; number < calls; ++number)
+        net::co_spawn(io, count_answered(client, timeout, answered), net::detached);
+    io.restart();
+    io.run_for(timeout + 100ms);
+    return answered;
+}
+
+} // namespace
+
+// Guards against a client that tries one kept connection after the other, each for a whole timeout,
+// after all of them have fallen silent.
+Test(http_client, connections_kept_beside_a_silent_one_are_not_used)
+{
+    net::io_context io;
+    silent_server server{io};
+    http_client client{io.get_executor(), server.address(), http_limits{}};
+    constexpr int kept = 4;
+    cr_assert_eq(answered_calls(io, client, kept, 500ms), kept);
+    cr_assert_eq(server.connections, kept);
+    server.fall_silent();
+    cr_assert_eq(answered_calls(io, client, 1, 200ms), 0,
+                 "it finds out that its connection is silent");
+    cr_assert_eq(answered_calls(io, client, 1, 200ms), 1);
+}
--- a/http/http_connection.h
+++ b/http/http_connection.h
@@ -89,6 +89,8 @@
     std::shared_ptr<http_connection> acquire(duration max_connection_idle);
     /// Adds an idle connection; at the limit the one idle for the longest time is dropped.
     void release(std::shared_ptr<http_connection> connection);
+    /// Closes the idle connections that were last used before `time`.
+    void close_idle_since_before(time_point time);
 };
 
 } // namespace jaynotch
