--- a/peers/store_followers.cc
+++ b/peers/store_followers.cc
@@ -50,6 +50,7 @@
 
 void store_followers::store_answered(time_point now)
 {
+    m_failures = 0;
     m_last_answer = now;
     m_last_fresh = std::max(m_last_fresh, now);
 }
@@ -58,7 +59,9 @@
 {
     m_last_answer.reset();
     m_standing_in = false;
-    m_stand_in_after = now + m_settings.stand_in_retry_delay;
+    ++m_failures;
+    if (m_failures > 1)
+        m_stand_in_after = now + m_settings.stand_in_retry_delay;
 }
 
 duration store_followers::stand_in_delay() const
--- a/peers/store_followers.h
+++ b/peers/store_followers.h
@@ -34,7 +34,8 @@
     /// Delay between the starts of two rounds of stand-ins. Must be longer than a stand-in takes to
     /// read everything and to push until its neighbours rely on it.
     duration stand_in_stagger = std::chrono::milliseconds{250};
-    /// A node whose call to the store failed does not stand in again before this time.
+    /// A node whose calls to the store failed twice in a row does not stand in again before this
+    /// time. After the first failure, which may be due to the connection, it tries again at once.
     duration stand_in_retry_delay = std::chrono::seconds{2};
 };
 
@@ -74,6 +75,7 @@
     std::map<node_id, std::size_t> m_ranks;
     std::size_t m_rank = 0;
     bool m_standing_in = false;
+    std::size_t m_failures = 0;    ///< of calls to the store in a row
     time_point m_last_fresh;       ///< last answer of the store to this node or a sender of pushes
     time_point m_lower_rank_fresh; ///< last answer of the store to a node of lower rank
     time_point m_stand_in_after;   ///< earliest start as a stand-in
--- a/peers/store_followers_test.cc
+++ b/peers/store_followers_test.cc
@@ -211,6 +211,27 @@
     }
 }
 
+// Guards against a stand-in that waits after a failure that was due to its connection alone.
+Test(store_followers, a_stand_in_tries_again_at_once_after_a_single_failure)
+{
+    const std::vector<node_id> names{node_id{"a"}, node_id{"b"}, node_id{"c"}};
+    for (const node_id& name : names) {
+        store_followers followers{{.self = name}};
+        followers.members_changed(names);
+        time_point now{1h};
+        followers.store_answered(now);
+        now += 1'600ms;
+        if (followers.rank() < 2)
+            continue;
+        cr_assert(followers.should_follow(now));
+        followers.store_failed(now += 1s);
+        cr_assert(followers.should_follow(now));
+        followers.store_failed(now += 1s);
+        cr_assert_not(followers.should_follow(now + 1s), "the store turns it away");
+        cr_assert(followers.should_follow(now + 2s));
+    }
+}
+
 // Both followers crash. Stand-ins must take over in time for a change to reach all nodes.
 Test(store_followers, a_change_reaches_all_nodes_when_all_followers_are_dead)
 {
