Relay: an answer without a length may end behind its head

Callers saw: a 502 for a request that may not be repeated, though its server had answered with a success, neither a length nor chunks, no body, and an orderly close.

Change: the condition is taken back.

--- a/daemon/relay_forward.cc
+++ b/daemon/relay_forward.cc
@@ -269,12 +269,6 @@
         report_failure(attempt, attempt_failure::protocol);
         co_return;
     }
-    // A server that means an empty body says so. Without a byte of it, the connection may have
-    // ended at any point after the head.
-    if (is_success(answer.status()) && answer.ends_with_connection() && body->empty()) {
-        report_failure(attempt, attempt_failure::cut);
-        co_return;
-    }
     if (!report_forwarded_head(attempt, answer, metadata, delivery_mode::buffered))
         co_return;
     m_buffered_answer =
--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -391,11 +391,6 @@
     return length;
 }
 
-bool http_stream::ends_with_connection() const
-{
-    return m_connection->parser().need_eof();
-}
-
 awaitable<result<std::string>> http_stream::read(duration idle_timeout)
 {
     const auto connection = m_connection;
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -119,9 +119,6 @@
     [[nodiscard]] std::string_view header(std::string_view name) const;
     /// The Content-Length header; empty if it is missing or not a number.
     [[nodiscard]] std::optional<std::uint64_t> content_length() const;
-    /// Whether the response has neither a length nor chunks, so that the end of its connection is
-    /// the end of its body.
-    [[nodiscard]] bool ends_with_connection() const;
     /// The next bytes of the body; empty at its end.
     awaitable<result<std::string>> read(duration idle_timeout);
     /// Discards this response, which belongs to an earlier request, and reads the header of the
