Registry: odd entries of other writers harm no sound one

Report of other operators: an entry that was nested deeply, held a number too large or a port out of range ended the readers of the list, or kept them from following it.

Seen here, four daemons, about 70 odd values and reports, written while they run and read as they start: no process ended, and deep lists, numbers beyond their types and ports beyond 65535 name no server. One kept all nodes from following the store: a key of bytes that are no UTF-8 makes the whole answer around it unreadable, at every try (no node had the next configuration). By reading: one item that can't be read fails its whole page or batch; port 0, 0.0.0.0, 224.0.0.1 and 255.255.255.255 are taken for servers; a number of the configuration beyond its type is undefined when it is converted; a value of 1 MB is above the largest message between nodes, which closes the connection.

Conclusion: the simple form of the report does not happen here; its class does.

--- a/base/address.cc
+++ b/base/address.cc
@@ -31,6 +31,13 @@
     return tcp::endpoint{ip, port};
 }
 
+bool is_connectable(const tcp::endpoint& endpoint)
+{
+    const auto ip = endpoint.address();
+    const bool broadcast = ip.is_v4() && ip.to_v4() == boost::asio::ip::address_v4::broadcast();
+    return endpoint.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !broadcast;
+}
+
 std::string to_text(const tcp::endpoint& endpoint)
 {
     const std::string ip = endpoint.address().to_string();
--- a/base/address.h
+++ b/base/address.h
@@ -17,6 +17,9 @@
 /// not resolved. Port 0 is accepted, for listeners that bind to any free port.
 result<boost::asio::ip::tcp::endpoint> parse_endpoint(std::string_view address);
 
+/// Whether a connection can be opened to the endpoint: it has a port and the address of one host.
+bool is_connectable(const boost::asio::ip::tcp::endpoint& endpoint);
+
 /// "IP:port", or "[IP]:port" for IPv6.
 std::string to_text(const boost::asio::ip::tcp::endpoint& endpoint);
 
--- a/base/json_fields.cc
+++ b/base/json_fields.cc
@@ -1,5 +1,6 @@
 #include "base/json_fields.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -11,10 +12,13 @@
 
 } // namespace
 
-result<boost::json::object> parse_json_object(std::string_view body, std::string_view what)
+result<boost::json::object> parse_json_object(std::string_view body, std::string_view what,
+                                              json_text text)
 {
     boost::system::error_code ec;
-    boost::json::value parsed = boost::json::parse(body, ec);
+    boost::json::parse_options options;
+    options.allow_invalid_utf8 = text == json_text::any_bytes;
+    boost::json::value parsed = boost::json::parse(body, ec, {}, options);
     if (ec)
         return error{error_kind::protocol, std::string{what} + " is not JSON: " + ec.message(),
                      "check that the address is that of the right service"};
@@ -99,6 +103,11 @@
     return value;
 }
 
+double json_fields::bounded_real(std::string_view name, double limit)
+{
+    return std::clamp(real(name), 0.0, limit);
+}
+
 bool json_fields::flag(std::string_view name)
 {
     const boost::json::value* found = find(name);
--- a/base/json_fields.h
+++ b/base/json_fields.h
@@ -22,8 +22,12 @@
 
 namespace jaynotch {
 
+/// Whether strings may hold bytes that are no UTF-8.
+enum class json_text { utf8, any_bytes };
+
 /// Parses a body that must be one JSON object; `what` names the document in errors.
-result<boost::json::object> parse_json_object(std::string_view body, std::string_view what);
+result<boost::json::object> parse_json_object(std::string_view body, std::string_view what,
+                                              json_text text = json_text::utf8);
 
 class json_fields {
 public:
@@ -37,6 +41,8 @@
     /// An integer within [0, limit].
     std::uint64_t count(std::string_view name, std::uint64_t limit);
     double real(std::string_view name);
+    /// A number, moved into [0, limit].
+    double bounded_real(std::string_view name, double limit);
     bool flag(std::string_view name);
     std::vector<std::string> texts(std::string_view name);
     /// Null if the member is missing.
--- a/peers/frame.h
+++ b/peers/frame.h
@@ -19,8 +19,9 @@
 
 /// Frame version written by this build.
 inline constexpr std::int8_t frame_version = 1;
-/// Maximum size of a frame in bytes; configuration replies are split to fit.
-inline constexpr std::size_t max_frame_bytes = 1U << 20U;
+/// Maximum size of a frame in bytes: the largest value that the platform's store accepts, with its
+/// key and the frame's other fields. Configuration replies are split to fit.
+inline constexpr std::size_t max_frame_bytes = (1U << 20U) + (64U << 10U);
 /// Maximum number of elements in a list; frames with longer lists are rejected.
 inline constexpr std::size_t max_frame_items = 4096;
 /// Maximum size of a name in bytes.
--- a/standins/runner_standin.cc
+++ b/standins/runner_standin.cc
@@ -126,7 +126,7 @@
     if (exchange.path() == "/report") {
         json::object report = description();
         report["seq"] = m_accepted_orders;
-        std::string text = json::serialize(report);
+        std::string text = faults.report.empty() ? json::serialize(report) : faults.report;
         co_await exchange.answer(http::status::ok, std::move(text));
         co_return;
     }
