Soak: open connections fall silent beside changes and servers that leave

The checker holds keys and drains to their own bounds, or to 3 s after the silence if that is later.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -203,6 +203,32 @@
     return plan;
 }
 
+/// Silences of all open connections, each followed by changes that must be in force in time.
+std::vector<planned_fault> silence_plan(const fault_plan_settings& settings)
+{
+    constexpr milliseconds first{3'000};
+    constexpr std::int64_t min_interval_ms = 6'000;
+    constexpr std::int64_t max_interval_ms = 8'000;
+    constexpr std::int64_t max_delay_ms = 2'800;
+    random_source random{settings.seed};
+    std::vector<planned_fault> plan;
+    const auto add = [&](milliseconds at, auto action) {
+        planned_fault planned;
+        planned.at = at;
+        planned.action = action;
+        plan.push_back(planned);
+    };
+    for (milliseconds at = first; at < settings.length;
+         at += milliseconds{random.between(min_interval_ms, max_interval_ms)})
+    {
+        add(at, planned_silence{});
+        add(at + milliseconds{random.between(0, max_delay_ms)}, configuration_change{});
+        add(at + milliseconds{random.between(0, max_delay_ms)},
+            planned_departure{settings.runners - 1 - random.index(settings.plain_servers)});
+    }
+    return plan;
+}
+
 struct fault_formatter {
     std::string operator()(const planned_daemon_fault& planned) const
     {
@@ -236,6 +262,14 @@
     {
         return "store comes back from a copy";
     }
+    std::string operator()(const planned_silence& /*planned*/) const
+    {
+        return "open connections fall silent";
+    }
+    std::string operator()(const planned_departure& planned) const
+    {
+        return "runner " + std::to_string(planned.runner) + " leaves without a word";
+    }
     std::string operator()(const planned_pause& planned) const
     {
         return "pause of servers from " + std::to_string(planned.first) + ", share " +
@@ -247,6 +281,8 @@
 
 std::vector<planned_fault> draw_plan(const fault_plan_settings& settings)
 {
+    if (settings.silences)
+        return silence_plan(settings);
     if (settings.pause_after_maintenance)
         return paused_maintenance_plan(settings);
     constexpr std::uint64_t maintenance_only_divisor = 3;
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -113,12 +113,21 @@
 /// The store comes back from a copy that was made when this fault began.
 struct planned_store_return {};
 
+/// The open connections between daemons and to the store pass nothing more and stay open; later
+/// ones work.
+struct planned_silence {};
+
+/// A plain server's entry is removed without a word of it, and it serves on for a while.
+struct planned_departure {
+    std::size_t runner = 0;
+};
+
 struct planned_fault {
     std::chrono::milliseconds at{0};
     std::chrono::milliseconds active_for{0};
     std::variant<planned_daemon_fault, planned_runner_fault, planned_link_fault,
                  planned_store_fault, configuration_change, planned_pause, planned_evacuation,
-                 planned_store_return>
+                 planned_store_return, planned_silence, planned_departure>
         action;
 };
 
@@ -131,6 +140,10 @@
     bool pauses = true;        ///< servers are paused too; the other faults are the same without
     bool evacuations = true;   ///< in some seeds; the other faults are the same without
     bool store_returns = true; ///< the same
+    std::size_t plain_servers = 3; ///< the last ones of the runners
+    /// Only silent connections, each with a change of the configuration and a server that leaves
+    /// without a word.
+    bool silences = false;
     bool pause_after_maintenance =
         false; ///< only planned work, each time followed by a pause of most servers
 };
--- a/soak/fault_soak_main.cc
+++ b/soak/fault_soak_main.cc
@@ -28,6 +28,9 @@
 ABSL_FLAG(bool, evacuations, true, "failure domains are evacuated too, in some seeds");
 ABSL_FLAG(bool, store_returns, true, "the store comes back from copies too, in some seeds");
 ABSL_FLAG(bool, pauses, true, "sound servers are paused too");
+ABSL_FLAG(bool, silences, false,
+          "only connections that fall silent, each time with a change of the configuration and a "
+          "server that leaves without a word");
 ABSL_FLAG(bool, pause_after_maintenance, false,
           "only planned work, each time followed by a pause of most servers");
 ABSL_FLAG(
@@ -68,6 +71,7 @@
     settings.evacuations = absl::GetFlag(FLAGS_evacuations);
     settings.store_returns = absl::GetFlag(FLAGS_store_returns);
     settings.pauses = absl::GetFlag(FLAGS_pauses);
+    settings.silences = absl::GetFlag(FLAGS_silences);
     settings.pause_after_maintenance = absl::GetFlag(FLAGS_pause_after_maintenance);
     settings.final_outage = final_outage(seed).value();
     settings.site.program = absl::GetFlag(FLAGS_programs) + "/jaynotchd";
--- a/soak/promise_book.cc
+++ b/soak/promise_book.cc
@@ -110,6 +110,15 @@
         });
 }
 
+time_point promise_checker::after_silences(time_point bound, time_point until) const
+{
+    for (const time_point silence : m_silences) {
+        if (silence <= until)
+            bound = std::max(bound, silence + m_bounds.recovery + m_bounds.slack);
+    }
+    return bound;
+}
+
 std::string promise_checker::expected_body(const request_history& history) const
 {
     if (history.request.kind != caller_request_kind::stream)
@@ -210,7 +219,8 @@
         const auto drain_started = m_draining.find(each.runner);
         if (drain_started == m_draining.end())
             continue;
-        const time_point deadline = drain_started->second + m_bounds.drain + m_bounds.slack;
+        const time_point deadline =
+            after_silences(drain_started->second + m_bounds.drain + m_bounds.slack, each.at);
         if (each.at > deadline && history.request.sent > deadline &&
             undisturbed(history.request.node, drain_started->second, each.at, true))
             out.push_back(describe(history.request) + ": sent to " + each.runner +
@@ -244,7 +254,9 @@
     const duration applied = m_bounds.config_apply + m_bounds.slack;
     const auto accepted_before = [&](std::int64_t version) {
         const auto found = m_accepted.find(version);
-        return found != m_accepted.end() && history.request.sent > found->second + applied &&
+        return found != m_accepted.end() &&
+               history.request.sent >
+                   after_silences(found->second + applied, history.request.sent) &&
                undisturbed(history.request.node, found->second, history.ended_at, true);
     };
     const std::int64_t key = history.request.key_version;
--- a/soak/promise_book.h
+++ b/soak/promise_book.h
@@ -119,6 +119,9 @@
     {
         m_fleet_outage = {from, returned};
     }
+    /// The open connections between nodes and to the store fell silent. The time bounds hold again
+    /// after bounds.recovery.
+    void record_silence(time_point now) { m_silences.push_back(now); }
     /// Returns the index of the fault, for record_fault_end().
     std::size_t record_fault(fault_period period);
     void record_fault_end(std::size_t fault_index, time_point now)
@@ -179,6 +182,9 @@
     /// Whether no fault that affects the node was active or within its recovery time.
     [[nodiscard]] bool undisturbed(const std::string& node, time_point from, time_point until,
                                    bool include_planned) const;
+    /// `bound`, or the end of the recovery time of the last silence before `until` if that is
+    /// later.
+    [[nodiscard]] time_point after_silences(time_point bound, time_point until) const;
 
     struct arrival {
         std::string request;
@@ -202,6 +208,7 @@
     std::map<std::string, std::vector<time_range>> m_evacuations; ///< by failure domain
     std::map<std::string, std::vector<time_point>> m_starts;
     std::vector<fault_period> m_fault_periods;
+    std::vector<time_point> m_silences;                      ///< in order of time
     std::map<std::string, std::vector<time_range>> m_pauses; ///< by runner
     std::optional<time_range> m_fleet_outage;
 };
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -24,6 +24,7 @@
 constexpr duration max_stop_time = std::chrono::seconds{12};
 constexpr duration entry_lifetime = std::chrono::milliseconds{1'500}; ///< three heartbeats
 constexpr duration drain_time = std::chrono::milliseconds{4'000};     ///< then the server exits
+constexpr duration departed_time = std::chrono::milliseconds{6'000};  ///< the same, without a word
 constexpr duration restart_delay = std::chrono::milliseconds{150};
 constexpr duration recovery_time = std::chrono::seconds{6};
 constexpr duration final_load_time = std::chrono::seconds{2};
@@ -110,6 +111,8 @@
         drawn.pauses = m_settings.pauses;
         drawn.evacuations = m_settings.evacuations;
         drawn.store_returns = m_settings.store_returns;
+        drawn.plain_servers = m_settings.site.servers;
+        drawn.silences = m_settings.silences;
         drawn.pause_after_maintenance = m_settings.pause_after_maintenance;
         return draw_plan(drawn);
     }
@@ -421,6 +424,25 @@
         m_site.publish_version(); // to be in force within its bound
     }
 
+    asio::awaitable<void> inject(planned_silence /*spec*/, duration /*active_for*/)
+    {
+        m_site.silence_nodes();
+        m_checker.record_silence(runtime_clock::now());
+        co_return;
+    }
+
+    asio::awaitable<void> inject(planned_departure spec, duration /*active_for*/)
+    {
+        const std::shared_ptr<runner_standin> server = m_site.runners()[spec.runner].server;
+        if (!server->alive())
+            co_return;
+        m_site.store().remove("servers/" + server->id());
+        m_checker.record_drain(server->id(), runtime_clock::now());
+        co_await pause(departed_time);
+        server->stop();
+        replace(*server);
+    }
+
     asio::awaitable<void> inject(planned_evacuation spec, duration active_for)
     {
         const std::string domain = soak_site::domain_name(spec.domain);
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -22,7 +22,8 @@
     bool pauses = true;                   ///< see fault_plan_settings
     bool evacuations = true;              ///< the same
     bool store_returns = true;            ///< the same
-    bool pause_after_maintenance = false; ///< see fault_plan_settings
+    bool silences = false;                ///< see fault_plan_settings
+    bool pause_after_maintenance = false; ///< the same
     /// Ends the run: all daemons are lost at once right after a last change of the configuration.
     std::optional<planned_fleet_outage> final_outage;
     soak_site_settings site;
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -90,12 +90,17 @@
                             m_settings.bounds.retry_extra});
 }
 
-void soak_site::drop_connections()
+void soak_site::silence_nodes()
 {
     for (const soak_daemon& daemon : m_daemons) {
         daemon.store_link->drop_open();
         daemon.peer_link->drop_open();
     }
+}
+
+void soak_site::drop_connections()
+{
+    silence_nodes();
     for (const soak_runner& runner : m_runners)
         runner.link->drop_open();
 }
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -8,8 +8,8 @@
 #pragma once
 
 #include "scenarios/child_process.h"
-#include "standins/fault_proxy.h"
 #include "soak/promise_book.h"
+#include "standins/fault_proxy.h"
 #include "standins/store_standin.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -74,6 +74,8 @@
     /// The open connections of all daemons to the store, to each other and to the runners stay open
     /// at the other end and pass nothing from now on; later ones work.
     void drop_connections();
+    /// The same without the connections to the runners.
+    void silence_nodes();
     /// Whether no daemon is stopped.
     [[nodiscard]] bool all_running() const;
     /// Rewrites a daemon's settings file, as the platform does. The caller then sends SIGHUP. The
--- a/soak/soak_test.cc
+++ b/soak/soak_test.cc
@@ -215,6 +215,23 @@
     assert_one(checker, "after the time allowed for its drain");
 }
 
+// Guards against a checker that excuses late requests for as long as a silence may be noticed at
+// all, or counts those within its recovery time.
+Test(promise_checker, a_silence_postpones_the_bound_of_a_drain_to_its_recovery_time)
+{
+    promise_checker checker{events};
+    checker.record_drain("a-1", at(1s));
+    checker.record_silence(at(2s));
+    checker.record_request(order("1", 4s));
+    checker.record_run("1", "a-1", at(4s));
+    checker.record_answer("1", {200, "1", "answer of a-1 to 1"}, at(4100ms));
+    cr_assert(checker.violations().empty(), "within the recovery time");
+    checker.record_request(order("2", 6s));
+    checker.record_run("2", "a-1", at(6s));
+    checker.record_answer("2", {200, "2", "answer of a-1 to 2"}, at(6100ms));
+    assert_one(checker, "after the time allowed for its drain");
+}
+
 Test(promise_checker, late_and_reverted_changes_are_reported)
 {
     promise_checker late{events};
@@ -311,6 +328,19 @@
     }
 }
 
+// Guards against silences without anything that must be known in time after them.
+Test(fault_plan, each_silence_is_followed_by_a_change_and_a_departure)
+{
+    const std::vector<planned_fault> plan = draw_plan({.seed = 1, .length = 60s, .silences = true});
+    cr_assert(plan.size() >= 15U && plan.size() % 3 == 0);
+    for (std::size_t i = 0; i < plan.size(); i += 3) {
+        cr_assert(std::holds_alternative<planned_silence>(plan[i].action));
+        cr_assert(std::holds_alternative<configuration_change>(plan[i + 1].action));
+        cr_assert(std::holds_alternative<planned_departure>(plan[i + 2].action));
+        cr_assert(plan[i + 1].at - plan[i].at < 3s && plan[i + 2].at - plan[i].at < 3s);
+    }
+}
+
 // Guards against a checker that misses requests to a server in the pause that it asked for, or
 // counts those of other nodes and those under way.
 Test(promise_checker, requests_in_a_pause_are_counted_by_node)
