--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -436,7 +436,7 @@
         const std::shared_ptr<runner_standin> server = m_site.runners()[spec.runner].server;
         if (!server->alive())
             co_return;
-        m_site.store().remove("servers/" + server->id());
+        server->unregister();
         m_checker.record_drain(server->id(), runtime_clock::now());
         co_await pause(departed_time);
         server->stop();
--- a/standins/runner_standin.cc
+++ b/standins/runner_standin.cc
@@ -98,6 +98,11 @@
 void runner_standin::stop()
 {
     crash();
+    unregister();
+}
+
+void runner_standin::unregister()
+{
     m_store->remove("servers/" + m_settings.id);
 }
 
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -143,6 +143,8 @@
     void advertise_address(std::string address);
     /// Writes its registry entry.
     void publish();
+    /// Removes its registry entry and serves on.
+    void unregister();
     /// Changes its state in the registry to draining and says so in all its answers.
     void drain();
     /// Says in all its answers that it leaves, without a word in the registry.
