--- a/http/http_client_test.cc
+++ b/http/http_client_test.cc
@@ -17,6 +17,19 @@
 namespace net = boost::asio;
 using net::ip::tcp;
 
+/// Reads a request without a body. False at the end of the connection.
+net::awaitable<bool> receive_request(tcp::socket& socket, std::string& received)
+{
+    boost::system::error_code failed;
+    const std::size_t length =
+        co_await net::async_read_until(socket, net::dynamic_buffer(received), "\r\n\r\n",
+                                       net::redirect_error(net::use_awaitable, failed));
+    received.erase(0, length);
+    co_return !failed;
+}
+
+constexpr std::string_view empty_answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
 /// A server that answers every request but the second: it processes that one for `processing_time`
 /// and closes the connection without a response. It pauses and advances the runtime clock.
 class closing_server {
@@ -71,21 +84,13 @@
     net::awaitable<void> serve(tcp::socket socket)
     {
         std::string received;
-        for (;;) {
-            boost::system::error_code failed;
-            const std::size_t length =
-                co_await net::async_read_until(socket, net::dynamic_buffer(received), "\r\n\r\n",
-                                               net::redirect_error(net::use_awaitable, failed));
-            if (failed)
-                co_return;
-            received.erase(0, length);
+        while (co_await receive_request(socket, received)) {
             ++m_requests;
             if (m_requests == 2) {
                 runtime_clock::advance(m_processing_time);
                 co_return;
             }
-            constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-            co_await net::async_write(socket, net::buffer(answer), net::use_awaitable);
+            co_await net::async_write(socket, net::buffer(empty_answer), net::use_awaitable);
         }
     }
 
@@ -211,18 +216,10 @@
     net::awaitable<void> serve(tcp::socket socket, int number)
     {
         std::string received;
-        for (;;) {
-            boost::system::error_code failed;
-            const std::size_t length =
-                co_await net::async_read_until(socket, net::dynamic_buffer(received), "\r\n\r\n",
-                                               net::redirect_error(net::use_awaitable, failed));
-            if (failed)
-                co_return;
-            received.erase(0, length);
+        while (co_await receive_request(socket, received)) {
             if (number <= m_silent_connections)
                 continue;
-            constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-            co_await net::async_write(socket, net::buffer(answer), net::use_awaitable);
+            co_await net::async_write(socket, net::buffer(empty_answer), net::use_awaitable);
         }
     }
 
