--- a/peers/key_relay_test.cc
+++ b/peers/key_relay_test.cc
@@ -620,6 +620,31 @@
     cr_assert(fresh->store_age == duration{123});
 }
 
+// Guards against entries that arrive without the word whether the store had an outage, which
+// decides whether a missing server is kept.
+Test(key_relay, pushes_forwarded_pushes_and_replies_tell_of_outages)
+{
+    const time_point now{std::chrono::hours{1}};
+    key_relay_core watcher = make_core("n0");
+    key_relay_core forwarder = make_core("n1");
+    watcher.set_store_record(now - duration{500}, now - duration{7});
+    const std::vector<key_body> pushes =
+        bodies_sent_to("n2", watcher.push(duration{7}, store_record{duration{500}, duration{7}}));
+    key_reply pushed = std::get<key_reply>(pushes.at(0));
+    cr_assert(pushed.store && pushed.store->steady == duration{500});
+    pushed.forward_to = {node_id{"n2"}};
+    const std::vector<key_body> sent_on = bodies_sent_to(
+        "n2", forwarder.message_received(now, {node_id{"n0"}, pushed, duration{20}}));
+    const auto& forwarded = std::get<key_reply>(sent_on.at(0));
+    cr_assert(forwarded.store && forwarded.store->steady == duration{520});
+    cr_assert(forwarded.store->heard == duration{27});
+    const std::vector<key_body> replies =
+        bodies_sent_to("n2", watcher.message_received(now, {node_id{"n2"}, key_request{}}));
+    const auto& reply = std::get<key_reply>(replies.at(0));
+    cr_assert(reply.store && reply.store->steady == duration{500});
+    cr_assert(reply.store->heard == duration{7});
+}
+
 // Load: after a failure of the store a stand-in pushes for the first time, and each neighbour that
 // does not rely on it soon reads everything itself. Guards against a comparison that counts only
 // with the next push.
