--- a/daemon/registry_fixture.h
+++ b/daemon/registry_fixture.h
@@ -116,7 +116,9 @@
     /// has come back from a copy.
     void write_configuration_again()
     {
-        put_config_version(*m_store, m_version, m_settings.timeout, m_settings.other_routes);
+        put_config_version(*m_store, m_version,
+                           {.route_timeout = m_settings.timeout,
+                            .other_routes = m_settings.other_routes});
     }
     [[nodiscard]] std::int64_t version() const { return m_version; }
     store_standin& store() { return *m_store; }
--- a/soak/fault_soak_main.cc
+++ b/soak/fault_soak_main.cc
@@ -42,6 +42,14 @@
           "megabits a second that all answers of the store share; 0: unlimited");
 ABSL_FLAG(bool, store_in_turns, false,
           "the store sends one answer after the other, also those that nobody waits for any more");
+ABSL_FLAG(bool, deployment, false,
+          "size of a deployment: 28 daemons in three failure domains, 162 runners in fabric domains "
+          "of 18, models of 8 and 2, 1,900 routes; the flags for sizes are ignored");
+ABSL_FLAG(double, rate, 0.0,
+          "requests a second beside those of --callers, sent whether earlier ones are answered");
+ABSL_FLAG(std::uint32_t, daemon_cores, 0, "cores that all daemons share; 0: all");
+ABSL_FLAG(double, daemon_quota, 1.0,
+          "share of each tenth of a second in which the daemons run, from the first request on");
 ABSL_FLAG(bool, story, false, "print each seed's faults, also without a violation");
 
 namespace jaynotch {
@@ -61,6 +69,26 @@
     return std::optional{planned_fleet_outage{.how = *how}};
 }
 
+void set_deployment_size(soak_site_settings& site)
+{
+    site.daemons = 28;
+    site.failure_domains = 3;
+    site.runners = 162;
+    site.fabric_domain_size = 18;
+    site.stream_events = 28;
+    site.stream_gap = std::chrono::milliseconds{30};
+    site.model_slots = 30;
+    site.plain_slots = 30;
+    site.plain_work = std::chrono::milliseconds{30};
+    site.configuration.models = {{"m0", 8, 0.5}, {"m1", 2, 0.5}};
+    site.configuration.load = std::chrono::milliseconds{4'000};
+    site.configuration.warm_up = std::chrono::milliseconds{1'400};
+    site.configuration.slots = 20;
+    site.configuration.other_routes = 1'900;
+    site.bounds.fleet_recovery = std::chrono::seconds{15};
+    site.bounds.retry_extra = 240.0;
+}
+
 bool run_seed(std::uint64_t seed)
 {
     soak_settings settings;
@@ -78,7 +106,12 @@
     settings.site.folder = absl::GetFlag(FLAGS_logs) + "/" + std::to_string(seed);
     settings.site.daemons = absl::GetFlag(FLAGS_daemons);
     settings.site.runners = absl::GetFlag(FLAGS_runners);
-    settings.site.other_routes = absl::GetFlag(FLAGS_other_routes);
+    settings.site.configuration.other_routes = absl::GetFlag(FLAGS_other_routes);
+    settings.site.daemon_cores = absl::GetFlag(FLAGS_daemon_cores);
+    settings.daemon_quota = absl::GetFlag(FLAGS_daemon_quota);
+    settings.requests_per_s = absl::GetFlag(FLAGS_rate);
+    if (absl::GetFlag(FLAGS_deployment))
+        set_deployment_size(settings.site);
     constexpr double bytes_in_megabit = 125'000.0;
     settings.site.store_link_bytes_per_s = absl::GetFlag(FLAGS_store_link_mbps) * bytes_in_megabit;
     if (absl::GetFlag(FLAGS_store_in_turns))
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -30,6 +30,7 @@
 constexpr duration final_load_time = std::chrono::seconds{2};
 constexpr duration store_delay = std::chrono::milliseconds{300};
 constexpr duration max_loop_stall = std::chrono::seconds{2};
+constexpr duration quota_period = std::chrono::milliseconds{100};
 constexpr duration poll_interval = std::chrono::milliseconds{20};
 
 class soak_driver {
@@ -44,7 +45,7 @@
     soak_outcome run()
     {
         m_site.start();
-        if (!run_until([&] { return serving(); }, max_start_time))
+        if (!run_until([&] { return serving(); }, max_start_time + m_settings.site.configuration.load))
             return {{"fewer than two servers are ready " +
                      std::to_string(max_start_time / poll_interval) +
                      " poll intervals after the start"},
@@ -54,7 +55,11 @@
         // Not before: a fleet that starts for the first time finds a small registry.
         m_site.store().link.set_rate(m_settings.site.store_link_bytes_per_s,
                                      m_settings.site.store_link_sharing);
+        if (m_settings.daemon_quota < 1.0)
+            asio::co_spawn(m_io, keep_quota(), asio::detached);
         m_callers.start(m_settings.callers);
+        if (m_settings.requests_per_s > 0.0)
+            m_callers.start_at_rate(m_settings.requests_per_s);
         soak_outcome outcome;
         for (const planned_fault& fault : plan()) {
             outcome.faults.push_back(to_string(fault));
@@ -83,6 +88,7 @@
         m_callers.stop();
         if (!run_until([&] { return m_callers.idle(); }, max_start_time))
             outcome.problems.push_back("some callers are still waiting for answers");
+        m_callers_done = true;
         m_site.record_runs();
         for (std::string& end : m_site.unexpected_exits())
             outcome.problems.push_back(std::move(end));
@@ -265,6 +271,26 @@
         end_fault(fault_index);
     }
 
+    asio::awaitable<void> keep_quota()
+    {
+        const auto running =
+            std::chrono::duration_cast<duration>(m_settings.daemon_quota * quota_period);
+        while (!m_callers_done) {
+            co_await pause(running);
+            signal_all(SIGSTOP);
+            co_await pause(quota_period - running);
+            signal_all(SIGCONT);
+        }
+    }
+
+    void signal_all(int number)
+    {
+        for (const soak_daemon& daemon : m_site.daemons()) {
+            if (daemon.process)
+                daemon.process->signal(number);
+        }
+    }
+
     /// Waits for the exit of a daemon that was signalled, with SIGKILL as a last resort, and
     /// restarts it.
     asio::awaitable<void> end_and_restart(std::size_t index, bool graceful)
@@ -445,7 +471,7 @@
 
     asio::awaitable<void> inject(planned_evacuation spec, duration active_for)
     {
-        const std::string domain = soak_site::domain_name(spec.domain);
+        const std::string domain = m_site.domain_name(spec.domain);
         const std::string key = "op/evacuate/" + domain;
         m_site.set_evacuated(key, true);
         m_checker.record_evacuation(domain, runtime_clock::now());
@@ -480,6 +506,7 @@
     soak_site m_site;
     soak_callers m_callers;
     std::size_t m_active_faults = 0;
+    bool m_callers_done = false;
     bool m_store_disturbed = false;
     duration m_longest_stall{};
     std::vector<std::string> m_problems;
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -16,7 +16,8 @@
 
 struct soak_settings {
     std::uint64_t seed = 1;
-    std::size_t callers = 12;
+    std::size_t callers = 12;    ///< each sends its next request after an answer
+    double requests_per_s = 0.0; ///< sent beside theirs, whether earlier ones are answered or not
     std::chrono::milliseconds length{10'000};
     double faults_per_s = 1.2;
     bool pauses = true;                   ///< see fault_plan_settings
@@ -26,6 +27,8 @@
     bool pause_after_maintenance = false; ///< the same
     /// Ends the run: all daemons are lost at once right after a last change of the configuration.
     std::optional<planned_fleet_outage> final_outage;
+    /// Share of each tenth of a second in which the daemons run; in the rest all of them stand still.
+    double daemon_quota = 1.0;
     soak_site_settings site;
 };
 
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -1,13 +1,15 @@
 #include "soak/soak_site.h"
 
 #include "scenarios/free_address.h"
-#include "standins/platform_forms.h"
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <sched.h>
+
+#include <cerrno>
 #include <filesystem>
 #include <fstream>
+#include <system_error>
 
 // A daemon keeps its addresses over restarts, as a VM does. Its links lead through proxies: the
 // settings file gives the proxy's address for the store, --peer_advertise gives the proxy's address
@@ -38,21 +40,31 @@
     : m_io{io}, m_settings{std::move(settings)}, m_checker{checker}
 {}
 
-std::string soak_site::domain_name(std::size_t index)
+std::string soak_site::domain_name(std::size_t index) const
+{
+    return std::string{"zone-"} + static_cast<char>('a' + index % m_settings.failure_domains);
+}
+
+std::string soak_site::fabric_domain_name(std::size_t index) const
 {
-    return index % 2 == 0 ? "zone-a" : "zone-b";
+    std::string name = "d-" + domain_name(index);
+    if (m_settings.fabric_domain_size > 0)
+        name += "-" + std::to_string(index / m_settings.failure_domains /
+                                     m_settings.fabric_domain_size);
+    return name;
 }
 
 void soak_site::start()
 {
     std::filesystem::create_directories(m_settings.folder);
     m_fabric->stall = group_stall;
+    m_fabric->group_sizes.clear();
+    for (const model_form& model : m_settings.configuration.models)
+        m_fabric->group_sizes[model.name] = model.size;
     m_store = store_standin::start(m_io.get_executor()).value();
     publish_version();
-    for (std::size_t index = 0; index < m_settings.runners; ++index) {
-        const std::string zone = domain_name(index);
-        add_runner("llm", zone, "d-" + zone);
-    }
+    for (std::size_t index = 0; index < m_settings.runners; ++index)
+        add_runner("llm", domain_name(index), fabric_domain_name(index));
     for (std::size_t index = 0; index < m_settings.servers; ++index)
         add_runner("app", domain_name(index), "");
     m_daemons.reserve(m_settings.daemons);
@@ -127,11 +139,24 @@
                               "--admin_listen=" + daemon.admin_listen, "--balancer_wait_ms=300"},
                              m_settings.folder + "/" + daemon.name + ".log")
             .value();
+    restrict_cores(*daemon.process);
     daemon.first_start = false;
     daemon.stopping = false;
     m_checker.record_start(daemon.name, runtime_clock::now());
 }
 
+void soak_site::restrict_cores(const child_process& process) const
+{
+    if (m_settings.daemon_cores == 0)
+        return;
+    cpu_set_t cores;
+    CPU_ZERO(&cores);
+    for (std::size_t core = 0; core < m_settings.daemon_cores; ++core)
+        CPU_SET(core, &cores);
+    if (sched_setaffinity(process.pid(), sizeof cores, &cores) != 0)
+        throw std::system_error{errno, std::generic_category(), "sched_setaffinity"};
+}
+
 void soak_site::add_runner(const std::string& service, const std::string& zone,
                            const std::string& domain)
 {
@@ -142,6 +167,10 @@
     chosen.domain = domain;
     chosen.events = m_settings.stream_events;
     chosen.gap = m_settings.stream_gap;
+    chosen.load = m_settings.configuration.load;
+    chosen.warm_up = m_settings.configuration.warm_up;
+    chosen.work = m_settings.plain_work;
+    chosen.slots = domain.empty() ? m_settings.plain_slots : m_settings.model_slots;
     chosen.fabric = m_fabric;
     soak_runner runner;
     runner.server = runner_standin::start(m_io.get_executor(), m_store, chosen).value();
@@ -154,7 +183,7 @@
 void soak_site::publish_version()
 {
     ++m_version;
-    put_config_version(*m_store, m_version, usual_timeout, m_settings.other_routes);
+    put_config_version(*m_store, m_version, m_settings.configuration);
     m_checker.record_version(m_version, runtime_clock::now());
 }
 
@@ -169,7 +198,7 @@
 
 void soak_site::write_again()
 {
-    put_config_version(*m_store, m_version, usual_timeout, m_settings.other_routes);
+    put_config_version(*m_store, m_version, m_settings.configuration);
     for (const auto& [key, evacuated] : m_evacuations)
         set_evacuated(key, evacuated);
 }
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -10,6 +10,7 @@
 #include "scenarios/child_process.h"
 #include "soak/promise_book.h"
 #include "standins/fault_proxy.h"
+#include "standins/platform_forms.h"
 #include "standins/store_standin.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -28,12 +29,19 @@
     std::string program = "build/jaynotchd";
     std::string folder; ///< for settings files and logs
     std::size_t daemons = 4;
-    std::size_t runners = 10; ///< model runners, in two fabric domains
+    std::size_t failure_domains = 2;
+    std::size_t runners = 10; ///< model runners
+    /// Runners in a fabric domain; 0: each failure domain is one.
+    std::size_t fabric_domain_size = 0;
     std::size_t servers = 3;  ///< plain backend servers
     std::size_t stream_events = 12;
     /// Long enough for streams to be open whenever servers are paused.
     std::chrono::milliseconds stream_gap{25};
-    std::size_t other_routes = 0;        ///< in the configuration, beside those of the callers
+    configuration_form configuration;
+    std::size_t model_slots = 0;             ///< requests at once of a group; 0: any number
+    std::size_t plain_slots = 0;             ///< the same of a plain server
+    std::chrono::milliseconds plain_work{0}; ///< time for a request
+    std::size_t daemon_cores = 0;            ///< that all daemons share; 0: all
     double store_link_bytes_per_s = 0.0; ///< all answers of the store share it; 0: unlimited
     link_sharing store_link_sharing = link_sharing::chunks;
     promise_bounds bounds; ///< that the daemons are given and the checker checks
@@ -84,7 +92,7 @@
     /// Starts a runner and the proxy before it.
     void add_runner(const std::string& service, const std::string& zone, const std::string& domain);
     /// Name of the failure domain that the daemon or runner with this number is in.
-    static std::string domain_name(std::size_t index);
+    [[nodiscard]] std::string domain_name(std::size_t index) const;
     /// Publishes the next configuration version. It revokes the key of two versions ago.
     void publish_version();
     [[nodiscard]] std::int64_t version() const { return m_version; }
@@ -105,6 +113,9 @@
 
 private:
     void add_daemon(std::size_t index);
+    /// Restricts a new process to the cores that the daemons share.
+    void restrict_cores(const child_process& process) const;
+    [[nodiscard]] std::string fabric_domain_name(std::size_t index) const;
     [[nodiscard]] std::string settings_of(const soak_daemon& daemon) const;
 
     boost::asio::io_context& m_io;
--- a/standins/platform_forms.cc
+++ b/standins/platform_forms.cc
@@ -31,19 +31,30 @@
     return row;
 }
 
-json::object model_service()
+double seconds(std::chrono::milliseconds span)
 {
-    const json::object model{{"name", "m"}, {"size", 2},      {"share", 1.0},
-                             {"pace", 1.0}, {"load_s", 0.04}, {"warmup_s", 0.04}};
+    return std::chrono::duration<double>{span}.count();
+}
+
+json::object model_service(const configuration_form& form)
+{
+    json::array models;
+    for (const model_form& model : form.models)
+        models.push_back(json::object{{"name", model.name},
+                                      {"size", model.size},
+                                      {"share", model.share},
+                                      {"pace", 1.0},
+                                      {"load_s", seconds(form.load)},
+                                      {"warmup_s", seconds(form.warm_up)}});
     return {{"name", "llm"},
             {"health_path", "/health"},
             {"max_conns", 200},
             {"cold_s", 2.0},
             {"cold_per_s", cold_requests_per_s},
-            {"engine", json::object{{"slot_count", 8},
+            {"engine", json::object{{"slot_count", form.slots},
                                     {"kv_tokens", 100000},
                                     {"stride", 7},
-                                    {"models", json::array{model}},
+                                    {"models", std::move(models)},
                                     {"step_ms", 1.0},
                                     {"per_seq_ms", 0.0},
                                     {"context_per_k", 0.0},
@@ -57,9 +68,9 @@
                                     {"form_ms", 0}}}};
 }
 
-std::string document(std::int64_t version, std::chrono::milliseconds timeout,
-                     std::size_t other_routes)
+std::string document(std::int64_t version, const configuration_form& form)
 {
+    const std::chrono::milliseconds timeout = form.route_timeout;
     const json::object limits{{"max_header_bytes", 16384},
                               {"max_body_bytes", 65536},
                               {"header_timeout_ms", 3000},
@@ -70,13 +81,13 @@
     json::array routes{route("chat", "streaming", "llm", repeatable_attempts, false, timeout),
                        route("order", "non_idempotent", "app", 1, false, timeout),
                        route("read", "idempotent", "app", repeatable_attempts, false, timeout)};
-    for (std::size_t number = 0; number < other_routes; ++number)
+    for (std::size_t number = 0; number < form.other_routes; ++number)
         routes.push_back(route("other" + std::to_string(number), "idempotent", "app",
                                repeatable_attempts, false, timeout));
     return json::serialize(json::object{
         {"version", version},
         {"routes", std::move(routes)},
-        {"services", json::array{model_service(), json::object{{"name", "app"},
+        {"services", json::array{model_service(form), json::object{{"name", "app"},
                                                                {"health_path", "/health"},
                                                                {"max_conns", 200}}}},
         {"limits", limits},
@@ -85,10 +96,9 @@
 
 } // namespace
 
-void put_config_version(store_standin& store, std::int64_t version,
-                        std::chrono::milliseconds route_timeout, std::size_t other_routes)
+void put_config_version(store_standin& store, std::int64_t version, const configuration_form& form)
 {
-    store.put("op/config", document(version, route_timeout, other_routes));
+    store.put("op/config", document(version, form));
 }
 
 std::string render_settings(const daemon_site& site)
@@ -121,7 +131,7 @@
                        {"Jaynotch-Deadline-Ms", std::to_string(form.deadline.count())},
                        {"Authorization", "Bearer " + form.key}};
     if (form.streams) {
-        request.headers.push_back({"Jaynotch-Model", "m"});
+        request.headers.push_back({"Jaynotch-Model", form.model});
         request.headers.push_back({"Jaynotch-Token-Counts", "100,84"});
     }
     return request;
--- a/standins/platform_forms.h
+++ b/standins/platform_forms.h
@@ -34,11 +34,27 @@
 constexpr double cold_requests_per_s = 6.0;
 constexpr double allowed_cold_requests = cold_requests_per_s * 1.5 + 5.0;
 
+/// A model of the service "llm".
+struct model_form {
+    std::string name = "m";
+    std::size_t size = 2; ///< runners in a group
+    double share = 1.0;   ///< of the requests, as expected
+};
+
+/// What a version of the configuration says beside its number.
+struct configuration_form {
+    std::chrono::milliseconds route_timeout = usual_timeout;
+    std::size_t other_routes = 0; ///< that no caller uses, beside the three
+    std::vector<model_form> models{{}};
+    std::chrono::milliseconds load{40};
+    std::chrono::milliseconds warm_up{40}; ///< of a model that is staged on the host
+    std::size_t slots = 8;                 ///< of a group
+};
+
 /// Writes a version of the operators' configuration. The API keys "key-N" of this version and the
-/// previous one are valid. `other_routes`: routes that no caller uses, beside the three.
+/// previous one are valid.
 void put_config_version(store_standin& store, std::int64_t version,
-                        std::chrono::milliseconds route_timeout = usual_timeout,
-                        std::size_t other_routes = 0);
+                        const configuration_form& form = {});
 
 /// Settings of one daemon that differ between daemons.
 struct daemon_site {
@@ -62,6 +78,7 @@
     std::string key;      ///< API key
     std::string body;     ///< empty: a GET request
     bool streams = false; ///< for the model service
+    std::string model = "m";
     std::chrono::milliseconds deadline = usual_timeout;
 };
 http_request caller_request(const caller_parameters& form);
--- a/standins/runner_standin.cc
+++ b/standins/runner_standin.cc
@@ -150,16 +150,32 @@
         co_return;
     }
     if (faults.refuse) {
-        exchange.set("Jaynotch-Not-Executed", "1");
         if (!faults.pause.empty()) {
             exchange.set("Retry-After", faults.pause);
             arrived.back().pause = std::chrono::milliseconds{
                 std::llround(1000.0 * std::stod(faults.pause))}; // NOLINT(*magic-numbers)
         }
-        co_await exchange.answer(http::status::service_unavailable, "");
+        co_await refuse(exchange);
         co_return;
     }
-    ran.push_back(received);
+    if (m_settings.slots > 0 && m_running >= m_settings.slots) {
+        co_await refuse(exchange);
+        co_return;
+    }
+    ++m_running;
+    co_await run(exchange, std::move(received));
+    --m_running;
+}
+
+awaitable<void> runner_standin::refuse(standin_exchange& exchange)
+{
+    exchange.set("Jaynotch-Not-Executed", "1");
+    co_await exchange.answer(http::status::service_unavailable, "");
+}
+
+awaitable<void> runner_standin::run(standin_exchange& exchange, received_request received)
+{
+    ran.push_back(std::move(received));
     if (faults.unframed || (faults.cut_by_query && !exchange.query("unframed").empty()))
         exchange.set_unframed();
     if (const std::string bytes = exchange.query("cut"); faults.cut_by_query && !bytes.empty())
@@ -180,6 +196,8 @@
         co_return;
     }
     if (m_settings.domain.empty()) {
+        if (m_settings.work.count() > 0)
+            co_await standin_sleep(m_executor, m_settings.work);
         co_await answer(exchange);
     }
     else {
@@ -308,7 +326,8 @@
 {
     if (!m_settings.fabric || m_settings.domain.empty())
         return;
-    if (m_members.size() != m_settings.fabric->group_size)
+    const auto size = m_settings.fabric->group_sizes.find(m_model);
+    if (size == m_settings.fabric->group_sizes.end() || m_members.size() != size->second)
         m_settings.fabric->broken.push_back(m_group + " serves with " +
                                             std::to_string(m_members.size()) + " members");
     for (const std::string& id : m_members) {
@@ -387,7 +406,7 @@
 awaitable<void> runner_standin::join(std::string group, std::int64_t epoch, std::string model)
 {
     const auto keep = shared_from_this();
-    constexpr duration load = 40ms;
+    const duration load = m_staged == model ? m_settings.warm_up : m_settings.load;
     m_group = group;
     m_epoch = epoch;
     m_model.clear();
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -72,7 +72,7 @@
 /// group while the first still serves, and only complete groups serve.
 struct runner_fabric {
     std::map<std::string, std::weak_ptr<runner_standin>> runners;
-    std::size_t group_size = 2;
+    std::map<std::string, std::size_t> group_sizes{{"m", 2}}; ///< by model
     duration stall = std::chrono::seconds{1}; ///< time after which an incomplete group breaks
     std::vector<std::string> broken;          ///< descriptions of violated invariants, in order
 };
@@ -84,6 +84,10 @@
     std::string domain;                    ///< fabric domain; empty for a plain server
     std::size_t events = 6;                ///< events in a stream
     std::chrono::milliseconds gap{10};     ///< time between the events of a stream
+    std::chrono::milliseconds work{0};     ///< time that a plain server takes for a request
+    std::chrono::milliseconds load{40};
+    std::chrono::milliseconds warm_up{40}; ///< of a model that is staged on the host
+    std::size_t slots = 0; ///< requests at once, others are refused; 0: any number
     std::shared_ptr<runner_fabric> fabric; ///< null: doesn't check other runners
 };
 
@@ -170,6 +174,10 @@
 
     awaitable<void> handle(standin_exchange& exchange);
     awaitable<void> handle_order(standin_exchange& exchange);
+    /// Runs a request as the faults demand.
+    awaitable<void> run(standin_exchange& exchange, received_request received);
+    /// Answers that the request was not run.
+    static awaitable<void> refuse(standin_exchange& exchange);
     [[nodiscard]] bool paused() const { return runtime_clock::now() < m_paused_until; }
     awaitable<void> wait_while_paused();
     /// Loads the model and becomes ready, unless a newer order arrives meanwhile.
@@ -219,6 +227,7 @@
     std::string m_model;
     std::string m_staged; ///< model whose weights are staged
     member_phase m_phase = member_phase::joining;
+    std::size_t m_running = 0; ///< requests
 };
 
 } // namespace jaynotch
