--- a/daemon/fleet_return_test.cc
+++ b/daemon/fleet_return_test.cc
@@ -53,3 +53,18 @@
     fleet.restart_all();
     cr_assert_eq(fleet.served(0, "/read/1", 3), 3U);
 }
+
+// Guards against nodes that all read a store which answers one call after the other: each gives up
+// before its turn comes, asks again, and waits behind the calls that were given up.
+Test(fleet_return, a_store_that_answers_in_turns_is_read_by_few_for_all)
+{
+    registry_fixture fleet{{.nodes = nodes, .failure_domains = 2, .other_routes = many_routes}};
+    constexpr double seconds_for_one = 2.0;
+    constexpr duration seconds_for_two = 4s;
+    constexpr duration spreading = 2s;
+    fleet.store().link.set_rate(static_cast<double>(bytes_of_everything(fleet)) / seconds_for_one,
+                                link_sharing::turns);
+    fleet.restart_all(seconds_for_two + spreading);
+    for (std::size_t node = 0; node < nodes; ++node)
+        cr_assert_eq(fleet.served(node, "/read/1", 3), 3U);
+}
--- a/daemon/registry_fixture.h
+++ b/daemon/registry_fixture.h
@@ -28,6 +28,7 @@
 
 struct registry_fixture_settings {
     std::size_t nodes = 1;
+    std::size_t failure_domains = 1; ///< of the nodes, in turn; all servers are in the first
     std::size_t model_servers = 4; ///< in groups of two
     double retry_extra = 100.0;    ///< of all nodes together
     /// Repeats that a predecessor of a node may have sent count for this long.
@@ -140,13 +141,13 @@
     }
 
     /// Kills all daemons at once, starts them again and waits until they serve.
-    void restart_all()
+    void restart_all(duration longest = 10s)
     {
         for (auto& one : daemons)
             one.reset();
         for (std::size_t node = 0; node < daemons.size(); ++node)
             start_daemon(node);
-        cr_assert(run_until([&] { return all_serve(); }));
+        cr_assert(run_until([&] { return all_serve(); }, longest));
     }
 
     /// Sends `count` requests to a node, one after the other; returns how many were served.
@@ -298,6 +299,9 @@
             chosen.key_value = {links[node].store->address()};
             chosen.peer_advertise = links[node].peers->address();
         }
+        const std::size_t domain = node % m_settings.failure_domains;
+        if (domain > 0)
+            chosen.failure_domain = failure_domain_id{"other-" + std::to_string(domain)};
         chosen.relay_listen = "127.0.0.1:0";
         chosen.site.retry_extra = m_settings.retry_extra;
         chosen.site.retry_window = m_settings.retry_window;
