Return of all nodes: few nodes read the store for all, and no reading is given up for its length

Cause: each node without tables asked the store for everything at the same moment, gave up after 1, 2 and 4 s, and asked again. The store is still at work for the calls that were given up, so the next ones are later than the first. And a node got tables from peers of its own failure domain only, so one reading that did end was of no use to the others. Evidence: store_read_failed of 26 to 28 nodes at 1, 3, 7 and 11 s, no store_read; the test with two failure domains, red before. Class: a fixed time on work whose duration grows with those who begin it together, what was asked thrown away.

Change: - peers/reading_turns: the first follower of each failure domain reads after 100 ms, the next ones when nothing has come for 1.5, 4.5, 10.5 s (1, 1, 2, 4 nodes ...): calls grow no faster than time passes. A node that has read everything announces how long that took; if the readings of all together take a second at most, all read at once, as before. - A reading is waited for until the store answers a later call (a read of one missing key each second), so a silent connection is still found after a second, and a slow store is not asked twice. Applies to every whole reading, not only the first. Replaces the timeouts of 1 to 4 s. - A node without tables asks nodes of all failure domains, first those that announced a reading, and goes on at once where a reply was cut. Replies may take a quarter of the node's link (limits.link_mbps), 200 kB/s at least. - A node that has everything from peers does not read the store unless it follows it.

Cost: a node without tables sends a request each 0.25 s instead of 0.5 s; an announcement is one small frame for each live node, from the first readers of each failure domain only. No loop over all nodes on a beat.

--- a/daemon/flags.cc
+++ b/daemon/flags.cc
@@ -137,6 +137,7 @@
     // The rest is for the tables, the connections' buffers and the allocator's losses.
     constexpr std::size_t held_fraction = 4;
     chosen.limits.held_bytes = site.memory_bytes / held_fraction;
+    chosen.limits.link_bytes_s = site.link_bytes_s;
     // The platform kills the process when its time limit for a stop has passed. Requests that are
     // still in flight are closed in an orderly way this long before that.
     constexpr std::chrono::milliseconds before_kill{500};
--- a/daemon/key_relay_driver.cc
+++ b/daemon/key_relay_driver.cc
@@ -2,11 +2,29 @@
 
 namespace jaynotch {
 
+namespace {
+
+/// Of this node's link, for replies to nodes that lack entries.
+constexpr double reply_share_of_link = 0.25;
+
+key_relay_settings core_settings(const daemon_settings& settings, std::string name,
+                                 const key_relay_hooks& hooks)
+{
+    key_relay_settings made;
+    made.self = settings.node;
+    made.name = std::move(name);
+    made.is_urgent = hooks.is_urgent;
+    made.max_reply_bytes_s =
+        std::max(made.max_reply_bytes_s, reply_share_of_link * settings.limits.link_bytes_s);
+    return made;
+}
+
+} // namespace
+
 key_relay_driver::key_relay_driver(const daemon_settings& settings, peer_service& peers,
                                    std::string name, key_relay_hooks hooks)
     : m_settings{settings}, m_peers{peers}, m_hooks{std::move(hooks)},
-      m_core{key_relay_settings{
-                 .self = settings.node, .name = std::move(name), .is_urgent = m_hooks.is_urgent},
+      m_core{core_settings(settings, std::move(name), m_hooks),
              random_source{hash64(settings.node.value(), settings.seed)}}
 {}
 
--- a/daemon/key_relay_driver.h
+++ b/daemon/key_relay_driver.h
@@ -59,6 +59,10 @@
     {
         m_core.set_store_record(steady_since, heard_at);
     }
+    /// Tells all nodes that everything has been read, and how long that took.
+    void announce_reading(duration took) { execute(m_core.announce_reading(took)); }
+    /// Whether the platform, or peers that were synced themselves, have shown all keys.
+    [[nodiscard]] bool synced() const { return m_core.synced(); }
     void stop_pushing() { m_core.stop_pushing(); }
     void notice_received(const key_notice& notice);
     void message_received(const key_message& message);
--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -22,6 +22,11 @@
 // watched for long. Changes also go to the peers (peers/key_relay.h), so that a node that the store
 // refuses stays up to date.
 //
+// A node that starts has everything from the store or from a peer, whichever is first. The order in
+// which nodes read is decided in peers/reading_turns.h. A reading is not given up because it takes
+// long: the store may have the calls of many nodes to answer, also those that were given up, and a
+// new call would be the last of them. It is given up when the store has answered a later call.
+//
 // Runners can't renew the leases of their entries while the store is down, so entries expire.
 // Runners that are alive register again within about two seconds after the store recovers. Entries
 // that are deleted in that time are therefore kept a little longer; otherwise the whole fleet would
@@ -44,11 +49,9 @@
 constexpr duration min_retry_interval = std::chrono::milliseconds{50};
 constexpr duration max_retry_interval = std::chrono::milliseconds{800};
 constexpr double min_jitter = 0.5; ///< least fraction of a retry interval that is waited
-/// How long a reading of everything waits for an answer to begin. A node that knows nothing yet
-/// waits longer each time: the store may be slow because all nodes read at once, and a reading that
-/// is given up is work for nothing. A node that serves must notice soon that a call hangs.
-constexpr duration min_read_timeout = std::chrono::seconds{1};
-constexpr duration max_read_timeout = std::chrono::seconds{4};
+/// After this long without an answer a reading is checked: a later call that the store answers at
+/// once shows that it is lost.
+constexpr duration read_check_interval = std::chrono::seconds{1};
 constexpr duration watch_wait = std::chrono::seconds{10};
 /// Time between two pushes of a follower that has no changes to send.
 constexpr duration push_interval = std::chrono::milliseconds{400};
@@ -104,8 +107,9 @@
         : io{context}, kv{service}, hooks{std::move(given)},
           relay{chosen, others, "documents", relay_hooks()}, m_peers{others}, m_pause{context},
           m_shares_watches{chosen.mechanisms.has(mechanism::shared_watches)},
-          m_first_start{chosen.first_start}, m_random{hash64(chosen.node.value(), chosen.seed)},
-          m_followers{{.self = chosen.node, .name = "documents"}},
+          m_first_start{chosen.first_start}, m_check_key{chosen.deployment + "/check"},
+          m_random{hash64(chosen.node.value(), chosen.seed)}, m_followers{{.self = chosen.node,
+                                                                           .name = "documents"}},
           m_outage{{.min_outage = min_outage_heartbeats * chosen.site.heartbeat,
                     .grace = reregistration_grace}}
     {}
@@ -152,9 +156,13 @@
     {
         log_late_push(message);
         note_store_record(message);
+        const bool synced = relay.synced();
         m_source = &message;
         relay.message_received(message);
         m_source = nullptr;
+        note_reading(message);
+        if (!synced && relay.synced())
+            note_synced_by_peers();
         end_batch();
     }
 
@@ -189,11 +197,25 @@
         };
         given.on_neighbours = [this](const std::vector<node_id>& nodes) {
             m_followers.members_changed(nodes);
+            count_fleet();
             hooks.on_current_changed(current, m_followers.rank());
         };
         return given;
     }
 
+    void count_fleet()
+    {
+        std::set<failure_domain_id> domains;
+        m_live_nodes = 0;
+        for (const member& one : m_peers.members()) {
+            if (!one.live())
+                continue;
+            ++m_live_nodes;
+            domains.insert(one.failure_domain);
+        }
+        m_failure_domains = domains.size();
+    }
+
     [[nodiscard]] watch_pace pace() const
     {
         const time_point now = runtime_clock::now();
@@ -207,9 +229,11 @@
 
     [[nodiscard]] bool should_watch()
     {
-        if (!m_read_once || !m_shares_watches)
-            return true;
         const time_point now = runtime_clock::now();
+        if (!m_read_once && !relay.synced())
+            return m_turns.may_read(m_followers.rank(), m_live_nodes, now);
+        if (!m_shares_watches)
+            return true;
         const bool follows = m_followers.should_follow(now);
         if (std::exchange(m_follows, follows) != follows)
             log_event(log_level::info, follows ? "follows_store" : "follows_neighbours",
@@ -218,6 +242,32 @@
         return follows;
     }
 
+    /// A node has read everything, and tells how long that took.
+    void note_reading(const key_message& message)
+    {
+        const auto* reply = std::get_if<key_reply>(&message.body);
+        if (reply == nullptr || !reply->reading_took)
+            return;
+        m_turns.reading_announced(*reply->reading_took);
+        if (!m_read_once && !relay.synced())
+            m_pause.cancel();
+    }
+
+    /// The followers of all failure domains read everything for themselves, in turn if the store is
+    /// slow, before they push.
+    void note_synced_by_peers()
+    {
+        const time_point now = runtime_clock::now();
+        const duration reading = m_turns.reading_took().value_or(duration{0});
+        const auto readings =
+            static_cast<duration::rep>(m_followers.followers() * m_failure_domains);
+        m_followers.informed(now + readings * reading);
+        log_event(log_level::info, "tables_from_peers",
+                  {{"after_ms", in_milliseconds(now - m_started)},
+                   {"entries", relay.keys().size()},
+                   {"reading_ms", in_milliseconds(reading)}});
+    }
+
     /// Entries that are missing after an outage are kept, so this comes before the entries.
     void note_store_record(const key_message& message)
     {
@@ -291,15 +341,11 @@
     net::awaitable<bool> read_all()
     {
         const time_point asked = runtime_clock::now();
-        kv.set_read_timeout(m_read_timeout);
-        const result<kv_range> read =
-            co_await kv.get_prefix(std::string{platform::watched_prefix()});
+        const result<kv_range> read = co_await read_everything();
         if (stopped)
             co_return false;
         if (!read) {
             ++m_failed_reads;
-            if (!m_read_once && read.error().kind == error_kind::deadline_exceeded)
-                m_read_timeout = std::min(2 * m_read_timeout, max_read_timeout);
             log_event(log_level::warning, "store_read_failed",
                       {{"reason", read.error().message},
                        {"took_ms", milliseconds_since(asked)},
@@ -308,7 +354,6 @@
             co_return false;
         }
         m_failed_reads = 0;
-        m_read_timeout = min_read_timeout;
         const bool restored = m_era && kv.era() != m_era;
         m_era = kv.era();
         log_event(log_level::info, "store_read",
@@ -324,6 +369,9 @@
         relay.stop_pushing();
         m_revision = read.value().revision;
         m_read_once = true;
+        // Later ones of the same start learn nothing from further announcements.
+        if (!std::exchange(m_announced, true) && !m_turns.reading_took())
+            relay.announce_reading(runtime_clock::now() - asked);
         store_answered();
         set_current(true);
         end_batch();
@@ -333,6 +381,43 @@
         co_return true;
     }
 
+    /// A reading that is under way.
+    struct reading {
+        explicit reading(net::io_context& context) : ended{context} {}
+        std::optional<result<kv_range>> answer;
+        std::shared_ptr<kv_read_progress> progress = std::make_shared<kv_read_progress>();
+        timer ended; ///< cancelled when `answer` is set
+    };
+
+    net::awaitable<void> read_into(std::shared_ptr<reading> begun)
+    {
+        const auto self = shared_from_this();
+        begun->answer.emplace(
+            co_await kv.get_prefix(std::string{platform::watched_prefix()}, begun->progress));
+        begun->ended.cancel();
+    }
+
+    /// Waits until everything has been read, as long as the reading may be under way.
+    net::awaitable<result<kv_range>> read_everything()
+    {
+        const auto begun = std::make_shared<reading>(io);
+        net::co_spawn(io, read_into(begun), net::detached);
+        while (!stopped && !begun->answer) {
+            boost::system::error_code ended;
+            begun->ended.expires_after(read_check_interval);
+            co_await begun->ended.async_wait(net::redirect_error(net::use_awaitable, ended));
+            if (begun->answer || !begun->progress->waiting)
+                continue;
+            const result<kv_read> later = co_await kv.get(m_check_key);
+            if (later && !begun->answer && begun->progress->waiting)
+                co_return error{error_kind::deadline_exceeded,
+                                "the store has answered a later call", "read again"};
+        }
+        if (!begun->answer)
+            co_return error{error_kind::cancelled, "this node stops", ""};
+        co_return std::move(*begun->answer);
+    }
+
     /// `restored`: the store has come back from a copy since the last reading.
     void apply_read(const kv_range& read, bool restored)
     {
@@ -568,15 +653,19 @@
 
     peer_service& m_peers;
     timer m_pause;
-    bool m_shares_watches; ///< only followers watch the store
-    bool m_first_start;    ///< the whole fleet starts for the first time
+    bool m_shares_watches;   ///< only followers watch the store
+    bool m_first_start;      ///< the whole fleet starts for the first time
+    std::string m_check_key; ///< of no value; read to see whether the store answers
     random_source m_random;
     time_point m_started = runtime_clock::now();
     store_followers m_followers;
     store_outage m_outage;
     time_point m_last_push_at;
     time_point m_last_answer_at; ///< when the store last answered this node
-    duration m_read_timeout = min_read_timeout;
+    reading_turns m_turns{{}, m_started};
+    std::size_t m_live_nodes = 1;              ///< of all failure domains
+    std::size_t m_failure_domains = 1;         ///< of the live nodes
+    bool m_announced = false;                  ///< this node has read everything once
     std::uint64_t m_failed_reads = 0;          ///< since everything was last read
     std::int64_t m_revision = 0;               ///< last one received; 0: everything has to be read
     std::optional<std::int64_t> m_era;         ///< of the store at the last reading
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -41,6 +41,7 @@
     std::size_t keyed_body_bytes = 512 * 1024;      ///< of a keyed call and of its stored answer
     std::size_t requests = 4'096;                   ///< in flight and queued
     std::size_t idle_upstream = 64;                 ///< pooled connections to each target
+    double link_bytes_s = 0.0;                      ///< that the VM's link carries; 0: not known
     std::size_t held_bytes = 0; ///< of bodies and answers that are held; 0: unlimited
 };
 
--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -511,6 +511,8 @@
             co_return malformed_answer(pool->address, ec);
         co_return exchange_error(*connection, pool->address, ec, request.repeatable);
     }
+    if (request.on_head)
+        request.on_head();
     if (connection->parser().need_eof() && !pool->limits.allow_unframed_answers) {
         // Without Content-Length or chunks a truncated response looks complete.
         connection->close();
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -71,6 +71,7 @@
     std::optional<std::uint64_t> body_length; ///< of body_source; chunked if empty
     /// Called when the connection is established, right before the first byte is sent.
     std::function<void()> before_send;
+    std::function<void()> on_head; ///< called when the header of the answer has arrived
     /// The request may be sent again on a new connection, after another call of `before_send`, if
     /// the idle connection it was sent on was being closed. Its failures are reported as
     /// deadline_exceeded or unavailable instead of unknown_outcome.
--- a/outside/kv_watch.h
+++ b/outside/kv_watch.h
@@ -28,6 +28,11 @@
     [[nodiscard]] std::int64_t mod_revision() const { return entry ? entry->mod_revision : 0; }
 };
 
+/// Shows how far a reading is, while it is under way.
+struct kv_read_progress {
+    bool waiting = false; ///< a call was made whose answer has not begun
+};
+
 /// Result of reading a prefix, sorted by key.
 struct kv_range {
     std::int64_t revision = 0; ///< of the whole store; watch from revision + 1
--- a/peers/frame.h
+++ b/peers/frame.h
@@ -113,6 +113,9 @@
     /// Node whose push this is, if the sender forwards it.
     std::optional<node_id> origin = {};
     std::optional<store_record> store = {};
+    /// How long the sender took to read everything from the platform. A reply with it and nothing
+    /// else announces that.
+    std::optional<duration> reading_took = {};
 };
 
 using key_body = std::variant<key_request, key_reply>;
--- a/peers/gen/peers_types.cpp
+++ b/peers/gen/peers_types.cpp
@@ -2230,6 +2230,11 @@
   this->store_heard_ms = val;
 __isset.store_heard_ms = true;
 }
+
+void key_reply::__set_read_ms(const int32_t val) {
+  this->read_ms = val;
+__isset.read_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const key_reply& obj)
 {
   obj.printTo(out);
@@ -2354,6 +2359,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->read_ms);
+          this->__isset.read_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2431,6 +2444,11 @@
     xfer += oprot->writeI64(this->store_heard_ms);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.read_ms) {
+    xfer += oprot->writeFieldBegin("read_ms", ::apache::thrift::protocol::T_I32, 10);
+    xfer += oprot->writeI32(this->read_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2447,6 +2465,7 @@
   swap(a.last_push, b.last_push);
   swap(a.store_steady_ms, b.store_steady_ms);
   swap(a.store_heard_ms, b.store_heard_ms);
+  swap(a.read_ms, b.read_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -2460,6 +2479,7 @@
   last_push = other60.last_push;
   store_steady_ms = other60.store_steady_ms;
   store_heard_ms = other60.store_heard_ms;
+  read_ms = other60.read_ms;
   __isset = other60.__isset;
 }
 key_reply& key_reply::operator=(const key_reply& other61) {
@@ -2472,6 +2492,7 @@
   last_push = other61.last_push;
   store_steady_ms = other61.store_steady_ms;
   store_heard_ms = other61.store_heard_ms;
+  read_ms = other61.read_ms;
   __isset = other61.__isset;
   return *this;
 }
@@ -2487,6 +2508,7 @@
   out << ", " << "last_push="; (__isset.last_push ? (out << to_string(last_push)) : (out << "<null>"));
   out << ", " << "store_steady_ms="; (__isset.store_steady_ms ? (out << to_string(store_steady_ms)) : (out << "<null>"));
   out << ", " << "store_heard_ms="; (__isset.store_heard_ms ? (out << to_string(store_heard_ms)) : (out << "<null>"));
+  out << ", " << "read_ms="; (__isset.read_ms ? (out << to_string(read_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/peers/gen/peers_types.h
+++ b/peers/gen/peers_types.h
@@ -985,7 +985,7 @@
 std::ostream& operator<<(std::ostream& out, const key_value& obj);
 
 typedef struct _key_reply__isset {
-  _key_reply__isset() : entries(false), store_age_ms(false), push_number(false), complete(false), forward_to(false), origin(false), last_push(false), store_steady_ms(false), store_heard_ms(false) {}
+  _key_reply__isset() : entries(false), store_age_ms(false), push_number(false), complete(false), forward_to(false), origin(false), last_push(false), store_steady_ms(false), store_heard_ms(false), read_ms(false) {}
   bool entries :1;
   bool store_age_ms :1;
   bool push_number :1;
@@ -995,6 +995,7 @@
   bool last_push :1;
   bool store_steady_ms :1;
   bool store_heard_ms :1;
+  bool read_ms :1;
 } _key_reply__isset;
 
 class key_reply : public virtual ::apache::thrift::TBase {
@@ -1009,7 +1010,8 @@
               origin(),
               last_push(0),
               store_steady_ms(0),
-              store_heard_ms(0) {
+              store_heard_ms(0),
+              read_ms(0) {
   }
 
   virtual ~key_reply() noexcept;
@@ -1022,6 +1024,7 @@
   int64_t last_push;
   int64_t store_steady_ms;
   int64_t store_heard_ms;
+  int32_t read_ms;
 
   _key_reply__isset __isset;
 
@@ -1043,6 +1046,8 @@
 
   void __set_store_heard_ms(const int64_t val);
 
+  void __set_read_ms(const int32_t val);
+
   bool operator == (const key_reply & rhs) const
   {
     if (!(entries == rhs.entries))
@@ -1079,6 +1084,10 @@
       return false;
     else if (__isset.store_heard_ms && !(store_heard_ms == rhs.store_heard_ms))
       return false;
+    if (__isset.read_ms != rhs.__isset.read_ms)
+      return false;
+    else if (__isset.read_ms && !(read_ms == rhs.read_ms))
+      return false;
     return true;
   }
   bool operator != (const key_reply &rhs) const {
--- a/peers/key_relay.cc
+++ b/peers/key_relay.cc
@@ -7,6 +7,10 @@
 // Why values are never replaced by older ones: an entry is only replaced by one with a higher
 // revision, and the platform's revisions only increase.
 //
+// A node that has not seen all entries yet asks nodes of all failure domains, every second time one
+// that has announced that it read everything. All nodes of a failure domain may have started
+// together, and none of them may have been answered by the platform.
+//
 // Each node calculates the watchers of its domain independently, by rendezvous hashing over the
 // live members. While nodes disagree about the live members, a domain can have a watcher too many
 // or too few for a short time. Comparisons with peers make up for that.
@@ -59,9 +63,11 @@
     }
     m_neighbours = all_except(own_domain, m_settings.self);
     plan_routes(std::move(ranking));
-    m_peers = m_neighbours;
-    if (m_peers.empty())
-        m_peers = all_except(all, m_settings.self);
+    m_all = all_except(all, m_settings.self);
+    m_peers = m_neighbours.empty() ? m_all : m_neighbours;
+    std::erase_if(m_readers, [&](const node_id& reader) {
+        return std::find(m_all.begin(), m_all.end(), reader) == m_all.end();
+    });
     key_relay_commands out;
     if (chosen != m_watching) {
         m_watching = chosen;
@@ -264,14 +270,20 @@
         if (how != update::none && m_pushing)
             add_to_push(entry, how, out);
     }
+    if (reply.reading_took && !m_synced)
+        note_reader(now, message.from);
     m_synced = m_synced || reply.complete;
     if (reply.push_number)
         handle_push(now, reply.origin.value_or(message.from), message.delay, reply, out);
     else if (reply.complete)
         handle_comparison(now, message.from, reply, out);
     // A large reply may have been truncated to the maximum size: request the rest soon.
-    if (bytes > m_settings.max_reply_bytes / 2)
+    if (bytes > m_settings.max_reply_bytes / 2 && m_synced)
         m_next_sync = std::min(m_next_sync, now + m_settings.request_timeout);
+    else if (bytes > 0 && !m_synced && !reply.push_number) {
+        m_unfinished_from = message.from;
+        m_next_sync = now;
+    }
     if (!reply.entries.empty()) {
         m_failed_requests = 0;
         m_next_request = now; // requests what is still missing at the next tick
@@ -351,6 +363,7 @@
     // A node that has itself not seen all entries proves nothing to another one.
     reply.complete = request.wanted.empty() && m_synced;
     reply.last_push = m_push_number;
+    reply.reading_took = m_reading_took;
     if (m_steady_since)
         reply.store = store_record{now - *m_steady_since, now - m_heard_at};
     std::size_t bytes = 0;
@@ -386,12 +399,46 @@
                 request.known.push_back({wire, current->revision});
         }
     }
-    const bool watcher =
-        m_failed_requests % requests_per_watcher_request == requests_per_watcher_request - 1;
-    const std::vector<node_id>& among = watcher && !m_watchers.empty() ? m_watchers : m_peers;
+    const node_id peer = choose_peer();
     ++m_failed_requests;
     m_next_request = now + m_settings.request_timeout;
-    out.emplace_back(send_key_message{among[m_random.index(among.size())], std::move(request)});
+    out.emplace_back(send_key_message{peer, std::move(request)});
+}
+
+node_id key_relay_core::choose_peer()
+{
+    const auto any_of = [this](const std::vector<node_id>& nodes) {
+        return nodes[m_random.index(nodes.size())];
+    };
+    if (!m_synced) {
+        if (const auto unfinished = std::exchange(m_unfinished_from, std::nullopt))
+            return *unfinished;
+        const bool reader = !m_readers.empty() && m_failed_requests % 2 == 0;
+        return any_of(reader ? m_readers : m_all);
+    }
+    const bool watcher =
+        m_failed_requests % requests_per_watcher_request == requests_per_watcher_request - 1;
+    return any_of(watcher && !m_watchers.empty() ? m_watchers : m_peers);
+}
+
+key_relay_commands key_relay_core::announce_reading(duration took)
+{
+    m_reading_took = took;
+    key_relay_commands out;
+    key_reply announcement;
+    announcement.reading_took = took;
+    for (const node_id& node : m_all)
+        out.emplace_back(send_key_message{node, announcement, frame_priority::control});
+    return out;
+}
+
+void key_relay_core::note_reader(time_point now, const node_id& reader)
+{
+    if (std::find(m_readers.begin(), m_readers.end(), reader) != m_readers.end())
+        return;
+    m_readers.push_back(reader);
+    m_failed_requests = 0; // it is asked next
+    m_next_sync = now;
 }
 
 std::vector<known_key> key_relay_core::known() const
--- a/peers/key_relay.h
+++ b/peers/key_relay.h
@@ -40,8 +40,8 @@
     std::size_t watchers = 2;     ///< nodes of a failure domain that watch the platform
     duration request_timeout = std::chrono::milliseconds{400}; ///< for a peer's reply
     duration sync_interval = std::chrono::seconds{20};         ///< between comparisons with a peer
-    /// Used instead of sync_interval until the first reply.
-    duration initial_sync_interval = std::chrono::milliseconds{500};
+    /// Used instead of sync_interval until this node has seen all entries once.
+    duration initial_sync_interval = std::chrono::milliseconds{250};
     std::size_t max_reply_bytes = 256U << 10U; ///< of one reply
     double max_reply_bytes_s = 200'000.0;      ///< of all replies, per second
     std::size_t max_keys = 4096;
@@ -111,6 +111,10 @@
     }
     /// The platform has answered with all entries that it has, even if there are none.
     void platform_read() { m_synced = true; }
+    /// Tells all nodes that this one has read everything from the platform, and how long that took.
+    key_relay_commands announce_reading(duration took);
+    /// Whether the platform, or a peer that was itself synced, has once shown all its entries.
+    [[nodiscard]] bool synced() const { return m_synced; }
     /// Stops pushing. The other nodes must compare with this one after its next push.
     void stop_pushing();
     /// A notice arrived. If this node lacks the revision, it requests it from a peer in a later
@@ -156,6 +160,9 @@
     void handle_request(time_point now, const node_id& to, const key_request& request,
                         key_relay_commands& out);
     void send_request(time_point now, bool everything, key_relay_commands& out);
+    /// A node has announced that it has read everything.
+    void note_reader(time_point now, const node_id& reader);
+    [[nodiscard]] node_id choose_peer();
     [[nodiscard]] std::vector<known_key> known() const;
     [[nodiscard]] const relayed_key* find(std::uint32_t wire) const;
     bool consume_reply_budget(time_point now, std::size_t bytes);
@@ -172,10 +179,13 @@
     bool m_pushing = false;
     std::int64_t m_push_number = 0;
     std::map<node_id, push_source> m_push_sources;
-    std::vector<node_id> m_peers; ///< to send requests to: m_neighbours, or all nodes if empty
+    std::vector<node_id> m_peers;   ///< to send requests to: m_neighbours, or all nodes if empty
+    std::vector<node_id> m_all;     ///< live nodes of all failure domains, except this one
+    std::vector<node_id> m_readers; ///< that have announced a reading, until m_synced
+    std::optional<node_id> m_unfinished_from; ///< sent a part of its entries
+    std::optional<duration> m_reading_took;   ///< the last reading of this node
     bool m_watching = false;
-    /// The platform, or a peer that was itself synced, has once shown all entries that it has.
-    bool m_synced = false;
+    bool m_synced = false;                    ///< see synced()
     std::optional<time_point> m_steady_since; ///< nullopt: not sent with replies
     time_point m_heard_at;
     std::size_t m_failed_requests = 0;
--- a/peers/membership_keys.cc
+++ b/peers/membership_keys.cc
@@ -13,6 +13,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
 
+std::int32_t clamp_to_i32(std::int64_t value)
+{
+    return static_cast<std::int32_t>(
+        std::min<std::int64_t>(value, std::numeric_limits<std::int32_t>::max()));
+}
+
 std::optional<store_record> store_from_wire(const wire::key_reply& received)
 {
     const std::chrono::milliseconds steady{received.store_steady_ms};
@@ -71,14 +77,14 @@
     out.__isset.forward_to = !out.forward_to.empty();
     if (reply.origin)
         out.__set_origin(reply.origin->value());
-    if (reply.store_age) {
-        out.__set_store_age_ms(static_cast<std::int32_t>(std::min<std::int64_t>(
-            in_milliseconds(*reply.store_age), std::numeric_limits<std::int32_t>::max())));
-    }
+    if (reply.store_age)
+        out.__set_store_age_ms(clamp_to_i32(in_milliseconds(*reply.store_age)));
     if (reply.store) {
         out.__set_store_steady_ms(in_milliseconds(reply.store->steady));
         out.__set_store_heard_ms(in_milliseconds(reply.store->heard));
     }
+    if (reply.reading_took)
+        out.__set_read_ms(clamp_to_i32(in_milliseconds(*reply.reading_took)));
     return out;
 }
 
@@ -90,6 +96,8 @@
     if (received.__isset.store_age_ms && received.store_age_ms >= 0)
         reply.store_age = std::chrono::milliseconds{received.store_age_ms};
     reply.store = store_from_wire(received);
+    if (received.__isset.read_ms && received.read_ms >= 0)
+        reply.reading_took = std::chrono::milliseconds{received.read_ms};
     if (received.__isset.push_number)
         reply.push_number = received.push_number;
     reply.complete = received.__isset.complete && received.complete;
--- a/peers/peers.h
+++ b/peers/peers.h
@@ -17,6 +17,7 @@
 #include "peers/frame.h"
 #include "peers/membership.h"
 #include "peers/payload.h"
+#include "peers/reading_turns.h"
 #include "peers/store_followers.h"
 #include "peers/store_outage.h"
 #include "peers/transport.h"
--- a/peers/store_followers.h
+++ b/peers/store_followers.h
@@ -52,6 +52,10 @@
     /// A call of this node to the store failed.
     void store_failed(time_point now);
 
+    /// This node has everything from peers. The followers have read everything themselves by
+    /// `ready_at`, and push from then on.
+    void informed(time_point ready_at) { m_last_fresh = std::max(m_last_fresh, ready_at); }
+
     /// Whether this node must follow the store now.
     [[nodiscard]] bool should_follow(time_point now);
     /// Time since the store answered this node; nullopt if it doesn't follow or has no answer yet.
@@ -65,6 +69,8 @@
     {
         return now - m_lower_rank_fresh > m_settings.freshness_period;
     }
+    /// Nodes of a failure domain that always follow.
+    [[nodiscard]] std::size_t followers() const { return m_settings.followers; }
     /// Whether the domain has nodes that don't follow and thus depend on pushes.
     [[nodiscard]] bool has_dependents() const { return m_ranks.size() > m_settings.followers; }
 
--- a/services/kv.cc
+++ b/services/kv.cc
@@ -44,8 +44,12 @@
                       std::visit([&](auto& kv) { return kv.get(std::move(key)); }, m_adapter));
 }
 
-awaitable<result<kv_range>> kv_service::get_prefix(std::string prefix)
+awaitable<result<kv_range>> kv_service::get_prefix(std::string prefix,
+                                                   std::shared_ptr<kv_read_progress> progress)
 {
+    if (auto* store = std::get_if<platform::store_kv>(&m_adapter))
+        return count_call(kv_call::get_prefix,
+                          store->get_prefix(std::move(prefix), std::move(progress)));
     return count_call(
         kv_call::get_prefix,
         std::visit([&](auto& kv) { return kv.get_prefix(std::move(prefix)); }, m_adapter));
@@ -82,12 +86,6 @@
         store->set_watch_pace(pace);
 }
 
-void kv_service::set_read_timeout(duration timeout)
-{
-    if (auto* store = std::get_if<platform::store_kv>(&m_adapter))
-        store->set_read_timeout(timeout);
-}
-
 std::optional<std::int64_t> kv_service::era() const
 {
     const auto* store = std::get_if<platform::store_kv>(&m_adapter);
--- a/services/kv.h
+++ b/services/kv.h
@@ -174,8 +174,10 @@
                                 duration timeout = std::chrono::seconds{2});
 
     awaitable<result<kv_read>> get(std::string key);
-    /// All entries whose key starts with `prefix`, sorted by key.
-    awaitable<result<kv_range>> get_prefix(std::string prefix);
+    /// All entries whose key starts with `prefix`, sorted by key. With `progress`, the platform's
+    /// store is waited for as long as it needs; the caller watches whether an answer has begun.
+    awaitable<result<kv_range>> get_prefix(std::string prefix,
+                                           std::shared_ptr<kv_read_progress> progress = nullptr);
     awaitable<result<kv_outcome>> transact(kv_transaction transaction);
     awaitable<result<kv_lease>> grant(std::chrono::seconds ttl);
     /// Renews a lease; not_found if it has expired.
@@ -188,9 +190,6 @@
     /// Sets how often watches poll. Affects only the platform's store, whose watches are long
     /// polls; other adapters receive changes as they happen.
     void set_watch_pace(const watch_pace& pace);
-    /// Sets how long get_prefix() waits for each answer to begin. Affects only the platform's
-    /// store.
-    void set_read_timeout(duration timeout);
     /// Rises each time that the platform's store comes back from a copy of itself, without what was
     /// written since the copy was made. nullopt if the service states no era.
     [[nodiscard]] std::optional<std::int64_t> era() const;
