Return of all nodes: a pending reading counts as a failed call, and peers' knowledge of outages is kept

Change: a node that gets everything from a peer takes over what that knows of outages (store_outage::informed).

Tests: store_outage/a_node_that_the_store_never_answered_knows_of_an_outage, key_relay/nodes_without_tables_get_them_from_another_failure_domain, key_relay/a_node_that_announces_a_reading_is_asked_next.

--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -141,7 +141,7 @@
 
     void tick()
     {
-        if (m_read_once)
+        if (relay.synced())
             relay.set_store_record(m_outage.steady_since(), m_outage.last_answer());
         relay.tick();
         kv.set_watch_pace(pace());
@@ -162,7 +162,7 @@
         m_source = nullptr;
         note_reading(message);
         if (!synced && relay.synced())
-            note_synced_by_peers();
+            note_synced_by_peers(message);
         end_batch();
     }
 
@@ -255,9 +255,12 @@
 
     /// The followers of all failure domains read everything for themselves, in turn if the store is
     /// slow, before they push.
-    void note_synced_by_peers()
+    void note_synced_by_peers(const key_message& message)
     {
         const time_point now = runtime_clock::now();
+        const time_point sent_at = now - message.delay;
+        const store_record known = std::get<key_reply>(message.body).store.value_or(store_record{});
+        m_outage.informed(sent_at - known.steady, sent_at - known.heard);
         const duration reading = m_turns.reading_took().value_or(duration{0});
         const auto readings =
             static_cast<duration::rep>(m_followers.followers() * m_failure_domains);
@@ -408,7 +411,12 @@
             co_await begun->ended.async_wait(net::redirect_error(net::use_awaitable, ended));
             if (begun->answer || !begun->progress->waiting)
                 continue;
+            // Whether it is slow or away: what vanishes from it meanwhile may return.
+            store_failed({error_kind::deadline_exceeded, "the store has not answered a reading yet",
+                          "it is waited for; check the store's load"});
             const result<kv_read> later = co_await kv.get(m_check_key);
+            if (!later && !begun->answer)
+                store_failed(later.error());
             if (later && !begun->answer && begun->progress->waiting)
                 co_return error{error_kind::deadline_exceeded,
                                 "the store has answered a later call", "read again"};
--- a/daemon/registry_fixture.h
+++ b/daemon/registry_fixture.h
@@ -29,8 +29,8 @@
 struct registry_fixture_settings {
     std::size_t nodes = 1;
     std::size_t failure_domains = 1; ///< of the nodes, in turn; all servers are in the first
-    std::size_t model_servers = 4; ///< in groups of two
-    double retry_extra = 100.0;    ///< of all nodes together
+    std::size_t model_servers = 4;   ///< in groups of two
+    double retry_extra = 100.0;      ///< of all nodes together
     /// Repeats that a predecessor of a node may have sent count for this long.
     std::chrono::milliseconds retry_window{10'000};
     std::size_t events = 6;                            ///< events in a stream
@@ -117,9 +117,9 @@
     /// has come back from a copy.
     void write_configuration_again()
     {
-        put_config_version(*m_store, m_version,
-                           {.route_timeout = m_settings.timeout,
-                            .other_routes = m_settings.other_routes});
+        put_config_version(
+            *m_store, m_version,
+            {.route_timeout = m_settings.timeout, .other_routes = m_settings.other_routes});
     }
     [[nodiscard]] std::int64_t version() const { return m_version; }
     store_standin& store() { return *m_store; }
--- a/peers/key_relay_test.cc
+++ b/peers/key_relay_test.cc
@@ -231,6 +231,39 @@
     cr_assert_eq(net.nodes().back().core.keys().size(), 30);
 }
 
+// Guards against a failure domain that gets nothing from the others: all its nodes have started
+// together, and the platform has answered none of them.
+Test(key_relay, nodes_without_tables_get_them_from_another_failure_domain)
+{
+    network net{6, 2, 7, false};
+    for (int i = 0; i < 30; ++i)
+        net.write("r" + std::to_string(i), 10 + i);
+    net.read_platform(0);
+    net.steps(30);
+    for (const node& each : net.nodes()) {
+        cr_assert_eq(each.core.keys().size(), 30U, "%s", each.name.value().c_str());
+        cr_assert(each.core.synced());
+    }
+}
+
+// Guards against nodes that ask those without tables for seconds, beside one that has told them
+// that it has read everything.
+Test(key_relay, a_node_that_announces_a_reading_is_asked_next)
+{
+    key_relay_core relay{{.self = node_id{"n0"}}, random_source{3}};
+    std::vector<node_id> all;
+    for (int i = 0; i < 50; ++i)
+        all.emplace_back("n" + std::to_string(i));
+    relay.members_changed(all, all);
+    const time_point now{std::chrono::hours{1}};
+    key_reply announcement;
+    announcement.reading_took = std::chrono::milliseconds{800};
+    relay.message_received(now, {node_id{"n7"}, announcement});
+    const key_relay_commands asked = relay.tick(now);
+    cr_assert_eq(asked.size(), 1U);
+    cr_assert_eq(std::get<send_key_message>(asked.front()).to.value(), "n7");
+}
+
 // The same with so many records that they need several replies. Guards against a new node that
 // waits for the next comparison, 20 s later, before it requests the rest.
 Test(key_relay, a_node_started_during_an_outage_gets_a_thousand_keys_within_five_seconds)
--- a/peers/reading_turns.h
+++ b/peers/reading_turns.h
@@ -22,7 +22,7 @@
 
 struct reading_turns_settings {
     /// To learn of the other nodes after the start.
-    duration settle = std::chrono::milliseconds{100};
+    duration settle = std::chrono::milliseconds{50};
     /// Until the second node of a failure domain begins; each later round, of twice as many, begins
     /// after twice as long.
     duration round = std::chrono::milliseconds{1'500};
--- a/peers/store_outage.cc
+++ b/peers/store_outage.cc
@@ -42,6 +42,16 @@
     m_last_answer = now;
 }
 
+void store_outage::informed(time_point steady_since, time_point last_answer)
+{
+    if (m_last_answer)
+        return;
+    m_last_answer = last_answer;
+    m_returned_at = last_answer;
+    m_steady_since = steady_since;
+    m_grace_until = steady_since + m_settings.grace;
+}
+
 void store_outage::neighbour_answered(time_point answered_at)
 {
     if (!m_last_answer || answered_at <= *m_last_answer)
--- a/peers/store_outage.h
+++ b/peers/store_outage.h
@@ -33,6 +33,8 @@
 
     /// The store answered a call of this node.
     void store_answered(time_point now);
+    /// This node, which the store has never answered, has everything from a peer that knew this.
+    void informed(time_point steady_since, time_point last_answer);
     /// A call of this node to the store failed.
     void store_failed() { ++m_failures; }
     /// The store answered a neighbour at that time.
--- a/peers/store_outage_test.cc
+++ b/peers/store_outage_test.cc
@@ -110,3 +110,15 @@
     node.neighbour_knows(start - 90s, start + 500ms);
     cr_assert(keeps_entries(node, start + 6s));
 }
+
+// Guards against a node that has its tables from a peer and removes the fleet after an outage in
+// which it called the store for the first time.
+Test(store_outage, a_node_that_the_store_never_answered_knows_of_an_outage)
+{
+    store_outage node{{}};
+    node.informed(start - 60s, start);
+    node.store_failed();
+    node.store_failed();
+    node.store_answered(start + 3s);
+    cr_assert(keeps_entries(node, start + 5s));
+}
--- a/soak/fault_soak_main.cc
+++ b/soak/fault_soak_main.cc
@@ -42,9 +42,10 @@
           "megabits a second that all answers of the store share; 0: unlimited");
 ABSL_FLAG(bool, store_in_turns, false,
           "the store sends one answer after the other, also those that nobody waits for any more");
-ABSL_FLAG(bool, deployment, false,
-          "size of a deployment: 28 daemons in three failure domains, 162 runners in fabric domains "
-          "of 18, models of 8 and 2, 1,900 routes; the flags for sizes are ignored");
+ABSL_FLAG(
+    bool, deployment, false,
+    "size of a deployment: 28 daemons in three failure domains, 162 runners in fabric domains "
+    "of 18, models of 8 and 2, 1,900 routes; the flags for sizes are ignored");
 ABSL_FLAG(double, rate, 0.0,
           "requests a second beside those of --callers, sent whether earlier ones are answered");
 ABSL_FLAG(std::uint32_t, daemon_cores, 0, "cores that all daemons share; 0: all");
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -15,7 +15,7 @@
 
 /// Longer than the route's timeout, so that a request that the daemon never answers is detected.
 constexpr duration caller_timeout = std::chrono::seconds{7};
-constexpr std::int64_t max_pause_ms = 120; ///< between two requests of a caller
+constexpr std::int64_t max_pause_ms = 120;                    ///< between two requests of a caller
 constexpr duration stream_deadline = std::chrono::seconds{6}; ///< of those that send at a rate
 constexpr duration plain_deadline = std::chrono::milliseconds{1'500};
 /// With less, a request is not sent again.
@@ -65,8 +65,8 @@
     if (response.value().status != boost::beast::http::status::service_unavailable)
         return std::nullopt;
     const auto stated = parse_number<double>(response.value().header("Retry-After"));
-    const duration wait = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>{stated.value_or(0.0)});
+    const duration wait =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>{stated.value_or(0.0)});
     return std::min(wait, left / max_wait_divisor);
 }
 
@@ -122,7 +122,8 @@
     const time_point start = runtime_clock::now();
     while (!m_stopped) {
         // The rate is kept, also when this loop was held up.
-        const double due = per_s * std::chrono::duration<double>{runtime_clock::now() - start}.count();
+        const double due =
+            per_s * std::chrono::duration<double>{runtime_clock::now() - start}.count();
         for (; static_cast<double>(begun) < due; ++begun)
             spawn(send_with_retry(clients));
         co_await standin_sleep(m_io.get_executor(), std::chrono::milliseconds{1});
@@ -166,9 +167,10 @@
     return request;
 }
 
-asio::awaitable<soak_callers::time_to_retry>
-soak_callers::send_request(request_record request, http_client& client, duration deadline,
-                           bool reuses_connection)
+asio::awaitable<soak_callers::time_to_retry> soak_callers::send_request(request_record request,
+                                                                        http_client& client,
+                                                                        duration deadline,
+                                                                        bool reuses_connection)
 {
     const std::vector<model_form>& models = m_site.settings().configuration.models;
     request.sent = runtime_clock::now();
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -45,7 +45,8 @@
     soak_outcome run()
     {
         m_site.start();
-        if (!run_until([&] { return serving(); }, max_start_time + m_settings.site.configuration.load))
+        if (!run_until([&] { return serving(); },
+                       max_start_time + m_settings.site.configuration.load))
             return {{"fewer than two servers are ready " +
                      std::to_string(max_start_time / poll_interval) +
                      " poll intervals after the start"},
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -27,7 +27,8 @@
     bool pause_after_maintenance = false; ///< the same
     /// Ends the run: all daemons are lost at once right after a last change of the configuration.
     std::optional<planned_fleet_outage> final_outage;
-    /// Share of each tenth of a second in which the daemons run; in the rest all of them stand still.
+    /// Share of each tenth of a second in which the daemons run; in the rest all of them stand
+    /// still.
     double daemon_quota = 1.0;
     soak_site_settings site;
 };
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -1,9 +1,9 @@
 #include "soak/soak_site.h"
 
 #include "scenarios/free_address.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
-
 #include <sched.h>
 
 #include <cerrno>
@@ -49,8 +49,8 @@
 {
     std::string name = "d-" + domain_name(index);
     if (m_settings.fabric_domain_size > 0)
-        name += "-" + std::to_string(index / m_settings.failure_domains /
-                                     m_settings.fabric_domain_size);
+        name += "-" +
+                std::to_string(index / m_settings.failure_domains / m_settings.fabric_domain_size);
     return name;
 }
 
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -33,7 +33,7 @@
     std::size_t runners = 10; ///< model runners
     /// Runners in a fabric domain; 0: each failure domain is one.
     std::size_t fabric_domain_size = 0;
-    std::size_t servers = 3;  ///< plain backend servers
+    std::size_t servers = 3; ///< plain backend servers
     std::size_t stream_events = 12;
     /// Long enough for streams to be open whenever servers are paused.
     std::chrono::milliseconds stream_gap{25};
@@ -42,7 +42,7 @@
     std::size_t plain_slots = 0;             ///< the same of a plain server
     std::chrono::milliseconds plain_work{0}; ///< time for a request
     std::size_t daemon_cores = 0;            ///< that all daemons share; 0: all
-    double store_link_bytes_per_s = 0.0; ///< all answers of the store share it; 0: unlimited
+    double store_link_bytes_per_s = 0.0;     ///< all answers of the store share it; 0: unlimited
     link_sharing store_link_sharing = link_sharing::chunks;
     promise_bounds bounds; ///< that the daemons are given and the checker checks
 };
--- a/standins/platform_forms.cc
+++ b/standins/platform_forms.cc
@@ -88,8 +88,8 @@
         {"version", version},
         {"routes", std::move(routes)},
         {"services", json::array{model_service(form), json::object{{"name", "app"},
-                                                               {"health_path", "/health"},
-                                                               {"max_conns", 200}}}},
+                                                                   {"health_path", "/health"},
+                                                                   {"max_conns", 200}}}},
         {"limits", limits},
         {"tenants", json::array{tenant}}});
 }
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -80,14 +80,14 @@
 struct runner_standin_settings {
     std::string id;
     std::string service = "llm";
-    std::string zone = "zone-a";           ///< failure domain
-    std::string domain;                    ///< fabric domain; empty for a plain server
-    std::size_t events = 6;                ///< events in a stream
-    std::chrono::milliseconds gap{10};     ///< time between the events of a stream
-    std::chrono::milliseconds work{0};     ///< time that a plain server takes for a request
+    std::string zone = "zone-a";       ///< failure domain
+    std::string domain;                ///< fabric domain; empty for a plain server
+    std::size_t events = 6;            ///< events in a stream
+    std::chrono::milliseconds gap{10}; ///< time between the events of a stream
+    std::chrono::milliseconds work{0}; ///< time that a plain server takes for a request
     std::chrono::milliseconds load{40};
     std::chrono::milliseconds warm_up{40}; ///< of a model that is staged on the host
-    std::size_t slots = 0; ///< requests at once, others are refused; 0: any number
+    std::size_t slots = 0;                 ///< requests at once, others are refused; 0: any number
     std::shared_ptr<runner_fabric> fabric; ///< null: doesn't check other runners
 };
 
