Peers: the timeout of an acknowledgement follows the delays seen and doubles with each replaced connection

Cause, suspected: 0.7 s for an acknowledgement, whatever the peer's processor. Nodes that start together acknowledge later; their connections are replaced and their frames sent again, which makes them later still.

Change: the timeout is four times the longest recent delay, 0.7 s to 6 s; each connection that was given up doubles it; prompt acknowledgements shorten it again (a sixteenth of the longest delay each). A silent connection between nodes that answered promptly is found after 0.7 s as before. Cost: one subtraction for each acknowledgement.

--- a/peers/sent_frames.cc
+++ b/peers/sent_frames.cc
@@ -1,6 +1,10 @@
 // The time until an acknowledgement is counted from the last one, not from the sending: frames may
 // wait in the kernel behind others on the same link, but a connection that works passes one unit
 // after the other.
+//
+// A peer that gets little processor acknowledges late, and a new connection would make it later
+// still. So the timeout is a multiple of the delays seen, and each connection that was given up
+// doubles it, until acknowledgements come sooner again.
 #include "peers/sent_frames.h"
 
 #include <algorithm>
@@ -11,7 +15,10 @@
 
 /// Much longer than a round trip, and short enough that a push that is sent again is still in time
 /// for a change of the configuration.
-constexpr duration ack_timeout = std::chrono::milliseconds{700};
+constexpr duration min_ack_timeout = std::chrono::milliseconds{700};
+constexpr duration max_ack_timeout = std::chrono::seconds{6};
+constexpr int timeout_in_delays = 4; ///< of the longest recent acknowledgement
+constexpr int delay_decay = 16;      ///< each acknowledgement takes this part off the longest delay
 /// For a peer that has not acknowledged anything yet: a build without acknowledgements never does.
 constexpr duration first_ack_timeout = std::chrono::seconds{4};
 
@@ -36,6 +43,8 @@
 void sent_frames::acknowledge(std::size_t units, time_point now)
 {
     m_acknowledges = true;
+    m_longest_delay =
+        std::max(now - m_progress_at, m_longest_delay - m_longest_delay / delay_decay);
     m_progress_at = now;
     while (units > 0 && !m_frames.empty()) {
         row& oldest = m_frames.front();
@@ -49,15 +58,23 @@
     }
 }
 
+duration sent_frames::timeout() const
+{
+    if (!m_acknowledges)
+        return first_ack_timeout;
+    return std::clamp<duration>(timeout_in_delays * m_longest_delay, min_ack_timeout,
+                                max_ack_timeout);
+}
+
 time_point sent_frames::overdue_at() const
 {
-    if (m_frames.empty())
-        return time_point::max();
-    return m_progress_at + (m_acknowledges ? ack_timeout : first_ack_timeout);
+    return m_frames.empty() ? time_point::max() : m_progress_at + timeout();
 }
 
 std::deque<sent_frames::frame_ptr> sent_frames::take_for_resend()
 {
+    if (!m_frames.empty() && m_acknowledges)
+        m_longest_delay = std::min(2 * timeout(), max_ack_timeout) / timeout_in_delays;
     std::deque<frame_ptr> again;
     for (row& each : m_frames) {
         if (!each.resent && m_acknowledges)
--- a/peers/sent_frames.h
+++ b/peers/sent_frames.h
@@ -52,10 +52,14 @@
         bool resent = false;
     };
 
+    /// Until a connection without an acknowledgement counts as silent.
+    [[nodiscard]] duration timeout() const;
+
     std::deque<row> m_frames;
     std::size_t m_bytes = 0;
     std::size_t m_resend_left = 0; ///< frames to be added next that were sent before
     bool m_acknowledges = false;   ///< the peer has acknowledged something
+    duration m_longest_delay{0};   ///< of recent acknowledgements
     time_point m_progress_at;      ///< last acknowledgement, or when the oldest frame was added
 };
 
--- a/peers/sent_frames_test.cc
+++ b/peers/sent_frames_test.cc
@@ -60,6 +60,40 @@
     cr_assert(sent.empty());
 }
 
+// Guards against peers with little processor whose connections are replaced again and again while
+// they read as fast as they can.
+Test(sent_frames, a_peer_that_acknowledges_late_is_waited_for_longer)
+{
+    sent_frames sent = proven_connection();
+    sent.add(frame(10), start);
+    sent.acknowledge(1, start + 600ms);
+    sent.add(frame(10), start + 1s);
+    cr_assert_not(sent.is_overdue(start + 3s));
+    cr_assert(sent.is_overdue(start + 7s));
+    sent.acknowledge(1, start + 1s);
+    time_point now = start + 1s;
+    for (int prompt = 0; prompt < 64; ++prompt, now += 10ms) {
+        sent.add(frame(10), now);
+        sent.acknowledge(1, now + 1ms);
+    }
+    sent.add(frame(10), now);
+    cr_assert(sent.is_overdue(now + 1s), "prompt acknowledgements shorten it again");
+}
+
+// Guards against a connection that is replaced each 0.7 s, which is more work for a busy peer.
+Test(sent_frames, each_replaced_connection_doubles_the_time)
+{
+    sent_frames sent = proven_connection();
+    time_point now = start;
+    for (const duration expected : {700ms, 1'400ms, 2'800ms, 5'600ms, 6'000ms, 6'000ms}) {
+        sent.add(frame(10), now);
+        cr_assert_not(sent.is_overdue(now + expected - 1ms));
+        cr_assert(sent.is_overdue(now + expected));
+        now += expected;
+        sent.take_for_resend();
+    }
+}
+
 // Guards against sending a frame for ever to a peer that reads it and never acknowledges it.
 Test(sent_frames, a_frame_is_sent_again_once)
 {
