Registry: a node with tables from peers waits five seconds at most for the followers

Before, it waited for as long as the announced reading would take all followers in turn, without a bound: a reading that was announced as 10 s by a node without processor would have kept the nodes of three failure domains from standing in for a minute.

--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -80,6 +80,9 @@
 constexpr std::uint64_t large_backlog_bytes = 1U << 20U;
 /// Between two log lines about late pushes, and about the backlog.
 constexpr duration delay_log_interval = std::chrono::seconds{1};
+/// How long a node with tables from peers waits at most for the followers' own readings before it
+/// may stand in for them.
+constexpr duration max_followers_wait = std::chrono::seconds{5};
 /// A push with an older answer of the store does not end an outage.
 constexpr duration max_answer_age = std::chrono::milliseconds{1'500};
 
@@ -264,7 +267,7 @@
         const duration reading = m_turns.reading_took().value_or(duration{0});
         const auto readings =
             static_cast<duration::rep>(m_followers.followers() * m_failure_domains);
-        m_followers.informed(now + readings * reading);
+        m_followers.informed(now + std::min(readings * reading, max_followers_wait));
         log_event(log_level::info, "tables_from_peers",
                   {{"after_ms", in_milliseconds(now - m_started)},
                    {"entries", relay.keys().size()},
