--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -175,7 +175,8 @@
     const std::vector<model_form>& models = m_site.settings().configuration.models;
     request.sent = runtime_clock::now();
     m_checker.record_request(request);
-    http_request sent = to_http(request, deadline, models[m_random.index(models.size())].name);
+    const std::size_t model = models.size() == 1 ? 0 : m_random.index(models.size());
+    http_request sent = to_http(request, deadline, models[model].name);
     if (!reuses_connection)
         sent.max_connection_idle = duration{0};
     const result<http_response> response =
