Registry: two flags that follow from other state are gone

Whether this node has read the store once was kept beside the relay's synced(), which every reading sets before; whether it has announced a reading follows from the length that reading_turns knows, its own now included. The whole test run was not repeated on this commit.

--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -233,7 +233,7 @@
     [[nodiscard]] bool should_watch()
     {
         const time_point now = runtime_clock::now();
-        if (!m_read_once && !relay.synced())
+        if (!relay.synced())
             return m_turns.may_read(m_followers.rank(), m_live_nodes, now);
         if (!m_shares_watches)
             return true;
@@ -252,7 +252,7 @@
         if (reply == nullptr || !reply->reading_took)
             return;
         m_turns.reading_announced(*reply->reading_took);
-        if (!m_read_once && !relay.synced())
+        if (!relay.synced())
             m_pause.cancel();
     }
 
@@ -374,10 +374,7 @@
         // this node's before they rely on its next push.
         relay.stop_pushing();
         m_revision = read.value().revision;
-        m_read_once = true;
-        // Later ones of the same start learn nothing from further announcements.
-        if (!std::exchange(m_announced, true) && !m_turns.reading_took())
-            relay.announce_reading(runtime_clock::now() - asked);
+        announce_first_reading(runtime_clock::now() - asked);
         store_answered();
         set_current(true);
         end_batch();
@@ -429,6 +426,15 @@
         co_return std::move(*begun->answer);
     }
 
+    /// Unless one was announced before: the nodes learn nothing from a second one.
+    void announce_first_reading(duration took)
+    {
+        if (m_turns.reading_took())
+            return;
+        m_turns.reading_announced(took);
+        relay.announce_reading(took);
+    }
+
     /// `restored`: the store has come back from a copy since the last reading.
     void apply_read(const kv_range& read, bool restored)
     {
@@ -676,12 +682,10 @@
     reading_turns m_turns{{}, m_started};
     std::size_t m_live_nodes = 1;              ///< of all failure domains
     std::size_t m_failure_domains = 1;         ///< of the live nodes
-    bool m_announced = false;                  ///< this node has read everything once
     std::uint64_t m_failed_reads = 0;          ///< since everything was last read
     std::int64_t m_revision = 0;               ///< last one received; 0: everything has to be read
     std::optional<std::int64_t> m_era;         ///< of the store at the last reading
     std::optional<time_point> m_read_again_at; ///< since the store has come back from a copy
-    bool m_read_once = false;
     bool m_changed = false;
     bool m_follows = false;                ///< last result of should_follow()
     const key_message* m_source = nullptr; ///< being processed; null: the store's answer
