Groups: report requests to runners that don't answer back off

What callers saw: after the loss and return of all nodes, a fleet that was served before (300 requests a second, all on one core) stayed at a twentieth of it or at 0 to the end.

Cause: a manager asks each runner for its report until it has one, every 150 ms with a timeout of 200 ms. After a return all memberships are unconfirmed, so 162 runners are asked at once, with a new connection each. Runners that are late by more than 200 ms never answer in time, and the manager goes on with 1,000 requests a second, which make them later.

Change: each request that is not answered doubles the timeout and the interval, up to 3.2 s. As a report may now be older, one that was requested before the runner accepted its last order is ignored.

--- a/daemon/formation_driver.cc
+++ b/daemon/formation_driver.cc
@@ -330,12 +330,14 @@
     {
         const auto self = shared_from_this();
         const result<runner_report> report =
-            co_await orders.report(command.vm, command.address, probe_timeout);
-        if (report)
+            co_await orders.report(command.vm, command.address, command.timeout);
+        if (report) {
             dispatch_to_domain(domain, groups::runner_reported{report.value()});
-        else
-            log_event(log_level::warning, "runner_report_missing",
-                      {{"vm", command.vm.value()}, {"reason", report.error().message}});
+            co_return;
+        }
+        log_event(log_level::warning, "runner_report_missing",
+                  {{"vm", command.vm.value()}, {"reason", report.error().message}});
+        dispatch_to_domain(domain, groups::runner_report_missed{command.vm});
     }
 
     net::awaitable<void> probe(failure_domain_id domain, groups::probe_member command)
--- a/groups/fake_registry.cc
+++ b/groups/fake_registry.cc
@@ -312,6 +312,9 @@
         const bool cut = m_cut_managers.contains(manager);
         if (!cut && target != nullptr && target->alive && target->reachable && !target->paused)
             deliver(manager, runner_reported{report_of(*target)});
+        else
+            deliver(manager, runner_report_missed{asked->vm});
+        ++m_report_requests;
     }
     else if (const auto* shared = std::get_if<broadcast_runner>(&command)) {
         for (const fake_manager& other : m_managers)
@@ -472,6 +475,14 @@
     return ids;
 }
 
+std::vector<std::string> fake_registry::runner_ids() const
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, runner] : m_runners)
+        ids.push_back(id);
+    return ids;
+}
+
 std::vector<std::string> fake_registry::spare() const
 {
     std::set<std::string> used;
--- a/groups/fake_registry.h
+++ b/groups/fake_registry.h
@@ -78,6 +78,9 @@
     /// From now on, orders are with this probability unanswered, but executed at once.
     void lose_answers(double chance) { m_lost_answers = chance; }
     /// From now on, reports show the runners' state of `late` ago.
+    [[nodiscard]] std::vector<std::string> runner_ids() const;
+    /// Requests for runners' reports so far.
+    [[nodiscard]] std::size_t report_requests() const { return m_report_requests; }
     void delay_reports(duration late) { m_report_delay = late; }
     /// From now on, managers receive each entry `late` after it was written.
     void delay_entries(duration late) { m_entry_delay = late; }
@@ -203,6 +206,7 @@
     double m_lost_orders = 0.0;
     double m_lost_answers = 0.0;
     bool m_traffic = false;
+    std::size_t m_report_requests = 0;
     bool m_store_down = false;
     bool m_evacuated = false;
     std::size_t m_orders = 0;
--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -164,6 +164,10 @@
             core.lease_election.suspend_candidacy(now);
         }
         void operator()(const runner_reported& e) const { core.handle_report(e.report, now); }
+        void operator()(const runner_report_missed& e) const
+        {
+            core.handle_missed_report(e.vm, now);
+        }
         void operator()(const peers_seen& e) const
         {
             core.peers = e.peers;
@@ -295,6 +299,7 @@
                                                     order_reply reply, time_point now)
 {
     const bool begun = reply == order_reply::begun;
+    view.order_accepted_at = now;
     if (const auto* joined = std::get_if<join_group>(&order)) {
         apply_join(view, *joined, begun, now);
         return;
--- a/groups/formation.h
+++ b/groups/formation.h
@@ -104,6 +104,10 @@
 struct runner_reported {
     runner_report report;
 };
+/// request_runner_report was not answered in time.
+struct runner_report_missed {
+    vm_id vm;
+};
 /// The first request of a caller has arrived.
 struct traffic_started {};
 struct formation_tick {};
@@ -112,8 +116,8 @@
     std::variant<runner_updated, runner_removed, model_pools_updated, manager_key_updated,
                  registry_status, server_reach_changed, kv_result, lease_result, order_answered,
                  group_unresponsive, member_probed, peer_probe_result, outage_confirmed,
-                 outage_reported, store_restored, runner_reported, peers_seen, traffic_started,
-                 formation_tick>;
+                 outage_reported, store_restored, runner_reported, runner_report_missed, peers_seen,
+                 traffic_started, formation_tick>;
 
 // Commands.
 
@@ -145,6 +149,7 @@
 struct request_runner_report {
     vm_id vm;
     std::string address;
+    duration timeout;
 };
 /// Sends a runner's state to the other nodes while the registry can't be written.
 struct broadcast_runner {
@@ -187,7 +192,11 @@
     /// the registry drops a dead runner's entry; it matters only while entries don't expire.
     duration max_silence = 5s;
     duration outage_query_interval = 300ms; ///< between two queries about an outage of the store
-    duration report_query_interval = 150ms; ///< between two report requests to one runner
+    duration report_query_interval = 150ms; ///< between a report of a runner and the next request
+    /// Timeout of a report request. Doubled, like the interval, with each request in a row that is
+    /// not answered, so that requests don't pile up at runners that are late.
+    duration report_timeout = 200ms;
+    duration max_report_timeout = 3'200ms;
     /// Upper bound on the age of a report: a report requested this long after an order includes
     /// that order in its count.
     duration max_report_age = 250ms;
--- a/groups/formation_outage.cc
+++ b/groups/formation_outage.cc
@@ -72,17 +72,39 @@
 {
     if (now < view.next_report_query || !is_reachable(view) || evacuated())
         return;
-    view.next_report_query = now + settings.report_query_interval;
-    out.emplace_back(request_runner_report{view.row.id, view.row.address});
+    const duration timeout = backed_off(settings.report_timeout, view.reports_missed);
+    view.report_requested_at = now;
+    view.next_report_query = now + backed_off(settings.report_query_interval, view.reports_missed);
+    out.emplace_back(request_runner_report{view.row.id, view.row.address, timeout});
+}
+
+duration formation_manager::state::backed_off(duration first, std::uint32_t misses) const
+{
+    constexpr std::uint32_t most_doublings = 8;
+    return std::min<duration>(first * (1U << std::min(misses, most_doublings)),
+                              settings.max_report_timeout);
+}
+
+void formation_manager::state::handle_missed_report(const vm_id& vm, time_point now)
+{
+    runner_view* view = find(vm);
+    if (view == nullptr)
+        return;
+    ++view->reports_missed;
+    view->next_report_query =
+        now + backed_off(settings.report_query_interval, view->reports_missed);
 }
 
 void formation_manager::state::handle_report(const runner_report& report, time_point now)
 {
     const runner_word& word = report.word;
     runner_view* view = find(word.vm);
+    if (view != nullptr)
+        view->reports_missed = 0;
     const bool same_start =
         view != nullptr && view->listed && (word.born_ms == 0 || view->row.born_ms == word.born_ms);
-    if (!same_start || is_outdated(report, *view))
+    if (!same_start || view->report_requested_at < view->order_accepted_at ||
+        is_outdated(report, *view))
         return;
     // If only the phase differs, the runner's entry shows it sooner than a report, unless the store
     // is unreachable.
--- a/groups/formation_state.h
+++ b/groups/formation_state.h
@@ -46,8 +46,11 @@
     time_point next_order_at;                     ///< earliest time of the next order
     time_point next_group_probe;                  ///< of the group that it is the head of
     time_point next_report_query;                 ///< earliest time of the next report request
-    std::string staging;                          ///< model that is being staged on its host
-    time_point staging_until;                     ///< staging is given up at this time
+    time_point report_requested_at;               ///< the last request
+    time_point order_accepted_at;     ///< the last one; reports requested earlier may not count it
+    std::uint32_t reports_missed = 0; ///< requests in a row without an answer
+    std::string staging;              ///< model that is being staged on its host
+    time_point staging_until;         ///< staging is given up at this time
 };
 
 /// Purpose of a composition.
@@ -122,6 +125,8 @@
     void query_store_outage(time_point now);
     void query_members(time_point now);
     void query_runner(runner_view& view, time_point now);
+    void handle_missed_report(const vm_id& vm, time_point now);
+    [[nodiscard]] duration backed_off(duration first, std::uint32_t misses) const;
     void handle_report(const runner_report& report, time_point now);
     void apply_report(const runner_word& word, runner_view& view, time_point now);
     void broadcast(const runner_view& view, time_point now);
--- a/groups/formation_test.cc
+++ b/groups/formation_test.cc
@@ -203,6 +203,24 @@
     assert_no_violations(world);
 }
 
+// Guards against report requests that pile up at runners that are late: each one that is not
+// answered costs the runner work for nothing.
+Test(formation, reports_of_runners_that_do_not_answer_are_requested_ever_less_often)
+{
+    fake_registry world = serving_fleet({.managers = 2, .domains = 2, .runners = 9});
+    const std::size_t runners = world.runner_ids().size();
+    world.kill_manager(world.leader());
+    for (const std::string& id : world.runner_ids())
+        world.pause(id);
+    cr_assert(world.run_until([&] { return world.leaders() == 1; }, 5s));
+    const std::size_t before = world.report_requests();
+    world.run(6s);
+    const std::size_t doublings = 6; // from 150 ms to 6 s
+    cr_assert_leq(world.report_requests() - before, runners * (doublings + 1), "%zu",
+                  world.report_requests() - before);
+    cr_assert_geq(world.report_requests() - before, 1U);
+}
+
 // The head is lost while its members are still in its group. They must leave before they join
 // another group; otherwise they would be in two groups if the head is alive behind a partition.
 Test(formation, members_of_a_lost_head_leave_before_they_join)
