Routing: a fleet that is overloaded serves what it can, and comes back to what it bore

A load that is served whole for as long as nothing happens is not served any more after the loss and return of all nodes: all nodes know their servers and admit every request, and none is answered in time, to the end.

Cause, two layers. Servers that share a processor work in order of arrival, also on what has been given up. 1. A node takes servers for silent after a fixed time. When all answers are late, it moves sound requests to other servers, probes groups, and cancels what is being worked on: more work for less. 2. Model pools admit by the predicted time of an engine and not by what is observed. A node without answers sees groups without load, and goes on to send what can't be finished in time.

Change: - Timeouts for silence follow the delays seen (response_delay.h): a moving average of how much later than predicted answers begin, where a silence counts with its length. One server that stops hardly changes it. - A node that has not run for 50 ms reads what has arrived before it judges any timeout. - An adaptive limit on a node's open requests (overload_limit.h): lowered when at least as many answers are late as in time, raised by answers in time; what is beyond it is refused at once with Retry-After. - Log lines overload_limited and overload_over, metrics jaynotch_overload_limit and jaynotch_refused_overload.

Cost: one ordered set entry for each request until its answer begins.

--- a/base/mechanisms.h
+++ b/base/mechanisms.h
@@ -34,6 +34,7 @@
     adaptive_limit,      ///< adapts concurrency limits where the engines' speed is not known
     resumption,          ///< resumes interrupted streams on another server
     detours,             ///< sends through another node while this one reaches no server
+    overload_limit,      ///< limits a node's requests to those that are answered in time
     // Groups.
     warm_spares,          ///< spare runners warm up staged weights in groups of their own
     guard_largest,        ///< spare runners are staged for the largest groups first
@@ -60,6 +61,7 @@
         named{mechanism::adaptive_limit, "adaptive_limit"},
         named{mechanism::resumption, "resumption"},
         named{mechanism::detours, "detours"},
+        named{mechanism::overload_limit, "overload_limit"},
         named{mechanism::warm_spares, "warm_spares"},
         named{mechanism::guard_largest, "guard_largest"},
         named{mechanism::probes_before_ending, "probes_before_ending"},
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -60,6 +60,7 @@
                       request_core::create(core_settings_of(settings, incarnation), random,
                                            runtime_clock::now()));
     driver_hooks hooks;
+    hooks.on_overload_changed = log_overload;
     hooks.on_released = [](const target_released& gone) {
         log_event(log_level::info, "target_released", {{"target", gone.target.value()}});
     };
--- a/daemon/daemon_setup.cc
+++ b/daemon/daemon_setup.cc
@@ -48,6 +48,15 @@
     return made;
 }
 
+void log_overload(const overload_changed& seen)
+{
+    if (seen.limit)
+        log_event(log_level::warning, "overload_limited",
+                  {{"limit", *seen.limit}, {"open", seen.open}, {"refused", seen.refused}});
+    else
+        log_event(log_level::info, "overload_over", {{"refused", seen.refused}});
+}
+
 net::awaitable<void> sleep_for(net::io_context& io, duration time)
 {
     timer pause{io, time};
--- a/daemon/daemon_setup.h
+++ b/daemon/daemon_setup.h
@@ -22,6 +22,10 @@
 peer_settings peer_settings_of(const daemon_settings& settings, std::uint64_t seed);
 core_settings core_settings_of(const daemon_settings& settings, std::uint64_t incarnation);
 
+/// Logs that this node limits its open requests, or does so no more.
+void log_overload(const overload_changed& seen);
+
+
 net::awaitable<void> sleep_for(net::io_context& io, duration time);
 /// Accepts no new connections and waits until the open ones have closed and no request is in
 /// flight, `until` at the latest.
--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -154,6 +154,11 @@
                                     "Contents of requests under which servers ended");
     Gauge& refused_blocked =
         gauge(registry, "jaynotch_refused_blocked", "Requests refused for such a content");
+    Gauge& refused_overload = gauge(registry, "jaynotch_refused_overload",
+                                    "Requests refused since too few are answered in time");
+    Gauge& overload_limit =
+        gauge(registry, "jaynotch_overload_limit",
+              "Limit on open requests since too few are answered in time; 0: none");
     Gauge& refused_limited =
         gauge(registry, "jaynotch_refused_limited",
               "Requests refused since all servers limit the requests a second or pause");
@@ -288,6 +293,8 @@
     all.servers_ended.Set(static_cast<double>(now.servers_ended));
     all.contents_blocked.Set(static_cast<double>(now.contents_blocked));
     all.refused_blocked.Set(static_cast<double>(now.refused_blocked));
+    all.refused_overload.Set(static_cast<double>(now.refused_overload));
+    all.overload_limit.Set(now.overload_limit);
     all.refused_limited.Set(static_cast<double>(now.refused_limited));
     all.held.Set(static_cast<double>(now.held.bytes));
     all.held_peak.Set(static_cast<double>(now.held.peak));
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -59,6 +59,8 @@
     std::uint64_t contents_blocked = 0; ///< contents of requests under which servers ended
     std::uint64_t refused_blocked = 0;  ///< requests refused for such a content
     std::uint64_t refused_limited = 0;  ///< requests refused since all servers limit them or pause
+    std::uint64_t refused_overload = 0; ///< requests beyond the overload limit
+    double overload_limit = 0.0;        ///< on open requests; 0: none now
     bool cut_off = false;               ///< this node seems to reach no server of some pool
     std::uint64_t detours = 0;          ///< requests sent through another node
     std::uint64_t relayed = 0;          ///< requests that another node passed on to this one
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -145,6 +145,7 @@
             log_event(log_level::warning, "content_blocked",
                       {{"content", to_hex(seen.content.value())}});
         };
+        hooks.on_overload_changed = log_overload;
         hooks.on_reach_changed = [this](const reach_changed& seen) { handle_reach(seen); };
         hooks.on_group_reach_changed = [this](const group_reach_changed& seen) {
             managers->set_cut_off(seen.reaches_none);
@@ -655,6 +656,8 @@
         now.paused_servers = requests->core().paused_servers();
         now.cold_servers = requests->core().known_cold_servers();
         now.held_from_cold = requests->core().counters().held_from_cold;
+        now.refused_overload = requests->core().counters().refused_overload;
+        now.overload_limit = requests->core().open_request_limit().value_or(0.0);
         now.refused_limited = requests->core().counters().refused_limited;
         now.servers_ended = requests->core().counters().servers_ended;
         now.contents_blocked = requests->core().counters().contents_blocked;
--- a/daemon/request_driver.cc
+++ b/daemon/request_driver.cc
@@ -160,6 +160,12 @@
             m_hooks.on_group_reach_changed(cmd);
     }
 
+    void execute_global(const overload_changed& cmd)
+    {
+        if (m_hooks.on_overload_changed)
+            m_hooks.on_overload_changed(cmd);
+    }
+
     net::awaitable<void> transact(call_kv cmd)
     {
         const auto self = shared_from_this();
--- a/daemon/request_driver.h
+++ b/daemon/request_driver.h
@@ -54,6 +54,7 @@
     std::function<void(const probe_server&)> on_probe_server;
     std::function<void(const reach_changed&)> on_reach_changed;
     std::function<void(const group_reach_changed&)> on_group_reach_changed;
+    std::function<void(const overload_changed&)> on_overload_changed;
 };
 
 class request_driver {
--- /dev/null
+++ b/routing/overload_limit.cc
@@ -0,0 +1,113 @@
+// Additive increase, multiplicative decrease, as in TCP. If in a window at least as many answers
+// begin late as in time, or end too late as in time, the limit becomes the part of the open
+// requests that was of use; if none was, a single request is left, so that the backlog drains. Each
+// answer that begins in time then raises the limit by one, until half of the open requests that
+// were too many; from there on it rises by one for as many answers as it has requests. A limit that
+// refuses nothing for a while is dropped.
+//
+// The sign is a majority, since a part of the servers may be lost without any overload: refusing
+// requests would not help those that are sent to them, and the others are answered.
+#include "routing/overload_limit.h"
+
+#include <algorithm>
+
+namespace jaynotch {
+
+namespace {
+
+constexpr std::chrono::milliseconds window{250};
+/// A window with few samples is extended up to this length.
+constexpr std::chrono::seconds max_window{2};
+constexpr std::size_t min_samples = 4;
+constexpr std::size_t min_late = 3;
+constexpr double least = 1.0;
+/// Kept if answers are only slow.
+constexpr double part_if_slow = 0.7;
+constexpr double fast_fraction = 0.5;
+constexpr std::chrono::seconds release_after{5};
+
+double ratio(std::size_t part, std::size_t all)
+{
+    return all == 0 ? 1.0 : static_cast<double>(part) / static_cast<double>(all);
+}
+
+} // namespace
+
+void overload_limit::note_begun(time_point sent, begin_result result)
+{
+    if (result == begin_result::in_time)
+        ++m_counts.in_time;
+    else if (sent >= m_lowered_at)
+        ++m_counts.late;
+}
+
+void overload_limit::note_ended(time_point sent, end_result result)
+{
+    if (result == end_result::complete)
+        ++m_counts.complete;
+    else if (sent >= m_lowered_at)
+        ++(result == end_result::slow ? m_counts.slow : m_counts.incomplete);
+}
+
+bool overload_limit::admit(std::size_t open)
+{
+    if (!m_limit || static_cast<double>(open) < *m_limit)
+        return true;
+    m_reached = true;
+    return false;
+}
+
+/// The part of the open requests that is of use; nullopt if there is no overload.
+std::optional<double> overload_limit::part_to_keep() const
+{
+    const std::size_t too_late = m_counts.slow + m_counts.incomplete;
+    const bool begins_late = m_counts.late >= min_late && m_counts.late >= m_counts.in_time;
+    const bool ends_late = too_late >= min_late && too_late >= m_counts.complete;
+    if (!begins_late && !ends_late)
+        return std::nullopt;
+    const double begun =
+        begins_late ? ratio(m_counts.in_time, m_counts.in_time + m_counts.late) : 1.0;
+    const double ended = ratio(m_counts.complete + m_counts.slow, m_counts.complete + too_late);
+    return std::min({part_if_slow, begun, ended});
+}
+
+void overload_limit::tick(std::size_t open, time_point now)
+{
+    const duration length = now - m_window_start;
+    const std::size_t samples =
+        m_counts.in_time + m_counts.late + m_counts.slow + m_counts.incomplete;
+    if (length < window || (samples < min_samples && length < max_window))
+        return;
+    if (const std::optional<double> part = part_to_keep())
+        lower(*part, open, now);
+    else if (m_limit)
+        raise(now);
+    m_counts = {};
+    m_reached = false;
+    m_window_start = now;
+}
+
+void overload_limit::lower(double part, std::size_t open, time_point now)
+{
+    const double used =
+        m_limit ? std::min(*m_limit, static_cast<double>(open)) : static_cast<double>(open);
+    m_limit = std::max(least, used * part);
+    m_fast_until = std::max(least, used * fast_fraction);
+    m_lowered_at = now;
+    m_last_reached = now;
+}
+
+void overload_limit::raise(time_point now)
+{
+    if (m_reached) {
+        const double answers = static_cast<double>(m_counts.in_time);
+        const double room = std::max(0.0, m_fast_until - *m_limit);
+        const double fast = std::min(answers, room);
+        *m_limit += fast + (answers - fast) / *m_limit;
+        m_last_reached = now;
+    }
+    else if (now - m_last_reached >= release_after)
+        m_limit.reset();
+}
+
+} // namespace jaynotch
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -158,6 +158,8 @@
         return;
     if (info.relayed && refuse_relayed(info, pools.at(index), out))
         return;
+    if (refuse_overload(info, pools.at(index), out))
+        return;
     request_row& row = requests[info.id];
     row.info = std::move(info);
     row.phase = request_phase::claiming;
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -148,6 +148,8 @@
         return drop(attempt_failure::cut);
     note_success(targets.at(row->attempt.target).health);
     note_activity(*row, now);
+    if (at_server)
+        note_begun(*row);
     row->phase = request_phase::answering;
     row->attempt.last_part = now;
     row->delivered_version = row->attempt.version;
@@ -187,6 +189,8 @@
     const double took_s = seconds(now - row.attempt.started);
     if (targets.at(row.attempt.target).other_node)
         return; // the time depends on the other node as well
+    if (pools.at(row.terms.pool).modelled())
+        delays.note_response(now - row.attempt.started - row.attempt.predicted);
     pools.at(row.terms.pool).limit.note_first_token(took_s, seconds(row.terms.timeout));
     note_first_token(targets.at(row.attempt.target).health, took_s);
 }
@@ -206,6 +210,7 @@
     }
     note_activity(*row, now);
     row->attempt.last_part = now;
+    row->attempt.events += part.tokens;
     if (row->attempt.waits_for_caller) {
         row->attempt.waits_for_caller = false;
         if (row->phase == request_phase::answering && row->wake > next_wake_time(*row))
@@ -237,6 +242,7 @@
     }
     pools.at(row->terms.pool).note_service(seconds(now - row->attempt.started));
     const attempt_row& answered = row->attempt;
+    note_answer_ended(*row, end_of_answer::complete, now);
     note_served(*row, answered.first_part_received ? answered.first_part : answered.started, now);
     release_target(*row);
     if (row->keyed)
@@ -290,6 +296,8 @@
                                                 attempt_end end, time_point now, command_list& out)
 {
     note_failed_attempt(row, reason, now);
+    if (end == attempt_end::failed && reason != attempt_failure::stalled)
+        stop_awaiting_begin(row); // it has failed, so it is not late
     const bool interrupted = reason == attempt_failure::cut || reason == attempt_failure::protocol;
     if (interrupted && end == attempt_end::failed)
         note_interrupted(row, now, out);
@@ -473,6 +481,7 @@
         return;
     }
     if (row.has_attempt) {
+        note_caller_left(row, now);
         row.may_have_run = row.may_have_run || row.attempt.sent;
         cancel(row, cancel_reason::caller_gone, now, out);
         release_target(row);
--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -257,11 +257,18 @@
     std::vector<demand_row> rows;
 };
 
-using command =
-    std::variant<send_attempt, deliver, cancel_attempt, attempt_held, complete, refuse, replay,
-                 end_truncated, forget, report_key_status, call_kv, grant_lease, target_released,
-                 target_silent, share_limit, cold_servers_changed, probe_server, check_server_ended,
-                 share_evidence, content_blocked, reach_changed, group_reach_changed, share_demand>;
+/// This node limits its open requests, since too few are answered in time, or does so no more.
+struct overload_changed {
+    std::optional<double> limit; ///< open requests; nullopt: unlimited
+    std::size_t open = 0;        ///< now
+    std::uint64_t refused = 0;   ///< requests refused for it so far
+};
+
+using command = std::variant<send_attempt, deliver, cancel_attempt, attempt_held, complete, refuse,
+                             replay, end_truncated, forget, report_key_status, call_kv, grant_lease,
+                             target_released, target_silent, share_limit, cold_servers_changed,
+                             probe_server, check_server_ended, share_evidence, content_blocked,
+                             reach_changed, group_reach_changed, overload_changed, share_demand>;
 using command_list = std::vector<command>;
 
 } // namespace jaynotch
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -63,6 +63,11 @@
     return m_state->requests.size();
 }
 
+std::optional<double> request_core::open_request_limit() const
+{
+    return m_state->overload.limit();
+}
+
 bool request_core::cut_off() const
 {
     bool found = false;
@@ -316,6 +321,7 @@
     refresh_pauses(now);
     refresh_cold(now, out);
     suspects.tick(now);
+    review_overload(now, out);
     for (std::size_t row = 0; row < targets.size(); ++row) {
         target_row& sampled = targets.at(static_cast<target_row_index>(row));
         sampled.load.sample_own(sampled.own, now);
@@ -332,15 +338,29 @@
         pool.rounding_draw = random.unit();
         pool.refresh_all(targets, peers, fleet_size, now);
     }
-    if (settings.mechanisms.has(mechanism::silence_detection))
-        detect_silent_targets(now, out);
-    review_reach(now, out);
-    wake_requests(now, out);
+    if (!notices_late(now)) {
+        if (settings.mechanisms.has(mechanism::silence_detection))
+            detect_silent_targets(now, out);
+        review_reach(now, out);
+        wake_requests(now, out);
+    }
     dispatch_all(now, out);
     emit_released(out);
     share_demand_if_due(now, out);
 }
 
+/// Whether this node has not run for so long that answers may have arrived that it has not read
+/// yet. Timeouts are judged one tick later then; two ticks in a row are never passed over.
+bool request_core::state::notices_late(time_point now)
+{
+    constexpr std::chrono::milliseconds longest_gap{50};
+    const bool first = last_tick == time_point{};
+    const bool late = !first && now - last_tick > longest_gap && !passed_over;
+    last_tick = now;
+    passed_over = late;
+    return late;
+}
+
 void request_core::state::share_demand_if_due(time_point now, command_list& out)
 {
     if (now < next_share)
@@ -441,12 +461,15 @@
             const duration healthy_pause =
                 max_event_gap(pool.info.engine, row.info.places,
                               static_cast<double>(fleet_size) * row.pending_tokens);
-            const duration silence_limit = std::min<duration>(
-                std::max<duration>({healthy_pause * 3 / 2, usual, min_silence}), max_silence);
+            const duration silence_limit =
+                std::min<duration>(std::max<duration>({healthy_pause * 3 / 2, usual, min_silence}),
+                                   max_silence) +
+                delays.margin();
             if (row.health.silent && row.own > 0 && now >= row.health.next_move)
                 move_from_silent(at, now, out);
             if (row.own == 0 || row.health.silent || now - row.last_activity <= silence_limit)
                 continue;
+            delays.note_silence(now - row.last_activity);
             row.health.silent = true;
             row.health.silent_since = now;
             row.health.next_trial = now + probe_interval;
--- a/routing/request_core.h
+++ b/routing/request_core.h
@@ -79,6 +79,7 @@
     std::uint64_t servers_ended = 0;      ///< seen to end as they began to answer
     std::uint64_t contents_blocked = 0;   ///< since servers ended under them
     std::uint64_t refused_blocked = 0;    ///< of refused: for such a content
+    std::uint64_t refused_overload = 0;   ///< of refused: beyond the overload limit
     std::uint64_t refused_limited = 0;    ///< of refused: since all servers are limited or pause
     std::uint64_t held_from_cold = 0;     ///< queued while a part of a cold server was used up
     std::uint64_t attempts = 0;
@@ -159,6 +160,8 @@
     [[nodiscard]] bool responded_since(const vm_id& instance, time_point since) const;
     /// Requests without a final command; at 0 a stopping daemon may exit.
     [[nodiscard]] std::size_t open_requests() const;
+    /// Limit on open requests, since too few are answered in time; nullopt: none now.
+    [[nodiscard]] std::optional<double> open_request_limit() const;
 
 private:
     struct state;
--- a/routing/request_dispatch.cc
+++ b/routing/request_dispatch.cc
@@ -165,11 +165,14 @@
     pool.available_places = std::max(0.0, pool.available_places - 1.0);
 
     begin_attempt(row, chosen, now);
+    await_begin(row, now);
     row.attempt.pending_tokens = row.info.prompt_tokens;
     target.pending_tokens += row.attempt.pending_tokens;
     row.attempt.held_tokens = tokens_of(row);
     target.held_tokens += row.attempt.held_tokens;
-    out.emplace_back(send_command_for(row, now));
+    send_attempt sent = send_command_for(row, now);
+    row.attempt.predicted = from_seconds(sent.basis.predicted_ms / 1000.0);
+    out.emplace_back(std::move(sent));
     set_wake(row, next_wake_time(row));
 }
 
@@ -317,7 +320,8 @@
     constexpr std::chrono::milliseconds max_timeout{1'600};
     const double usual_ms = targets.at(row.attempt.target).health.gap_ms;
     return std::clamp<duration>(from_seconds(gap_multiple * usual_ms / 1000.0), min_timeout,
-                                max_timeout);
+                                max_timeout) +
+           delays.margin();
 }
 
 /// For how long an answer that has begun may bring no further byte before it is given up, also if
@@ -337,7 +341,7 @@
 {
     if (pools.at(row.terms.pool).modelled()) {
         constexpr std::chrono::milliseconds modelled_timeout{1'200};
-        return modelled_timeout;
+        return modelled_timeout + delays.margin();
     }
     // A target that takes far longer than the pool's typical time is probably stuck; a retry on
     // another one may still be in time. Applies only if a retry is allowed.
@@ -445,6 +449,7 @@
         return;
     case request_phase::answering:
         if (now >= row.answer_deadline) {
+            note_answer_ended(row, end_of_answer::out_of_time, now);
             cancel(row, cancel_reason::out_of_time, now, out);
             row.may_have_run = true;
             finish_failed(row,
--- a/routing/request_finish.cc
+++ b/routing/request_finish.cc
@@ -23,6 +23,7 @@
     const request_id request = row.info.id;
     release_target(row); // frees the target's capacity for every kind of end
     stop_awaiting(row);
+    stop_awaiting_begin(row);
     wakes.erase({row.wake, request});
     relayed_open -= row.info.relayed ? 1 : 0;
     if (row.phase != request_phase::querying_key)
--- /dev/null
+++ b/routing/request_overload.cc
@@ -0,0 +1,110 @@
+// What tells the overload limit of requests that are late.
+//
+// Each request that is sent to a server is judged once: when its answer begins, or when it should
+// have begun. Where the engines' speed is known, an answer that takes half of the time for its
+// first byte is late already, since admission expected it far earlier; elsewhere a slow answer may
+// be normal, and only one that doesn't come before the deadline is late. Streams are judged a
+// second time when they end.
+#include "routing/engine_model.h"
+#include "routing/request_state.h"
+
+namespace jaynotch {
+
+namespace {
+
+/// Base of Retry-After, seconds, where requests take less.
+constexpr double min_return_s = 0.5;
+
+} // namespace
+
+bool request_core::state::refuse_overload(const request_info& info, const pool_row& pool,
+                                          command_list& out)
+{
+    if (!settings.admission || !settings.mechanisms.has(mechanism::overload_limit) ||
+        overload.admit(requests.size()))
+        return false;
+    ++counters.refused_overload;
+    refuse_untracked(info.id,
+                     {error_kind::overloaded,
+                      "this node has as many requests as are answered in time",
+                      "come back after the time in Retry-After"},
+                     retry_after(std::max(min_return_s, pool.service_s)), out);
+    return true;
+}
+
+/// Notes when the answer to a request that is sent for the first time has to begin.
+void request_core::state::await_begin(request_row& row, time_point now)
+{
+    if (row.begin_state != answer_begin::unsent)
+        return;
+    const duration left = row.deadline - now;
+    const bool modelled = pools.at(row.terms.pool).modelled();
+    row.first_sent = now;
+    row.begin_due = now + (modelled ? left / 2 : left);
+    row.begin_state = answer_begin::awaited;
+    begins_due.insert({row.begin_due, row.info.id});
+}
+
+void request_core::state::stop_awaiting_begin(request_row& row)
+{
+    if (row.begin_state != answer_begin::awaited)
+        return;
+    begins_due.erase({row.begin_due, row.info.id});
+    row.begin_state = answer_begin::judged;
+}
+
+void request_core::state::note_begun(request_row& row)
+{
+    if (row.begin_state == answer_begin::awaited)
+        overload.note_begun(row.first_sent, begin_result::in_time);
+    stop_awaiting_begin(row);
+}
+
+void request_core::state::note_late(request_row& row)
+{
+    stop_awaiting_begin(row);
+    overload.note_begun(row.first_sent, begin_result::late);
+}
+
+/// An answer that is far slower than its engine should be and takes most of the time that it has
+/// is a sign of overload before the first one is too late.
+void request_core::state::note_answer_ended(const request_row& row, end_of_answer how,
+                                            time_point now)
+{
+    constexpr double slow_factor = 2.0;
+    const pool_row& pool = pools.at(row.terms.pool);
+    const attempt_row& attempt = row.attempt;
+    if (row.begin_state == answer_begin::unsent || !pool.modelled() || !attempt.first_part_received)
+        return;
+    const double usual_ms =
+        attempt.events * pass_ms(pool.info.engine, targets.at(attempt.target).info.places);
+    const std::chrono::duration<double, std::milli> took = now - attempt.first_part;
+    const bool slow = took.count() > slow_factor * usual_ms;
+    const bool almost_late = now - row.first_sent > (row.answer_deadline - row.first_sent) / 2;
+    const bool by_overload = slow && almost_late;
+    if (how == end_of_answer::complete)
+        overload.note_ended(row.first_sent, by_overload ? end_result::slow : end_result::complete);
+    else if (slow)
+        overload.note_ended(row.first_sent, end_result::incomplete);
+}
+
+/// A caller that leaves after most of the time for the answer to begin has not left early.
+void request_core::state::note_caller_left(request_row& row, time_point now)
+{
+    const bool awaited = row.begin_state == answer_begin::awaited;
+    if (awaited && now - row.first_sent > (row.begin_due - row.first_sent) / 2)
+        note_late(row);
+}
+
+void request_core::state::review_overload(time_point now, command_list& out)
+{
+    while (!begins_due.empty() && begins_due.begin()->at <= now)
+        note_late(requests.at(begins_due.begin()->request));
+    const bool limited = overload.limit().has_value();
+    overload.tick(requests.size(), now);
+    if (overload.limit().has_value() != limited)
+        out.emplace_back(
+            overload_changed{overload.limit(), requests.size(), counters.refused_overload});
+}
+
+} // namespace jaynotch
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -6,8 +6,10 @@
 #include "routing/claim_manager.h"
 #include "routing/cold_servers.h"
 #include "routing/outliers.h"
+#include "routing/overload_limit.h"
 #include "routing/pool_table.h"
 #include "routing/request_core.h"
+#include "routing/response_delay.h"
 #include "routing/retry_budgets.h"
 #include "routing/route_index.h"
 #include "routing/server_pauses.h"
@@ -25,6 +27,11 @@
 /// deadline in the engine, which wastes the engine's work.
 constexpr double max_queued_fraction = 0.5;
 
+/// Whether the answer to a request has begun in time, for the overload limit.
+enum class answer_begin { unsent, awaited, judged };
+
+enum class end_of_answer { complete, out_of_time };
+
 /// Phase of a request.
 enum class request_phase {
     claiming,       ///< keyed: waits for its claim to be resolved
@@ -42,12 +49,14 @@
     bool sent = false;     ///< a byte may have been sent
     bool repeated = false; ///< resent to the same server: the first sending may have run
     bool first_part_received = false;
+    std::uint32_t events = 0;         ///< of a stream, received so far
     bool waits_for_caller = false;    ///< a part of the answer is being written to the caller
     bool held = false;                ///< attempt_held was issued
     std::uint32_t pending_tokens = 0; ///< prompt tokens counted at the target until it answers
     double held_tokens = 0.0;         ///< tokens counted at the target until the attempt ends
     time_point started;
     time_point first_part; ///< when the answer began; valid if first_part_received
+    duration predicted{0}; ///< until the answer begins; where the engines' speed is known
     bool noted_served = false;
     time_point last_part; ///< when the last part of the answer was received; valid in `answering`
     std::string version;
@@ -92,6 +101,9 @@
     attempt_row attempt;
     std::shared_ptr<retry_budget> awaited; ///< in `awaiting_retry`: the budget it waits for
     time_point arrived;
+    time_point first_sent; ///< to a server; valid if `begin_state` isn't `unsent`
+    time_point begin_due;  ///< valid if `begin_state` is `awaited`
+    answer_begin begin_state = answer_begin::unsent;
     time_point deadline;    ///< for the first byte, or for the resumption of a stream
     time_point queue_until; ///< modelled pools: refused if still queued then
     /// Latest dispatch at which the answer is expected to begin within the route's first target;
@@ -116,6 +128,7 @@
     void install_tables(const configuration& tables, time_point now, command_list& out);
     void refresh_pools(time_point now);
     void run_tick(time_point now, command_list& out);
+    bool notices_late(time_point now);
     void share_demand_if_due(time_point now, command_list& out);
     void emit_released(command_list& out);
     void on_cache_events(const cache_events_received& received);
@@ -189,6 +202,16 @@
     bool refuse_blocked(request_row& row, time_point now, command_list& out);
     void emit_evidence(command_list& out);
 
+    // request_overload.cc: the limit on this node's open requests
+    bool refuse_overload(const request_info& info, const pool_row& pool, command_list& out);
+    void await_begin(request_row& row, time_point now);
+    void note_begun(request_row& row);
+    void note_late(request_row& row);
+    void note_answer_ended(const request_row& row, end_of_answer how, time_point now);
+    void note_caller_left(request_row& row, time_point now);
+    void stop_awaiting_begin(request_row& row);
+    void review_overload(time_point now, command_list& out);
+
     // request_arrival.cc: from arrival to the queue
     void arrive(const request_info& info, time_point now, command_list& out);
     bool refuse_unroutable(const request_info& info, const route* taken, pool_index index,
@@ -307,6 +330,10 @@
     target_table targets;
     demand_table peers;
     claim_manager claims;
+    overload_limit overload;
+    response_delay delays;
+    time_point last_tick;
+    bool passed_over = false; ///< the last tick judged no timeouts
     rate_limits limits;
     server_pauses pauses;
     cold_servers cold;
@@ -330,6 +357,7 @@
         friend auto operator<=>(const wake_up&, const wake_up&) = default;
     };
     std::set<wake_up> wakes;
+    std::set<wake_up> begins_due; ///< when answers have to begin to be in time
     std::uint64_t next_attempt = 0;
     time_point next_share;
     routing_counters counters;
--- a/routing/silent_servers_test.cc
+++ b/routing/silent_servers_test.cc
@@ -341,3 +341,43 @@
     send_to_servers(sim, 3);
     cr_assert_gt(count<probe_server>(sim.pass(15s)), 0U);
 }
+
+// Guards against sound servers that are taken for silent on a node where all answers come late.
+Test(silent_servers, servers_are_not_silent_if_all_answer_late)
+{
+    world sim{12};
+    std::size_t silent = 0;
+    constexpr int rounds = 30;
+    for (int round = 0; round < rounds; ++round) {
+        std::vector<send_attempt> sent;
+        for (int request = 0; request < 6; ++request) {
+            if (const auto order = last_command<send_attempt>(sim.submit()))
+                sent.push_back(*order);
+        }
+        const command_list out = sim.pass(600ms);
+        if (round >= rounds / 2)
+            silent += std::count_if(out.begin(), out.end(), [](const command& one) {
+                return std::holds_alternative<target_silent>(one);
+            });
+        for (const send_attempt& order : sent) {
+            sim.begin(order);
+            sim.send(attempt_finished{order.request, order.attempt, true, std::nullopt});
+        }
+    }
+    cr_assert_eq(silent, 0U, "%zu", silent);
+}
+
+// Guards against servers that are taken for silent by a node that has not run itself for a while.
+Test(silent_servers, a_node_that_has_not_run_reads_before_it_judges)
+{
+    world sim{2};
+    const send_attempt order = *last_command<send_attempt>(sim.submit());
+    sim.begin(order);
+    sim.pass(20ms);
+    sim.now += 2s;
+    const command_list late = sim.send(tick{});
+    cr_assert(!last_command<target_silent>(late));
+    cr_assert(!last_command<cancel_attempt>(late));
+    sim.send(attempt_progress{order.request, order.attempt, 1}); // was in the socket
+    cr_assert(!last_command<target_silent>(sim.pass(100ms)));
+}
