Stop: requests that can't end within the grace are refused at once, and all others get a final answer

What callers saw (report of another operator): in a planned stop, in calm, requests that came late in the grace were passed on to a server and cut at its end without an answer, among them requests that may not be repeated.

Cause: admission did not ask how much of the grace is left. At its end abort() resets all connections, also those with requests in flight or with a part of a request read.

Change: the core is told when all requests must have their final answer, 300 ms before the end. All deadlines are the stop's at the latest, so what still runs ends with 502 or 504 if it may have run and 503 if not. Then waits for requests and bodies time out: a part of a request that was read is answered with 408, which says that it has not run. Both forms of the daemon.

Not done: passing late requests on to another node, and streams that another node goes on with.

--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -138,6 +138,7 @@
     const time_point until = runtime_clock::now() + settings.timeouts.max_stop_time;
     log_event(log_level::info, "daemon_stopping", {{"in_flight", counts.in_flight}});
     caller_server->disable_keep_alive();
+    requests->handle(stop_begun{last_answers_at(until)});
     co_await sleep_for(io, settings.timeouts.balancer_wait);
     co_await drain_callers(io, *caller_server, counts, until);
     const std::uint64_t unfinished = counts.in_flight;
--- a/daemon/daemon_setup.cc
+++ b/daemon/daemon_setup.cc
@@ -11,6 +11,8 @@
 
 constexpr duration max_call_time = std::chrono::seconds{5};
 constexpr duration drain_poll_interval = std::chrono::milliseconds{20};
+/// For final answers at the end of a stop to reach their callers.
+constexpr duration last_answers_time = std::chrono::milliseconds{300};
 
 } // namespace
 
@@ -64,11 +66,21 @@
     co_await pause.async_wait(net::redirect_error(net::use_awaitable, ignored));
 }
 
+time_point last_answers_at(time_point until)
+{
+    return until - last_answers_time;
+}
+
 net::awaitable<void> drain_callers(net::io_context& io, http_server& server,
                                    const daemon_counts& counts, time_point until)
 {
     server.stop_accepting();
+    bool expired = false;
     while ((counts.in_flight > 0 || server.connections() > 0) && runtime_clock::now() < until) {
+        if (!expired && runtime_clock::now() >= last_answers_at(until)) {
+            server.expire_reads();
+            expired = true;
+        }
         co_await sleep_for(io, drain_poll_interval);
     }
 }
--- a/daemon/daemon_setup.h
+++ b/daemon/daemon_setup.h
@@ -25,6 +25,8 @@
 /// Logs that this node limits its open requests, or does so no more.
 void log_overload(const overload_changed& seen);
 
+/// When all requests must have their final answer, so that a stop which ends at `until` cuts none.
+[[nodiscard]] time_point last_answers_at(time_point until);
 
 net::awaitable<void> sleep_for(net::io_context& io, duration time);
 /// Accepts no new connections and waits until the open ones have closed and no request is in
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -231,6 +231,7 @@
         caller_server->disable_keep_alive();
         if (relay_server)
             relay_server->disable_keep_alive();
+        requests->handle(stop_begun{last_answers_at(until)});
         co_await managers->resign(resignation::where_possible);
         co_await sleep_for(io, settings.timeouts.balancer_wait);
         if (relay_server)
--- a/daemon/registry_fixture.h
+++ b/daemon/registry_fixture.h
@@ -37,7 +37,9 @@
     std::chrono::milliseconds gap{10};                 ///< time between the events of a stream
     std::chrono::milliseconds timeout = usual_timeout; ///< of routes and of callers' requests
     std::chrono::milliseconds balancer_wait = daemon_timeouts{}.balancer_wait; ///< on a stop
-    std::size_t held_bytes = 0; ///< that a node may hold for requests; 0: unlimited
+    std::chrono::milliseconds longest_stop = daemon_timeouts{}.max_stop_time;
+    std::chrono::milliseconds plain_work{0}; ///< of each request to a plain server
+    std::size_t held_bytes = 0;              ///< that a node may hold for requests; 0: unlimited
     /// Heads notice members that are silent, leave or join another group; null: they don't.
     std::shared_ptr<runner_fabric> fabric;
     std::size_t other_routes = 0; ///< in the configuration, beside those of the callers
@@ -85,7 +87,7 @@
                                    .gap = chosen.gap,
                                    .fabric = chosen.fabric}));
         for (const char* id : {"a-0", "a-1", "a-2"})
-            servers.push_back(add({.id = id, .service = "app"}));
+            servers.push_back(add({.id = id, .service = "app", .work = chosen.plain_work}));
         for (std::size_t node = 0; node < daemons.size(); ++node)
             start_daemon(node);
         cr_assert(run_until([&] { return all_serve(); }));
@@ -306,6 +308,7 @@
         chosen.site.retry_extra = m_settings.retry_extra;
         chosen.site.retry_window = m_settings.retry_window;
         chosen.timeouts.balancer_wait = m_settings.balancer_wait;
+        chosen.timeouts.max_stop_time = m_settings.longest_stop;
         chosen.limits.held_bytes = m_settings.held_bytes;
         chosen.before_connect = [this, node](const std::string& address) {
             const bool refused = m_cut.contains(node) && is_server(address);
--- a/http/connection.cc
+++ b/http/connection.cc
@@ -67,6 +67,8 @@
         co_return input_state::failed;
     if (m_state != input_state::arrived)
         co_return m_state;
+    if (m_input_expired)
+        co_return input_state::timed_out;
     start_read();
     m_input_timer.expires_after(timeout);
     boost::system::error_code woken;
@@ -80,6 +82,12 @@
     co_return m_state == input_state::arrived ? input_state::timed_out : m_state;
 }
 
+void connection::expire_input()
+{
+    m_input_expired = true;
+    m_input_timer.cancel();
+}
+
 bool connection::has_input()
 {
     boost::system::error_code failed;
--- a/http/connection.h
+++ b/http/connection.h
@@ -47,6 +47,8 @@
 
     /// Waits until input() has received bytes that no earlier call has reported.
     net::awaitable<input_state> wait_for_input(duration timeout);
+    /// Lets pending and later waits for input time out at once.
+    void expire_input();
     boost::beast::flat_buffer& input() { return m_input; }
     /// Whether unconsumed bytes exist, in input() or still in the kernel's receive buffer.
     [[nodiscard]] bool has_input();
@@ -97,6 +99,7 @@
     bool m_reading = false;
     bool m_unreported_input = false; ///< bytes that wait_for_input has not reported yet
     bool m_last_read_full = false; ///< the last read filled the buffer; the next uses a larger one
+    bool m_input_expired = false;  ///< waits for input time out at once
     bool m_closed = false;
 };
 
--- a/http/http_server.cc
+++ b/http/http_server.cc
@@ -181,6 +181,13 @@
         }
     }
 
+    void expire_reads()
+    {
+        m_keep_alive_disabled = true;
+        for (const auto& current : m_sessions)
+            current->caller->expire_input();
+    }
+
     void abort()
     {
         boost::system::error_code ignored;
@@ -329,6 +336,11 @@
     m_impl->stop_accepting();
 }
 
+void http_server::expire_reads()
+{
+    m_impl->expire_reads();
+}
+
 void http_server::abort()
 {
     m_impl->abort();
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -44,6 +44,9 @@
     /// Stops accepting connections and closes idle ones; requests in flight are completed.
     /// Connections that are already in the listen backlog are accepted first.
     void stop_accepting();
+    /// Ends all waits for requests and their bodies: one that has arrived in part is answered with
+    /// a timeout, and idle connections are closed.
+    void expire_reads();
     /// Stops accepting connections and resets all open ones.
     void abort();
 
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -199,6 +199,9 @@
     row.late = is_returning_caller(row, now);
     row.queue_until = now + (row.deadline - now) / 2;
     row.wake = row.deadline;
+    if (refuse_before_stop(row, now, out))
+        return;
+    limit_to_stop(row);
     row.keyed = taken->repeat == repeat_policy::keyed && !row.info.idempotency_key.empty();
 
     if (refuse_blocked(row, now, out))
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -248,6 +248,7 @@
             core.peers.forget(e.node);
             core.claims.on_node_left(e.node);
         }
+        void operator()(const stop_begun& e) const { core.on_stop_begun(e.deadline); }
         void operator()(const tick& /*e*/) const { core.run_tick(now, out); }
     };
     std::visit(visitor{*this, now, out}, happened);
--- a/routing/request_events.h
+++ b/routing/request_events.h
@@ -351,6 +351,11 @@
     node_id node;
 };
 
+/// The node stops. All requests must have their final answer at `deadline`.
+struct stop_begun {
+    time_point deadline;
+};
+
 /// Drives timeouts, queues, ejections and claims. Sent every 10 to 50 ms.
 struct tick {};
 
@@ -362,6 +367,6 @@
                  peer_started, fleet_size_updated, fleet_updated, group_broken, target_leaving,
                  load_reported, response_limit_received, server_pause_requested,
                  peer_limit_received, cache_events_received, tables_installed, peer_demand_received,
-                 peer_left, tick>;
+                 peer_left, stop_begun, tick>;
 
 } // namespace jaynotch
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -212,6 +212,11 @@
     void stop_awaiting_begin(request_row& row);
     void review_overload(time_point now, command_list& out);
 
+    // request_stop.cc: a planned stop of this node
+    void on_stop_begun(time_point deadline);
+    void limit_to_stop(request_row& row) const;
+    bool refuse_before_stop(request_row& row, time_point now, command_list& out);
+
     // request_arrival.cc: from arrival to the queue
     void arrive(const request_info& info, time_point now, command_list& out);
     bool refuse_unroutable(const request_info& info, const route* taken, pool_index index,
@@ -330,6 +335,7 @@
     target_table targets;
     demand_table peers;
     claim_manager claims;
+    std::optional<time_point> stop_deadline; ///< set when the node stops
     overload_limit overload;
     response_delay delays;
     time_point last_tick;
