Relay: an answer that is held until it is whole takes its bytes and no more

What was reported: servers that send a body without end took 306 MB of a VM with 390 MB, while the budget for what a node holds is a quarter of that.

Cause: the budget counts the bytes of an answer. They were collected in one string, whose capacity doubles as it grows, and which is copied while it does, so up to three times the bytes were allocated.

Change: answers are held in blocks of 16 KiB (answer_blocks.h), which grow without copies.

Test: held_memory/endless_answers_stay_within_the_budget, 100 callers before servers without end, budget 48 MiB, at most half more is allocated.

--- a/daemon/held_memory_test.cc
+++ b/daemon/held_memory_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
+#include <malloc.h>
 
 using namespace jaynotch;
 using namespace std::chrono_literals;
@@ -199,3 +200,31 @@
         server->faults.padding = 0;
     cr_assert_eq(fleet.served(0, "/chat/1", 1), 1U);
 }
+
+// Guards against answers without end that together take far more memory than a node may hold.
+Test(held_memory, endless_answers_stay_within_the_budget)
+{
+    constexpr std::size_t budget = 48 * mib;
+    constexpr std::size_t callers = 100;
+    registry_fixture fleet{{.nodes = 1, .timeout = 4s, .held_bytes = budget}};
+    for (const auto& server : fleet.servers)
+        server->faults.endless = true;
+    const auto allocated = [] {
+        const struct mallinfo2 now = mallinfo2();
+        return now.uordblks + now.hblkhd;
+    };
+    const std::size_t before = allocated();
+    std::size_t peak = 0;
+    std::vector<begun_request> begun;
+    for (std::size_t caller = 0; caller < callers; ++caller)
+        begun.push_back(fleet.begin(0, "/read/1"));
+    const bool ended = fleet.run_until(
+        [&] {
+            peak = std::max(peak, allocated() - before);
+            return std::all_of(begun.begin(), begun.end(),
+                               [](const begun_request& one) { return one.answer->ended; });
+        },
+        20s);
+    cr_assert(ended);
+    cr_assert_lt(peak, budget * 3 / 2, "%zu MiB", peak / mib);
+}
--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -188,8 +188,9 @@
         m_status = m_buffered_answer->status;
         succeeded = co_await m_exchange.begin(m_buffered_answer->status, m_buffered_answer->headers,
                                               m_buffered_answer->body.size());
-        if (succeeded) {
-            succeeded = co_await m_exchange.write(m_buffered_answer->body);
+        for (const std::string& block : m_buffered_answer->body.blocks()) {
+            if (succeeded)
+                succeeded = co_await m_exchange.write(block);
         }
     }
     else if (m_streaming_events && !m_incoming.metadata) {
--- a/daemon/relay_attempt.cc
+++ b/daemon/relay_attempt.cc
@@ -461,10 +461,10 @@
     }
 }
 
-net::awaitable<std::optional<std::string>>
+net::awaitable<std::optional<answer_blocks>>
 relay_request::impl::read_full_body(attempt_state& attempt, http_stream& answer, std::size_t limit)
 {
-    std::string body;
+    answer_blocks body;
     for (;;) {
         const result<std::string> piece = co_await answer.read(max_read_wait);
         if (piece && piece.value().empty() && !attempt.cancelled)
@@ -472,7 +472,7 @@
         if (piece && !attempt.cancelled) {
             const bool held = co_await hold_answer(attempt, piece.value().size());
             if (held)
-                body += piece.value();
+                body.append(piece.value());
             if (held && body.size() <= limit)
                 continue;
         }
@@ -492,10 +492,10 @@
 net::awaitable<void> relay_request::impl::relay_buffered(attempt_state& attempt,
                                                          http_stream& answer, std::size_t limit)
 {
-    std::optional<std::string> read = co_await read_full_body(attempt, answer, limit);
+    const std::optional<answer_blocks> read = co_await read_full_body(attempt, answer, limit);
     if (!read)
         co_return;
-    std::string& body = *read;
+    std::string body = read->joined();
     const bool model = attempt.send_command.kind == pool_kind::model;
     if (model && answer.status() == http::status::ok && !is_completion(body)) {
         // A 200 whose body holds no completion is a failure of the engine.
@@ -509,7 +509,7 @@
         finished.answer = stored_answer{static_cast<std::uint32_t>(answer.status()),
                                         std::string{answer.header("Content-Type")}, body};
     m_buffered_answer =
-        buffered_answer{answer.status(), forwarded_headers(answer), std::move(body)};
+        buffered_answer{answer.status(), forwarded_headers(answer), answer_blocks{std::move(body)}};
     m_services.driver.handle(std::move(finished));
 }
 
--- a/daemon/relay_forward.cc
+++ b/daemon/relay_forward.cc
@@ -259,7 +259,7 @@
                                                            http_stream& answer,
                                                            const answer_metadata& metadata)
 {
-    std::optional<std::string> body =
+    std::optional<answer_blocks> body =
         co_await read_full_body(attempt, answer, m_services.settings.limits.answer_bytes);
     if (!body)
         co_return;
--- a/daemon/relay_way.h
+++ b/daemon/relay_way.h
@@ -3,6 +3,7 @@
 // that are passed on unchanged).
 #pragma once
 
+#include "daemon/answer_blocks.h"
 #include "daemon/daemon.h"
 #include "daemon/relay.h"
 #include "daemon/request_log.h"
@@ -53,7 +54,7 @@
 struct buffered_answer {
     http::status status = http::status::unknown;
     http::fields headers;
-    std::string body;
+    answer_blocks body;
 };
 
 class relay_request::impl : public std::enable_shared_from_this<impl> {
@@ -113,7 +114,7 @@
                                       std::uint32_t count);
     /// Reads a body of at most `limit` bytes. nullopt if the attempt was cancelled or failed; a
     /// failure has been reported to the core.
-    net::awaitable<std::optional<std::string>>
+    net::awaitable<std::optional<answer_blocks>>
     read_full_body(attempt_state& attempt, http_stream& answer, std::size_t limit);
     net::awaitable<void> relay_buffered(attempt_state& attempt, http_stream& answer,
                                         std::size_t limit);
--- a/standins/runner_standin.cc
+++ b/standins/runner_standin.cc
@@ -235,6 +235,13 @@
 awaitable<void> runner_standin::answer(standin_exchange& exchange)
 {
     const std::string attempt = set_answer_headers(exchange);
+    if (faults.endless) {
+        constexpr std::size_t chunk_bytes = 64 * 1024;
+        bool open = co_await exchange.begin_chunks(http::status::ok, "text/plain");
+        while (open)
+            open = co_await exchange.write_chunk(std::string(chunk_bytes, 'a'));
+        co_return;
+    }
     if (faults.foreign) {
         const std::string other = "HTTP/1.1 200 OK\r\nJaynotch-Attempt-Id: another\r\n"
                                   "Jaynotch-Response-Seal: s\r\nContent-Length: 6\r\n\r\nforged";
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -100,6 +100,7 @@
     std::size_t cut_every = 0; ///< cut each request with this number or a multiple of it; 0: off
     bool foreign = false;      ///< send the response to another request first
     std::size_t padding = 0;   ///< additional bytes in each answer or event
+    bool endless = false;      ///< send the body of a plain answer until the caller closes
     std::size_t cut_after = 0; ///< events after which a stream is cut; 0: off
     /// Text in the body or the list of prompt parts of requests under which the process ends, as it
     /// begins to answer; empty: off.
