Routing: the overload limit rises by a tenth beside one, and fast until three quarters

What callers saw: after the return of a fleet that is short of processor, nodes went on to refuse a third of what they could serve for more than ten seconds, since a limit of some ten requests rose by half a request a second.

--- a/routing/overload_limit.cc
+++ b/routing/overload_limit.cc
@@ -1,9 +1,9 @@
-// Additive increase, multiplicative decrease, as in TCP. If in a window at least as many answers
+// Increase by answers, multiplicative decrease, as in TCP. If in a window at least as many answers
 // begin late as in time, or end too late as in time, the limit becomes the part of the open
 // requests that was of use; if none was, a single request is left, so that the backlog drains. Each
-// answer that begins in time then raises the limit by one, until half of the open requests that
-// were too many; from there on it rises by one for as many answers as it has requests. A limit that
-// refuses nothing for a while is dropped.
+// answer that begins in time then raises the limit by one, until three quarters of the open
+// requests that were too many; from there on it rises by one and a tenth of itself for as many
+// answers as it has requests. A limit that refuses nothing for a while is dropped.
 //
 // The sign is a majority, since a part of the servers may be lost without any overload: refusing
 // requests would not help those that are sent to them, and the others are answered.
@@ -23,7 +23,9 @@
 constexpr double least = 1.0;
 /// Kept if answers are only slow.
 constexpr double part_if_slow = 0.7;
-constexpr double fast_fraction = 0.5;
+constexpr double fast_fraction = 0.75;
+/// By how much the limit rises with as many answers as it has requests, beside one.
+constexpr double increase = 0.1;
 constexpr std::chrono::seconds release_after{5};
 
 double ratio(std::size_t part, std::size_t all)
@@ -103,7 +105,7 @@
         const double answers = static_cast<double>(m_counts.in_time);
         const double room = std::max(0.0, m_fast_until - *m_limit);
         const double fast = std::min(answers, room);
-        *m_limit += fast + (answers - fast) / *m_limit;
+        *m_limit += fast + (answers - fast) * (increase + 1.0 / *m_limit);
         m_last_reached = now;
     }
     else if (now - m_last_reached >= release_after)
