--- a/soak/fault_soak_main.cc
+++ b/soak/fault_soak_main.cc
@@ -36,6 +36,10 @@
 ABSL_FLAG(
     std::string, final_outage, "none",
     "all daemons are lost at once at the end: none, kill or power for 1.3 s, or drawn by seed");
+ABSL_FLAG(bool, runners_lost_too, false,
+          "all runners are lost with the daemons at the end, and others with empty hosts come");
+ABSL_FLAG(std::uint32_t, balancer_wait_ms, 300, "flag of the same name of the daemons");
+ABSL_FLAG(std::uint32_t, plain_work_ms, 0, "how long a plain server works on a request");
 ABSL_FLAG(std::uint32_t, other_routes, 0,
           "routes in the configuration beside those of the callers");
 ABSL_FLAG(double, store_link_mbps, 0.0,
@@ -108,6 +112,9 @@
     settings.site.daemons = absl::GetFlag(FLAGS_daemons);
     settings.site.runners = absl::GetFlag(FLAGS_runners);
     settings.site.configuration.other_routes = absl::GetFlag(FLAGS_other_routes);
+    settings.runners_lost_too = absl::GetFlag(FLAGS_runners_lost_too);
+    settings.site.balancer_wait = std::chrono::milliseconds{absl::GetFlag(FLAGS_balancer_wait_ms)};
+    settings.site.plain_work = std::chrono::milliseconds{absl::GetFlag(FLAGS_plain_work_ms)};
     settings.site.daemon_cores = absl::GetFlag(FLAGS_daemon_cores);
     settings.daemon_quota = absl::GetFlag(FLAGS_daemon_quota);
     settings.requests_per_s = absl::GetFlag(FLAGS_rate);
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -133,6 +133,8 @@
         asio::co_spawn(m_io, disturb_store(planned), asio::detached);
         for (std::size_t time = 0; time < planned.times; ++time) {
             stop_all(planned);
+            if (m_settings.runners_lost_too)
+                replace_all_runners();
             run_for(planned.down);
             start_all(planned);
         }
@@ -152,6 +154,19 @@
         }
     }
 
+    void replace_all_runners()
+    {
+        std::vector<std::shared_ptr<runner_standin>> lost;
+        for (const soak_runner& runner : m_site.runners()) {
+            if (runner.server->alive())
+                lost.push_back(runner.server);
+        }
+        for (const auto& server : lost) {
+            server->stop();
+            replace(*server);
+        }
+    }
+
     void start_all(const planned_fleet_outage& planned)
     {
         std::vector<std::size_t> order(m_site.daemons().size());
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -27,6 +27,8 @@
     bool pause_after_maintenance = false; ///< the same
     /// Ends the run: all daemons are lost at once right after a last change of the configuration.
     std::optional<planned_fleet_outage> final_outage;
+    /// All runners are lost with the daemons then; others with empty hosts take their places.
+    bool runners_lost_too = false;
     /// Share of each tenth of a second in which the daemons run; in the rest all of them stand
     /// still.
     double daemon_quota = 1.0;
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -133,12 +133,13 @@
 void soak_site::launch(std::size_t index)
 {
     soak_daemon& daemon = m_daemons[index];
-    daemon.process =
-        child_process::start({m_settings.program, "--settings=" + daemon.settings_file,
-                              "--peer_advertise=" + daemon.peer_link->address(),
-                              "--admin_listen=" + daemon.admin_listen, "--balancer_wait_ms=300"},
-                             m_settings.folder + "/" + daemon.name + ".log")
-            .value();
+    daemon.process = child_process::start(
+                         {m_settings.program, "--settings=" + daemon.settings_file,
+                          "--peer_advertise=" + daemon.peer_link->address(),
+                          "--admin_listen=" + daemon.admin_listen,
+                          "--balancer_wait_ms=" + std::to_string(m_settings.balancer_wait.count())},
+                         m_settings.folder + "/" + daemon.name + ".log")
+                         .value();
     restrict_cores(*daemon.process);
     daemon.first_start = false;
     daemon.stopping = false;
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -38,11 +38,12 @@
     /// Long enough for streams to be open whenever servers are paused.
     std::chrono::milliseconds stream_gap{25};
     configuration_form configuration;
-    std::size_t model_slots = 0;             ///< requests at once of a group; 0: any number
-    std::size_t plain_slots = 0;             ///< the same of a plain server
-    std::chrono::milliseconds plain_work{0}; ///< time for a request
-    std::size_t daemon_cores = 0;            ///< that all daemons share; 0: all
-    double store_link_bytes_per_s = 0.0;     ///< all answers of the store share it; 0: unlimited
+    std::size_t model_slots = 0;                  ///< requests at once of a group; 0: any number
+    std::size_t plain_slots = 0;                  ///< the same of a plain server
+    std::chrono::milliseconds plain_work{0};      ///< time for a request
+    std::chrono::milliseconds balancer_wait{300}; ///< of the daemons, on a planned stop
+    std::size_t daemon_cores = 0;                 ///< that all daemons share; 0: all
+    double store_link_bytes_per_s = 0.0; ///< all answers of the store share it; 0: unlimited
     link_sharing store_link_sharing = link_sharing::chunks;
     promise_bounds bounds; ///< that the daemons are given and the checker checks
 };
