--- a/soak/fault_soak_main.cc
+++ b/soak/fault_soak_main.cc
@@ -9,6 +9,7 @@
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
 #include "base/environment.h"
+#include "soak/fleet_shape.h"
 #include "soak/soak_run.h"
 
 #include <charconv>
@@ -50,6 +51,9 @@
     bool, deployment, false,
     "size of a deployment: 28 daemons in three failure domains, 162 runners in fabric domains "
     "of 18, models of 8 and 2, 1,900 routes; the flags for sizes are ignored");
+ABSL_FLAG(std::string, shape, "",
+          "size of a fleet: four_nodes, four_nodes_in_twos, medium, four_domains, large_groups, "
+          "large; the flags for sizes are ignored, --retry_extra too, and --rate if it is 0");
 ABSL_FLAG(double, rate, 0.0,
           "requests a second beside those of --callers, sent whether earlier ones are answered");
 ABSL_FLAG(std::uint32_t, daemon_cores, 0, "cores that all daemons share; 0: all");
@@ -94,6 +98,18 @@
     site.bounds.retry_extra = 240.0;
 }
 
+result<std::optional<fleet_shape>> chosen_shape()
+{
+    const std::string given = absl::GetFlag(FLAGS_shape);
+    if (given.empty())
+        return std::optional<fleet_shape>{};
+    const std::optional<fleet_shape> shape = from_name<fleet_shape>(given);
+    if (!shape)
+        return error{error_kind::invalid_argument, "--shape: \"" + given + "\" is unknown",
+                     "give one of " + list_names<fleet_shape>()};
+    return shape;
+}
+
 bool run_seed(std::uint64_t seed)
 {
     soak_settings settings;
@@ -125,6 +141,11 @@
     if (absl::GetFlag(FLAGS_store_in_turns))
         settings.site.store_link_sharing = link_sharing::turns;
     settings.site.bounds.retry_extra = absl::GetFlag(FLAGS_retry_extra);
+    if (const std::optional<fleet_shape> shape = chosen_shape().value()) {
+        set_shape(settings.site, *shape);
+        if (settings.requests_per_s <= 0.0)
+            settings.requests_per_s = usual_rate(*shape);
+    }
     const soak_outcome outcome = run_soak(settings);
     std::printf("%s seed %llu: %zu requests, %zu served, %zu faults\n",
                 outcome.problems.empty() ? "ok  " : "FAIL", static_cast<unsigned long long>(seed),
@@ -173,6 +194,10 @@
         std::fprintf(stderr, "jaynotch-fault-soak: %s\n", to_string(known.error()).c_str());
         return 2;
     }
+    if (const auto known = chosen_shape(); !known) {
+        std::fprintf(stderr, "jaynotch-fault-soak: %s\n", to_string(known.error()).c_str());
+        return 2;
+    }
     std::size_t failed = 0;
     for (const std::uint64_t seed : seeds)
         failed += run_seed(seed) ? 0 : 1;
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -47,8 +47,7 @@
         m_site.start();
         if (!run_until([&] { return serving(); },
                        max_start_time + m_settings.site.configuration.load))
-            return {{"fewer than two servers are ready " +
-                     std::to_string(max_start_time / poll_interval) +
+            return {{"too few servers are ready " + std::to_string(max_start_time / poll_interval) +
                      " poll intervals after the start"},
                     {},
                     0,
@@ -58,6 +57,7 @@
                                      m_settings.site.store_link_sharing);
         if (m_settings.daemon_quota < 1.0)
             asio::co_spawn(m_io, keep_quota(), asio::detached);
+        m_site.begin_traffic();
         m_callers.start(m_settings.callers);
         if (m_settings.requests_per_s > 0.0)
             m_callers.start_at_rate(m_settings.requests_per_s);
@@ -219,14 +219,13 @@
         run_until([&] { return runtime_clock::now() >= until; }, time);
     }
 
-    /// Whether at least two servers accept requests.
+    /// Whether enough servers accept requests to begin.
     bool serving()
     {
         std::size_t open = 0;
         for (const soak_runner& runner : m_site.runners())
             open += runner.server->open() ? 1 : 0;
-        constexpr std::size_t min_open = 2;
-        return open >= min_open;
+        return open >= m_settings.site.open_before_traffic;
     }
 
     asio::awaitable<void> pause(duration time) { return standin_sleep(m_io.get_executor(), time); }
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -58,6 +58,7 @@
 {
     std::filesystem::create_directories(m_settings.folder);
     m_fabric->stall = group_stall;
+    m_fabric->traffic = false;
     m_fabric->group_sizes.clear();
     for (const model_form& model : m_settings.configuration.models)
         m_fabric->group_sizes[model.name] = model.size;
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -33,7 +33,8 @@
     std::size_t runners = 10; ///< model runners
     /// Runners in a fabric domain; 0: each failure domain is one.
     std::size_t fabric_domain_size = 0;
-    std::size_t servers = 3; ///< plain backend servers
+    std::size_t servers = 3;             ///< plain backend servers
+    std::size_t open_before_traffic = 2; ///< heads of groups that accept requests
     std::size_t stream_events = 12;
     /// Long enough for streams to be open whenever servers are paused.
     std::chrono::milliseconds stream_gap{25};
@@ -110,6 +111,8 @@
     [[nodiscard]] std::vector<soak_runner>& runners() { return m_runners; }
     [[nodiscard]] store_standin& store() { return *m_store; }
     [[nodiscard]] const runner_fabric& fabric() const { return *m_fabric; }
+    /// Loads take their full time from now on.
+    void begin_traffic() { m_fabric->traffic = true; }
     [[nodiscard]] const soak_site_settings& settings() const { return m_settings; }
 
 private:
--- a/standins/runner_standin.cc
+++ b/standins/runner_standin.cc
@@ -413,7 +413,10 @@
 awaitable<void> runner_standin::join(std::string group, std::int64_t epoch, std::string model)
 {
     const auto keep = shared_from_this();
-    const duration load = m_staged == model ? m_settings.warm_up : m_settings.load;
+    constexpr int early_load_divisor = 10;
+    const bool early = m_settings.fabric && !m_settings.fabric->traffic;
+    const duration full_load = early ? m_settings.load / early_load_divisor : m_settings.load;
+    const duration load = m_staged == model ? m_settings.warm_up : full_load;
     m_group = group;
     m_epoch = epoch;
     m_model.clear();
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -75,6 +75,8 @@
     std::map<std::string, std::size_t> group_sizes{{"m", 2}}; ///< by model
     duration stall = std::chrono::seconds{1}; ///< time after which an incomplete group breaks
     std::vector<std::string> broken;          ///< descriptions of violated invariants, in order
+    /// Loads take a tenth of their time until it is set, as before the platform's first request.
+    bool traffic = true;
 };
 
 struct runner_standin_settings {
