Overload: a request beyond the limit is refused once its head is read

Callers saw: on a machine that lacks processor time most of it went to requests that were refused at once. Cause: a refused request was parsed whole, hashed, given a span, an inbox and a coroutine of its own, and two log lines, one of them written at once (12% of the daemons' time in a profile at 1,000 refusals a second). Change: the overload limit is asked before anything of the request is parsed, and refusals are logged one by one up to ten a second, then as a sum (requests_refused).

--- a/daemon/forward_front.cc
+++ b/daemon/forward_front.cc
@@ -79,6 +79,12 @@
     incoming.arrived = runtime_clock::now();
     ++m_services.counts.requests;
     const std::shared_ptr<const configuration> tables = m_state().tables;
+    if (!marker && tables != nullptr) {
+        if (const auto retry_after = m_services.driver.refuse_early()) {
+            co_await refuse_overloaded(exchange, *retry_after);
+            co_return;
+        }
+    }
     result<void> accepted = co_await read_request(exchange, incoming, tables.get());
     if (accepted && marker && tables->revision < marker->revision)
         accepted = error{error_kind::unavailable,
@@ -139,6 +145,24 @@
     co_return success();
 }
 
+net::awaitable<void> forward_front::refuse_overloaded(http_exchange& exchange,
+                                                      std::chrono::milliseconds retry_after)
+{
+    ++m_services.counts.refused;
+    m_services.exported_metrics.refused(error_kind::overloaded);
+    const time_point now = runtime_clock::now();
+    m_services.exported_metrics.ended(outcome::refused, duration{0});
+    m_refusals.refused(platform::request_id_of(exchange.request()), retry_after, now);
+    exchange.skip_received_body();
+    refusal reply{.failure = {error_kind::overloaded,
+                              "this node has as many requests as are answered in time",
+                              "come back after the time in Retry-After"},
+                  .ran = ran_state::no};
+    reply.retry_after = retry_after;
+    reply.fractional_retry_after = true;
+    co_await exchange.refuse(reply);
+}
+
 net::awaitable<void> forward_front::reject(http_exchange& exchange, const error& why, bool relayed)
 {
     ++m_services.counts.refused;
--- a/daemon/forward_front.h
+++ b/daemon/forward_front.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "daemon/front.h"
+#include "daemon/refusal_log.h"
 #include "daemon/relay.h"
 #include "daemon/relay_headers.h"
 
@@ -30,8 +31,13 @@
     /// Refuses a request that the request core has not seen.
     net::awaitable<void> reject(http_exchange& exchange, const error& why, bool relayed);
 
+    /// Refuses a request of which only the body has been read.
+    net::awaitable<void> refuse_overloaded(http_exchange& exchange,
+                                           std::chrono::milliseconds retry_after);
+
     relay_services& m_services;
     std::function<front_state()> m_state;
+    refusal_log m_refusals;
 };
 
 } // namespace jaynotch
--- a/daemon/request_driver.h
+++ b/daemon/request_driver.h
@@ -18,6 +18,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace jaynotch {
@@ -78,6 +79,9 @@
     /// See request_core::may_send().
     bool may_send(request_id request, attempt_id attempt);
 
+    /// See request_core::refuse_early().
+    std::optional<std::chrono::milliseconds> refuse_early();
+
     [[nodiscard]] const request_core& core() const;
     [[nodiscard]] std::size_t open_inboxes() const;
 
--- a/http/http_exchange.cc
+++ b/http/http_exchange.cc
@@ -238,6 +238,24 @@
     co_return content;
 }
 
+void http_exchange::skip_received_body()
+{
+    std::array<char, body_read_bytes> dropped{};
+    auto& input = m_caller->input();
+    while (!m_parser.is_done() && input.size() > 0) {
+        auto& body = m_parser.get().body();
+        body.data = dropped.data();
+        body.size = dropped.size();
+        body.more = true;
+        boost::system::error_code failed;
+        const std::size_t taken = m_parser.put(input.data(), failed);
+        input.consume(taken);
+        if (taken == 0 ||
+            (failed && failed != http::error::need_more && failed != http::error::need_buffer))
+            break;
+    }
+}
+
 void http_exchange::set(std::string_view name, std::string_view value)
 {
     m_extra_headers.emplace_back(name);
--- a/http/http_exchange.h
+++ b/http/http_exchange.h
@@ -66,6 +66,10 @@
     net::awaitable<result<std::string>>
     read_body(std::size_t limit, std::function<bool(std::size_t bytes)> admit = {});
 
+    /// Drops what has already arrived of the body, without waiting for more. If that is all of it,
+    /// the connection can be used again after a response.
+    void skip_received_body();
+
     /// Sets a header of the response, whichever call sends it.
     void set(std::string_view name, std::string_view value);
 
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -63,6 +63,11 @@
     return m_state->requests.size();
 }
 
+std::optional<std::chrono::milliseconds> request_core::refuse_early()
+{
+    return m_state->refuse_early();
+}
+
 std::optional<double> request_core::open_request_limit() const
 {
     return m_state->overload.limit();
--- a/routing/request_core.h
+++ b/routing/request_core.h
@@ -143,6 +143,11 @@
     /// Whether the attempt, for which opening a connection took a while, may still be sent.
     bool may_send(request_id request, attempt_id attempt);
 
+    /// Refuses a request that has arrived, before anything is known of it, if this node is
+    /// overloaded: Retry-After, or nullopt if the request is to be read. Costs far less than
+    /// handling request_arrived.
+    std::optional<std::chrono::milliseconds> refuse_early();
+
     [[nodiscard]] const routing_counters& counters() const;
     [[nodiscard]] std::vector<target_status> targets() const;
     [[nodiscard]] std::vector<pool_status> pools() const;
--- a/routing/request_overload.cc
+++ b/routing/request_overload.cc
@@ -17,6 +17,17 @@
 
 } // namespace
 
+std::optional<std::chrono::milliseconds> request_core::state::refuse_early()
+{
+    if (!settings.admission || !settings.mechanisms.has(mechanism::overload_limit) ||
+        overload.admit(requests.size()))
+        return std::nullopt;
+    ++counters.arrived;
+    ++counters.refused;
+    ++counters.refused_overload;
+    return retry_after(min_return_s);
+}
+
 bool request_core::state::refuse_overload(const request_info& info, const pool_row& pool,
                                           command_list& out)
 {
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -203,6 +203,7 @@
     void emit_evidence(command_list& out);
 
     // request_overload.cc: the limit on this node's open requests
+    std::optional<std::chrono::milliseconds> refuse_early();
     bool refuse_overload(const request_info& info, const pool_row& pool, command_list& out);
     void await_begin(request_row& row, time_point now);
     void note_begun(request_row& row);
