Overload: a node that returns to a fleet uses half of its places until streams are fast

Callers saw: after the return of all nodes streams were cut at their deadline with 16 to 26 of 28 events, and nothing was finished for seconds. Cause: begins were in time, so the limit was found from streams that ended too late, 4 to 9 s after the return, and then was 60 to 80 open requests a node where 20 are borne; meanwhile all callers came back at once. Change: the gaps between events, compared with the usual gap and with the time that streams have, lower the limit before any stream is too late and keep it from rising (routing/stream_pace). A node that starts again begins with half of its share of the engines' places, plus one for each answer in time, until streams were fast for a while. The stand-in states as many places as it has.

--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -92,6 +92,7 @@
     made.retry_window = settings.site.retry_window;
     made.charge_every_retry = true;
     made.min_retry_after = std::chrono::milliseconds{100};
+    made.started_again = !settings.first_start;
     made.cold_excess = settings.site.cold_excess;
     made.cold_slack = settings.site.cold_slack;
     return made;
--- a/routing/overload_limit.cc
+++ b/routing/overload_limit.cc
@@ -5,6 +5,11 @@
 // requests that were too many; from there on it rises by one and a tenth of itself for as many
 // answers as it has requests. A limit that refuses nothing for a while is dropped.
 //
+// Streams that are slow give a sign before any of them is too late: at twice their usual gap, and
+// if a usual stream would then take most of its time, the limit becomes the part at which it takes
+// less, and does not rise meanwhile. This is judged again once the streams beyond the limit have
+// ended.
+//
 // The sign is a majority, since a part of the servers may be lost without any overload: refusing
 // requests would not help those that are sent to them, and the others are answered.
 #include "routing/overload_limit.h"
@@ -28,6 +33,20 @@
 constexpr double increase = 0.1;
 constexpr std::chrono::seconds release_after{5};
 
+constexpr double slow_stretch = 2.0;
+constexpr double slow_time_used = 0.5;
+/// Whatever the usual gap seems to be.
+constexpr double hopeless_time_used = 0.9;
+constexpr double aimed_time_used = 0.3;
+constexpr double least_part_if_slow = 0.4;
+/// No rise above these.
+constexpr double held_stretch = 1.5;
+constexpr double held_time_used = 0.35;
+/// Windows in which streams were fast until a node that has started knows enough.
+constexpr std::size_t sound_windows_to_start = 8;
+/// Open requests up to this multiple of the limit are due to it.
+constexpr double drained = 1.1;
+
 double ratio(std::size_t part, std::size_t all)
 {
     return all == 0 ? 1.0 : static_cast<double>(part) / static_cast<double>(all);
@@ -37,8 +56,11 @@
 
 void overload_limit::note_begun(time_point sent, begin_result result)
 {
-    if (result == begin_result::in_time)
+    if (result == begin_result::in_time) {
         ++m_counts.in_time;
+        if (m_starting && m_reached && !m_held && m_limit)
+            *m_limit += 1.0;
+    }
     else if (sent >= m_lowered_at)
         ++m_counts.late;
 }
@@ -51,6 +73,12 @@
         ++(result == end_result::slow ? m_counts.slow : m_counts.incomplete);
 }
 
+void overload_limit::begin_with(double open)
+{
+    if (m_starting && open > 0.0)
+        m_limit = std::max({least, open, m_limit.value_or(0.0)});
+}
+
 bool overload_limit::admit(std::size_t open)
 {
     if (!m_limit || static_cast<double>(open) < *m_limit)
@@ -60,7 +88,7 @@
 }
 
 /// The part of the open requests that is of use; nullopt if there is no overload.
-std::optional<double> overload_limit::part_to_keep() const
+std::optional<double> overload_limit::part_of_use() const
 {
     const std::size_t too_late = m_counts.slow + m_counts.incomplete;
     const bool begins_late = m_counts.late >= min_late && m_counts.late >= m_counts.in_time;
@@ -73,6 +101,20 @@
     return std::min({part_if_slow, begun, ended});
 }
 
+/// The part of the open requests with which streams would take less of their time; nullopt if they
+/// are fast enough, or if more requests are open than the limit has admitted.
+std::optional<double> overload_limit::part_in_pace(const std::optional<pace_window>& pace,
+                                                   std::size_t open) const
+{
+    const bool within = !m_limit || static_cast<double>(open) <= drained * *m_limit;
+    if (!pace || !within)
+        return std::nullopt;
+    const bool slow = pace->stretch >= slow_stretch && pace->time_used >= slow_time_used;
+    if (!slow && pace->time_used < hopeless_time_used)
+        return std::nullopt;
+    return std::clamp(aimed_time_used / pace->time_used, least_part_if_slow, part_if_slow);
+}
+
 void overload_limit::tick(std::size_t open, time_point now)
 {
     const duration length = now - m_window_start;
@@ -80,8 +122,16 @@
         m_counts.in_time + m_counts.late + m_counts.slow + m_counts.incomplete;
     if (length < window || (samples < min_samples && length < max_window))
         return;
-    if (const std::optional<double> part = part_to_keep())
-        lower(*part, open, now);
+    const std::optional<pace_window> pace = m_pace.take_window();
+    if (pace && pace->time_used < held_time_used && ++m_sound_windows >= sound_windows_to_start)
+        m_starting = false;
+    m_held = pace && pace->stretch >= held_stretch && pace->time_used >= held_time_used;
+    if (const std::optional<double> part = part_of_use())
+        lower(*part, fast_fraction, open, now);
+    else if (const std::optional<double> slow_part = part_in_pace(pace, open))
+        lower(*slow_part, *slow_part, open, now);
+    else if (m_limit && m_held)
+        m_last_reached = now;
     else if (m_limit)
         raise(now);
     m_counts = {};
@@ -89,18 +139,24 @@
     m_window_start = now;
 }
 
-void overload_limit::lower(double part, std::size_t open, time_point now)
+void overload_limit::lower(double part, double fast_part, std::size_t open, time_point now)
 {
     const double used =
         m_limit ? std::min(*m_limit, static_cast<double>(open)) : static_cast<double>(open);
+    m_starting = false;
     m_limit = std::max(least, used * part);
-    m_fast_until = std::max(least, used * fast_fraction);
+    m_fast_until = std::max(least, used * fast_part);
     m_lowered_at = now;
     m_last_reached = now;
 }
 
 void overload_limit::raise(time_point now)
 {
+    if (m_starting) {
+        // Each answer has raised the limit already.
+        m_last_reached = now;
+        return;
+    }
     if (m_reached) {
         const double answers = static_cast<double>(m_counts.in_time);
         const double room = std::max(0.0, m_fast_until - *m_limit);
--- a/routing/overload_limit.h
+++ b/routing/overload_limit.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "base/base.h"
+#include "routing/stream_pace.h"
 
 #include <cstddef>
 #include <optional>
@@ -32,6 +33,12 @@
     // due to the load at that time.
     void note_begun(time_point sent, begin_result result);
     void note_ended(time_point sent, end_result result);
+    /// How fast streams are, in the current window.
+    stream_pace& pace() { return m_pace; }
+    /// A node that has just started has not seen yet what the fleet bears. Until it has, at least
+    /// this many requests may be open, and one more for each answer that begins in time.
+    void begin_with(double open);
+    [[nodiscard]] bool starting() const { return m_starting; }
     /// Adjusts the limit at the end of each window. `open`: open requests of this node.
     void tick(std::size_t open, time_point now);
     /// Whether one more request may be admitted. A refusal is noted.
@@ -48,14 +55,21 @@
         std::size_t incomplete = 0;
     };
 
-    [[nodiscard]] std::optional<double> part_to_keep() const;
-    void lower(double part, std::size_t open, time_point now);
+    [[nodiscard]] std::optional<double> part_of_use() const;
+    [[nodiscard]] std::optional<double> part_in_pace(const std::optional<pace_window>& pace,
+                                                     std::size_t open) const;
+    /// Up to `fast_part` of the open requests, the limit rises fast.
+    void lower(double part, double fast_part, std::size_t open, time_point now);
     void raise(time_point now);
 
     std::optional<double> m_limit;
     double m_fast_until = 0.0; ///< below this limit, each answer in time raises it by one
     counts m_counts;           ///< of the current window
-    bool m_reached = false;    ///< a request was refused in this window
+    stream_pace m_pace;
+    bool m_reached = false; ///< a request was refused in this window
+    bool m_starting = true; ///< the limit was not lowered yet, nor streams fast for a while
+    bool m_held = false;    ///< streams were too slow in the last window for a rise
+    std::size_t m_sound_windows = 0;
     time_point m_window_start;
     time_point m_lowered_at;
     time_point m_last_reached;
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -185,6 +185,8 @@
         return;
     row.attempt.first_part_received = true;
     row.attempt.first_part = now;
+    if (pools.at(row.terms.pool).modelled())
+        overload.pace().note_begun(row.answer_deadline - now);
     ++targets.at(row.attempt.target).streaming;
     const double took_s = seconds(now - row.attempt.started);
     if (targets.at(row.attempt.target).other_node)
@@ -207,6 +209,9 @@
         const double gap_ms = ms_in_second * seconds(now - row->attempt.last_part) / part.tokens;
         double& usual_ms = targets.at(row->attempt.target).health.gap_ms;
         usual_ms += smoothing * (gap_ms - usual_ms);
+        if (pools.at(row->terms.pool).modelled())
+            overload.pace().note_gap((now - row->attempt.last_part) / part.tokens, usual_gap(*row),
+                                     row->attempt.events + part.tokens);
     }
     note_activity(*row, now);
     row->attempt.last_part = now;
--- a/routing/request_core.h
+++ b/routing/request_core.h
@@ -27,6 +27,8 @@
     std::string incarnation; ///< unique to this run of the process
 
     pick_policy pick = pick_policy::two_choices;
+    /// This node starts in a fleet that has served before: callers may all return at once.
+    bool started_again = false;
     bool admission = true;    ///< false (baseline): no queueing and no load shedding
     bool retry_budget = true; ///< false (baseline): retries are not limited by a budget
     mechanism_set mechanisms; ///< enabled optional mechanisms
--- a/routing/request_overload.cc
+++ b/routing/request_overload.cc
@@ -12,15 +12,26 @@
 
 namespace {
 
+/// Part of this node's share of the engines' places that it uses until it has seen what they bear.
+constexpr double part_of_places_at_start = 0.5;
 /// Base of Retry-After, seconds, where requests take less.
 constexpr double min_return_s = 0.5;
 
 } // namespace
 
+/// Whether the limit on open requests lets one more in.
+bool request_core::state::admits_one_more()
+{
+    if (!settings.admission || !settings.mechanisms.has(mechanism::overload_limit))
+        return true;
+    if (settings.started_again && overload.starting())
+        overload.begin_with(part_of_places_at_start * share_of_places());
+    return overload.admit(requests.size());
+}
+
 std::optional<std::chrono::milliseconds> request_core::state::refuse_early()
 {
-    if (!settings.admission || !settings.mechanisms.has(mechanism::overload_limit) ||
-        overload.admit(requests.size()))
+    if (admits_one_more())
         return std::nullopt;
     ++counters.arrived;
     ++counters.refused;
@@ -31,8 +42,7 @@
 bool request_core::state::refuse_overload(const request_info& info, const pool_row& pool,
                                           command_list& out)
 {
-    if (!settings.admission || !settings.mechanisms.has(mechanism::overload_limit) ||
-        overload.admit(requests.size()))
+    if (admits_one_more())
         return false;
     ++counters.refused_overload;
     refuse_untracked(info.id,
@@ -43,6 +53,27 @@
     return true;
 }
 
+/// Places of all model servers, divided among the nodes; 0 if there are none.
+double request_core::state::share_of_places() const
+{
+    double places = 0.0;
+    for (pool_index index = 0; index < pools.size(); ++index) {
+        if (!pools.at(index).modelled())
+            continue;
+        for (const target_row_index at : pools.at(index).view.targets)
+            places += static_cast<double>(targets.at(at).info.places);
+    }
+    return places / static_cast<double>(fleet_size);
+}
+
+/// Predicted time between two events of the request's stream, if its engine is full.
+duration request_core::state::usual_gap(const request_row& row) const
+{
+    const double gap_ms =
+        pass_ms(pools.at(row.terms.pool).info.engine, targets.at(row.attempt.target).info.places);
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{gap_ms});
+}
+
 /// Notes when the answer to a request that is sent for the first time has to begin.
 void request_core::state::await_begin(request_row& row, time_point now)
 {
@@ -87,8 +118,10 @@
     const attempt_row& attempt = row.attempt;
     if (row.begin_state == answer_begin::unsent || !pool.modelled() || !attempt.first_part_received)
         return;
+    if (how == end_of_answer::complete)
+        overload.pace().note_complete(attempt.events);
     const double usual_ms =
-        attempt.events * pass_ms(pool.info.engine, targets.at(attempt.target).info.places);
+        attempt.events * std::chrono::duration<double, std::milli>{usual_gap(row)}.count();
     const std::chrono::duration<double, std::milli> took = now - attempt.first_part;
     const bool slow = took.count() > slow_factor * usual_ms;
     const bool almost_late = now - row.first_sent > (row.answer_deadline - row.first_sent) / 2;
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -203,8 +203,11 @@
     void emit_evidence(command_list& out);
 
     // request_overload.cc: the limit on this node's open requests
+    bool admits_one_more();
     std::optional<std::chrono::milliseconds> refuse_early();
     bool refuse_overload(const request_info& info, const pool_row& pool, command_list& out);
+    [[nodiscard]] duration usual_gap(const request_row& row) const;
+    [[nodiscard]] double share_of_places() const;
     void await_begin(request_row& row, time_point now);
     void note_begun(request_row& row);
     void note_late(request_row& row);
--- a/standins/runner_standin.cc
+++ b/standins/runner_standin.cc
@@ -40,11 +40,12 @@
 
 json::object runner_standin::description() const
 {
+    constexpr std::size_t default_slots = 8;
     json::object entry{
         {"service", m_settings.service},
         {"addr", m_advertised_address.empty() ? m_server->address() : m_advertised_address},
         {"zone", m_settings.zone},
-        {"slot_count", 8},
+        {"slot_count", m_settings.slots > 0 ? m_settings.slots : default_slots},
         {"state", m_state},
         {"cold_remaining_ms",
          std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(
