Overload: a returning node begins with a quarter of its places, and knows the length of a usual stream

Cause: half of the places was still twice what three fleets on one core bear, and the pace of streams was judged by the events seen so far, so a slow stream showed only after two seconds. Now the engine's mean answer gives the events until a stream is complete.

--- a/routing/request_overload.cc
+++ b/routing/request_overload.cc
@@ -13,7 +13,7 @@
 namespace {
 
 /// Part of this node's share of the engines' places that it uses until it has seen what they bear.
-constexpr double part_of_places_at_start = 0.5;
+constexpr double part_of_places_at_start = 0.25;
 /// Base of Retry-After, seconds, where requests take less.
 constexpr double min_return_s = 0.5;
 
@@ -53,6 +53,14 @@
     return true;
 }
 
+/// Events of the request's stream with `more`, or those of a usual stream if they are more.
+double request_core::state::events_expected(const request_row& row, std::uint32_t more) const
+{
+    const engine_figures& engine = pools.at(row.terms.pool).info.engine;
+    const double usual = engine.mean_answer_tokens / std::max(1.0, double(engine.steps_per_pass));
+    return std::max(usual, static_cast<double>(row.attempt.events + more));
+}
+
 /// Places of all model servers, divided among the nodes; 0 if there are none.
 double request_core::state::share_of_places() const
 {
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -207,6 +207,7 @@
     std::optional<std::chrono::milliseconds> refuse_early();
     bool refuse_overload(const request_info& info, const pool_row& pool, command_list& out);
     [[nodiscard]] duration usual_gap(const request_row& row) const;
+    [[nodiscard]] double events_expected(const request_row& row, std::uint32_t more) const;
     [[nodiscard]] double share_of_places() const;
     void await_begin(request_row& row, time_point now);
     void note_begun(request_row& row);
--- a/routing/stream_pace.cc
+++ b/routing/stream_pace.cc
@@ -34,13 +34,13 @@
     follow(m_allowed_s, seconds(allowed), smoothing);
 }
 
-void stream_pace::note_gap(duration gap, duration engine_gap, std::size_t events)
+void stream_pace::note_gap(duration gap, duration engine_gap, double events)
 {
     m_gaps += gap;
     m_engine_gaps += engine_gap;
     ++m_gap_count;
     if (!m_any_complete)
-        m_events = std::max(m_events, static_cast<double>(events));
+        m_events = std::max(m_events, events);
 }
 
 void stream_pace::note_complete(std::size_t events)
--- a/routing/stream_pace.h
+++ b/routing/stream_pace.h
@@ -24,8 +24,9 @@
 class stream_pace {
 public:
     void note_begun(duration allowed);
-    /// `engine_gap`: predicted for a full engine. `events`: of the stream so far.
-    void note_gap(duration gap, duration engine_gap, std::size_t events);
+    /// `engine_gap`: predicted for a full engine. `events`: of the stream so far, or of a usual
+    /// stream if that is more.
+    void note_gap(duration gap, duration engine_gap, double events);
     void note_complete(std::size_t events);
     /// The gaps noted since the last call; nullopt if they are too few.
     std::optional<pace_window> take_window();
