--- a/routing/shared_processor_test.cc
+++ b/routing/shared_processor_test.cc
@@ -164,3 +164,32 @@
     cr_expect_geq(fleet.complete + in_progress, fleet.submitted, "%zu of %zu complete",
                   fleet.complete, fleet.submitted);
 }
+
+// Guards against paying for a whole request where the node is overloaded: it is refused before
+// anything of it is known, with a time to return.
+Test(shared_processor, a_request_beyond_the_limit_is_refused_early)
+{
+    core_settings settings = modelled_settings();
+    settings.started_again = true;
+    modelled_world world{1, settings};
+    std::size_t admitted = 0;
+    std::optional<std::chrono::milliseconds> refused;
+    while (!(refused = world.core.refuse_early()) && admitted < 100) {
+        ++admitted;
+        world.submit();
+    }
+    cr_assert(refused);
+    cr_assert_eq(admitted, 2U, "a quarter of eight places");
+    cr_assert_geq(refused->count(), 500);
+    cr_assert_eq(world.core.counters().refused_overload, 1U);
+}
+
+// Guards against a node that was never started again, or has no model servers, and refuses.
+Test(shared_processor, a_node_that_starts_first_has_no_limit)
+{
+    modelled_world world{1};
+    for (int request = 0; request < 20; ++request) {
+        cr_assert(!world.core.refuse_early());
+        world.submit();
+    }
+}
