--- a/groups/formation.cc
+++ b/groups/formation.cc
@@ -612,7 +612,9 @@
         if (is_doubted(view, now) && view.row.group && now >= view.next_silence_probe)
             probe_members(key_of(*view.row.group), now);
         if (view.silent_since && now >= view.next_silence_probe) {
-            view.next_silence_probe = now + settings.silence_probe_interval;
+            // Not before this probe has ended, whose answer sets the time of the next one.
+            view.next_silence_probe =
+                now + settings.max_probe_timeout + settings.silence_probe_interval;
             probe(view, now);
         }
         if (!view.staging.empty() && now >= view.staging_until)
