--- a/cli/cli_test.cc
+++ b/cli/cli_test.cc
@@ -348,3 +348,27 @@
     for (const auto& entry : enum_names<error_kind>::entries)
         cr_assert(to_exit_code(entry.value) != exit_code::succeeded);
 }
+
+// Guards against a report that leaves out requests refused before they were read: they have no
+// line of their arrival, and most of them are counted in sums.
+Test(losses, requests_refused_on_arrival_are_counted)
+{
+    const scratch_folder folder;
+    const auto line = [](int at_ms, const std::string& kind, const std::string& more) {
+        return R"({"ts_ms":)" + std::to_string(10'000 + at_ms) +
+               R"(,"level":"warning","program":"p","instance":"a","kind":")" + kind + "\"" + more +
+               "}\n";
+    };
+    const std::string refusal = R"(,"kind_of_error":"overloaded","age_ms":0)";
+    std::ofstream{folder.path() + "/a.log"}
+        << line(0, "request_admitted", R"(,"request":"r1")")
+        << line(100, "request_finished", R"(,"request":"r1","first_ms":10,"pause_ms":5)")
+        << line(200, "request_refused", R"(,"request":"r2")" + refusal)
+        << line(900, "requests_refused", R"(,"count":40,"kind_of_error":"overloaded")");
+    cli_options options;
+    options.arguments = {"losses", folder.path() + "/a.log"};
+    std::ostringstream out;
+    cr_assert(run_losses({options, out, out}).value() == exit_code::succeeded);
+    const std::string text = out.str();
+    cr_assert(text.find("refused as overloaded: 41") != std::string::npos, "%s", text.c_str());
+}
--- a/cli/losses_command.cc
+++ b/cli/losses_command.cc
@@ -124,6 +124,9 @@
         summary.refusal = text_field(line, "kind_of_error");
         const std::string route = text_field(line, "route");
         summary.route = route.empty() ? summary.route : route;
+        // A request that is refused before it is read has no line of its arrival.
+        if (summary.arrived_ms < 0 && route.empty())
+            summary.arrived_ms = line.at_ms - number_field(line, "age_ms", 0);
     }
     else if (line.kind == "request_finished") {
         summary.finished = true;
@@ -136,10 +139,10 @@
     std::size_t requests = 0;
     std::map<request_outcome, std::size_t> by_outcome;
 
-    void add(request_outcome outcome)
+    void add(request_outcome outcome, std::size_t count = 1)
     {
-        ++requests;
-        ++by_outcome[outcome];
+        requests += count;
+        by_outcome[outcome] += count;
     }
 };
 
@@ -198,6 +201,16 @@
     std::int64_t dropped = 0;
 };
 
+/// Adds a sum of requests that were refused before they were read.
+void add_refused(const log_line& line, loss_report& report, std::int64_t window)
+{
+    const auto count = static_cast<std::size_t>(number_field(line, "count", 0));
+    report.without_route += count;
+    report.routes["-"].add(request_outcome::refused, count);
+    report.windows[window].add(request_outcome::refused, count);
+    report.refusals[text_field(line, "kind_of_error")] += count;
+}
+
 loss_report build_report(const std::vector<log_line>& lines)
 {
     loss_report report;
@@ -206,13 +219,15 @@
     for (const log_line& line : lines) {
         if (!line.request.empty())
             add_line(line, summaries[line.request]);
-        if (line.kind == "request_admitted")
-            first_ms = std::min(first_ms, line.at_ms);
         if (line.kind == "request_finished" && !line.fields.contains("pause_ms"))
             ++report.without_pauses;
         if (line.kind == "log_dropped")
             report.dropped += dropped_lines(line);
     }
+    for (const auto& [request, summary] : summaries) {
+        if (summary.arrived_ms >= 0)
+            first_ms = std::min(first_ms, summary.arrived_ms);
+    }
     const auto window_of = [&](std::int64_t at_ms) { return (at_ms - first_ms) / window_ms; };
     for (const auto& [request, summary] : summaries) {
         if (summary.arrived_ms < 0)
@@ -224,6 +239,10 @@
         if (outcome == request_outcome::refused)
             ++report.refusals[summary.refusal];
     }
+    for (const log_line& line : lines) {
+        if (line.kind == "requests_refused" && line.at_ms >= first_ms)
+            add_refused(line, report, window_of(line.at_ms));
+    }
     for (const log_line& line : lines) {
         if (line.kind != "runners_used" || line.at_ms < first_ms)
             continue;
