--- a/daemon/flags.cc
+++ b/daemon/flags.cc
@@ -17,6 +17,8 @@
 ABSL_FLAG(std::string, relay_listen, "",
           "IP:port for requests that other daemons pass on, with --settings; empty: none");
 ABSL_FLAG(std::string, peer_advertise, "", "IP:port announced to peers; --peer_listen if empty");
+ABSL_FLAG(std::string, source_address, "",
+          "IP address of connections to backend servers at this end; empty: the system chooses it");
 ABSL_FLAG(std::vector<std::string>, key_value, {},
           "IP:ports of the key-value service, comma-separated");
 ABSL_FLAG(std::string, vm_list, "", "IP:port of the VM list");
@@ -192,6 +194,7 @@
     chosen.peer_listen = absl::GetFlag(FLAGS_peer_listen);
     chosen.admin_listen = absl::GetFlag(FLAGS_admin_listen);
     chosen.peer_advertise = absl::GetFlag(FLAGS_peer_advertise);
+    chosen.source_address = absl::GetFlag(FLAGS_source_address);
     chosen.key_value = absl::GetFlag(FLAGS_key_value);
     chosen.vm_list = absl::GetFlag(FLAGS_vm_list);
     chosen.weight_store = absl::GetFlag(FLAGS_weight_store);
--- a/daemon/formation_driver.cc
+++ b/daemon/formation_driver.cc
@@ -32,7 +32,7 @@
     impl(net::io_context& context, const daemon_settings& chosen, kv_service& service,
          peer_service& others, groups::runner_registry& runners)
         : io{context}, settings{chosen}, kv{service}, peers{others}, registry{runners},
-          orders{context.get_executor()}
+          orders{context.get_executor(), connection_limits(chosen)}
     {}
 
     void start()
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -496,9 +496,7 @@
 
     net::awaitable<bool> accepts_connections(std::string address)
     {
-        http_limits limits;
-        limits.before_connect = settings.before_connect;
-        http_client prober{io.get_executor(), std::move(address), limits};
+        http_client prober{io.get_executor(), std::move(address), connection_limits(settings)};
         co_return co_await prober.can_connect(reach_probe_timeout);
     }
 
--- a/daemon/settings.cc
+++ b/daemon/settings.cc
@@ -90,8 +90,27 @@
     return success();
 }
 
+result<void> check_source(const std::string& text)
+{
+    boost::system::error_code malformed;
+    boost::asio::ip::make_address(text, malformed);
+    if (malformed)
+        return setting_error("source_address", "is \"" + text + "\", which is no IP address",
+                             "give an address of this VM, or nothing");
+    return success();
+}
+
 } // namespace
 
+http_limits connection_limits(const daemon_settings& settings)
+{
+    http_limits limits;
+    if (!settings.source_address.empty())
+        limits.source_address = boost::asio::ip::make_address(settings.source_address);
+    limits.before_connect = settings.before_connect;
+    return limits;
+}
+
 result<void> check(const daemon_settings& settings)
 {
     if (settings.node.value().empty())
@@ -110,6 +129,9 @@
     if (!settings.relay_listen.empty()) {
         BOOST_OUTCOME_TRY(check_address("relay_listen", settings.relay_listen));
     }
+    if (!settings.source_address.empty()) {
+        BOOST_OUTCOME_TRY(check_source(settings.source_address));
+    }
     if (settings.key_value.empty())
         return setting_error("key_value", "is empty",
                              "give IP:port of the platform's key-value service");
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "base/base.h"
+#include "http/http_client.h"
 #include "http/server_settings.h"
 #include "outside/site.h"
 
@@ -69,6 +70,8 @@
     /// registry only: IP:port for requests that other nodes pass on; empty: accepts none.
     std::string relay_listen;
     std::string peer_advertise; ///< address announced to peers; empty: peer_listen
+    /// IP address of connections to backend servers at this end; empty: the system chooses it.
+    std::string source_address;
 
     std::vector<std::string> key_value;  ///< addresses of the platform's key-value service
     std::string vm_list;                 ///< address of the platform's VM list
@@ -94,6 +97,9 @@
     std::function<boost::system::error_code(const std::string& address)> before_connect;
 };
 
+/// Limits of a client of backend servers: how it connects; the others have their defaults.
+http_limits connection_limits(const daemon_settings& settings);
+
 /// Returns an error for invalid settings; it names the flag and how to correct it.
 result<void> check(const daemon_settings& settings);
 
--- a/daemon/upstreams.cc
+++ b/daemon/upstreams.cc
@@ -21,12 +21,11 @@
     cached_client& found = m_clients[address];
     found.last_used = now;
     if (!found.client) {
-        http_limits limits;
+        http_limits limits = connection_limits(m_settings);
         limits.body_bytes = m_settings.limits.answer_bytes;
         limits.connect_timeout = m_settings.timeouts.connect;
         limits.idle_connections = m_settings.limits.idle_upstream;
         limits.idle_connection_timeout = m_settings.timeouts.upstream_idle;
-        limits.before_connect = m_settings.before_connect;
         // The platform's servers may end an answer with its connection. One that is reset fails,
         // and a stream that ends inside an event counts as cut.
         limits.allow_unframed_answers = m_settings.source == source_kind::registry;
--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -80,7 +80,7 @@
         co_await asio::post(pool.executor, asio::use_awaitable);
     }
     else {
-        refused = co_await connection.connect(remote);
+        refused = co_await connection.connect(remote, pool.limits.source_address);
     }
     connection.disarm();
     co_return refused;
@@ -171,9 +171,20 @@
            m_buffer.size() == 0 && !m_cancelled && !m_request_incomplete && m_socket.is_open();
 }
 
-awaitable<error_code> http_connection::connect(tcp::endpoint remote)
+awaitable<error_code> http_connection::connect(tcp::endpoint remote,
+                                               std::optional<asio::ip::address> source_address)
 {
     error_code ec;
+    if (source_address) {
+        m_socket.open(remote.protocol(), ec);
+        if (!ec)
+            m_socket.bind({*source_address, 0}, ec);
+        if (ec) {
+            // A failure on the network never arrives before the caller has suspended.
+            co_await asio::post(m_socket.get_executor(), asio::use_awaitable);
+            co_return ec;
+        }
+    }
     co_await m_socket.async_connect(remote, asio::redirect_error(asio::use_awaitable, ec));
     if (!ec) {
         error_code ignored;
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -18,6 +18,7 @@
 #include "base/base.h"
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/status.hpp>
@@ -45,6 +46,8 @@
     bool allow_unframed_answers = false;
     /// Received and not parsed yet: the longest header, chunk header or trailer.
     std::size_t unparsed_bytes = 64 * 1024;
+    /// Local address of new connections; empty: the system chooses it for each.
+    std::optional<boost::asio::ip::address> source_address;
     /// Called before a connection is opened; an error fails the connection. Tests use it to cut a
     /// client off from a server.
     std::function<boost::system::error_code(const std::string& address)> before_connect;
--- a/http/http_connection.h
+++ b/http/http_connection.h
@@ -38,7 +38,9 @@
     /// Frees the buffers of an idle connection; a node holds hundreds of them.
     void release_buffers();
 
-    awaitable<boost::system::error_code> connect(boost::asio::ip::tcp::endpoint remote);
+    awaitable<boost::system::error_code>
+    connect(boost::asio::ip::tcp::endpoint remote,
+            std::optional<boost::asio::ip::address> source_address);
     awaitable<boost::system::error_code> send_and_read_header(const http_request& request,
                                                               std::string_view host,
                                                               std::size_t header_bytes);
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -341,6 +341,9 @@
     text += planned.first_start ? ", as at a first start" : "";
     text += "; links to the store " + std::string{to_name(planned.store_fault)};
     text += " for " + std::to_string(planned.store_fault_for.count()) + " ms";
+    if (planned.cut_off > 0)
+        text += "; " + std::to_string(planned.cut_off) + " daemons cut off from all runners, " +
+                std::to_string(planned.cut_before.count()) + " ms before";
     return text;
 }
 
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -103,6 +103,9 @@
     bool first_start = false; ///< the settings say that the whole system starts for the first time
     link_fault store_fault = link_fault::none;    ///< of the daemons' links to the store
     std::chrono::milliseconds store_fault_for{0}; ///< from the loss on
+    /// Daemons that reach no runner, from this long before the loss until long after it.
+    std::size_t cut_off = 0;
+    std::chrono::milliseconds cut_before{4'000};
 };
 
 /// Operators evacuate one of the two failure domains and take it back.
--- a/soak/fault_soak_main.cc
+++ b/soak/fault_soak_main.cc
@@ -37,6 +37,9 @@
 ABSL_FLAG(
     std::string, final_outage, "none",
     "all daemons are lost at once at the end: none, kill or power for 1.3 s, or drawn by seed");
+ABSL_FLAG(std::uint32_t, cut_off, 0,
+          "daemons that reach no runner, from some seconds before the loss of all to the end");
+ABSL_FLAG(std::uint32_t, cut_before_ms, 4'000, "how long before the loss of all that begins");
 ABSL_FLAG(bool, runners_lost_too, false,
           "all runners are lost with the daemons at the end, and others with empty hosts come");
 ABSL_FLAG(std::uint32_t, balancer_wait_ms, 300, "flag of the same name of the daemons");
@@ -69,13 +72,21 @@
     const std::string given = absl::GetFlag(FLAGS_final_outage);
     if (given == "none")
         return std::optional<planned_fleet_outage>{};
-    if (given == "drawn")
-        return std::optional{draw_fleet_outage(seed)};
-    const std::optional<fleet_loss> how = from_name<fleet_loss>(given);
-    if (!how)
-        return error{error_kind::invalid_argument, "--final_outage: \"" + given + "\" is unknown",
-                     "give none, drawn, " + list_names<fleet_loss>()};
-    return std::optional{planned_fleet_outage{.how = *how}};
+    planned_fleet_outage planned;
+    if (given == "drawn") {
+        planned = draw_fleet_outage(seed);
+    }
+    else {
+        const std::optional<fleet_loss> how = from_name<fleet_loss>(given);
+        if (!how)
+            return error{error_kind::invalid_argument,
+                         "--final_outage: \"" + given + "\" is unknown",
+                         "give none, drawn, " + list_names<fleet_loss>()};
+        planned.how = *how;
+    }
+    planned.cut_off = absl::GetFlag(FLAGS_cut_off);
+    planned.cut_before = std::chrono::milliseconds{absl::GetFlag(FLAGS_cut_before_ms)};
+    return std::optional{planned};
 }
 
 /// The medium shape with shorter loads and more places at the servers.
--- a/soak/promise_book.cc
+++ b/soak/promise_book.cc
@@ -356,11 +356,23 @@
 
 /// Of the requests sent after all nodes have returned and had the time to recover, a quarter is
 /// served if a quarter was before.
+/// A quarter must be served of all requests, and of those sent to nodes that reach no server while
+/// others do.
 void promise_checker::check_fleet_recovery(std::vector<std::string>& out) const
 {
-    constexpr double required = 0.25;
     if (!m_fleet_outage)
         return;
+    check_recovery_of([](const std::string&) { return true; }, "", out);
+    if (!m_cut_off.empty())
+        check_recovery_of([this](const std::string& node) { return m_cut_off.contains(node); },
+                          " sent to nodes that are cut off from all servers", out);
+}
+
+void promise_checker::check_recovery_of(const std::function<bool(const std::string& node)>& counts,
+                                        const std::string& what,
+                                        std::vector<std::string>& out) const
+{
+    constexpr double required = 0.25;
     struct served_requests {
         std::size_t served = 0;
         std::size_t all = 0;
@@ -374,7 +386,7 @@
     const time_point recovered = m_fleet_outage->until + m_bounds.fleet_recovery;
     for (const auto& [id, history] : m_requests) {
         const bool is_before = history.ended && history.ended_at < m_fleet_outage->from;
-        if (!is_before && history.request.sent < recovered)
+        if (!counts(history.request.node) || (!is_before && history.request.sent < recovered))
             continue;
         served_requests& counted = is_before ? before : after;
         ++counted.all;
@@ -382,7 +394,7 @@
     }
     if (before.share() >= required && after.share() < required)
         out.push_back("after the loss of all nodes " + std::to_string(after.served) + " of " +
-                      std::to_string(after.all) + " requests were served, before it " +
+                      std::to_string(after.all) + " requests" + what + " were served, before it " +
                       std::to_string(before.served) + " of " + std::to_string(before.all));
 }
 
--- a/soak/promise_book.h
+++ b/soak/promise_book.h
@@ -11,8 +11,10 @@
 #include "base/base.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -119,6 +121,8 @@
     {
         m_fleet_outage = {from, returned};
     }
+    /// The node reaches no server from some time before the loss of all nodes to the end.
+    void record_cut(const std::string& node) { m_cut_off.insert(node); }
     /// The open connections between nodes and to the store fell silent. The time bounds hold again
     /// after bounds.recovery.
     void record_silence(time_point now) { m_silences.push_back(now); }
@@ -172,6 +176,9 @@
     void check_refusals(std::vector<std::string>& out) const;
     void check_leaving(std::vector<std::string>& out) const;
     void check_fleet_recovery(std::vector<std::string>& out) const;
+    /// The same of the requests sent to nodes that `counts` selects, which `what` describes.
+    void check_recovery_of(const std::function<bool(const std::string& node)>& counts,
+                           const std::string& what, std::vector<std::string>& out) const;
     /// Whether the node's process ran all the while; with `links`, whether none of its links was
     /// disturbed either.
     [[nodiscard]] bool process_ran(const std::string& node, time_point from, time_point until,
@@ -212,6 +219,7 @@
     std::vector<time_point> m_silences;                      ///< in order of time
     std::map<std::string, std::vector<time_range>> m_pauses; ///< by runner
     std::optional<time_range> m_fleet_outage;
+    std::set<std::string> m_cut_off; ///< nodes
 };
 
 } // namespace jaynotch
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -127,6 +127,15 @@
     /// Loses all daemons at once and starts them again. Callers go on meanwhile.
     void lose_fleet(const planned_fleet_outage& planned)
     {
+        if (planned.cut_off > 0) {
+            m_site.cut_off(planned.cut_off);
+            for (std::size_t index = 0; index < planned.cut_off; ++index) {
+                const std::string& node = m_site.daemons()[index].name;
+                begin_fault({.node = node, .cuts_links = true}); // to the end of the run
+                m_checker.record_cut(node);
+            }
+            run_for(planned.cut_before);
+        }
         m_site.publish_version();
         const std::size_t fault_index = begin_fault({.stops_process = true, .cuts_links = true});
         const time_point lost_at = runtime_clock::now();
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -86,6 +86,9 @@
     daemon.ready_listen = free_address();
     daemon.peer_listen = free_address();
     daemon.admin_listen = free_address();
+    daemon.relay_listen = free_address();
+    constexpr std::uint32_t first_source = 0x7f000101; // 127.0.1.1
+    daemon.source_address = asio::ip::address_v4{first_source + static_cast<std::uint32_t>(index)};
     daemon.settings_file = m_settings.folder + "/" + daemon.name + ".toml";
     daemon.store_link = fault_proxy::open(m_io.get_executor(), m_store->address()).value();
     daemon.peer_link = fault_proxy::open(m_io.get_executor(), daemon.peer_listen).value();
@@ -118,6 +121,15 @@
         runner.link->drop_open();
 }
 
+void soak_site::cut_off(std::size_t daemons)
+{
+    m_cut_off.clear();
+    for (std::size_t index = 0; index < daemons; ++index)
+        m_cut_off.insert(m_daemons[index].source_address);
+    for (const soak_runner& runner : m_runners)
+        runner.link->cut_off(m_cut_off).value();
+}
+
 bool soak_site::all_running() const
 {
     return std::none_of(m_daemons.begin(), m_daemons.end(),
@@ -134,13 +146,15 @@
 void soak_site::launch(std::size_t index)
 {
     soak_daemon& daemon = m_daemons[index];
-    daemon.process = child_process::start(
-                         {m_settings.program, "--settings=" + daemon.settings_file,
-                          "--peer_advertise=" + daemon.peer_link->address(),
-                          "--admin_listen=" + daemon.admin_listen,
-                          "--balancer_wait_ms=" + std::to_string(m_settings.balancer_wait.count())},
-                         m_settings.folder + "/" + daemon.name + ".log")
-                         .value();
+    daemon.process =
+        child_process::start(
+            {m_settings.program, "--settings=" + daemon.settings_file,
+             "--peer_advertise=" + daemon.peer_link->address(),
+             "--admin_listen=" + daemon.admin_listen, "--relay_listen=" + daemon.relay_listen,
+             "--source_address=" + daemon.source_address.to_string(),
+             "--balancer_wait_ms=" + std::to_string(m_settings.balancer_wait.count())},
+            m_settings.folder + "/" + daemon.name + ".log")
+            .value();
     restrict_cores(*daemon.process);
     daemon.first_start = false;
     daemon.stopping = false;
@@ -177,6 +191,7 @@
     soak_runner runner;
     runner.server = runner_standin::start(m_io.get_executor(), m_store, chosen).value();
     runner.link = fault_proxy::open(m_io.get_executor(), runner.server->address()).value();
+    runner.link->cut_off(m_cut_off).value();
     runner.server->advertise_address(runner.link->address());
     m_checker.record_domain(chosen.id, zone);
     m_runners.push_back(std::move(runner));
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -20,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,9 @@
     std::string ready_listen;
     std::string peer_listen;
     std::string admin_listen;
+    std::string relay_listen; ///< requests that other daemons pass on
+    /// Of its connections to the runners, which tells its packets from those of other daemons.
+    boost::asio::ip::address_v4 source_address;
     std::string settings_file;
     std::shared_ptr<fault_proxy> store_link;
     std::shared_ptr<fault_proxy> peer_link; ///< the other daemons reach it through this proxy
@@ -86,6 +90,9 @@
     void drop_connections();
     /// The same without the connections to the runners.
     void silence_nodes();
+    /// The daemons from the first on that reach no runner from now on, nor any that is added: no
+    /// packet passes. 0 ends it.
+    void cut_off(std::size_t daemons);
     /// Whether no daemon is stopped.
     [[nodiscard]] bool all_running() const;
     /// Rewrites a daemon's settings file, as the platform does. The caller then sends SIGHUP. The
@@ -131,7 +138,8 @@
     std::vector<soak_runner> m_runners;
     std::size_t m_last_runner = 0;
     std::int64_t m_version = 0;
-    std::map<std::string, bool> m_evacuations; ///< by key: whether it is in force
+    std::set<boost::asio::ip::address_v4> m_cut_off; ///< source addresses of daemons
+    std::map<std::string, bool> m_evacuations;       ///< by key: whether it is in force
     boost::asio::thread_pool m_file_writer{1};
 };
 
--- a/soak/soak_test.cc
+++ b/soak/soak_test.cc
@@ -388,11 +388,11 @@
 
 /// Ten requests sent in a second from `from` on, `served` of them with success.
 void record_ten(promise_checker& checker, const std::string& name, duration from,
-                std::size_t served)
+                std::size_t served, const std::string& node = "entry-1")
 {
     for (std::size_t number = 0; number < 10; ++number) {
         const std::string id = name + std::to_string(number);
-        checker.record_request({id, caller_request_kind::read, "entry-1", 0, at(from), 1});
+        checker.record_request({id, caller_request_kind::read, node, 0, at(from), 1});
         if (number < served)
             checker.record_run(id, "a-1", at(from));
         checker.record_answer(id,
@@ -426,3 +426,18 @@
     record_ten(checker, "late", 3s + recovery, 3);
     cr_assert(checker.violations().empty());
 }
+
+// Guards against callers of nodes that reach no server, refused after a return while others are
+// served, unnoticed since the others are enough.
+Test(promise_checker, too_few_served_at_nodes_that_reach_no_server_are_reported)
+{
+    promise_checker checker{events};
+    const duration recovery = promise_bounds{}.fleet_recovery;
+    record_ten(checker, "before", 0s, 9, "n1");
+    checker.record_cut("n1");
+    checker.record_fleet_outage(at(1s), at(2s));
+    record_ten(checker, "cut-off", 3s + recovery, 2, "n1");
+    record_ten(checker, "reaching", 3s + recovery, 10, "n2");
+    assert_one(checker, "after the loss of all nodes 2 of 10 requests sent to nodes that are cut "
+                        "off from all servers were served");
+}
--- a/standins/fault_proxy.cc
+++ b/standins/fault_proxy.cc
@@ -8,12 +8,20 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <linux/filter.h>
+#include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
+#include <vector>
 
 // Each direction of a tunnel is a loop: read a chunk, wait until the current fault lets it pass,
 // write it. End of file waits like a chunk, so a blocked direction also delays the notice that the
 // connection was closed.
+//
+// Clients are cut off by a packet filter of the kernel on the listening socket and on those of the
+// open connections. It needs no privileges, and unlike a proxy that accepts and is silent, it keeps
+// new connections from being opened.
 
 namespace jaynotch {
 
@@ -26,6 +34,33 @@
 constexpr duration block_poll_interval = std::chrono::milliseconds{5};
 constexpr std::size_t chunk_bytes = 16 * 1024;
 
+/// A program for the kernel that drops packets from these source addresses.
+std::vector<sock_filter> drop_from(const std::set<asio::ip::address_v4>& clients)
+{
+    // Offset of the source address in the IP header, in the filter's own addressing.
+    constexpr std::uint32_t source_offset = 12 + static_cast<std::uint32_t>(SKF_NET_OFF);
+    constexpr std::uint32_t whole_packet = 0xffffffff;
+    constexpr std::uint32_t no_packet = 0;
+    std::vector<sock_filter> program;
+    program.push_back({BPF_LD | BPF_W | BPF_ABS, 0, 0, source_offset});
+    for (const asio::ip::address_v4& client : clients) {
+        program.push_back({BPF_JMP | BPF_JEQ | BPF_K, 0, 1, client.to_uint()});
+        program.push_back({BPF_RET | BPF_K, 0, 0, no_packet});
+    }
+    program.push_back({BPF_RET | BPF_K, 0, 0, whole_packet});
+    return program;
+}
+
+result<void> set_filter(int socket, std::vector<sock_filter>& program)
+{
+    const sock_fprog filter{static_cast<unsigned short>(program.size()), program.data()};
+    if (setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter) != 0)
+        return error{error_kind::unavailable,
+                     "packet filter: " + std::generic_category().message(errno),
+                     "run on a kernel with socket filters"};
+    return success();
+}
+
 } // namespace
 
 result<std::shared_ptr<fault_proxy>> fault_proxy::open(const asio::any_io_executor& executor,
@@ -64,6 +99,20 @@
     }
 }
 
+result<void> fault_proxy::cut_off(std::set<asio::ip::address_v4> clients)
+{
+    m_cut_off = std::move(clients);
+    // A filter without addresses lets everything pass.
+    std::vector<sock_filter> program = drop_from(m_cut_off);
+    BOOST_OUTCOME_TRY(set_filter(m_acceptor.native_handle(), program));
+    for (const auto& connection : m_tunnels) {
+        if (connection->client.is_open()) {
+            BOOST_OUTCOME_TRY(set_filter(connection->client.native_handle(), program));
+        }
+    }
+    return success();
+}
+
 void fault_proxy::drop_open()
 {
     for (const auto& connection : m_tunnels)
@@ -86,8 +135,10 @@
     }
 }
 
-bool fault_proxy::is_blocked(direction dir) const
+bool fault_proxy::is_blocked(const tunnel& connection, direction dir) const
 {
+    if (connection.blackholed || m_cut_off.contains(connection.from))
+        return true;
     switch (m_fault) {
     case link_fault::silence:
         return true;
@@ -105,7 +156,7 @@
 {
     if (m_fault == link_fault::delay)
         co_await standin_sleep(m_executor, m_delay);
-    while (is_blocked(dir) || connection->blackholed) {
+    while (is_blocked(*connection, dir)) {
         co_await standin_sleep(m_executor, block_poll_interval);
         if (!connection->client.is_open() || !m_acceptor.is_open())
             co_return false;
@@ -125,6 +176,10 @@
             continue;
         auto connection =
             std::make_shared<tunnel>(tunnel{std::move(client), tcp::socket{self->m_executor}});
+        const tcp::endpoint from = connection->client.remote_endpoint(ec);
+        if (ec)
+            continue;
+        connection->from = from.address().to_v4();
         asio::co_spawn(self->m_executor, connect(self, std::move(connection)), asio::detached);
     }
 }
--- a/standins/fault_proxy.h
+++ b/standins/fault_proxy.h
@@ -12,6 +12,7 @@
 #include "base/base.h"
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include <memory>
@@ -52,6 +53,9 @@
 
     [[nodiscard]] const std::string& address() const { return m_address; }
     void set(link_fault fault, duration delay = duration{0});
+    /// Drops all packets from these clients, of open and of new connections: those that they open
+    /// hang, as behind a cut link. An empty set ends that; what was blocked is forwarded.
+    result<void> cut_off(std::set<boost::asio::ip::address_v4> clients);
     /// Forwards later connections to `target` ("host:port").
     result<void> set_target(const std::string& target);
     /// Passes nothing more on the open connections, as drop_quiet does, without changing the fault.
@@ -62,7 +66,8 @@
     struct tunnel {
         boost::asio::ip::tcp::socket client;
         boost::asio::ip::tcp::socket upstream;
-        bool blackholed = false; ///< forwards no more data
+        boost::asio::ip::address_v4 from; ///< the client's
+        bool blackholed = false;          ///< forwards no more data
     };
     enum class direction { to_upstream, to_client };
 
@@ -78,7 +83,7 @@
     /// Waits until a chunk may be forwarded. False if the tunnel or the proxy was closed meanwhile.
     boost::asio::awaitable<bool> wait_until_allowed(std::shared_ptr<tunnel> connection,
                                                     direction dir);
-    [[nodiscard]] bool is_blocked(direction dir) const;
+    [[nodiscard]] bool is_blocked(const tunnel& connection, direction dir) const;
     static void reset(tunnel& connection);
 
     boost::asio::any_io_executor m_executor;
@@ -87,6 +92,7 @@
     std::string m_address;
     link_fault m_fault = link_fault::none;
     duration m_delay{0};
+    std::set<boost::asio::ip::address_v4> m_cut_off;
     std::set<std::shared_ptr<tunnel>> m_tunnels;
 };
 
