Detours: only a node that says so counts as one that reaches no server either

Callers saw: refusals ("no backend server could be reached") at entry VMs that were cut off from all servers, after a return of all, though another entry VM reached them. Cause, one of two: any refusal of the kind "unavailable" by another node was counted as its word that the servers are lost for all: also of a node that has no tables or no group yet, as right after a start, or that is about to stop. A refusal now states it in a header of its own (jaynotch-reaches-no-server), and nothing else counts.

lost_groups/a_node_that_refuses_for_another_reason_says_nothing_about_servers was red before (cut_off() false after two such refusals).

--- a/daemon/relay.cc
+++ b/daemon/relay.cc
@@ -216,6 +216,8 @@
         m_exchange.set(refused_header, to_name(cmd.failure.kind));
         if (cmd.reached_server)
             m_exchange.set(reached_server_header, "1");
+        if (cmd.reaches_no_server)
+            m_exchange.set(reaches_no_server_header, "1");
     }
     co_await m_exchange.refuse(reply);
     record_outcome(outcome::refused);
--- a/daemon/relay_headers.cc
+++ b/daemon/relay_headers.cc
@@ -74,6 +74,7 @@
         refusal.retry_after =
             std::chrono::milliseconds{static_cast<std::int64_t>(*wait_s * ms_in_second)};
     refusal.reached_server = value_of(headers, reached_server_header) == "1";
+    refusal.reaches_no_server = value_of(headers, reaches_no_server_header) == "1";
     return refusal;
 }
 
--- a/daemon/relay_headers.h
+++ b/daemon/relay_headers.h
@@ -19,6 +19,8 @@
 constexpr std::string_view refused_header = "jaynotch-refused";
 /// Of a refusal: a server may have received the request.
 constexpr std::string_view reached_server_header = "jaynotch-reached-server";
+/// Of a refusal: the node reaches no server that could run the request.
+constexpr std::string_view reaches_no_server_header = "jaynotch-reaches-no-server";
 /// In an answer that a node passes back to another one: the id of the server that gave it.
 constexpr std::string_view served_by_header = "jaynotch-served-by";
 
--- a/routing/lost_groups_test.cc
+++ b/routing/lost_groups_test.cc
@@ -81,6 +81,7 @@
     head.attempt = attempt.attempt;
     head.status = 503;
     head.refusal = relay_refusal{{error_kind::unavailable, "none either", ""}, ran_state::no, 0ms};
+    head.refusal->reaches_no_server = true;
     return head;
 }
 
@@ -174,6 +175,7 @@
     relayed.relayed = relayed_request{};
     const command_list refused = world.send(request_arrived{relayed});
     cr_assert_neq(first<refuse>(refused), nullptr, "nor can it help others");
+    cr_assert(first<refuse>(refused)->reaches_no_server);
 }
 
 // Failure: the same. Guards against a refusal that sends its caller back before any group can be.
@@ -265,3 +267,22 @@
     pass_with_dark(world, 3s, full);
     cr_assert(world.core.cut_off(), "others take its duties over if it lasts");
 }
+
+// Failure: a node has no tables yet, as after a return of all. Guards against taking its refusal
+// for the news that it reaches no server.
+Test(lost_groups, a_node_that_refuses_for_another_reason_says_nothing_about_servers)
+{
+    fixture world = make_cut_world();
+    for (std::uint64_t id = 100; id < 120; ++id) {
+        command_list out = world.chat(id);
+        for (const auto* sent = first<send_attempt>(out); sent != nullptr && sent->relayed;
+             sent = first<send_attempt>(out))
+        {
+            attempt_head head = no_server_either(*sent);
+            head.refusal->reaches_no_server = false;
+            out = world.send(head);
+        }
+        world.pass(100ms);
+    }
+    cr_assert(world.core.cut_off());
+}
--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -124,7 +124,8 @@
     ran_state ran = ran_state::no;
     std::optional<std::chrono::milliseconds> retry_after;
     std::string route; ///< of the request; empty if none matches or it was refused before routing
-    bool reached_server = false; ///< a server may have received it, even if it did not run
+    bool reached_server = false;    ///< a server may have received it, even if it did not run
+    bool reaches_no_server = false; ///< this node reaches no server of the request's pool
 };
 
 /// Final: answer with the stored answer of an earlier call with the same key.
--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -208,7 +208,8 @@
     const bool not_run = refusal.ran == ran_state::no;
     row.reached_server = row.reached_server || refusal.reached_server;
     if (not_run && refusal.failure.kind == error_kind::unavailable) {
-        note_agreement(row);
+        if (refusal.reaches_no_server)
+            note_agreement(row);
         end_detour(row, attempt_failure::refused_did_not_run, now, out);
         return;
     }
@@ -268,10 +269,13 @@
                                          command_list& out)
 {
     if (pool.reach.reaches_none()) {
-        refuse_untracked(info.id,
-                         {error_kind::unavailable, "this node reaches no backend server either",
-                          "pass it on to another node"},
-                         settings.min_retry_after, out);
+        ++counters.refused;
+        refuse answer{info.id,
+                      {error_kind::unavailable, "this node reaches no backend server either",
+                       "pass it on to another node"}};
+        answer.retry_after = settings.min_retry_after;
+        answer.reaches_no_server = true;
+        out.emplace_back(std::move(answer));
         return true;
     }
     if (relayed_open < settings.max_requests / 2)
--- a/routing/request_events.h
+++ b/routing/request_events.h
@@ -117,7 +117,8 @@
     error failure;
     ran_state ran = ran_state::unknown;
     std::optional<std::chrono::milliseconds> retry_after;
-    bool reached_server = false; ///< a server may have received the request
+    bool reached_server = false;    ///< a server may have received the request
+    bool reaches_no_server = false; ///< that node reaches no server of the pool either
 };
 
 /// The head (status and headers) of an answer was received.
