Detours: nodes that are cut off alike no longer outvote one that serves

Cause: a node that is cut off took the servers for lost to all once two other nodes said that they reach none either, whatever the size of the fleet, and asked nobody again until a server answered itself. Class: what one node can't reach is taken for gone, and its equals count as witnesses.

Now six other nodes have to say it (all, in a smaller fleet); an answer of any server through any node refutes it; while it holds, one request every 200 ms and pool asks other nodes again. Nodes that refused within 10 s are asked only if no other is left, else the idle ones among them, which are cut off too, came first.

--- a/daemon/detour_test.cc
+++ b/daemon/detour_test.cc
@@ -127,3 +127,28 @@
     registry_fixture fleet{{.nodes = 2}};
     cr_assert_gt(detours_while_servers_pause(fleet, true), 0U);
 }
+
+// Guards against the callers of nodes that are cut off, refused although one of four nodes reaches
+// all servers: before and after a return of all nodes.
+Test(detour, callers_of_three_of_four_nodes_cut_off_from_all_servers_are_served)
+{
+    constexpr std::size_t count = 20;
+    constexpr std::size_t cut_off = 3;
+    registry_fixture fleet{{.nodes = cut_off + 1, .failure_domains = 3}};
+    for (std::size_t node = 0; node < cut_off; ++node)
+        fleet.cut(node);
+    const auto expect_served = [&](const char* when) {
+        for (const char* path : {"/chat/1", "/order/1", "/read/1"}) {
+            const std::size_t others = fleet.served(cut_off, path, count);
+            for (std::size_t node = 0; node < cut_off; ++node) {
+                const std::size_t served = fleet.served(node, path, count);
+                cr_expect_geq(3 * served, 2 * others, "%s, %s at node %zu: %zu, at the other %zu",
+                              when, path, node, served, others);
+            }
+        }
+    };
+    expect_served("before the return");
+    fleet.restart_all();
+    fleet.run(1s); // the nodes learn of each other
+    expect_served("after the return");
+}
--- a/routing/lost_groups_test.cc
+++ b/routing/lost_groups_test.cc
@@ -113,6 +113,30 @@
     return out;
 }
 
+/// All other nodes have said that they reach no server either.
+void lose_for_all(fixture& world)
+{
+    for (std::uint64_t id = 50; id < 60 && world.core.cut_off(); ++id) {
+        refuse_detours(world, id, [](const std::string&) { return true; });
+        world.pass(100ms);
+    }
+    cr_assert_not(world.core.cut_off());
+}
+
+/// A server answers through the node; 1 if the caller gets it.
+std::size_t answer(fixture& world, const send_attempt& sent)
+{
+    attempt_head head;
+    head.request = sent.request;
+    head.attempt = sent.attempt;
+    head.status = 200;
+    world.send(attempt_sent{sent.request, sent.attempt});
+    world.send(head);
+    const command_list out =
+        world.send(attempt_finished{sent.request, sent.attempt, true, std::nullopt});
+    return first<complete>(out) == nullptr ? 0 : 1;
+}
+
 } // namespace
 
 // Failure: several groups are lost within two seconds. Guards against taking that for a cut of the
@@ -159,16 +183,18 @@
 Test(lost_groups, a_loss_for_all_nodes_ends_the_detours)
 {
     fixture world = make_cut_world();
-    const command_list end = refuse_detours(world, 100, [](const std::string&) { return true; });
-    cr_assert_neq(first<refuse>(end), nullptr);
+    for (std::uint64_t id = 100; id < 102; ++id) { // five nodes, three for each request
+        const command_list end = refuse_detours(world, id, [](const std::string&) { return true; });
+        cr_assert_neq(first<refuse>(end), nullptr);
+    }
     const command_list told = world.pass(10ms);
     cr_assert(first<reach_changed>(told)->state == reach_state::lost_for_all);
     const std::uint64_t before = world.core.counters().detours;
-    world.chat(101);
+    world.chat(110);
     world.pass(100ms);
     cr_assert_eq(world.core.counters().detours, before);
     request_info relayed;
-    relayed.id = request_id{102};
+    relayed.id = request_id{111};
     relayed.kind = request_kind::chat;
     relayed.model = "summary";
     relayed.workspace = workspace_id{"dealers"};
@@ -182,7 +208,8 @@
 Test(lost_groups, a_refusal_names_the_time_that_groups_need)
 {
     fixture world = make_cut_world();
-    const command_list end = refuse_detours(world, 100, [](const std::string&) { return true; });
+    refuse_detours(world, 100, [](const std::string&) { return true; });
+    const command_list end = refuse_detours(world, 101, [](const std::string&) { return true; });
     const auto* refused = first<refuse>(end);
     cr_assert(refused != nullptr && refused->ran == ran_state::no);
     cr_assert_geq(refused->retry_after->count(), 2'000);
@@ -192,7 +219,7 @@
 Test(lost_groups, one_server_in_reach_ends_a_loss_for_all)
 {
     fixture world = make_cut_world();
-    refuse_detours(world, 100, [](const std::string&) { return true; });
+    lose_for_all(world);
     std::set<std::string> dark = all_groups;
     dark.erase("group-5");
     const command_list out = pass_with_dark(world, 3s, dark);
@@ -268,6 +295,59 @@
     cr_assert(world.core.cut_off(), "others take its duties over if it lasts");
 }
 
+// Failure: most nodes are cut off from all servers, and one is not. Guards against nodes that are
+// cut off alike outvoting the one that serves.
+Test(lost_groups, nodes_that_are_cut_off_alike_do_not_end_the_detours)
+{
+    fixture world = make_cut_world();
+    const auto cut_off_too = [](const std::string& node) { return !node.starts_with("a-2"); };
+    std::size_t served = 0;
+    for (std::uint64_t id = 100; id < 110; ++id) {
+        const command_list out = refuse_detours(world, id, cut_off_too);
+        const auto* sent = first<send_attempt>(out);
+        if (sent != nullptr && sent->relayed)
+            served += answer(world, *sent);
+        world.pass(20ms);
+    }
+    cr_expect(world.core.cut_off());
+    cr_assert_geq(served, 9U);
+}
+
+// Failure: no node reaches a server, then one does. Guards against nodes that go on refusing
+// although another one can serve for them again.
+Test(lost_groups, a_node_that_reaches_servers_again_is_found)
+{
+    fixture world = make_cut_world();
+    lose_for_all(world);
+    std::size_t served = 0;
+    for (std::uint64_t id = 100; id < 200; ++id) {
+        const command_list out = refuse_detours(
+            world, id, [](const std::string& node) { return !node.starts_with("b-2"); });
+        const auto* sent = first<send_attempt>(out);
+        if (sent != nullptr && sent->relayed)
+            served += answer(world, *sent);
+        world.pass(20ms);
+    }
+    cr_expect(world.core.cut_off());
+    cr_assert_geq(served, 40U);
+}
+
+// Failure: no node reaches a server. Guards against detours that grow with the requests while no
+// node can help.
+Test(lost_groups, few_requests_ask_again_while_no_node_can_help)
+{
+    fixture world = make_cut_world();
+    lose_for_all(world);
+    const std::uint64_t before = world.core.counters().detours;
+    for (std::uint64_t id = 100; id < 300; ++id) {
+        refuse_detours(world, id, [](const std::string&) { return true; });
+        world.pass(10ms);
+    }
+    const std::uint64_t asked = world.core.counters().detours - before;
+    cr_expect_gt(asked, 0U);
+    cr_assert_leq(asked, 40U, "%zu in two seconds", std::size_t(asked));
+}
+
 // Failure: a node has no tables yet, as after a return of all. Guards against taking its refusal
 // for the news that it reaches no server.
 Test(lost_groups, a_node_that_refuses_for_another_reason_says_nothing_about_servers)
--- a/routing/request_attempt.cc
+++ b/routing/request_attempt.cc
@@ -115,6 +115,8 @@
         on_relay_refusal(*row, *head.refusal, now, out);
         return;
     }
+    if (targets.at(row->attempt.target).other_node)
+        note_served_elsewhere(*row);
     const auto drop = [&](attempt_failure reason) {
         if (reason != attempt_failure::refused_did_not_run)
             ++counters.answers_dropped;
--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -21,6 +21,14 @@
 constexpr std::uint32_t max_detours = 3; ///< nodes that one request is passed on to
 /// A node that could not take a request is not asked again for this long, if there are others.
 constexpr std::chrono::milliseconds node_pause{1'000};
+/// For this long it is asked only if there is none that could.
+constexpr std::chrono::seconds node_doubt{10};
+/// Nodes that must reach no server of a pool either until its servers count as lost. If half of a
+/// large fleet is cut off, so many nodes in a row are by chance once in 64 times; a scout finds the
+/// others then.
+constexpr std::size_t nodes_that_decide = 6;
+/// Between two requests of a pool that ask other nodes again while its servers count as lost.
+constexpr std::chrono::milliseconds scout_interval{200};
 /// How many more requests a node of the own failure domain gets before one of another domain is
 /// preferred.
 constexpr double other_domain_cost = 4.0;
@@ -33,6 +41,12 @@
 /// A response of a group within this time shows that the node reaches groups.
 constexpr std::chrono::milliseconds recent_response{1'000};
 
+void avoid_node(target_row& node, time_point now)
+{
+    node.avoided_until = now + node_pause;
+    node.doubted_until = now + node_doubt;
+}
+
 error relay_failure()
 {
     return {error_kind::unavailable, "this node reaches no backend server, and no other node did",
@@ -69,27 +83,29 @@
                                              time_point now) const
 {
     const auto usable = [&](target_row_index at) { return now >= targets.at(at).avoided_until; };
-    return pool.reach.cut_off() && !info.relayed && info.idempotency_key.empty() &&
+    const bool scouts = pool.reach.lost_for_all() && now >= pool.next_scout;
+    return (pool.reach.cut_off() || scouts) && !info.relayed && info.idempotency_key.empty() &&
            settings.mechanisms.has(mechanism::detours) &&
            std::any_of(targets.nodes().begin(), targets.nodes().end(), usable);
 }
 
-/// The node with the fewest requests of this node, preferably in the own failure domain; no_target
-/// if there is none. Once a node could not help, the cause may be the failure domain's, so that
-/// another one is preferred.
+/// The node with the fewest requests of this node, preferably one that has not refused lately and
+/// in the own failure domain; no_target if there is none. Once a node could not help, the cause may
+/// be the failure domain's, so that another one is preferred.
 target_row_index request_core::state::choose_node(time_point now, bool after_refusal)
 {
     const std::vector<target_row_index>& nodes = targets.nodes();
     const std::size_t first = random.index(std::max<std::size_t>(1, nodes.size()));
     target_row_index best = no_target;
-    double lowest = 0.0;
+    std::pair<bool, double> lowest;
     for (std::size_t step = 0; step < nodes.size(); ++step) {
         const target_row_index at = nodes[(first + step) % nodes.size()];
         const target_row& node = targets.at(at);
         if (now < node.avoided_until)
             continue;
         const bool far = node.info.failure_domain != settings.failure_domain;
-        const double cost = node.own + (far != after_refusal ? other_domain_cost : 0.0);
+        const std::pair cost{now < node.doubted_until,
+                             node.own + (far != after_refusal ? other_domain_cost : 0.0)};
         if (best == no_target || cost < lowest) {
             best = at;
             lowest = cost;
@@ -116,6 +132,7 @@
     begin_attempt(row, node, now);
     ++row.detours;
     ++counters.detours;
+    pools.at(row.terms.pool).next_scout = now + scout_interval;
     send_attempt sent = send_command_for(row, now);
     sent.relayed = relayed_request{row.servers_used, first};
     out.emplace_back(std::move(sent));
@@ -128,7 +145,7 @@
 {
     const bool may_have_run = row.attempt.sent && reason != attempt_failure::refused_did_not_run;
     if (reason != attempt_failure::version_changed)
-        targets.at(row.attempt.target).avoided_until = now + node_pause;
+        avoid_node(targets.at(row.attempt.target), now);
     release_target(row);
     if (may_have_run) {
         // The other node may have used all servers that the route allows.
@@ -166,20 +183,25 @@
 }
 
 /// Records that another node reaches no server of the pool either. Nodes of the own failure domain
-/// may be cut off together with this one, so they count only if there are no others.
+/// may be cut off together with this one, so they count only if there are few others.
 void request_core::state::note_agreement(const request_row& row)
 {
-    constexpr std::size_t decisive = 2;
     const auto far = [&](target_row_index at) {
         return targets.at(at).info.failure_domain != settings.failure_domain;
     };
     const std::vector<target_row_index>& nodes = targets.nodes();
     const auto others = static_cast<std::size_t>(std::count_if(nodes.begin(), nodes.end(), far));
-    if (others > 0 && !far(row.attempt.target))
+    if (others >= nodes_that_decide && !far(row.attempt.target))
         return;
-    const std::size_t asked = others > 0 ? others : nodes.size();
     const std::uint64_t node = hash64(targets.at(row.attempt.target).info.id.value());
-    pools.at(row.terms.pool).reach.note_agreement(node, std::min(decisive, asked));
+    pools.at(row.terms.pool).reach.note_agreement(node, std::min(nodes_that_decide, nodes.size()));
+}
+
+/// A server has answered through another node: it is in reach of some nodes.
+void request_core::state::note_served_elsewhere(const request_row& row)
+{
+    pools.at(row.terms.pool).reach.note_served_elsewhere();
+    targets.at(row.attempt.target).doubted_until = {};
 }
 
 /// A stream that has begun and that another node refused waits for this node's own servers, which
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -178,6 +178,7 @@
                            command_list& out);
     [[nodiscard]] bool has_sound_server(const request_row& row) const;
     void note_agreement(const request_row& row);
+    void note_served_elsewhere(const request_row& row);
     void end_detour(request_row& row, attempt_failure reason, time_point now, command_list& out);
     void return_to_own_servers(request_row& row, const error& failure, time_point now,
                                command_list& out);
--- a/routing/server_reach.cc
+++ b/routing/server_reach.cc
@@ -15,7 +15,9 @@
 // Out of reach means one of two things. If other nodes reach the servers, this node is cut off and
 // its requests take another way. If the nodes that were asked reach none either, the servers are
 // lost, or all these nodes are cut off alike: no node can help, and the requests wait for servers
-// or are refused.
+// or are refused. A node that is cut off knows no more than this one, so it takes several to
+// conclude that, all of them in a small fleet; the answer of one server through any node refutes
+// it.
 //
 // Once a cut is found, only probes can tell that it has ended. They have to connect to two servers
 // without too many failures in between: where a few servers of many are in reach, a single
@@ -151,6 +153,12 @@
     m_lost_for_all = decisive > 0 && m_agreeing.size() >= decisive;
 }
 
+void server_reach::note_served_elsewhere()
+{
+    m_agreeing.clear();
+    m_lost_for_all = false;
+}
+
 void server_reach::note_servers(std::span<const std::uint64_t> servers)
 {
     std::vector<std::uint64_t> sorted{servers.begin(), servers.end()};
--- a/routing/server_reach.h
+++ b/routing/server_reach.h
@@ -9,7 +9,7 @@
 //       reach.begin_inquiry(3);         // probe three servers, first those that have not failed
 //   reach.note_probe("a-3", true, 20);
 //   if (reach.cut_off()) ...            // send through another node, and probe servers
-//   reach.note_agreement(other, 2);     // that node reaches none either; two such are decisive
+//   reach.note_agreement(other, 6);     // that node reaches none either; six such are decisive
 //   if (reach.lost_for_all()) ...       // other nodes are no help
 #pragma once
 
@@ -67,6 +67,8 @@
     /// Another node has said that it reaches no server of the pool either. `decisive`: number of
     /// such nodes that shows that the servers are lost.
     void note_agreement(std::uint64_t node, std::size_t decisive);
+    /// A server of the pool has answered through another node. What nodes have agreed on is void.
+    void note_served_elsewhere();
     /// The servers of the pool have changed; `servers`: hashes of their names. A server that is no
     /// longer listed is known to be lost and proves nothing about this node's links. A new one may
     /// be in reach although the others are lost.
--- a/routing/target_table.h
+++ b/routing/target_table.h
@@ -90,6 +90,7 @@
     bool free = true;             ///< the row is not in use
     bool other_node = false;      ///< not a server but a node that passes requests on
     time_point avoided_until;     ///< of another node: it could not take a request before
+    time_point doubted_until;     ///< the same, but asked if no other node is left
     bool present = false;         ///< in the current list of groups or servers
     bool marked_leaving = false;  ///< by a target_leaving event
     bool release_due = false;     ///< a `target_released` command is due once nothing is in flight
