Overload limit: what a cut makes late no longer limits requests that other nodes can serve

Callers saw: refusals (429, "as many requests as are answered in time") at entry VMs that were cut off from all servers, 60 to 200 a second, for seconds, though another entry VM was idle; worst right after a return. Cause: requests that hang at servers out of reach are late, so the node lowered its limit on open requests, to a single one at worst, just as it had found the cut and begun to pass requests on; after a start, such requests fill the few places that a node begins with. Class: evidence about one way taken for evidence about another.

When a node's belief about its reach changes, the limit is dropped, and results of requests sent before don't count against the next one (the rule that held after each lowering already). The limit is found anew within a quarter of a second if the new way can't bear the load; the node that serves has its own. overload_limited is logged each time the limit is lowered now, with what the window had in time and late.

--- a/daemon/daemon_setup.cc
+++ b/daemon/daemon_setup.cc
@@ -63,7 +63,14 @@
 {
     if (seen.limit)
         log_event(log_level::warning, "overload_limited",
-                  {{"limit", *seen.limit}, {"open", seen.open}, {"refused", seen.refused}});
+                  {{"limit", *seen.limit},
+                   {"open", seen.open},
+                   {"refused", seen.refused},
+                   {"begun_in_time", seen.window.in_time},
+                   {"begun_late", seen.window.late},
+                   {"ended_well", seen.window.complete},
+                   {"ended_slow", seen.window.slow},
+                   {"not_ended", seen.window.incomplete}});
     else
         log_event(log_level::info, "overload_over", {{"refused", seen.refused}});
 }
--- a/routing/lost_groups_test.cc
+++ b/routing/lost_groups_test.cc
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 
+#include <deque>
 #include <functional>
 #include <set>
 
@@ -15,9 +16,8 @@
 constexpr int groups = 6;
 
 /// Six groups in three failure domains, and other nodes in domains a (the own one), b and c.
-fixture make_world()
+fixture make_world(core_settings settings = fixture::default_settings())
 {
-    core_settings settings = fixture::default_settings();
     settings.failure_domain = failure_domain_id{"a"};
     fixture world{settings, 0, 1};
     std::vector<target> formed = make_groups(groups);
@@ -366,3 +366,100 @@
     }
     cr_assert(world.core.cut_off());
 }
+
+namespace {
+
+/// Requests and callers of a node whose servers hang, while another node answers after a while.
+class hanging_world {
+public:
+    explicit hanging_world(fixture start) : m_world{std::move(start)} {}
+
+    void run(duration time, int requests_per_step)
+    {
+        for (duration passed{0}; passed < time; passed += 10ms) {
+            for (int sent = 0; sent < requests_per_step; ++sent) {
+                m_callers.emplace_back(m_world.now + patience, request_id{++m_last_id});
+                take(m_world.chat(m_last_id));
+            }
+            take(pass_with_dark(m_world, 10ms, all_groups));
+            for (; is_due(m_at_nodes); m_at_nodes.pop_front())
+                answered += answer(m_world, m_at_nodes.front().second);
+            for (; is_due(m_stalling); m_stalling.pop_front()) {
+                const send_attempt& sent = m_stalling.front().second;
+                take(m_world.send(
+                    attempt_failed{sent.request, sent.attempt, attempt_failure::stalled}));
+            }
+            for (; is_due(m_callers); m_callers.pop_front())
+                m_world.send(caller_gone{m_callers.front().second});
+        }
+    }
+
+    [[nodiscard]] bool cut_off() const { return m_world.core.cut_off(); }
+
+    std::size_t refused = 0; ///< since this node has too many requests
+    std::size_t answered = 0;
+
+private:
+    static constexpr duration time_to_answer = 300ms;
+    static constexpr duration time_to_stall = 600ms;
+    static constexpr std::uint64_t stalled_every = 10; // the others hang
+    static constexpr duration patience = 1'200ms;
+
+    template <class What>
+    bool is_due(const std::deque<std::pair<time_point, What>>& waiting) const
+    {
+        return !waiting.empty() && waiting.front().first <= m_world.now;
+    }
+
+    void take(const command_list& out)
+    {
+        for (const command& each : out) {
+            const auto* refusal = std::get_if<refuse>(&each);
+            if (refusal != nullptr && refusal->failure.kind == error_kind::overloaded)
+                ++refused;
+            const auto* sent = std::get_if<send_attempt>(&each);
+            if (sent != nullptr && sent->relayed)
+                m_at_nodes.emplace_back(m_world.now + time_to_answer, *sent);
+            else if (sent != nullptr) {
+                m_world.send(attempt_sent{sent->request, sent->attempt});
+                if (sent->request.value() % stalled_every == 0)
+                    m_stalling.emplace_back(m_world.now + time_to_stall, *sent);
+            }
+        }
+    }
+
+    fixture m_world;
+    std::deque<std::pair<time_point, send_attempt>> m_at_nodes;
+    std::deque<std::pair<time_point, send_attempt>> m_stalling;
+    std::deque<std::pair<time_point, request_id>> m_callers;
+    std::uint64_t m_last_id = 0;
+};
+
+} // namespace
+
+// Failure: this node loses its links to all servers, which hang. Guards against a limit on open
+// requests that is learned from requests at those servers and refuses what other nodes can serve.
+Test(lost_groups, requests_that_a_cut_made_late_do_not_limit_those_of_other_nodes)
+{
+    hanging_world world{make_world()};
+    world.run(600ms, 4);
+    world.run(400ms, 1);
+    cr_expect(world.cut_off());
+    world.refused = 0;
+    world.run(2s, 1);
+    cr_assert_eq(world.refused, 0U, "%zu of 200 refused", world.refused);
+}
+
+// Failure: the same right after a start, when the limit is low. Guards against requests that hang
+// at servers out of reach taking its places from those that other nodes can serve.
+Test(lost_groups, a_node_that_starts_cut_off_passes_its_requests_on)
+{
+    core_settings settings = fixture::default_settings();
+    settings.started_again = true;
+    hanging_world world{make_world(settings)};
+    world.run(1s, 1);
+    cr_expect(world.cut_off());
+    world.refused = 0;
+    world.run(2s, 1);
+    cr_assert_eq(world.refused, 0U, "%zu of 200 refused", world.refused);
+}
--- a/routing/overload_limit.cc
+++ b/routing/overload_limit.cc
@@ -10,11 +10,16 @@
 // less, and does not rise meanwhile. This is judged again once the streams beyond the limit have
 // ended.
 //
+// Requests that are late since their servers are out of reach say nothing about overload, and those
+// that hang there must not take the places of others. Lateness alone can't tell the two apart; the
+// owner can, once it knows that its servers are out of reach.
+//
 // The sign is a majority, since a part of the servers may be lost without any overload: refusing
 // requests would not help those that are sent to them, and the others are answered.
 #include "routing/overload_limit.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jaynotch {
 
@@ -79,6 +84,14 @@
         m_limit = std::max({least, open, m_limit.value_or(0.0)});
 }
 
+void overload_limit::change_way(time_point now)
+{
+    m_limit.reset();
+    m_counts = {};
+    m_starting = false;
+    m_lowered_at = now;
+}
+
 bool overload_limit::admit(std::size_t open)
 {
     if (!m_limit || static_cast<double>(open) < *m_limit)
@@ -115,28 +128,31 @@
     return std::clamp(aimed_time_used / pace->time_used, least_part_if_slow, part_if_slow);
 }
 
-void overload_limit::tick(std::size_t open, time_point now)
+std::optional<overload_window> overload_limit::tick(std::size_t open, time_point now)
 {
     const duration length = now - m_window_start;
     const std::size_t samples =
         m_counts.in_time + m_counts.late + m_counts.slow + m_counts.incomplete;
     if (length < window || (samples < min_samples && length < max_window))
-        return;
+        return std::nullopt;
     const std::optional<pace_window> pace = m_pace.take_window();
     if (pace && pace->time_used < held_time_used && ++m_sound_windows >= sound_windows_to_start)
         m_starting = false;
     m_held = pace && pace->stretch >= held_stretch && pace->time_used >= held_time_used;
-    if (const std::optional<double> part = part_of_use())
+    const std::optional<double> part = part_of_use();
+    const std::optional<double> slow_part = part ? std::nullopt : part_in_pace(pace, open);
+    if (part)
         lower(*part, fast_fraction, open, now);
-    else if (const std::optional<double> slow_part = part_in_pace(pace, open))
+    else if (slow_part)
         lower(*slow_part, *slow_part, open, now);
     else if (m_limit && m_held)
         m_last_reached = now;
     else if (m_limit)
         raise(now);
-    m_counts = {};
+    const overload_window judged = std::exchange(m_counts, {});
     m_reached = false;
     m_window_start = now;
+    return part || slow_part ? std::optional{judged} : std::nullopt;
 }
 
 void overload_limit::lower(double part, double fast_part, std::size_t open, time_point now)
--- a/routing/overload_limit.h
+++ b/routing/overload_limit.h
@@ -27,6 +27,15 @@
     incomplete, ///< its time was over
 };
 
+/// How the requests judged in a window fared.
+struct overload_window {
+    std::size_t in_time = 0;    ///< answers that began in time
+    std::size_t late = 0;       ///< that did not
+    std::size_t complete = 0;   ///< streams that ended well
+    std::size_t slow = 0;       ///< end_result::slow
+    std::size_t incomplete = 0; ///< end_result::incomplete
+};
+
 class overload_limit {
 public:
     // Results of requests sent before the limit was last lowered don't count against it: they are
@@ -39,22 +48,18 @@
     /// this many requests may be open, and one more for each answer that begins in time.
     void begin_with(double open);
     [[nodiscard]] bool starting() const { return m_starting; }
-    /// Adjusts the limit at the end of each window. `open`: open requests of this node.
-    void tick(std::size_t open, time_point now);
+    /// Requests take another way from now on, which may bear more or less. The limit is dropped,
+    /// and results of requests sent before don't count against the next one.
+    void change_way(time_point now);
+    /// Adjusts the limit at the end of each window. `open`: open requests of this node. Returns the
+    /// window that has lowered the limit, or nullopt.
+    std::optional<overload_window> tick(std::size_t open, time_point now);
     /// Whether one more request may be admitted. A refusal is noted.
     [[nodiscard]] bool admit(std::size_t open);
     /// Open requests; nullopt: unlimited.
     [[nodiscard]] std::optional<double> limit() const { return m_limit; }
 
 private:
-    struct counts {
-        std::size_t in_time = 0;
-        std::size_t late = 0;
-        std::size_t complete = 0;
-        std::size_t slow = 0;
-        std::size_t incomplete = 0;
-    };
-
     [[nodiscard]] std::optional<double> part_of_use() const;
     [[nodiscard]] std::optional<double> part_in_pace(const std::optional<pace_window>& pace,
                                                      std::size_t open) const;
@@ -64,7 +69,7 @@
 
     std::optional<double> m_limit;
     double m_fast_until = 0.0; ///< below this limit, each answer in time raises it by one
-    counts m_counts;           ///< of the current window
+    overload_window m_counts;  ///< the current one
     stream_pace m_pace;
     bool m_reached = false; ///< a request was refused in this window
     bool m_starting = true; ///< the limit was not lowered yet, nor streams fast for a while
--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -1,6 +1,7 @@
 // Commands: the outputs of the request core. The shell carries them out in order.
 #pragma once
 
+#include "routing/overload_limit.h"
 #include "routing/request_events.h"
 #include "routing/server_reach.h"
 
@@ -258,11 +259,13 @@
     std::vector<demand_row> rows;
 };
 
-/// This node limits its open requests, since too few are answered in time, or does so no more.
+/// This node limits its open requests more, since too few are answered in time, or not at all any
+/// more.
 struct overload_changed {
     std::optional<double> limit; ///< open requests; nullopt: unlimited
     std::size_t open = 0;        ///< now
     std::uint64_t refused = 0;   ///< requests refused for it so far
+    overload_window window;      ///< that has lowered the limit
 };
 
 using command = std::variant<send_attempt, deliver, cancel_attempt, attempt_held, complete, refuse,
--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -345,6 +345,7 @@
             continue;
         if (believed != std::exchange(pool.last_reach, believed)) {
             out.emplace_back(reach_changed{pool.info.name, believed});
+            overload.change_way(now);
             if (believed != reach_state::cut_off)
                 return_to_servers(pool, now);
         }
--- a/routing/request_overload.cc
+++ b/routing/request_overload.cc
@@ -159,10 +159,11 @@
     while (!begins_due.empty() && begins_due.begin()->at <= now)
         note_late(requests.at(begins_due.begin()->request));
     const bool limited = overload.limit().has_value();
-    overload.tick(requests.size(), now);
-    if (overload.limit().has_value() != limited)
-        out.emplace_back(
-            overload_changed{overload.limit(), requests.size(), counters.refused_overload});
+    const std::optional<overload_window> lowered = overload.tick(requests.size(), now);
+    if (lowered || overload.limit().has_value() != limited)
+        out.emplace_back(overload_changed{overload.limit(), requests.size(),
+                                          counters.refused_overload,
+                                          lowered.value_or(overload_window{})});
 }
 
 } // namespace jaynotch
