HTTP client: a response's head is checked before anything of it is believed

Tried on all odd heads that we could think of, straight through the client: passed on as answers were the statuses 000 to 099 and 600 to 999, bodies in a transfer coding that nobody undoes (with the chunks' marks as a body), interim responses as the final ones, an upgrade that nobody asked for, trailers as headers of the answer; and sound statuses that Beast has no name for (418, 425, 529) came out as 000. Odd bytes in a field's name or value, odd lengths and other versions were refused by the parser already.

Cause: the parser was taken for a check. It takes any three digits as a status, and its enumeration turns what it does not know into 0. Now check_response_head() in http/ decides for every client (servers, peers, both stores, VM list, weight store, load, command line): versions 1.0 and 1.1, final statuses 200 to 599 as numbers, no coding but chunked, field names and values by RFC 9110, whatever the parser lets pass; up to 16 interim responses are read past; fields of a trailer are dropped. Statuses beyond 599 are refused: RFC 9110 has none, and such an answer counts as broken.

--- a/cli/admin_client.cc
+++ b/cli/admin_client.cc
@@ -5,6 +5,7 @@
 #include "cli/admin_client.h"
 
 #include "http/http_client.h"
+#include "http/response_head.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -55,6 +56,12 @@
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_answer_bytes);
+    co_await http::async_read_header(stream, buffer, parser, asio::use_awaitable);
+    boost::system::error_code broken = check_response_head(parser.get().base());
+    if (!broken && is_interim(parser.get().base())) // a daemon sends none
+        broken = http::make_error_code(http::error::bad_status);
+    if (broken)
+        throw boost::system::system_error{broken};
     co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
     answer.status = parser.get().result_int();
     answer.body = std::move(parser.get().body());
--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -1,6 +1,7 @@
 #include "http/http_client.h"
 
 #include "http/http_connection.h"
+#include "http/response_head.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -24,6 +25,9 @@
 // reads a request and closes at once causes it as well. A server that closes later may have worked
 // on the request, so the decision to retry is left to the caller.
 //
+// A head is checked before anything of it is used. Fields of a trailer are dropped: they come
+// behind the body, when the head has been passed on or acted upon.
+//
 // A connection may pass nothing more without being closed, and often all of a time do. If a request
 // on a kept connection gets no answer in time, the idle ones that were last used before it was sent
 // are closed as well, so that the next request is sent on one that has worked since, or a new one.
@@ -269,14 +273,27 @@
 
 awaitable<error_code> http_connection::read_header(std::size_t header_bytes, bool bodiless)
 {
-    error_code ec;
-    m_parser.emplace();
-    m_parser->header_limit(static_cast<std::uint32_t>(header_bytes));
-    m_parser->body_limit(boost::none);
-    m_parser->skip(bodiless);
-    co_await http::async_read_header(m_socket, m_buffer, *m_parser,
-                                     asio::redirect_error(asio::use_awaitable, ec));
-    co_return ec;
+    m_head.reset();
+    for (std::size_t interim = 0; interim <= max_interim_responses; ++interim) {
+        m_parser.emplace();
+        m_parser->header_limit(static_cast<std::uint32_t>(header_bytes));
+        m_parser->body_limit(boost::none);
+        m_parser->skip(bodiless);
+        error_code ec;
+        co_await http::async_read_header(m_socket, m_buffer, *m_parser,
+                                         asio::redirect_error(asio::use_awaitable, ec));
+        const response_head& head = m_parser->get().base();
+        if (!ec)
+            ec = check_response_head(head);
+        if (ec)
+            co_return ec;
+        if (is_interim(head))
+            continue;
+        if (m_parser->chunked())
+            m_head.emplace(head); // the parser adds the fields of the trailer to its own
+        co_return ec;
+    }
+    co_return http::make_error_code(http::error::bad_status);
 }
 
 awaitable<result<std::string>> http_connection::read(duration idle_timeout, bool repeatable)
@@ -376,12 +393,12 @@
 
 http::status http_stream::status() const
 {
-    return m_connection->parser().get().result();
+    return status_of(m_connection->parser().get().base());
 }
 
 const http::fields& http_stream::headers() const
 {
-    return m_connection->parser().get().base();
+    return m_connection->head();
 }
 
 std::string_view http_stream::header(std::string_view name) const
--- a/http/http_connection.h
+++ b/http/http_connection.h
@@ -55,6 +55,11 @@
     [[nodiscard]] duration idle_limit() const { return m_idle_limit; }
 
     [[nodiscard]] const response_parser& parser() const { return *m_parser; }
+    /// The fields of the response's head, without those of its trailer.
+    [[nodiscard]] const boost::beast::http::fields& head() const
+    {
+        return m_head ? *m_head : m_parser->get().base();
+    }
 
 private:
     void wait_for_deadline();
@@ -63,7 +68,8 @@
     timer m_deadline_timer;
     boost::beast::flat_buffer m_buffer;
     std::optional<response_parser> m_parser;
-    std::vector<char> m_read_buffer; ///< target of body reads
+    std::optional<boost::beast::http::fields> m_head; ///< of a response that may have a trailer
+    std::vector<char> m_read_buffer;                  ///< target of body reads
     bool m_last_read_full = false; ///< the last read filled the buffer; the next uses a larger one
     time_point m_deadline_at;      ///< valid if m_armed
     duration m_idle_limit = duration::max();
--- a/http/http_exchange.cc
+++ b/http/http_exchange.cc
@@ -16,6 +16,9 @@
 
 constexpr std::size_t body_read_bytes = 16 * 1024;
 
+/// Reason phrase of a status that the library has no name for. Clients ignore the phrase.
+constexpr std::string_view unnamed_reason = "Unnamed";
+
 std::string render(const http::response<http::empty_body>& message)
 {
     http::response_serializer<http::empty_body> serializer{message};
@@ -319,6 +322,8 @@
     http::response<http::empty_body> message;
     message.version(m_parser.get().version());
     message.result(status);
+    if (message.result() == http::status::unknown) // has no name in the library
+        message.reason({unnamed_reason.data(), unnamed_reason.size()});
     for (const auto& field : headers) {
         if (!is_response_hop_header(field.name()))
             message.insert(field.name(), field.name_string(), field.value());
