Platform: an answer that names two seals or two requests is no answer

Callers saw: the answer of a server whose head has two different seals, or two different request ids, with both passed on; which server gave it, and to which request, can't be told. Such an answer counts as broken now, also a failure, before its load, limits and pauses are used.

--- a/daemon/relay_forward.cc
+++ b/daemon/relay_forward.cc
@@ -104,6 +104,10 @@
         }
         metadata = platform::parse_answer_headers(answer.status(), answer.headers());
     }
+    if (metadata.contradictory) {
+        report_failure(attempt, attempt_failure::protocol);
+        co_return;
+    }
     if (attempt.send_command.relayed && !metadata.sealed && report_refusal(attempt, answer))
         co_return;
     if (metadata.idle_limit)
--- a/outside/call_facts.h
+++ b/outside/call_facts.h
@@ -39,6 +39,8 @@
     bool did_not_run = false;    ///< the server reports that the request never ran there
     bool wrong_instance = false; ///< another server answers at the address
     bool sealed = false;         ///< has the server's seal, so it comes from no other process
+    /// It names two servers' seals or two attempts; nothing of it can be trusted.
+    bool contradictory = false;
     std::optional<std::uint32_t> running; ///< requests running there; reported with `waiting`
     std::uint32_t waiting = 0;            ///< requests queued there
     /// Requests per second that the server accepts from all entry VMs together, in force as long as
--- a/standins/runner_standin.cc
+++ b/standins/runner_standin.cc
@@ -196,6 +196,16 @@
         co_await fail(exchange);
         co_return;
     }
+    if (!faults.raw_answer.empty()) {
+        constexpr std::string_view place = "{id}";
+        std::string bytes = faults.raw_answer;
+        const std::string id{exchange.header("Jaynotch-Attempt-Id")};
+        for (std::size_t at = 0; (at = bytes.find(place, at)) != std::string::npos; at += id.size())
+            bytes.replace(at, place.size(), id);
+        co_await exchange.write_raw(std::move(bytes));
+        exchange.cut();
+        co_return;
+    }
     if (m_settings.domain.empty()) {
         if (m_settings.work.count() > 0)
             co_await standin_sleep(m_executor, m_settings.work);
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -115,6 +115,9 @@
     /// sent, then the connection is closed, or with `reset` reset; `unframed` as above. Without
     /// `cut` the answer is whole.
     bool cut_by_query = false;
+    /// Bytes of each answer, in place of a sound one; {id} in it is replaced by the request's id.
+    /// The connection is closed behind it. Empty: off.
+    std::string raw_answer;
     std::string limit;  ///< header Server-Limit: requests per second from all nodes together
     std::string pause;  ///< header Retry-After of refused requests, seconds; empty: none
     std::string report; ///< body of its reports; empty: a sound one
