Detours: what no node can serve is refused at once

Cause: such requests were queued for this node's own servers. They are refused on arrival now, with the time that servers need to return, but for those that ask the other nodes again; a relayed one is told that this node reaches no server.

--- a/routing/lost_groups_test.cc
+++ b/routing/lost_groups_test.cc
@@ -348,6 +348,19 @@
     cr_assert_leq(asked, 40U, "%zu in two seconds", std::size_t(asked));
 }
 
+// Failure: no node reaches a server. Guards against holding a request until its deadline when it is
+// known that nobody can serve it.
+Test(lost_groups, a_request_that_no_node_can_serve_is_refused_at_once)
+{
+    fixture world = make_cut_world();
+    lose_for_all(world);
+    refuse_detours(world, 100, [](const std::string&) { return true; }); // asks again
+    const command_list end = world.chat(101);
+    const auto* refused = first<refuse>(end);
+    cr_assert(refused != nullptr && refused->ran == ran_state::no);
+    cr_assert_geq(refused->retry_after->count(), 2'000);
+}
+
 // Failure: a node has no tables yet, as after a return of all. Guards against taking its refusal
 // for the news that it reaches no server.
 Test(lost_groups, a_node_that_refuses_for_another_reason_says_nothing_about_servers)
--- a/routing/request_finish.cc
+++ b/routing/request_finish.cc
@@ -148,6 +148,18 @@
     out.emplace_back(refuse{request, std::move(failure), ran_state::no, after, {}, false});
 }
 
+/// Refuses a request whose servers no node reaches, instead of letting it wait for them.
+void request_core::state::refuse_lost(const request_info& info, command_list& out)
+{
+    ++counters.refused;
+    refuse answer{info.id,
+                  {error_kind::unavailable, "no node reaches a backend server that could run it",
+                   "come back after the time in Retry-After"}};
+    answer.retry_after = info.relayed ? settings.min_retry_after : retry_after(return_s);
+    answer.reaches_no_server = info.relayed.has_value();
+    out.emplace_back(std::move(answer));
+}
+
 std::chrono::milliseconds request_core::state::retry_after(double wait_s)
 {
     // Random between once and twice the wait, so that requests refused together don't return
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -206,6 +206,7 @@
     // request_overload.cc: the limit on this node's open requests
     bool admits_one_more();
     std::optional<refuse> refuse_early();
+    void refuse_lost(const request_info& info, command_list& out);
     refuse overload_refusal(request_id request, double wait_s);
     bool refuse_overload(const request_info& info, const pool_row& pool, command_list& out);
     [[nodiscard]] duration usual_gap(const request_row& row) const;
