Detours: servers that only open connections are asked for through another node

Cause: a probe that connects was proof that the server is in reach, since a paused process opens connections as well. Class: a sign from something in between taken for one of the server.

Where probes connect and no server sends anything, one request every 200 ms asks another node; two answers there while all are silent here are a cut, which ends only with a response (the probe asks for one). If the servers are paused for all, nobody answers and nothing is concluded. Such a request is admitted whatever the limit on open requests says, since hanging requests fill that.

--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -489,11 +489,18 @@
     net::awaitable<void> probe(probe_server wanted)
     {
         const auto self = shared_from_this();
-        const bool connected = co_await accepts_connections(wanted.address);
+        const bool connected = wanted.needs_response ? co_await responds(wanted.address)
+                                                     : co_await accepts_connections(wanted.address);
         if (!m_stopped)
             requests->handle(server_probed{wanted.target, connected});
     }
 
+    net::awaitable<bool> responds(std::string address)
+    {
+        platform::order_client prober{io.get_executor(), connection_limits(settings)};
+        co_return co_await prober.answers(std::move(address), reach_probe_timeout);
+    }
+
     net::awaitable<bool> accepts_connections(std::string address)
     {
         http_client prober{io.get_executor(), std::move(address), connection_limits(settings)};
@@ -759,6 +766,11 @@
     return m_impl->serving_groups();
 }
 
+bool registry_daemon::cut_off() const
+{
+    return m_impl->requests->core().cut_off();
+}
+
 config_revision registry_daemon::tables_revision() const
 {
     return m_impl->tables ? m_impl->tables->revision : config_revision{0};
--- a/daemon/registry_daemon.h
+++ b/daemon/registry_daemon.h
@@ -54,6 +54,8 @@
     [[nodiscard]] const held_memory_counts& held() const;
     /// Number of groups that may receive requests now.
     [[nodiscard]] std::size_t complete_groups() const;
+    /// Whether it takes itself for cut off from all servers of some pool.
+    [[nodiscard]] bool cut_off() const;
     /// Revision of the installed tables; 0 before the first were installed.
     [[nodiscard]] config_revision tables_revision() const;
 
--- a/routing/request_commands.h
+++ b/routing/request_commands.h
@@ -223,6 +223,7 @@
 struct probe_server {
     target_id target;
     std::string address;
+    bool needs_response = false; ///< a connection that opens is not enough
 };
 
 /// Find out, in a moment, whether a server has ended that cut a connection; answered by
--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -79,13 +79,19 @@
            settings.mechanisms.has(mechanism::detours);
 }
 
+/// Whether a request of the pool is to ask other nodes for its servers.
+bool request_core::state::is_scout_due(const pool_row& pool, time_point now) const
+{
+    const bool asks = pool.reach.lost_for_all() || pool.reach.asks_others();
+    return asks && now >= pool.next_scout;
+}
+
 bool request_core::state::detours_on_arrival(const request_info& info, const pool_row& pool,
                                              time_point now) const
 {
     const auto usable = [&](target_row_index at) { return now >= targets.at(at).avoided_until; };
-    const bool scouts = pool.reach.lost_for_all() && now >= pool.next_scout;
-    return (pool.reach.cut_off() || scouts) && !info.relayed && info.idempotency_key.empty() &&
-           settings.mechanisms.has(mechanism::detours) &&
+    return (pool.reach.cut_off() || is_scout_due(pool, now)) && !info.relayed &&
+           info.idempotency_key.empty() && settings.mechanisms.has(mechanism::detours) &&
            std::any_of(targets.nodes().begin(), targets.nodes().end(), usable);
 }
 
@@ -341,7 +347,7 @@
         if (reached_no_group && pool.present && pool.info.kind == pool_kind::model)
             pool.reach.note_others_cut_off();
         const reach_state believed = pool.reach.state();
-        if (!pool.reach.in_doubt() && pool.last_reach == believed)
+        if (!pool.reach.in_doubt() && !pool.reach.asks_others() && pool.last_reach == believed)
             continue;
         if (believed != std::exchange(pool.last_reach, believed)) {
             out.emplace_back(reach_changed{pool.info.name, believed});
@@ -349,6 +355,7 @@
             if (believed != reach_state::cut_off)
                 return_to_servers(pool, now);
         }
+        wants_scout = wants_scout || (is_scout_due(pool, now) && !targets.nodes().empty());
         if (believed == reach_state::cut_off)
             leave_servers(index, now, out);
         if (pool.reach.in_doubt())
@@ -443,7 +450,7 @@
     pool.probes_pending = static_cast<std::uint32_t>(chosen.size());
     for (const target_row_index at : chosen) {
         const target& probed = targets.at(at).info;
-        out.emplace_back(probe_server{probed.id, probed.address});
+        out.emplace_back(probe_server{probed.id, probed.address, pool.reach.needs_response()});
     }
 }
 
--- a/routing/request_overload.cc
+++ b/routing/request_overload.cc
@@ -8,6 +8,8 @@
 #include "routing/engine_model.h"
 #include "routing/request_state.h"
 
+#include <utility>
+
 namespace jaynotch {
 
 namespace {
@@ -26,6 +28,9 @@
         return true;
     if (settings.started_again && overload.starting())
         overload.begin_with(part_of_places_at_start * share_of_places());
+    // Requests that hang may fill the limit while one more would find out where they are served.
+    if (std::exchange(wants_scout, false))
+        return true;
     return overload.admit(requests.size());
 }
 
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -170,6 +170,7 @@
     // request_detour.cc: requests sent through other nodes while this one reaches no server
     void note_failed_attempt(const request_row& row, attempt_failure reason, time_point now);
     [[nodiscard]] bool may_detour(const request_row& row) const;
+    [[nodiscard]] bool is_scout_due(const pool_row& pool, time_point now) const;
     [[nodiscard]] bool detours_on_arrival(const request_info& info, const pool_row& pool,
                                           time_point now) const;
     [[nodiscard]] target_row_index choose_node(time_point now, bool after_refusal = false);
@@ -345,6 +346,7 @@
     claim_manager claims;
     std::optional<time_point> stop_deadline; ///< set when the node stops
     overload_limit overload;
+    bool wants_scout = false; ///< the next request is admitted whatever the limit says
     response_delay delays;
     time_point last_tick;
     bool passed_over = false; ///< the last tick judged no timeouts
--- a/routing/server_reach.cc
+++ b/routing/server_reach.cc
@@ -12,6 +12,12 @@
 // another node would not be reached by a detour either. A node that stays so for long counts as cut
 // off, so that others take its duties over.
 //
+// A connection that opens may be the work of something in between, a proxy or a firewall, while the
+// link behind it is cut. Servers that open connections and send nothing are asked for through
+// another node then, with one request at a time: if they answer there while none answers here, this
+// node is cut off, and only a response ends that. If all servers are busy or paused, they are
+// silent there as well.
+//
 // Out of reach means one of two things. If other nodes reach the servers, this node is cut off and
 // its requests take another way. If the nodes that were asked reach none either, the servers are
 // lost, or all these nodes are cut off alike: no node can help, and the requests wait for servers
@@ -71,8 +77,10 @@
         insert_once(m_refused, hash64(server), servers_for_certainty);
     note_silent(server, servers);
     const std::size_t certain = std::clamp(servers, servers_for_connections, servers_for_certainty);
-    if (m_suspected && m_refused.size() >= certain)
+    if (m_suspected && m_refused.size() >= certain) {
+        m_open_but_silent = false;
         conclude();
+    }
 }
 
 void server_reach::note_silent(std::string_view server, std::size_t servers)
@@ -87,6 +95,9 @@
 {
     m_last_response = now;
     m_failed.clear();
+    if (!m_reaches_none)
+        m_open_but_silent = false;
+    m_served_elsewhere = 0;
 }
 
 void server_reach::note_connected()
@@ -121,15 +132,20 @@
 {
     m_inconclusive = m_control_failed ? m_inconclusive + 1 : 0;
     const bool decided = !m_control_failed || m_inconclusive >= inconclusive_for_cut;
-    if (m_suspected && decided)
+    if (m_suspected && decided) {
+        m_open_but_silent = false;
         conclude();
+    }
 }
 
 void server_reach::note_probe(std::string_view server, bool connected, std::size_t servers)
 {
     if (!m_reaches_none) {
-        if (connected)
+        if (connected) {
+            const bool silent = m_open_but_silent || (m_suspected && !connections_fail());
             reset();
+            m_open_but_silent = silent;
+        }
         else if (m_probes_left > 0 && --m_probes_left == 0)
             end_inquiry();
         return;
@@ -157,6 +173,8 @@
 {
     m_agreeing.clear();
     m_lost_for_all = false;
+    if (asks_others() && ++m_served_elsewhere >= answers_for_cut)
+        conclude();
 }
 
 void server_reach::note_servers(std::span<const std::uint64_t> servers)
@@ -183,6 +201,8 @@
     m_reaches_none = false;
     m_lost_for_all = false;
     m_suspected = false;
+    m_open_but_silent = false;
+    m_served_elsewhere = 0;
     m_probes_left = 0;
     m_inconclusive = 0;
     m_failed.clear();
--- a/routing/server_reach.h
+++ b/routing/server_reach.h
@@ -62,12 +62,14 @@
     void begin_inquiry(std::size_t probes, bool with_control);
     /// Whether the control probe could open a connection to another node.
     void note_control(bool connected);
-    /// Whether a probe could open a new connection. `servers`: number of servers of the pool.
+    /// Whether a probe could open a new connection, or, if needs_response(), brought a response.
+    /// `servers`: number of servers of the pool.
     void note_probe(std::string_view server, bool connected, std::size_t servers);
     /// Another node has said that it reaches no server of the pool either. `decisive`: number of
     /// such nodes that shows that the servers are lost.
     void note_agreement(std::uint64_t node, std::size_t decisive);
     /// A server of the pool has answered through another node. What nodes have agreed on is void.
+    /// If servers open connections to this node and send nothing, it is cut off after all.
     void note_served_elsewhere();
     /// The servers of the pool have changed; `servers`: hashes of their names. A server that is no
     /// longer listed is known to be lost and proves nothing about this node's links. A new one may
@@ -97,6 +99,11 @@
     {
         return !m_reaches_none && (m_suspected || connections_fail());
     }
+    /// Several servers are silent that open connections: a request through another node shows
+    /// whether they are busy or this node is cut off.
+    [[nodiscard]] bool asks_others() const { return m_open_but_silent && !m_reaches_none; }
+    /// Whether a probe has to bring a response, since connections open also in the cut.
+    [[nodiscard]] bool needs_response() const { return m_reaches_none && m_open_but_silent; }
     /// Whether a probe is useful.
     [[nodiscard]] bool in_doubt() const { return m_reaches_none || inquiry_due(); }
     /// Whether a request that has not run should try another node.
@@ -119,6 +126,8 @@
     static constexpr std::size_t servers_for_return = 2;
     /// Inquiries in a row in which not even the other node could be connected that are a cut.
     static constexpr std::size_t inconclusive_for_cut = 8;
+    /// Answers through other nodes while servers that open connections are silent that are a cut.
+    static constexpr std::size_t answers_for_cut = 2;
     /// Failed probes in a row after which earlier connections count no longer.
     static constexpr std::size_t failures_for_doubt = 3;
 
@@ -136,6 +145,8 @@
     std::size_t m_inconclusive = 0;           ///< inquiries in a row
     std::size_t m_failed_probes = 0;          ///< in a row, in the cut
     bool m_suspected = false;                 ///< several servers are silent; an inquiry decides
+    bool m_open_but_silent = false;           ///< probes connected, no response since then
+    std::size_t m_served_elsewhere = 0;       ///< since then
     bool m_reaches_none = false;
     bool m_lost_for_all = false;
     time_point m_last_response;
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -342,7 +342,8 @@
     text += "; links to the store " + std::string{to_name(planned.store_fault)};
     text += " for " + std::to_string(planned.store_fault_for.count()) + " ms";
     if (planned.cut_off > 0)
-        text += "; " + std::to_string(planned.cut_off) + " daemons cut off from all runners, " +
+        text += "; " + std::to_string(planned.cut_off) + " daemons cut off from all runners (" +
+                std::string{to_name(planned.cut_how)} + "), " +
                 std::to_string(planned.cut_before.count()) + " ms before";
     return text;
 }
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -105,6 +105,7 @@
     std::chrono::milliseconds store_fault_for{0}; ///< from the loss on
     /// Daemons that reach no runner, from this long before the loss until long after it.
     std::size_t cut_off = 0;
+    client_cut cut_how = client_cut::drop;
     std::chrono::milliseconds cut_before{4'000};
 };
 
--- a/soak/fault_soak_main.cc
+++ b/soak/fault_soak_main.cc
@@ -39,6 +39,7 @@
     "all daemons are lost at once at the end: none, kill or power for 1.3 s, or drawn by seed");
 ABSL_FLAG(std::uint32_t, cut_off, 0,
           "daemons that reach no runner, from some seconds before the loss of all to the end");
+ABSL_FLAG(std::string, cut_how, "drop", "how they are cut off: drop, reset or mute");
 ABSL_FLAG(std::uint32_t, cut_before_ms, 4'000, "how long before the loss of all that begins");
 ABSL_FLAG(bool, runners_lost_too, false,
           "all runners are lost with the daemons at the end, and others with empty hosts come");
@@ -84,6 +85,11 @@
                          "give none, drawn, " + list_names<fleet_loss>()};
         planned.how = *how;
     }
+    const std::optional<client_cut> cut = from_name<client_cut>(absl::GetFlag(FLAGS_cut_how));
+    if (!cut)
+        return error{error_kind::invalid_argument, "--cut_how is unknown",
+                     "give " + list_names<client_cut>()};
+    planned.cut_how = *cut;
     planned.cut_off = absl::GetFlag(FLAGS_cut_off);
     planned.cut_before = std::chrono::milliseconds{absl::GetFlag(FLAGS_cut_before_ms)};
     return std::optional{planned};
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -128,7 +128,7 @@
     void lose_fleet(const planned_fleet_outage& planned)
     {
         if (planned.cut_off > 0) {
-            m_site.cut_off(planned.cut_off);
+            m_site.cut_off(planned.cut_off, planned.cut_how);
             for (std::size_t index = 0; index < planned.cut_off; ++index) {
                 const std::string& node = m_site.daemons()[index].name;
                 begin_fault({.node = node, .cuts_links = true}); // to the end of the run
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -121,13 +121,14 @@
         runner.link->drop_open();
 }
 
-void soak_site::cut_off(std::size_t daemons)
+void soak_site::cut_off(std::size_t daemons, client_cut how)
 {
+    m_cut_how = how;
     m_cut_off.clear();
     for (std::size_t index = 0; index < daemons; ++index)
         m_cut_off.insert(m_daemons[index].source_address);
     for (const soak_runner& runner : m_runners)
-        runner.link->cut_off(m_cut_off).value();
+        runner.link->cut_off(m_cut_off, how).value();
 }
 
 bool soak_site::all_running() const
@@ -191,7 +192,7 @@
     soak_runner runner;
     runner.server = runner_standin::start(m_io.get_executor(), m_store, chosen).value();
     runner.link = fault_proxy::open(m_io.get_executor(), runner.server->address()).value();
-    runner.link->cut_off(m_cut_off).value();
+    runner.link->cut_off(m_cut_off, m_cut_how).value();
     runner.server->advertise_address(runner.link->address());
     m_checker.record_domain(chosen.id, zone);
     m_runners.push_back(std::move(runner));
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -90,9 +90,9 @@
     void drop_connections();
     /// The same without the connections to the runners.
     void silence_nodes();
-    /// The daemons from the first on that reach no runner from now on, nor any that is added: no
-    /// packet passes. 0 ends it.
-    void cut_off(std::size_t daemons);
+    /// The daemons from the first on that reach no runner from now on, nor any that is added. 0
+    /// ends it.
+    void cut_off(std::size_t daemons, client_cut how = client_cut::drop);
     /// Whether no daemon is stopped.
     [[nodiscard]] bool all_running() const;
     /// Rewrites a daemon's settings file, as the platform does. The caller then sends SIGHUP. The
@@ -139,7 +139,8 @@
     std::size_t m_last_runner = 0;
     std::int64_t m_version = 0;
     std::set<boost::asio::ip::address_v4> m_cut_off; ///< source addresses of daemons
-    std::map<std::string, bool> m_evacuations;       ///< by key: whether it is in force
+    client_cut m_cut_how = client_cut::drop;
+    std::map<std::string, bool> m_evacuations; ///< by key: whether it is in force
     boost::asio::thread_pool m_file_writer{1};
 };
 
--- a/standins/fault_proxy.h
+++ b/standins/fault_proxy.h
@@ -44,6 +44,22 @@
     };
 };
 
+/// What clients see that are cut off.
+enum class client_cut {
+    drop,  ///< no packet of theirs arrives: new connections hang
+    reset, ///< open and new connections are reset, the latter right after they have opened
+    mute,  ///< connections open, and nothing passes in either direction
+};
+
+template <>
+struct enum_names<client_cut> {
+    static constexpr std::array entries{
+        named{client_cut::drop, "drop"},
+        named{client_cut::reset, "reset"},
+        named{client_cut::mute, "mute"},
+    };
+};
+
 class fault_proxy : public std::enable_shared_from_this<fault_proxy> {
 public:
     /// Listens on a free loopback port and forwards connections to `target` ("host:port").
@@ -53,9 +69,10 @@
 
     [[nodiscard]] const std::string& address() const { return m_address; }
     void set(link_fault fault, duration delay = duration{0});
-    /// Drops all packets from these clients, of open and of new connections: those that they open
-    /// hang, as behind a cut link. An empty set ends that; what was blocked is forwarded.
-    result<void> cut_off(std::set<boost::asio::ip::address_v4> clients);
+    /// Cuts these clients off, also their open connections. An empty set ends that; what was
+    /// blocked is forwarded.
+    result<void> cut_off(std::set<boost::asio::ip::address_v4> clients,
+                         client_cut how = client_cut::drop);
     /// Forwards later connections to `target` ("host:port").
     result<void> set_target(const std::string& target);
     /// Passes nothing more on the open connections, as drop_quiet does, without changing the fault.
@@ -93,6 +110,7 @@
     link_fault m_fault = link_fault::none;
     duration m_delay{0};
     std::set<boost::asio::ip::address_v4> m_cut_off;
+    client_cut m_cut_how = client_cut::drop;
     std::set<std::shared_ptr<tunnel>> m_tunnels;
 };
 
