--- a/daemon/detour_test.cc
+++ b/daemon/detour_test.cc
@@ -127,11 +127,11 @@
 // Single requests may ask the other node for them.
 Test(detour, servers_that_are_all_paused_are_no_cut)
 {
-    constexpr duration scout_interval = 200ms;
+    constexpr duration detour_trial_interval = 200ms;
     registry_fixture fleet{{.nodes = 2}};
     const paused_servers_outcome outcome = detours_while_servers_pause(fleet, false);
     cr_assert_eq(outcome.rounds_cut_off, 0U);
-    cr_assert_leq(outcome.detours, std::uint64_t(pause_time / scout_interval));
+    cr_assert_leq(outcome.detours, std::uint64_t(pause_time / detour_trial_interval));
 }
 
 // Guards against a node that is cut off and waits for silent servers.
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -484,8 +484,9 @@
                    {"returned", counters.detours_returned}});
     }
 
-    /// Finds out whether the server is in reach. It doesn't have to answer: a process that is
-    /// stopped for a while answers nothing, and says nothing about this node's links.
+    /// Finds out whether the server is in reach. Unless a response is wanted, it doesn't have to
+    /// answer: a process that is stopped for a while answers nothing, and says nothing about this
+    /// node's links.
     net::awaitable<void> probe(probe_server wanted)
     {
         const auto self = shared_from_this();
--- a/routing/overload_limit.cc
+++ b/routing/overload_limit.cc
@@ -12,7 +12,7 @@
 //
 // Requests that are late since their servers are out of reach say nothing about overload, and those
 // that hang there must not take the places of others. Lateness alone can't tell the two apart; the
-// owner can, once it knows that its servers are out of reach.
+// caller of path_changed() can.
 //
 // The sign is a majority, since a part of the servers may be lost without any overload: refusing
 // requests would not help those that are sent to them, and the others are answered.
@@ -84,7 +84,7 @@
         m_limit = std::max({least, open, m_limit.value_or(0.0)});
 }
 
-void overload_limit::change_way(time_point now)
+void overload_limit::path_changed(time_point now)
 {
     m_limit.reset();
     m_counts = {};
--- a/routing/overload_limit.h
+++ b/routing/overload_limit.h
@@ -48,9 +48,9 @@
     /// this many requests may be open, and one more for each answer that begins in time.
     void begin_with(double open);
     [[nodiscard]] bool starting() const { return m_starting; }
-    /// Requests take another way from now on, which may bear more or less. The limit is dropped,
-    /// and results of requests sent before don't count against the next one.
-    void change_way(time_point now);
+    /// Requests go to other servers or nodes from now on, which may bear more or less. The limit is
+    /// dropped, and results of requests sent before don't count against the next one.
+    void path_changed(time_point now);
     /// Adjusts the limit at the end of each window. `open`: open requests of this node. Returns the
     /// window that has lowered the limit, or nullopt.
     std::optional<overload_window> tick(std::size_t open, time_point now);
--- a/routing/pool_table.h
+++ b/routing/pool_table.h
@@ -41,7 +41,7 @@
     reach_state last_reach = reach_state::reached; ///< when it was last reviewed
     std::uint32_t probes_pending = 0;              ///< servers that are being probed
     target_row_index control = no_target;          ///< node that is probed with them
-    time_point next_scout;                         ///< a request may ask other nodes again
+    time_point next_detour_trial;                  ///< a request may ask other nodes again
     time_point next_probe;                         ///< earliest time of the next probe
     prefix_index prefixes;
     std::map<workspace_id, workspace_use> uses; ///< workspaces with requests in flight or queued
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -135,8 +135,10 @@
         return refuse_with(error_kind::unavailable,
                            "pool " + taken->pool.value() + " has nothing complete to serve it",
                            "come back after the time in Retry-After", no_target_retry);
-    if (pools.at(index).reach.lost_for_all() && !detours_on_arrival(info, pools.at(index), now)) {
-        refuse_lost(info, out);
+    if (!info.relayed && pools.at(index).reach.lost_for_all() &&
+        !detours_on_arrival(info, pools.at(index), now))
+    {
+        refuse_lost(info.id, out);
         return true;
     }
     if (info.idempotency_key.size() > max_key_bytes)
--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -24,11 +24,11 @@
 /// For this long it is asked only if there is none that could.
 constexpr std::chrono::seconds node_doubt{10};
 /// Nodes that must reach no server of a pool either until its servers count as lost. If half of a
-/// large fleet is cut off, so many nodes in a row are by chance once in 64 times; a scout finds the
+/// large fleet is cut off, so many nodes in a row are by chance once in 64 times; a trial finds the
 /// others then.
 constexpr std::size_t nodes_that_decide = 6;
 /// Between two requests of a pool that ask other nodes again while its servers count as lost.
-constexpr std::chrono::milliseconds scout_interval{200};
+constexpr std::chrono::milliseconds detour_trial_interval{200};
 /// How many more requests a node of the own failure domain gets before one of another domain is
 /// preferred.
 constexpr double other_domain_cost = 4.0;
@@ -80,17 +80,17 @@
 }
 
 /// Whether a request of the pool is to ask other nodes for its servers.
-bool request_core::state::is_scout_due(const pool_row& pool, time_point now) const
+bool request_core::state::is_detour_trial_due(const pool_row& pool, time_point now) const
 {
     const bool asks = pool.reach.lost_for_all() || pool.reach.asks_others();
-    return asks && now >= pool.next_scout;
+    return asks && now >= pool.next_detour_trial;
 }
 
 bool request_core::state::detours_on_arrival(const request_info& info, const pool_row& pool,
                                              time_point now) const
 {
     const auto usable = [&](target_row_index at) { return now >= targets.at(at).avoided_until; };
-    return (pool.reach.cut_off() || is_scout_due(pool, now)) && !info.relayed &&
+    return (pool.reach.cut_off() || is_detour_trial_due(pool, now)) && !info.relayed &&
            info.idempotency_key.empty() && settings.mechanisms.has(mechanism::detours) &&
            std::any_of(targets.nodes().begin(), targets.nodes().end(), usable);
 }
@@ -138,7 +138,7 @@
     begin_attempt(row, node, now);
     ++row.detours;
     ++counters.detours;
-    pools.at(row.terms.pool).next_scout = now + scout_interval;
+    pools.at(row.terms.pool).next_detour_trial = now + detour_trial_interval;
     send_attempt sent = send_command_for(row, now);
     sent.relayed = relayed_request{row.servers_used, first};
     out.emplace_back(std::move(sent));
@@ -351,11 +351,12 @@
             continue;
         if (believed != std::exchange(pool.last_reach, believed)) {
             out.emplace_back(reach_changed{pool.info.name, believed});
-            overload.change_way(now);
+            overload.path_changed(now);
             if (believed != reach_state::cut_off)
                 return_to_servers(pool, now);
         }
-        wants_scout = wants_scout || (is_scout_due(pool, now) && !targets.nodes().empty());
+        wants_detour_trial =
+            wants_detour_trial || (is_detour_trial_due(pool, now) && !targets.nodes().empty());
         if (believed == reach_state::cut_off)
             leave_servers(index, now, out);
         if (pool.reach.in_doubt())
--- a/routing/request_finish.cc
+++ b/routing/request_finish.cc
@@ -149,15 +149,12 @@
 }
 
 /// Refuses a request whose servers no node reaches, instead of letting it wait for them.
-void request_core::state::refuse_lost(const request_info& info, command_list& out)
+void request_core::state::refuse_lost(request_id request, command_list& out)
 {
-    ++counters.refused;
-    refuse answer{info.id,
-                  {error_kind::unavailable, "no node reaches a backend server that could run it",
-                   "come back after the time in Retry-After"}};
-    answer.retry_after = info.relayed ? settings.min_retry_after : retry_after(return_s);
-    answer.reaches_no_server = info.relayed.has_value();
-    out.emplace_back(std::move(answer));
+    refuse_untracked(request,
+                     {error_kind::unavailable, "no node reaches a backend server that could run it",
+                      "come back after the time in Retry-After"},
+                     retry_after(return_s), out);
 }
 
 std::chrono::milliseconds request_core::state::retry_after(double wait_s)
--- a/routing/request_overload.cc
+++ b/routing/request_overload.cc
@@ -29,7 +29,7 @@
     if (settings.started_again && overload.starting())
         overload.begin_with(part_of_places_at_start * share_of_places());
     // Requests that hang may fill the limit while one more would find out where they are served.
-    if (std::exchange(wants_scout, false))
+    if (std::exchange(wants_detour_trial, false))
         return true;
     return overload.admit(requests.size());
 }
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -170,7 +170,7 @@
     // request_detour.cc: requests sent through other nodes while this one reaches no server
     void note_failed_attempt(const request_row& row, attempt_failure reason, time_point now);
     [[nodiscard]] bool may_detour(const request_row& row) const;
-    [[nodiscard]] bool is_scout_due(const pool_row& pool, time_point now) const;
+    [[nodiscard]] bool is_detour_trial_due(const pool_row& pool, time_point now) const;
     [[nodiscard]] bool detours_on_arrival(const request_info& info, const pool_row& pool,
                                           time_point now) const;
     [[nodiscard]] target_row_index choose_node(time_point now, bool after_refusal = false);
@@ -207,7 +207,7 @@
     // request_overload.cc: the limit on this node's open requests
     bool admits_one_more();
     std::optional<refuse> refuse_early();
-    void refuse_lost(const request_info& info, command_list& out);
+    void refuse_lost(request_id request, command_list& out);
     refuse overload_refusal(request_id request, double wait_s);
     bool refuse_overload(const request_info& info, const pool_row& pool, command_list& out);
     [[nodiscard]] duration usual_gap(const request_row& row) const;
@@ -346,7 +346,7 @@
     claim_manager claims;
     std::optional<time_point> stop_deadline; ///< set when the node stops
     overload_limit overload;
-    bool wants_scout = false; ///< the next request is admitted whatever the limit says
+    bool wants_detour_trial = false; ///< the next request is admitted whatever the limit says
     response_delay delays;
     time_point last_tick;
     bool passed_over = false; ///< the last tick judged no timeouts
