--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -490,10 +490,13 @@
     net::awaitable<void> probe(probe_server wanted)
     {
         const auto self = shared_from_this();
-        const bool connected = wanted.needs_response ? co_await responds(wanted.address)
-                                                     : co_await accepts_connections(wanted.address);
+        bool reached = false;
+        if (wanted.needs_response)
+            reached = co_await responds(wanted.address);
+        else
+            reached = co_await accepts_connections(wanted.address);
         if (!m_stopped)
-            requests->handle(server_probed{wanted.target, connected});
+            requests->handle(server_probed{wanted.target, reached});
     }
 
     net::awaitable<bool> responds(std::string address)
