Read once more: refusals, the tests' server and the conclusion of a cut are one piece each

Found on a reading of the whole change; no behaviour is meant to change, no assertion, bound or case did. - refuse_lost() and the refusal of relayed requests built what refuse_untracked() builds; both go through it now, and the wait that lost servers need has one constant for both places that name it. - odd_heads_test.cc had its own copy of the server and client of truncated_answer_test.cc; both use http/scripted_server_testing.h. - Two places ended a cut's inquiry with the same two steps; conclude_unconnected() is that step. Versions of HTTP are named once in the check of heads. Two tests of lost groups had one loop, now served_through(). - Comments: one told how a value was chosen; the soak's check had two that overlapped; server_reach still said that requests wait when no node can help; fault_proxy's spoke of all cuts where it means dropped packets.

--- a/http/odd_heads_test.cc
+++ b/http/odd_heads_test.cc
@@ -1,57 +1,11 @@
 // Responses whose heads may not be believed, as bytes on the connection.
-#include "http/http_client.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <criterion/criterion.h>
+#include "http/scripted_server_testing.h"
 
 using namespace jaynotch;
+using namespace jaynotch::testing;
 
 namespace {
 
-using namespace std::chrono_literals;
-namespace net = boost::asio;
-namespace http = boost::beast::http;
-using net::ip::tcp;
-
-net::awaitable<void> serve_once(tcp::acceptor& acceptor, std::string response)
-{
-    tcp::socket socket = co_await acceptor.async_accept(net::use_awaitable);
-    std::string received;
-    boost::system::error_code ignored;
-    co_await net::async_read_until(socket, net::dynamic_buffer(received), "\r\n\r\n",
-                                   net::redirect_error(net::use_awaitable, ignored));
-    co_await net::async_write(socket, net::buffer(response),
-                              net::redirect_error(net::use_awaitable, ignored));
-}
-
-/// The client's result of one request to a server that sends these bytes and closes.
-result<http_response> receive(const std::string& response)
-{
-    net::io_context io;
-    tcp::acceptor acceptor{io, {net::ip::make_address("127.0.0.1"), 0}};
-    net::co_spawn(io, serve_once(acceptor, response), net::detached);
-    std::optional<result<http_response>> received;
-    const auto send = [&]() -> net::awaitable<void> {
-        http_limits limits;
-        limits.allow_unframed_answers = true;
-        http_client client{io.get_executor(),
-                           "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()), limits};
-        http_request request;
-        request.repeatable = true;
-        received = co_await client.call(std::move(request), 5s);
-        io.stop();
-    };
-    net::co_spawn(io, send(), net::detached);
-    io.run();
-    return std::move(*received);
-}
-
 std::string with_status(const std::string& status)
 {
     return "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nhi";
@@ -70,7 +24,7 @@
 
 void expect_refused(const std::string& response)
 {
-    const result<http_response> received = receive(response);
+    const result<http_response> received = receive({.broken = response});
     cr_expect(!received, "believed: %s", response.substr(0, 200).c_str());
     if (!received)
         cr_expect(received.error().kind == error_kind::protocol, "%s",
@@ -79,7 +33,7 @@
 
 void expect_received(const std::string& response, unsigned status)
 {
-    const result<http_response> received = receive(response);
+    const result<http_response> received = receive({.broken = response});
     cr_assert(received.has_value(), "%s", response.substr(0, 200).c_str());
     cr_expect_eq(static_cast<unsigned>(received.value().status), status);
     cr_expect_eq(received.value().body, "hi");
@@ -162,8 +116,8 @@
 Test(odd_head, fields_of_a_trailer_are_no_headers)
 {
     const result<http_response> received =
-        receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nA: head\r\n\r\n"
-                "2\r\nhi\r\n0\r\nA: trailer\r\nB: trailer\r\n\r\n");
+        receive({.broken = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nA: head\r\n\r\n"
+                           "2\r\nhi\r\n0\r\nA: trailer\r\nB: trailer\r\n\r\n"});
     cr_assert(received.has_value());
     cr_expect_eq(received.value().header("A"), "head");
     cr_expect_eq(received.value().headers.count("A"), 1U);
--- a/http/response_head.cc
+++ b/http/response_head.cc
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr unsigned switching_protocols = 101;
+constexpr unsigned http_1_0 = 10; ///< as Beast writes versions
+constexpr unsigned http_1_1 = 11;
 
 /// RFC 9110, 5.6.2: the characters of a field's name.
 bool is_token_character(char character)
@@ -51,7 +53,6 @@
 /// `chunked` alone, once, in HTTP/1.1: RFC 9112, 6.1, less the codings that nobody undoes here.
 bool is_known_coding(const response_head& head)
 {
-    constexpr unsigned http_1_1 = 11;
     return head.version() == http_1_1 && head.count(http::field::transfer_encoding) == 1 &&
            beast::iequals(head[http::field::transfer_encoding], "chunked");
 }
@@ -67,8 +68,6 @@
 {
     constexpr unsigned first_final = 200;
     constexpr unsigned last_final = 599;
-    constexpr unsigned http_1_0 = 10;
-    constexpr unsigned http_1_1 = 11;
     if (head.version() != http_1_0 && head.version() != http_1_1)
         return http::make_error_code(http::error::bad_version);
     const unsigned status = head.result_int();
--- a/routing/lost_groups_test.cc
+++ b/routing/lost_groups_test.cc
@@ -138,6 +138,21 @@
     return first<complete>(out) == nullptr ? 0 : 1;
 }
 
+/// How many of `count` requests are served while all other nodes but `serving` reach no server.
+std::size_t served_through(fixture& world, std::size_t count, const std::string& serving)
+{
+    const auto cut_off_too = [&](const std::string& node) { return !node.starts_with(serving); };
+    std::size_t served = 0;
+    for (std::uint64_t id = 100; id < 100 + count; ++id) {
+        const command_list out = refuse_detours(world, id, cut_off_too);
+        const auto* sent = first<send_attempt>(out);
+        if (sent != nullptr && sent->relayed)
+            served += answer(world, *sent);
+        world.pass(20ms);
+    }
+    return served;
+}
+
 } // namespace
 
 // Failure: several groups are lost within two seconds. Guards against taking that for a cut of the
@@ -301,15 +316,7 @@
 Test(lost_groups, nodes_that_are_cut_off_alike_do_not_end_the_detours)
 {
     fixture world = make_cut_world();
-    const auto cut_off_too = [](const std::string& node) { return !node.starts_with("a-2"); };
-    std::size_t served = 0;
-    for (std::uint64_t id = 100; id < 110; ++id) {
-        const command_list out = refuse_detours(world, id, cut_off_too);
-        const auto* sent = first<send_attempt>(out);
-        if (sent != nullptr && sent->relayed)
-            served += answer(world, *sent);
-        world.pass(20ms);
-    }
+    const std::size_t served = served_through(world, 10, "a-2");
     cr_expect(world.core.cut_off());
     cr_assert_geq(served, 9U);
 }
@@ -320,15 +327,7 @@
 {
     fixture world = make_cut_world();
     lose_for_all(world);
-    std::size_t served = 0;
-    for (std::uint64_t id = 100; id < 200; ++id) {
-        const command_list out = refuse_detours(
-            world, id, [](const std::string& node) { return !node.starts_with("b-2"); });
-        const auto* sent = first<send_attempt>(out);
-        if (sent != nullptr && sent->relayed)
-            served += answer(world, *sent);
-        world.pass(20ms);
-    }
+    const std::size_t served = served_through(world, 100, "b-2");
     cr_expect(world.core.cut_off());
     cr_assert_geq(served, 40U);
 }
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -137,10 +137,9 @@
                            "come back after the time in Retry-After", no_target_retry);
     if (!info.relayed && pools.at(index).reach.lost_for_all() &&
         !detours_on_arrival(info, pools.at(index), now))
-    {
-        refuse_lost(info.id, out);
-        return true;
-    }
+        return refuse_with(
+            error_kind::unavailable, "no node reaches a backend server that could run it",
+            "come back after the time in Retry-After", retry_after(lost_servers_return_s));
     if (info.idempotency_key.size() > max_key_bytes)
         return refuse_with(error_kind::invalid_argument, "the idempotency key is too long",
                            "use a key of at most 256 bytes");
--- a/routing/request_detour.cc
+++ b/routing/request_detour.cc
@@ -23,9 +23,8 @@
 constexpr std::chrono::milliseconds node_pause{1'000};
 /// For this long it is asked only if there is none that could.
 constexpr std::chrono::seconds node_doubt{10};
-/// Nodes that must reach no server of a pool either until its servers count as lost. If half of a
-/// large fleet is cut off, so many nodes in a row are by chance once in 64 times; a trial finds the
-/// others then.
+/// Nodes that must reach no server of a pool either until its servers count as lost; all nodes of a
+/// smaller fleet.
 constexpr std::size_t nodes_that_decide = 6;
 /// Between two requests of a pool that ask other nodes again while its servers count as lost.
 constexpr std::chrono::milliseconds detour_trial_interval{200};
@@ -297,13 +296,11 @@
                                          command_list& out)
 {
     if (pool.reach.reaches_none()) {
-        ++counters.refused;
-        refuse answer{info.id,
-                      {error_kind::unavailable, "this node reaches no backend server either",
-                       "pass it on to another node"}};
-        answer.retry_after = settings.min_retry_after;
-        answer.reaches_no_server = true;
-        out.emplace_back(std::move(answer));
+        refuse_untracked(info.id,
+                         {error_kind::unavailable, "this node reaches no backend server either",
+                          "pass it on to another node"},
+                         settings.min_retry_after, out);
+        std::get<refuse>(out.back()).reaches_no_server = true;
         return true;
     }
     if (relayed_open < settings.max_requests / 2)
--- a/routing/request_finish.cc
+++ b/routing/request_finish.cc
@@ -10,14 +10,6 @@
 
 namespace jaynotch {
 
-namespace {
-
-/// When lost servers may be back: a group that is formed anew on VMs that hold the weights takes
-/// about as long.
-constexpr double return_s = 2.0;
-
-} // namespace
-
 void request_core::state::erase(request_row& row)
 {
     const request_id request = row.info.id;
@@ -95,8 +87,9 @@
         std::optional<std::chrono::milliseconds> after;
         if (ran == ran_state::no) {
             const pool_row& pool = pools.at(row.terms.pool);
-            after = retry_after(pool.reach.lost_for_all() ? std::max(pool.service_s, return_s)
-                                                          : pool.service_s);
+            after = retry_after(pool.reach.lost_for_all()
+                                    ? std::max(pool.service_s, lost_servers_return_s)
+                                    : pool.service_s);
         }
         finish_refuse(row, std::move(failure), ran, after, now, out);
         return;
@@ -148,15 +141,6 @@
     out.emplace_back(refuse{request, std::move(failure), ran_state::no, after, {}, false});
 }
 
-/// Refuses a request whose servers no node reaches, instead of letting it wait for them.
-void request_core::state::refuse_lost(request_id request, command_list& out)
-{
-    refuse_untracked(request,
-                     {error_kind::unavailable, "no node reaches a backend server that could run it",
-                      "come back after the time in Retry-After"},
-                     retry_after(return_s), out);
-}
-
 std::chrono::milliseconds request_core::state::retry_after(double wait_s)
 {
     // Random between once and twice the wait, so that requests refused together don't return
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -120,6 +120,10 @@
 /// Why an attempt ended: a failure reported by the shell, or the loss of its group.
 enum class attempt_end { failed, group_lost };
 
+/// When lost servers may be back: a group that is formed anew on VMs that hold the weights takes
+/// about as long.
+constexpr double lost_servers_return_s = 2.0;
+
 struct request_core::state {
     state(core_settings given, random_source source, time_point now);
 
@@ -207,7 +211,6 @@
     // request_overload.cc: the limit on this node's open requests
     bool admits_one_more();
     std::optional<refuse> refuse_early();
-    void refuse_lost(request_id request, command_list& out);
     refuse overload_refusal(request_id request, double wait_s);
     bool refuse_overload(const request_info& info, const pool_row& pool, command_list& out);
     [[nodiscard]] duration usual_gap(const request_row& row) const;
--- a/routing/server_reach.cc
+++ b/routing/server_reach.cc
@@ -20,10 +20,10 @@
 //
 // Out of reach means one of two things. If other nodes reach the servers, this node is cut off and
 // its requests take another way. If the nodes that were asked reach none either, the servers are
-// lost, or all these nodes are cut off alike: no node can help, and the requests wait for servers
-// or are refused. A node that is cut off knows no more than this one, so it takes several to
-// conclude that, all of them in a small fleet; the answer of one server through any node refutes
-// it.
+// lost, or all these nodes are cut off alike: no node can help, and the requests are refused, but
+// for single ones that ask again. A node that is cut off knows no more than this one, so it takes
+// several to conclude that, all of them in a small fleet; the answer of one server through any node
+// refutes it.
 //
 // Once a cut is found, only probes can tell that it has ended. They have to connect to two servers
 // without too many failures in between: where a few servers of many are in reach, a single
@@ -64,6 +64,12 @@
     m_agreeing.clear();
 }
 
+void server_reach::conclude_unconnected()
+{
+    m_open_but_silent = false;
+    conclude();
+}
+
 bool server_reach::has_failed(std::uint64_t server) const
 {
     return contains(m_failed, server) || contains(m_unreachable, server);
@@ -77,10 +83,8 @@
         insert_once(m_refused, hash64(server), servers_for_certainty);
     note_silent(server, servers);
     const std::size_t certain = std::clamp(servers, servers_for_connections, servers_for_certainty);
-    if (m_suspected && m_refused.size() >= certain) {
-        m_open_but_silent = false;
-        conclude();
-    }
+    if (m_suspected && m_refused.size() >= certain)
+        conclude_unconnected();
 }
 
 void server_reach::note_silent(std::string_view server, std::size_t servers)
@@ -132,10 +136,8 @@
 {
     m_inconclusive = m_control_failed ? m_inconclusive + 1 : 0;
     const bool decided = !m_control_failed || m_inconclusive >= inconclusive_for_cut;
-    if (m_suspected && decided) {
-        m_open_but_silent = false;
-        conclude();
-    }
+    if (m_suspected && decided)
+        conclude_unconnected();
 }
 
 void server_reach::note_probe(std::string_view server, bool connected, std::size_t servers)
--- a/routing/server_reach.h
+++ b/routing/server_reach.h
@@ -132,6 +132,8 @@
     static constexpr std::size_t failures_for_doubt = 3;
 
     void conclude();
+    /// Out of reach, since no connection opens.
+    void conclude_unconnected();
     void end_inquiry();
 
     std::vector<std::uint64_t> m_listed;      ///< hashes of the pool's servers, sorted
--- a/soak/promise_book.cc
+++ b/soak/promise_book.cc
@@ -354,10 +354,8 @@
     }
 }
 
-/// Of the requests sent after all nodes have returned and had the time to recover, a quarter is
-/// served if a quarter was before.
-/// A quarter must be served of all requests, and of those sent to nodes that reach no server while
-/// others do.
+/// The bound holds for all requests, and for those sent to nodes that reach no server while others
+/// do.
 void promise_checker::check_fleet_recovery(std::vector<std::string>& out) const
 {
     if (!m_fleet_outage)
--- a/soak/promise_book.h
+++ b/soak/promise_book.h
@@ -176,7 +176,8 @@
     void check_refusals(std::vector<std::string>& out) const;
     void check_leaving(std::vector<std::string>& out) const;
     void check_fleet_recovery(std::vector<std::string>& out) const;
-    /// The same of the requests sent to nodes that `counts` selects, which `what` describes.
+    /// Of the requests sent after all nodes have returned and had the time to recover, to nodes
+    /// that `counts` selects, a quarter is served if a quarter was before. `what` describes them.
     void check_recovery_of(const std::function<bool(const std::string& node)>& counts,
                            const std::string& what, std::vector<std::string>& out) const;
     /// Whether the node's process ran all the while; with `links`, whether none of its links was
--- a/standins/fault_proxy.cc
+++ b/standins/fault_proxy.cc
@@ -19,9 +19,9 @@
 // write it. End of file waits like a chunk, so a blocked direction also delays the notice that the
 // connection was closed.
 //
-// Clients are cut off by a packet filter of the kernel on the listening socket and on those of the
-// open connections. It needs no privileges, and unlike a proxy that accepts and is silent, it keeps
-// new connections from being opened.
+// The packets of clients are dropped by a filter of the kernel on the listening socket and on those
+// of the open connections. It needs no privileges, and unlike a proxy that accepts and is silent,
+// it keeps new connections from being opened.
 
 namespace jaynotch {
 
