Review, case 9: a planned stop drops requests that were read behind another

Cause: after SIGTERM the server ends a connection behind the answer that is under way, also if a request waits in its input, and the close discards what was read.

--- a/review/kit-2/kit.h
+++ b/review/kit-2/kit.h
@@ -167,6 +167,8 @@
     bool wait_ready(milliseconds wait) const;
     [[nodiscard]] std::string front() const { return m_ip + ":" + std::to_string(front_port); }
     [[nodiscard]] bool running();
+    /// A planned stop: SIGTERM.
+    void terminate() const;
     static std::string control_of(const std::string& ip);
 
 private:
--- a/review/kit-2/kit_test.cc
+++ b/review/kit-2/kit_test.cc
@@ -761,6 +761,12 @@
     return m_process > 0;
 }
 
+void node::terminate() const
+{
+    kill(m_process, SIGTERM);
+    record::line("SIGTERM to the daemon at " + m_ip);
+}
+
 bool node::wait_ready(milliseconds wait) const
 {
     const clock::time_point until = clock::now() + wait;
