--- a/review/9/case_test.cc
+++ b/review/9/case_test.cc
@@ -1,6 +1,4 @@
-// Fields of a caller's head that the server gets otherwise than they were sent: a list in two
-// lines, and fields that come once more behind a body in chunks (trailers), where they are no part
-// of the head.
+// A version takes away the last tenant and its key.
 #include "review/kit-2/kit.h"
 
 #include <algorithm>
@@ -9,10 +7,15 @@
 
 using namespace kit;
 
-/// A body in one chunk, with the trailer lines.
-std::string chunked(const std::string& body, const std::string& trailer)
+constexpr std::int64_t config_apply_ms = 2'000;
+constexpr int requests = 10;
+
+/// A version with the given list of tenants in place of the usual one.
+std::string with_tenants(int version, const std::string& tenants)
 {
-    return std::to_string(body.size()) + "\r\n" + body + "\r\n0\r\n" + trailer + "\r\n";
+    const std::string usual = configuration(version, "", "", "");
+    const std::size_t begin = usual.find("\"tenants\":");
+    return usual.substr(0, begin) + "\"tenants\":" + tenants + "}";
 }
 
 int script()
@@ -24,32 +27,31 @@
     if (!entry.wait_ready(std::chrono::seconds{10}))
         return unable;
     sleep_ms(2'000);
-    const auto send = [&](const std::string& id, const std::string& trailer) {
-        const std::string used = trouble() ? trailer : "X-Checksum: 1\r\n";
-        record::line("sent " + id + " with Jaynotch-Model m1, trailer " +
-                     used.substr(0, used.size() - 2));
-        const message answer =
-            call(entry.front(),
-                 caller_request("POST", "/order/1", id,
-                                "Jaynotch-Model: m1\r\nTransfer-Encoding: chunked\r\n",
-                                chunked("hello", used)),
-                 std::chrono::seconds{6});
-        record::line("answered " + id + ": " +
-                     (answer.complete ? answer.start : std::string{"nothing"}));
+    const auto order = [&](const std::string& id, const std::string& key) {
+        std::string bytes = caller_request("POST", "/order/1", id, "", "hello");
+        const std::string usual = "Bearer key-1";
+        bytes.replace(bytes.find(usual), usual.size(), "Bearer " + key);
+        const message answer = call(entry.front(), bytes, std::chrono::seconds{5});
+        record::line("sent " + id + " with the key " + key + ", answered: " + answer.start);
+        return answer.status();
     };
-    send("own-1", "Jaynotch-Model: other\r\n");
-    send("own-2", "Jaynotch-Attempt-Id: forged-2\r\n");
-    sleep_ms(500);
-    const std::vector<run> runs = runner.runs();
-    bool sound = true;
-    for (const run& each : runs) {
-        const std::string model = each.request.field("Jaynotch-Model");
-        record::line("the server ran id " + each.id + ", model " + model);
-        sound = sound && model == "m1" && each.id.starts_with("own-");
-    }
-    if (runs.size() < 2)
+    if (order("known-1", "key-1") != 200 || order("unknown-1", "never-held") != 401)
         return unable;
-    return sound ? held : broken;
+    const std::string tenants =
+        trouble() ? "[]" : R"([{"name":"farm","api_keys":[],"priority":1}])";
+    platform.put("op/config", with_tenants(2, tenants));
+    record::line("version 2 acknowledged, tenants " + tenants);
+    sleep_ms(config_apply_ms + 500);
+    for (int number = 0; number < requests; ++number) {
+        order("unknown-2-" + std::to_string(number), "never-held");
+        order("known-2-" + std::to_string(number), "key-1");
+    }
+    const std::vector<run> runs = runner.runs();
+    const auto unheld = std::count_if(
+        runs.begin(), runs.end(), [](const run& each) { return each.id.starts_with("unknown-"); });
+    record::line("the server ran requests whose key no version ever held: " +
+                 std::to_string(unheld));
+    return unheld > 0 ? broken : held;
 }
 
 } // namespace
