Workspaces: an empty list admits nobody, only a missing one asks for no keys

Cause: "no list" and "an empty list" were one value. parse_configuration() put both into an empty vector, and install_tables() took an empty vector for tables that identify callers otherwise. A null was read like a missing member.

Evidence: real daemons, one document each, requests with a revoked, an unknown and no key: absent, [] and null admitted all of them; [{"name":"farm"}], {}, "" and [null] none. So the list's emptiness decided, not the keys.

Weighed against a separate flag beside the list, which can contradict it and has a default that somebody forgets to set; an optional can't. The request core keeps its table of keys as an optional too and guesses nothing from its size.

--- a/daemon/registry_daemon_test.cc
+++ b/daemon/registry_daemon_test.cc
@@ -375,6 +375,33 @@
     cr_assert_eq(fleet.ask("/order/1").status, 401, "an older version must not be installed");
 }
 
+// Guards against nodes that admit every caller once the operators have taken away the last
+// workspace: at nodes that saw the change, and at one that has seen no other version and has it
+// from another node.
+Test(registry_daemon, an_empty_list_of_workspaces_admits_nobody)
+{
+    registry_fleet fleet{2};
+    fleet.settle();
+    std::string emptied = document(2);
+    emptied.erase(emptied.find(R"("tenants":[)") + std::string_view{R"("tenants":[)"}.size());
+    fleet.store().put("op/config", emptied + "]}");
+    fleet.run(1s);
+    fleet.store().is_unavailable = true;
+    fleet.start_daemon(2);
+    cr_assert(fleet.run_until([&] { return fleet.daemons[2]->tables_revision().value() == 2; }));
+    const std::size_t ran = total_executions(fleet.apps);
+    for (std::size_t node = 0; node < fleet.daemons.size(); ++node) {
+        cr_assert_eq(fleet.ask("/order/1", {}, node).status, 401);
+        cr_assert_eq(fleet.ask("/order/1", {{"Authorization", "Bearer x"}}, node).status, 401);
+    }
+    cr_assert_eq(total_executions(fleet.apps), ran);
+    fleet.store().is_unavailable = false;
+    fleet.store().put("op/config", document(3));
+    fleet.run(1s);
+    for (std::size_t node = 0; node < fleet.daemons.size(); ++node)
+        cr_assert_eq(fleet.ask("/order/1", {}, node).status, 200, "the workspace is back");
+}
+
 namespace {
 
 /// How long a single node takes to put the revocation of a key into force if `inject_fault`
--- a/routing/modelled_fixture.h
+++ b/routing/modelled_fixture.h
@@ -77,7 +77,7 @@
     app.service = "app";
     app.kind = pool_kind::plain;
     tables.pools = {app, model};
-    tables.workspaces = {{workspace_id{"farm"}, {"key-1", "key-2"}, std::nullopt}};
+    tables.workspaces = {{{workspace_id{"farm"}, {"key-1", "key-2"}, std::nullopt}}};
     return tables;
 }
 
--- a/routing/modelled_test.cc
+++ b/routing/modelled_test.cc
@@ -77,6 +77,28 @@
         "");
 }
 
+// Guards against a configuration that takes away the last workspace and thereby admits everybody.
+Test(modelled, an_empty_list_of_workspaces_admits_nobody)
+{
+    world sim{4};
+    const auto submit_with = [&](std::optional<std::vector<workspace_row>> workspaces) {
+        configuration tables = modelled_tables();
+        tables.workspaces = std::move(workspaces);
+        sim.send(tables_installed{tables});
+        return sim.submit();
+    };
+    const std::vector<workspace_row> none;
+    for (int round = 0; round < 2; ++round) {
+        cr_assert_eq(last_command<refuse>(submit_with(none))->failure.kind,
+                     error_kind::unauthorized);
+        cr_assert(last_command<send_attempt>(sim.submit("/chat/x", "b.example")), "an open route");
+        cr_assert(last_command<send_attempt>(submit_with(std::nullopt)), "no list, no keys");
+        cr_assert_eq(last_command<refuse>(submit_with(none))->failure.kind,
+                     error_kind::unauthorized);
+        cr_assert(last_command<send_attempt>(submit_with(modelled_tables().workspaces)));
+    }
+}
+
 Test(modelled, requests_spread_over_the_groups)
 {
     core_settings settings = modelled_settings();
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -58,11 +58,11 @@
 bool request_core::state::authenticate(request_info& info, const route& taken,
                                        std::optional<priority_class>& priority, command_list& out)
 {
-    if (!workspaces_by_keys)
+    if (!workspaces_by_key)
         return true;
     info.workspace = workspace_id{};
-    const auto known = workspaces_by_key.find(info.credential);
-    if (known != workspaces_by_key.end()) {
+    const auto known = workspaces_by_key->find(info.credential);
+    if (known != workspaces_by_key->end()) {
         info.workspace = known->second.name;
         priority = known->second.priority;
         return true;
--- a/routing/request_core.cc
+++ b/routing/request_core.cc
@@ -286,11 +286,13 @@
     });
     pools.replace(tables, settings);
     budgets.assign(pools, now);
-    workspaces_by_key.clear();
-    workspaces_by_keys = !tables.workspaces.empty();
-    for (const workspace_row& workspace : tables.workspaces) {
-        for (const std::string& key : workspace.keys)
-            workspaces_by_key[key] = workspace;
+    workspaces_by_key.reset();
+    if (tables.workspaces) {
+        workspaces_by_key.emplace();
+        for (const workspace_row& workspace : *tables.workspaces) {
+            for (const std::string& key : workspace.keys)
+                (*workspaces_by_key)[key] = workspace;
+        }
     }
     targets.set_configured_servers(tables, now);
     update_cold_servers(now);
--- a/routing/request_state.h
+++ b/routing/request_state.h
@@ -364,8 +364,8 @@
     bool limits_in_use = false;    ///< some target_row::rate_limit_reached may be set
     time_point next_limit_refresh;
     std::unordered_map<std::string, caller_timeout_estimate> caller_timeouts_by_route;
-    std::unordered_map<std::string, workspace_row> workspaces_by_key;
-    bool workspaces_by_keys = false; ///< callers authenticate with their workspace's key
+    /// Set if callers have to authenticate with their workspace's key.
+    std::optional<std::unordered_map<std::string, workspace_row>> workspaces_by_key;
     std::size_t fleet_size = 1;
     retry_budgets budgets;
     std::unordered_map<request_id, request_row> requests;
--- a/tables/tables.h
+++ b/tables/tables.h
@@ -214,8 +214,9 @@
     config_revision revision;
     std::vector<route> routes; ///< sorted by name
     std::vector<pool> pools;   ///< sorted by name
-    /// Workspaces that may call. If empty, callers state their workspace themselves.
-    std::vector<workspace_row> workspaces;
+    /// Workspaces that may call, identified by their keys. An empty list lets nobody call, except
+    /// on open routes. If absent, no key is needed.
+    std::optional<std::vector<workspace_row>> workspaces;
     std::optional<caller_limits> limits; ///< if set, replace this node's own limits
 
     friend bool operator==(const configuration&, const configuration&) = default;
