Request core: an empty key in the tables identifies nobody

What callers saw: with "api_keys":[""] requests without an Authorization header, or with "Bearer " alone, ran as that workspace's.

Cause: a caller without a key has an empty credential, which the table of keys then contained.

Evidence: real daemon, api_keys [""]: 200 without a header and with an empty key, 401 with an unknown one.

Change: a caller without a key has no workspace, decided where callers are identified, whatever the tables contain. Dropping empty keys when documents are read was the other way; it leaves the decision to each reader of tables.

Test, red before: modelled/an_empty_key_identifies_nobody.

--- a/routing/modelled_test.cc
+++ b/routing/modelled_test.cc
@@ -99,6 +99,20 @@
     }
 }
 
+// Guards against an empty key in the configuration that admits callers who send none.
+Test(modelled, an_empty_key_identifies_nobody)
+{
+    world sim{1};
+    configuration tables = modelled_tables();
+    tables.workspaces = {{{workspace_id{"farm"}, {"", "key-1"}, std::nullopt}}};
+    sim.send(tables_installed{tables});
+    cr_assert_eq(last_command<refuse>(sim.submit("/chat/x", "a.example", ""))->failure.kind,
+                 error_kind::unauthorized);
+    cr_assert_eq(
+        last_command<send_attempt>(sim.submit("/chat/x", "b.example", ""))->workspace.value(), "");
+    cr_assert_eq(last_command<send_attempt>(sim.submit())->workspace.value(), "farm");
+}
+
 Test(modelled, requests_spread_over_the_groups)
 {
     core_settings settings = modelled_settings();
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -61,7 +61,9 @@
     if (!workspaces_by_key)
         return true;
     info.workspace = workspace_id{};
-    const auto known = workspaces_by_key->find(info.credential);
+    // A caller without a key has no workspace, even if the tables contain an empty key.
+    const auto known = info.credential.empty() ? workspaces_by_key->end()
+                                               : workspaces_by_key->find(info.credential);
     if (known != workspaces_by_key->end()) {
         info.workspace = known->second.name;
         priority = known->second.priority;
