Limits: one that a version leaves out is the node's own

What callers saw: after a version with "limits":{} every request got 431, with max_header_bytes alone 400 for each one with a body. After a version without limits those of an earlier one stayed in force, on nodes that had seen it.

Cause: a limit that isn't set was read as 0, and a version without limits set nothing at all.

Evidence: real daemon: {} 431 for all, header limit alone 400 for all.

Change: each limit is optional, and is the node's own if the version in force doesn't set it.

--- a/base/json_fields.h
+++ b/base/json_fields.h
@@ -69,6 +69,8 @@
         }
         return success();
     }
+    /// Whether the member is there and not null.
+    [[nodiscard]] bool has(std::string_view name) const { return find(name) != nullptr; }
     void require(std::string_view name);
     /// The enumerator named by the member, or `default_value` if the member is missing. An unknown
     /// name is an error.
--- a/daemon/forward_front.cc
+++ b/daemon/forward_front.cc
@@ -111,9 +111,9 @@
                                                          incoming_request& incoming,
                                                          const configuration* tables)
 {
-    const std::size_t max_body_bytes = tables != nullptr && tables->limits
-                                           ? tables->limits->body_bytes
-                                           : m_services.settings.limits.model_body_bytes;
+    const std::size_t own_limit = m_services.settings.limits.model_body_bytes;
+    const std::size_t max_body_bytes =
+        tables != nullptr ? tables->limits.body_bytes.value_or(own_limit) : own_limit;
     result<std::string> body = co_await read_held_body(m_services, exchange, max_body_bytes);
     if (!body)
         co_return body.error();
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -415,21 +415,25 @@
                   {{"revision", tables->revision.value()},
                    {"routes", tables->routes.size()},
                    {"pools", tables->pools.size()}});
-        if (tables->limits) {
-            http_timeouts timeouts = settings.timeouts.http;
-            timeouts.header = tables->limits->header_timeout;
-            timeouts.idle = tables->limits->idle_timeout;
-            http_server_limits limits = settings.limits.http;
-            limits.header_bytes = tables->limits->header_bytes;
-            limits.body_bytes = tables->limits->body_bytes;
-            caller_server->set_limits(timeouts, limits);
-        }
+        apply_limits(tables->limits);
         managers->install(*tables);
         requests->handle(tables_installed{*tables});
         m_pushed = {};
         m_pushed_version.reset();
     }
 
+    /// A limit that the operators don't set, or no longer set, is this node's own.
+    void apply_limits(const caller_limits& stated) const
+    {
+        http_timeouts timeouts = settings.timeouts.http;
+        timeouts.header = stated.header_timeout.value_or(timeouts.header);
+        timeouts.idle = stated.idle_timeout.value_or(timeouts.idle);
+        http_server_limits limits = settings.limits.http;
+        limits.header_bytes = stated.header_bytes.value_or(limits.header_bytes);
+        limits.body_bytes = stated.body_bytes.value_or(limits.body_bytes);
+        caller_server->set_limits(timeouts, limits);
+    }
+
     void push_targets()
     {
         const time_point now = runtime_clock::now();
--- a/daemon/registry_daemon_test.cc
+++ b/daemon/registry_daemon_test.cc
@@ -402,6 +402,30 @@
         cr_assert_eq(fleet.ask("/order/1", {}, node).status, 200, "the workspace is back");
 }
 
+// Guards against limits of 0 where a version leaves limits out, and against limits of an earlier
+// version that stay in force.
+Test(registry_daemon, a_limit_that_a_version_leaves_out_is_the_nodes_own)
+{
+    registry_fleet fleet{1, 0};
+    const auto put_limits = [&](int version, const std::string& limits) {
+        std::string text = document(version);
+        const std::size_t begin = text.find(R"("limits":)");
+        const std::size_t end = text.find('}', begin) + 1;
+        fleet.store().put("op/config", text.replace(begin, end - begin, limits));
+        cr_assert(fleet.run_until(
+            [&] { return fleet.daemons[0]->tables_revision().value() == version; }));
+    };
+    cr_assert(fleet.run_until([&] { return fleet.ask("/order/1").status == 200; }));
+    put_limits(2, R"("limits":{"max_body_bytes":1})");
+    cr_assert_neq(fleet.ask("/order/1").status, 200, "the body is longer");
+    put_limits(3, R"("limits":{})");
+    cr_assert_eq(fleet.ask("/order/1").status, 200);
+    put_limits(4, R"("limits":{"max_header_bytes":16,"max_body_bytes":65536})");
+    cr_assert_eq(fleet.ask("/order/1").status, 431, "the header is longer");
+    put_limits(5, R"("limits":null)");
+    cr_assert_eq(fleet.ask("/order/1").status, 200);
+}
+
 namespace {
 
 /// How long a single node takes to put the revocation of a key into force if `inject_fault`
--- a/tables/tables.h
+++ b/tables/tables.h
@@ -198,12 +198,12 @@
     friend bool operator==(const workspace_row&, const workspace_row&) = default;
 };
 
-/// Limits on callers' requests and connections, where the operators set them.
+/// Limits on callers' requests and connections. Those that the operators set replace the node's.
 struct caller_limits {
-    std::size_t header_bytes = 0;
-    std::size_t body_bytes = 0;
-    std::chrono::milliseconds header_timeout{0};
-    std::chrono::milliseconds idle_timeout{0};
+    std::optional<std::size_t> header_bytes;
+    std::optional<std::size_t> body_bytes;
+    std::optional<std::chrono::milliseconds> header_timeout;
+    std::optional<std::chrono::milliseconds> idle_timeout;
 
     friend bool operator==(const caller_limits&, const caller_limits&) = default;
 };
@@ -217,7 +217,7 @@
     /// Workspaces that may call, identified by their keys. An empty list lets nobody call, except
     /// on open routes. If absent, no key is needed.
     std::optional<std::vector<workspace_row>> workspaces;
-    std::optional<caller_limits> limits; ///< if set, replace this node's own limits
+    caller_limits limits;
 
     friend bool operator==(const configuration&, const configuration&) = default;
 };
