Routing: a service of weight 0 gets no requests

Change: only services of a weight above 0 are drawn; if there is none, requests are refused as for a service that nothing serves.

--- a/routing/modelled_test.cc
+++ b/routing/modelled_test.cc
@@ -113,6 +113,22 @@
     cr_assert_eq(last_command<send_attempt>(sim.submit())->workspace.value(), "farm");
 }
 
+// Guards against a route whose services all have weight 0 and whose last service gets everything.
+Test(modelled, a_service_of_weight_zero_gets_nothing)
+{
+    world sim{1};
+    const auto submit_with = [&](double chat_weight, double app_weight) {
+        configuration tables = modelled_tables();
+        tables.routes.front().backends = {{"llm", chat_weight}, {"app", app_weight}};
+        sim.send(tables_installed{tables});
+        return sim.submit();
+    };
+    cr_assert_eq(last_command<send_attempt>(submit_with(1.0, 0.0))->target.value(), "g1");
+    cr_assert_eq(last_command<send_attempt>(submit_with(0.0, 1.0))->target.value(), "app-1");
+    cr_assert_eq(last_command<refuse>(submit_with(0.0, 0.0))->failure.kind,
+                 error_kind::unavailable);
+}
+
 Test(modelled, requests_spread_over_the_groups)
 {
     core_settings settings = modelled_settings();
--- a/routing/request_arrival.cc
+++ b/routing/request_arrival.cc
@@ -79,7 +79,7 @@
 }
 
 /// Picks one of the route's services at random by weight and returns its pool; size() if it has
-/// none.
+/// none. A service of weight 0 is never picked.
 pool_index request_core::state::choose_pool(const route& taken, const request_info& info)
 {
     if (taken.backends.empty())
@@ -88,14 +88,17 @@
     for (const backend_share& backend : taken.backends)
         sum += backend.weight;
     double left = random.unit() * sum;
-    const backend_share* chosen = &taken.backends.back();
+    const backend_share* chosen = nullptr;
     for (const backend_share& backend : taken.backends) {
+        if (backend.weight <= 0.0)
+            continue;
+        chosen = &backend;
         left -= backend.weight;
-        if (left < 0.0) {
-            chosen = &backend;
+        if (left < 0.0)
             break;
-        }
     }
+    if (chosen == nullptr)
+        return pools.size();
     return pools.find_for_service(chosen->service, info.model);
 }
 
