Model list: a route for no workspace is shown to nobody

What callers saw: nothing yet, since the check of the tables refuses such a route; GET /v1/models would have listed its model for every caller, though no request is routed by it.

Cause: the list took a route without workspaces for one that is for all.

Change: the list decides as the route index does.

Test, red before: model_request/models_are_listed_for_the_workspaces_of_their_routes.

--- a/daemon/model_request.cc
+++ b/daemon/model_request.cc
@@ -104,7 +104,6 @@
     std::set<std::string> names;
     for (const route& row : tables.routes) {
         const bool allowed =
-            row.workspaces.empty() ||
             std::any_of(row.workspaces.begin(), row.workspaces.end(), [&](const std::string& one) {
                 return one == "*" || one == workspace.value();
             });
--- a/daemon/relay_parts_test.cc
+++ b/daemon/relay_parts_test.cc
@@ -106,6 +106,27 @@
     cr_assert(is_completion(R"({"choices":[{"text":"a"}]})"));
 }
 
+// Guards against a route for no workspace whose model is listed for every caller.
+Test(model_request, models_are_listed_for_the_workspaces_of_their_routes)
+{
+    configuration tables;
+    const auto add = [&](const std::string& model, std::vector<std::string> workspaces) {
+        route row;
+        row.name = route_id{model};
+        row.model = model;
+        row.workspaces = std::move(workspaces);
+        tables.routes.push_back(std::move(row));
+    };
+    add("for-all", {"*"});
+    add("for-one", {"lima"});
+    add("for-none", {});
+    const std::string page = models_page(tables, workspace_id{"lima"});
+    cr_assert(page.find("for-all") != std::string::npos);
+    cr_assert(page.find("for-one") != std::string::npos);
+    cr_assert(page.find("for-none") == std::string::npos);
+    cr_assert(models_page(tables, workspace_id{"cusco"}).find("for-one") == std::string::npos);
+}
+
 // A client sends a malformed traceparent header. It must be ignored, so that a new trace is started
 // instead of a broken one being continued.
 Test(trace, malformed_traceparents_are_ignored)
