Tables: a list that means all when absent may not be empty

What operators saw: methods = [] on a plain route allowed every method, and fabric_domains = [] every fabric domain, as if the field weren't there. Who takes away the last method opens the route for all.

Change: the parser reports such a list with its line and the remedy: name at least one, or remove the field. The tables as written by `jaynotch show` leave defaults out, so they read back as before.

Tests, red before: parse/a_list_that_means_all_if_absent_may_not_be_empty, two more edits in parse/each_problem_names_its_line_and_field.

--- a/tables/parse.cc
+++ b/tables/parse.cc
@@ -41,6 +41,13 @@
 template <class Row>
 void read_row(const toml::table& source, Row& row, const row_context& context);
 
+/// Whether a row without this list stands for all that the list could name. Such a list may not be
+/// empty: it would allow everything after its last item was taken away.
+bool means_all_if_absent(std::string_view field)
+{
+    return field == "methods" || field == "fabric_domains";
+}
+
 /// Visitor that reads one field from the row's TOML table, if it is present.
 class field_reader {
 public:
@@ -152,6 +159,11 @@
             report_wrong_value(node, name, "a list in brackets");
             return;
         }
+        if (items->empty() && means_all_if_absent(name)) {
+            m_context.add(line_of(node), name, "is an empty list",
+                          "name at least one, or remove the field for all");
+            return;
+        }
         value.clear();
         for (const toml::node& item : *items) {
             Item element;
--- a/tables/tables_test.cc
+++ b/tables/tables_test.cc
@@ -139,6 +139,8 @@
         {true, "path_prefix = \"/records\"", "path_prefix = \"records\"", 11, "path_prefix"},
         {true, "deployment = \"apred\"", "deployment = \"fjordgrode\"", 0, "deployment"},
         {true, "[[route]]", "[[rout]]\nx = 1\n[[route]]", 3, "rout"},
+        {true, "methods = [\"POST\"]", "methods = []", 15, "methods"},
+        {false, "replicas = 6", "replicas = 6\nfabric_domains = []", 15, "fabric_domains"},
         {false, "replica_vms = 4", "replica_vms = 0", 8, "replica_vms"},
         {false, "replica_vms = 4", "replica_vms = 4.5", 13, "replica_vms"},
         {false, "replicas = 6", "replicas = 6\nweight_down = -1.0", 8, "weight_down"},
@@ -168,6 +170,20 @@
     }
 }
 
+// Guards against a route that takes every method after its last one was taken away, and against a
+// pool that uses all fabric domains after its last one was.
+Test(parse, a_list_that_means_all_if_absent_may_not_be_empty)
+{
+    cr_assert(parse_tables(replaced(good_routes, "methods = [\"POST\"]", ""), good_pools));
+    cr_assert(!parse_tables(replaced(good_routes, "[\"POST\"]", "[]"), good_pools));
+    const auto with_domains = [](std::string_view list) {
+        return replaced(good_pools, "replicas = 6",
+                        "replicas = 6\nfabric_domains = " + std::string{list});
+    };
+    cr_assert(parse_tables(good_routes, with_domains("[\"f-1\"]")));
+    cr_assert(!parse_tables(good_routes, with_domains("[]")));
+}
+
 Test(parse, broken_toml_and_huge_tables_are_refused)
 {
     cr_assert(!parse_tables("deployment = ", good_pools));
