Operators see whether keys are required and whether the newest version is in force

Cause: no line, metric or page told that a node asks for no keys, and that the store's newest configuration can't be read only showed in one line of the log.

Test: registry_daemon/operators_see_whether_keys_are_required_and_the_newest_version_is_in_force (it reads the operators' pages of a daemon, for which there was no accessor).

--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -104,6 +104,12 @@
     Gauge& ready = gauge(registry, "jaynotch_ready", "1 if callers may be sent here");
     Gauge& revision =
         gauge(registry, "jaynotch_config_revision", "Revision of the tables in force");
+    Gauge& keys_required =
+        gauge(registry, "jaynotch_keys_required", "1 if callers need a key, except on open routes");
+    Gauge& keys = gauge(registry, "jaynotch_keys", "Keys of workspaces in force");
+    Gauge& config_unreadable = gauge(
+        registry, "jaynotch_config_unreadable",
+        "1 if the store's newest configuration can't be read, so that an older one is in force");
     Gauge& platform_lost_gauge = gauge(registry, "jaynotch_platform_lost",
                                        "1 if the key-value service does not answer this node");
     Gauge& connections = gauge(registry, "jaynotch_connections", "Connections of callers");
@@ -262,6 +268,9 @@
     families& all = *m_families;
     all.ready.Set(now.ready ? 1 : 0);
     all.revision.Set(static_cast<double>(now.revision));
+    all.keys_required.Set(now.keys_required ? 1.0 : 0.0);
+    all.keys.Set(static_cast<double>(now.keys));
+    all.config_unreadable.Set(now.config_unreadable ? 1.0 : 0.0);
     all.platform_lost_gauge.Set(now.platform_lost ? 1 : 0);
     all.connections.Set(static_cast<double>(now.connections));
     all.in_flight.Set(static_cast<double>(now.in_flight));
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -31,6 +31,9 @@
 struct gauges {
     bool ready = false;
     std::int64_t revision = 0;
+    bool keys_required = false;     ///< callers need a key, except on open routes
+    std::uint64_t keys = 0;         ///< that identify a workspace
+    bool config_unreadable = false; ///< the store holds a configuration that this node can't read
     bool platform_lost = false;
     std::uint64_t connections = 0;
     std::uint64_t in_flight = 0;
--- a/daemon/metrics_test.cc
+++ b/daemon/metrics_test.cc
@@ -31,6 +31,9 @@
     now.groups_forming = 2;
     now.spare_runners = 5;
     now.config_age = 3s;
+    now.keys_required = true;
+    now.keys = 7;
+    now.config_unreadable = true;
     now.start_to_targets = 2s;
     const std::string page = exported_metrics.render(now);
     cr_assert(has(page, "jaynotch_requests_total{outcome=\"answered\"} 1"), "%s", page.c_str());
@@ -45,5 +48,8 @@
     cr_assert(has(page, "jaynotch_groups_forming 2"));
     cr_assert(has(page, "jaynotch_spare_runners 5"));
     cr_assert(has(page, "jaynotch_config_age_seconds 3"));
+    cr_assert(has(page, "jaynotch_keys_required 1"));
+    cr_assert(has(page, "jaynotch_keys 7"));
+    cr_assert(has(page, "jaynotch_config_unreadable 1"));
     cr_assert(has(page, "jaynotch_start_to_servers_seconds 2"));
 }
--- a/daemon/registry_daemon.cc
+++ b/daemon/registry_daemon.cc
@@ -182,6 +182,7 @@
         pages.reset(new registry_pages{
             {settings, m_registry, *peers, *requests, [this] { return tables; },
              [this] { return ready(); }, [this] { return feed->current(); },
+             [this] { return feed->configuration_unreadable(); },
              [this] { return managers->managed(); }, [this] { return counts.in_flight; },
              [this] { return metrics_page(); }, runtime_clock::now()}});
         peers->on_rumor([this](const rumor& heard) {
@@ -414,7 +415,10 @@
         log_event(log_level::info, "config_installed",
                   {{"revision", tables->revision.value()},
                    {"routes", tables->routes.size()},
-                   {"pools", tables->pools.size()}});
+                   {"pools", tables->pools.size()},
+                   {"keys_required", tables->keys_required()},
+                   {"workspaces", tables->workspaces ? tables->workspaces->size() : 0},
+                   {"keys", tables->key_count()}});
         apply_limits(tables->limits);
         managers->install(*tables);
         requests->handle(tables_installed{*tables});
@@ -654,6 +658,9 @@
         gauges now = common_gauges(counts, *caller_server, *peers, kv, *spans);
         now.ready = ready();
         now.revision = tables ? tables->revision.value() : 0;
+        now.keys_required = tables && tables->keys_required();
+        now.keys = tables ? tables->key_count() : 0;
+        now.config_unreadable = feed->configuration_unreadable();
         now.platform_lost = !feed->current();
         now.complete_groups = m_pushed.groups.size();
         now.managed_domains = managers->managed().size();
@@ -759,6 +766,11 @@
     return m_impl->caller_server->port();
 }
 
+std::uint16_t registry_daemon::admin_port() const
+{
+    return m_impl->admin_server->port();
+}
+
 std::uint16_t registry_daemon::relay_port() const
 {
     return m_impl->relay_server ? m_impl->relay_server->port() : std::uint16_t{0};
--- a/daemon/registry_daemon.h
+++ b/daemon/registry_daemon.h
@@ -46,6 +46,7 @@
     /// Whether the load balancer may send callers here: tables are installed and no stop has begun.
     [[nodiscard]] bool ready() const;
     [[nodiscard]] std::uint16_t listen_port() const;
+    [[nodiscard]] std::uint16_t admin_port() const;
     /// 0 if requests of other nodes are not accepted.
     [[nodiscard]] std::uint16_t relay_port() const;
     [[nodiscard]] std::string peer_address() const; ///< "IP:port" that is bound
--- a/daemon/registry_daemon_test.cc
+++ b/daemon/registry_daemon_test.cc
@@ -171,6 +171,20 @@
         return *made.answer;
     }
 
+    /// The body of an operators' page of the first daemon.
+    std::string operators_page(const std::string& path)
+    {
+        caller_request request;
+        request.method = boost::beast::http::verb::get;
+        request.target = path;
+        const auto answer = std::make_shared<caller_answer>();
+        const auto ended = std::make_shared<bool>(false);
+        boost::asio::co_spawn(m_io, call(daemons[0]->admin_port(), request, answer, ended),
+                              boost::asio::detached);
+        cr_assert(run_until([&] { return *ended; }));
+        return answer->body;
+    }
+
     store_standin& store() { return *m_store; }
     [[nodiscard]] std::string last_id() const { return "id-" + std::to_string(m_last_id); }
 
@@ -402,6 +416,31 @@
         cr_assert_eq(fleet.ask("/order/1", {}, node).status, 200, "the workspace is back");
 }
 
+// Guards against a configuration that a node can't read and whose place in the store nobody sees,
+// and against nodes that ask for no keys unnoticed.
+Test(registry_daemon, operators_see_whether_keys_are_required_and_the_newest_version_is_in_force)
+{
+    registry_fleet fleet{1, 0};
+    cr_assert(fleet.run_until([&] { return fleet.ask("/order/1").status == 200; }));
+    const auto metrics_show = [&](const std::string& line) {
+        return fleet.operators_page("/metrics").find("\n" + line + "\n") != std::string::npos;
+    };
+    const auto status_shows = [&](const std::string& member) {
+        return fleet.operators_page("/admin/v1/status").find(member) != std::string::npos;
+    };
+    cr_assert(metrics_show("jaynotch_keys_required 1") && metrics_show("jaynotch_keys 1"));
+    cr_assert(metrics_show("jaynotch_config_unreadable 0"));
+    fleet.store().put("op/config", document(2, "[5]"));
+    cr_assert(fleet.run_until([&] { return metrics_show("jaynotch_config_unreadable 1"); }));
+    cr_assert(status_shows(R"("newest_configuration":"unreadable")"));
+    cr_assert_eq(fleet.daemons[0]->tables_revision(), config_revision{1});
+    cr_assert_eq(fleet.ask("/order/1").status, 200, "the last readable version stays in force");
+    fleet.store().put("op/config", R"({"version":3,"routes":[],"services":[]})");
+    cr_assert(fleet.run_until([&] { return metrics_show("jaynotch_keys_required 0"); }));
+    cr_assert(metrics_show("jaynotch_config_unreadable 0"));
+    cr_assert(status_shows(R"("keys_required":false,"keys":0)"));
+}
+
 // Guards against limits of 0 where a version leaves limits out, and against limits of an earlier
 // version that stay in force.
 Test(registry_daemon, a_limit_that_a_version_leaves_out_is_the_nodes_own)
--- a/daemon/registry_feed.cc
+++ b/daemon/registry_feed.cc
@@ -181,6 +181,7 @@
     key_relay_driver relay;
     bool stopped = false;
     bool current = false;
+    bool configuration_unreadable = false; ///< the newest one
 
 private:
     key_relay_hooks relay_hooks()
@@ -642,6 +643,7 @@
         if (!exists)
             return; // the installed configuration stays in force
         result<configuration> read = platform::parse_configuration(entry);
+        configuration_unreadable = !read;
         if (!read) {
             log_event(log_level::error, "configuration_unreadable",
                       {{"revision", entry.mod_revision}, {"reason", read.error().message}});
@@ -739,4 +741,9 @@
     return m_impl->current;
 }
 
+bool registry_feed::configuration_unreadable() const
+{
+    return m_impl->configuration_unreadable;
+}
+
 } // namespace jaynotch
--- a/daemon/registry_feed.h
+++ b/daemon/registry_feed.h
@@ -55,6 +55,9 @@
     void notice_received(const key_notice& notice);
     /// Whether the store answers this node and all its documents have been read.
     [[nodiscard]] bool current() const;
+    /// Whether the newest configuration is one that this node can't read. An earlier one is in
+    /// force then, or none.
+    [[nodiscard]] bool configuration_unreadable() const;
 
 private:
     class impl;
--- a/daemon/registry_pages.h
+++ b/daemon/registry_pages.h
@@ -27,6 +27,7 @@
     std::function<std::shared_ptr<const configuration>()> tables;
     std::function<bool()> ready;
     std::function<bool()> store_reached;
+    std::function<bool()> config_unreadable; ///< see registry_feed::configuration_unreadable()
     std::function<std::vector<failure_domain_id>()> managed;
     std::function<std::uint64_t()> in_flight;
     std::function<std::string()> metrics_page;
--- a/tables/tables.h
+++ b/tables/tables.h
@@ -219,6 +219,17 @@
     std::optional<std::vector<workspace_row>> workspaces;
     caller_limits limits;
 
+    [[nodiscard]] bool keys_required() const { return workspaces.has_value(); }
+    /// Keys that identify a workspace; a key that stands twice counts twice.
+    [[nodiscard]] std::size_t key_count() const
+    {
+        std::size_t sum = 0;
+        if (workspaces) {
+            for (const workspace_row& row : *workspaces)
+                sum += row.keys.size();
+        }
+        return sum;
+    }
     friend bool operator==(const configuration&, const configuration&) = default;
 };
 
