Fault soak: the operators take away all keys and give them back

Cause: no soak had a version without keys, so a node that admits everybody then went unseen.

The checker reports each run under such a key, each success while no version in force held a key, and, as before, 401 for keys in force.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -178,6 +178,19 @@
     }
 }
 
+void add_key_removal(std::vector<planned_fault>& plan, const fault_plan_settings& settings)
+{
+    constexpr std::uint64_t stream = 0x6b657973ULL;
+    constexpr std::int64_t min_ms = 5'000; // longer than a version takes to be in force, with slack
+    constexpr std::int64_t max_ms = 7'000;
+    random_source random{settings.seed ^ stream};
+    planned_fault drawn;
+    drawn.at = milliseconds{random.between(0, settings.length.count() / 3)};
+    drawn.active_for = milliseconds{random.between(min_ms, max_ms)};
+    drawn.action = planned_key_removal{};
+    plan.push_back(drawn);
+}
+
 /// Kinds of planned work in turn, each followed by a pause of most servers.
 std::vector<planned_fault> paused_maintenance_plan(const fault_plan_settings& settings)
 {
@@ -262,6 +275,10 @@
     {
         return "store comes back from a copy";
     }
+    std::string operator()(const planned_key_removal& /*planned*/) const
+    {
+        return "all keys are taken away, then the last workspace";
+    }
     std::string operator()(const planned_silence& /*planned*/) const
     {
         return "open connections fall silent";
@@ -307,6 +324,8 @@
         add_evacuations(plan, settings);
     if (settings.store_returns && !maintenance_only)
         add_store_returns(plan, settings);
+    if (settings.key_removals)
+        add_key_removal(plan, settings);
     std::stable_sort(plan.begin(), plan.end(),
                      [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
     return plan;
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -126,12 +126,15 @@
     std::size_t runner = 0;
 };
 
+/// The operators take away all keys, then the last workspace, and give both back.
+struct planned_key_removal {};
+
 struct planned_fault {
     std::chrono::milliseconds at{0};
     std::chrono::milliseconds active_for{0};
     std::variant<planned_daemon_fault, planned_runner_fault, planned_link_fault,
                  planned_store_fault, configuration_change, planned_pause, planned_evacuation,
-                 planned_store_return, planned_silence, planned_departure>
+                 planned_store_return, planned_silence, planned_departure, planned_key_removal>
         action;
 };
 
@@ -144,6 +147,7 @@
     bool pauses = true;        ///< servers are paused too; the other faults are the same without
     bool evacuations = true;   ///< in some seeds; the other faults are the same without
     bool store_returns = true; ///< the same
+    bool key_removals = false; ///< the other faults are the same with them
     std::size_t plain_servers = 3; ///< the last ones of the runners
     /// Only silent connections, each with a change of the configuration and a server that leaves
     /// without a word.
--- a/soak/fault_soak_main.cc
+++ b/soak/fault_soak_main.cc
@@ -28,6 +28,8 @@
 ABSL_FLAG(double, retry_extra, 134.0, "retries of all entry VMs beyond a fraction of the requests");
 ABSL_FLAG(bool, evacuations, true, "failure domains are evacuated too, in some seeds");
 ABSL_FLAG(bool, store_returns, true, "the store comes back from copies too, in some seeds");
+ABSL_FLAG(bool, key_removals, false,
+          "all keys are taken away for some seconds too, and some callers send keys never held");
 ABSL_FLAG(bool, pauses, true, "sound servers are paused too");
 ABSL_FLAG(bool, silences, false,
           "only connections that fall silent, each time with a change of the configuration and a "
@@ -127,6 +129,8 @@
     settings.faults_per_s = absl::GetFlag(FLAGS_faults);
     settings.evacuations = absl::GetFlag(FLAGS_evacuations);
     settings.store_returns = absl::GetFlag(FLAGS_store_returns);
+    settings.key_removals = absl::GetFlag(FLAGS_key_removals);
+    settings.site.unknown_keys = settings.key_removals;
     settings.pauses = absl::GetFlag(FLAGS_pauses);
     settings.silences = absl::GetFlag(FLAGS_silences);
     settings.pause_after_maintenance = absl::GetFlag(FLAGS_pause_after_maintenance);
--- a/soak/promise_book.cc
+++ b/soak/promise_book.cc
@@ -66,6 +66,17 @@
     history.ended_at = now;
 }
 
+void promise_checker::record_version(std::int64_t version, time_point now, bool holds_keys)
+{
+    m_accepted[version] = now;
+    const bool removed =
+        !m_key_removals.empty() && m_key_removals.back().until == time_point::max();
+    if (holds_keys && removed)
+        m_key_removals.back().until = now;
+    else if (!holds_keys && !removed)
+        m_key_removals.push_back({now, time_point::max()});
+}
+
 std::size_t promise_checker::record_fault(fault_period period)
 {
     m_fault_periods.push_back(std::move(period));
@@ -250,7 +261,7 @@
 /// once the time allowed for applying a version has passed.
 void promise_checker::check_key(const request_history& history, std::vector<std::string>& out) const
 {
-    if (!history.ended || history.request.key_version == 0)
+    if (!history.ended || history.request.key_version <= 0)
         return;
     const duration applied = m_bounds.config_apply + m_bounds.slack;
     const auto accepted_before = [&](std::int64_t version) {
@@ -261,16 +272,42 @@
                undisturbed(history.request.node, found->second, history.ended_at, true);
     };
     const std::int64_t key = history.request.key_version;
+    const bool may_be_removed =
+        std::any_of(m_key_removals.begin(), m_key_removals.end(), [&](const time_range& removal) {
+            return removal.from <= history.ended_at &&
+                   (removal.until == time_point::max() ||
+                    history.request.sent <=
+                        after_silences(removal.until + applied, history.request.sent));
+        });
     if (history.answer.status == ok && accepted_before(key + 2))
         out.push_back(describe(history.request) + ": accepted a key that version " +
                       std::to_string(key + 2) + " had revoked");
     const bool may_be_revoked =
         m_accepted.contains(key + 2) && m_accepted.at(key + 2) <= history.ended_at;
-    if (history.answer.status == unauthorized && !may_be_revoked && accepted_before(key))
+    if (history.answer.status == unauthorized && !may_be_revoked && !may_be_removed &&
+        accepted_before(key))
         out.push_back(describe(history.request) + ": a key of version " + std::to_string(key) +
                       " was refused");
 }
 
+/// A key that no version ever held admits nobody, at any time. While the versions in force hold no
+/// keys, no key does.
+void promise_checker::check_key_removals(const request_history& history,
+                                         std::vector<std::string>& out) const
+{
+    if (history.request.key_version == key_never_held && !history.runs.empty())
+        out.push_back(describe(history.request) + ": ran with a key that no version held");
+    if (!history.ended || history.answer.status != ok)
+        return;
+    for (const time_range& removal : m_key_removals) {
+        const time_point applied = removal.from + m_bounds.config_apply + m_bounds.slack;
+        if (history.request.sent > after_silences(applied, history.request.sent) &&
+            history.ended_at < removal.until &&
+            undisturbed(history.request.node, removal.from, history.ended_at, true))
+            out.push_back(describe(history.request) + ": accepted while no version held a key");
+    }
+}
+
 /// A node's process never returns to an older configuration: once it has accepted a key, it accepts
 /// no key that was revoked by then, that is, one more than a version older.
 void promise_checker::check_versions(std::vector<std::string>& out) const
@@ -445,6 +482,7 @@
         check_drain(history, out);
         check_evacuation(history, out);
         check_key(history, out);
+        check_key_removals(history, out);
     }
     check_versions(out);
     check_retries(out);
--- a/soak/promise_book.h
+++ b/soak/promise_book.h
@@ -26,6 +26,9 @@
     read,   ///< may be retried
 };
 
+/// A request_record::key_version: its key is in no version.
+constexpr std::int64_t key_never_held = -1;
+
 struct request_record {
     std::string id;
     caller_request_kind kind = caller_request_kind::read;
@@ -93,8 +96,8 @@
                         duration pause);
     void record_answer(const std::string& id, received_answer answer, time_point now);
     /// The store accepted a configuration version. The keys of that version and of the one before
-    /// it are then valid.
-    void record_version(std::int64_t version, time_point now) { m_accepted[version] = now; }
+    /// it are then valid, or none if it holds no keys.
+    void record_version(std::int64_t version, time_point now, bool holds_keys = true);
     void record_drain(const std::string& runner, time_point now) { m_draining[runner] = now; }
     void record_domain(const std::string& runner, const std::string& domain)
     {
@@ -172,6 +175,7 @@
     void check_drain(const request_history& history, std::vector<std::string>& out) const;
     void check_evacuation(const request_history& history, std::vector<std::string>& out) const;
     void check_key(const request_history& history, std::vector<std::string>& out) const;
+    void check_key_removals(const request_history& history, std::vector<std::string>& out) const;
     void check_versions(std::vector<std::string>& out) const;
     void check_refusals(std::vector<std::string>& out) const;
     void check_leaving(std::vector<std::string>& out) const;
@@ -215,6 +219,7 @@
     std::map<std::string, time_point> m_draining; ///< start of the drain, by runner
     std::map<std::string, std::string> m_domains; ///< failure domains of the runners
     std::map<std::string, std::vector<time_range>> m_evacuations; ///< by failure domain
+    std::vector<time_range> m_key_removals; ///< in which accepted versions held no keys
     std::map<std::string, std::vector<time_point>> m_starts;
     std::vector<fault_period> m_fault_periods;
     std::vector<time_point> m_silences;                      ///< in order of time
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -163,6 +163,9 @@
     const std::int64_t versions_back =
         m_random.chance(old_key_probability) ? m_random.between(1, 3) : 0;
     request.key_version = std::max<std::int64_t>(1, newest - versions_back);
+    constexpr double unknown_key_probability = 0.1;
+    if (m_site.settings().unknown_keys && m_random.chance(unknown_key_probability))
+        request.key_version = key_never_held;
     request.max_servers = request.kind == caller_request_kind::order ? 1 : repeatable_attempts;
     return request;
 }
--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -118,6 +118,7 @@
         drawn.pauses = m_settings.pauses;
         drawn.evacuations = m_settings.evacuations;
         drawn.store_returns = m_settings.store_returns;
+        drawn.key_removals = m_settings.key_removals;
         drawn.plain_servers = m_settings.site.servers;
         drawn.silences = m_settings.silences;
         drawn.pause_after_maintenance = m_settings.pause_after_maintenance;
@@ -474,6 +475,15 @@
         m_site.publish_version(); // to be in force within its bound
     }
 
+    asio::awaitable<void> inject(planned_key_removal /*spec*/, duration active_for)
+    {
+        m_site.publish_version(version_keys::none);
+        co_await pause(active_for / 2);
+        m_site.publish_version(version_keys::no_workspaces);
+        co_await pause(active_for / 2);
+        m_site.publish_version(version_keys::two_newest);
+    }
+
     asio::awaitable<void> inject(planned_silence /*spec*/, duration /*active_for*/)
     {
         m_site.silence_nodes();
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -23,6 +23,7 @@
     bool pauses = true;                   ///< see fault_plan_settings
     bool evacuations = true;              ///< the same
     bool store_returns = true;            ///< the same
+    bool key_removals = false;            ///< the same; some callers send keys never held, too
     bool silences = false;                ///< see fault_plan_settings
     bool pause_after_maintenance = false; ///< the same
     /// Ends the run: all daemons are lost at once right after a last change of the configuration.
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -198,11 +198,12 @@
     m_runners.push_back(std::move(runner));
 }
 
-void soak_site::publish_version()
+void soak_site::publish_version(version_keys keys)
 {
     ++m_version;
+    m_settings.configuration.keys = keys;
     put_config_version(*m_store, m_version, m_settings.configuration);
-    m_checker.record_version(m_version, runtime_clock::now());
+    m_checker.record_version(m_version, runtime_clock::now(), keys == version_keys::two_newest);
 }
 
 void soak_site::set_evacuated(const std::string& key, bool evacuated)
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -47,7 +47,8 @@
     std::size_t daemon_cores = 0;                 ///< that all daemons share; 0: all
     double store_link_bytes_per_s = 0.0; ///< all answers of the store share it; 0: unlimited
     link_sharing store_link_sharing = link_sharing::chunks;
-    promise_bounds bounds; ///< that the daemons are given and the checker checks
+    bool unknown_keys = false; ///< some callers send keys that no version ever held
+    promise_bounds bounds;     ///< that the daemons are given and the checker checks
 };
 
 /// One entry VM: its addresses and its current process.
@@ -102,8 +103,10 @@
     void add_runner(const std::string& service, const std::string& zone, const std::string& domain);
     /// Name of the failure domain that the daemon or runner with this number is in.
     [[nodiscard]] std::string domain_name(std::size_t index) const;
-    /// Publishes the next configuration version. It revokes the key of two versions ago.
-    void publish_version();
+    /// Publishes the next configuration version. It revokes the key of two versions ago, and holds
+    /// the keys that `keys` says, as later versions do.
+    void publish_version(version_keys keys);
+    void publish_version() { publish_version(m_settings.configuration.keys); }
     [[nodiscard]] std::int64_t version() const { return m_version; }
     /// Writes or removes the operators' key that evacuates a failure domain.
     void set_evacuated(const std::string& key, bool evacuated);
--- a/soak/soak_test.cc
+++ b/soak/soak_test.cc
@@ -255,6 +255,37 @@
     assert_one(backwards, "after one of 3");
 }
 
+Test(promise_checker, runs_without_a_key_in_force_are_reported)
+{
+    promise_checker removed{events};
+    removed.record_version(1, at(1s));
+    removed.record_version(2, at(6s), false);
+    removed.record_version(3, at(7s), false);
+    ask_with_key(removed, "1", 2, 8s, 200);
+    cr_assert(removed.violations().empty(), "not due yet");
+    ask_with_key(removed, "2", 3, 10s, 401);
+    ask_with_key(removed, "3", 1, 10s, 401);
+    removed.record_version(4, at(12s));
+    ask_with_key(removed, "4", 3, 13s, 401);
+    cr_assert(removed.violations().empty(), "refused as it should be");
+    ask_with_key(removed, "5", 3, 11s, 200);
+    assert_one(removed, "accepted while no version held a key");
+
+    promise_checker refused{events};
+    refused.record_version(1, at(1s), false);
+    refused.record_version(2, at(2s));
+    ask_with_key(refused, "1", 1, 9s, 401);
+    assert_one(refused, "was refused");
+
+    promise_checker unknown{events};
+    ask_with_key(unknown, "1", key_never_held, 1s, 200);
+    unknown.record_run("1", "a-1", at(1s));
+    const std::vector<std::string> found = unknown.violations();
+    cr_assert(std::any_of(found.begin(), found.end(), [](const std::string& one) {
+        return one.find("ran with a key that no version held") != std::string::npos;
+    }));
+}
+
 Test(fault_plan, equal_seeds_give_equal_plans)
 {
     const auto render = [](std::uint64_t seed) {
--- a/standins/platform_forms.cc
+++ b/standins/platform_forms.cc
@@ -75,9 +75,14 @@
                               {"max_body_bytes", 65536},
                               {"header_timeout_ms", form.header_timeout.count()},
                               {"idle_timeout_ms", form.idle_timeout.count()}};
-    const json::array keys{json::string("key-" + std::to_string(version)),
-                           json::string("key-" + std::to_string(version - 1))};
-    const json::object tenant{{"name", "farm"}, {"api_keys", keys}, {"priority", 1}};
+    json::array keys;
+    if (form.keys == version_keys::two_newest)
+        keys = {json::string("key-" + std::to_string(version)),
+                json::string("key-" + std::to_string(version - 1))};
+    json::array tenants;
+    if (form.keys != version_keys::no_workspaces)
+        tenants.push_back(
+            json::object{{"name", "farm"}, {"api_keys", std::move(keys)}, {"priority", 1}});
     json::array routes{route("chat", "streaming", "llm", repeatable_attempts, false, timeout),
                        route("order", "non_idempotent", "app", 1, false, timeout),
                        route("read", "idempotent", "app", repeatable_attempts, false, timeout)};
@@ -91,7 +96,7 @@
                                                                    {"health_path", "/health"},
                                                                    {"max_conns", 200}}}},
         {"limits", limits},
-        {"tenants", json::array{tenant}}});
+        {"tenants", std::move(tenants)}});
 }
 
 } // namespace
--- a/standins/platform_forms.h
+++ b/standins/platform_forms.h
@@ -41,6 +41,13 @@
     double share = 1.0;   ///< of the requests, as expected
 };
 
+/// Which keys a version of the configuration holds.
+enum class version_keys {
+    two_newest,    ///< "key-N" of this version and the previous one
+    none,          ///< its workspace has no key
+    no_workspaces, ///< its list of workspaces is empty
+};
+
 /// What a version of the configuration says beside its number.
 struct configuration_form {
     std::chrono::milliseconds route_timeout = usual_timeout;
@@ -51,10 +58,10 @@
     std::size_t slots = 8;                 ///< of a group
     std::chrono::milliseconds header_timeout{3'000};
     std::chrono::milliseconds idle_timeout{15'000};
+    version_keys keys = version_keys::two_newest;
 };
 
-/// Writes a version of the operators' configuration. The API keys "key-N" of this version and the
-/// previous one are valid.
+/// Writes a version of the operators' configuration.
 void put_config_version(store_standin& store, std::int64_t version,
                         const configuration_form& form = {});
 
